--- /dev/null
+++ b/Makefile
@@ -0,0 +1,116 @@
+CC = gcc
+PKGS = ck libprotobuf-c libmicrohttpd libcurl glib-2.0 inih jansson libxxhash \
+	libsodium
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-sign-compare -Werror
+# vsnprintf() cuts on purpose where a field is bounded.
+WARN += -Wno-format-truncation -Wno-stringop-truncation
+CFLAGS = -std=gnu11 -O2 -g -pthread -I. $(WARN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -pthread
+PACKAGES = base policy platform endpoint peer operator caller control entry
+B = build
+# V=1 shows each command.
+Q = $(if $(V),,@)
+# SAN is empty, address or thread; each has a tree of its own.
+SAN =
+ifneq ($(SAN),)
+CFLAGS += -fno-omit-frame-pointer
+endif
+ifeq ($(SAN),address)
+CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=undefined
+endif
+ifeq ($(SAN),thread)
+CFLAGS += -fsanitize=thread
+endif
+O = $(B)/o$(SAN)
+
+LIBSRC = $(foreach p,$(PACKAGES),$(wildcard $(p)/*.c))
+LIB = $(O)/libebonypitch.a
+CMDS = $(patsubst cmd/%.c,$(B)/bin/%,$(wildcard cmd/*.c))
+STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard standin/*.c))
+BENCHES = $(patsubst bench/%.c,$(B)/bin/%,$(wildcard bench/*.c))
+# A *_test.c is a unit test; a *_proc.c starts real processes.
+UNIT = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_test.c))
+PROC = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_proc.c))
+TESTLIB = $(patsubst tests/%.c,$(O)/tests/%.o,$(filter-out %_test.c %_proc.c,$(wildcard tests/*.c)))
+OBJ = $(patsubst %.c,$(O)/%.o,$(LIBSRC))
+SRC = $(filter-out %.pb-c.c,$(LIBSRC)) $(wildcard cmd/*.c standin/*.c bench/*.c tests/*.c)
+HDR = $(filter-out %.pb-c.h,$(wildcard $(PACKAGES:%=%/*.h) standin/*.h bench/*.h tests/*.h))
+DEPLOYMENT = granite-ridge
+
+.PHONY: all deps programs check unit proc sanitize demo up prove bench soak \
+	format lint proto clean
+all: deps programs
+deps:
+	@tools/deps
+programs: $(CMDS) $(STANDINS) $(BENCHES)
+
+$(O)/%.o: %.c
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+$(O)/%.pb-c.o: %.pb-c.c
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -Wno-shadow -MMD -MP -c -o $@ $<
+$(LIB): $(OBJ)
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+$(B)/bin/standin-%: $(O)/standin/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+$(B)/bin/%: $(O)/cmd/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+$(B)/bin/%: $(O)/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(LIB)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+.SECONDARY:
+
+# Tests. tools/runtests counts, knows KNOWN-RED.txt and fails on the rest.
+check: deps
+	@$(MAKE) --no-print-directory -j8 programs unit-build proc-build
+	@$(MAKE) --no-print-directory -j8 SAN=address unit-build
+	@$(MAKE) --no-print-directory -j8 SAN=thread tsan-build
+	@tools/runtests $(B)
+unit-build: $(UNIT)
+proc-build: $(PROC)
+TSAN = $(O)/tests/ring_test $(O)/tests/peer_test
+tsan-build: $(filter $(UNIT),$(TSAN))
+unit: deps
+	@$(MAKE) --no-print-directory -j8 unit-build
+	@tools/runtests $(B) unit
+proc: deps
+	@$(MAKE) --no-print-directory -j8 programs proc-build
+	@tools/runtests $(B) proc
+
+demo: deps
+	@$(MAKE) --no-print-directory -j8 programs
+	@tools/demo $(DEPLOYMENT)
+up: deps
+	@$(MAKE) --no-print-directory -j8 programs
+	@tools/demo -u $(DEPLOYMENT)
+prove: deps
+	@$(MAKE) --no-print-directory -j8 programs proc-build
+	@tools/prove
+SEED = 1
+soak: deps
+	@$(MAKE) --no-print-directory -j8 programs proc-build
+	@tools/soak $(SEED)
+bench: deps
+	@$(MAKE) --no-print-directory -j8 programs
+	@tools/bench
+
+format:
+	clang-format -i $(SRC) $(HDR)
+lint:
+	@clang-format --dry-run --Werror $(SRC) $(HDR)
+	@mkdir -p $(B)
+	@printf '%s\n' $(SRC) | xargs -P 12 -n 2 sh -c 'clang-tidy --quiet "$$@" -- $(filter-out -O2 -g -W%,$(CFLAGS)) 2>/dev/null' tidy
+	@for m in $(wildcard man/*.[1-8]); do mandoc -T lint -W warning $$m || exit 1; done
+proto:
+	protoc-c --c_out=. peer/wire.proto
+clean:
+	rm -rf $(B)
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/base.h
@@ -0,0 +1,275 @@
+/**
+ * @file base.h
+ * What every package stands on: errors, clock, log lines, settings, handles
+ * into tables, bounded rings and counters.
+ */
+#ifndef BASE_H
+#define BASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <inttypes.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <syslog.h>
+
+enum {
+	ID_MAX = 64,   /* bytes of an instance, model, domain or key name */
+	ADDR_MAX = 64, /* bytes of "1.2.3.4:port" */
+	ERR_TEXT_MAX = 256,
+};
+
+/** What kind of failure an err_t tells of. */
+typedef enum err_code {
+	ERR_NONE,
+	ERR_INVAL,     /* bad input; saying it again won't help */
+	ERR_NOT_FOUND, /* no such thing */
+	ERR_CONFLICT,  /* a conditional update lost, or a number is stale */
+	ERR_FULL,      /* a bound is reached; come back later */
+	ERR_DOWN,      /* the peer could not be asked; nothing was done */
+	ERR_UNKNOWN,   /* the peer was asked and no answer came: done or not */
+	ERR_PROTO,     /* the peer's answer makes no sense */
+	ERR_INTERNAL,  /* out of memory and the like */
+} err_code_t;
+
+/** An error passed down by the caller and filled in by whoever fails. */
+typedef struct err {
+	err_code_t code;
+	char text[ERR_TEXT_MAX];
+} err_t;
+
+/** Fill in @p e (may be NULL). @return -1, so that callers can return it. */
+int err_set(err_t *e, err_code_t code, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+/** Stable lower-case name of a code, as it stands in JSON and logs. */
+const char *err_name(err_code_t code);
+
+/** Milliseconds: a point on the monotonic clock or a span. */
+typedef int64_t ms_t;
+
+/** Where the time comes from: the machine, or a test that sets it. */
+typedef enum clock_kind {
+	CLOCK_MACHINE,
+	CLOCK_FAKE
+} clock_kind_t;
+
+typedef struct msclock {
+	clock_kind_t kind;
+	ms_t fake_now; /* ms, CLOCK_FAKE only */
+} msclock_t;
+
+/** The machine's clock, for option structs. */
+extern const msclock_t machine_clock;
+
+/** @return ms on the monotonic clock; it also runs while suspended. */
+ms_t clock_now(const msclock_t *c);
+/** @return ms since 1970 UTC, for people and audit records only. */
+ms_t clock_wall(void);
+/** Sleep for @p span ms on the machine's clock. */
+void clock_sleep(ms_t span);
+
+/** Name the writer of this process's log lines. Strings are copied. */
+void log_open(const char *daemon, const char *instance, const char *domain);
+/** Lines less urgent than @p priority (LOG_ERR ... LOG_DEBUG) are dropped. */
+void log_level(int priority);
+/**
+ * Write one line of key=value pairs to standard error. @p fmt gives further
+ * pairs, such as "note=%d by=%s"; quote free text with log_quote().
+ */
+void log_event(int priority, const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+/** Copy @p s into @p buf as a quoted value without control characters. */
+const char *log_quote(char *buf, size_t size, const char *s);
+
+/** A named counter; add to it from any thread. */
+typedef struct counter counter_t;
+/** Find or make the counter @p name (Prometheus naming, may have labels). */
+counter_t *counter_get(const char *name, const char *help);
+void counter_add(counter_t *c, int64_t n);
+void counter_set(counter_t *c, int64_t n);
+int64_t counter_read(const counter_t *c);
+/** Print all counters in Prometheus's text form into a malloc'd string. */
+char *counters_text(void);
+
+enum {
+	HISTO_BUCKETS = 512
+};
+/** A histogram of ms or us, 6% wide buckets; one writer at a time. */
+typedef struct histo {
+	uint64_t n;
+	uint64_t bucket[HISTO_BUCKETS];
+	int64_t max;
+} histo_t;
+void histo_add(histo_t *h, int64_t v);
+void histo_merge(histo_t *into, const histo_t *from);
+/** @param q 0..1. @return the upper edge of the bucket holding it, or 0. */
+int64_t histo_quantile(const histo_t *h, double q);
+
+/**
+ * A bounded ring of pointers joining threads: any number of writers and
+ * readers. Its descriptor is readable while something may be in it.
+ */
+typedef struct ring ring_t;
+/** @param slots power of two. @return NULL when out of memory or fds. */
+ring_t *ring_new(unsigned slots);
+/** Free the ring; what is still in it is the caller's to have taken. */
+void ring_free(ring_t *r);
+/** @return false when full: the writer must answer for that at once. */
+bool ring_push(ring_t *r, void *item);
+/** @return the next item or NULL when empty. Clears the descriptor. */
+void *ring_pop(ring_t *r);
+/** Like ring_pop(), waiting up to @p span ms. */
+void *ring_wait(ring_t *r, ms_t span);
+/** @return the descriptor to poll for reading. */
+int ring_fd(const ring_t *r);
+
+/** Index and generation of an item in a table; 0 is never one. */
+typedef uint64_t handle_t;
+
+/** A growing table of equal items found by handle; one thread's. */
+typedef struct table table_t;
+table_t *table_new(size_t item_size, uint32_t limit);
+void table_free(table_t *t);
+/** @return the new zeroed item's handle, or 0 at the limit. */
+handle_t table_add(table_t *t);
+/** @return the item, or NULL if it is gone. Valid until the next add. */
+void *table_get(table_t *t, handle_t h);
+void table_del(table_t *t, handle_t h);
+uint32_t table_count(const table_t *t);
+/** Walk: start with 0; @return the next live handle or 0 at the end. */
+handle_t table_next(table_t *t, handle_t after);
+
+/** 64-bit hash of bytes; the same on every instance. */
+uint64_t hash64(const void *p, size_t n, uint64_t seed);
+/** Hash of a string. */
+uint64_t hash_str(const char *s, uint64_t seed);
+/** A small seeded generator for jitter and tests. */
+typedef struct rng {
+	uint64_t s;
+} rng_t;
+uint64_t rng_next(rng_t *r);
+/** @return 0 <= x < 1. */
+double rng_unit(rng_t *r);
+/** Copy a string into a fixed field. @return false if it was cut. */
+bool str_copy(char *dst, size_t size, const char *src);
+
+/* Settings: all keys, typed, with units, ranges and defaults. */
+
+enum {
+	DOMAIN_MAX = 16,
+	SERVICE_MAX = 16
+};
+
+typedef enum service_kind {
+	SERVICE_ENGINE,
+	SERVICE_PLAIN
+} service_kind_t;
+/** May a call to a plain service be sent again? */
+typedef enum repeat {
+	REPEAT_SAFE,  /* idempotent */
+	REPEAT_KEYED, /* the endpoint deduplicates by Idempotency-Key */
+	REPEAT_NEVER, /* at most once */
+} repeat_t;
+
+typedef struct domain_conf {
+	char name[ID_MAX];
+	char region[ID_MAX];
+} domain_conf_t;
+
+typedef struct service_conf {
+	char name[ID_MAX];
+	service_kind_t kind;
+	repeat_t repeat;
+	bool fencing;	    /* engines refuse an order's stale fence */
+	int64_t promise_ms; /* first token or whole answer */
+	int64_t gap_ms;	    /* between tokens */
+	int64_t timeout_ms; /* one call altogether */
+	int64_t slots;	    /* calls at once on a worker unless it says */
+} service_conf_t;
+
+typedef struct settings {
+	char deployment[ID_MAX];
+	domain_conf_t domain[DOMAIN_MAX];
+	int ndomain;
+	service_conf_t service[SERVICE_MAX];
+	int nservice;
+
+	struct {
+		char id[ID_MAX];
+		char domain[ID_MAX];
+		char caller_addr[ADDR_MAX];
+		char peer_addr[ADDR_MAX];
+		char operator_addr[ADDR_MAX];
+		char secret[ID_MAX]; /* keys resume tokens, all instances */
+	} instance;
+	struct {
+		char addr[ADDR_MAX];
+		int64_t timeout_ms;
+		int64_t lease_ms; /* planner's lease */
+	} platform;
+	struct {
+		int64_t body_max; /* bytes */
+		int64_t connections_max;
+		int64_t calls_max;	/* in progress */
+		int64_t idle_ms;	/* a silent connection is closed */
+		int64_t entries_age_ms; /* max-age of /v1/entries */
+		int64_t drain_ms;	/* longest planned stop */
+	} caller;
+	struct {
+		int64_t heartbeat_ms;
+		int64_t dead_ms;   /* silence after which it is gone */
+		int64_t frame_max; /* bytes */
+		int64_t ask_ms;	   /* wait for a broker before the next */
+		int64_t view_ms;   /* least time between views sent */
+	} peer;
+	struct {
+		int64_t shard_workers;
+		int64_t queue_max; /* asks waiting in a shard */
+		int64_t grant_ms;  /* a grant not released lapses */
+		int64_t load_poll_ms;
+		int64_t retry_share; /* percent of successes */
+	} broker;
+	struct {
+		int64_t buckets;
+		int64_t keep_ms;    /* an outcome is kept this long */
+		int64_t bucket_max; /* bytes */
+		int64_t commit_ms;  /* group commit gathers this long */
+	} claims;
+	struct {
+		int64_t move_weight;   /* attainment points a move must win */
+		int64_t hysteresis;    /* percent */
+		int64_t plan_ms;       /* between planning rounds */
+		int64_t quiet_from_h;  /* UTC; only needed moves from ... */
+		int64_t quiet_to_h;    /* ... to */
+		int64_t loads_per_min; /* the weight store's rate */
+		int64_t loads_at_once;
+		int64_t adapters_at_once;
+	} place;
+} settings_t;
+
+/** Told of each key; @p line counts from 1. */
+typedef void ini_key_t(void *user, const char *section, const char *key,
+    const char *value, int line);
+/** Read INI text. @return 0, or the first line that isn't INI. */
+int ini_text(const char *text, size_t len, ini_key_t *on_key, void *user);
+
+/** Every default; no services, no domains. */
+void settings_init(settings_t *s);
+/**
+ * Read @p path over @p s. A later file's value replaces an earlier one's;
+ * within one file a repeated or unknown key is an error.
+ * @param report all errors, one "file:line: text" a line; malloc'd or NULL.
+ * @return 0, or -1 with ERR_INVAL and @p report set.
+ */
+int settings_read(settings_t *s, const char *path, char **report, err_t *e);
+/** What holds between keys (addresses set, ranges that belong together). */
+int settings_check(const settings_t *s, char **report, err_t *e);
+/** Print every key with unit, range and value as INI. */
+void settings_print(const settings_t *s, FILE *f);
+const service_conf_t *settings_service(const settings_t *s, const char *name);
+
+/** Split "1.2.3.4:80". @return 0, or -1 with ERR_INVAL. */
+int addr_split(
+    const char *addr, char *host, size_t hostsize, uint16_t *port, err_t *e);
+
+#endif
--- /dev/null
+++ b/endpoint/endpoint.h
@@ -0,0 +1,146 @@
+/**
+ * @file endpoint.h
+ * Engines and plain services: streamed calls, load reports, orders.
+ * docs/INTERFACES.md has the wire.
+ */
+#ifndef ENDPOINT_H
+#define ENDPOINT_H
+
+#include "base/base.h"
+#include "policy/policy.h"
+
+/* Calls: one thread over libcurl's multi interface. call.c */
+
+typedef struct caller_pool endpoint_t;
+
+typedef enum event_kind {
+	EVENT_TOKEN, /* a checked token of a stream */
+	EVENT_END,   /* the call has ended; the last event */
+} event_kind_t;
+
+typedef struct call_event {
+	event_kind_t kind;
+	uint64_t tag;	 /* the asker's */
+	uint32_t offset; /* TOKEN: its place in the answer */
+	char *text;	 /* TOKEN text or END body; malloc'd, receiver's */
+	size_t len;
+	/* END */
+	call_outcome_t outcome; /* DONE only with the end marker seen */
+	bool sent;		/* a byte of the request may have gone out */
+	bool not_run;		/* not sent, or the endpoint said so itself */
+	bool connected;		/* false: the worker could not be reached */
+	int status;		/* HTTP, 0 if none came */
+	char type[ID_MAX];	/* content type */
+	ms_t retry_after;	/* the endpoint's, 0 if none */
+	char reason[128];
+} call_event_t;
+
+typedef struct call_spec {
+	uint64_t tag;
+	char addr[ADDR_MAX];
+	char request[ID_MAX];
+	ms_t timeout; /* altogether */
+	ms_t gap;     /* between tokens, then it counts as broken */
+	bool plain;
+	/* engine */
+	char model[ID_MAX];
+	char adapter[ID_MAX];
+	char *prompt; /* malloc'd, the endpoint thread's to free */
+	uint32_t max_tokens;
+	uint32_t offset; /* first token wanted */
+	uint32_t rank;
+	/* plain */
+	char method[16];
+	char path[256];
+	char key[256]; /* Idempotency-Key or empty */
+	char type[ID_MAX];
+	char *body; /* malloc'd, the endpoint thread's to free */
+	size_t body_len;
+} call_spec_t;
+
+typedef struct endpoint_opts {
+	const settings_t *settings;
+	ring_t *events; /* of call_event_t *, malloc'd */
+	/* called when the events ring is full, on the endpoint's thread */
+} endpoint_opts_t;
+
+endpoint_t *endpoint_new(const endpoint_opts_t *o, err_t *e);
+void endpoint_free(endpoint_t *p);
+/** @p spec is malloc'd and taken over. @return false: ring full, not sent. */
+bool endpoint_start(endpoint_t *p, call_spec_t *spec);
+/** Cancel a call; its END event still comes. */
+void endpoint_cancel(endpoint_t *p, uint64_t tag);
+
+/* Load reports: one thread asks all workers given to it. load.c */
+
+typedef enum resident_state {
+	RESIDENT_LOADING,
+	RESIDENT_READY,
+	RESIDENT_UNLOADING
+} resident_state_t;
+
+typedef struct resident {
+	char model[ID_MAX];
+	char adapter[ID_MAX];
+	uint64_t version;
+	resident_state_t state;
+	uint32_t memory_mb;
+} resident_t;
+
+typedef struct load_report {
+	char worker[ID_MAX];
+	char incarnation[ID_MAX];
+	bool reached;  /* false: this poll got no answer */
+	ms_t taken_at; /* monotonic, ours */
+	uint32_t in_flight, queued, slots;
+	uint32_t memory_mb, used_mb;
+	uint64_t last_order; /* highest order number it has seen */
+	bool leaving;
+	resident_t *resident;
+	int nresident;
+} load_report_t;
+
+typedef struct load_target {
+	char worker[ID_MAX];
+	char addr[ADDR_MAX];
+} load_target_t;
+
+typedef struct loads loads_t;
+/** @param reports ring of load_report_t *, freed with load_report_free(). */
+loads_t *loads_new(const settings_t *s, ring_t *reports, err_t *e);
+void loads_free(loads_t *l);
+/** Replace the set of workers polled. */
+void loads_set(loads_t *l, const load_target_t *t, int n);
+void load_report_free(load_report_t *r);
+
+/* Orders and state, blocking; an orders_t belongs to one thread. order.c */
+
+typedef enum order_kind {
+	ORDER_LOAD,
+	ORDER_UNLOAD,
+	ORDER_ROLE
+} order_kind_t;
+
+typedef struct order {
+	order_kind_t kind;
+	uint64_t number;
+	uint64_t fence;
+	char model[ID_MAX];
+	char adapter[ID_MAX];
+	uint64_t version;
+	uint32_t memory_mb;
+	char role[ID_MAX];
+} order_t;
+
+typedef struct orders orders_t;
+orders_t *orders_new(ms_t timeout, err_t *e);
+void orders_free(orders_t *o);
+/**
+ * @return 0: the engine has taken it; -1: CONFLICT (it refused: stale fence
+ * or number), FULL (no memory there), DOWN (not sent), UNKNOWN.
+ */
+int orders_send(orders_t *o, const char *addr, const order_t *order, err_t *e);
+/** Ask for a load report now. */
+int orders_state(orders_t *o, const char *addr, load_report_t *out, err_t *e);
+
+#endif
