--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -45,6 +45,7 @@
 	/* engine */
 	char model[ID_MAX];
 	char adapter[ID_MAX];
+	uint64_t version;
 	char *prompt; /* malloc'd, the endpoint thread's to free */
 	uint32_t max_tokens;
 	uint32_t offset; /* first token wanted */
