policy: backoff, retry budget and routing

Cause: others code against them. Rendezvous scores come from hashes of key and id, so that a view with many shards can keep the ids' hashes (route_first). Not measured yet.

--- /dev/null
+++ b/policy/backoff.c
@@ -0,0 +1,44 @@
+#include "policy/policy.h"
+
+/* Keeps the doubling below from overflowing. */
+enum {
+	TRIES_MAX = 30
+};
+
+ms_t
+backoff_next(backoff_t *b, rng_t *rng)
+{
+	ms_t bound = b->first;
+	int i;
+
+	for (i = 0; i < b->tries && bound < b->most; i++)
+		bound *= 2;
+	if (bound > b->most)
+		bound = b->most;
+	if (b->tries < TRIES_MAX)
+		b->tries++;
+	return 1 + (ms_t)(rng_unit(rng) * (double)bound);
+}
+
+void
+backoff_reset(backoff_t *b)
+{
+	b->tries = 0;
+}
+
+void
+budget_success(budget_t *b)
+{
+	b->tokens += (double)b->percent / 100;
+	if (b->tokens > b->most)
+		b->tokens = b->most;
+}
+
+bool
+budget_spend(budget_t *b)
+{
+	if (b->tokens < 1)
+		return false;
+	b->tokens -= 1;
+	return true;
+}
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -299,6 +299,14 @@
 
 /** Order ids by rendezvous hash for @p key. @param ids of ID_MAX bytes. */
 void route_rank(const char *key, const char (*ids)[ID_MAX], int n, int *order);
+/** The score that route_rank() orders by, from hash_str(.., 0) of both. */
+uint64_t route_score(uint64_t key_hash, uint64_t id_hash);
+/**
+ * The first in route_rank()'s order, where the ids' hashes are kept: finding
+ * the brokers of all shards takes shards times members of these.
+ * @return its index, or -1 if n is 0.
+ */
+int route_first(uint64_t key_hash, const uint64_t *id_hash, int n);
 
 typedef struct route_shard {
 	const char *domain;
