--- a/peer/peer.h
+++ b/peer/peer.h
@@ -47,15 +47,25 @@
 	shard_t *shard;
 	int nshard;
 	catalogue_t *catalogue;
+	struct msg **held; /* messages shared with other views, or NULL */
+	int nheld;
 	int refs;
 } view_t;
 
-/** Makes shards of the workers; takes @p wire over, refs @p c. */
+/**
+ * Makes shards of the workers; takes @p wire over, refs @p c. Members that
+ * are gone don't count as brokers.
+ */
 view_t *view_new(Wire__View *wire, catalogue_t *c, int shard_workers, ms_t now);
 view_t *view_ref(view_t *v);
 void view_unref(view_t *v);
 const Wire__Member *view_member(const view_t *v, const char *id);
 const Wire__Worker *view_worker(const view_t *v, const char *id);
+/**
+ * Who brokers a shard when @p rank members before it gave no answer.
+ * @return NULL when there are no more.
+ */
+const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
 /** The member that owns a claims bucket: first live one by rendezvous. */
 const Wire__Member *view_owner(const view_t *v, const char *key, int rank);
 
--- /dev/null
+++ b/peer/store.c
@@ -0,0 +1,639 @@
+#include "peer/store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	GONE_KEEP_MS = 60000,  /* a record of what is gone stays */
+	MISSING_MS = 10000,    /* off our own lists for so long: gone */
+	FIRST_BACKOFF_MS = 50, /* before dialling a member again */
+	MOST_BACKOFF_MS = 2000,
+};
+
+msg_t *
+msg_copy(const void *m)
+{
+	const ProtobufCMessage *from = m;
+	size_t n = protobuf_c_message_get_packed_size(from);
+	uint8_t *buf = malloc(n + 1);
+	msg_t *c = calloc(1, sizeof(*c));
+
+	protobuf_c_message_pack(from, buf);
+	c->refs = 1;
+	c->m = protobuf_c_message_unpack(from->descriptor, NULL, n, buf);
+	free(buf);
+	return c;
+}
+
+msg_t *
+msg_ref(msg_t *m)
+{
+	__atomic_add_fetch(&m->refs, 1, __ATOMIC_RELAXED);
+	return m;
+}
+
+void
+msg_unref(msg_t *m)
+{
+	if (m == NULL || __atomic_sub_fetch(&m->refs, 1, __ATOMIC_ACQ_REL) > 0)
+		return;
+	protobuf_c_message_free_unpacked(m->m, NULL);
+	free(m);
+}
+
+static void
+member_free(void *p)
+{
+	member_t *r = p;
+
+	msg_unref(r->msg);
+	free(r);
+}
+
+static void
+worker_free(void *p)
+{
+	worker_t *r = p;
+
+	msg_unref(r->msg);
+	free(r);
+}
+
+static void
+digest_free(void *p)
+{
+	digest_t *r = p;
+
+	msg_unref(r->msg);
+	free(r);
+}
+
+store_t *
+store_new(const msclock_t *clock, int shard_workers)
+{
+	store_t *s = calloc(1, sizeof(*s));
+
+	s->clock = clock;
+	s->shard_workers = shard_workers;
+	s->member =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, member_free);
+	s->worker =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, worker_free);
+	s->digest =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, digest_free);
+	s->stale = true;
+	return s;
+}
+
+void
+store_free(store_t *s)
+{
+	if (s == NULL)
+		return;
+	g_hash_table_destroy(s->member);
+	g_hash_table_destroy(s->worker);
+	g_hash_table_destroy(s->digest);
+	free(s->sorted);
+	free(s->shard);
+	free(s);
+}
+
+static bool
+is_id(const char *s)
+{
+	return *s != '\0' && strlen(s) < ID_MAX;
+}
+
+member_t *
+store_find(store_t *s, const char *id)
+{
+	return g_hash_table_lookup(s->member, id);
+}
+
+bool
+member_live(const member_t *r)
+{
+	return r->msg != NULL && !r->m->gone;
+}
+
+bool
+member_leaving(const member_t *r)
+{
+	return r->msg != NULL &&
+	       (r->m->leaving || r->m->incarnation <= r->list_left);
+}
+
+static member_t *
+member_add(store_t *s, const char *id)
+{
+	member_t *r = store_find(s, id);
+
+	if (r != NULL)
+		return r;
+	r = calloc(1, sizeof(*r));
+	r->backoff = (backoff_t){ FIRST_BACKOFF_MS, MOST_BACKOFF_MS, 0 };
+	g_hash_table_insert(s->member, g_strdup(id), r);
+	return r;
+}
+
+/* Put @p m in place of what is held; an empty field keeps its value. */
+static void
+member_put(store_t *s, member_t *r, const Wire__Member *m)
+{
+	Wire__Member n = *m;
+	const Wire__Member *old = r->m;
+	bool figures;
+
+	if (old != NULL) {
+		if (*n.domain == '\0')
+			n.domain = old->domain;
+		if (*n.caller_addr == '\0')
+			n.caller_addr = old->caller_addr;
+		if (*n.peer_addr == '\0')
+			n.peer_addr = old->peer_addr;
+		if (*n.operator_addr == '\0')
+			n.operator_addr = old->operator_addr;
+		n.leaving |= old->incarnation == n.incarnation && old->leaving;
+	}
+	if (n.incarnation <= r->list_left)
+		n.leaving = true;
+	figures =
+	    old == NULL || old->load != n.load || old->in_force != n.in_force;
+	if (old == NULL || old->incarnation != n.incarnation ||
+	    old->leaving != n.leaving || old->gone != n.gone ||
+	    strcmp(old->domain, n.domain) != 0 ||
+	    strcmp(old->peer_addr, n.peer_addr) != 0 || r->reassert) {
+		r->urgent = ++s->change;
+		r->reassert = false;
+		s->stale = true;
+	} else if (figures) {
+		r->figures = ++s->change;
+	} else {
+		return;
+	}
+	msg_t *msg = msg_copy(&n);
+
+	msg_unref(r->msg);
+	r->msg = msg;
+	r->m = (const Wire__Member *)msg->m;
+}
+
+member_t *
+store_member(store_t *s, const Wire__Member *m)
+{
+	member_t *r;
+
+	if (m == NULL || !is_id(m->id) || strlen(m->domain) >= ID_MAX ||
+	    m->incarnation == 0)
+		return NULL;
+	r = store_find(s, m->id);
+	if (r == NULL || r->msg == NULL) {
+		if (!is_id(m->domain))
+			return NULL;
+		r = member_add(s, m->id);
+	} else if (m->incarnation < r->m->incarnation) {
+		return r;
+	} else if (m->incarnation == r->m->incarnation) {
+		/* Somebody lost sight of a member that we hear. */
+		if (m->gone && !r->m->gone &&
+		    (m->seq < r->seq || r->conn != NULL)) {
+			r->reassert = true;
+			return r;
+		}
+		if (m->seq < r->seq || (m->seq == r->seq && !m->gone))
+			return r;
+	}
+	r->seq = m->seq;
+	r->heard = clock_now(s->clock);
+	member_put(s, r, m);
+	return r;
+}
+
+void
+store_gone(store_t *s, member_t *r)
+{
+	Wire__Member m;
+
+	if (!member_live(r))
+		return;
+	m = *r->m;
+	m.gone = true;
+	r->heard = clock_now(s->clock);
+	member_put(s, r, &m);
+}
+
+static void
+worker_put(store_t *s, worker_t *r, const Wire__Worker *w)
+{
+	msg_unref(r->msg);
+	r->msg = msg_copy(w);
+	r->w = (const Wire__Worker *)r->msg->m;
+	r->urgent = ++s->change;
+	r->gone_at = w->gone ? clock_now(s->clock) : 0;
+	s->stale = true;
+}
+
+static worker_t *
+worker_add(store_t *s, const char *id)
+{
+	worker_t *r = g_hash_table_lookup(s->worker, id);
+
+	if (r != NULL)
+		return r;
+	r = calloc(1, sizeof(*r));
+	g_hash_table_insert(s->worker, g_strdup(id), r);
+	return r;
+}
+
+void
+store_worker(store_t *s, const Wire__Worker *w)
+{
+	worker_t *r;
+
+	if (!is_id(w->id) || !is_id(w->service) || !is_id(w->domain))
+		return;
+	r = worker_add(s, w->id);
+	if (r->msg == NULL || w->stamp > r->w->stamp)
+		worker_put(s, r, w);
+}
+
+/* The next stamp: the wall clock, but never below the last one. */
+static uint64_t
+next_stamp(const worker_t *r)
+{
+	uint64_t now = clock_wall();
+
+	if (r->msg != NULL && r->w->stamp >= now)
+		return r->w->stamp + 1;
+	return now;
+}
+
+static uint64_t
+entry_hash(const instance_t *i)
+{
+	char text[ID_MAX * 4];
+	int n = snprintf(text, sizeof(text), "%s %s %s %u %u %d", i->service,
+	    i->domain, i->addr, i->memory_mb, i->slots, i->leaving);
+
+	return hash64(text, n, 1) | 1;
+}
+
+static void
+list_worker(store_t *s, const instance_t *i)
+{
+	Wire__Worker w = WIRE__WORKER__INIT;
+	worker_t *r = worker_add(s, i->id);
+	uint64_t hash = entry_hash(i);
+
+	r->missing_at = 0;
+	/* Only what changed between two readings of our own is news. */
+	if (r->list_hash == hash && r->msg != NULL)
+		return;
+	r->list_hash = hash;
+	w.id = (char *)i->id;
+	w.service = (char *)i->service;
+	w.domain = (char *)i->domain;
+	w.addr = (char *)i->addr;
+	w.memory_mb = i->memory_mb;
+	w.slots = i->slots;
+	w.leaving = i->leaving;
+	w.stamp = next_stamp(r);
+	if (r->msg != NULL && !r->w->gone && r->w->leaving == w.leaving &&
+	    strcmp(r->w->addr, w.addr) == 0 && r->w->slots == w.slots &&
+	    r->w->memory_mb == w.memory_mb)
+		return;
+	worker_put(s, r, &w);
+}
+
+static void
+drop_worker(store_t *s, worker_t *r)
+{
+	Wire__Worker w = *r->w;
+
+	w.gone = true;
+	w.stamp = next_stamp(r);
+	r->list_hash = 0;
+	r->missing_at = 0;
+	worker_put(s, r, &w);
+}
+
+static void
+list_entry(store_t *s, const instance_t *i)
+{
+	member_t *r = member_add(s, i->id);
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	r->listed = true;
+	if (!i->leaving) {
+		r->list_left = 0;
+	} else if (r->msg != NULL && r->list_left == 0) {
+		r->list_left = r->m->incarnation;
+		m = *r->m;
+		member_put(s, r, &m);
+	}
+	/* A name to dial, gone until it is heard. */
+	if (r->msg != NULL)
+		return;
+	m.id = (char *)i->id;
+	m.domain = (char *)i->domain;
+	m.caller_addr = (char *)i->addr;
+	m.peer_addr = (char *)i->peer_addr;
+	m.operator_addr = (char *)i->operator_addr;
+	m.gone = true;
+	member_put(s, r, &m);
+}
+
+void
+store_list(store_t *s, const instances_t *l)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	ms_t now = clock_now(s->clock);
+	GHashTableIter it;
+	void *value;
+	int i;
+
+	g_hash_table_iter_init(&it, s->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((member_t *)value)->listed = false;
+	for (i = 0; i < l->n; i++) {
+		const instance_t *e = &l->item[i];
+
+		if (!is_id(e->id) || !is_id(e->domain))
+			continue;
+		if (e->role == ROLE_ENTRY) {
+			list_entry(s, e);
+		} else if (is_id(e->service)) {
+			list_worker(s, e);
+			g_hash_table_add(seen, (void *)e->id);
+		}
+	}
+	g_hash_table_iter_init(&it, s->worker);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		worker_t *r = value;
+
+		if (r->msg == NULL || r->w->gone ||
+		    g_hash_table_contains(seen, r->w->id))
+			continue;
+		if (r->missing_at == 0)
+			r->missing_at = now;
+		if (r->list_hash != 0 || now - r->missing_at > MISSING_MS)
+			drop_worker(s, r);
+	}
+	g_hash_table_destroy(seen);
+	s->workers_known = true;
+}
+
+static bool
+same_residents(const Wire__WorkerLoad *x, const Wire__WorkerLoad *y)
+{
+	size_t i;
+
+	if (strcmp(x->worker, y->worker) != 0 || x->ejected != y->ejected ||
+	    x->n_resident != y->n_resident)
+		return false;
+	for (i = 0; i < x->n_resident; i++) {
+		const Wire__Resident *a = x->resident[i], *b = y->resident[i];
+
+		if (a->version != b->version || a->state != b->state ||
+		    strcmp(a->model, b->model) != 0 ||
+		    strcmp(a->adapter, b->adapter) != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool
+same_holdings(const Wire__Digest *x, const Wire__Digest *y)
+{
+	size_t i;
+
+	if (x->term != y->term || x->n_worker != y->n_worker)
+		return false;
+	for (i = 0; i < x->n_worker; i++)
+		if (!same_residents(x->worker[i], y->worker[i]))
+			return false;
+	return true;
+}
+
+/* A partial digest without residents, over the last whole one. */
+static msg_t *
+digest_merge(const Wire__Digest *old, const Wire__Digest *d)
+{
+	Wire__Digest n = *d;
+	Wire__WorkerLoad *load = calloc(d->n_worker + 1, sizeof(*load));
+	Wire__WorkerLoad **row = calloc(d->n_worker + 1, sizeof(*row));
+	msg_t *m;
+	size_t i;
+
+	for (i = 0; i < d->n_worker; i++) {
+		load[i] = *d->worker[i];
+		load[i].n_resident = old->worker[i]->n_resident;
+		load[i].resident = old->worker[i]->resident;
+		row[i] = &load[i];
+	}
+	n.worker = row;
+	n.partial = false;
+	m = msg_copy(&n);
+	free(load);
+	free(row);
+	return m;
+}
+
+static bool
+same_workers(const Wire__Digest *x, const Wire__Digest *y)
+{
+	size_t i;
+
+	if (x->term != y->term || x->n_worker != y->n_worker)
+		return false;
+	for (i = 0; i < x->n_worker; i++)
+		if (strcmp(x->worker[i]->worker, y->worker[i]->worker) != 0)
+			return false;
+	return true;
+}
+
+void
+store_digest(store_t *s, const Wire__Digest *d)
+{
+	char key[KEY_MAX];
+	digest_t *r;
+	msg_t *m;
+
+	if (!is_id(d->service) || !is_id(d->domain) || !is_id(d->broker))
+		return;
+	shard_key(key, d->service, d->domain, d->index);
+	r = g_hash_table_lookup(s->digest, key);
+	if (r != NULL && (d->term < r->d->term ||
+			     (d->term == r->d->term && d->seq <= r->d->seq)))
+		return;
+	if (d->partial && (r == NULL || !same_workers(r->d, d)))
+		return;
+	m = d->partial ? digest_merge(r->d, d) : msg_copy(d);
+	if (r == NULL) {
+		r = calloc(1, sizeof(*r));
+		g_hash_table_insert(s->digest, g_strdup(key), r);
+	}
+	if (r->msg == NULL || !same_holdings(r->d, (const Wire__Digest *)m->m))
+		r->urgent = ++s->change;
+	else
+		r->figures = ++s->change;
+	msg_unref(r->msg);
+	r->msg = m;
+	r->d = (const Wire__Digest *)m->m;
+	r->at = clock_now(s->clock);
+}
+
+const digest_t *
+store_digest_of(store_t *s, const shard_t *shard)
+{
+	char key[KEY_MAX];
+
+	return g_hash_table_lookup(s->digest,
+	    shard_key(key, shard->service, shard->domain, shard->index));
+}
+
+static gboolean
+member_forgotten(void *key, void *value, void *user)
+{
+	member_t *r = value;
+	ms_t now = *(ms_t *)user;
+
+	(void)key;
+	return !r->listed && r->conn == NULL && !member_live(r) &&
+	       now - r->heard > GONE_KEEP_MS;
+}
+
+static gboolean
+worker_forgotten(void *key, void *value, void *user)
+{
+	worker_t *r = value;
+	ms_t now = *(ms_t *)user;
+
+	(void)key;
+	return r->gone_at != 0 && now - r->gone_at > 10 * GONE_KEEP_MS;
+}
+
+static gboolean
+digest_forgotten(void *key, void *value, void *user)
+{
+	digest_t *r = value;
+	ms_t now = *(ms_t *)user;
+
+	(void)key;
+	return now - r->at > 10 * GONE_KEEP_MS;
+}
+
+void
+store_purge(store_t *s)
+{
+	ms_t now = clock_now(s->clock);
+
+	g_hash_table_foreach_remove(s->member, member_forgotten, &now);
+	g_hash_table_foreach_remove(s->worker, worker_forgotten, &now);
+	g_hash_table_foreach_remove(s->digest, digest_forgotten, &now);
+}
+
+/* Pointers to the live members' messages, malloc'd. */
+static Wire__Member **
+live_members(store_t *s, int *n)
+{
+	Wire__Member **m = calloc(g_hash_table_size(s->member) + 1, sizeof(*m));
+	GHashTableIter it;
+	void *value;
+
+	*n = 0;
+	g_hash_table_iter_init(&it, s->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (member_live(r))
+			m[(*n)++] = (Wire__Member *)r->m;
+	}
+	return m;
+}
+
+void
+store_shape(store_t *s)
+{
+	Wire__Member **m;
+	GHashTableIter it;
+	void *value;
+	int n;
+
+	if (!s->stale)
+		return;
+	s->stale = false;
+	free(s->sorted);
+	free(s->shard);
+	s->sorted =
+	    calloc(g_hash_table_size(s->worker) + 1, sizeof(Wire__Worker *));
+	s->nsorted = 0;
+	g_hash_table_iter_init(&it, s->worker);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		worker_t *r = value;
+
+		if (r->msg != NULL && !r->w->gone)
+			s->sorted[s->nsorted++] = (Wire__Worker *)r->w;
+	}
+	s->shard =
+	    shards_make(s->sorted, s->nsorted, s->shard_workers, &s->nshard);
+	m = live_members(s, &n);
+	shards_brokers(s->shard, s->nshard, m, n);
+	free(m);
+}
+
+static void *
+hold(view_t *v, msg_t *m)
+{
+	v->held[v->nheld++] = msg_ref(m);
+	return m->m;
+}
+
+view_t *
+store_view(store_t *s, catalogue_t *c)
+{
+	view_t *v = calloc(1, sizeof(*v));
+	Wire__View *w = calloc(1, sizeof(*w));
+	size_t ndigest = g_hash_table_size(s->digest);
+	ms_t *at = calloc(ndigest + 1, sizeof(*at));
+	GHashTableIter it;
+	void *value;
+	int i;
+
+	store_shape(s);
+	wire__view__init(w);
+	w->member = calloc(g_hash_table_size(s->member) + 1, sizeof(void *));
+	w->worker = calloc(s->nsorted + 1, sizeof(void *));
+	w->digest = calloc(ndigest + 1, sizeof(void *));
+	v->held =
+	    calloc(g_hash_table_size(s->member) + s->nsorted + ndigest + 1,
+		sizeof(msg_t *));
+	g_hash_table_iter_init(&it, s->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (member_live(value))
+			w->member[w->n_member++] =
+			    hold(v, ((member_t *)value)->msg);
+	for (i = 0; i < s->nsorted; i++) {
+		worker_t *r = g_hash_table_lookup(s->worker, s->sorted[i]->id);
+
+		w->worker[w->n_worker++] = hold(v, r->msg);
+	}
+	g_hash_table_iter_init(&it, s->digest);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		digest_t *r = value;
+
+		at[w->n_digest] = r->at;
+		w->digest[w->n_digest++] = hold(v, r->msg);
+	}
+	w->workers_known = s->workers_known;
+	w->catalogue = c->number;
+	v->wire = w;
+	v->refs = 1;
+	v->catalogue = catalogue_ref(c);
+	v->nshard = s->nshard;
+	v->shard = calloc(s->nshard + 1, sizeof(*v->shard));
+	memcpy(v->shard, s->shard, s->nshard * sizeof(*v->shard));
+	view_attach(v, at, clock_now(s->clock));
+	free(at);
+	return v;
+}
--- /dev/null
+++ b/peer/store.h
@@ -0,0 +1,117 @@
+/**
+ * @file store.h
+ * What one daemon knows of members, workers and shards, and what of it
+ * changed since when. Of one thread; the views it makes go to any. Inside
+ * peer/ only.
+ */
+#ifndef PEER_STORE_H
+#define PEER_STORE_H
+
+#include "peer/conn.h"
+
+#include <glib.h>
+
+/** An immutable message that views share; counted. */
+typedef struct msg {
+	int refs;
+	ProtobufCMessage *m;
+} msg_t;
+
+/** A copy of @p m with one reference. */
+msg_t *msg_copy(const void *m);
+msg_t *msg_ref(msg_t *m);
+void msg_unref(msg_t *m);
+
+typedef struct member {
+	msg_t *msg;
+	const Wire__Member *m; /* what msg holds */
+	uint64_t seq;	       /* the highest that was heard */
+	uint64_t urgent;       /* change number of its state */
+	uint64_t figures;      /* change number of load and in_force */
+	ms_t heard;	       /* when seq last went up */
+	bool reassert;	       /* somebody says it is gone, we hear it */
+	/* the platform's list */
+	bool listed;
+	uint64_t list_left; /* incarnation it says leaving of, 0: none */
+	/* the way to it */
+	conn_t *conn;
+	backoff_t backoff;
+	ms_t dial_at;
+} member_t;
+
+typedef struct worker {
+	msg_t *msg;
+	const Wire__Worker *w;
+	uint64_t urgent;
+	uint64_t list_hash; /* of its entry in our own last list, 0: none */
+	ms_t missing_at;    /* since when our own lists don't have it */
+	ms_t gone_at;
+} worker_t;
+
+typedef struct digest {
+	msg_t *msg;
+	const Wire__Digest *d;
+	uint64_t urgent, figures;
+	ms_t at;
+} digest_t;
+
+typedef struct store {
+	const msclock_t *clock;
+	int shard_workers;
+	GHashTable *member; /* id -> member_t */
+	GHashTable *worker; /* id -> worker_t */
+	GHashTable *digest; /* shard's key -> digest_t */
+	uint64_t change;    /* number of the last change */
+	bool workers_known;
+	/* made of members and workers, again when they change */
+	bool stale;
+	Wire__Worker **sorted;
+	int nsorted;
+	shard_t *shard;
+	int nshard;
+} store_t;
+
+enum {
+	KEY_MAX = 2 * ID_MAX + 16 /* bytes of a shard's key */
+};
+
+store_t *store_new(const msclock_t *clock, int shard_workers);
+void store_free(store_t *s);
+
+member_t *store_find(store_t *s, const char *id);
+/**
+ * Take a member's record in: the higher (incarnation, seq) wins, gone wins
+ * over live at the same. @return the member, or NULL if it makes no sense.
+ */
+member_t *store_member(store_t *s, const Wire__Member *m);
+/** Nobody hears it any more. */
+void store_gone(store_t *s, member_t *r);
+bool member_live(const member_t *r);
+bool member_leaving(const member_t *r);
+/** The higher stamp wins. */
+void store_worker(store_t *s, const Wire__Worker *w);
+/** Our own reading of the platform's list. */
+void store_list(store_t *s, const instances_t *l);
+/** The higher (term, seq) wins. */
+void store_digest(store_t *s, const Wire__Digest *d);
+const digest_t *store_digest_of(store_t *s, const shard_t *shard);
+/** Forget what has been gone for long. */
+void store_purge(store_t *s);
+/** Shards and their brokers are up to date after this. */
+void store_shape(store_t *s);
+view_t *store_view(store_t *s, catalogue_t *c);
+
+/* view.c */
+
+const char *shard_key(
+    char buf[KEY_MAX], const char *service, const char *domain, uint32_t index);
+/** Sort workers into shards. @return malloc'd shards without brokers. */
+shard_t *shards_make(Wire__Worker **w, int n, int cap, int *nshard);
+void shards_brokers(shard_t *s, int n, Wire__Member *const *m, int nm);
+/** Find each shard's digest. @param at when each came, or NULL: @p now. */
+void view_attach(view_t *v, const ms_t *at, ms_t now);
+/** Order live members that don't leave; own domain first. */
+int members_rank(const char *key, const char *domain, Wire__Member *const *m,
+    int nm, int rank);
+
+#endif
--- a/peer/wire.pb-c.c
+++ b/peer/wire.pb-c.c
@@ -952,7 +952,7 @@
   assert(message->base.descriptor == &wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__member__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__member__field_descriptors[11] =
 {
   {
     "id",
@@ -1074,10 +1074,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__member__field_indices_by_name[] = {
   5,   /* field[5] = caller_addr */
   1,   /* field[1] = domain */
+  10,   /* field[10] = gone */
   0,   /* field[0] = id */
   8,   /* field[8] = in_force */
   2,   /* field[2] = incarnation */
@@ -1087,10 +1100,11 @@
   6,   /* field[6] = peer_addr */
   3,   /* field[3] = seq */
 };
-static const ProtobufCIntRange wire__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__member__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 12, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__member__descriptor =
 {
@@ -1100,10 +1114,10 @@
   "Wire__Member",
   "wire",
   sizeof(Wire__Member),
-  10,
+  11,
   wire__member__field_descriptors,
   wire__member__field_indices_by_name,
-  1,  wire__member__number_ranges,
+  2,  wire__member__number_ranges,
   (ProtobufCMessageInit) wire__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1184,7 +1198,7 @@
   (ProtobufCMessageInit) wire__resident__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__worker__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__worker__field_descriptors[9] =
 {
   {
     "id",
@@ -1270,20 +1284,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Worker, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Worker, stamp),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__worker__field_indices_by_name[] = {
   3,   /* field[3] = addr */
   2,   /* field[2] = domain */
+  7,   /* field[7] = gone */
   0,   /* field[0] = id */
   6,   /* field[6] = leaving */
   4,   /* field[4] = memory_mb */
   1,   /* field[1] = service */
   5,   /* field[5] = slots */
+  8,   /* field[8] = stamp */
 };
 static const ProtobufCIntRange wire__worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__worker__descriptor =
 {
@@ -1293,7 +1333,7 @@
   "Wire__Worker",
   "wire",
   sizeof(Wire__Worker),
-  7,
+  9,
   wire__worker__field_descriptors,
   wire__worker__field_indices_by_name,
   1,  wire__worker__number_ranges,
@@ -1467,7 +1507,7 @@
   (ProtobufCMessageInit) wire__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__digest__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__digest__field_descriptors[11] =
 {
   {
     "service",
@@ -1589,12 +1629,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partial",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Digest, partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__digest__field_indices_by_name[] = {
   3,   /* field[3] = broker */
   9,   /* field[9] = demand */
   1,   /* field[1] = domain */
   2,   /* field[2] = index */
+  10,   /* field[10] = partial */
   5,   /* field[5] = seq */
   0,   /* field[0] = service */
   4,   /* field[4] = term */
@@ -1605,7 +1658,7 @@
 static const ProtobufCIntRange wire__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__digest__descriptor =
 {
@@ -1615,7 +1668,7 @@
   "Wire__Digest",
   "wire",
   sizeof(Wire__Digest),
-  10,
+  11,
   wire__digest__field_descriptors,
   wire__digest__field_indices_by_name,
   1,  wire__digest__number_ranges,
@@ -1791,36 +1844,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "others",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Heartbeat, n_others),
-    offsetof(Wire__Heartbeat, others),
-    &wire__member__descriptor,
+    "catalogue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Heartbeat, catalogue),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "digest",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Heartbeat, n_digest),
-    offsetof(Wire__Heartbeat, digest),
-    &wire__digest__descriptor,
+    "ready",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Heartbeat, ready),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "catalogue",
-    4,
+    "relay",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__Heartbeat, catalogue),
+    offsetof(Wire__Heartbeat, relay),
     NULL,
     NULL,
     0,             /* flags */
@@ -1828,14 +1881,15 @@
   },
 };
 static const unsigned wire__heartbeat__field_indices_by_name[] = {
-  3,   /* field[3] = catalogue */
-  2,   /* field[2] = digest */
+  1,   /* field[1] = catalogue */
   0,   /* field[0] = member */
-  1,   /* field[1] = others */
+  2,   /* field[2] = ready */
+  3,   /* field[3] = relay */
 };
-static const ProtobufCIntRange wire__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__heartbeat__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 4, 1 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__heartbeat__descriptor =
@@ -1849,7 +1903,7 @@
   4,
   wire__heartbeat__field_descriptors,
   wire__heartbeat__field_indices_by_name,
-  1,  wire__heartbeat__number_ranges,
+  2,  wire__heartbeat__number_ranges,
   (ProtobufCMessageInit) wire__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1968,7 +2022,7 @@
   (ProtobufCMessageInit) wire__catalogue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__slot_ask__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__slot_ask__field_descriptors[14] =
 {
   {
     "request",
@@ -2126,6 +2180,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tried",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wire__SlotAsk, n_tried),
+    offsetof(Wire__SlotAsk, tried),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__slot_ask__field_indices_by_name[] = {
   5,   /* field[5] = adapter */
@@ -2141,11 +2207,12 @@
   12,   /* field[12] = retry */
   1,   /* field[1] = service */
   10,   /* field[10] = tokens */
+  13,   /* field[13] = tried */
 };
 static const ProtobufCIntRange wire__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__slot_ask__descriptor =
 {
@@ -2155,14 +2222,14 @@
   "Wire__SlotAsk",
   "wire",
   sizeof(Wire__SlotAsk),
-  13,
+  14,
   wire__slot_ask__field_descriptors,
   wire__slot_ask__field_indices_by_name,
   1,  wire__slot_ask__number_ranges,
   (ProtobufCMessageInit) wire__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__slot_answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__slot_answer__field_descriptors[10] =
 {
   {
     "outcome",
@@ -2272,6 +2339,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SlotAnswer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__slot_answer__field_indices_by_name[] = {
   3,   /* field[3] = addr */
@@ -2280,6 +2359,7 @@
   5,   /* field[5] = reason */
   4,   /* field[4] = retry_after_ms */
   1,   /* field[1] = slot */
+  9,   /* field[9] = term */
   6,   /* field[6] = version */
   8,   /* field[8] = wait_ms */
   2,   /* field[2] = worker */
@@ -2287,7 +2367,7 @@
 static const ProtobufCIntRange wire__slot_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__slot_answer__descriptor =
 {
@@ -2297,14 +2377,14 @@
   "Wire__SlotAnswer",
   "wire",
   sizeof(Wire__SlotAnswer),
-  9,
+  10,
   wire__slot_answer__field_descriptors,
   wire__slot_answer__field_indices_by_name,
   1,  wire__slot_answer__number_ranges,
   (ProtobufCMessageInit) wire__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__slot_release__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__slot_release__field_descriptors[6] =
 {
   {
     "slot",
@@ -2366,18 +2446,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__SlotRelease, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__slot_release__field_indices_by_name[] = {
   3,   /* field[3] = first_ms */
   2,   /* field[2] = outcome */
   0,   /* field[0] = slot */
+  5,   /* field[5] = term */
   4,   /* field[4] = tokens */
   1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange wire__slot_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__slot_release__descriptor =
 {
@@ -2387,7 +2480,7 @@
   "Wire__SlotRelease",
   "wire",
   sizeof(Wire__SlotRelease),
-  5,
+  6,
   wire__slot_release__field_descriptors,
   wire__slot_release__field_indices_by_name,
   1,  wire__slot_release__number_ranges,
--- a/peer/wire.pb-c.h
+++ b/peer/wire.pb-c.h
@@ -71,10 +71,14 @@
    * calls in progress
    */
   uint32_t load;
+  /*
+   * silent, or out of reach of whoever says so
+   */
+  protobuf_c_boolean gone;
 };
 #define WIRE__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__Resident
@@ -106,10 +110,18 @@
   uint64_t memory_mb;
   uint32_t slots;
   protobuf_c_boolean leaving;
+  /*
+   * off the platform's list
+   */
+  protobuf_c_boolean gone;
+  /*
+   * the higher one wins: wall clock, or the last + 1
+   */
+  uint64_t stamp;
 };
 #define WIRE__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__WorkerLoad
@@ -167,14 +179,19 @@
   Wire__WorkerLoad **worker;
   size_t n_demand;
   Wire__Demand **demand;
+  /*
+   * no residents: they are as in the last whole one
+   */
+  protobuf_c_boolean partial;
 };
 #define WIRE__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
- * Everything soft, pushed by a controld to entryds and on anti-entropy.
+ * What changed since the last one on this connection; the first has it all.
+ * From a controld to entryds and to controlds.
  */
 struct  Wire__View
 {
@@ -224,21 +241,19 @@
 {
   ProtobufCMessage base;
   Wire__Member *member;
+  uint64_t catalogue;
   /*
-   * relayed: what the sender heard lately
+   * the sender's catalogue and list are confirmed
    */
-  size_t n_others;
-  Wire__Member **others;
+  protobuf_c_boolean ready;
   /*
-   * changed since the last one
+   * the sender wants the receiver's figures too
    */
-  size_t n_digest;
-  Wire__Digest **digest;
-  uint64_t catalogue;
+  protobuf_c_boolean relay;
 };
 #define WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__heartbeat__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Wire__CatalogueAsk
@@ -301,10 +316,15 @@
    */
   char *avoid;
   protobuf_c_boolean retry;
+  /*
+   * brokers that gave this call no answer
+   */
+  size_t n_tried;
+  char **tried;
 };
 #define WIRE__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__slot_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 struct  Wire__SlotAnswer
@@ -325,10 +345,14 @@
   uint64_t version;
   uint32_t free;
   uint32_t wait_ms;
+  /*
+   * goes back with the release
+   */
+  uint64_t term;
 };
 #define WIRE__SLOT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__slot_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Wire__SlotRelease
@@ -345,10 +369,14 @@
    */
   uint32_t first_ms;
   uint32_t tokens;
+  /*
+   * of the answer; another broker's slot is let be
+   */
+  uint64_t term;
 };
 #define WIRE__SLOT_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__slot_release__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Wire__SlotCancel
