policy: admission of one shard

Cause: the broker codes against admit_*. Exact counts by grants, corrected by reports; one queue by rank, fair round and deadline; refusals at once; circuit per worker. Verdicts also carry the item's version on the granted worker.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -221,7 +221,7 @@
 
 typedef struct admit_ask {
 	uint64_t tag;	   /* the asker's own, given back */
-	char item[ID_MAX]; /* adapter, or model if there is none */
+	char item[ID_MAX]; /* adapter, or model; empty: any worker will do */
 	char model[ID_MAX];
 	char caller[ID_MAX];
 	char avoid[ID_MAX];
@@ -247,6 +247,7 @@
 	slot_outcome_t outcome;
 	handle_t slot;
 	char worker[ID_MAX];
+	uint64_t version; /* of the item as that worker reports it */
 	ms_t retry_after;
 	ms_t wait; /* expected wait for one that came now */
 } admit_verdict_t;
@@ -278,7 +279,10 @@
 admit_t *admit_new(const admit_opts_t *o);
 void admit_free(admit_t *a);
 void admit_report(admit_t *a, const admit_report_t *r, ms_t now);
-/** The worker is gone from the list. */
+/**
+ * The worker is gone from the list: its grants are dropped. What waited for it
+ * alone is refused.
+ */
 void admit_forget(admit_t *a, const char *worker);
 /** A new ask: it is answered by admit_next(), at once or later. */
 void admit_put(admit_t *a, const admit_ask_t *ask, ms_t now);
--- /dev/null
+++ b/policy/worker.c
@@ -0,0 +1,245 @@
+#include "policy/worker.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SAMPLES_MIN = 8,	/* calls before a speed is judged */
+	SLOW_TIMES = 3,		/* so many times the usual first token ... */
+	SLOW_MS = 100,		/* ... and so much more is ejected */
+	FAILURES_MAX = 3,	/* failures in a row eject */
+	EJECT_MS = 2000,	/* first ejection */
+	EJECT_MAX_MS = 60000,	/* longest ejection */
+	REPORT_STALE_MS = 3000, /* silence that speaks against a worker */
+};
+
+/* Weight of a new sample in an average. */
+static const double sample_weight = 0.125;
+
+int
+worker_in_flight(const worker_t *w)
+{
+	int n = w->mine - w->lost;
+
+	return (n > 0 ? n : 0) + w->foreign;
+}
+
+int
+worker_free(const worker_t *w)
+{
+	int n = w->slots - worker_in_flight(w);
+
+	return w->full || w->leaving || n < 0 ? 0 : n;
+}
+
+static int
+by_item(const void *a, const void *b)
+{
+	const holding_t *x = a, *y = b;
+
+	if (x->item != y->item)
+		return x->item < y->item ? -1 : 1;
+	return x->version < y->version ? -1 : x->version > y->version;
+}
+
+const holding_t *
+worker_holds(const worker_t *w, uint64_t item)
+{
+	int low = 0, high = w->nholding;
+
+	while (low < high) {
+		int mid = (low + high) / 2;
+
+		if (w->holding[mid].item <= item)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	/* the last of its versions */
+	if (low == 0 || w->holding[low - 1].item != item)
+		return NULL;
+	return &w->holding[low - 1];
+}
+
+bool
+worker_set_holding(worker_t *w, const admit_resident_t *r, int n)
+{
+	holding_t *h = malloc((n + 1) * sizeof(*h));
+	int i;
+
+	if (h == NULL)
+		return false;
+	for (i = 0; i < n; i++)
+		h[i] = (holding_t){ hash_str(r[i].item, 0), r[i].version };
+	qsort(h, n, sizeof(*h), by_item);
+	if (n == w->nholding &&
+	    (n == 0 || memcmp(h, w->holding, n * sizeof(*h)) == 0)) {
+		free(h);
+		return false;
+	}
+	free(w->holding);
+	w->holding = h;
+	w->nholding = n;
+	return true;
+}
+
+/* Grants that ended after the report was taken, and so stand in it. */
+static int
+ended_since(const worker_t *w, ms_t taken_at)
+{
+	unsigned i, n = w->nended < ENDED_KEPT ? w->nended : ENDED_KEPT;
+	int count = 0;
+
+	for (i = 0; i < n; i++)
+		if (w->ended[i].granted_at <= taken_at &&
+		    w->ended[i].ended_at > taken_at)
+			count++;
+	return count;
+}
+
+/* The least gap of the last reports: what was lost for certain. */
+static int
+least_gap(const worker_t *w)
+{
+	int i, least = w->gap[0];
+
+	if (w->reports < LOST_REPORTS)
+		return 0;
+	for (i = 1; i < LOST_REPORTS; i++)
+		if (w->gap[i] < least)
+			least = w->gap[i];
+	return least;
+}
+
+void
+worker_report(worker_t *w, const admit_report_t *r, int known, int settled)
+{
+	int there = (int)r->in_flight;
+	int gap = settled > there ? settled - there : 0;
+
+	w->slots = (int)r->slots;
+	w->leaving = r->leaving;
+	w->report_at = r->taken_at;
+	w->full = false;
+	known += ended_since(w, r->taken_at);
+	w->foreign = there > known ? there - known : 0;
+	w->gap[w->reports % LOST_REPORTS] = gap;
+	w->reports++;
+	w->lost = least_gap(w);
+}
+
+static void
+average(double *into, double v)
+{
+	*into = *into == 0 ? v : *into + sample_weight * (v - *into);
+}
+
+void
+worker_ended(worker_t *w, call_outcome_t how, ms_t granted_at, ms_t first,
+    uint32_t tokens, ms_t now)
+{
+	w->ended[w->nended++ % ENDED_KEPT] = (ended_t){ granted_at, now };
+	w->mine--;
+	if (w->lost > 0)
+		w->lost--;
+	switch (how) {
+	case CALL_DONE:
+		w->failures = 0;
+		average(&w->hold, (double)(now - granted_at + 1));
+		break;
+	case CALL_REFUSED:
+		/* busy beyond what we know, or not reachable */
+		w->failures++;
+		w->full = w->reports > 0;
+		return;
+	case CALL_FAILED:
+	case CALL_UNKNOWN:
+		w->failures++;
+		break;
+	case CALL_CANCELLED:
+		if (tokens > 0)
+			average(&w->hold, (double)(now - granted_at + 1));
+		break;
+	}
+	if (first < 0)
+		return;
+	average(&w->first, (double)(first + 1));
+	w->samples++;
+}
+
+static bool
+slow(const worker_t *w, double usual)
+{
+	return usual > 0 && w->first > usual * SLOW_TIMES + SLOW_MS;
+}
+
+static void
+eject(worker_t *w, rng_t *rng, ms_t now)
+{
+	w->ejected_for = w->ejected_for == 0 ? EJECT_MS : 2 * w->ejected_for;
+	if (w->ejected_for > EJECT_MAX_MS)
+		w->ejected_for = EJECT_MAX_MS;
+	/* up to a quarter longer, so that brokers don't probe in step */
+	w->retry_at = now + w->ejected_for +
+		      (ms_t)(rng_unit(rng) * (double)w->ejected_for / 4);
+	w->circuit = CIRCUIT_OPEN;
+	w->failures = 0;
+	/* the probe's first token is to stand for itself */
+	w->first = 0;
+	w->samples = 0;
+}
+
+void
+worker_judge(worker_t *w, double usual, bool probed, bool may_eject, rng_t *rng,
+    ms_t now)
+{
+	switch (w->circuit) {
+	case CIRCUIT_CLOSED:
+		if (may_eject &&
+		    (w->failures >= FAILURES_MAX ||
+			(w->samples >= SAMPLES_MIN && slow(w, usual))))
+			eject(w, rng, now);
+		break;
+	case CIRCUIT_OPEN:
+		break; /* calls from before */
+	case CIRCUIT_PROBE:
+		if (!probed)
+			break;
+		if (w->failures > 0 || slow(w, usual)) {
+			eject(w, rng, now);
+		} else if (w->samples > 0) {
+			w->circuit = CIRCUIT_CLOSED;
+			w->ejected_for = 0;
+		}
+		break;
+	}
+}
+
+bool
+worker_open(const worker_t *w, ms_t now)
+{
+	if (w->reports > 0 && now - w->report_at > REPORT_STALE_MS)
+		return false;
+	switch (w->circuit) {
+	case CIRCUIT_CLOSED:
+		return true;
+	case CIRCUIT_OPEN:
+		return now >= w->retry_at;
+	case CIRCUIT_PROBE:
+		return w->probe == 0;
+	}
+	return false;
+}
+
+void
+worker_served(worker_t *w, uint64_t prefix)
+{
+	if (prefix != 0)
+		w->prefix[prefix % PREFIXES_KEPT] = prefix;
+}
+
+bool
+worker_has_prefix(const worker_t *w, uint64_t prefix)
+{
+	return prefix != 0 && w->prefix[prefix % PREFIXES_KEPT] == prefix;
+}
