Catalogue and notes: parse, apply, encode, with every error and its line

Cause: operators drive the system by notes only; a bad one must change nothing and say all that is wrong. Ruled out: errors one at a time; a different size under the same version (what is resident keeps its size, so the ledger could be short).

--- /dev/null
+++ b/policy/note.c
@@ -0,0 +1,543 @@
+#include "policy/policy.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	COPIES_MOST = 10000,
+	MEMORY_MOST_MB = 100 << 20,
+	NOTE_MOST = 256 * 1024, /* bytes of a note's text */
+	COPIES_DEFAULT = 1,
+};
+
+typedef struct reader {
+	note_t *note;
+	GArray *change;	      /* change_t */
+	GHashTable *sections; /* "section" -> index in change + 1 */
+	GHashTable *keys;
+	GString *report;
+	bool has_base;
+	int line;
+} reader_t;
+
+static void __attribute__((format(printf, 2, 3)))
+complain(reader_t *r, const char *fmt, ...)
+{
+	va_list ap;
+
+	g_string_append_printf(r->report, "%d: ", r->line);
+	va_start(ap, fmt);
+	g_string_append_vprintf(r->report, fmt, ap);
+	va_end(ap);
+	g_string_append_c(r->report, '\n');
+}
+
+static bool
+is_name(const char *v)
+{
+	size_t n = strlen(v);
+
+	return n > 0 && n < ID_MAX &&
+	       strspn(v, G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-_.:") == n;
+}
+
+static void
+number(reader_t *r, const char *key, const char *v, uint64_t least,
+    uint64_t most, uint64_t *out)
+{
+	guint64 n;
+
+	if (g_ascii_string_to_unsigned(v, 10, least, most, &n, NULL))
+		*out = n;
+	else
+		complain(r,
+		    "%s = '%s': a whole number from %" PRIu64 " to %" PRIu64
+		    " is wanted",
+		    key, v, least, most);
+}
+
+static void
+note_key(reader_t *r, const char *key, const char *v)
+{
+	if (strcmp(key, "id") == 0) {
+		if (!is_name(v))
+			complain(r, "id = '%s': not a name", v);
+		else
+			str_copy(r->note->id, ID_MAX, v);
+	} else if (strcmp(key, "base") == 0) {
+		number(r, key, v, 0, INT64_MAX, &r->note->base);
+		r->has_base = true;
+	} else {
+		complain(r, "unknown key '%s' in [note]", key);
+	}
+}
+
+/* "add model NAME" and the like. */
+static bool
+read_section(reader_t *r, const char *section, change_t *c)
+{
+	static const char *const kinds[] = { "add", "change", "withdraw" };
+	char **word = g_strsplit(section, " ", 0);
+	bool good = false;
+	int i;
+
+	if (g_strv_length(word) == 3 && is_name(word[2]) &&
+	    (strcmp(word[1], "model") == 0 ||
+		strcmp(word[1], "adapter") == 0)) {
+		for (i = 0; i < 3 && !good; i++) {
+			if (strcmp(word[0], kinds[i]) != 0)
+				continue;
+			c->kind = (change_kind_t)i;
+			c->is_adapter = word[1][0] == 'a';
+			str_copy(c->name, ID_MAX, word[2]);
+			good = true;
+		}
+	}
+	g_strfreev(word);
+	if (!good)
+		complain(r,
+		    "unknown section [%s]: [note] or [add|change|withdraw "
+		    "model|adapter NAME] is wanted",
+		    section);
+	return good;
+}
+
+/* The change of a section, made at its first key; NULL if it's a bad one. */
+static change_t *
+section_change(reader_t *r, const char *section)
+{
+	gpointer at = g_hash_table_lookup(r->sections, section);
+	change_t c = { .line = r->line };
+
+	if (at == NULL) {
+		bool good = read_section(r, section, &c);
+
+		if (good) {
+			g_array_append_val(r->change, c);
+			at = GINT_TO_POINTER((int)r->change->len);
+		} else {
+			at = GINT_TO_POINTER(-1);
+		}
+		g_hash_table_insert(r->sections, g_strdup(section), at);
+	}
+	if (GPOINTER_TO_INT(at) < 0)
+		return NULL;
+	return &g_array_index(r->change, change_t, GPOINTER_TO_INT(at) - 1);
+}
+
+static void
+memory_key(reader_t *r, change_t *c, const char *key, const char *v)
+{
+	uint64_t n = 0;
+
+	number(r, key, v, 1, MEMORY_MOST_MB, &n);
+	c->model.memory_mb = c->adapter.memory_mb = n;
+	c->set |= FIELD_MEMORY;
+}
+
+static void
+version_key(reader_t *r, change_t *c, const char *key, const char *v)
+{
+	number(r, key, v, 1, INT64_MAX, &c->model.version);
+	c->adapter.version = c->model.version;
+	c->set |= FIELD_VERSION;
+}
+
+static bool
+model_key(reader_t *r, change_t *c, const char *key, const char *v)
+{
+	uint64_t n = 0;
+
+	if (strcmp(key, "service") == 0) {
+		str_copy(c->model.service, ID_MAX, v);
+		c->set |= FIELD_SERVICE;
+	} else if (strcmp(key, "copies") == 0) {
+		number(r, key, v, 1, COPIES_MOST, &n);
+		c->model.copies_min = n;
+		c->set |= FIELD_COPIES;
+	} else if (strcmp(key, "resumable") == 0) {
+		c->model.resumable = strcmp(v, "yes") == 0;
+		if (strcmp(v, "yes") != 0 && strcmp(v, "no") != 0)
+			complain(r, "resumable = '%s': yes or no", v);
+		c->set |= FIELD_RESUMABLE;
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static void
+change_key(reader_t *r, change_t *c, const char *key, const char *v)
+{
+	if (c->kind == CHANGE_WITHDRAW) {
+		/* INI has no empty section: a withdrawal gives its reason. */
+		if (strcmp(key, "reason") != 0)
+			complain(r, "a withdrawal takes only 'reason'");
+	} else if (strcmp(key, "version") == 0) {
+		version_key(r, c, key, v);
+	} else if (strcmp(key, "memory_mb") == 0) {
+		memory_key(r, c, key, v);
+	} else if (c->is_adapter && strcmp(key, "model") == 0) {
+		str_copy(c->adapter.model, ID_MAX, v);
+		c->set |= FIELD_MODEL;
+	} else if (c->is_adapter || !model_key(r, c, key, v)) {
+		complain(r, "unknown key '%s' for %s", key,
+		    c->is_adapter ? "an adapter" : "a model");
+	}
+}
+
+static void
+on_key(void *user, const char *section, const char *key, const char *value,
+    int line)
+{
+	reader_t *r = user;
+	change_t *c;
+
+	r->line = line;
+	if (!g_hash_table_add(
+		r->keys, g_strdup_printf("%s/%s", section, key))) {
+		complain(r, "'%s' stands twice in [%s]", key, section);
+		return;
+	}
+	if (strcmp(section, "note") == 0) {
+		note_key(r, key, value);
+		return;
+	}
+	c = section_change(r, section);
+	if (c != NULL)
+		change_key(r, c, key, value);
+}
+
+static void
+check_note(reader_t *r)
+{
+	r->line = 1;
+	if (r->note->id[0] == '\0')
+		complain(r, "[note] needs an id");
+	if (!r->has_base)
+		complain(r, "[note] needs base, the number of the catalogue "
+			    "that it was written against");
+	if (r->change->len == 0)
+		complain(r, "the note changes nothing");
+}
+
+/* Hands the report over, or frees it when nobody wants it or it's empty. */
+static bool
+report_bad(GString *g, char **report, const char *what, err_t *e)
+{
+	bool bad = g->len > 0;
+
+	if (report != NULL)
+		*report = bad ? strdup(g->str) : NULL;
+	g_string_free(g, TRUE);
+	if (bad)
+		err_set(e, ERR_INVAL, "%s", what);
+	return bad;
+}
+
+note_t *
+note_parse(const char *text, size_t len, char **report, err_t *e)
+{
+	reader_t r = { .note = g_new0(note_t, 1) };
+
+	r.change = g_array_new(FALSE, TRUE, sizeof(change_t));
+	r.sections =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r.report = g_string_new(NULL);
+	if (len > NOTE_MOST || memchr(text, '\0', len) != NULL) {
+		r.line = 1;
+		complain(&r, "a note is text of at most %d bytes", NOTE_MOST);
+	} else {
+		r.line = ini_text(text, len, on_key, &r);
+		if (r.line > 0)
+			complain(&r, "not an INI line");
+		else
+			check_note(&r);
+	}
+	g_hash_table_destroy(r.sections);
+	g_hash_table_destroy(r.keys);
+	r.note->nchange = (int)r.change->len;
+	r.note->change = (change_t *)g_array_free(r.change, FALSE);
+	if (report_bad(r.report, report, "the note is refused", e)) {
+		note_free(r.note);
+		return NULL;
+	}
+	return r.note;
+}
+
+void
+note_free(note_t *n)
+{
+	if (n == NULL)
+		return;
+	g_free(n->change);
+	g_free(n);
+}
+
+/* Applying: a copy of the catalogue as growing arrays. */
+typedef struct work {
+	GArray *model, *adapter;
+	GPtrArray *withdrawn; /* borrowed names */
+	GString *report;
+	const settings_t *settings;
+	int line;
+} work_t;
+
+static void __attribute__((format(printf, 2, 3)))
+reject(work_t *w, const char *fmt, ...)
+{
+	va_list ap;
+
+	g_string_append_printf(w->report, "%d: ", w->line);
+	va_start(ap, fmt);
+	g_string_append_vprintf(w->report, fmt, ap);
+	va_end(ap);
+	g_string_append_c(w->report, '\n');
+}
+
+static int
+model_at(const work_t *w, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < w->model->len; i++)
+		if (strcmp(g_array_index(w->model, model_t, i).name, name) == 0)
+			return (int)i;
+	return -1;
+}
+
+static int
+adapter_at(const work_t *w, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < w->adapter->len; i++)
+		if (strcmp(g_array_index(w->adapter, adapter_t, i).name,
+			name) == 0)
+			return (int)i;
+	return -1;
+}
+
+static void
+revive(work_t *w, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < w->withdrawn->len; i++)
+		if (strcmp(w->withdrawn->pdata[i], name) == 0)
+			g_ptr_array_remove_index(w->withdrawn, i--);
+}
+
+static void
+check_service(work_t *w, const char *name)
+{
+	const service_conf_t *s = settings_service(w->settings, name);
+
+	if (s == NULL)
+		reject(w, "service '%s' isn't known here", name);
+	else if (s->kind != SERVICE_ENGINE)
+		reject(w, "service '%s' holds no models", name);
+}
+
+static void
+add(work_t *w, const change_t *c)
+{
+	const uint32_t need = FIELD_VERSION | FIELD_MEMORY |
+			      (c->is_adapter ? FIELD_MODEL : FIELD_SERVICE);
+	model_t m = c->model;
+	adapter_t a = c->adapter;
+
+	if (model_at(w, c->name) != -1 || adapter_at(w, c->name) != -1) {
+		reject(w, "'%s' is listed already", c->name);
+		return;
+	}
+	if ((c->set & need) != need) {
+		reject(w, "'%s' needs %s, version and memory_mb", c->name,
+		    c->is_adapter ? "model" : "service");
+		return;
+	}
+	if (c->is_adapter) {
+		str_copy(a.name, ID_MAX, c->name);
+		g_array_append_val(w->adapter, a);
+	} else {
+		str_copy(m.name, ID_MAX, c->name);
+		if (m.copies_min == 0)
+			m.copies_min = COPIES_DEFAULT;
+		check_service(w, m.service);
+		g_array_append_val(w->model, m);
+	}
+	revive(w, c->name);
+}
+
+static void
+check_version(work_t *w, const change_t *c, uint64_t was, bool memory_changes)
+{
+	bool newer = (c->set & FIELD_VERSION) && c->model.version > was;
+
+	if ((c->set & FIELD_VERSION) && c->model.version < was)
+		reject(
+		    w, "'%s' is at version %" PRIu64 " already", c->name, was);
+	/* What is resident keeps its size; another size is another version. */
+	if (memory_changes && !newer)
+		reject(w, "'%s': another memory_mb needs a higher version",
+		    c->name);
+}
+
+static void
+change_model(work_t *w, const change_t *c, model_t *m)
+{
+	check_version(w, c, m->version,
+	    (c->set & FIELD_MEMORY) && c->model.memory_mb != m->memory_mb);
+	if ((c->set & FIELD_SERVICE) &&
+	    strcmp(c->model.service, m->service) != 0)
+		reject(w,
+		    "'%s' can't change its service: withdraw it, then add it",
+		    c->name);
+	if (c->set & FIELD_VERSION)
+		m->version = c->model.version;
+	if (c->set & FIELD_MEMORY)
+		m->memory_mb = c->model.memory_mb;
+	if (c->set & FIELD_COPIES)
+		m->copies_min = c->model.copies_min;
+	if (c->set & FIELD_RESUMABLE)
+		m->resumable = c->model.resumable;
+}
+
+static void
+change_adapter(work_t *w, const change_t *c, adapter_t *a)
+{
+	check_version(w, c, a->version,
+	    (c->set & FIELD_MEMORY) && c->adapter.memory_mb != a->memory_mb);
+	if ((c->set & FIELD_MODEL) && strcmp(c->adapter.model, a->model) != 0)
+		reject(w,
+		    "'%s' can't change its model: withdraw it, then add it",
+		    c->name);
+	if (c->set & FIELD_VERSION)
+		a->version = c->adapter.version;
+	if (c->set & FIELD_MEMORY)
+		a->memory_mb = c->adapter.memory_mb;
+}
+
+static void
+apply_one(work_t *w, const change_t *c)
+{
+	int at = c->is_adapter ? adapter_at(w, c->name) : model_at(w, c->name);
+
+	w->line = c->line;
+	if (c->kind == CHANGE_ADD) {
+		add(w, c);
+		return;
+	}
+	if (at == -1) {
+		reject(w, "there is no %s '%s'",
+		    c->is_adapter ? "adapter" : "model", c->name);
+		return;
+	}
+	if (c->kind == CHANGE_CHANGE && c->is_adapter) {
+		change_adapter(w, c, &g_array_index(w->adapter, adapter_t, at));
+	} else if (c->kind == CHANGE_CHANGE) {
+		change_model(w, c, &g_array_index(w->model, model_t, at));
+	} else {
+		g_array_remove_index(c->is_adapter ? w->adapter : w->model, at);
+		g_ptr_array_add(w->withdrawn, (void *)c->name);
+	}
+}
+
+/* Adapters may stand before their models in a note: checked at the end. */
+static void
+check_adapters(work_t *w, const note_t *n)
+{
+	guint i;
+	int j;
+
+	for (i = 0; i < w->adapter->len; i++) {
+		const adapter_t *a = &g_array_index(w->adapter, adapter_t, i);
+
+		if (model_at(w, a->model) != -1)
+			continue;
+		w->line = 1;
+		for (j = 0; j < n->nchange; j++)
+			if (strcmp(n->change[j].name, a->name) == 0 ||
+			    strcmp(n->change[j].name, a->model) == 0)
+				w->line = n->change[j].line;
+		reject(w, "adapter '%s' would be left without its model '%s'",
+		    a->name, a->model);
+	}
+}
+
+static int
+by_name(const void *a, const void *b)
+{
+	return strcmp(a, b);
+}
+
+static catalogue_t *
+finish(work_t *w, const catalogue_t *from, const note_t *n)
+{
+	catalogue_t *c = catalogue_new();
+	guint i;
+
+	c->number = from->number + 1;
+	str_copy(c->note_id, ID_MAX, n->id);
+	c->nmodel = (int)w->model->len;
+	c->nadapter = (int)w->adapter->len;
+	c->nwithdrawn = (int)w->withdrawn->len;
+	c->model = calloc(c->nmodel + 1, sizeof(model_t));
+	c->adapter = calloc(c->nadapter + 1, sizeof(adapter_t));
+	c->withdrawn = calloc(c->nwithdrawn + 1, ID_MAX);
+	if (c->model == NULL || c->adapter == NULL || c->withdrawn == NULL) {
+		catalogue_unref(c);
+		return NULL;
+	}
+	for (i = 0; i < w->model->len; i++)
+		c->model[i] = g_array_index(w->model, model_t, i);
+	for (i = 0; i < w->adapter->len; i++)
+		c->adapter[i] = g_array_index(w->adapter, adapter_t, i);
+	for (i = 0; i < w->withdrawn->len; i++)
+		str_copy(c->withdrawn[i], ID_MAX, w->withdrawn->pdata[i]);
+	qsort(c->model, c->nmodel, sizeof(model_t), by_name);
+	qsort(c->adapter, c->nadapter, sizeof(adapter_t), by_name);
+	qsort(c->withdrawn, c->nwithdrawn, ID_MAX, by_name);
+	return c;
+}
+
+catalogue_t *
+note_apply(const catalogue_t *from, const note_t *n, const settings_t *s,
+    char **report, err_t *e)
+{
+	work_t w = { .settings = s, .line = 1 };
+	catalogue_t *c = NULL;
+	int i;
+
+	w.model = g_array_new(FALSE, FALSE, sizeof(model_t));
+	w.adapter = g_array_new(FALSE, FALSE, sizeof(adapter_t));
+	w.withdrawn = g_ptr_array_new();
+	w.report = g_string_new(NULL);
+	if (from->nmodel > 0)
+		g_array_append_vals(w.model, from->model, from->nmodel);
+	if (from->nadapter > 0)
+		g_array_append_vals(w.adapter, from->adapter, from->nadapter);
+	for (i = 0; i < from->nwithdrawn; i++)
+		g_ptr_array_add(w.withdrawn, from->withdrawn[i]);
+	if (n->base != from->number)
+		reject(&w,
+		    "base is %" PRIu64 ", but catalogue %" PRIu64
+		    " (note '%s') is in force",
+		    n->base, from->number, from->note_id);
+	for (i = 0; i < n->nchange; i++)
+		apply_one(&w, &n->change[i]);
+	check_adapters(&w, n);
+	if (!report_bad(w.report, report, "the note doesn't apply", e)) {
+		c = finish(&w, from, n);
+		if (c == NULL)
+			err_set(e, ERR_INTERNAL, "out of memory");
+	}
+	g_array_free(w.model, TRUE);
+	g_array_free(w.adapter, TRUE);
+	g_ptr_array_free(w.withdrawn, TRUE);
+	return c;
+}
--- /dev/null
+++ b/tests/note_test.c
@@ -0,0 +1,171 @@
+#include "policy/policy.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+static settings_t settings;
+
+static const char first_note[] = "[note]\nid = one\nbase = 0\n"
+				 "[add adapter a1]\nmodel = m1\nversion = 1\n"
+				 "memory_mb = 100\n"
+				 "[add model m1]\nservice = llm\nversion = 1\n"
+				 "memory_mb = 8000\n"
+				 "[add model m2]\nservice = llm\nversion = 7\n"
+				 "memory_mb = 9000\ncopies = 2\n"
+				 "resumable = yes\n";
+
+static catalogue_t *
+apply(const catalogue_t *from, const char *text, char **report)
+{
+	note_t *n = note_parse(text, strlen(text), report, NULL);
+	catalogue_t *c = NULL;
+
+	if (n != NULL)
+		c = note_apply(from, n, &settings, report, NULL);
+	note_free(n);
+	return c;
+}
+
+static catalogue_t *
+first(void)
+{
+	catalogue_t *none = catalogue_new(), *c;
+	char *report;
+
+	c = apply(none, first_note, &report);
+	g_assert_cmpstr(report, ==, NULL);
+	catalogue_unref(none);
+	return c;
+}
+
+static void
+notes_make_catalogues(void)
+{
+	catalogue_t *one = first(), *two, *again;
+	char *report, *json;
+	const char *text = "[note]\nid = two\nbase = 1\n"
+			   "[change model m1]\nversion = 2\nmemory_mb = 8100\n"
+			   "[withdraw model m2]\nreason = old\n";
+
+	g_assert_cmpint(one->nmodel, ==, 2);
+	g_assert_true(catalogue_model(one, "m2")->resumable);
+	g_assert_cmpint(catalogue_model(one, "m2")->copies_min, ==, 2);
+	g_assert_cmpstr(catalogue_adapter(one, "a1")->model, ==, "m1");
+	two = apply(one, text, &report);
+	g_assert_cmpstr(report, ==, NULL);
+	g_assert_cmpuint(two->number, ==, 2);
+	g_assert_cmpuint(catalogue_model(two, "m1")->version, ==, 2);
+	g_assert_null(catalogue_model(two, "m2"));
+	g_assert_true(catalogue_withdrawn(two, "m2"));
+	g_assert_false(catalogue_withdrawn(two, "m1"));
+	json = catalogue_encode(two);
+	again = catalogue_decode(json, strlen(json), NULL);
+	g_assert_nonnull(again);
+	g_assert_cmpstr(again->note_id, ==, "two");
+	g_assert_cmpuint(catalogue_model(again, "m1")->memory_mb, ==, 8100);
+	g_assert_true(catalogue_withdrawn(again, "m2"));
+	free(json);
+	catalogue_unref(one);
+	catalogue_unref(two);
+	catalogue_unref(again);
+}
+
+static void
+every_error_with_its_line(void)
+{
+	static const struct {
+		const char *text, *report;
+	} rows[] = {
+		{ "", "1: [note] needs an id\n1: [note] needs base, the number "
+		      "of the catalogue that it was written against\n1: the "
+		      "note changes nothing\n" },
+		{ "[note]\nid = x\nbase = 1\n[add model m1]\nservice = llm\n"
+		  "version = 1\nmemory_mb = 1\n[withdraw model m9]\n"
+		  "reason = r\n",
+		    "5: 'm1' is listed already\n9: there is no model 'm9'\n" },
+		{ "[note]\nid = x\nbase = 0\n[withdraw model m2]\nreason = r\n",
+		    "1: base is 0, but catalogue 1 (note 'one') is in "
+		    "force\n" },
+		{ "[note]\nid = x\nbase = 1\n[withdraw model m1]\nreason = r\n",
+		    "5: adapter 'a1' would be left without its model 'm1'\n" },
+		{ "[note]\nid = x\nbase = 1\n[change model m2]\n"
+		  "memory_mb = 1\n[change model m1]\nversion = 0\n",
+		    "7: version = '0': a whole number from 1 to "
+		    "9223372036854775807 is wanted\n" },
+		{ "[note]\nid = x\nbase = 1\n[change model m2]\n"
+		  "memory_mb = 1\n",
+		    "5: 'm2': another memory_mb needs a higher version\n" },
+		{ "[note]\nid = x\nbase = 1\n[change model m2]\nversion = 6\n",
+		    "5: 'm2' is at version 7 already\n" },
+		{ "[note]\nid = x\nbase = 1\n[add model m3]\nservice = web\n"
+		  "version = 1\nmemory_mb = 1\n[add model m4]\n"
+		  "service = none\nversion = 1\nmemory_mb = 1\n",
+		    "5: service 'web' holds no models\n"
+		    "9: service 'none' isn't known here\n" },
+		{ "[note]\nid = x\nbase = 1\n[remove model m1]\nreason = r\n",
+		    "5: unknown section [remove model m1]: [note] or "
+		    "[add|change|withdraw model|adapter NAME] is wanted\n"
+		    "1: the note changes nothing\n" },
+		{ "[note]\nid = x\nid = y\nbase = 1\n[withdraw model m2]\n"
+		  "reason = r\n",
+		    "3: 'id' stands twice in [note]\n" },
+	};
+	catalogue_t *one = first();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *report;
+
+		g_assert_null(apply(one, rows[i].text, &report));
+		g_assert_cmpstr(report, ==, rows[i].report);
+		free(report);
+	}
+	catalogue_unref(one);
+}
+
+static void
+damaged_notes_do_no_harm(void)
+{
+	catalogue_t *none = catalogue_new();
+	rng_t rng = { 7 };
+	int i, j;
+
+	for (i = 0; i < 3000; i++) {
+		char *text = g_strdup(first_note), *report = NULL;
+		size_t n = strlen(text) - rng_next(&rng) % 40;
+		note_t *note;
+
+		for (j = 0; j < 3; j++)
+			text[rng_next(&rng) % n] = (char)rng_next(&rng);
+		note = note_parse(text, n, &report, NULL);
+		if (note == NULL) {
+			g_assert_nonnull(report);
+		} else {
+			catalogue_t *c =
+			    note_apply(none, note, &settings, &report, NULL);
+
+			g_assert_true((c == NULL) == (report != NULL));
+			catalogue_unref(c);
+		}
+		free(report);
+		note_free(note);
+		g_free(text);
+	}
+	catalogue_unref(none);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	settings_init(&settings);
+	settings.nservice = 2;
+	str_copy(settings.service[0].name, ID_MAX, "llm");
+	str_copy(settings.service[1].name, ID_MAX, "web");
+	settings.service[1].kind = SERVICE_PLAIN;
+	g_test_add_func("/note/catalogues", notes_make_catalogues);
+	g_test_add_func("/note/errors", every_error_with_its_line);
+	g_test_add_func("/note/damaged", damaged_notes_do_no_harm);
+	return g_test_run();
+}
