--- a/peer/peer.h
+++ b/peer/peer.h
@@ -59,6 +59,9 @@
 /** The member that owns a claims bucket: first live one by rendezvous. */
 const Wire__Member *view_owner(const view_t *v, const char *key, int rank);
 
+/** The shard's broker of that rank (0: shard->broker), or NULL. */
+const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
+
 /* controld's node: one thread that owns all soft state. node.c */
 
 typedef struct node node_t;
@@ -115,8 +118,13 @@
 client_t *client_new(const client_opts_t *o, err_t *e);
 void client_free(client_t *c);
 view_t *client_view(client_t *c);
-/** Ask member @p to; each gives exactly one answer. Frames are copied.
- * @return false: ring full, nothing sent. */
+/**
+ * Ask member @p to; each gives exactly one answer. Frames are copied.
+ * A broker that can't grant at once answers SLOT_QUEUED first: the client
+ * keeps that to itself, and only a broker silent for peer.ask_ms counts as
+ * down before @p wait is over.
+ * @return false: ring full, nothing sent.
+ */
 bool client_slot(client_t *c, uint64_t tag, const char *to,
     const Wire__SlotAsk *ask, ms_t wait);
 bool client_claim(client_t *c, uint64_t tag, const char *to,
