--- a/peer/peer.h
+++ b/peer/peer.h
@@ -84,6 +84,10 @@
 void node_set_note(node_t *n, uint64_t base, const char *text, size_t len);
 /** Is this node one that holds the platform's watch for its domain? */
 bool node_is_parent(node_t *n);
+/** The claims thread comes after the node it answers, and goes before it. */
+void node_set_claims(node_t *n, claims_t *c);
+/** entryds connected to it now. */
+int node_entries(node_t *n);
 /** Say we are leaving; entries and brokers are told. */
 void node_leave(node_t *n);
 /** Ready: has peers or platform confirmed catalogue and list? */
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -240,7 +240,7 @@
 	SLOT_NOT_OWNER, /* ask the shard's broker */
 	SLOT_LEAVING,
 	SLOT_RETRY_BUDGET,
-	SLOT_QUEUED,		/* wire only: heard, the verdict follows */
+	SLOT_QUEUED, /* wire only: heard, the verdict follows */
 } slot_outcome_t;
 
 typedef struct admit_verdict {
