--- a/peer/broker.c
+++ b/peer/broker.c
@@ -7,38 +7,10 @@
 	ASKS_MAX = 65536,
 	FIRST_REPORT_MS = 400, /* asks are held so long for first reports */
 	STAND_IN_MS = 5000,    /* an unused stand-in shard is given up */
-	REFRESH_MS = 1000,     /* an unchanged digest is said again */
-	MISSES_MAX = 4,	       /* unanswered polls before it is left out */
+	IDLE_MS = 1000,	       /* between two ticks at the most */
 	RETRY_MS = 50,	       /* asked elsewhere or again after this */
 };
 
-typedef struct demand {
-	char model[ID_MAX], adapter[ID_MAX];
-	uint32_t asked, refused;
-} demand_t;
-
-/* One worker as its reports tell. */
-typedef struct reported {
-	load_report_t *last; /* that reached it, or NULL */
-	int misses;
-	bool seen; /* a first poll has ended, whichever way */
-	char addr[ADDR_MAX];
-} reported_t;
-
-typedef struct broker {
-	char key[KEY_MAX];
-	char service[ID_MAX], domain[ID_MAX];
-	uint32_t index;
-	bool owner; /* by the store's shape; else a stand-in */
-	bool open;  /* first reports have come: asks are put */
-	ms_t since, last_ask;
-	admit_t *admit;
-	GHashTable *worker; /* id -> reported_t */
-	GHashTable *demand; /* "model/adapter" -> demand_t */
-	uint64_t term, seq, said; /* of the digest; hash of the last one */
-	ms_t said_at;
-} broker_t;
-
 typedef struct ask {
 	handle_t conn;
 	uint64_t call;
@@ -55,6 +27,8 @@
 	table_t *asks;
 	bool leaving;
 	bool targets_changed;
+	uint64_t shape; /* of the store, that was followed last */
+	ms_t followed;
 	uint64_t seed;
 	counter_t *asked, *granted, *refused, *elsewhere;
 };
@@ -85,15 +59,15 @@
 	brokers_t *b = calloc(1, sizeof(*b));
 
 	b->o = *o;
-	b->shard = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-	    broker_free);
+	b->shard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, broker_free);
 	b->asks = table_new(sizeof(ask_t), ASKS_MAX);
 	b->seed = hash_str(o->self, (uint64_t)clock_wall());
 	b->asked = counter_get("broker_asks_total", "asks for a slot");
 	b->granted = counter_get("broker_grants_total", "slots granted");
 	b->refused = counter_get("broker_refusals_total", "asks refused");
-	b->elsewhere = counter_get("broker_sent_on_total",
-	    "asks sent on to another broker");
+	b->elsewhere = counter_get(
+	    "broker_sent_on_total", "asks sent on to another broker");
 	return b;
 }
 
@@ -118,32 +92,6 @@
 	b->o.answer(b->o.user, conn, call, &a);
 }
 
-static void
-count_demand(broker_t *k, const char *model, const char *adapter, bool refused)
-{
-	char key[KEY_MAX];
-	demand_t *d;
-
-	snprintf(key, sizeof(key), "%s/%s", model, adapter);
-	d = g_hash_table_lookup(k->demand, key);
-	if (d == NULL) {
-		d = calloc(1, sizeof(*d));
-		str_copy(d->model, sizeof(d->model), model);
-		str_copy(d->adapter, sizeof(d->adapter), adapter);
-		g_hash_table_insert(k->demand, g_strdup(key), d);
-	}
-	if (refused)
-		d->refused++;
-	else
-		d->asked++;
-}
-
-static const Wire__Resident *
-no_residents(void)
-{
-	return NULL;
-}
-
 /* Version of the model that the worker last reported as ready. */
 static uint64_t
 version_at(const reported_t *r, const char *model)
@@ -161,3 +109,527 @@
 	}
 	return 0;
 }
+
+static ask_t *
+ask_of(brokers_t *b, uint64_t tag)
+{
+	return table_get(b->asks, tag);
+}
+
+static bool
+report_seen(const broker_t *k)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, k->worker);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (!((reported_t *)value)->seen)
+			return false;
+	return true;
+}
+
+/* Keep k's workers those that the store's shape gives the shard. */
+static void
+set_workers(brokers_t *b, broker_t *k, const shard_t *s)
+{
+	GHashTable *now = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *key, *value;
+	int i;
+
+	for (i = s->first; i < s->first + s->n; i++) {
+		const Wire__Worker *w = b->o.store->sorted[i];
+		reported_t *r = g_hash_table_lookup(k->worker, w->id);
+
+		g_hash_table_add(now, w->id);
+		if (r == NULL) {
+			r = calloc(1, sizeof(*r));
+			g_hash_table_insert(k->worker, g_strdup(w->id), r);
+			b->targets_changed = true;
+		}
+		if (strcmp(r->addr, w->addr) != 0)
+			b->targets_changed = true;
+		str_copy(r->addr, sizeof(r->addr), w->addr);
+	}
+	g_hash_table_iter_init(&it, k->worker);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		if (g_hash_table_contains(now, key))
+			continue;
+		admit_forget(k->admit, key);
+		g_hash_table_iter_remove(&it);
+		b->targets_changed = true;
+	}
+	g_hash_table_destroy(now);
+}
+
+static broker_t *
+take_up(brokers_t *b, const shard_t *s, bool owner)
+{
+	const settings_t *set = b->o.settings;
+	admit_opts_t o = { .queue_max = (int)set->broker.queue_max,
+		.grant_ms = set->broker.grant_ms,
+		.retry_share = set->broker.retry_share,
+		.seed = b->seed++ };
+	broker_t *k = calloc(1, sizeof(*k));
+
+	shard_key(k->key, s->service, s->domain, s->index);
+	str_copy(k->service, sizeof(k->service), s->service);
+	str_copy(k->domain, sizeof(k->domain), s->domain);
+	k->index = s->index;
+	k->owner = owner;
+	k->since = k->last_ask = clock_now(b->o.clock);
+	k->term = clock_wall();
+	k->admit = admit_new(&o);
+	k->worker = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, reported_free);
+	k->demand =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	g_hash_table_insert(b->shard, k->key, k);
+	set_workers(b, k, s);
+	log_event(LOG_INFO, "shard_taken", "shard=%s owner=%d workers=%d",
+	    k->key, owner, s->n);
+	return k;
+}
+
+/* Answer every ask of k, or of every broker, that still waits. */
+static void
+send_on(brokers_t *b, const broker_t *k, slot_outcome_t how)
+{
+	handle_t h, after;
+	ask_t *a, was;
+
+	for (h = table_next(b->asks, 0); h != 0; h = after) {
+		after = table_next(b->asks, h);
+		a = table_get(b->asks, h);
+		if (k != NULL && a->broker != k)
+			continue;
+		was = *a;
+		if (!was.held)
+			admit_cancel(
+			    was.broker->admit, h, clock_now(b->o.clock));
+		table_del(b->asks, h);
+		refuse(b, was.conn, was.call, how);
+	}
+}
+
+static gboolean
+give_up(void *key, void *value, void *user)
+{
+	brokers_t *b = user;
+	broker_t *k = value;
+	ms_t now = clock_now(b->o.clock);
+	const shard_t *s;
+	bool idle;
+
+	(void)key;
+	s = store_shard(b->o.store, k->service, k->domain, k->index);
+	k->owner = s != NULL && strcmp(s->broker, b->o.self) == 0;
+	idle = now - k->last_ask > STAND_IN_MS && admit_waiting(k->admit) == 0;
+	if (s != NULL)
+		set_workers(b, k, s);
+	if (s != NULL && (k->owner || !idle))
+		return FALSE;
+	send_on(b, k, SLOT_NOT_OWNER);
+	b->targets_changed = true;
+	log_event(LOG_INFO, "shard_given_up", "shard=%s", k->key);
+	return TRUE;
+}
+
+static void
+follow_shape(brokers_t *b)
+{
+	store_t *s = b->o.store;
+	ms_t now = clock_now(b->o.clock);
+	char key[KEY_MAX];
+	int i;
+
+	store_shape(s);
+	if (b->shape == s->shape && now - b->followed < IDLE_MS)
+		return;
+	b->shape = s->shape;
+	b->followed = now;
+	g_hash_table_foreach_remove(b->shard, give_up, b);
+	for (i = 0; i < s->nshard; i++) {
+		const shard_t *d = &s->shard[i];
+
+		if (strcmp(d->broker, b->o.self) != 0 || b->leaving)
+			continue;
+		shard_key(key, d->service, d->domain, d->index);
+		if (g_hash_table_lookup(b->shard, key) == NULL)
+			take_up(b, d, true);
+	}
+}
+
+static bool
+was_tried(const Wire__SlotAsk *ask, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < ask->n_tried; i++)
+		if (strcmp(ask->tried[i], id) == 0)
+			return true;
+	return false;
+}
+
+/* Is it ours once those that gave the asker no answer are left out? */
+static bool
+stand_in(brokers_t *b, const shard_t *s, const Wire__SlotAsk *ask)
+{
+	char key[KEY_MAX];
+	Wire__Member **m;
+	int n, rank, i;
+	bool mine = false;
+
+	if (ask->n_tried == 0 || !was_tried(ask, s->broker))
+		return false;
+	shard_key(key, s->service, s->domain, s->index);
+	m = store_live(b->o.store, &n);
+	for (rank = 0; rank < n; rank++) {
+		i = members_rank(key, s->domain, m, n, rank);
+		if (i == -1 || !was_tried(ask, m[i]->id)) {
+			mine = i != -1 && strcmp(m[i]->id, b->o.self) == 0;
+			break;
+		}
+	}
+	free(m);
+	return mine;
+}
+
+static broker_t *
+broker_for(brokers_t *b, const Wire__SlotAsk *ask)
+{
+	char key[KEY_MAX];
+	const shard_t *s;
+	broker_t *k;
+
+	store_shape(b->o.store);
+	s = store_shard(b->o.store, ask->service, ask->domain, ask->index);
+	if (s == NULL)
+		return NULL;
+	shard_key(key, s->service, s->domain, s->index);
+	k = g_hash_table_lookup(b->shard, key);
+	if (strcmp(s->broker, b->o.self) == 0)
+		return k != NULL ? k : take_up(b, s, true);
+	if (!stand_in(b, s, ask))
+		return NULL;
+	return k != NULL ? k : take_up(b, s, false);
+}
+
+static void
+put(brokers_t *b, ask_t *a)
+{
+	a->held = false;
+	admit_put(a->broker->admit, &a->want, clock_now(b->o.clock));
+}
+
+static void
+copy_ask(admit_ask_t *w, const Wire__SlotAsk *ask, uint64_t tag, ms_t now)
+{
+	w->tag = tag;
+	str_copy(w->item, sizeof(w->item),
+	    *ask->adapter != '\0' ? ask->adapter : ask->model);
+	str_copy(w->model, sizeof(w->model), ask->model);
+	str_copy(w->caller, sizeof(w->caller), ask->caller);
+	str_copy(w->avoid, sizeof(w->avoid), ask->avoid);
+	w->rank = ask->rank;
+	w->deadline = now + ask->left_ms;
+	w->prefix = ask->prefix;
+	w->tokens = ask->tokens;
+	w->retry = ask->retry;
+}
+
+/* Send all verdicts of k that are due. */
+static void
+answer_due(brokers_t *b, broker_t *k)
+{
+	ms_t now = clock_now(b->o.clock);
+	admit_verdict_t v;
+
+	while (admit_next(k->admit, &v, now)) {
+		Wire__SlotAnswer a = WIRE__SLOT_ANSWER__INIT;
+		ask_t *q = ask_of(b, v.tag), was;
+		const reported_t *r;
+
+		if (q == NULL) {
+			if (v.outcome == SLOT_GRANTED)
+				admit_release(k->admit, v.slot, CALL_CANCELLED,
+				    -1, 0, now);
+			continue;
+		}
+		was = *q;
+		table_del(b->asks, v.tag);
+		r = g_hash_table_lookup(k->worker, v.worker);
+		a.outcome = v.outcome;
+		a.retry_after_ms = (uint32_t)v.retry_after;
+		a.wait_ms = (uint32_t)v.wait;
+		if (v.outcome == SLOT_GRANTED) {
+			a.slot = v.slot;
+			a.worker = v.worker;
+			a.addr = r == NULL ? "" : (char *)r->addr;
+			a.version = version_at(r, was.want.model);
+			a.free = admit_free_slots(k->admit, v.worker);
+			counter_add(b->granted, 1);
+		} else {
+			counter_add(b->refused, 1);
+			demand_count(k, was.want.model, was.adapter, true);
+		}
+		if (!b->o.answer(b->o.user, was.conn, was.call, &a) &&
+		    v.outcome == SLOT_GRANTED)
+			admit_release(
+			    k->admit, v.slot, CALL_CANCELLED, -1, 0, now);
+	}
+}
+
+void
+brokers_ask(
+    brokers_t *b, handle_t conn, uint64_t call, const Wire__SlotAsk *ask)
+{
+	Wire__SlotAnswer queued = WIRE__SLOT_ANSWER__INIT;
+	broker_t *k;
+	handle_t h;
+	ask_t *a;
+
+	counter_add(b->asked, 1);
+	if (b->leaving) {
+		refuse(b, conn, call, SLOT_LEAVING);
+		return;
+	}
+	k = broker_for(b, ask);
+	if (k == NULL) {
+		refuse(b, conn, call, SLOT_NOT_OWNER);
+		return;
+	}
+	h = table_add(b->asks);
+	if (h == 0) {
+		refuse(b, conn, call, SLOT_FULL);
+		return;
+	}
+	a = ask_of(b, h);
+	a->conn = conn;
+	a->call = call;
+	a->broker = k;
+	a->held = true;
+	str_copy(a->request, sizeof(a->request), ask->request);
+	str_copy(a->adapter, sizeof(a->adapter), ask->adapter);
+	k->last_ask = clock_now(b->o.clock);
+	copy_ask(&a->want, ask, h, k->last_ask);
+	demand_count(k, a->want.model, a->adapter, false);
+	if (k->open) {
+		put(b, a);
+		answer_due(b, k);
+	}
+	if (ask_of(b, h) == NULL)
+		return;
+	queued.outcome = SLOT_QUEUED;
+	b->o.answer(b->o.user, conn, call, &queued);
+}
+
+void
+brokers_release(brokers_t *b, const Wire__SlotRelease *r)
+{
+	ms_t now = clock_now(b->o.clock);
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		broker_t *k = value;
+
+		if (g_hash_table_lookup(k->worker, r->worker) == NULL)
+			continue;
+		admit_release(k->admit, r->slot, r->outcome,
+		    r->first_ms == 0 ? -1 : (ms_t)r->first_ms, r->tokens, now);
+		answer_due(b, k);
+		return;
+	}
+}
+
+/* Give up asks of a connection; of one request, or all if it is NULL. */
+static void
+withdraw(brokers_t *b, handle_t conn, const char *request)
+{
+	handle_t h, after;
+	ask_t *a;
+
+	for (h = table_next(b->asks, 0); h != 0; h = after) {
+		after = table_next(b->asks, h);
+		a = table_get(b->asks, h);
+		if (a->conn != conn ||
+		    (request != NULL && strcmp(a->request, request) != 0))
+			continue;
+		if (!a->held)
+			admit_cancel(
+			    a->broker->admit, h, clock_now(b->o.clock));
+		table_del(b->asks, h);
+	}
+}
+
+void
+brokers_cancel(brokers_t *b, handle_t conn, const char *request)
+{
+	withdraw(b, conn, request);
+}
+
+void
+brokers_conn_gone(brokers_t *b, handle_t conn)
+{
+	withdraw(b, conn, NULL);
+}
+
+static void
+pass_report(broker_t *k, const load_report_t *r, ms_t now)
+{
+	admit_resident_t *res = calloc(r->nresident + 1, sizeof(*res));
+	admit_report_t out = { .slots = r->slots,
+		.in_flight = r->in_flight + r->queued,
+		.taken_at = r->taken_at,
+		.leaving = r->leaving,
+		.resident = res };
+	int i;
+
+	str_copy(out.worker, sizeof(out.worker), r->worker);
+	for (i = 0; i < r->nresident; i++) {
+		const resident_t *x = &r->resident[i];
+
+		if (x->state != RESIDENT_READY)
+			continue;
+		str_copy(res[out.nresident].item, ID_MAX,
+		    x->adapter[0] != '\0' ? x->adapter : x->model);
+		res[out.nresident++].version = x->version;
+	}
+	admit_report(k->admit, &out, now);
+	free(res);
+}
+
+/* Once each worker has been polled, held asks can be judged. */
+static void
+open_up(brokers_t *b, broker_t *k)
+{
+	ms_t now = clock_now(b->o.clock);
+	handle_t h;
+	ask_t *a;
+
+	if (k->open || (!report_seen(k) && now - k->since < FIRST_REPORT_MS))
+		return;
+	k->open = true;
+	for (h = table_next(b->asks, 0); h != 0; h = table_next(b->asks, h)) {
+		a = table_get(b->asks, h);
+		if (a->broker == k && a->held)
+			put(b, a);
+	}
+}
+
+static void
+take_report(brokers_t *b, broker_t *k, reported_t *w, load_report_t *r)
+{
+	w->seen = true;
+	if (r->reached) {
+		w->misses = 0;
+		pass_report(k, r, clock_now(b->o.clock));
+		load_report_free(w->last);
+		w->last = r;
+	} else {
+		if (++w->misses == MISSES_MAX)
+			admit_forget(k->admit, r->worker);
+		load_report_free(r);
+	}
+	open_up(b, k);
+	answer_due(b, k);
+}
+
+void
+brokers_report(brokers_t *b, load_report_t *r)
+{
+	GHashTableIter it;
+	reported_t *w;
+	void *value;
+
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		w = g_hash_table_lookup(((broker_t *)value)->worker, r->worker);
+		if (w != NULL) {
+			take_report(b, value, w, r);
+			return;
+		}
+	}
+	load_report_free(r);
+}
+
+int
+brokers_targets(brokers_t *b, load_target_t **t)
+{
+	GHashTableIter it, wit;
+	void *value, *id, *w;
+	int n = 0, room = 0;
+
+	if (!b->targets_changed)
+		return -1;
+	b->targets_changed = false;
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		room += (int)g_hash_table_size(((broker_t *)value)->worker);
+	*t = calloc(room + 1, sizeof(**t));
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		g_hash_table_iter_init(&wit, ((broker_t *)value)->worker);
+		while (g_hash_table_iter_next(&wit, &id, &w)) {
+			str_copy((*t)[n].worker, ID_MAX, id);
+			str_copy(
+			    (*t)[n++].addr, ADDR_MAX, ((reported_t *)w)->addr);
+		}
+	}
+	return n;
+}
+
+ms_t
+brokers_due(const brokers_t *b)
+{
+	ms_t now = clock_now(b->o.clock), due = now + IDLE_MS, at;
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const broker_t *k = value;
+
+		at = k->open ? admit_due(k->admit, now)
+			     : k->since + FIRST_REPORT_MS;
+		if (at < due)
+			due = at;
+	}
+	return due;
+}
+
+void
+brokers_tick(brokers_t *b)
+{
+	GHashTableIter it;
+	void *value;
+
+	follow_shape(b);
+	g_hash_table_iter_init(&it, b->shard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		open_up(b, value);
+		answer_due(b, value);
+		digest_say(value, b->o.store, b->o.self);
+	}
+}
+
+void
+brokers_leave(brokers_t *b)
+{
+	if (b->leaving)
+		return;
+	b->leaving = true;
+	send_on(b, NULL, SLOT_LEAVING);
+}
+
+void
+brokers_reset(brokers_t *b)
+{
+	send_on(b, NULL, SLOT_NOT_OWNER);
+	g_hash_table_remove_all(b->shard);
+	b->shape = 0;
+	b->targets_changed = true;
+}
--- a/peer/broker.h
+++ b/peer/broker.h
@@ -8,6 +8,41 @@
 
 #include "peer/store.h"
 
+enum {
+	MISSES_MAX = 4 /* unanswered polls before a worker is left out */
+};
+
+/** What was asked for since the shard was taken up. */
+typedef struct demand {
+	char model[ID_MAX], adapter[ID_MAX];
+	uint32_t asked, refused;
+} demand_t;
+
+/* One worker as its reports tell. */
+typedef struct reported {
+	load_report_t *last; /* that reached it, or NULL */
+	int misses;
+	bool seen; /* a first poll has ended, whichever way */
+	char addr[ADDR_MAX];
+} reported_t;
+
+/** A shard that this node brokers. */
+typedef struct broker {
+	char key[KEY_MAX];
+	char service[ID_MAX], domain[ID_MAX];
+	uint32_t index;
+	bool owner; /* by the store's shape; else a stand-in */
+	bool open;  /* first reports have come: asks are put */
+	ms_t since, last_ask;
+	admit_t *admit;
+	GHashTable *worker; /* id -> reported_t */
+	GHashTable *demand; /* "model/adapter" -> demand_t */
+	/* its digest */
+	uint64_t term, seq;
+	uint64_t said; /* hash of the last one */
+	ms_t looked_at, said_at;
+} broker_t;
+
 typedef struct brokers brokers_t;
 
 typedef struct brokers_opts {
@@ -23,8 +58,8 @@
 
 brokers_t *brokers_new(const brokers_opts_t *o);
 void brokers_free(brokers_t *b);
-void brokers_ask(brokers_t *b, handle_t conn, uint64_t call,
-    const Wire__SlotAsk *ask);
+void brokers_ask(
+    brokers_t *b, handle_t conn, uint64_t call, const Wire__SlotAsk *ask);
 void brokers_release(brokers_t *b, const Wire__SlotRelease *r);
 void brokers_cancel(brokers_t *b, handle_t conn, const char *request);
 /** An asker is gone: what it waits for is given up. */
@@ -48,4 +83,11 @@
  */
 int brokers_targets(brokers_t *b, load_target_t **t);
 
+/* digest.c */
+
+void demand_count(
+    broker_t *k, const char *model, const char *adapter, bool refused);
+/** Put k's figures into the store, unless they were said a moment ago. */
+void digest_say(broker_t *k, store_t *s, const char *self);
+
 #endif
--- /dev/null
+++ b/peer/digest.c
@@ -0,0 +1,182 @@
+#include "peer/broker.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DIGEST_MS = 100,   /* least time between two digests */
+	REFRESH_MS = 1000, /* an unchanged digest is said again */
+};
+
+void
+demand_count(broker_t *k, const char *model, const char *adapter, bool refused)
+{
+	char key[KEY_MAX];
+	demand_t *d;
+
+	snprintf(key, sizeof(key), "%s/%s", model, adapter);
+	d = g_hash_table_lookup(k->demand, key);
+	if (d == NULL) {
+		d = calloc(1, sizeof(*d));
+		str_copy(d->model, sizeof(d->model), model);
+		str_copy(d->adapter, sizeof(d->adapter), adapter);
+		g_hash_table_insert(k->demand, g_strdup(key), d);
+	}
+	if (refused)
+		d->refused++;
+	else
+		d->asked++;
+}
+
+/* The digest's message; its rows are in arrays of the caller's. */
+static void
+fill_load(broker_t *k, const char *id, const reported_t *r, Wire__WorkerLoad *l,
+    Wire__Resident *res, Wire__Resident **row, ms_t now)
+{
+	int i;
+
+	wire__worker_load__init(l);
+	l->worker = (char *)id;
+	l->free = admit_free_slots(k->admit, id);
+	l->ejected =
+	    admit_ejected(k->admit, id, now) || r->misses >= MISSES_MAX;
+	if (r->last == NULL)
+		return;
+	l->used_mb = r->last->used_mb;
+	l->resident = row;
+	for (i = 0; i < r->last->nresident; i++) {
+		const resident_t *x = &r->last->resident[i];
+
+		wire__resident__init(&res[i]);
+		res[i].model = (char *)x->model;
+		res[i].adapter = (char *)x->adapter;
+		res[i].version = x->version;
+		res[i].state = x->state;
+		row[l->n_resident++] = &res[i];
+	}
+}
+
+static int
+worker_order(const void *a, const void *b)
+{
+	return strcmp((*(Wire__WorkerLoad *const *)a)->worker,
+	    (*(Wire__WorkerLoad *const *)b)->worker);
+}
+
+static int
+demand_order(const void *a, const void *b)
+{
+	const Wire__Demand *x = *(Wire__Demand *const *)a;
+	const Wire__Demand *y = *(Wire__Demand *const *)b;
+	int c = strcmp(x->model, y->model);
+
+	return c != 0 ? c : strcmp(x->adapter, y->adapter);
+}
+
+static void
+fill_demand(broker_t *k, Wire__Digest *d, Wire__Demand *row)
+{
+	ms_t wait, now = k->looked_at;
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, k->demand);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		demand_t *x = value;
+		Wire__Demand *w = &row[d->n_demand];
+
+		wire__demand__init(w);
+		w->model = x->model;
+		w->adapter = x->adapter;
+		w->asked = x->asked;
+		w->refused = x->refused;
+		d->demand[d->n_demand++] = w;
+		wait = admit_wait(k->admit,
+		    x->adapter[0] != '\0' ? x->adapter : x->model, now);
+		if (wait > (ms_t)d->wait_ms)
+			d->wait_ms = (uint32_t)wait;
+	}
+	qsort(d->demand, d->n_demand, sizeof(*d->demand), demand_order);
+}
+
+static void
+digest_put(broker_t *k, store_t *st, Wire__Digest *d, ms_t now)
+{
+	const shard_t *s = store_shard(st, k->service, k->domain, k->index);
+	const digest_t *known = store_digest_of(st, s);
+	size_t n = wire__digest__get_packed_size(d);
+	uint8_t *buf = malloc(n + 1);
+	uint64_t hash;
+
+	wire__digest__pack(d, buf);
+	hash = hash64(buf, n, 1);
+	free(buf);
+	if (hash == k->said && now - k->said_at < REFRESH_MS)
+		return;
+	k->said = hash;
+	k->said_at = now;
+	/* Another broker's term stands above ours: its clock is ahead. */
+	if (known != NULL && known->d->term >= k->term &&
+	    strcmp(known->d->broker, d->broker) != 0)
+		k->term = known->d->term + 1;
+	if (known != NULL && known->d->term > k->term)
+		k->term = known->d->term + 1;
+	d->term = k->term;
+	d->seq = ++k->seq;
+	store_digest(st, d);
+}
+
+void
+digest_say(broker_t *k, store_t *s, const char *self)
+{
+	ms_t now = clock_now(s->clock);
+	guint nw = g_hash_table_size(k->worker);
+	guint nd = g_hash_table_size(k->demand);
+	Wire__WorkerLoad *load, **row;
+	Wire__Digest d = WIRE__DIGEST__INIT;
+	Wire__Resident **res, ***ptr;
+	Wire__Demand *demand;
+	GHashTableIter it;
+	void *id, *value;
+	guint i;
+
+	if (!k->owner || !k->open || now - k->looked_at < DIGEST_MS)
+		return;
+	k->looked_at = now;
+	load = calloc(nw + 1, sizeof(*load));
+	row = calloc(nw + 1, sizeof(*row));
+	res = calloc(nw + 1, sizeof(*res));
+	ptr = calloc(nw + 1, sizeof(*ptr));
+	demand = calloc(nd + 1, sizeof(*demand));
+	d.service = k->service;
+	d.domain = k->domain;
+	d.index = k->index;
+	d.broker = (char *)self;
+	d.waiting = admit_waiting(k->admit);
+	d.worker = row;
+	d.demand = calloc(nd + 1, sizeof(*d.demand));
+	g_hash_table_iter_init(&it, k->worker);
+	while (g_hash_table_iter_next(&it, &id, &value)) {
+		reported_t *r = value;
+		int n = r->last == NULL ? 0 : r->last->nresident;
+
+		i = d.n_worker++;
+		res[i] = calloc(n + 1, sizeof(**res));
+		ptr[i] = calloc(n + 1, sizeof(**ptr));
+		fill_load(k, id, r, &load[i], res[i], ptr[i], now);
+		row[i] = &load[i];
+	}
+	qsort(row, d.n_worker, sizeof(*row), worker_order);
+	fill_demand(k, &d, demand);
+	digest_put(k, s, &d, now);
+	for (i = 0; i < nw; i++) {
+		free(res[i]);
+		free(ptr[i]);
+	}
+	free(res);
+	free(ptr);
+	free(load);
+	free(row);
+	free(d.demand);
+	free(demand);
+}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -62,16 +62,13 @@
 const Wire__Member *view_member(const view_t *v, const char *id);
 const Wire__Worker *view_worker(const view_t *v, const char *id);
 /**
- * Who brokers a shard when @p rank members before it gave no answer.
- * @return NULL when there are no more.
+ * The shard's broker of that rank (0: shard->broker), or NULL. Whoever asks
+ * one of a higher rank names in SlotAsk.tried those that gave no answer.
  */
 const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
 /** The member that owns a claims bucket: first live one by rendezvous. */
 const Wire__Member *view_owner(const view_t *v, const char *key, int rank);
 
-/** The shard's broker of that rank (0: shard->broker), or NULL. */
-const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
-
 /* controld's node: one thread that owns all soft state. node.c */
 
 typedef struct node node_t;
--- a/peer/store.c
+++ b/peer/store.c
@@ -483,6 +483,20 @@
 	r->at = clock_now(s->clock);
 }
 
+const shard_t *
+store_shard(
+    const store_t *s, const char *service, const char *domain, uint32_t index)
+{
+	int i;
+
+	for (i = 0; i < s->nshard; i++)
+		if (s->shard[i].index == index &&
+		    strcmp(s->shard[i].service, service) == 0 &&
+		    strcmp(s->shard[i].domain, domain) == 0)
+			return &s->shard[i];
+	return NULL;
+}
+
 const digest_t *
 store_digest_of(store_t *s, const shard_t *shard)
 {
@@ -533,9 +547,8 @@
 	g_hash_table_foreach_remove(s->digest, digest_forgotten, &now);
 }
 
-/* Pointers to the live members' messages, malloc'd. */
-static Wire__Member **
-live_members(store_t *s, int *n)
+Wire__Member **
+store_live(store_t *s, int *n)
 {
 	Wire__Member **m = calloc(g_hash_table_size(s->member) + 1, sizeof(*m));
 	GHashTableIter it;
@@ -563,6 +576,7 @@
 	if (!s->stale)
 		return;
 	s->stale = false;
+	s->shape++;
 	free(s->sorted);
 	free(s->shard);
 	s->sorted =
@@ -577,7 +591,7 @@
 	}
 	s->shard =
 	    shards_make(s->sorted, s->nsorted, s->shard_workers, &s->nshard);
-	m = live_members(s, &n);
+	m = store_live(s, &n);
 	shards_brokers(s->shard, s->nshard, m, n);
 	free(m);
 }
--- a/peer/store.h
+++ b/peer/store.h
@@ -65,6 +65,7 @@
 	bool workers_known;
 	/* made of members and workers, again when they change */
 	bool stale;
+	uint64_t shape; /* times they were made */
 	Wire__Worker **sorted;
 	int nsorted;
 	shard_t *shard;
@@ -94,11 +95,16 @@
 void store_list(store_t *s, const instances_t *l);
 /** The higher (term, seq) wins. */
 void store_digest(store_t *s, const Wire__Digest *d);
+/** @return the shard as it is shaped now, or NULL. */
+const shard_t *store_shard(
+    const store_t *s, const char *service, const char *domain, uint32_t index);
 const digest_t *store_digest_of(store_t *s, const shard_t *shard);
 /** Forget what has been gone for long. */
 void store_purge(store_t *s);
 /** Shards and their brokers are up to date after this. */
 void store_shape(store_t *s);
+/** The live members' messages, malloc'd. */
+Wire__Member **store_live(store_t *s, int *n);
 view_t *store_view(store_t *s, catalogue_t *c);
 
 /* view.c */
--- a/peer/wire.pb-c.c
+++ b/peer/wire.pb-c.c
@@ -2229,7 +2229,7 @@
   (ProtobufCMessageInit) wire__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__slot_answer__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__slot_answer__field_descriptors[9] =
 {
   {
     "outcome",
@@ -2339,18 +2339,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "term",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__SlotAnswer, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__slot_answer__field_indices_by_name[] = {
   3,   /* field[3] = addr */
@@ -2359,7 +2347,6 @@
   5,   /* field[5] = reason */
   4,   /* field[4] = retry_after_ms */
   1,   /* field[1] = slot */
-  9,   /* field[9] = term */
   6,   /* field[6] = version */
   8,   /* field[8] = wait_ms */
   2,   /* field[2] = worker */
@@ -2367,7 +2354,7 @@
 static const ProtobufCIntRange wire__slot_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__slot_answer__descriptor =
 {
@@ -2377,14 +2364,14 @@
   "Wire__SlotAnswer",
   "wire",
   sizeof(Wire__SlotAnswer),
-  10,
+  9,
   wire__slot_answer__field_descriptors,
   wire__slot_answer__field_indices_by_name,
   1,  wire__slot_answer__number_ranges,
   (ProtobufCMessageInit) wire__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__slot_release__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__slot_release__field_descriptors[5] =
 {
   {
     "slot",
@@ -2446,31 +2433,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "term",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__SlotRelease, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__slot_release__field_indices_by_name[] = {
   3,   /* field[3] = first_ms */
   2,   /* field[2] = outcome */
   0,   /* field[0] = slot */
-  5,   /* field[5] = term */
   4,   /* field[4] = tokens */
   1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange wire__slot_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__slot_release__descriptor =
 {
@@ -2480,7 +2454,7 @@
   "Wire__SlotRelease",
   "wire",
   sizeof(Wire__SlotRelease),
-  6,
+  5,
   wire__slot_release__field_descriptors,
   wire__slot_release__field_indices_by_name,
   1,  wire__slot_release__number_ranges,
--- a/peer/wire.pb-c.h
+++ b/peer/wire.pb-c.h
@@ -345,14 +345,10 @@
   uint64_t version;
   uint32_t free;
   uint32_t wait_ms;
-  /*
-   * goes back with the release
-   */
-  uint64_t term;
 };
 #define WIRE__SLOT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__slot_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__SlotRelease
@@ -369,14 +365,10 @@
    */
   uint32_t first_ms;
   uint32_t tokens;
-  /*
-   * of the answer; another broker's slot is let be
-   */
-  uint64_t term;
 };
 #define WIRE__SLOT_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__slot_release__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__SlotCancel
