--- /dev/null
+++ b/entry/holders.c
@@ -0,0 +1,176 @@
+#include "entry/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* One shard's copies of one item. */
+typedef struct holding {
+	int shard;
+	int copies;
+	int free;
+} holding_t;
+
+struct holders {
+	const view_t *view;
+	GHashTable *items; /* "service/item" -> GArray of holding_t */
+	int *asked;	   /* by shard */
+	ms_t now;
+};
+
+static void
+free_array(gpointer a)
+{
+	g_array_free(a, TRUE);
+}
+
+static void
+add(holders_t *h, const char *service, const char *item, int shard, int free)
+{
+	char *key = g_strdup_printf("%s/%s", service, item);
+	GArray *a = g_hash_table_lookup(h->items, key);
+	holding_t one = { shard, 0, 0 }, *last;
+
+	if (a == NULL) {
+		a = g_array_new(FALSE, FALSE, sizeof(holding_t));
+		g_hash_table_insert(h->items, g_strdup(key), a);
+	}
+	g_free(key);
+	if (a->len == 0 ||
+	    g_array_index(a, holding_t, a->len - 1).shard != shard)
+		g_array_append_val(a, one);
+	last = &g_array_index(a, holding_t, a->len - 1);
+	last->copies++;
+	last->free += free;
+}
+
+static bool
+has_ready(const Wire__WorkerLoad *w, const char *model)
+{
+	size_t i;
+
+	for (i = 0; i < w->n_resident; i++)
+		if (w->resident[i]->state == RESIDENT_READY &&
+		    w->resident[i]->adapter[0] == '\0' &&
+		    strcmp(w->resident[i]->model, model) == 0)
+			return true;
+	return false;
+}
+
+/* Two versions of an item on one worker are one copy of it. */
+static bool
+seen_before(const Wire__WorkerLoad *w, size_t at)
+{
+	size_t i;
+
+	for (i = 0; i < at; i++)
+		if (w->resident[i]->state == RESIDENT_READY &&
+		    strcmp(w->resident[i]->model, w->resident[at]->model) ==
+			0 &&
+		    strcmp(w->resident[i]->adapter, w->resident[at]->adapter) ==
+			0)
+			return true;
+	return false;
+}
+
+static void
+add_worker(holders_t *h, const char *service, const Wire__WorkerLoad *w, int at)
+{
+	size_t i;
+
+	if (w->ejected)
+		return;
+	add(h, service, "", at, (int)w->free);
+	for (i = 0; i < w->n_resident; i++) {
+		const Wire__Resident *r = w->resident[i];
+
+		if (r->state != RESIDENT_READY || seen_before(w, i))
+			continue;
+		if (r->adapter[0] == '\0')
+			add(h, service, r->model, at, (int)w->free);
+		else if (has_ready(w, r->model))
+			add(h, service, r->adapter, at, (int)w->free);
+	}
+}
+
+holders_t *
+holders_new(const view_t *v)
+{
+	holders_t *h = g_new0(holders_t, 1);
+	size_t j;
+	int i;
+
+	h->view = v;
+	h->items =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
+	h->asked = g_new0(int, v->nshard + 1);
+	h->now = clock_now(&machine_clock);
+	for (i = 0; i < v->nshard; i++) {
+		const Wire__Digest *d = v->shard[i].digest;
+
+		for (j = 0; d != NULL && j < d->n_worker; j++)
+			add_worker(h, v->shard[i].service, d->worker[j], i);
+	}
+	return h;
+}
+
+void
+holders_free(holders_t *h)
+{
+	if (h == NULL)
+		return;
+	g_hash_table_destroy(h->items);
+	g_free(h->asked);
+	g_free(h);
+}
+
+static route_shard_t
+figures(const holders_t *h, int shard, int copies, int free)
+{
+	const shard_t *s = &h->view->shard[shard];
+	char name[2 * ID_MAX + 16];
+	int n = snprintf(
+	    name, sizeof(name), "%s/%s/%u", s->service, s->domain, s->index);
+
+	return (route_shard_t){ .domain = s->domain,
+		.copies = copies,
+		.free = free,
+		.wait = s->digest == NULL ? 0 : s->digest->wait_ms,
+		.age = clock_now(&machine_clock) - s->digest_at,
+		.asked = h->asked[shard],
+		.id_hash = hash64(name, n, 0) };
+}
+
+int
+holders_shards(const holders_t *h, const char *service, const char *item,
+    route_shard_t *out, int *shard, int max)
+{
+	char key[2 * ID_MAX + 2];
+	const view_t *v = h->view;
+	GArray *a;
+	guint j;
+	int i, n = 0;
+
+	snprintf(key, sizeof(key), "%s/%s", service, item);
+	a = g_hash_table_lookup(h->items, key);
+	for (j = 0; a != NULL && j < a->len && n < max; j++) {
+		holding_t *g = &g_array_index(a, holding_t, j);
+
+		shard[n] = g->shard;
+		out[n++] = figures(h, g->shard, g->copies, g->free);
+	}
+	/* Shards that nothing is known of yet may hold it as well. */
+	for (i = 0; i < v->nshard && n < max; i++) {
+		if (v->shard[i].digest != NULL ||
+		    strcmp(v->shard[i].service, service) != 0)
+			continue;
+		shard[n] = i;
+		out[n++] = figures(h, i, 1, 0);
+	}
+	return n;
+}
+
+void
+holders_asked(holders_t *h, int shard)
+{
+	h->asked[shard]++;
+}
--- /dev/null
+++ b/entry/route.c
@@ -0,0 +1,266 @@
+#include "entry/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	PREFIX_BYTES = 256,
+	LEAVING_RETRY_MS = 100
+};
+
+route_t *
+route_get(entry_t *en, handle_t h)
+{
+	route_t **r = table_get(en->routes, h);
+
+	return r == NULL ? NULL : *r;
+}
+
+handle_t
+route_pend(entry_t *en, route_t *r, pending_kind_t kind, const char *peer)
+{
+	handle_t h = table_add(en->pending);
+	pending_t *p;
+
+	if (h == 0)
+		return 0;
+	p = table_get(en->pending, h);
+	p->kind = kind;
+	p->route = r->handle;
+	str_copy(p->peer, ID_MAX, peer);
+	str_copy(p->worker, ID_MAX, r->worker);
+	return h;
+}
+
+static void
+refuse(call_t *call, int status, const char *code, ms_t retry_after,
+    const char *message)
+{
+	fault_t f = { .status = status,
+		.code = code,
+		.ran = RAN_NO,
+		.retry_after = retry_after };
+
+	str_copy(f.message, sizeof(f.message), message);
+	call_fail(call, &f);
+	call_unref(call);
+}
+
+/* Find model, adapter and service. @return false: answered already. */
+static bool
+look_up(entry_t *en, call_t *call, route_t *r)
+{
+	const request_t *q = call_request(call);
+	const catalogue_t *c = en->view->catalogue;
+	const adapter_t *a;
+	const model_t *m;
+	const char *service = q->service;
+
+	if (q->kind != REQUEST_PLAIN) {
+		a = catalogue_adapter(c, q->model);
+		m = catalogue_model(c, a != NULL ? a->model : q->model);
+		if (m == NULL && catalogue_withdrawn(c, q->model)) {
+			refuse(call, 410, "withdrawn", 0,
+			    "this model has been withdrawn");
+			return false;
+		}
+		if (m == NULL) {
+			refuse(call, 404, "unknown_model", 0,
+			    "there is no model of that name");
+			return false;
+		}
+		str_copy(r->model, ID_MAX, m->name);
+		str_copy(r->adapter, ID_MAX, a != NULL ? a->name : "");
+		r->resumable = m->resumable;
+		service = m->service;
+	}
+	r->service = settings_service(en->settings, service);
+	if (r->service == NULL) {
+		refuse(call, 503, "no_service", 0,
+		    "this entry's settings don't list the service");
+		return false;
+	}
+	return true;
+}
+
+static route_t *
+make(entry_t *en, call_t *call)
+{
+	handle_t h = table_add(en->routes);
+	route_t *r;
+
+	if (h == 0)
+		return NULL;
+	r = g_new0(route_t, 1);
+	*(route_t **)table_get(en->routes, h) = r;
+	r->handle = h;
+	r->call = call;
+	r->refusal = SLOT_NO_COPY;
+	r->text = g_string_new(NULL);
+	call_set_tag(call, h);
+	en->ncalls++;
+	__atomic_store_n(
+	    &en->nroutes, (int)table_count(en->routes), __ATOMIC_RELAXED);
+	return r;
+}
+
+/* A stream that another entry, or this one before, had begun. */
+static bool
+take_up(entry_t *en, route_t *r)
+{
+	const request_t *q = call_request(r->call);
+	const Wire__Worker *w;
+	resume_t t;
+
+	if (!resume_decode(en->settings->instance.secret, q->resume, &t) ||
+	    (q->kind != REQUEST_RESUME && t.prompt != r->prompt_hash)) {
+		route_fail(en, r, 400, "bad_token", RAN_NO, 0,
+		    "Last-Event-ID isn't a token of this answer");
+		return false;
+	}
+	r->offset = t.offset;
+	r->prompt_hash = t.prompt;
+	str_copy(r->stream, ID_MAX, t.stream);
+	w = view_worker(en->view, t.worker);
+	if (w != NULL) {
+		str_copy(r->worker, ID_MAX, w->id);
+		str_copy(r->addr, ADDR_MAX, w->addr);
+		r->service = settings_service(en->settings, w->service);
+	}
+	if (w != NULL && r->service != NULL) {
+		run_start(en, r, true);
+	} else if (q->kind != REQUEST_RESUME && r->resumable) {
+		slot_ask(en, r);
+	} else {
+		route_fail(en, r, 410, "stream_gone", RAN_YES, 0,
+		    "the worker of this answer is gone");
+		return false;
+	}
+	return true;
+}
+
+static bool
+has_room(entry_t *en, call_t *call)
+{
+	if (en->leaving) {
+		refuse(call, 503, "leaving", LEAVING_RETRY_MS,
+		    "this entry is leaving; ask another of /v1/entries");
+		return false;
+	}
+	if (en->view == NULL || en->view->catalogue == NULL) {
+		refuse(call, 503, "not_ready", 1000,
+		    "this entry doesn't know the catalogue yet");
+		return false;
+	}
+	if (en->ncalls >= en->settings->caller.calls_max) {
+		refuse(call, 503, "too_many_calls", 1000,
+		    "this entry has too many calls in progress");
+		return false;
+	}
+	return true;
+}
+
+void
+route_new(entry_t *en, call_t *call)
+{
+	const request_t *q = call_request(call);
+	route_t found = { 0 }, *r;
+	size_t n;
+
+	if (!has_room(en, call) ||
+	    (q->kind != REQUEST_RESUME && !look_up(en, call, &found)))
+		return;
+	r = make(en, call);
+	if (r == NULL) {
+		refuse(call, 503, "too_many_calls", 1000,
+		    "this entry has too many calls in progress");
+		return;
+	}
+	str_copy(r->model, ID_MAX, found.model);
+	str_copy(r->adapter, ID_MAX, found.adapter);
+	r->resumable = found.resumable;
+	r->service = found.service;
+	str_copy(r->stream, ID_MAX, call_id(call));
+	if (q->prompt != NULL) {
+		n = strlen(q->prompt);
+		r->prompt_hash =
+		    hash64(q->prompt, n < PREFIX_BYTES ? n : PREFIX_BYTES, 0);
+	}
+	if (q->resume[0] != '\0' && q->kind != REQUEST_PLAIN) {
+		r->deadline = call_came(call) + en->settings->peer.ask_ms;
+		r->end = call_came(call) + 3600 * 1000;
+		take_up(en, r);
+		return;
+	}
+	r->deadline = call_came(call) +
+		      (q->promise > 0 ? q->promise : r->service->promise_ms);
+	r->end = call_came(call) + r->service->timeout_ms;
+	slot_ask(en, r);
+}
+
+void
+route_fail(entry_t *en, route_t *r, int status, const char *code, ran_t ran,
+    ms_t retry_after, const char *message)
+{
+	fault_t f = { .status = status,
+		.code = code,
+		.ran = ran,
+		.retry_after = retry_after };
+
+	str_copy(f.message, sizeof(f.message), message);
+	if (r->call != NULL)
+		call_fail(r->call, &f);
+	route_over(en, r);
+}
+
+void
+route_over(entry_t *en, route_t *r)
+{
+	slot_release(en, r, CALL_DONE);
+	if (r->call != NULL) {
+		call_unref(r->call);
+		r->call = NULL;
+		en->ncalls--;
+	}
+	r->stage = STAGE_OVER;
+	/* A claim stays until it is settled. */
+	if (!r->claimed)
+		route_free(en, r);
+}
+
+void
+route_free(entry_t *en, route_t *r)
+{
+	table_del(en->routes, r->handle);
+	__atomic_store_n(
+	    &en->nroutes, (int)table_count(en->routes), __ATOMIC_RELAXED);
+	g_string_free(r->text, TRUE);
+	free(r->settle.reply);
+	g_free(r);
+}
+
+void
+route_gone(entry_t *en, call_t *call)
+{
+	route_t *r = route_get(en, call_tag(call));
+
+	if (r == NULL || r->call != call)
+		return;
+	/* What may run once is let run, so that its outcome is known. */
+	if (r->claimed || (r->stage == STAGE_RUN && r->model[0] == '\0' &&
+			      r->service->repeat != REPEAT_SAFE))
+		return;
+	switch (r->stage) {
+	case STAGE_SLOT:
+		client_cancel(en->client, r->broker, r->stream);
+		route_over(en, r);
+		break;
+	case STAGE_RUN:
+		/* Its END event ends the route. */
+		endpoint_cancel(en->endpoint, r->run);
+		break;
+	case STAGE_CLAIM:
+	case STAGE_OVER:
+		break;
+	}
+}
--- /dev/null
+++ b/entry/run.c
@@ -0,0 +1,230 @@
+#include "entry/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	BUSY_RETRY_MS = 500
+};
+
+static void
+own_count(entry_t *en, const char *worker, int by)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(en->own, worker)) + by;
+
+	if (n <= 0)
+		g_hash_table_remove(en->own, worker);
+	else
+		g_hash_table_insert(
+		    en->own, g_strdup(worker), GINT_TO_POINTER(n));
+}
+
+static void
+fill_model(const route_t *r, call_spec_t *s)
+{
+	const request_t *q = call_request(r->call);
+
+	str_copy(s->model, ID_MAX, r->model);
+	str_copy(s->adapter, ID_MAX, r->adapter);
+	s->version = r->version;
+	s->prompt = strdup(q->prompt == NULL ? "" : q->prompt);
+	s->max_tokens = q->max_tokens;
+	s->offset = r->offset;
+	s->rank = q->rank;
+	s->gap = STALLS * r->service->promise_ms;
+}
+
+static void
+fill_plain(const route_t *r, call_spec_t *s)
+{
+	const request_t *q = call_request(r->call);
+
+	s->plain = true;
+	str_copy(s->method, sizeof(s->method), q->method);
+	str_copy(s->path, sizeof(s->path), q->target);
+	str_copy(s->key, sizeof(s->key), q->key);
+	str_copy(s->type, sizeof(s->type), q->type);
+	s->body = malloc(q->body_len + 1);
+	if (s->body != NULL)
+		memcpy(s->body, q->body, q->body_len + 1);
+	s->body_len = s->body == NULL ? 0 : q->body_len;
+}
+
+static void
+free_spec(call_spec_t *s)
+{
+	free(s->prompt);
+	free(s->body);
+	free(s);
+}
+
+void
+run_start(entry_t *en, route_t *r, bool resume)
+{
+	call_spec_t *s = calloc(1, sizeof(*s));
+	ms_t now = clock_now(&machine_clock);
+	handle_t tag;
+
+	g_assert(r->service != NULL);
+	r->stage = STAGE_RUN;
+	tag = route_pend(en, r, PENDING_RUN, r->broker);
+	if (s == NULL || tag == 0 || r->end <= now) {
+		free(s);
+		table_del(en->pending, tag);
+		route_fail(en, r, 503, "too_late",
+		    r->sent ? RAN_UNKNOWN : RAN_NO, BUSY_RETRY_MS,
+		    "no time or room is left for it");
+		return;
+	}
+	/* Each run has an id of its own: a late answer can't be mistaken. */
+	if (!resume && r->runs > 0)
+		snprintf(
+		    r->stream, ID_MAX, "%.58s-r%d", call_id(r->call), r->runs);
+	r->runs++;
+	r->started = now;
+	r->first = 0;
+	r->run = tag;
+	s->tag = tag;
+	s->resume = resume;
+	s->timeout = r->end - now;
+	str_copy(s->addr, ADDR_MAX, r->addr);
+	str_copy(s->request, ID_MAX, r->stream);
+	if (r->model[0] != '\0' || resume)
+		fill_model(r, s);
+	else
+		fill_plain(r, s);
+	own_count(en, r->worker, 1);
+	if (endpoint_start(en->endpoint, s))
+		return;
+	free_spec(s);
+	own_count(en, r->worker, -1);
+	table_del(en->pending, tag);
+	route_fail(en, r, 503, "overloaded", r->sent ? RAN_UNKNOWN : RAN_NO,
+	    BUSY_RETRY_MS, "this entry has no room for another call");
+}
+
+void
+run_token(entry_t *en, route_t *r, call_event_t *ev)
+{
+	ms_t now = clock_now(&machine_clock);
+
+	r->sent = true;
+	/* The endpoint package has checked id and order: belt and braces. */
+	if (r->stage != STAGE_RUN || ev->offset != r->offset)
+		return;
+	if (r->first == 0)
+		r->first = now;
+	if (!r->begun)
+		model_begin(en, r);
+	r->offset++;
+	r->tokens++;
+	model_token(en, r, ev->text);
+}
+
+/* Another worker, as far as tries, budget and time go. */
+static bool
+run_again(entry_t *en, route_t *r)
+{
+	if (r->runs >= RUNS_MAX || r->end <= clock_now(&machine_clock) ||
+	    !budget_spend(&en->budget))
+		return false;
+	str_copy(r->avoid, ID_MAX, r->worker);
+	r->ntried = 0;
+	/* What was promised counts no more once it is late or broken. */
+	if (r->begun)
+		r->deadline =
+		    clock_now(&machine_clock) + r->service->promise_ms;
+	slot_ask(en, r);
+	return true;
+}
+
+static bool
+repeatable(const route_t *r)
+{
+	if (r->model[0] != '\0')
+		return r->resumable || !r->begun;
+	switch (r->service->repeat) {
+	case REPEAT_SAFE:
+		return true;
+	case REPEAT_KEYED:
+		return call_request(r->call)->key[0] != '\0';
+	case REPEAT_NEVER:
+		break;
+	}
+	return false;
+}
+
+static void
+model_ended(entry_t *en, route_t *r, const call_event_t *ev)
+{
+	if (ev->outcome == CALL_DONE) {
+		budget_success(&en->budget);
+		model_done(en, r);
+		return;
+	}
+	/* Cut, but the worker may still have the stream. */
+	if (ev->outcome == CALL_UNKNOWN && r->begun && ev->connected &&
+	    r->runs < RUNS_MAX && budget_spend(&en->budget)) {
+		run_start(en, r, true);
+		return;
+	}
+	slot_release(en, r, ev->outcome);
+	if (r->model[0] != '\0' && ev->outcome != CALL_FAILED &&
+	    repeatable(r) && run_again(en, r))
+		return;
+	model_broken(en, r,
+	    ev->not_run && !r->sent		     ? RAN_NO
+	    : ev->outcome == CALL_FAILED || r->begun ? RAN_YES
+						     : RAN_UNKNOWN,
+	    ev->reason);
+}
+
+static void
+plain_ended(entry_t *en, route_t *r, const call_event_t *ev)
+{
+	ran_t ran = RAN_YES;
+
+	if (ev->outcome == CALL_DONE)
+		budget_success(&en->budget);
+	slot_release(en, r, ev->outcome);
+	if ((ev->not_run || (ev->outcome == CALL_UNKNOWN && repeatable(r))) &&
+	    run_again(en, r))
+		return;
+	if (ev->not_run && !r->sent)
+		ran = RAN_NO;
+	else if (ev->outcome == CALL_UNKNOWN || ev->not_run)
+		ran = RAN_UNKNOWN;
+	if (r->claimed)
+		once_settle(en, r, ev);
+	if (ev->status > 0 && ran == RAN_YES && r->call != NULL) {
+		call_reply(r->call, ev->status,
+		    ev->type[0] == '\0' ? "application/octet-stream" : ev->type,
+		    ran, ev->text == NULL ? "" : ev->text, ev->len);
+		route_over(en, r);
+	} else if (ran == RAN_NO) {
+		route_fail(en, r, 503, "unavailable", ran,
+		    ev->retry_after > 0 ? ev->retry_after : BUSY_RETRY_MS,
+		    ev->reason);
+	} else {
+		route_fail(en, r, 504, "outcome_unknown", ran, 0, ev->reason);
+	}
+}
+
+void
+run_end(entry_t *en, route_t *r, call_event_t *ev)
+{
+	if (ev->sent && !ev->not_run)
+		r->sent = true;
+	own_count(en, r->worker, -1);
+	r->run = 0;
+	if (r->call != NULL && call_gone(r->call) && !r->claimed) {
+		slot_release(en, r,
+		    ev->outcome == CALL_DONE ? CALL_DONE : CALL_CANCELLED);
+		route_over(en, r);
+	} else if (r->model[0] == '\0' && r->service != NULL &&
+		   r->service->kind == SERVICE_PLAIN) {
+		plain_ended(en, r, ev);
+	} else {
+		model_ended(en, r, ev);
+	}
+}
--- /dev/null
+++ b/entry/slot.c
@@ -0,0 +1,310 @@
+#include "entry/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SHARDS_MAX = 256, /* weighed for one call */
+	NO_COPY_RETRY_MS = 1000,
+	DOWN_RETRY_MS = 500,
+};
+
+static bool
+was_tried(const route_t *r, uint64_t shard)
+{
+	int i;
+
+	for (i = 0; i < r->ntried; i++)
+		if (r->tried[i] == shard)
+			return true;
+	return false;
+}
+
+static const char *
+item_of(const route_t *r)
+{
+	return r->adapter[0] != '\0' ? r->adapter : r->model;
+}
+
+/* The shard to ask next, or -1. */
+static int
+pick(entry_t *en, route_t *r)
+{
+	route_shard_t fig[SHARDS_MAX];
+	int shard[SHARDS_MAX], n, i, at;
+
+	if (r->ntried == SHARDS_TRIED_MAX)
+		return -1;
+	n = holders_shards(
+	    en->holders, r->service->name, item_of(r), fig, shard, SHARDS_MAX);
+	for (i = 0; i < n; i++)
+		fig[i].tried = was_tried(r, fig[i].id_hash);
+	at = route_pick(
+	    fig, n, en->settings->instance.domain, r->prompt_hash, &en->rng);
+	if (at == -1)
+		return -1;
+	r->shard = fig[at].id_hash;
+	r->rank = 0;
+	holders_asked(en->holders, shard[at]);
+	return shard[at];
+}
+
+static void
+fill_ask(entry_t *en, route_t *r, const shard_t *s, Wire__SlotAsk *ask)
+{
+	const request_t *q = call_request(r->call);
+	ms_t left = r->deadline - clock_now(&machine_clock);
+
+	(void)en;
+	ask->request = (char *)r->stream;
+	ask->service = (char *)s->service;
+	ask->domain = (char *)s->domain;
+	ask->index = s->index;
+	ask->model = r->model;
+	ask->adapter = r->adapter;
+	ask->caller = (char *)q->caller;
+	ask->rank = q->rank;
+	ask->left_ms = left > 0 ? (uint32_t)left : 0;
+	ask->prefix = r->prompt_hash;
+	ask->tokens = q->max_tokens;
+	ask->avoid = r->avoid;
+	ask->retry = r->runs > 0;
+}
+
+static int
+shard_at(const entry_t *en, uint64_t hash)
+{
+	const view_t *v = en->view;
+	char name[2 * ID_MAX + 16];
+	int i, n;
+
+	for (i = 0; i < v->nshard; i++) {
+		n = snprintf(name, sizeof(name), "%s/%s/%u",
+		    v->shard[i].service, v->shard[i].domain, v->shard[i].index);
+		if (hash64(name, n, 0) == hash)
+			return i;
+	}
+	return -1;
+}
+
+/* Ask the broker of the given rank. @return false: there is none. */
+static bool
+ask_broker(entry_t *en, route_t *r, int shard)
+{
+	const shard_t *s = &en->view->shard[shard];
+	const Wire__Member *m = view_broker(en->view, s, r->rank);
+	Wire__SlotAsk ask = WIRE__SLOT_ASK__INIT;
+	ms_t left = r->deadline - clock_now(&machine_clock), wait;
+	handle_t tag;
+
+	if (m == NULL)
+		return false;
+	fill_ask(en, r, s, &ask);
+	/* A call waits for its slot as long as its promise may be kept. */
+	wait = (left > 0 ? left : 0) + en->settings->peer.ask_ms;
+	str_copy(r->broker, ID_MAX, m->id);
+	r->stage = STAGE_SLOT;
+	tag = route_pend(en, r, PENDING_SLOT, m->id);
+	if (tag != 0 && client_slot(en->client, tag, m->id, &ask, wait))
+		return true;
+	table_del(en->pending, tag);
+	return false;
+}
+
+/* No broker answers: choose by our own counts, and let the engine refuse. */
+static bool
+pick_direct(entry_t *en, route_t *r)
+{
+	const view_t *v = en->view;
+	const Wire__Worker *best = NULL;
+	int least = INT32_MAX, i, j;
+
+	for (i = 0; i < v->nshard; i++) {
+		const Wire__Digest *d = v->shard[i].digest;
+
+		if (strcmp(v->shard[i].service, r->service->name) != 0)
+			continue;
+		for (j = 0; d != NULL && j < (int)d->n_worker; j++) {
+			const Wire__WorkerLoad *l = d->worker[j];
+			const Wire__Worker *w = view_worker(v, l->worker);
+			bool holds = r->model[0] == '\0';
+			size_t k;
+			int own;
+
+			for (k = 0; !holds && k < l->n_resident; k++)
+				holds =
+				    l->resident[k]->state == RESIDENT_READY &&
+				    strcmp(l->resident[k]->model, r->model) ==
+					0 &&
+				    strcmp(l->resident[k]->adapter,
+					r->adapter) == 0;
+			if (!holds || w == NULL || w->leaving ||
+			    strcmp(w->id, r->avoid) == 0)
+				continue;
+			own = GPOINTER_TO_INT(
+			    g_hash_table_lookup(en->own, w->id));
+			if (own < least) {
+				least = own;
+				best = w;
+			}
+		}
+	}
+	if (best == NULL)
+		return false;
+	str_copy(r->worker, ID_MAX, best->id);
+	str_copy(r->addr, ADDR_MAX, best->addr);
+	r->slot = 0;
+	r->version = 0;
+	r->broker[0] = '\0';
+	return true;
+}
+
+static void
+have_worker(entry_t *en, route_t *r)
+{
+	if (once_needed(r) && !r->claimed)
+		once_claim(en, r);
+	else
+		run_start(en, r, false);
+}
+
+/* Every shard has said no, or there is none. */
+static void
+give_up(entry_t *en, route_t *r)
+{
+	ran_t ran = r->sent && r->runs > 0 ? RAN_UNKNOWN : RAN_NO;
+
+	if (r->begun) {
+		model_broken(en, r, RAN_YES, "no worker can go on with it");
+		return;
+	}
+	switch (r->refusal) {
+	case SLOT_LATE:
+	case SLOT_FULL:
+	case SLOT_RETRY_BUDGET:
+		route_fail(en, r, 429, "overloaded", ran, r->retry_after,
+		    "the promised time can't be kept now");
+		return;
+	case SLOT_GRANTED:
+	case SLOT_NO_COPY:
+	case SLOT_NOT_OWNER:
+	case SLOT_LEAVING:
+	case SLOT_QUEUED:
+		break;
+	}
+	route_fail(en, r, 503, "not_resident", ran, NO_COPY_RETRY_MS,
+	    "no worker is ready for it");
+}
+
+void
+slot_ask(entry_t *en, route_t *r)
+{
+	bool asked_any = false;
+	int shard;
+
+	while ((shard = pick(en, r)) != -1) {
+		for (; r->rank < BROKER_RANKS; r->rank++)
+			if (ask_broker(en, r, shard))
+				return;
+		r->tried[r->ntried++] = r->shard;
+		asked_any = true;
+	}
+	if ((asked_any || r->refusal == SLOT_NOT_OWNER) && pick_direct(en, r))
+		have_worker(en, r);
+	else
+		give_up(en, r);
+}
+
+/* The next in rank for the same shard, else the next shard. */
+static void
+ask_next(entry_t *en, route_t *r)
+{
+	int shard = shard_at(en, r->shard);
+
+	while (shard != -1 && ++r->rank < BROKER_RANKS)
+		if (ask_broker(en, r, shard))
+			return;
+	if (r->ntried < SHARDS_TRIED_MAX)
+		r->tried[r->ntried++] = r->shard;
+	r->refusal = SLOT_NOT_OWNER;
+	slot_ask(en, r);
+}
+
+static void
+refused(entry_t *en, route_t *r, const Wire__SlotAnswer *a)
+{
+	r->refusal = (slot_outcome_t)a->outcome;
+	if (a->retry_after_ms > 0 &&
+	    (r->retry_after == 0 || a->retry_after_ms < r->retry_after))
+		r->retry_after = a->retry_after_ms;
+	if (r->ntried < SHARDS_TRIED_MAX)
+		r->tried[r->ntried++] = r->shard;
+	slot_ask(en, r);
+}
+
+void
+slot_answer(entry_t *en, route_t *r, const pending_t *p, const answer_t *a)
+{
+	const Wire__SlotAnswer *s;
+
+	if (a->down || a->frame == NULL ||
+	    a->frame->body_case != WIRE__FRAME__BODY_SLOT_ANSWER) {
+		/* It may yet queue or grant: tell it not to. */
+		client_cancel(en->client, p->peer, r->stream);
+		ask_next(en, r);
+		return;
+	}
+	s = a->frame->slot_answer;
+	switch ((slot_outcome_t)s->outcome) {
+	case SLOT_GRANTED:
+		r->slot = s->slot;
+		r->version = s->version;
+		str_copy(r->worker, ID_MAX, s->worker);
+		str_copy(r->addr, ADDR_MAX, s->addr);
+		have_worker(en, r);
+		return;
+	case SLOT_NOT_OWNER:
+	case SLOT_LEAVING:
+	case SLOT_QUEUED:
+		ask_next(en, r);
+		return;
+	case SLOT_LATE:
+	case SLOT_FULL:
+	case SLOT_NO_COPY:
+	case SLOT_RETRY_BUDGET:
+		refused(en, r, s);
+		return;
+	}
+	ask_next(en, r);
+}
+
+void
+slot_release(entry_t *en, route_t *r, call_outcome_t how)
+{
+	Wire__SlotRelease rel = WIRE__SLOT_RELEASE__INIT;
+
+	if (r->slot == 0)
+		return;
+	rel.slot = r->slot;
+	rel.worker = r->worker;
+	rel.outcome = how;
+	rel.first_ms = r->first > 0 ? (uint32_t)(r->first - r->started) : 0;
+	rel.tokens = r->tokens;
+	client_release(en->client, r->broker, &rel);
+	r->slot = 0;
+}
+
+void
+slot_unwanted(entry_t *en, const char *broker, const answer_t *a)
+{
+	Wire__SlotRelease rel = WIRE__SLOT_RELEASE__INIT;
+
+	if (a->frame == NULL ||
+	    a->frame->body_case != WIRE__FRAME__BODY_SLOT_ANSWER ||
+	    a->frame->slot_answer->outcome != SLOT_GRANTED)
+		return;
+	rel.slot = a->frame->slot_answer->slot;
+	rel.worker = a->frame->slot_answer->worker;
+	rel.outcome = CALL_CANCELLED;
+	client_release(en->client, broker, &rel);
+}
