Entry: a stream without tokens for two promises counts as broken

Cause: the gap was the whole call's timeout, so a frozen worker would have held a stream for two minutes. Change: the gap is two of the service's promises.

--- a/entry/run.c
+++ b/entry/run.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 enum {
-	BUSY_RETRY_MS = 500
+	BUSY_RETRY_MS = 500,
+	STALLS = 2, /* promises without a token: the stream is broken */
 };
 
 static void
