--- /dev/null
+++ b/peer/catalogue.c
@@ -0,0 +1,163 @@
+#include "peer/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	ASK_AGAIN_MS = 500 /* a catalogue asked for hasn't come */
+};
+
+static void
+ask(node_t *n, conn_t *c, bool whole)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__CatalogueAsk a = WIRE__CATALOGUE_ASK__INIT;
+
+	a.have = n->catalogue->number;
+	a.whole = whole;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_CATALOGUE_ASK;
+	f.catalogue_ask = &a;
+	conn_send(c, &f);
+	n->asked_at = n->now;
+}
+
+void
+number_told(node_t *n, conn_t *c, uint64_t number)
+{
+	c->relay.number = number;
+	if (number > n->catalogue->number &&
+	    (n->asked_at == 0 || n->now - n->asked_at > ASK_AGAIN_MS))
+		ask(n, c, false);
+}
+
+void
+catalogue_tick(node_t *n)
+{
+	conn_t *c;
+
+	if (n->asked_at == 0 || n->now - n->asked_at <= ASK_AGAIN_MS)
+		return;
+	n->asked_at = 0;
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		if (c->role != CONN_NODE || c->state != CONN_OPEN ||
+		    c->relay.number <= n->catalogue->number)
+			continue;
+		ask(n, c, false);
+		return;
+	}
+}
+
+void
+catalogue_asked(node_t *n, conn_t *c, const Wire__CatalogueAsk *a)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Catalogue m = WIRE__CATALOGUE__INIT;
+
+	if (a->have >= n->catalogue->number)
+		return;
+	m.number = n->catalogue->number;
+	if (!a->whole && n->note != NULL && a->have == n->note_base &&
+	    m.number == n->note_base + 1) {
+		m.since = n->note_base;
+		m.note.data = (uint8_t *)n->note;
+		m.note.len = n->note_len;
+	} else {
+		if (n->encoded == NULL)
+			n->encoded = catalogue_encode(n->catalogue);
+		m.catalogue.data = (uint8_t *)n->encoded;
+		m.catalogue.len = strlen(n->encoded);
+	}
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_CATALOGUE;
+	f.catalogue = &m;
+	conn_send(c, &f);
+}
+
+void
+note_put(node_t *n, uint64_t base, const char *text, size_t len)
+{
+	char *copy = malloc(len + 1);
+
+	if (copy == NULL)
+		return;
+	memcpy(copy, text, len);
+	copy[len] = '\0';
+	free(n->note);
+	n->note = copy;
+	n->note_len = len;
+	n->note_base = base;
+}
+
+void
+catalogue_put(node_t *n, catalogue_t *c)
+{
+	if (c->number <= n->catalogue->number) {
+		catalogue_unref(c);
+		return;
+	}
+	log_event(LOG_INFO, "catalogue", "number=%" PRIu64 " note=%s",
+	    c->number, c->note_id);
+	catalogue_unref(n->catalogue);
+	n->catalogue = c;
+	free(n->encoded);
+	n->encoded = NULL;
+	n->asked_at = 0;
+	/* Said at once: a note is to be in force within seconds. */
+	n->beat_at = n->now;
+	n->publish = true;
+}
+
+catalogue_t *
+catalogue_from(const catalogue_t *have, const Wire__Catalogue *m,
+    const settings_t *s, err_t *e)
+{
+	catalogue_t *c;
+	char *report = NULL;
+	note_t *note;
+
+	if (m->note.len == 0)
+		return catalogue_decode(
+		    (const char *)m->catalogue.data, m->catalogue.len, e);
+	if (m->since != have->number) {
+		err_set(e, ERR_CONFLICT, "a note against %" PRIu64, m->since);
+		return NULL;
+	}
+	note = note_parse((const char *)m->note.data, m->note.len, &report, e);
+	free(report);
+	if (note == NULL)
+		return NULL;
+	report = NULL;
+	c = note_apply(have, note, s, &report, e);
+	free(report);
+	note_free(note);
+	return c;
+}
+
+void
+catalogue_came(node_t *n, conn_t *c, const Wire__Catalogue *m)
+{
+	char quoted[ERR_TEXT_MAX];
+	catalogue_t *made;
+	err_t e = { ERR_NONE, "" };
+
+	n->asked_at = 0;
+	if (m->number <= n->catalogue->number)
+		return;
+	made = catalogue_from(n->catalogue, m, n->set, &e);
+	if (made != NULL && made->number == m->number) {
+		if (m->note.len > 0)
+			note_put(n, m->since, (const char *)m->note.data,
+			    m->note.len);
+		catalogue_put(n, made);
+		return;
+	}
+	if (made != NULL)
+		catalogue_unref(made);
+	log_event(LOG_WARNING, "catalogue_refused",
+	    "peer=%s number=%" PRIu64 " delta=%d error=%s", c->peer, m->number,
+	    m->note.len > 0, log_quote(quoted, sizeof(quoted), e.text));
+	/* The change can't be made here: take the whole. */
+	if (m->note.len > 0)
+		ask(n, c, true);
+}
--- /dev/null
+++ b/peer/client.c
@@ -0,0 +1,738 @@
+#include "peer/store.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	RING_SLOTS = 16384,
+	PENDING_MAX = 65536,
+	TICK_MS = 10,
+	PURGE_MS = 10000,
+	HOME_AGAIN_MS = 500, /* between two tries of the own controld */
+};
+
+typedef enum cmd_kind {
+	CMD_ASK, /* any message that is answered */
+	CMD_RELEASE,
+	CMD_CANCEL,
+	CMD_LOAD,
+} cmd_kind_t;
+
+typedef struct cmd {
+	cmd_kind_t kind;
+	answer_kind_t answer;
+	uint64_t tag;
+	char to[ID_MAX];
+	char request[ID_MAX];
+	ms_t wait;
+	Wire__Frame__BodyCase body;
+	msg_t *msg;
+	uint32_t load;
+	bool leaving;
+} cmd_t;
+
+/* An ask that has no answer yet; its handle is the frame's call. */
+typedef struct pending {
+	answer_kind_t kind;
+	uint64_t tag;
+	conn_t *conn;
+	char request[ID_MAX];
+	ms_t until; /* the whole wait */
+	ms_t sign;  /* a broker has to say something by then, 0: it has */
+} pending_t;
+
+struct client {
+	const settings_t *set;
+	ring_t *answers;
+	GQueue *held; /* answers that found the ring full */
+	pthread_t thread;
+	bool started;
+	ring_t *in;
+	net_t *net;
+	store_t *store;
+	GHashTable *conn; /* member id -> conn_t */
+	conn_t *home;	  /* whose views are taken */
+	ms_t home_at;	  /* the own controld was last dialled */
+	ms_t now, purge_at, asked_at;
+	table_t *pending;
+	catalogue_t *catalogue;
+	uint32_t load;
+	bool leaving;
+	bool load_told;
+	uint64_t number_told;
+	rng_t rng;
+
+	pthread_mutex_t lock;
+	view_t *view; /* under the lock */
+	bool stop;    /* atomic */
+};
+
+/* Handing in, from any thread */
+
+static bool
+hand_in(client_t *c, cmd_t *cmd)
+{
+	if (ring_push(c->in, cmd))
+		return true;
+	msg_unref(cmd->msg);
+	free(cmd);
+	return false;
+}
+
+static cmd_t *
+cmd_new(cmd_kind_t kind, const char *to)
+{
+	cmd_t *cmd = calloc(1, sizeof(*cmd));
+
+	cmd->kind = kind;
+	str_copy(cmd->to, sizeof(cmd->to), to);
+	return cmd;
+}
+
+bool
+client_slot(client_t *c, uint64_t tag, const char *to, const Wire__SlotAsk *ask,
+    ms_t wait)
+{
+	cmd_t *cmd = cmd_new(CMD_ASK, to);
+
+	cmd->answer = ANSWER_SLOT;
+	cmd->tag = tag;
+	cmd->wait = wait;
+	str_copy(cmd->request, sizeof(cmd->request), ask->request);
+	cmd->body = WIRE__FRAME__BODY_SLOT_ASK;
+	cmd->msg = msg_copy(ask);
+	return hand_in(c, cmd);
+}
+
+bool
+client_claim(client_t *c, uint64_t tag, const char *to,
+    const Wire__ClaimAsk *ask, ms_t wait)
+{
+	cmd_t *cmd = cmd_new(CMD_ASK, to);
+
+	cmd->answer = ANSWER_CLAIM;
+	cmd->tag = tag;
+	cmd->wait = wait;
+	cmd->body = WIRE__FRAME__BODY_CLAIM_ASK;
+	cmd->msg = msg_copy(ask);
+	return hand_in(c, cmd);
+}
+
+bool
+client_settle(client_t *c, uint64_t tag, const char *to,
+    const Wire__ClaimSettle *s, ms_t wait)
+{
+	cmd_t *cmd = cmd_new(CMD_ASK, to);
+
+	cmd->answer = ANSWER_SETTLED;
+	cmd->tag = tag;
+	cmd->wait = wait;
+	cmd->body = WIRE__FRAME__BODY_CLAIM_SETTLE;
+	cmd->msg = msg_copy(s);
+	return hand_in(c, cmd);
+}
+
+void
+client_release(client_t *c, const char *to, const Wire__SlotRelease *r)
+{
+	cmd_t *cmd = cmd_new(CMD_RELEASE, to);
+
+	cmd->body = WIRE__FRAME__BODY_SLOT_RELEASE;
+	cmd->msg = msg_copy(r);
+	/* A lost release is made good by the worker's load reports. */
+	hand_in(c, cmd);
+}
+
+void
+client_cancel(client_t *c, const char *to, const char *request)
+{
+	cmd_t *cmd = cmd_new(CMD_CANCEL, to);
+
+	str_copy(cmd->request, sizeof(cmd->request), request);
+	hand_in(c, cmd);
+}
+
+void
+client_load(client_t *c, uint32_t calls, bool leaving)
+{
+	cmd_t *cmd = cmd_new(CMD_LOAD, "");
+
+	cmd->load = calls;
+	cmd->leaving = leaving;
+	hand_in(c, cmd);
+}
+
+view_t *
+client_view(client_t *c)
+{
+	view_t *v;
+
+	pthread_mutex_lock(&c->lock);
+	v = view_ref(c->view);
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+void
+answer_free(answer_t *a)
+{
+	if (a->frame != NULL)
+		wire__frame__free_unpacked(a->frame, NULL);
+	free(a);
+}
+
+/* Answers */
+
+static void
+give(client_t *c, answer_kind_t kind, uint64_t tag, bool down, Wire__Frame *f)
+{
+	answer_t *a = calloc(1, sizeof(*a));
+
+	a->kind = kind;
+	a->tag = tag;
+	a->down = down;
+	a->frame = f;
+	if (g_queue_is_empty(c->held) && ring_push(c->answers, a))
+		return;
+	/* A view can be had without being told of. */
+	if (kind == ANSWER_VIEW)
+		answer_free(a);
+	else
+		g_queue_push_tail(c->held, a);
+}
+
+static void
+give_held(client_t *c)
+{
+	answer_t *a;
+
+	while ((a = g_queue_peek_head(c->held)) != NULL &&
+	       ring_push(c->answers, a))
+		g_queue_pop_head(c->held);
+}
+
+static void
+give_down(client_t *c, handle_t h)
+{
+	pending_t p = *(pending_t *)table_get(c->pending, h);
+
+	table_del(c->pending, h);
+	give(c, p.kind, p.tag, true, NULL);
+}
+
+/* Connections */
+
+static void
+send_body(
+    conn_t *conn, uint64_t call, Wire__Frame__BodyCase body, const void *msg)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+
+	f.version = WIRE_VERSION;
+	f.call = call;
+	f.body_case = body;
+	/* All members of the union are pointers to a message. */
+	f.hello = (Wire__Hello *)msg;
+	conn_send(conn, &f);
+}
+
+static void
+send_hello(client_t *c, conn_t *conn, bool views)
+{
+	Wire__Hello h = WIRE__HELLO__INIT;
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	m.id = (char *)c->set->instance.id;
+	h.member = &m;
+	h.entry = true;
+	h.views = views;
+	h.catalogue = c->catalogue->number;
+	send_body(conn, 0, WIRE__FRAME__BODY_HELLO, &h);
+}
+
+/* The connection to a member, dialled now if there is none. */
+static conn_t *
+connect_to(client_t *c, const char *id, const char *addr)
+{
+	conn_t *conn = g_hash_table_lookup(c->conn, id);
+
+	if (conn != NULL && conn->state != CONN_CLOSED)
+		return conn;
+	conn = net_dial(c->net, addr);
+	if (conn == NULL)
+		return NULL;
+	conn->role = CONN_NODE;
+	str_copy(conn->peer, sizeof(conn->peer), id);
+	g_hash_table_replace(c->conn, g_strdup(id), conn);
+	send_hello(c, conn, false);
+	return conn;
+}
+
+static conn_t *
+conn_of(client_t *c, const char *id)
+{
+	member_t *r = store_find(c->store, id);
+
+	if (r == NULL || !member_live(r) || *r->m->peer_addr == '\0')
+		return NULL;
+	return connect_to(c, id, r->m->peer_addr);
+}
+
+static void
+on_close(void *user, conn_t *conn)
+{
+	client_t *c = user;
+	handle_t h, after;
+
+	if (g_hash_table_lookup(c->conn, conn->peer) == conn)
+		g_hash_table_remove(c->conn, conn->peer);
+	if (c->home == conn)
+		c->home = NULL;
+	for (h = table_next(c->pending, 0); h != 0; h = after) {
+		const pending_t *p = table_get(c->pending, h);
+
+		after = table_next(c->pending, h);
+		if (p->conn == conn)
+			give_down(c, h);
+	}
+}
+
+static void
+on_open(void *user, conn_t *conn)
+{
+	(void)user;
+	(void)conn;
+}
+
+/* The home: whose views this entryd lives by */
+
+static void
+make_home(client_t *c, conn_t *conn)
+{
+	if (c->home == conn)
+		return;
+	if (c->home != NULL && c->home->state != CONN_CLOSED)
+		send_hello(c, c->home, false);
+	c->home = conn;
+	c->load_told = false;
+	c->number_told = 0;
+	c->asked_at = 0;
+	send_hello(c, conn, true);
+	log_event(LOG_INFO, "home", "controld=%s", conn->peer);
+}
+
+static bool
+is_own(const client_t *c, const conn_t *conn)
+{
+	return strcmp(conn->peer, c->set->instance.id) == 0;
+}
+
+/* Any live member will do; one of the own domain first. */
+static conn_t *
+other_home(client_t *c)
+{
+	member_t *pick = NULL;
+	GHashTableIter it;
+	bool pick_own = false;
+	void *value;
+	int seen = 0;
+
+	g_hash_table_iter_init(&it, c->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+		bool own;
+
+		if (!member_live(r) || member_leaving(r) ||
+		    strcmp(r->m->id, c->set->instance.id) == 0)
+			continue;
+		own = strcmp(r->m->domain, c->set->instance.domain) == 0;
+		if (own && !pick_own)
+			seen = 0;
+		if (own < pick_own || rng_next(&c->rng) % ++seen != 0)
+			continue;
+		pick = r;
+		pick_own = own;
+	}
+	return pick == NULL ? NULL : conn_of(c, pick->m->id);
+}
+
+static void
+keep_home(client_t *c)
+{
+	conn_t *own, *conn;
+
+	if (c->home != NULL && c->home->state != CONN_CLOSED &&
+	    c->now - c->home->heard > c->set->peer.dead_ms)
+		conn_close(c->home, "silent");
+	if (c->home != NULL && c->home->state == CONN_CLOSED)
+		c->home = NULL;
+	if (c->home != NULL && is_own(c, c->home))
+		return;
+	own = g_hash_table_lookup(c->conn, c->set->instance.id);
+	if (own == NULL && c->now - c->home_at >= HOME_AGAIN_MS) {
+		c->home_at = c->now;
+		own = connect_to(
+		    c, c->set->instance.id, c->set->instance.peer_addr);
+		/* A frozen one takes connections: its word is waited for. */
+		if (own != NULL)
+			send_hello(c, own, true);
+	}
+	if (own != NULL && own->state == CONN_OPEN && own->heard > own->since)
+		make_home(c, own);
+	if (own != NULL && own->state == CONN_OPEN &&
+	    c->now - own->heard > c->set->peer.dead_ms)
+		conn_close(own, "silent");
+	if (c->home != NULL)
+		return;
+	conn = other_home(c);
+	if (conn != NULL)
+		make_home(c, conn);
+}
+
+static void
+tell_load(client_t *c)
+{
+	Wire__Heartbeat h = WIRE__HEARTBEAT__INIT;
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	if (c->home == NULL ||
+	    (c->load_told && c->number_told == c->catalogue->number))
+		return;
+	m.id = (char *)c->set->instance.id;
+	m.load = c->load;
+	m.leaving = c->leaving;
+	h.member = &m;
+	h.catalogue = c->catalogue->number;
+	c->load_told = true;
+	c->number_told = c->catalogue->number;
+	send_body(c->home, 0, WIRE__FRAME__BODY_HEARTBEAT, &h);
+}
+
+/* Frames */
+
+static void
+publish(client_t *c)
+{
+	view_t *v = store_view(c->store, c->catalogue), *old;
+
+	pthread_mutex_lock(&c->lock);
+	old = c->view;
+	c->view = v;
+	pthread_mutex_unlock(&c->lock);
+	view_unref(old);
+	give(c, ANSWER_VIEW, 0, false, NULL);
+}
+
+static void
+take_view(client_t *c, conn_t *conn, const Wire__View *v)
+{
+	uint64_t before = c->store->change;
+	Wire__CatalogueAsk ask = WIRE__CATALOGUE_ASK__INIT;
+	bool known = c->store->workers_known;
+	size_t i;
+
+	for (i = 0; i < v->n_member; i++)
+		store_member(c->store, v->member[i]);
+	for (i = 0; i < v->n_worker; i++)
+		store_worker(c->store, v->worker[i]);
+	for (i = 0; i < v->n_digest; i++)
+		store_digest(c->store, v->digest[i]);
+	c->store->workers_known |= v->workers_known;
+	if (v->catalogue > c->catalogue->number &&
+	    (c->asked_at == 0 || c->now - c->asked_at > c->set->peer.dead_ms)) {
+		ask.have = c->catalogue->number;
+		c->asked_at = c->now;
+		send_body(conn, 0, WIRE__FRAME__BODY_CATALOGUE_ASK, &ask);
+	}
+	if (c->store->change != before || known != c->store->workers_known)
+		publish(c);
+}
+
+static void
+take_catalogue(client_t *c, conn_t *conn, const Wire__Catalogue *m)
+{
+	Wire__CatalogueAsk ask = WIRE__CATALOGUE_ASK__INIT;
+	char quoted[ERR_TEXT_MAX];
+	catalogue_t *made;
+	err_t e = { ERR_NONE, "" };
+
+	c->asked_at = 0;
+	if (m->number <= c->catalogue->number)
+		return;
+	made = catalogue_from(c->catalogue, m, c->set, &e);
+	if (made != NULL && made->number == m->number) {
+		catalogue_unref(c->catalogue);
+		c->catalogue = made;
+		log_event(
+		    LOG_INFO, "catalogue", "number=%" PRIu64, made->number);
+		publish(c);
+		return;
+	}
+	if (made != NULL)
+		catalogue_unref(made);
+	log_event(LOG_WARNING, "catalogue_refused",
+	    "peer=%s number=%" PRIu64 " error=%s", conn->peer, m->number,
+	    log_quote(quoted, sizeof(quoted), e.text));
+	if (m->note.len == 0)
+		return;
+	ask.have = c->catalogue->number;
+	ask.whole = true;
+	c->asked_at = c->now;
+	send_body(conn, 0, WIRE__FRAME__BODY_CATALOGUE_ASK, &ask);
+}
+
+/* An answer nobody waits for: a slot goes back at once. */
+static void
+give_back(conn_t *conn, const Wire__Frame *f)
+{
+	Wire__SlotRelease r = WIRE__SLOT_RELEASE__INIT;
+
+	if (f->body_case != WIRE__FRAME__BODY_SLOT_ANSWER ||
+	    f->slot_answer->outcome != SLOT_GRANTED)
+		return;
+	r.slot = f->slot_answer->slot;
+	r.worker = f->slot_answer->worker;
+	r.outcome = CALL_CANCELLED;
+	send_body(conn, 0, WIRE__FRAME__BODY_SLOT_RELEASE, &r);
+}
+
+static bool
+take_answer(client_t *c, conn_t *conn, Wire__Frame *f)
+{
+	pending_t *p = table_get(c->pending, f->call), was;
+
+	if (p == NULL || p->conn != conn) {
+		give_back(conn, f);
+		return false;
+	}
+	if (f->body_case == WIRE__FRAME__BODY_SLOT_ANSWER &&
+	    f->slot_answer->outcome == SLOT_QUEUED) {
+		p->sign = 0;
+		return false;
+	}
+	was = *p;
+	table_del(c->pending, f->call);
+	give(c, was.kind, was.tag, false, f);
+	return true;
+}
+
+static bool
+on_frame(void *user, conn_t *conn, Wire__Frame *f)
+{
+	client_t *c = user;
+
+	switch (f->body_case) {
+	case WIRE__FRAME__BODY_VIEW:
+		take_view(c, conn, f->view);
+		return false;
+	case WIRE__FRAME__BODY_CATALOGUE:
+		take_catalogue(c, conn, f->catalogue);
+		return false;
+	case WIRE__FRAME__BODY_SLOT_ANSWER:
+	case WIRE__FRAME__BODY_CLAIM_ANSWER:
+	case WIRE__FRAME__BODY_CLAIM_SETTLED:
+		return take_answer(c, conn, f);
+	default:
+		return false;
+	}
+}
+
+/* Commands */
+
+static void
+take_ask(client_t *c, const cmd_t *cmd)
+{
+	conn_t *conn = conn_of(c, cmd->to);
+	handle_t h = conn == NULL ? 0 : table_add(c->pending);
+	pending_t *p;
+
+	if (h == 0) {
+		give(c, cmd->answer, cmd->tag, true, NULL);
+		return;
+	}
+	p = table_get(c->pending, h);
+	p->kind = cmd->answer;
+	p->tag = cmd->tag;
+	p->conn = conn;
+	p->until = c->now + cmd->wait;
+	if (cmd->answer == ANSWER_SLOT)
+		p->sign = c->now + c->set->peer.ask_ms;
+	str_copy(p->request, sizeof(p->request), cmd->request);
+	send_body(conn, h, cmd->body, cmd->msg->m);
+}
+
+static void
+send_cancel(conn_t *conn, const char *request)
+{
+	Wire__SlotCancel m = WIRE__SLOT_CANCEL__INIT;
+
+	m.request = (char *)request;
+	send_body(conn, 0, WIRE__FRAME__BODY_SLOT_CANCEL, &m);
+}
+
+static void
+take_cancel(client_t *c, const cmd_t *cmd)
+{
+	conn_t *conn = g_hash_table_lookup(c->conn, cmd->to);
+	handle_t h, after;
+
+	for (h = table_next(c->pending, 0); h != 0; h = after) {
+		const pending_t *p = table_get(c->pending, h);
+
+		after = table_next(c->pending, h);
+		if (p->kind == ANSWER_SLOT && p->conn == conn &&
+		    strcmp(p->request, cmd->request) == 0)
+			give_down(c, h);
+	}
+	if (conn != NULL)
+		send_cancel(conn, cmd->request);
+}
+
+static void
+take_cmd(client_t *c, cmd_t *cmd)
+{
+	conn_t *conn;
+
+	switch (cmd->kind) {
+	case CMD_ASK:
+		take_ask(c, cmd);
+		break;
+	case CMD_RELEASE:
+		conn = g_hash_table_lookup(c->conn, cmd->to);
+		if (conn != NULL)
+			send_body(conn, 0, cmd->body, cmd->msg->m);
+		break;
+	case CMD_CANCEL:
+		take_cancel(c, cmd);
+		break;
+	case CMD_LOAD:
+		if (c->load != cmd->load || c->leaving != cmd->leaving)
+			c->load_told = false;
+		c->load = cmd->load;
+		c->leaving = cmd->leaving;
+		break;
+	}
+	msg_unref(cmd->msg);
+	free(cmd);
+}
+
+static void
+find_late(client_t *c)
+{
+	handle_t h, after;
+
+	for (h = table_next(c->pending, 0); h != 0; h = after) {
+		const pending_t *p = table_get(c->pending, h);
+
+		after = table_next(c->pending, h);
+		if (c->now < p->until && (p->sign == 0 || c->now < p->sign))
+			continue;
+		if (p->kind == ANSWER_SLOT)
+			send_cancel(p->conn, p->request);
+		give_down(c, h);
+	}
+}
+
+static void *
+run(void *arg)
+{
+	client_t *c = arg;
+	cmd_t *cmd;
+
+	while (!__atomic_load_n(&c->stop, __ATOMIC_RELAXED)) {
+		c->now = clock_now(&machine_clock);
+		while ((cmd = ring_pop(c->in)) != NULL)
+			take_cmd(c, cmd);
+		give_held(c);
+		keep_home(c);
+		tell_load(c);
+		if (c->now >= c->purge_at) {
+			c->purge_at = c->now + PURGE_MS;
+			store_purge(c->store);
+		}
+		net_poll(c->net, TICK_MS);
+		c->now = clock_now(&machine_clock);
+		find_late(c);
+	}
+	return NULL;
+}
+
+static int
+open_parts(client_t *c, err_t *e)
+{
+	net_opts_t o = { .clock = &machine_clock,
+		.frame_max = (size_t)c->set->peer.frame_max,
+		.on_open = on_open,
+		.on_frame = on_frame,
+		.on_close = on_close,
+		.user = c };
+
+	c->in = ring_new(RING_SLOTS);
+	c->pending = table_new(sizeof(pending_t), PENDING_MAX);
+	if (c->in == NULL || c->pending == NULL)
+		return err_set(e, ERR_INTERNAL, "out of memory or descriptors");
+	c->net = net_new(&o, e);
+	if (c->net == NULL)
+		return -1;
+	if (net_watch(c->net, ring_fd(c->in)) == -1)
+		return err_set(e, ERR_INTERNAL, "epoll: %m");
+	if (pthread_create(&c->thread, NULL, run, c) != 0)
+		return err_set(
+		    e, ERR_INTERNAL, "cannot start the client's thread");
+	c->started = true;
+	return 0;
+}
+
+client_t *
+client_new(const client_opts_t *o, err_t *e)
+{
+	client_t *c = calloc(1, sizeof(*c));
+
+	c->set = o->settings;
+	c->answers = o->answers;
+	c->held = g_queue_new();
+	c->now = clock_now(&machine_clock);
+	c->home_at = c->now - HOME_AGAIN_MS;
+	c->rng.s = hash_str(c->set->instance.id, (uint64_t)clock_wall());
+	pthread_mutex_init(&c->lock, NULL);
+	c->catalogue = catalogue_new();
+	c->store = store_new(&machine_clock, (int)c->set->broker.shard_workers);
+	c->conn = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->view = store_view(c->store, c->catalogue);
+	if (open_parts(c, e) == -1) {
+		client_free(c);
+		return NULL;
+	}
+	return c;
+}
+
+void
+client_free(client_t *c)
+{
+	cmd_t *cmd;
+	answer_t *a;
+
+	if (c == NULL)
+		return;
+	if (c->started) {
+		__atomic_store_n(&c->stop, true, __ATOMIC_RELAXED);
+		pthread_join(c->thread, NULL);
+	}
+	while (c->in != NULL && (cmd = ring_pop(c->in)) != NULL) {
+		msg_unref(cmd->msg);
+		free(cmd);
+	}
+	while ((a = g_queue_pop_head(c->held)) != NULL)
+		answer_free(a);
+	g_queue_free(c->held);
+	ring_free(c->in);
+	net_free(c->net);
+	table_free(c->pending);
+	g_hash_table_destroy(c->conn);
+	store_free(c->store);
+	view_unref(c->view);
+	catalogue_unref(c->catalogue);
+	pthread_mutex_destroy(&c->lock);
+	free(c);
+}
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -18,8 +18,11 @@
 	STRANGER_MAX = 64 * 1024, /* bytes of a frame before the Hello */
 	STRANGER_MS = 5000,	  /* without a Hello for so long: closed */
 	DIAL_MS = 1000,		  /* a connection not up by then failed */
-	ACCEPT_PAUSE_MS = 100,	  /* after running out of descriptors */
-	OUT_FRAMES = 2,		  /* largest frames that may wait */
+	KEEPALIVE_S = 15,	  /* idle time before the first probe */
+	KEEPALIVE_GAP_S = 5,
+	KEEPALIVE_PROBES = 3,
+	ACCEPT_PAUSE_MS = 100, /* after running out of descriptors */
+	OUT_FRAMES = 2,	       /* largest frames that may wait */
 };
 
 struct net {
@@ -167,13 +170,26 @@
 	return c == NULL || (*c)->state == CONN_CLOSED ? NULL : *c;
 }
 
+/* Send at once; a host that vanished is noticed also on an idle one. */
+static void
+set_options(int fd)
+{
+	int one = 1, idle = KEEPALIVE_S, gap = KEEPALIVE_GAP_S;
+	int probes = KEEPALIVE_PROBES;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap, sizeof(gap));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 /* Takes @p fd over, also when it fails. */
 static conn_t *
 conn_new(net_t *n, int fd, conn_state_t state)
 {
 	conn_t *c = calloc(1, sizeof(*c)), **slot;
 	handle_t h = c == NULL ? 0 : table_add(n->by_handle);
-	int one = 1;
 
 	if (h == 0) {
 		free(c);
@@ -188,7 +204,7 @@
 	c->wants_out = state == CONN_DIALLING;
 	slot = table_get(n->by_handle, h);
 	*slot = c;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	set_options(fd);
 	if (poll_set(n, EPOLL_CTL_ADD, fd,
 		EPOLLIN | (c->wants_out ? EPOLLOUT : 0), c) == -1) {
 		conn_free(c);
@@ -364,8 +380,8 @@
 		at += used;
 		counter_add(n->in_frames, 1);
 		c->heard = clock_now(n->o.clock);
-		n->o.on_frame(n->o.user, c, f);
-		wire__frame__free_unpacked(f, NULL);
+		if (!n->o.on_frame(n->o.user, c, f))
+			wire__frame__free_unpacked(f, NULL);
 	}
 	if (e.code != ERR_NONE) {
 		counter_add(n->bad, 1);
@@ -395,7 +411,6 @@
 	if (got == -1 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (got <= 0) {
-		c->refused = got == 0 || errno == ECONNRESET;
 		conn_close(c, got == 0 ? "closed_by_peer" : "read_failed");
 		return;
 	}
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -23,6 +23,16 @@
 	CONN_ENTRY,
 } conn_role_t;
 
+/** What has been sent over a connection and what the peer wants; relay.c */
+typedef struct relay {
+	uint64_t urgent;     /* changes up to this have been sent */
+	uint64_t figures[2]; /* likewise; own domain's, others' */
+	ms_t figures_due[2];
+	ms_t sent_at;
+	bool wanted;	 /* the peer asked for figures; an entry, for views */
+	uint64_t number; /* highest catalogue the peer told of */
+} relay_t;
+
 typedef struct conn {
 	net_t *net;
 	struct conn *next;
@@ -39,13 +49,10 @@
 	uint8_t *in, *out;
 	size_t in_len, in_room;
 	size_t out_at, out_len, out_room;
-	handle_t handle;     /* finds it after a callback of another thread */
-	struct relay_state { /* what has been sent to it, see relay.c */
-		uint64_t urgent, figures[2];
-		ms_t figures_due[2];
-		bool wanted;	  /* the peer asked for figures */
-		uint64_t hearing; /* last catalogue number it told */
-	} relay;
+	handle_t handle; /* finds it after a callback of another thread */
+	bool bye;	 /* the peer said that it closes and lives on */
+	ms_t unwanted;	 /* since when nobody needs it, 0: needed */
+	relay_t relay;
 } conn_t;
 
 typedef struct net_opts {
@@ -53,7 +60,8 @@
 	size_t frame_max;
 	const char *listen;			/* "IP:port", or NULL */
 	void (*on_open)(void *user, conn_t *c); /* a dialled one is up */
-	void (*on_frame)(void *user, conn_t *c, const Wire__Frame *f);
+	/** @return true to keep the frame, which is to be freed then. */
+	bool (*on_frame)(void *user, conn_t *c, Wire__Frame *f);
 	/** It is gone; @p c is freed on return. */
 	void (*on_close)(void *user, conn_t *c);
 	void *user;
--- /dev/null
+++ b/peer/member.c
@@ -0,0 +1,588 @@
+#include "peer/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	PARENTS = 2,	      /* a domain's relays */
+	STRETCH_MEMBERS = 16, /* of a domain, to one more heartbeat's time */
+	UNWANTED_MS = 5000,   /* a connection without use is closed */
+	PROBE_MS = 5000,      /* between two tries of a gone member */
+	GONE_SHARE = 2,	      /* a domain out of reach: times the deadline */
+	UNHEARD_SHARE = 4,    /* a member never heard here: times it */
+	PARENT_KEY_MAX = ID_MAX + 8,
+};
+
+static void
+send_hello(node_t *n, conn_t *c)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Hello h = WIRE__HELLO__INIT;
+
+	/* Newer than whatever is said of us, so also than that we are gone. */
+	n->me.seq++;
+	h.member = &n->me;
+	h.catalogue = n->catalogue->number;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_HELLO;
+	f.hello = &h;
+	conn_send(c, &f);
+}
+
+static void
+send_heartbeat(node_t *n, conn_t *c, bool relay, bool bye)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Heartbeat h = WIRE__HEARTBEAT__INIT;
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	/* What stays as the Hello had it is left out. */
+	m.id = n->me.id;
+	m.incarnation = n->me.incarnation;
+	m.seq = n->me.seq;
+	m.leaving = n->me.leaving;
+	m.in_force = n->me.in_force;
+	m.load = n->me.load;
+	h.member = &m;
+	h.catalogue = n->catalogue->number;
+	h.ready = __atomic_load_n(&n->ready, __ATOMIC_RELAXED);
+	h.relay = relay;
+	h.bye = bye;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_HEARTBEAT;
+	f.heartbeat = &h;
+	conn_send(c, &f);
+}
+
+static int
+live_in(node_t *n, const char *domain)
+{
+	GHashTableIter it;
+	void *value;
+	int live = 0;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (member_live(r) && strcmp(r->m->domain, domain) == 0)
+			live++;
+	}
+	return live;
+}
+
+int
+member_stretch(node_t *n)
+{
+	return 1 + live_in(n, n->set->instance.domain) / STRETCH_MEMBERS;
+}
+
+static ms_t
+deadline(node_t *n)
+{
+	return n->set->peer.dead_ms * member_stretch(n);
+}
+
+static void
+heard_from(node_t *n, const char *domain)
+{
+	ms_t *at = g_hash_table_lookup(n->domain_heard, domain);
+
+	if (at == NULL) {
+		at = g_new0(ms_t, 1);
+		g_hash_table_insert(n->domain_heard, g_strdup(domain), at);
+	}
+	*at = n->now;
+}
+
+static bool
+is_self(const node_t *n, const char *id)
+{
+	return strcmp(id, n->me.id) == 0;
+}
+
+/* The platform's list, or a peer, may know that we leave. */
+static void
+about_self(node_t *n, const Wire__Member *m)
+{
+	member_t *self = store_find(n->store, n->me.id);
+
+	if (m->incarnation > n->me.incarnation) {
+		/* Our own record of a time when this clock was ahead. */
+		n->me.incarnation = m->incarnation + 1;
+		n->beat_at = n->now;
+	} else if (m->incarnation == n->me.incarnation && m->gone) {
+		self->reassert = true;
+		n->beat_at = n->now;
+	}
+}
+
+void
+member_told(node_t *n, const Wire__Member *m)
+{
+	if (is_self(n, m->id))
+		about_self(n, m);
+	else
+		store_member(n->store, m);
+}
+
+/* Of two connections with a member, the one that the lower id dialled stays. */
+static void
+adopt(node_t *n, member_t *r, conn_t *c)
+{
+	conn_t *old = r->conn;
+
+	if (old == c)
+		return;
+	if (old != NULL && old->state != CONN_CLOSED) {
+		if (old->dialled && !c->dialled &&
+		    strcmp(n->me.id, r->m->id) < 0)
+			return;
+		conn_close(old, "duplicate");
+	}
+	r->conn = c;
+	backoff_reset(&r->backoff);
+}
+
+static void
+entry_hello(node_t *n, conn_t *c, const Wire__Hello *h)
+{
+	if (c->role == CONN_STRANGER)
+		__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+	c->role = CONN_ENTRY;
+	str_copy(c->peer, sizeof(c->peer), h->member->id);
+	c->relay.number = h->catalogue;
+	c->relay.wanted = h->views;
+	if (h->views)
+		relay_fill(n, c, true);
+}
+
+/* Another member than was dialled answers at this address. */
+static void
+moved(node_t *n, conn_t *c)
+{
+	member_t *r = store_find(n->store, c->peer);
+
+	if (r == NULL || r->conn != c)
+		return;
+	r->conn = NULL;
+	store_gone(n->store, r);
+}
+
+void
+member_hello(node_t *n, conn_t *c, const Wire__Hello *h)
+{
+	member_t *r;
+
+	if (h->member == NULL || c->role == CONN_NODE ||
+	    (c->role == CONN_ENTRY && !h->entry)) {
+		conn_close(c, "bad_hello");
+		return;
+	}
+	if (h->entry) {
+		entry_hello(n, c, h);
+		return;
+	}
+	if (is_self(n, h->member->id)) {
+		conn_close(c, "own_id");
+		return;
+	}
+	r = store_member(n->store, h->member);
+	if (r == NULL || !member_live(r)) {
+		conn_close(c, "old_incarnation");
+		return;
+	}
+	if (c->dialled && strcmp(c->peer, r->m->id) != 0)
+		moved(n, c);
+	c->role = CONN_NODE;
+	str_copy(c->peer, sizeof(c->peer), r->m->id);
+	if (!c->dialled)
+		send_hello(n, c);
+	adopt(n, r, c);
+	heard_from(n, r->m->domain);
+	number_told(n, c, h->catalogue);
+	n->beat_at = n->now;
+}
+
+static void
+entry_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h)
+{
+	c->relay.number = h->catalogue;
+	if (!is_self(n, c->peer) || h->member == NULL)
+		return;
+	n->me.load = h->member->load;
+	if (h->member->leaving)
+		__atomic_store_n(&n->leave, true, __ATOMIC_RELAXED);
+}
+
+void
+member_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h)
+{
+	member_t *r;
+
+	if (c->role == CONN_ENTRY) {
+		entry_heartbeat(n, c, h);
+		return;
+	}
+	if (c->role != CONN_NODE || h->member == NULL ||
+	    strcmp(h->member->id, c->peer) != 0) {
+		conn_close(c, "bad_heartbeat");
+		return;
+	}
+	r = store_member(n->store, h->member);
+	if (r == NULL)
+		return;
+	c->relay.wanted = h->relay;
+	c->bye = h->bye;
+	heard_from(n, r->m->domain);
+	if (h->ready && h->catalogue > n->ready_number)
+		n->ready_number = h->catalogue;
+	if (h->ready && n->store->workers_known &&
+	    n->catalogue->number >= n->ready_number)
+		n->confirmed = true;
+	number_told(n, c, h->catalogue);
+}
+
+void
+member_left(node_t *n, const Wire__Leaving *l)
+{
+	member_t *r = store_find(n->store, l->id);
+	Wire__Member m;
+
+	if (r == NULL || r->msg == NULL || is_self(n, l->id) ||
+	    r->m->incarnation != l->incarnation)
+		return;
+	m = *r->m;
+	m.leaving = true;
+	m.seq = r->seq + 1;
+	store_member(n->store, &m);
+}
+
+void
+member_opened(node_t *n, conn_t *c)
+{
+	send_hello(n, c);
+}
+
+static void
+dial(node_t *n, member_t *r)
+{
+	if (r->conn != NULL || *r->m->peer_addr == '\0')
+		return;
+	r->dial_at = n->now + backoff_next(&r->backoff, &n->rng);
+	r->conn = net_dial(n->net, r->m->peer_addr);
+	if (r->conn != NULL)
+		str_copy(r->conn->peer, sizeof(r->conn->peer), r->m->id);
+}
+
+static bool
+is_why(const conn_t *c, const char *why)
+{
+	return strcmp(c->why, why) == 0;
+}
+
+void
+member_closed(node_t *n, conn_t *c)
+{
+	member_t *r = store_find(n->store, c->peer);
+
+	if (c->role == CONN_ENTRY) {
+		__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+		brokers_conn_gone(n->brokers, c->handle);
+		return;
+	}
+	if (r == NULL || r->conn != c)
+		return;
+	r->conn = NULL;
+	if (c->state == CONN_CLOSED && c->dialled && c->role == CONN_STRANGER) {
+		/* It never came up: for whoever hears it, it may still live. */
+		if (c->refused || is_why(c, "silent"))
+			store_gone(n->store, r);
+		return;
+	}
+	if (c->bye || is_why(c, "not_needed") || is_why(c, "rejoin"))
+		return;
+	if (is_why(c, "silent")) {
+		store_gone(n->store, r);
+		return;
+	}
+	/* Killed or only cut off? Whoever listens no more refuses at once. */
+	if (member_live(r))
+		dial(n, r);
+}
+
+/*
+ * A domain's members in the order in which they relay: the first two live
+ * ones, then, if there are fewer, those that may be tried.
+ */
+static int
+relays_of(node_t *n, const char *domain, bool self_too, member_t **out)
+{
+	int total = (int)g_hash_table_size(n->store->member), nm = 0, i;
+	char(*ids)[ID_MAX] = calloc(total + 1, sizeof(*ids));
+	int *order = calloc(total + 1, sizeof(*order)), found = 0, pass;
+	char key[PARENT_KEY_MAX];
+	GHashTableIter it;
+	void *value;
+
+	snprintf(key, sizeof(key), "relay/%s", domain);
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->msg != NULL && strcmp(r->m->domain, domain) == 0)
+			str_copy(ids[nm++], ID_MAX, r->m->id);
+	}
+	route_rank(key, ids, nm, order);
+	for (pass = 0; pass < 2; pass++) {
+		for (i = 0; i < nm && found < PARENTS; i++) {
+			member_t *r = store_find(n->store, ids[order[i]]);
+			bool live = member_live(r) && !member_leaving(r);
+			bool try = !live && !is_self(n, r->m->id) &&
+				   (r->conn != NULL || n->now >= r->dial_at) &&
+				   !member_live(r);
+
+			if (is_self(n, r->m->id) && !self_too)
+				continue;
+			if (pass == 0 ? live : try)
+				out[found++] = r;
+		}
+		if (pass == 0 && !self_too && found > 0 &&
+		    strcmp(domain, n->set->instance.domain) != 0)
+			break;
+	}
+	free(ids);
+	free(order);
+	return found;
+}
+
+static bool
+has_self(node_t *n, member_t **r, int nr)
+{
+	int i;
+
+	for (i = 0; i < nr; i++)
+		if (is_self(n, r[i]->m->id))
+			return true;
+	return false;
+}
+
+/* Connections that are wanted are marked by unwanted = 0. */
+static void
+want(node_t *n, member_t **r, int nr)
+{
+	int i;
+
+	for (i = 0; i < nr; i++) {
+		if (is_self(n, r[i]->m->id))
+			continue;
+		if (r[i]->conn == NULL && n->now >= r[i]->dial_at)
+			dial(n, r[i]);
+		if (r[i]->conn != NULL)
+			r[i]->conn->unwanted = 0;
+	}
+}
+
+static GHashTable *
+domains(node_t *n)
+{
+	GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((member_t *)value)->msg != NULL)
+			g_hash_table_add(set, ((member_t *)value)->m->domain);
+	return set;
+}
+
+static void
+mark_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->dialled && c->unwanted == 0)
+			c->unwanted = n->now;
+}
+
+static void
+close_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		if (c->state != CONN_OPEN || c->unwanted == 0 ||
+		    n->now - c->unwanted < UNWANTED_MS)
+			continue;
+		c->unwanted = n->now;
+		if (c->bye) {
+			conn_close(c, "not_needed");
+			continue;
+		}
+		/* Closed on the next round: the word goes out first. */
+		send_heartbeat(n, c, false, true);
+		c->bye = true;
+		c->unwanted = n->now - UNWANTED_MS;
+	}
+}
+
+/* Dial whom this node relays with, or through. */
+static void
+connect_all(node_t *n)
+{
+	const char *own = n->set->instance.domain;
+	member_t *r[PARENTS];
+	GHashTable *set = domains(n);
+	GHashTableIter it;
+	void *domain;
+	bool parent;
+	int nr;
+
+	mark_unwanted(n);
+	nr = relays_of(n, own, true, r);
+	parent = has_self(n, r, nr);
+	want(n, r, nr);
+	if (__atomic_exchange_n(&n->parent, parent, __ATOMIC_RELAXED) != parent)
+		log_event(LOG_INFO, "relay", "parent=%d", parent);
+	g_hash_table_iter_init(&it, set);
+	while (g_hash_table_iter_next(&it, &domain, NULL)) {
+		if (strcmp(domain, own) == 0 ||
+		    (!parent && live_in(n, own) > 1))
+			continue;
+		nr = relays_of(n, domain, false, r);
+		want(n, r, nr);
+	}
+	g_hash_table_destroy(set);
+	close_unwanted(n);
+}
+
+/* Two halves that hold each other for gone find together again. */
+static void
+probe(node_t *n)
+{
+	member_t *pick = NULL;
+	GHashTableIter it;
+	void *value;
+	int seen = 0;
+
+	n->probe_at = n->now + PROBE_MS;
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->msg == NULL || member_live(r) || r->conn != NULL ||
+		    is_self(n, r->m->id))
+			continue;
+		if (rng_next(&n->rng) % ++seen == 0)
+			pick = r;
+	}
+	if (pick != NULL)
+		dial(n, pick);
+}
+
+/* Connections without a word, members that nobody hears. */
+static void
+find_silent(node_t *n)
+{
+	ms_t limit = deadline(n);
+	bool parent = __atomic_load_n(&n->parent, __ATOMIC_RELAXED);
+	GHashTableIter it;
+	void *value;
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if ((c->role == CONN_NODE || c->dialled) &&
+		    c->state == CONN_OPEN && n->now - c->heard > limit)
+			conn_close(c, "silent");
+	if (!parent)
+		return;
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+		bool own;
+		ms_t *at;
+
+		if (!member_live(r) || r->conn != NULL || is_self(n, r->m->id))
+			continue;
+		own = strcmp(r->m->domain, n->set->instance.domain) == 0;
+		at = g_hash_table_lookup(n->domain_heard, r->m->domain);
+		if (own ? n->now - r->heard > UNHEARD_SHARE * limit
+			: at != NULL && n->now - *at > GONE_SHARE * limit)
+			store_gone(n->store, r);
+	}
+}
+
+static void
+set_in_force(node_t *n)
+{
+	uint64_t number = n->catalogue->number;
+	conn_t *c;
+
+	/* In force on an instance means: its entryds route by it too. */
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
+		    is_self(n, c->peer) && c->relay.number < number)
+			number = c->relay.number;
+	if (number > n->me.in_force)
+		n->me.in_force = number;
+}
+
+static void
+beat(node_t *n)
+{
+	ms_t every = n->set->peer.heartbeat_ms * member_stretch(n);
+	member_t *first[PARENTS];
+	conn_t *c;
+	int nf;
+
+	n->beat_at = n->now + every;
+	set_in_force(n);
+	n->me.seq++;
+	store_member(n->store, &n->me);
+	nf = relays_of(n, n->set->instance.domain, false, first);
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		bool foreign;
+		member_t *r;
+
+		if (c->role != CONN_NODE || c->state != CONN_OPEN || c->bye)
+			continue;
+		/* Figures come once: from the first relay of one's own. */
+		r = store_find(n->store, c->peer);
+		foreign = r == NULL || r->msg == NULL ||
+			  strcmp(r->m->domain, n->set->instance.domain) != 0;
+		send_heartbeat(
+		    n, c, foreign || (nf > 0 && first[0] == r), false);
+	}
+}
+
+void
+member_tick(node_t *n)
+{
+	find_silent(n);
+	connect_all(n);
+	if (n->now >= n->probe_at)
+		probe(n);
+	if (n->now >= n->beat_at)
+		beat(n);
+}
+
+void
+member_rejoin(node_t *n)
+{
+	uint64_t wall = clock_wall();
+	GHashTableIter it;
+	void *value;
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		conn_close(c, "rejoin");
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((member_t *)value)->heard = n->now;
+	g_hash_table_remove_all(n->domain_heard);
+	n->me.incarnation =
+	    wall > n->me.incarnation ? wall : n->me.incarnation + 1;
+	n->beat_at = n->now;
+}
--- /dev/null
+++ b/peer/node.c
@@ -0,0 +1,607 @@
+#include "peer/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	RING_SLOTS = 4096,
+	CLAIMING_MAX = 65536,
+	COST_SHARE = 50, /* a view is made this many times its cost apart */
+	PURGE_MS = 10000,
+	PAUSE_MOST_MS = 50, /* between two looks at the commands' flags */
+};
+
+typedef enum cmd_kind {
+	CMD_CATALOGUE,
+	CMD_INSTANCES,
+	CMD_NOTE,
+	CMD_CLAIMED,
+} cmd_kind_t;
+
+typedef struct cmd {
+	cmd_kind_t kind;
+	catalogue_t *catalogue;
+	instances_t instances;
+	uint64_t number; /* NOTE: base, CLAIMED: tag */
+	char *text;
+	size_t len;
+	claim_answer_t claim;
+} cmd_t;
+
+/* Who waits for a claim's outcome. */
+typedef struct claiming {
+	handle_t conn;
+	uint64_t call;
+} claiming_t;
+
+static void
+cmd_free(cmd_t *c)
+{
+	if (c->catalogue != NULL)
+		catalogue_unref(c->catalogue);
+	free(c->instances.item);
+	free(c->text);
+	free(c->claim.reply);
+	free(c);
+}
+
+/* Takes @p c over. */
+static void
+hand_in(node_t *n, cmd_t *c)
+{
+	if (ring_push(n->in, c))
+		return;
+	log_event(LOG_WARNING, "node_ring_full", "kind=%d", c->kind);
+	cmd_free(c);
+}
+
+void
+node_set_catalogue(node_t *n, catalogue_t *c)
+{
+	cmd_t *cmd = calloc(1, sizeof(*cmd));
+
+	cmd->kind = CMD_CATALOGUE;
+	cmd->catalogue = catalogue_ref(c);
+	hand_in(n, cmd);
+}
+
+void
+node_set_instances(node_t *n, const instances_t *l)
+{
+	cmd_t *cmd = calloc(1, sizeof(*cmd));
+
+	cmd->kind = CMD_INSTANCES;
+	cmd->instances.n = l->n;
+	cmd->instances.item = calloc(l->n + 1, sizeof(instance_t));
+	memcpy(cmd->instances.item, l->item, l->n * sizeof(instance_t));
+	hand_in(n, cmd);
+}
+
+void
+node_set_note(node_t *n, uint64_t base, const char *text, size_t len)
+{
+	cmd_t *cmd = calloc(1, sizeof(*cmd));
+
+	cmd->kind = CMD_NOTE;
+	cmd->number = base;
+	cmd->text = malloc(len + 1);
+	memcpy(cmd->text, text, len);
+	cmd->len = len;
+	hand_in(n, cmd);
+}
+
+void
+node_claimed(void *user, uint64_t tag, const claim_answer_t *a)
+{
+	cmd_t *cmd = calloc(1, sizeof(*cmd));
+
+	cmd->kind = CMD_CLAIMED;
+	cmd->number = tag;
+	cmd->claim = *a; /* with its reply */
+	hand_in(user, cmd);
+}
+
+void
+node_set_claims(node_t *n, claims_t *c)
+{
+	pthread_mutex_lock(&n->lock);
+	n->claims = c;
+	pthread_mutex_unlock(&n->lock);
+}
+
+view_t *
+node_view(node_t *n)
+{
+	view_t *v;
+
+	pthread_mutex_lock(&n->lock);
+	v = view_ref(n->view);
+	pthread_mutex_unlock(&n->lock);
+	return v;
+}
+
+bool
+node_is_parent(node_t *n)
+{
+	return __atomic_load_n(&n->parent, __ATOMIC_RELAXED);
+}
+
+bool
+node_ready(node_t *n)
+{
+	return __atomic_load_n(&n->ready, __ATOMIC_RELAXED);
+}
+
+int
+node_entries(node_t *n)
+{
+	return __atomic_load_n(&n->entries, __ATOMIC_RELAXED);
+}
+
+void
+node_leave(node_t *n)
+{
+	__atomic_store_n(&n->leave, true, __ATOMIC_RELAXED);
+}
+
+/* Answers to entryds */
+
+static void
+answer(conn_t *c, uint64_t call, Wire__Frame *f)
+{
+	f->version = WIRE_VERSION;
+	f->call = call;
+	conn_send(c, f);
+}
+
+static bool
+slot_answer(void *user, handle_t conn, uint64_t call, const Wire__SlotAnswer *a)
+{
+	node_t *n = user;
+	conn_t *c = net_find(n->net, conn);
+	Wire__Frame f = WIRE__FRAME__INIT;
+
+	if (c == NULL)
+		return false;
+	f.body_case = WIRE__FRAME__BODY_SLOT_ANSWER;
+	f.slot_answer = (Wire__SlotAnswer *)a;
+	answer(c, call, &f);
+	return true;
+}
+
+static void
+claim_answer(node_t *n, handle_t conn, uint64_t call, const claim_answer_t *a)
+{
+	conn_t *c = net_find(n->net, conn);
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__ClaimAnswer w = WIRE__CLAIM_ANSWER__INIT;
+
+	if (c == NULL)
+		return;
+	w.outcome = a->outcome;
+	w.status = (uint32_t)a->status;
+	w.reply.data = (uint8_t *)a->reply;
+	w.reply.len = a->reply == NULL ? 0 : a->len;
+	w.retry_after_ms = (uint32_t)a->retry_after;
+	w.first_request = (char *)a->first_request;
+	w.type = (char *)a->type;
+	f.body_case = WIRE__FRAME__BODY_CLAIM_ANSWER;
+	f.claim_answer = &w;
+	answer(c, call, &f);
+}
+
+static claims_t *
+claims_of(node_t *n)
+{
+	claims_t *c;
+
+	pthread_mutex_lock(&n->lock);
+	c = n->claims;
+	pthread_mutex_unlock(&n->lock);
+	return c;
+}
+
+static void
+claim_ask(node_t *n, conn_t *c, uint64_t call, const Wire__ClaimAsk *w)
+{
+	claim_answer_t down = { .outcome = CLAIM_DOWN };
+	claims_t *claims = claims_of(n);
+	claim_ask_t ask = { .body = w->body };
+	claiming_t *k;
+	handle_t h = 0;
+
+	/* A key that was cut would stand for other calls. */
+	if (claims != NULL && str_copy(ask.key, sizeof(ask.key), w->key) &&
+	    str_copy(ask.service, ID_MAX, w->service) &&
+	    str_copy(ask.request, ID_MAX, w->request))
+		h = table_add(n->claiming);
+	if (h != 0) {
+		k = table_get(n->claiming, h);
+		k->conn = c->handle;
+		k->call = call;
+		if (claims_ask(claims, h, &ask))
+			return;
+		table_del(n->claiming, h);
+	}
+	claim_answer(n, c->handle, call, &down);
+}
+
+static void
+claim_settle(node_t *n, conn_t *c, uint64_t call, const Wire__ClaimSettle *w)
+{
+	claims_t *claims = claims_of(n);
+	claim_settle_t s = { .outcome = w->outcome, .status = (int)w->status };
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__ClaimSettled settled = WIRE__CLAIM_SETTLED__INIT;
+
+	if (claims != NULL && str_copy(s.key, sizeof(s.key), w->key) &&
+	    str_copy(s.service, ID_MAX, w->service) &&
+	    str_copy(s.request, ID_MAX, w->request)) {
+		str_copy(s.type, sizeof(s.type), w->type);
+		s.len = w->reply.len;
+		s.reply = malloc(s.len + 1);
+		memcpy(s.reply, w->reply.data, s.len);
+		settled.kept = claims_settle(claims, 0, &s);
+		if (!settled.kept)
+			free(s.reply);
+	}
+	f.body_case = WIRE__FRAME__BODY_CLAIM_SETTLED;
+	f.claim_settled = &settled;
+	answer(c, call, &f);
+}
+
+/* Frames */
+
+static bool
+on_frame(void *user, conn_t *c, Wire__Frame *f)
+{
+	node_t *n = user;
+
+	n->now = clock_now(n->clock);
+	if (c->role == CONN_STRANGER &&
+	    f->body_case != WIRE__FRAME__BODY_HELLO) {
+		conn_close(c, "no_hello");
+		return false;
+	}
+	switch (f->body_case) {
+	case WIRE__FRAME__BODY_HELLO:
+		member_hello(n, c, f->hello);
+		break;
+	case WIRE__FRAME__BODY_HEARTBEAT:
+		member_heartbeat(n, c, f->heartbeat);
+		break;
+	case WIRE__FRAME__BODY_LEAVING:
+		member_left(n, f->leaving);
+		break;
+	case WIRE__FRAME__BODY_VIEW:
+		if (c->role == CONN_NODE) {
+			number_told(n, c, f->view->catalogue);
+			relay_view(n, f->view);
+		}
+		break;
+	case WIRE__FRAME__BODY_CATALOGUE_ASK:
+		catalogue_asked(n, c, f->catalogue_ask);
+		break;
+	case WIRE__FRAME__BODY_CATALOGUE:
+		if (c->role == CONN_NODE)
+			catalogue_came(n, c, f->catalogue);
+		break;
+	case WIRE__FRAME__BODY_SLOT_ASK:
+		brokers_ask(n->brokers, c->handle, f->call, f->slot_ask);
+		break;
+	case WIRE__FRAME__BODY_SLOT_RELEASE:
+		brokers_release(n->brokers, f->slot_release);
+		break;
+	case WIRE__FRAME__BODY_SLOT_CANCEL:
+		brokers_cancel(n->brokers, c->handle, f->slot_cancel->request);
+		break;
+	case WIRE__FRAME__BODY_CLAIM_ASK:
+		claim_ask(n, c, f->call, f->claim_ask);
+		break;
+	case WIRE__FRAME__BODY_CLAIM_SETTLE:
+		claim_settle(n, c, f->call, f->claim_settle);
+		break;
+	default:
+		/* An answer to nothing, or of a version to come. */
+		break;
+	}
+	return false;
+}
+
+static void
+on_open(void *user, conn_t *c)
+{
+	node_t *n = user;
+
+	n->now = clock_now(n->clock);
+	member_opened(n, c);
+}
+
+static void
+on_close(void *user, conn_t *c)
+{
+	member_closed(user, c);
+}
+
+/* Commands of other threads */
+
+static void
+take_cmd(node_t *n, cmd_t *c)
+{
+	claiming_t *k;
+
+	switch (c->kind) {
+	case CMD_CATALOGUE:
+		n->confirmed = true;
+		catalogue_put(n, c->catalogue);
+		c->catalogue = NULL;
+		break;
+	case CMD_INSTANCES:
+		store_list(n->store, &c->instances);
+		break;
+	case CMD_NOTE:
+		note_put(n, c->number, c->text, c->len);
+		break;
+	case CMD_CLAIMED:
+		k = table_get(n->claiming, c->number);
+		if (k == NULL)
+			break;
+		claim_answer(n, k->conn, k->call, &c->claim);
+		table_del(n->claiming, c->number);
+		break;
+	}
+	cmd_free(c);
+}
+
+static void
+say_leaving(node_t *n)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Leaving l = WIRE__LEAVING__INIT;
+	conn_t *c;
+
+	log_event(
+	    LOG_INFO, "leaving", "incarnation=%" PRIu64, n->me.incarnation);
+	n->me.leaving = true;
+	brokers_leave(n->brokers);
+	l.id = n->me.id;
+	l.incarnation = n->me.incarnation;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_LEAVING;
+	f.leaving = &l;
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_NODE && c->state == CONN_OPEN)
+			conn_send(c, &f);
+	n->beat_at = n->now;
+}
+
+static void
+take_inputs(node_t *n)
+{
+	member_t *self = store_find(n->store, n->me.id);
+	load_report_t *r;
+	cmd_t *c;
+
+	while ((c = ring_pop(n->in)) != NULL)
+		take_cmd(n, c);
+	while ((r = ring_pop(n->reports)) != NULL)
+		brokers_report(n->brokers, r);
+	if (!n->me.leaving && (__atomic_load_n(&n->leave, __ATOMIC_RELAXED) ||
+				  member_leaving(self)))
+		say_leaving(n);
+}
+
+/* A pause longer than the deadline: the others hold us for gone. */
+static void
+look_at_clock(node_t *n)
+{
+	ms_t now = clock_now(n->clock), paused = now - n->now;
+
+	n->now = now;
+	if (paused <= n->set->peer.dead_ms)
+		return;
+	log_event(LOG_WARNING, "woken", "paused_ms=%" PRId64, paused);
+	brokers_reset(n->brokers);
+	member_rejoin(n);
+}
+
+static void
+set_targets(node_t *n)
+{
+	load_target_t *t;
+	int nt = brokers_targets(n->brokers, &t);
+
+	if (nt == -1)
+		return;
+	loads_set(n->loads, t, nt);
+	free(t);
+}
+
+static void
+publish(node_t *n)
+{
+	view_t *v, *old;
+	bool ready;
+	ms_t cost;
+
+	ready = n->confirmed && n->store->workers_known &&
+		n->catalogue->number >= n->ready_number;
+	__atomic_store_n(&n->ready, ready, __ATOMIC_RELAXED);
+	if (n->now < n->publish_at ||
+	    (!n->publish && n->published == n->store->change))
+		return;
+	n->publish = false;
+	n->published = n->store->change;
+	v = store_view(n->store, n->catalogue);
+	pthread_mutex_lock(&n->lock);
+	old = n->view;
+	n->view = v;
+	pthread_mutex_unlock(&n->lock);
+	view_unref(old);
+	cost = clock_now(n->clock) - n->now;
+	n->publish_at = n->now + cost * COST_SHARE;
+	if (n->publish_at < n->now + n->set->peer.view_ms)
+		n->publish_at = n->now + n->set->peer.view_ms;
+}
+
+static ms_t
+next_due(node_t *n)
+{
+	ms_t due = n->beat_at, at = relay_due(n);
+
+	if (at < due)
+		due = at;
+	at = brokers_due(n->brokers);
+	if (at < due)
+		due = at;
+	if (n->published != n->store->change && n->publish_at < due)
+		due = n->publish_at;
+	if (due > n->now + PAUSE_MOST_MS)
+		due = n->now + PAUSE_MOST_MS;
+	return due > n->now ? due - n->now : 0;
+}
+
+static void *
+run(void *arg)
+{
+	node_t *n = arg;
+
+	while (!__atomic_load_n(&n->stop, __ATOMIC_RELAXED)) {
+		look_at_clock(n);
+		take_inputs(n);
+		member_tick(n);
+		catalogue_tick(n);
+		brokers_tick(n->brokers);
+		set_targets(n);
+		relay_tick(n);
+		publish(n);
+		if (n->now >= n->purge_at) {
+			n->purge_at = n->now + PURGE_MS;
+			store_purge(n->store);
+		}
+		net_poll(n->net, next_due(n));
+	}
+	return NULL;
+}
+
+/* Start and end */
+
+static void
+set_self(node_t *n)
+{
+	const settings_t *s = n->set;
+
+	wire__member__init(&n->me);
+	n->me.id = (char *)s->instance.id;
+	n->me.domain = (char *)s->instance.domain;
+	n->me.incarnation = clock_wall();
+	n->me.caller_addr = (char *)s->instance.caller_addr;
+	n->me.peer_addr = (char *)s->instance.peer_addr;
+	n->me.operator_addr = (char *)s->instance.operator_addr;
+	n->me.seq = 1;
+	store_member(n->store, &n->me);
+}
+
+static int
+open_parts(node_t *n, err_t *e)
+{
+	net_opts_t no = { .clock = n->clock,
+		.frame_max = (size_t)n->set->peer.frame_max,
+		.listen = n->set->instance.peer_addr,
+		.on_open = on_open,
+		.on_frame = on_frame,
+		.on_close = on_close,
+		.user = n };
+	brokers_opts_t bo = { .settings = n->set,
+		.clock = n->clock,
+		.store = n->store,
+		.self = n->set->instance.id,
+		.answer = slot_answer,
+		.user = n };
+
+	n->in = ring_new(RING_SLOTS);
+	n->reports = ring_new(RING_SLOTS);
+	n->claiming = table_new(sizeof(claiming_t), CLAIMING_MAX);
+	if (n->in == NULL || n->reports == NULL || n->claiming == NULL)
+		return err_set(e, ERR_INTERNAL, "out of memory or descriptors");
+	n->net = net_new(&no, e);
+	if (n->net == NULL)
+		return -1;
+	n->loads = loads_new(n->set, n->reports, e);
+	if (n->loads == NULL)
+		return -1;
+	n->brokers = brokers_new(&bo);
+	if (net_watch(n->net, ring_fd(n->in)) == -1 ||
+	    net_watch(n->net, ring_fd(n->reports)) == -1)
+		return err_set(e, ERR_INTERNAL, "epoll: %m");
+	return 0;
+}
+
+node_t *
+node_new(const node_opts_t *o, err_t *e)
+{
+	node_t *n = calloc(1, sizeof(*n));
+
+	n->set = o->settings;
+	n->clock = o->clock;
+	n->audit = o->audit;
+	n->claims = o->claims;
+	n->now = clock_now(n->clock);
+	n->rng.s = hash_str(n->set->instance.id, (uint64_t)clock_wall());
+	pthread_mutex_init(&n->lock, NULL);
+	n->catalogue = catalogue_new();
+	n->store = store_new(n->clock, (int)n->set->broker.shard_workers);
+	n->domain_heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	set_self(n);
+	n->view = store_view(n->store, n->catalogue);
+	if (open_parts(n, e) == -1) {
+		node_free(n);
+		return NULL;
+	}
+	if (pthread_create(&n->thread, NULL, run, n) != 0) {
+		err_set(e, ERR_INTERNAL, "cannot start the node's thread");
+		node_free(n);
+		return NULL;
+	}
+	n->started = true;
+	return n;
+}
+
+static void
+free_rings(node_t *n)
+{
+	load_report_t *r;
+	cmd_t *c;
+
+	while (n->in != NULL && (c = ring_pop(n->in)) != NULL)
+		cmd_free(c);
+	while (n->reports != NULL && (r = ring_pop(n->reports)) != NULL)
+		load_report_free(r);
+	ring_free(n->in);
+	ring_free(n->reports);
+}
+
+void
+node_free(node_t *n)
+{
+	if (n == NULL)
+		return;
+	if (n->started) {
+		__atomic_store_n(&n->stop, true, __ATOMIC_RELAXED);
+		pthread_join(n->thread, NULL);
+	}
+	loads_free(n->loads);
+	net_free(n->net);
+	free_rings(n);
+	brokers_free(n->brokers);
+	table_free(n->claiming);
+	store_free(n->store);
+	view_unref(n->view);
+	catalogue_unref(n->catalogue);
+	g_hash_table_destroy(n->domain_heard);
+	free(n->encoded);
+	free(n->note);
+	pthread_mutex_destroy(&n->lock);
+	free(n);
+}
--- /dev/null
+++ b/peer/node.h
@@ -0,0 +1,91 @@
+/**
+ * @file node.h
+ * The node's state, shared by its source files. All but what the lock guards
+ * is its thread's. Inside peer/ only.
+ */
+#ifndef PEER_NODE_H
+#define PEER_NODE_H
+
+#include "peer/broker.h"
+
+#include <pthread.h>
+
+struct node {
+	const settings_t *set;
+	const msclock_t *clock;
+	audit_t *audit;
+	pthread_t thread;
+	bool started;
+	ring_t *in;	 /* of cmd_t */
+	ring_t *reports; /* of load_report_t */
+	loads_t *loads;
+	net_t *net;
+	store_t *store;
+	brokers_t *brokers;
+	table_t *claiming; /* claims asked, of claiming_t */
+
+	ms_t now, beat_at, probe_at, purge_at;
+	Wire__Member me;
+	bool alone;		  /* no settings name any other daemon */
+	GHashTable *domain_heard; /* domain -> ms_t *, last frame from there */
+	rng_t rng;
+
+	catalogue_t *catalogue;
+	char *encoded; /* the catalogue as JSON, once asked for */
+	char *note;    /* that made it of the one before, or NULL */
+	size_t note_len;
+	uint64_t note_base;
+	ms_t asked_at;	       /* for a catalogue */
+	bool confirmed;	       /* the catalogue: by platform or peers */
+	uint64_t ready_number; /* highest that a ready peer told */
+
+	uint64_t published; /* the store's change that the view has */
+	ms_t publish_at;
+	bool publish;
+
+	pthread_mutex_t lock;
+	/* under the lock */
+	view_t *view;
+	claims_t *claims;
+	/* atomic */
+	bool stop, leave, parent, ready;
+	int entries;
+};
+
+/* member.c: who is there, who is connected with whom. */
+
+void member_hello(node_t *n, conn_t *c, const Wire__Hello *h);
+void member_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h);
+void member_left(node_t *n, const Wire__Leaving *l);
+void member_opened(node_t *n, conn_t *c);
+void member_closed(node_t *n, conn_t *c);
+/** Take in a record that somebody relayed. */
+void member_told(node_t *n, const Wire__Member *m);
+/** Silence, dialling, heartbeats: whatever is due. */
+void member_tick(node_t *n);
+/** Forget connections, and start as a new incarnation. */
+void member_rejoin(node_t *n);
+/** Heartbeats and deadlines grow with the domain by this. */
+int member_stretch(node_t *n);
+
+/* relay.c: what goes to whom. */
+
+void relay_view(node_t *n, const Wire__View *v);
+/** Send each connection what is due on it. */
+void relay_tick(node_t *n);
+/** When relay_tick() has something to send. */
+ms_t relay_due(node_t *n);
+/** Send a connection all that has changed since the last time. */
+void relay_fill(node_t *n, conn_t *c, bool with_figures);
+
+/* catalogue.c: the catalogue's number goes up, from whomever it comes. */
+
+void number_told(node_t *n, conn_t *c, uint64_t number);
+void catalogue_asked(node_t *n, conn_t *c, const Wire__CatalogueAsk *a);
+void catalogue_came(node_t *n, conn_t *c, const Wire__Catalogue *m);
+void catalogue_tick(node_t *n);
+/** Takes @p c over. */
+void catalogue_put(node_t *n, catalogue_t *c);
+void note_put(node_t *n, uint64_t base, const char *text, size_t len);
+
+#endif
--- /dev/null
+++ b/peer/relay.c
@@ -0,0 +1,323 @@
+#include "peer/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	CHUNK_BYTES = 128 * 1024, /* of a view; then another is begun */
+	FIGURES_BYTES = 4096,	  /* a second, for each scope of figures */
+	FLUSH_MS = 20,		  /* gathers urgent changes for nodes */
+};
+
+/* Whose records a connection gets. */
+typedef enum scope {
+	SCOPE_ALL,
+	SCOPE_DOMAIN, /* what this node's own domain says of itself */
+	SCOPE_OWN,    /* the shards that this node brokers */
+} scope_t;
+
+/* A view being gathered for one connection. */
+typedef struct batch {
+	conn_t *c;
+	GPtrArray *member, *worker, *digest;
+	size_t bytes, total;
+} batch_t;
+
+static void
+digest_copy_free(void *p)
+{
+	Wire__Digest *d = p;
+
+	if (d->partial) {
+		free(d->worker[0]);
+		free(d->worker);
+	}
+	free(d);
+}
+
+static void
+batch_send(node_t *n, batch_t *b)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__View v = WIRE__VIEW__INIT;
+
+	v.member = (Wire__Member **)b->member->pdata;
+	v.n_member = b->member->len;
+	v.worker = (Wire__Worker **)b->worker->pdata;
+	v.n_worker = b->worker->len;
+	v.digest = (Wire__Digest **)b->digest->pdata;
+	v.n_digest = b->digest->len;
+	v.workers_known = n->store->workers_known;
+	v.catalogue = n->catalogue->number;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_VIEW;
+	f.view = &v;
+	conn_send(b->c, &f);
+	b->c->relay.sent_at = n->now;
+	g_ptr_array_set_size(b->member, 0);
+	g_ptr_array_set_size(b->worker, 0);
+	g_ptr_array_set_size(b->digest, 0);
+	b->bytes = 0;
+}
+
+static void
+grow(node_t *n, batch_t *b, const void *message)
+{
+	size_t size = protobuf_c_message_get_packed_size(message);
+
+	b->bytes += size;
+	b->total += size;
+	if (b->bytes > CHUNK_BYTES)
+		batch_send(n, b);
+}
+
+static void
+add_member(node_t *n, batch_t *b, const member_t *r)
+{
+	Wire__Member *m = malloc(sizeof(*m));
+
+	*m = *r->m;
+	m->seq = r->seq;
+	g_ptr_array_add(b->member, m);
+	grow(n, b, m);
+}
+
+/* Without residents: the receiver has them from the last whole one. */
+static void
+add_digest(node_t *n, batch_t *b, const digest_t *r, bool partial)
+{
+	Wire__Digest *d = malloc(sizeof(*d));
+	Wire__WorkerLoad *load;
+	size_t i;
+
+	*d = *r->d;
+	if (partial && d->n_worker > 0) {
+		d->partial = true;
+		d->worker = calloc(d->n_worker, sizeof(*d->worker));
+		load = calloc(d->n_worker, sizeof(*load));
+		for (i = 0; i < d->n_worker; i++) {
+			load[i] = *r->d->worker[i];
+			load[i].n_resident = 0;
+			load[i].resident = NULL;
+			d->worker[i] = &load[i];
+		}
+	}
+	g_ptr_array_add(b->digest, d);
+	grow(n, b, d);
+}
+
+static bool
+of_own_domain(node_t *n, const char *id)
+{
+	const member_t *r = store_find(n->store, id);
+
+	return r != NULL && r->msg != NULL &&
+	       strcmp(r->m->domain, n->set->instance.domain) == 0;
+}
+
+static scope_t
+scope_of(node_t *n, const conn_t *c)
+{
+	bool parent = __atomic_load_n(&n->parent, __ATOMIC_RELAXED);
+
+	if (c->role == CONN_ENTRY)
+		return SCOPE_ALL;
+	if (!of_own_domain(n, c->peer))
+		return SCOPE_DOMAIN;
+	return parent || !c->dialled ? SCOPE_ALL : SCOPE_OWN;
+}
+
+static bool
+in_scope(node_t *n, scope_t s, const char *member)
+{
+	switch (s) {
+	case SCOPE_ALL:
+		return true;
+	case SCOPE_DOMAIN:
+		return of_own_domain(n, member);
+	case SCOPE_OWN:
+		return strcmp(member, n->me.id) == 0;
+	}
+	return false;
+}
+
+static void
+fill_urgent(node_t *n, batch_t *b, scope_t scope, uint64_t since)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->urgent > since && r->m->incarnation != 0 &&
+		    in_scope(n, scope, r->m->id))
+			add_member(n, b, r);
+	}
+	g_hash_table_iter_init(&it, n->store->digest);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		digest_t *r = value;
+
+		if (r->urgent > since && in_scope(n, scope, r->d->broker))
+			add_digest(n, b, r, false);
+	}
+	if (scope == SCOPE_OWN)
+		return;
+	g_hash_table_iter_init(&it, n->store->worker);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		worker_t *r = value;
+
+		if (r->msg == NULL || r->urgent <= since)
+			continue;
+		g_ptr_array_add(b->worker, r->msg->m);
+		grow(n, b, r->msg->m);
+	}
+}
+
+/* Loads and in-force numbers, waits and free slots, of one scope of two. */
+static void
+fill_figures(node_t *n, batch_t *b, scope_t scope, bool own, uint64_t since)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->figures > since && r->figures > r->urgent &&
+		    of_own_domain(n, r->m->id) == own &&
+		    in_scope(n, scope, r->m->id))
+			add_member(n, b, r);
+	}
+	g_hash_table_iter_init(&it, n->store->digest);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		digest_t *r = value;
+
+		if (r->figures > since && r->figures > r->urgent &&
+		    of_own_domain(n, r->d->broker) == own &&
+		    in_scope(n, scope, r->d->broker))
+			add_digest(n, b, r, true);
+	}
+}
+
+static bool
+figures_due(node_t *n, const conn_t *c, int i)
+{
+	if (c->role == CONN_ENTRY)
+		return true;
+	return c->relay.wanted && n->now >= c->relay.figures_due[i];
+}
+
+static void
+send_figures(node_t *n, batch_t *b, scope_t scope, int i)
+{
+	relay_t *r = &b->c->relay;
+	size_t before = b->total;
+	ms_t span;
+
+	fill_figures(n, b, scope, i == 0, r->figures[i]);
+	r->figures[i] = n->store->change;
+	/* The more there is to tell, the less often it is told. */
+	span = (ms_t)((b->total - before) * 1000 / FIGURES_BYTES);
+	if (span < n->set->peer.heartbeat_ms)
+		span = n->set->peer.heartbeat_ms;
+	r->figures_due[i] = n->now + span;
+}
+
+void
+relay_fill(node_t *n, conn_t *c, bool with_figures)
+{
+	scope_t scope = scope_of(n, c);
+	batch_t b = { .c = c,
+		.member = g_ptr_array_new_with_free_func(free),
+		.worker = g_ptr_array_new(),
+		.digest = g_ptr_array_new_with_free_func(digest_copy_free) };
+	uint64_t since = c->relay.urgent;
+	bool first = c->relay.sent_at == 0;
+	int i;
+
+	/* All that is in the store by now, whatever is put in by sending. */
+	c->relay.urgent = n->store->change;
+	fill_urgent(n, &b, scope, since);
+	for (i = 0; with_figures && i < 2; i++)
+		if (figures_due(n, c, i))
+			send_figures(n, &b, scope, i);
+	if (b.member->len + b.worker->len + b.digest->len > 0 || first ||
+	    c->role == CONN_ENTRY)
+		batch_send(n, &b);
+	g_ptr_array_free(b.member, TRUE);
+	g_ptr_array_free(b.worker, TRUE);
+	g_ptr_array_free(b.digest, TRUE);
+}
+
+void
+relay_view(node_t *n, const Wire__View *v)
+{
+	size_t i;
+
+	for (i = 0; i < v->n_member; i++)
+		member_told(n, v->member[i]);
+	for (i = 0; i < v->n_worker; i++)
+		store_worker(n->store, v->worker[i]);
+	for (i = 0; i < v->n_digest; i++)
+		store_digest(n->store, v->digest[i]);
+	if (v->workers_known)
+		n->store->workers_known = true;
+}
+
+/* Something urgent, or a figure whose turn it is, hasn't been sent. */
+static ms_t
+conn_due(node_t *n, const conn_t *c)
+{
+	ms_t due = n->now + n->set->peer.heartbeat_ms;
+	ms_t gather = c->role == CONN_ENTRY ? n->set->peer.view_ms : FLUSH_MS;
+	int i;
+
+	if (c->role == CONN_ENTRY)
+		due = c->relay.sent_at + n->set->peer.heartbeat_ms;
+	if (c->role == CONN_ENTRY ? n->store->change > c->relay.urgent
+				  : n->store->urgent > c->relay.urgent)
+		return c->relay.sent_at + gather;
+	for (i = 0; c->role == CONN_NODE && c->relay.wanted && i < 2; i++)
+		if (n->store->change > c->relay.figures[i] &&
+		    c->relay.figures_due[i] < due)
+			due = c->relay.figures_due[i];
+	return due;
+}
+
+static bool
+is_relayed(const conn_t *c)
+{
+	if (c->state != CONN_OPEN || c->bye)
+		return false;
+	return c->role == CONN_NODE ||
+	       (c->role == CONN_ENTRY && c->relay.wanted);
+}
+
+void
+relay_tick(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (is_relayed(c) && n->now >= conn_due(n, c))
+			relay_fill(n, c, true);
+}
+
+ms_t
+relay_due(node_t *n)
+{
+	ms_t due = n->now + n->set->peer.heartbeat_ms, at;
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		if (!is_relayed(c))
+			continue;
+		at = conn_due(n, c);
+		if (at < due)
+			due = at;
+	}
+	return due;
+}
--- a/peer/store.c
+++ b/peer/store.c
@@ -163,7 +163,7 @@
 	    old->leaving != n.leaving || old->gone != n.gone ||
 	    strcmp(old->domain, n.domain) != 0 ||
 	    strcmp(old->peer_addr, n.peer_addr) != 0 || r->reassert) {
-		r->urgent = ++s->change;
+		r->urgent = s->urgent = ++s->change;
 		r->reassert = false;
 		s->stale = true;
 	} else if (figures) {
@@ -228,7 +228,7 @@
 	msg_unref(r->msg);
 	r->msg = msg_copy(w);
 	r->w = (const Wire__Worker *)r->msg->m;
-	r->urgent = ++s->change;
+	r->urgent = s->urgent = ++s->change;
 	r->gone_at = w->gone ? clock_now(s->clock) : 0;
 	s->stale = true;
 }
@@ -474,7 +474,7 @@
 		g_hash_table_insert(s->digest, g_strdup(key), r);
 	}
 	if (r->msg == NULL || !same_holdings(r->d, (const Wire__Digest *)m->m))
-		r->urgent = ++s->change;
+		r->urgent = s->urgent = ++s->change;
 	else
 		r->figures = ++s->change;
 	msg_unref(r->msg);
--- a/peer/store.h
+++ b/peer/store.h
@@ -62,6 +62,7 @@
 	GHashTable *worker; /* id -> worker_t */
 	GHashTable *digest; /* shard's key -> digest_t */
 	uint64_t change;    /* number of the last change */
+	uint64_t urgent;    /* ... of the last that isn't mere figures */
 	bool workers_known;
 	/* made of members and workers, again when they change */
 	bool stale;
@@ -107,6 +108,12 @@
 Wire__Member **store_live(store_t *s, int *n);
 view_t *store_view(store_t *s, catalogue_t *c);
 
+/* catalogue.c */
+
+/** The catalogue that a message makes of @p have, or NULL. */
+catalogue_t *catalogue_from(const catalogue_t *have, const Wire__Catalogue *m,
+    const settings_t *s, err_t *e);
+
 /* view.c */
 
 const char *shard_key(
--- a/peer/wire.pb-c.c
+++ b/peer/wire.pb-c.c
@@ -1765,7 +1765,7 @@
   (ProtobufCMessageInit) wire__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__hello__field_descriptors[4] =
 {
   {
     "member",
@@ -1803,16 +1803,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "views",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Hello, views),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__hello__field_indices_by_name[] = {
   2,   /* field[2] = catalogue */
   1,   /* field[1] = entry */
   0,   /* field[0] = member */
+  3,   /* field[3] = views */
 };
 static const ProtobufCIntRange wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__hello__descriptor =
 {
@@ -1822,14 +1835,14 @@
   "Wire__Hello",
   "wire",
   sizeof(Wire__Hello),
-  3,
+  4,
   wire__hello__field_descriptors,
   wire__hello__field_indices_by_name,
   1,  wire__hello__number_ranges,
   (ProtobufCMessageInit) wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__heartbeat__field_descriptors[5] =
 {
   {
     "member",
@@ -1879,8 +1892,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bye",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Heartbeat, bye),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__heartbeat__field_indices_by_name[] = {
+  4,   /* field[4] = bye */
   1,   /* field[1] = catalogue */
   0,   /* field[0] = member */
   2,   /* field[2] = ready */
@@ -1890,7 +1916,7 @@
 {
   { 1, 0 },
   { 4, 1 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__heartbeat__descriptor =
 {
@@ -1900,14 +1926,14 @@
   "Wire__Heartbeat",
   "wire",
   sizeof(Wire__Heartbeat),
-  4,
+  5,
   wire__heartbeat__field_descriptors,
   wire__heartbeat__field_indices_by_name,
   2,  wire__heartbeat__number_ranges,
   (ProtobufCMessageInit) wire__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__catalogue_ask__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__catalogue_ask__field_descriptors[2] =
 {
   {
     "have",
@@ -1921,14 +1947,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__CatalogueAsk, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__catalogue_ask__field_indices_by_name[] = {
   0,   /* field[0] = have */
+  1,   /* field[1] = whole */
 };
 static const ProtobufCIntRange wire__catalogue_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wire__catalogue_ask__descriptor =
 {
@@ -1938,7 +1977,7 @@
   "Wire__CatalogueAsk",
   "wire",
   sizeof(Wire__CatalogueAsk),
-  1,
+  2,
   wire__catalogue_ask__field_descriptors,
   wire__catalogue_ask__field_indices_by_name,
   1,  wire__catalogue_ask__number_ranges,
--- a/peer/wire.pb-c.h
+++ b/peer/wire.pb-c.h
@@ -231,10 +231,14 @@
    * number it has
    */
   uint64_t catalogue;
+  /*
+   * an entryd that wants views here
+   */
+  protobuf_c_boolean views;
 };
 #define WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__hello__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Wire__Heartbeat
@@ -250,20 +254,28 @@
    * the sender wants the receiver's figures too
    */
   protobuf_c_boolean relay;
+  /*
+   * the connection isn't needed; the sender goes on
+   */
+  protobuf_c_boolean bye;
 };
 #define WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__heartbeat__descriptor) \
-    , NULL, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0 }
 
 
 struct  Wire__CatalogueAsk
 {
   ProtobufCMessage base;
   uint64_t have;
+  /*
+   * a note against that number didn't do
+   */
+  protobuf_c_boolean whole;
 };
 #define WIRE__CATALOGUE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__catalogue_ask__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
