policy: placement

Cause: the planner codes against place_step() and place_fits(). Copies are linked lists by item and by worker; the input may be a list of copies where a matrix of workers times items is too large (10,000 x 3,500 is 35 MB). fits.c asks the planner itself, with orders obeyed, so that what fits is what it can reach.

--- /dev/null
+++ b/policy/fits.c
@@ -0,0 +1,121 @@
+#include "policy/policy.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	ROUNDS_MAX = 64,  /* of orders that are obeyed at once */
+	PLENTY = 1 << 20, /* loads: the store's budget is no matter here */
+};
+
+/* Obey a round of moves. Copies that went are taken off the list. */
+static void
+obey(GArray *copies, const place_out_t *out)
+{
+	const place_move_t *m;
+	place_copy_t *c;
+	guint i, kept = 0;
+	int j;
+
+	for (j = 0; j < out->nmove; j++) {
+		m = &out->move[j];
+		for (i = 0; m->kind == MOVE_UNLOAD && i < copies->len; i++) {
+			c = &g_array_index(copies, place_copy_t, i);
+			if (c->worker == m->worker && c->item == m->item)
+				c->held = HELD_NO;
+		}
+	}
+	for (i = 0; i < copies->len; i++) {
+		c = &g_array_index(copies, place_copy_t, i);
+		if (c->held != HELD_NO)
+			g_array_index(copies, place_copy_t, kept++) = *c;
+	}
+	g_array_set_size(copies, kept);
+	for (j = 0; j < out->nmove; j++) {
+		place_copy_t come = { out->move[j].worker, out->move[j].item,
+			HELD_READY };
+
+		if (out->move[j].kind == MOVE_LOAD)
+			g_array_append_val(copies, come);
+	}
+}
+
+/* What comes has come, and what goes has gone. */
+static GArray *
+settled(const place_in_t *in)
+{
+	GArray *copies = g_array_new(FALSE, FALSE, sizeof(place_copy_t));
+	place_copy_t c;
+	int n = in->held != NULL ? in->nworker * in->nitem : in->ncopy;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (in->held != NULL)
+			c = (place_copy_t){ i / in->nitem, i % in->nitem,
+				in->held[i] };
+		else
+			c = in->copy[i];
+		if (c.held != HELD_COMING && c.held != HELD_READY)
+			continue;
+		c.held = HELD_READY;
+		g_array_append_val(copies, c);
+	}
+	return copies;
+}
+
+static bool
+report_missing(const place_in_t *in, const GArray *copies, GString *report)
+{
+	int *have = g_new0(int, in->nitem + 1);
+	bool all = true;
+	const place_copy_t *c;
+	guint i;
+	int j, least;
+
+	for (i = 0; i < copies->len; i++) {
+		c = &g_array_index(copies, place_copy_t, i);
+		if (in->worker[c->worker].usable)
+			have[c->item]++;
+	}
+	for (j = 0; j < in->nitem; j++) {
+		const place_item_t *item = &in->item[j];
+
+		least = item->copies_min > 1 ? (int)item->copies_min : 1;
+		if (!item->wanted || have[j] >= least)
+			continue;
+		all = false;
+		g_string_append_printf(report,
+		    "%s: %d of %d copies of %u MB fit on the workers of %s\n",
+		    item->name, have[j], least, item->memory_mb, item->service);
+	}
+	g_free(have);
+	return all;
+}
+
+bool
+place_fits(const place_in_t *in, char **report)
+{
+	place_in_t now = *in;
+	place_out_t out = { 0 };
+	GArray *copies = settled(in);
+	GString *text = g_string_new(NULL);
+	bool all;
+	int round;
+
+	now.held = NULL;
+	now.quiet = true;
+	now.model_loads_left = now.adapter_loads_left = PLENTY;
+	for (round = 0; round < ROUNDS_MAX; round++) {
+		now.copy = (const place_copy_t *)(void *)copies->data;
+		now.ncopy = (int)copies->len;
+		if (place_step(&now, &out, NULL) == -1 || out.nmove == 0)
+			break;
+		obey(copies, &out);
+	}
+	all = report_missing(in, copies, text);
+	place_out_clear(&out);
+	g_array_free(copies, TRUE);
+	*report = g_string_free(text, all);
+	return all;
+}
--- /dev/null
+++ b/policy/place.c
@@ -0,0 +1,657 @@
+#include "policy/fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	VICTIMS_MAX = 32,   /* copies unloaded for one load */
+	ROOM_SEARCHES = 64, /* searches for room in a step, and ... */
+	ROOM_WORKERS = 256, /* ... workers looked at in each */
+	MOVE_POINTS = 100,  /* points in a call in progress */
+	MAX_SPREAD = 2,	    /* failure domains wanted */
+};
+
+/* What a free slot, and free memory, are worth in choosing a worker. */
+static const double domain_worth = 4, spare_worth = 1, memory_worth = 0.5;
+
+/* A copy that is wanted. */
+typedef struct need {
+	move_reason_t reason;
+	int item;
+	bool dark;	 /* nothing of that name is ready */
+	double short_of; /* calls in progress without a slot, DEMAND only */
+	uint32_t memory_mb;
+	uint64_t hash;
+} need_t;
+
+/* Copies that would go from one worker to make room there. */
+typedef struct victims {
+	int worker;
+	int copy[VICTIMS_MAX];
+	int n;
+	double loss;
+} victims_t;
+
+typedef struct plan {
+	fleet_t fleet;
+	const place_in_t *in;
+	place_out_t *out;
+	err_t *e;
+	int model_loads, adapter_loads;
+	int searches;
+	need_t *need;
+	int nneed;
+	int64_t *most_free; /* by service, an upper bound */
+} plan_t;
+
+static const char *const reasons[] = { "first_copy", "repair", "spread",
+	"demand", "withdrawn", "make_room", "surplus" };
+
+const char *
+move_reason_name(move_reason_t r)
+{
+	return reasons[r];
+}
+
+void
+place_out_clear(place_out_t *out)
+{
+	free(out->move);
+	memset(out, 0, sizeof(*out));
+}
+
+static int
+add_move(plan_t *p, move_kind_t kind, move_reason_t why, int worker, int item)
+{
+	place_out_t *o = p->out;
+	place_move_t *m;
+	int room;
+
+	if (o->nmove == o->room) {
+		room = o->room == 0 ? 32 : 2 * o->room;
+		m = realloc(o->move, room * sizeof(*m));
+		if (m == NULL)
+			return err_set(p->e, ERR_INTERNAL, "out of memory");
+		o->move = m;
+		o->room = room;
+	}
+	o->move[o->nmove++] = (place_move_t){ kind, why, worker, item };
+	return 0;
+}
+
+static int *
+budget(plan_t *p, int item)
+{
+	return p->in->item[item].base == NONE ? &p->model_loads
+					      : &p->adapter_loads;
+}
+
+static int
+load(plan_t *p, move_reason_t why, int worker, int item)
+{
+	if (fleet_load(&p->fleet, worker, item, p->e) == -1)
+		return -1;
+	--*budget(p, item);
+	return add_move(p, MOVE_LOAD, why, worker, item);
+}
+
+static int
+unload_one(plan_t *p, move_reason_t why, int copy)
+{
+	copy_t c = p->fleet.copy[copy];
+
+	if (c.held != HELD_READY)
+		return 0;
+	fleet_unload(&p->fleet, copy);
+	return add_move(p, MOVE_UNLOAD, why, c.worker, c.item);
+}
+
+/* A base goes after the adapters that stand on it. */
+static int
+unload(plan_t *p, move_reason_t why, int copy)
+{
+	fleet_t *f = &p->fleet;
+	int c, worker = f->copy[copy].worker, item = f->copy[copy].item;
+
+	if (p->in->item[item].base == NONE && !fleet_base_stays(f, copy))
+		for (c = f->host[worker].copies; c != NONE;
+		     c = f->copy[c].worker_next)
+			if (fleet_on_base(f, &f->copy[c], &f->copy[copy]) &&
+			    unload_one(p, why, c) == -1)
+				return -1;
+	return unload_one(p, why, copy);
+}
+
+/* What is withdrawn, replaced or of no use goes by itself. */
+
+static bool
+is_replaced(const plan_t *p, int item)
+{
+	const family_t *f = &p->fleet.family[p->fleet.thing[item].family];
+	int least = f->copies_min > 1 ? f->copies_min : 1;
+
+	return f->wanted == 0 || f->wanted_ready >= least;
+}
+
+/* An adapter whose base neither is nor comes where it is. */
+static bool
+is_orphan(const plan_t *p, const copy_t *c)
+{
+	const fleet_t *f = &p->fleet;
+	const copy_t *other;
+	int i;
+
+	if (c->counts || p->in->item[c->item].base == NONE)
+		return false;
+	for (i = f->host[c->worker].copies; i != NONE; i = other->worker_next) {
+		other = &f->copy[i];
+		if (other->held == HELD_COMING && fleet_on_base(f, c, other))
+			return false;
+	}
+	return true;
+}
+
+static int
+clear_item(plan_t *p, int item)
+{
+	fleet_t *f = &p->fleet;
+	bool wanted = p->in->item[item].wanted;
+	copy_t *c;
+	int i;
+
+	for (i = f->thing[item].copies; i != NONE; i = c->item_next) {
+		c = &f->copy[i];
+		if (c->held != HELD_READY || !p->in->worker[c->worker].usable)
+			continue;
+		if (is_orphan(p, c)) {
+			if (unload(p, REASON_SURPLUS, i) == -1)
+				return -1;
+		} else if (!wanted && is_replaced(p, item) &&
+			   fleet_may_go(f, i)) {
+			if (unload(p, REASON_WITHDRAWN, i) == -1)
+				return -1;
+		}
+	}
+	return 0;
+}
+
+/* Where a copy could go */
+
+static int
+usable_host(const plan_t *p, int worker, int item)
+{
+	const fleet_t *f = &p->fleet;
+
+	return p->in->worker[worker].usable &&
+	       f->host[worker].service == f->thing[item].service &&
+	       fleet_copy(f, worker, item) == NONE &&
+	       (p->in->item[item].base == NONE ||
+		   fleet_has_base(f, worker, item));
+}
+
+static double
+worth(const plan_t *p, int worker, int item)
+{
+	const host_t *h = &p->fleet.host[worker];
+	const thing_t *t = &p->fleet.thing[item];
+	const place_worker_t *w = &p->in->worker[worker];
+	double v = spare_worth * h->spare / (w->slots + 1) +
+		   memory_worth * (double)h->free / (w->memory_mb + 1);
+
+	if (t->domain[h->domain] == 0 && t->domains < MAX_SPREAD)
+		v += domain_worth;
+	return v;
+}
+
+/* Is worker @p a better for the item? Ties go by hash. */
+static bool
+better(const plan_t *p, int item, int a, double va, int b, double vb)
+{
+	uint64_t hash = p->fleet.thing[item].hash;
+
+	if (b == NONE || va != vb)
+		return b == NONE || va > vb;
+	return route_score(hash, p->fleet.host[a].hash) >
+	       route_score(hash, p->fleet.host[b].hash);
+}
+
+typedef struct search {
+	int item;
+	bool new_domain; /* only where no copy is */
+	int best;
+	double worth;
+} search_t;
+
+static void
+consider(const plan_t *p, search_t *s, int worker)
+{
+	const host_t *h = &p->fleet.host[worker];
+	double v;
+
+	if (h->free < p->in->item[s->item].memory_mb ||
+	    !usable_host(p, worker, s->item))
+		return;
+	if (s->new_domain && p->fleet.thing[s->item].domain[h->domain] > 0)
+		return;
+	v = worth(p, worker, s->item);
+	if (better(p, s->item, worker, v, s->best, s->worth)) {
+		s->best = worker;
+		s->worth = v;
+	}
+}
+
+/* The best worker with room as it is, or NONE. */
+static int
+with_room(plan_t *p, int item, bool new_domain)
+{
+	const fleet_t *f = &p->fleet;
+	search_t s = { item, new_domain, NONE, 0 };
+	int i, service = f->thing[item].service;
+	int64_t most = 0;
+
+	if (p->in->item[item].base != NONE) {
+		for (i = 0; i < p->in->nworker; i++)
+			consider(p, &s, i);
+		return s.best;
+	}
+	if (p->most_free[service] < p->in->item[item].memory_mb)
+		return NONE;
+	for (i = 0; i < p->in->nworker; i++) {
+		if (f->host[i].service != service)
+			continue;
+		consider(p, &s, i);
+		if (f->host[i].free > most && p->in->worker[i].usable)
+			most = f->host[i].free;
+	}
+	p->most_free[service] = most;
+	return s.best;
+}
+
+/* Making room */
+
+static bool
+is_victim(const victims_t *v, int copy)
+{
+	int i;
+
+	for (i = 0; i < v->n; i++)
+		if (v->copy[i] == copy)
+			return true;
+	return false;
+}
+
+/* Add a copy, and the adapters that go with it, to the victims. */
+static int64_t
+add_victim(const plan_t *p, victims_t *v, int copy)
+{
+	const fleet_t *f = &p->fleet;
+	const copy_t *c = &f->copy[copy];
+	int64_t mb = p->in->item[c->item].memory_mb;
+	int i;
+
+	v->copy[v->n++] = copy;
+	v->loss += fleet_loss(f, copy);
+	if (p->in->item[c->item].base != NONE || fleet_base_stays(f, copy))
+		return mb;
+	for (i = f->host[c->worker].copies; i != NONE;
+	     i = f->copy[i].worker_next) {
+		if (!fleet_on_base(f, &f->copy[i], c) ||
+		    f->copy[i].held != HELD_READY || is_victim(v, i) ||
+		    v->n == VICTIMS_MAX)
+			continue;
+		v->copy[v->n++] = i;
+		v->loss += fleet_loss(f, i);
+		mb += p->in->item[f->copy[i].item].memory_mb;
+	}
+	return mb;
+}
+
+/* The copy on the worker that is missed least, or NONE. */
+static int
+next_victim(const plan_t *p, const victims_t *v, int item)
+{
+	const fleet_t *f = &p->fleet;
+	int i, base = p->in->item[item].base, best = NONE;
+	uint32_t mb, best_mb = 0;
+	double loss, least = 0;
+
+	for (i = f->host[v->worker].copies; i != NONE;
+	     i = f->copy[i].worker_next) {
+		const copy_t *c = &f->copy[i];
+
+		if (is_victim(v, i) || !fleet_may_go(f, i))
+			continue;
+		if (base != NONE &&
+		    f->thing[c->item].family == f->thing[base].family)
+			continue;
+		loss = fleet_loss(f, i);
+		mb = p->in->item[c->item].memory_mb;
+		if (best == NONE || loss < least ||
+		    (loss == least && mb > best_mb)) {
+			best = i;
+			least = loss;
+			best_mb = mb;
+		}
+	}
+	return best;
+}
+
+/* Which copies would make room for the item on a worker? */
+static bool
+find_victims(const plan_t *p, victims_t *v, int worker, int item)
+{
+	const host_t *h = &p->fleet.host[worker];
+	int64_t mb = h->free + h->going;
+	int c;
+
+	v->worker = worker;
+	v->n = 0;
+	v->loss = 0;
+	while (mb < p->in->item[item].memory_mb) {
+		c = next_victim(p, v, item);
+		if (c == NONE || v->n >= VICTIMS_MAX / 2)
+			return false;
+		mb += add_victim(p, v, c);
+	}
+	return true;
+}
+
+/*
+ * The worker where room is made for the least loss.
+ * @return false if there is none.
+ */
+static bool
+make_room(plan_t *p, int item, bool new_domain, victims_t *best)
+{
+	const fleet_t *f = &p->fleet;
+	int i, w, n = p->in->nworker, looked = 0;
+	int from = n > 0 ? (int)(f->thing[item].hash % n) : 0;
+	victims_t v;
+	double cost, least = 0;
+
+	best->worker = NONE;
+	if (p->searches == 0)
+		return false;
+	p->searches--;
+	for (i = 0; i < n && looked < ROOM_WORKERS; i++) {
+		w = (from + i) % n;
+		if (!usable_host(p, w, item) ||
+		    (new_domain &&
+			f->thing[item].domain[f->host[w].domain] > 0))
+			continue;
+		looked++;
+		if (!find_victims(p, &v, w, item))
+			continue;
+		cost = v.loss + v.n - worth(p, w, item);
+		if (best->worker == NONE || cost < least) {
+			*best = v;
+			least = cost;
+		}
+	}
+	return best->worker != NONE;
+}
+
+/* Unload the victims; their memory is spoken for, the load comes later. */
+static int
+take_victims(plan_t *p, const victims_t *v, int item)
+{
+	int i;
+
+	for (i = 0; i < v->n; i++)
+		if (unload(p, REASON_MAKE_ROOM, v->copy[i]) == -1)
+			return -1;
+	p->fleet.host[v->worker].going -= p->in->item[item].memory_mb;
+	return 0;
+}
+
+/*
+ * No worker has room and nothing may go: free one worker by giving a copy
+ * that stands there a second place. Once that is ready the first may go.
+ */
+static int
+shift(plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	uint32_t want = p->in->item[item].memory_mb;
+	int i, w, to;
+
+	if (p->in->item[item].base != NONE || p->searches == 0)
+		return 0;
+	p->searches--;
+	for (i = 0; i < f->ncopy; i++) {
+		const copy_t *c = &f->copy[i];
+		const place_item_t *moved = &p->in->item[c->item];
+
+		w = c->worker;
+		if (c->held != HELD_READY || !c->counts || !moved->wanted ||
+		    moved->base != NONE || moved->memory_mb >= want ||
+		    f->host[w].free + f->host[w].going + moved->memory_mb <
+			want ||
+		    !usable_host(p, w, item) || f->thing[c->item].coming > 0)
+			continue;
+		to = with_room(p, c->item, false);
+		if (to != NONE)
+			return load(p, REASON_MAKE_ROOM, to, c->item);
+	}
+	return 0;
+}
+
+/* Needs */
+
+static int
+by_urgency(const void *a, const void *b)
+{
+	const need_t *x = a, *y = b;
+
+	if (x->reason != y->reason)
+		return x->reason < y->reason ? -1 : 1;
+	if (x->dark != y->dark)
+		return x->dark ? -1 : 1;
+	if (x->short_of != y->short_of)
+		return x->short_of > y->short_of ? -1 : 1;
+	if (x->memory_mb != y->memory_mb)
+		return x->memory_mb > y->memory_mb ? -1 : 1;
+	if (x->hash != y->hash)
+		return x->hash < y->hash ? -1 : 1;
+	return x->item < y->item ? -1 : x->item > y->item;
+}
+
+/* Calls without a slot, once hysteresis has let them count. */
+static double
+short_of(const plan_t *p, int item)
+{
+	double load = p->fleet.thing[item].load;
+	double missing = p->in->item[item].demand - load;
+
+	return missing * 100 > load * (double)p->in->hysteresis ? missing : 0;
+}
+
+/* Could another copy of an adapter serve on a worker that has its base? */
+static bool
+base_has_spare(const plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	int c, base = p->in->item[item].base;
+
+	for (c = f->thing[base].copies; c != NONE; c = f->copy[c].item_next)
+		if (f->copy[c].counts && f->host[f->copy[c].worker].spare > 0)
+			return true;
+	return false;
+}
+
+static bool
+find_need(const plan_t *p, int item, need_t *n)
+{
+	const place_item_t *it = &p->in->item[item];
+	const thing_t *t = &p->fleet.thing[item];
+	int have = t->ready + t->coming;
+
+	*n = (need_t){ .item = item,
+		.dark = p->fleet.family[t->family].ready == 0,
+		.memory_mb = it->memory_mb,
+		.hash = t->hash };
+	if (have == 0)
+		n->reason = REASON_FIRST_COPY;
+	else if (have < (int)it->copies_min)
+		n->reason = REASON_REPAIR;
+	else if (t->domains < MAX_SPREAD && p->fleet.ndomain > 1)
+		n->reason = REASON_SPREAD;
+	else
+		return false;
+	return true;
+}
+
+/* Demand that adapters can't place counts as their base's. */
+static int
+find_needs(plan_t *p)
+{
+	double *missing = calloc(p->in->nitem + 1, sizeof(*missing));
+	int i, base;
+
+	if (missing == NULL)
+		return err_set(p->e, ERR_INTERNAL, "out of memory");
+	for (i = 0; i < p->in->nitem; i++) {
+		base = p->in->item[i].base;
+		missing[i] += short_of(p, i);
+		if (base != NONE && missing[i] > 0 && !base_has_spare(p, i)) {
+			missing[base] += missing[i];
+			missing[i] = 0;
+		}
+	}
+	for (i = 0; i < p->in->nitem; i++) {
+		if (!p->in->item[i].wanted)
+			continue;
+		if (find_need(p, i, &p->need[p->nneed]))
+			p->nneed++;
+		if (missing[i] <= 0)
+			continue;
+		p->need[p->nneed++] = (need_t){ .reason = REASON_DEMAND,
+			.item = i,
+			.short_of = missing[i],
+			.hash = p->fleet.thing[i].hash };
+	}
+	free(missing);
+	qsort(p->need, p->nneed, sizeof(*p->need), by_urgency);
+	return 0;
+}
+
+/* First copies, repair and spread. */
+static int
+meet_need(plan_t *p, const need_t *n)
+{
+	bool spread = n->reason == REASON_SPREAD;
+	victims_t v;
+	int worker;
+
+	if (*budget(p, n->item) <= 0)
+		return 0;
+	worker = with_room(p, n->item, spread);
+	if (worker != NONE)
+		return load(p, n->reason, worker, n->item);
+	if (make_room(p, n->item, spread, &v)) {
+		if (spread && v.loss > p->in->item[n->item].demand)
+			return 0;
+		return take_victims(p, &v, n->item);
+	}
+	return n->reason == REASON_FIRST_COPY ? shift(p, n->item) : 0;
+}
+
+/* Is what a copy wins worth so many moves? */
+static bool
+worthwhile(const plan_t *p, double win, int moves)
+{
+	return win * MOVE_POINTS >= (double)p->in->move_weight * moves &&
+	       win > 0;
+}
+
+static int
+meet_demand(plan_t *p, need_t *n)
+{
+	victims_t v;
+	double win;
+	int worker;
+
+	while (n->short_of > 0 && *budget(p, n->item) > 0) {
+		worker = with_room(p, n->item, false);
+		if (worker == NONE)
+			break;
+		win = p->fleet.host[worker].spare;
+		if (win > n->short_of)
+			win = n->short_of;
+		if (!worthwhile(p, win, 1))
+			break;
+		if (load(p, REASON_DEMAND, worker, n->item) == -1)
+			return -1;
+		p->fleet.host[worker].spare -= win;
+		n->short_of -= win;
+	}
+	if (n->short_of <= 0 || *budget(p, n->item) <= 0 ||
+	    !worthwhile(p, n->short_of, 2) || !make_room(p, n->item, false, &v))
+		return 0;
+	win = p->fleet.host[v.worker].spare;
+	if (win > n->short_of)
+		win = n->short_of;
+	win -= v.loss * (1 + (double)p->in->hysteresis / 100);
+	if (!worthwhile(p, win, 1 + v.n))
+		return 0;
+	return take_victims(p, &v, n->item);
+}
+
+static int
+plan_init(plan_t *p)
+{
+	int i;
+
+	if (fleet_init(&p->fleet, p->in, p->e) == -1)
+		return -1;
+	p->need = calloc(2 * (size_t)p->in->nitem + 1, sizeof(*p->need));
+	p->most_free = calloc(p->fleet.nservice + 1, sizeof(*p->most_free));
+	if (p->need == NULL || p->most_free == NULL)
+		return err_set(p->e, ERR_INTERNAL, "out of memory");
+	for (i = 0; i < p->fleet.nservice; i++)
+		p->most_free[i] = INT64_MAX;
+	return 0;
+}
+
+static int
+make_plan(plan_t *p)
+{
+	int i;
+
+	for (i = 0; i < p->in->nitem; i++)
+		if (clear_item(p, i) == -1)
+			return -1;
+	if (find_needs(p) == -1)
+		return -1;
+	for (i = 0; i < p->nneed; i++) {
+		need_t *n = &p->need[i];
+
+		if (p->in->quiet && n->reason > REASON_REPAIR)
+			break;
+		if ((n->reason == REASON_DEMAND ? meet_demand(p, n)
+						: meet_need(p, n)) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+int
+place_step(const place_in_t *in, place_out_t *out, err_t *e)
+{
+	plan_t p = { .in = in,
+		.out = out,
+		.e = e,
+		.model_loads = in->model_loads_left,
+		.adapter_loads = in->adapter_loads_left,
+		.searches = ROOM_SEARCHES };
+	int rc;
+
+	out->nmove = 0;
+	rc = plan_init(&p);
+	if (rc == 0)
+		rc = make_plan(&p);
+	fleet_free(&p.fleet);
+	free(p.need);
+	free(p.most_free);
+	return rc;
+}
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -164,7 +164,7 @@
 	REASON_DEMAND,
 	REASON_WITHDRAWN,
 	REASON_MAKE_ROOM,
-	REASON_SURPLUS,
+	REASON_SURPLUS, /* an adapter where its base isn't */
 } move_reason_t;
 
 typedef struct place_move {
@@ -174,7 +174,7 @@
 	int item;
 } place_move_t;
 
-/** held[worker * nitem + item]: what is or may be resident. */
+/** What is or may be resident. */
 typedef enum place_held {
 	HELD_NO,
 	HELD_COMING,
@@ -182,12 +182,24 @@
 	HELD_GOING
 } place_held_t;
 
+typedef struct place_copy {
+	int worker, item;
+	place_held_t held;
+} place_copy_t;
+
+/**
+ * One service's fleet, or all of it. Given as a matrix, or as a list where
+ * workers times items is too large for one.
+ */
 typedef struct place_in {
 	const place_worker_t *worker;
 	int nworker;
 	const place_item_t *item;
 	int nitem;
-	const uint8_t *held; /* place_held_t */
+	const uint8_t *held; /* held[worker * nitem + item], or NULL: */
+	const place_copy_t *copy;
+	int ncopy;
+	/* A copy must win so many hundredths of a call in progress. */
 	int64_t move_weight;
 	int64_t hysteresis;   /* percent */
 	bool quiet;	      /* only needed moves */
@@ -201,11 +213,20 @@
 	int room;
 } place_out_t;
 
-/** One step of placement. @return 0, or -1 (out of memory). */
+/**
+ * One step of placement. It never takes the last ready copy of a wanted name,
+ * counts what comes and what goes as memory taken, and asks for no load that
+ * doesn't fit beside all that.
+ * @param out cleared and filled; unloads of adapters stand before their base's
+ * @return 0, or -1 (out of memory).
+ */
 int place_step(const place_in_t *in, place_out_t *out, err_t *e);
 void place_out_clear(place_out_t *out);
 const char *move_reason_name(move_reason_t r);
-/** Would the items fit at their least copies? Reports each that doesn't. */
+/**
+ * Would place_step() bring each wanted item to its least copies from what is
+ * held, with all orders obeyed? @param report each that doesn't, malloc'd.
+ */
 bool place_fits(const place_in_t *in, char **report);
 
 /* Admission of one shard. admit.c */
