--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,922 @@
+/*
+ * Stand-in for the platform's service: objects with versions, conditional
+ * updates and watches, the list of instances, the weight store with its rate.
+ * One libmicrohttpd thread answers; a timer thread wakes what waits.
+ */
+#include "base/base.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+
+enum {
+	VALUE_MAX = 1 << 20,   /* bytes */
+	EVENTS_MAX = 8192,     /* changes kept for watches */
+	WATCH_MOST = 60000,    /* ms */
+	TICK = 1,	       /* ms */
+	BURST = 100,	       /* ms worth of a rate limit */
+	ADAPTER_LEAST = 6,     /* ms */
+	ADAPTER_SPAN = 13,     /* ms */
+	HISTORY_KEEP = 600000, /* ms that a lagging list can reach back */
+};
+
+typedef struct thing {
+	GString *value;
+	GString *before; /* what stale reads see */
+	uint64_t version, version_before;
+} thing_t;
+
+typedef struct event {
+	uint64_t version;
+	char *key;
+} event_t;
+
+typedef struct change {
+	ms_t at;
+	char *id;
+	json_t *item; /* NULL: removed */
+} change_t;
+
+typedef enum call_state {
+	CALL_READING,
+	CALL_WATCHING,
+	CALL_LOADING,
+	CALL_HANGING,
+	CALL_ANSWERED, /* status and answer stand; may be delayed */
+} call_state_t;
+
+typedef struct call {
+	struct MHD_Connection *conn;
+	char *method, *url;
+	GString *body;
+	call_state_t state;
+	bool suspended;
+	ms_t due;	/* when it is woken at the latest */
+	uint64_t since; /* watch */
+	char *prefix;	/* watch */
+	bool adapter;	/* load */
+	ms_t starts;	/* load */
+	double left;	/* load: ms of work */
+	int status;	/* 0: close the connection */
+	char *answer;	/* malloc'd */
+	size_t len;
+	uint64_t etag;
+} call_t;
+
+typedef struct rate {
+	int per_s; /* 0: no limit */
+	double tokens;
+	ms_t at;
+} rate_t;
+
+static struct {
+	pthread_mutex_t lock;
+	GTree *things; /* char * -> thing_t */
+	uint64_t version;
+	event_t event[EVENTS_MAX];
+	uint64_t nevent, cleared; /* all up to version cleared are lost */
+	GPtrArray *changes;	  /* of the instance list */
+	GPtrArray *waiting;	  /* suspended calls */
+	rng_t rng;
+	ms_t next_start;
+	ms_t ticked;
+	rate_t writes, reads;
+	struct {
+		ms_t outage_until; /* -1: until cleared */
+		ms_t hang_until;
+		int64_t delay_ms;
+		int64_t list_lag_ms;
+		int64_t drop_replies;
+		int64_t stale_reads;
+	} fault;
+	struct {
+		int64_t reads, writes, watches, conflicts, refused;
+		int64_t write_bytes, loads;
+	} stats;
+} st = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static struct {
+	char *listen;
+	int loads_per_min, loads_at_once, adapters_at_once, load_ms;
+	int writes_per_s, reads_per_s, list_lag_ms, seed;
+} opt = { NULL, 120, 3, 24, 500, 0, 0, 0, 1 };
+
+static const GOptionEntry options[] = {
+	{ "listen", 0, 0, G_OPTION_ARG_STRING, &opt.listen,
+	    "Answer on this address", "IP:PORT" },
+	{ "loads-per-min", 0, 0, G_OPTION_ARG_INT, &opt.loads_per_min,
+	    "Model loads started a minute", "N" },
+	{ "loads-at-once", 0, 0, G_OPTION_ARG_INT, &opt.loads_at_once,
+	    "Model loads at full speed", "N" },
+	{ "adapters-at-once", 0, 0, G_OPTION_ARG_INT, &opt.adapters_at_once,
+	    "Adapter loads at full speed", "N" },
+	{ "load-ms", 0, 0, G_OPTION_ARG_INT, &opt.load_ms,
+	    "A model load at full speed", "MS" },
+	{ "writes-per-s", 0, 0, G_OPTION_ARG_INT, &opt.writes_per_s,
+	    "Refuse writes beyond this rate (0: none)", "N" },
+	{ "reads-per-s", 0, 0, G_OPTION_ARG_INT, &opt.reads_per_s,
+	    "Refuse reads beyond this rate (0: none)", "N" },
+	{ "list-lag-ms", 0, 0, G_OPTION_ARG_INT, &opt.list_lag_ms,
+	    "The instance list is this old", "MS" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt.seed, "Seed of load times",
+	    "N" },
+	{ 0 },
+};
+
+static ms_t
+now_ms(void)
+{
+	return clock_now(&machine_clock);
+}
+
+static void
+thing_free(void *p)
+{
+	thing_t *t = p;
+
+	g_string_free(t->value, TRUE);
+	if (t->before != NULL)
+		g_string_free(t->before, TRUE);
+	free(t);
+}
+
+static int
+key_order(const void *a, const void *b, void *user)
+{
+	(void)user;
+	return strcmp(a, b);
+}
+
+static bool
+rate_take(rate_t *r, ms_t now)
+{
+	double most = (double)r->per_s * BURST / 1000.0 + 1.0;
+
+	if (r->per_s == 0)
+		return true;
+	r->tokens += (double)(now - r->at) * r->per_s / 1000.0;
+	r->at = now;
+	if (r->tokens > most)
+		r->tokens = most;
+	if (r->tokens < 1.0)
+		return false;
+	r->tokens -= 1.0;
+	return true;
+}
+
+/* Answers */
+
+static void
+answer_json(call_t *c, int status, json_t *j)
+{
+	c->state = CALL_ANSWERED;
+	c->status = status;
+	c->answer = json_dumps(j, JSON_COMPACT);
+	c->len = strlen(c->answer);
+	json_decref(j);
+}
+
+static void
+answer_error(call_t *c, int status, const char *code)
+{
+	if (status == 429 || status == 503)
+		st.stats.refused++;
+	answer_json(c, status, json_pack("{s:s}", "error", code));
+}
+
+/* Waiting calls: everything below runs with the lock held. */
+
+static void
+wait_until(call_t *c, ms_t due)
+{
+	c->due = due;
+	c->suspended = true;
+	g_ptr_array_add(st.waiting, c);
+	MHD_suspend_connection(c->conn);
+}
+
+static void
+wake(call_t *c)
+{
+	g_ptr_array_remove_fast(st.waiting, c);
+	c->suspended = false;
+	MHD_resume_connection(c->conn);
+}
+
+static void
+wake_watches(const char *key)
+{
+	guint i;
+
+	for (i = st.waiting->len; i-- > 0;) {
+		call_t *c = st.waiting->pdata[i];
+
+		if (c->state == CALL_WATCHING &&
+		    (key == NULL || g_str_has_prefix(key, c->prefix)))
+			wake(c);
+	}
+}
+
+/* Objects */
+
+static void
+note_event(const char *key)
+{
+	event_t *e = &st.event[st.nevent++ % EVENTS_MAX];
+
+	if (e->key != NULL)
+		st.cleared = e->version;
+	g_free(e->key);
+	e->key = g_strdup(key);
+	e->version = st.version;
+	wake_watches(key);
+}
+
+static const char *
+header(call_t *c, const char *name)
+{
+	return MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name);
+}
+
+/* Does the call's condition hold on the object as it stands? */
+static bool
+condition(call_t *c, const thing_t *t)
+{
+	const char *match = header(c, "If-Match");
+	const char *none = header(c, "If-None-Match");
+
+	if (none != NULL)
+		return t == NULL;
+	if (match == NULL)
+		return true;
+	if (*match == '"')
+		match++;
+	return t != NULL && strtoull(match, NULL, 10) == t->version;
+}
+
+static bool
+is_write(const call_t *c)
+{
+	return strcmp(c->method, "PUT") == 0 ||
+	       strcmp(c->method, "DELETE") == 0;
+}
+
+static void
+put_thing(call_t *c, const char *key)
+{
+	thing_t *t = g_tree_lookup(st.things, key);
+
+	if (c->body->len > VALUE_MAX) {
+		answer_error(c, 413, "too_large");
+		return;
+	}
+	if (!g_utf8_validate(c->body->str, (gssize)c->body->len, NULL)) {
+		answer_error(c, 400, "not_utf8");
+		return;
+	}
+	if (!condition(c, t)) {
+		st.stats.conflicts++;
+		answer_error(c, 412, "conflict");
+		return;
+	}
+	if (t == NULL) {
+		t = calloc(1, sizeof(*t));
+		g_tree_insert(st.things, g_strdup(key), t);
+	} else {
+		if (t->before != NULL)
+			g_string_free(t->before, TRUE);
+		t->before = t->value;
+		t->version_before = t->version;
+	}
+	t->value = g_string_new_len(c->body->str, (gssize)c->body->len);
+	t->version = ++st.version;
+	st.stats.write_bytes += (int64_t)c->body->len;
+	note_event(key);
+	c->etag = t->version;
+	answer_json(c, 200, json_pack("{s:I}", "version", (json_int_t)c->etag));
+}
+
+static void
+delete_thing(call_t *c, const char *key)
+{
+	thing_t *t = g_tree_lookup(st.things, key);
+
+	if (t == NULL) {
+		answer_error(c, 404, "not_found");
+	} else if (!condition(c, t)) {
+		st.stats.conflicts++;
+		answer_error(c, 412, "conflict");
+	} else {
+		g_tree_remove(st.things, key);
+		st.version++;
+		note_event(key);
+		answer_json(c, 200, json_object());
+	}
+}
+
+static void
+get_thing(call_t *c, const char *key)
+{
+	const thing_t *t = g_tree_lookup(st.things, key);
+	const GString *value;
+
+	if (t == NULL) {
+		answer_error(c, 404, "not_found");
+		return;
+	}
+	value = t->value;
+	c->etag = t->version;
+	if (st.fault.stale_reads > 0 && t->before != NULL) {
+		st.fault.stale_reads--;
+		value = t->before;
+		c->etag = t->version_before;
+	}
+	c->state = CALL_ANSWERED;
+	c->status = 200;
+	c->answer = malloc(value->len + 1);
+	memcpy(c->answer, value->str, value->len + 1);
+	c->len = value->len;
+}
+
+static json_t *
+thing_json(const char *key, const thing_t *t)
+{
+	return json_pack("{s:s, s:I, s:s%}", "key", key, "version",
+	    (json_int_t)t->version, "value", t->value->str, t->value->len);
+}
+
+static void
+list_things(call_t *c, const char *prefix)
+{
+	GTreeNode *n = g_tree_lower_bound(st.things, prefix);
+	json_t *items = json_array();
+
+	for (; n != NULL; n = g_tree_node_next(n)) {
+		if (!g_str_has_prefix(g_tree_node_key(n), prefix))
+			break;
+		json_array_append_new(items,
+		    thing_json(g_tree_node_key(n), g_tree_node_value(n)));
+	}
+	answer_json(c, 200,
+	    json_pack("{s:I, s:o}", "version", (json_int_t)st.version, "items",
+		items));
+}
+
+/* The newest change of each key after c->since. */
+static json_t *
+events_json(const call_t *c)
+{
+	uint64_t i, first = st.nevent > EVENTS_MAX ? st.nevent - EVENTS_MAX : 0;
+	json_t *items = json_object(), *all = json_array(), *item;
+	const char *key;
+
+	for (i = first; i < st.nevent; i++) {
+		const event_t *e = &st.event[i % EVENTS_MAX];
+		const thing_t *t;
+
+		if (e->version <= c->since ||
+		    !g_str_has_prefix(e->key, c->prefix))
+			continue;
+		t = g_tree_lookup(st.things, e->key);
+		json_object_set_new(items, e->key,
+		    t != NULL
+			? thing_json(e->key, t)
+			: json_pack("{s:s, s:I, s:b}", "key", e->key, "version",
+			      (json_int_t)e->version, "deleted", 1));
+	}
+	json_object_foreach(items, key, item) json_array_append(all, item);
+	json_decref(items);
+	return all;
+}
+
+/* Answer a watch, or go on waiting. */
+static void
+watch(call_t *c, ms_t now)
+{
+	json_t *items;
+
+	if (c->since < st.cleared) {
+		answer_error(c, 410, "too_old");
+		return;
+	}
+	items = events_json(c);
+	if (json_array_size(items) == 0 && now < c->due) {
+		json_decref(items);
+		wait_until(c, c->due);
+		return;
+	}
+	answer_json(c, 200,
+	    json_pack("{s:I, s:o}", "version", (json_int_t)st.version, "items",
+		items));
+}
+
+static int64_t
+arg_int(call_t *c, const char *name, int64_t def)
+{
+	const char *v =
+	    MHD_lookup_connection_value(c->conn, MHD_GET_ARGUMENT_KIND, name);
+
+	return v == NULL ? def : strtoll(v, NULL, 10);
+}
+
+static const char *
+arg_text(call_t *c, const char *name)
+{
+	const char *v =
+	    MHD_lookup_connection_value(c->conn, MHD_GET_ARGUMENT_KIND, name);
+
+	return v == NULL ? "" : v;
+}
+
+static void
+watch_start(call_t *c, ms_t now)
+{
+	int64_t wait = arg_int(c, "wait_ms", 0);
+
+	c->state = CALL_WATCHING;
+	c->prefix = g_strdup(arg_text(c, "prefix"));
+	c->since = (uint64_t)arg_int(c, "since", 0);
+	c->due = now + (wait > WATCH_MOST ? WATCH_MOST : wait);
+	watch(c, now);
+}
+
+/* The list of instances, as it was list_lag_ms ago. */
+
+static void
+change_free(void *p)
+{
+	change_t *ch = p;
+
+	json_decref(ch->item);
+	g_free(ch->id);
+	g_free(ch);
+}
+
+static void
+change_add(const char *id, json_t *item)
+{
+	change_t *ch = g_new0(change_t, 1);
+	guint i;
+
+	ch->at = now_ms();
+	ch->id = g_strdup(id);
+	ch->item = item;
+	for (i = 0; i < st.changes->len; i++) {
+		const change_t *old = st.changes->pdata[i];
+
+		if (strcmp(old->id, id) == 0 && old->at < ch->at - HISTORY_KEEP)
+			g_ptr_array_remove_index(st.changes, i--);
+	}
+	g_ptr_array_add(st.changes, ch);
+}
+
+static void
+list_instances(call_t *c)
+{
+	ms_t upto = now_ms() - st.fault.list_lag_ms;
+	json_t *by_id = json_object(), *items = json_array(), *item;
+	const char *id;
+	guint i;
+
+	for (i = 0; i < st.changes->len; i++) {
+		const change_t *ch = st.changes->pdata[i];
+
+		if (ch->at > upto)
+			break;
+		if (ch->item == NULL)
+			json_object_del(by_id, ch->id);
+		else
+			json_object_set(by_id, ch->id, ch->item);
+	}
+	json_object_foreach(by_id, id, item) json_array_append(items, item);
+	json_decref(by_id);
+	answer_json(c, 200, json_pack("{s:o}", "items", items));
+}
+
+/* The weight store */
+
+static void
+load_start(call_t *c, ms_t now)
+{
+	json_t *j = json_loadb(c->body->str, c->body->len, 0, NULL);
+	const char *kind = json_string_value(json_object_get(j, "kind"));
+
+	if (kind == NULL) {
+		answer_error(c, 400, "kind");
+		json_decref(j);
+		return;
+	}
+	st.stats.loads++;
+	c->state = CALL_LOADING;
+	c->adapter = strcmp(kind, "adapter") == 0;
+	c->starts = now;
+	c->left = opt.load_ms;
+	if (c->adapter) {
+		c->left = ADAPTER_LEAST + rng_unit(&st.rng) * ADAPTER_SPAN;
+	} else {
+		if (st.next_start > now)
+			c->starts = st.next_start;
+		st.next_start = c->starts + 60000 / opt.loads_per_min;
+	}
+	json_decref(j);
+	wait_until(c, INT64_MAX);
+}
+
+/* Let all loads go on for @span ms, sharing what the store gives. */
+static void
+loads_go_on(ms_t now, double span)
+{
+	int n[2] = { 0, 0 };
+	int most[2] = { opt.loads_at_once, opt.adapters_at_once };
+	guint i;
+
+	for (i = 0; i < st.waiting->len; i++) {
+		const call_t *c = st.waiting->pdata[i];
+
+		if (c->state == CALL_LOADING && c->starts <= now)
+			n[c->adapter]++;
+	}
+	for (i = st.waiting->len; i-- > 0;) {
+		call_t *c = st.waiting->pdata[i];
+		double speed;
+
+		if (c->state != CALL_LOADING || c->starts > now)
+			continue;
+		speed = n[c->adapter] <= most[c->adapter]
+			    ? 1.0
+			    : (double)most[c->adapter] / n[c->adapter];
+		c->left -= span * speed;
+		if (c->left <= 0) {
+			answer_json(c, 200, json_object());
+			wake(c);
+		}
+	}
+}
+
+/* Control */
+
+static void
+set_fault(json_t *j, const char *name, int64_t *value)
+{
+	json_t *v = json_object_get(j, name);
+
+	if (v != NULL)
+		*value = json_is_boolean(v) ? json_is_true(v)
+					    : json_integer_value(v);
+}
+
+static void
+set_until(json_t *j, const char *name, ms_t *until)
+{
+	int64_t span = 0;
+
+	if (json_object_get(j, name) == NULL)
+		return;
+	set_fault(j, name, &span);
+	*until = span < 0 ? INT64_MAX : now_ms() + span;
+}
+
+static void wake_late(call_t *c, ms_t now);
+
+static void
+control_faults(call_t *c)
+{
+	json_t *j = json_loadb(c->body->str, c->body->len, 0, NULL);
+	guint i;
+
+	if (j == NULL) {
+		answer_error(c, 400, "json");
+		return;
+	}
+	set_until(j, "outage_ms", &st.fault.outage_until);
+	set_until(j, "hang_ms", &st.fault.hang_until);
+	set_fault(j, "delay_ms", &st.fault.delay_ms);
+	set_fault(j, "drop_replies", &st.fault.drop_replies);
+	set_fault(j, "list_lag_ms", &st.fault.list_lag_ms);
+	set_fault(j, "stale_reads", &st.fault.stale_reads);
+	json_decref(j);
+	/* An outage ends the watches in progress; a hang that ends, too. */
+	if (st.fault.outage_until > now_ms())
+		wake_watches(NULL);
+	for (i = st.waiting->len; i-- > 0;) {
+		call_t *w = st.waiting->pdata[i];
+
+		if (w->state == CALL_HANGING && st.fault.hang_until <= now_ms())
+			wake_late(w, now_ms());
+	}
+	answer_json(c, 200, json_object());
+}
+
+static void
+control_instance(call_t *c)
+{
+	json_t *j = json_loadb(c->body->str, c->body->len, 0, NULL);
+	const char *id = json_string_value(json_object_get(j, "id"));
+
+	if (id == NULL) {
+		answer_error(c, 400, "id");
+		json_decref(j);
+		return;
+	}
+	change_add(id, j);
+	answer_json(c, 200, json_object());
+}
+
+static void
+control_stats(call_t *c)
+{
+	answer_json(c, 200,
+	    json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "reads",
+		(json_int_t)st.stats.reads, "writes",
+		(json_int_t)st.stats.writes, "watches",
+		(json_int_t)st.stats.watches, "conflicts",
+		(json_int_t)st.stats.conflicts, "refused",
+		(json_int_t)st.stats.refused, "write_bytes",
+		(json_int_t)st.stats.write_bytes, "loads",
+		(json_int_t)st.stats.loads));
+}
+
+static const char *
+after(const char *url, const char *prefix)
+{
+	return g_str_has_prefix(url, prefix) ? url + strlen(prefix) : NULL;
+}
+
+static bool
+control(call_t *c)
+{
+	const char *id = after(c->url, "/control/instances/");
+
+	if (!g_str_has_prefix(c->url, "/control/"))
+		return false;
+	if (strcmp(c->url, "/control/faults") == 0) {
+		control_faults(c);
+	} else if (strcmp(c->url, "/control/instances") == 0) {
+		control_instance(c);
+	} else if (id != NULL && strcmp(c->method, "DELETE") == 0) {
+		change_add(id, NULL);
+		answer_json(c, 200, json_object());
+	} else if (strcmp(c->url, "/control/stats") == 0) {
+		control_stats(c);
+	} else {
+		answer_error(c, 404, "no_such_call");
+	}
+	return true;
+}
+
+/* Count the call and refuse it beyond the rate. */
+static bool
+admitted(call_t *c, ms_t now)
+{
+	bool is_watch = strcmp(c->url, "/v1/watch") == 0;
+	rate_t *r = is_write(c) ? &st.writes : &st.reads;
+
+	if (st.fault.outage_until > now) {
+		answer_error(c, 503, "outage");
+		return false;
+	}
+	if (strcmp(c->url, "/v1/store/loads") == 0)
+		return true;
+	if (!rate_take(r, now)) {
+		answer_error(c, 429, "rate");
+		return false;
+	}
+	if (is_write(c))
+		st.stats.writes++;
+	else if (is_watch)
+		st.stats.watches++;
+	else
+		st.stats.reads++;
+	return true;
+}
+
+static void
+run(call_t *c, ms_t now)
+{
+	const char *key = after(c->url, "/v1/objects/");
+
+	if (!admitted(c, now))
+		return;
+	if (key != NULL && strcmp(c->method, "GET") == 0)
+		get_thing(c, key);
+	else if (key != NULL && strcmp(c->method, "PUT") == 0)
+		put_thing(c, key);
+	else if (key != NULL && strcmp(c->method, "DELETE") == 0)
+		delete_thing(c, key);
+	else if (strcmp(c->url, "/v1/list") == 0)
+		list_things(c, arg_text(c, "prefix"));
+	else if (strcmp(c->url, "/v1/watch") == 0)
+		watch_start(c, now);
+	else if (strcmp(c->url, "/v1/instances") == 0)
+		list_instances(c);
+	else if (strcmp(c->url, "/v1/store/loads") == 0)
+		load_start(c, now);
+	else
+		answer_error(c, 404, "no_such_call");
+	if (is_write(c) && c->status == 200 && st.fault.drop_replies > 0) {
+		st.fault.drop_replies--;
+		c->status = 0;
+	}
+}
+
+/* Take the call one step on: to an answer, or to waiting. */
+static void
+step(call_t *c)
+{
+	ms_t now = now_ms();
+
+	if (c->state == CALL_ANSWERED)
+		return;
+	if (c->state == CALL_WATCHING) {
+		if (st.fault.outage_until > now)
+			answer_error(c, 503, "outage");
+		else
+			watch(c, now);
+		return;
+	}
+	if (control(c))
+		return;
+	if (st.fault.hang_until > now) {
+		c->state = CALL_HANGING;
+		wait_until(c, st.fault.hang_until);
+		return;
+	}
+	run(c, now);
+	if (c->state == CALL_ANSWERED && st.fault.delay_ms > 0)
+		wait_until(c, now + st.fault.delay_ms);
+}
+
+/*
+ * Wake a call whose time has come. A write that hung takes effect now, even
+ * if its caller has gone away meanwhile.
+ */
+static void
+wake_late(call_t *c, ms_t now)
+{
+	if (c->state == CALL_HANGING && is_write(c))
+		run(c, now);
+	wake(c);
+}
+
+static void *
+timer(void *user)
+{
+	(void)user;
+	for (;;) {
+		ms_t now;
+		guint i;
+
+		clock_sleep(TICK);
+		pthread_mutex_lock(&st.lock);
+		now = now_ms();
+		loads_go_on(now, (double)(now - st.ticked));
+		st.ticked = now;
+		for (i = st.waiting->len; i-- > 0;) {
+			call_t *c = st.waiting->pdata[i];
+
+			if (c->due <= now)
+				wake_late(c, now);
+		}
+		pthread_mutex_unlock(&st.lock);
+	}
+	return NULL;
+}
+
+static enum MHD_Result
+answer(call_t *c)
+{
+	struct MHD_Response *r;
+	enum MHD_Result ok;
+	char etag[32];
+
+	if (c->status == 0)
+		return MHD_NO;
+	r = MHD_create_response_from_buffer(
+	    c->len, c->answer, MHD_RESPMEM_MUST_COPY);
+	if (c->etag != 0) {
+		snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", c->etag);
+		MHD_add_response_header(r, "ETag", etag);
+	}
+	ok = MHD_queue_response(c->conn, c->status, r);
+	MHD_destroy_response(r);
+	return ok;
+}
+
+static enum MHD_Result
+handle(void *user, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	call_t *c = *state;
+	bool waits;
+
+	(void)user;
+	(void)version;
+	if (c == NULL) {
+		c = calloc(1, sizeof(*c));
+		c->conn = conn;
+		c->url = g_strdup(url);
+		c->method = g_strdup(method);
+		c->body = g_string_new(NULL);
+		*state = c;
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		if (c->body->len <= VALUE_MAX)
+			g_string_append_len(c->body, data, (gssize)*len);
+		*len = 0;
+		return MHD_YES;
+	}
+	pthread_mutex_lock(&st.lock);
+	step(c);
+	waits = c->suspended;
+	pthread_mutex_unlock(&st.lock);
+	return waits ? MHD_YES : answer(c);
+}
+
+static void
+completed(void *user, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode how)
+{
+	call_t *c = *state;
+
+	(void)user;
+	(void)conn;
+	(void)how;
+	if (c == NULL)
+		return;
+	pthread_mutex_lock(&st.lock);
+	g_ptr_array_remove_fast(st.waiting, c);
+	pthread_mutex_unlock(&st.lock);
+	g_string_free(c->body, TRUE);
+	g_free(c->url);
+	g_free(c->method);
+	g_free(c->prefix);
+	free(c->answer);
+	free(c);
+	*state = NULL;
+}
+
+static void
+state_init(void)
+{
+	st.things = g_tree_new_full(key_order, NULL, g_free, thing_free);
+	st.changes = g_ptr_array_new_with_free_func(change_free);
+	st.waiting = g_ptr_array_new();
+	st.rng.s = (uint64_t)opt.seed;
+	st.fault.list_lag_ms = opt.list_lag_ms;
+	st.ticked = now_ms();
+	st.writes = (rate_t){ opt.writes_per_s, 1.0, st.ticked };
+	st.reads = (rate_t){ opt.reads_per_s, 1.0, st.ticked };
+}
+
+int
+main(int argc, char **argv)
+{
+	GOptionContext *ctx = g_option_context_new("- platform stand-in");
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct MHD_Daemon *d;
+	char host[ADDR_MAX];
+	GError *why = NULL;
+	pthread_t thread;
+	uint16_t port;
+	sigset_t stop;
+	int sig;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &why) ||
+	    opt.listen == NULL || opt.loads_per_min < 1 ||
+	    addr_split(opt.listen, host, sizeof(host), &port, NULL) == -1) {
+		fprintf(stderr, "platform: %s\n",
+		    why != NULL ? why->message : "--listen IP:PORT is needed");
+		return 2;
+	}
+	log_open("platform", "-", "-");
+	sigemptyset(&stop);
+	sigaddset(&stop, SIGTERM);
+	sigaddset(&stop, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &stop, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	state_init();
+	sin.sin_port = htons(port);
+	inet_pton(AF_INET, host, &sin.sin_addr);
+	d = MHD_start_daemon(
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
+	    NULL, NULL, handle, NULL, MHD_OPTION_SOCK_ADDR, &sin,
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+	    MHD_OPTION_CONNECTION_LIMIT, 4000, MHD_OPTION_END);
+	if (d == NULL || pthread_create(&thread, NULL, timer, NULL) != 0) {
+		log_event(LOG_ERR, "start_failed", "addr=%s", opt.listen);
+		return 1;
+	}
+	log_event(LOG_INFO, "started", "addr=%s", opt.listen);
+	sigwait(&stop, &sig);
+	/* Waiting calls are cut: a platform that goes away does so, too. */
+	_exit(0);
+}
--- /dev/null
+++ b/tests/platform_proc.c
@@ -0,0 +1,272 @@
+/* The platform's client against the stand-in: outcomes of faults, leases. */
+#include "platform/platform.h"
+#include "tests/proc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	START_MS = 5000,
+	SHORT_MS = 300, /* the client's timeout */
+};
+
+typedef struct bench {
+	proc_t *proc;
+	char *addr;
+	platform_t *p;
+	err_t e;
+} bench_t;
+
+static platform_t *
+client(const char *addr, ms_t timeout)
+{
+	platform_opts_t o = { .timeout = timeout, .user = "test" };
+	err_t e;
+
+	str_copy(o.addr, sizeof(o.addr), addr);
+	return platform_new(&o, &e);
+}
+
+static void
+setup(bench_t *b, const void *arg)
+{
+	int port;
+
+	ports_take(&port, 1);
+	b->addr = addr_of(port);
+	b->proc = arg == NULL ? proc_start("standin-platform", "--listen",
+				    b->addr, NULL)
+			      : proc_start("standin-platform", "--listen",
+				    b->addr, arg, NULL);
+	g_assert_true(http_until(b->addr, "/control/stats", 200, START_MS));
+	b->p = client(b->addr, SHORT_MS);
+}
+
+static void
+teardown(bench_t *b, const void *arg)
+{
+	(void)arg;
+	platform_free(b->p);
+	proc_kill(b->proc);
+	g_free(b->addr);
+}
+
+static void
+control(bench_t *b, const char *path, const char *json)
+{
+	reply_t r = http_call("POST", b->addr, path, NULL, json, START_MS);
+
+	g_assert_cmpint(r.status, ==, 200);
+	reply_clear(&r);
+}
+
+static void
+faults(bench_t *b, const char *json)
+{
+	control(b, "/control/faults", json);
+}
+
+static uint64_t
+put(bench_t *b, const char *key, const char *value, uint64_t expect)
+{
+	uint64_t v = 0;
+
+	b->e.code = ERR_NONE;
+	if (platform_put(b->p, key, value, strlen(value), expect, &v, &b->e) ==
+	    -1)
+		return 0;
+	return v;
+}
+
+static void
+conditions_decide(bench_t *b, const void *arg)
+{
+	uint64_t v1, v2;
+	object_t o;
+
+	(void)arg;
+	g_assert_cmpint(platform_get(b->p, "a/b c", &o, &b->e), ==, -1);
+	g_assert_cmpint(b->e.code, ==, ERR_NOT_FOUND);
+	v1 = put(b, "a/b c", "1", 0);
+	g_assert_cmpuint(v1, !=, 0);
+	g_assert_cmpuint(put(b, "a/b c", "2", 0), ==, 0);
+	g_assert_cmpint(b->e.code, ==, ERR_CONFLICT);
+	v2 = put(b, "a/b c", "2", v1);
+	g_assert_cmpuint(v2, >, v1);
+	g_assert_cmpuint(put(b, "a/b c", "3", v1), ==, 0);
+	g_assert_cmpint(b->e.code, ==, ERR_CONFLICT);
+	g_assert_cmpint(platform_get(b->p, "a/b c", &o, &b->e), ==, 0);
+	g_assert_cmpstr(o.value, ==, "2");
+	g_assert_cmpuint(o.version, ==, v2);
+	object_clear(&o);
+	g_assert_cmpint(platform_delete(b->p, "a/b c", v1, &b->e), ==, -1);
+	g_assert_cmpint(b->e.code, ==, ERR_CONFLICT);
+	g_assert_cmpint(platform_delete(b->p, "a/b c", v2, &b->e), ==, 0);
+	g_assert_cmpint(platform_delete(b->p, "a/b c", v2, &b->e), ==, -1);
+	g_assert_cmpint(b->e.code, ==, ERR_NOT_FOUND);
+}
+
+static void
+watches_see_changes(bench_t *b, const void *arg)
+{
+	objects_t l;
+	uint64_t since;
+	int i;
+
+	(void)arg;
+	put(b, "note/1", "one", 0);
+	put(b, "other/1", "x", 0);
+	g_assert_cmpint(platform_list(b->p, "note/", &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 1);
+	since = l.version;
+	objects_clear(&l);
+	/* Nothing happens: an empty answer, and where to go on. */
+	g_assert_cmpint(
+	    platform_watch(b->p, "note/", since, 20, &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 0);
+	g_assert_cmpuint(l.version, >=, since);
+	objects_clear(&l);
+	put(b, "note/2", "two", 0);
+	put(b, "other/2", "x", 0);
+	put(b, "note/2", "two again", since + 1);
+	g_assert_cmpint(
+	    platform_watch(b->p, "note/", since, 1000, &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 1);
+	g_assert_cmpstr(l.item[0].value, ==, "two again");
+	since = l.version;
+	objects_clear(&l);
+	g_assert_cmpint(platform_delete(b->p, "note/1", 0, &b->e), ==, -1);
+	g_assert_cmpint(platform_delete(b->p, "note/1", 1, &b->e), ==, 0);
+	g_assert_cmpint(
+	    platform_watch(b->p, "note/", since, 1000, &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 1);
+	g_assert_true(l.item[0].deleted);
+	objects_clear(&l);
+	for (i = 0; i < 9000; i++)
+		g_assert_cmpuint(
+		    put(b, "many", "x", i == 0 ? 0 : since + 1 + i), !=, 0);
+	g_assert_cmpint(
+	    platform_watch(b->p, "note/", since, 0, &l, &b->e), ==, -1);
+	g_assert_cmpint(b->e.code, ==, ERR_NOT_FOUND);
+}
+
+typedef struct look {
+	platform_t *p;
+	const char *key;
+	bool there;
+} look_t;
+
+static bool
+as_said(void *user)
+{
+	look_t *l = user;
+	object_t o;
+	err_t e;
+	bool there = platform_get(l->p, l->key, &o, &e) == 0;
+
+	if (there)
+		object_clear(&o);
+	return there == l->there;
+}
+
+/* Which fault gives which error, and whether the write took effect. */
+static void
+outcomes_are_exact(bench_t *b, const void *arg)
+{
+	static const struct {
+		const char *fault, *mend;
+		err_code_t write, read;
+		bool done;
+	} rows[] = {
+		{ "{}", "{}", ERR_NONE, ERR_NONE, true },
+		{ "{\"drop_replies\":1}", "{}", ERR_UNKNOWN, ERR_NONE, true },
+		{ "{\"outage_ms\":-1}", "{\"outage_ms\":0}", ERR_DOWN, ERR_DOWN,
+		    false },
+		{ "{\"delay_ms\":1000}", "{\"delay_ms\":0}", ERR_UNKNOWN,
+		    ERR_UNKNOWN, true },
+		{ "{\"hang_ms\":-1}", "{\"hang_ms\":0}", ERR_UNKNOWN,
+		    ERR_UNKNOWN, true },
+	};
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *key = g_strdup_printf("row/%zu", i);
+		look_t look;
+		object_t o;
+		int got;
+
+		/* So that the connection is a reused one. */
+		put(b, "warm", "x", 0);
+		faults(b, rows[i].fault);
+		put(b, key, "x", 0);
+		g_assert_cmpint(b->e.code, ==, rows[i].write);
+		b->e.code = ERR_NONE;
+		got = platform_get(b->p, "warm", &o, &b->e);
+		g_assert_cmpint(b->e.code, ==, rows[i].read);
+		if (got == 0)
+			object_clear(&o);
+		faults(b, rows[i].mend);
+		look = (look_t){ b->p, key, rows[i].done };
+		g_assert_true(eventually(as_said, &look, START_MS));
+		g_free(key);
+	}
+	proc_kill(b->proc);
+	b->proc = NULL;
+	put(b, "gone", "x", 0);
+	g_assert_cmpint(b->e.code, ==, ERR_DOWN);
+}
+
+static void
+rates_are_told_apart(bench_t *b, const void *arg)
+{
+	int i, full = 0;
+
+	(void)arg;
+	for (i = 0; i < 200; i++)
+		if (put(b, "key", "x", 0) == 0 && b->e.code == ERR_FULL)
+			full++;
+	g_assert_cmpint(full, >, 0);
+	g_assert_cmpint(full, <, 200);
+}
+
+static void
+the_list_lags(bench_t *b, const void *arg)
+{
+	instances_t l;
+
+	(void)arg;
+	control(b, "/control/instances",
+	    "{\"id\":\"w1\",\"role\":\"worker\",\"domain\":\"d\",\"state\":"
+	    "\"live\",\"service\":\"s\",\"addr\":\"127.0.0.1:1\","
+	    "\"memory_mb\":100,\"slots\":4}");
+	control(b, "/control/instances", "{\"id\":\"bad\"}");
+	g_assert_cmpint(platform_instances(b->p, &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 1);
+	g_assert_cmpint(l.item[0].memory_mb, ==, 100);
+	g_assert_cmpint(l.item[0].role, ==, ROLE_WORKER);
+	instances_clear(&l);
+	faults(b, "{\"list_lag_ms\":60000}");
+	g_assert_cmpint(platform_instances(b->p, &l, &b->e), ==, 0);
+	g_assert_cmpint(l.n, ==, 0);
+	instances_clear(&l);
+}
+
+static void
+add(const char *name, const char *option, void (*run)(bench_t *, const void *))
+{
+	g_test_add(name, bench_t, option, setup, run, teardown);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	add("/platform/conditions", NULL, conditions_decide);
+	add("/platform/watch", NULL, watches_see_changes);
+	add("/platform/outcomes", NULL, outcomes_are_exact);
+	add("/platform/rates", "--writes-per-s=50", rates_are_told_apart);
+	add("/platform/list", NULL, the_list_lags);
+	return g_test_run();
+}
