Lease with a fencing number

Cause: the planner needs one holder, and a number that goes up at each change. Verdict: /lease/* of make proc: passing on, a stopped clock, fault x moment.

--- a/tests/platform_proc.c
+++ b/tests/platform_proc.c
@@ -253,6 +253,141 @@
 	instances_clear(&l);
 }
 
+enum {
+	TTL_MS = 4000
+};
+
+/* Two that want the lease, each with a clock of its own that the test sets. */
+typedef struct rivals {
+	msclock_t clock[2];
+	lease_t l[2];
+	err_t e;
+} rivals_t;
+
+static void
+rivals_init(rivals_t *r)
+{
+	int i;
+
+	memset(r, 0, sizeof(*r));
+	for (i = 0; i < 2; i++) {
+		r->clock[i].kind = CLOCK_FAKE;
+		/* Their clocks have nothing in common. */
+		r->clock[i].fake_now = 1000000 + 777777 * i;
+		lease_init(&r->l[i], "planner", i == 0 ? "a" : "b", TTL_MS,
+		    &r->clock[i]);
+	}
+}
+
+static err_code_t
+keep(bench_t *b, rivals_t *r, int i)
+{
+	r->e.code = ERR_NONE;
+	lease_keep(&r->l[i], b->p, &r->e);
+	return r->e.code;
+}
+
+static void
+pass(rivals_t *r, ms_t span)
+{
+	r->clock[0].fake_now += span;
+	r->clock[1].fake_now += span;
+}
+
+static void
+a_lease_passes_on(bench_t *b, const void *arg)
+{
+	rivals_t r;
+
+	(void)arg;
+	rivals_init(&r);
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+	g_assert_cmpuint(r.l[0].fence, ==, 1);
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_CONFLICT);
+	/* Renewed in time: the rival starts to wait anew. */
+	pass(&r, TTL_MS / 2);
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+	pass(&r, TTL_MS / 2);
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_CONFLICT);
+	g_assert_cmpuint(r.l[0].fence, ==, 1);
+	/* Paused: by its own clock it has lapsed before the rival has it. */
+	pass(&r, TTL_MS - 1);
+	g_assert_false(lease_held(&r.l[0]));
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_CONFLICT);
+	pass(&r, 1);
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_NONE);
+	g_assert_cmpuint(r.l[1].fence, ==, 2);
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_CONFLICT);
+	g_assert_cmpuint(r.l[0].fence, ==, 0);
+	/* Dropped: free at once, and the number still goes up. */
+	g_assert_cmpint(lease_drop(&r.l[1], b->p, &r.e), ==, 0);
+	g_assert_false(lease_held(&r.l[1]));
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+	g_assert_cmpuint(r.l[0].fence, ==, 3);
+}
+
+/* A holder whose clock stood still learns of the takeover by its next write. */
+static void
+a_stopped_clock_is_found_out(bench_t *b, const void *arg)
+{
+	rivals_t r;
+
+	(void)arg;
+	rivals_init(&r);
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_CONFLICT);
+	r.clock[1].fake_now += TTL_MS;
+	g_assert_cmpint(keep(b, &r, 1), ==, ERR_NONE);
+	g_assert_true(lease_held(&r.l[0]));
+	g_assert_cmpint(keep(b, &r, 0), ==, ERR_CONFLICT);
+	g_assert_false(lease_held(&r.l[0]));
+	g_assert_cmpuint(r.l[1].fence, ==, 2);
+}
+
+/* Fault x moment: taking and renewing, when the answer doesn't come. */
+static void
+lost_replies_are_settled(bench_t *b, const void *arg)
+{
+	static const struct {
+		const char *fault, *mend;
+		bool renewing;
+		err_code_t code;
+		uint64_t fence_after; /* of the next good keep */
+	} rows[] = {
+		{ "{\"drop_replies\":1}", "{}", false, ERR_NONE, 1 },
+		{ "{\"drop_replies\":1}", "{}", true, ERR_NONE, 1 },
+		{ "{\"drop_replies\":2}", "{}", false, ERR_NONE, 1 },
+		{ "{\"outage_ms\":-1}", "{\"outage_ms\":0}", false, ERR_DOWN,
+		    1 },
+		{ "{\"outage_ms\":-1}", "{\"outage_ms\":0}", true, ERR_DOWN,
+		    1 },
+		{ "{\"hang_ms\":-1}", "{\"hang_ms\":0}", true, ERR_UNKNOWN, 1 },
+		{ "{\"stale_reads\":1}", "{\"stale_reads\":0}", true, ERR_NONE,
+		    1 },
+	};
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		rivals_t r;
+		char *name = g_strdup_printf("row%zu", i);
+
+		rivals_init(&r);
+		str_copy(r.l[0].name, sizeof(r.l[0].name), name);
+		str_copy(r.l[1].name, sizeof(r.l[1].name), name);
+		if (rows[i].renewing)
+			g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+		faults(b, rows[i].fault);
+		g_assert_cmpint(keep(b, &r, 0), ==, rows[i].code);
+		faults(b, rows[i].mend);
+		g_assert_cmpint(keep(b, &r, 0), ==, ERR_NONE);
+		g_assert_cmpuint(r.l[0].fence, ==, rows[i].fence_after);
+		g_assert_true(lease_held(&r.l[0]));
+		g_assert_cmpint(keep(b, &r, 1), ==, ERR_CONFLICT);
+		g_free(name);
+	}
+}
+
 static void
 add(const char *name, const char *option, void (*run)(bench_t *, const void *))
 {
@@ -268,5 +403,8 @@
 	add("/platform/outcomes", NULL, outcomes_are_exact);
 	add("/platform/rates", "--writes-per-s=50", rates_are_told_apart);
 	add("/platform/list", NULL, the_list_lags);
+	add("/lease/passes", NULL, a_lease_passes_on);
+	add("/lease/stopped-clock", NULL, a_stopped_clock_is_found_out);
+	add("/lease/lost-replies", NULL, lost_replies_are_settled);
 	return g_test_run();
 }
