standin: engine and plain service

Files of standin/ that are no programs are linked to the stand-ins, the benches and the tests (Makefile), so that the load tool checks answers with the engine's own function.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,10 @@
 LIBSRC = $(foreach p,$(PACKAGES),$(wildcard $(p)/*.c))
 LIB = $(O)/libebonypitch.a
 CMDS = $(patsubst cmd/%.c,$(B)/bin/%,$(wildcard cmd/*.c))
-STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard standin/*.c))
+# Each of these is a program; the other files in standin/ are theirs to share.
+STANDIN = platform engine service
+STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard $(STANDIN:%=standin/%.c)))
+STANDLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(STANDIN:%=standin/%.c),$(wildcard standin/*.c)))
 BENCHES = $(patsubst bench/%.c,$(B)/bin/%,$(wildcard bench/*.c))
 # A *_test.c is a unit test; a *_proc.c starts real processes.
 UNIT = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_test.c))
@@ -54,16 +57,16 @@
 $(LIB): $(OBJ)
 	@rm -f $@
 	$(Q)ar rcs $@ $^
-$(B)/bin/standin-%: $(O)/standin/%.o $(LIB)
+$(B)/bin/standin-%: $(O)/standin/%.o $(STANDLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 $(B)/bin/%: $(O)/cmd/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(B)/bin/%: $(O)/bench/%.o $(LIB)
+$(B)/bin/%: $(O)/bench/%.o $(STANDLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(LIB)
+$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(STANDLIB) $(LIB)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 .SECONDARY:
 
--- /dev/null
+++ b/standin/memory.c
@@ -0,0 +1,201 @@
+#include "standin/memory.h"
+
+#include "standin/web.h"
+
+#include <string.h>
+
+void
+memory_init(memory_t *m, uint32_t capacity_mb, bool fencing)
+{
+	memset(m, 0, sizeof(*m));
+	m->item = g_ptr_array_new();
+	m->capacity_mb = capacity_mb;
+	m->fencing = fencing;
+	str_copy(m->role, sizeof(m->role), "both");
+}
+
+static item_t *
+find(memory_t *m, const char *model, const char *adapter, uint64_t version)
+{
+	guint i;
+
+	for (i = 0; i < m->item->len; i++) {
+		item_t *it = m->item->pdata[i];
+
+		if (strcmp(it->model, model) == 0 &&
+		    strcmp(it->adapter, adapter) == 0 && it->version == version)
+			return it;
+	}
+	return NULL;
+}
+
+item_t *
+memory_ready(
+    memory_t *m, const char *model, const char *adapter, uint64_t version)
+{
+	guint i;
+
+	for (i = 0; i < m->item->len; i++) {
+		item_t *it = m->item->pdata[i];
+
+		if (it->state == RESIDENT_READY &&
+		    strcmp(it->model, model) == 0 &&
+		    strcmp(it->adapter, adapter) == 0 &&
+		    (version == 0 || it->version == version))
+			return it;
+	}
+	return NULL;
+}
+
+/* Give the memory back once nothing needs it. */
+static void
+drop(memory_t *m, item_t *it)
+{
+	if (it->state != RESIDENT_UNLOADING || it->coming || it->users > 0)
+		return;
+	m->used_mb -= it->mb;
+	g_ptr_array_remove_fast(m->item, it);
+	g_free(it);
+}
+
+static item_t *
+load(memory_t *m, const order_t *o)
+{
+	item_t *it = find(m, o->model, o->adapter, o->version);
+
+	if (it != NULL) {
+		if (it->state == RESIDENT_UNLOADING)
+			it->state =
+			    it->coming ? RESIDENT_LOADING : RESIDENT_READY;
+		return NULL;
+	}
+	it = g_new0(item_t, 1);
+	str_copy(it->model, sizeof(it->model), o->model);
+	str_copy(it->adapter, sizeof(it->adapter), o->adapter);
+	it->version = o->version;
+	it->mb = o->memory_mb;
+	it->state = RESIDENT_LOADING;
+	it->coming = true;
+	g_ptr_array_add(m->item, it);
+	m->loads++;
+	m->used_mb += it->mb;
+	if (m->used_mb > m->peak_mb)
+		m->peak_mb = m->used_mb;
+	if (m->used_mb > m->capacity_mb)
+		m->overcommits++;
+	return it;
+}
+
+static void
+unload(memory_t *m, const order_t *o)
+{
+	item_t *it = find(m, o->model, o->adapter, o->version);
+
+	if (it == NULL)
+		return;
+	if (it->state != RESIDENT_UNLOADING)
+		m->unloads++;
+	it->state = RESIDENT_UNLOADING;
+	drop(m, it);
+}
+
+int
+memory_order(memory_t *m, const order_t *o, item_t **to_load)
+{
+	*to_load = NULL;
+	m->orders++;
+	if (m->fencing && o->fence <= m->fence) {
+		if (o->fence == m->fence && o->number == m->newest_number)
+			return 202;
+		m->refused++;
+		return 409;
+	}
+	if (m->fencing) {
+		m->fence = o->fence;
+		m->newest_number = o->number;
+	}
+	if (o->number > m->last_order)
+		m->last_order = o->number;
+	switch (o->kind) {
+	case ORDER_LOAD:
+		*to_load = load(m, o);
+		break;
+	case ORDER_UNLOAD:
+		unload(m, o);
+		break;
+	case ORDER_ROLE:
+		str_copy(m->role, sizeof(m->role), o->role);
+		break;
+	}
+	return 202;
+}
+
+void
+memory_arrived(memory_t *m, item_t *it)
+{
+	it->coming = false;
+	if (it->state == RESIDENT_LOADING)
+		it->state = RESIDENT_READY;
+	drop(m, it);
+}
+
+void
+item_use(item_t *it)
+{
+	if (it != NULL)
+		it->users++;
+}
+
+void
+item_leave(memory_t *m, item_t *it)
+{
+	if (it == NULL)
+		return;
+	it->users--;
+	drop(m, it);
+}
+
+json_t *
+memory_json(const memory_t *m)
+{
+	static const char *const state[] = { "loading", "ready", "unloading" };
+	json_t *list = json_array();
+	guint i;
+
+	for (i = 0; i < m->item->len; i++) {
+		const item_t *it = m->item->pdata[i];
+
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:I,s:s,s:I}", "model", it->model,
+			"adapter", it->adapter, "version",
+			(json_int_t)it->version, "state", state[it->state],
+			"memory_mb", (json_int_t)it->mb));
+	}
+	return list;
+}
+
+int
+order_read(const json_t *j, order_t *o)
+{
+	const char *op = json_text(j, "op");
+
+	memset(o, 0, sizeof(*o));
+	if (strcmp(op, "load") == 0)
+		o->kind = ORDER_LOAD;
+	else if (strcmp(op, "unload") == 0)
+		o->kind = ORDER_UNLOAD;
+	else if (strcmp(op, "role") == 0)
+		o->kind = ORDER_ROLE;
+	else
+		return -1;
+	o->number = json_number(j, "number", 0);
+	o->fence = json_number(j, "fence", 0);
+	o->version = json_number(j, "version", 0);
+	o->memory_mb = json_number(j, "memory_mb", 0);
+	str_copy(o->model, sizeof(o->model), json_text(j, "model"));
+	str_copy(o->adapter, sizeof(o->adapter), json_text(j, "adapter"));
+	str_copy(o->role, sizeof(o->role), json_text(j, "role"));
+	if (o->kind != ORDER_ROLE && o->model[0] == '\0')
+		return -1;
+	return 0;
+}
--- /dev/null
+++ b/standin/token.c
@@ -0,0 +1,33 @@
+#include "standin/token.h"
+
+#include "base/base.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SHORTEST = 16, /* tokens of a prompt that names no number */
+	SPREAD = 32,
+};
+
+void
+token_text(char *buf, size_t size, const char *prompt, uint32_t k)
+{
+	snprintf(buf, size, "t%u-%08x ", k, (uint32_t)hash_str(prompt, k));
+}
+
+uint32_t
+token_count(const char *prompt, uint32_t most)
+{
+	const char *mark = strrchr(prompt, '#');
+	uint32_t n = SHORTEST + hash_str(prompt, 0) % SPREAD;
+	char *end;
+
+	if (mark != NULL && mark[1] != '\0') {
+		unsigned long asked = strtoul(mark + 1, &end, 10);
+
+		if (*end == '\0')
+			n = asked;
+	}
+	return n < most ? n : most;
+}
