--- /dev/null
+++ b/endpoint/call.c
@@ -0,0 +1,569 @@
+#include "endpoint/endpoint.h"
+
+#include "endpoint/multi.h"
+#include "endpoint/outcome.h"
+#include "endpoint/request.h"
+#include "endpoint/sse.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	COMMANDS_MAX = 8192,
+	KEPT_MAX = 512,	       /* idle connections kept */
+	ERROR_MOST = 64 << 10, /* bytes of an engine's error body */
+	LOOK_MS = 10,	       /* between looks at the deadlines */
+	IDLE_MS = 1000,	       /* with no call in progress */
+	CANCEL_MS = 2000,      /* a cancel order may take */
+	LAST_MS = 1000,	       /* a stream's connection after its end marker */
+	DRY_MS = 1,	       /* until a full command ring is tried again */
+};
+
+typedef enum command_kind {
+	COMMAND_START,
+	COMMAND_CANCEL,
+	COMMAND_STOP
+} command_kind_t;
+
+typedef struct command {
+	command_kind_t kind;
+	call_spec_t *spec;
+	uint64_t tag;
+} command_t;
+
+typedef enum call_state {
+	CALL_RUNS,
+	CALL_TOLD,  /* its END event is out or held */
+	CALL_DROPS, /* no call: a cancel order on its way */
+} call_state_t;
+
+/* Why we end a call ourselves. */
+typedef enum quit {
+	QUIT_NOT,
+	QUIT_CANCELLED,
+	QUIT_TIMEOUT,
+	QUIT_FIRST,
+	QUIT_GAP,
+	QUIT_TOO_LONG,
+	QUIT_NO_REQUEST,
+	QUIT_CLOSING,
+} quit_t;
+
+static const char *const quit_name[] = { "", "cancelled", "timeout",
+	"no first token in time", "gap between tokens too long",
+	"answer too long", "request can't be made", "closing" };
+
+typedef struct call {
+	endpoint_t *p;
+	call_state_t state;
+	call_spec_t *spec;
+	request_t request;
+	sse_t sse;
+	GString *body;
+	GQueue held; /* events that the ring had no room for */
+	ms_t started;
+	ms_t heard;	/* last token, or end of a pause */
+	uint32_t first; /* offset it began with */
+	bool paused;
+	bool over; /* the transfer is out of curl's hands */
+	quit_t quit;
+} call_t;
+
+struct caller_pool {
+	endpoint_opts_t o;
+	multi_t multi;
+	ring_t *commands;
+	pthread_t thread;
+	GHashTable *by_tag; /* calls that run */
+	GHashTable *all;    /* every call_t */
+	counter_t *started, *broken, *doubled, *cancelled;
+	ms_t look;
+	bool stop;
+};
+
+void
+call_spec_free(call_spec_t *spec)
+{
+	if (spec == NULL)
+		return;
+	free(spec->prompt);
+	free(spec->body);
+	free(spec);
+}
+
+void
+call_event_free(call_event_t *ev)
+{
+	if (ev == NULL)
+		return;
+	free(ev->text);
+	free(ev);
+}
+
+static char *
+copy(const char *p, size_t n)
+{
+	char *s = malloc(n + 1);
+
+	if (s == NULL)
+		abort();
+	memcpy(s, p, n);
+	s[n] = '\0';
+	return s;
+}
+
+static call_event_t *
+event_new(const call_t *c, event_kind_t kind, const char *text, size_t len)
+{
+	call_event_t *ev = calloc(1, sizeof(*ev));
+
+	if (ev == NULL)
+		abort();
+	ev->kind = kind;
+	ev->tag = c->spec->tag;
+	if (text != NULL) {
+		ev->text = copy(text, len);
+		ev->len = len;
+	}
+	return ev;
+}
+
+/* Hand on held events. @return true when none is left. */
+static bool
+flush(endpoint_t *p, call_t *c)
+{
+	call_event_t *ev;
+
+	while ((ev = g_queue_peek_head(&c->held)) != NULL) {
+		if (!ring_push(p->o.events, ev))
+			return false;
+		g_queue_pop_head(&c->held);
+	}
+	return true;
+}
+
+static void
+emit(endpoint_t *p, call_t *c, call_event_t *ev)
+{
+	g_queue_push_tail(&c->held, ev);
+	flush(p, c);
+}
+
+static void
+on_token(void *user, uint32_t offset, const char *text, size_t len)
+{
+	call_t *c = user;
+	call_event_t *ev = event_new(c, EVENT_TOKEN, text, len);
+
+	ev->offset = offset;
+	c->heard = clock_now(&machine_clock);
+	emit(c->p, c, ev);
+}
+
+static int
+http_status(const call_t *c)
+{
+	long status = 0;
+
+	if (c->request.easy != NULL)
+		curl_easy_getinfo(
+		    c->request.easy, CURLINFO_RESPONSE_CODE, &status);
+	return (int)status;
+}
+
+static void
+tell_end(endpoint_t *p, call_t *c, CURLcode rc)
+{
+	bool stream = !c->spec->plain && http_status(c) == 200;
+	call_facts_t f = { .plain = c->spec->plain,
+		.cancelled = c->quit == QUIT_CANCELLED,
+		.sent = c->request.easy != NULL && easy_sent(c->request.easy),
+		.whole = rc == CURLE_OK && c->quit == QUIT_NOT,
+		.ended = c->sse.ended,
+		.status = http_status(c),
+		.body = c->body->str,
+		.len = c->body->len };
+	const char *text = stream ? c->sse.finish : c->body->str;
+	call_event_t *ev =
+	    event_new(c, EVENT_END, text, stream ? strlen(text) : c->body->len);
+	curl_off_t again = 0;
+	char *type = NULL;
+
+	ev->outcome = call_judge(&f, &ev->not_run);
+	ev->sent = f.sent;
+	ev->connected = f.sent || c->request.easy == NULL;
+	ev->status = f.status;
+	ev->offset = c->sse.next;
+	if (c->request.easy != NULL) {
+		curl_easy_getinfo(
+		    c->request.easy, CURLINFO_CONTENT_TYPE, &type);
+		curl_easy_getinfo(
+		    c->request.easy, CURLINFO_RETRY_AFTER, &again);
+	}
+	str_copy(ev->type, sizeof(ev->type), type == NULL ? "" : type);
+	ev->retry_after = again * 1000;
+	if (ev->outcome != CALL_DONE)
+		str_copy(ev->reason, sizeof(ev->reason),
+		    c->sse.reason[0] != '\0' ? c->sse.reason
+		    : c->quit != QUIT_NOT    ? quit_name[c->quit]
+		    : rc != CURLE_OK	     ? curl_easy_strerror(rc)
+		    : stream		     ? "no end marker"
+					     : "");
+	if (ev->outcome == CALL_UNKNOWN)
+		counter_add(p->broken, 1);
+	counter_add(p->doubled, c->sse.doubled);
+	g_hash_table_remove(p->by_tag, &c->spec->tag);
+	c->state = CALL_TOLD;
+	c->heard = clock_now(&machine_clock);
+	emit(p, c, ev);
+}
+
+static size_t
+take_body(call_t *c, const char *data, size_t n)
+{
+	size_t most =
+	    c->spec->plain ? c->p->o.settings->caller.body_max : ERROR_MOST;
+
+	if (c->body->len + n > most) {
+		c->quit = QUIT_TOO_LONG;
+		return 0;
+	}
+	g_string_append_len(c->body, data, n);
+	return n;
+}
+
+/* curl's write callback. Anything but n ends the transfer. */
+static size_t
+on_data(char *data, size_t size, size_t n, void *user)
+{
+	call_t *c = user;
+
+	n *= size;
+	if (c->state == CALL_DROPS)
+		return n;
+	if (!flush(c->p, c)) {
+		c->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	if (c->spec->plain || http_status(c) != 200)
+		return take_body(c, data, n);
+	if (sse_feed(&c->sse, data, n, NULL) == -1)
+		return 0;
+	if (c->sse.ended && c->state == CALL_RUNS)
+		tell_end(c->p, c, CURLE_OK);
+	return n;
+}
+
+static call_t *
+call_new(endpoint_t *p, call_spec_t *spec, call_state_t state)
+{
+	call_t *c = g_new0(call_t, 1);
+
+	c->p = p;
+	c->state = state;
+	c->spec = spec;
+	c->first = spec->offset;
+	c->started = c->heard = clock_now(&machine_clock);
+	c->body = g_string_new(NULL);
+	g_queue_init(&c->held);
+	sse_init(&c->sse, spec->request, spec->offset, on_token, c);
+	g_hash_table_add(p->all, c);
+	return c;
+}
+
+static void
+call_free(call_t *c)
+{
+	call_event_t *ev;
+
+	if (c->request.easy != NULL && !c->over)
+		curl_multi_remove_handle(c->p->multi.m, c->request.easy);
+	request_clear(&c->request);
+	sse_clear(&c->sse);
+	g_string_free(c->body, TRUE);
+	while ((ev = g_queue_pop_head(&c->held)) != NULL)
+		call_event_free(ev);
+	call_spec_free(c->spec);
+	g_hash_table_remove(c->p->all, c);
+	g_free(c);
+}
+
+static void
+send_request(call_t *c)
+{
+	CURL *easy = c->request.easy;
+
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, c);
+	curl_multi_add_handle(c->p->multi.m, easy);
+}
+
+static void
+start(endpoint_t *p, call_spec_t *spec)
+{
+	call_t *c = call_new(p, spec, CALL_RUNS);
+	err_t e;
+
+	counter_add(p->started, 1);
+	g_hash_table_insert(p->by_tag, &spec->tag, c);
+	if (request_call(&c->request, spec, &e) == -1) {
+		c->quit = QUIT_NO_REQUEST;
+		request_clear(&c->request);
+		c->over = true;
+		tell_end(p, c, CURLE_OK);
+		return;
+	}
+	send_request(c);
+}
+
+/* Tell the engine that nobody wants the stream any more. */
+static void
+drop_stream(endpoint_t *p, const call_spec_t *of)
+{
+	call_spec_t *spec = calloc(1, sizeof(*spec));
+	call_t *c;
+
+	if (spec == NULL)
+		abort();
+	str_copy(spec->addr, sizeof(spec->addr), of->addr);
+	str_copy(spec->request, sizeof(spec->request), of->request);
+	spec->timeout = CANCEL_MS;
+	c = call_new(p, spec, CALL_DROPS);
+	if (request_cancel(&c->request, spec, NULL) == -1)
+		call_free(c);
+	else
+		send_request(c);
+}
+
+/*
+ * Take the transfer from curl and tell the end. After a gap the engine keeps
+ * the stream, so that it can be resumed.
+ */
+static void
+give_up(endpoint_t *p, call_t *c, quit_t why)
+{
+	bool sent = easy_sent(c->request.easy);
+
+	curl_multi_remove_handle(p->multi.m, c->request.easy);
+	c->over = true;
+	if (c->state != CALL_RUNS)
+		return;
+	c->quit = why;
+	tell_end(p, c, CURLE_OK);
+	if (sent && !c->spec->plain && why != QUIT_GAP)
+		drop_stream(p, c->spec);
+}
+
+static void
+cancel(endpoint_t *p, uint64_t tag)
+{
+	call_t *c = g_hash_table_lookup(p->by_tag, &tag);
+
+	if (c == NULL)
+		return;
+	counter_add(p->cancelled, 1);
+	if (!c->over)
+		give_up(p, c, QUIT_CANCELLED);
+}
+
+static void
+take_commands(endpoint_t *p)
+{
+	command_t *cmd;
+
+	while ((cmd = ring_pop(p->commands)) != NULL) {
+		switch (cmd->kind) {
+		case COMMAND_START:
+			start(p, cmd->spec);
+			break;
+		case COMMAND_CANCEL:
+			cancel(p, cmd->tag);
+			break;
+		case COMMAND_STOP:
+			p->stop = true;
+			break;
+		}
+		free(cmd);
+	}
+}
+
+static void
+take_done(endpoint_t *p)
+{
+	CURLcode rc;
+	CURL *easy;
+
+	while ((easy = multi_done(&p->multi, &rc)) != NULL) {
+		call_t *c = NULL;
+
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
+		curl_multi_remove_handle(p->multi.m, easy);
+		c->over = true;
+		if (c->state == CALL_RUNS)
+			tell_end(p, c, rc);
+		if (c->held.length == 0)
+			call_free(c);
+	}
+}
+
+static quit_t
+overdue(const call_t *c, ms_t now)
+{
+	const call_spec_t *s = c->spec;
+	bool begun = c->sse.next > c->first;
+
+	if (c->state == CALL_TOLD)
+		return now - c->heard > LAST_MS ? QUIT_CLOSING : QUIT_NOT;
+	if (s->timeout > 0 && now - c->started >= s->timeout)
+		return QUIT_TIMEOUT;
+	if (s->plain || c->paused)
+		return QUIT_NOT;
+	if (begun && s->gap > 0 && now - c->heard >= s->gap)
+		return QUIT_GAP;
+	if (!begun && s->first > 0 && now - c->started >= s->first)
+		return QUIT_FIRST;
+	return QUIT_NOT;
+}
+
+/* Held events, pauses and deadlines of one call. */
+static void
+look(endpoint_t *p, call_t *c, ms_t now)
+{
+	quit_t why;
+
+	if (flush(p, c) && c->paused && !c->over) {
+		c->paused = false;
+		c->heard = now;
+		curl_easy_pause(c->request.easy, CURLPAUSE_CONT);
+	}
+	if (!c->over && (why = overdue(c, now)) != QUIT_NOT)
+		give_up(p, c, why);
+	if (c->over && c->held.length == 0)
+		call_free(c);
+}
+
+static void
+look_at_all(endpoint_t *p)
+{
+	ms_t now = clock_now(&machine_clock);
+	gpointer *keys;
+	guint i, n;
+
+	if (now < p->look)
+		return;
+	p->look = now + LOOK_MS;
+	keys = g_hash_table_get_keys_as_array(p->all, &n);
+	for (i = 0; i < n; i++)
+		look(p, keys[i], now);
+	g_free(keys);
+}
+
+static void *
+run(void *user)
+{
+	endpoint_t *p = user;
+
+	while (!p->stop) {
+		multi_wait(&p->multi,
+		    g_hash_table_size(p->all) > 0 ? LOOK_MS : IDLE_MS);
+		take_commands(p);
+		take_done(p);
+		look_at_all(p);
+	}
+	return NULL;
+}
+
+static void
+release(endpoint_t *p)
+{
+	command_t *cmd;
+	gpointer *keys;
+	guint i, n;
+
+	keys = g_hash_table_get_keys_as_array(p->all, &n);
+	for (i = 0; i < n; i++)
+		call_free(keys[i]);
+	g_free(keys);
+	while (p->commands != NULL && (cmd = ring_pop(p->commands)) != NULL) {
+		call_spec_free(cmd->spec);
+		free(cmd);
+	}
+	multi_close(&p->multi);
+	g_hash_table_destroy(p->by_tag);
+	g_hash_table_destroy(p->all);
+	ring_free(p->commands);
+	g_free(p);
+}
+
+endpoint_t *
+endpoint_new(const endpoint_opts_t *o, err_t *e)
+{
+	endpoint_t *p = g_new0(endpoint_t, 1);
+
+	p->o = *o;
+	p->started = counter_get("ebonypitch_endpoint_calls_total",
+	    "Calls sent to engines and plain services.");
+	p->broken = counter_get("ebonypitch_endpoint_unknown_total",
+	    "Calls whose answer broke off or never came.");
+	p->doubled = counter_get("ebonypitch_endpoint_doubled_events_total",
+	    "Stream events dropped because they came twice.");
+	p->cancelled = counter_get("ebonypitch_endpoint_cancelled_total",
+	    "Calls cancelled by the caller.");
+	p->by_tag = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->all = g_hash_table_new(NULL, NULL);
+	p->commands = ring_new(COMMANDS_MAX);
+	if (multi_open(&p->multi, KEPT_MAX, e) == -1) {
+		p->multi.m = NULL;
+		p->multi.ep = -1;
+	} else if (p->commands == NULL)
+		err_set(e, ERR_INTERNAL, "can't make the command ring");
+	else if (multi_watch(&p->multi, ring_fd(p->commands), e) == 0 &&
+		 pthread_create(&p->thread, NULL, run, p) == 0)
+		return p;
+	release(p);
+	return NULL;
+}
+
+static bool
+command(endpoint_t *p, command_kind_t kind, call_spec_t *spec, uint64_t tag)
+{
+	command_t *cmd = calloc(1, sizeof(*cmd));
+
+	if (cmd == NULL)
+		return false;
+	cmd->kind = kind;
+	cmd->spec = spec;
+	cmd->tag = tag;
+	if (ring_push(p->commands, cmd))
+		return true;
+	free(cmd);
+	return false;
+}
+
+bool
+endpoint_start(endpoint_t *p, call_spec_t *spec)
+{
+	return command(p, COMMAND_START, spec, spec->tag);
+}
+
+/* The thread never blocks, so a full ring empties at once. */
+void
+endpoint_cancel(endpoint_t *p, uint64_t tag)
+{
+	while (!command(p, COMMAND_CANCEL, NULL, tag))
+		clock_sleep(DRY_MS);
+}
+
+void
+endpoint_free(endpoint_t *p)
+{
+	if (p == NULL)
+		return;
+	while (!command(p, COMMAND_STOP, NULL, 0))
+		clock_sleep(DRY_MS);
+	pthread_join(p->thread, NULL);
+	release(p);
+}
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -21,8 +21,10 @@
 typedef struct call_event {
 	event_kind_t kind;
 	uint64_t tag;	 /* the asker's */
-	uint32_t offset; /* TOKEN: its place in the answer */
-	char *text;	 /* TOKEN text or END body; malloc'd, receiver's */
+	uint32_t offset; /* TOKEN: its place in the answer; END: the next */
+	/* TOKEN text; END body, of a DONE stream "stop" or "length"; malloc'd,
+	 * the receiver's, may be NULL at the END */
+	char *text;
 	size_t len;
 	/* END */
 	call_outcome_t outcome; /* DONE only with the end marker seen */
@@ -40,6 +42,7 @@
 	char addr[ADDR_MAX];
 	char request[ID_MAX];
 	ms_t timeout; /* altogether */
+	ms_t first;   /* until the first token, 0: only the timeout */
 	ms_t gap;     /* between tokens, then it counts as broken */
 	bool plain;
 	/* engine */
@@ -50,27 +53,39 @@
 	uint32_t max_tokens;
 	uint32_t offset; /* first token wanted */
 	uint32_t rank;
+	bool resume; /* read from offset the stream the engine still has */
 	/* plain */
 	char method[16];
 	char path[256];
 	char key[256]; /* Idempotency-Key or empty */
 	char type[ID_MAX];
+	/* May go out on a kept connection: saves a round trip, but if the
+	 * endpoint closes that meanwhile, the outcome is UNKNOWN. */
+	bool reuse;
 	char *body; /* malloc'd, the endpoint thread's to free */
 	size_t body_len;
 } call_spec_t;
 
 typedef struct endpoint_opts {
 	const settings_t *settings;
-	ring_t *events; /* of call_event_t *, malloc'd */
-	/* called when the events ring is full, on the endpoint's thread */
+	/* of call_event_t *; while it is full, streams are not read on */
+	ring_t *events;
 } endpoint_opts_t;
 
+/** Starts the thread. */
 endpoint_t *endpoint_new(const endpoint_opts_t *o, err_t *e);
+/** Stops it; calls still in progress are dropped without an event. */
 void endpoint_free(endpoint_t *p);
-/** @p spec is malloc'd and taken over. @return false: ring full, not sent. */
+/**
+ * Start a call. Tags of calls in progress must differ.
+ * @param spec malloc'd; taken over unless the result is false.
+ * @return false: ring full, nothing was sent.
+ */
 bool endpoint_start(endpoint_t *p, call_spec_t *spec);
-/** Cancel a call; its END event still comes. */
+/** Cancel a call, also at the engine; its END event still comes. */
 void endpoint_cancel(endpoint_t *p, uint64_t tag);
+void call_spec_free(call_spec_t *spec);
+void call_event_free(call_event_t *ev);
 
 /* Load reports: one thread asks all workers given to it. load.c */
 
--- /dev/null
+++ b/endpoint/load.c
@@ -0,0 +1,304 @@
+#include "endpoint/endpoint.h"
+
+#include "endpoint/multi.h"
+#include "endpoint/report.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <glib.h>
+
+enum {
+	AT_ONCE = 64,	       /* polls in progress */
+	ANSWER_MOST = 1 << 20, /* bytes */
+	POLL_MS = 1000,	       /* a poll may take, but no less than ... */
+	POLLS = 2,	       /* ... this many poll spans */
+	LOOK_MS = 5,
+	IDLE_MS = 1000,
+};
+
+typedef struct poll {
+	load_target_t target;
+	ms_t due;
+	ms_t asked;
+	CURL *easy; /* NULL: none in progress */
+	GString *body;
+	bool wanted; /* still among the targets */
+} poll_t;
+
+struct loads {
+	ms_t span; /* between polls of a worker */
+	ring_t *reports;
+	multi_t multi;
+	pthread_t thread;
+	pthread_mutex_t lock; /* on the next three */
+	load_target_t *next;  /* a new set, or NULL */
+	int nnext;
+	bool stop;
+	int wake; /* eventfd */
+	GPtrArray *polls;
+	int in_progress;
+	rng_t rng;
+	counter_t *dropped;
+};
+
+static size_t
+gather(char *p, size_t size, size_t n, void *user)
+{
+	poll_t *q = user;
+
+	if (q->body->len + size * n > ANSWER_MOST)
+		return 0;
+	g_string_append_len(q->body, p, size * n);
+	return size * n;
+}
+
+static void
+poll_free(loads_t *l, poll_t *q)
+{
+	if (q->easy != NULL) {
+		curl_multi_remove_handle(l->multi.m, q->easy);
+		curl_easy_cleanup(q->easy);
+		l->in_progress--;
+	}
+	g_string_free(q->body, TRUE);
+	g_free(q);
+}
+
+static poll_t *
+find(loads_t *l, const load_target_t *t)
+{
+	guint i;
+
+	for (i = 0; i < l->polls->len; i++) {
+		poll_t *q = l->polls->pdata[i];
+
+		if (strcmp(q->target.worker, t->worker) == 0 &&
+		    strcmp(q->target.addr, t->addr) == 0)
+			return q;
+	}
+	return NULL;
+}
+
+static void
+take_targets(loads_t *l, load_target_t *t, int n)
+{
+	ms_t now = clock_now(&machine_clock);
+	guint i;
+	int k;
+
+	for (i = 0; i < l->polls->len; i++)
+		((poll_t *)l->polls->pdata[i])->wanted = false;
+	for (k = 0; k < n; k++) {
+		poll_t *q = find(l, &t[k]);
+
+		if (q == NULL) {
+			q = g_new0(poll_t, 1);
+			q->target = t[k];
+			q->body = g_string_new(NULL);
+			q->due = now;
+			g_ptr_array_add(l->polls, q);
+		}
+		q->wanted = true;
+	}
+	for (i = l->polls->len; i > 0; i--) {
+		poll_t *q = l->polls->pdata[i - 1];
+
+		if (!q->wanted) {
+			g_ptr_array_remove_index_fast(l->polls, i - 1);
+			poll_free(l, q);
+		}
+	}
+	free(t);
+}
+
+static bool
+take_news(loads_t *l)
+{
+	load_target_t *t;
+	uint64_t count;
+	bool stop;
+	int n;
+
+	if (read(l->wake, &count, sizeof(count)) == -1)
+		count = 0;
+	pthread_mutex_lock(&l->lock);
+	t = l->next;
+	n = l->nnext;
+	l->next = NULL;
+	stop = l->stop;
+	pthread_mutex_unlock(&l->lock);
+	if (t != NULL)
+		take_targets(l, t, n);
+	return !stop;
+}
+
+static void
+ask(loads_t *l, poll_t *q, ms_t now)
+{
+	ms_t most = l->span * POLLS > POLL_MS ? l->span * POLLS : POLL_MS;
+
+	q->easy = easy_new(q->target.addr, "/v1/load");
+	if (q->easy == NULL)
+		return;
+	q->asked = now;
+	g_string_truncate(q->body, 0);
+	curl_easy_setopt(q->easy, CURLOPT_WRITEFUNCTION, gather);
+	curl_easy_setopt(q->easy, CURLOPT_WRITEDATA, q);
+	curl_easy_setopt(q->easy, CURLOPT_PRIVATE, q);
+	curl_easy_setopt(q->easy, CURLOPT_TIMEOUT_MS, (long)most);
+	curl_multi_add_handle(l->multi.m, q->easy);
+	l->in_progress++;
+}
+
+/* Half the span fixed and half at random keeps pollers from marching. */
+static void
+ask_due(loads_t *l)
+{
+	ms_t now = clock_now(&machine_clock);
+	guint i;
+
+	for (i = 0; i < l->polls->len && l->in_progress < AT_ONCE; i++) {
+		poll_t *q = l->polls->pdata[i];
+
+		if (q->easy != NULL || q->due > now)
+			continue;
+		q->due = now + l->span * 3 / 4 +
+			 (ms_t)(rng_unit(&l->rng) * (double)l->span / 2);
+		ask(l, q, now);
+	}
+}
+
+static void
+hand_in(loads_t *l, const poll_t *q, bool answered)
+{
+	load_report_t *r = calloc(1, sizeof(*r));
+
+	if (r == NULL)
+		return;
+	r->taken_at = q->asked;
+	r->reached =
+	    answered && report_read(r, q->body->str, q->body->len, NULL) == 0;
+	/* The list's name counts, whatever answers at the address. */
+	if (strcmp(r->worker, q->target.worker) != 0) {
+		r->reached = r->reached && r->worker[0] == '\0';
+		str_copy(r->worker, sizeof(r->worker), q->target.worker);
+	}
+	if (!ring_push(l->reports, r)) {
+		counter_add(l->dropped, 1);
+		load_report_free(r);
+	}
+}
+
+static void
+take_done(loads_t *l)
+{
+	CURLcode rc;
+	CURL *easy;
+
+	while ((easy = multi_done(&l->multi, &rc)) != NULL) {
+		poll_t *q = NULL;
+		long status = 0;
+
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&q);
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_multi_remove_handle(l->multi.m, easy);
+		curl_easy_cleanup(easy);
+		q->easy = NULL;
+		l->in_progress--;
+		hand_in(l, q, rc == CURLE_OK && status == 200);
+	}
+}
+
+static void *
+run(void *user)
+{
+	loads_t *l = user;
+
+	while (take_news(l)) {
+		ask_due(l);
+		multi_wait(&l->multi, l->polls->len > 0 ? LOOK_MS : IDLE_MS);
+		take_done(l);
+	}
+	return NULL;
+}
+
+static void
+release(loads_t *l)
+{
+	guint i;
+
+	for (i = 0; i < l->polls->len; i++)
+		poll_free(l, l->polls->pdata[i]);
+	g_ptr_array_free(l->polls, TRUE);
+	if (l->multi.m != NULL)
+		multi_close(&l->multi);
+	if (l->wake != -1)
+		close(l->wake);
+	free(l->next);
+	pthread_mutex_destroy(&l->lock);
+	g_free(l);
+}
+
+loads_t *
+loads_new(const settings_t *s, ring_t *reports, err_t *e)
+{
+	loads_t *l = g_new0(loads_t, 1);
+
+	l->span = s->broker.load_poll_ms;
+	l->reports = reports;
+	l->polls = g_ptr_array_new();
+	l->rng.s = hash_str(s->instance.id, clock_wall());
+	l->dropped = counter_get("ebonypitch_endpoint_reports_dropped_total",
+	    "Load reports dropped because their ring was full.");
+	l->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	pthread_mutex_init(&l->lock, NULL);
+	if (multi_open(&l->multi, AT_ONCE * POLLS, e) == -1)
+		l->multi.m = NULL;
+	else if (l->wake != -1 && multi_watch(&l->multi, l->wake, e) == 0 &&
+		 pthread_create(&l->thread, NULL, run, l) == 0)
+		return l;
+	err_set(e, ERR_INTERNAL, "can't start the load poller");
+	release(l);
+	return NULL;
+}
+
+static void
+tell(loads_t *l, load_target_t *t, int n, bool stop)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&l->lock);
+	if (t != NULL) {
+		free(l->next);
+		l->next = t;
+		l->nnext = n;
+	}
+	l->stop = l->stop || stop;
+	pthread_mutex_unlock(&l->lock);
+	if (write(l->wake, &one, sizeof(one)) == -1)
+		return; /* it is readable already */
+}
+
+void
+loads_set(loads_t *l, const load_target_t *t, int n)
+{
+	load_target_t *copy = calloc(n + 1, sizeof(*copy));
+
+	if (copy == NULL)
+		abort();
+	memcpy(copy, t, n * sizeof(*t));
+	tell(l, copy, n, false);
+}
+
+void
+loads_free(loads_t *l)
+{
+	if (l == NULL)
+		return;
+	tell(l, NULL, 0, true);
+	pthread_join(l->thread, NULL);
+	release(l);
+}
--- /dev/null
+++ b/endpoint/multi.c
@@ -0,0 +1,182 @@
+#include "endpoint/multi.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum {
+	EVENTS_MAX = 64, /* taken in a round */
+	BUFFER = 4096,	 /* bytes read at once from a connection */
+	IDLE_MAX_S = 30, /* s an idle connection is still used again */
+	URL_MAX = 1024,
+};
+
+static int
+on_socket(CURL *c, curl_socket_t fd, int what, void *user, void *known)
+{
+	multi_t *m = user;
+	struct epoll_event ev = { .data.fd = fd };
+
+	(void)c;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(m->ep, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		ev.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		ev.events |= EPOLLOUT;
+	if (epoll_ctl(m->ep, known == NULL ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd,
+		&ev) == -1 &&
+	    errno == EEXIST)
+		epoll_ctl(m->ep, EPOLL_CTL_MOD, fd, &ev);
+	curl_multi_assign(m->m, fd, m);
+	return 0;
+}
+
+static int
+on_timer(CURLM *cm, long span, void *user)
+{
+	multi_t *m = user;
+
+	(void)cm;
+	m->due = span < 0 ? -1 : clock_now(&machine_clock) + span;
+	return 0;
+}
+
+int
+multi_open(multi_t *m, int kept, err_t *e)
+{
+	memset(m, 0, sizeof(*m));
+	m->due = -1;
+	m->ep = epoll_create1(EPOLL_CLOEXEC);
+	m->m = curl_multi_init();
+	if (m->ep == -1 || m->m == NULL) {
+		multi_close(m);
+		return err_set(e, ERR_INTERNAL, "can't make a multi handle");
+	}
+	curl_multi_setopt(m->m, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(m->m, CURLMOPT_SOCKETDATA, m);
+	curl_multi_setopt(m->m, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(m->m, CURLMOPT_TIMERDATA, m);
+	curl_multi_setopt(m->m, CURLMOPT_MAXCONNECTS, (long)kept);
+	curl_multi_setopt(m->m, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	return 0;
+}
+
+void
+multi_close(multi_t *m)
+{
+	/* Closing kept connections tells on_socket, so epoll goes last. */
+	if (m->m != NULL)
+		curl_multi_cleanup(m->m);
+	if (m->ep != -1)
+		close(m->ep);
+}
+
+int
+multi_watch(multi_t *m, int fd, err_t *e)
+{
+	struct epoll_event ev = { .events = EPOLLIN, .data.fd = -1 };
+
+	if (epoll_ctl(m->ep, EPOLL_CTL_ADD, fd, &ev) == -1)
+		return err_set(
+		    e, ERR_INTERNAL, "epoll_ctl: %s", strerror(errno));
+	return 0;
+}
+
+static void
+act(multi_t *m, const struct epoll_event *ev)
+{
+	int what = 0, running;
+
+	if (ev->data.fd == -1)
+		return;
+	if (ev->events & EPOLLIN)
+		what |= CURL_CSELECT_IN;
+	if (ev->events & EPOLLOUT)
+		what |= CURL_CSELECT_OUT;
+	if (ev->events & (EPOLLERR | EPOLLHUP))
+		what |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(m->m, ev->data.fd, what, &running);
+}
+
+void
+multi_wait(multi_t *m, ms_t most)
+{
+	struct epoll_event ev[EVENTS_MAX];
+	int i, n, running;
+
+	if (m->due != -1) {
+		ms_t left = m->due - clock_now(&machine_clock);
+
+		if (left < most)
+			most = left > 0 ? left : 0;
+	}
+	n = epoll_wait(m->ep, ev, EVENTS_MAX, (int)most);
+	for (i = 0; i < n; i++)
+		act(m, &ev[i]);
+	if (m->due != -1 && clock_now(&machine_clock) >= m->due) {
+		m->due = -1;
+		curl_multi_socket_action(
+		    m->m, CURL_SOCKET_TIMEOUT, 0, &running);
+	}
+}
+
+CURL *
+multi_done(multi_t *m, CURLcode *rc)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(m->m, &left)) != NULL) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		*rc = msg->data.result;
+		return msg->easy_handle;
+	}
+	return NULL;
+}
+
+bool
+easy_sent(CURL *c)
+{
+	long n = 0;
+
+	return curl_easy_getinfo(c, CURLINFO_REQUEST_SIZE, &n) != CURLE_OK ||
+	       n > 0;
+}
+
+/* Called when a connection is there and the request is about to go out. */
+static int
+before_request(void *user, char *to, char *from, int to_port, int from_port)
+{
+	(void)to;
+	(void)from;
+	(void)to_port;
+	(void)from_port;
+	return easy_sent(user) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+CURL *
+easy_new(const char *addr, const char *path)
+{
+	CURL *c = curl_easy_init();
+	char url[URL_MAX];
+
+	if (c == NULL)
+		return NULL;
+	snprintf(url, sizeof(url), "http://%s%s", addr, path);
+	curl_easy_setopt(c, CURLOPT_URL, url);
+	curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(c, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(c, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(c, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(c, CURLOPT_BUFFERSIZE, (long)BUFFER);
+	curl_easy_setopt(c, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
+	curl_easy_setopt(c, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(c, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(c, CURLOPT_PREREQDATA, c);
+	return c;
+}
--- /dev/null
+++ b/endpoint/order.c
@@ -0,0 +1,174 @@
+#include "endpoint/endpoint.h"
+
+#include "endpoint/multi.h"
+#include "endpoint/report.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+#include <jansson.h>
+
+enum {
+	ANSWER_MOST = 1 << 20 /* bytes */
+};
+
+struct orders {
+	ms_t timeout;
+	CURLSH *share; /* kept connections, for reads */
+};
+
+orders_t *
+orders_new(ms_t timeout, err_t *e)
+{
+	orders_t *o = g_new0(orders_t, 1);
+
+	o->timeout = timeout;
+	o->share = curl_share_init();
+	if (o->share == NULL) {
+		err_set(e, ERR_INTERNAL, "can't make a share handle");
+		g_free(o);
+		return NULL;
+	}
+	curl_share_setopt(o->share, CURLSHOPT_SHARE, CURL_LOCK_DATA_CONNECT);
+	return o;
+}
+
+void
+orders_free(orders_t *o)
+{
+	if (o == NULL)
+		return;
+	curl_share_cleanup(o->share);
+	g_free(o);
+}
+
+static size_t
+gather(char *p, size_t size, size_t n, void *user)
+{
+	GString *s = user;
+
+	if (s->len + size * n > ANSWER_MOST)
+		return 0;
+	g_string_append_len(s, p, size * n);
+	return size * n;
+}
+
+/* @return the HTTP status, or -1: DOWN (nothing went out) or UNKNOWN. */
+static int
+perform(orders_t *o, CURL *c, const char *addr, GString *body, err_t *e)
+{
+	CURLcode rc;
+	long status = 0;
+	bool sent;
+
+	curl_easy_setopt(c, CURLOPT_SHARE, o->share);
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)o->timeout);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, gather);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, body);
+	rc = curl_easy_perform(c);
+	sent = easy_sent(c);
+	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	if (rc == CURLE_OK)
+		return (int)status;
+	return err_set(e, sent ? ERR_UNKNOWN : ERR_DOWN, "%s: %s", addr,
+	    curl_easy_strerror(rc));
+}
+
+static char *
+order_json(const order_t *o)
+{
+	static const char *const op[] = { "load", "unload", "role" };
+	json_t *j = json_pack("{s:I,s:I,s:s,s:s,s:s,s:I,s:I,s:s}", "number",
+	    (json_int_t)o->number, "fence", (json_int_t)o->fence, "op",
+	    op[o->kind], "model", o->model, "adapter", o->adapter, "version",
+	    (json_int_t)o->version, "memory_mb", (json_int_t)o->memory_mb,
+	    "role", o->role);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	return text;
+}
+
+/* The engine's word that it did nothing. */
+static bool
+says_not_run(const GString *body)
+{
+	json_t *j = json_loadb(body->str, body->len, 0, NULL);
+	const char *ran = json_string_value(json_object_get(j, "ran"));
+	bool no = ran != NULL && strcmp(ran, "no") == 0;
+
+	json_decref(j);
+	return no;
+}
+
+static int
+judge(int status, const GString *body, const char *addr, err_t *e)
+{
+	switch (status) {
+	case -1:
+		return -1;
+	case 200:
+	case 202:
+		return 0;
+	case 409:
+		return err_set(e, ERR_CONFLICT, "%s: stale fence", addr);
+	case 507:
+		return err_set(e, ERR_FULL, "%s: no memory", addr);
+	default:
+		return err_set(e, says_not_run(body) ? ERR_DOWN : ERR_UNKNOWN,
+		    "%s: status %d", addr, status);
+	}
+}
+
+int
+orders_send(orders_t *o, const char *addr, const order_t *order, err_t *e)
+{
+	struct curl_slist *head;
+	GString *body = g_string_new(NULL);
+	char *text = order_json(order);
+	CURL *c = text == NULL ? NULL : easy_new(addr, "/v1/orders");
+	int rc;
+
+	if (c == NULL) {
+		free(text);
+		g_string_free(body, TRUE);
+		return err_set(e, ERR_DOWN, "%s: order can't be made", addr);
+	}
+	head = curl_slist_append(NULL, "Content-Type: application/json");
+	head = curl_slist_append(head, "Expect:");
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, head);
+	curl_easy_setopt(c, CURLOPT_POSTFIELDS, text);
+	/* On a kept connection that has died an order's fate is unknown. */
+	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(c, CURLOPT_FORBID_REUSE, 1L);
+	rc = judge(perform(o, c, addr, body, e), body, addr, e);
+	curl_easy_cleanup(c);
+	curl_slist_free_all(head);
+	free(text);
+	g_string_free(body, TRUE);
+	return rc;
+}
+
+int
+orders_state(orders_t *o, const char *addr, load_report_t *out, err_t *e)
+{
+	GString *body = g_string_new(NULL);
+	CURL *c = easy_new(addr, "/v1/load");
+	int status, rc = -1;
+
+	memset(out, 0, sizeof(*out));
+	if (c == NULL) {
+		g_string_free(body, TRUE);
+		return err_set(e, ERR_INTERNAL, "can't make a transfer");
+	}
+	out->taken_at = clock_now(&machine_clock);
+	status = perform(o, c, addr, body, e);
+	if (status == 200)
+		rc = report_read(out, body->str, body->len, e);
+	else if (status != -1)
+		err_set(e, ERR_PROTO, "%s: status %d", addr, status);
+	out->reached = rc == 0;
+	curl_easy_cleanup(c);
+	g_string_free(body, TRUE);
+	return rc;
+}
--- /dev/null
+++ b/endpoint/outcome.c
@@ -0,0 +1,40 @@
+#include "endpoint/outcome.h"
+
+#include <string.h>
+#include <jansson.h>
+
+enum {
+	STATUS_ERROR = 400
+};
+
+/* The endpoint's own word in an error's body. */
+static bool
+says_not_run(const call_facts_t *f)
+{
+	json_t *j;
+	const char *ran;
+	bool no;
+
+	if (f->status < STATUS_ERROR || !f->whole || f->body == NULL)
+		return false;
+	j = json_loadb(f->body, f->len, 0, NULL);
+	ran = json_string_value(json_object_get(j, "ran"));
+	no = ran != NULL && strcmp(ran, "no") == 0;
+	json_decref(j);
+	return no;
+}
+
+call_outcome_t
+call_judge(const call_facts_t *f, bool *not_run)
+{
+	*not_run = !f->sent || says_not_run(f);
+	if (f->cancelled)
+		return CALL_CANCELLED;
+	if (*not_run)
+		return CALL_REFUSED;
+	if (!f->plain && f->status == 200)
+		return f->ended ? CALL_DONE : CALL_UNKNOWN;
+	if (!f->whole || f->status == 0)
+		return CALL_UNKNOWN;
+	return f->plain && f->status < STATUS_ERROR ? CALL_DONE : CALL_FAILED;
+}
--- /dev/null
+++ b/endpoint/request.c
@@ -0,0 +1,155 @@
+#include "endpoint/request.h"
+
+#include "endpoint/multi.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <jansson.h>
+
+enum {
+	LINE_MAX_BYTES = 512, /* of a header */
+	PATH_MAX_BYTES = 512,
+	CONNECT_MS = 1000, /* until a worker counts as out of reach */
+};
+
+/* A line break in a value would begin another header. */
+static bool
+is_clean(const char *s)
+{
+	for (; *s != '\0'; s++)
+		if ((unsigned char)*s < ' ' || *s == 0x7f)
+			return false;
+	return true;
+}
+
+static void
+header(request_t *r, const char *name, const char *value)
+{
+	char line[LINE_MAX_BYTES];
+
+	/* Without a value curl wants a semicolon, or it drops the header. */
+	if (value[0] == '\0')
+		return;
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	r->head = curl_slist_append(r->head, line);
+}
+
+static int
+open_easy(request_t *r, const call_spec_t *spec, const char *path, err_t *e)
+{
+	memset(r, 0, sizeof(*r));
+	if ((r->easy = easy_new(spec->addr, path)) == NULL)
+		return err_set(e, ERR_INTERNAL, "can't make a transfer");
+	/* No "Expect: 100-continue": it costs a round trip. */
+	r->head = curl_slist_append(NULL, "Expect:");
+	curl_easy_setopt(r->easy, CURLOPT_CONNECTTIMEOUT_MS,
+	    (long)(spec->timeout > 0 && spec->timeout < CONNECT_MS
+		       ? spec->timeout
+		       : CONNECT_MS));
+	return 0;
+}
+
+static void
+set_body(request_t *r, const char *body, size_t len)
+{
+	curl_easy_setopt(r->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+	curl_easy_setopt(r->easy, CURLOPT_POSTFIELDS, body);
+}
+
+static int
+engine_call(request_t *r, const call_spec_t *spec, err_t *e)
+{
+	json_t *j;
+
+	if (open_easy(r, spec, "/v1/completions", e) == -1)
+		return -1;
+	j = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", spec->request,
+	    "model", spec->model, "adapter", spec->adapter, "prompt",
+	    spec->prompt == NULL ? "" : spec->prompt, "max_tokens",
+	    (json_int_t)spec->max_tokens, "version", (json_int_t)spec->version,
+	    "priority", (json_int_t)spec->rank, "offset",
+	    (json_int_t)spec->offset);
+	r->json = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	if (r->json == NULL)
+		return err_set(e, ERR_INVAL, "prompt isn't UTF-8");
+	header(r, "Content-Type", "application/json");
+	set_body(r, r->json, strlen(r->json));
+	return 0;
+}
+
+static int
+stream_call(request_t *r, const call_spec_t *spec, err_t *e)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/streams/%s?offset=%u", spec->request,
+	    spec->offset);
+	return open_easy(r, spec, path, e);
+}
+
+static int
+plain_call(request_t *r, const call_spec_t *spec, err_t *e)
+{
+	if (!is_clean(spec->key) || !is_clean(spec->type) ||
+	    !is_clean(spec->method) || !is_clean(spec->path))
+		return err_set(e, ERR_INVAL, "control character in a header");
+	if (open_easy(r, spec, spec->path, e) == -1)
+		return -1;
+	header(r, "X-Request-Id", spec->request);
+	header(r, "Idempotency-Key", spec->key);
+	header(r, "Content-Type", spec->type);
+	if (spec->body_len > 0)
+		set_body(r, spec->body, spec->body_len);
+	else if (strcmp(spec->method, "POST") == 0)
+		set_body(r, "", 0);
+	if (strcmp(spec->method, "HEAD") == 0)
+		curl_easy_setopt(r->easy, CURLOPT_NOBODY, 1L);
+	else
+		curl_easy_setopt(r->easy, CURLOPT_CUSTOMREQUEST, spec->method);
+	if (!spec->reuse)
+		curl_easy_setopt(r->easy, CURLOPT_FRESH_CONNECT, 1L);
+	return 0;
+}
+
+int
+request_call(request_t *r, const call_spec_t *spec, err_t *e)
+{
+	int rc;
+
+	memset(r, 0, sizeof(*r));
+	if (!is_clean(spec->request))
+		return err_set(e, ERR_INVAL, "control character in the id");
+	if (spec->plain)
+		rc = plain_call(r, spec, e);
+	else if (spec->resume)
+		rc = stream_call(r, spec, e);
+	else
+		rc = engine_call(r, spec, e);
+	if (rc == 0)
+		curl_easy_setopt(r->easy, CURLOPT_HTTPHEADER, r->head);
+	return rc;
+}
+
+int
+request_cancel(request_t *r, const call_spec_t *spec, err_t *e)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/streams/%s", spec->request);
+	if (open_easy(r, spec, path, e) == -1)
+		return -1;
+	curl_easy_setopt(r->easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+	curl_easy_setopt(r->easy, CURLOPT_HTTPHEADER, r->head);
+	return 0;
+}
+
+void
+request_clear(request_t *r)
+{
+	if (r->easy != NULL)
+		curl_easy_cleanup(r->easy);
+	curl_slist_free_all(r->head);
+	free(r->json);
+	memset(r, 0, sizeof(*r));
+}
