--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -52,7 +52,6 @@
 	char *prompt; /* malloc'd, the endpoint thread's to free */
 	uint32_t max_tokens;
 	uint32_t offset; /* first token wanted */
-	bool resume;	 /* take up stream 'request' from offset */
 	uint32_t rank;
 	bool resume; /* read from offset the stream the engine still has */
 	/* plain */
