Peer: membership, relay, brokers and the entries' client

Cause: the daemons need to know of each other, of workers and of the catalogue without any coordination service, and entries need slots. Entries name the brokers that gave no answer, so that the next in rank stands in (entry/slot.c).

--- a/entry/slot.c
+++ b/entry/slot.c
@@ -95,11 +95,18 @@
 	const Wire__Member *m = view_broker(en->view, s, r->rank);
 	Wire__SlotAsk ask = WIRE__SLOT_ASK__INIT;
 	ms_t left = r->deadline - clock_now(&machine_clock), wait;
+	char *tried[BROKER_RANKS];
 	handle_t tag;
+	int i;
 
 	if (m == NULL)
 		return false;
 	fill_ask(en, r, s, &ask);
+	/* The next in rank stands in for those that gave no answer. */
+	for (i = 0; i < r->rank; i++)
+		tried[i] = (char *)view_broker(en->view, s, i)->id;
+	ask.tried = tried;
+	ask.n_tried = r->rank;
 	/* A call waits for its slot as long as its promise may be kept. */
 	wait = (left > 0 ? left : 0) + en->settings->peer.ask_ms;
 	str_copy(r->broker, ID_MAX, m->id);
--- a/peer/client.c
+++ b/peer/client.c
@@ -247,6 +247,7 @@
 	h.member = &m;
 	h.entry = true;
 	h.views = views;
+	conn->relay.wanted = views;
 	h.catalogue = c->catalogue->number;
 	send_body(conn, 0, WIRE__FRAME__BODY_HELLO, &h);
 }
@@ -432,6 +433,7 @@
 	bool known = c->store->workers_known;
 	size_t i;
 
+	conn->relay.sent_at = c->now;
 	for (i = 0; i < v->n_member; i++)
 		store_member(c->store, v->member[i]);
 	for (i = 0; i < v->n_worker; i++)
--- a/peer/digest.c
+++ b/peer/digest.c
@@ -96,7 +96,7 @@
 		if (wait > (ms_t)d->wait_ms)
 			d->wait_ms = (uint32_t)wait;
 	}
-	qsort(d->demand, d->n_demand, sizeof(*d->demand), demand_order);
+	qsort(d->demand, d->n_demand, sizeof(void *), demand_order);
 }
 
 static void
@@ -144,8 +144,8 @@
 		return;
 	k->looked_at = now;
 	load = calloc(nw + 1, sizeof(*load));
-	row = calloc(nw + 1, sizeof(*row));
-	res = calloc(nw + 1, sizeof(*res));
+	row = calloc(nw + 1, sizeof(void *));
+	res = calloc(nw + 1, sizeof(void *));
 	ptr = calloc(nw + 1, sizeof(*ptr));
 	demand = calloc(nd + 1, sizeof(*demand));
 	d.service = k->service;
@@ -154,7 +154,7 @@
 	d.broker = (char *)self;
 	d.waiting = admit_waiting(k->admit);
 	d.worker = row;
-	d.demand = calloc(nd + 1, sizeof(*d.demand));
+	d.demand = calloc(nd + 1, sizeof(void *));
 	g_hash_table_iter_init(&it, k->worker);
 	while (g_hash_table_iter_next(&it, &id, &value)) {
 		reported_t *r = value;
@@ -162,11 +162,11 @@
 
 		i = d.n_worker++;
 		res[i] = calloc(n + 1, sizeof(**res));
-		ptr[i] = calloc(n + 1, sizeof(**ptr));
+		ptr[i] = calloc(n + 1, sizeof(void *));
 		fill_load(k, id, r, &load[i], res[i], ptr[i], now);
 		row[i] = &load[i];
 	}
-	qsort(row, d.n_worker, sizeof(*row), worker_order);
+	qsort(row, d.n_worker, sizeof(void *), worker_order);
 	fill_demand(k, &d, demand);
 	digest_put(k, s, &d, now);
 	for (i = 0; i < nw; i++) {
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -93,7 +93,7 @@
 	*d = *r->d;
 	if (partial && d->n_worker > 0) {
 		d->partial = true;
-		d->worker = calloc(d->n_worker, sizeof(*d->worker));
+		d->worker = calloc(d->n_worker, sizeof(void *));
 		load = calloc(d->n_worker, sizeof(*load));
 		for (i = 0; i < d->n_worker; i++) {
 			load[i] = *r->d->worker[i];
--- a/peer/store.c
+++ b/peer/store.c
@@ -142,6 +142,7 @@
 {
 	Wire__Member n = *m;
 	const Wire__Member *old = r->m;
+	msg_t *msg;
 	bool figures;
 
 	if (old != NULL) {
@@ -171,8 +172,7 @@
 	} else {
 		return;
 	}
-	msg_t *msg = msg_copy(&n);
-
+	msg = msg_copy(&n);
 	msg_unref(r->msg);
 	r->msg = msg;
 	r->m = (const Wire__Member *)msg->m;
@@ -225,8 +225,10 @@
 static void
 worker_put(store_t *s, worker_t *r, const Wire__Worker *w)
 {
+	msg_t *msg = msg_copy(w); /* before what it may be made of goes */
+
 	msg_unref(r->msg);
-	r->msg = msg_copy(w);
+	r->msg = msg;
 	r->w = (const Wire__Worker *)r->msg->m;
 	r->urgent = s->urgent = ++s->change;
 	r->gone_at = w->gone ? clock_now(s->clock) : 0;
@@ -421,7 +423,7 @@
 {
 	Wire__Digest n = *d;
 	Wire__WorkerLoad *load = calloc(d->n_worker + 1, sizeof(*load));
-	Wire__WorkerLoad **row = calloc(d->n_worker + 1, sizeof(*row));
+	Wire__WorkerLoad **row = calloc(d->n_worker + 1, sizeof(void *));
 	msg_t *m;
 	size_t i;
 
@@ -550,7 +552,8 @@
 Wire__Member **
 store_live(store_t *s, int *n)
 {
-	Wire__Member **m = calloc(g_hash_table_size(s->member) + 1, sizeof(*m));
+	Wire__Member **m =
+	    calloc(g_hash_table_size(s->member) + 1, sizeof(void *));
 	GHashTableIter it;
 	void *value;
 
--- a/peer/view.c
+++ b/peer/view.c
@@ -74,11 +74,11 @@
 lay_out(Wire__Worker **w, int n, int at, int cap, shard_t *out)
 {
 	uint32_t *shard = calloc(n, sizeof(*shard));
-	Wire__Worker **copy = calloc(n, sizeof(*copy));
+	Wire__Worker **copy = calloc(n, sizeof(void *));
 	int i, j, k, made = 0, to = 0;
 
 	k = deal(w, n, cap, shard);
-	memcpy(copy, w, n * sizeof(*copy));
+	memcpy(copy, w, n * sizeof(void *));
 	for (i = 0; i < k; i++) {
 		shard_t *s = &out[made];
 
@@ -108,7 +108,7 @@
 
 	*nshard = 0;
 	if (n > 0)
-		qsort(w, n, sizeof(*w), worker_cmp);
+		qsort(w, n, sizeof(void *), worker_cmp);
 	for (from = 0; from < n; from = to) {
 		to = from + 1;
 		while (to < n && group_cmp(w[from], w[to]) == 0)
@@ -169,6 +169,7 @@
 
 /* Live members of each domain side by side, their ids hashed once. */
 typedef struct ranked {
+	char domain[ID_MAX];
 	const Wire__Member *m;
 	uint64_t hash;
 } ranked_t;
@@ -178,7 +179,7 @@
 {
 	const ranked_t *x = a, *y = b;
 
-	return strcmp(x->m->domain, y->m->domain);
+	return strcmp(x->domain, y->domain);
 }
 
 static const Wire__Member *
@@ -209,6 +210,7 @@
 	for (i = 0; i < nm; i++) {
 		if (!may_broker(m[i]))
 			continue;
+		str_copy(r[live].domain, ID_MAX, m[i]->domain);
 		r[live].m = m[i];
 		r[live++].hash = hash_str(m[i]->id, 0);
 	}
@@ -216,10 +218,10 @@
 	for (i = 0; i < n; i++) {
 		shard_key(key, s[i].service, s[i].domain, s[i].index);
 		for (from = 0; from < live; from++)
-			if (strcmp(r[from].m->domain, s[i].domain) == 0)
+			if (strcmp(r[from].domain, s[i].domain) == 0)
 				break;
 		for (to = from; to < live; to++)
-			if (strcmp(r[to].m->domain, s[i].domain) != 0)
+			if (strcmp(r[to].domain, s[i].domain) != 0)
 				break;
 		best = first_of(r + from, to - from, hash_str(key, 0));
 		if (best == NULL)
--- /dev/null
+++ b/tests/peer_test.c
@@ -0,0 +1,444 @@
+#include "peer/broker.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	FRAME_MAX = 65536,
+	SEED = 20260731,
+	ROUNDS = 20000,
+};
+
+/* Frames */
+
+static Wire__Frame *
+some_frame(void)
+{
+	static Wire__Frame f;
+	static Wire__SlotAsk ask;
+
+	wire__frame__init(&f);
+	wire__slot_ask__init(&ask);
+	ask.request = "r-1";
+	ask.model = "m1";
+	ask.left_ms = 1500;
+	f.version = WIRE_VERSION;
+	f.call = 77;
+	f.body_case = WIRE__FRAME__BODY_SLOT_ASK;
+	f.slot_ask = &ask;
+	return &f;
+}
+
+typedef enum verdict {
+	WHOLE,
+	MORE,
+	BAD
+} verdict_t;
+
+static verdict_t
+unpack(const uint8_t *buf, size_t len)
+{
+	err_t e = { ERR_NONE, "" };
+	size_t used = 0;
+	Wire__Frame *f = frame_unpack(buf, len, FRAME_MAX, &used, &e);
+
+	if (f == NULL) {
+		g_assert_cmpuint(used, ==, 0);
+		return e.code == ERR_NONE ? MORE : BAD;
+	}
+	g_assert_cmpuint(used, <=, len);
+	wire__frame__free_unpacked(f, NULL);
+	return WHOLE;
+}
+
+static void
+frames_table(void)
+{
+	static const struct {
+		const char *what, *bytes;
+		size_t len;
+		verdict_t verdict;
+	} rows[] = {
+		{ "nothing", "", 0, MORE },
+		{ "half a length", "\0\0", 2, MORE },
+		{ "truncated", "\0\0\0\5\10\1", 6, MORE },
+		{ "zero length", "\0\0\0\0", 4, BAD },
+		{ "oversized", "\1\0\0\0", 4, BAD },
+		{ "length all ones", "\377\377\377\377", 4, BAD },
+		{ "garbage", "\0\0\0\3\377\377\377", 7, BAD },
+		{ "version missing", "\0\0\0\2\20\1", 6, BAD },
+		{ "version 2", "\0\0\0\2\10\2", 6, BAD },
+		{ "version 1, no body", "\0\0\0\2\10\1", 6, WHOLE },
+		{ "unknown field 500", "\0\0\0\5\10\1\240\37\7", 9, WHOLE },
+		{ "body cut inside", "\0\0\0\4\10\1\202\1", 8, BAD },
+		{ "HTTP", "GET / HTTP/1.1\r\n\r\n", 18, BAD },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_test_message("%s", rows[i].what);
+		g_assert_cmpint(
+		    unpack((const uint8_t *)rows[i].bytes, rows[i].len), ==,
+		    rows[i].verdict);
+	}
+}
+
+static void
+every_prefix_waits(void)
+{
+	uint8_t buf[256];
+	size_t n = frame_pack(some_frame(), buf), i;
+
+	g_assert_cmpuint(n, ==, frame_size(some_frame()));
+	for (i = 0; i < n; i++)
+		g_assert_cmpint(unpack(buf, i), ==, MORE);
+	g_assert_cmpint(unpack(buf, n), ==, WHOLE);
+}
+
+static void
+flipped_bits_do_no_harm(void)
+{
+	uint8_t clean[256], buf[256];
+	size_t n = frame_pack(some_frame(), clean);
+	rng_t rng = { SEED };
+	int i, j, flips;
+
+	for (i = 0; i < ROUNDS; i++) {
+		memcpy(buf, clean, n);
+		flips = 1 + (int)(rng_next(&rng) % 4);
+		for (j = 0; j < flips; j++)
+			buf[rng_next(&rng) % n] ^= 1 << (rng_next(&rng) % 8);
+		unpack(buf, n);
+		unpack(buf, rng_next(&rng) % (n + 1));
+	}
+}
+
+/* Shards */
+
+static Wire__Worker *
+worker(int i)
+{
+	Wire__Worker *w = calloc(1, sizeof(*w));
+
+	wire__worker__init(w);
+	w->id = g_strdup_printf("w%d", i);
+	w->service = g_strdup("llm");
+	w->domain = g_strdup_printf("d%d", i % 3);
+	return w;
+}
+
+static Wire__Member *
+member(int i)
+{
+	Wire__Member *m = calloc(1, sizeof(*m));
+
+	wire__member__init(m);
+	m->id = g_strdup_printf("e%d", i);
+	m->domain = g_strdup_printf("d%d", i % 3);
+	m->incarnation = 1;
+	return m;
+}
+
+/* @p skip leaves out one worker, or none if it is -1. */
+static view_t *
+view_of(int nworker, int skip, int nmember)
+{
+	catalogue_t *c = catalogue_new();
+	Wire__View *v = calloc(1, sizeof(*v));
+	view_t *made;
+	int i;
+
+	wire__view__init(v);
+	v->worker = calloc(nworker + 1, sizeof(void *));
+	v->member = calloc(nmember + 1, sizeof(void *));
+	for (i = 0; i < nworker; i++)
+		if (i != skip)
+			v->worker[v->n_worker++] = worker(i);
+	for (i = 0; i < nmember; i++)
+		v->member[v->n_member++] = member(i);
+	made = view_new(v, c, 8, 0);
+	catalogue_unref(c);
+	return made;
+}
+
+static uint32_t
+shard_of(const view_t *v, const char *id)
+{
+	int i, j;
+
+	for (i = 0; i < v->nshard; i++)
+		for (j = 0; j < v->shard[i].n; j++)
+			if (strcmp(v->wire->worker[v->shard[i].first + j]->id,
+				id) == 0)
+				return v->shard[i].index;
+	return UINT32_MAX;
+}
+
+static void
+shards_hold_all_and_no_more(void)
+{
+	static const int sizes[] = { 0, 1, 7, 24, 25, 100, 1000 };
+	size_t i;
+	int j, held;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		view_t *v = view_of(sizes[i], -1, 6);
+
+		for (j = 0, held = 0; j < v->nshard; j++) {
+			const shard_t *s = &v->shard[j];
+
+			g_assert_cmpint(s->first, ==, held);
+			g_assert_cmpint(s->n, >, 0);
+			g_assert_cmpint(s->n, <=, 8);
+			held += s->n;
+			/* its own domain has live members: one of them */
+			g_assert_cmpstr(
+			    view_member(v, s->broker)->domain, ==, s->domain);
+			g_assert_cmpstr(
+			    view_broker(v, s, 0)->id, ==, s->broker);
+		}
+		g_assert_cmpint(held, ==, sizes[i]);
+		view_unref(v);
+	}
+}
+
+static void
+one_worker_moves_few(void)
+{
+	enum {
+		N = 300
+	};
+	view_t *all = view_of(N, -1, 6);
+	int skip, i, moved = 0;
+
+	for (skip = 0; skip < N; skip += 30) {
+		view_t *less = view_of(N, skip, 6);
+
+		for (i = 0; i < N; i++) {
+			const char *id = all->wire->worker[i]->id;
+
+			moved += shard_of(less, id) != UINT32_MAX &&
+				 shard_of(less, id) != shard_of(all, id);
+		}
+		view_unref(less);
+	}
+	/* Of 100 workers in its group, fewer than a shard's worth move. */
+	g_assert_cmpint(moved, <, 8 * N / 30);
+	view_unref(all);
+}
+
+static void
+brokers_fall_back(void)
+{
+	view_t *v = view_of(9, -1, 1);
+	int i;
+
+	for (i = 0; i < v->nshard; i++) {
+		g_assert_cmpstr(v->shard[i].broker, ==, "e0");
+		g_assert_null(view_broker(v, &v->shard[i], 1));
+	}
+	view_unref(v);
+	v = view_of(9, -1, 0);
+	g_assert_cmpstr(v->shard[0].broker, ==, "");
+	g_assert_null(view_owner(v, "claims/1", 0));
+	view_unref(v);
+}
+
+/* Membership */
+
+static void
+higher_numbers_win(void)
+{
+	static const struct {
+		const char *what;
+		uint64_t incarnation, seq;
+		bool gone, leaving;
+		bool live, is_leaving; /* after it */
+	} rows[] = {
+		{ "first word", 5, 1, false, false, true, false },
+		{ "older incarnation says gone", 4, 9, true, false, true,
+		    false },
+		{ "leaving", 5, 2, false, true, true, true },
+		{ "an older word", 5, 1, false, false, true, true },
+		{ "a newer word forgets that it leaves", 5, 3, false, false,
+		    true, true },
+		{ "gone, at what was heard last", 5, 3, true, false, false,
+		    true },
+		{ "the same again, live", 5, 3, false, false, false, true },
+		{ "heard anew", 5, 4, false, false, true, true },
+		{ "gone, from an older word", 5, 3, true, false, true, true },
+		{ "started again", 6, 1, false, false, true, false },
+		{ "no incarnation", 0, 99, true, false, true, false },
+	};
+	msclock_t clock = { CLOCK_FAKE, 1000 };
+	store_t *s = store_new(&clock, 8);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		Wire__Member m = WIRE__MEMBER__INIT;
+		member_t *r;
+
+		g_test_message("%s", rows[i].what);
+		m.id = "e1";
+		m.domain = "d0";
+		m.incarnation = rows[i].incarnation;
+		m.seq = rows[i].seq;
+		m.gone = rows[i].gone;
+		m.leaving = rows[i].leaving;
+		store_member(s, &m);
+		r = store_find(s, "e1");
+		g_assert_cmpint(member_live(r), ==, rows[i].live);
+		g_assert_cmpint(member_leaving(r), ==, rows[i].is_leaving);
+	}
+	store_free(s);
+}
+
+static void
+listed(store_t *s, const char *id, bool on, bool leaving)
+{
+	instance_t i = { .role = ROLE_ENTRY, .leaving = leaving };
+	instances_t l = { &i, on ? 1 : 0 };
+
+	str_copy(i.id, ID_MAX, id);
+	str_copy(i.domain, ID_MAX, "d0");
+	str_copy(i.peer_addr, ADDR_MAX, "127.0.0.1:1");
+	store_list(s, &l);
+}
+
+static void
+heard(store_t *s, uint64_t incarnation, uint64_t seq)
+{
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	m.id = "e1";
+	m.domain = "d0";
+	m.incarnation = incarnation;
+	m.seq = seq;
+	store_member(s, &m);
+}
+
+static void
+list_and_heartbeats(void)
+{
+	msclock_t clock = { CLOCK_FAKE, 1000 };
+	store_t *s = store_new(&clock, 8);
+	view_t *v;
+	catalogue_t *c = catalogue_new();
+
+	/* listed but silent: not live */
+	listed(s, "e1", true, false);
+	g_assert_false(member_live(store_find(s, "e1")));
+	v = store_view(s, c);
+	g_assert_cmpuint(v->wire->n_member, ==, 0);
+	view_unref(v);
+	/* heard: live, and still so when the list doesn't have it */
+	heard(s, 3, 1);
+	listed(s, "e2", true, false);
+	g_assert_true(member_live(store_find(s, "e1")));
+	/* the list says it leaves: until it starts anew, however it lags */
+	listed(s, "e1", true, true);
+	g_assert_true(member_leaving(store_find(s, "e1")));
+	heard(s, 3, 2);
+	g_assert_true(member_leaving(store_find(s, "e1")));
+	heard(s, 4, 1);
+	listed(s, "e1", true, true);
+	g_assert_false(member_leaving(store_find(s, "e1")));
+	/* gone and off the list for long: forgotten */
+	listed(s, "e1", false, false);
+	store_gone(s, store_find(s, "e1"));
+	clock.fake_now += 61000;
+	store_purge(s);
+	g_assert_null(store_find(s, "e1"));
+	catalogue_unref(c);
+	store_free(s);
+}
+
+static void
+list_workers(store_t *s, const char *ids)
+{
+	instance_t w[8] = { 0 };
+	instances_t l = { w, 0 };
+
+	for (; *ids != '\0'; ids++) {
+		instance_t *i = &w[l.n++];
+
+		i->role = ROLE_WORKER;
+		g_snprintf(i->id, ID_MAX, "w%c", *ids);
+		str_copy(i->service, ID_MAX, "web");
+		str_copy(i->domain, ID_MAX, "d0");
+		str_copy(i->addr, ADDR_MAX, "127.0.0.1:1");
+	}
+	store_list(s, &l);
+}
+
+static char *
+workers_of(store_t *s)
+{
+	GString *g = g_string_new(NULL);
+	int i;
+
+	store_shape(s);
+	for (i = 0; i < s->nsorted; i++)
+		g_string_append(g, s->sorted[i]->id + 1);
+	return g_string_free(g, FALSE);
+}
+
+static void
+expect_workers(store_t *s, const char *ids)
+{
+	char *got = workers_of(s);
+
+	g_assert_cmpstr(got, ==, ids);
+	g_free(got);
+}
+
+static void
+stale_lists_bring_nothing_back(void)
+{
+	msclock_t clock = { CLOCK_FAKE, 1000 };
+	store_t *s = store_new(&clock, 8);
+	Wire__Worker w = WIRE__WORKER__INIT;
+
+	list_workers(s, "ab");
+	expect_workers(s, "ab");
+	/* a peer's newer list has c; our stale one doesn't take it away */
+	w.id = "wc";
+	w.service = "web";
+	w.domain = "d0";
+	w.stamp = (uint64_t)clock_wall() + 60000;
+	store_worker(s, &w);
+	list_workers(s, "ab");
+	expect_workers(s, "abc");
+	/* it goes when our lists have been without it for long */
+	clock.fake_now += 5000;
+	list_workers(s, "ab");
+	expect_workers(s, "abc");
+	clock.fake_now += 10000;
+	list_workers(s, "ab");
+	expect_workers(s, "ab");
+	/* off our own list is off at once, an old word changes nothing */
+	list_workers(s, "b");
+	expect_workers(s, "b");
+	w.id = "wa";
+	w.stamp = 1;
+	store_worker(s, &w);
+	expect_workers(s, "b");
+	store_free(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/peer/frames", frames_table);
+	g_test_add_func("/peer/prefixes", every_prefix_waits);
+	g_test_add_func("/peer/flipped-bits", flipped_bits_do_no_harm);
+	g_test_add_func("/peer/shards", shards_hold_all_and_no_more);
+	g_test_add_func("/peer/one-worker-moves-few", one_worker_moves_few);
+	g_test_add_func("/peer/brokers-fall-back", brokers_fall_back);
+	g_test_add_func("/peer/higher-numbers-win", higher_numbers_win);
+	g_test_add_func("/peer/list-and-heartbeats", list_and_heartbeats);
+	g_test_add_func("/peer/stale-lists", stale_lists_bring_nothing_back);
+	return g_test_run();
+}
