Peer: tests with several nodes; seeds; ready only once the view shows it

Cause: what several nodes do together when brokers, relays or homes die. Found: node_ready() was true up to view_ms before the published view had the catalogue that made it so; /peer/catalogues failed (0 == 3) and passes now.

--- a/base/base.h
+++ b/base/base.h
@@ -17,6 +17,7 @@
 	ID_MAX = 64,   /* bytes of an instance, model, domain or key name */
 	ADDR_MAX = 64, /* bytes of "1.2.3.4:port" */
 	ERR_TEXT_MAX = 256,
+	SEEDS_MAX = 512, /* bytes of a list of addresses */
 };
 
 /** What kind of failure an err_t tells of. */
@@ -221,6 +222,7 @@
 		int64_t frame_max; /* bytes */
 		int64_t ask_ms;	   /* wait for a broker before the next */
 		int64_t view_ms;   /* least time between views sent */
+		char seeds[SEEDS_MAX];
 	} peer;
 	struct {
 		int64_t shard_workers;
--- a/base/settings.c
+++ b/base/settings.c
@@ -10,7 +10,8 @@
 typedef enum key_type {
 	KEY_INT,
 	KEY_NAME,
-	KEY_ADDR
+	KEY_ADDR,
+	KEY_ADDRS
 } key_type_t;
 
 typedef struct key_def {
@@ -72,6 +73,8 @@
 	    "wait for a broker's first sign before the next is asked" },
 	{ "peer", "view_ms", KEY_INT, "ms", 10, 60000, 100, AT(peer.view_ms),
 	    "least time between two views sent to an entry" },
+	{ "peer", "seeds", KEY_ADDRS, "IP:port,...", 0, 0, 0, AT(peer.seeds),
+	    "daemons to ask for others when the platform gives no list" },
 	{ "broker", "shard_workers", KEY_INT, "workers", 1, 64, 8,
 	    AT(broker.shard_workers), "workers in a shard" },
 	{ "broker", "queue_max", KEY_INT, "calls", 1, 100000, 512,
@@ -172,6 +175,24 @@
 	       *out <= most;
 }
 
+static void
+set_addrs(reader_t *r, const key_def_t *k, const char *v)
+{
+	char **addr = g_strsplit(v, ",", -1), host[ADDR_MAX];
+	uint16_t port;
+	err_t e = { ERR_NONE, "" };
+	int i;
+
+	for (i = 0; addr[i] != NULL; i++)
+		if (addr_split(g_strstrip(addr[i]), host, sizeof(host), &port,
+			&e) == -1)
+			complain(r, "%s.%s: %s", k->section, k->key, e.text);
+	g_strfreev(addr);
+	if (e.code == ERR_NONE && !str_copy(at(r->s, k), SEEDS_MAX, v))
+		complain(r, "%s.%s: fewer than %d bytes are wanted", k->section,
+		    k->key, SEEDS_MAX);
+}
+
 static void
 set_key(reader_t *r, const key_def_t *k, const char *v)
 {
@@ -205,6 +226,9 @@
 		else
 			str_copy(at(r->s, k), ADDR_MAX, v);
 		break;
+	case KEY_ADDRS:
+		set_addrs(r, k, v);
+		break;
 	}
 }
 
--- a/peer/member.c
+++ b/peer/member.c
@@ -7,6 +7,7 @@
 	PARENTS = 2,	      /* a domain's relays */
 	STRETCH_MEMBERS = 16, /* of a domain, to one more heartbeat's time */
 	UNWANTED_MS = 5000,   /* a connection without use is closed */
+	SEED_MS = 300,	      /* between two tries of a seed */
 	PROBE_MS = 5000,      /* between two tries of a gone member */
 	GONE_SHARE = 2,	      /* a domain out of reach: times the deadline */
 	UNHEARD_SHARE = 4,    /* a member never heard here: times it */
@@ -458,6 +459,29 @@
 	close_unwanted(n);
 }
 
+/* With nobody to talk to: one of the settings' addresses. */
+static void
+try_seed(node_t *n)
+{
+	char **seed;
+	conn_t *c;
+	int i, ns = 0;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_NODE || c->dialled)
+			return;
+	if (n->set->peer.seeds[0] == '\0' || n->now < n->seed_at)
+		return;
+	n->seed_at = n->now + SEED_MS;
+	seed = g_strsplit(n->set->peer.seeds, ",", -1);
+	for (ns = 0; seed[ns] != NULL; ns++)
+		g_strstrip(seed[ns]);
+	i = (int)(rng_next(&n->rng) % (uint64_t)ns);
+	if (strcmp(seed[i], n->set->instance.peer_addr) != 0)
+		net_dial(n->net, seed[i]);
+	g_strfreev(seed);
+}
+
 /* Two halves that hold each other for gone find together again. */
 static void
 probe(node_t *n)
@@ -562,6 +586,7 @@
 {
 	find_silent(n);
 	connect_all(n);
+	try_seed(n);
 	if (n->now >= n->probe_at)
 		probe(n);
 	if (n->now >= n->beat_at)
--- a/peer/node.c
+++ b/peer/node.c
@@ -418,21 +418,13 @@
 }
 
 static void
-publish(node_t *n)
+publish_view(node_t *n)
 {
-	view_t *v, *old;
-	bool ready;
+	view_t *v = store_view(n->store, n->catalogue), *old;
 	ms_t cost;
 
-	ready = n->confirmed && n->store->workers_known &&
-		n->catalogue->number >= n->ready_number;
-	__atomic_store_n(&n->ready, ready, __ATOMIC_RELAXED);
-	if (n->now < n->publish_at ||
-	    (!n->publish && n->published == n->store->change))
-		return;
 	n->publish = false;
 	n->published = n->store->change;
-	v = store_view(n->store, n->catalogue);
 	pthread_mutex_lock(&n->lock);
 	old = n->view;
 	n->view = v;
@@ -444,6 +436,20 @@
 		n->publish_at = n->now + n->set->peer.view_ms;
 }
 
+static void
+publish(node_t *n)
+{
+	bool ready = n->confirmed && n->store->workers_known &&
+		     n->catalogue->number >= n->ready_number;
+
+	if (n->now >= n->publish_at &&
+	    (n->publish || n->published != n->store->change))
+		publish_view(n);
+	/* Ready means that the view has what makes it so. */
+	if (!ready || !n->publish)
+		__atomic_store_n(&n->ready, ready, __ATOMIC_RELAXED);
+}
+
 static ms_t
 next_due(node_t *n)
 {
--- a/peer/node.h
+++ b/peer/node.h
@@ -24,7 +24,7 @@
 	brokers_t *brokers;
 	table_t *claiming; /* claims asked, of claiming_t */
 
-	ms_t now, beat_at, probe_at, purge_at;
+	ms_t now, beat_at, probe_at, seed_at, purge_at;
 	Wire__Member me;
 	bool alone;		  /* no settings name any other daemon */
 	GHashTable *domain_heard; /* domain -> ms_t *, last frame from there */
--- a/tests/peers.c
+++ b/tests/peers.c
@@ -1,15 +1,19 @@
 #include "tests/peers.h"
 
+#include <string.h>
 #include <glib.h>
 
 peers_t *
-peers_new(int n, int ndomain)
+peers_new(int n, int ndomain, const int *port)
 {
 	peers_t *p = g_new0(peers_t, 1);
-	int port[PEERS_MOST], i;
+	int i;
 
 	g_assert_cmpint(n, <=, PEERS_MOST);
-	ports_take(port, n);
+	if (port == NULL)
+		ports_take(p->port, n);
+	else
+		memcpy(p->port, port, n * sizeof(*port));
 	p->n = n;
 	p->ndomain = ndomain;
 	p->list.item = p->item;
@@ -23,8 +27,8 @@
 		s->service[0].kind = SERVICE_PLAIN;
 		g_snprintf(s->instance.id, ID_MAX, "e%d", i);
 		g_snprintf(s->instance.domain, ID_MAX, "d%d", i % ndomain);
-		g_snprintf(
-		    s->instance.peer_addr, ADDR_MAX, "127.0.0.1:%d", port[i]);
+		g_snprintf(s->instance.peer_addr, ADDR_MAX, "127.0.0.1:%d",
+		    p->port[i]);
 		str_copy(e->id, ID_MAX, s->instance.id);
 		str_copy(e->domain, ID_MAX, s->instance.domain);
 		str_copy(e->peer_addr, ADDR_MAX, s->instance.peer_addr);
@@ -112,3 +116,129 @@
 			return false;
 	return true;
 }
+
+typedef struct census {
+	asker_t *asker;
+	int n;
+} census_t;
+
+static bool
+counts(void *user)
+{
+	census_t *c = user;
+	view_t *v = client_view(c->asker->client);
+	size_t i;
+	int n = 0;
+
+	for (i = 0; i < v->wire->n_member; i++)
+		n += !v->wire->member[i]->leaving;
+	view_unref(v);
+	return n == c->n;
+}
+
+bool
+asker_sees(asker_t *a, int n, ms_t span)
+{
+	census_t c = { a, n };
+
+	return eventually(counts, &c, span);
+}
+
+asker_t *
+asker_new(peers_t *p, int i)
+{
+	asker_t *a = g_new0(asker_t, 1);
+	client_opts_t o = { .settings = &p->set[i] };
+	err_t e;
+
+	o.answers = a->answers = ring_new(1024);
+	a->client = client_new(&o, &e);
+	g_assert_nonnull(a->client);
+	return a;
+}
+
+void
+asker_free(asker_t *a)
+{
+	answer_t *x;
+
+	client_free(a->client);
+	while ((x = ring_pop(a->answers)) != NULL)
+		answer_free(x);
+	ring_free(a->answers);
+	g_free(a);
+}
+
+/* The answer to the last ask; each comes exactly once. */
+static answer_t *
+take(asker_t *a)
+{
+	answer_t *x;
+
+	while ((x = ring_wait(a->answers, 5000)) != NULL) {
+		if (x->kind == ANSWER_SLOT) {
+			g_assert_cmpuint(x->tag, ==, a->tag);
+			return x;
+		}
+		answer_free(x);
+	}
+	g_error("an ask has no answer");
+	return NULL;
+}
+
+/* @return true: granted, and given back. */
+static bool
+ask_rank(asker_t *a, const view_t *v, const shard_t *s, int rank)
+{
+	const Wire__Member *m = view_broker(v, s, rank);
+	Wire__SlotAsk ask = WIRE__SLOT_ASK__INIT;
+	Wire__SlotRelease r = WIRE__SLOT_RELEASE__INIT;
+	const Wire__SlotAnswer *got;
+	char *tried[8], request[32];
+	answer_t *x;
+	bool granted;
+
+	if (m == NULL)
+		return false;
+	g_snprintf(request, sizeof(request), "r%" PRIu64, ++a->tag);
+	ask.request = request;
+	ask.service = (char *)s->service;
+	ask.domain = (char *)s->domain;
+	ask.index = s->index;
+	ask.left_ms = 2000;
+	for (ask.n_tried = 0; (int)ask.n_tried < rank; ask.n_tried++)
+		tried[ask.n_tried] = view_broker(v, s, (int)ask.n_tried)->id;
+	ask.tried = tried;
+	g_assert_true(client_slot(a->client, a->tag, m->id, &ask, 2000));
+	x = take(a);
+	got = x->down ? NULL : x->frame->slot_answer;
+	granted = got != NULL && got->outcome == SLOT_GRANTED;
+	if (granted) {
+		str_copy(a->broker, sizeof(a->broker), m->id);
+		r.slot = got->slot;
+		r.worker = got->worker;
+		client_release(a->client, m->id, &r);
+	}
+	answer_free(x);
+	return granted;
+}
+
+ms_t
+asker_grant(asker_t *a, ms_t span)
+{
+	ms_t start = clock_now(&machine_clock), now = start;
+	bool granted = false;
+	int rank;
+
+	while (!granted && now - start < span) {
+		view_t *v = client_view(a->client);
+
+		for (rank = 0; rank < 3 && v->nshard > 0 && !granted; rank++)
+			granted = ask_rank(a, v, &v->shard[0], rank);
+		view_unref(v);
+		now = clock_now(&machine_clock);
+		if (!granted)
+			clock_sleep(10);
+	}
+	return granted ? now - start : -1;
+}
