--- a/peer/member.c
+++ b/peer/member.c
@@ -476,8 +476,8 @@
 	seed = g_strsplit(n->set->peer.seeds, ",", -1);
 	for (ns = 0; seed[ns] != NULL; ns++)
 		g_strstrip(seed[ns]);
-	i = (int)(rng_next(&n->rng) % (uint64_t)ns);
-	if (strcmp(seed[i], n->set->instance.peer_addr) != 0)
+	i = ns == 0 ? 0 : (int)(rng_next(&n->rng) % (uint64_t)ns);
+	if (ns > 0 && strcmp(seed[i], n->set->instance.peer_addr) != 0)
 		net_dial(n->net, seed[i]);
 	g_strfreev(seed);
 }
