--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -58,9 +58,11 @@
 	qsort(sorted, in->nitem, sizeof(*sorted), by_name);
 	for (i = 0; i < in->nitem; i++) {
 		if (i == 0 || by_name(&sorted[i - 1], &sorted[i]) != 0)
-			n++;
-		f->thing[sorted[i].index].family = n;
+			f->family[++n].first = NONE;
 		family = &f->family[n];
+		f->thing[sorted[i].index].family = n;
+		f->thing[sorted[i].index].family_next = family->first;
+		family->first = sorted[i].index;
 		item = sorted[i].item;
 		if (!item->wanted)
 			continue;
@@ -367,7 +369,7 @@
 
 /* Without its adapters. */
 static bool
-may_go_alone(const fleet_t *f, const copy_t *c)
+may_go_alone(const fleet_t *f, const copy_t *c, bool spread)
 {
 	const place_item_t *item = &f->in->item[c->item];
 	const thing_t *t = &f->thing[c->item];
@@ -384,7 +386,7 @@
 		       family->ready > 1;
 	if (t->ready <= least)
 		return false;
-	return t->ready_domains != 2 || t->ready_in[d] > 1;
+	return spread || t->ready_domains != 2 || t->ready_in[d] > 1;
 }
 
 bool
@@ -411,19 +413,20 @@
 }
 
 bool
-fleet_may_go(const fleet_t *f, int copy)
+fleet_may_go(const fleet_t *f, int copy, bool spread)
 {
 	const copy_t *c = &f->copy[copy], *other;
 	int i;
 
-	if (!may_go_alone(f, c))
+	if (!may_go_alone(f, c, spread))
 		return false;
 	if (f->in->item[c->item].base != NONE || fleet_base_stays(f, copy))
 		return true;
 	for (i = f->host[c->worker].copies; i != NONE; i = other->worker_next) {
 		other = &f->copy[i];
 		if (other->held != HELD_NO && other->held != HELD_GOING &&
-		    fleet_on_base(f, other, c) && !may_go_alone(f, other))
+		    fleet_on_base(f, other, c) &&
+		    !may_go_alone(f, other, spread))
 			return false;
 	}
 	return true;
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -32,6 +32,7 @@
 
 typedef struct thing {
 	int service, family;
+	int family_next;	  /* item of the same name */
 	int copies;		  /* first in the list */
 	int ready;		  /* copies that count and are ready */
 	int coming;		  /* that count and are coming */
@@ -45,6 +46,7 @@
 
 /** All versions of one name. */
 typedef struct family {
+	int first;	  /* item */
 	int ready;	  /* copies that count */
 	int wanted_ready; /* of versions that are wanted */
 	int wanted;	  /* such versions */
@@ -77,8 +79,11 @@
 bool fleet_on_base(const fleet_t *f, const copy_t *adapter, const copy_t *base);
 /** Does another version of this base stay on the worker? */
 bool fleet_base_stays(const fleet_t *f, int copy);
-/** May a ready copy go, with the adapters that stand on it? */
-bool fleet_may_go(const fleet_t *f, int copy);
+/**
+ * May a ready copy go, with the adapters that stand on it?
+ * @param spread then too if its item is left in one failure domain
+ */
+bool fleet_may_go(const fleet_t *f, int copy, bool spread);
 /** Calls that would find no other copy if this one went. */
 double fleet_loss(const fleet_t *f, int copy);
 
--- a/policy/place.c
+++ b/policy/place.c
@@ -5,8 +5,9 @@
 
 enum {
 	VICTIMS_MAX = 32,   /* copies unloaded for one load */
-	ROOM_SEARCHES = 64, /* searches for room in a step, and ... */
-	ROOM_WORKERS = 256, /* ... workers looked at in each */
+	LOOKS_MAX = 16384,  /* workers looked at for room in a step */
+	ROOM_WORKERS = 256, /* ... for one copy */
+	SHIFTS_MAX = 8,	    /* copies moved aside in a step */
 	MOVE_POINTS = 100,  /* points in a call in progress */
 	MAX_SPREAD = 2,	    /* failure domains wanted */
 };
@@ -27,6 +28,7 @@
 /* Copies that would go from one worker to make room there. */
 typedef struct victims {
 	int worker;
+	bool spread; /* an item may be left in one failure domain */
 	int copy[VICTIMS_MAX];
 	int n;
 	double loss;
@@ -38,7 +40,8 @@
 	place_out_t *out;
 	err_t *e;
 	int model_loads, adapter_loads;
-	int searches;
+	int looks; /* at workers for room */
+	int shifts;
 	need_t *need;
 	int nneed;
 	int64_t *most_free; /* by service, an upper bound */
@@ -167,7 +170,7 @@
 			if (unload(p, REASON_SURPLUS, i) == -1)
 				return -1;
 		} else if (!wanted && is_replaced(p, item) &&
-			   fleet_may_go(f, i)) {
+			   fleet_may_go(f, i, true)) {
 			if (unload(p, REASON_WITHDRAWN, i) == -1)
 				return -1;
 		}
@@ -240,6 +243,20 @@
 	}
 }
 
+/* An adapter goes where a version of its base is. */
+static void
+consider_bases(const plan_t *p, search_t *s)
+{
+	const fleet_t *f = &p->fleet;
+	int base = p->in->item[s->item].base;
+	int c, i = f->family[f->thing[base].family].first;
+
+	for (; i != NONE; i = f->thing[i].family_next)
+		for (c = f->thing[i].copies; c != NONE;
+		     c = f->copy[c].item_next)
+			consider(p, s, f->copy[c].worker);
+}
+
 /* The best worker with room as it is, or NONE. */
 static int
 with_room(plan_t *p, int item, bool new_domain)
@@ -250,8 +267,7 @@
 	int64_t most = 0;
 
 	if (p->in->item[item].base != NONE) {
-		for (i = 0; i < p->in->nworker; i++)
-			consider(p, &s, i);
+		consider_bases(p, &s);
 		return s.best;
 	}
 	if (p->most_free[service] < p->in->item[item].memory_mb)
@@ -319,7 +335,7 @@
 	     i = f->copy[i].worker_next) {
 		const copy_t *c = &f->copy[i];
 
-		if (is_victim(v, i) || !fleet_may_go(f, i))
+		if (is_victim(v, i) || !fleet_may_go(f, i, v->spread))
 			continue;
 		if (base != NONE &&
 		    f->thing[c->item].family == f->thing[base].family)
@@ -361,8 +377,9 @@
  * @return false if there is none.
  */
 static bool
-make_room(plan_t *p, int item, bool new_domain, victims_t *best)
+make_room(plan_t *p, move_reason_t why, int item, victims_t *best)
 {
+	bool new_domain = why == REASON_SPREAD;
 	const fleet_t *f = &p->fleet;
 	int i, w, n = p->in->nworker, looked = 0;
 	int from = n > 0 ? (int)(f->thing[item].hash % n) : 0;
@@ -370,16 +387,15 @@
 	double cost, least = 0;
 
 	best->worker = NONE;
-	if (p->searches == 0)
-		return false;
-	p->searches--;
-	for (i = 0; i < n && looked < ROOM_WORKERS; i++) {
+	v.spread = why <= REASON_REPAIR;
+	for (i = 0; i < n && looked < ROOM_WORKERS && p->looks > 0; i++) {
 		w = (from + i) % n;
 		if (!usable_host(p, w, item) ||
 		    (new_domain &&
 			f->thing[item].domain[f->host[w].domain] > 0))
 			continue;
 		looked++;
+		p->looks--;
 		if (!find_victims(p, &v, w, item))
 			continue;
 		cost = v.loss + v.n - worth(p, w, item);
@@ -400,7 +416,7 @@
 	for (i = 0; i < v->n; i++)
 		if (unload(p, REASON_MAKE_ROOM, v->copy[i]) == -1)
 			return -1;
-	p->fleet.host[v->worker].going -= p->in->item[item].memory_mb;
+	p->fleet.host[v->worker].free -= p->in->item[item].memory_mb;
 	return 0;
 }
 
@@ -415,9 +431,9 @@
 	uint32_t want = p->in->item[item].memory_mb;
 	int i, w, to;
 
-	if (p->in->item[item].base != NONE || p->searches == 0)
+	if (p->in->item[item].base != NONE || p->shifts == 0)
 		return 0;
-	p->searches--;
+	p->shifts--;
 	for (i = 0; i < f->ncopy; i++) {
 		const copy_t *c = &f->copy[i];
 		const place_item_t *moved = &p->in->item[c->item];
@@ -535,6 +551,16 @@
 	return 0;
 }
 
+/* No version of an adapter's base is ready. */
+static bool
+awaits_base(const plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	int base = p->in->item[item].base;
+
+	return base != NONE && f->family[f->thing[base].family].ready == 0;
+}
+
 /* First copies, repair and spread. */
 static int
 meet_need(plan_t *p, const need_t *n)
@@ -548,7 +574,9 @@
 	worker = with_room(p, n->item, spread);
 	if (worker != NONE)
 		return load(p, n->reason, worker, n->item);
-	if (make_room(p, n->item, spread, &v)) {
+	if (awaits_base(p, n->item))
+		return 0;
+	if (make_room(p, n->reason, n->item, &v)) {
 		if (spread && v.loss > p->in->item[n->item].demand)
 			return 0;
 		return take_victims(p, &v, n->item);
@@ -586,7 +614,8 @@
 		n->short_of -= win;
 	}
 	if (n->short_of <= 0 || *budget(p, n->item) <= 0 ||
-	    !worthwhile(p, n->short_of, 2) || !make_room(p, n->item, false, &v))
+	    !worthwhile(p, n->short_of, 2) ||
+	    !make_room(p, n->reason, n->item, &v))
 		return 0;
 	win = p->fleet.host[v.worker].spare;
 	if (win > n->short_of)
@@ -643,7 +672,8 @@
 		.e = e,
 		.model_loads = in->model_loads_left,
 		.adapter_loads = in->adapter_loads_left,
-		.searches = ROOM_SEARCHES };
+		.looks = LOOKS_MAX,
+		.shifts = SHIFTS_MAX };
 	int rc;
 
 	out->nmove = 0;
