endpoint: contract tests; no request is sent twice by libcurl

A new connection for each call was weighed: it costs a round trip between failure domains, so it is kept for plain calls only, unless the asker allows reuse.

--- /dev/null
+++ b/tests/endpoint_proc.c
@@ -0,0 +1,622 @@
+#include "endpoint/endpoint.h"
+#include "standin/token.h"
+#include "tests/proc.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <glib.h>
+#include <jansson.h>
+
+enum {
+	TOKENS = 8,
+	TIMEOUT_MS = 1500, /* of a call in the tables */
+	GAP_MS = 400,
+	WAIT_MS = 10000, /* for anything that has to come */
+	EVENTS = 1024,
+};
+
+static const char prompt[] = "friction trace of runway 17 #8";
+
+typedef struct rig {
+	proc_t *proc;
+	char *addr;
+	ring_t *events;
+	endpoint_t *ep;
+	settings_t settings;
+	uint64_t tag;
+} rig_t;
+
+/* What a call came to. */
+typedef struct got {
+	call_event_t *end;
+	GString *text;
+	uint32_t tokens;
+	char id[ID_MAX];
+} got_t;
+
+static void
+control(const rig_t *r, const char *faults)
+{
+	reply_t a = http_call(
+	    "POST", r->addr, "/control/faults", NULL, faults, WAIT_MS);
+
+	g_assert_cmpint(a.status, ==, 200);
+	reply_clear(&a);
+}
+
+static json_t *
+record(const rig_t *r)
+{
+	reply_t a =
+	    http_call("GET", r->addr, "/control/record", NULL, NULL, WAIT_MS);
+	json_t *j = json_loads(a.body, 0, NULL);
+
+	g_assert_nonnull(j);
+	reply_clear(&a);
+	return j;
+}
+
+/* Times the call with this id was taken on there. */
+static int
+ran(const rig_t *r, const char *id)
+{
+	json_t *j = record(r), *list, *item;
+	size_t i;
+	int n = 0;
+
+	list = json_object_get(j, "calls");
+	json_array_foreach(list, i, item) n +=
+	    strcmp(json_string_value(json_object_get(item, "id")), id) == 0;
+	list = json_object_get(j, "runs");
+	json_array_foreach(list, i,
+	    item) if (strcmp(json_string_value(json_object_get(item, "id")),
+			  id) == 0) n +=
+	    (int)json_integer_value(json_object_get(item, "count"));
+	json_decref(j);
+	return n;
+}
+
+static bool
+is_ready(void *user)
+{
+	orders_t *o = orders_new(WAIT_MS, NULL);
+	load_report_t rep;
+	bool ready = orders_state(o, user, &rep, NULL) == 0 &&
+		     rep.nresident == 1 &&
+		     rep.resident[0].state == RESIDENT_READY;
+
+	free(rep.resident);
+	orders_free(o);
+	return ready;
+}
+
+static void
+load_model(const char *addr)
+{
+	order_t order = { .kind = ORDER_LOAD,
+		.number = 1,
+		.fence = 1,
+		.model = "m",
+		.version = 2,
+		.memory_mb = 1000 };
+	orders_t *o = orders_new(WAIT_MS, NULL);
+
+	g_assert_cmpint(orders_send(o, addr, &order, NULL), ==, 0);
+	orders_free(o);
+	g_assert_true(eventually(is_ready, (void *)addr, WAIT_MS));
+}
+
+static void
+rig_start(rig_t *r, const char *standin, const char *option, const char *value)
+{
+	int port;
+
+	memset(r, 0, sizeof(*r));
+	ports_take(&port, 1);
+	r->addr = addr_of(port);
+	r->proc = proc_start(
+	    standin, "--listen", r->addr, "--id", "w1", option, value, NULL);
+	g_assert_true(http_until(r->addr, "/v1/load", 200, WAIT_MS));
+	if (strcmp(standin, "standin-engine") == 0)
+		load_model(r->addr);
+	settings_init(&r->settings);
+	r->events = ring_new(EVENTS);
+	r->ep =
+	    endpoint_new(&(endpoint_opts_t){ &r->settings, r->events }, NULL);
+	g_assert_nonnull(r->ep);
+}
+
+static void
+rig_stop(rig_t *r)
+{
+	call_event_t *ev;
+
+	endpoint_free(r->ep);
+	while ((ev = ring_pop(r->events)) != NULL)
+		call_event_free(ev);
+	ring_free(r->events);
+	proc_kill(r->proc);
+	g_free(r->addr);
+}
+
+static call_spec_t *
+spec_new(rig_t *r, bool plain, const char *id)
+{
+	call_spec_t *s = calloc(1, sizeof(*s));
+
+	s->tag = ++r->tag;
+	str_copy(s->addr, sizeof(s->addr), r->addr);
+	str_copy(s->request, sizeof(s->request), id);
+	s->timeout = TIMEOUT_MS;
+	s->gap = GAP_MS;
+	s->plain = plain;
+	if (plain) {
+		str_copy(s->method, sizeof(s->method), "POST");
+		str_copy(s->path, sizeof(s->path), "/calibrations");
+		str_copy(s->key, sizeof(s->key), id);
+		s->body = strdup("{\"trailer\":4}");
+		s->body_len = strlen(s->body);
+	} else {
+		str_copy(s->model, sizeof(s->model), "m");
+		s->version = 2;
+		s->prompt = strdup(prompt);
+		s->max_tokens = 100;
+	}
+	return s;
+}
+
+static got_t
+finish(rig_t *r, uint64_t tag)
+{
+	got_t g = { .text = g_string_new(NULL) };
+	call_event_t *ev;
+
+	while (g.end == NULL) {
+		ev = ring_wait(r->events, WAIT_MS);
+		g_assert_nonnull(ev);
+		g_assert_cmpuint(ev->tag, ==, tag);
+		if (ev->kind == EVENT_END) {
+			g.end = ev;
+			break;
+		}
+		g_string_append(g.text, ev->text);
+		g.tokens++;
+		call_event_free(ev);
+	}
+	return g;
+}
+
+static got_t
+run_call(rig_t *r, call_spec_t *s)
+{
+	uint64_t tag = s->tag;
+	char id[ID_MAX];
+	got_t g;
+
+	str_copy(id, sizeof(id), s->request);
+	g_assert_true(endpoint_start(r->ep, s));
+	g = finish(r, tag);
+	str_copy(g.id, sizeof(g.id), id);
+	return g;
+}
+
+static void
+got_clear(got_t *g)
+{
+	call_event_free(g->end);
+	g_string_free(g->text, TRUE);
+}
+
+/* Whatever came is the beginning of the call's own answer. */
+static void
+check_text(const got_t *g, uint32_t from)
+{
+	GString *want = g_string_new(NULL);
+	char token[TOKEN_MAX];
+	uint32_t k;
+
+	for (k = 0; k < g->tokens; k++) {
+		token_text(token, sizeof(token), prompt, from + k);
+		g_string_append(want, token);
+	}
+	g_assert_cmpstr(g->text->str, ==, want->str);
+	g_string_free(want, TRUE);
+}
+
+enum {
+	ANY = -1
+};
+
+typedef struct row {
+	const char *name, *faults;
+	bool plain;
+	call_outcome_t want;
+	int ran;	  /* times, by the stand-in's record */
+	int tokens;	  /* that came through, or ANY */
+	const char *path; /* instead of what it has */
+} row_t;
+
+static const row_t rows[] = {
+	{ "engine, no fault", "{}", false, CALL_DONE, 1, TOKENS, NULL },
+	{ "refused", "{\"refuse\":1}", false, CALL_REFUSED, 0, 0, NULL },
+	{ "not resident", "{}", false, CALL_REFUSED, 0, 0, "other-model" },
+	{ "reply dropped", "{\"drop_replies\":1}", false, CALL_UNKNOWN, 1, 0,
+	    NULL },
+	{ "cut before the first token", "{\"cut_after\":0}", false,
+	    CALL_UNKNOWN, 1, 0, NULL },
+	{ "cut after one", "{\"cut_after\":1}", false, CALL_UNKNOWN, 1, 1,
+	    NULL },
+	{ "cut before the end marker", "{\"cut_after\":8}", false, CALL_UNKNOWN,
+	    1, TOKENS, NULL },
+	{ "no end marker", "{\"no_end\":true}", false, CALL_UNKNOWN, 1, TOKENS,
+	    NULL },
+	{ "crossed with another answer", "{\"cross_events\":1}", false,
+	    CALL_UNKNOWN, 1, 0, NULL },
+	{ "events twice", "{\"double_events\":5}", false, CALL_DONE, 1, TOKENS,
+	    NULL },
+	{ "events twice, then cut", "{\"double_events\":5,\"cut_after\":4}",
+	    false, CALL_UNKNOWN, 1, 4, NULL },
+	{ "too slow between tokens", "{\"slow_factor\":40}", false,
+	    CALL_UNKNOWN, 1, ANY, NULL },
+	{ "slow before the first", "{\"delay_ms\":300}", false, CALL_DONE, 1,
+	    TOKENS, NULL },
+	{ "frozen", "{\"freeze_ms\":2500}", false, CALL_UNKNOWN, ANY, 0, NULL },
+
+	{ "service, no fault", "{}", true, CALL_DONE, 1, 0, NULL },
+	{ "service drops the reply", "{\"drop_replies\":1}", true, CALL_UNKNOWN,
+	    1, 0, NULL },
+	{ "service fails", "{\"fail\":1}", true, CALL_FAILED, 1, 0, NULL },
+	{ "service is slow", "{\"delay_ms\":300}", true, CALL_DONE, 1, 0,
+	    NULL },
+	{ "service is frozen", "{\"freeze_ms\":2500}", true, CALL_UNKNOWN, ANY,
+	    0, NULL },
+	{ "path that can't be sent", "{}", true, CALL_REFUSED, 0, 0, "/a\nb" },
+};
+
+static void
+check_row(gconstpointer user)
+{
+	const row_t *row = user;
+	call_spec_t *s;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, row->plain ? "standin-service" : "standin-engine",
+	    row->plain ? NULL : "--token-ms", "15");
+	s = spec_new(&r, row->plain, "call-1");
+	if (row->path != NULL && row->plain)
+		str_copy(s->path, sizeof(s->path), row->path);
+	else if (row->path != NULL)
+		str_copy(s->model, sizeof(s->model), row->path);
+	control(&r, row->faults);
+	g = run_call(&r, s);
+	g_test_message("%s: reason '%s'", row->name, g.end->reason);
+	g_assert_cmpint(g.end->outcome, ==, row->want);
+	check_text(&g, 0);
+	if (row->tokens != ANY)
+		g_assert_cmpuint(g.tokens, ==, row->tokens);
+	g_assert_cmpuint(g.end->offset, ==, g.tokens);
+	if (row->ran != ANY)
+		g_assert_cmpint(ran(&r, "call-1"), ==, row->ran);
+	/* The promise: "not run" is true, and never says so of what ran. */
+	if (g.end->not_run)
+		g_assert_cmpint(ran(&r, "call-1"), ==, 0);
+	g_assert_cmpint(g.end->not_run, ==, row->want == CALL_REFUSED);
+	got_clear(&g);
+	rig_stop(&r);
+}
+
+static void
+nobody_there(void)
+{
+	call_spec_t *s;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, "standin-service", NULL, NULL);
+	proc_signal(r.proc, SIGKILL);
+	g_assert_true(proc_ended(r.proc, WAIT_MS));
+	s = spec_new(&r, true, "call-1");
+	g = run_call(&r, s);
+	g_assert_cmpint(g.end->outcome, ==, CALL_REFUSED);
+	g_assert_true(g.end->not_run);
+	g_assert_false(g.end->sent);
+	g_assert_false(g.end->connected);
+	got_clear(&g);
+	rig_stop(&r);
+}
+
+/* A cut stream goes on where it was, from the engine's own copy. */
+static void
+cut_stream_is_resumed(void)
+{
+	call_spec_t *s;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, "standin-engine", "--token-ms", "15");
+	control(&r, "{\"cut_after\":3}");
+	g = run_call(&r, spec_new(&r, false, "call-1"));
+	g_assert_cmpint(g.end->outcome, ==, CALL_UNKNOWN);
+	g_assert_cmpuint(g.end->offset, ==, 3);
+	got_clear(&g);
+	control(&r, "{\"cut_after\":-1}");
+	s = spec_new(&r, false, "call-1");
+	s->resume = true;
+	s->offset = 3;
+	g = run_call(&r, s);
+	g_assert_cmpint(g.end->outcome, ==, CALL_DONE);
+	g_assert_cmpstr(g.end->text, ==, "stop");
+	g_assert_cmpuint(g.tokens, ==, TOKENS - 3);
+	check_text(&g, 3);
+	g_assert_cmpint(ran(&r, "call-1"), ==, 1);
+	got_clear(&g);
+	rig_stop(&r);
+}
+
+static bool
+was_cancelled(void *user)
+{
+	json_t *j = record(user);
+	bool is = json_is_true(json_object_get(
+	    json_array_get(json_object_get(j, "calls"), 0), "cancelled"));
+
+	json_decref(j);
+	return is;
+}
+
+static void
+cancel_reaches_the_engine(void)
+{
+	call_event_t *ev;
+	call_spec_t *s;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, "standin-engine", "--token-ms", "100");
+	s = spec_new(&r, false, "call-1");
+	g_assert_true(endpoint_start(r.ep, s));
+	ev = ring_wait(r.events, WAIT_MS);
+	g_assert_cmpint(ev->kind, ==, EVENT_TOKEN);
+	call_event_free(ev);
+	endpoint_cancel(r.ep, r.tag);
+	g = finish(&r, r.tag);
+	g_assert_cmpint(g.end->outcome, ==, CALL_CANCELLED);
+	g_assert_false(g.end->not_run);
+	g_assert_true(eventually(was_cancelled, &r, WAIT_MS));
+	got_clear(&g);
+	rig_stop(&r);
+}
+
+/* A full events ring holds the stream back and loses nothing. */
+static void
+slow_reader_loses_nothing(void)
+{
+	call_spec_t *s;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, "standin-engine", "--token-ms", "1");
+	endpoint_free(r.ep);
+	ring_free(r.events);
+	r.events = ring_new(4);
+	r.ep = endpoint_new(&(endpoint_opts_t){ &r.settings, r.events }, NULL);
+	s = spec_new(&r, false, "call-1");
+	g_free(s->prompt);
+	s->prompt = strdup("long #2000");
+	s->max_tokens = 2000;
+	s->timeout = WAIT_MS;
+	g_assert_true(endpoint_start(r.ep, s));
+	clock_sleep(GAP_MS * 2); /* longer than a gap, unread */
+	g = finish(&r, r.tag);
+	g_assert_cmpint(g.end->outcome, ==, CALL_DONE);
+	g_assert_cmpuint(g.tokens, ==, 2000);
+	got_clear(&g);
+	rig_stop(&r);
+}
+
+/* A service that answers one request on a connection and drops the next. */
+typedef struct dropper {
+	int fd;
+	bool listens_on; /* after the drop */
+	int requests;
+} dropper_t;
+
+static bool
+read_request(int fd)
+{
+	char buf[4096];
+	size_t n = 0;
+
+	while (n < sizeof(buf) - 1) {
+		ssize_t got = recv(fd, buf + n, sizeof(buf) - 1 - n, 0);
+
+		if (got <= 0)
+			return false;
+		n += got;
+		buf[n] = '\0';
+		if (strstr(buf, "\"trailer\":4}") != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void *
+dropper(void *user)
+{
+	static const char ok[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+	dropper_t *d = user;
+	int c = accept(d->fd, NULL, NULL);
+
+	d->requests += read_request(c);
+	g_assert_cmpint(send(c, ok, sizeof(ok) - 1, 0), ==, sizeof(ok) - 1);
+	d->requests += read_request(c);
+	if (!d->listens_on)
+		close(d->fd);
+	close(c);
+	while (d->listens_on && (c = accept(d->fd, NULL, NULL)) != -1) {
+		d->requests += read_request(c);
+		send(c, ok, sizeof(ok) - 1, MSG_NOSIGNAL);
+		close(c);
+	}
+	return NULL;
+}
+
+/*
+ * libcurl sends a request again by itself if a kept connection closes without
+ * an answer. That would run a call twice, or call it "not run" when only the
+ * second try found nobody.
+ */
+static void
+kept_connection_dies(gconstpointer listens_on)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	dropper_t d = { .fd = socket(AF_INET, SOCK_STREAM, 0),
+		.listens_on = listens_on != NULL };
+	pthread_t thread;
+	int port, one = 1;
+	rig_t r;
+	got_t g;
+
+	ports_take(&port, 1);
+	a.sin_port = htons(port);
+	setsockopt(d.fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	g_assert_cmpint(bind(d.fd, (struct sockaddr *)&a, sizeof(a)), ==, 0);
+	g_assert_cmpint(listen(d.fd, 8), ==, 0);
+	pthread_create(&thread, NULL, dropper, &d);
+	rig_start(&r, "standin-service", NULL, NULL);
+	g_free(r.addr);
+	r.addr = addr_of(port);
+	for (int i = 0; i < 2; i++) {
+		call_spec_t *s = spec_new(&r, true, "call-1");
+
+		s->reuse = true;
+		g = run_call(&r, s);
+		g_test_message("call %d: '%s'", i, g.end->reason);
+		g_assert_cmpint(
+		    g.end->outcome, ==, i == 0 ? CALL_DONE : CALL_UNKNOWN);
+		g_assert_false(g.end->not_run);
+		g_assert_true(g.end->sent);
+		got_clear(&g);
+	}
+	shutdown(d.fd, SHUT_RDWR);
+	pthread_join(thread, NULL);
+	g_assert_cmpint(d.requests, ==, 2);
+	rig_stop(&r);
+}
+
+/* Orders: what is said of one, and what the engine did. */
+static void
+orders_tell_the_truth(void)
+{
+	static const struct {
+		const char *name, *faults;
+		uint64_t fence;
+		err_code_t want;
+	} table[] = {
+		{ "taken", "{}", 2, ERR_NONE },
+		{ "stale", "{}", 1, ERR_CONFLICT },
+		{ "lost", "{\"lose_orders\":1}", 3, ERR_UNKNOWN },
+		{ "late", "{\"late_orders_ms\":50}", 4, ERR_UNKNOWN },
+		{ "too slow", "{\"late_orders_ms\":0,\"delay_ms\":1000}", 5,
+		    ERR_UNKNOWN },
+		{ "taken again", "{\"delay_ms\":0}", 6, ERR_NONE },
+	};
+	orders_t *o = orders_new(500, NULL);
+	size_t i;
+	rig_t r;
+
+	rig_start(&r, "standin-engine", "--fencing", "yes");
+	for (i = 0; i < G_N_ELEMENTS(table); i++) {
+		order_t order = { .kind = ORDER_ROLE,
+			.number = 10 + i,
+			.fence = table[i].fence };
+		err_t e = { 0 };
+
+		control(&r, table[i].faults);
+		orders_send(o, r.addr, &order, &e);
+		g_test_message("%s: '%s'", table[i].name, e.text);
+		g_assert_cmpint(e.code, ==, table[i].want);
+	}
+	proc_signal(r.proc, SIGKILL);
+	g_assert_true(proc_ended(r.proc, WAIT_MS));
+	{
+		order_t order = { .kind = ORDER_ROLE, .number = 99 };
+		err_t e = { 0 };
+
+		orders_send(o, r.addr, &order, &e);
+		g_assert_cmpint(e.code, ==, ERR_DOWN);
+	}
+	orders_free(o);
+	rig_stop(&r);
+}
+
+static void
+load_reports_come(void)
+{
+	load_target_t t[2] = { { .worker = "w1" }, { .worker = "gone" } };
+	ring_t *reports = ring_new(64);
+	bool seen = false, missed = false;
+	loads_t *l;
+	rig_t r;
+
+	rig_start(&r, "standin-engine", "--load-lag-ms", "50");
+	r.settings.broker.load_poll_ms = 50;
+	str_copy(t[0].addr, sizeof(t[0].addr), r.addr);
+	str_copy(t[1].addr, sizeof(t[1].addr), "127.0.0.1:9");
+	l = loads_new(&r.settings, reports, NULL);
+	loads_set(l, t, 2);
+	while (!seen || !missed) {
+		load_report_t *rep = ring_wait(reports, WAIT_MS);
+
+		g_assert_nonnull(rep);
+		if (strcmp(rep->worker, "gone") == 0) {
+			g_assert_false(rep->reached);
+			missed = true;
+		} else if (rep->reached && rep->nresident == 1) {
+			g_assert_cmpstr(rep->worker, ==, "w1");
+			g_assert_cmpuint(rep->used_mb, ==, 1000);
+			g_assert_cmpuint(rep->resident[0].version, ==, 2);
+			seen = true;
+		}
+		load_report_free(rep);
+	}
+	loads_free(l);
+	for (load_report_t *rep; (rep = ring_pop(reports)) != NULL;)
+		load_report_free(rep);
+	ring_free(reports);
+	rig_stop(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *path = g_strdup_printf("/endpoint/fault/%s",
+		    g_strdelimit(g_strdup(rows[i].name), " ,", '-'));
+
+		g_test_add_data_func(path, &rows[i], check_row);
+		g_free(path);
+	}
+	g_test_add_func("/endpoint/nobody-there", nobody_there);
+	g_test_add_func("/endpoint/resumed", cut_stream_is_resumed);
+	g_test_add_func("/endpoint/cancel", cancel_reaches_the_engine);
+	g_test_add_func("/endpoint/slow-reader", slow_reader_loses_nothing);
+	g_test_add_data_func(
+	    "/endpoint/kept-connection-dies", NULL, kept_connection_dies);
+	g_test_add_data_func("/endpoint/kept-connection-dies-and-comes-back",
+	    "", kept_connection_dies);
+	g_test_add_func("/endpoint/orders", orders_tell_the_truth);
+	g_test_add_func("/endpoint/load-reports", load_reports_come);
+	return g_test_run();
+}
