bench: callload, the load tool, and freeports

Open-loop arrivals from a seed, bursts, skewed models; callers keep an entries answer, move on, heed Retry-After, resume streams. Each token is checked against the engine's own function, plain calls against the services' record.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,9 @@
 STANDIN = platform engine service
 STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard $(STANDIN:%=standin/%.c)))
 STANDLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(STANDIN:%=standin/%.c),$(wildcard standin/*.c)))
-BENCHES = $(patsubst bench/%.c,$(B)/bin/%,$(wildcard bench/*.c))
+BENCH = callload freeports
+BENCHES = $(BENCH:%=$(B)/bin/%)
+BENCHLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(BENCH:%=bench/%.c),$(wildcard bench/*.c)))
 # A *_test.c is a unit test; a *_proc.c starts real processes.
 UNIT = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_test.c))
 PROC = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_proc.c))
@@ -63,10 +65,10 @@
 $(B)/bin/%: $(O)/cmd/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(B)/bin/%: $(O)/bench/%.o $(STANDLIB) $(LIB)
+$(B)/bin/%: $(O)/bench/%.o $(BENCHLIB) $(STANDLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(STANDLIB) $(LIB)
+$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(BENCHLIB) $(STANDLIB) $(LIB)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 .SECONDARY:
 
--- /dev/null
+++ b/bench/drive.c
@@ -0,0 +1,349 @@
+#include "bench/drive.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	WAIT_MS = 5,	      /* longest round */
+	AGAIN_MS = 100,	      /* until a try that got no Retry-After */
+	AGAIN_MOST_MS = 2000, /* of a Retry-After that is heeded */
+	ENTRIES_TRIES = 50,   /* until no entry counts as there */
+};
+
+load_t load = {
+	.plan = { .rate = 50,
+	    .burst = 3,
+	    .plain = 0.15,
+	    .skew = 0.9,
+	    .callers = 40 },
+	.promise_ms = 2000,
+	.gap_ms = 42,
+	.timeout_ms = 30000,
+	.retries = 5,
+	.seconds = 10,
+	.tokens = 24,
+	.seed = 1,
+};
+
+/* Which entry to use. */
+
+static void
+ask_entries(active_t *a)
+{
+	caller_t *c = &load.caller[a->job->caller];
+
+	send_entries(a, c->n > 0 ? c->entry[c->pos % c->n]
+				 : load.seed_entry[c->pos % load.nseed]);
+}
+
+static void
+go(active_t *a)
+{
+	caller_t *c = &load.caller[a->job->caller];
+	const char *addr;
+
+	a->job->whole = 0;
+	if (load.direct == NULL && (c->n == 0 || now_us() >= c->until)) {
+		ask_entries(a);
+		return;
+	}
+	addr = load.direct != NULL
+		   ? load.seed_entry[a->job->number % load.nseed]
+		   : c->entry[c->pos % c->n];
+	a->job->tries++;
+	if (a->resuming)
+		send_resume(a, addr);
+	else if (is_chat(a->job))
+		send_chat(a, addr);
+	else
+		send_plain(a, addr);
+}
+
+/* This entry didn't do: use the next one of the answer. */
+static void
+move_on(active_t *a)
+{
+	caller_t *c = &load.caller[a->job->caller];
+
+	load.tally.moved++;
+	c->pos++;
+	if (c->pos >= c->n) {
+		/* All are used up: ask anew, beginning with the seeds. */
+		g_strfreev(c->entry);
+		c->entry = NULL;
+		c->n = 0;
+	}
+}
+
+static bool
+take_entries(active_t *a)
+{
+	caller_t *c = &load.caller[a->job->caller];
+	json_t *j = json_loadb(a->body->str, a->body->len, 0, NULL);
+	json_t *list = json_object_get(j, "entries"), *item;
+	GPtrArray *all = g_ptr_array_new();
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const char *addr =
+		    json_string_value(json_object_get(item, "addr"));
+
+		if (addr != NULL)
+			g_ptr_array_add(all, g_strdup(addr));
+	}
+	json_decref(j);
+	g_ptr_array_add(all, NULL);
+	if (all->len == 1) {
+		g_strfreev((char **)g_ptr_array_free(all, FALSE));
+		return false;
+	}
+	g_strfreev(c->entry);
+	c->n = (int)all->len - 1;
+	c->entry = (char **)g_ptr_array_free(all, FALSE);
+	c->pos = 0;
+	c->until = now_us() + a->max_age * 1000;
+	return true;
+}
+
+/* What comes of a try. */
+
+static void
+settle(active_t *a, verdict_t v)
+{
+	job_t *j = a->job;
+	int64_t whole = now_us() - load.start - j->at * 1000;
+	int64_t most = (int64_t)load.promise_ms * 1000;
+	int64_t stream = (int64_t)j->tokens * load.gap_ms * 1000;
+
+	j->verdict = v;
+	j->whole = whole;
+	a->step = STEP_OVER;
+	if (v != VERDICT_WHOLE)
+		return;
+	switch (j->kind) {
+	case JOB_STREAM:
+		j->in_time = j->first <= most && whole - j->first <= stream;
+		break;
+	case JOB_CHAT:
+		j->in_time = whole <= most + stream;
+		break;
+	case JOB_KEYED:
+	case JOB_ONCE:
+		j->in_time = whole <= most;
+		break;
+	}
+}
+
+static void
+wait_for(active_t *a, ms_t span)
+{
+	if (span <= 0)
+		span = AGAIN_MS;
+	if (span > AGAIN_MOST_MS)
+		span = AGAIN_MOST_MS;
+	a->step = STEP_WAIT;
+	a->due = now_us() + span * 1000;
+}
+
+/* Another try, or @p v when they are used up. */
+static void
+again(active_t *a, ms_t span, verdict_t v)
+{
+	if (a->job->tries > load.retries) {
+		settle(a, v);
+		return;
+	}
+	load.tally.retries++;
+	wait_for(a, span);
+}
+
+static void
+judge_answer(active_t *a, int status)
+{
+	job_t *j = a->job;
+
+	if (strcmp(a->ran, "no") == 0 ||
+	    (load.direct != NULL && (status == 429 || status == 503))) {
+		if (status == 503)
+			move_on(a);
+		if (status == 429 || status == 503)
+			again(a, a->retry_after,
+			    a->resuming ? VERDICT_CUT : VERDICT_REFUSED);
+		else
+			settle(
+			    a, a->resuming ? VERDICT_FAILED : VERDICT_REFUSED);
+	} else if (strcmp(a->ran, "unknown") == 0) {
+		if (j->kind == JOB_KEYED && a->retry_after > 0)
+			again(a, a->retry_after, VERDICT_UNKNOWN);
+		else
+			settle(a, VERDICT_UNKNOWN);
+	} else
+		settle(a, VERDICT_FAILED);
+}
+
+static void
+judge_plain(active_t *a)
+{
+	json_t *j = json_loadb(a->body->str, a->body->len, 0, NULL);
+	const char *path = json_string_value(json_object_get(j, "path"));
+
+	settle(a, path != NULL && strcmp(path, a->job->prompt) == 0
+		      ? VERDICT_WHOLE
+		      : VERDICT_FOREIGN);
+	json_decref(j);
+}
+
+static void
+judge_chat(active_t *a, bool whole)
+{
+	verdict_t v;
+
+	if (a->job->kind == JOB_CHAT && whole) {
+		if (load.direct != NULL)
+			answer_feed(&a->check, a->body->str, a->body->len);
+		else
+			answer_whole(&a->check, a->body->str, a->body->len);
+	}
+	v = answer_verdict(&a->check);
+	if (v != VERDICT_OPEN) {
+		settle(a, v);
+		return;
+	}
+	/* It broke off without a word. */
+	move_on(a);
+	if (a->check.token[0] != '\0') {
+		a->resuming = true;
+		load.tally.resumes++;
+		a->job->resumes++;
+		again(a, 0, VERDICT_CUT);
+	} else if (a->check.next == 0)
+		again(a, 0, VERDICT_LOST);
+	else
+		settle(a, VERDICT_CUT);
+}
+
+/* The connection died without an answer. */
+static void
+judge_silence(active_t *a, bool sent)
+{
+	move_on(a);
+	if (!sent)
+		again(a, 1, a->resuming ? VERDICT_CUT : VERDICT_REFUSED);
+	else if (a->job->kind == JOB_ONCE)
+		settle(a, VERDICT_UNANSWERED);
+	else
+		again(a, 0, a->resuming ? VERDICT_CUT : VERDICT_LOST);
+}
+
+static void
+ended(active_t *a, CURLcode rc)
+{
+	bool sent = easy_sent(a->easy);
+	long status = 0;
+
+	curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
+	close_request(a);
+	if (a->step == STEP_ENTRIES) {
+		if (rc == CURLE_OK && status == 200 && take_entries(a)) {
+			go(a);
+			return;
+		}
+		load.caller[a->job->caller].pos++;
+		if (++a->entry_tries > ENTRIES_TRIES)
+			settle(a, VERDICT_LOST);
+		else
+			wait_for(a, AGAIN_MS);
+	} else if (status == 200 && is_chat(a->job))
+		judge_chat(a, rc == CURLE_OK);
+	else if (rc != CURLE_OK)
+		judge_silence(a, sent);
+	else if (status == 200)
+		judge_plain(a);
+	else
+		judge_answer(a, (int)status);
+}
+
+/* The run. */
+
+static void
+start_job(job_t *j)
+{
+	active_t *a = g_new0(active_t, 1);
+
+	a->job = j;
+	a->body = g_string_new(NULL);
+	a->end = now_us() + (int64_t)load.timeout_ms * 1000;
+	answer_init(&a->check, j->prompt, j->tokens);
+	g_ptr_array_add(load.active, a);
+	go(a);
+}
+
+static void
+active_free(active_t *a)
+{
+	close_request(a);
+	answer_clear(&a->check);
+	g_string_free(a->body, TRUE);
+	g_free(a);
+}
+
+static void
+look(void)
+{
+	int64_t now = now_us();
+	guint i;
+
+	for (i = load.active->len; i > 0; i--) {
+		active_t *a = load.active->pdata[i - 1];
+
+		if (a->step != STEP_OVER && now >= a->end) {
+			close_request(a);
+			settle(a, VERDICT_LOST);
+		}
+		if (a->step == STEP_WAIT && now >= a->due)
+			go(a);
+		if (a->step == STEP_OVER) {
+			g_ptr_array_remove_index_fast(load.active, i - 1);
+			active_free(a);
+		}
+	}
+}
+
+static void
+take_done(void)
+{
+	CURLcode rc;
+	CURL *easy;
+
+	while ((easy = multi_done(&load.multi, &rc)) != NULL) {
+		active_t *a = NULL;
+
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&a);
+		ended(a, rc);
+	}
+}
+
+void
+drive(void)
+{
+	int next = 0;
+
+	load.start = now_us();
+	while (next < load.njob || load.active->len > 0) {
+		int64_t left = WAIT_MS;
+
+		while (next < load.njob &&
+		       now_us() >= load.start + load.job[next].at * 1000)
+			start_job(&load.job[next++]);
+		if (next < load.njob)
+			left =
+			    load.job[next].at - (now_us() - load.start) / 1000;
+		multi_wait(&load.multi, left < 0	 ? 0
+					: left < WAIT_MS ? left
+							 : WAIT_MS);
+		take_done();
+		look();
+	}
+	load.tally.seconds = (double)(now_us() - load.start) / 1e6;
+}
--- /dev/null
+++ b/bench/freeports.c
@@ -0,0 +1,44 @@
+#include "base/base.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	PORT_LEAST = 10000, /* below the range for outgoing connections */
+	PORT_MOST = 32000,
+};
+
+static bool
+is_free(int port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool ok;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ok = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+	close(fd);
+	return ok;
+}
+
+/* Print as many ports that nobody listens on as are asked for. */
+int
+main(int argc, char **argv)
+{
+	int n = argc > 1 ? atoi(argv[1]) : 1, span = PORT_MOST - PORT_LEAST;
+	int port = PORT_LEAST + (int)(getpid() * 97L % span), tried;
+
+	for (tried = 0; n > 0 && tried < span; tried++) {
+		if (++port >= PORT_MOST)
+			port = PORT_LEAST;
+		if (is_free(port)) {
+			printf("%d\n", port);
+			n--;
+		}
+	}
+	return n == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/bench/records.c
@@ -0,0 +1,113 @@
+#include "bench/load.h"
+
+#include "endpoint/multi.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	RECORD_MS = 5000 /* a record may take */
+};
+
+static size_t
+gather(char *p, size_t size, size_t n, void *user)
+{
+	g_string_append_len(user, p, size * n);
+	return size * n;
+}
+
+static json_t *
+read_record(const char *addr)
+{
+	CURL *c = easy_new(addr, "/control/record");
+	GString *body = g_string_new(NULL);
+	json_t *j = NULL;
+
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, gather);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, body);
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)RECORD_MS);
+	if (curl_easy_perform(c) == CURLE_OK)
+		j = json_loadb(body->str, body->len, 0, NULL);
+	curl_easy_cleanup(c);
+	g_string_free(body, TRUE);
+	return j;
+}
+
+static int64_t
+number(const json_t *j, const char *name)
+{
+	return json_integer_value(json_object_get(j, name));
+}
+
+void
+records_engines(records_t *r, const char *const *addr)
+{
+	for (; addr != NULL && *addr != NULL; addr++) {
+		json_t *j = read_record(*addr);
+
+		r->asked++;
+		r->read += j != NULL;
+		r->loads += number(j, "loads");
+		r->unloads += number(j, "unloads");
+		r->overcommits += number(j, "overcommits");
+		if (number(j, "peak_mb") > r->peak_mb)
+			r->peak_mb = number(j, "peak_mb");
+		json_decref(j);
+	}
+}
+
+/* Add up the runs of each path; the plan gives each call its own. */
+static void
+add_runs(GHashTable *runs, const json_t *j)
+{
+	json_t *list = json_object_get(j, "runs"), *run;
+	size_t i;
+
+	json_array_foreach(list, i, run)
+	{
+		const char *path =
+		    json_string_value(json_object_get(run, "path"));
+		int n = (int)number(run, "count");
+
+		if (path == NULL)
+			continue;
+		n += GPOINTER_TO_INT(g_hash_table_lookup(runs, path));
+		g_hash_table_insert(runs, g_strdup(path), GINT_TO_POINTER(n));
+	}
+}
+
+static void
+compare(records_t *r, const job_t *j, int runs)
+{
+	if (runs > 1)
+		r->ran_twice++;
+	if (runs > 0 && j->verdict == VERDICT_REFUSED)
+		r->ran_refused++;
+	if (runs == 0 && j->verdict == VERDICT_WHOLE)
+		r->not_ran++;
+}
+
+void
+records_services(records_t *r, const char *const *addr, const job_t *job, int n)
+{
+	GHashTable *runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bool all = addr != NULL && *addr != NULL;
+	int i;
+
+	for (; addr != NULL && *addr != NULL; addr++) {
+		json_t *j = read_record(*addr);
+
+		r->asked++;
+		r->read += j != NULL;
+		all = all && j != NULL;
+		add_runs(runs, j);
+		json_decref(j);
+	}
+	for (i = 0; i < n && all; i++)
+		if (job[i].kind == JOB_KEYED || job[i].kind == JOB_ONCE)
+			compare(r, &job[i],
+			    GPOINTER_TO_INT(
+				g_hash_table_lookup(runs, job[i].prompt)));
+	g_hash_table_destroy(runs);
+}
