Ledger: no memory over capacity whatever the timing

Cause: an engine that ignores fences takes an order minutes late, also after its sender died, so neither time nor a dead sender settles an order. Ruled out too: trusting a report by its time; only its last order's number dates it. Memory comes back only for a settled load, on a report newer than an unload numbered after that.

--- /dev/null
+++ b/policy/ledger.c
@@ -0,0 +1,388 @@
+#include "policy/policy.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	HOLD_FIRST = 16 /* room at first; doubled up to HOLD_MAX */
+};
+
+static const char *const state_names[] = { "maybe", "resident", "leaving" };
+
+ledger_t *
+ledger_new(const char *worker, bool fencing)
+{
+	ledger_t *l = calloc(1, sizeof(*l));
+
+	if (l == NULL)
+		return NULL;
+	str_copy(l->worker, sizeof(l->worker), worker);
+	l->fencing = fencing;
+	return l;
+}
+
+void
+ledger_free(ledger_t *l)
+{
+	if (l == NULL)
+		return;
+	free(l->hold);
+	free(l);
+}
+
+/* @return false: HOLD_MAX or out of memory. */
+static bool
+has_room(ledger_t *l)
+{
+	int room = l->room == 0 ? HOLD_FIRST : 2 * l->room;
+	hold_t *grown;
+
+	if (l->nhold < l->room)
+		return true;
+	if (room > HOLD_MAX ||
+	    (grown = realloc(l->hold, room * sizeof(*grown))) == NULL)
+		return false;
+	l->hold = grown;
+	l->room = room;
+	return true;
+}
+
+static json_t *
+hold_encode(const hold_t *h)
+{
+	return json_pack("{s:s,s:s,s:I,s:I,s:s,s:I,s:I,s:s}", "model", h->model,
+	    "adapter", h->adapter, "version", (json_int_t)h->version,
+	    "memory_mb", (json_int_t)h->memory_mb, "state",
+	    state_names[h->state], "order", (json_int_t)h->order, "fence",
+	    (json_int_t)h->fence, "sender", h->sender);
+}
+
+char *
+ledger_encode(const ledger_t *l)
+{
+	json_t *holds = json_array(), *j;
+	char *text;
+	int i;
+
+	for (i = 0; i < l->nhold; i++)
+		json_array_append_new(holds, hold_encode(&l->hold[i]));
+	j = json_pack("{s:s,s:s,s:I,s:b,s:I,s:I,s:o}", "worker", l->worker,
+	    "incarnation", l->incarnation, "memory_mb",
+	    (json_int_t)l->memory_mb, "fencing", l->fencing, "fence",
+	    (json_int_t)l->fence, "last_order", (json_int_t)l->last_order,
+	    "hold", holds);
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	return text;
+}
+
+static int
+hold_decode(json_t *j, hold_t *h)
+{
+	const char *model, *adapter, *state, *sender;
+	json_int_t version, memory, order, fence;
+	int i;
+
+	if (json_unpack(j, "{s:s,s:s,s:I,s:I,s:s,s:I,s:I,s:s}", "model", &model,
+		"adapter", &adapter, "version", &version, "memory_mb", &memory,
+		"state", &state, "order", &order, "fence", &fence, "sender",
+		&sender) == -1)
+		return -1;
+	for (i = 0; i < 3; i++)
+		if (strcmp(state, state_names[i]) == 0)
+			break;
+	if (i == 3 || memory < 0 || memory > UINT32_MAX)
+		return -1;
+	h->state = (hold_state_t)i;
+	h->version = (uint64_t)version;
+	h->memory_mb = (uint32_t)memory;
+	h->order = (uint64_t)order;
+	h->fence = (uint64_t)fence;
+	str_copy(h->model, sizeof(h->model), model);
+	str_copy(h->adapter, sizeof(h->adapter), adapter);
+	str_copy(h->sender, sizeof(h->sender), sender);
+	return 0;
+}
+
+static int
+decode_into(ledger_t *l, json_t *j)
+{
+	const char *worker, *incarnation;
+	json_int_t memory, fence, last;
+	json_t *holds;
+	size_t i;
+	int fencing;
+
+	if (json_unpack(j, "{s:s,s:s,s:I,s:b,s:I,s:I,s:o}", "worker", &worker,
+		"incarnation", &incarnation, "memory_mb", &memory, "fencing",
+		&fencing, "fence", &fence, "last_order", &last, "hold",
+		&holds) == -1 ||
+	    !json_is_array(holds) || json_array_size(holds) > HOLD_MAX ||
+	    memory < 0 || memory > UINT32_MAX)
+		return -1;
+	str_copy(l->worker, sizeof(l->worker), worker);
+	str_copy(l->incarnation, sizeof(l->incarnation), incarnation);
+	l->memory_mb = (uint32_t)memory;
+	l->fencing = fencing;
+	l->fence = (uint64_t)fence;
+	l->last_order = (uint64_t)last;
+	for (i = 0; i < json_array_size(holds); i++)
+		if (!has_room(l) || hold_decode(json_array_get(holds, i),
+					&l->hold[l->nhold++]) == -1)
+			return -1;
+	return 0;
+}
+
+ledger_t *
+ledger_decode(const char *json, size_t len, err_t *e)
+{
+	json_error_t je;
+	json_t *j = json_loadb(json, len, 0, &je);
+	ledger_t *l = ledger_new("", false);
+
+	if (l == NULL) {
+		json_decref(j);
+		err_set(e, ERR_INTERNAL, "out of memory");
+		return NULL;
+	}
+	if (j == NULL || decode_into(l, j) == -1) {
+		err_set(e, ERR_PROTO, "not a ledger: %s",
+		    j == NULL ? je.text : "a field is missing or bad");
+		ledger_free(l);
+		l = NULL;
+	}
+	json_decref(j);
+	return l;
+}
+
+uint64_t
+ledger_reserved(const ledger_t *l)
+{
+	uint64_t mb = 0;
+	int i;
+
+	for (i = 0; i < l->nhold; i++)
+		mb += l->hold[i].memory_mb;
+	return mb;
+}
+
+uint64_t
+ledger_doubtful(const ledger_t *l)
+{
+	uint64_t mb = 0;
+	int i;
+
+	for (i = 0; i < l->nhold; i++)
+		if (l->hold[i].state == HOLD_MAYBE)
+			mb += l->hold[i].memory_mb;
+	return mb;
+}
+
+hold_t *
+ledger_find(const ledger_t *l, const ledger_item_t *it)
+{
+	int i;
+
+	for (i = 0; i < l->nhold; i++)
+		if (l->hold[i].version == it->version &&
+		    strcmp(l->hold[i].model, it->model) == 0 &&
+		    strcmp(l->hold[i].adapter, it->adapter) == 0)
+			return &l->hold[i];
+	return NULL;
+}
+
+/* Only after has_room(). */
+static hold_t *
+add_hold(ledger_t *l, const ledger_item_t *it, hold_state_t state)
+{
+	hold_t *h = &l->hold[l->nhold++];
+
+	memset(h, 0, sizeof(*h));
+	str_copy(h->model, sizeof(h->model), it->model);
+	str_copy(h->adapter, sizeof(h->adapter), it->adapter);
+	h->version = it->version;
+	h->memory_mb = it->memory_mb;
+	h->state = state;
+	return h;
+}
+
+static void
+drop_hold(ledger_t *l, hold_t *h)
+{
+	*h = l->hold[--l->nhold];
+}
+
+static uint64_t
+number_it(ledger_t *l, hold_t *h, const ledger_sender_t *by)
+{
+	h->order = ++l->last_order;
+	h->fence = by->fence;
+	str_copy(h->sender, sizeof(h->sender), by->id);
+	if (by->fence > l->fence)
+		l->fence = by->fence;
+	return h->order;
+}
+
+uint64_t
+ledger_load(
+    ledger_t *l, const ledger_item_t *it, const ledger_sender_t *by, err_t *e)
+{
+	if (ledger_find(l, it) != NULL) {
+		err_set(e, ERR_CONFLICT, "%s%s%s is held on %s already",
+		    it->model, *it->adapter == '\0' ? "" : "/", it->adapter,
+		    l->worker);
+		return 0;
+	}
+	if (!has_room(l) || ledger_reserved(l) + it->memory_mb > l->memory_mb) {
+		err_set(e, ERR_FULL, "no room on %s", l->worker);
+		return 0;
+	}
+	return number_it(l, add_hold(l, it, HOLD_MAYBE), by);
+}
+
+uint64_t
+ledger_unload(
+    ledger_t *l, const ledger_item_t *it, const ledger_sender_t *by, err_t *e)
+{
+	hold_t *h = ledger_find(l, it);
+
+	if (h == NULL) {
+		err_set(e, ERR_NOT_FOUND, "not held on %s", l->worker);
+		return 0;
+	}
+	/* Without fencing the load may land after the unload. */
+	if (h->state == HOLD_MAYBE && !l->fencing) {
+		err_set(e, ERR_CONFLICT, "order %" PRIu64 " isn't settled",
+		    h->order);
+		return 0;
+	}
+	h->state = HOLD_LEAVING;
+	return number_it(l, h, by);
+}
+
+bool
+ledger_answer(ledger_t *l, uint64_t number, send_outcome_t how)
+{
+	hold_t *h;
+	int i;
+
+	/* An unload's answer settles nothing: a report shows what is gone. */
+	for (i = 0; i < l->nhold; i++) {
+		h = &l->hold[i];
+		if (h->order != number || h->state != HOLD_MAYBE)
+			continue;
+		switch (how) {
+		case SEND_TAKEN:
+			h->state = HOLD_RESIDENT;
+			return true;
+		case SEND_NOT_RUN:
+			drop_hold(l, h);
+			return true;
+		case SEND_LOST:
+			return false;
+		}
+	}
+	return false;
+}
+
+static const ledger_item_t *
+reported(const ledger_report_t *r, const hold_t *h)
+{
+	int i;
+
+	for (i = 0; i < r->nitem; i++)
+		if (r->item[i].version == h->version &&
+		    strcmp(r->item[i].model, h->model) == 0 &&
+		    strcmp(r->item[i].adapter, h->adapter) == 0)
+			return &r->item[i];
+	return NULL;
+}
+
+/*
+ * What a report says of one hold. There is never a second load of an item
+ * while it is held, so an item seen after its load was numbered has landed.
+ * @return true if the hold changed; @p gone: give it back.
+ */
+static bool
+settle(const ledger_t *l, const ledger_report_t *r, hold_t *h, bool *gone)
+{
+	const ledger_item_t *seen = reported(r, h);
+	bool newer = r->last_order >= h->order;
+
+	*gone = false;
+	if (seen != NULL && seen->memory_mb > h->memory_mb) {
+		h->memory_mb = seen->memory_mb;
+		return true;
+	}
+	if (!newer)
+		return false;
+	switch (h->state) {
+	case HOLD_MAYBE:
+		if (seen != NULL) {
+			h->state = HOLD_RESIDENT;
+			return true;
+		}
+		/* It has landed and gone, or the fence keeps it out. */
+		*gone = r->last_order == h->order || l->fencing;
+		break;
+	case HOLD_RESIDENT:
+		/* Gone it may be, but the report may be older than its load. */
+		break;
+	case HOLD_LEAVING:
+		*gone = seen == NULL;
+		break;
+	}
+	return *gone;
+}
+
+static bool
+new_process(ledger_t *l, const ledger_report_t *r)
+{
+	if (strcmp(l->incarnation, r->incarnation) == 0)
+		return false;
+	str_copy(l->incarnation, sizeof(l->incarnation), r->incarnation);
+	l->nhold = 0;
+	return true;
+}
+
+/* Items that the engine has and nobody ordered through the ledger. */
+static bool
+adopt(ledger_t *l, const ledger_report_t *r)
+{
+	bool changed = false;
+	hold_t *h;
+	int i;
+
+	for (i = 0; i < r->nitem && has_room(l); i++) {
+		if (ledger_find(l, &r->item[i]) != NULL)
+			continue;
+		h = add_hold(l, &r->item[i], HOLD_RESIDENT);
+		h->order = r->last_order;
+		changed = true;
+	}
+	return changed;
+}
+
+bool
+ledger_report(ledger_t *l, const ledger_report_t *r)
+{
+	bool changed = new_process(l, r), gone;
+	int i;
+
+	if (l->memory_mb != r->memory_mb) {
+		l->memory_mb = r->memory_mb;
+		changed = true;
+	}
+	if (l->last_order < r->last_order) {
+		l->last_order = r->last_order;
+		changed = true;
+	}
+	for (i = l->nhold - 1; i >= 0; i--) {
+		if (settle(l, r, &l->hold[i], &gone))
+			changed = true;
+		if (gone)
+			drop_hold(l, &l->hold[i]);
+	}
+	return adopt(l, r) || changed;
+}
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -94,9 +94,24 @@
 
 /* The ledger of one worker's memory. ledger.c */
 
+/**
+ * The rules, for engines that check fences and for those that don't:
+ * - An order goes out only after a conditional update of the ledger made room
+ *   for it. Its number comes from that update, so numbers of one worker never
+ *   repeat and only go up; its fence is its number.
+ * - An order reaches only the engine process whose incarnation the ledger
+ *   named when it was written (order_t.incarnation), however late it lands.
+ * - A load is settled once it can't land any more: the answer to that very
+ *   send came; or the item shows in a report newer than the order; or, with
+ *   fencing, the engine has taken a higher number; or the engine's process
+ *   was replaced. Neither time nor the sender's death settles it.
+ * - Memory is given back only for a settled load, on a report without the
+ *   item that is newer than an order numbered after the load was settled.
+ * A report is newer than order n if its last_order is at least n.
+ */
 typedef enum hold_state {
 	HOLD_MAYBE,    /* a load was or may be sent; may become resident */
-	HOLD_RESIDENT, /* the engine said so */
+	HOLD_RESIDENT, /* the load has landed */
 	HOLD_LEAVING,  /* an unload was or may be sent */
 } hold_state_t;
 
@@ -126,8 +141,66 @@
 	uint64_t last_order;
 	hold_t *hold;
 	int nhold;
+	int room;
 } ledger_t;
 
+/** What an order is about. */
+typedef struct ledger_item {
+	const char *model;
+	const char *adapter; /* "": the model itself */
+	uint64_t version;
+	uint32_t memory_mb;
+} ledger_item_t;
+
+/** Who orders: an instance id and the fencing number of its lease. */
+typedef struct ledger_sender {
+	const char *id;
+	uint64_t fence;
+} ledger_sender_t;
+
+/** What became of one send, by its own answer. */
+typedef enum send_outcome {
+	SEND_TAKEN,   /* the engine has taken it */
+	SEND_NOT_RUN, /* refused, or no byte of it went out */
+	SEND_LOST,    /* no answer: it may still land */
+} send_outcome_t;
+
+/** A load report, asked for after the ledger was read. */
+typedef struct ledger_report {
+	const char *incarnation;
+	uint32_t memory_mb;
+	uint64_t last_order;
+	const ledger_item_t *item; /* in whatever state */
+	int nitem;
+} ledger_report_t;
+
+ledger_t *ledger_new(const char *worker, bool fencing);
+void ledger_free(ledger_t *l);
+/** JSON text, malloc'd. */
+char *ledger_encode(const ledger_t *l);
+ledger_t *ledger_decode(const char *json, size_t len, err_t *e);
+/** MB that are or may become taken. */
+uint64_t ledger_reserved(const ledger_t *l);
+/** MB of it whose load isn't settled. */
+uint64_t ledger_doubtful(const ledger_t *l);
+hold_t *ledger_find(const ledger_t *l, const ledger_item_t *it);
+/**
+ * Make room for a load and number it. Write the ledger, then send.
+ * @return its number, or 0: CONFLICT (the item is held already), FULL.
+ */
+uint64_t ledger_load(
+    ledger_t *l, const ledger_item_t *it, const ledger_sender_t *by, err_t *e);
+/**
+ * Number an unload, also one again. @return its number, or 0: NOT_FOUND;
+ * CONFLICT (its load isn't settled and the engine doesn't check fences).
+ */
+uint64_t ledger_unload(
+    ledger_t *l, const ledger_item_t *it, const ledger_sender_t *by, err_t *e);
+/** The answer to the very send of @p number. @return true: write it. */
+bool ledger_answer(ledger_t *l, uint64_t number, send_outcome_t how);
+/** Settle and give back what @p r proves. @return true: write it. */
+bool ledger_report(ledger_t *l, const ledger_report_t *r);
+
 /* Placement: who holds what. place.c */
 
 typedef struct place_worker {
