--- a/policy/policy.h
+++ b/policy/policy.h
@@ -237,7 +237,7 @@
 	REASON_DEMAND,
 	REASON_WITHDRAWN,
 	REASON_MAKE_ROOM,
-	REASON_SURPLUS,
+	REASON_SURPLUS, /* an adapter where its base isn't */
 } move_reason_t;
 
 typedef struct place_move {
@@ -247,7 +247,7 @@
 	int item;
 } place_move_t;
 
-/** held[worker * nitem + item]: what is or may be resident. */
+/** What is or may be resident. */
 typedef enum place_held {
 	HELD_NO,
 	HELD_COMING,
@@ -255,12 +255,24 @@
 	HELD_GOING
 } place_held_t;
 
+typedef struct place_copy {
+	int worker, item;
+	place_held_t held;
+} place_copy_t;
+
+/**
+ * One service's fleet, or all of it. Given as a matrix, or as a list where
+ * workers times items is too large for one.
+ */
 typedef struct place_in {
 	const place_worker_t *worker;
 	int nworker;
 	const place_item_t *item;
 	int nitem;
-	const uint8_t *held; /* place_held_t */
+	const uint8_t *held; /* held[worker * nitem + item], or NULL: */
+	const place_copy_t *copy;
+	int ncopy;
+	/* A copy must win so many hundredths of a call in progress. */
 	int64_t move_weight;
 	int64_t hysteresis;   /* percent */
 	bool quiet;	      /* only needed moves */
@@ -274,11 +286,20 @@
 	int room;
 } place_out_t;
 
-/** One step of placement. @return 0, or -1 (out of memory). */
+/**
+ * One step of placement. It never takes the last ready copy of a wanted name,
+ * counts what comes and what goes as memory taken, and asks for no load that
+ * doesn't fit beside all that.
+ * @param out cleared and filled; unloads of adapters stand before their base's
+ * @return 0, or -1 (out of memory).
+ */
 int place_step(const place_in_t *in, place_out_t *out, err_t *e);
 void place_out_clear(place_out_t *out);
 const char *move_reason_name(move_reason_t r);
-/** Would the items fit at their least copies? Reports each that doesn't. */
+/**
+ * Would place_step() bring each wanted item to its least copies from what is
+ * held, with all orders obeyed? @param report each that doesn't, malloc'd.
+ */
 bool place_fits(const place_in_t *in, char **report);
 
 /* Admission of one shard. admit.c */
@@ -294,7 +315,7 @@
 
 typedef struct admit_ask {
 	uint64_t tag;	   /* the asker's own, given back */
-	char item[ID_MAX]; /* adapter, or model if there is none */
+	char item[ID_MAX]; /* adapter, or model; empty: any worker will do */
 	char model[ID_MAX];
 	char caller[ID_MAX];
 	char avoid[ID_MAX];
@@ -313,6 +334,7 @@
 	SLOT_NOT_OWNER, /* ask the shard's broker */
 	SLOT_LEAVING,
 	SLOT_RETRY_BUDGET,
+	SLOT_QUEUED, /* wire only: heard, the verdict follows */
 } slot_outcome_t;
 
 typedef struct admit_verdict {
@@ -320,6 +342,7 @@
 	slot_outcome_t outcome;
 	handle_t slot;
 	char worker[ID_MAX];
+	uint64_t version; /* of the item as that worker reports it */
 	ms_t retry_after;
 	ms_t wait; /* expected wait for one that came now */
 } admit_verdict_t;
@@ -351,7 +374,10 @@
 admit_t *admit_new(const admit_opts_t *o);
 void admit_free(admit_t *a);
 void admit_report(admit_t *a, const admit_report_t *r, ms_t now);
-/** The worker is gone from the list. */
+/**
+ * The worker is gone from the list: its grants are dropped. What waited for it
+ * alone is refused.
+ */
 void admit_forget(admit_t *a, const char *worker);
 /** A new ask: it is answered by admit_next(), at once or later. */
 void admit_put(admit_t *a, const admit_ask_t *ask, ms_t now);
@@ -372,6 +398,14 @@
 
 /** Order ids by rendezvous hash for @p key. @param ids of ID_MAX bytes. */
 void route_rank(const char *key, const char (*ids)[ID_MAX], int n, int *order);
+/** The score that route_rank() orders by, from hash_str(.., 0) of both. */
+uint64_t route_score(uint64_t key_hash, uint64_t id_hash);
+/**
+ * The first in route_rank()'s order, where the ids' hashes are kept: finding
+ * the brokers of all shards takes shards times members of these.
+ * @return its index, or -1 if n is 0.
+ */
+int route_first(uint64_t key_hash, const uint64_t *id_hash, int n);
 
 typedef struct route_shard {
 	const char *domain;
