Peer: a broker hands its waiting asks over when another takes the shard

Found by /broker/change-hands, which failed (queued instead of not_owner) and passes now: the old broker kept its queue and would have granted the same slots as the new one until it fell idle. Only a stand-in, which its askers chose, waits for that. Tests of the broker on a fake clock. Shown by: broker_test plain and under ASan; make lint unit.

--- a/peer/broker.c
+++ b/peer/broker.c
@@ -220,7 +220,7 @@
 	broker_t *k = value;
 	ms_t now = clock_now(b->o.clock);
 	const shard_t *s;
-	bool idle;
+	bool idle, was_owner = k->owner;
 
 	(void)key;
 	s = store_shard(b->o.store, k->service, k->domain, k->index);
@@ -228,7 +228,8 @@
 	idle = now - k->last_ask > STAND_IN_MS && admit_waiting(k->admit) == 0;
 	if (s != NULL)
 		set_workers(b, k, s);
-	if (s != NULL && (k->owner || !idle))
+	/* Two that grant the same slots would do harm: hand over at once. */
+	if (s != NULL && (k->owner || (!was_owner && !idle)))
 		return FALSE;
 	send_on(b, k, SLOT_NOT_OWNER);
 	b->targets_changed = true;
--- /dev/null
+++ b/tests/broker_test.c
@@ -0,0 +1,393 @@
+#include "peer/broker.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	ANSWERS = 64,
+	CONN = 7,
+	PROMISE = 60000 /* ms: nothing is refused for being late */
+};
+
+/* One broker "e1" of the only shard, and what it answered. */
+typedef struct rig {
+	msclock_t clock;
+	settings_t set;
+	store_t *store;
+	brokers_t *b;
+	struct {
+		handle_t conn;
+		uint64_t call;
+		slot_outcome_t outcome;
+		uint64_t slot;
+		char worker[ID_MAX];
+	} got[ANSWERS];
+	int ngot;
+	bool gone; /* the asker's connection */
+	char self[ID_MAX];
+} rig_t;
+
+static bool
+keep(void *user, handle_t conn, uint64_t call, const Wire__SlotAnswer *a)
+{
+	rig_t *r = user;
+
+	if (r->gone)
+		return false;
+	g_assert_cmpint(r->ngot, <, ANSWERS);
+	r->got[r->ngot].conn = conn;
+	r->got[r->ngot].call = call;
+	r->got[r->ngot].outcome = a->outcome;
+	r->got[r->ngot].slot = a->slot;
+	str_copy(r->got[r->ngot++].worker, ID_MAX, a->worker);
+	return true;
+}
+
+static void
+member_is(rig_t *r, const char *id, uint64_t seq, bool gone)
+{
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	m.id = (char *)id;
+	m.domain = "d0";
+	m.incarnation = 1;
+	m.seq = seq;
+	m.gone = gone;
+	store_member(r->store, &m);
+}
+
+static rig_t *
+rig_new(int nworker)
+{
+	rig_t *r = g_new0(rig_t, 1);
+	brokers_opts_t o = { .settings = &r->set,
+		.clock = &r->clock,
+		.answer = keep,
+		.user = r };
+	instance_t w[8] = { 0 };
+	instances_t l = { w, nworker };
+	int i;
+
+	r->clock = (msclock_t){ CLOCK_FAKE, 100000 };
+	settings_init(&r->set);
+	r->store = store_new(&r->clock, 8);
+	str_copy(r->self, ID_MAX, "e1");
+	for (i = 0; i < nworker; i++) {
+		w[i].role = ROLE_WORKER;
+		g_snprintf(w[i].id, ID_MAX, "w%d", i);
+		str_copy(w[i].service, ID_MAX, "llm");
+		str_copy(w[i].domain, ID_MAX, "d0");
+		g_snprintf(w[i].addr, ADDR_MAX, "10.0.0.%d:80", i + 1);
+	}
+	store_list(r->store, &l);
+	member_is(r, "e1", 1, false);
+	o.store = r->store;
+	o.self = r->self;
+	r->b = brokers_new(&o);
+	brokers_tick(r->b);
+	return r;
+}
+
+static void
+rig_free(rig_t *r)
+{
+	brokers_free(r->b);
+	store_free(r->store);
+	g_free(r);
+}
+
+static void
+ask_by(rig_t *r, handle_t conn, uint64_t call, char *tried)
+{
+	Wire__SlotAsk a = WIRE__SLOT_ASK__INIT;
+	char request[32];
+
+	g_snprintf(request, sizeof(request), "r%d", (int)call);
+	a.request = request;
+	a.service = "llm";
+	a.domain = "d0";
+	a.model = "m";
+	a.left_ms = PROMISE;
+	a.tried = &tried;
+	a.n_tried = tried != NULL;
+	brokers_ask(r->b, conn, call, &a);
+}
+
+static void
+report_load(rig_t *r, const char *worker, bool reached, int slots, int busy)
+{
+	load_report_t *l = calloc(1, sizeof(*l));
+
+	str_copy(l->worker, ID_MAX, worker);
+	l->reached = reached;
+	l->taken_at = r->clock.fake_now;
+	l->slots = slots;
+	l->in_flight = busy;
+	if (reached) {
+		l->resident = calloc(1, sizeof(*l->resident));
+		l->nresident = 1;
+		str_copy(l->resident->model, ID_MAX, "m");
+		l->resident->version = 3;
+		l->resident->state = RESIDENT_READY;
+	}
+	brokers_report(r->b, l);
+}
+
+static void
+pass(rig_t *r, ms_t span)
+{
+	r->clock.fake_now += span;
+	brokers_tick(r->b);
+}
+
+/* The last answer to a call. */
+static int
+last(const rig_t *r, uint64_t call)
+{
+	int i, found = -1;
+
+	for (i = 0; i < r->ngot; i++)
+		if (r->got[i].call == call)
+			found = (int)r->got[i].outcome;
+	return found;
+}
+
+static void
+give_back(rig_t *r, uint64_t call)
+{
+	Wire__SlotRelease rel = WIRE__SLOT_RELEASE__INIT;
+	int i;
+
+	for (i = 0; i < r->ngot; i++)
+		if (r->got[i].call == call &&
+		    r->got[i].outcome == SLOT_GRANTED) {
+			rel.slot = r->got[i].slot;
+			rel.worker = r->got[i].worker;
+		}
+	brokers_release(r->b, &rel);
+}
+
+/* Who just took a shard over knows nothing: it looks before it grants. */
+static void
+no_grant_before_a_report(void)
+{
+	rig_t *r = rig_new(2);
+
+	ask_by(r, CONN, 1, NULL);
+	ask_by(r, CONN, 2, NULL);
+	g_assert_cmpint(last(r, 1), ==, SLOT_QUEUED);
+	report_load(r, "w0", true, 1, 1);
+	g_assert_cmpint(last(r, 1), ==, SLOT_QUEUED);
+	/* w0 is full of calls that it didn't grant */
+	report_load(r, "w1", true, 1, 0);
+	g_assert_cmpint(last(r, 1), ==, SLOT_GRANTED);
+	g_assert_cmpint(last(r, 2), ==, SLOT_QUEUED);
+	give_back(r, 1);
+	g_assert_cmpint(last(r, 2), ==, SLOT_GRANTED);
+	rig_free(r);
+}
+
+/* A worker that doesn't answer holds the others' asks for a moment only. */
+static void
+silent_worker_holds_up_shortly(void)
+{
+	rig_t *r = rig_new(2);
+
+	report_load(r, "w1", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	g_assert_cmpint(last(r, 1), ==, SLOT_QUEUED);
+	g_assert_cmpint(brokers_due(r->b), <=, r->clock.fake_now + 400);
+	pass(r, 400);
+	g_assert_cmpint(last(r, 1), ==, SLOT_GRANTED);
+	rig_free(r);
+}
+
+static void
+asks_of_a_lost_connection_are_given_up(void)
+{
+	rig_t *r = rig_new(1);
+
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	ask_by(r, CONN + 1, 2, NULL);
+	ask_by(r, CONN, 3, NULL);
+	g_assert_cmpint(last(r, 2), ==, SLOT_QUEUED);
+	brokers_conn_gone(r->b, CONN + 1);
+	give_back(r, 1);
+	g_assert_cmpint(last(r, 2), ==, SLOT_QUEUED);
+	g_assert_cmpint(last(r, 3), ==, SLOT_GRANTED);
+	/* a verdict that nobody takes gives its slot back */
+	ask_by(r, CONN, 4, NULL);
+	r->gone = true;
+	give_back(r, 3);
+	r->gone = false;
+	ask_by(r, CONN, 5, NULL);
+	g_assert_cmpint(last(r, 5), ==, SLOT_GRANTED);
+	rig_free(r);
+}
+
+static void
+cancelled_asks_get_no_slot(void)
+{
+	rig_t *r = rig_new(1);
+
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	ask_by(r, CONN, 2, NULL);
+	brokers_cancel(r->b, CONN + 1, "r2"); /* not its own */
+	brokers_cancel(r->b, CONN, "r9");
+	give_back(r, 1);
+	g_assert_cmpint(last(r, 2), ==, SLOT_GRANTED);
+	ask_by(r, CONN, 3, NULL);
+	brokers_cancel(r->b, CONN, "r3");
+	give_back(r, 2);
+	g_assert_cmpint(last(r, 3), ==, SLOT_QUEUED);
+	rig_free(r);
+}
+
+static void
+grants_lapse(void)
+{
+	rig_t *r = rig_new(1);
+
+	r->set.broker.grant_ms = 120000;
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	pass(r, 120000);
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 2, NULL);
+	g_assert_cmpint(last(r, 2), ==, SLOT_GRANTED);
+	/* the first one's slot is another's by now: letting go does nothing */
+	give_back(r, 1);
+	ask_by(r, CONN, 3, NULL);
+	g_assert_cmpint(last(r, 3), ==, SLOT_QUEUED);
+	rig_free(r);
+}
+
+static void
+shards_change_hands(void)
+{
+	rig_t *r = rig_new(1);
+	const char *other = NULL;
+	char id[8];
+	int i;
+
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	ask_by(r, CONN, 2, NULL);
+	/* members come until one ranks before e1 */
+	for (i = 2; i < 20; i++) {
+		g_snprintf(id, sizeof(id), "e%d", i);
+		member_is(r, id, 1, false);
+		brokers_tick(r->b);
+		if (strcmp(r->store->shard[0].broker, "e1") != 0)
+			break;
+	}
+	other = r->store->shard[0].broker;
+	g_assert_cmpstr(other, ==, id);
+	g_assert_cmpint(last(r, 2), ==, SLOT_NOT_OWNER);
+	ask_by(r, CONN, 3, NULL);
+	g_assert_cmpint(last(r, 3), ==, SLOT_NOT_OWNER);
+	/* it gave the asker no answer: e1 stands in, once it has looked */
+	ask_by(r, CONN, 4, id);
+	if (last(r, 4) == SLOT_QUEUED)
+		report_load(r, "w0", true, 1, 0);
+	g_assert_cmpint(last(r, 4), ==, SLOT_GRANTED);
+	/* and gives it up when nobody needs that any more */
+	pass(r, 6000);
+	pass(r, 1000);
+	ask_by(r, CONN, 5, NULL);
+	g_assert_cmpint(last(r, 5), ==, SLOT_NOT_OWNER);
+	rig_free(r);
+}
+
+static void
+leaving_sends_on(void)
+{
+	rig_t *r = rig_new(1);
+
+	report_load(r, "w0", true, 1, 0);
+	ask_by(r, CONN, 1, NULL);
+	ask_by(r, CONN, 2, NULL);
+	brokers_leave(r->b);
+	g_assert_cmpint(last(r, 2), ==, SLOT_LEAVING);
+	ask_by(r, CONN, 3, NULL);
+	g_assert_cmpint(last(r, 3), ==, SLOT_LEAVING);
+	give_back(r, 1);
+	rig_free(r);
+}
+
+/* A broker whose clock is behind its predecessor's is heard all the same. */
+static void
+digests_outlive_their_broker(void)
+{
+	rig_t *r = rig_new(1);
+	Wire__Digest d = WIRE__DIGEST__INIT;
+	const digest_t *k;
+
+	d.service = "llm";
+	d.domain = "d0";
+	d.broker = "e9";
+	d.term = (uint64_t)clock_wall() + 3600000;
+	d.seq = 50;
+	store_digest(r->store, &d);
+	report_load(r, "w0", true, 4, 1);
+	ask_by(r, CONN, 1, NULL);
+	pass(r, 200);
+	k = store_digest_of(r->store, &r->store->shard[0]);
+	g_assert_cmpstr(k->d->broker, ==, "e1");
+	g_assert_cmpuint(k->d->worker[0]->free, ==, 2);
+	g_assert_cmpstr(k->d->worker[0]->resident[0]->model, ==, "m");
+	g_assert_cmpuint(k->d->demand[0]->asked, ==, 1);
+	rig_free(r);
+}
+
+static void
+partial_digests_keep_residents(void)
+{
+	rig_t *r = rig_new(1);
+	Wire__Digest d = WIRE__DIGEST__INIT;
+	Wire__WorkerLoad load = WIRE__WORKER_LOAD__INIT, *row = &load;
+	const digest_t *k;
+
+	report_load(r, "w0", true, 4, 0);
+	pass(r, 200);
+	k = store_digest_of(r->store, &r->store->shard[0]);
+	d = *k->d;
+	load.worker = "w0";
+	load.free = 1;
+	d.worker = &row;
+	d.partial = true;
+	d.seq++;
+	store_digest(r->store, &d);
+	k = store_digest_of(r->store, &r->store->shard[0]);
+	g_assert_cmpuint(k->d->worker[0]->free, ==, 1);
+	g_assert_cmpuint(k->d->worker[0]->n_resident, ==, 1);
+	/* of another broker, whose residents aren't known: not taken */
+	d.term++;
+	load.free = 3;
+	store_digest(r->store, &d);
+	k = store_digest_of(r->store, &r->store->shard[0]);
+	g_assert_cmpuint(k->d->worker[0]->free, ==, 1);
+	rig_free(r);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_level(LOG_WARNING);
+	g_test_add_func("/broker/looks-first", no_grant_before_a_report);
+	g_test_add_func(
+	    "/broker/silent-worker", silent_worker_holds_up_shortly);
+	g_test_add_func(
+	    "/broker/lost-connection", asks_of_a_lost_connection_are_given_up);
+	g_test_add_func("/broker/cancel", cancelled_asks_get_no_slot);
+	g_test_add_func("/broker/lapse", grants_lapse);
+	g_test_add_func("/broker/change-hands", shards_change_hands);
+	g_test_add_func("/broker/leaving", leaving_sends_on);
+	g_test_add_func("/broker/digests", digests_outlive_their_broker);
+	g_test_add_func("/broker/partial", partial_digests_keep_residents);
+	return g_test_run();
+}
