--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -350,10 +350,12 @@
 	Wire__Digest d = WIRE__DIGEST__INIT;
 	Wire__WorkerLoad load = WIRE__WORKER_LOAD__INIT, *row = &load;
 	const digest_t *k;
+	msg_t *held;
 
 	report_load(r, "w0", true, 4, 0);
 	pass(r, 200);
 	k = store_digest_of(r->store, &r->store->shard[0]);
+	held = msg_ref(k->msg);
 	d = *k->d;
 	load.worker = "w0";
 	load.free = 1;
@@ -370,6 +372,7 @@
 	store_digest(r->store, &d);
 	k = store_digest_of(r->store, &r->store->shard[0]);
 	g_assert_cmpuint(k->d->worker[0]->free, ==, 1);
+	msg_unref(held);
 	rig_free(r);
 }
 
