--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -5,6 +5,8 @@
 
 /* The share of a worker's slots that is planned for. */
 static const double planned_share = 0.85;
+/* Of free slots elsewhere, others take the rest. */
+static const double own_share = 0.5;
 
 /* Names numbered as they come up; too many share the last number. */
 typedef struct names {
@@ -433,7 +435,7 @@
 }
 
 double
-fleet_loss(const fleet_t *f, int copy)
+fleet_loss(const fleet_t *f, int copy, double margin)
 {
 	const copy_t *c = &f->copy[copy], *other;
 	double elsewhere = 0;
@@ -446,5 +448,6 @@
 		if (other != c && other->counts)
 			elsewhere += f->host[other->worker].spare;
 	}
-	return c->load > elsewhere ? c->load - elsewhere : 0;
+	elsewhere *= own_share;
+	return c->load * margin > elsewhere ? c->load * margin - elsewhere : 0;
 }
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -84,7 +84,7 @@
  * @param spread then too if its item is left in one failure domain
  */
 bool fleet_may_go(const fleet_t *f, int copy, bool spread);
-/** Calls that would find no other copy if this one went. */
-double fleet_loss(const fleet_t *f, int copy);
+/** Calls, times @p margin, that would find no other copy if this one went. */
+double fleet_loss(const fleet_t *f, int copy, double margin);
 
 #endif
--- a/policy/place.c
+++ b/policy/place.c
@@ -12,6 +12,10 @@
 	MAX_SPREAD = 2,	    /* failure domains wanted */
 };
 
+/* A burst that free memory is used against, and how likely it counts. */
+static const double burst_times = 10, burst_share = 0.25;
+/* Calls in progress that a copy in a second failure domain is worth. */
+static const double spread_calls = 1;
 /* What a free slot, and free memory, are worth in choosing a worker. */
 static const double domain_worth = 4, spare_worth = 1, memory_worth = 0.5;
 
@@ -20,7 +24,7 @@
 	move_reason_t reason;
 	int item;
 	bool dark;	 /* nothing of that name is ready */
-	double short_of; /* calls in progress without a slot, DEMAND only */
+	double short_of; /* calls in progress without a slot */
 	uint32_t memory_mb;
 	uint64_t hash;
 } need_t;
@@ -48,7 +52,7 @@
 } plan_t;
 
 static const char *const reasons[] = { "first_copy", "repair", "spread",
-	"demand", "withdrawn", "make_room", "surplus" };
+	"demand", "headroom", "withdrawn", "make_room", "surplus" };
 
 const char *
 move_reason_name(move_reason_t r)
@@ -296,6 +300,19 @@
 	return false;
 }
 
+/* What is lost if a copy goes. */
+static double
+loss_of(const plan_t *p, int copy)
+{
+	const fleet_t *f = &p->fleet;
+	double loss = fleet_loss(f, copy, 1 + (double)p->in->hysteresis / 100);
+
+	if (p->in->item[f->copy[copy].item].base == NONE &&
+	    !fleet_may_go(f, copy, false))
+		loss += spread_calls;
+	return loss;
+}
+
 /* Add a copy, and the adapters that go with it, to the victims. */
 static int64_t
 add_victim(const plan_t *p, victims_t *v, int copy)
@@ -306,7 +323,7 @@
 	int i;
 
 	v->copy[v->n++] = copy;
-	v->loss += fleet_loss(f, copy);
+	v->loss += loss_of(p, copy);
 	if (p->in->item[c->item].base != NONE || fleet_base_stays(f, copy))
 		return mb;
 	for (i = f->host[c->worker].copies; i != NONE;
@@ -316,7 +333,7 @@
 		    v->n == VICTIMS_MAX)
 			continue;
 		v->copy[v->n++] = i;
-		v->loss += fleet_loss(f, i);
+		v->loss += loss_of(p, i);
 		mb += p->in->item[f->copy[i].item].memory_mb;
 	}
 	return mb;
@@ -340,7 +357,7 @@
 		if (base != NONE &&
 		    f->thing[c->item].family == f->thing[base].family)
 			continue;
-		loss = fleet_loss(f, i);
+		loss = loss_of(p, i);
 		mb = p->in->item[c->item].memory_mb;
 		if (best == NONE || loss < least ||
 		    (loss == least && mb > best_mb)) {
@@ -387,7 +404,7 @@
 	double cost, least = 0;
 
 	best->worker = NONE;
-	v.spread = why <= REASON_REPAIR;
+	v.spread = why != REASON_SPREAD;
 	for (i = 0; i < n && looked < ROOM_WORKERS && p->looks > 0; i++) {
 		w = (from + i) % n;
 		if (!usable_host(p, w, item) ||
@@ -454,13 +471,24 @@
 
 /* Needs */
 
+/*
+ * A second failure domain and demand are weighed against each other by the
+ * calls they are worth: if one always went first it would take the room that
+ * was made for the other, in turns.
+ */
+static int
+urgency(const need_t *n)
+{
+	return n->reason == REASON_DEMAND ? REASON_SPREAD : (int)n->reason;
+}
+
 static int
 by_urgency(const void *a, const void *b)
 {
 	const need_t *x = a, *y = b;
 
-	if (x->reason != y->reason)
-		return x->reason < y->reason ? -1 : 1;
+	if (urgency(x) != urgency(y))
+		return urgency(x) < urgency(y) ? -1 : 1;
 	if (x->dark != y->dark)
 		return x->dark ? -1 : 1;
 	if (x->short_of != y->short_of)
@@ -495,6 +523,20 @@
 	return false;
 }
 
+/* Calls in progress of a burst that the copies' workers have no slots for. */
+static double
+headroom_short(const plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	double slots = 0;
+	int c;
+
+	for (c = f->thing[item].copies; c != NONE; c = f->copy[c].item_next)
+		if (f->copy[c].counts)
+			slots += p->in->worker[f->copy[c].worker].slots;
+	return p->in->item[item].demand * burst_times - slots;
+}
+
 static bool
 find_need(const plan_t *p, int item, need_t *n)
 {
@@ -510,9 +552,10 @@
 		n->reason = REASON_FIRST_COPY;
 	else if (have < (int)it->copies_min)
 		n->reason = REASON_REPAIR;
-	else if (t->domains < MAX_SPREAD && p->fleet.ndomain > 1)
+	else if (t->domains < MAX_SPREAD && p->fleet.ndomain > 1) {
 		n->reason = REASON_SPREAD;
-	else
+		n->short_of = spread_calls;
+	} else
 		return false;
 	return true;
 }
@@ -539,12 +582,17 @@
 			continue;
 		if (find_need(p, i, &p->need[p->nneed]))
 			p->nneed++;
-		if (missing[i] <= 0)
-			continue;
-		p->need[p->nneed++] = (need_t){ .reason = REASON_DEMAND,
-			.item = i,
-			.short_of = missing[i],
-			.hash = p->fleet.thing[i].hash };
+		if (missing[i] > 0)
+			p->need[p->nneed++] = (need_t){ .reason = REASON_DEMAND,
+				.item = i,
+				.short_of = missing[i],
+				.hash = p->fleet.thing[i].hash };
+		else if (headroom_short(p, i) > 0)
+			p->need[p->nneed++] =
+			    (need_t){ .reason = REASON_HEADROOM,
+				    .item = i,
+				    .short_of = headroom_short(p, i),
+				    .hash = p->fleet.thing[i].hash };
 	}
 	free(missing);
 	qsort(p->need, p->nneed, sizeof(*p->need), by_urgency);
@@ -577,7 +625,7 @@
 	if (awaits_base(p, n->item))
 		return 0;
 	if (make_room(p, n->reason, n->item, &v)) {
-		if (spread && v.loss > p->in->item[n->item].demand)
+		if (spread && v.loss > spread_calls)
 			return 0;
 		return take_victims(p, &v, n->item);
 	}
@@ -626,6 +674,42 @@
 	return take_victims(p, &v, n->item);
 }
 
+/* Memory that nobody uses holds copies against a burst. */
+static int
+meet_headroom(plan_t *p, need_t *n)
+{
+	double win;
+	int worker;
+
+	while (n->short_of > 0 && *budget(p, n->item) > 0) {
+		worker = with_room(p, n->item, false);
+		if (worker == NONE)
+			break;
+		win = p->in->worker[worker].slots;
+		if (win > n->short_of)
+			win = n->short_of;
+		if (!worthwhile(p, win * burst_share, 1))
+			break;
+		if (load(p, REASON_HEADROOM, worker, n->item) == -1)
+			return -1;
+		n->short_of -= win;
+	}
+	return 0;
+}
+
+static int
+meet(plan_t *p, need_t *n)
+{
+	switch (n->reason) {
+	case REASON_DEMAND:
+		return meet_demand(p, n);
+	case REASON_HEADROOM:
+		return meet_headroom(p, n);
+	default:
+		return meet_need(p, n);
+	}
+}
+
 static int
 plan_init(plan_t *p)
 {
@@ -657,8 +741,7 @@
 
 		if (p->in->quiet && n->reason > REASON_REPAIR)
 			break;
-		if ((n->reason == REASON_DEMAND ? meet_demand(p, n)
-						: meet_need(p, n)) == -1)
+		if (meet(p, n) == -1)
 			return -1;
 	}
 	return 0;
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -162,6 +162,7 @@
 	REASON_REPAIR,	   /* too few copies are left */
 	REASON_SPREAD,	   /* second failure domain */
 	REASON_DEMAND,
+	REASON_HEADROOM, /* free memory used against a burst */
 	REASON_WITHDRAWN,
 	REASON_MAKE_ROOM,
 	REASON_SURPLUS, /* an adapter where its base isn't */
