--- /dev/null
+++ b/tools/deploy.sh
@@ -0,0 +1,236 @@
+# Sourced by demo, bench and soak: a deployment of real processes on this
+# machine with stand-ins in the platform's place. Needs build/bin.
+#
+# deploy_settings NAME reads settings/NAME.ini and writes $dir/*.ini;
+# deploy_start starts all; deploy_stop stops all as planned.
+
+bin=build/bin
+dir=build/run-$$
+declare -A pid_of	# process name -> pid
+entry=() engine=() service=()	# ids
+declare -A addr peer operator domain
+bad=0
+
+say() { printf '%s %s\n' "$(date +%T)" "$*"; }
+die() { say "$*"; exit 1; }
+
+# ini_list KIND: names of the [KIND name] sections.
+ini_list() { sed -n "s/^\[$1 \(.*\)\]/\1/p" "$settings"; }
+# ini_get SECTION KEY
+ini_get() {
+	awk -v want="[$1]" -v key="$2" '/^\[/ { on = $0 == want }
+	    on && $1 == key && $2 == "=" { print $3 }' "$settings"
+}
+
+# spawn NAME PROGRAM ARG...
+spawn() {
+	local name=$1
+	shift
+	"$@" >>"$dir/$name.out" 2>>"$dir/$name.err" &
+	pid_of[$name]=$!
+}
+
+# until_true SECONDS COMMAND...
+until_true() {
+	local end=$((SECONDS + $1))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		[ $SECONDS -lt $end ] || return 1
+		sleep 0.05
+	done
+}
+answers() { curl -sf -m 2 "http://$1$2"; }
+
+deploy_settings() {
+	deployment=$1
+	settings=settings/$1.ini
+	[ -f "$settings" ] || die "no $settings"
+	mkdir -p "$dir"
+	domains=($(ini_list domain))
+	for s in $(ini_list service); do
+		case $(ini_get "service $s" kind) in
+		engine) engine_service=$s ;;
+		plain) plain_service=$s ;;
+		esac
+	done
+	fencing=$(ini_get "service $engine_service" fencing)
+	case $deployment in
+	granite-ridge) nentry=8 nengine=18 nservice=3 ;;
+	tostadero) nentry=7 nengine=12 nservice=4 ;;
+	*) die "sizes of $deployment aren't known" ;;
+	esac
+	ports=($($bin/freeports $((1 + 3 * nentry + nengine + nservice))))
+	platform=127.0.0.1:${ports[0]}
+	ports=("${ports[@]:1}")
+}
+
+take_port() {
+	took=127.0.0.1:${ports[0]}
+	ports=("${ports[@]:1}")
+}
+
+# list_instance ID STATE: put it on the platform's list.
+list_instance() {
+	local item
+	case $1 in
+	e*) item="\"role\":\"entry\",\"addr\":\"${addr[$1]}\",
+	    \"peer_addr\":\"${peer[$1]}\",
+	    \"operator_addr\":\"${operator[$1]}\"" ;;
+	w*) item="\"role\":\"worker\",\"service\":\"$engine_service\",
+	    \"addr\":\"${addr[$1]}\",\"memory_mb\":81920,\"slots\":16" ;;
+	s*) item="\"role\":\"worker\",\"service\":\"$plain_service\",
+	    \"addr\":\"${addr[$1]}\",\"memory_mb\":0,\"slots\":32" ;;
+	esac
+	curl -sf -m 5 -o /dev/null "http://$platform/control/instances" -d \
+	    "{\"id\":\"$1\",\"domain\":\"${domain[$1]}\",\"state\":\"$2\",$item}" ||
+	    die "can't list $1"
+}
+
+start_platform() {
+	spawn platform $bin/standin-platform --listen "$platform" \
+	    --loads-per-min "$(ini_get place loads_per_min)" \
+	    --loads-at-once "$(ini_get place loads_at_once)" \
+	    --adapters-at-once "$(ini_get place adapters_at_once)" \
+	    --list-lag-ms 500
+}
+
+start_engine() {
+	spawn "$1" $bin/standin-engine --listen "${addr[$1]}" --id "$1" \
+	    --service "$engine_service" --domain "${domain[$1]}" \
+	    --memory-mb 81920 --slots 16 --fencing "$fencing" \
+	    --platform "$platform" --load-lag-ms 200 --seed "${1#w}"
+}
+
+start_service() {
+	spawn "$1" $bin/standin-service --listen "${addr[$1]}" --id "$1" \
+	    --service "$plain_service" --domain "${domain[$1]}" --slots 32 \
+	    --work-ms 30
+}
+
+start_daemon() { # controld|entryd ID
+	spawn "$2-$1" $bin/$1 --settings "$settings" --settings "$dir/$2.ini"
+}
+
+add_entry() {
+	local e=$1
+	entry+=("$e")
+	domain[$e]=$2
+	take_port; addr[$e]=$took
+	take_port; peer[$e]=$took
+	take_port; operator[$e]=$took
+	cat >"$dir/$e.ini" <<-INI
+	[instance]
+	id = $e
+	domain = $2
+	caller_addr = ${addr[$e]}
+	peer_addr = ${peer[$e]}
+	operator_addr = ${operator[$e]}
+	secret = demo-secret-of-this-run-$$
+	[platform]
+	addr = $platform
+	INI
+}
+
+deploy_start() {
+	local i id d nd=${#domains[@]}
+	start_platform
+	until_true 10 answers "$platform" /control/stats ||
+	    die "the platform's stand-in doesn't answer"
+	for ((i = 0; i < nengine; i++)); do
+		id=w$((i + 1))
+		engine+=($id) domain[$id]=${domains[i % nd]}
+		take_port; addr[$id]=$took
+		start_engine $id
+	done
+	for ((i = 0; i < nservice; i++)); do
+		id=s$((i + 1))
+		service+=($id) domain[$id]=${domains[i % nd]}
+		take_port; addr[$id]=$took
+		start_service $id
+	done
+	for id in "${engine[@]}" "${service[@]}"; do
+		until_true 10 answers "${addr[$id]}" /v1/load ||
+		    die "$id doesn't answer"
+		list_instance $id live
+	done
+	say "stand-ins: platform, $nengine engines, $nservice services"
+	for ((i = 0; i < nentry; i++)); do
+		add_entry e$((i + 1)) "${domains[i % nd]}"
+		list_instance e$((i + 1)) live
+	done
+	for id in "${entry[@]}"; do
+		start_daemon controld $id
+		start_daemon entryd $id
+	done
+	for id in "${entry[@]}"; do
+		until_true 15 answers "${operator[$id]}" /readyz ||
+		    die "controld of $id isn't ready; see $dir"
+		until_true 15 answers "${addr[$id]}" /readyz ||
+		    die "entryd of $id isn't ready; see $dir"
+	done
+	say "$nentry entry instances are ready in ${domains[*]}"
+}
+
+# apply_note FILE: hand it in and wait until it is in force.
+in_force() {
+	$bin/ebonypitch --addr "${operator[${entry[0]}]}" --json note status \
+	    "$1" | grep -q '"in_force"'
+}
+apply_note() {
+	local out n
+	out=$($bin/ebonypitch --addr "${operator[${entry[0]}]}" --json note \
+	    apply "$1") || die "note refused: $out"
+	n=$(printf '%s' "$out" | sed -n 's/.*"number": *\([0-9]*\).*/\1/p')
+	say "note $1 is accepted as number $n"
+	until_true 60 in_force "$n" || die "note $n isn't in force after 60 s"
+	say "note $n is in force"
+}
+
+join() { local IFS=,; echo "$*"; }
+addresses() { local i a=(); for i; do a+=("${addr[$i]}"); done; join "${a[@]}"; }
+
+# stop_one NAME: wait for its end; a process that doesn't end by itself is bad.
+stop_wait() {
+	local name=$1 end=$((SECONDS + 20)) p=${pid_of[$1]}
+	while kill -0 "$p" 2>/dev/null; do
+		if [ $SECONDS -ge $end ]; then
+			say "$name didn't end by itself"
+			bad=1
+			kill -9 "$p"
+		fi
+		sleep 0.05
+	done
+	wait "$p" 2>/dev/null
+	local rc=$?
+	if [ $rc -ne 0 ]; then
+		say "$name ended with status $rc; see $dir/$name.err"
+		bad=1
+	fi
+	unset "pid_of[$name]"
+}
+
+stop_these() {
+	local n
+	for n; do kill -TERM "${pid_of[$n]}" 2>/dev/null; done
+	for n; do stop_wait "$n"; done
+}
+
+deploy_stop() {
+	local n daemons=() rest=()
+	for n in "${!pid_of[@]}"; do
+		case $n in
+		e*) daemons+=("$n") ;;
+		w* | s*) rest+=("$n") ;;
+		esac
+	done
+	stop_these "${daemons[@]}"
+	stop_these "${rest[@]}"
+	[ -z "${pid_of[platform]-}" ] || stop_these platform
+	say "all processes have ended"
+}
+
+# On any way out nothing that we started stays.
+deploy_abandon() {
+	local n
+	for n in "${!pid_of[@]}"; do kill -9 "${pid_of[$n]}" 2>/dev/null; done
+}
