--- a/tests/endpoint_proc.c
+++ b/tests/endpoint_proc.c
@@ -602,9 +602,10 @@
 
 	g_test_init(&argc, &argv, NULL);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		char *path = g_strdup_printf("/endpoint/fault/%s",
-		    g_strdelimit(g_strdup(rows[i].name), " ,", '-'));
+		char *path =
+		    g_strdup_printf("/endpoint/fault/%s", rows[i].name);
 
+		g_strdelimit(path, " ,", '-');
 		g_test_add_data_func(path, &rows[i], check_row);
 		g_free(path);
 	}
