--- a/peer/peer.h
+++ b/peer/peer.h
@@ -47,21 +47,28 @@
 	shard_t *shard;
 	int nshard;
 	catalogue_t *catalogue;
+	struct msg **held; /* messages shared with other views, or NULL */
+	int nheld;
 	int refs;
 } view_t;
 
-/** Makes shards of the workers; takes @p wire over, refs @p c. */
+/**
+ * Makes shards of the workers; takes @p wire over, refs @p c. Members that
+ * are gone don't count as brokers.
+ */
 view_t *view_new(Wire__View *wire, catalogue_t *c, int shard_workers, ms_t now);
 view_t *view_ref(view_t *v);
 void view_unref(view_t *v);
 const Wire__Member *view_member(const view_t *v, const char *id);
 const Wire__Worker *view_worker(const view_t *v, const char *id);
+/**
+ * The shard's broker of that rank (0: shard->broker), or NULL. Whoever asks
+ * one of a higher rank names in SlotAsk.tried those that gave no answer.
+ */
+const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
 /** The member that owns a claims bucket: first live one by rendezvous. */
 const Wire__Member *view_owner(const view_t *v, const char *key, int rank);
 
-/** The shard's broker of that rank (0: shard->broker), or NULL. */
-const Wire__Member *view_broker(const view_t *v, const shard_t *s, int rank);
-
 /* controld's node: one thread that owns all soft state. node.c */
 
 typedef struct node node_t;
