--- /dev/null
+++ b/bench/peerslope.c
@@ -0,0 +1,341 @@
+/**
+ * @file peerslope.c
+ * What a node's thread spends as the nodes grow in number: messages, bytes
+ * and processor time, for relays and for the others. Prints CSV.
+ */
+#include "peer/node.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+enum {
+	NODES_MOST = 160,
+	DOMAINS = 3,
+	WORKERS_EACH = 9, /* a node */
+	MODELS_EACH = 5,  /* on a worker */
+	REPORT_MS = 250,
+	SETTLE_MS = 60000,
+	WARM_MS = 3000,
+	RUN_MS = 10000,
+	BIG_ENTRIES = 1100, /* the fleet's size to come */
+	BIG_WORKERS = 10000,
+	ASKS = 20000,
+	ASK_PORTS = 20000, /* the first of the ports used */
+};
+
+typedef struct sample {
+	net_stats_t net;
+	double cpu; /* s */
+} sample_t;
+
+static settings_t set[NODES_MOST];
+static node_t *node[NODES_MOST];
+static instances_t list;
+static int port = ASK_PORTS;
+
+static bool
+port_free(int p)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+		.sin_port = htons(p),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool is_free;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	is_free = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+	close(fd);
+	return is_free;
+}
+
+static void
+add_worker(int i)
+{
+	instance_t *w = &list.item[list.n++];
+
+	memset(w, 0, sizeof(*w));
+	w->role = ROLE_WORKER;
+	w->slots = 16;
+	snprintf(w->id, ID_MAX, "report-llm-worker-%05d", i);
+	snprintf(w->domain, ID_MAX, "domain-%d", i % DOMAINS);
+	str_copy(w->service, ID_MAX, "report-llm");
+	str_copy(w->addr, ADDR_MAX, "127.0.0.1:1");
+}
+
+static void
+add_entry(int i, settings_t *s)
+{
+	instance_t *e = &list.item[list.n++];
+
+	memset(e, 0, sizeof(*e));
+	e->role = ROLE_ENTRY;
+	snprintf(e->id, ID_MAX, "entry-instance-%04d", i);
+	snprintf(e->domain, ID_MAX, "domain-%d", i % DOMAINS);
+	if (s == NULL) {
+		str_copy(e->peer_addr, ADDR_MAX, "127.0.0.1:1");
+		return;
+	}
+	while (!port_free(++port))
+		;
+	snprintf(e->peer_addr, ADDR_MAX, "127.0.0.1:%d", port);
+	settings_init(s);
+	/* Reports are handed in by this program instead. */
+	s->broker.load_poll_ms = 60000;
+	str_copy(s->instance.id, ID_MAX, e->id);
+	str_copy(s->instance.domain, ID_MAX, e->domain);
+	str_copy(s->instance.peer_addr, ADDR_MAX, e->peer_addr);
+	str_copy(s->instance.caller_addr, ADDR_MAX, e->peer_addr);
+	str_copy(s->instance.operator_addr, ADDR_MAX, e->peer_addr);
+}
+
+static void
+start(int nodes, int entries, int workers)
+{
+	node_opts_t o = { .clock = &machine_clock };
+	err_t e;
+	int i;
+
+	list.item = calloc(entries + workers, sizeof(*list.item));
+	list.n = 0;
+	for (i = 0; i < entries; i++)
+		add_entry(i, i < nodes ? &set[i] : NULL);
+	for (i = 0; i < workers; i++)
+		add_worker(i);
+	for (i = 0; i < nodes; i++) {
+		o.settings = &set[i];
+		node[i] = node_new(&o, &e);
+		if (node[i] == NULL) {
+			fprintf(stderr, "%s\n", e.text);
+			exit(EXIT_FAILURE);
+		}
+		node_set_instances(node[i], &list);
+	}
+}
+
+static void
+stop(int nodes)
+{
+	int i;
+
+	for (i = 0; i < nodes; i++)
+		node_free(node[i]);
+	free(list.item);
+}
+
+static bool
+settled(int nodes)
+{
+	int i;
+
+	for (i = 0; i < nodes; i++) {
+		view_t *v = node_view(node[i]);
+		bool all = (int)v->wire->n_member == nodes;
+
+		view_unref(v);
+		if (!all)
+			return false;
+	}
+	return true;
+}
+
+/* A worker's report as the poller would bring it, of changing load. */
+static void
+report(node_t *n, const char *worker, rng_t *rng)
+{
+	load_report_t *r = calloc(1, sizeof(*r));
+	int i;
+
+	str_copy(r->worker, ID_MAX, worker);
+	r->reached = true;
+	r->taken_at = clock_now(&machine_clock);
+	r->slots = 16;
+	r->in_flight = (uint32_t)(rng_next(rng) % 17);
+	r->nresident = MODELS_EACH;
+	r->resident = calloc(MODELS_EACH, sizeof(*r->resident));
+	for (i = 0; i < MODELS_EACH; i++) {
+		snprintf(r->resident[i].model, ID_MAX, "some-model-%03d", i);
+		r->resident[i].version = 1;
+		r->resident[i].state = RESIDENT_READY;
+	}
+	if (!ring_push(n->reports, r))
+		load_report_free(r);
+}
+
+static void
+report_all(int nodes, rng_t *rng)
+{
+	int i, j, k;
+
+	for (i = 0; i < nodes; i++) {
+		view_t *v = node_view(node[i]);
+
+		for (j = 0; j < v->nshard; j++) {
+			const shard_t *s = &v->shard[j];
+
+			if (strcmp(s->broker, set[i].instance.id) != 0)
+				continue;
+			for (k = s->first; k < s->first + s->n; k++)
+				report(node[i], v->wire->worker[k]->id, rng);
+		}
+		view_unref(v);
+	}
+}
+
+static void
+run_for(int nodes, ms_t span, rng_t *rng)
+{
+	ms_t end = clock_now(&machine_clock) + span;
+
+	while (clock_now(&machine_clock) < end) {
+		report_all(nodes, rng);
+		clock_sleep(REPORT_MS);
+	}
+}
+
+static void
+look(int i, sample_t *s)
+{
+	struct timespec ts = { 0, 0 };
+	clockid_t id;
+
+	net_stats(node[i]->net, &s->net);
+	if (pthread_getcpuclockid(node[i]->thread, &id) == 0)
+		clock_gettime(id, &ts);
+	s->cpu = (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static long
+resident_kb(void)
+{
+	FILE *f = fopen("/proc/self/statm", "r");
+	long size = 0, resident = 0;
+
+	if (f == NULL)
+		return 0;
+	if (fscanf(f, "%ld %ld", &size, &resident) != 2)
+		resident = 0;
+	fclose(f);
+	return resident * sysconf(_SC_PAGESIZE) / 1024;
+}
+
+static void
+print(const char *what, int nodes, bool parent, const sample_t *a,
+    const sample_t *b, int workers)
+{
+	double s = RUN_MS / 1000.0, n = 0, in = 0, out = 0, bin = 0, bout = 0;
+	double cpu = 0;
+	int i;
+
+	for (i = 0; i < nodes; i++) {
+		if (node_is_parent(node[i]) != parent)
+			continue;
+		n++;
+		in += (double)(b[i].net.in_frames - a[i].net.in_frames);
+		out += (double)(b[i].net.out_frames - a[i].net.out_frames);
+		bin += (double)(b[i].net.in_bytes - a[i].net.in_bytes);
+		bout += (double)(b[i].net.out_bytes - a[i].net.out_bytes);
+		cpu += b[i].cpu - a[i].cpu;
+	}
+	if (n == 0)
+		return;
+	printf("%s,%d,%d,%s,%.0f,%.1f,%.1f,%.2f,%.2f,%.3f,%ld\n", what, nodes,
+	    workers, parent ? "relay" : "other", n, in / n / s, out / n / s,
+	    bin / n / s / 1000, bout / n / s / 1000, 100 * cpu / n / s,
+	    resident_kb());
+	fflush(stdout);
+}
+
+static void
+point(const char *what, int nodes, int entries, int workers)
+{
+	static sample_t before[NODES_MOST], after[NODES_MOST];
+	ms_t end = clock_now(&machine_clock) + SETTLE_MS;
+	rng_t rng = { 1 };
+	int i;
+
+	start(nodes, entries, workers);
+	while (!settled(nodes) && clock_now(&machine_clock) < end)
+		clock_sleep(REPORT_MS);
+	run_for(nodes, WARM_MS, &rng);
+	for (i = 0; i < nodes; i++)
+		look(i, &before[i]);
+	run_for(nodes, RUN_MS, &rng);
+	for (i = 0; i < nodes; i++)
+		look(i, &after[i]);
+	if (!settled(nodes))
+		printf("# %s %d: not settled\n", what, nodes);
+	print(what, nodes, true, before, after, workers);
+	print(what, nodes, false, before, after, workers);
+	stop(nodes);
+}
+
+/* Processor time of a broker's thread for one ask, grant and release. */
+static void
+asks(void)
+{
+	client_opts_t o = { .settings = &set[0] };
+	Wire__SlotAsk ask = WIRE__SLOT_ASK__INIT;
+	Wire__SlotRelease r = WIRE__SLOT_RELEASE__INIT;
+	sample_t before, after;
+	client_t *c;
+	rng_t rng = { 1 };
+	answer_t *a;
+	err_t e;
+	int i, granted = 0;
+
+	start(1, 1, 8);
+	o.answers = ring_new(1024);
+	c = client_new(&o, &e);
+	run_for(1, WARM_MS, &rng);
+	ask.request = "request-0123456789abcdef";
+	ask.service = "report-llm";
+	ask.domain = "domain-0";
+	ask.model = "some-model-001";
+	ask.left_ms = 2000;
+	look(0, &before);
+	for (i = 0; i < ASKS; i++) {
+		if (!client_slot(c, i, set[0].instance.id, &ask, 2000))
+			continue;
+		while ((a = ring_wait(o.answers, 3000)) != NULL &&
+		       a->kind != ANSWER_SLOT)
+			answer_free(a);
+		if (a != NULL && !a->down &&
+		    a->frame->slot_answer->outcome == SLOT_GRANTED) {
+			granted++;
+			r.slot = a->frame->slot_answer->slot;
+			r.worker = a->frame->slot_answer->worker;
+			client_release(c, set[0].instance.id, &r);
+		}
+		if (a != NULL)
+			answer_free(a);
+	}
+	look(0, &after);
+	printf("# asks: %d, granted %d, %.1f us of the broker's thread each\n",
+	    ASKS, granted, (after.cpu - before.cpu) * 1e6 / ASKS);
+	client_free(c);
+	ring_free(o.answers);
+	stop(1);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const int nodes[] = { 9, 18, 36, 72, 144 };
+	size_t i, n = sizeof(nodes) / sizeof(nodes[0]);
+
+	if (argc > 1)
+		n = (size_t)strtoul(argv[1], NULL, 10);
+	log_level(LOG_ERR);
+	printf("what,nodes,workers,role,count,frames_in_s,frames_out_s,"
+	       "kb_in_s,kb_out_s,cpu_percent,process_rss_kb\n");
+	for (i = 0; i < n && i < sizeof(nodes) / sizeof(nodes[0]); i++)
+		point("nodes", nodes[i], nodes[i], nodes[i] * WORKERS_EACH);
+	point("big", 2, 2, 2 * WORKERS_EACH);
+	point("big", 2, BIG_ENTRIES, BIG_WORKERS);
+	asks();
+	return 0;
+}
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -33,6 +33,7 @@
 	ms_t swept;
 	conn_t *conns;
 	table_t *by_handle; /* of conn_t * */
+	net_stats_t stats;  /* atomic, one writer */
 	counter_t *in_frames, *in_bytes, *out_frames, *out_bytes;
 	counter_t *bad, *slow;
 };
@@ -150,6 +151,22 @@
 	free(n);
 }
 
+static void
+count(uint64_t *stat, counter_t *c, size_t n)
+{
+	__atomic_store_n(stat, *stat + n, __ATOMIC_RELAXED);
+	counter_add(c, (int64_t)n);
+}
+
+void
+net_stats(const net_t *n, net_stats_t *s)
+{
+	s->in_frames = __atomic_load_n(&n->stats.in_frames, __ATOMIC_RELAXED);
+	s->in_bytes = __atomic_load_n(&n->stats.in_bytes, __ATOMIC_RELAXED);
+	s->out_frames = __atomic_load_n(&n->stats.out_frames, __ATOMIC_RELAXED);
+	s->out_bytes = __atomic_load_n(&n->stats.out_bytes, __ATOMIC_RELAXED);
+}
+
 int
 net_watch(net_t *n, int fd)
 {
@@ -322,8 +339,8 @@
 		return false;
 	}
 	c->out_len += frame_pack(f, c->out + c->out_len);
-	counter_add(n->out_frames, 1);
-	counter_add(n->out_bytes, size);
+	count(&n->stats.out_frames, n->out_frames, 1);
+	count(&n->stats.out_bytes, n->out_bytes, size);
 	return true;
 }
 
@@ -378,7 +395,7 @@
 		if (f == NULL)
 			break;
 		at += used;
-		counter_add(n->in_frames, 1);
+		count(&n->stats.in_frames, n->in_frames, 1);
 		c->heard = clock_now(n->o.clock);
 		if (!n->o.on_frame(n->o.user, c, f))
 			wire__frame__free_unpacked(f, NULL);
@@ -415,7 +432,7 @@
 		return;
 	}
 	c->in_len += got;
-	counter_add(c->net->in_bytes, got);
+	count(&c->net->stats.in_bytes, c->net->in_bytes, got);
 	handle_frames(c);
 }
 
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -80,6 +80,11 @@
 bool conn_send(conn_t *c, const Wire__Frame *f);
 /** Close at the end of the round; @p why goes into the log. */
 void conn_close(conn_t *c, const char *why);
+/** What went over all connections so far; any thread may look. */
+typedef struct net_stats {
+	uint64_t in_frames, in_bytes, out_frames, out_bytes;
+} net_stats_t;
+void net_stats(const net_t *n, net_stats_t *s);
 conn_t *net_first(net_t *n);
 /** @return the connection, or NULL if it is closed by now. */
 conn_t *net_find(net_t *n, handle_t h);
