--- a/peer/catalogue.c
+++ b/peer/catalogue.c
@@ -104,7 +104,7 @@
 	n->encoded = NULL;
 	n->asked_at = 0;
 	/* Said at once: a note is to be in force within seconds. */
-	n->beat_at = n->now;
+	n->news = true;
 	n->publish = true;
 }
 
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -278,7 +278,8 @@
 			continue;
 		}
 		*at = c->next;
-		log_event(LOG_INFO, "peer_closed", "peer=%s dialled=%d why=%s",
+		log_event(c->role == CONN_STRANGER ? LOG_DEBUG : LOG_INFO,
+		    "peer_closed", "peer=%s dialled=%d why=%s",
 		    c->peer[0] == '\0' ? "-" : c->peer, c->dialled, c->why);
 		n->o.on_close(n->o.user, c);
 		conn_free(c);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -40,6 +40,7 @@
 	conn_state_t state;
 	conn_role_t role;
 	bool dialled;	   /* by us */
+	bool probe;	   /* closed as soon as it is up */
 	bool refused;	   /* nobody listens there */
 	bool wants_out;	   /* EPOLLOUT is set */
 	char peer[ID_MAX]; /* member's id, once known */
@@ -50,6 +51,7 @@
 	size_t in_len, in_room;
 	size_t out_at, out_len, out_room;
 	handle_t handle; /* finds it after a callback of another thread */
+	bool above;	 /* its member is nearer to the domain's roots */
 	bool bye;	 /* the peer said that it closes and lives on */
 	ms_t unwanted;	 /* since when nobody needs it, 0: needed */
 	relay_t relay;
--- a/peer/member.c
+++ b/peer/member.c
@@ -4,14 +4,15 @@
 #include <string.h>
 
 enum {
-	PARENTS = 2,	      /* a domain's relays */
-	STRETCH_MEMBERS = 16, /* of a domain, to one more heartbeat's time */
-	UNWANTED_MS = 5000,   /* a connection without use is closed */
-	SEED_MS = 300,	      /* between two tries of a seed */
-	PROBE_MS = 5000,      /* between two tries of a gone member */
-	GONE_SHARE = 2,	      /* a domain out of reach: times the deadline */
-	UNHEARD_SHARE = 4,    /* a member never heard here: times it */
-	PARENT_KEY_MAX = ID_MAX + 8,
+	ROOTS = 2,	    /* of a domain: they speak with other domains */
+	UPSTREAMS = 2,	    /* of a member: through these it hears the rest */
+	FOREIGN_BEATS = 4,  /* heartbeats to one for another domain */
+	UNWANTED_MS = 5000, /* a connection without use is closed */
+	CONNECT_MS = 50,    /* between two looks at the connections */
+	SEED_MS = 300,	    /* between two tries of a seed */
+	PROBE_MS = 5000,    /* between two looks at a member not connected */
+	GONE_SHARE = 2,	    /* a domain out of reach: times the deadline */
+	ROOT_KEY_MAX = ID_MAX + 8,
 };
 
 static void
@@ -72,16 +73,14 @@
 	return live;
 }
 
-int
-member_stretch(node_t *n)
-{
-	return 1 + live_in(n, n->set->instance.domain) / STRETCH_MEMBERS;
-}
-
 static ms_t
-deadline(node_t *n)
+deadline(node_t *n, const char *domain)
 {
-	return n->set->peer.dead_ms * member_stretch(n);
+	ms_t limit = n->set->peer.dead_ms;
+
+	return strcmp(domain, n->set->instance.domain) == 0
+		   ? limit
+		   : limit * FOREIGN_BEATS;
 }
 
 static void
@@ -111,10 +110,10 @@
 	if (m->incarnation > n->me.incarnation) {
 		/* Our own record of a time when this clock was ahead. */
 		n->me.incarnation = m->incarnation + 1;
-		n->beat_at = n->now;
+		n->news = true;
 	} else if (m->incarnation == n->me.incarnation && m->gone) {
 		self->reassert = true;
-		n->beat_at = n->now;
+		n->news = true;
 	}
 }
 
@@ -197,12 +196,15 @@
 		moved(n, c);
 	c->role = CONN_NODE;
 	str_copy(c->peer, sizeof(c->peer), r->m->id);
+	c->above = strcmp(r->m->domain, n->me.domain) == 0 &&
+		   member_height(r->m->id, r->m->domain) >
+		       member_height(n->me.id, n->me.domain);
 	if (!c->dialled)
 		send_hello(n, c);
 	adopt(n, r, c);
 	heard_from(n, r->m->domain);
 	number_told(n, c, h->catalogue);
-	n->beat_at = n->now;
+	n->news = true;
 }
 
 static void
@@ -262,7 +264,10 @@
 void
 member_opened(node_t *n, conn_t *c)
 {
-	send_hello(n, c);
+	if (c->probe)
+		conn_close(c, "probed");
+	else
+		send_hello(n, c);
 }
 
 static void
@@ -296,8 +301,9 @@
 		return;
 	r->conn = NULL;
 	if (c->state == CONN_CLOSED && c->dialled && c->role == CONN_STRANGER) {
-		/* It never came up: for whoever hears it, it may still live. */
-		if (c->refused || is_why(c, "silent"))
+		/* Whoever hears it will say that it lives. */
+		if (c->refused || is_why(c, "silent") ||
+		    is_why(c, "dial_timeout"))
 			store_gone(n->store, r);
 		return;
 	}
@@ -313,16 +319,16 @@
 }
 
 /*
- * A domain's members in the order in which they relay: the first two live
- * ones, then, if there are fewer, those that may be tried.
+ * A domain's roots: its first two live members by rendezvous, then, if there
+ * are fewer, those that may be tried.
  */
 static int
-relays_of(node_t *n, const char *domain, bool self_too, member_t **out)
+roots_of(node_t *n, const char *domain, bool self_too, member_t **out)
 {
 	int total = (int)g_hash_table_size(n->store->member), nm = 0, i;
 	char(*ids)[ID_MAX] = calloc(total + 1, sizeof(*ids));
 	int *order = calloc(total + 1, sizeof(*order)), found = 0, pass;
-	char key[PARENT_KEY_MAX];
+	char key[ROOT_KEY_MAX];
 	GHashTableIter it;
 	void *value;
 
@@ -336,7 +342,7 @@
 	}
 	route_rank(key, ids, nm, order);
 	for (pass = 0; pass < 2; pass++) {
-		for (i = 0; i < nm && found < PARENTS; i++) {
+		for (i = 0; i < nm && found < ROOTS; i++) {
 			member_t *r = store_find(n->store, ids[order[i]]);
 			bool live = member_live(r) && !member_leaving(r);
 			bool try = !live && !is_self(n, r->m->id) &&
@@ -357,6 +363,57 @@
 	return found;
 }
 
+uint64_t
+member_height(const char *id, const char *domain)
+{
+	char key[ROOT_KEY_MAX];
+
+	snprintf(key, sizeof(key), "relay/%s", domain);
+	return route_score(hash_str(key, 0), hash_str(id, 0));
+}
+
+/*
+ * Each member hangs below two of those that rank before it, drawn by
+ * rendezvous: a random recursive tree. It is some log(members) deep, a
+ * member has two others below it on average and some 2 log(members) at the
+ * most, and whoever comes or goes moves only what hangs below it.
+ * @return how many, 0 for the first root; the first one is the primary.
+ */
+static int
+upstreams(node_t *n, member_t **out)
+{
+	const char *own = n->set->instance.domain;
+	uint64_t height = member_height(n->me.id, own), key, score;
+	uint64_t best[UPSTREAMS] = { 0, 0 };
+	GHashTableIter it;
+	void *value;
+	int found = 0;
+
+	key = hash_str(n->me.id, UPSTREAMS);
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (!member_live(r) || member_leaving(r) ||
+		    strcmp(r->m->domain, own) != 0 || is_self(n, r->m->id) ||
+		    member_height(r->m->id, own) <= height)
+			continue;
+		score = route_score(key, hash_str(r->m->id, 0));
+		if (found == 0 || score > best[0]) {
+			best[1] = best[0];
+			out[1] = out[0];
+			best[0] = score;
+			out[0] = r;
+		} else if (found == 1 || score > best[1]) {
+			best[1] = score;
+			out[1] = r;
+		}
+		if (found < UPSTREAMS)
+			found++;
+	}
+	return found;
+}
+
 static bool
 has_self(node_t *n, member_t **r, int nr)
 {
@@ -429,33 +486,40 @@
 	}
 }
 
-/* Dial whom this node relays with, or through. */
 static void
-connect_all(node_t *n)
+connect_foreign(node_t *n)
 {
-	const char *own = n->set->instance.domain;
-	member_t *r[PARENTS];
 	GHashTable *set = domains(n);
+	member_t *r[ROOTS];
 	GHashTableIter it;
 	void *domain;
-	bool parent;
-	int nr;
 
-	mark_unwanted(n);
-	nr = relays_of(n, own, true, r);
-	parent = has_self(n, r, nr);
-	want(n, r, nr);
-	if (__atomic_exchange_n(&n->parent, parent, __ATOMIC_RELAXED) != parent)
-		log_event(LOG_INFO, "relay", "parent=%d", parent);
 	g_hash_table_iter_init(&it, set);
-	while (g_hash_table_iter_next(&it, &domain, NULL)) {
-		if (strcmp(domain, own) == 0 ||
-		    (!parent && live_in(n, own) > 1))
-			continue;
-		nr = relays_of(n, domain, false, r);
-		want(n, r, nr);
-	}
+	while (g_hash_table_iter_next(&it, &domain, NULL))
+		if (strcmp(domain, n->set->instance.domain) != 0)
+			want(n, r, roots_of(n, domain, false, r));
 	g_hash_table_destroy(set);
+}
+
+/* Dial whom this node relays with, or through. */
+static void
+connect_all(node_t *n)
+{
+	const char *own = n->set->instance.domain;
+	member_t *r[ROOTS], *up[UPSTREAMS] = { NULL, NULL };
+	int nr = roots_of(n, own, true, r), nup = upstreams(n, up);
+	bool parent = has_self(n, r, nr), alone = live_in(n, own) < 2;
+
+	mark_unwanted(n);
+	want(n, up, nup);
+	/* Alone: whoever the list names in this domain is tried. */
+	if (alone)
+		want(n, r, nr);
+	if (parent || alone)
+		connect_foreign(n);
+	n->primary = nup > 0 ? up[0] : NULL;
+	if (__atomic_exchange_n(&n->parent, parent, __ATOMIC_RELAXED) != parent)
+		log_event(LOG_INFO, "relay", "root=%d", parent);
 	close_unwanted(n);
 }
 
@@ -482,58 +546,68 @@
 	g_strfreev(seed);
 }
 
-/* Two halves that hold each other for gone find together again. */
+/*
+ * Look at one member without a connection. Of those held for gone, so that
+ * two halves of a domain find together again; of the live ones of the own
+ * domain, so that one that died together with its upstreams is noticed.
+ */
 static void
-probe(node_t *n)
+probe(node_t *n, bool live)
 {
 	member_t *pick = NULL;
 	GHashTableIter it;
 	void *value;
 	int seen = 0;
 
-	n->probe_at = n->now + PROBE_MS;
 	g_hash_table_iter_init(&it, n->store->member);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		member_t *r = value;
 
-		if (r->msg == NULL || member_live(r) || r->conn != NULL ||
-		    is_self(n, r->m->id))
+		if (r->msg == NULL || member_live(r) != live ||
+		    r->conn != NULL || is_self(n, r->m->id) ||
+		    (live &&
+			strcmp(r->m->domain, n->set->instance.domain) != 0))
 			continue;
 		if (rng_next(&n->rng) % ++seen == 0)
 			pick = r;
 	}
-	if (pick != NULL)
-		dial(n, pick);
+	if (pick == NULL)
+		return;
+	dial(n, pick);
+	if (pick->conn != NULL)
+		pick->conn->probe = live;
 }
 
-/* Connections without a word, members that nobody hears. */
+/* Connections without a word, domains out of reach. */
 static void
 find_silent(node_t *n)
 {
-	ms_t limit = deadline(n);
-	bool parent = __atomic_load_n(&n->parent, __ATOMIC_RELAXED);
+	const char *own = n->set->instance.domain;
 	GHashTableIter it;
 	void *value;
 	conn_t *c;
 
-	for (c = net_first(n->net); c != NULL; c = c->next)
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		member_t *r = store_find(n->store, c->peer);
+
 		if ((c->role == CONN_NODE || c->dialled) &&
-		    c->state == CONN_OPEN && n->now - c->heard > limit)
+		    c->state == CONN_OPEN && r != NULL && r->msg != NULL &&
+		    n->now - c->heard > deadline(n, r->m->domain))
 			conn_close(c, "silent");
-	if (!parent)
+	}
+	if (!__atomic_load_n(&n->parent, __ATOMIC_RELAXED))
 		return;
 	g_hash_table_iter_init(&it, n->store->member);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		member_t *r = value;
-		bool own;
 		ms_t *at;
 
-		if (!member_live(r) || r->conn != NULL || is_self(n, r->m->id))
+		if (!member_live(r) || r->conn != NULL ||
+		    strcmp(r->m->domain, own) == 0)
 			continue;
-		own = strcmp(r->m->domain, n->set->instance.domain) == 0;
 		at = g_hash_table_lookup(n->domain_heard, r->m->domain);
-		if (own ? n->now - r->heard > UNHEARD_SHARE * limit
-			: at != NULL && n->now - *at > GONE_SHARE * limit)
+		if (at != NULL &&
+		    n->now - *at > GONE_SHARE * deadline(n, r->m->domain))
 			store_gone(n->store, r);
 	}
 }
@@ -553,44 +627,67 @@
 		n->me.in_force = number;
 }
 
+/*
+ * Figures are wanted once: from the primary upstream, and by a root from the
+ * other domains' root of its own place.
+ */
+static bool
+wants_figures(node_t *n, member_t *r)
+{
+	member_t *own[ROOTS], *theirs[ROOTS];
+	int no, nt, i;
+
+	if (strcmp(r->m->domain, n->set->instance.domain) == 0)
+		return r == n->primary;
+	no = roots_of(n, n->set->instance.domain, true, own);
+	nt = roots_of(n, r->m->domain, false, theirs);
+	for (i = 0; i < no && i < nt; i++)
+		if (is_self(n, own[i]->m->id))
+			return theirs[i] == r;
+	return nt > 0 && theirs[0] == r;
+}
+
 static void
-beat(node_t *n)
+beat(node_t *n, bool all)
 {
-	ms_t every = n->set->peer.heartbeat_ms * member_stretch(n);
-	member_t *first[PARENTS];
 	conn_t *c;
-	int nf;
 
-	n->beat_at = n->now + every;
+	n->beat_at = n->now + n->set->peer.heartbeat_ms;
 	set_in_force(n);
 	n->me.seq++;
+	n->beats++;
 	store_member(n->store, &n->me);
-	nf = relays_of(n, n->set->instance.domain, false, first);
 	for (c = net_first(n->net); c != NULL; c = c->next) {
-		bool foreign;
-		member_t *r;
+		member_t *r = store_find(n->store, c->peer);
 
-		if (c->role != CONN_NODE || c->state != CONN_OPEN || c->bye)
+		if (c->role != CONN_NODE || c->state != CONN_OPEN || c->bye ||
+		    r == NULL || r->msg == NULL)
+			continue;
+		if (!all && n->beats % FOREIGN_BEATS != 0 &&
+		    strcmp(r->m->domain, n->set->instance.domain) != 0)
 			continue;
-		/* Figures come once: from the first relay of one's own. */
-		r = store_find(n->store, c->peer);
-		foreign = r == NULL || r->msg == NULL ||
-			  strcmp(r->m->domain, n->set->instance.domain) != 0;
-		send_heartbeat(
-		    n, c, foreign || (nf > 0 && first[0] == r), false);
+		send_heartbeat(n, c, wants_figures(n, r), false);
 	}
 }
 
 void
 member_tick(node_t *n)
 {
-	find_silent(n);
-	connect_all(n);
-	try_seed(n);
-	if (n->now >= n->probe_at)
-		probe(n);
-	if (n->now >= n->beat_at)
-		beat(n);
+	if (n->now >= n->connect_at || n->connected != n->store->urgent) {
+		n->connect_at = n->now + CONNECT_MS;
+		n->connected = n->store->urgent;
+		find_silent(n);
+		connect_all(n);
+		try_seed(n);
+	}
+	if (n->now >= n->probe_at) {
+		n->probe_at = n->now + PROBE_MS;
+		probe(n, false);
+		probe(n, true);
+	}
+	if (n->news || n->now >= n->beat_at)
+		beat(n, n->news);
+	n->news = false;
 }
 
 void
@@ -609,5 +706,5 @@
 	g_hash_table_remove_all(n->domain_heard);
 	n->me.incarnation =
 	    wall > n->me.incarnation ? wall : n->me.incarnation + 1;
-	n->beat_at = n->now;
+	n->news = true;
 }
--- a/peer/node.c
+++ b/peer/node.c
@@ -258,9 +258,11 @@
 	node_t *n = user;
 
 	n->now = clock_now(n->clock);
+	n->store->from = c->handle;
 	if (c->role == CONN_STRANGER &&
 	    f->body_case != WIRE__FRAME__BODY_HELLO) {
 		conn_close(c, "no_hello");
+		n->store->from = 0;
 		return false;
 	}
 	switch (f->body_case) {
@@ -305,6 +307,7 @@
 		/* An answer to nothing, or of a version to come. */
 		break;
 	}
+	n->store->from = 0;
 	return false;
 }
 
@@ -372,7 +375,7 @@
 	for (c = net_first(n->net); c != NULL; c = c->next)
 		if (c->role == CONN_NODE && c->state == CONN_OPEN)
 			conn_send(c, &f);
-	n->beat_at = n->now;
+	n->news = true;
 }
 
 static void
--- a/peer/node.h
+++ b/peer/node.h
@@ -24,7 +24,11 @@
 	brokers_t *brokers;
 	table_t *claiming; /* claims asked, of claiming_t */
 
-	ms_t now, beat_at, probe_at, seed_at, purge_at;
+	ms_t now, beat_at, connect_at, probe_at, seed_at, purge_at;
+	uint64_t beats;
+	uint64_t connected; /* the store's change when last looked at */
+	bool news;	    /* to be told at once: a heartbeat to all */
+	member_t *primary;  /* upstream whose figures are taken, or NULL */
 	Wire__Member me;
 	bool alone;		  /* no settings name any other daemon */
 	GHashTable *domain_heard; /* domain -> ms_t *, last frame from there */
@@ -65,8 +69,8 @@
 void member_tick(node_t *n);
 /** Forget connections, and start as a new incarnation. */
 void member_rejoin(node_t *n);
-/** Heartbeats and deadlines grow with the domain by this. */
-int member_stretch(node_t *n);
+/** The higher one is nearer to its domain's roots. */
+uint64_t member_height(const char *id, const char *domain);
 
 /* relay.c: what goes to whom. */
 
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -5,20 +5,22 @@
 
 enum {
 	CHUNK_BYTES = 128 * 1024, /* of a view; then another is begun */
-	FIGURES_BYTES = 4096,	  /* a second, for each scope of figures */
-	FLUSH_MS = 20,		  /* gathers urgent changes for nodes */
+	/* a second, over all connections, for each scope of figures */
+	FIGURES_BYTES = 5120,
+	FLUSH_MS = 20, /* gathers urgent changes for nodes */
 };
 
-/* Whose records a connection gets. */
+/* Which records a connection gets; never those that came by it. */
 typedef enum scope {
-	SCOPE_ALL,
-	SCOPE_DOMAIN, /* what this node's own domain says of itself */
-	SCOPE_OWN,    /* the shards that this node brokers */
+	SCOPE_ALL,    /* an entryd, a member below */
+	SCOPE_ABOVE,  /* a member above: what didn't come from above */
+	SCOPE_DOMAIN, /* another domain's: what this domain says of itself */
 } scope_t;
 
 /* A view being gathered for one connection. */
 typedef struct batch {
 	conn_t *c;
+	scope_t scope;
 	GPtrArray *member, *worker, *digest;
 	size_t bytes, total;
 } batch_t;
@@ -118,31 +120,34 @@
 static scope_t
 scope_of(node_t *n, const conn_t *c)
 {
-	bool parent = __atomic_load_n(&n->parent, __ATOMIC_RELAXED);
-
 	if (c->role == CONN_ENTRY)
 		return SCOPE_ALL;
 	if (!of_own_domain(n, c->peer))
 		return SCOPE_DOMAIN;
-	return parent || !c->dialled ? SCOPE_ALL : SCOPE_OWN;
+	return c->above ? SCOPE_ABOVE : SCOPE_ALL;
 }
 
+/* @param from connection that the record came by. */
 static bool
-in_scope(node_t *n, scope_t s, const char *member)
+in_scope(node_t *n, const batch_t *b, const char *member, handle_t from)
 {
-	switch (s) {
+	const conn_t *by = from == 0 ? NULL : net_find(n->net, from);
+
+	if (by == b->c)
+		return false;
+	switch (b->scope) {
 	case SCOPE_ALL:
 		return true;
+	case SCOPE_ABOVE:
+		return by == NULL || !by->above;
 	case SCOPE_DOMAIN:
 		return of_own_domain(n, member);
-	case SCOPE_OWN:
-		return strcmp(member, n->me.id) == 0;
 	}
 	return false;
 }
 
 static void
-fill_urgent(node_t *n, batch_t *b, scope_t scope, uint64_t since)
+fill_urgent(node_t *n, batch_t *b, uint64_t since)
 {
 	GHashTableIter it;
 	void *value;
@@ -152,23 +157,23 @@
 		member_t *r = value;
 
 		if (r->urgent > since && r->m->incarnation != 0 &&
-		    in_scope(n, scope, r->m->id))
+		    in_scope(n, b, r->m->id, r->from))
 			add_member(n, b, r);
 	}
 	g_hash_table_iter_init(&it, n->store->digest);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		digest_t *r = value;
 
-		if (r->urgent > since && in_scope(n, scope, r->d->broker))
+		if (r->urgent > since && in_scope(n, b, r->d->broker, r->from))
 			add_digest(n, b, r, false);
 	}
-	if (scope == SCOPE_OWN)
-		return;
 	g_hash_table_iter_init(&it, n->store->worker);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		worker_t *r = value;
 
-		if (r->msg == NULL || r->urgent <= since)
+		if (r->msg == NULL || r->urgent <= since ||
+		    (b->scope != SCOPE_DOMAIN &&
+			!in_scope(n, b, r->w->id, r->from)))
 			continue;
 		g_ptr_array_add(b->worker, r->msg->m);
 		grow(n, b, r->msg->m);
@@ -177,7 +182,7 @@
 
 /* Loads and in-force numbers, waits and free slots, of one scope of two. */
 static void
-fill_figures(node_t *n, batch_t *b, scope_t scope, bool own, uint64_t since)
+fill_figures(node_t *n, batch_t *b, bool own, uint64_t since)
 {
 	GHashTableIter it;
 	void *value;
@@ -188,7 +193,7 @@
 
 		if (r->figures > since && r->figures > r->urgent &&
 		    of_own_domain(n, r->m->id) == own &&
-		    in_scope(n, scope, r->m->id))
+		    in_scope(n, b, r->m->id, r->from))
 			add_member(n, b, r);
 	}
 	g_hash_table_iter_init(&it, n->store->digest);
@@ -197,30 +202,50 @@
 
 		if (r->figures > since && r->figures > r->urgent &&
 		    of_own_domain(n, r->d->broker) == own &&
-		    in_scope(n, scope, r->d->broker))
+		    in_scope(n, b, r->d->broker, r->from))
 			add_digest(n, b, r, true);
 	}
 }
 
+/* Does it get figures? Above, only the primary does. */
+static bool
+figures_wanted(node_t *n, const conn_t *c)
+{
+	if (c->role == CONN_ENTRY || !c->above)
+		return c->relay.wanted;
+	return n->primary != NULL && n->primary->conn == c;
+}
+
 static bool
 figures_due(node_t *n, const conn_t *c, int i)
 {
-	if (c->role == CONN_ENTRY)
-		return true;
-	return c->relay.wanted && n->now >= c->relay.figures_due[i];
+	return c->role == CONN_ENTRY ||
+	       (figures_wanted(n, c) && n->now >= c->relay.figures_due[i]);
+}
+
+static int
+figures_conns(node_t *n)
+{
+	conn_t *c;
+	int count = 0;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		count += c->role == CONN_NODE && figures_wanted(n, c);
+	return count;
 }
 
 static void
-send_figures(node_t *n, batch_t *b, scope_t scope, int i)
+send_figures(node_t *n, batch_t *b, int i)
 {
 	relay_t *r = &b->c->relay;
 	size_t before = b->total;
 	ms_t span;
 
-	fill_figures(n, b, scope, i == 0, r->figures[i]);
+	fill_figures(n, b, i == 0, r->figures[i]);
 	r->figures[i] = n->store->change;
 	/* The more there is to tell, the less often it is told. */
-	span = (ms_t)((b->total - before) * 1000 / FIGURES_BYTES);
+	span = (ms_t)((b->total - before) * 1000 / FIGURES_BYTES) *
+	       figures_conns(n);
 	if (span < n->set->peer.heartbeat_ms)
 		span = n->set->peer.heartbeat_ms;
 	r->figures_due[i] = n->now + span;
@@ -229,8 +254,8 @@
 void
 relay_fill(node_t *n, conn_t *c, bool with_figures)
 {
-	scope_t scope = scope_of(n, c);
 	batch_t b = { .c = c,
+		.scope = scope_of(n, c),
 		.member = g_ptr_array_new_with_free_func(free),
 		.worker = g_ptr_array_new(),
 		.digest = g_ptr_array_new_with_free_func(digest_copy_free) };
@@ -240,10 +265,10 @@
 
 	/* All that is in the store by now, whatever is put in by sending. */
 	c->relay.urgent = n->store->change;
-	fill_urgent(n, &b, scope, since);
+	fill_urgent(n, &b, since);
 	for (i = 0; with_figures && i < 2; i++)
 		if (figures_due(n, c, i))
-			send_figures(n, &b, scope, i);
+			send_figures(n, &b, i);
 	if (b.member->len + b.worker->len + b.digest->len > 0 || first ||
 	    c->role == CONN_ENTRY)
 		batch_send(n, &b);
@@ -280,7 +305,7 @@
 	if (c->role == CONN_ENTRY ? n->store->change > c->relay.urgent
 				  : n->store->urgent > c->relay.urgent)
 		return c->relay.sent_at + gather;
-	for (i = 0; c->role == CONN_NODE && c->relay.wanted && i < 2; i++)
+	for (i = 0; c->role == CONN_NODE && figures_wanted(n, c) && i < 2; i++)
 		if (n->store->change > c->relay.figures[i] &&
 		    c->relay.figures_due[i] < due)
 			due = c->relay.figures_due[i];
--- a/peer/store.c
+++ b/peer/store.c
@@ -173,6 +173,7 @@
 		return;
 	}
 	msg = msg_copy(&n);
+	r->from = s->from;
 	msg_unref(r->msg);
 	r->msg = msg;
 	r->m = (const Wire__Member *)msg->m;
@@ -231,6 +232,7 @@
 	r->msg = msg;
 	r->w = (const Wire__Worker *)r->msg->m;
 	r->urgent = s->urgent = ++s->change;
+	r->from = s->from;
 	r->gone_at = w->gone ? clock_now(s->clock) : 0;
 	s->stale = true;
 }
@@ -483,6 +485,7 @@
 	r->msg = m;
 	r->d = (const Wire__Digest *)m->m;
 	r->at = clock_now(s->clock);
+	r->from = s->from;
 }
 
 const shard_t *
--- a/peer/store.h
+++ b/peer/store.h
@@ -30,6 +30,7 @@
 	uint64_t figures;      /* change number of load and in_force */
 	ms_t heard;	       /* when seq last went up */
 	bool reassert;	       /* somebody says it is gone, we hear it */
+	handle_t from;	       /* connection that the last change came by */
 	/* the platform's list */
 	bool listed;
 	uint64_t list_left; /* incarnation it says leaving of, 0: none */
@@ -46,12 +47,14 @@
 	uint64_t list_hash; /* of its entry in our own last list, 0: none */
 	ms_t missing_at;    /* since when our own lists don't have it */
 	ms_t gone_at;
+	handle_t from;
 } worker_t;
 
 typedef struct digest {
 	msg_t *msg;
 	const Wire__Digest *d;
 	uint64_t urgent, figures;
+	handle_t from;
 	ms_t at;
 } digest_t;
 
@@ -63,6 +66,7 @@
 	GHashTable *digest; /* shard's key -> digest_t */
 	uint64_t change;    /* number of the last change */
 	uint64_t urgent;    /* ... of the last that isn't mere figures */
+	handle_t from;	    /* connection being read, 0: none */
 	bool workers_known;
 	/* made of members and workers, again when they change */
 	bool stale;
