--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 STANDIN = platform engine service
 STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard $(STANDIN:%=standin/%.c)))
 STANDLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(STANDIN:%=standin/%.c),$(wildcard standin/*.c)))
-BENCH = callload freeports
+BENCH = callload freeports $(patsubst bench/%.c,%,$(wildcard bench/policy*.c bench/*slope*.c))
 BENCHES = $(BENCH:%=$(B)/bin/%)
 BENCHLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(BENCH:%=bench/%.c),$(wildcard bench/*.c)))
 # A *_test.c is a unit test; a *_proc.c starts real processes.
