Peer: a random recursive tree in each domain, changes in order

Ruled out: fixed pairs by rank, because one that dies shifts all that rank after it; heartbeats that slow down with the domain, because the bytes stay. Records stand in the order of their last change, so that a delta costs what changed, not what is known. A live member of the domain is tried now and then, so that one that died together with its upstreams is noticed. The frozen process of /peer/broker-is-frozen is waited for. Shown by: make lint unit; peer_proc plain and under ASan.

--- a/bench/peerslope.c
+++ b/bench/peerslope.c
@@ -18,9 +18,11 @@
 	WORKERS_EACH = 9, /* a node */
 	MODELS_EACH = 5,  /* on a worker */
 	REPORT_MS = 250,
+	FLEET_REPORT_MS = 2000,
 	SETTLE_MS = 60000,
 	WARM_MS = 3000,
 	RUN_MS = 10000,
+	BIG_NODES = 5,	    /* the last alone in its domain */
 	BIG_ENTRIES = 1100, /* the fleet's size to come */
 	BIG_WORKERS = 10000,
 	ASKS = 20000,
@@ -53,7 +55,7 @@
 }
 
 static void
-add_worker(int i)
+add_worker(int i, int domain)
 {
 	instance_t *w = &list.item[list.n++];
 
@@ -61,7 +63,8 @@
 	w->role = ROLE_WORKER;
 	w->slots = 16;
 	snprintf(w->id, ID_MAX, "report-llm-worker-%05d", i);
-	snprintf(w->domain, ID_MAX, "domain-%d", i % DOMAINS);
+	snprintf(w->domain, ID_MAX, "domain-%d",
+	    domain == -1 ? i % DOMAINS : domain);
 	str_copy(w->service, ID_MAX, "report-llm");
 	str_copy(w->addr, ADDR_MAX, "127.0.0.1:1");
 }
@@ -93,7 +96,7 @@
 }
 
 static void
-start(int nodes, int entries, int workers)
+start(int nodes, int entries, int workers, int domain)
 {
 	node_opts_t o = { .clock = &machine_clock };
 	err_t e;
@@ -104,7 +107,7 @@
 	for (i = 0; i < entries; i++)
 		add_entry(i, i < nodes ? &set[i] : NULL);
 	for (i = 0; i < workers; i++)
-		add_worker(i);
+		add_worker(i, domain);
 	for (i = 0; i < nodes; i++) {
 		o.settings = &set[i];
 		node[i] = node_new(&o, &e);
@@ -192,7 +195,7 @@
 
 	while (clock_now(&machine_clock) < end) {
 		report_all(nodes, rng);
-		clock_sleep(REPORT_MS);
+		clock_sleep(list.n > BIG_WORKERS ? FLEET_REPORT_MS : REPORT_MS);
 	}
 }
 
@@ -231,6 +234,9 @@
 	int i;
 
 	for (i = 0; i < nodes; i++) {
+		/* That one brokers all there is: no node will. */
+		if (nodes == BIG_NODES && i % DOMAINS == DOMAINS - 1)
+			continue;
 		if (node_is_parent(node[i]) != parent)
 			continue;
 		n++;
@@ -250,14 +256,14 @@
 }
 
 static void
-point(const char *what, int nodes, int entries, int workers)
+point(const char *what, int nodes, int entries, int workers, int domain)
 {
 	static sample_t before[NODES_MOST], after[NODES_MOST];
 	ms_t end = clock_now(&machine_clock) + SETTLE_MS;
 	rng_t rng = { 1 };
 	int i;
 
-	start(nodes, entries, workers);
+	start(nodes, entries, workers, domain);
 	while (!settled(nodes) && clock_now(&machine_clock) < end)
 		clock_sleep(REPORT_MS);
 	run_for(nodes, WARM_MS, &rng);
@@ -287,7 +293,7 @@
 	err_t e;
 	int i, granted = 0;
 
-	start(1, 1, 8);
+	start(1, 1, 8, 0);
 	o.answers = ring_new(1024);
 	c = client_new(&o, &e);
 	run_for(1, WARM_MS, &rng);
@@ -333,9 +339,11 @@
 	printf("what,nodes,workers,role,count,frames_in_s,frames_out_s,"
 	       "kb_in_s,kb_out_s,cpu_percent,process_rss_kb\n");
 	for (i = 0; i < n && i < sizeof(nodes) / sizeof(nodes[0]); i++)
-		point("nodes", nodes[i], nodes[i], nodes[i] * WORKERS_EACH);
-	point("big", 2, 2, 2 * WORKERS_EACH);
-	point("big", 2, BIG_ENTRIES, BIG_WORKERS);
+		point("nodes", nodes[i], nodes[i], nodes[i] * WORKERS_EACH, -1);
+	/* All workers are the last node's: the others only hear of them. */
+	point(
+	    "few", BIG_NODES, BIG_NODES, BIG_NODES * WORKERS_EACH, DOMAINS - 1);
+	point("fleet", BIG_NODES, BIG_ENTRIES, BIG_WORKERS, DOMAINS - 1);
 	asks();
 	return 0;
 }
--- a/peer/client.c
+++ b/peer/client.c
@@ -54,7 +54,8 @@
 	GHashTable *conn; /* member id -> conn_t */
 	conn_t *home;	  /* whose views are taken */
 	ms_t home_at;	  /* the own controld was last dialled */
-	ms_t now, purge_at, asked_at;
+	ms_t now, purge_at, asked_at, publish_at;
+	bool publish; /* the view has changed */
 	table_t *pending;
 	catalogue_t *catalogue;
 	uint32_t load;
@@ -416,13 +417,18 @@
 publish(client_t *c)
 {
 	view_t *v = store_view(c->store, c->catalogue), *old;
+	ms_t cost;
 
+	c->publish = false;
 	pthread_mutex_lock(&c->lock);
 	old = c->view;
 	c->view = v;
 	pthread_mutex_unlock(&c->lock);
 	view_unref(old);
 	give(c, ANSWER_VIEW, 0, false, NULL);
+	/* A view of a large fleet isn't made for every word that comes. */
+	cost = clock_now(&machine_clock) - c->now;
+	c->publish_at = c->now + cost * VIEW_COST_SHARE;
 }
 
 static void
@@ -448,7 +454,7 @@
 		send_body(conn, 0, WIRE__FRAME__BODY_CATALOGUE_ASK, &ask);
 	}
 	if (c->store->change != before || known != c->store->workers_known)
-		publish(c);
+		c->publish = true;
 }
 
 static void
@@ -656,6 +662,8 @@
 		net_poll(c->net, TICK_MS);
 		c->now = clock_now(&machine_clock);
 		find_late(c);
+		if (c->publish && c->now >= c->publish_at)
+			publish(c);
 	}
 	return NULL;
 }
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -52,6 +52,7 @@
 	size_t out_at, out_len, out_room;
 	handle_t handle; /* finds it after a callback of another thread */
 	bool above;	 /* its member is nearer to the domain's roots */
+	bool figures;	 /* wanted from its member */
 	bool bye;	 /* the peer said that it closes and lives on */
 	ms_t unwanted;	 /* since when nobody needs it, 0: needed */
 	relay_t relay;
--- /dev/null
+++ b/peer/links.c
@@ -0,0 +1,219 @@
+#include "peer/node.h"
+
+#include <string.h>
+
+enum {
+	ROOTS = 2,	    /* of a domain: they speak with other domains */
+	UPSTREAMS = 2,	    /* of a member: through these it hears the rest */
+	UNWANTED_MS = 5000, /* a connection without use is closed */
+	ROOT_KEY_MAX = ID_MAX + 8,
+};
+
+/* A domain's first members by rendezvous, and those that may be tried. */
+typedef struct roots {
+	member_t *live[ROOTS], *dead[ROOTS];
+	uint64_t live_height[ROOTS], dead_height[ROOTS];
+	int nlive, ndead, count; /* count: all that are live */
+} roots_t;
+
+uint64_t
+member_height(const char *id, const char *domain)
+{
+	char key[ROOT_KEY_MAX];
+
+	snprintf(key, sizeof(key), "relay/%s", domain);
+	return route_score(hash_str(key, 0), hash_str(id, 0));
+}
+
+/* Keep the two highest. */
+static int
+insert(member_t **best, uint64_t *score, int n, member_t *r, uint64_t s)
+{
+	int at = 0;
+
+	while (at < n && score[at] >= s)
+		at++;
+	if (at == 2)
+		return n;
+	if (at == 0) {
+		best[1] = best[0];
+		score[1] = score[0];
+	}
+	best[at] = r;
+	score[at] = s;
+	return n < 2 ? n + 1 : 2;
+}
+
+static bool
+is_self(const node_t *n, const member_t *r)
+{
+	return strcmp(r->m->id, n->me.id) == 0;
+}
+
+/* @return domain -> roots_t */
+static GHashTable *
+survey(node_t *n)
+{
+	GHashTable *t =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+		roots_t *k;
+
+		if (r->msg == NULL)
+			continue;
+		if (r->height == 0)
+			r->height = member_height(r->m->id, r->m->domain);
+		k = g_hash_table_lookup(t, r->m->domain);
+		if (k == NULL) {
+			k = g_new0(roots_t, 1);
+			g_hash_table_insert(t, g_strdup(r->m->domain), k);
+		}
+		if (r->doubt && r->conn == NULL && n->now >= r->dial_at)
+			member_dial(n, r);
+		k->count += member_live(r);
+		if (member_live(r) && !member_leaving(r))
+			k->nlive = insert(
+			    k->live, k->live_height, k->nlive, r, r->height);
+		else if (!member_live(r) && !is_self(n, r) &&
+			 (r->conn != NULL || n->now >= r->dial_at))
+			k->ndead = insert(
+			    k->dead, k->dead_height, k->ndead, r, r->height);
+	}
+	return t;
+}
+
+/*
+ * Each member hangs below two of those that rank before it, drawn by
+ * rendezvous: a random recursive tree. It is some log(members) deep, a
+ * member has two others below it on average and some 2 log(members) at the
+ * most, and whoever comes or goes moves only what hangs below it.
+ * @return how many, 0 for the first root; the first one is the primary.
+ */
+static int
+upstreams(node_t *n, member_t **out)
+{
+	const char *own = n->set->instance.domain;
+	uint64_t height = member_height(n->me.id, own);
+	uint64_t key = hash_str(n->me.id, UPSTREAMS);
+	uint64_t score[UPSTREAMS] = { 0, 0 };
+	GHashTableIter it;
+	void *value;
+	int found = 0;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (!member_live(r) || r->height <= height ||
+		    member_leaving(r) || strcmp(r->m->domain, own) != 0)
+			continue;
+		found = insert(out, score, found, r,
+		    route_score(key, hash_str(r->m->id, 0)));
+	}
+	return found;
+}
+
+/* Connections that are wanted are marked by unwanted = 0. */
+static void
+want(node_t *n, member_t *r, bool figures)
+{
+	if (is_self(n, r))
+		return;
+	if (r->conn == NULL && n->now >= r->dial_at)
+		member_dial(n, r);
+	if (r->conn == NULL)
+		return;
+	r->conn->unwanted = 0;
+	r->conn->figures = figures;
+}
+
+static void
+mark_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		c->figures = false;
+		if (c->dialled && c->unwanted == 0)
+			c->unwanted = n->now;
+	}
+}
+
+static void
+close_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		if (c->state != CONN_OPEN || c->unwanted == 0 ||
+		    n->now - c->unwanted < UNWANTED_MS)
+			continue;
+		if (c->bye) {
+			conn_close(c, "not_needed");
+			continue;
+		}
+		/* Closed on the next round: the word goes out first. */
+		member_say(n, c, false, true);
+		c->bye = true;
+	}
+}
+
+/*
+ * Figures are wanted once: by a root from the root of its own place in each
+ * other domain, else from the primary upstream.
+ */
+static void
+want_domain(node_t *n, const roots_t *k, int place)
+{
+	int i;
+
+	for (i = 0; i < k->nlive; i++)
+		want(n, k->live[i], i == place || k->nlive == 1);
+	for (i = 0; k->nlive == 0 && i < k->ndead; i++)
+		want(n, k->dead[i], true);
+}
+
+static int
+place_of_self(const node_t *n, const roots_t *k)
+{
+	int i;
+
+	for (i = 0; k != NULL && i < k->nlive; i++)
+		if (is_self(n, k->live[i]))
+			return i;
+	return -1;
+}
+
+void
+links_tick(node_t *n)
+{
+	GHashTable *t = survey(n);
+	const roots_t *own = g_hash_table_lookup(t, n->set->instance.domain);
+	member_t *up[UPSTREAMS] = { NULL, NULL };
+	int nup = upstreams(n, up), place = place_of_self(n, own), i;
+	bool alone = own == NULL || own->count < 2;
+	GHashTableIter it;
+	void *value;
+
+	mark_unwanted(n);
+	for (i = 0; i < nup; i++)
+		want(n, up[i], i == 0);
+	n->primary = nup > 0 ? up[0] : NULL;
+	/* Alone: whoever the list names in this domain is tried. */
+	for (i = 0; alone && own != NULL && i < own->ndead; i++)
+		want(n, own->dead[i], true);
+	g_hash_table_iter_init(&it, t);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (value != own && (place != -1 || alone))
+			want_domain(n, value, place == -1 ? 0 : place);
+	g_hash_table_destroy(t);
+	if (__atomic_exchange_n(&n->parent, place != -1, __ATOMIC_RELAXED) !=
+	    (place != -1))
+		log_event(LOG_INFO, "relay", "root=%d", place != -1);
+	close_unwanted(n);
+}
--- a/peer/member.c
+++ b/peer/member.c
@@ -1,18 +1,13 @@
 #include "peer/node.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 enum {
-	ROOTS = 2,	    /* of a domain: they speak with other domains */
-	UPSTREAMS = 2,	    /* of a member: through these it hears the rest */
-	FOREIGN_BEATS = 4,  /* heartbeats to one for another domain */
-	UNWANTED_MS = 5000, /* a connection without use is closed */
-	CONNECT_MS = 50,    /* between two looks at the connections */
-	SEED_MS = 300,	    /* between two tries of a seed */
-	PROBE_MS = 5000,    /* between two looks at a member not connected */
-	GONE_SHARE = 2,	    /* a domain out of reach: times the deadline */
-	ROOT_KEY_MAX = ID_MAX + 8,
+	FOREIGN_BEATS = 4, /* heartbeats to one for another domain */
+	CONNECT_MS = 200,  /* between two looks at the connections */
+	SEED_MS = 300,	   /* between two tries of a seed */
+	PROBE_MS = 5000,   /* between two looks at a member not connected */
+	GONE_SHARE = 2,	   /* a domain out of reach: times the deadline */
 };
 
 static void
@@ -31,8 +26,8 @@
 	conn_send(c, &f);
 }
 
-static void
-send_heartbeat(node_t *n, conn_t *c, bool relay, bool bye)
+void
+member_say(node_t *n, conn_t *c, bool relay, bool bye)
 {
 	Wire__Frame f = WIRE__FRAME__INIT;
 	Wire__Heartbeat h = WIRE__HEARTBEAT__INIT;
@@ -56,23 +51,6 @@
 	conn_send(c, &f);
 }
 
-static int
-live_in(node_t *n, const char *domain)
-{
-	GHashTableIter it;
-	void *value;
-	int live = 0;
-
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		member_t *r = value;
-
-		if (member_live(r) && strcmp(r->m->domain, domain) == 0)
-			live++;
-	}
-	return live;
-}
-
 static ms_t
 deadline(node_t *n, const char *domain)
 {
@@ -141,6 +119,7 @@
 		conn_close(old, "duplicate");
 	}
 	r->conn = c;
+	r->doubt = false;
 	backoff_reset(&r->backoff);
 }
 
@@ -270,8 +249,8 @@
 		send_hello(n, c);
 }
 
-static void
-dial(node_t *n, member_t *r)
+void
+member_dial(node_t *n, member_t *r)
 {
 	if (r->conn != NULL || *r->m->peer_addr == '\0')
 		return;
@@ -305,6 +284,8 @@
 		if (c->refused || is_why(c, "silent") ||
 		    is_why(c, "dial_timeout"))
 			store_gone(n->store, r);
+		else
+			r->doubt = member_live(r) && !c->probe;
 		return;
 	}
 	if (c->bye || is_why(c, "not_needed") || is_why(c, "rejoin"))
@@ -315,212 +296,7 @@
 	}
 	/* Killed or only cut off? Whoever listens no more refuses at once. */
 	if (member_live(r))
-		dial(n, r);
-}
-
-/*
- * A domain's roots: its first two live members by rendezvous, then, if there
- * are fewer, those that may be tried.
- */
-static int
-roots_of(node_t *n, const char *domain, bool self_too, member_t **out)
-{
-	int total = (int)g_hash_table_size(n->store->member), nm = 0, i;
-	char(*ids)[ID_MAX] = calloc(total + 1, sizeof(*ids));
-	int *order = calloc(total + 1, sizeof(*order)), found = 0, pass;
-	char key[ROOT_KEY_MAX];
-	GHashTableIter it;
-	void *value;
-
-	snprintf(key, sizeof(key), "relay/%s", domain);
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		member_t *r = value;
-
-		if (r->msg != NULL && strcmp(r->m->domain, domain) == 0)
-			str_copy(ids[nm++], ID_MAX, r->m->id);
-	}
-	route_rank(key, ids, nm, order);
-	for (pass = 0; pass < 2; pass++) {
-		for (i = 0; i < nm && found < ROOTS; i++) {
-			member_t *r = store_find(n->store, ids[order[i]]);
-			bool live = member_live(r) && !member_leaving(r);
-			bool try = !live && !is_self(n, r->m->id) &&
-				   (r->conn != NULL || n->now >= r->dial_at) &&
-				   !member_live(r);
-
-			if (is_self(n, r->m->id) && !self_too)
-				continue;
-			if (pass == 0 ? live : try)
-				out[found++] = r;
-		}
-		if (pass == 0 && !self_too && found > 0 &&
-		    strcmp(domain, n->set->instance.domain) != 0)
-			break;
-	}
-	free(ids);
-	free(order);
-	return found;
-}
-
-uint64_t
-member_height(const char *id, const char *domain)
-{
-	char key[ROOT_KEY_MAX];
-
-	snprintf(key, sizeof(key), "relay/%s", domain);
-	return route_score(hash_str(key, 0), hash_str(id, 0));
-}
-
-/*
- * Each member hangs below two of those that rank before it, drawn by
- * rendezvous: a random recursive tree. It is some log(members) deep, a
- * member has two others below it on average and some 2 log(members) at the
- * most, and whoever comes or goes moves only what hangs below it.
- * @return how many, 0 for the first root; the first one is the primary.
- */
-static int
-upstreams(node_t *n, member_t **out)
-{
-	const char *own = n->set->instance.domain;
-	uint64_t height = member_height(n->me.id, own), key, score;
-	uint64_t best[UPSTREAMS] = { 0, 0 };
-	GHashTableIter it;
-	void *value;
-	int found = 0;
-
-	key = hash_str(n->me.id, UPSTREAMS);
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		member_t *r = value;
-
-		if (!member_live(r) || member_leaving(r) ||
-		    strcmp(r->m->domain, own) != 0 || is_self(n, r->m->id) ||
-		    member_height(r->m->id, own) <= height)
-			continue;
-		score = route_score(key, hash_str(r->m->id, 0));
-		if (found == 0 || score > best[0]) {
-			best[1] = best[0];
-			out[1] = out[0];
-			best[0] = score;
-			out[0] = r;
-		} else if (found == 1 || score > best[1]) {
-			best[1] = score;
-			out[1] = r;
-		}
-		if (found < UPSTREAMS)
-			found++;
-	}
-	return found;
-}
-
-static bool
-has_self(node_t *n, member_t **r, int nr)
-{
-	int i;
-
-	for (i = 0; i < nr; i++)
-		if (is_self(n, r[i]->m->id))
-			return true;
-	return false;
-}
-
-/* Connections that are wanted are marked by unwanted = 0. */
-static void
-want(node_t *n, member_t **r, int nr)
-{
-	int i;
-
-	for (i = 0; i < nr; i++) {
-		if (is_self(n, r[i]->m->id))
-			continue;
-		if (r[i]->conn == NULL && n->now >= r[i]->dial_at)
-			dial(n, r[i]);
-		if (r[i]->conn != NULL)
-			r[i]->conn->unwanted = 0;
-	}
-}
-
-static GHashTable *
-domains(node_t *n)
-{
-	GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter it;
-	void *value;
-
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (((member_t *)value)->msg != NULL)
-			g_hash_table_add(set, ((member_t *)value)->m->domain);
-	return set;
-}
-
-static void
-mark_unwanted(node_t *n)
-{
-	conn_t *c;
-
-	for (c = net_first(n->net); c != NULL; c = c->next)
-		if (c->dialled && c->unwanted == 0)
-			c->unwanted = n->now;
-}
-
-static void
-close_unwanted(node_t *n)
-{
-	conn_t *c;
-
-	for (c = net_first(n->net); c != NULL; c = c->next) {
-		if (c->state != CONN_OPEN || c->unwanted == 0 ||
-		    n->now - c->unwanted < UNWANTED_MS)
-			continue;
-		c->unwanted = n->now;
-		if (c->bye) {
-			conn_close(c, "not_needed");
-			continue;
-		}
-		/* Closed on the next round: the word goes out first. */
-		send_heartbeat(n, c, false, true);
-		c->bye = true;
-		c->unwanted = n->now - UNWANTED_MS;
-	}
-}
-
-static void
-connect_foreign(node_t *n)
-{
-	GHashTable *set = domains(n);
-	member_t *r[ROOTS];
-	GHashTableIter it;
-	void *domain;
-
-	g_hash_table_iter_init(&it, set);
-	while (g_hash_table_iter_next(&it, &domain, NULL))
-		if (strcmp(domain, n->set->instance.domain) != 0)
-			want(n, r, roots_of(n, domain, false, r));
-	g_hash_table_destroy(set);
-}
-
-/* Dial whom this node relays with, or through. */
-static void
-connect_all(node_t *n)
-{
-	const char *own = n->set->instance.domain;
-	member_t *r[ROOTS], *up[UPSTREAMS] = { NULL, NULL };
-	int nr = roots_of(n, own, true, r), nup = upstreams(n, up);
-	bool parent = has_self(n, r, nr), alone = live_in(n, own) < 2;
-
-	mark_unwanted(n);
-	want(n, up, nup);
-	/* Alone: whoever the list names in this domain is tried. */
-	if (alone)
-		want(n, r, nr);
-	if (parent || alone)
-		connect_foreign(n);
-	n->primary = nup > 0 ? up[0] : NULL;
-	if (__atomic_exchange_n(&n->parent, parent, __ATOMIC_RELAXED) != parent)
-		log_event(LOG_INFO, "relay", "root=%d", parent);
-	close_unwanted(n);
+		member_dial(n, r);
 }
 
 /* With nobody to talk to: one of the settings' addresses. */
@@ -573,7 +349,7 @@
 	}
 	if (pick == NULL)
 		return;
-	dial(n, pick);
+	member_dial(n, pick);
 	if (pick->conn != NULL)
 		pick->conn->probe = live;
 }
@@ -627,26 +403,6 @@
 		n->me.in_force = number;
 }
 
-/*
- * Figures are wanted once: from the primary upstream, and by a root from the
- * other domains' root of its own place.
- */
-static bool
-wants_figures(node_t *n, member_t *r)
-{
-	member_t *own[ROOTS], *theirs[ROOTS];
-	int no, nt, i;
-
-	if (strcmp(r->m->domain, n->set->instance.domain) == 0)
-		return r == n->primary;
-	no = roots_of(n, n->set->instance.domain, true, own);
-	nt = roots_of(n, r->m->domain, false, theirs);
-	for (i = 0; i < no && i < nt; i++)
-		if (is_self(n, own[i]->m->id))
-			return theirs[i] == r;
-	return nt > 0 && theirs[0] == r;
-}
-
 static void
 beat(node_t *n, bool all)
 {
@@ -666,7 +422,7 @@
 		if (!all && n->beats % FOREIGN_BEATS != 0 &&
 		    strcmp(r->m->domain, n->set->instance.domain) != 0)
 			continue;
-		send_heartbeat(n, c, wants_figures(n, r), false);
+		member_say(n, c, c->figures, false);
 	}
 }
 
@@ -677,7 +433,7 @@
 		n->connect_at = n->now + CONNECT_MS;
 		n->connected = n->store->urgent;
 		find_silent(n);
-		connect_all(n);
+		links_tick(n);
 		try_seed(n);
 	}
 	if (n->now >= n->probe_at) {
--- a/peer/node.c
+++ b/peer/node.c
@@ -6,7 +6,6 @@
 enum {
 	RING_SLOTS = 4096,
 	CLAIMING_MAX = 65536,
-	COST_SHARE = 50, /* a view is made this many times its cost apart */
 	PURGE_MS = 10000,
 	PAUSE_MOST_MS = 50, /* between two looks at the commands' flags */
 };
@@ -434,7 +433,7 @@
 	pthread_mutex_unlock(&n->lock);
 	view_unref(old);
 	cost = clock_now(n->clock) - n->now;
-	n->publish_at = n->now + cost * COST_SHARE;
+	n->publish_at = n->now + cost * VIEW_COST_SHARE;
 	if (n->publish_at < n->now + n->set->peer.view_ms)
 		n->publish_at = n->now + n->set->peer.view_ms;
 }
--- a/peer/node.h
+++ b/peer/node.h
@@ -56,7 +56,7 @@
 	int entries;
 };
 
-/* member.c: who is there, who is connected with whom. */
+/* member.c: who is there. */
 
 void member_hello(node_t *n, conn_t *c, const Wire__Hello *h);
 void member_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h);
@@ -69,8 +69,17 @@
 void member_tick(node_t *n);
 /** Forget connections, and start as a new incarnation. */
 void member_rejoin(node_t *n);
+/** Dial a member unless it is connected or being dialled. */
+void member_dial(node_t *n, member_t *r);
+/** Send a heartbeat. @p bye: the connection is closed after it. */
+void member_say(node_t *n, conn_t *c, bool figures, bool bye);
+
+/* links.c: who is connected with whom. */
+
 /** The higher one is nearer to its domain's roots. */
 uint64_t member_height(const char *id, const char *domain);
+/** Dial whom this node relays with or through, close what isn't needed. */
+void links_tick(node_t *n);
 
 /* relay.c: what goes to whom. */
 
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -147,36 +147,43 @@
 }
 
 static void
-fill_urgent(node_t *n, batch_t *b, uint64_t since)
+add_urgent(node_t *n, batch_t *b, const record_t *rec)
 {
-	GHashTableIter it;
-	void *value;
-
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		member_t *r = value;
-
-		if (r->urgent > since && r->m->incarnation != 0 &&
-		    in_scope(n, b, r->m->id, r->from))
-			add_member(n, b, r);
+	const member_t *m = (const member_t *)rec;
+	const worker_t *w = (const worker_t *)rec;
+	const digest_t *d = (const digest_t *)rec;
+
+	switch (rec->kind) {
+	case RECORD_MEMBER:
+		if (m->m->incarnation != 0 &&
+		    in_scope(n, b, m->m->id, rec->from))
+			add_member(n, b, m);
+		break;
+	case RECORD_WORKER:
+		if (b->scope != SCOPE_DOMAIN &&
+		    !in_scope(n, b, w->w->id, rec->from))
+			break;
+		g_ptr_array_add(b->worker, w->msg->m);
+		grow(n, b, w->msg->m);
+		break;
+	case RECORD_DIGEST:
+		if (in_scope(n, b, d->d->broker, rec->from))
+			add_digest(n, b, d, false);
+		break;
 	}
-	g_hash_table_iter_init(&it, n->store->digest);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		digest_t *r = value;
+}
 
-		if (r->urgent > since && in_scope(n, b, r->d->broker, r->from))
-			add_digest(n, b, r, false);
-	}
-	g_hash_table_iter_init(&it, n->store->worker);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		worker_t *r = value;
+static void
+fill_urgent(node_t *n, batch_t *b, uint64_t since)
+{
+	GList *l;
 
-		if (r->msg == NULL || r->urgent <= since ||
-		    (b->scope != SCOPE_DOMAIN &&
-			!in_scope(n, b, r->w->id, r->from)))
-			continue;
-		g_ptr_array_add(b->worker, r->msg->m);
-		grow(n, b, r->msg->m);
+	for (l = n->store->by_urgent.head; l != NULL; l = l->next) {
+		const record_t *rec = l->data;
+
+		if (rec->urgent <= since)
+			break;
+		add_urgent(n, b, rec);
 	}
 }
 
@@ -184,26 +191,26 @@
 static void
 fill_figures(node_t *n, batch_t *b, bool own, uint64_t since)
 {
-	GHashTableIter it;
-	void *value;
+	const char *member;
+	GList *l;
 
-	g_hash_table_iter_init(&it, n->store->member);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		member_t *r = value;
+	for (l = n->store->by_figures.head; l != NULL; l = l->next) {
+		const record_t *rec = l->data;
 
-		if (r->figures > since && r->figures > r->urgent &&
-		    of_own_domain(n, r->m->id) == own &&
-		    in_scope(n, b, r->m->id, r->from))
-			add_member(n, b, r);
-	}
-	g_hash_table_iter_init(&it, n->store->digest);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		digest_t *r = value;
-
-		if (r->figures > since && r->figures > r->urgent &&
-		    of_own_domain(n, r->d->broker) == own &&
-		    in_scope(n, b, r->d->broker, r->from))
-			add_digest(n, b, r, true);
+		if (rec->figures <= since)
+			break;
+		if (rec->figures < rec->urgent)
+			continue;
+		member = rec->kind == RECORD_MEMBER
+			     ? ((const member_t *)rec)->m->id
+			     : ((const digest_t *)rec)->d->broker;
+		if (of_own_domain(n, member) != own ||
+		    !in_scope(n, b, member, rec->from))
+			continue;
+		if (rec->kind == RECORD_MEMBER)
+			add_member(n, b, (const member_t *)rec);
+		else
+			add_digest(n, b, (const digest_t *)rec, true);
 	}
 }
 
--- a/peer/store.c
+++ b/peer/store.c
@@ -41,11 +41,49 @@
 	free(m);
 }
 
+static void
+record_init(record_t *r, store_t *s, record_kind_t kind)
+{
+	r->kind = kind;
+	r->store = s;
+	r->urgent_link.data = r->figures_link.data = r;
+}
+
+static void
+record_drop(record_t *r)
+{
+	if (r->urgent != 0)
+		g_queue_unlink(&r->store->by_urgent, &r->urgent_link);
+	if (r->figures != 0)
+		g_queue_unlink(&r->store->by_figures, &r->figures_link);
+}
+
+static void
+urgent_change(store_t *s, record_t *r)
+{
+	if (r->urgent != 0)
+		g_queue_unlink(&s->by_urgent, &r->urgent_link);
+	g_queue_push_head_link(&s->by_urgent, &r->urgent_link);
+	r->urgent = s->urgent = ++s->change;
+	r->from = s->from;
+}
+
+static void
+figures_change(store_t *s, record_t *r)
+{
+	if (r->figures != 0)
+		g_queue_unlink(&s->by_figures, &r->figures_link);
+	g_queue_push_head_link(&s->by_figures, &r->figures_link);
+	r->figures = ++s->change;
+	r->from = s->from;
+}
+
 static void
 member_free(void *p)
 {
 	member_t *r = p;
 
+	record_drop(&r->rec);
 	msg_unref(r->msg);
 	free(r);
 }
@@ -55,6 +93,7 @@
 {
 	worker_t *r = p;
 
+	record_drop(&r->rec);
 	msg_unref(r->msg);
 	free(r);
 }
@@ -64,6 +103,7 @@
 {
 	digest_t *r = p;
 
+	record_drop(&r->rec);
 	msg_unref(r->msg);
 	free(r);
 }
@@ -81,6 +121,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, worker_free);
 	s->digest =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, digest_free);
+	g_queue_init(&s->by_urgent);
+	g_queue_init(&s->by_figures);
 	s->stale = true;
 	return s;
 }
@@ -94,6 +136,7 @@
 	g_hash_table_destroy(s->worker);
 	g_hash_table_destroy(s->digest);
 	free(s->sorted);
+	free(s->ranked);
 	free(s->shard);
 	free(s);
 }
@@ -131,6 +174,7 @@
 	if (r != NULL)
 		return r;
 	r = calloc(1, sizeof(*r));
+	record_init(&r->rec, s, RECORD_MEMBER);
 	r->backoff = (backoff_t){ FIRST_BACKOFF_MS, MOST_BACKOFF_MS, 0 };
 	g_hash_table_insert(s->member, g_strdup(id), r);
 	return r;
@@ -164,16 +208,15 @@
 	    old->leaving != n.leaving || old->gone != n.gone ||
 	    strcmp(old->domain, n.domain) != 0 ||
 	    strcmp(old->peer_addr, n.peer_addr) != 0 || r->reassert) {
-		r->urgent = s->urgent = ++s->change;
+		urgent_change(s, &r->rec);
 		r->reassert = false;
 		s->stale = true;
 	} else if (figures) {
-		r->figures = ++s->change;
+		figures_change(s, &r->rec);
 	} else {
 		return;
 	}
 	msg = msg_copy(&n);
-	r->from = s->from;
 	msg_unref(r->msg);
 	r->msg = msg;
 	r->m = (const Wire__Member *)msg->m;
@@ -199,6 +242,7 @@
 		if (m->gone && !r->m->gone &&
 		    (m->seq < r->seq || r->conn != NULL)) {
 			r->reassert = true;
+			r->doubt = r->conn == NULL;
 			return r;
 		}
 		if (m->seq < r->seq || (m->seq == r->seq && !m->gone))
@@ -219,6 +263,7 @@
 		return;
 	m = *r->m;
 	m.gone = true;
+	r->doubt = false;
 	r->heard = clock_now(s->clock);
 	member_put(s, r, &m);
 }
@@ -231,8 +276,7 @@
 	msg_unref(r->msg);
 	r->msg = msg;
 	r->w = (const Wire__Worker *)r->msg->m;
-	r->urgent = s->urgent = ++s->change;
-	r->from = s->from;
+	urgent_change(s, &r->rec);
 	r->gone_at = w->gone ? clock_now(s->clock) : 0;
 	s->stale = true;
 }
@@ -245,6 +289,7 @@
 	if (r != NULL)
 		return r;
 	r = calloc(1, sizeof(*r));
+	record_init(&r->rec, s, RECORD_WORKER);
 	g_hash_table_insert(s->worker, g_strdup(id), r);
 	return r;
 }
@@ -475,17 +520,17 @@
 	m = d->partial ? digest_merge(r->d, d) : msg_copy(d);
 	if (r == NULL) {
 		r = calloc(1, sizeof(*r));
+		record_init(&r->rec, s, RECORD_DIGEST);
 		g_hash_table_insert(s->digest, g_strdup(key), r);
 	}
 	if (r->msg == NULL || !same_holdings(r->d, (const Wire__Digest *)m->m))
-		r->urgent = s->urgent = ++s->change;
+		urgent_change(s, &r->rec);
 	else
-		r->figures = ++s->change;
+		figures_change(s, &r->rec);
 	msg_unref(r->msg);
 	r->msg = m;
 	r->d = (const Wire__Digest *)m->m;
 	r->at = clock_now(s->clock);
-	r->from = s->from;
 }
 
 const shard_t *
@@ -577,13 +622,14 @@
 	Wire__Member **m;
 	GHashTableIter it;
 	void *value;
-	int n;
+	int n, i;
 
 	if (!s->stale)
 		return;
 	s->stale = false;
 	s->shape++;
 	free(s->sorted);
+	free(s->ranked);
 	free(s->shard);
 	s->sorted =
 	    calloc(g_hash_table_size(s->worker) + 1, sizeof(Wire__Worker *));
@@ -597,6 +643,9 @@
 	}
 	s->shard =
 	    shards_make(s->sorted, s->nsorted, s->shard_workers, &s->nshard);
+	s->ranked = calloc(s->nsorted + 1, sizeof(void *));
+	for (i = 0; i < s->nsorted; i++)
+		s->ranked[i] = g_hash_table_lookup(s->worker, s->sorted[i]->id);
 	m = store_live(s, &n);
 	shards_brokers(s->shard, s->nshard, m, n);
 	free(m);
@@ -614,8 +663,6 @@
 {
 	view_t *v = calloc(1, sizeof(*v));
 	Wire__View *w = calloc(1, sizeof(*w));
-	size_t ndigest = g_hash_table_size(s->digest);
-	ms_t *at = calloc(ndigest + 1, sizeof(*at));
 	GHashTableIter it;
 	void *value;
 	int i;
@@ -624,27 +671,17 @@
 	wire__view__init(w);
 	w->member = calloc(g_hash_table_size(s->member) + 1, sizeof(void *));
 	w->worker = calloc(s->nsorted + 1, sizeof(void *));
-	w->digest = calloc(ndigest + 1, sizeof(void *));
+	w->digest = calloc(s->nshard + 1, sizeof(void *));
 	v->held =
-	    calloc(g_hash_table_size(s->member) + s->nsorted + ndigest + 1,
+	    calloc(g_hash_table_size(s->member) + s->nsorted + s->nshard + 1,
 		sizeof(msg_t *));
 	g_hash_table_iter_init(&it, s->member);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		if (member_live(value))
 			w->member[w->n_member++] =
 			    hold(v, ((member_t *)value)->msg);
-	for (i = 0; i < s->nsorted; i++) {
-		worker_t *r = g_hash_table_lookup(s->worker, s->sorted[i]->id);
-
-		w->worker[w->n_worker++] = hold(v, r->msg);
-	}
-	g_hash_table_iter_init(&it, s->digest);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		digest_t *r = value;
-
-		at[w->n_digest] = r->at;
-		w->digest[w->n_digest++] = hold(v, r->msg);
-	}
+	for (i = 0; i < s->nsorted; i++)
+		w->worker[w->n_worker++] = hold(v, s->ranked[i]->msg);
 	w->workers_known = s->workers_known;
 	w->catalogue = c->number;
 	v->wire = w;
@@ -653,7 +690,14 @@
 	v->nshard = s->nshard;
 	v->shard = calloc(s->nshard + 1, sizeof(*v->shard));
 	memcpy(v->shard, s->shard, s->nshard * sizeof(*v->shard));
-	view_attach(v, at, clock_now(s->clock));
-	free(at);
+	for (i = 0; i < v->nshard; i++) {
+		const digest_t *r = store_digest_of(s, &v->shard[i]);
+
+		if (r == NULL)
+			continue;
+		v->shard[i].digest = hold(v, r->msg);
+		v->shard[i].digest_at = r->at;
+		w->digest[w->n_digest++] = (Wire__Digest *)r->d;
+	}
 	return v;
 }
--- a/peer/store.h
+++ b/peer/store.h
@@ -22,43 +22,59 @@
 msg_t *msg_ref(msg_t *m);
 void msg_unref(msg_t *m);
 
+typedef struct store store_t;
+
+typedef enum record_kind {
+	RECORD_MEMBER,
+	RECORD_WORKER,
+	RECORD_DIGEST,
+} record_kind_t;
+
+/** What all records have in front: when they changed, and how. */
+typedef struct record {
+	record_kind_t kind;
+	store_t *store;
+	uint64_t urgent;  /* change number of the last that isn't ... */
+	uint64_t figures; /* ... mere figures, and of the last that is */
+	GList urgent_link, figures_link;
+	handle_t from; /* connection that the last change came by */
+} record_t;
+
 typedef struct member {
+	record_t rec;
 	msg_t *msg;
 	const Wire__Member *m; /* what msg holds */
 	uint64_t seq;	       /* the highest that was heard */
-	uint64_t urgent;       /* change number of its state */
-	uint64_t figures;      /* change number of load and in_force */
 	ms_t heard;	       /* when seq last went up */
 	bool reassert;	       /* somebody says it is gone, we hear it */
-	handle_t from;	       /* connection that the last change came by */
+	bool doubt; /* lost or said to be gone: to be dialled once more */
 	/* the platform's list */
 	bool listed;
 	uint64_t list_left; /* incarnation it says leaving of, 0: none */
 	/* the way to it */
+	uint64_t height; /* see links.c, 0: not reckoned yet */
 	conn_t *conn;
 	backoff_t backoff;
 	ms_t dial_at;
 } member_t;
 
 typedef struct worker {
+	record_t rec;
 	msg_t *msg;
 	const Wire__Worker *w;
-	uint64_t urgent;
 	uint64_t list_hash; /* of its entry in our own last list, 0: none */
 	ms_t missing_at;    /* since when our own lists don't have it */
 	ms_t gone_at;
-	handle_t from;
 } worker_t;
 
 typedef struct digest {
+	record_t rec;
 	msg_t *msg;
 	const Wire__Digest *d;
-	uint64_t urgent, figures;
-	handle_t from;
 	ms_t at;
 } digest_t;
 
-typedef struct store {
+struct store {
 	const msclock_t *clock;
 	int shard_workers;
 	GHashTable *member; /* id -> member_t */
@@ -66,19 +82,22 @@
 	GHashTable *digest; /* shard's key -> digest_t */
 	uint64_t change;    /* number of the last change */
 	uint64_t urgent;    /* ... of the last that isn't mere figures */
-	handle_t from;	    /* connection being read, 0: none */
+	GQueue by_urgent, by_figures; /* records, last changed first */
+	handle_t from;		      /* connection being read, 0: none */
 	bool workers_known;
 	/* made of members and workers, again when they change */
 	bool stale;
 	uint64_t shape; /* times they were made */
 	Wire__Worker **sorted;
+	worker_t **ranked; /* the same, as records */
 	int nsorted;
 	shard_t *shard;
 	int nshard;
-} store_t;
+};
 
 enum {
-	KEY_MAX = 2 * ID_MAX + 16 /* bytes of a shard's key */
+	KEY_MAX = 2 * ID_MAX + 16, /* bytes of a shard's key */
+	VIEW_COST_SHARE = 100, /* views are this many times their cost apart */
 };
 
 store_t *store_new(const msclock_t *clock, int shard_workers);
@@ -125,8 +144,6 @@
 /** Sort workers into shards. @return malloc'd shards without brokers. */
 shard_t *shards_make(Wire__Worker **w, int n, int cap, int *nshard);
 void shards_brokers(shard_t *s, int n, Wire__Member *const *m, int nm);
-/** Find each shard's digest. @param at when each came, or NULL: @p now. */
-void view_attach(view_t *v, const ms_t *at, ms_t now);
 /** Order live members that don't leave; own domain first. */
 int members_rank(const char *key, const char *domain, Wire__Member *const *m,
     int nm, int rank);
--- a/peer/view.c
+++ b/peer/view.c
@@ -232,8 +232,9 @@
 	free(r);
 }
 
-void
-view_attach(view_t *v, const ms_t *at, ms_t now)
+/* Find each shard's digest. */
+static void
+view_attach(view_t *v, ms_t now)
 {
 	GHashTable *t =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -255,7 +256,7 @@
 		if (i == 0)
 			continue;
 		s->digest = w->digest[i - 1];
-		s->digest_at = at == NULL ? now : at[i - 1];
+		s->digest_at = now;
 	}
 	g_hash_table_destroy(t);
 }
@@ -271,7 +272,7 @@
 	v->shard = shards_make(
 	    wire->worker, (int)wire->n_worker, shard_workers, &v->nshard);
 	shards_brokers(v->shard, v->nshard, wire->member, (int)wire->n_member);
-	view_attach(v, NULL, now);
+	view_attach(v, now);
 	return v;
 }
 
--- a/tests/peer_proc.c
+++ b/tests/peer_proc.c
@@ -193,6 +193,7 @@
 	g_assert_cmpint(asker_grant(a, SETTLE_MS), >=, 0);
 	i = index_of(a->broker);
 	kill(pid[i], SIGSTOP);
+	g_assert_cmpint(waitpid(pid[i], NULL, WUNTRACED), ==, pid[i]);
 	took = asker_grant(a, SETTLE_MS);
 	g_test_message("%d ms without a broker", (int)took);
 	g_assert_cmpint(took, >=, 0);
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -295,6 +295,33 @@
 	store_free(s);
 }
 
+/*
+ * Two that lost it at different times: who heard it last may not go on
+ * holding it for live without looking.
+ */
+static void
+late_news_of_a_death_raises_doubt(void)
+{
+	msclock_t clock = { CLOCK_FAKE, 1000 };
+	store_t *s = store_new(&clock, 8);
+	Wire__Member m = WIRE__MEMBER__INIT;
+	member_t *r;
+
+	m.id = "e1";
+	m.domain = "d0";
+	m.incarnation = 5;
+	m.seq = 10;
+	r = store_member(s, &m);
+	m.seq = 8;
+	m.gone = true;
+	store_member(s, &m);
+	g_assert_true(member_live(r));
+	g_assert_true(r->doubt);
+	store_gone(s, r);
+	g_assert_false(r->doubt);
+	store_free(s);
+}
+
 static void
 listed(store_t *s, const char *id, bool on, bool leaving)
 {
@@ -460,6 +487,7 @@
 	g_test_add_func("/peer/one-worker-moves-few", one_worker_moves_few);
 	g_test_add_func("/peer/brokers-fall-back", brokers_fall_back);
 	g_test_add_func("/peer/higher-numbers-win", higher_numbers_win);
+	g_test_add_func("/peer/doubt", late_news_of_a_death_raises_doubt);
 	g_test_add_func("/peer/list-and-heartbeats", list_and_heartbeats);
 	g_test_add_func("/peer/stale-lists", stale_lists_bring_nothing_back);
 	g_test_add_func("/peer/nodes-and-a-client", nodes_and_a_client);
--- a/tests/peers.c
+++ b/tests/peers.c
@@ -104,6 +104,27 @@
 	return eventually(sees, &s, span);
 }
 
+/* Who sees whom, when it isn't as it should be. */
+static void
+say(peers_t *p)
+{
+	size_t j;
+	int i;
+
+	for (i = 0; i < p->n; i++) {
+		view_t *v = p->node[i] == NULL ? NULL : node_view(p->node[i]);
+		GString *g = g_string_new(NULL);
+
+		for (j = 0; v != NULL && j < v->wire->n_member; j++)
+			g_string_append_printf(
+			    g, " %s", v->wire->member[j]->id);
+		g_test_message("e%d root=%d sees%s", i,
+		    v != NULL && node_is_parent(p->node[i]), g->str);
+		g_string_free(g, TRUE);
+		view_unref(v);
+	}
+}
+
 bool
 peers_settle(peers_t *p, ms_t span)
 {
@@ -112,8 +133,10 @@
 	for (i = 0; i < p->n; i++)
 		running += p->node[i] != NULL;
 	for (i = 0; i < p->n; i++)
-		if (p->node[i] != NULL && !peers_see(p, i, running, span))
+		if (p->node[i] != NULL && !peers_see(p, i, running, span)) {
+			say(p);
 			return false;
+		}
 	return true;
 }
 
