Orders are tied to one engine process

Ruled out: comparing the incarnation before the send over another connection: the process can change in between. Change: orders_send() asks /v1/load over a new connection, compares the incarnation, and sends over that same connection; libcurl may open no other. One round trip more an order. tests/endpoint_proc.c names the process; its row 'too slow' expects DOWN now, since the delay already stops the asking and no order goes out; the engine's count of orders is checked to show that, and an order for another process. Conclusion: a new incarnation voids every hold of the one before.

--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -141,6 +141,7 @@
 	order_kind_t kind;
 	uint64_t number;
 	uint64_t fence;
+	char incarnation[ID_MAX]; /* of the one process it is meant for */
 	char model[ID_MAX];
 	char adapter[ID_MAX];
 	uint64_t version;
@@ -152,6 +153,8 @@
 orders_t *orders_new(ms_t timeout, err_t *e);
 void orders_free(orders_t *o);
 /**
+ * Send an order to the engine process that it names; another that answers at
+ * @p addr, now or later, never gets it.
  * @return 0: the engine has taken it; -1: CONFLICT (it refused: stale fence
  * or number), FULL (no memory there), DOWN (not sent), UNKNOWN.
  */
--- a/endpoint/order.c
+++ b/endpoint/order.c
@@ -61,7 +61,6 @@
 	long status = 0;
 	bool sent;
 
-	curl_easy_setopt(c, CURLOPT_SHARE, o->share);
 	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)o->timeout);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, gather);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, body);
@@ -120,32 +119,80 @@
 	}
 }
 
-int
-orders_send(orders_t *o, const char *addr, const order_t *order, err_t *e)
+static curl_socket_t
+no_socket(void *user, curlsocktype purpose, struct curl_sockaddr *to)
+{
+	(void)user;
+	(void)purpose;
+	(void)to;
+	return CURL_SOCKET_BAD;
+}
+
+/*
+ * Ask over a new connection which process answers there. The order then goes
+ * over this connection or not at all: were that process replaced meanwhile,
+ * the order can't reach the next one.
+ */
+static int
+tie(orders_t *o, CURL *c, const char *addr, const order_t *order, err_t *e)
+{
+	GString *body = g_string_new(NULL);
+	load_report_t r = { 0 };
+	int rc = -1;
+
+	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
+	if (perform(o, c, addr, body, e) == 200)
+		rc = report_read(&r, body->str, body->len, e);
+	if (rc == 0 && strcmp(r.incarnation, order->incarnation) != 0)
+		rc = -1;
+	g_string_free(body, TRUE);
+	free(r.resident);
+	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 0L);
+	curl_easy_setopt(c, CURLOPT_OPENSOCKETFUNCTION, no_socket);
+	if (rc == 0)
+		return 0;
+	return err_set(
+	    e, ERR_DOWN, "%s isn't process %s", addr, order->incarnation);
+}
+
+static int
+send_order(orders_t *o, CURL *c, const char *addr, const char *text, err_t *e)
 {
 	struct curl_slist *head;
 	GString *body = g_string_new(NULL);
-	char *text = order_json(order);
-	CURL *c = text == NULL ? NULL : easy_new(addr, "/v1/orders");
+	char *url = g_strdup_printf("http://%s/v1/orders", addr);
 	int rc;
 
-	if (c == NULL) {
-		free(text);
-		g_string_free(body, TRUE);
-		return err_set(e, ERR_DOWN, "%s: order can't be made", addr);
-	}
 	head = curl_slist_append(NULL, "Content-Type: application/json");
 	head = curl_slist_append(head, "Expect:");
+	curl_easy_setopt(c, CURLOPT_URL, url);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, head);
 	curl_easy_setopt(c, CURLOPT_POSTFIELDS, text);
-	/* On a kept connection that has died an order's fate is unknown. */
-	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(c, CURLOPT_FORBID_REUSE, 1L);
 	rc = judge(perform(o, c, addr, body, e), body, addr, e);
-	curl_easy_cleanup(c);
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, NULL);
 	curl_slist_free_all(head);
-	free(text);
 	g_string_free(body, TRUE);
+	g_free(url);
+	return rc;
+}
+
+int
+orders_send(orders_t *o, const char *addr, const order_t *order, err_t *e)
+{
+	char *text = order_json(order);
+	CURL *c = text == NULL ? NULL : easy_new(addr, "/v1/load");
+	int rc;
+
+	if (c == NULL) {
+		free(text);
+		return err_set(e, ERR_DOWN, "%s: order can't be made", addr);
+	}
+	rc = tie(o, c, addr, order, e);
+	if (rc == 0)
+		rc = send_order(o, c, addr, text, e);
+	curl_easy_cleanup(c);
+	free(text);
 	return rc;
 }
 
@@ -162,6 +209,7 @@
 		return err_set(e, ERR_INTERNAL, "can't make a transfer");
 	}
 	out->taken_at = clock_now(&machine_clock);
+	curl_easy_setopt(c, CURLOPT_SHARE, o->share);
 	status = perform(o, c, addr, body, e);
 	if (status == 200)
 		rc = report_read(out, body->str, body->len, e);
--- a/operator/operator.h
+++ b/operator/operator.h
@@ -10,6 +10,10 @@
 #include "platform/platform.h"
 #include "peer/peer.h"
 
+enum {
+	NOTE_MAX = 512 * 1024 /* bytes of a note's text */
+};
+
 typedef enum note_state {
 	NOTE_ACCEPTED,
 	NOTE_LOADING,	/* k of m first copies are ready */
@@ -25,6 +29,8 @@
 	int ready, wanted; /* first copies */
 	int on, of;	   /* instances */
 } note_status_t;
+/** Stable name of a state, as operators read it. */
+const char *note_state_name(note_state_t s);
 
 /**
  * Accept a note: check all of it, write note/<n>, catalogue/<n>, move the
@@ -33,11 +39,35 @@
  * @return its number; 0 on error: INVAL (report), CONFLICT (another note won:
  * named in the report), DOWN, UNKNOWN (apply the same again).
  */
-uint64_t note_accept(platform_t *p, const settings_t *s, const view_t *v,
-    const char *text, size_t len, const char *who, char **report, err_t *e);
-/** Only check. */
-int note_check(platform_t *p, const settings_t *s, const view_t *v,
-    const char *text, size_t len, char **report, err_t *e);
+uint64_t note_accept(platform_t *p, const settings_t *s, const char *text,
+    size_t len, const char *who, char **report, err_t *e);
+/** Only check, as note_accept() would now; nothing is written. */
+int note_check(platform_t *p, const settings_t *s, const char *text, size_t len,
+    char **report, err_t *e);
+/** An accepted note as it is kept. */
+typedef struct note_text {
+	uint64_t number;
+	char id[ID_MAX];
+	char who[ID_MAX];
+	int64_t at; /* wall clock, ms */
+	char *text;
+} note_text_t;
+typedef struct note_list {
+	note_text_t *note; /* ascending; not above the head */
+	int n;
+	uint64_t head;
+	char head_id[ID_MAX];
+	uint64_t head_version; /* of the object, 0: there is none */
+	note_text_t next;      /* written but not accepted; number 0: none */
+} note_list_t;
+/** All accepted notes and the head, from one read. */
+int notes_read(platform_t *p, note_list_t *out, err_t *e);
+void notes_clear(note_list_t *l);
+
+/**
+ * How far a note has got. Never ahead of the truth: an instance that is on
+ * the platform's list counts as behind until it has said otherwise.
+ */
 int note_status(platform_t *p, const view_t *v, uint64_t number,
     note_status_t *out, err_t *e);
 
@@ -46,7 +76,7 @@
 typedef struct opserver_opts {
 	const settings_t *settings;
 	node_t *node;
-	audit_t *audit;
+	audit_t *audit; /* may be NULL */
 } opserver_opts_t;
 opserver_t *opserver_new(const opserver_opts_t *o, err_t *e);
 void opserver_free(opserver_t *s);
