--- /dev/null
+++ b/cmd/ebonypitch.c
@@ -0,0 +1,480 @@
+#include "base/base.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The operators' tool. It only talks to a controld's operator address. */
+
+enum {
+	EXIT_GOOD = 0,
+	EXIT_REFUSED = 1, /* the input or the state forbids it */
+	EXIT_USAGE = 2,
+	EXIT_NO_ANSWER = 3, /* nobody could say; the same may be run again */
+	CALL_MS = 30000,
+	STATUS_TRY_NEXT = 503,
+};
+
+typedef struct options {
+	char **addr;
+	char *user;
+	gboolean json;
+	char *from, *to, *subject, *model, *kind;
+	char **words;
+} options_t;
+
+typedef struct page {
+	int status; /* 0: no answer */
+	GString *body;
+} page_t;
+
+static options_t opt;
+
+static const char summary[] =
+    "Verbs:\n"
+    "  note check FILE         would the note be accepted now?\n"
+    "  note apply FILE         accept it; running it again is harmless\n"
+    "  note status N           how far note N has got\n"
+    "  note list               all accepted notes\n"
+    "  note show N             the text of note N\n"
+    "  status                  members, workers, shards, catalogue, lease\n"
+    "  audit                   who changed what (--from, --to, --subject ...)\n"
+    "  settings check FILE...  read settings files as a daemon would\n"
+    "\n"
+    "Exit status: 0 done, 1 refused, 2 usage, 3 no settled answer (run the\n"
+    "same again).";
+
+static size_t
+gather(char *p, size_t size, size_t n, void *user)
+{
+	g_string_append_len(user, p, (gssize)(size * n));
+	return size * n;
+}
+
+static page_t
+call_one(const char *addr, const char *method, const char *path,
+    const char *body, size_t len)
+{
+	page_t page = { 0, g_string_new(NULL) };
+	CURL *c = curl_easy_init();
+	struct curl_slist *head = curl_slist_append(NULL, "Expect:");
+	char *url = g_strdup_printf("http://%s%s", addr, path);
+	char *user = g_strdup_printf("X-User: %s", opt.user);
+	long status = 0;
+
+	head = curl_slist_append(head, user);
+	curl_easy_setopt(c, CURLOPT_URL, url);
+	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, head);
+	curl_easy_setopt(c, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, gather);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, page.body);
+	if (body != NULL) {
+		curl_easy_setopt(c, CURLOPT_POSTFIELDS, body);
+		curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE, (long)len);
+	}
+	if (curl_easy_perform(c) == CURLE_OK)
+		curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	page.status = (int)status;
+	curl_easy_cleanup(c);
+	curl_slist_free_all(head);
+	g_free(url);
+	g_free(user);
+	return page;
+}
+
+/* Every call is idempotent, so the next address may always be tried. */
+static page_t
+call(const char *method, const char *path, const char *body, size_t len)
+{
+	page_t page = { 0, g_string_new(NULL) };
+	int i;
+
+	for (i = 0; opt.addr[i] != NULL; i++) {
+		g_string_free(page.body, TRUE);
+		page = call_one(opt.addr[i], method, path, body, len);
+		if (page.status != 0 && page.status != STATUS_TRY_NEXT)
+			return page;
+		if (page.status == 0)
+			fprintf(stderr, "ebonypitch: no answer from %s\n",
+			    opt.addr[i]);
+	}
+	return page;
+}
+
+static int
+fail(const page_t *page)
+{
+	json_error_t je;
+	json_t *j = json_loadb(page->body->str, page->body->len, 0, &je);
+	json_t *e = json_object_get(j, "error");
+	const char *text = json_string_value(json_object_get(e, "message"));
+	const char *report = json_string_value(json_object_get(e, "report"));
+
+	if (page->status != 0)
+		fprintf(stderr, "ebonypitch: %s\n",
+		    text != NULL ? text : "an answer that makes no sense");
+	if (report != NULL)
+		fputs(report, stderr);
+	json_decref(j);
+	return page->status >= 400 && page->status < 500 ? EXIT_REFUSED
+							 : EXIT_NO_ANSWER;
+}
+
+/* Prints one answer as text. */
+typedef void show_t(json_t *j);
+
+static int
+ask(const char *method, const char *path, const char *body, size_t len,
+    show_t *show)
+{
+	page_t page = call(method, path, body, len);
+	json_error_t je;
+	json_t *j = NULL;
+	int rc = EXIT_GOOD;
+
+	if (page.status != 200) {
+		rc = fail(&page);
+	} else if (opt.json || show == NULL) {
+		fwrite(page.body->str, 1, page.body->len, stdout);
+		if (page.body->len > 0 &&
+		    page.body->str[page.body->len - 1] != '\n')
+			putchar('\n');
+	} else if ((j = json_loadb(page.body->str, page.body->len, 0, &je)) !=
+		   NULL) {
+		show(j);
+	} else {
+		fprintf(stderr, "ebonypitch: %s\n", je.text);
+		rc = EXIT_NO_ANSWER;
+	}
+	json_decref(j);
+	g_string_free(page.body, TRUE);
+	return rc;
+}
+
+static const char *
+word(json_t *j, const char *key)
+{
+	const char *s = json_string_value(json_object_get(j, key));
+
+	return s == NULL ? "" : s;
+}
+
+static long long
+number(json_t *j, const char *key)
+{
+	return json_integer_value(json_object_get(j, key));
+}
+
+static const char *
+stamp(json_t *j, const char *key, char *buf, size_t size)
+{
+	GDateTime *t = g_date_time_new_from_unix_utc(number(j, key) / 1000);
+	char *s = g_date_time_format(t, "%Y-%m-%dT%H:%M:%SZ");
+
+	str_copy(buf, size, s);
+	g_free(s);
+	g_date_time_unref(t);
+	return buf;
+}
+
+static void
+show_accepted(json_t *j)
+{
+	printf("accepted as note %lld\n", number(j, "number"));
+}
+
+static void
+show_fits(json_t *j)
+{
+	(void)j;
+	printf("would be accepted\n");
+}
+
+static void
+show_note_status(json_t *j)
+{
+	const char *state = word(j, "state");
+
+	printf("note %lld '%s': ", number(j, "number"), word(j, "id"));
+	if (strcmp(state, "loading") == 0)
+		printf("loading %lld/%lld\n", number(j, "ready"),
+		    number(j, "wanted"));
+	else if (strcmp(state, "spreading") == 0)
+		printf("in force on %lld/%lld instances\n", number(j, "on"),
+		    number(j, "of"));
+	else
+		printf("%s\n", state);
+}
+
+static void
+show_notes(json_t *j)
+{
+	json_t *n;
+	char when[32];
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "notes"), i, n)
+	{
+		printf("%lld\t%s\t%s\t%s\n", number(n, "number"), word(n, "id"),
+		    word(n, "who"), stamp(n, "at", when, sizeof(when)));
+	}
+}
+
+static void
+show_status(json_t *j)
+{
+	json_t *lease = json_object_get(j, "lease"), *m;
+	size_t i;
+
+	printf(
+	    "catalogue\t%lld\t%s\n", number(j, "catalogue"), word(j, "note"));
+	printf("planner\t%s%s\tfence %lld\n", word(lease, "holder"),
+	    word(lease, "error"), number(lease, "fence"));
+	json_array_foreach(json_object_get(j, "members"), i, m)
+	{
+		printf("member\t%s\t%s\t%s\tnote %lld\tcalls %lld\n",
+		    word(m, "id"), word(m, "domain"),
+		    json_is_true(json_object_get(m, "leaving")) ? "leaving"
+								: "live",
+		    number(m, "in_force"), number(m, "calls"));
+	}
+	json_array_foreach(json_object_get(j, "workers"), i, m)
+	{
+		printf("worker\t%s\t%s\t%s\t%s\tused %lld of %lld MB\treserved "
+		       "%lld\tdoubtful %lld\tresident %zu\n",
+		    word(m, "id"), word(m, "service"), word(m, "domain"),
+		    json_is_true(json_object_get(m, "leaving")) ? "leaving"
+								: "live",
+		    number(m, "used_mb"), number(m, "memory_mb"),
+		    number(m, "reserved_mb"), number(m, "doubtful_mb"),
+		    json_array_size(json_object_get(m, "resident")));
+	}
+	json_array_foreach(json_object_get(j, "shards"), i, m)
+	{
+		printf("shard\t%s/%s/%lld\tbroker %s\tworkers %lld\twaiting "
+		       "%lld\twait %lld ms\n",
+		    word(m, "service"), word(m, "domain"), number(m, "index"),
+		    word(m, "broker"), number(m, "workers"),
+		    number(m, "waiting"), number(m, "wait_ms"));
+	}
+}
+
+static void
+show_audit(json_t *j)
+{
+	char when[32];
+	json_t *r;
+	size_t i;
+
+	json_array_foreach(j, i, r)
+	{
+		printf("%s\t%s\t%s\t%s\t%lld\t%s\t%s\t%s\n",
+		    stamp(r, "at", when, sizeof(when)), word(r, "who"),
+		    word(r, "kind"), word(r, "subject"), number(r, "number"),
+		    word(r, "model"), word(r, "what"), word(r, "result"));
+	}
+}
+
+static int
+usage(const char *why)
+{
+	fprintf(stderr, "ebonypitch: %s; see ebonypitch --help\n", why);
+	return EXIT_USAGE;
+}
+
+static int
+send_file(const char *path, const char *file, show_t *show)
+{
+	GError *e = NULL;
+	char *text;
+	gsize len;
+	int rc;
+
+	if (!g_file_get_contents(file, &text, &len, &e)) {
+		fprintf(stderr, "ebonypitch: %s\n", e->message);
+		g_error_free(e);
+		return EXIT_USAGE;
+	}
+	rc = ask("POST", path, text, len, show);
+	g_free(text);
+	return rc;
+}
+
+static int
+note_number(const char *arg, const char *tail, show_t *show)
+{
+	char *end, *path;
+	guint64 n = g_ascii_strtoull(arg, &end, 10);
+	int rc;
+
+	if (*end != '\0' || n == 0)
+		return usage("a note's number is wanted");
+	path = g_strdup_printf("/v1/notes/%" G_GUINT64_FORMAT "%s", n, tail);
+	rc = ask("GET", path, NULL, 0, show);
+	g_free(path);
+	return rc;
+}
+
+static int
+note_verb(char **w, int n)
+{
+	if (n == 1 && strcmp(w[0], "list") == 0)
+		return ask("GET", "/v1/notes", NULL, 0, show_notes);
+	if (n != 2)
+		return usage("note check|apply FILE, status|show N, or list");
+	if (strcmp(w[0], "check") == 0)
+		return send_file("/v1/notes/check", w[1], show_fits);
+	if (strcmp(w[0], "apply") == 0)
+		return send_file("/v1/notes", w[1], show_accepted);
+	if (strcmp(w[0], "status") == 0)
+		return note_number(w[1], "/status", show_note_status);
+	if (strcmp(w[0], "show") == 0)
+		return note_number(w[1], "", NULL);
+	return usage("no such note verb");
+}
+
+static void
+add_query(GString *path, const char *key, const char *value)
+{
+	char *v;
+
+	if (value == NULL)
+		return;
+	v = g_uri_escape_string(value, NULL, FALSE);
+	g_string_append_printf(path, "%c%s=%s",
+	    strchr(path->str, '?') == NULL ? '?' : '&', key, v);
+	g_free(v);
+}
+
+/* Times are given as ms since 1970 or as ISO 8601. */
+static void
+add_time(GString *path, const char *key, const char *value)
+{
+	GTimeZone *utc = g_time_zone_new_utc();
+	GDateTime *t =
+	    value == NULL ? NULL : g_date_time_new_from_iso8601(value, utc);
+	char ms[32];
+
+	if (t != NULL) {
+		snprintf(
+		    ms, sizeof(ms), "%" PRId64, g_date_time_to_unix(t) * 1000);
+		g_date_time_unref(t);
+		value = ms;
+	}
+	add_query(path, key, value);
+	g_time_zone_unref(utc);
+}
+
+static int
+audit_verb(void)
+{
+	GString *path = g_string_new("/v1/audit");
+	int rc;
+
+	add_time(path, "from", opt.from);
+	add_time(path, "to", opt.to);
+	add_query(path, "subject", opt.subject);
+	add_query(path, "model", opt.model);
+	add_query(path, "kind", opt.kind);
+	rc = ask("GET", path->str, NULL, 0, show_audit);
+	g_string_free(path, TRUE);
+	return rc;
+}
+
+static int
+settings_verb(char **files)
+{
+	settings_t s;
+	char *report;
+	err_t e;
+	int bad = 0;
+
+	settings_init(&s);
+	for (; *files != NULL; files++) {
+		bad |= settings_read(&s, *files, &report, &e) == -1;
+		if (report != NULL)
+			fputs(report, stderr);
+		free(report);
+	}
+	if (!bad) {
+		bad = settings_check(&s, &report, &e) == -1;
+		if (report != NULL)
+			fputs(report, stderr);
+		free(report);
+	}
+	if (!bad)
+		settings_print(&s, stdout);
+	return bad ? EXIT_REFUSED : EXIT_GOOD;
+}
+
+static int
+run(void)
+{
+	char **w = opt.words;
+	int n = w == NULL ? 0 : (int)g_strv_length(w);
+
+	if (n == 0)
+		return usage("a verb is wanted");
+	if (strcmp(w[0], "settings") == 0) {
+		if (n < 3 || strcmp(w[1], "check") != 0)
+			return usage("settings check FILE...");
+		return settings_verb(w + 2);
+	}
+	if (opt.addr == NULL)
+		return usage("--addr IP:PORT of a controld is wanted");
+	if (strcmp(w[0], "note") == 0)
+		return note_verb(w + 1, n - 1);
+	if (strcmp(w[0], "status") == 0 && n == 1)
+		return ask("GET", "/v1/status", NULL, 0, show_status);
+	if (strcmp(w[0], "audit") == 0 && n == 1)
+		return audit_verb();
+	return usage("no such verb");
+}
+
+int
+main(int argc, char **argv)
+{
+	GOptionEntry entries[] = {
+		{ "addr", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &opt.addr,
+		    "a controld's operator address; may be given again",
+		    "IP:PORT" },
+		{ "user", 'u', 0, G_OPTION_ARG_STRING, &opt.user,
+		    "who asks, for the audit trail", "NAME" },
+		{ "json", 'j', 0, G_OPTION_ARG_NONE, &opt.json,
+		    "print the answer as JSON", NULL },
+		{ "from", 0, 0, G_OPTION_ARG_STRING, &opt.from,
+		    "audit: not before", "TIME" },
+		{ "to", 0, 0, G_OPTION_ARG_STRING, &opt.to, "audit: not after",
+		    "TIME" },
+		{ "subject", 0, 0, G_OPTION_ARG_STRING, &opt.subject,
+		    "audit: about this", "NAME" },
+		{ "model", 0, 0, G_OPTION_ARG_STRING, &opt.model,
+		    "audit: of this model or adapter", "NAME" },
+		{ "kind", 0, 0, G_OPTION_ARG_STRING, &opt.kind,
+		    "audit: note, order, lease, claim or membership", "KIND" },
+		{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY,
+		    &opt.words, NULL, "VERB ..." },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+	};
+	GOptionContext *c = g_option_context_new(NULL);
+	GError *e = NULL;
+	int rc;
+
+	g_option_context_set_description(c, summary);
+	g_option_context_add_main_entries(c, entries, NULL);
+	if (!g_option_context_parse(c, &argc, &argv, &e)) {
+		fprintf(stderr, "ebonypitch: %s\n", e->message);
+		return EXIT_USAGE;
+	}
+	g_option_context_free(c);
+	if (opt.user == NULL)
+		opt.user = g_strdup(g_get_user_name());
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	rc = run();
+	curl_global_cleanup();
+	return rc;
+}
