--- a/policy/place.c
+++ b/policy/place.c
@@ -5,12 +5,17 @@
 
 enum {
 	VICTIMS_MAX = 32,   /* copies unloaded for one load */
-	ROOM_SEARCHES = 64, /* searches for room in a step, and ... */
-	ROOM_WORKERS = 256, /* ... workers looked at in each */
+	LOOKS_MAX = 16384,  /* workers looked at for room in a step */
+	ROOM_WORKERS = 256, /* ... for one copy */
+	SHIFTS_MAX = 8,	    /* copies moved aside in a step */
 	MOVE_POINTS = 100,  /* points in a call in progress */
 	MAX_SPREAD = 2,	    /* failure domains wanted */
 };
 
+/* A burst that free memory is used against, and how likely it counts. */
+static const double burst_times = 10, burst_share = 0.25;
+/* Calls in progress that a copy in a second failure domain is worth. */
+static const double spread_calls = 1;
 /* What a free slot, and free memory, are worth in choosing a worker. */
 static const double domain_worth = 4, spare_worth = 1, memory_worth = 0.5;
 
@@ -19,7 +24,7 @@
 	move_reason_t reason;
 	int item;
 	bool dark;	 /* nothing of that name is ready */
-	double short_of; /* calls in progress without a slot, DEMAND only */
+	double short_of; /* calls in progress without a slot */
 	uint32_t memory_mb;
 	uint64_t hash;
 } need_t;
@@ -27,6 +32,7 @@
 /* Copies that would go from one worker to make room there. */
 typedef struct victims {
 	int worker;
+	bool spread; /* an item may be left in one failure domain */
 	int copy[VICTIMS_MAX];
 	int n;
 	double loss;
@@ -38,14 +44,15 @@
 	place_out_t *out;
 	err_t *e;
 	int model_loads, adapter_loads;
-	int searches;
+	int looks; /* at workers for room */
+	int shifts;
 	need_t *need;
 	int nneed;
 	int64_t *most_free; /* by service, an upper bound */
 } plan_t;
 
 static const char *const reasons[] = { "first_copy", "repair", "spread",
-	"demand", "withdrawn", "make_room", "surplus" };
+	"demand", "headroom", "withdrawn", "make_room", "surplus" };
 
 const char *
 move_reason_name(move_reason_t r)
@@ -167,7 +174,7 @@
 			if (unload(p, REASON_SURPLUS, i) == -1)
 				return -1;
 		} else if (!wanted && is_replaced(p, item) &&
-			   fleet_may_go(f, i)) {
+			   fleet_may_go(f, i, true)) {
 			if (unload(p, REASON_WITHDRAWN, i) == -1)
 				return -1;
 		}
@@ -240,6 +247,20 @@
 	}
 }
 
+/* An adapter goes where a version of its base is. */
+static void
+consider_bases(const plan_t *p, search_t *s)
+{
+	const fleet_t *f = &p->fleet;
+	int base = p->in->item[s->item].base;
+	int c, i = f->family[f->thing[base].family].first;
+
+	for (; i != NONE; i = f->thing[i].family_next)
+		for (c = f->thing[i].copies; c != NONE;
+		     c = f->copy[c].item_next)
+			consider(p, s, f->copy[c].worker);
+}
+
 /* The best worker with room as it is, or NONE. */
 static int
 with_room(plan_t *p, int item, bool new_domain)
@@ -250,8 +271,7 @@
 	int64_t most = 0;
 
 	if (p->in->item[item].base != NONE) {
-		for (i = 0; i < p->in->nworker; i++)
-			consider(p, &s, i);
+		consider_bases(p, &s);
 		return s.best;
 	}
 	if (p->most_free[service] < p->in->item[item].memory_mb)
@@ -280,6 +300,19 @@
 	return false;
 }
 
+/* What is lost if a copy goes. */
+static double
+loss_of(const plan_t *p, int copy)
+{
+	const fleet_t *f = &p->fleet;
+	double loss = fleet_loss(f, copy, 1 + (double)p->in->hysteresis / 100);
+
+	if (p->in->item[f->copy[copy].item].base == NONE &&
+	    !fleet_may_go(f, copy, false))
+		loss += spread_calls;
+	return loss;
+}
+
 /* Add a copy, and the adapters that go with it, to the victims. */
 static int64_t
 add_victim(const plan_t *p, victims_t *v, int copy)
@@ -290,7 +323,7 @@
 	int i;
 
 	v->copy[v->n++] = copy;
-	v->loss += fleet_loss(f, copy);
+	v->loss += loss_of(p, copy);
 	if (p->in->item[c->item].base != NONE || fleet_base_stays(f, copy))
 		return mb;
 	for (i = f->host[c->worker].copies; i != NONE;
@@ -300,7 +333,7 @@
 		    v->n == VICTIMS_MAX)
 			continue;
 		v->copy[v->n++] = i;
-		v->loss += fleet_loss(f, i);
+		v->loss += loss_of(p, i);
 		mb += p->in->item[f->copy[i].item].memory_mb;
 	}
 	return mb;
@@ -319,12 +352,12 @@
 	     i = f->copy[i].worker_next) {
 		const copy_t *c = &f->copy[i];
 
-		if (is_victim(v, i) || !fleet_may_go(f, i))
+		if (is_victim(v, i) || !fleet_may_go(f, i, v->spread))
 			continue;
 		if (base != NONE &&
 		    f->thing[c->item].family == f->thing[base].family)
 			continue;
-		loss = fleet_loss(f, i);
+		loss = loss_of(p, i);
 		mb = p->in->item[c->item].memory_mb;
 		if (best == NONE || loss < least ||
 		    (loss == least && mb > best_mb)) {
@@ -361,8 +394,9 @@
  * @return false if there is none.
  */
 static bool
-make_room(plan_t *p, int item, bool new_domain, victims_t *best)
+make_room(plan_t *p, move_reason_t why, int item, victims_t *best)
 {
+	bool new_domain = why == REASON_SPREAD;
 	const fleet_t *f = &p->fleet;
 	int i, w, n = p->in->nworker, looked = 0;
 	int from = n > 0 ? (int)(f->thing[item].hash % n) : 0;
@@ -370,16 +404,15 @@
 	double cost, least = 0;
 
 	best->worker = NONE;
-	if (p->searches == 0)
-		return false;
-	p->searches--;
-	for (i = 0; i < n && looked < ROOM_WORKERS; i++) {
+	v.spread = why != REASON_SPREAD;
+	for (i = 0; i < n && looked < ROOM_WORKERS && p->looks > 0; i++) {
 		w = (from + i) % n;
 		if (!usable_host(p, w, item) ||
 		    (new_domain &&
 			f->thing[item].domain[f->host[w].domain] > 0))
 			continue;
 		looked++;
+		p->looks--;
 		if (!find_victims(p, &v, w, item))
 			continue;
 		cost = v.loss + v.n - worth(p, w, item);
@@ -400,7 +433,7 @@
 	for (i = 0; i < v->n; i++)
 		if (unload(p, REASON_MAKE_ROOM, v->copy[i]) == -1)
 			return -1;
-	p->fleet.host[v->worker].going -= p->in->item[item].memory_mb;
+	p->fleet.host[v->worker].free -= p->in->item[item].memory_mb;
 	return 0;
 }
 
@@ -415,9 +448,9 @@
 	uint32_t want = p->in->item[item].memory_mb;
 	int i, w, to;
 
-	if (p->in->item[item].base != NONE || p->searches == 0)
+	if (p->in->item[item].base != NONE || p->shifts == 0)
 		return 0;
-	p->searches--;
+	p->shifts--;
 	for (i = 0; i < f->ncopy; i++) {
 		const copy_t *c = &f->copy[i];
 		const place_item_t *moved = &p->in->item[c->item];
@@ -438,13 +471,24 @@
 
 /* Needs */
 
+/*
+ * A second failure domain and demand are weighed against each other by the
+ * calls they are worth: if one always went first it would take the room that
+ * was made for the other, in turns.
+ */
+static int
+urgency(const need_t *n)
+{
+	return n->reason == REASON_DEMAND ? REASON_SPREAD : (int)n->reason;
+}
+
 static int
 by_urgency(const void *a, const void *b)
 {
 	const need_t *x = a, *y = b;
 
-	if (x->reason != y->reason)
-		return x->reason < y->reason ? -1 : 1;
+	if (urgency(x) != urgency(y))
+		return urgency(x) < urgency(y) ? -1 : 1;
 	if (x->dark != y->dark)
 		return x->dark ? -1 : 1;
 	if (x->short_of != y->short_of)
@@ -479,6 +523,20 @@
 	return false;
 }
 
+/* Calls in progress of a burst that the copies' workers have no slots for. */
+static double
+headroom_short(const plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	double slots = 0;
+	int c;
+
+	for (c = f->thing[item].copies; c != NONE; c = f->copy[c].item_next)
+		if (f->copy[c].counts)
+			slots += p->in->worker[f->copy[c].worker].slots;
+	return p->in->item[item].demand * burst_times - slots;
+}
+
 static bool
 find_need(const plan_t *p, int item, need_t *n)
 {
@@ -494,9 +552,10 @@
 		n->reason = REASON_FIRST_COPY;
 	else if (have < (int)it->copies_min)
 		n->reason = REASON_REPAIR;
-	else if (t->domains < MAX_SPREAD && p->fleet.ndomain > 1)
+	else if (t->domains < MAX_SPREAD && p->fleet.ndomain > 1) {
 		n->reason = REASON_SPREAD;
-	else
+		n->short_of = spread_calls;
+	} else
 		return false;
 	return true;
 }
@@ -523,18 +582,33 @@
 			continue;
 		if (find_need(p, i, &p->need[p->nneed]))
 			p->nneed++;
-		if (missing[i] <= 0)
-			continue;
-		p->need[p->nneed++] = (need_t){ .reason = REASON_DEMAND,
-			.item = i,
-			.short_of = missing[i],
-			.hash = p->fleet.thing[i].hash };
+		if (missing[i] > 0)
+			p->need[p->nneed++] = (need_t){ .reason = REASON_DEMAND,
+				.item = i,
+				.short_of = missing[i],
+				.hash = p->fleet.thing[i].hash };
+		else if (headroom_short(p, i) > 0)
+			p->need[p->nneed++] =
+			    (need_t){ .reason = REASON_HEADROOM,
+				    .item = i,
+				    .short_of = headroom_short(p, i),
+				    .hash = p->fleet.thing[i].hash };
 	}
 	free(missing);
 	qsort(p->need, p->nneed, sizeof(*p->need), by_urgency);
 	return 0;
 }
 
+/* No version of an adapter's base is ready. */
+static bool
+awaits_base(const plan_t *p, int item)
+{
+	const fleet_t *f = &p->fleet;
+	int base = p->in->item[item].base;
+
+	return base != NONE && f->family[f->thing[base].family].ready == 0;
+}
+
 /* First copies, repair and spread. */
 static int
 meet_need(plan_t *p, const need_t *n)
@@ -548,8 +622,10 @@
 	worker = with_room(p, n->item, spread);
 	if (worker != NONE)
 		return load(p, n->reason, worker, n->item);
-	if (make_room(p, n->item, spread, &v)) {
-		if (spread && v.loss > p->in->item[n->item].demand)
+	if (awaits_base(p, n->item))
+		return 0;
+	if (make_room(p, n->reason, n->item, &v)) {
+		if (spread && v.loss > spread_calls)
 			return 0;
 		return take_victims(p, &v, n->item);
 	}
@@ -586,7 +662,8 @@
 		n->short_of -= win;
 	}
 	if (n->short_of <= 0 || *budget(p, n->item) <= 0 ||
-	    !worthwhile(p, n->short_of, 2) || !make_room(p, n->item, false, &v))
+	    !worthwhile(p, n->short_of, 2) ||
+	    !make_room(p, n->reason, n->item, &v))
 		return 0;
 	win = p->fleet.host[v.worker].spare;
 	if (win > n->short_of)
@@ -597,6 +674,42 @@
 	return take_victims(p, &v, n->item);
 }
 
+/* Memory that nobody uses holds copies against a burst. */
+static int
+meet_headroom(plan_t *p, need_t *n)
+{
+	double win;
+	int worker;
+
+	while (n->short_of > 0 && *budget(p, n->item) > 0) {
+		worker = with_room(p, n->item, false);
+		if (worker == NONE)
+			break;
+		win = p->in->worker[worker].slots;
+		if (win > n->short_of)
+			win = n->short_of;
+		if (!worthwhile(p, win * burst_share, 1))
+			break;
+		if (load(p, REASON_HEADROOM, worker, n->item) == -1)
+			return -1;
+		n->short_of -= win;
+	}
+	return 0;
+}
+
+static int
+meet(plan_t *p, need_t *n)
+{
+	switch (n->reason) {
+	case REASON_DEMAND:
+		return meet_demand(p, n);
+	case REASON_HEADROOM:
+		return meet_headroom(p, n);
+	default:
+		return meet_need(p, n);
+	}
+}
+
 static int
 plan_init(plan_t *p)
 {
@@ -628,8 +741,7 @@
 
 		if (p->in->quiet && n->reason > REASON_REPAIR)
 			break;
-		if ((n->reason == REASON_DEMAND ? meet_demand(p, n)
-						: meet_need(p, n)) == -1)
+		if (meet(p, n) == -1)
 			return -1;
 	}
 	return 0;
@@ -643,7 +755,8 @@
 		.e = e,
 		.model_loads = in->model_loads_left,
 		.adapter_loads = in->adapter_loads_left,
-		.searches = ROOM_SEARCHES };
+		.looks = LOOKS_MAX,
+		.shifts = SHIFTS_MAX };
 	int rc;
 
 	out->nmove = 0;
