--- /dev/null
+++ b/control/books.c
@@ -0,0 +1,207 @@
+#include "control/books.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SEEN_MAX = 4096, /* orders whose age is kept */
+	POLL_FIRST_MS = 500,
+	POLL_MOST_MS = 10000,
+};
+
+static const char prefix[] = "ledger/";
+
+static void
+book_clear(book_t *k)
+{
+	ledger_free(k->l);
+	k->l = NULL;
+	k->version = 0;
+	k->stale = k->dirty = false;
+}
+
+static void
+book_free(void *p)
+{
+	book_t *k = p;
+
+	book_clear(k);
+	free(k->report.resident);
+	g_hash_table_destroy(k->seen);
+	g_free(k);
+}
+
+void
+books_open(books_t *b)
+{
+	b->by_worker =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, book_free);
+	b->since = 0;
+}
+
+void
+books_close(books_t *b)
+{
+	g_hash_table_destroy(b->by_worker);
+}
+
+void
+books_forget(books_t *b)
+{
+	g_hash_table_remove_all(b->by_worker);
+	b->since = 0;
+}
+
+book_t *
+books_get(books_t *b, const char *worker)
+{
+	book_t *k = g_hash_table_lookup(b->by_worker, worker);
+
+	if (k != NULL)
+		return k;
+	k = g_new0(book_t, 1);
+	str_copy(k->worker, sizeof(k->worker), worker);
+	k->backoff =
+	    (backoff_t){ .first = POLL_FIRST_MS, .most = POLL_MOST_MS };
+	k->seen =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	g_hash_table_insert(b->by_worker, k->worker, k);
+	return k;
+}
+
+/* Give back what a write of unknown fate reserved: it did take effect. */
+static void
+void_unsent(book_t *k, const ledger_sender_t *by)
+{
+	uint64_t n;
+	int i;
+
+	for (i = k->l->nhold - 1; i >= 0; i--) {
+		n = k->l->hold[i].order;
+		if (n < k->unsent_from || n > k->unsent_to ||
+		    k->l->hold[i].fence != by->fence ||
+		    strcmp(k->l->hold[i].sender, by->id) != 0)
+			continue;
+		if (ledger_answer(k->l, n, SEND_NOT_RUN))
+			k->dirty = true;
+	}
+}
+
+static void
+take_object(books_t *b, const object_t *o, const ledger_sender_t *by)
+{
+	book_t *k = books_get(b, o->key + strlen(prefix));
+	ledger_t *l;
+	err_t e = { 0 };
+	char q[ERR_TEXT_MAX];
+
+	if (o->version <= k->version && !k->stale)
+		return;
+	book_clear(k);
+	if (o->deleted)
+		return;
+	if ((l = ledger_decode(o->value, o->len, &e)) == NULL) {
+		log_event(LOG_ERR, "ledger_unreadable", "worker=%s reason=%s",
+		    k->worker, log_quote(q, sizeof(q), e.text));
+		k->stale = true;
+		return;
+	}
+	k->l = l;
+	k->version = o->version;
+	void_unsent(k, by);
+}
+
+static void
+read_stale(books_t *b, platform_t *p, book_t *k, const ledger_sender_t *by)
+{
+	char key[sizeof(prefix) + ID_MAX];
+	object_t o = { 0 };
+	err_t e = { 0 };
+
+	snprintf(key, sizeof(key), "%s%s", prefix, k->worker);
+	if (platform_get(p, key, &o, &e) == 0) {
+		take_object(b, &o, by);
+		object_clear(&o);
+	} else if (e.code == ERR_NOT_FOUND) {
+		book_clear(k);
+	}
+}
+
+int
+books_sync(books_t *b, platform_t *p, const ledger_sender_t *by, err_t *e)
+{
+	objects_t got = { 0 };
+	GHashTableIter it;
+	gpointer k;
+	int i, rc;
+
+	if (b->since == 0)
+		rc = platform_list(p, prefix, &got, e);
+	else
+		rc = platform_watch(p, prefix, b->since, 0, &got, e);
+	if (rc == -1) {
+		/* Too old a version is the one error that a list mends. */
+		if (e->code != ERR_DOWN && e->code != ERR_UNKNOWN &&
+		    e->code != ERR_FULL)
+			b->since = 0;
+		return -1;
+	}
+	for (i = 0; i < got.n; i++)
+		take_object(b, &got.item[i], by);
+	if (got.version > 0)
+		b->since = got.version;
+	objects_clear(&got);
+	g_hash_table_iter_init(&it, b->by_worker);
+	while (g_hash_table_iter_next(&it, NULL, &k))
+		if (((book_t *)k)->stale)
+			read_stale(b, p, k, by);
+	return 0;
+}
+
+int
+book_put(book_t *k, platform_t *p, err_t *e)
+{
+	char key[sizeof(prefix) + ID_MAX];
+	char *text = ledger_encode(k->l);
+	int rc;
+
+	snprintf(key, sizeof(key), "%s%s", prefix, k->worker);
+	rc = platform_put(
+	    p, key, text, strlen(text), k->version, &k->version, e);
+	free(text);
+	k->stale = rc == -1;
+	if (rc == 0) {
+		k->dirty = false;
+		/* A delayed earlier write can't take effect over this one. */
+		k->unsent_from = k->unsent_to = 0;
+	}
+	return rc;
+}
+
+ms_t
+book_age(book_t *k, uint64_t order, ms_t now)
+{
+	gint64 key = (gint64)order, *at = g_hash_table_lookup(k->seen, &key);
+
+	if (at != NULL)
+		return now - *at;
+	if (g_hash_table_size(k->seen) >= SEEN_MAX)
+		g_hash_table_remove_all(k->seen);
+	at = g_new(gint64, 1);
+	*at = now;
+	g_hash_table_insert(k->seen, g_memdup2(&key, sizeof(key)), at);
+	return 0;
+}
+
+const resident_t *
+book_resident(const book_t *k, const hold_t *h)
+{
+	int i;
+
+	for (i = 0; i < k->report.nresident; i++)
+		if (k->report.resident[i].version == h->version &&
+		    strcmp(k->report.resident[i].model, h->model) == 0 &&
+		    strcmp(k->report.resident[i].adapter, h->adapter) == 0)
+			return &k->report.resident[i];
+	return NULL;
+}
--- /dev/null
+++ b/control/demand.c
@@ -0,0 +1,145 @@
+#include "control/demand.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Half of what was seen counts no more after this. */
+static const double half_life_ms = 20000;
+/* A call's length until some were seen, and its bounds, s. */
+static const double call_s = 1, call_least_s = 0.05, call_most_s = 120;
+
+typedef struct figure {
+	double asked; /* since the last take */
+	double rate;  /* a second, smoothed */
+} figure_t;
+
+typedef struct reading {
+	uint32_t asked;
+	uint64_t term;
+} reading_t;
+
+void
+demand_open(demand_t *d)
+{
+	memset(d, 0, sizeof(*d));
+	d->item =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->broker =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+demand_close(demand_t *d)
+{
+	g_hash_table_destroy(d->item);
+	g_hash_table_destroy(d->broker);
+}
+
+static void
+add_asked(demand_t *d, const char *name, double n)
+{
+	figure_t *f = g_hash_table_lookup(d->item, name);
+
+	if (f == NULL) {
+		f = g_new0(figure_t, 1);
+		g_hash_table_insert(d->item, g_strdup(name), f);
+	}
+	f->asked += n;
+}
+
+/* A counter's growth; a new broker's starts at nothing. */
+static uint32_t
+growth(demand_t *d, const Wire__Digest *g, const Wire__Demand *w)
+{
+	char *key = g_strdup_printf("%s/%s/%u/%s/%s", g->service, g->domain,
+	    g->index, w->model, w->adapter);
+	reading_t *r = g_hash_table_lookup(d->broker, key);
+	uint32_t n = w->asked;
+
+	if (r == NULL) {
+		r = g_new0(reading_t, 1);
+		g_hash_table_insert(d->broker, g_strdup(key), r);
+	} else if (r->term == g->term) {
+		n = w->asked >= r->asked ? w->asked - r->asked : 0;
+	}
+	r->asked = w->asked;
+	r->term = g->term;
+	g_free(key);
+	return n;
+}
+
+static double
+calls_in_progress(const view_t *v)
+{
+	const Wire__Worker *w;
+	double n = 0;
+	size_t i, k;
+
+	for (i = 0; i < v->wire->n_digest; i++) {
+		const Wire__Digest *g = v->wire->digest[i];
+
+		n += g->waiting;
+		for (k = 0; k < g->n_worker; k++) {
+			w = view_worker(v, g->worker[k]->worker);
+			if (w != NULL && w->slots > g->worker[k]->free)
+				n += w->slots - g->worker[k]->free;
+		}
+	}
+	return n;
+}
+
+void
+demand_take(demand_t *d, const view_t *v, ms_t now)
+{
+	double span = (double)(now - d->at), keep, total = 0;
+	const Wire__Demand *w;
+	GHashTableIter it;
+	gpointer p;
+	size_t i, k;
+	uint32_t n;
+
+	if (d->at != 0 && span <= 0)
+		return;
+	for (i = 0; i < v->wire->n_digest; i++)
+		for (k = 0; k < v->wire->digest[i]->n_demand; k++) {
+			w = v->wire->digest[i]->demand[k];
+			n = growth(d, v->wire->digest[i], w);
+			/* The first reading has no span to be a rate over. */
+			if (d->at == 0)
+				continue;
+			total += n;
+			add_asked(d, w->model, n);
+			if (w->adapter[0] != '\0')
+				add_asked(d, w->adapter, n);
+		}
+	if (d->at != 0) {
+		keep = exp2(-span / half_life_ms);
+		d->rate = keep * d->rate + (1 - keep) * total * 1000 / span;
+		d->in_progress =
+		    keep * d->in_progress + (1 - keep) * calls_in_progress(v);
+		g_hash_table_iter_init(&it, d->item);
+		while (g_hash_table_iter_next(&it, NULL, &p)) {
+			figure_t *f = p;
+
+			f->rate = keep * f->rate +
+				  (1 - keep) * f->asked * 1000 / span;
+			f->asked = 0;
+		}
+	}
+	d->at = now;
+}
+
+double
+demand_of(const demand_t *d, const char *name)
+{
+	const figure_t *f = g_hash_table_lookup(d->item, name);
+	double length = call_s;
+
+	if (f == NULL)
+		return 0;
+	/* Little's law over all calls gives the length of one. */
+	if (d->rate > 0 && d->in_progress > 0)
+		length =
+		    CLAMP(d->in_progress / d->rate, call_least_s, call_most_s);
+	return f->rate * length;
+}
