Planner: residency by placement, orders behind the ledger

Cause: models have to be resident before anything answers. Ruled out: one write an order: all orders of a round for a worker are numbered in one conditional update and sent after it. Ruled out: giving way to a higher fence in a ledger: were the lease object lost, its numbers would start again and nobody could order; the conditional update is enough. Conclusion: builds and lints; not proved yet.

--- /dev/null
+++ b/control/picture.c
@@ -0,0 +1,231 @@
+#include "control/picture.h"
+
+#include <string.h>
+
+void
+picture_open(picture_t *pic)
+{
+	pic->worker = g_array_new(FALSE, TRUE, sizeof(place_worker_t));
+	pic->book = g_ptr_array_new();
+	pic->addr = g_ptr_array_new();
+	pic->item = g_array_new(FALSE, TRUE, sizeof(place_item_t));
+	pic->model = g_ptr_array_new();
+	pic->copy = g_array_new(FALSE, TRUE, sizeof(place_copy_t));
+	pic->index =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+picture_close(picture_t *pic)
+{
+	g_array_free(pic->worker, TRUE);
+	g_ptr_array_free(pic->book, TRUE);
+	g_ptr_array_free(pic->addr, TRUE);
+	g_array_free(pic->item, TRUE);
+	g_ptr_array_free(pic->model, TRUE);
+	g_array_free(pic->copy, TRUE);
+	g_hash_table_destroy(pic->index);
+}
+
+static char *
+item_key(const char *model, const char *adapter, uint64_t version)
+{
+	return g_strdup_printf("%s %s %" PRIu64, model, adapter, version);
+}
+
+/* The adapter's name, or the model's, as placement knows it. */
+static int
+add_item(picture_t *pic, const char *model, const char *adapter,
+    uint64_t version, uint32_t mb)
+{
+	place_item_t it = { .version = version, .memory_mb = mb, .base = -1 };
+	int at = (int)pic->item->len;
+
+	str_copy(it.name, sizeof(it.name), *adapter == '\0' ? model : adapter);
+	g_array_append_val(pic->item, it);
+	g_ptr_array_add(pic->model, (void *)model);
+	g_hash_table_insert(pic->index, item_key(model, adapter, version),
+	    GINT_TO_POINTER(at + 1));
+	return at;
+}
+
+static int
+find_item(const picture_t *pic, const char *model, const char *adapter,
+    uint64_t version)
+{
+	char *key = item_key(model, adapter, version);
+	int at = GPOINTER_TO_INT(g_hash_table_lookup(pic->index, key)) - 1;
+
+	g_free(key);
+	return at;
+}
+
+static void
+draw_catalogue(picture_t *pic, const catalogue_t *c, const demand_t *d)
+{
+	const model_t *m;
+	const adapter_t *a;
+	place_item_t *it;
+	int i, at;
+
+	for (i = 0; i < c->nmodel; i++) {
+		m = &c->model[i];
+		at = add_item(pic, m->name, "", m->version, m->memory_mb);
+		it = &g_array_index(pic->item, place_item_t, at);
+		str_copy(it->service, sizeof(it->service), m->service);
+		it->copies_min = m->copies_min;
+		it->demand = demand_of(d, m->name);
+		it->wanted = true;
+	}
+	for (i = 0; i < c->nadapter; i++) {
+		a = &c->adapter[i];
+		if ((m = catalogue_model(c, a->model)) == NULL)
+			continue;
+		at = add_item(pic, a->model, a->name, a->version, a->memory_mb);
+		it = &g_array_index(pic->item, place_item_t, at);
+		str_copy(it->service, sizeof(it->service), m->service);
+		it->copies_min = 1;
+		it->base = (int)(m - c->model);
+		it->demand = demand_of(d, a->name);
+		it->wanted = true;
+	}
+}
+
+/* An item of a ledger that the catalogue doesn't list: an older version, or
+ * withdrawn. Models come first, so that adapters find their base. */
+static void
+draw_unlisted(picture_t *pic, const book_t *k, const char *service, bool models)
+{
+	const hold_t *h;
+	place_item_t *it;
+	int i, at, base;
+	guint j;
+
+	for (i = 0; k->l != NULL && i < k->l->nhold; i++) {
+		h = &k->l->hold[i];
+		if ((h->adapter[0] == '\0') != models ||
+		    find_item(pic, h->model, h->adapter, h->version) != -1)
+			continue;
+		at = add_item(
+		    pic, h->model, h->adapter, h->version, h->memory_mb);
+		for (base = -1, j = 0; !models && j < pic->item->len; j++)
+			if (strcmp(
+				g_array_index(pic->item, place_item_t, j).name,
+				h->model) == 0 &&
+			    g_array_index(pic->item, place_item_t, j).base ==
+				-1 &&
+			    (int)j != at)
+				base = (int)j;
+		it = &g_array_index(pic->item, place_item_t, at);
+		str_copy(it->service, sizeof(it->service), service);
+		it->base = base;
+	}
+}
+
+place_held_t
+hold_held(book_t *k, const hold_t *h, ms_t now)
+{
+	const resident_t *r = book_resident(k, h);
+	bool newer = k->reported && k->report.last_order >= h->order;
+
+	if (h->state == HOLD_LEAVING)
+		return HELD_GOING;
+	if (r != NULL && r->state == RESIDENT_READY)
+		return HELD_READY;
+	if (r != NULL)
+		return r->state == RESIDENT_LOADING ? HELD_COMING : HELD_GOING;
+	/* Not there. A doubtful load takes memory and is no copy. */
+	if (h->state == HOLD_MAYBE)
+		return book_age(k, h->order, now) < COMING_MS ? HELD_COMING
+							      : HELD_GOING;
+	return newer ? HELD_GOING : HELD_COMING;
+}
+
+static void
+draw_copies(picture_t *pic, book_t *k, int worker, ms_t now)
+{
+	const hold_t *h;
+	place_copy_t c = { .worker = worker };
+	int i;
+
+	for (i = 0; k->l != NULL && i < k->l->nhold; i++) {
+		h = &k->l->hold[i];
+		c.item = find_item(pic, h->model, h->adapter, h->version);
+		c.held = hold_held(k, h, now);
+		g_array_append_val(pic->copy, c);
+		if (c.held != HELD_COMING)
+			continue;
+		if (h->adapter[0] == '\0')
+			pic->model_loads++;
+		else
+			pic->adapter_loads++;
+	}
+}
+
+static void
+draw_worker(picture_t *pic, const Wire__Worker *w, book_t *k, ms_t now)
+{
+	place_worker_t pw = { .slots = w->slots };
+
+	str_copy(pw.id, sizeof(pw.id), w->id);
+	str_copy(pw.service, sizeof(pw.service), w->service);
+	str_copy(pw.domain, sizeof(pw.domain), w->domain);
+	pw.memory_mb = k->l == NULL ? 0 : k->l->memory_mb;
+	pw.usable = !w->leaving && k->l != NULL && !k->stale && k->reported &&
+		    !k->report.leaving && now - k->reached_at < LOST_MS;
+	g_array_append_val(pic->worker, pw);
+	g_ptr_array_add(pic->book, k);
+	g_ptr_array_add(pic->addr, w->addr);
+}
+
+static void
+wipe(picture_t *pic)
+{
+	g_array_set_size(pic->worker, 0);
+	g_ptr_array_set_size(pic->book, 0);
+	g_ptr_array_set_size(pic->addr, 0);
+	g_array_set_size(pic->item, 0);
+	g_ptr_array_set_size(pic->model, 0);
+	g_array_set_size(pic->copy, 0);
+	g_hash_table_remove_all(pic->index);
+	pic->model_loads = pic->adapter_loads = 0;
+}
+
+void
+picture_draw(picture_t *pic, const view_t *v, books_t *b, const demand_t *d,
+    const settings_t *s, ms_t now)
+{
+	const service_conf_t *conf;
+	const char *service;
+	size_t i;
+	guint w;
+
+	wipe(pic);
+	draw_catalogue(pic, v->catalogue, d);
+	for (i = 0; i < v->wire->n_worker; i++) {
+		conf = settings_service(s, v->wire->worker[i]->service);
+		if (conf != NULL && conf->kind == SERVICE_ENGINE)
+			draw_worker(pic, v->wire->worker[i],
+			    books_get(b, v->wire->worker[i]->id), now);
+	}
+	for (i = 0; i < 2; i++)
+		for (w = 0; w < pic->book->len; w++) {
+			service = g_array_index(pic->worker, place_worker_t, w)
+				      .service;
+			draw_unlisted(
+			    pic, pic->book->pdata[w], service, i == 0);
+		}
+	for (w = 0; w < pic->book->len; w++)
+		draw_copies(pic, pic->book->pdata[w], (int)w, now);
+}
+
+ledger_item_t
+picture_item(const picture_t *pic, int item)
+{
+	const place_item_t *it = &g_array_index(pic->item, place_item_t, item);
+	const char *model = pic->model->pdata[item];
+	bool adapter = it->base != -1 || strcmp(it->name, model) != 0;
+
+	return (ledger_item_t){ model, adapter ? it->name : "", it->version,
+		it->memory_mb };
+}
--- /dev/null
+++ b/control/planner.c
@@ -0,0 +1,587 @@
+#include "control/control.h"
+
+#include "control/picture.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum {
+	POLL_TIMEOUT_MS = 800, /* of a load report or an order */
+	BUSY_PARTS = 8,	       /* rounds while orders are under way are */
+	BUSY_LEAST_MS = 25,    /* ... shorter by this, but not below this */
+	KEEP_PARTS = 4,	       /* the lease is renewed ttl / this */
+	STEP_MS = 20,	       /* a sleeper looks at its flag */
+	HOUR_S = 3600,
+	DAY_H = 24,
+};
+
+/* One order of a round, numbered by its worker's ledger. */
+typedef struct todo {
+	int worker;
+	order_t order;
+	move_reason_t reason;
+	const char *why;
+} todo_t;
+
+struct planner {
+	planner_opts_t o;
+	platform_t *platform;
+	orders_t *orders;
+	pthread_t thread;
+	bool started, stop;
+	lease_t lease;
+	uint64_t fence; /* of the lease when it was last kept; 0: not held */
+	ms_t keep_at;
+	books_t books;
+	demand_t demand;
+	picture_t picture;
+	GArray *todo;
+	uint64_t catalogue; /* highest planned with */
+	double loads_saved; /* of the store's rate */
+	ms_t loads_at;
+	bool busy;
+	counter_t *loads, *unloads, *lost, *doubtful, *rounds, *held;
+};
+
+static bool
+stopping(const planner_t *p)
+{
+	return __atomic_load_n(&p->stop, __ATOMIC_ACQUIRE);
+}
+
+static ledger_sender_t
+sender(const planner_t *p)
+{
+	return (ledger_sender_t){ p->o.settings->instance.id, p->fence };
+}
+
+static void
+audit_lease(planner_t *p, const char *what)
+{
+	audit_record_t r = { .at = clock_wall(), .number = p->lease.fence };
+
+	str_copy(r.who, sizeof(r.who), p->o.settings->instance.id);
+	str_copy(r.kind, sizeof(r.kind), "lease");
+	str_copy(r.subject, sizeof(r.subject), "lease/planner");
+	str_copy(r.what, sizeof(r.what), what);
+	str_copy(r.result, sizeof(r.result), "done");
+	if (p->o.audit != NULL)
+		audit_add(p->o.audit, &r);
+	log_event(LOG_NOTICE, "planner_lease", "change=%s fence=%" PRIu64, what,
+	    r.number);
+}
+
+static void
+audit_order(planner_t *p, const todo_t *t, const char *result)
+{
+	const place_worker_t *w =
+	    &g_array_index(p->picture.worker, place_worker_t, t->worker);
+	const char *op = t->order.kind == ORDER_LOAD ? "load" : "unload";
+	audit_record_t r = { .at = clock_wall(), .number = t->order.number };
+
+	str_copy(r.who, sizeof(r.who), p->o.settings->instance.id);
+	str_copy(r.kind, sizeof(r.kind), "order");
+	str_copy(r.subject, sizeof(r.subject), w->id);
+	str_copy(r.model, sizeof(r.model),
+	    t->order.adapter[0] == '\0' ? t->order.model : t->order.adapter);
+	snprintf(r.what, sizeof(r.what), "%s version %" PRIu64 ", %u MB: %s",
+	    op, t->order.version, t->order.memory_mb, t->why);
+	str_copy(r.result, sizeof(r.result), result);
+	if (p->o.audit != NULL)
+		audit_add(p->o.audit, &r);
+	log_event(LOG_INFO, "order",
+	    "worker=%s number=%" PRIu64 " op=%s model=%s adapter=%s "
+	    "version=%" PRIu64 " mb=%u reason=%s result=%s",
+	    w->id, t->order.number, op, t->order.model, t->order.adapter,
+	    t->order.version, t->order.memory_mb, t->why, result);
+}
+
+/* @return true while the lease is held. */
+static bool
+keep_lease(planner_t *p, ms_t now)
+{
+	bool had = p->fence != 0;
+	err_t e = { 0 };
+
+	if (now >= p->keep_at || (had && !lease_held(&p->lease))) {
+		lease_keep(&p->lease, p->platform, &e);
+		p->keep_at = now + p->lease.ttl / KEEP_PARTS;
+	}
+	if (!lease_held(&p->lease)) {
+		if (had)
+			audit_lease(p, "lost");
+		p->fence = 0;
+		return false;
+	}
+	if (p->lease.fence != p->fence) {
+		/* Others may have ordered since: read everything anew. */
+		books_forget(&p->books);
+		p->fence = p->lease.fence;
+		audit_lease(p, "taken");
+	}
+	return true;
+}
+
+/* Reports */
+
+static void
+apply_report(book_t *k, const load_report_t *r)
+{
+	ledger_item_t *item = g_new(ledger_item_t, r->nresident + 1);
+	ledger_report_t lr = { r->incarnation, r->memory_mb, r->last_order,
+		item, r->nresident };
+	int i;
+
+	for (i = 0; i < r->nresident; i++)
+		item[i] = (ledger_item_t){ r->resident[i].model,
+			r->resident[i].adapter, r->resident[i].version,
+			r->resident[i].memory_mb };
+	if (ledger_report(k->l, &lr))
+		k->dirty = true;
+	g_free(item);
+}
+
+/* Ask a worker, after its ledger was read. */
+static void
+poll_worker(planner_t *p, book_t *k, const char *addr)
+{
+	ms_t now = clock_now(p->o.clock);
+	rng_t rng = { .s = (uint64_t)now };
+	load_report_t r;
+	err_t e;
+
+	if (k->stale || now < k->poll_at)
+		return;
+	if (orders_state(p->orders, addr, &r, &e) == -1) {
+		k->poll_at =
+		    clock_now(p->o.clock) + backoff_next(&k->backoff, &rng);
+		return;
+	}
+	backoff_reset(&k->backoff);
+	free(k->report.resident);
+	k->report = r;
+	k->reported = true;
+	k->reached_at = now;
+	apply_report(k, &r);
+}
+
+static void
+poll_all(planner_t *p, const view_t *v)
+{
+	const service_conf_t *conf;
+	const Wire__Worker *w;
+	book_t *k;
+	size_t i;
+
+	for (i = 0; i < v->wire->n_worker && !stopping(p); i++) {
+		w = v->wire->worker[i];
+		conf = settings_service(p->o.settings, w->service);
+		if (conf == NULL || conf->kind != SERVICE_ENGINE)
+			continue;
+		k = books_get(&p->books, w->id);
+		if (k->l == NULL && !k->stale)
+			k->l = ledger_new(w->id, conf->fencing);
+		if (k->l != NULL)
+			k->l->fencing = conf->fencing;
+		poll_worker(p, k, w->addr);
+	}
+}
+
+/* Orders */
+
+static const todo_t *
+add_todo(planner_t *p, int worker, order_kind_t kind, const ledger_item_t *it,
+    const char *why)
+{
+	book_t *k = p->picture.book->pdata[worker];
+	ledger_sender_t by = sender(p);
+	todo_t t = { .worker = worker, .why = why };
+	err_t e = { 0 };
+
+	t.order.kind = kind;
+	t.order.number = kind == ORDER_LOAD ? ledger_load(k->l, it, &by, &e)
+					    : ledger_unload(k->l, it, &by, &e);
+	if (t.order.number == 0)
+		return NULL;
+	t.order.fence = t.order.number;
+	t.order.version = it->version;
+	t.order.memory_mb = it->memory_mb;
+	str_copy(t.order.model, sizeof(t.order.model), it->model);
+	str_copy(t.order.adapter, sizeof(t.order.adapter), it->adapter);
+	str_copy(t.order.incarnation, sizeof(t.order.incarnation),
+	    k->l->incarnation);
+	g_array_append_val(p->todo, t);
+	k->dirty = true;
+	return &g_array_index(p->todo, todo_t, p->todo->len - 1);
+}
+
+/* Does this hold need an unload to be settled, or one sent again? */
+static bool
+needs_unload(book_t *k, const hold_t *h, ms_t now)
+{
+	const resident_t *r = book_resident(k, h);
+	bool newer = k->reported && k->report.last_order >= h->order;
+
+	switch (h->state) {
+	case HOLD_MAYBE:
+		return k->l->fencing && r == NULL &&
+		       book_age(k, h->order, now) >= COMING_MS;
+	case HOLD_RESIDENT:
+		return r == NULL && newer;
+	case HOLD_LEAVING:
+		/* It may take long while streams still use the copy. */
+		if (newer && r != NULL && r->state == RESIDENT_UNLOADING)
+			return false;
+		return book_age(k, h->order, now) >= RESEND_MS;
+	}
+	return false;
+}
+
+static void
+settle_holds(planner_t *p, ms_t now)
+{
+	const place_worker_t *w;
+	ledger_item_t it;
+	book_t *k;
+	hold_t h;
+	guint i;
+	int j;
+
+	for (i = 0; i < p->picture.book->len; i++) {
+		k = p->picture.book->pdata[i];
+		w = &g_array_index(p->picture.worker, place_worker_t, i);
+		if (k->l == NULL || k->stale || !k->reported ||
+		    now - k->reached_at >= LOST_MS || w->memory_mb == 0)
+			continue;
+		for (j = 0; j < k->l->nhold; j++) {
+			h = k->l->hold[j];
+			it = (ledger_item_t){ h.model, h.adapter, h.version,
+				h.memory_mb };
+			if (needs_unload(k, &h, now))
+				add_todo(
+				    p, (int)i, ORDER_UNLOAD, &it, "settle");
+		}
+	}
+}
+
+static bool
+quiet_now(const settings_t *s)
+{
+	int64_t hour = clock_wall() / 1000 / HOUR_S % DAY_H;
+
+	if (s->place.quiet_from_h <= s->place.quiet_to_h)
+		return hour >= s->place.quiet_from_h &&
+		       hour < s->place.quiet_to_h;
+	return hour >= s->place.quiet_from_h || hour < s->place.quiet_to_h;
+}
+
+/* The store's rate: what may be loaded now. */
+static int
+model_budget(planner_t *p, ms_t now)
+{
+	const settings_t *s = p->o.settings;
+	double per_ms = (double)s->place.loads_per_min / 60000;
+	double most = (double)s->place.loads_at_once;
+	int room = (int)s->place.loads_at_once - p->picture.model_loads;
+
+	p->loads_saved += per_ms * (double)(now - p->loads_at);
+	p->loads_at = now;
+	if (p->loads_saved > most)
+		p->loads_saved = most;
+	if (room > (int)p->loads_saved)
+		room = (int)p->loads_saved;
+	return room > 0 ? room : 0;
+}
+
+static int
+place(planner_t *p, ms_t now, err_t *e)
+{
+	const settings_t *s = p->o.settings;
+	picture_t *pic = &p->picture;
+	place_in_t in = { .worker = (place_worker_t *)pic->worker->data,
+		.nworker = (int)pic->worker->len,
+		.item = (place_item_t *)pic->item->data,
+		.nitem = (int)pic->item->len,
+		.copy = (place_copy_t *)pic->copy->data,
+		.ncopy = (int)pic->copy->len,
+		.move_weight = s->place.move_weight,
+		.hysteresis = s->place.hysteresis,
+		.quiet = quiet_now(s) };
+	place_out_t out = { 0 };
+	const place_move_t *m;
+	ledger_item_t it;
+	int i, rc;
+
+	in.model_loads_left = model_budget(p, now);
+	in.adapter_loads_left =
+	    (int)s->place.adapters_at_once - pic->adapter_loads;
+	if (in.adapter_loads_left < 0)
+		in.adapter_loads_left = 0;
+	rc = place_step(&in, &out, e);
+	for (i = 0; i < out.nmove; i++) {
+		m = &out.move[i];
+		it = picture_item(pic, m->item);
+		if (add_todo(p, m->worker,
+			m->kind == MOVE_LOAD ? ORDER_LOAD : ORDER_UNLOAD, &it,
+			move_reason_name(m->reason)) != NULL &&
+		    m->kind == MOVE_LOAD && *it.adapter == '\0')
+			p->loads_saved -= 1;
+	}
+	place_out_clear(&out);
+	return rc;
+}
+
+static send_outcome_t
+outcome_of(int rc, const err_t *e)
+{
+	if (rc == 0)
+		return SEND_TAKEN;
+	switch (e->code) {
+	case ERR_CONFLICT:
+	case ERR_FULL:
+	case ERR_DOWN:
+		return SEND_NOT_RUN;
+	default:
+		return SEND_LOST;
+	}
+}
+
+static void
+send_one(planner_t *p, book_t *k, const todo_t *t)
+{
+	err_t e = { 0 };
+	int rc;
+
+	/* Saves an order that a successor would have to settle; its safety
+	 * doesn't rest on this. */
+	if (!lease_held(&p->lease)) {
+		k->dirty |= ledger_answer(k->l, t->order.number, SEND_NOT_RUN);
+		return;
+	}
+	rc = orders_send(
+	    p->orders, p->picture.addr->pdata[t->worker], &t->order, &e);
+	if (ledger_answer(k->l, t->order.number, outcome_of(rc, &e)))
+		k->dirty = true;
+	if (outcome_of(rc, &e) == SEND_LOST)
+		counter_add(p->lost, 1);
+	counter_add(t->order.kind == ORDER_LOAD ? p->loads : p->unloads, 1);
+	audit_order(p, t, rc == 0 ? "taken" : err_name(e.code));
+}
+
+/* Write the ledger of one worker, then send what it stands for. */
+static void
+send_all(planner_t *p, int worker)
+{
+	book_t *k = p->picture.book->pdata[worker];
+	const todo_t *t;
+	err_t e = { 0 };
+	char q[ERR_TEXT_MAX];
+	bool good;
+	guint i;
+
+	good = book_put(k, p->platform, &e) == 0;
+	if (!good)
+		log_event(LOG_WARNING, "ledger_not_written",
+		    "worker=%s error=%s reason=%s", k->worker, err_name(e.code),
+		    log_quote(q, sizeof(q), e.text));
+	for (i = 0; i < p->todo->len; i++) {
+		t = &g_array_index(p->todo, todo_t, i);
+		if (t->worker != worker)
+			continue;
+		if (good) {
+			send_one(p, k, t);
+			continue;
+		}
+		if (k->unsent_from == 0)
+			k->unsent_from = t->order.number;
+		k->unsent_to = t->order.number;
+	}
+	/* What didn't go out is given back; the next round may be another's. */
+	if (k->dirty && !k->stale && !lease_held(&p->lease))
+		book_put(k, p->platform, &e);
+}
+
+static void
+give_out(planner_t *p)
+{
+	book_t *k;
+	guint i;
+
+	for (i = 0; i < p->picture.book->len && !stopping(p); i++) {
+		k = p->picture.book->pdata[i];
+		if (k->l != NULL && k->dirty && !k->stale && k->reported)
+			send_all(p, (int)i);
+	}
+}
+
+/* Is a load, an unload or a settling under way? */
+static bool
+under_way(planner_t *p)
+{
+	const place_copy_t *c;
+	guint i;
+
+	for (i = 0; i < p->picture.copy->len; i++) {
+		c = &g_array_index(p->picture.copy, place_copy_t, i);
+		if (c->held == HELD_COMING)
+			return true;
+	}
+	return p->todo->len > 0;
+}
+
+static void
+count_holds(planner_t *p)
+{
+	int64_t doubtful = 0, held = 0;
+	book_t *k;
+	guint i;
+
+	for (i = 0; i < p->picture.book->len; i++) {
+		k = p->picture.book->pdata[i];
+		if (k->l == NULL)
+			continue;
+		doubtful += (int64_t)ledger_doubtful(k->l);
+		held += (int64_t)ledger_reserved(k->l);
+	}
+	counter_set(p->doubtful, doubtful);
+	counter_set(p->held, held);
+}
+
+static void
+plan_round(planner_t *p, const view_t *v, err_t *e)
+{
+	ledger_sender_t by = sender(p);
+	ms_t now;
+
+	if (books_sync(&p->books, p->platform, &by, e) == -1)
+		return;
+	poll_all(p, v);
+	now = clock_now(p->o.clock);
+	demand_take(&p->demand, v, now);
+	picture_draw(&p->picture, v, &p->books, &p->demand, p->o.settings, now);
+	g_array_set_size(p->todo, 0);
+	settle_holds(p, now);
+	place(p, now, e);
+	give_out(p);
+	count_holds(p);
+	p->busy = under_way(p);
+	counter_add(p->rounds, 1);
+}
+
+static void
+one_round(planner_t *p)
+{
+	view_t *v = node_view(p->o.node);
+	err_t e = { 0 };
+	char q[ERR_TEXT_MAX];
+
+	p->busy = false;
+	/* Never by an older catalogue than the last one. */
+	if (v != NULL && v->catalogue != NULL && v->catalogue->number > 0 &&
+	    v->catalogue->number >= p->catalogue) {
+		p->catalogue = v->catalogue->number;
+		plan_round(p, v, &e);
+	}
+	view_unref(v);
+	if (e.code != ERR_NONE)
+		log_event(LOG_WARNING, "plan_failed", "error=%s reason=%s",
+		    err_name(e.code), log_quote(q, sizeof(q), e.text));
+}
+
+static void
+rest(planner_t *p, ms_t until)
+{
+	ms_t now;
+
+	while (!stopping(p) && (now = clock_now(p->o.clock)) < until)
+		clock_sleep(until - now < STEP_MS ? until - now : STEP_MS);
+}
+
+static void *
+planner_run(void *user)
+{
+	planner_t *p = user;
+	ms_t start, span;
+
+	p->loads_at = clock_now(p->o.clock);
+	p->loads_saved = (double)p->o.settings->place.loads_at_once;
+	while (!stopping(p)) {
+		start = clock_now(p->o.clock);
+		span = p->o.settings->place.plan_ms;
+		if (keep_lease(p, start))
+			one_round(p);
+		if (p->fence != 0 && p->busy)
+			span /= BUSY_PARTS;
+		rest(p, start + (span < BUSY_LEAST_MS ? BUSY_LEAST_MS : span));
+	}
+	if (p->fence != 0 && lease_drop(&p->lease, p->platform, NULL) == 0)
+		audit_lease(p, "dropped");
+	return NULL;
+}
+
+static void
+planner_counters(planner_t *p)
+{
+	p->loads = counter_get("planner_loads_total", "load orders sent");
+	p->unloads = counter_get("planner_unloads_total", "unload orders sent");
+	p->lost = counter_get(
+	    "planner_orders_lost_total", "orders without an answer");
+	p->doubtful = counter_get("planner_doubtful_mb",
+	    "memory reserved for loads that aren't settled");
+	p->held = counter_get("planner_reserved_mb", "memory in the ledgers");
+	p->rounds = counter_get("planner_rounds_total", "planning rounds");
+}
+
+planner_t *
+planner_new(const planner_opts_t *o, err_t *e)
+{
+	const settings_t *s = o->settings;
+	platform_opts_t po = { .timeout = s->platform.timeout_ms };
+	planner_t *p = g_new0(planner_t, 1);
+
+	p->o = *o;
+	str_copy(po.addr, sizeof(po.addr), s->platform.addr);
+	str_copy(po.user, sizeof(po.user), s->instance.id);
+	lease_init(&p->lease, "planner", s->instance.id, s->platform.lease_ms,
+	    o->clock);
+	books_open(&p->books);
+	demand_open(&p->demand);
+	picture_open(&p->picture);
+	p->todo = g_array_new(FALSE, TRUE, sizeof(todo_t));
+	planner_counters(p);
+	p->platform = platform_new(&po, e);
+	if (p->platform != NULL)
+		p->orders = orders_new(POLL_TIMEOUT_MS, e);
+	if (p->orders == NULL) {
+		planner_free(p);
+		return NULL;
+	}
+	if (pthread_create(&p->thread, NULL, planner_run, p) != 0) {
+		err_set(e, ERR_INTERNAL, "can't start the planner's thread");
+		planner_free(p);
+		return NULL;
+	}
+	p->started = true;
+	return p;
+}
+
+void
+planner_free(planner_t *p)
+{
+	if (p == NULL)
+		return;
+	__atomic_store_n(&p->stop, true, __ATOMIC_RELEASE);
+	if (p->started)
+		pthread_join(p->thread, NULL);
+	if (p->orders != NULL)
+		orders_free(p->orders);
+	if (p->platform != NULL)
+		platform_free(p->platform);
+	books_close(&p->books);
+	demand_close(&p->demand);
+	picture_close(&p->picture);
+	g_array_free(p->todo, TRUE);
+	g_free(p);
+}
