--- a/base/base.h
+++ b/base/base.h
@@ -236,6 +236,7 @@
 		int64_t keep_ms;    /* an outcome is kept this long */
 		int64_t bucket_max; /* bytes */
 		int64_t commit_ms;  /* group commit gathers this long */
+		int64_t settle_ms;  /* an outcome waits for company this long */
 	} claims;
 	struct {
 		int64_t move_weight;   /* attainment points a move must win */
