--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -1,8 +1,9 @@
 # Sourced by demo, bench and soak: a deployment of real processes on this
 # machine with stand-ins in the platform's place. Needs build/bin.
 #
-# deploy_settings NAME reads settings/NAME.ini and writes $dir/*.ini;
-# deploy_start starts all; deploy_stop stops all as planned.
+# deploy_settings NAME reads settings/NAME.ini; deploy_start starts all;
+# deploy_stop stops all as planned. Set before deploy_settings to have it
+# otherwise: settings, nentry, nengine, nservice, engine_args, slots.
 
 bin=build/bin
 dir=build/run-$$
@@ -43,7 +44,7 @@
 
 deploy_settings() {
 	deployment=$1
-	settings=settings/$1.ini
+	settings=${settings-settings/$1.ini}
 	[ -f "$settings" ] || die "no $settings"
 	mkdir -p "$dir"
 	domains=($(ini_list domain))
@@ -55,10 +56,13 @@
 	done
 	fencing=$(ini_get "service $engine_service" fencing)
 	case $deployment in
-	granite-ridge) nentry=8 nengine=18 nservice=3 ;;
-	tostadero) nentry=7 nengine=12 nservice=4 ;;
-	*) die "sizes of $deployment aren't known" ;;
+	granite-ridge) sizes='8 18 3' ;;
+	tostadero) sizes='7 12 4' ;;
+	*) sizes='1 1 1' ;;
 	esac
+	set -- $sizes
+	nentry=${nentry-$1} nengine=${nengine-$2} nservice=${nservice-$3}
+	slots=${slots-16}
 	ports=($($bin/freeports $((1 + 3 * nentry + nengine + nservice))))
 	platform=127.0.0.1:${ports[0]}
 	ports=("${ports[@]:1}")
@@ -77,7 +81,7 @@
 	    \"peer_addr\":\"${peer[$1]}\",
 	    \"operator_addr\":\"${operator[$1]}\"" ;;
 	w*) item="\"role\":\"worker\",\"service\":\"$engine_service\",
-	    \"addr\":\"${addr[$1]}\",\"memory_mb\":81920,\"slots\":16" ;;
+	    \"addr\":\"${addr[$1]}\",\"memory_mb\":81920,\"slots\":$slots" ;;
 	s*) item="\"role\":\"worker\",\"service\":\"$plain_service\",
 	    \"addr\":\"${addr[$1]}\",\"memory_mb\":0,\"slots\":32" ;;
 	esac
@@ -97,8 +101,9 @@
 start_engine() {
 	spawn "$1" $bin/standin-engine --listen "${addr[$1]}" --id "$1" \
 	    --service "$engine_service" --domain "${domain[$1]}" \
-	    --memory-mb 81920 --slots 16 --fencing "$fencing" \
-	    --platform "$platform" --load-lag-ms 200 --seed "${1#w}"
+	    --memory-mb 81920 --slots $slots --fencing "$fencing" \
+	    --platform "$platform" --load-lag-ms 200 --seed "${1#w}" \
+	    ${engine_args-}
 }
 
 start_service() {
