--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,10 @@
 STANDIN = platform engine service
 STANDINS = $(patsubst standin/%.c,$(B)/bin/standin-%,$(wildcard $(STANDIN:%=standin/%.c)))
 STANDLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(STANDIN:%=standin/%.c),$(wildcard standin/*.c)))
-BENCH = callload freeports
-BENCHES = $(BENCH:%=$(B)/bin/%)
-BENCHLIB = $(patsubst %.c,$(O)/%.o,$(filter-out $(BENCH:%=bench/%.c),$(wildcard bench/*.c)))
+# Parts that the load tool and its tests share; the rest are programs.
+LOADPART = answer drive plan print records send
+BENCHES = $(patsubst bench/%.c,$(B)/bin/%,$(filter-out $(LOADPART:%=bench/%.c),$(wildcard bench/*.c)))
+BENCHLIB = $(LOADPART:%=$(O)/bench/%.o)
 # A *_test.c is a unit test; a *_proc.c starts real processes.
 UNIT = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_test.c))
 PROC = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_proc.c))
