--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -6,7 +6,7 @@
 # otherwise: settings, nentry, nengine, nservice, engine_args, slots.
 
 bin=build/bin
-dir=build/run-$$
+dir=build/${0##*/}-$$
 declare -A pid_of	# process name -> pid
 entry=() engine=() service=()	# ids
 declare -A addr peer operator domain
