--- a/tests/endpoint_proc.c
+++ b/tests/endpoint_proc.c
@@ -359,6 +359,48 @@
 	rig_stop(&r);
 }
 
+static void
+restart(rig_t *r)
+{
+	proc_kill(r->proc);
+	r->proc = proc_start(
+	    "standin-engine", "--listen", r->addr, "--id", "w1", NULL);
+	g_assert_true(http_until(r->addr, "/v1/load", 200, WAIT_MS));
+	load_model(r->addr);
+}
+
+/* A killed engine: what came is right, and the next call isn't harmed by the
+ * connection that was kept to the old process. */
+static void
+engine_dies(void)
+{
+	call_event_t *ev;
+	rig_t r;
+	got_t g;
+
+	rig_start(&r, "standin-engine", "--token-ms", "100");
+	g_assert_true(endpoint_start(r.ep, spec_new(&r, false, "call-1")));
+	ev = ring_wait(r.events, WAIT_MS);
+	g_assert_cmpint(ev->kind, ==, EVENT_TOKEN);
+	call_event_free(ev);
+	proc_signal(r.proc, SIGKILL);
+	g = finish(&r, r.tag);
+	g_assert_cmpint(g.end->outcome, ==, CALL_UNKNOWN);
+	g_assert_true(g.end->connected);
+	check_text(&g, 1);
+	got_clear(&g);
+	restart(&r);
+	g = run_call(&r, spec_new(&r, false, "call-2"));
+	g_assert_cmpint(g.end->outcome, ==, CALL_DONE);
+	got_clear(&g);
+	restart(&r);
+	g = run_call(&r, spec_new(&r, false, "call-3"));
+	g_assert_cmpint(g.end->outcome, ==, CALL_DONE);
+	g_assert_cmpint(ran(&r, "call-3"), ==, 1);
+	got_clear(&g);
+	rig_stop(&r);
+}
+
 static bool
 was_cancelled(void *user)
 {
@@ -610,6 +652,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/endpoint/nobody-there", nobody_there);
+	g_test_add_func("/endpoint/engine-dies", engine_dies);
 	g_test_add_func("/endpoint/resumed", cut_stream_is_resumed);
 	g_test_add_func("/endpoint/cancel", cancel_reaches_the_engine);
 	g_test_add_func("/endpoint/slow-reader", slow_reader_loses_nothing);
