--- a/entry/entry.c
+++ b/entry/entry.c
@@ -71,8 +71,8 @@
 	free(ev);
 }
 
-static void
-take_view(entry_t *en)
+void
+entry_take_view(entry_t *en)
 {
 	view_t *v = client_view(en->client);
 
@@ -97,7 +97,7 @@
 
 		if (a->kind == ANSWER_VIEW) {
 			answer_free(a);
-			take_view(en);
+			entry_take_view(en);
 		} else {
 			on_answer(en, a);
 		}
--- a/entry/route.h
+++ b/entry/route.h
@@ -121,6 +121,9 @@
 	int nroutes;	 /* atomic copy of the routes' number */
 };
 
+/** Go on with the client's latest view. entry.c */
+void entry_take_view(entry_t *en);
+
 /* route.c: the life of a route. */
 void route_new(entry_t *en, call_t *call);
 route_t *route_get(entry_t *en, handle_t h);
--- a/peer/member.c
+++ b/peer/member.c
@@ -147,10 +147,13 @@
 static void
 entry_hello(node_t *n, conn_t *c, const Wire__Hello *h)
 {
-	if (c->role == CONN_STRANGER)
-		__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
-	c->role = CONN_ENTRY;
-	str_copy(c->peer, sizeof(c->peer), h->member->id);
+	if (c->role == CONN_STRANGER) {
+		c->role = CONN_ENTRY;
+		str_copy(c->peer, sizeof(c->peer), h->member->id);
+		/* A planned stop waits for its own entryd, not for others. */
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+	}
 	c->relay.number = h->catalogue;
 	c->relay.wanted = h->views;
 	if (h->views)
@@ -293,7 +296,8 @@
 	member_t *r = store_find(n->store, c->peer);
 
 	if (c->role == CONN_ENTRY) {
-		__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
 		brokers_conn_gone(n->brokers, c->handle);
 		return;
 	}
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -93,7 +93,7 @@
 bool node_is_parent(node_t *n);
 /** The claims thread comes after the node it answers, and goes before it. */
 void node_set_claims(node_t *n, claims_t *c);
-/** entryds connected to it now. */
+/** Connections that its own instance's entryd has to it now. */
 int node_entries(node_t *n);
 /** Say we are leaving; entries and brokers are told. */
 void node_leave(node_t *n);
--- /dev/null
+++ b/tests/leave_proc.c
@@ -0,0 +1,205 @@
+/* A leaving instance gets no new work; a planned stop cuts nothing. */
+#include "tests/system.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum {
+	CALL_MS = 30000,
+	NO_NEW_WORK_MS = 3000, /* after the signal */
+	STOP_MS = 30000,
+	CHATS = 8,
+	TOKENS = 500,
+};
+
+typedef struct chat {
+	const char *addr;
+	char prompt[64];
+	outcome_t got;
+	GThread *thread;
+} chat_t;
+
+static gpointer
+run_chat(gpointer arg)
+{
+	chat_t *c = arg;
+
+	c->got = system_chat(c->addr, "m0", c->prompt, TOKENS, CALL_MS);
+	return NULL;
+}
+
+static gpointer
+run_plain(gpointer arg)
+{
+	chat_t *c = arg;
+
+	c->got = system_plain(c->addr, "/slow", c->prompt, CALL_MS);
+	return NULL;
+}
+
+static system_t *
+bed(void)
+{
+	system_opts_t o = { .nentry = 3,
+		.ndomain = 3,
+		.nengine = 3,
+		.nservice = 2,
+		.token_ms = 10,
+		.work_ms = 2000 };
+	system_t *s = system_start(&o);
+
+	system_first_note(s, 1, 0);
+	return s;
+}
+
+static void
+start_load(chat_t *c, const char *addr, const char *name)
+{
+	int i;
+
+	for (i = 0; i < CHATS; i++) {
+		c[i].addr = addr;
+		snprintf(c[i].prompt, sizeof(c[i].prompt), "%s-%d", name, i);
+		c[i].thread = g_thread_new(
+		    "load", i % 4 == 3 ? run_plain : run_chat, &c[i]);
+	}
+}
+
+static void
+check_load(chat_t *c)
+{
+	int i;
+
+	for (i = 0; i < CHATS; i++) {
+		g_thread_join(c[i].thread);
+		g_test_message("%s: %d %s tokens=%d", c[i].prompt,
+		    c[i].got.status, c[i].got.code, c[i].got.tokens);
+		g_assert_cmpint(c[i].got.status, ==, 200);
+		g_assert_true(c[i].got.whole);
+	}
+}
+
+/* Does the list that this entry gives name an address? */
+static bool
+names(const char *entry, const char *addr)
+{
+	reply_t r = http_call("GET", entry, "/v1/entries", NULL, NULL, CALL_MS);
+	bool found = strstr(r.body, addr) != NULL;
+
+	reply_clear(&r);
+	return found;
+}
+
+static void
+stop_entry(system_t *s, int n)
+{
+	proc_signal(s->entry[n].entryd, SIGTERM);
+	proc_signal(s->entry[n].controld, SIGTERM);
+}
+
+/* The list goes on saying "live"; callers hold the old address. */
+static void
+leaving_entry(void)
+{
+	system_t *s = bed();
+	chat_t c[CHATS];
+	outcome_t got;
+	ms_t from, gone = 0;
+
+	start_load(c, s->entry[0].caller, "leave");
+	clock_sleep(300);
+	from = clock_now(&machine_clock);
+	stop_entry(s, 0);
+	while (clock_now(&machine_clock) - from < NO_NEW_WORK_MS) {
+		if (gone == 0 && !names(s->entry[1].caller, s->entry[0].caller))
+			gone = clock_now(&machine_clock) - from;
+		clock_sleep(20);
+	}
+	g_test_message("left the list after %" PRId64 " ms", gone);
+	g_assert_cmpint(gone, >, 0);
+	g_assert_cmpint(gone, <=, 2000);
+	got = system_chat(s->entry[0].caller, "m0", "late", 5, CALL_MS);
+	g_test_message("told: %d %s %s", got.status, got.code, got.ran);
+	g_assert_true(got.status == 0 ||
+		      (got.status == 503 && strcmp(got.ran, "no") == 0));
+	check_load(c);
+	g_assert_true(proc_ended(s->entry[0].entryd, STOP_MS));
+	g_assert_true(proc_ended(s->entry[0].controld, STOP_MS));
+	g_assert_cmpint(s->entry[0].entryd->status, ==, 0);
+	g_assert_cmpint(s->entry[0].controld->status, ==, 0);
+	got = system_chat(s->entry[1].caller, "m0", "after", 5, CALL_MS);
+	g_assert_true(got.whole);
+	system_stop(s);
+}
+
+/* With the platform away, and two at once. */
+static void
+two_stops_in_an_outage(void)
+{
+	system_t *s = bed();
+	chat_t c[CHATS], d[CHATS];
+	int i;
+
+	start_load(c, s->entry[0].caller, "two-a");
+	start_load(d, s->entry[1].caller, "two-b");
+	clock_sleep(500);
+	system_fault(s->platform_addr, "{\"outage_ms\":-1}");
+	stop_entry(s, 0);
+	stop_entry(s, 1);
+	check_load(c);
+	check_load(d);
+	system_fault(s->platform_addr, "{\"outage_ms\":0}");
+	for (i = 0; i < 2; i++) {
+		g_assert_true(proc_ended(s->entry[i].entryd, STOP_MS));
+		g_assert_true(proc_ended(s->entry[i].controld, STOP_MS));
+	}
+	system_stop(s);
+}
+
+static void
+post_leave(system_t *s, int worker)
+{
+	reply_t r = http_call("POST", s->worker[worker].addr, "/control/leave",
+	    NULL, "{}", CALL_MS);
+
+	g_assert_cmpint(r.status / 100, ==, 2);
+	reply_clear(&r);
+}
+
+/* A worker leaves by its own word while the list lags. */
+static void
+leaving_worker(void)
+{
+	system_t *s = bed();
+	chat_t c[CHATS];
+	int64_t before, after;
+	outcome_t got;
+	int i;
+
+	start_load(c, s->entry[0].caller, "worker");
+	clock_sleep(300);
+	post_leave(s, 0);
+	clock_sleep(NO_NEW_WORK_MS);
+	before = system_figure(s->worker[0].addr, "/control/record", "started");
+	for (i = 0; i < 30; i++) {
+		got = system_chat(
+		    s->entry[i % 3].caller, "m0", "new", 3, CALL_MS);
+		g_assert_true(got.whole);
+	}
+	after = system_figure(s->worker[0].addr, "/control/record", "started");
+	g_assert_cmpint(before, >=, 0);
+	g_assert_cmpint(after, ==, before);
+	check_load(c);
+	system_stop(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/leave/entry", leaving_entry);
+	g_test_add_func("/leave/two-in-an-outage", two_stops_in_an_outage);
+	g_test_add_func("/leave/worker", leaving_worker);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/once_proc.c
@@ -0,0 +1,275 @@
+/* A call that may run once runs at most once, and "not run" is true. */
+#include "tests/system.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum {
+	CALL_MS = 15000,
+	KEYS = 10,
+	RACERS = 6,
+	WORK_MS = 60
+};
+
+typedef struct plain {
+	const char *addr;
+	char key[64];
+	outcome_t got;
+	GThread *thread;
+} plain_t;
+
+static gpointer
+run_plain(gpointer arg)
+{
+	plain_t *p = arg;
+
+	p->got = system_plain(
+	    p->addr, "/enrol", p->key[0] == '\0' ? NULL : p->key, CALL_MS);
+	return NULL;
+}
+
+static void
+start_plain(plain_t *p, const char *addr, const char *key)
+{
+	memset(p, 0, sizeof(*p));
+	p->addr = addr;
+	str_copy(p->key, sizeof(p->key), key);
+	p->thread = g_thread_new("plain", run_plain, p);
+}
+
+static system_t *
+bed(void)
+{
+	system_opts_t o = {
+		.nentry = 3, .ndomain = 3, .nservice = 3, .work_ms = WORK_MS
+	};
+
+	return system_start(&o);
+}
+
+/* What the caller was told against what the services recorded. */
+static void
+check_told(system_t *s, const plain_t *p)
+{
+	int runs = system_runs(s, p->key);
+
+	g_test_message("%s: %d %s ran=%s, ran %d times", p->key, p->got.status,
+	    p->got.code, p->got.ran, runs);
+	g_assert_cmpint(runs, <=, 1);
+	if (strcmp(p->got.ran, "no") == 0)
+		g_assert_cmpint(runs, ==, 0);
+	if (p->got.status == 200)
+		g_assert_cmpint(runs, ==, 1);
+}
+
+static void
+same_key_at_once(void)
+{
+	system_t *s = bed();
+	plain_t p[RACERS];
+	char key[64];
+	int i, k, done;
+
+	for (k = 0; k < KEYS; k++) {
+		snprintf(key, sizeof(key), "race-%d", k);
+		for (i = 0; i < RACERS; i++)
+			start_plain(&p[i], s->entry[i % s->nentry].caller, key);
+		for (i = done = 0; i < RACERS; i++) {
+			g_thread_join(p[i].thread);
+			done += p[i].got.status == 200;
+			/* Told to come back, or the first one's answer. */
+			g_assert_true(p[i].got.status == 200 ||
+				      strcmp(p[i].got.code, "running") == 0);
+		}
+		g_assert_cmpint(done, >=, 1);
+		g_assert_cmpint(system_runs(s, key), ==, 1);
+	}
+	system_stop(s);
+}
+
+/* A fault that comes at some moment of each call's life. */
+typedef void fault_fn_t(system_t *s);
+
+static void
+lost_replies(system_t *s)
+{
+	system_fault(s->platform_addr, "{\"drop_replies\":3}");
+}
+
+static void
+platform_away(system_t *s)
+{
+	system_fault(s->platform_addr, "{\"outage_ms\":1500}");
+}
+
+static void
+platform_slow(system_t *s)
+{
+	system_fault(s->platform_addr, "{\"delay_ms\":300}");
+}
+
+static void
+entry_killed(system_t *s)
+{
+	proc_signal(s->entry[0].entryd, SIGKILL);
+}
+
+static void
+controld_killed(system_t *s)
+{
+	proc_signal(s->entry[1].controld, SIGKILL);
+}
+
+static void
+controld_frozen(system_t *s)
+{
+	proc_signal(s->entry[1].controld, SIGSTOP);
+}
+
+static void
+service_drops_replies(system_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->nworker; i++)
+		system_fault(s->worker[i].addr, "{\"drop_replies\":2}");
+}
+
+static void
+service_killed(system_t *s)
+{
+	/* Its record is gone with it: only the others' can be checked. */
+	proc_signal(s->worker[0].proc, SIGSTOP);
+}
+
+static const struct {
+	const char *name;
+	fault_fn_t *fault;
+} faults[] = {
+	{ "platform-reply-lost", lost_replies },
+	{ "platform-away", platform_away },
+	{ "platform-slow", platform_slow },
+	{ "entry-killed", entry_killed },
+	{ "controld-killed", controld_killed },
+	{ "controld-frozen", controld_frozen },
+	{ "service-reply-lost", service_drops_replies },
+	{ "service-frozen", service_killed },
+};
+
+/* Moments after the call was sent, ms. */
+static const int moments[] = { 0, 5, 20, 50 };
+
+static void
+recover(system_t *s)
+{
+	int i;
+
+	system_fault(s->platform_addr, "{\"outage_ms\":0,\"delay_ms\":0,"
+				       "\"drop_replies\":0}");
+	for (i = 0; i < s->nentry; i++) {
+		proc_signal(s->entry[i].controld, SIGCONT);
+		if (proc_ended(s->entry[i].controld, 0))
+			system_start_controld(s, i);
+		if (proc_ended(s->entry[i].entryd, 0))
+			system_start_entryd(s, i);
+	}
+	for (i = 0; i < s->nworker; i++) {
+		proc_signal(s->worker[i].proc, SIGCONT);
+		system_fault(s->worker[i].addr, "{\"drop_replies\":0}");
+	}
+	for (i = 0; i < s->nentry; i++)
+		g_assert_true(
+		    http_until(s->entry[i].caller, "/readyz", 200, START_MS));
+}
+
+static void
+fault_at_a_moment(gconstpointer arg)
+{
+	size_t f = GPOINTER_TO_SIZE(arg), m;
+	system_t *s = bed();
+	plain_t p[3], again;
+	int i;
+
+	for (m = 0; m < G_N_ELEMENTS(moments); m++) {
+		for (i = 0; i < 3; i++) {
+			char key[64];
+
+			snprintf(key, sizeof(key), "%s-%zu-%d", faults[f].name,
+			    m, i);
+			start_plain(&p[i], s->entry[i].caller, key);
+		}
+		clock_sleep(moments[m]);
+		faults[f].fault(s);
+		/* The caller asks again elsewhere, as callers do. */
+		start_plain(&again, s->entry[2].caller, p[0].key);
+		g_thread_join(again.thread);
+		for (i = 0; i < 3; i++)
+			g_thread_join(p[i].thread);
+		recover(s);
+		for (i = 0; i < 3; i++) {
+			/* "no" to one of two calls says nothing of the
+			 * other's run. */
+			if (i == 0)
+				g_assert_cmpint(
+				    system_runs(s, p[0].key), <=, 1);
+			else
+				check_told(s, &p[i]);
+		}
+		/* Once all is well, asking again settles it. */
+		for (i = 0; i < 3; i++) {
+			outcome_t last = system_plain(
+			    s->entry[2].caller, "/enrol", p[i].key, CALL_MS);
+
+			g_test_message("%s again: %d %s ran=%s", p[i].key,
+			    last.status, last.code, last.ran);
+			g_assert_cmpint(system_runs(s, p[i].key), <=, 1);
+			if (last.status == 200)
+				g_assert_cmpint(
+				    system_runs(s, p[i].key), ==, 1);
+		}
+	}
+	system_stop(s);
+}
+
+/* Without a key nothing can be remembered: still never sent twice by us. */
+static void
+calls_without_a_key(void)
+{
+	system_t *s = bed();
+	int64_t before = 0, after = 0;
+	outcome_t got;
+	int i, k, told_not_run = 0, calls = 20;
+
+	for (i = 0; i < s->nworker; i++)
+		before += system_figure(
+		    s->worker[i].addr, "/control/record", "started");
+	service_drops_replies(s);
+	for (k = 0; k < calls; k++) {
+		got = system_plain(s->entry[k % 3].caller, "/x", NULL, CALL_MS);
+		told_not_run += strcmp(got.ran, "no") == 0;
+	}
+	for (i = 0; i < s->nworker; i++)
+		after += system_figure(
+		    s->worker[i].addr, "/control/record", "started");
+	g_assert_cmpint(after - before, ==, calls - told_not_run);
+	system_stop(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/once/same-key-at-once", same_key_at_once);
+	g_test_add_func("/once/no-key", calls_without_a_key);
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		char *name = g_strdup_printf("/once/%s", faults[i].name);
+
+		g_test_add_data_func(
+		    name, GSIZE_TO_POINTER(i), fault_at_a_moment);
+		g_free(name);
+	}
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/own_proc.c
@@ -0,0 +1,232 @@
+/* Each caller gets the whole of its own answer, whatever breaks. */
+#include "tests/system.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum {
+	CALL_MS = 20000,
+	CALLS = 12,
+	TOKENS = 120
+};
+
+typedef struct chat {
+	const char *addr;
+	char prompt[64];
+	outcome_t got;
+	GThread *thread;
+} chat_t;
+
+static gpointer
+run_chat(gpointer arg)
+{
+	chat_t *c = arg;
+
+	c->got = system_chat(c->addr, "m0", c->prompt, TOKENS, CALL_MS);
+	return NULL;
+}
+
+static void
+start_chats(system_t *s, chat_t *c, int n, int nentry, const char *name)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		c[i].addr = s->entry[i % nentry].caller;
+		snprintf(c[i].prompt, sizeof(c[i].prompt), "%s-%d", name, i);
+		c[i].thread = g_thread_new("chat", run_chat, &c[i]);
+	}
+}
+
+static void
+join_chats(chat_t *c, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_thread_join(c[i].thread);
+}
+
+static system_t *
+bed(void)
+{
+	system_opts_t o = { .nengine = 4, .token_ms = 10 };
+	system_t *s = system_start(&o);
+
+	system_first_note(s, 1, 0);
+	return s;
+}
+
+/* What the engine does wrong; each stream must still come whole. */
+static void
+broken_streams_go_on(void)
+{
+	static const char *const faults[] = {
+		"{\"cut_after\":40}",
+		"{\"cross_events\":5}",
+		"{\"double_events\":5}",
+		"{\"no_end\":1}",
+	};
+	system_t *s = bed();
+	chat_t c[CALLS];
+	size_t f;
+	int i;
+
+	for (f = 0; f < G_N_ELEMENTS(faults); f++) {
+		memset(c, 0, sizeof(c));
+		system_fault(s->worker[0].addr, faults[f]);
+		start_chats(s, c, CALLS, 2, "broken");
+		join_chats(c, CALLS);
+		for (i = 0; i < CALLS; i++) {
+			g_test_message("%s %d: %d tokens=%d %s", faults[f], i,
+			    c[i].got.status, c[i].got.tokens, c[i].got.code);
+			g_assert_false(c[i].got.foreign);
+			g_assert_true(c[i].got.whole);
+		}
+		system_fault(s->worker[0].addr,
+		    "{\"cut_after\":0,\"cross_events\":0,"
+		    "\"double_events\":0,\"no_end\":0}");
+	}
+	system_stop(s);
+}
+
+static int
+busiest(system_t *s)
+{
+	int64_t most = -1, n;
+	int i, at = 0;
+
+	for (i = 0; i < s->o.nengine; i++) {
+		n = system_figure(s->worker[i].addr, "/v1/load", "in_flight");
+		if (n > most) {
+			most = n;
+			at = i;
+		}
+	}
+	return at;
+}
+
+static void
+worker_lost(int sig)
+{
+	system_t *s = bed();
+	chat_t c[CALLS] = { 0 };
+	int i, at;
+
+	start_chats(s, c, CALLS, 2, sig == SIGKILL ? "killed" : "frozen");
+	clock_sleep(400);
+	at = busiest(s);
+	proc_signal(s->worker[at].proc, sig);
+	join_chats(c, CALLS);
+	for (i = 0; i < CALLS; i++) {
+		g_test_message("%d: %d tokens=%d %s", i, c[i].got.status,
+		    c[i].got.tokens, c[i].got.code);
+		g_assert_true(c[i].got.whole);
+	}
+	proc_signal(s->worker[at].proc, SIGCONT);
+	system_stop(s);
+}
+
+static void
+killed_worker(void)
+{
+	worker_lost(SIGKILL);
+}
+
+static void
+frozen_worker(void)
+{
+	worker_lost(SIGSTOP);
+}
+
+/* A killed entry cuts its streams; each goes on at another entry. */
+static void
+killed_entry(void)
+{
+	system_t *s = bed();
+	chat_t c[CALLS] = { 0 };
+	int i, cut = 0;
+
+	start_chats(s, c, CALLS, 1, "entry");
+	clock_sleep(400);
+	proc_signal(s->entry[0].entryd, SIGKILL);
+	join_chats(c, CALLS);
+	for (i = 0; i < CALLS; i++) {
+		outcome_t rest = { 0 };
+		char *full, *id, *body;
+		reply_t r;
+
+		g_assert_false(c[i].got.foreign);
+		if (c[i].got.whole || c[i].got.tokens == 0)
+			continue;
+		cut++;
+		full = g_strdup_printf("%s#%d", c[i].prompt, TOKENS);
+		id = g_strdup_printf("Last-Event-ID: %s", c[i].got.last_id);
+		body = g_strdup_printf(
+		    "{\"model\":\"m0\",\"stream\":true,\"max_tokens\":%d,"
+		    "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+		    TOKENS, full);
+		/* Either way of going on gives the rest. */
+		if (i % 2 == 0)
+			r = http_call("GET", s->entry[1].caller, "/v1/resume",
+			    id, NULL, CALL_MS);
+		else
+			r = http_call("POST", s->entry[1].caller,
+			    "/v1/chat/completions", id, body, CALL_MS);
+		g_test_message("%d: cut after %d, resumed %d", i,
+		    c[i].got.tokens, r.status);
+		g_assert_cmpint(r.status, ==, 200);
+		outcome_check(&rest, r.body, full, c[i].got.tokens, TOKENS);
+		g_assert_true(rest.whole);
+		reply_clear(&r);
+		g_free(full);
+		g_free(id);
+		g_free(body);
+	}
+	g_assert_cmpint(cut, >, 0);
+	system_stop(s);
+}
+
+static void
+foreign_tokens_are_refused(void)
+{
+	system_t *s = bed();
+	outcome_t a =
+	    system_chat(s->entry[0].caller, "m0", "mine", 20, CALL_MS);
+	char *id;
+	reply_t r;
+
+	g_assert_true(a.whole);
+	/* Another's token with one's own prompt. */
+	id = g_strdup_printf("Last-Event-ID: %s", a.last_id);
+	r = http_call("POST", s->entry[1].caller, "/v1/chat/completions", id,
+	    "{\"model\":\"m0\",\"stream\":true,\"messages\":[{\"role\":"
+	    "\"user\",\"content\":\"yours\"}]}",
+	    CALL_MS);
+	g_assert_cmpint(r.status, ==, 400);
+	g_assert_nonnull(strstr(r.body, "bad_token"));
+	reply_clear(&r);
+	g_free(id);
+	/* A forged one. */
+	a.last_id[0] ^= 1;
+	id = g_strdup_printf("Last-Event-ID: %s", a.last_id);
+	r = http_call(
+	    "GET", s->entry[1].caller, "/v1/resume", id, NULL, CALL_MS);
+	g_assert_cmpint(r.status, ==, 400);
+	reply_clear(&r);
+	g_free(id);
+	system_stop(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/own/broken-streams", broken_streams_go_on);
+	g_test_add_func("/own/killed-worker", killed_worker);
+	g_test_add_func("/own/frozen-worker", frozen_worker);
+	g_test_add_func("/own/killed-entry", killed_entry);
+	g_test_add_func("/own/foreign-tokens", foreign_tokens_are_refused);
+	return g_test_run();
+}
