In force counts every entryd that follows a controld, and entries route by their newest view

Cause: right after 'in force' an entry answered 404 unknown_model (seen in /leave/two-in-an-outage and /own/frozen-worker). An entryd whose own controld was slow to start follows a neighbour's, and nobody counted it; and the router took a new view only when told of it. Ruled out: waiting some time before saying 'in force' - the entry may lag for longer. Change: a node's in_force is the least of its own and of each entryd's that takes views from it; the router takes the newest view at each call.

--- a/entry/route.c
+++ b/entry/route.c
@@ -147,8 +147,8 @@
 		    "this entry is leaving; ask another of /v1/entries");
 		return false;
 	}
-	if (en->view == NULL)
-		entry_take_view(en);
+	/* What was told to be in force is routed by, news or not. */
+	entry_take_view(en);
 	if (en->view == NULL || en->view->catalogue == NULL) {
 		refuse(call, 503, "not_ready", 1000,
 		    "this entry doesn't know the catalogue yet");
--- a/peer/member.c
+++ b/peer/member.c
@@ -622,10 +622,13 @@
 	uint64_t number = n->catalogue->number;
 	conn_t *c;
 
-	/* In force on an instance means: its entryds route by it too. */
+	/*
+	 * In force means: the entryds that follow us route by it too. One
+	 * whose own controld is away follows a neighbour's.
+	 */
 	for (c = net_first(n->net); c != NULL; c = c->next)
 		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
-		    is_self(n, c->peer) && c->relay.number < number)
+		    c->relay.wanted && c->relay.number < number)
 			number = c->relay.number;
 	if (number > n->me.in_force)
 		n->me.in_force = number;
