--- a/peer/member.c
+++ b/peer/member.c
@@ -126,10 +126,13 @@
 static void
 entry_hello(node_t *n, conn_t *c, const Wire__Hello *h)
 {
-	if (c->role == CONN_STRANGER)
-		__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
-	c->role = CONN_ENTRY;
-	str_copy(c->peer, sizeof(c->peer), h->member->id);
+	if (c->role == CONN_STRANGER) {
+		c->role = CONN_ENTRY;
+		str_copy(c->peer, sizeof(c->peer), h->member->id);
+		/* A planned stop waits for its own entryd, not for others. */
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+	}
 	c->relay.number = h->catalogue;
 	c->relay.wanted = h->views;
 	if (h->views)
@@ -272,7 +275,8 @@
 	member_t *r = store_find(n->store, c->peer);
 
 	if (c->role == CONN_ENTRY) {
-		__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
 		brokers_conn_gone(n->brokers, c->handle);
 		return;
 	}
@@ -394,10 +398,13 @@
 	uint64_t number = n->catalogue->number;
 	conn_t *c;
 
-	/* In force on an instance means: its entryds route by it too. */
+	/*
+	 * In force means: the entryds that follow us route by it too. One
+	 * whose own controld is away follows a neighbour's.
+	 */
 	for (c = net_first(n->net); c != NULL; c = c->next)
 		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
-		    is_self(n, c->peer) && c->relay.number < number)
+		    c->relay.wanted && c->relay.number < number)
 			number = c->relay.number;
 	if (number > n->me.in_force)
 		n->me.in_force = number;
