--- a/bench/peerslope.c
+++ b/bench/peerslope.c
@@ -21,10 +21,10 @@
 	FLEET_REPORT_MS = 2000,
 	SETTLE_MS = 60000,
 	WARM_MS = 3000,
+	FLEET_WARM_MS = 10000,
 	RUN_MS = 10000,
-	BIG_NODES = 5,	    /* the last alone in its domain */
-	BIG_ENTRIES = 1100, /* the fleet's size to come */
-	BIG_WORKERS = 10000,
+	BIG_NODES = 5,	     /* the last alone in its domain */
+	BIG_WORKERS = 10000, /* the fleet to come */
 	ASKS = 20000,
 	ASK_PORTS = 20000, /* the first of the ports used */
 };
@@ -91,6 +91,8 @@
 	str_copy(s->instance.id, ID_MAX, e->id);
 	str_copy(s->instance.domain, ID_MAX, e->domain);
 	str_copy(s->instance.peer_addr, ADDR_MAX, e->peer_addr);
+	if (i > 0)
+		str_copy(s->peer.seeds, SEEDS_MAX, set[0].instance.peer_addr);
 	str_copy(s->instance.caller_addr, ADDR_MAX, e->peer_addr);
 	str_copy(s->instance.operator_addr, ADDR_MAX, e->peer_addr);
 }
@@ -266,7 +268,7 @@
 	start(nodes, entries, workers, domain);
 	while (!settled(nodes) && clock_now(&machine_clock) < end)
 		clock_sleep(REPORT_MS);
-	run_for(nodes, WARM_MS, &rng);
+	run_for(nodes, list.n > BIG_WORKERS ? FLEET_WARM_MS : WARM_MS, &rng);
 	for (i = 0; i < nodes; i++)
 		look(i, &before[i]);
 	run_for(nodes, RUN_MS, &rng);
@@ -333,17 +335,24 @@
 	static const int nodes[] = { 9, 18, 36, 72, 144 };
 	size_t i, n = sizeof(nodes) / sizeof(nodes[0]);
 
-	if (argc > 1)
+	bool fleet = argc > 1 && strcmp(argv[1], "fleet") == 0;
+
+	/* Alone in its process, for the memory's sake. */
+	if (fleet)
+		n = 0;
+	else if (argc > 1)
 		n = (size_t)strtoul(argv[1], NULL, 10);
 	log_level(LOG_ERR);
 	printf("what,nodes,workers,role,count,frames_in_s,frames_out_s,"
 	       "kb_in_s,kb_out_s,cpu_percent,process_rss_kb\n");
 	for (i = 0; i < n && i < sizeof(nodes) / sizeof(nodes[0]); i++)
 		point("nodes", nodes[i], nodes[i], nodes[i] * WORKERS_EACH, -1);
+	if (!fleet && argc > 1)
+		return 0;
 	/* All workers are the last node's: the others only hear of them. */
 	point(
 	    "few", BIG_NODES, BIG_NODES, BIG_NODES * WORKERS_EACH, DOMAINS - 1);
-	point("fleet", BIG_NODES, BIG_ENTRIES, BIG_WORKERS, DOMAINS - 1);
+	point("fleet", BIG_NODES, BIG_NODES, BIG_WORKERS, DOMAINS - 1);
 	asks();
 	return 0;
 }
--- a/peer/client.c
+++ b/peer/client.c
@@ -62,6 +62,7 @@
 	bool leaving;
 	bool load_told;
 	uint64_t number_told;
+	uint64_t shown; /* catalogue number of the published view */
 	rng_t rng;
 
 	pthread_mutex_t lock;
@@ -249,7 +250,7 @@
 	h.entry = true;
 	h.views = views;
 	conn->relay.wanted = views;
-	h.catalogue = c->catalogue->number;
+	h.catalogue = c->shown;
 	send_body(conn, 0, WIRE__FRAME__BODY_HELLO, &h);
 }
 
@@ -398,16 +399,15 @@
 	Wire__Heartbeat h = WIRE__HEARTBEAT__INIT;
 	Wire__Member m = WIRE__MEMBER__INIT;
 
-	if (c->home == NULL ||
-	    (c->load_told && c->number_told == c->catalogue->number))
+	if (c->home == NULL || (c->load_told && c->number_told == c->shown))
 		return;
 	m.id = (char *)c->set->instance.id;
 	m.load = c->load;
 	m.leaving = c->leaving;
 	h.member = &m;
-	h.catalogue = c->catalogue->number;
+	h.catalogue = c->shown;
 	c->load_told = true;
-	c->number_told = c->catalogue->number;
+	c->number_told = c->shown;
 	send_body(c->home, 0, WIRE__FRAME__BODY_HEARTBEAT, &h);
 }
 
@@ -420,6 +420,7 @@
 	ms_t cost;
 
 	c->publish = false;
+	c->shown = c->catalogue->number;
 	pthread_mutex_lock(&c->lock);
 	old = c->view;
 	c->view = v;
--- a/peer/member.c
+++ b/peer/member.c
@@ -312,7 +312,7 @@
 	int i, ns = 0;
 
 	for (c = net_first(n->net); c != NULL; c = c->next)
-		if (c->role == CONN_NODE || c->dialled)
+		if (c->role == CONN_NODE)
 			return;
 	if (n->set->peer.seeds[0] == '\0' || n->now < n->seed_at)
 		return;
