A port belongs to one process; an entry behind says so; in force may fall

Cause: tests failed now and then with 503 not_ready or no answer right after all was ready. Two test programs at once could listen on one port, because libmicrohttpd's address reuse option is SO_REUSEPORT; callers then reached the other's daemons. An old and a new entryd on one instance would share callers in the same silent way. Apart from that, a node's in_force stayed up when an entryd with an older catalogue came to it. Ruled out: slow starts (both sides' /readyz had been awaited). Change: the daemons' and stand-ins' ports are exclusive; tests keep a UDP socket on the ports they took, so that others pass over them; in_force is recomputed when an entryd comes or tells its number; an entry that knows a newer number answers 503 'behind' instead of 404; a model's first token and a resumed stream have limits of their own, so that a frozen worker is left after its promise instead of the whole call's time.

--- a/bench/freeports.c
+++ b/bench/freeports.c
@@ -11,20 +11,28 @@
 };
 
 static bool
-is_free(int port)
+can_bind(int type, int port)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 		.sin_port = htons(port),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1, fd = socket(AF_INET, type, 0);
 	bool ok;
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	ok = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
 	close(fd);
 	return ok;
 }
 
+/* Tests keep the UDP port of the same number for those they took. */
+static bool
+is_free(int port)
+{
+	return can_bind(SOCK_DGRAM, port) && can_bind(SOCK_STREAM, port);
+}
+
 /* Print as many ports that nobody listens on as are asked for. */
 int
 main(int argc, char **argv)
--- a/caller/server.c
+++ b/caller/server.c
@@ -359,7 +359,7 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned)((o->settings->caller.idle_ms + 999) / 1000),
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	    MHD_OPTION_END);
 	if (s->daemon == NULL) {
 		err_set(e, ERR_DOWN, "can't listen on %s",
 		    o->settings->instance.caller_addr);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -83,6 +83,8 @@
 	holders_free(en->holders);
 	view_unref(en->view);
 	en->view = v;
+	/* Once ready, an older catalogue serves until the next is here. */
+	en->ready = en->ready || entry_view_ready(v);
 	en->holders = v == NULL ? NULL : holders_new(v);
 }
 
--- a/entry/pages.c
+++ b/entry/pages.c
@@ -96,6 +96,14 @@
 	return text;
 }
 
+bool
+entry_view_ready(const view_t *v)
+{
+	return v != NULL && v->catalogue != NULL && v->wire->n_member > 0 &&
+	       v->wire->workers_known &&
+	       v->catalogue->number >= v->wire->catalogue;
+}
+
 static bool
 ready(void *user)
 {
--- a/entry/route.c
+++ b/entry/route.c
@@ -5,7 +5,8 @@
 
 enum {
 	PREFIX_BYTES = 256,
-	LEAVING_RETRY_MS = 100
+	LEAVING_RETRY_MS = 100,
+	BEHIND_RETRY_MS = 100
 };
 
 route_t *
@@ -59,6 +60,11 @@
 	if (q->kind != REQUEST_PLAIN) {
 		a = catalogue_adapter(c, q->model);
 		m = catalogue_model(c, a != NULL ? a->model : q->model);
+		if (m == NULL && c->number < en->view->wire->catalogue) {
+			refuse(call, 503, "behind", BEHIND_RETRY_MS,
+			    "this entry is taking a newer catalogue");
+			return false;
+		}
 		if (m == NULL && catalogue_withdrawn(c, q->model)) {
 			refuse(call, 410, "withdrawn", 0,
 			    "this model has been withdrawn");
@@ -149,7 +155,7 @@
 	}
 	/* What was told to be in force is routed by, news or not. */
 	entry_take_view(en);
-	if (en->view == NULL || en->view->catalogue == NULL) {
+	if (!en->ready) {
 		refuse(call, 503, "not_ready", 1000,
 		    "this entry doesn't know the catalogue yet");
 		return false;
--- a/entry/route.h
+++ b/entry/route.h
@@ -113,6 +113,7 @@
 	table_t *routes;  /* of route_t * */
 	table_t *pending; /* of pending_t */
 	view_t *view;
+	bool ready; /* had a whole view once */
 	holders_t *holders;
 	rng_t rng;
 	budget_t budget;
@@ -177,6 +178,8 @@
 bool resume_decode(const char *secret, const char *text, resume_t *t);
 
 /* pages.c: what callers may read without a call. */
+/** Does the view come from a controld, whole and with its catalogue? */
+bool entry_view_ready(const view_t *v);
 pages_t entry_pages(entry_t *en);
 
 #endif
--- a/entry/run.c
+++ b/entry/run.c
@@ -5,7 +5,6 @@
 
 enum {
 	BUSY_RETRY_MS = 500,
-	STALLS = 2, /* promises without a token: the stream is broken */
 };
 
 static void
@@ -32,7 +31,11 @@
 	s->max_tokens = q->max_tokens;
 	s->offset = r->offset;
 	s->rank = q->rank;
-	s->gap = STALLS * r->service->promise_ms;
+	/* A worker that is silent for so long is frozen or cut off. */
+	s->gap = r->service->promise_ms;
+	s->first = 2 * r->service->promise_ms;
+	if (s->resume)
+		s->first = r->service->promise_ms / 2;
 }
 
 static void
--- a/peer/member.c
+++ b/peer/member.c
@@ -144,6 +144,29 @@
 	backoff_reset(&r->backoff);
 }
 
+static void
+set_in_force(node_t *n)
+{
+	uint64_t number = n->catalogue->number;
+	conn_t *c;
+
+	/*
+	 * In force means: the entryds that follow us route by it too. One
+	 * whose own controld is away follows a neighbour's.
+	 */
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
+		    c->relay.wanted && c->relay.number < number)
+			number = c->relay.number;
+	/* It may fall: an entryd that has just come may lag behind. */
+	if (n->me.in_force == number)
+		return;
+	n->me.in_force = number;
+	n->me.seq++;
+	store_member(n->store, &n->me);
+	n->news = true;
+}
+
 static void
 entry_hello(node_t *n, conn_t *c, const Wire__Hello *h)
 {
@@ -156,6 +179,7 @@
 	}
 	c->relay.number = h->catalogue;
 	c->relay.wanted = h->views;
+	set_in_force(n);
 	if (h->views)
 		relay_fill(n, c, true);
 }
@@ -214,6 +238,7 @@
 entry_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h)
 {
 	c->relay.number = h->catalogue;
+	set_in_force(n);
 	if (!is_self(n, c->peer) || h->member == NULL)
 		return;
 	n->me.load = h->member->load;
@@ -616,24 +641,6 @@
 	}
 }
 
-static void
-set_in_force(node_t *n)
-{
-	uint64_t number = n->catalogue->number;
-	conn_t *c;
-
-	/*
-	 * In force means: the entryds that follow us route by it too. One
-	 * whose own controld is away follows a neighbour's.
-	 */
-	for (c = net_first(n->net); c != NULL; c = c->next)
-		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
-		    c->relay.wanted && c->relay.number < number)
-			number = c->relay.number;
-	if (number > n->me.in_force)
-		n->me.in_force = number;
-}
-
 /*
  * Figures are wanted once: from the primary upstream, and by a root from the
  * other domains' root of its own place.
--- a/standin/web.c
+++ b/standin/web.c
@@ -158,8 +158,7 @@
 	    NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR, &sin,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_end, w, MHD_OPTION_CONNECTION_LIMIT,
 	    (unsigned)CONNECTIONS_MOST, MHD_OPTION_CONNECTION_TIMEOUT,
-	    (unsigned)IDLE_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-	    MHD_OPTION_END);
+	    (unsigned)IDLE_S, MHD_OPTION_END);
 	if (w->daemon == NULL) {
 		fprintf(stderr, "can't listen on %s\n", addr);
 		exit(1);
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -103,18 +103,31 @@
 }
 
 static bool
-port_free(int port)
+can_bind(int type, int port, bool keep)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 		.sin_port = htons(port),
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
-	bool is_free;
+	int one = 1, fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	bool good;
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	is_free = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
-	close(fd);
-	return is_free;
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	good = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+	if (!good || !keep)
+		close(fd);
+	return good;
+}
+
+/*
+ * The UDP socket of the same number is kept while this program runs: so it
+ * tells others that run at the same time that the port is taken.
+ */
+static bool
+port_free(int port)
+{
+	return can_bind(SOCK_DGRAM, port, true) &&
+	       can_bind(SOCK_STREAM, port, false);
 }
 
 void
