Notes: a section without keys is refused, not passed over

Cause: '[withdraw adapter x]' without a key vanished: inih reports keys only, so a note could be accepted with a change left out. A real planner showed it: the adapter stayed. A name over inih's 49 bytes was cut in silence too.

--- a/policy/note.c
+++ b/policy/note.c
@@ -224,6 +224,36 @@
 		complain(r, "the note changes nothing");
 }
 
+/*
+ * inih tells of keys only, and cuts long names: a section that it told
+ * nothing of, by its whole name, must not be passed over in silence.
+ */
+static void
+check_sections(reader_t *r, const char *text, size_t len)
+{
+	char *copy = g_strndup(text, len);
+	char **line = g_strsplit(copy, "\n", -1), *end;
+	int i;
+
+	for (i = 0; line[i] != NULL; i++) {
+		g_strstrip(line[i]);
+		end = strchr(line[i], ']');
+		if (line[i][0] != '[' || end == NULL)
+			continue;
+		*end = '\0';
+		if (strcmp(line[i] + 1, "note") == 0 ||
+		    g_hash_table_contains(r->sections, line[i] + 1))
+			continue;
+		r->line = i + 1;
+		complain(r,
+		    "[%s] has no key, or its name is too long: a withdrawal "
+		    "gives its reason",
+		    line[i] + 1);
+	}
+	g_strfreev(line);
+	g_free(copy);
+}
+
 /* Hands the report over, or frees it when nobody wants it or it's empty. */
 static bool
 report_bad(GString *g, char **report, const char *what, err_t *e)
@@ -257,6 +287,7 @@
 			complain(&r, "not an INI line");
 		else
 			check_note(&r);
+		check_sections(&r, text, len);
 	}
 	g_hash_table_destroy(r.sections);
 	g_hash_table_destroy(r.keys);
--- a/tests/note_test.c
+++ b/tests/note_test.c
@@ -107,6 +107,16 @@
 		    "5: unknown section [remove model m1]: [note] or "
 		    "[add|change|withdraw model|adapter NAME] is wanted\n"
 		    "1: the note changes nothing\n" },
+		{ "[note]\nid = x\nbase = 1\n[withdraw adapter a1]\n\n"
+		  "[change model m2]\nversion = 8\n",
+		    "4: [withdraw adapter a1] has no key, or its name is too "
+		    "long: a withdrawal gives its reason\n" },
+		{ "[note]\nid = x\nbase = 1\n[add model "
+		  "m23456789-123456789-123456789-123456789-123456789]\n"
+		  "service = llm\nversion = 1\nmemory_mb = 1\n",
+		    "4: [add model m23456789-123456789-123456789-123456789-"
+		    "123456789] has no key, or its name is too long: a "
+		    "withdrawal gives its reason\n" },
 		{ "[note]\nid = x\nid = y\nbase = 1\n[withdraw model m2]\n"
 		  "reason = r\n",
 		    "3: 'id' stands twice in [note]\n" },
