--- /dev/null
+++ b/tests/claims_proc.c
@@ -0,0 +1,550 @@
+/*
+ * Claims against the platform's stand-in: each fault at each moment. An owner
+ * is a claims_t with its own thread; a gate in its store stops it in the
+ * middle of a commit, as a pause of the process would.
+ */
+#include "platform/platform.h"
+#include "tests/proc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+enum {
+	START_MS = 5000,
+	ANSWER_MS = 5000, /* a hung test fails after this */
+	ASKS_MAX = 512,
+	SERVICE_MS = 1500, /* a call's timeout */
+	AWAY_MS = 1000,	   /* in an outage an answer comes within this */
+};
+
+typedef enum gate {
+	GATE_OPEN,
+	GATE_BEFORE, /* stop before the write goes out */
+	GATE_AFTER,  /* stop after it stands, before its reply is seen */
+	GATE_LOSE,   /* the write stands, its reply and what follows don't */
+} gate_t;
+
+typedef struct owner {
+	claims_t *claims;
+	platform_t *p;
+	GMutex lock;
+	GCond turn;
+	gate_t gate;
+	bool stopped; /* a thread stands at the gate */
+	bool lost;    /* GATE_LOSE: the platform is away since */
+	int nask;
+	bool answered[ASKS_MAX];
+	claim_answer_t answer[ASKS_MAX];
+} owner_t;
+
+typedef struct bench {
+	proc_t *proc;
+	char *addr;
+	settings_t s;
+	owner_t *a, *b;
+} bench_t;
+
+/* A store that a test can stop in. */
+
+static int
+gate_get(void *user, const char *key, object_t *out, err_t *e)
+{
+	owner_t *o = user;
+
+	if (o->lost)
+		return err_set(e, ERR_DOWN, "away");
+	return platform_get(o->p, key, out, e);
+}
+
+static void
+stand_at(owner_t *o, gate_t gate)
+{
+	g_mutex_lock(&o->lock);
+	while (o->gate == gate) {
+		o->stopped = true;
+		g_cond_wait(&o->turn, &o->lock);
+	}
+	o->stopped = false;
+	g_mutex_unlock(&o->lock);
+}
+
+static int
+gate_put(void *user, const char *key, const char *value, size_t len,
+    uint64_t expect, uint64_t *version, err_t *e)
+{
+	owner_t *o = user;
+	int rc;
+
+	if (o->lost)
+		return err_set(e, ERR_DOWN, "away");
+	stand_at(o, GATE_BEFORE);
+	rc = platform_put(o->p, key, value, len, expect, version, e);
+	stand_at(o, GATE_AFTER);
+	if (o->gate == GATE_LOSE) {
+		o->gate = GATE_OPEN;
+		o->lost = true;
+		return err_set(e, ERR_UNKNOWN, "no reply");
+	}
+	return rc;
+}
+
+static void
+set_gate(owner_t *o, gate_t gate)
+{
+	g_mutex_lock(&o->lock);
+	o->gate = gate;
+	g_cond_broadcast(&o->turn);
+	g_mutex_unlock(&o->lock);
+}
+
+static void
+on_answer(void *user, uint64_t tag, const claim_answer_t *a)
+{
+	owner_t *o = user;
+
+	g_mutex_lock(&o->lock);
+	g_assert_false(o->answered[tag]);
+	o->answer[tag] = *a;
+	o->answered[tag] = true;
+	g_mutex_unlock(&o->lock);
+}
+
+static owner_t *
+owner_new(bench_t *b)
+{
+	owner_t *o = g_new0(owner_t, 1);
+	claims_store_t store = { gate_get, gate_put, o };
+	claims_opts_t opts = { .settings = &b->s,
+		.clock = &machine_clock,
+		.done = on_answer,
+		.user = o,
+		.store = &store };
+	platform_opts_t po = { .timeout = b->s.platform.timeout_ms };
+
+	str_copy(po.addr, sizeof(po.addr), b->addr);
+	g_assert_nonnull(o->p = platform_new(&po, NULL));
+	g_assert_nonnull(o->claims = claims_new(&opts, NULL));
+	return o;
+}
+
+static void
+owner_free(owner_t *o)
+{
+	int i;
+
+	set_gate(o, GATE_OPEN);
+	claims_free(o->claims);
+	platform_free(o->p);
+	for (i = 0; i < o->nask; i++)
+		free(o->answer[i].reply);
+	g_free(o);
+}
+
+static void
+setup(bench_t *b, const void *arg)
+{
+	int port;
+
+	(void)arg;
+	ports_take(&port, 1);
+	b->addr = addr_of(port);
+	b->proc = proc_start("standin-platform", "--listen", b->addr, NULL);
+	g_assert_true(http_until(b->addr, "/control/stats", 200, START_MS));
+	settings_init(&b->s);
+	b->s.platform.timeout_ms = 2000;
+	b->s.claims.buckets = 2;
+	b->s.nservice = 1;
+	str_copy(b->s.service[0].name, ID_MAX, "shop");
+	b->s.service[0].timeout_ms = SERVICE_MS;
+	b->a = owner_new(b);
+	b->b = owner_new(b);
+}
+
+static void
+teardown(bench_t *b, const void *arg)
+{
+	(void)arg;
+	owner_free(b->a);
+	owner_free(b->b);
+	proc_kill(b->proc);
+	g_free(b->addr);
+}
+
+/* Settings that differ from setup()'s need new owners. */
+static void
+reopen(bench_t *b)
+{
+	owner_free(b->a);
+	owner_free(b->b);
+	b->a = owner_new(b);
+	b->b = owner_new(b);
+}
+
+static void
+faults(bench_t *b, const char *json)
+{
+	reply_t r =
+	    http_call("POST", b->addr, "/control/faults", NULL, json, START_MS);
+
+	g_assert_cmpint(r.status, ==, 200);
+	reply_clear(&r);
+}
+
+/* Each ask is a new request; @p body 1 is the first call's. */
+static int
+ask_body(owner_t *o, const char *key, const char *request, uint64_t body)
+{
+	claim_ask_t q = { .service = "shop", .body = body };
+
+	str_copy(q.key, sizeof(q.key), key);
+	str_copy(q.request, sizeof(q.request), request);
+	g_assert_cmpint(o->nask, <, ASKS_MAX);
+	g_assert_true(claims_ask(o->claims, (uint64_t)o->nask, &q));
+	return o->nask++;
+}
+
+static int
+ask(owner_t *o, const char *key, const char *request)
+{
+	return ask_body(o, key, request, 1);
+}
+
+typedef struct wait {
+	owner_t *o;
+	int n;
+} wait_t;
+
+static bool
+is_answered(void *user)
+{
+	wait_t *w = user;
+	bool yes;
+
+	g_mutex_lock(&w->o->lock);
+	yes = w->o->answered[w->n];
+	g_mutex_unlock(&w->o->lock);
+	return yes;
+}
+
+static bool
+is_stopped(void *user)
+{
+	owner_t *o = user;
+	bool yes;
+
+	g_mutex_lock(&o->lock);
+	yes = o->stopped;
+	g_mutex_unlock(&o->lock);
+	return yes;
+}
+
+static const claim_answer_t *
+answer_of(owner_t *o, int n)
+{
+	wait_t w = { o, n };
+
+	g_assert_true(eventually(is_answered, &w, ANSWER_MS));
+	return &o->answer[n];
+}
+
+static claim_outcome_t
+outcome(owner_t *o, const char *key, const char *request)
+{
+	return answer_of(o, ask(o, key, request))->outcome;
+}
+
+static void
+settle(owner_t *o, const char *key, const char *request, call_outcome_t how,
+    const char *reply, size_t len)
+{
+	claim_settle_t s = { .service = "shop",
+		.outcome = how,
+		.status = 201,
+		.type = "text/plain" };
+
+	str_copy(s.key, sizeof(s.key), key);
+	str_copy(s.request, sizeof(s.request), request);
+	if (reply != NULL) {
+		s.reply = g_memdup2(reply, len);
+		s.len = len;
+	}
+	g_assert_true(claims_settle(o->claims, 0, &s));
+}
+
+typedef struct until {
+	owner_t *o;
+	const char *key;
+	claim_outcome_t want;
+	claim_outcome_t never;
+	int tries;
+} until_t;
+
+static bool
+says(void *user)
+{
+	until_t *u = user;
+	char request[ID_MAX];
+	claim_outcome_t got;
+
+	snprintf(request, sizeof(request), "again-%p-%d", user, u->tries++);
+	got = outcome(u->o, u->key, request);
+	g_assert_cmpint(got, !=, u->never);
+	return got == u->want;
+}
+
+static void
+same_key_at_both(bench_t *b, const void *arg)
+{
+	int i, n[2], fresh;
+	char key[ID_MAX];
+
+	(void)arg;
+	for (i = 0; i < 100; i++) {
+		snprintf(key, sizeof(key), "key%d", i);
+		n[0] = ask(b->a, key, "a");
+		n[1] = ask(b->b, key, "b");
+		fresh = (answer_of(b->a, n[0])->outcome == CLAIM_FRESH) +
+			(answer_of(b->b, n[1])->outcome == CLAIM_FRESH);
+		g_assert_cmpint(fresh, ==, 1);
+		fresh = (answer_of(b->a, n[0])->outcome == CLAIM_RUNNING) +
+			(answer_of(b->b, n[1])->outcome == CLAIM_RUNNING);
+		g_assert_cmpint(fresh, ==, 1);
+	}
+}
+
+/* What a repeat is told, whoever is asked, after each outcome. */
+static void
+repeats_get_the_outcome(bench_t *b, const void *arg)
+{
+	static const char reply[] = "bin\0ary \xff";
+	static const struct {
+		call_outcome_t how;
+		size_t len;
+		claim_outcome_t told;
+		size_t told_len;
+	} rows[] = {
+		{ CALL_DONE, sizeof(reply), CLAIM_DONE, sizeof(reply) },
+		{ CALL_DONE, 0, CLAIM_DONE, 0 },
+		{ CALL_DONE, 1 << 20, CLAIM_DONE, 0 },
+		{ CALL_FAILED, sizeof(reply), CLAIM_DONE, sizeof(reply) },
+		{ CALL_UNKNOWN, 0, CLAIM_UNKNOWN, 0 },
+		{ CALL_CANCELLED, 0, CLAIM_UNKNOWN, 0 },
+		{ CALL_REFUSED, 0, CLAIM_FRESH, 0 },
+	};
+	static char big[1 << 20];
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char key[] = "k\xe9y \"0\"";
+		until_t u = { b->b, key, rows[i].told, CLAIM_MISMATCH, 0 };
+		const claim_answer_t *a;
+
+		key[5] = (char)('0' + i);
+		g_assert_cmpint(outcome(b->a, key, "first"), ==, CLAIM_FRESH);
+		g_assert_cmpint(outcome(b->b, key, "x"), ==, CLAIM_RUNNING);
+		g_assert_cmpint(
+		    answer_of(b->b, ask_body(b->b, key, "y", 2))->outcome, ==,
+		    CLAIM_MISMATCH);
+		settle(b->a, key, "first", rows[i].how,
+		    rows[i].len == sizeof(big) ? big : reply, rows[i].len);
+		g_assert_true(eventually(says, &u, ANSWER_MS));
+		a = answer_of(b->b, b->b->nask - 1);
+		g_assert_cmpuint(a->len, ==, rows[i].told_len);
+		if (rows[i].told != CLAIM_DONE)
+			continue;
+		g_assert_cmpint(a->status, ==, 201);
+		g_assert_cmpstr(a->type, ==, "text/plain");
+		g_assert_cmpstr(a->first_request, ==, "first");
+		if (a->len > 0)
+			g_assert_cmpmem(a->reply, a->len, reply, sizeof(reply));
+		g_assert_cmpint(
+		    answer_of(b->a, ask_body(b->a, key, "y", 2))->outcome, ==,
+		    CLAIM_MISMATCH);
+	}
+}
+
+/*
+ * Fault x moment. The first ask goes to owner A while the fault is there; then
+ * the same key is asked for at B, by another request, until A's claim has its
+ * last word.
+ */
+static void
+faults_at_each_moment(bench_t *b, const void *arg)
+{
+	static const struct {
+		const char *what;
+		gate_t gate;
+		const char *fault, *mend;
+		bool b_meanwhile;
+		claim_outcome_t meanwhile; /* B's answer during the fault */
+		claim_outcome_t first;	   /* A's answer */
+		claim_outcome_t after;	   /* B's, at last */
+	} rows[] = {
+		{ "paused before its write", GATE_BEFORE, "{}", "{}", true,
+		    CLAIM_FRESH, CLAIM_RUNNING, CLAIM_RUNNING },
+		{ "paused after its write", GATE_AFTER, "{}", "{}", true,
+		    CLAIM_RUNNING, CLAIM_FRESH, CLAIM_RUNNING },
+		{ "reply lost", GATE_OPEN, "{\"drop_replies\":1}", "{}", false,
+		    CLAIM_FRESH, CLAIM_FRESH, CLAIM_RUNNING },
+		{ "three replies lost", GATE_OPEN, "{\"drop_replies\":3}", "{}",
+		    false, CLAIM_FRESH, CLAIM_FRESH, CLAIM_RUNNING },
+		{ "reply lost, then away", GATE_LOSE, "{}", "{}", false,
+		    CLAIM_FRESH, CLAIM_DOWN, CLAIM_FRESH },
+		{ "away", GATE_OPEN, "{\"outage_ms\":-1}", "{\"outage_ms\":0}",
+		    true, CLAIM_DOWN, CLAIM_DOWN, CLAIM_FRESH },
+		{ "write lands late", GATE_OPEN, "{\"hang_ms\":-1}",
+		    "{\"hang_ms\":0}", false, CLAIM_FRESH, CLAIM_DOWN,
+		    CLAIM_FRESH },
+		{ "old state read", GATE_OPEN, "{\"stale_reads\":1}",
+		    "{\"stale_reads\":0}", true, CLAIM_RUNNING, CLAIM_FRESH,
+		    CLAIM_RUNNING },
+	};
+	size_t i;
+
+	(void)arg;
+	b->s.platform.timeout_ms = 500;
+	reopen(b);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char key[ID_MAX];
+		until_t u = { b->b, key, rows[i].after, CLAIM_DONE, 0 };
+		int n;
+
+		g_test_message("%s", rows[i].what);
+		snprintf(key, sizeof(key), "warm%zu", i);
+		g_assert_true(eventually(says,
+		    &(until_t){ b->a, key, CLAIM_FRESH, CLAIM_DONE, 0 },
+		    ANSWER_MS));
+		snprintf(key, sizeof(key), "row%zu", i);
+		faults(b, rows[i].fault);
+		set_gate(b->a, rows[i].gate);
+		n = ask(b->a, key, "first");
+		if (rows[i].gate == GATE_BEFORE || rows[i].gate == GATE_AFTER)
+			g_assert_true(eventually(is_stopped, b->a, ANSWER_MS));
+		else
+			answer_of(b->a, n);
+		if (rows[i].b_meanwhile)
+			g_assert_cmpint(
+			    outcome(b->b, key, "other"), ==, rows[i].meanwhile);
+		set_gate(b->a, GATE_OPEN);
+		g_assert_cmpint(answer_of(b->a, n)->outcome, ==, rows[i].first);
+		faults(b, rows[i].mend);
+		b->a->lost = false;
+		if (rows[i].meanwhile != CLAIM_FRESH || !rows[i].b_meanwhile)
+			g_assert_true(eventually(says, &u, ANSWER_MS));
+	}
+}
+
+static void
+an_outage_is_told_at_once(bench_t *b, const void *arg)
+{
+	until_t u = { b->a, "k9", CLAIM_FRESH, CLAIM_UNKNOWN, 0 };
+	ms_t start = clock_now(&machine_clock);
+	char key[ID_MAX];
+	int i, n;
+
+	(void)arg;
+	g_assert_cmpint(outcome(b->a, "held", "h"), ==, CLAIM_FRESH);
+	faults(b, "{\"outage_ms\":-1}");
+	for (i = 0; i < 10; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		n = ask(b->a, key, "x");
+		g_assert_cmpint(answer_of(b->a, n)->outcome, ==, CLAIM_DOWN);
+		g_assert_cmpint(answer_of(b->a, n)->retry_after, >, 0);
+	}
+	g_assert_cmpint(clock_now(&machine_clock) - start, <, AWAY_MS);
+	/* An outcome that comes meanwhile is kept and written after. */
+	settle(b->a, "held", "h", CALL_DONE, "ok", 2);
+	faults(b, "{\"outage_ms\":0}");
+	g_assert_true(eventually(says, &u, ANSWER_MS));
+	u = (until_t){ b->b, "held", CLAIM_DONE, CLAIM_FRESH, 0 };
+	g_assert_true(eventually(says, &u, ANSWER_MS));
+}
+
+/* Killed between claim and send: nobody ever settles the claim. */
+static void
+a_claim_without_an_end(bench_t *b, const void *arg)
+{
+	until_t u = { b->b, "k", CLAIM_UNKNOWN, CLAIM_FRESH, 0 };
+
+	(void)arg;
+	g_assert_cmpint(outcome(b->a, "k", "first"), ==, CLAIM_FRESH);
+	owner_free(b->a);
+	g_assert_cmpint(outcome(b->b, "k", "second"), ==, CLAIM_RUNNING);
+	g_assert_true(eventually(says, &u, SERVICE_MS + ANSWER_MS));
+	b->a = owner_new(b);
+	g_assert_cmpint(outcome(b->a, "k", "third"), ==, CLAIM_UNKNOWN);
+}
+
+static void
+outcomes_expire(bench_t *b, const void *arg)
+{
+	until_t u = { b->a, "k", CLAIM_FRESH, CLAIM_UNKNOWN, 0 };
+	ms_t start;
+
+	(void)arg;
+	b->s.claims.keep_ms = 1000;
+	reopen(b);
+	g_assert_cmpint(outcome(b->a, "k", "first"), ==, CLAIM_FRESH);
+	start = clock_now(&machine_clock);
+	settle(b->a, "k", "first", CALL_DONE, NULL, 0);
+	/* While B doesn't know it, it can only keep it longer. */
+	g_assert_true(eventually(says, &u, ANSWER_MS));
+	g_assert_cmpint(
+	    clock_now(&machine_clock) - start, >=, b->s.claims.keep_ms);
+}
+
+static void
+a_full_bucket(bench_t *b, const void *arg)
+{
+	char key[ID_MAX];
+	int i, n, held;
+
+	(void)arg;
+	b->s.claims.buckets = 1;
+	b->s.claims.bucket_max = 4096;
+	b->s.claims.keep_ms = 1000;
+	reopen(b);
+	for (held = 0; held < 64; held++) {
+		snprintf(key, sizeof(key), "k%d", held);
+		n = ask(b->a, key, "x");
+		if (answer_of(b->a, n)->outcome != CLAIM_FRESH)
+			break;
+	}
+	g_assert_cmpint(held, >, 4);
+	g_assert_cmpint(answer_of(b->a, n)->outcome, ==, CLAIM_DOWN);
+	g_assert_cmpint(answer_of(b->a, n)->retry_after, >, 0);
+	/* All fit with their outcomes; no live claim goes. */
+	settle(b->a, "k0", "x", CALL_DONE, "reply", 5);
+	for (i = 1; i < held; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		g_assert_cmpint(outcome(b->b, key, "y"), ==, CLAIM_RUNNING);
+	}
+	/* Kept long enough, the settled one makes room for one more. */
+	{
+		until_t u = { b->a, "new", CLAIM_FRESH, CLAIM_DONE, 0 };
+
+		g_assert_true(eventually(says, &u, ANSWER_MS));
+	}
+}
+
+static void
+add(const char *name, void (*run)(bench_t *, const void *))
+{
+	g_test_add(name, bench_t, NULL, setup, run, teardown);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	add("/claims/both", same_key_at_both);
+	add("/claims/repeats", repeats_get_the_outcome);
+	add("/claims/faults", faults_at_each_moment);
+	add("/claims/outage", an_outage_is_told_at_once);
+	add("/claims/killed", a_claim_without_an_end);
+	add("/claims/expiry", outcomes_expire);
+	add("/claims/full", a_full_bucket);
+	return g_test_run();
+}
--- a/tests/platform_proc.c
+++ b/tests/platform_proc.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <glib.h>
+#include <jansson.h>
 
 enum {
 	START_MS = 5000,
@@ -388,6 +389,164 @@
 	}
 }
 
+static void
+record(audit_t *a, const char *subject, const char *kind, int64_t at)
+{
+	audit_record_t r = { .at = at, .who = "op", .what = "changed \xff" };
+
+	str_copy(r.subject, sizeof(r.subject), subject);
+	str_copy(r.kind, sizeof(r.kind), kind);
+	audit_add(a, &r);
+}
+
+typedef struct trail {
+	bench_t *b;
+	audit_filter_t f;
+	size_t n;      /* records wanted */
+	json_t *found; /* NULL: none yet */
+} trail_t;
+
+static bool
+trail_whole(void *user)
+{
+	trail_t *t = user;
+	char *text = audit_read(t->b->p, &t->f, &t->b->e);
+
+	json_decref(t->found);
+	t->found = text == NULL ? NULL : json_loads(text, 0, NULL);
+	free(text);
+	return t->found != NULL && json_array_size(t->found) >= t->n;
+}
+
+static audit_t *
+trail_open(bench_t *b, settings_t *s)
+{
+	audit_t *a;
+
+	settings_init(s);
+	s->platform.timeout_ms = SHORT_MS;
+	str_copy(s->platform.addr, ADDR_MAX, b->addr);
+	str_copy(s->instance.id, ID_MAX, "e1");
+	g_assert_nonnull(a = audit_new(s, &b->e));
+	return a;
+}
+
+static void
+the_trail_is_filtered(bench_t *b, const void *arg)
+{
+	static const int64_t day = 24 * 3600 * 1000, noon = 1000 * 86400000LL;
+	static const struct {
+		audit_filter_t f;
+		size_t n;
+	} rows[] = {
+		{ { 0 }, 4 },
+		{ { .subject = "n1" }, 2 },
+		{ { .kind = "lease" }, 1 },
+		{ { .from = noon + 1 }, 3 },
+		{ { .from = noon, .to = noon + day }, 2 },
+		{ { .to = noon }, 1 },
+		{ { .model = "none" }, 0 },
+	};
+	settings_t s;
+	audit_t *a = trail_open(b, &s);
+	size_t i;
+
+	(void)arg;
+	record(a, "n1", "note", noon);
+	record(a, "n2", "note", noon + day);
+	record(a, "n1", "lease", noon + 2 * day);
+	record(a, "n3", "note", 0);
+	audit_free(a);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		trail_t t = { b, rows[i].f, rows[i].n, NULL };
+
+		g_assert_true(trail_whole(&t));
+		g_assert_cmpuint(json_array_size(t.found), ==, rows[i].n);
+		json_decref(t.found);
+	}
+}
+
+/* Each record stands once and in order, whatever fails meanwhile. */
+static void
+the_trail_outlives_faults(bench_t *b, const void *arg)
+{
+	static const char *const fault[] = { "{}", "{\"drop_replies\":3}",
+		"{\"outage_ms\":1500}", "{\"hang_ms\":1500}",
+		"{\"delay_ms\":1000}", "{\"delay_ms\":0}" };
+	settings_t s;
+	audit_t *a = trail_open(b, &s);
+	trail_t t = { .b = b };
+	char name[ID_MAX];
+	int n = 0;
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < G_N_ELEMENTS(fault); i++) {
+		int more;
+
+		faults(b, fault[i]);
+		for (more = 0; more < 300; more++) {
+			snprintf(name, sizeof(name), "r%d", n++);
+			record(a, name, "note", 0);
+			if (more % 100 == 0)
+				clock_sleep(SHORT_MS);
+		}
+	}
+	t.n = (size_t)n;
+	g_assert_true(eventually(trail_whole, &t, 4 * START_MS));
+	g_assert_cmpuint(json_array_size(t.found), ==, t.n);
+	for (i = 0; i < t.n; i++) {
+		snprintf(name, sizeof(name), "r%zu", i);
+		g_assert_cmpstr(name, ==,
+		    json_string_value(json_object_get(
+			json_array_get(t.found, i), "subject")));
+	}
+	json_decref(t.found);
+	audit_free(a);
+}
+
+static bool
+trail_adds_up(void *user)
+{
+	trail_t *t = user;
+	size_t i, sum = 0;
+	json_t *r;
+
+	trail_whole(t);
+	json_array_foreach(t->found, i, r)
+	{
+		if (strcmp(json_string_value(json_object_get(r, "kind")),
+			"audit") == 0)
+			sum += json_integer_value(json_object_get(r, "number"));
+		else
+			sum++;
+	}
+	return sum == t->n;
+}
+
+/* What doesn't fit in memory is said in a record. */
+static void
+dropped_records_are_owned_up_to(bench_t *b, const void *arg)
+{
+	settings_t s;
+	audit_t *a = trail_open(b, &s);
+	trail_t t = { .b = b, .n = 30000 };
+	size_t i;
+
+	(void)arg;
+	faults(b, "{\"outage_ms\":-1}");
+	for (i = 0; i < t.n; i++) {
+		record(a, "r", "note", 0);
+		if (i % 1000 == 0)
+			clock_sleep(10);
+	}
+	faults(b, "{\"outage_ms\":0}");
+	g_assert_true(eventually(trail_adds_up, &t, 4 * START_MS));
+	g_assert_cmpuint(json_array_size(t.found), <, t.n);
+	json_decref(t.found);
+	audit_free(a);
+}
+
 static void
 add(const char *name, const char *option, void (*run)(bench_t *, const void *))
 {
@@ -406,5 +565,8 @@
 	add("/lease/passes", NULL, a_lease_passes_on);
 	add("/lease/stopped-clock", NULL, a_stopped_clock_is_found_out);
 	add("/lease/lost-replies", NULL, lost_replies_are_settled);
+	add("/audit/filter", NULL, the_trail_is_filtered);
+	add("/audit/faults", NULL, the_trail_outlives_faults);
+	add("/audit/dropped", NULL, dropped_records_are_owned_up_to);
 	return g_test_run();
 }
