--- a/peer/conn.h
+++ b/peer/conn.h
@@ -40,6 +40,7 @@
 	conn_state_t state;
 	conn_role_t role;
 	bool dialled;	   /* by us */
+	bool probe;	   /* closed as soon as it is up */
 	bool refused;	   /* nobody listens there */
 	bool wants_out;	   /* EPOLLOUT is set */
 	char peer[ID_MAX]; /* member's id, once known */
@@ -50,6 +51,7 @@
 	size_t in_len, in_room;
 	size_t out_at, out_len, out_room;
 	handle_t handle; /* finds it after a callback of another thread */
+	bool above;	 /* its member is nearer to the domain's roots */
 	bool bye;	 /* the peer said that it closes and lives on */
 	ms_t unwanted;	 /* since when nobody needs it, 0: needed */
 	relay_t relay;
@@ -80,6 +82,11 @@
 bool conn_send(conn_t *c, const Wire__Frame *f);
 /** Close at the end of the round; @p why goes into the log. */
 void conn_close(conn_t *c, const char *why);
+/** What went over all connections so far; any thread may look. */
+typedef struct net_stats {
+	uint64_t in_frames, in_bytes, out_frames, out_bytes;
+} net_stats_t;
+void net_stats(const net_t *n, net_stats_t *s);
 conn_t *net_first(net_t *n);
 /** @return the connection, or NULL if it is closed by now. */
 conn_t *net_find(net_t *n, handle_t h);
