--- /dev/null
+++ b/standin/lagging.c
@@ -0,0 +1,69 @@
+#include "standin/lagging.h"
+
+#include <string.h>
+
+enum {
+	HISTORY_KEEP = 600000 /* ms that the list can be behind */
+};
+
+typedef struct change {
+	ms_t at;
+	char *id;
+	json_t *item; /* NULL: removed */
+} change_t;
+
+static void
+change_free(void *p)
+{
+	change_t *c = p;
+
+	json_decref(c->item);
+	g_free(c->id);
+	g_free(c);
+}
+
+lagging_t *
+lagging_new(void)
+{
+	return g_ptr_array_new_with_free_func(change_free);
+}
+
+void
+lagging_set(lagging_t *l, const char *id, json_t *item, ms_t now)
+{
+	change_t *c = g_new0(change_t, 1);
+	guint i;
+
+	c->at = now;
+	c->id = g_strdup(id);
+	c->item = item;
+	for (i = 0; i < l->len; i++) {
+		const change_t *old = l->pdata[i];
+
+		if (strcmp(old->id, id) == 0 && old->at < now - HISTORY_KEEP)
+			g_ptr_array_remove_index(l, i--);
+	}
+	g_ptr_array_add(l, c);
+}
+
+json_t *
+lagging_read(const lagging_t *l, ms_t upto)
+{
+	json_t *by_id = json_object(), *items = json_array(), *item;
+	const char *id;
+	guint i;
+
+	for (i = 0; i < l->len; i++) {
+		const change_t *c = l->pdata[i];
+
+		if (c->at > upto)
+			break;
+		if (c->item == NULL)
+			json_object_del(by_id, c->id);
+		else
+			json_object_set(by_id, c->id, c->item);
+	}
+	json_object_foreach(by_id, id, item) json_array_append(items, item);
+	json_decref(by_id);
+	return json_pack("{s:o}", "items", items);
+}
--- /dev/null
+++ b/standin/lagging.h
@@ -0,0 +1,23 @@
+/**
+ * @file lagging.h
+ * The platform stand-in's list of instances, readable as it was some time
+ * ago. No I/O, no lock.
+ */
+#ifndef STANDIN_LAGGING_H
+#define STANDIN_LAGGING_H
+
+#include "base/base.h"
+
+#include <glib.h>
+#include <jansson.h>
+
+/** Changes in the order in which they came; a GPtrArray of them is a list. */
+typedef GPtrArray lagging_t;
+
+lagging_t *lagging_new(void);
+/** @param item what now stands for @p id, taken over; NULL removes it. */
+void lagging_set(lagging_t *l, const char *id, json_t *item, ms_t now);
+/** {"items"} as they stood at @p upto. */
+json_t *lagging_read(const lagging_t *l, ms_t upto);
+
+#endif
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -4,6 +4,8 @@
  * One libmicrohttpd thread answers; a timer thread wakes what waits.
  */
 #include "base/base.h"
+#include "standin/lagging.h"
+#include "standin/objstore.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -16,33 +18,16 @@
 #include <microhttpd.h>
 
 enum {
-	VALUE_MAX = 1 << 20,   /* bytes */
-	EVENTS_MAX = 8192,     /* changes kept for watches */
-	WATCH_MOST = 60000,    /* ms */
-	TICK = 1,	       /* ms */
-	BURST = 100,	       /* ms worth of a rate limit */
-	ADAPTER_LEAST = 6,     /* ms */
-	ADAPTER_SPAN = 13,     /* ms */
-	HISTORY_KEEP = 600000, /* ms that a lagging list can reach back */
+	VALUE_MAX = 1 << 20, /* bytes */
+	EVENTS_MAX = 8192,   /* changes kept for watches */
+	WATCH_MOST = 60000,  /* ms */
+	CONNECTIONS_MAX = 4000,
+	TICK = 1,	   /* ms */
+	BURST = 100,	   /* ms worth of a rate limit */
+	ADAPTER_LEAST = 6, /* ms */
+	ADAPTER_SPAN = 13, /* ms */
 };
 
-typedef struct thing {
-	GString *value;
-	GString *before; /* what stale reads see */
-	uint64_t version, version_before;
-} thing_t;
-
-typedef struct event {
-	uint64_t version;
-	char *key;
-} event_t;
-
-typedef struct change {
-	ms_t at;
-	char *id;
-	json_t *item; /* NULL: removed */
-} change_t;
-
 typedef enum call_state {
 	CALL_READING,
 	CALL_WATCHING,
@@ -77,12 +62,9 @@
 
 static struct {
 	pthread_mutex_t lock;
-	GTree *things; /* char * -> thing_t */
-	uint64_t version;
-	event_t event[EVENTS_MAX];
-	uint64_t nevent, cleared; /* all up to version cleared are lost */
-	GPtrArray *changes;	  /* of the instance list */
-	GPtrArray *waiting;	  /* suspended calls */
+	objstore_t *store;
+	lagging_t *list;    /* of instances */
+	GPtrArray *waiting; /* suspended calls */
 	rng_t rng;
 	ms_t next_start;
 	ms_t ticked;
@@ -135,24 +117,6 @@
 	return clock_now(&machine_clock);
 }
 
-static void
-thing_free(void *p)
-{
-	thing_t *t = p;
-
-	g_string_free(t->value, TRUE);
-	if (t->before != NULL)
-		g_string_free(t->before, TRUE);
-	free(t);
-}
-
-static int
-key_order(const void *a, const void *b, void *user)
-{
-	(void)user;
-	return strcmp(a, b);
-}
-
 static bool
 rate_take(rate_t *r, ms_t now)
 {
@@ -225,39 +189,24 @@
 
 /* Objects */
 
-static void
-note_event(const char *key)
-{
-	event_t *e = &st.event[st.nevent++ % EVENTS_MAX];
-
-	if (e->key != NULL)
-		st.cleared = e->version;
-	g_free(e->key);
-	e->key = g_strdup(key);
-	e->version = st.version;
-	wake_watches(key);
-}
-
 static const char *
 header(call_t *c, const char *name)
 {
 	return MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name);
 }
 
-/* Does the call's condition hold on the object as it stands? */
-static bool
-condition(call_t *c, const thing_t *t)
+/* What the call's headers ask of the object as it stands. */
+static objstore_cond_t
+condition(call_t *c)
 {
 	const char *match = header(c, "If-Match");
-	const char *none = header(c, "If-None-Match");
+	objstore_cond_t cond = { .absent = header(c, "If-None-Match") != NULL };
 
-	if (none != NULL)
-		return t == NULL;
 	if (match == NULL)
-		return true;
-	if (*match == '"')
-		match++;
-	return t != NULL && strtoull(match, NULL, 10) == t->version;
+		return cond;
+	cond.match = true;
+	cond.version = strtoull(match + (*match == '"'), NULL, 10);
+	return cond;
 }
 
 static bool
@@ -268,9 +217,28 @@
 }
 
 static void
-put_thing(call_t *c, const char *key)
+answer_write(call_t *c, objstore_result_t how, const char *key)
+{
+	switch (how) {
+	case OBJSTORE_DONE:
+		wake_watches(key);
+		answer_json(
+		    c, 200, json_pack("{s:I}", "version", (json_int_t)c->etag));
+		break;
+	case OBJSTORE_ABSENT:
+		answer_error(c, 404, "not_found");
+		break;
+	case OBJSTORE_CONFLICT:
+		st.stats.conflicts++;
+		answer_error(c, 412, "conflict");
+		break;
+	}
+}
+
+static void
+put_object(call_t *c, const char *key)
 {
-	thing_t *t = g_tree_lookup(st.things, key);
+	objstore_cond_t cond = condition(c);
 
 	if (c->body->len > VALUE_MAX) {
 		answer_error(c, 413, "too_large");
@@ -280,140 +248,51 @@
 		answer_error(c, 400, "not_utf8");
 		return;
 	}
-	if (!condition(c, t)) {
-		st.stats.conflicts++;
-		answer_error(c, 412, "conflict");
-		return;
-	}
-	if (t == NULL) {
-		t = calloc(1, sizeof(*t));
-		g_tree_insert(st.things, g_strdup(key), t);
-	} else {
-		if (t->before != NULL)
-			g_string_free(t->before, TRUE);
-		t->before = t->value;
-		t->version_before = t->version;
-	}
-	t->value = g_string_new_len(c->body->str, (gssize)c->body->len);
-	t->version = ++st.version;
 	st.stats.write_bytes += (int64_t)c->body->len;
-	note_event(key);
-	c->etag = t->version;
-	answer_json(c, 200, json_pack("{s:I}", "version", (json_int_t)c->etag));
+	answer_write(
+	    c, objstore_put(st.store, key, c->body, &cond, &c->etag), key);
 }
 
 static void
-delete_thing(call_t *c, const char *key)
+delete_object(call_t *c, const char *key)
 {
-	thing_t *t = g_tree_lookup(st.things, key);
+	objstore_cond_t cond = condition(c);
 
-	if (t == NULL) {
-		answer_error(c, 404, "not_found");
-	} else if (!condition(c, t)) {
-		st.stats.conflicts++;
-		answer_error(c, 412, "conflict");
-	} else {
-		g_tree_remove(st.things, key);
-		st.version++;
-		note_event(key);
-		answer_json(c, 200, json_object());
-	}
+	answer_write(c, objstore_del(st.store, key, &cond), key);
 }
 
 static void
-get_thing(call_t *c, const char *key)
+get_object(call_t *c, const char *key)
 {
-	const thing_t *t = g_tree_lookup(st.things, key);
-	const GString *value;
+	bool stale = st.fault.stale_reads > 0;
+	const GString *value = objstore_get(st.store, key, &stale, &c->etag);
 
-	if (t == NULL) {
+	if (value == NULL) {
 		answer_error(c, 404, "not_found");
 		return;
 	}
-	value = t->value;
-	c->etag = t->version;
-	if (st.fault.stale_reads > 0 && t->before != NULL) {
-		st.fault.stale_reads--;
-		value = t->before;
-		c->etag = t->version_before;
-	}
+	st.fault.stale_reads -= stale;
 	c->state = CALL_ANSWERED;
 	c->status = 200;
-	c->answer = malloc(value->len + 1);
-	memcpy(c->answer, value->str, value->len + 1);
+	c->answer = g_memdup2(value->str, value->len + 1);
 	c->len = value->len;
 }
 
-static json_t *
-thing_json(const char *key, const thing_t *t)
-{
-	return json_pack("{s:s, s:I, s:s%}", "key", key, "version",
-	    (json_int_t)t->version, "value", t->value->str, t->value->len);
-}
-
-static void
-list_things(call_t *c, const char *prefix)
-{
-	GTreeNode *n = g_tree_lower_bound(st.things, prefix);
-	json_t *items = json_array();
-
-	for (; n != NULL; n = g_tree_node_next(n)) {
-		if (!g_str_has_prefix(g_tree_node_key(n), prefix))
-			break;
-		json_array_append_new(items,
-		    thing_json(g_tree_node_key(n), g_tree_node_value(n)));
-	}
-	answer_json(c, 200,
-	    json_pack("{s:I, s:o}", "version", (json_int_t)st.version, "items",
-		items));
-}
-
-/* The newest change of each key after c->since. */
-static json_t *
-events_json(const call_t *c)
-{
-	uint64_t i, first = st.nevent > EVENTS_MAX ? st.nevent - EVENTS_MAX : 0;
-	json_t *items = json_object(), *all = json_array(), *item;
-	const char *key;
-
-	for (i = first; i < st.nevent; i++) {
-		const event_t *e = &st.event[i % EVENTS_MAX];
-		const thing_t *t;
-
-		if (e->version <= c->since ||
-		    !g_str_has_prefix(e->key, c->prefix))
-			continue;
-		t = g_tree_lookup(st.things, e->key);
-		json_object_set_new(items, e->key,
-		    t != NULL
-			? thing_json(e->key, t)
-			: json_pack("{s:s, s:I, s:b}", "key", e->key, "version",
-			      (json_int_t)e->version, "deleted", 1));
-	}
-	json_object_foreach(items, key, item) json_array_append(all, item);
-	json_decref(items);
-	return all;
-}
-
 /* Answer a watch, or go on waiting. */
 static void
 watch(call_t *c, ms_t now)
 {
-	json_t *items;
+	size_t n = 0;
+	json_t *j = objstore_changes(st.store, c->prefix, c->since, &n);
 
-	if (c->since < st.cleared) {
+	if (j == NULL) {
 		answer_error(c, 410, "too_old");
-		return;
-	}
-	items = events_json(c);
-	if (json_array_size(items) == 0 && now < c->due) {
-		json_decref(items);
+	} else if (n == 0 && now < c->due) {
+		json_decref(j);
 		wait_until(c, c->due);
-		return;
+	} else {
+		answer_json(c, 200, j);
 	}
-	answer_json(c, 200,
-	    json_pack("{s:I, s:o}", "version", (json_int_t)st.version, "items",
-		items));
 }
 
 static int64_t
@@ -446,59 +325,6 @@
 	watch(c, now);
 }
 
-/* The list of instances, as it was list_lag_ms ago. */
-
-static void
-change_free(void *p)
-{
-	change_t *ch = p;
-
-	json_decref(ch->item);
-	g_free(ch->id);
-	g_free(ch);
-}
-
-static void
-change_add(const char *id, json_t *item)
-{
-	change_t *ch = g_new0(change_t, 1);
-	guint i;
-
-	ch->at = now_ms();
-	ch->id = g_strdup(id);
-	ch->item = item;
-	for (i = 0; i < st.changes->len; i++) {
-		const change_t *old = st.changes->pdata[i];
-
-		if (strcmp(old->id, id) == 0 && old->at < ch->at - HISTORY_KEEP)
-			g_ptr_array_remove_index(st.changes, i--);
-	}
-	g_ptr_array_add(st.changes, ch);
-}
-
-static void
-list_instances(call_t *c)
-{
-	ms_t upto = now_ms() - st.fault.list_lag_ms;
-	json_t *by_id = json_object(), *items = json_array(), *item;
-	const char *id;
-	guint i;
-
-	for (i = 0; i < st.changes->len; i++) {
-		const change_t *ch = st.changes->pdata[i];
-
-		if (ch->at > upto)
-			break;
-		if (ch->item == NULL)
-			json_object_del(by_id, ch->id);
-		else
-			json_object_set(by_id, ch->id, ch->item);
-	}
-	json_object_foreach(by_id, id, item) json_array_append(items, item);
-	json_decref(by_id);
-	answer_json(c, 200, json_pack("{s:o}", "items", items));
-}
-
 /* The weight store */
 
 static void
@@ -624,7 +450,7 @@
 		json_decref(j);
 		return;
 	}
-	change_add(id, j);
+	lagging_set(st.list, id, j, now_ms());
 	answer_json(c, 200, json_object());
 }
 
@@ -660,7 +486,7 @@
 	} else if (strcmp(c->url, "/control/instances") == 0) {
 		control_instance(c);
 	} else if (id != NULL && strcmp(c->method, "DELETE") == 0) {
-		change_add(id, NULL);
+		lagging_set(st.list, id, NULL, now_ms());
 		answer_json(c, 200, json_object());
 	} else if (strcmp(c->url, "/control/stats") == 0) {
 		control_stats(c);
@@ -704,17 +530,19 @@
 	if (!admitted(c, now))
 		return;
 	if (key != NULL && strcmp(c->method, "GET") == 0)
-		get_thing(c, key);
+		get_object(c, key);
 	else if (key != NULL && strcmp(c->method, "PUT") == 0)
-		put_thing(c, key);
+		put_object(c, key);
 	else if (key != NULL && strcmp(c->method, "DELETE") == 0)
-		delete_thing(c, key);
+		delete_object(c, key);
 	else if (strcmp(c->url, "/v1/list") == 0)
-		list_things(c, arg_text(c, "prefix"));
+		answer_json(
+		    c, 200, objstore_list(st.store, arg_text(c, "prefix")));
 	else if (strcmp(c->url, "/v1/watch") == 0)
 		watch_start(c, now);
 	else if (strcmp(c->url, "/v1/instances") == 0)
-		list_instances(c);
+		answer_json(
+		    c, 200, lagging_read(st.list, now - st.fault.list_lag_ms));
 	else if (strcmp(c->url, "/v1/store/loads") == 0)
 		load_start(c, now);
 	else
@@ -866,8 +694,8 @@
 static void
 state_init(void)
 {
-	st.things = g_tree_new_full(key_order, NULL, g_free, thing_free);
-	st.changes = g_ptr_array_new_with_free_func(change_free);
+	st.store = objstore_new();
+	st.list = lagging_new();
 	st.waiting = g_ptr_array_new();
 	st.rng.s = (uint64_t)opt.seed;
 	st.fault.list_lag_ms = opt.list_lag_ms;
@@ -876,12 +704,24 @@
 	st.reads = (rate_t){ opt.reads_per_s, 1.0, st.ticked };
 }
 
+static struct MHD_Daemon *
+listen_on(const char *host, uint16_t port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+
+	sin.sin_port = htons(port);
+	inet_pton(AF_INET, host, &sin.sin_addr);
+	return MHD_start_daemon(
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
+	    NULL, NULL, handle, NULL, MHD_OPTION_SOCK_ADDR, &sin,
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_END);
+}
+
 int
 main(int argc, char **argv)
 {
 	GOptionContext *ctx = g_option_context_new("- platform stand-in");
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	struct MHD_Daemon *d;
 	char host[ADDR_MAX];
 	GError *why = NULL;
 	pthread_t thread;
@@ -904,14 +744,8 @@
 	pthread_sigmask(SIG_BLOCK, &stop, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	state_init();
-	sin.sin_port = htons(port);
-	inet_pton(AF_INET, host, &sin.sin_addr);
-	d = MHD_start_daemon(
-	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
-	    NULL, NULL, handle, NULL, MHD_OPTION_SOCK_ADDR, &sin,
-	    MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
-	    MHD_OPTION_CONNECTION_LIMIT, 4000, MHD_OPTION_END);
-	if (d == NULL || pthread_create(&thread, NULL, timer, NULL) != 0) {
+	if (listen_on(host, port) == NULL ||
+	    pthread_create(&thread, NULL, timer, NULL) != 0) {
 		log_event(LOG_ERR, "start_failed", "addr=%s", opt.listen);
 		return 1;
 	}
--- a/tests/platform_proc.c
+++ b/tests/platform_proc.c
@@ -389,6 +389,35 @@
 	}
 }
 
+/* The store starts model loads at its rate; each takes its time. */
+static void
+weights_come_at_a_rate(bench_t *b, const void *arg)
+{
+	static const struct {
+		const char *load;
+		ms_t least, most;
+	} rows[] = {
+		{ "{\"worker\":\"w\",\"kind\":\"adapter\",\"mb\":1}", 6,
+		    START_MS },
+		{ "{\"worker\":\"w\",\"kind\":\"model\",\"mb\":1}", 500,
+		    START_MS },
+		/* 60 a minute: the next one waits for its turn. */
+		{ "{\"worker\":\"w\",\"kind\":\"model\",\"mb\":1}", 900,
+		    START_MS },
+	};
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		ms_t start = clock_now(&machine_clock), took;
+
+		control(b, "/v1/store/loads", rows[i].load);
+		took = clock_now(&machine_clock) - start;
+		g_assert_cmpint(took, >=, rows[i].least);
+		g_assert_cmpint(took, <, rows[i].most);
+	}
+}
+
 static void
 record(audit_t *a, const char *subject, const char *kind, int64_t at)
 {
@@ -562,6 +591,7 @@
 	add("/platform/outcomes", NULL, outcomes_are_exact);
 	add("/platform/rates", "--writes-per-s=50", rates_are_told_apart);
 	add("/platform/list", NULL, the_list_lags);
+	add("/platform/weights", "--loads-per-min=60", weights_come_at_a_rate);
 	add("/lease/passes", NULL, a_lease_passes_on);
 	add("/lease/stopped-clock", NULL, a_stopped_clock_is_found_out);
 	add("/lease/lost-replies", NULL, lost_replies_are_settled);
