--- a/bench/policyplace.c
+++ b/bench/policyplace.c
@@ -85,6 +85,16 @@
 	int64_t dark; /* item-seconds without a ready copy */
 } sim_t;
 
+static void *
+zeroed(size_t n, size_t size)
+{
+	void *p = calloc(n, size);
+
+	if (p == NULL)
+		abort();
+	return p;
+}
+
 static double
 normal(rng_t *r)
 {
@@ -524,7 +534,7 @@
 run(const deployment_t *d, scenario_t scenario, policy_t policy, int64_t weight,
     uint64_t seed)
 {
-	sim_t *s = calloc(1, sizeof(*s));
+	sim_t *s = zeroed(1, sizeof(*s));
 	double hours = SECONDS / 3600.0;
 
 	s->d = d;
--- a/policy/admit.c
+++ b/policy/admit.c
@@ -1,76 +1,30 @@
-#include "policy/policy.h"
-#include "policy/worker.h"
+#include "policy/shard.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum {
-	WORKERS_MAX = 64,      /* in a shard: bits of a mask */
-	GRANTS_MAX = 1 << 20,  /* in flight in a shard */
-	FLOWS = 1024,	       /* callers and models told apart by hash */
-	ROUND_ASKS = 4,	       /* asks of one caller in a fair round */
-	ROUND_MODEL_ASKS = 16, /* asks of one model in a fair round */
-	HOLD_GUESS_MS = 2000,  /* a call's time until some have ended */
-	RETRY_LEAST_MS = 100,  /* least Retry-After */
-	RETRY_MOST_MS = 30000, /* longest Retry-After */
-	REACH_MS = 1000,       /* by then a granted call is at its worker */
-	IDLE_DUE_MS = 1000,    /* longest time between two looks */
-	BUDGET_FIRST = 10,     /* retries before any success */
-	BUDGET_MOST = 100,     /* retries saved up */
+	GRANTS_MAX = 1 << 20, /* in flight in a shard */
+	REACH_MS = 1000,      /* by then a granted call is at its worker */
+	SECOND_MS = 1000,
+	IDLE_DUE_MS = 1000, /* longest time between two looks */
+	BUDGET_FIRST = 10,  /* retries before any success */
+	BUDGET_MOST = 100,  /* retries saved up */
+	COPY_MS = 100,	    /* Retry-After where a copy may be coming */
 };
 
 /* Load may be higher by this share where a prefix is likely cached. */
 static const double affine_load = 0.25;
-/* Of what a refused caller is told, half of the slots are for others. */
-static const double return_share = 0.5;
-
-/* An ask that waits. Sorted by rank, fair round, deadline, arrival. */
-typedef struct waiting {
-	uint32_t rank;
-	uint64_t round;
-	ms_t deadline;
-	uint64_t seq;
-	uint64_t tag;
-	uint64_t mask; /* workers that may take it */
-	uint64_t item, caller, avoid, prefix;
-	double start; /* virtual time */
-} waiting_t;
-
-typedef struct grant {
-	int worker;
-	ms_t at;
-	handle_t before, after; /* in order of time */
-} grant_t;
-
-struct admit {
-	admit_opts_t opts;
-	worker_t worker[WORKERS_MAX];
-	int nworker; /* places used so far, some may be free again */
-
-	waiting_t *queue;
-	int nqueue;
-	double backlog[WORKERS_MAX]; /* asks a worker's share is */
-	uint64_t seq;
-	bool look;	/* something changed since no ask could be granted */
-	ms_t looked_at; /* the last admit_next() */
-
-	double virtual_now, virtual_last;
-	double caller_finish[FLOWS], item_finish[FLOWS];
-
-	table_t *grants;
-	handle_t oldest, newest;
-	uint64_t salt; /* another broker's handles don't fit ours */
-
-	double first; /* ms to the first token, over the shard */
-	double late;  /* its mean deviation */
-	ms_t booked;  /* the last refused caller was told to come then */
-	budget_t budget;
-	rng_t rng;
-
-	admit_verdict_t *verdict; /* ring of those not taken yet */
-	int verdict_room, verdict_first, nverdict;
-};
+/*
+ * An estimated wait may turn out this many times as long: later asks of a
+ * higher rank or of callers with fewer asks go first.
+ */
+static const double wait_margin = 1.5;
+/* Weight of a call's first token in their average. */
+static const double first_weight = 0.125;
+/* Weight of a second's arrivals in their average. */
+static const double rate_weight = 0.2;
 
 admit_t *
 admit_new(const admit_opts_t *o)
@@ -107,307 +61,6 @@
 	free(a);
 }
 
-/* Workers */
-
-static int
-worker_index(const admit_t *a, uint64_t id_hash)
-{
-	int i;
-
-	for (i = 0; i < a->nworker; i++)
-		if (a->worker[i].id_hash == id_hash && a->worker[i].id[0] != 0)
-			return i;
-	return -1;
-}
-
-static int
-worker_add(admit_t *a, const char *id)
-{
-	int i;
-
-	for (i = 0; i < a->nworker; i++)
-		if (a->worker[i].id[0] == '\0')
-			break;
-	if (i == WORKERS_MAX)
-		return -1;
-	if (i == a->nworker)
-		a->nworker++;
-	memset(&a->worker[i], 0, sizeof(a->worker[i]));
-	str_copy(a->worker[i].id, ID_MAX, id);
-	a->worker[i].id_hash = hash_str(id, 0);
-	return i;
-}
-
-/* Workers that hold an item; an empty item is held by all. */
-static uint64_t
-mask_of(const admit_t *a, uint64_t item, uint64_t avoid)
-{
-	uint64_t mask = 0, rest;
-	int i;
-
-	for (i = 0; i < a->nworker; i++) {
-		const worker_t *w = &a->worker[i];
-
-		if (w->id[0] != '\0' && !w->leaving &&
-		    (item == 0 || worker_holds(w, item) != NULL))
-			mask |= 1ull << i;
-	}
-	i = avoid == 0 ? -1 : worker_index(a, avoid);
-	rest = i == -1 ? mask : mask & ~(1ull << i);
-	return rest != 0 ? rest : mask;
-}
-
-static uint64_t
-open_mask(const admit_t *a, ms_t now)
-{
-	uint64_t mask = 0;
-	int i;
-
-	for (i = 0; i < a->nworker; i++)
-		if (a->worker[i].id[0] != '\0' &&
-		    worker_open(&a->worker[i], now))
-			mask |= 1ull << i;
-	return mask;
-}
-
-static uint64_t
-free_mask(const admit_t *a)
-{
-	uint64_t mask = 0;
-	int i;
-
-	for (i = 0; i < a->nworker; i++)
-		if (a->worker[i].id[0] != '\0' &&
-		    worker_free(&a->worker[i]) > 0)
-			mask |= 1ull << i;
-	return mask;
-}
-
-/* Those that aren't ejected, unless that leaves none. */
-static uint64_t
-usable(uint64_t mask, uint64_t open)
-{
-	return (mask & open) != 0 ? mask & open : mask;
-}
-
-/* Slots that become free in a ms on the workers of a mask. */
-static double
-drain(const admit_t *a, uint64_t mask)
-{
-	double rate = 0;
-	int i;
-
-	for (i = 0; i < a->nworker; i++) {
-		const worker_t *w = &a->worker[i];
-
-		if (mask >> i & 1)
-			rate +=
-			    w->slots / (w->hold > 0 ? w->hold : HOLD_GUESS_MS);
-	}
-	return rate > 0 ? rate : 1.0 / HOLD_GUESS_MS;
-}
-
-static double
-backlog(const admit_t *a, uint64_t mask)
-{
-	double n = 0;
-	int i;
-
-	for (i = 0; i < a->nworker; i++)
-		if (mask >> i & 1)
-			n += a->backlog[i];
-	return n;
-}
-
-/* Time to the first token once a slot is there, with some margin. */
-static ms_t
-first_token(const admit_t *a)
-{
-	return (ms_t)(a->first + a->late);
-}
-
-/* Expected wait for a slot behind the first @p ahead of the queue. */
-static ms_t
-expected_wait(const admit_t *a, uint64_t mask, int ahead, ms_t now)
-{
-	uint64_t use = usable(mask, open_mask(a, now));
-	double asks = 0;
-
-	if (ahead == 0 && (use & free_mask(a)) != 0)
-		return 0;
-	if (a->nqueue > 0)
-		asks = backlog(a, use) * ahead / a->nqueue;
-	return (ms_t)((asks + 1) / drain(a, use));
-}
-
-/* Verdicts */
-
-static admit_verdict_t *
-verdict_add(admit_t *a, uint64_t tag, slot_outcome_t outcome)
-{
-	admit_verdict_t *v;
-	int i, room;
-
-	if (a->nverdict == a->verdict_room) {
-		room = a->verdict_room == 0 ? 64 : 2 * a->verdict_room;
-		v = calloc(room, sizeof(*v));
-		if (v == NULL)
-			return NULL;
-		for (i = 0; i < a->nverdict; i++)
-			v[i] = a->verdict[(a->verdict_first + i) %
-					  a->verdict_room];
-		free(a->verdict);
-		a->verdict = v;
-		a->verdict_room = room;
-		a->verdict_first = 0;
-	}
-	v = &a->verdict[(a->verdict_first + a->nverdict++) % a->verdict_room];
-	*v = (admit_verdict_t){ .tag = tag, .outcome = outcome };
-	return v;
-}
-
-/*
- * When coming back is worth it: not before the queue is short enough, and
- * one after the other at a share of the rate at which slots become free.
- */
-static ms_t
-come_back(admit_t *a, uint64_t mask, ms_t excess, ms_t now)
-{
-	double rate = drain(a, usable(mask, open_mask(a, now)));
-	ms_t after;
-
-	if (a->booked < now)
-		a->booked = now;
-	if (a->booked < now + RETRY_MOST_MS)
-		a->booked += (ms_t)(1 / (rate * return_share)) + 1;
-	after = a->booked - now;
-	if (after < excess)
-		after = excess;
-	if (after < RETRY_LEAST_MS)
-		after = RETRY_LEAST_MS;
-	if (after > RETRY_MOST_MS)
-		after = RETRY_MOST_MS;
-	return (ms_t)((double)after * (0.8 + 0.4 * rng_unit(&a->rng)));
-}
-
-static void
-refuse(admit_t *a, const waiting_t *q, slot_outcome_t why, ms_t now)
-{
-	ms_t wait = expected_wait(a, q->mask, a->nqueue, now);
-	ms_t excess = wait + first_token(a) - (q->deadline - now);
-	admit_verdict_t *v = verdict_add(a, q->tag, why);
-
-	if (v == NULL)
-		return;
-	v->wait = wait;
-	v->retry_after = come_back(a, q->mask, excess, now);
-}
-
-/* The queue */
-
-static bool
-goes_before(const waiting_t *x, const waiting_t *y)
-{
-	if (x->rank != y->rank)
-		return x->rank < y->rank;
-	if (x->round != y->round)
-		return x->round < y->round;
-	if (x->deadline != y->deadline)
-		return x->deadline < y->deadline;
-	return x->seq < y->seq;
-}
-
-static int
-place_in_queue(const admit_t *a, const waiting_t *q)
-{
-	int low = 0, high = a->nqueue;
-
-	while (low < high) {
-		int mid = (low + high) / 2;
-
-		if (goes_before(&a->queue[mid], q))
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	return low;
-}
-
-static void
-share_backlog(admit_t *a, const waiting_t *q, int sign)
-{
-	int i, n = __builtin_popcountll(q->mask);
-
-	for (i = 0; i < a->nworker; i++)
-		if (q->mask >> i & 1)
-			a->backlog[i] += (double)sign / n;
-}
-
-/* A flow's virtual start; the ask is charged to it. */
-static double
-flow_charge(admit_t *a, double *finish, double cost)
-{
-	double start = *finish > a->virtual_now ? *finish : a->virtual_now;
-
-	*finish = start + cost;
-	if (*finish > a->virtual_last)
-		a->virtual_last = *finish;
-	return start;
-}
-
-static void
-charge(admit_t *a, waiting_t *q)
-{
-	double c = flow_charge(
-	    a, &a->caller_finish[q->caller % FLOWS], 1.0 / ROUND_ASKS);
-	double i = flow_charge(
-	    a, &a->item_finish[q->item % FLOWS], 1.0 / ROUND_MODEL_ASKS);
-
-	q->start = c > i ? c : i;
-	q->round = (uint64_t)q->start;
-}
-
-/* What wasn't run isn't charged. */
-static void
-uncharge(admit_t *a, const waiting_t *q)
-{
-	a->caller_finish[q->caller % FLOWS] -= 1.0 / ROUND_ASKS;
-	a->item_finish[q->item % FLOWS] -= 1.0 / ROUND_MODEL_ASKS;
-}
-
-static void
-queue_insert(admit_t *a, int at, const waiting_t *q)
-{
-	memmove(
-	    &a->queue[at + 1], &a->queue[at], (a->nqueue - at) * sizeof(*q));
-	a->queue[at] = *q;
-	a->nqueue++;
-	share_backlog(a, q, 1);
-}
-
-static void
-queue_remove(admit_t *a, int at)
-{
-	share_backlog(a, &a->queue[at], -1);
-	a->nqueue--;
-	memmove(&a->queue[at], &a->queue[at + 1],
-	    (a->nqueue - at) * sizeof(a->queue[0]));
-	if (a->nqueue == 0) {
-		memset(a->backlog, 0, sizeof(a->backlog));
-		a->virtual_now = a->virtual_last;
-	}
-}
-
-static void
-queue_refuse(admit_t *a, int at, slot_outcome_t why, ms_t now)
-{
-	waiting_t q = a->queue[at];
-
-	queue_remove(a, at);
-	uncharge(a, &q);
-	refuse(a, &q, why, now);
-}
-
 /* Grants */
 
 static void
@@ -452,18 +105,18 @@
 
 /* Load with one more call; a slow worker counts as more loaded. */
 static double
-load_with(const admit_t *a, const worker_t *w)
+load_with(const admit_t *a, const worker_t *w, ms_t now)
 {
 	double load = (double)(worker_in_flight(w) + 1) / w->slots;
 
-	if (w->first > 0 && a->first > 0 && w->first > a->first)
+	if (a->first > 0 && w->first > a->first && now - w->first_at < SPEED_MS)
 		load *= w->first / a->first;
 	return load;
 }
 
 /* The worker for an ask among those of a mask that isn't empty. */
 static int
-choose(admit_t *a, const waiting_t *q, uint64_t mask)
+choose(admit_t *a, const waiting_t *q, uint64_t mask, ms_t now)
 {
 	int i, best = -1, likely = -1;
 	double load, least = 0, likely_least = 0;
@@ -472,7 +125,7 @@
 	for (i = 0; i < a->nworker; i++) {
 		if ((mask >> i & 1) == 0)
 			continue;
-		load = load_with(a, &a->worker[i]);
+		load = load_with(a, &a->worker[i], now);
 		t = rng_next(&a->rng);
 		if (best == -1 || load < least || (load == least && t > tie)) {
 			best = i;
@@ -501,14 +154,15 @@
 
 	if (h == 0)
 		return false;
-	v = verdict_add(a, q.tag, SLOT_GRANTED);
+	v = shard_verdict(a, q.tag, SLOT_GRANTED);
 	if (v == NULL) {
 		grant_drop(a, h);
 		return false;
 	}
 	queue_remove(a, at);
-	if (q.start > a->virtual_now)
-		a->virtual_now = q.start;
+	if (q.start > a->caller_now)
+		a->caller_now = q.start;
+	queue_charge_item(a, q.item);
 	if (w->circuit != CIRCUIT_CLOSED) {
 		w->circuit = CIRCUIT_PROBE;
 		w->probe = h;
@@ -519,32 +173,85 @@
 	str_copy(v->worker, ID_MAX, w->id);
 	held = worker_holds(w, q.item);
 	v->version = held == NULL ? 0 : held->version;
-	v->wait = expected_wait(a, q.mask, a->nqueue, now);
+	v->wait = shard_wait(a, q.mask, a->nqueue, q.rank, now);
 	return true;
 }
 
-/* Grant what can be granted, in the queue's order. */
-static void
-dispatch(admit_t *a, ms_t now)
+/*
+ * The next ask that a free worker can take: by rank, then the item that had
+ * least, then the queue's order. @return -1 if there is none.
+ */
+static int
+next_ask(const admit_t *a, uint64_t open, uint64_t free)
 {
-	uint64_t open = open_mask(a, now), free = free_mask(a), can;
-	int i = 0;
-
-	while (i < a->nqueue && free != 0) {
-		can = usable(a->queue[i].mask, open) & free;
-		if (can == 0 ||
-		    !grant(a, i, choose(a, &a->queue[i], can), now)) {
-			i++;
+	uint64_t round, least = 0, now = (uint64_t)a->item_now;
+	int i, best = -1;
+
+	for (i = 0; i < a->nqueue; i++) {
+		const waiting_t *q = &a->queue[i];
+
+		if (best != -1 && q->rank != a->queue[best].rank)
+			break;
+		if ((shard_usable(q->mask, open) & free) == 0)
 			continue;
+		round = (uint64_t)queue_item_start(a, q->item);
+		if (best == -1 || round < least) {
+			best = i;
+			least = round;
 		}
-		open = open_mask(a, now);
-		free = free_mask(a);
+		if (least == now)
+			break;
+	}
+	return best;
+}
+
+static void
+dispatch(admit_t *a, ms_t now)
+{
+	uint64_t open, free;
+	int i;
+
+	while (a->nqueue > 0 && (free = shard_free(a)) != 0) {
+		open = shard_open(a, now);
+		i = next_ask(a, open, free);
+		if (i == -1)
+			break;
+		free &= shard_usable(a->queue[i].mask, open);
+		if (!grant(a, i, choose(a, &a->queue[i], free, now), now))
+			break;
 	}
 	a->look = false;
 }
 
 /* Asks */
 
+static bool
+in_time(const admit_t *a, const waiting_t *q, int ahead, ms_t now)
+{
+	ms_t wait = shard_wait(a, q->mask, ahead, q->rank, now);
+
+	return (ms_t)((double)wait * wait_margin) + shard_first(a) <=
+	       q->deadline - now;
+}
+
+static void
+count_arrival(admit_t *a, uint32_t rank, ms_t now)
+{
+	ms_t span = now - a->second_at;
+	double rate;
+	int i;
+
+	a->arrived[rank < RANKS ? rank : RANKS - 1]++;
+	if (span < SECOND_MS)
+		return;
+	for (i = 0; i < RANKS; i++) {
+		rate = (double)a->arrived[i] / (double)span;
+		a->arrivals[i] += rate_weight * (rate - a->arrivals[i]);
+		a->arrived[i] = 0;
+	}
+	a->second_at = now;
+}
+
 /* The last in the queue may have become certain to be late. */
 static void
 trim(admit_t *a, ms_t now)
@@ -553,9 +260,7 @@
 
 	while (a->nqueue > 1) {
 		q = &a->queue[a->nqueue - 1];
-		if (expected_wait(a, q->mask, a->nqueue - 1, now) +
-			first_token(a) <=
-		    q->deadline - now)
+		if (in_time(a, q, a->nqueue - 1, now))
 			break;
 		queue_refuse(a, a->nqueue - 1, SLOT_LATE, now);
 	}
@@ -577,24 +282,24 @@
 		q.item = hash_str(ask->item, 0);
 	if (ask->avoid[0] != '\0')
 		q.avoid = hash_str(ask->avoid, 0);
-	q.mask = mask_of(a, q.item, q.avoid);
+	count_arrival(a, q.rank, now);
+	q.mask = shard_mask(a, q.item, q.avoid);
 	if (q.mask == 0) {
-		v = verdict_add(a, q.tag, SLOT_NO_COPY);
+		v = shard_verdict(a, q.tag, SLOT_NO_COPY);
 		if (v != NULL)
-			v->retry_after = RETRY_LEAST_MS;
+			v->retry_after = COPY_MS;
 		return;
 	}
 	if (ask->retry && !budget_spend(&a->budget)) {
-		refuse(a, &q, SLOT_RETRY_BUDGET, now);
+		shard_refuse(a, &q, SLOT_RETRY_BUDGET, now);
 		return;
 	}
-	charge(a, &q);
-	at = place_in_queue(a, &q);
-	if (expected_wait(a, q.mask, at, now) + first_token(a) >
-		q.deadline - now &&
-	    (at > 0 || (q.mask & free_mask(a)) == 0)) {
-		uncharge(a, &q);
-		refuse(a, &q, SLOT_LATE, now);
+	queue_charge(a, &q);
+	at = queue_place(a, &q);
+	if (!in_time(a, &q, at, now) &&
+	    (at > 0 || (q.mask & shard_free(a)) == 0)) {
+		queue_uncharge(a, &q);
+		shard_refuse(a, &q, SLOT_LATE, now);
 		return;
 	}
 	queue_insert(a, at, &q);
@@ -615,7 +320,7 @@
 			break;
 	if (i == a->nqueue)
 		return;
-	uncharge(a, &a->queue[i]);
+	queue_uncharge(a, &a->queue[i]);
 	queue_remove(a, i);
 }
 
@@ -641,18 +346,36 @@
 	for (i = 0; i < a->nqueue; i++) {
 		waiting_t *q = &a->queue[i];
 
-		q->mask = mask_of(a, q->item, q->avoid);
-		share_backlog(a, q, 1);
+		q->mask = shard_mask(a, q->item, q->avoid);
+		queue_share(a, q, 1);
 	}
 	for (i = a->nqueue - 1; i >= 0; i--)
 		if (a->queue[i].mask == 0)
 			queue_refuse(a, i, SLOT_NO_COPY, now);
 }
 
+static int
+worker_add(admit_t *a, const char *id)
+{
+	int i;
+
+	for (i = 0; i < a->nworker; i++)
+		if (a->worker[i].id[0] == '\0')
+			break;
+	if (i == WORKERS_MAX)
+		return -1;
+	if (i == a->nworker)
+		a->nworker++;
+	memset(&a->worker[i], 0, sizeof(a->worker[i]));
+	str_copy(a->worker[i].id, ID_MAX, id);
+	a->worker[i].id_hash = hash_str(id, 0);
+	return i;
+}
+
 void
 admit_report(admit_t *a, const admit_report_t *r, ms_t now)
 {
-	int at = worker_index(a, hash_str(r->worker, 0));
+	int at = shard_worker(a, hash_str(r->worker, 0));
 	int known = 0, settled = 0;
 	const grant_t *g;
 	handle_t h;
@@ -682,7 +405,7 @@
 void
 admit_forget(admit_t *a, const char *worker)
 {
-	int at = worker_index(a, hash_str(worker, 0));
+	int at = shard_worker(a, hash_str(worker, 0));
 	const grant_t *g;
 	handle_t h, after;
 
@@ -735,6 +458,15 @@
 	return 2 * (out + 1) <= n;
 }
 
+static void
+learn_first(admit_t *a, double first)
+{
+	if (a->first == 0)
+		a->first = first;
+	a->late += first_weight * (fabs(first - a->first) - a->late);
+	a->first += first_weight * (first - a->first);
+}
+
 void
 admit_release(admit_t *a, handle_t slot, call_outcome_t how, ms_t first,
     uint32_t tokens, ms_t now)
@@ -742,7 +474,7 @@
 	handle_t h = slot ^ a->salt;
 	grant_t *g = table_get(a->grants, h);
 	worker_t *w;
-	double usual, off;
+	double usual;
 	bool probed;
 
 	if (g == NULL)
@@ -752,11 +484,8 @@
 	worker_ended(w, how, g->at, first, tokens, now);
 	usual = median_first(a, g->worker);
 	worker_judge(w, usual, probed, may_eject(a), &a->rng, now);
-	if (first >= 0) {
-		off = fabs((double)first - a->first);
-		a->late += (off - a->late) / 8;
-		a->first += ((double)first - a->first) / 8;
-	}
+	if (first >= 0)
+		learn_first(a, (double)first);
 	if (how == CALL_DONE)
 		budget_success(&a->budget);
 	grant_drop(a, h);
@@ -766,7 +495,7 @@
 static void
 refuse_late(admit_t *a, ms_t now)
 {
-	ms_t latest = now + first_token(a);
+	ms_t latest = now + shard_first(a);
 	int i;
 
 	for (i = a->nqueue - 1; i >= 0; i--)
@@ -812,7 +541,7 @@
 	if (a->nqueue == 0)
 		return due;
 	for (i = 0; i < a->nqueue; i++)
-		due = sooner(due, a->queue[i].deadline - first_token(a));
+		due = sooner(due, a->queue[i].deadline - shard_first(a));
 	for (i = 0; i < a->nworker; i++)
 		if (a->worker[i].circuit == CIRCUIT_OPEN &&
 		    a->worker[i].retry_at > now)
@@ -829,15 +558,16 @@
 ms_t
 admit_wait(const admit_t *a, const char *item, ms_t now)
 {
-	uint64_t mask = mask_of(a, item[0] == '\0' ? 0 : hash_str(item, 0), 0);
+	uint64_t mask =
+	    shard_mask(a, item[0] == '\0' ? 0 : hash_str(item, 0), 0);
 
-	return expected_wait(a, mask, a->nqueue, now);
+	return shard_wait(a, mask, a->nqueue, 1, now);
 }
 
 int
 admit_free_slots(const admit_t *a, const char *worker)
 {
-	int i = worker_index(a, hash_str(worker, 0));
+	int i = shard_worker(a, hash_str(worker, 0));
 
 	return i == -1 ? 0 : worker_free(&a->worker[i]);
 }
@@ -845,7 +575,7 @@
 bool
 admit_ejected(const admit_t *a, const char *worker, ms_t now)
 {
-	int i = worker_index(a, hash_str(worker, 0));
+	int i = shard_worker(a, hash_str(worker, 0));
 
 	return i != -1 && (a->worker[i].circuit != CIRCUIT_CLOSED ||
 			      !worker_open(&a->worker[i], now));
--- a/policy/worker.c
+++ b/policy/worker.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 enum {
-	SAMPLES_MIN = 8,	/* calls before a speed is judged */
+	SAMPLES_MIN = 4,	/* calls before a speed is judged */
 	SLOW_TIMES = 3,		/* so many times the usual first token ... */
 	SLOW_MS = 100,		/* ... and so much more is ejected */
 	FAILURES_MAX = 3,	/* failures in a row eject */
@@ -164,6 +164,7 @@
 	if (first < 0)
 		return;
 	average(&w->first, (double)(first + 1));
+	w->first_at = now;
 	w->samples++;
 }
 
--- a/policy/worker.h
+++ b/policy/worker.h
@@ -12,6 +12,7 @@
 	PREFIXES_KEPT = 1024, /* a worker's latest prefixes */
 	ENDED_KEPT = 64,      /* a worker's latest ended grants */
 	LOST_REPORTS = 3,     /* reports that must agree on lost grants */
+	SPEED_MS = 2000,      /* after this an idle worker's speed is old */
 };
 
 typedef enum circuit {
@@ -45,8 +46,9 @@
 	ended_t ended[ENDED_KEPT];
 	unsigned nended;
 
-	double hold;  /* ms that a call keeps a slot, 0: not known */
-	double first; /* ms to the first token, 0: not known */
+	double hold;   /* ms that a call keeps a slot, 0: not known */
+	double first;  /* ms to the first token, 0: not known */
+	ms_t first_at; /* when that was learnt last */
 	int samples;
 
 	circuit_t circuit;
