--- /dev/null
+++ b/peer/member.c
@@ -0,0 +1,714 @@
+#include "peer/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	ROOTS = 2,	    /* of a domain: they speak with other domains */
+	UPSTREAMS = 2,	    /* of a member: through these it hears the rest */
+	FOREIGN_BEATS = 4,  /* heartbeats to one for another domain */
+	UNWANTED_MS = 5000, /* a connection without use is closed */
+	CONNECT_MS = 50,    /* between two looks at the connections */
+	SEED_MS = 300,	    /* between two tries of a seed */
+	PROBE_MS = 5000,    /* between two looks at a member not connected */
+	GONE_SHARE = 2,	    /* a domain out of reach: times the deadline */
+	ROOT_KEY_MAX = ID_MAX + 8,
+};
+
+static void
+send_hello(node_t *n, conn_t *c)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Hello h = WIRE__HELLO__INIT;
+
+	/* Newer than whatever is said of us, so also than that we are gone. */
+	n->me.seq++;
+	h.member = &n->me;
+	h.catalogue = n->catalogue->number;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_HELLO;
+	f.hello = &h;
+	conn_send(c, &f);
+}
+
+static void
+send_heartbeat(node_t *n, conn_t *c, bool relay, bool bye)
+{
+	Wire__Frame f = WIRE__FRAME__INIT;
+	Wire__Heartbeat h = WIRE__HEARTBEAT__INIT;
+	Wire__Member m = WIRE__MEMBER__INIT;
+
+	/* What stays as the Hello had it is left out. */
+	m.id = n->me.id;
+	m.incarnation = n->me.incarnation;
+	m.seq = n->me.seq;
+	m.leaving = n->me.leaving;
+	m.in_force = n->me.in_force;
+	m.load = n->me.load;
+	h.member = &m;
+	h.catalogue = n->catalogue->number;
+	h.ready = __atomic_load_n(&n->ready, __ATOMIC_RELAXED);
+	h.relay = relay;
+	h.bye = bye;
+	f.version = WIRE_VERSION;
+	f.body_case = WIRE__FRAME__BODY_HEARTBEAT;
+	f.heartbeat = &h;
+	conn_send(c, &f);
+}
+
+static int
+live_in(node_t *n, const char *domain)
+{
+	GHashTableIter it;
+	void *value;
+	int live = 0;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (member_live(r) && strcmp(r->m->domain, domain) == 0)
+			live++;
+	}
+	return live;
+}
+
+static ms_t
+deadline(node_t *n, const char *domain)
+{
+	ms_t limit = n->set->peer.dead_ms;
+
+	return strcmp(domain, n->set->instance.domain) == 0
+		   ? limit
+		   : limit * FOREIGN_BEATS;
+}
+
+static void
+heard_from(node_t *n, const char *domain)
+{
+	ms_t *at = g_hash_table_lookup(n->domain_heard, domain);
+
+	if (at == NULL) {
+		at = g_new0(ms_t, 1);
+		g_hash_table_insert(n->domain_heard, g_strdup(domain), at);
+	}
+	*at = n->now;
+}
+
+static bool
+is_self(const node_t *n, const char *id)
+{
+	return strcmp(id, n->me.id) == 0;
+}
+
+/* The platform's list, or a peer, may know that we leave. */
+static void
+about_self(node_t *n, const Wire__Member *m)
+{
+	member_t *self = store_find(n->store, n->me.id);
+
+	if (m->incarnation > n->me.incarnation) {
+		/* Our own record of a time when this clock was ahead. */
+		n->me.incarnation = m->incarnation + 1;
+		n->news = true;
+	} else if (m->incarnation == n->me.incarnation && m->gone) {
+		self->reassert = true;
+		n->news = true;
+	}
+}
+
+void
+member_told(node_t *n, const Wire__Member *m)
+{
+	if (is_self(n, m->id))
+		about_self(n, m);
+	else
+		store_member(n->store, m);
+}
+
+/* Of two connections with a member, the one that the lower id dialled stays. */
+static void
+adopt(node_t *n, member_t *r, conn_t *c)
+{
+	conn_t *old = r->conn;
+
+	if (old == c)
+		return;
+	if (old != NULL && old->state != CONN_CLOSED) {
+		if (old->dialled && !c->dialled &&
+		    strcmp(n->me.id, r->m->id) < 0)
+			return;
+		conn_close(old, "duplicate");
+	}
+	r->conn = c;
+	backoff_reset(&r->backoff);
+}
+
+static void
+entry_hello(node_t *n, conn_t *c, const Wire__Hello *h)
+{
+	if (c->role == CONN_STRANGER) {
+		c->role = CONN_ENTRY;
+		str_copy(c->peer, sizeof(c->peer), h->member->id);
+		/* A planned stop waits for its own entryd, not for others. */
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_add_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+	}
+	c->relay.number = h->catalogue;
+	c->relay.wanted = h->views;
+	if (h->views)
+		relay_fill(n, c, true);
+}
+
+/* Another member than was dialled answers at this address. */
+static void
+moved(node_t *n, conn_t *c)
+{
+	member_t *r = store_find(n->store, c->peer);
+
+	if (r == NULL || r->conn != c)
+		return;
+	r->conn = NULL;
+	store_gone(n->store, r);
+}
+
+void
+member_hello(node_t *n, conn_t *c, const Wire__Hello *h)
+{
+	member_t *r;
+
+	if (h->member == NULL || c->role == CONN_NODE ||
+	    (c->role == CONN_ENTRY && !h->entry)) {
+		conn_close(c, "bad_hello");
+		return;
+	}
+	if (h->entry) {
+		entry_hello(n, c, h);
+		return;
+	}
+	if (is_self(n, h->member->id)) {
+		conn_close(c, "own_id");
+		return;
+	}
+	r = store_member(n->store, h->member);
+	if (r == NULL || !member_live(r)) {
+		conn_close(c, "old_incarnation");
+		return;
+	}
+	if (c->dialled && strcmp(c->peer, r->m->id) != 0)
+		moved(n, c);
+	c->role = CONN_NODE;
+	str_copy(c->peer, sizeof(c->peer), r->m->id);
+	c->above = strcmp(r->m->domain, n->me.domain) == 0 &&
+		   member_height(r->m->id, r->m->domain) >
+		       member_height(n->me.id, n->me.domain);
+	if (!c->dialled)
+		send_hello(n, c);
+	adopt(n, r, c);
+	heard_from(n, r->m->domain);
+	number_told(n, c, h->catalogue);
+	n->news = true;
+}
+
+static void
+entry_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h)
+{
+	c->relay.number = h->catalogue;
+	if (!is_self(n, c->peer) || h->member == NULL)
+		return;
+	n->me.load = h->member->load;
+	if (h->member->leaving)
+		__atomic_store_n(&n->leave, true, __ATOMIC_RELAXED);
+}
+
+void
+member_heartbeat(node_t *n, conn_t *c, const Wire__Heartbeat *h)
+{
+	member_t *r;
+
+	if (c->role == CONN_ENTRY) {
+		entry_heartbeat(n, c, h);
+		return;
+	}
+	if (c->role != CONN_NODE || h->member == NULL ||
+	    strcmp(h->member->id, c->peer) != 0) {
+		conn_close(c, "bad_heartbeat");
+		return;
+	}
+	r = store_member(n->store, h->member);
+	if (r == NULL)
+		return;
+	c->relay.wanted = h->relay;
+	c->bye = h->bye;
+	heard_from(n, r->m->domain);
+	if (h->ready && h->catalogue > n->ready_number)
+		n->ready_number = h->catalogue;
+	if (h->ready && n->store->workers_known &&
+	    n->catalogue->number >= n->ready_number)
+		n->confirmed = true;
+	number_told(n, c, h->catalogue);
+}
+
+void
+member_left(node_t *n, const Wire__Leaving *l)
+{
+	member_t *r = store_find(n->store, l->id);
+	Wire__Member m;
+
+	if (r == NULL || r->msg == NULL || is_self(n, l->id) ||
+	    r->m->incarnation != l->incarnation)
+		return;
+	m = *r->m;
+	m.leaving = true;
+	m.seq = r->seq + 1;
+	store_member(n->store, &m);
+}
+
+void
+member_opened(node_t *n, conn_t *c)
+{
+	if (c->probe)
+		conn_close(c, "probed");
+	else
+		send_hello(n, c);
+}
+
+static void
+dial(node_t *n, member_t *r)
+{
+	if (r->conn != NULL || *r->m->peer_addr == '\0')
+		return;
+	r->dial_at = n->now + backoff_next(&r->backoff, &n->rng);
+	r->conn = net_dial(n->net, r->m->peer_addr);
+	if (r->conn != NULL)
+		str_copy(r->conn->peer, sizeof(r->conn->peer), r->m->id);
+}
+
+static bool
+is_why(const conn_t *c, const char *why)
+{
+	return strcmp(c->why, why) == 0;
+}
+
+void
+member_closed(node_t *n, conn_t *c)
+{
+	member_t *r = store_find(n->store, c->peer);
+
+	if (c->role == CONN_ENTRY) {
+		if (strcmp(c->peer, n->me.id) == 0)
+			__atomic_sub_fetch(&n->entries, 1, __ATOMIC_RELAXED);
+		brokers_conn_gone(n->brokers, c->handle);
+		return;
+	}
+	if (r == NULL || r->conn != c)
+		return;
+	r->conn = NULL;
+	if (c->state == CONN_CLOSED && c->dialled && c->role == CONN_STRANGER) {
+		/* Whoever hears it will say that it lives. */
+		if (c->refused || is_why(c, "silent") ||
+		    is_why(c, "dial_timeout"))
+			store_gone(n->store, r);
+		return;
+	}
+	if (c->bye || is_why(c, "not_needed") || is_why(c, "rejoin"))
+		return;
+	if (is_why(c, "silent")) {
+		store_gone(n->store, r);
+		return;
+	}
+	/* Killed or only cut off? Whoever listens no more refuses at once. */
+	if (member_live(r))
+		dial(n, r);
+}
+
+/*
+ * A domain's roots: its first two live members by rendezvous, then, if there
+ * are fewer, those that may be tried.
+ */
+static int
+roots_of(node_t *n, const char *domain, bool self_too, member_t **out)
+{
+	int total = (int)g_hash_table_size(n->store->member), nm = 0, i;
+	char(*ids)[ID_MAX] = calloc(total + 1, sizeof(*ids));
+	int *order = calloc(total + 1, sizeof(*order)), found = 0, pass;
+	char key[ROOT_KEY_MAX];
+	GHashTableIter it;
+	void *value;
+
+	snprintf(key, sizeof(key), "relay/%s", domain);
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->msg != NULL && strcmp(r->m->domain, domain) == 0)
+			str_copy(ids[nm++], ID_MAX, r->m->id);
+	}
+	route_rank(key, ids, nm, order);
+	for (pass = 0; pass < 2; pass++) {
+		for (i = 0; i < nm && found < ROOTS; i++) {
+			member_t *r = store_find(n->store, ids[order[i]]);
+			bool live = member_live(r) && !member_leaving(r);
+			bool try = !live && !is_self(n, r->m->id) &&
+				   (r->conn != NULL || n->now >= r->dial_at) &&
+				   !member_live(r);
+
+			if (is_self(n, r->m->id) && !self_too)
+				continue;
+			if (pass == 0 ? live : try)
+				out[found++] = r;
+		}
+		if (pass == 0 && !self_too && found > 0 &&
+		    strcmp(domain, n->set->instance.domain) != 0)
+			break;
+	}
+	free(ids);
+	free(order);
+	return found;
+}
+
+uint64_t
+member_height(const char *id, const char *domain)
+{
+	char key[ROOT_KEY_MAX];
+
+	snprintf(key, sizeof(key), "relay/%s", domain);
+	return route_score(hash_str(key, 0), hash_str(id, 0));
+}
+
+/*
+ * Each member hangs below two of those that rank before it, drawn by
+ * rendezvous: a random recursive tree. It is some log(members) deep, a
+ * member has two others below it on average and some 2 log(members) at the
+ * most, and whoever comes or goes moves only what hangs below it.
+ * @return how many, 0 for the first root; the first one is the primary.
+ */
+static int
+upstreams(node_t *n, member_t **out)
+{
+	const char *own = n->set->instance.domain;
+	uint64_t height = member_height(n->me.id, own), key, score;
+	uint64_t best[UPSTREAMS] = { 0, 0 };
+	GHashTableIter it;
+	void *value;
+	int found = 0;
+
+	key = hash_str(n->me.id, UPSTREAMS);
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (!member_live(r) || member_leaving(r) ||
+		    strcmp(r->m->domain, own) != 0 || is_self(n, r->m->id) ||
+		    member_height(r->m->id, own) <= height)
+			continue;
+		score = route_score(key, hash_str(r->m->id, 0));
+		if (found == 0 || score > best[0]) {
+			best[1] = best[0];
+			out[1] = out[0];
+			best[0] = score;
+			out[0] = r;
+		} else if (found == 1 || score > best[1]) {
+			best[1] = score;
+			out[1] = r;
+		}
+		if (found < UPSTREAMS)
+			found++;
+	}
+	return found;
+}
+
+static bool
+has_self(node_t *n, member_t **r, int nr)
+{
+	int i;
+
+	for (i = 0; i < nr; i++)
+		if (is_self(n, r[i]->m->id))
+			return true;
+	return false;
+}
+
+/* Connections that are wanted are marked by unwanted = 0. */
+static void
+want(node_t *n, member_t **r, int nr)
+{
+	int i;
+
+	for (i = 0; i < nr; i++) {
+		if (is_self(n, r[i]->m->id))
+			continue;
+		if (r[i]->conn == NULL && n->now >= r[i]->dial_at)
+			dial(n, r[i]);
+		if (r[i]->conn != NULL)
+			r[i]->conn->unwanted = 0;
+	}
+}
+
+static GHashTable *
+domains(node_t *n)
+{
+	GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((member_t *)value)->msg != NULL)
+			g_hash_table_add(set, ((member_t *)value)->m->domain);
+	return set;
+}
+
+static void
+mark_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->dialled && c->unwanted == 0)
+			c->unwanted = n->now;
+}
+
+static void
+close_unwanted(node_t *n)
+{
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		if (c->state != CONN_OPEN || c->unwanted == 0 ||
+		    n->now - c->unwanted < UNWANTED_MS)
+			continue;
+		c->unwanted = n->now;
+		if (c->bye) {
+			conn_close(c, "not_needed");
+			continue;
+		}
+		/* Closed on the next round: the word goes out first. */
+		send_heartbeat(n, c, false, true);
+		c->bye = true;
+		c->unwanted = n->now - UNWANTED_MS;
+	}
+}
+
+static void
+connect_foreign(node_t *n)
+{
+	GHashTable *set = domains(n);
+	member_t *r[ROOTS];
+	GHashTableIter it;
+	void *domain;
+
+	g_hash_table_iter_init(&it, set);
+	while (g_hash_table_iter_next(&it, &domain, NULL))
+		if (strcmp(domain, n->set->instance.domain) != 0)
+			want(n, r, roots_of(n, domain, false, r));
+	g_hash_table_destroy(set);
+}
+
+/* Dial whom this node relays with, or through. */
+static void
+connect_all(node_t *n)
+{
+	const char *own = n->set->instance.domain;
+	member_t *r[ROOTS], *up[UPSTREAMS] = { NULL, NULL };
+	int nr = roots_of(n, own, true, r), nup = upstreams(n, up);
+	bool parent = has_self(n, r, nr), alone = live_in(n, own) < 2;
+
+	mark_unwanted(n);
+	want(n, up, nup);
+	/* Alone: whoever the list names in this domain is tried. */
+	if (alone)
+		want(n, r, nr);
+	if (parent || alone)
+		connect_foreign(n);
+	n->primary = nup > 0 ? up[0] : NULL;
+	if (__atomic_exchange_n(&n->parent, parent, __ATOMIC_RELAXED) != parent)
+		log_event(LOG_INFO, "relay", "root=%d", parent);
+	close_unwanted(n);
+}
+
+/* With nobody to talk to: one of the settings' addresses. */
+static void
+try_seed(node_t *n)
+{
+	char **seed;
+	conn_t *c;
+	int i, ns = 0;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_NODE || c->dialled)
+			return;
+	if (n->set->peer.seeds[0] == '\0' || n->now < n->seed_at)
+		return;
+	n->seed_at = n->now + SEED_MS;
+	seed = g_strsplit(n->set->peer.seeds, ",", -1);
+	for (ns = 0; seed[ns] != NULL; ns++)
+		g_strstrip(seed[ns]);
+	i = ns == 0 ? 0 : (int)(rng_next(&n->rng) % (uint64_t)ns);
+	if (ns > 0 && strcmp(seed[i], n->set->instance.peer_addr) != 0)
+		net_dial(n->net, seed[i]);
+	g_strfreev(seed);
+}
+
+/*
+ * Look at one member without a connection. Of those held for gone, so that
+ * two halves of a domain find together again; of the live ones of the own
+ * domain, so that one that died together with its upstreams is noticed.
+ */
+static void
+probe(node_t *n, bool live)
+{
+	member_t *pick = NULL;
+	GHashTableIter it;
+	void *value;
+	int seen = 0;
+
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+
+		if (r->msg == NULL || member_live(r) != live ||
+		    r->conn != NULL || is_self(n, r->m->id) ||
+		    (live &&
+			strcmp(r->m->domain, n->set->instance.domain) != 0))
+			continue;
+		if (rng_next(&n->rng) % ++seen == 0)
+			pick = r;
+	}
+	if (pick == NULL)
+		return;
+	dial(n, pick);
+	if (pick->conn != NULL)
+		pick->conn->probe = live;
+}
+
+/* Connections without a word, domains out of reach. */
+static void
+find_silent(node_t *n)
+{
+	const char *own = n->set->instance.domain;
+	GHashTableIter it;
+	void *value;
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		member_t *r = store_find(n->store, c->peer);
+
+		if ((c->role == CONN_NODE || c->dialled) &&
+		    c->state == CONN_OPEN && r != NULL && r->msg != NULL &&
+		    n->now - c->heard > deadline(n, r->m->domain))
+			conn_close(c, "silent");
+	}
+	if (!__atomic_load_n(&n->parent, __ATOMIC_RELAXED))
+		return;
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		member_t *r = value;
+		ms_t *at;
+
+		if (!member_live(r) || r->conn != NULL ||
+		    strcmp(r->m->domain, own) == 0)
+			continue;
+		at = g_hash_table_lookup(n->domain_heard, r->m->domain);
+		if (at != NULL &&
+		    n->now - *at > GONE_SHARE * deadline(n, r->m->domain))
+			store_gone(n->store, r);
+	}
+}
+
+static void
+set_in_force(node_t *n)
+{
+	uint64_t number = n->catalogue->number;
+	conn_t *c;
+
+	/* In force on an instance means: its entryds route by it too. */
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		if (c->role == CONN_ENTRY && c->state == CONN_OPEN &&
+		    is_self(n, c->peer) && c->relay.number < number)
+			number = c->relay.number;
+	if (number > n->me.in_force)
+		n->me.in_force = number;
+}
+
+/*
+ * Figures are wanted once: from the primary upstream, and by a root from the
+ * other domains' root of its own place.
+ */
+static bool
+wants_figures(node_t *n, member_t *r)
+{
+	member_t *own[ROOTS], *theirs[ROOTS];
+	int no, nt, i;
+
+	if (strcmp(r->m->domain, n->set->instance.domain) == 0)
+		return r == n->primary;
+	no = roots_of(n, n->set->instance.domain, true, own);
+	nt = roots_of(n, r->m->domain, false, theirs);
+	for (i = 0; i < no && i < nt; i++)
+		if (is_self(n, own[i]->m->id))
+			return theirs[i] == r;
+	return nt > 0 && theirs[0] == r;
+}
+
+static void
+beat(node_t *n, bool all)
+{
+	conn_t *c;
+
+	n->beat_at = n->now + n->set->peer.heartbeat_ms;
+	set_in_force(n);
+	n->me.seq++;
+	n->beats++;
+	store_member(n->store, &n->me);
+	for (c = net_first(n->net); c != NULL; c = c->next) {
+		member_t *r = store_find(n->store, c->peer);
+
+		if (c->role != CONN_NODE || c->state != CONN_OPEN || c->bye ||
+		    r == NULL || r->msg == NULL)
+			continue;
+		if (!all && n->beats % FOREIGN_BEATS != 0 &&
+		    strcmp(r->m->domain, n->set->instance.domain) != 0)
+			continue;
+		send_heartbeat(n, c, wants_figures(n, r), false);
+	}
+}
+
+void
+member_tick(node_t *n)
+{
+	if (n->now >= n->connect_at || n->connected != n->store->urgent) {
+		n->connect_at = n->now + CONNECT_MS;
+		n->connected = n->store->urgent;
+		find_silent(n);
+		connect_all(n);
+		try_seed(n);
+	}
+	if (n->now >= n->probe_at) {
+		n->probe_at = n->now + PROBE_MS;
+		probe(n, false);
+		probe(n, true);
+	}
+	if (n->news || n->now >= n->beat_at)
+		beat(n, n->news);
+	n->news = false;
+}
+
+void
+member_rejoin(node_t *n)
+{
+	uint64_t wall = clock_wall();
+	GHashTableIter it;
+	void *value;
+	conn_t *c;
+
+	for (c = net_first(n->net); c != NULL; c = c->next)
+		conn_close(c, "rejoin");
+	g_hash_table_iter_init(&it, n->store->member);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((member_t *)value)->heard = n->now;
+	g_hash_table_remove_all(n->domain_heard);
+	n->me.incarnation =
+	    wall > n->me.incarnation ? wall : n->me.incarnation + 1;
+	n->news = true;
+}
