--- a/bench/policyadmit.c
+++ b/bench/policyadmit.c
@@ -2,6 +2,7 @@
  * Admission of one shard against its baselines: Poisson arrivals, a fake
  * clock, workers that keep a call for as long as its tokens take. Prints CSV.
  */
+#include "bench/events.h"
 #include "policy/policy.h"
 
 #include <math.h>
@@ -53,14 +54,6 @@
 	REPORT
 } event_kind_t;
 
-typedef struct event {
-	ms_t at;
-	uint64_t seq;
-	event_kind_t kind;
-	int call;
-	int try;
-} event_t;
-
 typedef enum stage {
 	IDLE,
 	WAITING,
@@ -88,9 +81,7 @@
 	bool surge, retries, flood;
 	rng_t rng;
 	ms_t now;
-	event_t *heap;
-	int nheap;
-	uint64_t seq;
+	events_t events;
 	call_t *call; /* the first stands for none */
 	int ncall;
 	admit_t *admit;
@@ -106,16 +97,6 @@
 	int second_met[4 * RUN_MS / 1000]; /* by second of birth */
 } sim_t;
 
-static void *
-zeroed(size_t n, size_t size)
-{
-	void *p = calloc(n, size);
-
-	if (p == NULL)
-		abort();
-	return p;
-}
-
 /* Calls a second that all slots can do. */
 static double
 capacity(void)
@@ -123,43 +104,11 @@
 	return WORKERS * SLOTS * 1000.0 / (FIRST_MS * 1.08 + TOKENS * GAP_MS);
 }
 
-/* Events, a heap by time */
-
-static bool
-earlier(const event_t *a, const event_t *b)
-{
-	return a->at != b->at ? a->at < b->at : a->seq < b->seq;
-}
-
 static void
 push(sim_t *s, ms_t at, event_kind_t kind, int call)
 {
-	event_t e = { at, s->seq++, kind, call, s->call[call].try };
-	int i = s->nheap++;
-
-	while (i > 0 && earlier(&e, &s->heap[(i - 1) / 2])) {
-		s->heap[i] = s->heap[(i - 1) / 2];
-		i = (i - 1) / 2;
-	}
-	s->heap[i] = e;
-}
-
-static event_t
-pop(sim_t *s)
-{
-	event_t top = s->heap[0], e = s->heap[--s->nheap];
-	int i = 0, c;
-
-	while ((c = 2 * i + 1) < s->nheap) {
-		if (c + 1 < s->nheap && earlier(&s->heap[c + 1], &s->heap[c]))
-			c++;
-		if (!earlier(&s->heap[c], &e))
-			break;
-		s->heap[i] = s->heap[c];
-		i = c;
-	}
-	s->heap[i] = e;
-	return top;
+	events_push(
+	    &s->events, (event_t){ at, 0, kind, call, s->call[call].try });
 }
 
 static void
@@ -453,7 +402,7 @@
 	s->now = e->at;
 	if (e->try != c->try)
 		return;
-	switch (e->kind) {
+	switch ((event_kind_t)e->kind) {
 	case ARRIVE:
 		arrive(s);
 		break;
@@ -517,7 +466,7 @@
 	s->retries = retries;
 	s->flood = flood;
 	s->rng.s = seed;
-	s->heap = zeroed(8 * (size_t)CALLS_MAX, sizeof(*s->heap));
+	s->events.heap = zeroed(8 * (size_t)CALLS_MAX, sizeof(event_t));
 	s->call = zeroed(CALLS_MAX, sizeof(*s->call));
 	s->line.call = zeroed(CALLS_MAX, sizeof(int));
 	for (w = 0; w < WORKERS; w++)
@@ -526,8 +475,8 @@
 	s->admit = admit_new(&o);
 	push(s, 0, REPORT, 0);
 	push(s, 1, ARRIVE, 0);
-	while (s->nheap > 0 && s->now < end) {
-		e = pop(s);
+	while (s->events.n > 0 && s->now < end) {
+		e = events_pop(&s->events);
 		handle(s, &e);
 	}
 	seconds = ((surge ? SURGE_TO_MS : RUN_MS) - WARM_MS) / 1000.0;
@@ -552,7 +501,7 @@
 		free(s->own[w].call);
 	free(s->line.call);
 	free(s->call);
-	free(s->heap);
+	free(s->events.heap);
 	free(s);
 }
 
--- a/bench/policyplace.c
+++ b/bench/policyplace.c
@@ -2,6 +2,7 @@
  * Placement against its baselines: generated demand, a fake clock, engines
  * that obey. A second is one step. Prints CSV.
  */
+#include "bench/events.h"
 #include "policy/policy.h"
 
 #include <math.h>
@@ -85,16 +86,6 @@
 	int64_t dark; /* item-seconds without a ready copy */
 } sim_t;
 
-static void *
-zeroed(size_t n, size_t size)
-{
-	void *p = calloc(n, size);
-
-	if (p == NULL)
-		abort();
-	return p;
-}
-
 static double
 normal(rng_t *r)
 {
