--- a/bench/policyplace.c
+++ b/bench/policyplace.c
@@ -2,6 +2,7 @@
  * Placement against its baselines: generated demand, a fake clock, engines
  * that obey. A second is one step. Prints CSV.
  */
+#include "bench/events.h"
 #include "policy/policy.h"
 
 #include <math.h>
@@ -524,7 +525,7 @@
 run(const deployment_t *d, scenario_t scenario, policy_t policy, int64_t weight,
     uint64_t seed)
 {
-	sim_t *s = calloc(1, sizeof(*s));
+	sim_t *s = zeroed(1, sizeof(*s));
 	double hours = SECONDS / 3600.0;
 
 	s->d = d;
