--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -179,7 +179,7 @@
 # apply_note FILE: hand it in and wait until it is in force.
 in_force() {
 	$bin/ebonypitch --addr "${operator[${entry[0]}]}" --json note status \
-	    "$1" | grep -q '"in_force"'
+	    "$1" | grep -q '"state": *"in.force"'
 }
 apply_note() {
 	local out n
