Planner: reports from their own thread; the lease is kept within a round

Cause: rounds asked the engines one after the other; three that took 400 ms each made a round longer than the lease, which lapsed again and again, and the orders of the round were given back (tests/memory_proc.c, planner-wakes-late, with slow engines; seen in its log: lease fences 8 to 11 within 4 s). Ruled out: a longer lease, which only moves the bound. Change: loads_t polls side by side; a report counts for a ledger only if it was asked for after that ledger was read. The lease is renewed between orders.

--- a/control/books.c
+++ b/control/books.c
@@ -5,8 +5,8 @@
 
 enum {
 	SEEN_MAX = 4096, /* orders whose age is kept */
-	POLL_FIRST_MS = 500,
-	POLL_MOST_MS = 10000,
+	QUIET_FIRST_MS = 500,
+	QUIET_MOST_MS = 5000,
 };
 
 static const char prefix[] = "ledger/";
@@ -62,7 +62,7 @@
 	k = g_new0(book_t, 1);
 	str_copy(k->worker, sizeof(k->worker), worker);
 	k->backoff =
-	    (backoff_t){ .first = POLL_FIRST_MS, .most = POLL_MOST_MS };
+	    (backoff_t){ .first = QUIET_FIRST_MS, .most = QUIET_MOST_MS };
 	k->seen =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	g_hash_table_insert(b->by_worker, k->worker, k);
@@ -88,7 +88,7 @@
 }
 
 static void
-take_object(books_t *b, const object_t *o, const ledger_sender_t *by)
+take_object(books_t *b, const object_t *o, const ledger_sender_t *by, ms_t now)
 {
 	book_t *k = books_get(b, o->key + strlen(prefix));
 	ledger_t *l;
@@ -98,6 +98,7 @@
 	if (o->version <= k->version && !k->stale)
 		return;
 	book_clear(k);
+	k->read_at = now;
 	if (o->deleted)
 		return;
 	if ((l = ledger_decode(o->value, o->len, &e)) == NULL) {
@@ -112,7 +113,8 @@
 }
 
 static void
-read_stale(books_t *b, platform_t *p, book_t *k, const ledger_sender_t *by)
+read_stale(
+    books_t *b, platform_t *p, book_t *k, const ledger_sender_t *by, ms_t now)
 {
 	char key[sizeof(prefix) + ID_MAX];
 	object_t o = { 0 };
@@ -120,7 +122,7 @@
 
 	snprintf(key, sizeof(key), "%s%s", prefix, k->worker);
 	if (platform_get(p, key, &o, &e) == 0) {
-		take_object(b, &o, by);
+		take_object(b, &o, by, now);
 		object_clear(&o);
 	} else if (e.code == ERR_NOT_FOUND) {
 		book_clear(k);
@@ -128,7 +130,8 @@
 }
 
 int
-books_sync(books_t *b, platform_t *p, const ledger_sender_t *by, err_t *e)
+books_sync(
+    books_t *b, platform_t *p, const ledger_sender_t *by, ms_t now, err_t *e)
 {
 	objects_t got = { 0 };
 	GHashTableIter it;
@@ -147,14 +150,14 @@
 		return -1;
 	}
 	for (i = 0; i < got.n; i++)
-		take_object(b, &got.item[i], by);
+		take_object(b, &got.item[i], by, now);
 	if (got.version > 0)
 		b->since = got.version;
 	objects_clear(&got);
 	g_hash_table_iter_init(&it, b->by_worker);
 	while (g_hash_table_iter_next(&it, NULL, &k))
 		if (((book_t *)k)->stale)
-			read_stale(b, p, k, by);
+			read_stale(b, p, k, by, now);
 	return 0;
 }
 
--- a/control/books.h
+++ b/control/books.h
@@ -20,10 +20,11 @@
 	bool dirty;	  /* changed since it was read or written */
 	/* Orders that a write of unknown fate numbered; they never went out. */
 	uint64_t unsent_from, unsent_to;
+	ms_t read_at; /* the read that gave this version began then */
 	load_report_t report;
-	bool reported;	   /* report holds one of this round or before */
-	ms_t reached_at;   /* when that was asked for */
-	ms_t poll_at;	   /* an unreachable worker isn't asked before */
+	bool reported;	   /* report holds one */
+	bool fresh;	   /* and it hasn't been put to the ledger */
+	ms_t quiet_until;  /* after an order without an answer */
 	backoff_t backoff; /* between those */
 	GHashTable *seen;  /* order number to when we first saw it, ms */
 } book_t;
@@ -41,7 +42,8 @@
  * Bring all ledgers up to date: one read, and one more for each stale one.
  * @param by holds of its own that were never sent are given back.
  */
-int books_sync(books_t *b, platform_t *p, const ledger_sender_t *by, err_t *e);
+int books_sync(books_t *b, platform_t *p, const ledger_sender_t *by, ms_t now,
+    err_t *e);
 /** The book of a worker, made when there is none. */
 book_t *books_get(books_t *b, const char *worker);
 /**
--- a/control/picture.c
+++ b/control/picture.c
@@ -172,7 +172,8 @@
 	str_copy(pw.domain, sizeof(pw.domain), w->domain);
 	pw.memory_mb = k->l == NULL ? 0 : k->l->memory_mb;
 	pw.usable = !w->leaving && k->l != NULL && !k->stale && k->reported &&
-		    !k->report.leaving && now - k->reached_at < LOST_MS;
+		    !k->report.leaving && now >= k->quiet_until &&
+		    now - k->report.taken_at < LOST_MS;
 	g_array_append_val(pic->worker, pw);
 	g_ptr_array_add(pic->book, k);
 	g_ptr_array_add(pic->addr, w->addr);
--- a/control/planner.c
+++ b/control/planner.c
@@ -8,11 +8,12 @@
 #include <time.h>
 
 enum {
-	POLL_TIMEOUT_MS = 800, /* of a load report or an order */
-	BUSY_PARTS = 8,	       /* rounds while orders are under way are */
-	BUSY_LEAST_MS = 25,    /* ... shorter by this, but not below this */
-	KEEP_PARTS = 4,	       /* the lease is renewed ttl / this */
-	STEP_MS = 20,	       /* a sleeper looks at its flag */
+	ORDER_MS = 800,	    /* an order may take */
+	BUSY_PARTS = 8,	    /* rounds while orders are under way are */
+	BUSY_LEAST_MS = 25, /* ... shorter by this, but not below this */
+	KEEP_PARTS = 4,	    /* the lease is renewed ttl / this */
+	REPORTS = 4096,	    /* that may wait, a power of two */
+	STEP_MS = 20,	    /* a sleeper looks at its flag */
 	HOUR_S = 3600,
 	DAY_H = 24,
 };
@@ -29,6 +30,9 @@
 	planner_opts_t o;
 	platform_t *platform;
 	orders_t *orders;
+	ring_t *reports; /* of load_report_t * */
+	loads_t *loads_poll;
+	uint64_t targets; /* hash of the set that is asked */
 	pthread_t thread;
 	bool started, stop;
 	lease_t lease;
@@ -124,6 +128,19 @@
 	return true;
 }
 
+/* Renew the lease within a round. @return false: the round must stop. */
+static bool
+still_held(planner_t *p)
+{
+	ms_t now = clock_now(p->o.clock);
+
+	if (now >= p->keep_at) {
+		lease_keep(&p->lease, p->platform, NULL);
+		p->keep_at = now + p->lease.ttl / KEEP_PARTS;
+	}
+	return lease_held(&p->lease) && p->lease.fence == p->fence;
+}
+
 /* Reports */
 
 static void
@@ -143,39 +160,35 @@
 	g_free(item);
 }
 
-/* Ask a worker, after its ledger was read. */
+/* Keep the newest report of each worker. */
 static void
-poll_worker(planner_t *p, book_t *k, const char *addr)
+take_reports(planner_t *p)
 {
-	ms_t now = clock_now(p->o.clock);
-	rng_t rng = { .s = (uint64_t)now };
-	load_report_t r;
-	err_t e;
+	load_report_t *r;
+	book_t *k;
 
-	if (k->stale || now < k->poll_at)
-		return;
-	if (orders_state(p->orders, addr, &r, &e) == -1) {
-		k->poll_at =
-		    clock_now(p->o.clock) + backoff_next(&k->backoff, &rng);
-		return;
+	while ((r = ring_pop(p->reports)) != NULL) {
+		k = books_get(&p->books, r->worker);
+		if (r->reached && r->taken_at > k->report.taken_at) {
+			free(k->report.resident);
+			k->report = *r;
+			k->reported = k->fresh = true;
+			r->resident = NULL;
+		}
+		load_report_free(r);
 	}
-	backoff_reset(&k->backoff);
-	free(k->report.resident);
-	k->report = r;
-	k->reported = true;
-	k->reached_at = now;
-	apply_report(k, &r);
 }
 
+/* Put reports to the ledgers, if asked for after the ledger was read. */
 static void
-poll_all(planner_t *p, const view_t *v)
+settle_reports(planner_t *p, const view_t *v)
 {
 	const service_conf_t *conf;
 	const Wire__Worker *w;
 	book_t *k;
 	size_t i;
 
-	for (i = 0; i < v->wire->n_worker && !stopping(p); i++) {
+	for (i = 0; i < v->wire->n_worker; i++) {
 		w = v->wire->worker[i];
 		conf = settings_service(p->o.settings, w->service);
 		if (conf == NULL || conf->kind != SERVICE_ENGINE)
@@ -183,12 +196,45 @@
 		k = books_get(&p->books, w->id);
 		if (k->l == NULL && !k->stale)
 			k->l = ledger_new(w->id, conf->fencing);
-		if (k->l != NULL)
-			k->l->fencing = conf->fencing;
-		poll_worker(p, k, w->addr);
+		if (k->l == NULL || !k->fresh ||
+		    k->report.taken_at < k->read_at)
+			continue;
+		k->l->fencing = conf->fencing;
+		k->fresh = false;
+		apply_report(k, &k->report);
 	}
 }
 
+/* Have all engines asked for reports, or none while another plans. */
+static void
+set_targets(planner_t *p, const view_t *v)
+{
+	load_target_t *t = NULL;
+	const service_conf_t *conf;
+	uint64_t hash = 0;
+	int n = 0;
+	size_t i;
+
+	if (v != NULL)
+		t = g_new0(load_target_t, v->wire->n_worker + 1);
+	for (i = 0; v != NULL && i < v->wire->n_worker; i++) {
+		const Wire__Worker *w = v->wire->worker[i];
+
+		conf = settings_service(p->o.settings, w->service);
+		if (conf == NULL || conf->kind != SERVICE_ENGINE)
+			continue;
+		str_copy(t[n].worker, sizeof(t[n].worker), w->id);
+		str_copy(t[n].addr, sizeof(t[n].addr), w->addr);
+		n++;
+	}
+	if (n > 0)
+		hash = hash64(t, n * sizeof(*t), 0);
+	if (hash != p->targets)
+		loads_set(p->loads_poll, t, n);
+	p->targets = hash;
+	g_free(t);
+}
+
 /* Orders */
 
 static const todo_t *
@@ -253,7 +299,8 @@
 		k = p->picture.book->pdata[i];
 		w = &g_array_index(p->picture.worker, place_worker_t, i);
 		if (k->l == NULL || k->stale || !k->reported ||
-		    now - k->reached_at >= LOST_MS || w->memory_mb == 0)
+		    now - k->report.taken_at >= LOST_MS ||
+		    now < k->quiet_until || w->memory_mb == 0)
 			continue;
 		for (j = 0; j < k->l->nhold; j++) {
 			h = k->l->hold[j];
@@ -348,71 +395,96 @@
 	}
 }
 
-static void
+/* @return false: the worker gave no answer, send it nothing more now. */
+static bool
 send_one(planner_t *p, book_t *k, const todo_t *t)
 {
+	const char *addr = p->picture.addr->pdata[t->worker];
+	rng_t rng = { .s = t->order.number };
+	send_outcome_t how;
 	err_t e = { 0 };
-	int rc;
+	int rc = orders_send(p->orders, addr, &t->order, &e);
 
-	/* Saves an order that a successor would have to settle; its safety
-	 * doesn't rest on this. */
-	if (!lease_held(&p->lease)) {
-		k->dirty |= ledger_answer(k->l, t->order.number, SEND_NOT_RUN);
-		return;
-	}
-	rc = orders_send(
-	    p->orders, p->picture.addr->pdata[t->worker], &t->order, &e);
-	if (ledger_answer(k->l, t->order.number, outcome_of(rc, &e)))
+	how = outcome_of(rc, &e);
+	if (ledger_answer(k->l, t->order.number, how))
 		k->dirty = true;
-	if (outcome_of(rc, &e) == SEND_LOST)
-		counter_add(p->lost, 1);
 	counter_add(t->order.kind == ORDER_LOAD ? p->loads : p->unloads, 1);
+	if (how == SEND_LOST)
+		counter_add(p->lost, 1);
 	audit_order(p, t, rc == 0 ? "taken" : err_name(e.code));
+	if (rc == 0)
+		backoff_reset(&k->backoff);
+	if (how != SEND_LOST && e.code != ERR_DOWN)
+		return true;
+	k->quiet_until =
+	    clock_now(p->o.clock) + backoff_next(&k->backoff, &rng);
+	return false;
 }
 
-/* Write the ledger of one worker, then send what it stands for. */
+/* Send a worker's orders; those that don't go out are given back. */
 static void
-send_all(planner_t *p, int worker)
+send_todo(planner_t *p, int worker, book_t *k)
 {
-	book_t *k = p->picture.book->pdata[worker];
 	const todo_t *t;
-	err_t e = { 0 };
-	char q[ERR_TEXT_MAX];
-	bool good;
+	bool go_on = true;
 	guint i;
 
-	good = book_put(k, p->platform, &e) == 0;
-	if (!good)
-		log_event(LOG_WARNING, "ledger_not_written",
-		    "worker=%s error=%s reason=%s", k->worker, err_name(e.code),
-		    log_quote(q, sizeof(q), e.text));
 	for (i = 0; i < p->todo->len; i++) {
 		t = &g_array_index(p->todo, todo_t, i);
 		if (t->worker != worker)
 			continue;
-		if (good) {
-			send_one(p, k, t);
+		/* The lease saves orders that a successor would have to
+		 * settle; memory's safety doesn't rest on it. */
+		go_on = go_on && still_held(p);
+		if (go_on)
+			go_on = send_one(p, k, t);
+		else if (ledger_answer(k->l, t->order.number, SEND_NOT_RUN))
+			k->dirty = true;
+	}
+	/* The next round may be another's. */
+	if (k->dirty && !still_held(p))
+		book_put(k, p->platform, NULL);
+}
+
+static void
+never_sent(planner_t *p, int worker, book_t *k)
+{
+	const todo_t *t;
+	guint i;
+
+	for (i = 0; i < p->todo->len; i++) {
+		t = &g_array_index(p->todo, todo_t, i);
+		if (t->worker != worker)
 			continue;
-		}
 		if (k->unsent_from == 0)
 			k->unsent_from = t->order.number;
 		k->unsent_to = t->order.number;
 	}
-	/* What didn't go out is given back; the next round may be another's. */
-	if (k->dirty && !k->stale && !lease_held(&p->lease))
-		book_put(k, p->platform, &e);
 }
 
+/* Write each changed ledger, then send what it stands for. */
 static void
 give_out(planner_t *p)
 {
+	char q[ERR_TEXT_MAX];
+	err_t e = { 0 };
 	book_t *k;
 	guint i;
 
 	for (i = 0; i < p->picture.book->len && !stopping(p); i++) {
 		k = p->picture.book->pdata[i];
-		if (k->l != NULL && k->dirty && !k->stale && k->reported)
-			send_all(p, (int)i);
+		if (k->l == NULL || !k->dirty || k->stale || !k->reported)
+			continue;
+		if (!still_held(p))
+			return;
+		if (book_put(k, p->platform, &e) == 0) {
+			send_todo(p, (int)i, k);
+			continue;
+		}
+		never_sent(p, (int)i, k);
+		log_event(LOG_WARNING, "ledger_not_written",
+		    "worker=%s error=%s reason=%s", k->worker, err_name(e.code),
+		    log_quote(q, sizeof(q), e.text));
 	}
 }
 
@@ -453,11 +525,12 @@
 plan_round(planner_t *p, const view_t *v, err_t *e)
 {
 	ledger_sender_t by = sender(p);
-	ms_t now;
+	ms_t now = clock_now(p->o.clock);
 
-	if (books_sync(&p->books, p->platform, &by, e) == -1)
+	if (books_sync(&p->books, p->platform, &by, now, e) == -1)
 		return;
-	poll_all(p, v);
+	take_reports(p);
+	settle_reports(p, v);
 	now = clock_now(p->o.clock);
 	demand_take(&p->demand, v, now);
 	picture_draw(&p->picture, v, &p->books, &p->demand, p->o.settings, now);
@@ -482,6 +555,7 @@
 	if (v != NULL && v->catalogue != NULL && v->catalogue->number > 0 &&
 	    v->catalogue->number >= p->catalogue) {
 		p->catalogue = v->catalogue->number;
+		set_targets(p, v);
 		plan_round(p, v, &e);
 	}
 	view_unref(v);
@@ -512,6 +586,8 @@
 		span = p->o.settings->place.plan_ms;
 		if (keep_lease(p, start))
 			one_round(p);
+		else
+			set_targets(p, NULL);
 		if (p->fence != 0 && p->busy)
 			span /= BUSY_PARTS;
 		rest(p, start + (span < BUSY_LEAST_MS ? BUSY_LEAST_MS : span));
@@ -552,9 +628,12 @@
 	p->todo = g_array_new(FALSE, TRUE, sizeof(todo_t));
 	planner_counters(p);
 	p->platform = platform_new(&po, e);
-	if (p->platform != NULL)
-		p->orders = orders_new(POLL_TIMEOUT_MS, e);
-	if (p->orders == NULL) {
+	p->reports = ring_new(REPORTS);
+	if (p->platform != NULL && p->reports != NULL)
+		p->orders = orders_new(ORDER_MS, e);
+	if (p->orders != NULL)
+		p->loads_poll = loads_new(s, p->reports, e);
+	if (p->loads_poll == NULL) {
 		planner_free(p);
 		return NULL;
 	}
@@ -570,11 +649,19 @@
 void
 planner_free(planner_t *p)
 {
+	load_report_t *r;
+
 	if (p == NULL)
 		return;
 	__atomic_store_n(&p->stop, true, __ATOMIC_RELEASE);
 	if (p->started)
 		pthread_join(p->thread, NULL);
+	if (p->loads_poll != NULL)
+		loads_free(p->loads_poll);
+	while (p->reports != NULL && (r = ring_pop(p->reports)) != NULL)
+		load_report_free(r);
+	if (p->reports != NULL)
+		ring_free(p->reports);
 	if (p->orders != NULL)
 		orders_free(p->orders);
 	if (p->platform != NULL)
--- a/tests/control.c
+++ b/tests/control.c
@@ -44,6 +44,7 @@
 	s->platform.lease_ms = RIG_LEASE_MS;
 	s->place.plan_ms = RIG_PLAN_MS;
 	s->place.loads_per_min = 6000;
+	s->broker.load_poll_ms = 50;
 	s->peer.heartbeat_ms = 100;
 	s->peer.dead_ms = 600;
 }
