--- a/entry/route.h
+++ b/entry/route.h
@@ -113,6 +113,7 @@
 	table_t *routes;  /* of route_t * */
 	table_t *pending; /* of pending_t */
 	view_t *view;
+	bool ready; /* had a whole view once */
 	holders_t *holders;
 	rng_t rng;
 	budget_t budget;
@@ -121,6 +122,9 @@
 	int nroutes;	 /* atomic copy of the routes' number */
 };
 
+/** Go on with the client's latest view. entry.c */
+void entry_take_view(entry_t *en);
+
 /* route.c: the life of a route. */
 void route_new(entry_t *en, call_t *call);
 route_t *route_get(entry_t *en, handle_t h);
@@ -174,6 +178,8 @@
 bool resume_decode(const char *secret, const char *text, resume_t *t);
 
 /* pages.c: what callers may read without a call. */
+/** Does the view come from a controld, whole and with its catalogue? */
+bool entry_view_ready(const view_t *v);
 pages_t entry_pages(entry_t *en);
 
 #endif
