Notes through real processes: races, lost replies, orphans, outage, read-back

Cause: acceptance had no proof with real processes. Change: tests/note_proc.c, 9 cases over controld, the stand-ins and the tool. The harness waits for the operators' address too: a note handed in right after the entries were ready found nobody there (status 0, seen in two cases). After: note_proc 9 ok: of 6 racers on one base exactly one wins and the others are told its name; up to 8 lost replies of the platform end in one number; an orphan is finished; a stopped instance keeps a note from being in force.

--- /dev/null
+++ b/tests/note_proc.c
@@ -0,0 +1,460 @@
+/* Notes through real controlds: races, lost replies, outages, read-back. */
+#include "tests/system.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+enum {
+	CALL_MS = 20000,
+	RACERS = 6,
+	TEXT = 512,
+};
+
+static reply_t
+apply(system_t *s, int entry, const char *path, const char *text)
+{
+	return http_call("POST", s->entry[entry].operator, path,
+	    "X-User: tester", text, CALL_MS);
+}
+
+/* One model added or its version changed: note n on base n - 1. */
+static void
+note_text(char *buf, uint64_t n, const char *id)
+{
+	g_snprintf(buf, TEXT,
+	    "[note]\nid = %s\nbase = %d\n[add model m-%s]\nservice = llm\n"
+	    "version = 1\nmemory_mb = 100\n",
+	    id, (int)n - 1, id);
+}
+
+static int64_t
+number_in(const char *body)
+{
+	json_t *j = json_loads(body, 0, NULL);
+	int64_t n = json_integer_value(json_object_get(j, "number"));
+
+	json_decref(j);
+	return n;
+}
+
+static int64_t
+head(system_t *s)
+{
+	return system_figure(
+	    s->platform_addr, "/v1/objects/note/head", "number");
+}
+
+static void
+refusals_say_why(void)
+{
+	static const struct {
+		const char *what, *text;
+		int status;
+		const char *says;
+	} rows[] = {
+		{ "not INI", "hello\n", 400, "1: not an INI line" },
+		{ "errors are all told",
+		    "[note]\nid = a\nbase = 0\n[add model m]\nservice = no\n"
+		    "version = 1\nmemory_mb = 5\n[withdraw model q]\n"
+		    "reason = r\n",
+		    400, "5: service 'no' isn't known here\\n9: there is no" },
+		{ "a later base",
+		    "[note]\nid = a\nbase = 7\n[add model m]\nservice = llm\n"
+		    "version = 1\nmemory_mb = 5\n",
+		    409, "the head is 0" },
+		{ "larger than any worker",
+		    "[note]\nid = a\nbase = 0\n[add model m]\nservice = llm\n"
+		    "version = 1\nmemory_mb = 1001\n",
+		    400, "m: 0 of 1 copies of 1001 MB fit" },
+		{ "more copies than workers",
+		    "[note]\nid = a\nbase = 0\n[add model m]\nservice = llm\n"
+		    "version = 1\nmemory_mb = 5\ncopies = 3\n",
+		    400, "once applied: m: 2 of 3 copies" },
+		{ "all together too large",
+		    "[note]\nid = a\nbase = 0\n[add model m]\nservice = llm\n"
+		    "version = 1\nmemory_mb = 700\n[add model n]\n"
+		    "service = llm\nversion = 1\nmemory_mb = 700\n"
+		    "[add model o]\nservice = llm\nversion = 1\n"
+		    "memory_mb = 400\n",
+		    400, "0 of 1 copies of 400 MB fit" },
+	};
+	system_opts_t o = { .nengine = 2, .nservice = 0, .memory_mb = 1000 };
+	system_t *s = system_start(&o);
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		for (k = 0; k < 2; k++) {
+			reply_t r = apply(s, 0,
+			    k == 0 ? "/v1/notes" : "/v1/notes/check",
+			    rows[i].text);
+
+			if (r.status != rows[i].status ||
+			    strstr(r.body, rows[i].says) == NULL)
+				g_error("%s: %d %s", rows[i].what, r.status,
+				    r.body);
+			reply_clear(&r);
+		}
+	g_assert_cmpint(head(s), ==, -1);
+	system_stop(s);
+}
+
+/* It fits before and after, but not with the old version still there. */
+static void
+must_fit_while_applied(void)
+{
+	system_opts_t o = { .nengine = 1, .memory_mb = 1000 };
+	system_t *s = system_start(&o);
+	reply_t r = apply(s, 0, "/v1/notes",
+	    "[note]\nid = one\nbase = 0\n[add model m]\nservice = llm\n"
+	    "version = 1\nmemory_mb = 600\n");
+
+	g_assert_cmpint(r.status, ==, 200);
+	reply_clear(&r);
+	r = apply(s, 0, "/v1/notes",
+	    "[note]\nid = two\nbase = 1\n[change model m]\nversion = 2\n");
+	g_assert_cmpint(r.status, ==, 400);
+	g_assert_nonnull(strstr(r.body, "while it is applied: m: "));
+	g_assert_null(strstr(r.body, "once applied"));
+	reply_clear(&r);
+	g_assert_cmpint(head(s), ==, 1);
+	system_stop(s);
+}
+
+static void
+the_same_again_is_harmless(void)
+{
+	system_opts_t o = { .nengine = 1 };
+	system_t *s = system_start(&o);
+	char text[TEXT];
+	reply_t r;
+	int i;
+
+	note_text(text, 1, "a");
+	for (i = 0; i < 4; i++) {
+		r = apply(s, i % 2, "/v1/notes", text);
+		g_assert_cmpint(r.status, ==, 200);
+		g_assert_cmpint(number_in(r.body), ==, 1);
+		reply_clear(&r);
+		if (i == 2) {
+			char later[TEXT];
+
+			note_text(later, 2, "b");
+			r = apply(s, 0, "/v1/notes", later);
+			g_assert_cmpint(number_in(r.body), ==, 2);
+			reply_clear(&r);
+		}
+	}
+	g_strlcat(text, "copies = 1\n", sizeof(text));
+	r = apply(s, 0, "/v1/notes", text);
+	g_assert_cmpint(r.status, ==, 409);
+	g_assert_nonnull(
+	    strstr(r.body, "accepted as note 1 with another text"));
+	reply_clear(&r);
+	g_assert_cmpint(head(s), ==, 2);
+	system_stop(s);
+}
+
+typedef struct racer {
+	system_t *s;
+	int entry;
+	char text[TEXT];
+	reply_t r;
+} racer_t;
+
+static gpointer
+race(gpointer user)
+{
+	racer_t *a = user;
+
+	a->r = apply(a->s, a->entry, "/v1/notes", a->text);
+	return NULL;
+}
+
+static void
+one_note_wins(void)
+{
+	system_opts_t o = { .nengine = 1 };
+	system_t *s = system_start(&o);
+	racer_t racer[RACERS];
+	GThread *thread[RACERS];
+	char id[ID_MAX], won[TEXT];
+	int n, i, wins;
+
+	for (n = 1; n <= 4; n++) {
+		for (i = 0; i < RACERS; i++) {
+			racer[i] = (racer_t){ .s = s, .entry = i % 2 };
+			g_snprintf(id, sizeof(id), "n%d-%d", n, i);
+			note_text(racer[i].text, (uint64_t)n, id);
+			thread[i] = g_thread_new("racer", race, &racer[i]);
+		}
+		for (i = 0; i < RACERS; i++)
+			g_thread_join(thread[i]);
+		for (i = wins = 0; i < RACERS; i++)
+			if (racer[i].r.status == 200) {
+				wins++;
+				g_snprintf(won, sizeof(won),
+				    "note %d 'n%d-%d' by tester", n, n, i);
+			}
+		g_assert_cmpint(wins, ==, 1);
+		for (i = 0; i < RACERS; i++) {
+			if (racer[i].r.status != 200) {
+				g_assert_cmpint(racer[i].r.status, ==, 409);
+				g_assert_nonnull(strstr(racer[i].r.body, won));
+			}
+			reply_clear(&racer[i].r);
+		}
+		g_assert_cmpint(head(s), ==, n);
+	}
+	system_stop(s);
+}
+
+/* Replies of the platform lost after the write took effect, k of them. */
+static void
+lost_replies_are_settled(void)
+{
+	system_opts_t o = { .nengine = 1, .nentry = 1 };
+	system_t *s = system_start(&o);
+	char text[TEXT], id[ID_MAX], fault[TEXT];
+	reply_t r;
+	int k;
+
+	for (k = 1; k <= 8; k++) {
+		g_snprintf(id, sizeof(id), "k%d", k);
+		note_text(text, (uint64_t)k, id);
+		g_snprintf(fault, sizeof(fault), "{\"drop_replies\":%d}", k);
+		system_fault(s->platform_addr, fault);
+		r = apply(s, 0, "/v1/notes", text);
+		if (r.status != 200) {
+			/* Then it must say so, and the same again settles. */
+			g_assert_cmpint(r.status, ==, 503);
+			g_assert_nonnull(strstr(r.body, "same apply again"));
+			system_fault(s->platform_addr, "{\"drop_replies\":0}");
+			reply_clear(&r);
+			r = apply(s, 0, "/v1/notes", text);
+		}
+		g_assert_cmpint(r.status, ==, 200);
+		g_assert_cmpint(number_in(r.body), ==, k);
+		g_assert_cmpint(head(s), ==, k);
+		reply_clear(&r);
+	}
+	system_stop(s);
+}
+
+/* An acceptor died after note/1 and before the head. */
+static void
+an_orphan_is_finished(void)
+{
+	static const char *const stages[] = { "note", "note and catalogue" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(stages); i++) {
+		system_opts_t o = { .nengine = 1, .nentry = 1 };
+		system_t *s = system_start(&o);
+		char text[TEXT], other[TEXT], *body;
+		json_t *j;
+		reply_t r;
+
+		note_text(text, 1, "orphan");
+		note_text(other, 1, "other");
+		j = json_pack("{s:i,s:s,s:s,s:i,s:s}", "number", 1, "id",
+		    "orphan", "who", "dead", "at", 5, "text", text);
+		body = json_dumps(j, 0);
+		r = http_call("PUT", s->platform_addr, "/v1/objects/note/1",
+		    "If-None-Match: *\nX-User: t", body, CALL_MS);
+		g_assert_cmpint(r.status, ==, 200);
+		reply_clear(&r);
+		/* Not accepted yet, so not told of. */
+		r = http_call("GET", s->entry[0].operator, "/v1/notes/1", NULL,
+		    NULL, CALL_MS);
+		g_assert_cmpint(r.status, ==, 404);
+		reply_clear(&r);
+		r = apply(s, 0, "/v1/notes", i == 0 ? other : text);
+		g_assert_cmpint(r.status, ==, i == 0 ? 409 : 200);
+		if (i == 0)
+			g_assert_nonnull(
+			    strstr(r.body, "note 1 'orphan' by dead"));
+		reply_clear(&r);
+		g_assert_cmpint(head(s), ==, 1);
+		free(body);
+		json_decref(j);
+		system_stop(s);
+	}
+}
+
+static void
+an_outage_is_told(void)
+{
+	system_opts_t o = { .nengine = 1, .nentry = 1 };
+	system_t *s = system_start(&o);
+	char text[TEXT];
+	reply_t r;
+
+	note_text(text, 1, "a");
+	system_fault(s->platform_addr, "{\"outage_ms\":-1}");
+	r = apply(s, 0, "/v1/notes", text);
+	g_assert_cmpint(r.status, ==, 503);
+	reply_clear(&r);
+	system_fault(s->platform_addr, "{\"outage_ms\":0}");
+	g_assert_cmpint(head(s), ==, -1);
+	r = apply(s, 0, "/v1/notes", text);
+	g_assert_cmpint(r.status, ==, 200);
+	reply_clear(&r);
+	system_stop(s);
+}
+
+static char *
+state_of(system_t *s, int entry, int n)
+{
+	char *path = g_strdup_printf("/v1/notes/%d/status", n), *state;
+	reply_t r = http_call(
+	    "GET", s->entry[entry].operator, path, NULL, NULL, CALL_MS);
+	json_t *j = json_loads(r.body, 0, NULL);
+
+	state = g_strdup(json_string_value(json_object_get(j, "state")));
+	json_decref(j);
+	reply_clear(&r);
+	g_free(path);
+	return state;
+}
+
+typedef struct state_want {
+	system_t *s;
+	const char *state;
+} state_want_t;
+
+static bool
+has_state(void *user)
+{
+	state_want_t *w = user;
+	char *state = state_of(w->s, 0, 1);
+	bool good = g_strcmp0(state, w->state) == 0;
+
+	g_free(state);
+	return good;
+}
+
+/* A stopped instance hasn't taken the note, whatever the others think. */
+static void
+status_is_not_ahead(void)
+{
+	system_opts_t o = { .nengine = 1, .nentry = 3 };
+	system_t *s = system_start(&o);
+	state_want_t spreading = { s, "spreading" },
+		     in_force = { s, "in force" };
+	char text[TEXT], *state;
+	reply_t r;
+	int i;
+
+	proc_signal(s->entry[2].controld, SIGSTOP);
+	note_text(text, 1, "a");
+	r = apply(s, 0, "/v1/notes", text);
+	g_assert_cmpint(r.status, ==, 200);
+	reply_clear(&r);
+	g_assert_true(eventually(has_state, &spreading, START_MS));
+	for (i = 0; i < 20; i++) {
+		state = state_of(s, 0, 1);
+		g_assert_cmpstr(state, !=, "in force");
+		g_free(state);
+		clock_sleep(100);
+	}
+	proc_signal(s->entry[2].controld, SIGCONT);
+	g_assert_true(eventually(has_state, &in_force, START_MS));
+	system_stop(s);
+}
+
+static int
+tool(system_t *s, const char *file, const char *const *words)
+{
+	char *args[16];
+	proc_t *p;
+	int n = 0, rc;
+
+	if (s != NULL) {
+		args[n++] = "--addr";
+		args[n++] = "127.0.0.1:1"; /* nobody: the next is tried */
+		args[n++] = "--addr";
+		args[n++] = s->entry[0].operator;
+	}
+	for (; *words != NULL; words++)
+		args[n++] =
+		    (char *)(strcmp(*words, "FILE") == 0 ? file : *words);
+	args[n] = NULL;
+	p = proc_startv("ebonypitch", args);
+	g_assert_true(proc_ended(p, CALL_MS));
+	rc = WIFEXITED(p->status) ? WEXITSTATUS(p->status) : -1;
+	proc_kill(p);
+	return rc;
+}
+
+static void
+the_tool_exits_as_told(void)
+{
+	static const struct {
+		bool addr;
+		int exit;
+		const char *words[6];
+	} rows[] = {
+		{ true, 0, { "note", "check", "FILE" } },
+		{ true, 0, { "note", "apply", "FILE" } },
+		{ true, 0, { "note", "apply", "FILE" } },
+		{ true, 1, { "note", "check", "build/testlog/none.ini" } },
+		{ true, 0, { "note", "status", "1" } },
+		{ true, 1, { "note", "status", "2" } },
+		{ true, 2, { "note", "status", "x" } },
+		{ true, 0, { "note", "list" } },
+		{ true, 0, { "note", "show", "1", "--json" } },
+		{ true, 0, { "status" } },
+		{ true, 0, { "status", "--json" } },
+		{ true, 0, { "audit", "--kind", "note" } },
+		{ true, 2, { "nothing" } },
+		{ false, 2, { "status" } },
+		{ false, 0, { "--help" } },
+		{ false, 3, { "--addr", "127.0.0.1:1", "status" } },
+		{ false, 0,
+		    { "settings", "check", "settings/granite-ridge.ini",
+			"build/testlog/own.ini" } },
+		{ false, 1, { "settings", "check", "FILE" } },
+	};
+	system_opts_t o = { .nengine = 1, .nentry = 1 };
+	system_t *s = system_start(&o);
+	char text[TEXT], *file = "build/testlog/note.ini";
+	size_t i;
+
+	note_text(text, 1, "a");
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	g_assert_true(g_file_set_contents("build/testlog/none.ini",
+	    "[note]\nid = none\nbase = 0\n", -1, NULL));
+	g_assert_true(g_file_set_contents("build/testlog/own.ini",
+	    "[instance]\nid = e\ndomain = nh-concord\nsecret = s\n"
+	    "caller_addr = 127.0.0.1:1\npeer_addr = 127.0.0.1:2\n"
+	    "operator_addr = 127.0.0.1:3\n[platform]\naddr = 127.0.0.1:4\n",
+	    -1, NULL));
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		int rc = tool(rows[i].addr ? s : NULL, file, rows[i].words);
+
+		if (rc != rows[i].exit)
+			g_error("%s %s: exit %d", rows[i].words[0],
+			    rows[i].words[1], rc);
+	}
+	system_stop(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/note/refusals", refusals_say_why);
+	g_test_add_func("/note/fits-while-applied", must_fit_while_applied);
+	g_test_add_func("/note/same-again", the_same_again_is_harmless);
+	g_test_add_func("/note/race", one_note_wins);
+	g_test_add_func("/note/lost-replies", lost_replies_are_settled);
+	g_test_add_func("/note/orphan", an_orphan_is_finished);
+	g_test_add_func("/note/outage", an_outage_is_told);
+	g_test_add_func("/note/status", status_is_not_ahead);
+	g_test_add_func("/note/tool", the_tool_exits_as_told);
+	return g_test_run();
+}
--- a/tests/system.c
+++ b/tests/system.c
@@ -249,7 +249,8 @@
 	}
 	for (i = 0; i < s->nentry; i++)
 		g_assert_true(
-		    http_until(s->entry[i].caller, "/readyz", 200, START_MS));
+		    http_until(s->entry[i].caller, "/readyz", 200, START_MS) &&
+		    http_until(s->entry[i].operator, "/readyz", 200, START_MS));
 }
 
 system_t *
