--- a/control/books.h
+++ b/control/books.h
@@ -42,8 +42,8 @@
  * Bring all ledgers up to date: one read, and one more for each stale one.
  * @param by holds of its own that were never sent are given back.
  */
-int books_sync(books_t *b, platform_t *p, const ledger_sender_t *by, ms_t now,
-    err_t *e);
+int books_sync(
+    books_t *b, platform_t *p, const ledger_sender_t *by, ms_t now, err_t *e);
 /** The book of a worker, made when there is none. */
 book_t *books_get(books_t *b, const char *worker);
 /**
