policy: a model's demand is told with its adapters'

Cause: the planner's figures count an adapter's calls for its model too; placement took them twice. Change: a model's own demand is what remains; the benchmark tells demand in the same way, which also gives the demand-chasing baselines their models' whole demand.

--- a/bench/policyplace.c
+++ b/bench/policyplace.c
@@ -178,6 +178,21 @@
 	return f;
 }
 
+/* A model's demand is told with its adapters'. */
+static void
+tell_demand(sim_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->in.nitem; i++)
+		s->item[i].demand = 0;
+	for (i = 0; i < s->in.nitem; i++) {
+		s->item[i].demand += s->seen[i];
+		if (s->item[i].base != -1)
+			s->item[s->item[i].base].demand += s->seen[i];
+	}
+}
+
 static void
 draw_demand(sim_t *s)
 {
@@ -203,8 +218,8 @@
 		if (s->demand[i] < 0)
 			s->demand[i] = 0;
 		s->seen[i] += seen_weight * (s->demand[i] - s->seen[i]);
-		s->item[i].demand = s->seen[i];
 	}
+	tell_demand(s);
 }
 
 /* Who is served: fill the copies' slots in rounds. */
@@ -367,13 +382,13 @@
 	for (i = 0; i < s->in.nitem; i++) {
 		memory -= (double)s->item[i].copies_min * s->item[i].memory_mb;
 		weight += s->item[i].base == -1
-			      ? s->seen[i] * s->item[i].memory_mb
+			      ? s->item[i].demand * s->item[i].memory_mb
 			      : 0;
 	}
 	for (i = 0; i < s->in.nitem; i++) {
-		double need = s->seen[i] / (SLOTS * planned_share);
+		double need = s->item[i].demand / (SLOTS * planned_share);
 		double share = memory > 0 && s->item[i].base == -1
-				   ? s->seen[i] * memory / weight * 0.9
+				   ? s->item[i].demand * memory / weight * 0.9
 				   : 0;
 
 		target[i] = (int)s->item[i].copies_min;
@@ -496,7 +511,8 @@
 	int i;
 
 	for (i = 0; i < s->in.nitem; i++)
-		s->seen[i] = s->item[i].demand = s->mean[i];
+		s->seen[i] = s->mean[i];
+	tell_demand(s);
 	if (s->policy == EVEN)
 		fill_even(s);
 	for (i = 0; i < 300; i++) {
--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -101,6 +101,14 @@
 		t->copies = NONE;
 		t->hash = hash_str(in->item[i].name, in->item[i].version);
 	}
+	for (i = 0; i < in->nitem; i++) {
+		f->thing[i].demand += in->item[i].demand;
+		if (in->item[i].base != NONE)
+			f->thing[in->item[i].base].demand -= in->item[i].demand;
+	}
+	for (i = 0; i < in->nitem; i++)
+		if (f->thing[i].demand < 0)
+			f->thing[i].demand = 0;
 	f->ndomain = domain.n;
 	f->nservice = service.n;
 }
@@ -257,7 +265,7 @@
 predict_item(fleet_t *f, int item)
 {
 	thing_t *t = &f->thing[item];
-	double spare = 0, left = f->in->item[item].demand, part;
+	double spare = 0, left = t->demand, part;
 	int c;
 
 	for (c = t->copies; c != NONE; c = f->copy[c].item_next)
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -40,7 +40,8 @@
 	int domains;		  /* of those, not zero */
 	int ready_in[DOMAINS_KEPT];
 	int ready_domains;
-	double load; /* calls in progress that the copies take */
+	double demand; /* calls in progress, without its adapters' */
+	double load;   /* of those, what the copies take */
 	uint64_t hash;
 } thing_t;
 
--- a/policy/place.c
+++ b/policy/place.c
@@ -505,7 +505,7 @@
 short_of(const plan_t *p, int item)
 {
 	double load = p->fleet.thing[item].load;
-	double missing = p->in->item[item].demand - load;
+	double missing = p->fleet.thing[item].demand - load;
 
 	return missing * 100 > load * (double)p->in->hysteresis ? missing : 0;
 }
@@ -534,7 +534,7 @@
 	for (c = f->thing[item].copies; c != NONE; c = f->copy[c].item_next)
 		if (f->copy[c].counts)
 			slots += p->in->worker[f->copy[c].worker].slots;
-	return p->in->item[item].demand * burst_times - slots;
+	return f->thing[item].demand * burst_times - slots;
 }
 
 static bool
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -219,9 +219,10 @@
 	uint64_t version;
 	uint32_t memory_mb;
 	uint32_t copies_min;
-	int base;      /* item index, or -1 for a model */
-	double demand; /* calls in progress wanted, on average */
-	bool wanted;   /* false: withdrawn, to be unloaded */
+	int base; /* item index, or -1 for a model */
+	/* Calls in progress wanted, on average; a base's with its adapters'. */
+	double demand;
+	bool wanted; /* false: withdrawn, to be unloaded */
 } place_item_t;
 
 typedef enum move_kind {
