--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -182,9 +182,13 @@
 	    "$1" | grep -q '"state": *"in.force"'
 }
 apply_note() {
-	local out n
-	out=$($bin/ebonypitch --addr "${operator[${entry[0]}]}" --json note \
-	    apply "$1") || die "note refused: $out"
+	local out n end=$((SECONDS + 5))
+	# The platform's list lags: at first it may not show the workers.
+	until out=$($bin/ebonypitch --addr "${operator[${entry[0]}]}" --json \
+	    note apply "$1" 2>&1); do
+		[ $SECONDS -lt $end ] || die "note refused: $out"
+		sleep 0.2
+	done
 	n=$(printf '%s' "$out" | sed -n 's/.*"number": *\([0-9]*\).*/\1/p')
 	say "note $1 is accepted as number $n"
 	until_true 60 in_force "$n" || die "note $n isn't in force after 60 s"
