A claim that can't be told of is given up; readiness as calls are judged

Cause: /once/all-controlds-frozen (new, first red: 409 outcome_unknown for ever). A call asks frozen owners for its claim, is told 'not run', and the owners, once awake, enter a claim that nobody runs; each retry was 'unknown'. Ruled out: giving up by the request's id alone, which /claims/seeds shows to take a claim from another ask of the request that was granted meanwhile. Change: claim_answer_t has the mark of a claim made for this ask alone; a node that finds the asker's connection gone settles it as refused under that mark. An entry that refuses a call with a claim granted or unanswered settles it so too (entry/once.c: a claim granted after the call's end was kept for ever). /readyz said yes on views on which calls got 503 not_ready: it now asks the same question (entry/pages.c).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -84,7 +84,8 @@
 	view_unref(en->view);
 	en->view = v;
 	/* Once ready, an older catalogue serves until the next is here. */
-	en->ready = en->ready || entry_view_ready(v);
+	if (entry_view_ready(v))
+		__atomic_store_n(&en->ready, true, __ATOMIC_RELAXED);
 	en->holders = v == NULL ? NULL : holders_new(v);
 }
 
--- a/entry/once.c
+++ b/entry/once.c
@@ -27,6 +27,24 @@
 	return view_owner(en->view, bucket, rank);
 }
 
+/*
+ * Refuse a call that was not run. Its claim may stand, granted or asked for
+ * without an answer: it is given up, so that a retry can run.
+ */
+static void
+refuse_unrun(entry_t *en, route_t *r, ms_t retry_after)
+{
+	call_event_t ev = { .outcome = CALL_REFUSED, .not_run = true };
+
+	slot_release(en, r, CALL_CANCELLED);
+	if (r->claimed || r->owner_rank > 0) {
+		r->claimed = true;
+		once_settle(en, r, &ev);
+	}
+	route_fail(en, r, 503, "claims_down", RAN_NO, retry_after,
+	    "the call's key can't be claimed now; it was not run");
+}
+
 void
 once_claim(entry_t *en, route_t *r)
 {
@@ -50,9 +68,7 @@
 			return;
 		table_del(en->pending, tag);
 	}
-	slot_release(en, r, CALL_CANCELLED);
-	route_fail(en, r, 503, "claims_down", RAN_NO, CLAIM_RETRY_MS,
-	    "the call's key can't be claimed now; it was not run");
+	refuse_unrun(en, r, CLAIM_RETRY_MS);
 }
 
 static void
@@ -119,10 +135,8 @@
 	case CLAIM_DOWN:
 		break;
 	}
-	slot_release(en, r, CALL_CANCELLED);
-	route_fail(en, r, 503, "claims_down", RAN_NO,
-	    c->retry_after_ms > 0 ? c->retry_after_ms : CLAIM_RETRY_MS,
-	    "the call's key can't be claimed now; it was not run");
+	refuse_unrun(
+	    en, r, c->retry_after_ms > 0 ? c->retry_after_ms : CLAIM_RETRY_MS);
 }
 
 static void
--- a/entry/pages.c
+++ b/entry/pages.c
@@ -109,8 +109,9 @@
 {
 	entry_t *en = user;
 	view_t *v = client_view(en->client);
-	bool good = v != NULL && v->catalogue != NULL &&
-		    v->catalogue->number >= v->wire->catalogue;
+	/* As calls are judged: has one view been taken, is this one whole? */
+	bool good = __atomic_load_n(&en->ready, __ATOMIC_RELAXED) &&
+		    entry_view_ready(v);
 
 	view_unref(v);
 	return good;
--- a/peer/node.c
+++ b/peer/node.c
@@ -31,6 +31,7 @@
 typedef struct claiming {
 	handle_t conn;
 	uint64_t call;
+	claim_ask_t ask;
 } claiming_t;
 
 static void
@@ -168,7 +169,7 @@
 	return true;
 }
 
-static void
+static bool
 claim_answer(node_t *n, handle_t conn, uint64_t call, const claim_answer_t *a)
 {
 	conn_t *c = net_find(n->net, conn);
@@ -176,7 +177,7 @@
 	Wire__ClaimAnswer w = WIRE__CLAIM_ANSWER__INIT;
 
 	if (c == NULL)
-		return;
+		return false;
 	w.outcome = a->outcome;
 	w.status = (uint32_t)a->status;
 	w.reply.data = (uint8_t *)a->reply;
@@ -187,6 +188,7 @@
 	f.body_case = WIRE__FRAME__BODY_CLAIM_ANSWER;
 	f.claim_answer = &w;
 	answer(c, call, &f);
+	return true;
 }
 
 static claims_t *
@@ -200,6 +202,22 @@
 	return c;
 }
 
+/* A claim that was granted but can't be told of: nobody runs the call. */
+static void
+claim_untold(node_t *n, const claim_ask_t *ask, const claim_answer_t *a)
+{
+	claim_settle_t s = { .outcome = CALL_REFUSED };
+	claims_t *claims = claims_of(n);
+
+	if (a->outcome != CLAIM_FRESH || a->mark[0] == '\0' || claims == NULL)
+		return;
+	str_copy(s.key, sizeof(s.key), ask->key);
+	str_copy(s.service, sizeof(s.service), ask->service);
+	str_copy(s.request, sizeof(s.request), ask->request);
+	str_copy(s.mark, sizeof(s.mark), a->mark);
+	claims_settle(claims, 0, &s);
+}
+
 static void
 claim_ask(node_t *n, conn_t *c, uint64_t call, const Wire__ClaimAsk *w)
 {
@@ -218,6 +236,7 @@
 		k = table_get(n->claiming, h);
 		k->conn = c->handle;
 		k->call = call;
+		k->ask = ask;
 		if (claims_ask(claims, h, &ask))
 			return;
 		table_del(n->claiming, h);
@@ -348,7 +367,8 @@
 		k = table_get(n->claiming, c->number);
 		if (k == NULL)
 			break;
-		claim_answer(n, k->conn, k->call, &c->claim);
+		if (!claim_answer(n, k->conn, k->call, &c->claim))
+			claim_untold(n, &k->ask, &c->claim);
 		table_del(n->claiming, c->number);
 		break;
 	}
--- a/tests/once_proc.c
+++ b/tests/once_proc.c
@@ -127,6 +127,15 @@
 	proc_signal(s->entry[1].controld, SIGSTOP);
 }
 
+static void
+controlds_frozen(system_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->nentry; i++)
+		proc_signal(s->entry[i].controld, SIGSTOP);
+}
+
 static void
 service_drops_replies(system_t *s)
 {
@@ -153,6 +162,7 @@
 	{ "entry-killed", entry_killed },
 	{ "controld-killed", controld_killed },
 	{ "controld-frozen", controld_frozen },
+	{ "all-controlds-frozen", controlds_frozen },
 	{ "service-reply-lost", service_drops_replies },
 	{ "service-frozen", service_killed },
 };
@@ -183,6 +193,16 @@
 		    http_until(s->entry[i].caller, "/readyz", 200, START_MS));
 }
 
+static bool
+runs_now(void *user)
+{
+	const plain_t *p = user;
+	outcome_t got = system_plain(p->addr, "/enrol", p->key, CALL_MS);
+
+	g_test_message("%s once more: %d %s", p->key, got.status, got.code);
+	return got.status == 200;
+}
+
 static void
 fault_at_a_moment(gconstpointer arg)
 {
@@ -227,6 +247,11 @@
 			if (last.status == 200)
 				g_assert_cmpint(
 				    system_runs(s, p[i].key), ==, 1);
+			/* "Not run" leaves nothing behind that would keep it
+			 * from being run. */
+			if (i > 0 && strcmp(p[i].got.ran, "no") == 0)
+				g_assert_true(
+				    eventually(runs_now, &p[i], START_MS));
 		}
 	}
 	system_stop(s);
