--- a/tests/claims_proc.c
+++ b/tests/claims_proc.c
@@ -26,6 +26,7 @@
 } gate_t;
 
 typedef struct owner {
+	settings_t s;
 	claims_t *claims;
 	platform_t *p;
 	GMutex lock;
@@ -115,13 +116,14 @@
 {
 	owner_t *o = g_new0(owner_t, 1);
 	claims_store_t store = { gate_get, gate_put, o };
-	claims_opts_t opts = { .settings = &b->s,
+	claims_opts_t opts = { .settings = &o->s,
 		.clock = &machine_clock,
 		.done = on_answer,
 		.user = o,
 		.store = &store };
 	platform_opts_t po = { .timeout = b->s.platform.timeout_ms };
 
+	o->s = b->s;
 	str_copy(po.addr, sizeof(po.addr), b->addr);
 	g_assert_nonnull(o->p = platform_new(&po, NULL));
 	g_assert_nonnull(o->claims = claims_new(&opts, NULL));
@@ -313,6 +315,25 @@
 	}
 }
 
+/* The number of buckets may be changed in one daemon's settings at a time. */
+static void
+settings_that_differ(bench_t *b, const void *arg)
+{
+	char key[ID_MAX];
+	int i;
+
+	(void)arg;
+	g_assert_cmpint(outcome(b->a, "first", "a"), ==, CLAIM_FRESH);
+	owner_free(b->b);
+	b->s.claims.buckets = 7;
+	b->b = owner_new(b);
+	for (i = 0; i < 20; i++) {
+		snprintf(key, sizeof(key), "key%d", i);
+		g_assert_cmpint(outcome(b->a, key, "a"), ==, CLAIM_FRESH);
+		g_assert_cmpint(outcome(b->b, key, "b"), ==, CLAIM_RUNNING);
+	}
+}
+
 /* What a repeat is told, whoever is asked, after each outcome. */
 static void
 repeats_get_the_outcome(bench_t *b, const void *arg)
@@ -540,6 +561,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	add("/claims/both", same_key_at_both);
+	add("/claims/settings-differ", settings_that_differ);
 	add("/claims/repeats", repeats_get_the_outcome);
 	add("/claims/faults", faults_at_each_moment);
 	add("/claims/outage", an_outage_is_told_at_once);
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -58,7 +58,8 @@
 	bool timeouts;	  /* entries stop waiting and ask elsewhere */
 	bool calm;	  /* no more faults */
 	uint64_t version;
-	version_t now[BUCKETS], before[BUCKETS];
+	version_t now[BUCKETS + 1],
+	    before[BUCKETS + 1]; /* last: their number */
 	late_t late[LATE_MAX];
 	int nlate;
 	claims_t *owner[OWNERS];
@@ -135,11 +136,19 @@
 	free(l.value);
 }
 
+static int
+index_of(const char *key)
+{
+	return strcmp(key, "claims/buckets") == 0
+		   ? BUCKETS
+		   : atoi(key + strlen("claims/"));
+}
+
 static int
 fake_get(void *user, const char *key, object_t *out, err_t *e)
 {
 	world_t *w = user;
-	int b = atoi(key + strlen("claims/"));
+	int b = index_of(key);
 	const version_t *v = &w->now[b];
 
 	others_go_on(w);
@@ -164,7 +173,7 @@
     uint64_t expect, uint64_t *version, err_t *e)
 {
 	world_t *w = user;
-	int b = atoi(key + strlen("claims/"));
+	int b = index_of(key);
 
 	others_go_on(w);
 	if (!w->calm && chance(w, 4))
@@ -332,7 +341,7 @@
 
 	for (i = 0; i < OWNERS; i++)
 		claims_free(w->owner[i]);
-	for (i = 0; i < BUCKETS; i++) {
+	for (i = 0; i <= BUCKETS; i++) {
 		free(w->now[i].value);
 		free(w->before[i].value);
 	}
