Orders: the connection is opened before the ledger is written

Cause: a planner that died between a ledger's write and the send left that load in doubt on engines without fencing; asking which process is there lay in between. Ruled out: settling a dead sender's order (see docs/design/memory.md). Change: orders_tie() opens and checks the connection first; all orders of a round for a worker go over it. A connection per order less, too. Conclusion: what is left in doubt is what dies during the send itself.

--- a/control/planner.c
+++ b/control/planner.c
@@ -446,6 +446,42 @@
 		book_put(k, p->platform, NULL);
 }
 
+static bool
+has_todo(const planner_t *p, int worker)
+{
+	guint i;
+
+	for (i = 0; i < p->todo->len; i++)
+		if (g_array_index(p->todo, todo_t, i).worker == worker)
+			return true;
+	return false;
+}
+
+/*
+ * Find the engine's process before the ledger is written: what lies between
+ * that write and the send is what a planner's death leaves in doubt.
+ */
+static void
+tie_first(planner_t *p, int worker, book_t *k)
+{
+	rng_t rng = { .s = k->l->last_order };
+	guint i;
+
+	if (orders_tie(p->orders, p->picture.addr->pdata[worker],
+		k->l->incarnation, NULL) == 0)
+		return;
+	k->quiet_until =
+	    clock_now(p->o.clock) + backoff_next(&k->backoff, &rng);
+	for (i = p->todo->len; i > 0; i--) {
+		const todo_t *t = &g_array_index(p->todo, todo_t, i - 1);
+
+		if (t->worker != worker)
+			continue;
+		ledger_answer(k->l, t->order.number, SEND_NOT_RUN);
+		g_array_remove_index(p->todo, i - 1);
+	}
+}
+
 static void
 never_sent(planner_t *p, int worker, book_t *k)
 {
@@ -475,6 +511,8 @@
 		k = p->picture.book->pdata[i];
 		if (k->l == NULL || !k->dirty || k->stale || !k->reported)
 			continue;
+		if (has_todo(p, (int)i))
+			tie_first(p, (int)i, k);
 		if (!still_held(p))
 			return;
 		if (book_put(k, p->platform, &e) == 0) {
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -152,6 +152,13 @@
 typedef struct orders orders_t;
 orders_t *orders_new(ms_t timeout, err_t *e);
 void orders_free(orders_t *o);
+/**
+ * Open a connection for the next orders to one engine process: asks over it
+ * which one answers. Orders go over it until one fails.
+ * @return 0; -1: another process is there, or none that answers.
+ */
+int orders_tie(
+    orders_t *o, const char *addr, const char *incarnation, err_t *e);
 /**
  * Send an order to the engine process that it names; another that answers at
  * @p addr, now or later, never gets it.
--- a/endpoint/order.c
+++ b/endpoint/order.c
@@ -15,8 +15,20 @@
 struct orders {
 	ms_t timeout;
 	CURLSH *share; /* kept connections, for reads */
+	/* The connection of orders, to one process; NULL: none. */
+	CURL *tied;
+	char addr[ADDR_MAX];
+	char incarnation[ID_MAX];
 };
 
+static void
+untie(orders_t *o)
+{
+	if (o->tied != NULL)
+		curl_easy_cleanup(o->tied);
+	o->tied = NULL;
+}
+
 orders_t *
 orders_new(ms_t timeout, err_t *e)
 {
@@ -38,6 +50,7 @@
 {
 	if (o == NULL)
 		return;
+	untie(o);
 	curl_share_cleanup(o->share);
 	g_free(o);
 }
@@ -128,31 +141,40 @@
 	return CURL_SOCKET_BAD;
 }
 
-/*
- * Ask over a new connection which process answers there. The order then goes
- * over this connection or not at all: were that process replaced meanwhile,
- * the order can't reach the next one.
- */
-static int
-tie(orders_t *o, CURL *c, const char *addr, const order_t *order, err_t *e)
+int
+orders_tie(orders_t *o, const char *addr, const char *incarnation, err_t *e)
 {
+	CURL *c = easy_new(addr, "/v1/load");
 	GString *body = g_string_new(NULL);
 	load_report_t r = { 0 };
 	int rc = -1;
 
-	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
-	if (perform(o, c, addr, body, e) == 200)
+	untie(o);
+	if (c != NULL && perform(o, c, addr, body, e) == 200)
 		rc = report_read(&r, body->str, body->len, e);
-	if (rc == 0 && strcmp(r.incarnation, order->incarnation) != 0)
+	if (rc == 0 && strcmp(r.incarnation, incarnation) != 0)
 		rc = -1;
 	g_string_free(body, TRUE);
 	free(r.resident);
-	curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 0L);
+	if (rc == -1) {
+		if (c != NULL)
+			curl_easy_cleanup(c);
+		return err_set(
+		    e, ERR_DOWN, "%s isn't process %s", addr, incarnation);
+	}
+	/* Were that process replaced, this handle can't reach the next. */
 	curl_easy_setopt(c, CURLOPT_OPENSOCKETFUNCTION, no_socket);
-	if (rc == 0)
-		return 0;
-	return err_set(
-	    e, ERR_DOWN, "%s isn't process %s", addr, order->incarnation);
+	o->tied = c;
+	str_copy(o->addr, sizeof(o->addr), addr);
+	str_copy(o->incarnation, sizeof(o->incarnation), incarnation);
+	return 0;
+}
+
+static bool
+is_tied(const orders_t *o, const char *addr, const order_t *order)
+{
+	return o->tied != NULL && strcmp(o->addr, addr) == 0 &&
+	       strcmp(o->incarnation, order->incarnation) == 0;
 }
 
 static int
@@ -168,7 +190,6 @@
 	curl_easy_setopt(c, CURLOPT_URL, url);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, head);
 	curl_easy_setopt(c, CURLOPT_POSTFIELDS, text);
-	curl_easy_setopt(c, CURLOPT_FORBID_REUSE, 1L);
 	rc = judge(perform(o, c, addr, body, e), body, addr, e);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, NULL);
 	curl_slist_free_all(head);
@@ -181,17 +202,18 @@
 orders_send(orders_t *o, const char *addr, const order_t *order, err_t *e)
 {
 	char *text = order_json(order);
-	CURL *c = text == NULL ? NULL : easy_new(addr, "/v1/load");
 	int rc;
 
-	if (c == NULL) {
-		free(text);
+	if (text == NULL)
 		return err_set(e, ERR_DOWN, "%s: order can't be made", addr);
-	}
-	rc = tie(o, c, addr, order, e);
+	rc = is_tied(o, addr, order)
+		 ? 0
+		 : orders_tie(o, addr, order->incarnation, e);
 	if (rc == 0)
-		rc = send_order(o, c, addr, text, e);
-	curl_easy_cleanup(c);
+		rc = send_order(o, o->tied, addr, text, e);
+	/* After an error its connection's state is anybody's guess. */
+	if (rc == -1)
+		untie(o);
 	free(text);
 	return rc;
 }
