An entry without a view isn't ready

Cause: /readyz said 200 with an empty view; the check that was to ask for members and workers hadn't been put in (seen as 503 not_ready right after /readyz, in whole, own and leave tests).

--- a/entry/pages.c
+++ b/entry/pages.c
@@ -109,8 +109,7 @@
 {
 	entry_t *en = user;
 	view_t *v = client_view(en->client);
-	bool good = v != NULL && v->catalogue != NULL &&
-		    v->catalogue->number >= v->wire->catalogue;
+	bool good = entry_view_ready(v);
 
 	view_unref(v);
 	return good;
