A broken stream goes on at another shard first, and asks its frozen worker once

The resumed stream at the same worker was asked for again and again, and then the same shard's broker granted the frozen worker, which held the shard's only copy. Ruled out: the broker's ejection (a frozen worker gives no failures until its calls end). Change: a stream is taken up at its worker once; after that the shard that failed is asked last.

--- a/entry/model.c
+++ b/entry/model.c
@@ -125,6 +125,8 @@
 	GString *out;
 	char *text;
 
+	log_event(LOG_NOTICE, "stream_broken", "request=%s worker=%s runs=%d",
+	    r->stream, r->worker, r->runs);
 	str_copy(f.message, sizeof(f.message),
 	    why[0] == '\0' ? "the endpoint's answer broke off" : why);
 	if (!r->begun || !call_request(r->call)->stream) {
--- a/entry/route.h
+++ b/entry/route.h
@@ -39,8 +39,9 @@
 	/* The slot. */
 	uint64_t tried[SHARDS_TRIED_MAX];
 	int ntried;
-	int rank;	/* of the broker being asked */
-	uint64_t shard; /* hash of the shard being asked */
+	uint64_t spared; /* hash of a shard that just failed it, asked last */
+	int rank;	 /* of the broker being asked */
+	uint64_t shard;	 /* hash of the shard being asked */
 	char broker[ID_MAX];
 	uint64_t slot; /* 0: none held */
 	char worker[ID_MAX];
@@ -54,6 +55,7 @@
 	handle_t run;
 	char stream[ID_MAX]; /* the endpoint's id of it */
 	int runs;
+	bool resuming;	     /* the run took up a stream again */
 	bool sent;	     /* some run may have reached an endpoint */
 	uint32_t offset;     /* next token wanted */
 	bool begun;	     /* a stream to the caller */
--- a/entry/run.c
+++ b/entry/run.c
@@ -88,6 +88,7 @@
 	r->started = now;
 	r->first = 0;
 	r->run = tag;
+	r->resuming = resume;
 	s->tag = tag;
 	s->resume = resume;
 	s->timeout = r->end - now;
@@ -133,6 +134,8 @@
 	    !budget_spend(&en->budget))
 		return false;
 	str_copy(r->avoid, ID_MAX, r->worker);
+	/* Its shard may have no other copy: the others are asked first. */
+	r->spared = r->shard;
 	r->ntried = 0;
 	/* What was promised counts no more once it is late or broken. */
 	if (r->begun)
@@ -166,9 +169,10 @@
 		model_done(en, r);
 		return;
 	}
-	/* Cut, but the worker may still have the stream. */
+	/* Cut, but the worker may still have the stream: asked once. */
 	if (ev->outcome == CALL_UNKNOWN && r->begun && ev->connected &&
-	    r->runs < RUNS_MAX && budget_spend(&en->budget)) {
+	    !(r->resuming && r->first == 0) && r->runs < RUNS_MAX &&
+	    budget_spend(&en->budget)) {
 		run_start(en, r, true);
 		return;
 	}
--- a/entry/slot.c
+++ b/entry/slot.c
@@ -38,9 +38,14 @@
 	n = holders_shards(
 	    en->holders, r->service->name, item_of(r), fig, shard, SHARDS_MAX);
 	for (i = 0; i < n; i++)
-		fig[i].tried = was_tried(r, fig[i].id_hash);
+		fig[i].tried =
+		    was_tried(r, fig[i].id_hash) || fig[i].id_hash == r->spared;
 	at = route_pick(
 	    fig, n, en->settings->instance.domain, r->prompt_hash, &en->rng);
+	if (at == -1 && r->spared != 0) {
+		r->spared = 0;
+		return pick(en, r);
+	}
 	if (at == -1)
 		return -1;
 	r->shard = fig[at].id_hash;
