--- a/tests/memory_proc.c
+++ b/tests/memory_proc.c
@@ -139,9 +139,8 @@
 }
 
 /*
- * A planner is stopped after it wrote a ledger and before its order went out,
- * while it asks a slow engine which process it is. It wakes up long after
- * another took over, and sends.
+ * A planner is stopped after it wrote a ledger, with its order on the way to
+ * a slow engine. It wakes up long after another took over, and goes on.
  */
 static void
 planner_wakes_late(gconstpointer arg)
@@ -174,6 +173,53 @@
 	rig_stop(r);
 }
 
+/* Whoever finds no lease takes it; the one that had it doesn't know yet. */
+static void
+lose_lease(rig_t *r)
+{
+	reply_t a = http_call("GET", r->platform_addr,
+	    "/v1/objects/lease/planner", NULL, NULL, 5000);
+	char *tag = reply_header(&a, "ETag");
+	char *head = g_strdup_printf("If-Match: %s\nX-User: t", tag);
+
+	reply_clear(&a);
+	a = http_call("DELETE", r->platform_addr, "/v1/objects/lease/planner",
+	    head, NULL, 5000);
+	reply_clear(&a);
+	g_free(head);
+	g_free(tag);
+}
+
+/* Two planners that both hold themselves for the holder. */
+static void
+two_planners(gconstpointer arg)
+{
+	rig_t *r = rig_start(2, 3, MEMORY_MB, GPOINTER_TO_INT(arg));
+	uint64_t n;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		r->set[i].platform.lease_ms = 4000;
+		r->set[i].place.plan_ms = 20;
+		rig_control(r, i);
+	}
+	rig_note(r, 0, first_note);
+	await_first(r);
+	rig_note(r, 0, second_note);
+	for (n = 3; n < 9; n++) {
+		lose_lease(r);
+		next_note(r, 0, n);
+		for (i = 0; i < 3; i++)
+			rig_fault(r->engine_addr[i], n % 2 == 0
+							 ? "{\"delay_ms\":30}"
+							 : "{\"delay_ms\":0}");
+		await(r, "b", n, 1, 3);
+	}
+	await(r, "b", n - 2, 0, 0);
+	rig_check_memory(r);
+	rig_stop(r);
+}
+
 /* Each planner dies in turn while versions change. */
 static void
 planners_die(gconstpointer arg)
@@ -321,6 +367,7 @@
 		{ "notes-are-loaded", notes_are_loaded },
 		{ "orders-go-wrong", orders_go_wrong },
 		{ "planner-wakes-late", planner_wakes_late },
+		{ "two-planners", two_planners },
 		{ "planners-die", planners_die },
 		{ "engines-restart", engines_restart },
 		{ "platform-is-down", platform_is_down },
