--- a/bench/answer.c
+++ b/bench/answer.c
@@ -67,10 +67,12 @@
 static void
 take_error(answer_check_t *a, const json_t *j)
 {
-	const char *ran = json_string_value(
-	    json_object_get(json_object_get(j, "error"), "ran"));
+	const json_t *error = json_object_get(j, "error");
+	const char *ran = json_string_value(json_object_get(error, "ran"));
+	const char *code = json_string_value(json_object_get(error, "code"));
 
 	a->error = true;
+	str_copy(a->code, sizeof(a->code), code == NULL ? "" : code);
 	a->error_ran_no = ran != NULL && strcmp(ran, "no") == 0;
 }
 
--- a/bench/callload.c
+++ b/bench/callload.c
@@ -10,6 +10,21 @@
 	OPEN_FILES = 16384,
 };
 
+static void
+add_code(tally_t *t, const char *code)
+{
+	int i;
+
+	for (i = 0; i < t->ncode; i++)
+		if (strcmp(t->code[i], code) == 0)
+			break;
+	if (i == CODES_MAX)
+		return;
+	if (i == t->ncode)
+		str_copy(t->code[t->ncode++], ID_MAX, code);
+	t->coded[i]++;
+}
+
 static void
 add_up(void)
 {
@@ -23,6 +38,8 @@
 
 		t->by[j->verdict]++;
 		t->in_time += j->in_time;
+		if (j->verdict != VERDICT_WHOLE && j->code[0] != '\0')
+			add_code(t, j->code);
 		if (j->verdict != VERDICT_WHOLE)
 			continue;
 		if (j->kind == JOB_STREAM)
--- a/bench/drive.c
+++ b/bench/drive.c
@@ -158,11 +158,24 @@
 	wait_for(a, span);
 }
 
+/* Keep the code of an error that came whole. */
+static void
+take_code(active_t *a)
+{
+	json_t *j = json_loadb(a->body->str, a->body->len, 0, NULL);
+	const char *code = json_string_value(
+	    json_object_get(json_object_get(j, "error"), "code"));
+
+	str_copy(a->job->code, ID_MAX, code == NULL ? "" : code);
+	json_decref(j);
+}
+
 static void
 judge_answer(active_t *a, int status)
 {
 	job_t *j = a->job;
 
+	take_code(a);
 	if (strcmp(a->ran, "no") == 0 ||
 	    (load.direct != NULL && (status == 429 || status == 503))) {
 		if (status == 503)
@@ -206,6 +219,7 @@
 			answer_whole(&a->check, a->body->str, a->body->len);
 	}
 	v = answer_verdict(&a->check);
+	str_copy(a->job->code, ID_MAX, a->check.code);
 	if (v != VERDICT_OPEN) {
 		settle(a, v);
 		return;
--- a/bench/load.h
+++ b/bench/load.h
@@ -43,6 +43,7 @@
 	bool ended; /* end marker seen */
 	bool error; /* an explicit error event */
 	bool error_ran_no;
+	char code[ID_MAX]; /* of the error */
 	bool doubled, foreign;
 	char id[ID_MAX];  /* of the call, from the first event */
 	char token[1024]; /* last event's id, to resume with */
@@ -86,6 +87,7 @@
 	int tries, resumes;
 	int64_t first, whole; /* us after at */
 	bool in_time;
+	char code[ID_MAX]; /* of an error it was told */
 } job_t;
 
 /** @return jobs in the order of their times, g_free'd by the caller. */
@@ -93,9 +95,21 @@
     const plan_opts_t *o, const char *const *model, int nmodel, int *n);
 void plan_free(job_t *job, int n);
 
+enum {
+	ENGINES_MAX = 256,
+	CODES_MAX = 16
+};
+
+/** An engine process's own counts; another process begins anew. */
+typedef struct engine_moves {
+	char incarnation[ID_MAX];
+	int64_t moves;
+} engine_moves_t;
+
 /** What the endpoints' records say. records.c */
 typedef struct records {
 	int asked, read;
+	engine_moves_t engine[ENGINES_MAX];
 	int64_t loads, unloads, overcommits, peak_mb;
 	int64_t ran_twice;   /* plain calls */
 	int64_t ran_refused; /* told "not run", and it ran */
@@ -103,6 +117,8 @@
 } records_t;
 
 void records_engines(records_t *r, const char *const *addr);
+/** Moves between two readings, by the processes that still live. */
+int64_t records_moves(const records_t *before, const records_t *after);
 void records_services(
     records_t *r, const char *const *addr, const job_t *job, int n);
 
@@ -111,6 +127,9 @@
 	int calls;
 	int by[VERDICT_N];
 	int in_time;
+	char code[CODES_MAX][ID_MAX]; /* errors told in the end */
+	int coded[CODES_MAX];
+	int ncode;
 	int retries, resumes, moved;
 	int accelerators;
 	double seconds;
--- a/bench/print.c
+++ b/bench/print.c
@@ -10,13 +10,6 @@
 	return t->calls == 0 ? 0 : 100.0 * t->in_time / t->calls;
 }
 
-static int64_t
-moves(const tally_t *t)
-{
-	return t->after.loads + t->after.unloads - t->before.loads -
-	       t->before.unloads;
-}
-
 bool
 tally_good(const tally_t *t, bool kills)
 {
@@ -61,6 +54,8 @@
 		printf("  %-24s %8d\n", verdict_name(v), t->by[v]);
 	if (t->by[VERDICT_OPEN] > 0)
 		printf("  %-24s %8d\n", "open", t->by[VERDICT_OPEN]);
+	for (v = 0; v < t->ncode; v++)
+		printf("    told %-20s %7d\n", t->code[v], t->coded[v]);
 	printf("tries beyond the first   %8d\n", t->retries);
 	printf("streams resumed          %8d\n", t->resumes);
 	printf("moved to another entry   %8d\n", t->moved);
@@ -73,7 +68,7 @@
 	printf("records read             %5d/%d\n", r->read, r->asked);
 	printf("moves                    %8" PRId64 " under load, %" PRId64
 	       " loads and %" PRId64 " unloads altogether\n",
-	    moves(t), r->loads, r->unloads);
+	    records_moves(&t->before, &t->after), r->loads, r->unloads);
 	printf("memory                   %8" PRId64 " MB highest, %" PRId64
 	       " times beyond capacity\n",
 	    r->peak_mb, r->overcommits);
@@ -115,7 +110,8 @@
 	    t->seconds > 0 ? t->tokens / t->seconds : 0);
 	json_object_set_new(j, "records",
 	    json_pack("{s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I}", "asked", r->asked,
-		"read", r->read, "moves", (json_int_t)moves(t), "overcommits",
+		"read", r->read, "moves",
+		(json_int_t)records_moves(&t->before, &t->after), "overcommits",
 		(json_int_t)r->overcommits, "peak_mb", (json_int_t)r->peak_mb,
 		"ran_twice", (json_int_t)r->ran_twice, "ran_refused",
 		(json_int_t)r->ran_refused, "not_ran", (json_int_t)r->not_ran));
--- a/bench/records.c
+++ b/bench/records.c
@@ -39,12 +39,41 @@
 	return json_integer_value(json_object_get(j, name));
 }
 
+static void
+take_moves(engine_moves_t *m, const json_t *j)
+{
+	const char *id = json_string_value(json_object_get(j, "incarnation"));
+
+	str_copy(m->incarnation, sizeof(m->incarnation), id == NULL ? "" : id);
+	m->moves = number(j, "loads") + number(j, "unloads");
+}
+
+int64_t
+records_moves(const records_t *before, const records_t *after)
+{
+	int64_t n = 0;
+	int i;
+
+	for (i = 0; i < ENGINES_MAX; i++) {
+		const engine_moves_t *a = &before->engine[i];
+		const engine_moves_t *b = &after->engine[i];
+
+		n += b->moves;
+		if (strcmp(a->incarnation, b->incarnation) == 0)
+			n -= a->moves;
+	}
+	return n;
+}
+
 void
 records_engines(records_t *r, const char *const *addr)
 {
 	for (; addr != NULL && *addr != NULL; addr++) {
 		json_t *j = read_record(*addr);
 
+		if (j != NULL && r->asked < ENGINES_MAX)
+			take_moves(&r->engine[r->asked], j);
+
 		r->asked++;
 		r->read += j != NULL;
 		r->loads += number(j, "loads");
