--- /dev/null
+++ b/tests/standin_proc.c
@@ -0,0 +1,131 @@
+#include "standin/memory.h"
+#include "tests/proc.h"
+#include "tests/system.h"
+
+#include <string.h>
+#include <glib.h>
+
+enum {
+	WAIT_MS = 10000,
+	CAPACITY_MB = 1000,
+};
+
+/*
+ * The stand-ins prevent nothing: what tests and the load tool conclude from
+ * their records holds only if a broken promise shows there.
+ */
+static void
+overcommitment_is_recorded(void)
+{
+	static const struct {
+		order_kind_t kind;
+		const char *model;
+		uint32_t mb;
+		uint64_t fence;
+		int status;
+		uint32_t used, peak;
+		uint64_t over;
+	} rows[] = {
+		{ ORDER_LOAD, "a", 600, 1, 202, 600, 600, 0 },
+		{ ORDER_LOAD, "a", 600, 1, 202, 600, 600, 0 }, /* repeated */
+		{ ORDER_LOAD, "a", 600, 2, 202, 600, 600, 0 }, /* is there */
+		{ ORDER_LOAD, "b", 400, 3, 202, 1000, 1000, 0 },
+		{ ORDER_LOAD, "c", 1, 2, 409, 1000, 1000, 0 }, /* stale */
+		{ ORDER_LOAD, "c", 1, 4, 202, 1001, 1001, 1 },
+		{ ORDER_UNLOAD, "b", 0, 5, 202, 601, 1001, 1 },
+		{ ORDER_LOAD, "d", 400, 6, 202, 1001, 1001, 2 },
+	};
+	memory_t m;
+	size_t i;
+
+	memory_init(&m, CAPACITY_MB, true);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		order_t o = { .kind = rows[i].kind,
+			.number = rows[i].fence,
+			.fence = rows[i].fence,
+			.version = 1,
+			.memory_mb = rows[i].mb };
+		item_t *load;
+
+		str_copy(o.model, sizeof(o.model), rows[i].model);
+		g_assert_cmpint(
+		    memory_order(&m, &o, &load), ==, rows[i].status);
+		if (load != NULL)
+			memory_arrived(&m, load);
+		g_test_message("row %zu", i);
+		g_assert_cmpuint(m.used_mb, ==, rows[i].used);
+		g_assert_cmpuint(m.peak_mb, ==, rows[i].peak);
+		g_assert_cmpuint(m.overcommits, ==, rows[i].over);
+	}
+}
+
+/* Memory of a load that is still coming, or in use, isn't free yet. */
+static void
+unloading_takes_until_nothing_needs_it(void)
+{
+	order_t load_it = { .kind = ORDER_LOAD,
+		.number = 1,
+		.model = "a",
+		.version = 1,
+		.memory_mb = 600 };
+	order_t unload = {
+		.kind = ORDER_UNLOAD, .number = 2, .model = "a", .version = 1
+	};
+	item_t *it, *none;
+	memory_t m;
+
+	memory_init(&m, CAPACITY_MB, false);
+	memory_order(&m, &load_it, &it);
+	memory_order(&m, &unload, &none);
+	g_assert_cmpuint(m.used_mb, ==, 600);
+	memory_arrived(&m, it);
+	g_assert_cmpuint(m.used_mb, ==, 0);
+	/* Without fencing a late load lands after the unload. */
+	memory_order(&m, &load_it, &it);
+	memory_arrived(&m, it);
+	item_use(it);
+	memory_order(&m, &unload, &none);
+	g_assert_cmpuint(m.used_mb, ==, 600);
+	g_assert_null(memory_ready(&m, "a", "", 1));
+	item_leave(&m, it);
+	g_assert_cmpuint(m.used_mb, ==, 0);
+}
+
+/* A call that ran twice shows as a count of two. */
+static void
+double_run_is_recorded(void)
+{
+	char *addr;
+	proc_t *p;
+	int port, i;
+	reply_t r;
+
+	ports_take(&port, 1);
+	addr = addr_of(port);
+	p = proc_start("standin-service", "--listen", addr, NULL);
+	g_assert_true(http_until(addr, "/v1/load", 200, WAIT_MS));
+	for (i = 0; i < 2; i++) {
+		r = http_call("POST", addr, "/calibrations/7",
+		    "Idempotency-Key: k7", "{}", WAIT_MS);
+		g_assert_cmpint(r.status, ==, 200);
+		reply_clear(&r);
+	}
+	r = http_call("GET", addr, "/control/record", NULL, NULL, WAIT_MS);
+	g_assert_nonnull(strstr(r.body, "\"count\":2"));
+	reply_clear(&r);
+	g_assert_cmpint(
+	    system_figure(addr, "/control/record", "started"), ==, 2);
+	proc_kill(p);
+	g_free(addr);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/standin/overcommitment", overcommitment_is_recorded);
+	g_test_add_func(
+	    "/standin/unloading", unloading_takes_until_nothing_needs_it);
+	g_test_add_func("/standin/double-run", double_run_is_recorded);
+	return g_test_run();
+}
