--- a/tests/system.c
+++ b/tests/system.c
@@ -513,6 +513,23 @@
 	    caller_addr, model, prompt, tokens, NULL, timeout);
 }
 
+outcome_t
+system_chat_again(const char *caller_addr, const char *model,
+    const char *prompt, int tokens, ms_t timeout)
+{
+	ms_t end = clock_now(&machine_clock) + timeout;
+	outcome_t o;
+
+	for (;;) {
+		o = system_chat(caller_addr, model, prompt, tokens, timeout);
+		if ((o.status != 429 && o.status != 503) ||
+		    strcmp(o.ran, "no") != 0 || o.retry_after == 0 ||
+		    clock_now(&machine_clock) >= end)
+			return o;
+		clock_sleep(o.retry_after);
+	}
+}
+
 outcome_t
 system_plain(
     const char *caller_addr, const char *path, const char *key, ms_t timeout)
--- a/tests/system.h
+++ b/tests/system.h
@@ -93,7 +93,10 @@
 /** A streamed chat call for N tokens. @p prompt is made unlike others. */
 outcome_t system_chat(const char *caller_addr, const char *model,
     const char *prompt, int tokens, ms_t timeout);
-/** The same with further headers, or resuming. */
+/** The same, asking again while told that it wasn't run, as callers do. */
+outcome_t system_chat_again(const char *caller_addr, const char *model,
+    const char *prompt, int tokens, ms_t timeout);
+/** The same as the first with further headers, or resuming. */
 outcome_t system_chat_with(const char *caller_addr, const char *model,
     const char *prompt, int tokens, const char *headers, ms_t timeout);
 /** Check an answer's body against its prompt, tokens from @p from on. */
