--- a/tests/claims_proc.c
+++ b/tests/claims_proc.c
@@ -501,12 +501,13 @@
 static void
 outcomes_expire(bench_t *b, const void *arg)
 {
-	until_t u = { b->a, "k", CLAIM_FRESH, CLAIM_UNKNOWN, 0 };
+	until_t u = { NULL, "k", CLAIM_FRESH, CLAIM_UNKNOWN, 0 };
 	ms_t start;
 
 	(void)arg;
 	b->s.claims.keep_ms = 1000;
 	reopen(b);
+	u.o = b->a;
 	g_assert_cmpint(outcome(b->a, "k", "first"), ==, CLAIM_FRESH);
 	start = clock_now(&machine_clock);
 	settle(b->a, "k", "first", CALL_DONE, NULL, 0);
