Tests: every model in force is reached through notes, losses and outages

Change: tests/reach_proc.c: callers of each model and adapter while a note changes all of them, any one worker is lost, the planner is killed or frozen half way through a note, each broker is killed or frozen, a failure domain dies, and the platform is away for ten seconds (ten minutes scaled down). Bounds: 14 s for a note, 5 s without service. Ruled out: counting a killed instance as done. It stays in 'i of j' until the platform's list drops it: the read-back may lag, never lead.

--- /dev/null
+++ b/tests/reach_proc.c
@@ -0,0 +1,339 @@
+/* Every model and adapter in force can be reached, and service comes back. */
+#include "tests/system.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum {
+	CALL_MS = 15000,
+	MODELS = 4,
+	ADAPTERS = 3,
+	IN_FORCE_MS = 14000, /* a note's longest way */
+	BACK_MS = 5000,	     /* longest time without service after a death */
+	TOKENS = 5,
+};
+
+/* Callers of one model, one call after the other, while something fails. */
+typedef struct stream {
+	system_t *s;
+	char model[ID_MAX];
+	int nentry; /* entries that are asked, in turn */
+	bool stop;
+	int calls, good, told_not_run, wrong;
+	ms_t worst; /* longest time without a whole answer */
+	GThread *thread;
+} stream_t;
+
+static gpointer
+run_stream(gpointer arg)
+{
+	stream_t *t = arg;
+	ms_t last = clock_now(&machine_clock), now;
+	char prompt[ID_MAX * 2];
+	outcome_t o;
+
+	while (!__atomic_load_n(&t->stop, __ATOMIC_ACQUIRE)) {
+		snprintf(prompt, sizeof(prompt), "%s-%d", t->model, t->calls);
+		o = system_chat(t->s->entry[t->calls % t->nentry].caller,
+		    t->model, prompt, TOKENS, CALL_MS);
+		t->calls++;
+		now = clock_now(&machine_clock);
+		if (o.whole) {
+			t->good++;
+			if (now - last > t->worst)
+				t->worst = now - last;
+			last = now;
+		} else if (strcmp(o.ran, "no") == 0) {
+			t->told_not_run++;
+			clock_sleep(o.retry_after > 0 ? o.retry_after : 20);
+		} else if (o.status == 0) {
+			clock_sleep(20); /* that entry is dead */
+		} else {
+			t->wrong +=
+			    o.foreign || o.status == 404 || o.status == 410;
+		}
+	}
+	now = clock_now(&machine_clock);
+	if (now - last > t->worst)
+		t->worst = now - last;
+	return NULL;
+}
+
+static void
+start_streams(system_t *s, stream_t *t, int nmodel, int nadapter, int nentry)
+{
+	int i;
+
+	for (i = 0; i < nmodel + nadapter; i++) {
+		memset(&t[i], 0, sizeof(t[i]));
+		t[i].s = s;
+		t[i].nentry = nentry;
+		snprintf(t[i].model, ID_MAX, i < nmodel ? "m%d" : "a%d",
+		    i < nmodel ? i : i - nmodel);
+		t[i].thread = g_thread_new("stream", run_stream, &t[i]);
+	}
+}
+
+static void
+stop_streams(stream_t *t, int n, const char *what)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		__atomic_store_n(&t[i].stop, true, __ATOMIC_RELEASE);
+	for (i = 0; i < n; i++) {
+		g_thread_join(t[i].thread);
+		g_test_message("%s %s: %d calls, %d whole, %d told not run, "
+			       "without service %" PRId64 " ms",
+		    what, t[i].model, t[i].calls, t[i].good, t[i].told_not_run,
+		    t[i].worst);
+		g_assert_cmpint(t[i].wrong, ==, 0);
+		g_assert_cmpint(t[i].good, >, 0);
+		g_assert_cmpint(t[i].worst, <=, BACK_MS);
+	}
+}
+
+static system_t *
+bed(void)
+{
+	system_opts_t o = { .nentry = 3, .ndomain = 3, .nengine = 6 };
+	system_t *s = system_start(&o);
+
+	system_first_note(s, MODELS, ADAPTERS);
+	return s;
+}
+
+/* All are called while a note changes every one of them. */
+static void
+while_a_note_is_applied(void)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	GString *note = g_string_new("[note]\nid = second\nbase = 1\n");
+	int i;
+
+	for (i = 0; i < MODELS; i++)
+		g_string_append_printf(
+		    note, "[change model m%d]\nversion = 2\n", i);
+	for (i = 0; i < ADAPTERS; i++)
+		g_string_append_printf(
+		    note, "[change adapter a%d]\nversion = 2\n", i);
+	start_streams(s, t, MODELS, ADAPTERS, 3);
+	g_assert_cmpuint(system_note(s, 1, note->str), ==, 2);
+	g_assert_true(system_in_force(s, 2, 2, IN_FORCE_MS));
+	stop_streams(t, MODELS + ADAPTERS, "note");
+	g_string_free(note, TRUE);
+	system_stop(s);
+}
+
+/* Any one worker is lost, one after the other, and comes back empty. */
+static void
+any_worker_lost(void)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	int i;
+
+	for (i = 0; i < s->o.nengine; i++) {
+		start_streams(s, t, MODELS, ADAPTERS, 3);
+		clock_sleep(200);
+		proc_signal(s->worker[i].proc, SIGKILL);
+		clock_sleep(2500);
+		stop_streams(t, MODELS + ADAPTERS, s->worker[i].id);
+		system_start_worker(s, i);
+		g_assert_true(
+		    http_until(s->worker[i].addr, "/v1/load", 200, START_MS));
+		g_assert_true(system_in_force(s, 0, 1, IN_FORCE_MS));
+	}
+	system_stop(s);
+}
+
+/* The entry whose controld holds the planner's lease. */
+static int
+planner_of(system_t *s)
+{
+	reply_t r = http_call("GET", s->platform_addr,
+	    "/v1/objects/lease/planner", NULL, NULL, CALL_MS);
+	int i, at = -1;
+
+	for (i = 0; i < s->nentry; i++) {
+		char *held = g_strdup_printf("\"%s\"", s->entry[i].id);
+
+		if (strstr(r.body, held) != NULL)
+			at = i;
+		g_free(held);
+	}
+	reply_clear(&r);
+	return at;
+}
+
+typedef struct loaded {
+	system_t *s;
+	int entry;
+} loaded_t;
+
+/* Each new first copy of note 2 is ready. */
+static bool
+is_loaded(void *user)
+{
+	loaded_t *l = user;
+	reply_t r = http_call("GET", l->s->entry[l->entry].operator,
+	    "/v1/notes/2/status", NULL, NULL, CALL_MS);
+	bool good = strstr(r.body, "\"ready\":3,\"wanted\":3") != NULL;
+
+	reply_clear(&r);
+	return good;
+}
+
+/* The planner dies, or is frozen, half way through a note. */
+static void
+planner_lost(int sig)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	int at = planner_of(s), other;
+	ms_t from;
+
+	g_assert_cmpint(at, >=, 0);
+	other = (at + 1) % s->nentry;
+	start_streams(s, t, MODELS, ADAPTERS, 3);
+	g_assert_cmpuint(
+	    system_note(s, other,
+		"[note]\nid = second\nbase = 1\n[change model m0]\nversion = "
+		"2\n[change model m1]\nversion = 2\n[add model m7]\nservice "
+		"= llm\nversion = 1\nmemory_mb = 9000\ncopies = 2\n"),
+	    ==, 2);
+	from = clock_now(&machine_clock);
+	proc_signal(s->entry[at].controld, sig);
+	if (sig == SIGKILL) {
+		/* The platform's list drops a dead instance in the end. */
+		proc_signal(s->entry[at].entryd, SIGKILL);
+		system_list(s, s->entry[at].id, false, false);
+	} else {
+		/* One that is listed and silent isn't counted as having it. */
+		loaded_t l = { s, other };
+
+		g_assert_true(eventually(is_loaded, &l, IN_FORCE_MS));
+		g_assert_false(system_in_force(s, other, 2, 1));
+		proc_signal(s->entry[at].controld, SIGCONT);
+	}
+	g_assert_true(system_in_force(
+	    s, other, 2, from + IN_FORCE_MS - clock_now(&machine_clock)));
+	g_test_message("in force %" PRId64 " ms after the planner's loss",
+	    clock_now(&machine_clock) - from);
+	g_assert_true(system_chat_again(
+	    s->entry[other].caller, "m7", "seven", TOKENS, CALL_MS)
+			  .whole);
+	stop_streams(t, MODELS + ADAPTERS, "planner");
+	system_stop(s);
+}
+
+static void
+planner_killed(void)
+{
+	planner_lost(SIGKILL);
+}
+
+static void
+planner_frozen(void)
+{
+	planner_lost(SIGSTOP);
+}
+
+/* A controld brokers shards: its calls go on elsewhere. */
+static void
+broker_lost(int sig)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	int i;
+
+	for (i = 0; i < s->nentry; i++) {
+		start_streams(s, t, MODELS, ADAPTERS, 3);
+		clock_sleep(300);
+		proc_signal(s->entry[i].controld, sig);
+		clock_sleep(3000);
+		stop_streams(t, MODELS + ADAPTERS, s->entry[i].id);
+		if (sig == SIGKILL)
+			system_start_controld(s, i);
+		else
+			proc_signal(s->entry[i].controld, SIGCONT);
+		g_assert_true(
+		    http_until(s->entry[i].operator, "/readyz", 200, START_MS));
+	}
+	system_stop(s);
+}
+
+static void
+broker_killed(void)
+{
+	broker_lost(SIGKILL);
+}
+
+static void
+broker_frozen(void)
+{
+	broker_lost(SIGSTOP);
+}
+
+/* A whole failure domain: its entry and its workers at once. */
+static void
+domain_killed(void)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	int i, dead = 2;
+
+	start_streams(s, t, MODELS, ADAPTERS, 2);
+	clock_sleep(300);
+	proc_signal(s->entry[dead].controld, SIGKILL);
+	proc_signal(s->entry[dead].entryd, SIGKILL);
+	for (i = 0; i < s->o.nengine; i++)
+		if (i % s->o.ndomain == dead)
+			proc_signal(s->worker[i].proc, SIGKILL);
+	clock_sleep(4000);
+	stop_streams(t, MODELS + ADAPTERS, "domain");
+	system_stop(s);
+}
+
+/* Ten minutes of outage, scaled down to ten seconds: calls go on. */
+static void
+platform_away(void)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+
+	start_streams(s, t, MODELS, ADAPTERS, 3);
+	system_fault(s->platform_addr, "{\"outage_ms\":-1}");
+	clock_sleep(5000);
+	/* A controld that starts from nothing learns from its peers. */
+	proc_signal(s->entry[0].controld, SIGKILL);
+	clock_sleep(200);
+	system_start_controld(s, 0);
+	clock_sleep(5000);
+	stop_streams(t, MODELS + ADAPTERS, "outage");
+	system_fault(s->platform_addr, "{\"outage_ms\":0}");
+	g_assert_cmpuint(
+	    system_note(s, 0,
+		"[note]\nid = after\nbase = 1\n[withdraw model m3]\n"
+		"reason = r\n"),
+	    ==, 2);
+	g_assert_true(system_in_force(s, 1, 2, IN_FORCE_MS));
+	system_stop(s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/reach/note", while_a_note_is_applied);
+	g_test_add_func("/reach/any-worker", any_worker_lost);
+	g_test_add_func("/reach/planner-killed", planner_killed);
+	g_test_add_func("/reach/planner-frozen", planner_frozen);
+	g_test_add_func("/reach/broker-killed", broker_killed);
+	g_test_add_func("/reach/broker-frozen", broker_frozen);
+	g_test_add_func("/reach/domain-killed", domain_killed);
+	g_test_add_func("/reach/platform-away", platform_away);
+	return g_test_run();
+}
