--- a/tests/leave_proc.c
+++ b/tests/leave_proc.c
@@ -9,6 +9,7 @@
 	CALL_MS = 30000,
 	NO_NEW_WORK_MS = 3000, /* after the signal */
 	STOP_MS = 30000,
+	IN_FORCE_MS = 14000,
 	CHATS = 8,
 	TOKENS = 500,
 };
@@ -157,6 +158,48 @@
 	system_stop(s);
 }
 
+/* The planner's own instance is stopped while a note is being loaded. */
+static void
+stop_in_a_note(void)
+{
+	system_t *s = bed();
+	chat_t c[CHATS];
+	reply_t r;
+	int at, other;
+
+	r = http_call("GET", s->platform_addr, "/v1/objects/lease/planner",
+	    NULL, NULL, CALL_MS);
+	for (at = 0; at + 1 < s->nentry; at++) {
+		char *held = g_strdup_printf("\"%s\"", s->entry[at].id);
+		bool found = strstr(r.body, held) != NULL;
+
+		g_free(held);
+		if (found)
+			break;
+	}
+	reply_clear(&r);
+	other = (at + 1) % s->nentry;
+	start_load(c, s->entry[at].caller, "note");
+	clock_sleep(300);
+	g_assert_cmpuint(
+	    system_note(s, other,
+		"[note]\nid = second\nbase = 1\n[change model m0]\nversion = "
+		"2\n[add model m7]\nservice = llm\nversion = 1\nmemory_mb = "
+		"9000\ncopies = 2\n[add model m8]\nservice = llm\nversion = "
+		"1\nmemory_mb = 9000\ncopies = 2\n"),
+	    ==, 2);
+	stop_entry(s, at);
+	system_list(s, s->entry[at].id, true, true);
+	g_assert_true(system_in_force(s, other, 2, IN_FORCE_MS));
+	g_assert_true(
+	    system_chat_again(s->entry[other].caller, "m8", "eight", 5, CALL_MS)
+		.whole);
+	check_load(c);
+	g_assert_true(proc_ended(s->entry[at].entryd, STOP_MS));
+	g_assert_true(proc_ended(s->entry[at].controld, STOP_MS));
+	system_stop(s);
+}
+
 static void
 post_leave(system_t *s, int worker)
 {
@@ -201,5 +244,6 @@
 	g_test_add_func("/leave/entry", leaving_entry);
 	g_test_add_func("/leave/two-in-an-outage", two_stops_in_an_outage);
 	g_test_add_func("/leave/worker", leaving_worker);
+	g_test_add_func("/leave/in-a-note", stop_in_a_note);
 	return g_test_run();
 }
