--- a/peer/digest.c
+++ b/peer/digest.c
@@ -99,11 +99,9 @@
 	qsort(d->demand, d->n_demand, sizeof(void *), demand_order);
 }
 
-static void
-digest_put(broker_t *k, store_t *st, Wire__Digest *d, ms_t now)
+static uint64_t
+digest_hash(const Wire__Digest *d)
 {
-	const shard_t *s = store_shard(st, k->service, k->domain, k->index);
-	const digest_t *known = store_digest_of(st, s);
 	size_t n = wire__digest__get_packed_size(d);
 	uint8_t *buf = malloc(n + 1);
 	uint64_t hash;
@@ -111,6 +109,42 @@
 	wire__digest__pack(d, buf);
 	hash = hash64(buf, n, 1);
 	free(buf);
+	return hash;
+}
+
+/* Hash of what changes seldom: who is in the shard and what they hold. */
+static uint64_t
+holdings_hash(const Wire__Digest *d)
+{
+	Wire__Digest h = WIRE__DIGEST__INIT;
+	Wire__WorkerLoad *load = calloc(d->n_worker + 1, sizeof(*load));
+	Wire__WorkerLoad **row = calloc(d->n_worker + 1, sizeof(void *));
+	uint64_t hash;
+	size_t i;
+
+	for (i = 0; i < d->n_worker; i++) {
+		load[i] = *d->worker[i];
+		load[i].free = load[i].used_mb = 0;
+		row[i] = &load[i];
+	}
+	h.worker = row;
+	h.n_worker = d->n_worker;
+	hash = digest_hash(&h);
+	free(load);
+	free(row);
+	return hash;
+}
+
+/* Put it into the store unless it says what was said a moment ago. */
+static void
+digest_put(broker_t *k, store_t *st, Wire__Digest *d, ms_t now)
+{
+	const shard_t *s = store_shard(st, k->service, k->domain, k->index);
+	const digest_t *known = store_digest_of(st, s);
+	uint64_t hash;
+
+	d->holdings = holdings_hash(d);
+	hash = digest_hash(d);
 	if (hash == k->said && now - k->said_at < REFRESH_MS)
 		return;
 	k->said = hash;
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -6,7 +6,7 @@
 enum {
 	CHUNK_BYTES = 128 * 1024, /* of a view; then another is begun */
 	/* a second, over all connections, for each scope of figures */
-	FIGURES_BYTES = 5120,
+	FIGURES_BYTES = 3072,
 	FLUSH_MS = 20, /* gathers urgent changes for nodes */
 };
 
@@ -84,7 +84,7 @@
 	grow(n, b, m);
 }
 
-/* Without residents: the receiver has them from the last whole one. */
+/* Partial: the receiver has names and residents from a whole one. */
 static void
 add_digest(node_t *n, batch_t *b, const digest_t *r, bool partial)
 {
@@ -99,6 +99,8 @@
 		load = calloc(d->n_worker, sizeof(*load));
 		for (i = 0; i < d->n_worker; i++) {
 			load[i] = *r->d->worker[i];
+			load[i].worker = (char *)protobuf_c_empty_string;
+			load[i].ejected = false;
 			load[i].n_resident = 0;
 			load[i].resident = NULL;
 			d->worker[i] = &load[i];
--- a/peer/store.c
+++ b/peer/store.c
@@ -432,39 +432,14 @@
 	s->workers_known = true;
 }
 
-static bool
-same_residents(const Wire__WorkerLoad *x, const Wire__WorkerLoad *y)
-{
-	size_t i;
-
-	if (strcmp(x->worker, y->worker) != 0 || x->ejected != y->ejected ||
-	    x->n_resident != y->n_resident)
-		return false;
-	for (i = 0; i < x->n_resident; i++) {
-		const Wire__Resident *a = x->resident[i], *b = y->resident[i];
-
-		if (a->version != b->version || a->state != b->state ||
-		    strcmp(a->model, b->model) != 0 ||
-		    strcmp(a->adapter, b->adapter) != 0)
-			return false;
-	}
-	return true;
-}
-
 static bool
 same_holdings(const Wire__Digest *x, const Wire__Digest *y)
 {
-	size_t i;
-
-	if (x->term != y->term || x->n_worker != y->n_worker)
-		return false;
-	for (i = 0; i < x->n_worker; i++)
-		if (!same_residents(x->worker[i], y->worker[i]))
-			return false;
-	return true;
+	return x->term == y->term && x->holdings == y->holdings &&
+	       x->n_worker == y->n_worker;
 }
 
-/* A partial digest without residents, over the last whole one. */
+/* A partial digest over the whole one with the same holdings. */
 static msg_t *
 digest_merge(const Wire__Digest *old, const Wire__Digest *d)
 {
@@ -476,6 +451,8 @@
 
 	for (i = 0; i < d->n_worker; i++) {
 		load[i] = *d->worker[i];
+		load[i].worker = old->worker[i]->worker;
+		load[i].ejected = old->worker[i]->ejected;
 		load[i].n_resident = old->worker[i]->n_resident;
 		load[i].resident = old->worker[i]->resident;
 		row[i] = &load[i];
@@ -488,19 +465,6 @@
 	return m;
 }
 
-static bool
-same_workers(const Wire__Digest *x, const Wire__Digest *y)
-{
-	size_t i;
-
-	if (x->term != y->term || x->n_worker != y->n_worker)
-		return false;
-	for (i = 0; i < x->n_worker; i++)
-		if (strcmp(x->worker[i]->worker, y->worker[i]->worker) != 0)
-			return false;
-	return true;
-}
-
 void
 store_digest(store_t *s, const Wire__Digest *d)
 {
@@ -515,7 +479,7 @@
 	if (r != NULL && (d->term < r->d->term ||
 			     (d->term == r->d->term && d->seq <= r->d->seq)))
 		return;
-	if (d->partial && (r == NULL || !same_workers(r->d, d)))
+	if (d->partial && (r == NULL || !same_holdings(r->d, d)))
 		return;
 	m = d->partial ? digest_merge(r->d, d) : msg_copy(d);
 	if (r == NULL) {
--- a/peer/wire.pb-c.c
+++ b/peer/wire.pb-c.c
@@ -1507,7 +1507,7 @@
   (ProtobufCMessageInit) wire__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__digest__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__digest__field_descriptors[12] =
 {
   {
     "service",
@@ -1641,11 +1641,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holdings",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Digest, holdings),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__digest__field_indices_by_name[] = {
   3,   /* field[3] = broker */
   9,   /* field[9] = demand */
   1,   /* field[1] = domain */
+  11,   /* field[11] = holdings */
   2,   /* field[2] = index */
   10,   /* field[10] = partial */
   5,   /* field[5] = seq */
@@ -1658,7 +1671,7 @@
 static const ProtobufCIntRange wire__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__digest__descriptor =
 {
@@ -1668,7 +1681,7 @@
   "Wire__Digest",
   "wire",
   sizeof(Wire__Digest),
-  11,
+  12,
   wire__digest__field_descriptors,
   wire__digest__field_indices_by_name,
   1,  wire__digest__number_ranges,
--- a/peer/wire.pb-c.h
+++ b/peer/wire.pb-c.h
@@ -180,13 +180,17 @@
   size_t n_demand;
   Wire__Demand **demand;
   /*
-   * no residents: they are as in the last whole one
+   * no workers' names nor residents: as in a whole
    */
   protobuf_c_boolean partial;
+  /*
+   * one with this hash of them
+   */
+  uint64_t holdings;
 };
 #define WIRE__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
