--- a/bench/peerslope.c
+++ b/bench/peerslope.c
@@ -380,7 +380,7 @@
 main(int argc, char **argv)
 {
 	static const int nodes[] = { 9, 18, 36, 72, 144 };
-	size_t i, n = sizeof(nodes) / sizeof(nodes[0]);
+	size_t i = 0, n = sizeof(nodes) / sizeof(nodes[0]);
 
 	bool fleet = argc > 1 && strcmp(argv[1], "fleet") == 0;
 
@@ -389,10 +389,12 @@
 		n = 0;
 	else if (argc > 1)
 		n = (size_t)strtoul(argv[1], NULL, 10);
+	if (argc > 2)
+		i = (size_t)strtoul(argv[2], NULL, 10);
 	log_level(LOG_ERR);
 	printf("what,nodes,workers,role,count,frames_in_s,frames_out_s,"
 	       "kb_in_s,kb_out_s,cpu_percent,process_rss_kb\n");
-	for (i = 0; i < n && i < sizeof(nodes) / sizeof(nodes[0]); i++)
+	for (; i < n && i < sizeof(nodes) / sizeof(nodes[0]); i++)
 		point("nodes", nodes[i], nodes[i], nodes[i] * WORKERS_EACH, -1);
 	if (!fleet && argc > 1)
 		return 0;
--- a/peer/links.c
+++ b/peer/links.c
@@ -74,7 +74,7 @@
 			g_hash_table_insert(t, g_strdup(r->m->domain), k);
 		}
 		if (r->doubt && r->conn == NULL && n->now >= r->dial_at)
-			member_dial(n, r);
+			member_probe(n, r);
 		k->count += member_live(r);
 		if (member_live(r) && !member_leaving(r))
 			k->nlive = insert(
--- a/peer/member.c
+++ b/peer/member.c
@@ -288,6 +288,14 @@
 		str_copy(r->conn->peer, sizeof(r->conn->peer), r->m->id);
 }
 
+void
+member_probe(node_t *n, member_t *r)
+{
+	member_dial(n, r);
+	if (r->conn != NULL)
+		r->conn->probe = true;
+}
+
 static bool
 is_why(const conn_t *c, const char *why)
 {
@@ -376,11 +384,10 @@
 		if (rng_next(&n->rng) % ++seen == 0)
 			pick = r;
 	}
-	if (pick == NULL)
-		return;
-	member_dial(n, pick);
-	if (pick->conn != NULL)
-		pick->conn->probe = live;
+	if (pick != NULL && live)
+		member_probe(n, pick);
+	else if (pick != NULL)
+		member_dial(n, pick);
 }
 
 /* Connections without a word, domains out of reach. */
--- a/peer/node.c
+++ b/peer/node.c
@@ -355,6 +355,21 @@
 	cmd_free(c);
 }
 
+static void
+record(node_t *n, const char *what)
+{
+	audit_record_t r = { .at = clock_wall(), .number = n->me.incarnation };
+
+	if (n->audit == NULL)
+		return;
+	str_copy(r.who, sizeof(r.who), n->me.id);
+	str_copy(r.kind, sizeof(r.kind), "membership");
+	str_copy(r.subject, sizeof(r.subject), n->me.id);
+	str_copy(r.what, sizeof(r.what), what);
+	str_copy(r.result, sizeof(r.result), "done");
+	audit_add(n->audit, &r);
+}
+
 static void
 say_leaving(node_t *n)
 {
@@ -364,6 +379,7 @@
 
 	log_event(
 	    LOG_INFO, "leaving", "incarnation=%" PRIu64, n->me.incarnation);
+	record(n, "leaving");
 	n->me.leaving = true;
 	brokers_leave(n->brokers);
 	l.id = n->me.id;
@@ -405,6 +421,7 @@
 	log_event(LOG_WARNING, "woken", "paused_ms=%" PRId64, paused);
 	brokers_reset(n->brokers);
 	member_rejoin(n);
+	record(n, "rejoined after a pause");
 }
 
 static void
--- a/peer/node.h
+++ b/peer/node.h
@@ -71,6 +71,11 @@
 void member_rejoin(node_t *n);
 /** Dial a member unless it is connected or being dialled. */
 void member_dial(node_t *n, member_t *r);
+/**
+ * Look by a bare TCP connect whether it still listens: a Hello would bring a
+ * whole copy of what the two know, many of them at once.
+ */
+void member_probe(node_t *n, member_t *r);
 /** Send a heartbeat. @p bye: the connection is closed after it. */
 void member_say(node_t *n, conn_t *c, bool figures, bool bye);
 
