--- a/entry/run.c
+++ b/entry/run.c
@@ -130,6 +130,8 @@
 static bool
 run_again(entry_t *en, route_t *r)
 {
+	ms_t again;
+
 	if (r->runs >= RUNS_MAX || r->end <= clock_now(&machine_clock) ||
 	    !budget_spend(&en->budget))
 		return false;
@@ -137,10 +139,10 @@
 	/* Its shard may have no other copy: the others are asked first. */
 	r->spared = r->shard;
 	r->ntried = 0;
-	/* What was promised counts no more once it is late or broken. */
-	if (r->begun)
-		r->deadline =
-		    clock_now(&machine_clock) + r->service->promise_ms;
+	/* The promise is lost: better late than told 'unknown'. */
+	again = clock_now(&machine_clock) + r->service->promise_ms;
+	if (r->deadline < again)
+		r->deadline = again;
 	slot_ask(en, r);
 	return true;
 }
