--- a/policy/admit.c
+++ b/policy/admit.c
@@ -36,10 +36,9 @@
 	a->opts = *o;
 	a->rng.s = o->seed;
 	a->salt = rng_next(&a->rng);
-	a->queue = calloc(o->queue_max + 1, sizeof(*a->queue));
 	a->grants = table_new(sizeof(grant_t), GRANTS_MAX);
 	a->budget = (budget_t){ o->retry_share, BUDGET_FIRST, BUDGET_MOST };
-	if (a->queue == NULL || a->grants == NULL) {
+	if (a->grants == NULL) {
 		admit_free(a);
 		return NULL;
 	}
@@ -53,8 +52,9 @@
 
 	if (a == NULL)
 		return;
-	for (i = 0; i < WORKERS_MAX; i++)
-		free(a->worker[i].holding);
+	for (i = 0; i < a->nworker; i++)
+		worker_clear(&a->worker[i]);
+	free(a->worker);
 	table_free(a->grants);
 	free(a->queue);
 	free(a->verdict);
@@ -302,6 +302,13 @@
 		shard_refuse(a, &q, SLOT_LATE, now);
 		return;
 	}
+	if (a->queue == NULL)
+		a->queue = calloc(a->opts.queue_max + 1, sizeof(*a->queue));
+	if (a->queue == NULL) {
+		queue_uncharge(a, &q);
+		shard_refuse(a, &q, SLOT_FULL, now);
+		return;
+	}
 	queue_insert(a, at, &q);
 	dispatch(a, now);
 	if (a->nqueue > a->opts.queue_max)
@@ -354,6 +361,19 @@
 			queue_refuse(a, i, SLOT_NO_COPY, now);
 }
 
+static bool
+worker_grow(admit_t *a)
+{
+	int room = a->worker_room == 0 ? 8 : 2 * a->worker_room;
+	worker_t *w = realloc(a->worker, room * sizeof(*w));
+
+	if (w == NULL)
+		return false;
+	a->worker = w;
+	a->worker_room = room;
+	return true;
+}
+
 static int
 worker_add(admit_t *a, const char *id)
 {
@@ -364,6 +384,8 @@
 			break;
 	if (i == WORKERS_MAX)
 		return -1;
+	if (i == a->worker_room && !worker_grow(a))
+		return -1;
 	if (i == a->nworker)
 		a->nworker++;
 	memset(&a->worker[i], 0, sizeof(a->worker[i]));
@@ -417,8 +439,7 @@
 		if (g->worker == at)
 			grant_drop(a, h);
 	}
-	free(a->worker[at].holding);
-	memset(&a->worker[at], 0, sizeof(a->worker[at]));
+	worker_clear(&a->worker[at]);
 	remask(a, a->looked_at);
 }
 
--- a/policy/shard.h
+++ b/policy/shard.h
@@ -35,10 +35,11 @@
 
 struct admit {
 	admit_opts_t opts;
-	worker_t worker[WORKERS_MAX];
+	worker_t *worker;
+	int worker_room;
 	int nworker; /* places used so far, some may be free again */
 
-	waiting_t *queue;
+	waiting_t *queue; /* made when the first call asks */
 	int nqueue;
 	double backlog[WORKERS_MAX]; /* asks a worker's share is */
 	uint64_t seq;
--- a/policy/worker.c
+++ b/policy/worker.c
@@ -16,6 +16,14 @@
 /* Weight of a new sample in an average. */
 static const double sample_weight = 0.125;
 
+void
+worker_clear(worker_t *w)
+{
+	free(w->holding);
+	free(w->prefix);
+	memset(w, 0, sizeof(*w));
+}
+
 int
 worker_in_flight(const worker_t *w)
 {
@@ -235,12 +243,17 @@
 void
 worker_served(worker_t *w, uint64_t prefix)
 {
-	if (prefix != 0)
+	if (prefix == 0)
+		return;
+	if (w->prefix == NULL)
+		w->prefix = calloc(PREFIXES_KEPT, sizeof(*w->prefix));
+	if (w->prefix != NULL)
 		w->prefix[prefix % PREFIXES_KEPT] = prefix;
 }
 
 bool
 worker_has_prefix(const worker_t *w, uint64_t prefix)
 {
-	return prefix != 0 && w->prefix[prefix % PREFIXES_KEPT] == prefix;
+	return prefix != 0 && w->prefix != NULL &&
+	       w->prefix[prefix % PREFIXES_KEPT] == prefix;
 }
--- a/policy/worker.h
+++ b/policy/worker.h
@@ -59,9 +59,11 @@
 
 	holding_t *holding; /* sorted by item */
 	int nholding;
-	uint64_t prefix[PREFIXES_KEPT]; /* by hash, 0: none */
+	uint64_t *prefix; /* by hash, 0: none; made with the first */
 } worker_t;
 
+/** Give back what hangs on it. */
+void worker_clear(worker_t *w);
 /** Calls that keep a slot there now. */
 int worker_in_flight(const worker_t *w);
 /** Slots that a call could take now, whatever the circuit says. */
--- a/tests/admit_test.c
+++ b/tests/admit_test.c
@@ -1,5 +1,6 @@
 #include "policy/policy.h"
 
+#include <malloc.h>
 #include <string.h>
 #include <glib.h>
 
@@ -103,6 +104,43 @@
 	return v.slot;
 }
 
+static size_t
+heap_bytes(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return m.uordblks + m.hblkhd;
+}
+
+/*
+ * A node that finds itself alone brokers every shard of the target's fleet,
+ * within a daemon's memory.
+ */
+static void
+a_lone_broker_holds_the_fleet(void)
+{
+	enum {
+		SHARDS = 1250,
+		WORKERS = 8,
+		MOST = 64 << 20 /* bytes */
+	};
+	static admit_t *a[SHARDS];
+	size_t before = heap_bytes();
+	char id[ID_MAX];
+	int i, w;
+
+	for (i = 0; i < SHARDS; i++) {
+		a[i] = shard(512);
+		for (w = 0; w < WORKERS; w++) {
+			g_snprintf(id, ID_MAX, "w%d", w);
+			report(a[i], id, "m", 0, 0);
+		}
+	}
+	g_assert_cmpuint(heap_bytes() - before, <, MOST);
+	for (i = 0; i < SHARDS; i++)
+		admit_free(a[i]);
+}
+
 /* A call that can't be met is refused as it comes, and told when to return. */
 static void
 late_calls_are_refused_at_once(void)
@@ -540,6 +578,7 @@
 		    workers_are_chosen_by_prefix_and_without_the_avoided },
 		{ "/admit/budget", retries_have_a_budget },
 		{ "/admit/copies", waiting_ends_when_no_copy_is_left },
+		{ "/admit/memory", a_lone_broker_holds_the_fleet },
 		{ "/admit/overload", overload_is_met_and_ends },
 	};
 	size_t i;
