Entry: a stream that goes on isn't given up for being cut often

A worker that cut each connection after 5 tokens broke every answer of more than 20, though it still had the stream: four runs were the limit, progress or not (cut_proc /cut/one-engine failed with 20 tokens and stream_broken, passes with the change; so do all engines cutting, and after each token). Now only runs in a row without a token count, and reading on at the same worker, which makes it no work, costs nothing of the retry budget. Ruled out: a higher limit, which only moves the length that breaks.

--- a/entry/route.h
+++ b/entry/route.h
@@ -12,7 +12,7 @@
 enum {
 	SHARDS_TRIED_MAX = 8, /* shards that one call asks */
 	BROKER_RANKS = 3,     /* brokers asked for one shard */
-	RUNS_MAX = 4,	      /* times that one call is sent to endpoints */
+	RUNS_MAX = 4,	      /* runs in a row without progress */
 	SETTLE_TRIES = 5,
 };
 
@@ -55,6 +55,7 @@
 	handle_t run;
 	char stream[ID_MAX]; /* the endpoint's id of it */
 	int runs;
+	int idle;	     /* runs in a row that brought nothing */
 	bool resuming;	     /* the run took up a stream again */
 	bool sent;	     /* some run may have reached an endpoint */
 	uint32_t offset;     /* next token wanted */
--- a/entry/run.c
+++ b/entry/run.c
@@ -130,7 +130,7 @@
 static bool
 run_again(entry_t *en, route_t *r)
 {
-	if (r->runs >= RUNS_MAX || r->end <= clock_now(&machine_clock) ||
+	if (r->idle >= RUNS_MAX || r->end <= clock_now(&machine_clock) ||
 	    !budget_spend(&en->budget))
 		return false;
 	str_copy(r->avoid, ID_MAX, r->worker);
@@ -169,10 +169,14 @@
 		model_done(en, r);
 		return;
 	}
-	/* Cut, but the worker may still have the stream: asked once. */
+	/*
+	 * Cut, but the worker may still have the stream: asked once, and again
+	 * as long as it brings tokens. That makes it no work, so it costs
+	 * nothing of the budget.
+	 */
 	if (ev->outcome == CALL_UNKNOWN && r->begun && ev->connected &&
-	    !(r->resuming && r->first == 0) && r->runs < RUNS_MAX &&
-	    budget_spend(&en->budget)) {
+	    (r->first != 0 || (!r->resuming && r->idle < RUNS_MAX &&
+				  budget_spend(&en->budget)))) {
 		run_start(en, r, true);
 		return;
 	}
@@ -224,6 +228,7 @@
 	if (ev->sent && !ev->not_run)
 		r->sent = true;
 	own_count(en, r->worker, -1);
+	r->idle = r->first != 0 ? 0 : r->idle + 1;
 	r->run = 0;
 	if (r->call != NULL && call_gone(r->call) && !r->claimed) {
 		slot_release(en, r,
