Follower reads again what its node hasn't taken

Cause: a full ring drops a handed-in catalogue while the follower counts it as given (found by reading). Change: before each list read the node's own number is looked at.

--- a/control/follower.c
+++ b/control/follower.c
@@ -179,6 +179,23 @@
 	return 0;
 }
 
+/*
+ * The node's ring may have been full when a catalogue was handed in: what it
+ * hasn't taken is read again.
+ */
+static void
+check_taken(follower_t *f)
+{
+	view_t *v = node_view(f->o.node);
+
+	if (v != NULL && v->catalogue != NULL &&
+	    v->catalogue->number < f->number) {
+		f->number = v->catalogue->number;
+		f->since = 0;
+	}
+	view_unref(v);
+}
+
 /* One step: a parent's watch, or a look whether the slow read is due. */
 static int
 step(follower_t *f, err_t *e)
@@ -195,8 +212,11 @@
 		}
 		return read_all(f, e);
 	}
-	if (now - f->listed >= LIST_MS && read_list(f, e) == -1)
-		return -1;
+	if (now - f->listed >= LIST_MS) {
+		check_taken(f);
+		if (read_list(f, e) == -1)
+			return -1;
+	}
 	return watch(f, e);
 }
 
