Withdrawn names are bounded; a model's answer tells why it ended

Ruled out: making the callers of /leave ask again: the entry they hold the address of is leaving, that is the point. Change: at most 4096 withdrawn names; finish_reason passed on; /leave's engines have 32 slots, its checks are as they were.

--- a/entry/model.c
+++ b/entry/model.c
@@ -75,7 +75,7 @@
 }
 
 static void
-reply_whole(route_t *r)
+reply_whole(route_t *r, const char *finish)
 {
 	const request_t *q = call_request(r->call);
 	bool chat = q->kind != REQUEST_TEXT;
@@ -84,9 +84,9 @@
 
 	c = chat ? json_pack("{s:i, s:{s:s, s:s}, s:s}", "index", 0, "message",
 		       "role", "assistant", "content", r->text->str,
-		       "finish_reason", "stop")
+		       "finish_reason", finish)
 		 : json_pack("{s:i, s:s, s:s}", "index", 0, "text",
-		       r->text->str, "finish_reason", "stop");
+		       r->text->str, "finish_reason", finish);
 	j = json_pack("{s:s, s:s, s:s, s:[o], s:{s:i}}", "id", call_id(r->call),
 	    "object", chat ? "chat.completion" : "text_completion", "model",
 	    q->model, "choices", c, "usage", "completion_tokens",
@@ -99,18 +99,18 @@
 }
 
 void
-model_done(entry_t *en, route_t *r)
+model_done(entry_t *en, route_t *r, const char *finish)
 {
 	static const char last[] = "data: [DONE]\n\n";
 
 	if (call_request(r->call)->stream) {
 		if (!r->begun)
 			model_begin(en, r);
-		write_chunk(en, r, NULL, "stop");
+		write_chunk(en, r, NULL, finish);
 		call_write(r->call, last, strlen(last));
 		call_end(r->call);
 	} else {
-		reply_whole(r);
+		reply_whole(r, finish);
 	}
 	route_over(en, r);
 }
--- a/entry/route.h
+++ b/entry/route.h
@@ -158,7 +158,8 @@
 /* model.c: what callers of models get. */
 void model_begin(entry_t *en, route_t *r);
 void model_token(entry_t *en, route_t *r, const char *text);
-void model_done(entry_t *en, route_t *r);
+/** @param finish why the engine ended it: stop or length. */
+void model_done(entry_t *en, route_t *r, const char *finish);
 void model_broken(entry_t *en, route_t *r, ran_t ran, const char *why);
 
 /* once.c: claims of calls that may run once. */
--- a/entry/run.c
+++ b/entry/run.c
@@ -168,7 +168,10 @@
 {
 	if (ev->outcome == CALL_DONE) {
 		budget_success(&en->budget);
-		model_done(en, r);
+		model_done(en, r,
+		    ev->text != NULL && strcmp(ev->text, "length") == 0
+			? "length"
+			: "stop");
 		return;
 	}
 	/*
--- a/policy/note.c
+++ b/policy/note.c
@@ -10,6 +10,7 @@
 	COPIES_MOST = 10000,
 	MEMORY_MOST_MB = 100 << 20,
 	NOTE_MOST = 256 * 1024, /* bytes of a note's text */
+	WITHDRAWN_MOST = 4096,	/* names still answered 410 */
 	COPIES_DEFAULT = 1,
 };
 
@@ -516,6 +517,13 @@
 	str_copy(c->note_id, ID_MAX, n->id);
 	c->nmodel = (int)w->model->len;
 	c->nadapter = (int)w->adapter->len;
+	/*
+	 * Of too many withdrawn names the first go, the same ones wherever
+	 * the note is applied; they are answered 404 from then on.
+	 */
+	if (w->withdrawn->len > WITHDRAWN_MOST)
+		g_ptr_array_remove_range(
+		    w->withdrawn, 0, w->withdrawn->len - WITHDRAWN_MOST);
 	c->nwithdrawn = (int)w->withdrawn->len;
 	c->model = calloc(c->nmodel + 1, sizeof(model_t));
 	c->adapter = calloc(c->nadapter + 1, sizeof(adapter_t));
--- a/tests/leave_proc.c
+++ b/tests/leave_proc.c
@@ -46,6 +46,8 @@
 		.ndomain = 3,
 		.nengine = 3,
 		.nservice = 2,
+		/* one copy has room for all: nobody is refused */
+		.slots = 32,
 		.token_ms = 10,
 		.work_ms = 2000 };
 	system_t *s = system_start(&o);
--- a/tests/note_test.c
+++ b/tests/note_test.c
@@ -134,6 +134,37 @@
 	catalogue_unref(one);
 }
 
+/* Years of withdrawals don't make the catalogue grow without end. */
+static void
+withdrawn_names_are_bounded(void)
+{
+	catalogue_t *c = first(), *next;
+	GString *g;
+	char *report;
+	int i, round;
+
+	for (round = 0; round < 24; round++) {
+		g = g_string_new(NULL);
+		g_string_printf(
+		    g, "[note]\nid = n%d\nbase = %d\n", round, (int)c->number);
+		for (i = 0; i < 500; i++)
+			g_string_append_printf(g,
+			    round % 2 == 0
+				? "[add model x%d-%d]\nservice = llm\n"
+				  "version = 1\nmemory_mb = 1\n"
+				: "[withdraw model x%d-%d]\nreason = r\n",
+			    round / 2 * 2, i);
+		next = apply(c, g->str, &report);
+		g_assert_cmpstr(report, ==, NULL);
+		catalogue_unref(c);
+		c = next;
+		g_string_free(g, TRUE);
+	}
+	g_assert_cmpint(c->nwithdrawn, ==, 4096);
+	g_assert_true(catalogue_withdrawn(c, "x22-7"));
+	catalogue_unref(c);
+}
+
 static void
 damaged_notes_do_no_harm(void)
 {
@@ -176,6 +207,7 @@
 	settings.service[1].kind = SERVICE_PLAIN;
 	g_test_add_func("/note/catalogues", notes_make_catalogues);
 	g_test_add_func("/note/errors", every_error_with_its_line);
+	g_test_add_func("/note/withdrawn", withdrawn_names_are_bounded);
 	g_test_add_func("/note/damaged", damaged_notes_do_no_harm);
 	return g_test_run();
 }
--- a/tests/whole_proc.c
+++ b/tests/whole_proc.c
@@ -36,6 +36,12 @@
 	g_assert_nonnull(strstr(r.body, "text_completion"));
 	g_assert_nonnull(strstr(r.body, "t2-"));
 	g_assert_null(strstr(r.body, "t3-"));
+	g_assert_nonnull(strstr(r.body, "\"finish_reason\":\"stop\""));
+	reply_clear(&r);
+	r = http_call("POST", entry0, "/v1/completions", NULL,
+	    "{\"model\":\"m0\",\"prompt\":\"whole#9\",\"max_tokens\":3}",
+	    CALL_MS);
+	g_assert_nonnull(strstr(r.body, "\"finish_reason\":\"length\""));
 	reply_clear(&r);
 
 	got = system_plain(entry0, "/calibrate", "k1", CALL_MS);
