Entry: choosing without a broker, in three short functions; proved

Cause: read as a newcomer, pick_direct nested three loops; and no test had every controld dead. Recovery tests also print what the platform was asked.

--- a/entry/slot.c
+++ b/entry/slot.c
@@ -55,12 +55,11 @@
 }
 
 static void
-fill_ask(entry_t *en, route_t *r, const shard_t *s, Wire__SlotAsk *ask)
+fill_ask(route_t *r, const shard_t *s, Wire__SlotAsk *ask)
 {
 	const request_t *q = call_request(r->call);
 	ms_t left = r->deadline - clock_now(&machine_clock);
 
-	(void)en;
 	ask->request = (char *)r->stream;
 	ask->service = (char *)s->service;
 	ask->domain = (char *)s->domain;
@@ -106,7 +105,7 @@
 
 	if (m == NULL)
 		return false;
-	fill_ask(en, r, s, &ask);
+	fill_ask(r, s, &ask);
 	/* The next in rank stands in for those that gave no answer. */
 	for (i = 0; i < r->rank; i++)
 		tried[i] = (char *)view_broker(en->view, s, i)->id;
@@ -123,43 +122,60 @@
 	return false;
 }
 
+/* Does the worker hold the call's model and adapter, as last told? */
+static bool
+holds(const Wire__WorkerLoad *l, const route_t *r)
+{
+	size_t i;
+
+	if (r->model[0] == '\0')
+		return true;
+	for (i = 0; i < l->n_resident; i++)
+		if (l->resident[i]->state == RESIDENT_READY &&
+		    strcmp(l->resident[i]->model, r->model) == 0 &&
+		    strcmp(l->resident[i]->adapter, r->adapter) == 0)
+			return true;
+	return false;
+}
+
+/* The worker of a shard that has the fewest of our own calls. */
+static const Wire__Worker *
+least_of_ours(
+    const entry_t *en, const route_t *r, const Wire__Digest *d, int *least)
+{
+	const Wire__Worker *w, *best = NULL;
+	size_t i;
+	int own;
+
+	for (i = 0; i < d->n_worker; i++) {
+		w = view_worker(en->view, d->worker[i]->worker);
+		if (w == NULL || w->leaving || strcmp(w->id, r->avoid) == 0 ||
+		    !holds(d->worker[i], r))
+			continue;
+		own = GPOINTER_TO_INT(g_hash_table_lookup(en->own, w->id));
+		if (own < *least) {
+			*least = own;
+			best = w;
+		}
+	}
+	return best;
+}
+
 /* No broker answers: choose by our own counts, and let the engine refuse. */
 static bool
 pick_direct(entry_t *en, route_t *r)
 {
 	const view_t *v = en->view;
-	const Wire__Worker *best = NULL;
-	int least = INT32_MAX, i, j;
+	const Wire__Worker *best = NULL, *w;
+	int least = INT32_MAX, i;
 
 	for (i = 0; i < v->nshard; i++) {
-		const Wire__Digest *d = v->shard[i].digest;
-
-		if (strcmp(v->shard[i].service, r->service->name) != 0)
+		if (v->shard[i].digest == NULL ||
+		    strcmp(v->shard[i].service, r->service->name) != 0)
 			continue;
-		for (j = 0; d != NULL && j < (int)d->n_worker; j++) {
-			const Wire__WorkerLoad *l = d->worker[j];
-			const Wire__Worker *w = view_worker(v, l->worker);
-			bool holds = r->model[0] == '\0';
-			size_t k;
-			int own;
-
-			for (k = 0; !holds && k < l->n_resident; k++)
-				holds =
-				    l->resident[k]->state == RESIDENT_READY &&
-				    strcmp(l->resident[k]->model, r->model) ==
-					0 &&
-				    strcmp(l->resident[k]->adapter,
-					r->adapter) == 0;
-			if (!holds || w == NULL || w->leaving ||
-			    strcmp(w->id, r->avoid) == 0)
-				continue;
-			own = GPOINTER_TO_INT(
-			    g_hash_table_lookup(en->own, w->id));
-			if (own < least) {
-				least = own;
-				best = w;
-			}
-		}
+		w = least_of_ours(en, r, v->shard[i].digest, &least);
+		if (w != NULL)
+			best = w;
 	}
 	if (best == NULL)
 		return false;
--- a/tests/reach_proc.c
+++ b/tests/reach_proc.c
@@ -22,6 +22,8 @@
 	bool stop;
 	int calls, good, told_not_run, wrong;
 	ms_t worst; /* longest time without a whole answer */
+	ms_t from;
+	int64_t platform_calls; /* at the start */
 	GThread *thread;
 } stream_t;
 
@@ -60,6 +62,20 @@
 	return NULL;
 }
 
+/* Calls that the platform has had of us, a waiting watch as one. */
+static int64_t
+platform_calls(system_t *s)
+{
+	static const char *const kinds[] = { "reads", "writes", "watches" };
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		n +=
+		    system_figure(s->platform_addr, "/control/stats", kinds[i]);
+	return n;
+}
+
 static void
 start_streams(system_t *s, stream_t *t, int nmodel, int nadapter, int nentry)
 {
@@ -71,6 +87,8 @@
 		t[i].nentry = nentry;
 		snprintf(t[i].model, ID_MAX, i < nmodel ? "m%d" : "a%d",
 		    i < nmodel ? i : i - nmodel);
+		t[i].from = clock_now(&machine_clock);
+		t[i].platform_calls = platform_calls(s);
 		t[i].thread = g_thread_new("stream", run_stream, &t[i]);
 	}
 }
@@ -82,6 +100,9 @@
 
 	for (i = 0; i < n; i++)
 		__atomic_store_n(&t[i].stop, true, __ATOMIC_RELEASE);
+	g_test_message("%s: %" PRId64 " platform calls in %" PRId64 " ms", what,
+	    platform_calls(t->s) - t->platform_calls,
+	    clock_now(&machine_clock) - t->from);
 	for (i = 0; i < n; i++) {
 		g_thread_join(t[i].thread);
 		g_test_message("%s %s: %d calls, %d whole, %d told not run, "
@@ -277,6 +298,23 @@
 	broker_lost(SIGSTOP);
 }
 
+/* No broker is left: entries go by their own counts. */
+static void
+no_broker_left(void)
+{
+	system_t *s = bed();
+	stream_t t[MODELS + ADAPTERS];
+	int i;
+
+	start_streams(s, t, MODELS, ADAPTERS, 3);
+	clock_sleep(300);
+	for (i = 0; i < s->nentry; i++)
+		proc_signal(s->entry[i].controld, SIGKILL);
+	clock_sleep(3000);
+	stop_streams(t, MODELS + ADAPTERS, "no broker");
+	system_stop(s);
+}
+
 /* A whole failure domain: its entry and its workers at once. */
 static void
 domain_killed(void)
@@ -333,6 +371,7 @@
 	g_test_add_func("/reach/planner-frozen", planner_frozen);
 	g_test_add_func("/reach/broker-killed", broker_killed);
 	g_test_add_func("/reach/broker-frozen", broker_frozen);
+	g_test_add_func("/reach/no-broker-left", no_broker_left);
 	g_test_add_func("/reach/domain-killed", domain_killed);
 	g_test_add_func("/reach/platform-away", platform_away);
 	return g_test_run();
