--- a/tests/leave_proc.c
+++ b/tests/leave_proc.c
@@ -14,31 +14,6 @@
 	TOKENS = 500,
 };
 
-typedef struct chat {
-	const char *addr;
-	char prompt[64];
-	outcome_t got;
-	GThread *thread;
-} chat_t;
-
-static gpointer
-run_chat(gpointer arg)
-{
-	chat_t *c = arg;
-
-	c->got = system_chat(c->addr, "m0", c->prompt, TOKENS, CALL_MS);
-	return NULL;
-}
-
-static gpointer
-run_plain(gpointer arg)
-{
-	chat_t *c = arg;
-
-	c->got = system_plain(c->addr, "/slow", c->prompt, CALL_MS);
-	return NULL;
-}
-
 static system_t *
 bed(void)
 {
@@ -57,25 +32,27 @@
 }
 
 static void
-start_load(chat_t *c, const char *addr, const char *name)
+start_load(background_t *c, const char *addr, const char *name)
 {
 	int i;
 
 	for (i = 0; i < CHATS; i++) {
-		c[i].addr = addr;
+		c[i] = (background_t){ .addr = addr,
+			.path = i % 4 == 3 ? "/slow" : NULL,
+			.tokens = TOKENS,
+			.timeout = CALL_MS };
 		snprintf(c[i].prompt, sizeof(c[i].prompt), "%s-%d", name, i);
-		c[i].thread = g_thread_new(
-		    "load", i % 4 == 3 ? run_plain : run_chat, &c[i]);
+		background_start(&c[i]);
 	}
 }
 
 static void
-check_load(chat_t *c)
+check_load(background_t *c)
 {
 	int i;
 
+	background_join(c, CHATS);
 	for (i = 0; i < CHATS; i++) {
-		g_thread_join(c[i].thread);
 		g_test_message("%s: %d %s tokens=%d", c[i].prompt,
 		    c[i].got.status, c[i].got.code, c[i].got.tokens);
 		g_assert_cmpint(c[i].got.status, ==, 200);
@@ -106,7 +83,7 @@
 leaving_entry(void)
 {
 	system_t *s = bed();
-	chat_t c[CHATS];
+	background_t c[CHATS];
 	outcome_t got;
 	ms_t from, gone = 0;
 
@@ -141,7 +118,7 @@
 two_stops_in_an_outage(void)
 {
 	system_t *s = bed();
-	chat_t c[CHATS], d[CHATS];
+	background_t c[CHATS], d[CHATS];
 	int i;
 
 	start_load(c, s->entry[0].caller, "two-a");
@@ -165,7 +142,7 @@
 stop_in_a_note(void)
 {
 	system_t *s = bed();
-	chat_t c[CHATS];
+	background_t c[CHATS];
 	reply_t r;
 	int at, other;
 
@@ -217,7 +194,7 @@
 leaving_worker(void)
 {
 	system_t *s = bed();
-	chat_t c[CHATS];
+	background_t c[CHATS];
 	int64_t before, after;
 	outcome_t got;
 	int i;
--- a/tests/once_proc.c
+++ b/tests/once_proc.c
@@ -12,30 +12,14 @@
 	WORK_MS = 60
 };
 
-typedef struct plain {
-	const char *addr;
-	char key[64];
-	outcome_t got;
-	GThread *thread;
-} plain_t;
-
-static gpointer
-run_plain(gpointer arg)
-{
-	plain_t *p = arg;
-
-	p->got = system_plain(
-	    p->addr, "/enrol", p->key[0] == '\0' ? NULL : p->key, CALL_MS);
-	return NULL;
-}
-
 static void
-start_plain(plain_t *p, const char *addr, const char *key)
+start_plain(background_t *p, const char *addr, const char *key)
 {
-	memset(p, 0, sizeof(*p));
-	p->addr = addr;
-	str_copy(p->key, sizeof(p->key), key);
-	p->thread = g_thread_new("plain", run_plain, p);
+	*p = (background_t){
+		.addr = addr, .path = "/enrol", .timeout = CALL_MS
+	};
+	str_copy(p->prompt, sizeof(p->prompt), key);
+	background_start(p);
 }
 
 static system_t *
@@ -50,12 +34,12 @@
 
 /* What the caller was told against what the services recorded. */
 static void
-check_told(system_t *s, const plain_t *p)
+check_told(system_t *s, const background_t *p)
 {
-	int runs = system_runs(s, p->key);
+	int runs = system_runs(s, p->prompt);
 
-	g_test_message("%s: %d %s ran=%s, ran %d times", p->key, p->got.status,
-	    p->got.code, p->got.ran, runs);
+	g_test_message("%s: %d %s ran=%s, ran %d times", p->prompt,
+	    p->got.status, p->got.code, p->got.ran, runs);
 	g_assert_cmpint(runs, <=, 1);
 	if (strcmp(p->got.ran, "no") == 0)
 		g_assert_cmpint(runs, ==, 0);
@@ -67,7 +51,7 @@
 same_key_at_once(void)
 {
 	system_t *s = bed();
-	plain_t p[RACERS];
+	background_t p[RACERS];
 	char key[64];
 	int i, k, done;
 
@@ -196,10 +180,10 @@
 static bool
 runs_now(void *user)
 {
-	const plain_t *p = user;
-	outcome_t got = system_plain(p->addr, "/enrol", p->key, CALL_MS);
+	const background_t *p = user;
+	outcome_t got = system_plain(p->addr, "/enrol", p->prompt, CALL_MS);
 
-	g_test_message("%s once more: %d %s", p->key, got.status, got.code);
+	g_test_message("%s once more: %d %s", p->prompt, got.status, got.code);
 	return got.status == 200;
 }
 
@@ -208,7 +192,7 @@
 {
 	size_t f = GPOINTER_TO_SIZE(arg), m;
 	system_t *s = bed();
-	plain_t p[3], again;
+	background_t p[3], again;
 	int i;
 
 	for (m = 0; m < G_N_ELEMENTS(moments); m++) {
@@ -222,7 +206,7 @@
 		clock_sleep(moments[m]);
 		faults[f].fault(s);
 		/* The caller asks again elsewhere, as callers do. */
-		start_plain(&again, s->entry[2].caller, p[0].key);
+		start_plain(&again, s->entry[2].caller, p[0].prompt);
 		g_thread_join(again.thread);
 		for (i = 0; i < 3; i++)
 			g_thread_join(p[i].thread);
@@ -232,21 +216,21 @@
 			 * other's run. */
 			if (i == 0)
 				g_assert_cmpint(
-				    system_runs(s, p[0].key), <=, 1);
+				    system_runs(s, p[0].prompt), <=, 1);
 			else
 				check_told(s, &p[i]);
 		}
 		/* Once all is well, asking again settles it. */
 		for (i = 0; i < 3; i++) {
 			outcome_t last = system_plain(
-			    s->entry[2].caller, "/enrol", p[i].key, CALL_MS);
+			    s->entry[2].caller, "/enrol", p[i].prompt, CALL_MS);
 
-			g_test_message("%s again: %d %s ran=%s", p[i].key,
+			g_test_message("%s again: %d %s ran=%s", p[i].prompt,
 			    last.status, last.code, last.ran);
-			g_assert_cmpint(system_runs(s, p[i].key), <=, 1);
+			g_assert_cmpint(system_runs(s, p[i].prompt), <=, 1);
 			if (last.status == 200)
 				g_assert_cmpint(
-				    system_runs(s, p[i].key), ==, 1);
+				    system_runs(s, p[i].prompt), ==, 1);
 			/* "Not run" leaves nothing behind that would keep it
 			 * from being run. */
 			if (i > 0 && strcmp(p[i].got.ran, "no") == 0)
--- a/tests/own_proc.c
+++ b/tests/own_proc.c
@@ -11,43 +11,21 @@
 	TOKENS = 120
 };
 
-typedef struct chat {
-	const char *addr;
-	char prompt[64];
-	outcome_t got;
-	GThread *thread;
-} chat_t;
-
-static gpointer
-run_chat(gpointer arg)
-{
-	chat_t *c = arg;
-
-	c->got = system_chat_again(c->addr, "m0", c->prompt, TOKENS, CALL_MS);
-	return NULL;
-}
-
 static void
-start_chats(system_t *s, chat_t *c, int n, int nentry, const char *name)
+start_chats(system_t *s, background_t *c, int n, int nentry, const char *name)
 {
 	int i;
 
 	for (i = 0; i < n; i++) {
-		c[i].addr = s->entry[i % nentry].caller;
+		c[i] = (background_t){ .addr = s->entry[i % nentry].caller,
+			.tokens = TOKENS,
+			.again = true,
+			.timeout = CALL_MS };
 		snprintf(c[i].prompt, sizeof(c[i].prompt), "%s-%d", name, i);
-		c[i].thread = g_thread_new("chat", run_chat, &c[i]);
+		background_start(&c[i]);
 	}
 }
 
-static void
-join_chats(chat_t *c, int n)
-{
-	int i;
-
-	for (i = 0; i < n; i++)
-		g_thread_join(c[i].thread);
-}
-
 static system_t *
 bed(void)
 {
@@ -69,7 +47,7 @@
 		"{\"no_end\":1}",
 	};
 	system_t *s = bed();
-	chat_t c[CALLS];
+	background_t c[CALLS];
 	size_t f;
 	int i;
 
@@ -77,7 +55,7 @@
 		memset(c, 0, sizeof(c));
 		system_fault(s->worker[0].addr, faults[f]);
 		start_chats(s, c, CALLS, 2, "broken");
-		join_chats(c, CALLS);
+		background_join(c, CALLS);
 		for (i = 0; i < CALLS; i++) {
 			g_test_message("%s %d: %d tokens=%d %s", faults[f], i,
 			    c[i].got.status, c[i].got.tokens, c[i].got.code);
@@ -111,14 +89,14 @@
 worker_lost(int sig)
 {
 	system_t *s = bed();
-	chat_t c[CALLS] = { 0 };
+	background_t c[CALLS] = { 0 };
 	int i, at;
 
 	start_chats(s, c, CALLS, 2, sig == SIGKILL ? "killed" : "frozen");
 	clock_sleep(400);
 	at = busiest(s);
 	proc_signal(s->worker[at].proc, sig);
-	join_chats(c, CALLS);
+	background_join(c, CALLS);
 	for (i = 0; i < CALLS; i++) {
 		g_test_message("%d: %d tokens=%d %s", i, c[i].got.status,
 		    c[i].got.tokens, c[i].got.code);
@@ -145,13 +123,13 @@
 killed_entry(void)
 {
 	system_t *s = bed();
-	chat_t c[CALLS] = { 0 };
+	background_t c[CALLS] = { 0 };
 	int i, cut = 0;
 
 	start_chats(s, c, CALLS, 1, "entry");
 	clock_sleep(400);
 	proc_signal(s->entry[0].entryd, SIGKILL);
-	join_chats(c, CALLS);
+	background_join(c, CALLS);
 	for (i = 0; i < CALLS; i++) {
 		outcome_t rest = { 0 };
 		char *full, *id, *body;
--- a/tests/system.c
+++ b/tests/system.c
@@ -551,6 +551,38 @@
 	return o;
 }
 
+static gpointer
+run_background(gpointer arg)
+{
+	background_t *b = arg;
+
+	if (b->path != NULL)
+		b->got = system_plain(b->addr, b->path,
+		    b->prompt[0] == '\0' ? NULL : b->prompt, b->timeout);
+	else if (b->again)
+		b->got = system_chat_again(
+		    b->addr, "m0", b->prompt, b->tokens, b->timeout);
+	else
+		b->got = system_chat(
+		    b->addr, "m0", b->prompt, b->tokens, b->timeout);
+	return NULL;
+}
+
+void
+background_start(background_t *b)
+{
+	b->thread = g_thread_new("call", run_background, b);
+}
+
+void
+background_join(background_t *b, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_thread_join(b[i].thread);
+}
+
 int
 system_runs(system_t *s, const char *key)
 {
--- a/tests/system.h
+++ b/tests/system.h
@@ -7,6 +7,8 @@
 
 #include "tests/proc.h"
 
+#include <glib.h>
+
 enum {
 	ENTRIES_MOST = 8,
 	WORKERS_MOST = 24,
@@ -105,6 +107,21 @@
 /** A plain call to "web". */
 outcome_t system_plain(
     const char *caller_addr, const char *path, const char *key, ms_t timeout);
+/** A call on a thread of its own. */
+typedef struct background {
+	const char *addr;
+	char prompt[64];  /* or the key of a plain call */
+	const char *path; /* of a plain call, NULL for a chat with m0 */
+	int tokens;
+	bool again; /* ask again while told "not run" */
+	ms_t timeout;
+	outcome_t got; /* once joined */
+	GThread *thread;
+} background_t;
+/** Start what the fields say; @p b must stay until it is joined. */
+void background_start(background_t *b);
+void background_join(background_t *b, int n);
+
 /** How often a plain call of that key ran, over all services; -1 unknown. */
 int system_runs(system_t *s, const char *key);
 
