Stand-in's weight store: a load is charged only for its own time

Cause: /platform/weights failed now and then (499 ms against at least 500): a load that began within a tick was charged the whole tick, so the store gave more than its rate. Ruled out: the clocks' rounding (both sides use the same one, rounded down).

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -370,14 +370,16 @@
 	}
 	for (i = st.waiting->len; i-- > 0;) {
 		call_t *c = st.waiting->pdata[i];
-		double speed;
+		double speed, had;
 
 		if (c->state != CALL_LOADING || c->starts > now)
 			continue;
 		speed = n[c->adapter] <= most[c->adapter]
 			    ? 1.0
 			    : (double)most[c->adapter] / n[c->adapter];
-		c->left -= span * speed;
+		/* One that began within the span has had less of it. */
+		had = (double)(now - c->starts);
+		c->left -= (had < span ? had : span) * speed;
 		if (c->left <= 0) {
 			answer_json(c, 200, json_object());
 			wake(c);
