Entry and caller: one shard hash, and what nothing used is gone

Cause: read once more as a newcomer: the hash that tells shards apart was spelled out twice in entry/, and server_connections(), a wrapper around strdup() and a pending call's worker were used by nothing. Ruled out: sharing the option tables of the stand-ins and load tool (alike in shape only). Change: shard_hash() serves both; the dead pieces are removed. Behaviour and tests as they were.

--- a/caller/caller.h
+++ b/caller/caller.h
@@ -111,8 +111,6 @@
 
 /** Listens and answers on a thread of its own. */
 server_t *server_new(const server_opts_t *o, err_t *e);
-/** Connections open now. */
-int server_connections(const server_t *s);
 void server_free(server_t *s);
 
 #endif
--- a/caller/server.c
+++ b/caller/server.c
@@ -112,12 +112,6 @@
 	return done;
 }
 
-static char *
-json_text(const char *text)
-{
-	return strdup(text);
-}
-
 /* Pages that need no router. @return false when @p path isn't one. */
 static bool
 page(server_t *s, call_t *c, const char *path, const char *method,
@@ -142,11 +136,11 @@
 		*done = queue_page(s, c, 200, json, p->models(p->user), NULL);
 	} else if (strcmp(path, "/healthz") == 0) {
 		*done = queue_page(
-		    s, c, 200, json, json_text("{\"healthy\":true}"), NULL);
+		    s, c, 200, json, strdup("{\"healthy\":true}"), NULL);
 	} else if (strcmp(path, "/readyz") == 0) {
 		good = p->ready(p->user) && !p->leaving(p->user);
 		*done = queue_page(s, c, good ? 200 : 503, json,
-		    json_text(good ? "{\"ready\":true}" : "{\"ready\":false}"),
+		    strdup(good ? "{\"ready\":true}" : "{\"ready\":false}"),
 		    NULL);
 	} else if (strcmp(path, "/metrics") == 0) {
 		*done = queue_page(s, c, 200, "text/plain; version=0.0.4",
@@ -319,12 +313,6 @@
 		__atomic_sub_fetch(&s->connections, 1, __ATOMIC_RELAXED);
 }
 
-int
-server_connections(const server_t *s)
-{
-	return __atomic_load_n(&s->connections, __ATOMIC_RELAXED);
-}
-
 server_t *
 server_new(const server_opts_t *o, err_t *e)
 {
--- a/entry/holders.c
+++ b/entry/holders.c
@@ -123,21 +123,28 @@
 	g_free(h);
 }
 
-static route_shard_t
-figures(const holders_t *h, int shard, int copies, int free)
+uint64_t
+shard_hash(const shard_t *s)
 {
-	const shard_t *s = &h->view->shard[shard];
 	char name[2 * ID_MAX + 16];
 	int n = snprintf(
 	    name, sizeof(name), "%s/%s/%u", s->service, s->domain, s->index);
 
+	return hash64(name, n, 0);
+}
+
+static route_shard_t
+figures(const holders_t *h, int shard, int copies, int free)
+{
+	const shard_t *s = &h->view->shard[shard];
+
 	return (route_shard_t){ .domain = s->domain,
 		.copies = copies,
 		.free = free,
 		.wait = s->digest == NULL ? 0 : s->digest->wait_ms,
 		.age = clock_now(&machine_clock) - s->digest_at,
 		.asked = h->asked[shard],
-		.id_hash = hash64(name, n, 0) };
+		.id_hash = shard_hash(s) };
 }
 
 int
--- a/entry/route.c
+++ b/entry/route.c
@@ -29,7 +29,6 @@
 	p->kind = kind;
 	p->route = r->handle;
 	str_copy(p->peer, ID_MAX, peer);
-	str_copy(p->worker, ID_MAX, r->worker);
 	return h;
 }
 
--- a/entry/route.h
+++ b/entry/route.h
@@ -84,7 +84,6 @@
 	pending_kind_t kind;
 	handle_t route;
 	char peer[ID_MAX];
-	char worker[ID_MAX];
 } pending_t;
 
 /** Who holds an item: made anew for each view. holders.c */
@@ -94,6 +93,8 @@
 /** Shards of the item's holders; @p item is empty for a plain service. */
 int holders_shards(const holders_t *h, const char *service, const char *item,
     route_shard_t *out, int *shard, int max);
+/** What a shard is told apart by, whatever the view. */
+uint64_t shard_hash(const shard_t *s);
 /** A grant was asked of that shard: count it until the next view. */
 void holders_asked(holders_t *h, int shard);
 
--- a/entry/slot.c
+++ b/entry/slot.c
@@ -78,16 +78,11 @@
 static int
 shard_at(const entry_t *en, uint64_t hash)
 {
-	const view_t *v = en->view;
-	char name[2 * ID_MAX + 16];
-	int i, n;
+	int i;
 
-	for (i = 0; i < v->nshard; i++) {
-		n = snprintf(name, sizeof(name), "%s/%s/%u",
-		    v->shard[i].service, v->shard[i].domain, v->shard[i].index);
-		if (hash64(name, n, 0) == hash)
+	for (i = 0; i < en->view->nshard; i++)
+		if (shard_hash(&en->view->shard[i]) == hash)
 			return i;
-	}
 	return -1;
 }
 
