--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 CC = gcc
 PKGS = ck libprotobuf-c libmicrohttpd libcurl glib-2.0 inih jansson libxxhash \
-	libsodium
+	libsodium yaml-0.1
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-sign-compare -Werror
 # vsnprintf() cuts on purpose where a field is bounded.
 WARN += -Wno-format-truncation -Wno-stringop-truncation
-CFLAGS = -std=gnu11 -O2 -g -pthread -I. $(WARN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -pthread
-PACKAGES = base policy platform endpoint peer operator caller control entry
+CFLAGS = -std=gnu11 -O2 -g -pthread -I. $(WARN) $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm -pthread
+PACKAGES = base policy net platform serve store endpoint peer operator caller control entry
 B = build
 # V=1 shows each command.
 Q = $(if $(V),,@)
@@ -44,6 +44,14 @@
 HDR = $(filter-out %.pb-c.h,$(wildcard $(PACKAGES:%=%/*.h) standin/*.h bench/*.h tests/*.h))
 DEPLOYMENT = granite-ridge
 
+# The daemon alone, for deploy/system.toml: everything goes under target/.
+DAEMON = base net platform serve
+DAEMONPOLICY = breaker burden retries spread tenure
+DAEMONLIBS = $(shell pkg-config --libs libprotobuf-c glib-2.0 jansson libxxhash ck inih yaml-0.1 2>/dev/null) \
+	-lhttp_parser -lm -pthread
+DAEMONOBJ = $(patsubst %.c,$(O)/%.o,$(foreach p,$(DAEMON),$(wildcard $(p)/*.c))) \
+	$(DAEMONPOLICY:%=$(O)/policy/%.o) $(O)/cmd/ebonypitchd.o
+
 .PHONY: all deps programs check unit proc sanitize demo up prove bench soak \
 	format lint proto clean
 all: deps programs
@@ -63,6 +71,9 @@
 $(B)/bin/standin-%: $(O)/standin/%.o $(STANDLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+$(B)/bin/ebonypitchd: $(DAEMONOBJ)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(DAEMONLIBS)
 $(B)/bin/%: $(O)/cmd/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
--- a/base/base.h
+++ b/base/base.h
@@ -79,6 +79,15 @@
  */
 void log_event(int priority, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/**
+ * From now on gather lines and write them to standard output at log_flush(),
+ * never waiting for its reader: what it doesn't take is dropped and counted.
+ * One thread's.
+ */
+void log_gather(void);
+void log_flush(void);
+/** @return lines dropped because the reader was behind. */
+int64_t log_dropped(void);
 /** Copy @p s into @p buf as a quoted value without control characters. */
 const char *log_quote(char *buf, size_t size, const char *s);
 
--- a/base/log.c
+++ b/base/log.c
@@ -1,6 +1,7 @@
 #include "base/base.h"
 
 #include <ctype.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
@@ -8,9 +9,18 @@
 #include <unistd.h>
 
 enum {
-	LINE_MAX_BYTES = 2048
+	LINE_MAX_BYTES = 2048,
+	GATHER_BYTES = 65536, /* lines that wait for a slow reader */
+	WRITE_BYTES = 4096,   /* PIPE_BUF: what a ready pipe takes at once */
 };
 
+static struct {
+	bool on;
+	char text[GATHER_BYTES];
+	size_t len;
+	int64_t dropped, told;
+} gathered;
+
 static struct {
 	char daemon[ID_MAX];
 	char instance[ID_MAX];
@@ -64,11 +74,69 @@
 	while (n > 0 && line[n - 1] == ' ')
 		n--;
 	line[n++] = '\n';
+	if (gathered.on) {
+		if (gathered.len + (size_t)n > sizeof(gathered.text)) {
+			gathered.dropped++;
+			return;
+		}
+		memcpy(gathered.text + gathered.len, line, (size_t)n);
+		gathered.len += (size_t)n;
+		return;
+	}
 	/* One write, so that lines of several threads don't mix. */
 	if (write(STDERR_FILENO, line, n) == -1)
 		return;
 }
 
+void
+log_gather(void)
+{
+	gathered.on = true;
+}
+
+int64_t
+log_dropped(void)
+{
+	return gathered.dropped;
+}
+
+/* Whole lines of at most WRITE_BYTES from the start of the text. */
+static size_t
+portion(void)
+{
+	size_t n = gathered.len;
+
+	if (n <= WRITE_BYTES)
+		return n;
+	for (n = WRITE_BYTES; n > 0 && gathered.text[n - 1] != '\n'; n--)
+		;
+	return n;
+}
+
+void
+log_flush(void)
+{
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	size_t done = 0, n;
+
+	while (gathered.len > 0) {
+		if (poll(&p, 1, 0) != 1 || (p.revents & POLLOUT) == 0)
+			break;
+		n = portion();
+		if (n == 0 || write(STDOUT_FILENO, gathered.text, n) == -1)
+			break;
+		done += n;
+		gathered.len -= n;
+		memmove(gathered.text, gathered.text + n, gathered.len);
+	}
+	if (done > 0 && gathered.dropped > gathered.told) {
+		log_event(LOG_WARNING, "log-dropped",
+		    "lines=%" PRId64 " why=reader",
+		    gathered.dropped - gathered.told);
+		gathered.told = gathered.dropped;
+	}
+}
+
 const char *
 log_quote(char *buf, size_t size, const char *s)
 {
--- a/bench/claimsrate.c
+++ b/bench/claimsrate.c
@@ -4,7 +4,7 @@
  * after its work, over owners of the buckets in one process. Prints a line of
  * CSV: writes and reads a second, bytes a write, latency of a claim in ms.
  */
-#include "platform/json.h"
+#include "store/json.h"
 
 #include <math.h>
 #include <pthread.h>
--- a/cmd/controld.c
+++ b/cmd/controld.c
@@ -3,7 +3,7 @@
 #include "base/daemon.h"
 #include "control/control.h"
 #include "operator/operator.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "peer/peer.h"
 
 #include <stdlib.h>
--- /dev/null
+++ b/cmd/ebonypitchd.c
@@ -0,0 +1,56 @@
+/* ebonypitchd: the daemon of an instance on a platform. See ebonypitchd(8). */
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <glib.h>
+
+static gboolean check;
+static gchar *path;
+
+static const GOptionEntry options[] = {
+	{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+	    "Settings file, instead of the one that the environment names",
+	    "FILE" },
+	{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
+	    "Only read the settings", NULL },
+	{ NULL, 0, 0, 0, NULL, NULL, NULL },
+};
+
+int
+main(int argc, char **argv)
+{
+	GOptionContext *ctx = g_option_context_new("- serve calls");
+	GError *ge = NULL;
+	err_t e = { 0 };
+	serve_t *s;
+	site_t site;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &ge)) {
+		fprintf(stderr, "ebonypitchd: %s\n", ge->message);
+		return 2;
+	}
+	g_option_context_free(ctx);
+	if (path == NULL)
+		path = g_strdup(site_path());
+	if (path == NULL) {
+		fprintf(stderr, "ebonypitchd: no settings file is named\n");
+		return 2;
+	}
+	if (check) {
+		if (site_read(&site, path, &e) == 0)
+			return EXIT_SUCCESS;
+		fprintf(stderr, "ebonypitchd: %s: %s\n", path, e.text);
+		return EXIT_FAILURE;
+	}
+	log_gather();
+	s = serve_new(path, &e);
+	if (s == NULL) {
+		log_event(LOG_CRIT, "start-failed", "code=%s why=\"%s\"",
+		    err_name(e.code), e.text);
+		log_flush();
+		return EXIT_FAILURE;
+	}
+	serve_run(s);
+	return EXIT_SUCCESS;
+}
--- a/control/books.h
+++ b/control/books.h
@@ -7,7 +7,7 @@
 #define BOOKS_H
 
 #include "endpoint/endpoint.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "policy/policy.h"
 
 #include <glib.h>
--- a/control/control.h
+++ b/control/control.h
@@ -9,7 +9,7 @@
 #include "base/base.h"
 #include "endpoint/endpoint.h"
 #include "peer/peer.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 /** Follows head, catalogue and instance list for a node; its own thread. */
 typedef struct follower follower_t;
--- /dev/null
+++ b/net/loop.c
@@ -0,0 +1,189 @@
+#include "net/net.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum {
+	BATCH = 128,	  /* descriptors handled in one turn */
+	LONGEST_MS = 5000 /* ms, so that a stepped clock is noticed */
+};
+
+int
+loop_init(loop_t *l)
+{
+	*l = (loop_t) { 0 };
+	l->ep = epoll_create1(EPOLL_CLOEXEC);
+	l->now = clock_now(&machine_clock);
+	return l->ep == -1 ? -1 : 0;
+}
+
+static void
+free_dead(loop_t *l)
+{
+	int i;
+
+	for (i = 0; i < l->ndead; i++)
+		free(l->dead[i]);
+	l->ndead = 0;
+}
+
+void
+loop_free(loop_t *l)
+{
+	free_dead(l);
+	free(l->dead);
+	free(l->heap);
+	close(l->ep);
+}
+
+void
+loop_bury(loop_t *l, void *p)
+{
+	if (l->ndead == l->dead_room) {
+		l->dead_room = l->dead_room ? l->dead_room * 2 : 64;
+		l->dead = realloc(l->dead, l->dead_room * sizeof(*l->dead));
+		if (l->dead == NULL)
+			abort();
+	}
+	l->dead[l->ndead++] = p;
+}
+
+/* The heap is kept from 1: the parent of i is i / 2. */
+static void
+put(loop_t *l, int i, alarm_t *a)
+{
+	l->heap[i] = a;
+	a->pos = i;
+}
+
+static void
+up(loop_t *l, int i)
+{
+	alarm_t *a = l->heap[i];
+
+	for (; i > 1 && l->heap[i / 2]->at > a->at; i /= 2)
+		put(l, i, l->heap[i / 2]);
+	put(l, i, a);
+}
+
+static void
+down(loop_t *l, int i)
+{
+	alarm_t *a = l->heap[i];
+	int c;
+
+	for (; (c = 2 * i) <= l->nheap; i = c) {
+		if (c < l->nheap && l->heap[c + 1]->at < l->heap[c]->at)
+			c++;
+		if (l->heap[c]->at >= a->at)
+			break;
+		put(l, i, l->heap[c]);
+	}
+	put(l, i, a);
+}
+
+void
+alarm_stop(loop_t *l, alarm_t *a)
+{
+	int i = a->pos;
+	alarm_t *last;
+
+	if (i == 0)
+		return;
+	a->pos = 0;
+	last = l->heap[l->nheap--];
+	if (last == a)
+		return;
+	put(l, i, last);
+	up(l, i);
+	down(l, last->pos);
+}
+
+void
+alarm_set(loop_t *l, alarm_t *a, ms_t at)
+{
+	a->at = at;
+	if (a->pos != 0) {
+		up(l, a->pos);
+		down(l, a->pos);
+		return;
+	}
+	if (l->nheap + 1 >= l->room) {
+		l->room = l->room ? l->room * 2 : 64;
+		l->heap = realloc(l->heap, l->room * sizeof(*l->heap));
+		if (l->heap == NULL)
+			abort();
+	}
+	put(l, ++l->nheap, a);
+	up(l, l->nheap);
+}
+
+int
+watch_add(loop_t *l, watch_t *w, uint32_t events)
+{
+	struct epoll_event ev = { .events = events, .data.ptr = w };
+
+	w->events = events;
+	return epoll_ctl(l->ep, EPOLL_CTL_ADD, w->fd, &ev);
+}
+
+void
+watch_set(loop_t *l, watch_t *w, uint32_t events)
+{
+	struct epoll_event ev = { .events = events, .data.ptr = w };
+
+	if (w->events == events)
+		return;
+	w->events = events;
+	epoll_ctl(l->ep, EPOLL_CTL_MOD, w->fd, &ev);
+}
+
+void
+watch_del(loop_t *l, watch_t *w)
+{
+	if (w->fd == -1)
+		return;
+	epoll_ctl(l->ep, EPOLL_CTL_DEL, w->fd, NULL);
+	close(w->fd);
+	w->fd = -1;
+}
+
+void
+loop_turn(loop_t *l, ms_t span)
+{
+	struct epoll_event ev[BATCH];
+	ms_t wait = span;
+	int i, n;
+
+	if (l->nheap > 0 && l->heap[1]->at - l->now < wait)
+		wait = l->heap[1]->at - l->now;
+	if (wait < 0)
+		wait = 0;
+	n = epoll_wait(l->ep, ev, BATCH, (int)wait);
+	l->now = clock_now(&machine_clock);
+	for (i = 0; i < n; i++) {
+		watch_t *w = ev[i].data.ptr;
+
+		/* An earlier callback of this turn may have closed it. */
+		if (w->fd != -1)
+			w->fn(w->arg, ev[i].events);
+	}
+	while (l->nheap > 0 && l->heap[1]->at <= l->now) {
+		alarm_t *a = l->heap[1];
+
+		alarm_stop(l, a);
+		a->fn(a->arg);
+	}
+	if (l->turn != NULL)
+		l->turn(l->turn_arg);
+	free_dead(l);
+}
+
+void
+loop_run(loop_t *l)
+{
+	while (!l->stop)
+		loop_turn(l, LONGEST_MS);
+}
--- a/operator/operator.h
+++ b/operator/operator.h
@@ -7,7 +7,7 @@
 
 #include "base/base.h"
 #include "policy/policy.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "peer/peer.h"
 
 enum {
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -8,7 +8,7 @@
 
 #include "base/base.h"
 #include "policy/policy.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "endpoint/endpoint.h"
 #include "peer/wire.pb-c.h"
 
--- /dev/null
+++ b/policy/burden.c
@@ -0,0 +1,140 @@
+#include "policy/burden.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Used until the first answers were seen. */
+static const double PACE_FIRST = 15; /* tokens/ms: a large accelerator's */
+static const double WORK_FIRST = 40; /* ms */
+/* Weight of one sample: some ten answers settle it. */
+static const double LEARN = 0.15;
+/* A sample is bounded to this factor around the usual pace. */
+static const double PACE_SPREAD = 6;
+/* Samples of short prompts tell of steps, not of reading. */
+enum {
+	SAMPLE_TOKENS = 200,
+	STEP_MS = 15, /* a step of the batch: the least time to an event */
+};
+/* Share of the memory left for what grows beyond its estimate. */
+static const double MEMORY_USED = 0.92;
+
+void
+burden_init(burden_t *b, int slots, int capacity)
+{
+	memset(b, 0, sizeof(*b));
+	b->slots = slots > 0 ? slots : 1;
+	b->capacity = capacity;
+	b->said_running = b->said_waiting = -1;
+}
+
+static double
+pace(const burden_t *b, const burden_usual_t *u)
+{
+	if (b->pace > 0)
+		return b->pace;
+	return u->pace > 0 ? u->pace : PACE_FIRST;
+}
+
+static double
+work(const burden_t *b, const burden_usual_t *u)
+{
+	if (b->work > 0)
+		return b->work;
+	return u->work > 0 ? u->work : WORK_FIRST;
+}
+
+double
+burden_first(const burden_t *b, const burden_usual_t *u, int fresh)
+{
+	int running = b->own.running + b->others.running;
+
+	if (b->capacity == 0)
+		return work(b, u) *
+		    (1 + (double)(running / b->slots)) *
+		    (1 + 0.1 * running / b->slots);
+	return STEP_MS +
+	    (b->own.unread + b->others.unread + fresh) / pace(b, u);
+}
+
+int
+burden_room(const burden_t *b)
+{
+	if (b->capacity == 0)
+		return INT32_MAX;
+	return (int)(b->capacity * MEMORY_USED) - b->own.memory -
+	    b->others.memory;
+}
+
+double
+burden_fill(const burden_t *b)
+{
+	return (double)(b->own.running + b->others.running) / b->slots;
+}
+
+void
+burden_send(burden_t *b, const burden_usual_t *u, burden_ticket_t *t, int fresh,
+    int memory)
+{
+	t->unread = fresh;
+	t->memory = memory;
+	t->on = true;
+	t->queue = b->own.unread + b->others.unread + fresh;
+	t->predicted = burden_first(b, u, fresh);
+	b->own.unread += fresh;
+	b->own.memory += memory;
+	b->own.running++;
+}
+
+static void
+learn(double *to, double sample)
+{
+	*to = *to > 0 ? *to + LEARN * (sample - *to) : sample;
+}
+
+void
+burden_first_seen(burden_t *b, burden_usual_t *u, burden_ticket_t *t, ms_t took)
+{
+	double sample, mid = u->pace > 0 ? u->pace : PACE_FIRST;
+
+	if (!t->on)
+		return;
+	b->own.unread -= t->unread;
+	t->unread = 0;
+	if (took < 1)
+		took = 1;
+	learn(&b->error, fabs(t->predicted - (double)took) / (double)took);
+	if (t->queue < SAMPLE_TOKENS || took <= STEP_MS)
+		return;
+	sample = t->queue / (double)(took - STEP_MS);
+	sample = fmin(fmax(sample, mid / PACE_SPREAD), mid * PACE_SPREAD);
+	learn(&b->pace, sample);
+	u->pace = u->pace > 0 ? u->pace + 0.02 * (sample - u->pace) : sample;
+}
+
+void
+burden_end(burden_t *b, burden_ticket_t *t)
+{
+	if (!t->on)
+		return;
+	b->own.unread -= t->unread;
+	b->own.memory -= t->memory;
+	b->own.running--;
+	memset(t, 0, sizeof(*t));
+}
+
+void
+burden_plain_seen(burden_t *b, burden_usual_t *u, ms_t took)
+{
+	learn(&b->work, (double)took);
+	learn(&u->work, (double)took);
+}
+
+void
+burden_said(burden_t *b, int running, int waiting, int slots, ms_t now)
+{
+	b->said_running = running;
+	b->said_waiting = waiting;
+	b->said_at = now;
+	if (slots > 0)
+		b->slots = slots;
+}
--- /dev/null
+++ b/policy/burden.h
@@ -0,0 +1,64 @@
+/**
+ * @file burden.h
+ * A model of one endpoint: prompts are read one after another between the
+ * tokens of the batch, and prompts and output share its memory. It is fed by
+ * this instance's own calls, by what other instances tell of theirs, and by
+ * what the endpoint itself says.
+ */
+#ifndef BURDEN_H
+#define BURDEN_H
+
+#include "base/base.h"
+
+/** What one instance has at an endpoint. */
+typedef struct burden_share {
+	int unread;  /* prompt tokens of calls without a first event */
+	int running; /* calls on their way */
+	int memory;  /* tokens that they take, output included */
+} burden_share_t;
+
+typedef struct burden {
+	burden_share_t own, others;
+	double pace;	 /* prompt tokens read in a ms, 0: not learnt */
+	double work;	 /* ms of a plain call alone, 0: not learnt */
+	int slots;	 /* calls in one batch */
+	int capacity;	 /* tokens of memory, 0: a plain service */
+	int said_running, said_waiting; /* by the endpoint, -1: never */
+	ms_t said_at;
+	double error;	 /* mean |predicted - seen| / seen */
+} burden_t;
+
+/** One call's part; given back when the call ends. */
+typedef struct burden_ticket {
+	int unread, memory;
+	bool on;
+	int queue;	/* tokens before and with it when it was sent */
+	double predicted; /* ms to the first event */
+} burden_ticket_t;
+
+/** Paces of all endpoints together, for those that have none of their own. */
+typedef struct burden_usual {
+	double pace, work;
+} burden_usual_t;
+
+void burden_init(burden_t *b, int slots, int capacity);
+/**
+ * ms until the first event (or the whole answer of a plain call) of a call
+ * with @p fresh prompt tokens to be read.
+ */
+double burden_first(const burden_t *b, const burden_usual_t *u, int fresh);
+/** Tokens of memory that are free beside what is promised. */
+int burden_room(const burden_t *b);
+/** Share of its slots in use. */
+double burden_fill(const burden_t *b);
+void burden_send(burden_t *b, const burden_usual_t *u, burden_ticket_t *t,
+    int fresh, int memory);
+/** The first event came @p took ms after the call was sent: learn. */
+void burden_first_seen(
+    burden_t *b, burden_usual_t *u, burden_ticket_t *t, ms_t took);
+void burden_end(burden_t *b, burden_ticket_t *t);
+/** A plain call took so long. */
+void burden_plain_seen(burden_t *b, burden_usual_t *u, ms_t took);
+void burden_said(burden_t *b, int running, int waiting, int slots, ms_t now);
+
+#endif
--- /dev/null
+++ b/policy/tenure.c
@@ -0,0 +1,87 @@
+#include "policy/tenure.h"
+
+#include <string.h>
+
+/* Parts of a lease: orders go out within VALID of a renewal's sending. */
+static const double VALID = 0.5, RENEW = 0.2;
+enum {
+	WAY_MS = 250 /* an order's way to its endpoint */
+};
+
+void
+tenure_init(tenure_t *t, ms_t lease)
+{
+	memset(t, 0, sizeof(*t));
+	t->lease = lease;
+}
+
+static ms_t
+valid(const tenure_t *t)
+{
+	return (ms_t)((double)t->lease * VALID);
+}
+
+void
+tenure_seen(tenure_t *t, int64_t revision, bool own, bool released, ms_t now)
+{
+	if (!t->read || revision != t->revision)
+		t->still_since = now;
+	t->read = true;
+	t->revision = revision;
+	t->own = own;
+	t->released = released;
+}
+
+bool
+tenure_may_take(const tenure_t *t, ms_t now)
+{
+	if (!t->read || t->held)
+		return false;
+	if (t->revision == 0 || t->own || t->released)
+		return true;
+	return now - t->still_since > valid(t) + WAY_MS;
+}
+
+void
+tenure_took(tenure_t *t, int64_t revision, ms_t sent)
+{
+	t->from = sent;
+	if (t->revision != 0 && !t->own)
+		t->from = t->still_since + valid(t) + t->lease + WAY_MS;
+	/* One who has given it up stopped before it wrote that. */
+	if (t->revision != 0 && !t->own && t->released)
+		t->from = t->still_since + t->lease + WAY_MS;
+	t->held = true;
+	t->token = t->revision = revision;
+	t->renewed = sent;
+	t->own = true;
+	t->released = false;
+}
+
+bool
+tenure_due(const tenure_t *t, ms_t now)
+{
+	return t->held && now - t->renewed >= (ms_t)((double)t->lease * RENEW);
+}
+
+void
+tenure_renewed(tenure_t *t, int64_t revision, ms_t sent)
+{
+	if (!t->held)
+		return;
+	t->revision = revision;
+	t->renewed = sent;
+}
+
+void
+tenure_lost(tenure_t *t)
+{
+	t->held = false;
+	t->read = false;
+}
+
+bool
+tenure_may_order(const tenure_t *t, ms_t now)
+{
+	return t->held && now >= t->from && now - t->renewed < valid(t);
+}
--- /dev/null
+++ b/policy/tenure.h
@@ -0,0 +1,50 @@
+/**
+ * @file tenure.h
+ * Who may order endpoints, over one object of a store that replaces an object
+ * only at a revision. Endpoints may not check tokens, so two holders are kept
+ * apart by time alone:
+ * - A holder orders only within half a lease of having sent the last renewal
+ *   that was taken.
+ * - Another one takes over only when the object has stood still for longer
+ *   than that, and orders nothing for a whole lease after the old holder may
+ *   last have done so.
+ * All times are on a clock that runs on while the machine is suspended.
+ */
+#ifndef TENURE_H
+#define TENURE_H
+
+#include "base/base.h"
+
+typedef struct tenure {
+	ms_t lease; /* least time between orders of two holders */
+
+	/* The object as it was read last. */
+	int64_t revision; /* 0: there is none */
+	bool read, own, released;
+	ms_t still_since; /* it was first seen at this revision */
+
+	bool held;
+	int64_t token; /* revision of the take-over: only goes up */
+	ms_t renewed;  /* when the last renewal that was taken was sent */
+	ms_t from;     /* orders may go out from then on */
+} tenure_t;
+
+void tenure_init(tenure_t *t, ms_t lease);
+/**
+ * The object was read.
+ * @param own this instance's machine stands in it
+ * @param released its holder has given it up
+ */
+void tenure_seen(
+    tenure_t *t, int64_t revision, bool own, bool released, ms_t now);
+/** May a take-over be written, on condition of t->revision? */
+bool tenure_may_take(const tenure_t *t, ms_t now);
+/** The take-over was taken. @param sent when it was sent */
+void tenure_took(tenure_t *t, int64_t revision, ms_t sent);
+bool tenure_due(const tenure_t *t, ms_t now);
+void tenure_renewed(tenure_t *t, int64_t revision, ms_t sent);
+void tenure_lost(tenure_t *t);
+/** To be asked right before each order. */
+bool tenure_may_order(const tenure_t *t, ms_t now);
+
+#endif
--- /dev/null
+++ b/serve/admit.c
@@ -0,0 +1,103 @@
+#include "serve/serve.h"
+
+#include <string.h>
+
+enum {
+	RETURNED_MS = 150, /* less patience than usual: it was here before */
+	RANK_FIRST = 3,	   /* endpoints take 0..9 and 5 from others */
+};
+/*
+ * Predictions are short when instances send at the same moment; what is left
+ * of the promise covers that. A caller who was told to come back gets more.
+ */
+static const double BOUND_FRESH = 0.8, BOUND_RETURNED = 1.0;
+/* One call's weight in the usual share of failures. */
+static const double FAILED_STEP = 0.01;
+
+int
+call_rank(const call_t *c)
+{
+	int rank = RANK_FIRST + c->route.rank;
+
+	return rank > 9 ? 9 : rank;
+}
+
+double
+call_bound(const call_t *c)
+{
+	double v = (double)c->route.promise *
+	    (c->returned ? BOUND_RETURNED : BOUND_FRESH);
+	double last = (double)(c->due - c->came) * BOUND_FRESH;
+
+	/* What is under way is finished, late if need be. */
+	if (c->passing)
+		return last;
+	return v < last ? v : last;
+}
+
+bool
+usual_patience(serve_t *s, const route_t *r, ms_t patience)
+{
+	ms_t *most = g_hash_table_lookup(s->usual, r->name);
+
+	if (most == NULL) {
+		most = g_new0(ms_t, 1);
+		g_hash_table_insert(s->usual, g_strdup(r->name), most);
+	}
+	if (patience > *most)
+		*most = patience;
+	return patience < *most - RETURNED_MS;
+}
+
+void
+usual_failure(serve_t *s, bool failed)
+{
+	s->usual_failed += FAILED_STEP * ((failed ? 1 : 0) - s->usual_failed);
+}
+
+static retries_t *
+budget(serve_t *s, const char *service)
+{
+	retries_t *r = g_hash_table_lookup(s->retries, service);
+
+	if (r != NULL)
+		return r;
+	r = g_new0(retries_t, 1);
+	retries_init(r, s->site.bounds.retry_window);
+	g_hash_table_insert(s->retries, g_strdup(service), r);
+	return r;
+}
+
+void
+retry_asked(serve_t *s, const char *service)
+{
+	retries_asked(budget(s, service), s->loop.now);
+}
+
+bool
+retry_allowed(serve_t *s, const call_t *c)
+{
+	const site_bounds_t *b = &s->site.bounds;
+
+	return retries_allowed(budget(s, c->service), b->retry_ratio,
+	    b->retry_extra, peers_alive(s), s->loop.now);
+}
+
+void
+retry_spent(serve_t *s, const call_t *c)
+{
+	retries_spent(budget(s, c->service), s->loop.now);
+}
+
+void
+count_outcome(const call_t *c, const char *outcome)
+{
+	char name[160];
+
+	snprintf(name, sizeof(name), "ebonypitch_calls_total{outcome=\"%s\"}",
+	    outcome);
+	counter_add(counter_get(name, "Calls by how they ended."), 1);
+	if (c->first_at != 0)
+		histo_add(&c->s->first_ms, c->first_at - c->came);
+	histo_add(&c->s->whole_ms, c->s->loop.now - c->came);
+}
--- /dev/null
+++ b/serve/answer.c
@@ -0,0 +1,387 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	PASS_BYTES = 1 << 20, /* a larger answer isn't gathered first */
+	CONNECT_MS = 400,     /* a way across domains and a busy endpoint */
+	HELD_BYTES = 256 << 10, /* a slow caller stops its endpoint then */
+	FIRST_LEAST_MS = 1000,	/* silence before a first event is normal */
+	PLAIN_LEAST_MS = 700,	/* the same for a plain answer */
+	GAP_LEAST_MS = 1000,	/* and between events */
+};
+/* Silence of so many times what was expected is a failure. */
+static const double FIRST_TIMES = 5, PLAIN_TIMES = 8, GAP_TIMES = 3;
+
+bool
+call_may_repeat(const call_t *c)
+{
+	return call_idempotent(c) && c->sends < c->route.attempts &&
+	    retry_allowed(c->s, c);
+}
+
+/* How long the endpoint may be silent; 0: until the call is due. */
+static ms_t
+silence(const call_t *c)
+{
+	double v;
+
+	if (!call_may_repeat(c))
+		return 0;
+	if (c->ask.model[0] == '\0') {
+		v = c->ticket.predicted * PLAIN_TIMES;
+		return v > PLAIN_LEAST_MS ? (ms_t)v : PLAIN_LEAST_MS;
+	}
+	if (c->first_at == 0 || c->event_at < c->sent_at) {
+		v = c->ticket.predicted * FIRST_TIMES;
+		return v > FIRST_LEAST_MS ? (ms_t)v : FIRST_LEAST_MS;
+	}
+	v = (double)c->route.gap * GAP_TIMES;
+	return v > GAP_LEAST_MS ? (ms_t)v : GAP_LEAST_MS;
+}
+
+void
+call_arm(call_t *c)
+{
+	ms_t at = c->due, quiet;
+
+	if (c->state == ST_CONNECTING && c->sent_at + CONNECT_MS < at)
+		at = c->sent_at + CONNECT_MS;
+	quiet = c->state != ST_CONNECTING ? silence(c) : 0;
+	if (quiet > 0 && c->heard_at + quiet < at)
+		at = c->heard_at + quiet;
+	alarm_set(&c->s->loop, &c->alarm, at);
+}
+
+void
+call_tick(call_t *c)
+{
+	ms_t now = c->s->loop.now, quiet;
+
+	if (now >= c->due) {
+		if (c->ran)
+			call_answer(c, 504, "no answer in time", 0);
+		else
+			call_answer(c, 503, c->wait_why ? c->wait_why
+					: "not sent in time", FULL_RETRY_MS);
+		return;
+	}
+	switch (c->state) {
+	case ST_WAITING:
+		call_dispatch(c);
+		return;
+	case ST_CONNECTING:
+		if (now >= c->sent_at + CONNECT_MS) {
+			breaker_bad(&c->ep->breaker, true, now);
+			call_failed(c, true, "no connection in time");
+			return;
+		}
+		break;
+	case ST_SENT:
+	case ST_RELAYING:
+		quiet = silence(c);
+		if (quiet > 0 && now >= c->heard_at + quiet) {
+			breaker_bad(&c->ep->breaker, true, now);
+			call_failed(c, false, "the endpoint is silent");
+			return;
+		}
+		break;
+	}
+	call_arm(c);
+}
+
+void
+call_failed(call_t *c, bool not_run, const char *why)
+{
+	note(LOG_NOTICE, "attempt-failed",
+	    "request=%s endpoint=%s why=\"%s\" not_run=%d send=%d events=%d "
+	    "after_ms=%" PRId64, c->ask.id,
+	    c->ep != NULL ? c->ep->entry.id : "-", why, not_run, c->sends,
+	    c->events, c->s->loop.now - c->sent_at);
+	call_detach(c, false);
+	if (not_run && !c->ran_before)
+		c->ran = false;
+	c->text.off = c->text.len = 0;
+	if (c->passing && !c->got.stream) {
+		call_cut(c, why);
+		return;
+	}
+	if (not_run || call_may_repeat(c)) {
+		call_dispatch(c);
+		return;
+	}
+	call_give_up(c, why, 0);
+}
+
+/* Connections to endpoints. */
+
+static call_t *
+of(wire_t *w)
+{
+	return call_get(w->s, w->call);
+}
+
+static void
+on_up(void *u, link_t *k)
+{
+	wire_t *w = u;
+	call_t *c = of(w);
+
+	(void)k;
+	if (c == NULL)
+		return;
+	c->state = ST_SENT;
+	c->ran = true;
+	c->heard_at = w->s->loop.now;
+	call_arm(c);
+}
+
+static void
+on_head(void *u, link_t *k)
+{
+	wire_t *w = u;
+	call_t *c = of(w);
+	answer_head_t a;
+
+	if (c == NULL)
+		return;
+	answer_head_decode(&a, &k->head, (int)k->parser.status_code);
+	w->skipping = a.call_id != NULL && strcmp(a.call_id, c->ask.id) != 0;
+	if (w->skipping) {
+		note(LOG_WARNING, "answer-foreign",
+		    "request=%s endpoint=%s answer_to=%s", c->ask.id,
+		    w->ep->entry.id, a.call_id);
+		return;
+	}
+	c->heard_at = w->s->loop.now;
+	w->idle_for = a.idle;
+	if (a.running >= 0)
+		burden_said(&w->ep->burden, a.running, a.waiting, a.slots,
+		    w->s->loop.now);
+	c->got.status = (int)k->parser.status_code;
+	c->got.own = a.signature != NULL && a.call_id != NULL && !a.encoded;
+	c->got.not_run = a.not_run;
+	c->got.stream = a.events && c->got.status == 200 && c->got.own;
+	if (c->passing)
+		return;
+	c->answer.off = c->answer.len = 0;
+	c->status = c->got.status;
+	answer_head_text(c, &k->head, c->got.status);
+}
+
+void
+answer_head_text(call_t *c, const head_t *h, int status)
+{
+	int i;
+
+	buf_fmt(&c->answer, "HTTP/1.1 %d %s\r\n", status, http_reason(status));
+	for (i = 0; i < h->nfield; i++)
+		if (answer_head_forward(h, i))
+			buf_fmt(&c->answer, "%s: %s\r\n", head_name(h, i),
+			    head_value(h, i));
+}
+
+/* The caller gets the endpoint's head. @param length -1: in chunks */
+void
+answer_pass(call_t *c, int64_t length)
+{
+	guest_t *g = c->guest;
+	link_t *k = g->link;
+
+	buf_add(&k->out, c->answer.p, c->answer.len);
+	if (length >= 0)
+		buf_fmt(&k->out, "Content-Length: %" PRId64 "\r\n", length);
+	else if (k->parser.http_minor >= 1 && k->parser.http_major == 1)
+		buf_str(&k->out, "Transfer-Encoding: chunked\r\n");
+	else
+		k->keep = false;
+	if (c->s->leaving || !k->keep)
+		buf_str(&k->out, "Connection: close\r\n");
+	buf_str(&k->out, "\r\n");
+	c->passing = true;
+	c->state = ST_RELAYING;
+}
+
+void
+answer_chunk(call_t *c, const char *p, size_t n)
+{
+	link_t *k = c->guest->link;
+	bool chunked = k->parser.http_minor >= 1 && k->parser.http_major == 1;
+
+	if (n == 0)
+		return;
+	if (chunked)
+		buf_fmt(&k->out, "%zx\r\n", n);
+	buf_add(&k->out, p, n);
+	if (chunked)
+		buf_str(&k->out, "\r\n");
+}
+
+void
+answer_last_chunk(call_t *c)
+{
+	link_t *k = c->guest->link;
+
+	if (k->parser.http_minor >= 1 && k->parser.http_major == 1)
+		buf_str(&k->out, "0\r\n\r\n");
+}
+
+static void
+on_body(void *u, link_t *k, const char *p, size_t n)
+{
+	wire_t *w = u;
+	call_t *c = of(w);
+
+	if (c == NULL || w->skipping)
+		return;
+	c->heard_at = w->s->loop.now;
+	if (c->got.stream) {
+		stream_body(c, p, n);
+	} else if (!c->passing) {
+		buf_add(&c->text, p, n);
+		if (buf_len(&c->text) > PASS_BYTES && c->got.own &&
+		    !c->got.not_run) {
+			answer_pass(c, -1);
+			answer_chunk(c, c->text.p, c->text.len);
+			c->text.off = c->text.len = 0;
+		}
+	} else if (!c->route.resumable) {
+		answer_chunk(c, p, n);
+	}
+	c = of(w);
+	if (c == NULL || c->wire != w)
+		return;
+	link_flush(c->guest->link);
+	c = of(w);
+	if (c != NULL && c->wire == w &&
+	    buf_len(&c->guest->link->out) > HELD_BYTES)
+		link_pause(k, true);
+}
+
+/* A status that promises "not run" needs the endpoint's own word. */
+static bool
+promises(int status)
+{
+	return status == 503 || status == 429 || status == 408 ||
+	    status == 421;
+}
+
+static void
+deliver(call_t *c, bool keep)
+{
+	serve_t *s = c->s;
+	bool good = c->got.status < 500;
+
+	if (good)
+		breaker_good(&c->ep->breaker);
+	else
+		breaker_bad(&c->ep->breaker, false, s->loop.now);
+	usual_failure(s, !good);
+	if (c->ask.model[0] == '\0' && good)
+		burden_plain_seen(&c->ep->burden, &s->usual_pace,
+		    s->loop.now - c->sent_at);
+	if (!good && call_may_repeat(c)) {
+		note(LOG_NOTICE, "attempt-failed",
+		    "request=%s endpoint=%s why=\"status %d\" not_run=0 "
+		    "send=%d after_ms=%" PRId64, c->ask.id, c->ep->entry.id,
+		    c->got.status, c->sends, s->loop.now - c->sent_at);
+		c->text.off = c->text.len = 0;
+		call_detach(c, keep);
+		call_dispatch(c);
+		return;
+	}
+	call_detach(c, keep);
+	if (c->passing) {
+		answer_chunk(c, c->text.p, buf_len(&c->text));
+		answer_last_chunk(c);
+	} else {
+		c->first_at = s->loop.now;
+		answer_pass(c, (int64_t)buf_len(&c->text));
+		buf_add(&c->guest->link->out, c->text.p, buf_len(&c->text));
+	}
+	link_flush(c->guest->link);
+	call_end(c, good ? "served" : "endpoint-failed");
+}
+
+static void
+whole(call_t *c, bool keep)
+{
+	ms_t now = c->s->loop.now;
+
+	if (c->got.not_run) {
+		/* Busy isn't broken: it goes to the burden, not the breaker. */
+		c->ran = c->ran_before;
+		call_failed(c, true, "the endpoint refused it");
+		return;
+	}
+	if (c->got.stream) {
+		call_t *same = c;
+
+		stream_done(same, keep);
+		return;
+	}
+	if (!c->got.own || promises(c->got.status) ||
+	    (c->passing && c->route.kind == ROUTE_STREAM)) {
+		breaker_bad(&c->ep->breaker, false, now);
+		call_failed(c, false, "the answer isn't the endpoint's own");
+		return;
+	}
+	deliver(c, keep);
+}
+
+static void
+on_done(void *u, link_t *k)
+{
+	wire_t *w = u;
+	call_t *c = of(w);
+	bool keep;
+
+	if (c == NULL) {
+		pool_drop(w);
+		return;
+	}
+	if (w->skipping) {
+		/* Whatever follows may still be ours; then it is closed. */
+		w->skipping = false;
+		w->tainted = true;
+		link_next(k);
+		return;
+	}
+	/* An answer before the whole request was sent: no second one here. */
+	keep = k->keep && !k->surplus && !w->tainted &&
+	    buf_len(&k->out) == 0;
+	if (k->surplus)
+		note(LOG_WARNING, "answer-surplus", "request=%s endpoint=%s",
+		    c->ask.id, w->ep->entry.id);
+	whole(c, keep);
+}
+
+static void
+on_end(void *u, link_t *k, link_end_t why)
+{
+	wire_t *w = u;
+	call_t *c = of(w);
+	static const char *const text[] = { "the connection was closed",
+		"the connection was reset", "the answer is malformed",
+		"the connection wasn't made" };
+
+	(void)k;
+	if (c == NULL || c->wire != w) {
+		pool_lost(w);
+		return;
+	}
+	breaker_bad(&c->ep->breaker, true, w->s->loop.now);
+	usual_failure(w->s, true);
+	c->wire = NULL;
+	pool_lost(w);
+	call_failed(c, why == LINK_CONNECT, text[why]);
+}
+
+const link_ops_t answer_ops = {
+	.up = on_up,
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.end = on_end,
+};
--- /dev/null
+++ b/serve/call.c
@@ -0,0 +1,395 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum {
+	CALLS_MAX = 4000,  /* in progress; each takes some KB */
+	GUESS_MS = 10000,  /* patience of a caller that says none */
+	SLACK_MS = 30,	   /* the caller hears of its time limit itself */
+	WAIT_TICK_MS = 25, /* a waiting call looks again */
+};
+
+call_t *
+call_get(serve_t *s, handle_t id)
+{
+	call_t **c = id != 0 ? table_get(s->calls, id) : NULL;
+
+	return c != NULL ? *c : NULL;
+}
+
+bool
+call_idempotent(const call_t *c)
+{
+	switch (c->route.kind) {
+	case ROUTE_SAFE:
+		return true;
+	case ROUTE_STREAM:
+		return c->route.resumable;
+	case ROUTE_UNSAFE:
+		break;
+	}
+	return false;
+}
+
+/* The first route of the host whose prefix begins the path. */
+static const route_t *
+find_route(const config_t *c, const char *host, const char *target)
+{
+	size_t n = strcspn(host, ":");
+	int i;
+
+	for (i = 0; i < c->nroute; i++) {
+		const route_t *r = &c->route[i];
+
+		if (strlen(r->host) == n &&
+		    strncasecmp(r->host, host, n) == 0 &&
+		    strncmp(r->prefix, target, strlen(r->prefix)) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+/* The same call always goes to the same service of a split. */
+static const char *
+split(const route_t *r, const char *id)
+{
+	int i, sum = 0, at;
+
+	for (i = 0; i < r->nto; i++)
+		sum += r->to[i].weight;
+	if (sum <= 0)
+		return r->to[0].service;
+	at = (int)(hash_str(id, 1) % (uint64_t)sum);
+	for (i = 0; i < r->nto - 1; i++) {
+		at -= r->to[i].weight;
+		if (at < 0)
+			break;
+	}
+	return r->to[i].service;
+}
+
+static void
+alarm_due(void *arg)
+{
+	call_tick(arg);
+}
+
+static call_t *
+make(guest_t *g, const call_head_t *ask, const route_t *r)
+{
+	serve_t *s = g->s;
+	call_t *c = calloc(1, sizeof(*c)), **at;
+	ms_t patience = ask->patience >= 0 ? ask->patience : GUESS_MS;
+
+	if (c == NULL)
+		abort();
+	c->s = s;
+	c->id = table_add(s->calls);
+	if (c->id == 0) {
+		free(c);
+		return NULL;
+	}
+	at = table_get(s->calls, c->id);
+	*at = c;
+	c->guest = g;
+	g->call = c->id;
+	c->ask = *ask;
+	c->route = *r;
+	str_copy(c->service, sizeof(c->service), split(r, ask->id));
+	c->method = http_method_str(g->link->parser.method);
+	c->body = g->body;
+	memset(&g->body, 0, sizeof(g->body));
+	c->came = s->loop.now;
+	c->due = c->came + patience + SLACK_MS;
+	if (r->timeout > 0 && c->came + r->timeout < c->due)
+		c->due = c->came + r->timeout;
+	c->last_event = ask->resume_at;
+	c->resume_from = ask->resume_at;
+	c->alarm = (alarm_t) { .fn = alarm_due, .arg = c };
+	c->returned = usual_patience(s, r, patience);
+	return c;
+}
+
+static void
+refuse(guest_t *g, const char *id, int status, const char *why, ms_t retry)
+{
+	char extra[256] = "";
+	int n = 0;
+
+	if (retry > 0)
+		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
+		    (double)retry / 1000);
+	if (g->s->leaving || !g->link->keep)
+		snprintf(
+		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
+	note(LOG_NOTICE, "refused",
+	    "request=%s status=%d why=\"%s\" config=%" PRId64, id, status, why,
+	    g->s->config != NULL ? g->s->config->version : -1);
+	guest_answer(g, status, extra, why);
+	guest_done(g);
+}
+
+void
+call_start(guest_t *g)
+{
+	serve_t *s = g->s;
+	const head_t *h = &g->link->head;
+	call_head_t ask;
+	const route_t *r;
+	call_t *c;
+
+	call_head_decode(&ask, h);
+	if (head_count(h, "Host") != 1) {
+		refuse(g, ask.id, 400, "one Host is needed", 0);
+		return;
+	}
+	if (ask.id[0] == '\0') {
+		refuse(g, "-", 400, "a Request-Id is needed", 0);
+		return;
+	}
+	if (s->config == NULL) {
+		refuse(g, ask.id, 503, "no configuration is known yet", 300);
+		return;
+	}
+	r = find_route(s->config, ask.host, head_target(h));
+	if (r == NULL) {
+		refuse(g, ask.id, 404, "no route", 0);
+		return;
+	}
+	c = make(g, &ask, r);
+	if (c == NULL) {
+		refuse(g, ask.id, 503, "the instance is full", FULL_RETRY_MS);
+		return;
+	}
+	demand_note(s, c);
+	call_dispatch(c);
+}
+
+static void
+unwait(call_t *c)
+{
+	call_t **at;
+
+	for (at = &c->s->waiting; *at != NULL; at = &(*at)->next_waiting)
+		if (*at == c) {
+			*at = c->next_waiting;
+			c->next_waiting = NULL;
+			return;
+		}
+}
+
+/* Behind those that wait already. */
+static void
+wait_for(call_t *c)
+{
+	call_t **at;
+
+	for (at = &c->s->waiting; *at != NULL; at = &(*at)->next_waiting)
+		if (*at == c)
+			return;
+	*at = c;
+}
+
+void
+calls_retry(serve_t *s)
+{
+	call_t *c = s->waiting, *next;
+
+	for (; c != NULL; c = next) {
+		next = c->next_waiting;
+		call_dispatch(c);
+	}
+}
+
+static void
+send_to(call_t *c, const choice_t *ch)
+{
+	serve_t *s = c->s;
+	ep_t *p = ch->ep;
+	ms_t left = c->ask.patience >= 0
+	    ? c->ask.patience - (s->loop.now - c->came)
+	    : -1;
+	call_send_t send = { .head = &c->guest->link->head,
+		.method = c->method, .endpoint = p->entry.id,
+		.left = left, .rank = -1,
+		.resume_at = c->last_event > c->resume_from ? c->last_event
+							    : -1,
+		.body = buf_len(&c->body) };
+	int memory = c->ask.prompt + c->ask.output;
+
+	if (c->ask.patience >= 0 && left > c->due - s->loop.now)
+		send.left = c->due - s->loop.now;
+	if (c->ask.patience >= 0 && send.left < 1)
+		send.left = 1;
+	if (c->ask.model[0] != '\0')
+		send.rank = call_rank(c);
+	unwait(c);
+	c->ep = p;
+	c->state = ST_CONNECTING;
+	c->sent_at = c->heard_at = s->loop.now;
+	c->tried[c->sends % TRIED_MAX] = p;
+	if (c->sends++ > 0)
+		retry_spent(s, c);
+	c->ran_before = c->ran;
+	p->calls++;
+	breaker_sent(&p->breaker, s->loop.now);
+	burden_send(&p->burden, &s->usual_pace, &c->ticket, ch->fresh, memory);
+	p->touched = true;
+	prefix_note(p, c, s->loop.now);
+	c->wire->link->no_body = strcmp(c->method, "HEAD") == 0;
+	call_send_head(&c->wire->link->out, &send);
+	if (send.body > 0)
+		buf_add(&c->wire->link->out, c->body.p + c->body.off,
+		    send.body);
+	note(LOG_INFO, "sent",
+	    "request=%s route=%s endpoint=%s send=%d fresh=%d first_ms=%.0f "
+	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64 " kept=%d config=%" PRId64,
+	    c->ask.id, c->route.name, p->entry.id, c->sends, ch->fresh,
+	    c->ticket.predicted, send.left, s->loop.now - p->seen_at,
+	    !c->wire->fresh, s->config->version);
+	if (!c->wire->fresh) {
+		c->state = ST_SENT;
+		c->ran = true;
+		link_flush(c->wire->link);
+	}
+	call_arm(c);
+}
+
+void
+call_dispatch(call_t *c)
+{
+	serve_t *s = c->s;
+	choice_t ch = { 0 };
+
+	for (;;) {
+		choose(c, &ch);
+		if (ch.kind != CHOICE_SEND)
+			break;
+		c->wire = pool_take(s, ch.ep, c, &answer_ops);
+		if (c->wire != NULL) {
+			send_to(c, &ch);
+			return;
+		}
+		c->full[c->nfull++ % TRIED_MAX] = ch.ep;
+	}
+	c->nfull = 0;
+	switch (ch.kind) {
+	case CHOICE_SEND:
+		break;
+	case CHOICE_WAIT:
+		c->state = ST_WAITING;
+		c->wait_why = ch.why;
+		wait_for(c);
+		alarm_set(&s->loop, &c->alarm, s->loop.now + WAIT_TICK_MS);
+		return;
+	case CHOICE_REFUSE:
+	case CHOICE_NOWHERE:
+		call_give_up(c, ch.why, ch.retry);
+		return;
+	}
+}
+
+void
+call_give_up(call_t *c, const char *why, ms_t retry)
+{
+	if (c->ran)
+		call_answer(c, 502, why, 0);
+	else
+		call_answer(c, 503, why, retry > 0 ? retry : FULL_RETRY_MS);
+}
+
+void
+call_detach(call_t *c, bool keep)
+{
+	wire_t *w = c->wire;
+
+	if (c->ep != NULL) {
+		burden_end(&c->ep->burden, &c->ticket);
+		c->ep->calls--;
+		c->ep->touched = true;
+	}
+	c->ep = NULL;
+	c->wire = NULL;
+	if (w == NULL)
+		return;
+	if (keep)
+		pool_keep(w);
+	else
+		pool_drop(w);
+}
+
+void
+call_end(call_t *c, const char *outcome)
+{
+	serve_t *s = c->s;
+	guest_t *g = c->guest;
+
+	note(LOG_INFO, "done",
+	    "request=%s route=%s outcome=%s status=%d sends=%d first_ms=%"
+	    PRId64 " whole_ms=%" PRId64 " events=%d",
+	    c->ask.id, c->route.name, outcome, c->status, c->sends,
+	    c->first_at != 0 ? c->first_at - c->came : -1,
+	    s->loop.now - c->came, c->events);
+	count_outcome(c, outcome);
+	call_detach(c, false);
+	unwait(c);
+	alarm_stop(&s->loop, &c->alarm);
+	table_del(s->calls, c->id);
+	buf_free(&c->body);
+	buf_free(&c->answer);
+	buf_free(&c->text);
+	loop_bury(&s->loop, c);
+	if (g != NULL)
+		guest_done(g);
+}
+
+void
+call_answer(call_t *c, int status, const char *why, ms_t retry)
+{
+	guest_t *g = c->guest;
+	char extra[256];
+	int n = 0;
+
+	if (c->passing) {
+		/* Part of it went out: only a broken channel says so. */
+		call_cut(c, why);
+		return;
+	}
+	extra[0] = '\0';
+	if (retry > 0)
+		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
+		    (double)retry / 1000);
+	if (g->s->leaving || !g->link->keep)
+		snprintf(
+		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
+	c->status = status;
+	note(LOG_NOTICE, "answered",
+	    "request=%s status=%d why=\"%s\" retry_ms=%" PRId64
+	    " sends=%d ran=%d after_ms=%" PRId64 " endpoint=%s",
+	    c->ask.id, status, why, retry, c->sends, c->ran,
+	    c->s->loop.now - c->came, c->ep ? c->ep->entry.id : "-");
+	call_detach(c, false);
+	guest_answer(g, status, extra, why);
+	call_end(c, status == 503 ? "refused" : "failed");
+}
+
+void
+call_cut(call_t *c, const char *why)
+{
+	guest_t *g = c->guest;
+
+	note(LOG_NOTICE, "cut", "request=%s why=\"%s\" events=%d after_ms=%"
+	    PRId64, c->ask.id, why, c->events, c->s->loop.now - c->came);
+	/* Without its last chunk an answer doesn't look whole. */
+	g->link->closing = true;
+	call_end(c, "cut");
+}
+
+void
+call_gone(call_t *c)
+{
+	c->guest = NULL;
+	call_end(c, "caller-left");
+}
--- /dev/null
+++ b/serve/choose.c
@@ -0,0 +1,224 @@
+#include "serve/serve.h"
+
+#include <string.h>
+
+enum {
+	LOAD_GUESS_MS = 400, /* an adapter's load and the way there */
+	RETRY_LEAST_MS = 50,
+	BUSY_MS = 100, /* a place frees within about that */
+};
+/* An endpoint further down a prompt's list must be this much quicker. */
+static const double RANK_MS = 4;
+/* Prompts come back within this, or their parts have yielded. */
+enum {
+	PREFIX_MS = 20000
+};
+
+static bool
+among(ep_t *const *list, int n, const ep_t *p)
+{
+	int i;
+
+	for (i = 0; i < n && i < TRIED_MAX; i++)
+		if (list[i] == p)
+			return true;
+	return false;
+}
+
+/* Parts are kept in order, for one model and adapter. */
+static uint64_t
+part_key(const call_t *c, int upto)
+{
+	uint64_t h = hash_str(c->ask.adapter, hash_str(c->ask.model, 0));
+	int i;
+
+	for (i = 0; i <= upto; i++)
+		h = hash64(&c->ask.part[i].id, sizeof(uint64_t), h);
+	return h;
+}
+
+static kept_t *
+kept_slot(const ep_t *p, uint64_t key)
+{
+	return (kept_t *)&p->kept[key % KEPT_MAX];
+}
+
+void
+prefix_note(ep_t *p, const call_t *c, ms_t now)
+{
+	int i;
+
+	for (i = 0; i < c->ask.npart; i++) {
+		uint64_t key = part_key(c, i);
+
+		*kept_slot(p, key) = (kept_t) { key, now };
+	}
+}
+
+/* Tokens of the prompt that the endpoint needn't read again. */
+static int
+kept_tokens(const ep_t *p, const uint64_t *key, const call_t *c, ms_t now)
+{
+	int i, sum = 0;
+
+	for (i = 0; i < c->ask.npart; i++) {
+		const kept_t *k = kept_slot(p, key[i]);
+
+		if (k->key != key[i] || now - k->at > PREFIX_MS)
+			break;
+		sum += c->ask.part[i].tokens;
+	}
+	return sum;
+}
+
+typedef struct scan {
+	ep_t *best;
+	double cost, first;
+	int fresh;
+	int usable, holding, tried, full, broken;
+	double shortest; /* predicted first event anywhere */
+} scan_t;
+
+static void
+look(call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
+{
+	serve_t *s = c->s;
+	ms_t now = s->loop.now;
+	bool engine = c->ask.model[0] != '\0';
+	int fresh = c->ask.prompt;
+	double first, cost;
+
+	if (!ep_usable(p) || strcmp(p->entry.service, c->service) != 0)
+		return;
+	sc->usable++;
+	if (engine && !ep_holds(p, c->ask.model, c->ask.adapter, now))
+		return;
+	sc->holding++;
+	if (among(c->tried, c->sends, p)) {
+		sc->tried++;
+		return;
+	}
+	if (!breaker_allows(&p->breaker, now)) {
+		sc->broken++;
+		return;
+	}
+	if (engine)
+		fresh -= kept_tokens(p, key, c, now);
+	first = burden_first(&p->burden, &s->usual_pace, fresh);
+	if (sc->shortest == 0 || first < sc->shortest)
+		sc->shortest = first;
+	if (among(c->full, c->nfull, p) ||
+	    (engine && burden_room(&p->burden) <
+		    c->ask.prompt + c->ask.output &&
+		p->burden.own.running + p->burden.others.running > 0) ||
+	    burden_fill(&p->burden) >= 1 + (engine ? 0 : FILL_PLAIN)) {
+		sc->full++;
+		return;
+	}
+	cost = first * breaker_weight(&p->breaker, s->usual_failed);
+	/* Prompts with the same parts tend to the same endpoints. */
+	cost += RANK_MS * (double)(hash64(&p->hash, 8, group) % 1000) / 100;
+	if (!engine && strcmp(p->entry.domain, s->site.domain) != 0)
+		cost += 2;
+	if (sc->best != NULL && cost >= sc->cost)
+		return;
+	sc->best = p;
+	sc->cost = cost;
+	sc->first = first;
+	sc->fresh = fresh;
+}
+
+/* Refuse at once what wouldn't come in time. */
+static bool
+too_late(const call_t *c, double first, choice_t *out)
+{
+	ms_t gone = c->s->loop.now - c->came;
+	double bound = call_bound(c);
+
+	if (first + (double)gone <= bound)
+		return false;
+	out->kind = CHOICE_REFUSE;
+	out->why = "no endpoint can answer in time";
+	out->retry = (ms_t)(first + (double)gone - bound) + RETRY_LEAST_MS;
+	return true;
+}
+
+static void
+nowhere(call_t *c, const scan_t *sc, choice_t *out)
+{
+	serve_t *s = c->s;
+	ms_t now = s->loop.now;
+
+	out->kind = CHOICE_NOWHERE;
+	out->retry = RETRY_LEAST_MS;
+	if (sc->usable == 0) {
+		out->why = "no endpoint of the service is there";
+		out->retry = s->site.heartbeat;
+		return;
+	}
+	if (sc->holding == 0) {
+		const service_def_t *d = config_service(s->config, c->service);
+		const model_conf_t *m = service_model(d, c->ask.model);
+		ms_t need = c->ask.adapter[0] != '\0' || m == NULL
+		    ? LOAD_GUESS_MS
+		    : m->load + LOAD_GUESS_MS;
+
+		plan_want(s, c);
+		out->why = "no endpoint holds the model yet";
+		if (now - c->came + need < call_bound(c) ||
+		    (c->state == ST_WAITING && now < c->came + c->route.promise))
+			out->kind = CHOICE_WAIT;
+		out->retry = need;
+		return;
+	}
+	if (sc->full > 0) {
+		out->why = "all endpoints are full";
+		out->retry = BUSY_MS;
+		if (now - c->came + BUSY_MS < c->route.promise / 2)
+			out->kind = CHOICE_WAIT;
+		return;
+	}
+	if (sc->broken > 0) {
+		out->why = "the endpoints that hold it fail";
+		if (now - c->came + BUSY_MS < c->route.promise / 2)
+			out->kind = CHOICE_WAIT;
+		return;
+	}
+	out->why = "every endpoint that may be tried was";
+}
+
+void
+choose(call_t *c, choice_t *out)
+{
+	serve_t *s = c->s;
+	uint64_t key[PREFIX_MAX], group = 0;
+	scan_t sc = { 0 };
+	int i;
+
+	*out = (choice_t) { 0 };
+	if (c->sends > 0 && (c->sends >= c->route.attempts ||
+				!retry_allowed(s, c))) {
+		out->kind = CHOICE_NOWHERE;
+		out->why = "no further attempt is allowed";
+		return;
+	}
+	for (i = 0; i < c->ask.npart; i++)
+		key[i] = part_key(c, i);
+	/* The last part is the call's own. */
+	if (c->ask.npart > 1)
+		group = key[c->ask.npart - 2];
+	else
+		group = hash_str(c->ask.adapter, hash_str(c->ask.model, 0));
+	for (i = 0; i < s->fleet.nep; i++)
+		look(c, s->fleet.ep[i], key, group, &sc);
+	if (sc.best == NULL) {
+		nowhere(c, &sc, out);
+		return;
+	}
+	if (c->ask.model[0] != '\0' && too_late(c, sc.first, out))
+		return;
+	out->kind = CHOICE_SEND;
+	out->ep = sc.best;
+	out->first = (ms_t)sc.first;
+	out->fresh = sc.fresh;
+}
--- /dev/null
+++ b/serve/demand.c
@@ -0,0 +1,63 @@
+#include "serve/serve.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Demand half as old counts half: shifts are seen within a second or two. */
+static const double HALF_MS = 2000;
+/* A token made costs a batch about as much as this many read. */
+static const double OUTPUT_WEIGHT = 10;
+
+static double
+faded(const demand_t *d, ms_t now)
+{
+	return d->work * exp2(-(double)(now - d->at) / HALF_MS);
+}
+
+demand_t *
+demand_find(serve_t *s, const char *service, const char *model,
+    const char *adapter)
+{
+	char key[3 * ID_MAX];
+	demand_t *d;
+
+	snprintf(key, sizeof(key), "%s %s/%s", service, model, adapter);
+	d = g_hash_table_lookup(s->demand, key);
+	if (d != NULL)
+		return d;
+	d = g_new0(demand_t, 1);
+	str_copy(d->service, ID_MAX, service);
+	str_copy(d->model, ID_MAX, model);
+	str_copy(d->adapter, ID_MAX, adapter);
+	d->at = s->loop.now;
+	g_hash_table_insert(s->demand, g_strdup(key), d);
+	return d;
+}
+
+/* Tokens a second: what decays with this half-life sums up so many ms. */
+double
+demand_now(const serve_t *s, const demand_t *d)
+{
+	return faded(d, s->loop.now) * 1000 * M_LN2 / HALF_MS;
+}
+
+static void
+add(serve_t *s, const call_t *c, const char *adapter)
+{
+	demand_t *d = demand_find(s, c->service, c->ask.model, adapter);
+
+	d->work = faded(d, s->loop.now) + c->ask.prompt +
+	    OUTPUT_WEIGHT * c->ask.output;
+	d->at = d->asked_at = s->loop.now;
+}
+
+void
+demand_note(serve_t *s, const call_t *c)
+{
+	retry_asked(s, c->service);
+	if (c->ask.model[0] == '\0')
+		return;
+	add(s, c, "");
+	if (c->ask.adapter[0] != '\0')
+		add(s, c, c->ask.adapter);
+}
--- /dev/null
+++ b/serve/door.c
@@ -0,0 +1,247 @@
+#define _GNU_SOURCE /* accept4() */
+#include "serve/serve.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+enum {
+	ACCEPTS = 64,	       /* taken in one turn */
+	IDLE_MS = 15000,       /* before a configuration says how long */
+	HEAD_MS = 3000,	       /* the same, for a request's head */
+	BODY_MAX = 4 << 20,    /* bytes, the same for a body */
+	HEAD_MAX = 16384,      /* bytes */
+	LEAVE_IDLE_MS = 1500,  /* idle connections stay so long when we leave */
+	RESERVED_FDS = 256,    /* descriptors kept for endpoints and files */
+};
+
+static void
+forget(guest_t *g)
+{
+	serve_t *s = g->s;
+
+	alarm_stop(&s->loop, &g->idle);
+	s->guest[g->place] = s->guest[--s->nguest];
+	s->guest[g->place]->place = g->place;
+	buf_free(&g->body);
+	loop_bury(&s->loop, g);
+}
+
+/* The bound on silence that fits what the connection is doing. */
+static void
+arm(guest_t *g)
+{
+	const config_t *c = g->s->config;
+	ms_t idle = c != NULL && c->idle_timeout > 0 ? c->idle_timeout
+						     : IDLE_MS;
+	ms_t head = c != NULL && c->head_timeout > 0 ? c->head_timeout
+						     : HEAD_MS;
+	ms_t span = g->link->in_msg && !g->link->headed ? head : idle;
+
+	if (g->s->leaving && !g->link->in_msg && span > LEAVE_IDLE_MS)
+		span = LEAVE_IDLE_MS;
+	alarm_set(&g->s->loop, &g->idle, g->link->since + span);
+}
+
+static void
+silent(void *arg)
+{
+	guest_t *g = arg;
+
+	if (g->call != 0)
+		return;
+	if (g->link->in_msg) {
+		if (g->s->loop.now < g->idle.at)
+			return;
+		note(LOG_NOTICE, "caller-slow", "bytes=%zu",
+		    g->link->head_bytes + g->link->body_bytes);
+		guest_answer(g, 408, "Connection: close\r\n",
+		    "the request took too long to arrive");
+	}
+	link_finish(g->link);
+	forget(g);
+}
+
+static void
+on_head(void *u, link_t *k)
+{
+	guest_t *g = u;
+	const config_t *c = g->s->config;
+	const char *expect = head_get(&k->head, "Expect");
+
+	k->body_max = c != NULL && c->body_max > 0 ? c->body_max : BODY_MAX;
+	buf_take(&g->body, buf_len(&g->body));
+	if (k->parser.content_length != ULLONG_MAX &&
+	    k->parser.content_length > k->body_max) {
+		k->refuse = 413;
+		k->body_max = 1; /* stops at the first bytes of the body */
+	} else if (expect != NULL && strcasecmp(expect, "100-continue") == 0) {
+		link_write(k, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		link_flush(k);
+	}
+}
+
+static void
+on_body(void *u, link_t *k, const char *p, size_t n)
+{
+	guest_t *g = u;
+
+	(void)k;
+	buf_add(&g->body, p, n);
+}
+
+static void
+on_done(void *u, link_t *k)
+{
+	guest_t *g = u;
+
+	(void)k;
+	alarm_stop(&g->s->loop, &g->idle);
+	g->served++;
+	call_start(g);
+}
+
+static void
+on_bad(void *u, link_t *k, int status)
+{
+	guest_t *g = u;
+
+	note(LOG_NOTICE, "request-malformed", "status=%d parser=%s", status,
+	    http_errno_name(HTTP_PARSER_ERRNO(&k->parser)));
+	guest_answer(g, status, "Connection: close\r\n",
+	    "the request is malformed or too large");
+	link_finish(k);
+	forget(g);
+}
+
+static void
+on_end(void *u, link_t *k, link_end_t why)
+{
+	guest_t *g = u;
+	call_t *c = call_get(g->s, g->call);
+
+	(void)k, (void)why;
+	g->call = 0;
+	if (c != NULL) {
+		c->guest = NULL;
+		call_gone(c);
+	}
+	forget(g);
+}
+
+static void
+on_drained(void *u, link_t *k)
+{
+	guest_t *g = u;
+	call_t *c = call_get(g->s, g->call);
+
+	(void)k;
+	if (c != NULL && c->wire != NULL && c->wire->link->paused)
+		link_pause(c->wire->link, false);
+}
+
+static const link_ops_t ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.bad = on_bad,
+	.end = on_end,
+	.drained = on_drained,
+};
+
+static void
+welcome(serve_t *s, int fd)
+{
+	guest_t *g = calloc(1, sizeof(*g));
+	const config_t *c = s->config;
+
+	if (g == NULL)
+		abort();
+	g->s = s;
+	g->link = link_accept(&s->loop, fd, &ops, g);
+	g->link->head_max = c != NULL && c->head_max > 0 ? c->head_max
+							  : HEAD_MAX;
+	g->idle = (alarm_t) { .fn = silent, .arg = g };
+	if (s->nguest == s->guest_room) {
+		s->guest_room = s->guest_room ? 2 * s->guest_room : 64;
+		s->guest =
+		    realloc(s->guest, s->guest_room * sizeof(*s->guest));
+		if (s->guest == NULL)
+			abort();
+	}
+	g->place = s->nguest;
+	s->guest[s->nguest++] = g;
+	arm(g);
+}
+
+static void
+knock(void *arg, uint32_t ev)
+{
+	serve_t *s = arg;
+	int i, fd;
+
+	(void)ev;
+	for (i = 0; i < ACCEPTS; i++) {
+		fd = accept4(
+		    s->door.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd == -1) {
+			if (errno != EAGAIN && errno != EINTR)
+				note(LOG_WARNING, "accept", "why=\"%s\"",
+				    strerror(errno));
+			return;
+		}
+		welcome(s, fd);
+	}
+}
+
+int
+door_open(serve_t *s, err_t *e)
+{
+	s->door.fd = net_listen(s->site.caller_addr, e);
+	if (s->door.fd == -1)
+		return -1;
+	s->door.fn = knock;
+	s->door.arg = s;
+	return watch_add(&s->loop, &s->door, EPOLLIN);
+}
+
+void
+guest_answer(guest_t *g, int status, const char *extra, const char *body)
+{
+	buf_t json = { 0 };
+
+	buf_fmt(&json, "{\"error\":\"%s\"}", body);
+	buf_fmt(&g->link->out,
+	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n%s\r\n",
+	    status, http_reason(status), buf_len(&json), extra);
+	buf_add(&g->link->out, json.p, json.len);
+	buf_free(&json);
+	link_flush(g->link);
+}
+
+void
+guest_done(guest_t *g)
+{
+	g->call = 0;
+	if (!g->link->keep || g->s->leaving || g->link->closing) {
+		link_finish(g->link);
+		forget(g);
+		return;
+	}
+	arm(g);
+	link_next(g->link);
+}
+
+void
+door_leave(serve_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->nguest; i++)
+		if (s->guest[i]->call == 0)
+			arm(s->guest[i]);
+}
--- /dev/null
+++ b/serve/fleet.c
@@ -0,0 +1,209 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	LAPSED_MS = 2500, /* an entry lost in an outage may come back */
+	LEARNT_MS = 20000, /* a change that the entry never showed is dropped */
+};
+
+void
+eps_init(eps_t *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+}
+
+ep_t *
+eps_find(const eps_t *f, const char *id)
+{
+	return g_hash_table_lookup(f->by_id, id);
+}
+
+ep_t *
+eps_by_hash(const eps_t *f, uint64_t hash)
+{
+	return g_hash_table_lookup(f->by_hash, &hash);
+}
+
+static ep_t *
+add(serve_t *s, const endpoint_entry_t *en)
+{
+	eps_t *f = &s->fleet;
+	const service_def_t *d = config_service(s->config, en->service);
+	ep_t *p = calloc(1, sizeof(*p));
+
+	if (p == NULL)
+		abort();
+	p->entry = *en;
+	p->hash = hash_str(en->id, 0);
+	burden_init(&p->burden, en->slots,
+	    d != NULL && d->engine ? d->kv_tokens : 0);
+	if (f->nep == f->room) {
+		f->room = f->room ? 2 * f->room : 32;
+		f->ep = realloc(f->ep, f->room * sizeof(*f->ep));
+		if (f->ep == NULL)
+			abort();
+	}
+	f->ep[f->nep++] = p;
+	g_hash_table_insert(f->by_id, p->entry.id, p);
+	g_hash_table_insert(f->by_hash, &p->hash, p);
+	return p;
+}
+
+/* Another process under the same id knows nothing of before. */
+static void
+reborn(serve_t *s, ep_t *p, const endpoint_entry_t *en)
+{
+	note(LOG_NOTICE, "endpoint-restarted",
+	    "endpoint=%s born=%" PRId64 " before=%" PRId64, en->id, en->born,
+	    p->entry.born);
+	pool_clear(p);
+	p->nlearnt = 0;
+	memset(&p->breaker, 0, sizeof(p->breaker));
+	(void)s;
+}
+
+ep_t *
+eps_entry(serve_t *s, const object_t *o)
+{
+	endpoint_entry_t en;
+	err_t e = { 0 };
+	ep_t *p = eps_find(&s->fleet, o->name);
+	bool was, fresh = p == NULL;
+
+	if (entry_decode(&en, o->name, o->spec, &e) == -1) {
+		note(LOG_WARNING, "entry-unreadable", "endpoint=%s revision=%"
+		    PRId64 " why=\"%s\"", o->name, o->revision, e.text);
+		return NULL;
+	}
+	if (p != NULL && o->revision < p->revision)
+		return p;
+	if (p == NULL)
+		p = add(s, &en);
+	else if (p->entry.born != en.born)
+		reborn(s, p, &en);
+	was = p->listed && !p->entry.leaving;
+	if (strcmp(p->entry.addr, en.addr) != 0)
+		pool_clear(p);
+	p->entry = en;
+	p->revision = o->revision;
+	p->listed = true;
+	p->missing_at = 0;
+	p->seen_at = s->loop.now;
+	p->burden.slots = en.slots;
+	net_addr(en.addr, &p->sa);
+	if (fresh || was != !en.leaving)
+		note(LOG_NOTICE, "endpoint",
+		    "endpoint=%s service=%s addr=%s domain=%s state=%s "
+		    "revision=%" PRId64 " models=%d",
+		    en.id, en.service, en.addr, en.domain,
+		    en.leaving ? "leaving" : "ready", o->revision,
+		    en.holds.nmodel);
+	if (en.leaving)
+		pool_clear(p);
+	return p;
+}
+
+void
+eps_gone(serve_t *s, const char *id, bool may_return)
+{
+	ep_t *p = eps_find(&s->fleet, id);
+
+	if (p == NULL || !p->listed)
+		return;
+	if (may_return && !p->entry.leaving) {
+		if (p->missing_at == 0)
+			p->missing_at = s->loop.now;
+		return;
+	}
+	p->listed = false;
+	p->gone_at = s->loop.now;
+	pool_clear(p);
+	note(LOG_NOTICE, "endpoint", "endpoint=%s state=gone entry_age_ms=%"
+	    PRId64, id, s->loop.now - p->seen_at);
+}
+
+void
+eps_tidy(serve_t *s)
+{
+	eps_t *f = &s->fleet;
+	int i;
+
+	for (i = f->nep - 1; i >= 0; i--) {
+		ep_t *p = f->ep[i];
+
+		if (p->missing_at != 0 &&
+		    s->loop.now - p->missing_at > LAPSED_MS)
+			eps_gone(s, p->entry.id, false);
+		if (p->listed || p->calls > 0 || p->wires > 0 ||
+		    s->loop.now - p->gone_at < LEARNT_MS)
+			continue;
+		g_hash_table_remove(f->by_id, p->entry.id);
+		g_hash_table_remove(f->by_hash, &p->hash);
+		plan_forget(s, p);
+		peers_forget(s, p);
+		f->ep[i] = f->ep[--f->nep];
+		loop_bury(&s->loop, p);
+	}
+}
+
+bool
+ep_usable(const ep_t *p)
+{
+	return p->listed && !p->entry.leaving;
+}
+
+bool
+ep_learn(ep_t *p, const learnt_t *l)
+{
+	int i;
+
+	if (l->orders <= p->entry.orders)
+		return false;
+	for (i = 0; i < p->nlearnt; i++)
+		if (p->learnt[i].orders == l->orders)
+			return false;
+	if (p->nlearnt == LEARNT_MAX) {
+		memmove(p->learnt, p->learnt + 1,
+		    (LEARNT_MAX - 1) * sizeof(*l));
+		p->nlearnt--;
+	}
+	/* In the order in which the endpoint took them. */
+	for (i = p->nlearnt; i > 0 && p->learnt[i - 1].orders > l->orders; i--)
+		p->learnt[i] = p->learnt[i - 1];
+	p->learnt[i] = *l;
+	p->nlearnt++;
+	return true;
+}
+
+bool
+ep_holds(const ep_t *p, const char *model, const char *adapter, ms_t now)
+{
+	const holding_set_t *h = &p->entry.holds;
+	bool has = false;
+	int i, m = -1;
+
+	for (i = 0; i < h->nmodel; i++)
+		if (strcmp(h->model[i], model) == 0)
+			m = i;
+	has = m >= 0 && *adapter == '\0';
+	for (i = 0; m >= 0 && !has && i < h->nadapter; i++)
+		has = h->adapter[i].model == m &&
+		    strcmp(h->adapter[i].name, adapter) == 0;
+	/* Orders that the entry doesn't show yet. */
+	for (i = 0; i < p->nlearnt; i++) {
+		const learnt_t *l = &p->learnt[i];
+
+		if (l->orders <= p->entry.orders ||
+		    strcmp(l->model, model) != 0)
+			continue;
+		if (strcmp(l->adapter, adapter) == 0)
+			has = l->load && now >= l->at;
+		else if (l->adapter[0] == '\0' && !l->load)
+			has = false;
+	}
+	return has;
+}
--- /dev/null
+++ b/serve/follow.c
@@ -0,0 +1,206 @@
+#include "serve/serve.h"
+
+#include <string.h>
+
+enum {
+	WATCH_MS = 10000,    /* a quiet watch is asked again after */
+	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
+	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
+	RETRY_FIRST_MS = 50, /* after a failure, doubling ... */
+	RETRY_MOST_MS = 800, /* ... so that an outage's end is seen soon */
+	LAPSED_MS = 2500,    /* entries may be away so long after an outage */
+};
+
+static void ask(follow_t *f);
+
+static const char *const kind_name[] = { "config", "endpoints", "instances",
+	"leases" };
+
+static void
+take_config(serve_t *s, const object_t *o)
+{
+	err_t e = { 0 };
+	config_t *c;
+
+	if (strcmp(o->name, "main") != 0 || o->gone)
+		return;
+	c = config_decode(o->spec, strlen(o->spec), &e);
+	if (c == NULL) {
+		note(LOG_ERR, "config-unreadable", "revision=%" PRId64
+		    " why=\"%s\"", o->revision, e.text);
+		return;
+	}
+	if (s->config != NULL && c->version <= s->config->version) {
+		config_free(c);
+		return;
+	}
+	note(LOG_NOTICE, "config",
+	    "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+	    " routes=%d services=%d",
+	    c->version, s->config != NULL ? s->config->version : -1,
+	    o->revision, c->nroute, c->nservice);
+	config_free(s->config);
+	s->config = c;
+	s->config_at = s->loop.now;
+}
+
+static void
+take(follow_t *f, const object_t *o)
+{
+	serve_t *s = f->s;
+
+	switch (f->kind) {
+	case KIND_CONFIG:
+		take_config(s, o);
+		break;
+	case KIND_ENDPOINTS:
+		if (o->gone)
+			eps_gone(s, o->name, f->regained != 0 &&
+				s->loop.now - f->regained < LAPSED_MS);
+		else
+			eps_entry(s, o);
+		break;
+	case KIND_INSTANCES:
+		peers_object(s, o);
+		break;
+	case KIND_LEASES:
+		break;
+	}
+}
+
+/* A whole list was read: what isn't in it has gone. */
+static void
+sweep(follow_t *f)
+{
+	serve_t *s = f->s;
+	int i;
+
+	if (f->kind == KIND_ENDPOINTS)
+		for (i = s->fleet.nep - 1; i >= 0; i--) {
+			ep_t *p = s->fleet.ep[i];
+
+			if (p->listed &&
+			    !g_hash_table_contains(f->seen, p->entry.id))
+				eps_gone(s, p->entry.id, f->regained != 0);
+		}
+	if (f->kind == KIND_INSTANCES)
+		peers_sweep(s, f->seen);
+	g_hash_table_remove_all(f->seen);
+	if (f->ever == 0)
+		f->ever = s->loop.now;
+}
+
+static void
+again(follow_t *f, ms_t after)
+{
+	alarm_set(&f->s->loop, &f->alarm, f->s->loop.now + after);
+}
+
+static void
+fail(follow_t *f, int status)
+{
+	ms_t wait = RETRY_FIRST_MS << (f->failures < 5 ? f->failures : 5);
+
+	f->failures++;
+	if (!f->lost && f->failures >= 2) {
+		f->lost = true;
+		note(LOG_WARNING, "store-lost", "kind=%s status=%d age_ms=%"
+		    PRId64, kind_name[f->kind], status,
+		    f->s->loop.now - f->good_at);
+	}
+	if (wait > RETRY_MOST_MS)
+		wait = RETRY_MOST_MS;
+	again(f, wait / 2 + (ms_t)(rng_unit(&f->s->rng) * (double)wait));
+}
+
+static void
+answered(void *arg, int status, const char *text, size_t len)
+{
+	follow_t *f = arg;
+	serve_t *s = f->s;
+	objects_t list;
+	err_t e = { 0 };
+	int i;
+
+	f->call = NULL;
+	if (status == 410) {
+		note(LOG_NOTICE, "watch-lapsed", "kind=%s as_of=%" PRId64,
+		    kind_name[f->kind], f->as_of);
+		f->as_of = 0;
+		f->listing = false;
+		ask(f);
+		return;
+	}
+	if (status != 200 || objects_decode(&list, text, len, &e) == -1) {
+		if (status == 200)
+			note(LOG_ERR, "store-unreadable", "kind=%s why=\"%s\"",
+			    kind_name[f->kind], e.text);
+		fail(f, status);
+		return;
+	}
+	if (f->lost || s->loop.now - f->good_at > WATCH_MS + WATCH_SLACK_MS)
+		f->regained = f->ever != 0 ? s->loop.now : 0;
+	if (f->lost) {
+		f->lost = false;
+		note(LOG_NOTICE, "store-regained", "kind=%s away_ms=%" PRId64,
+		    kind_name[f->kind], s->loop.now - f->good_at);
+	}
+	f->failures = 0;
+	f->good_at = s->loop.now;
+	for (i = 0; i < list.nobject; i++) {
+		if (f->listing)
+			g_hash_table_add(
+			    f->seen, g_strdup(list.object[i].name));
+		take(f, &list.object[i]);
+	}
+	if (f->listing && list.more && list.nobject > 0) {
+		str_copy(f->after, sizeof(f->after),
+		    list.object[list.nobject - 1].name);
+	} else {
+		if (f->listing)
+			sweep(f);
+		f->listing = false;
+		f->as_of = list.as_of;
+	}
+	objects_free(&list);
+	serve_changed(s);
+	ask(f);
+}
+
+static void
+ask(follow_t *f)
+{
+	serve_t *s = f->s;
+	buf_t b = { 0 };
+	ms_t span = LIST_MS;
+
+	if (f->as_of == 0) {
+		if (!f->listing) {
+			f->listing = true;
+			f->after[0] = '\0';
+			g_hash_table_remove_all(f->seen);
+		}
+		objects_list(&b, f->kind, f->after, s->site.store_addr);
+	} else {
+		objects_watch(
+		    &b, f->kind, f->as_of, WATCH_MS, s->site.store_addr);
+		span = WATCH_MS + WATCH_SLACK_MS;
+	}
+	f->call = webcall(s, &s->store, &b, span, answered, f);
+}
+
+static void
+due(void *arg)
+{
+	ask(arg);
+}
+
+void
+follow_start(follow_t *f, serve_t *s, kind_t k)
+{
+	*f = (follow_t) { .s = s, .kind = k };
+	f->alarm = (alarm_t) { .fn = due, .arg = f };
+	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->good_at = s->loop.now;
+	ask(f);
+}
--- /dev/null
+++ b/serve/gauges.c
@@ -0,0 +1,63 @@
+#include "serve/serve.h"
+
+#include <string.h>
+
+static void
+gauge(const char *name, const char *help, int64_t v)
+{
+	counter_set(counter_get(name, help), v);
+}
+
+void
+serve_gauges(serve_t *s)
+{
+	double error = 0;
+	int i, usable = 0, open = 0, n = 0;
+
+	for (i = 0; i < s->fleet.nep; i++) {
+		const ep_t *p = s->fleet.ep[i];
+
+		usable += ep_usable(p);
+		open += !breaker_allows(&p->breaker, s->loop.now);
+		if (p->burden.error > 0) {
+			error += p->burden.error;
+			n++;
+		}
+	}
+	gauge("ebonypitch_ready", "1 if callers may come.",
+	    s->ready && !s->leaving);
+	gauge("ebonypitch_config_version", "Configuration in force.",
+	    s->config != NULL ? s->config->version : 0);
+	gauge("ebonypitch_config_age_ms", "Since it came into force.",
+	    s->config != NULL ? s->loop.now - s->config_at : -1);
+	gauge("ebonypitch_store_age_ms", "Since the store last answered.",
+	    s->loop.now - s->follow_endpoints.good_at);
+	gauge("ebonypitch_endpoints", "Endpoints that may be used.", usable);
+	gauge("ebonypitch_endpoints_open", "Endpoints left for failures.",
+	    open);
+	gauge("ebonypitch_calls", "Calls in progress.",
+	    table_count(s->calls));
+	gauge("ebonypitch_guests", "Callers' connections.", s->nguest);
+	gauge("ebonypitch_instances", "Instances that live.",
+	    peers_alive(s));
+	gauge("ebonypitch_holder", "1 if it orders endpoints.",
+	    plan_holder(s));
+	gauge("ebonypitch_log_dropped", "Log lines that weren't taken.",
+	    log_dropped());
+	gauge("ebonypitch_first_error_percent",
+	    "Mean error of the predicted first event.",
+	    n > 0 ? (int64_t)(100 * error / n) : 0);
+}
+
+void
+histo_text(buf_t *out, const char *name, const char *help, const histo_t *h)
+{
+	static const double at[] = { 0.5, 0.9, 0.99 };
+	size_t i;
+
+	buf_fmt(out, "# HELP %s %s\n# TYPE %s summary\n", name, help, name);
+	for (i = 0; i < sizeof(at) / sizeof(at[0]); i++)
+		buf_fmt(out, "%s{quantile=\"%g\"} %" PRId64 "\n", name, at[i],
+		    histo_quantile(h, at[i]));
+	buf_fmt(out, "%s_count %" PRIu64 "\n", name, h->n);
+}
--- /dev/null
+++ b/serve/lease.c
@@ -0,0 +1,219 @@
+#include "serve/plan.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	CALL_MS = 700,	/* an answer of the store; a renewal is late after */
+	FIRST_MS = 250, /* between looks when no holder is heard of */
+	TURN_MS = 300,	/* each further instance in line looks so much later */
+};
+static const char *const name = "planner";
+
+bool
+plan_holder(const serve_t *s)
+{
+	return s->plan != NULL && s->plan->tenure.held;
+}
+
+bool
+lease_may_order(plan_t *p)
+{
+	/* A process that was stopped must not trust its loop's clock. */
+	return !p->s->leaving &&
+	    tenure_may_order(&p->tenure, clock_now(&machine_clock));
+}
+
+static void
+drop_all(plan_t *p, const char *why)
+{
+	if (!p->tenure.held)
+		return;
+	note(LOG_NOTICE, "holder-lost", "why=\"%s\" token=%" PRId64, why,
+	    p->tenure.token);
+	tenure_lost(&p->tenure);
+	peers_tell(p->s);
+}
+
+static char *
+spec(const plan_t *p, bool released)
+{
+	json_t *j = json_pack("{s:s,s:s,s:I,s:b}", "holder",
+	    p->s->site.instance, "ip", p->s->site.ip, "beat",
+	    (json_int_t)clock_wall(), "released", released);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	return text;
+}
+
+static void
+seen(plan_t *p, const object_t *o)
+{
+	json_t *j = o->spec != NULL ? json_loads(o->spec, 0, NULL) : NULL;
+	const char *ip = json_string_value(json_object_get(j, "ip"));
+
+	tenure_seen(&p->tenure, o->revision,
+	    ip != NULL && strcmp(ip, p->s->site.ip) == 0,
+	    json_is_true(json_object_get(j, "released")), p->s->loop.now);
+	json_decref(j);
+}
+
+static void
+read_answer(void *arg, int status, const char *text, size_t len)
+{
+	plan_t *p = arg;
+	object_t o;
+	err_t e = { 0 };
+
+	p->lease_call = NULL;
+	if (status == 404) {
+		tenure_seen(&p->tenure, 0, false, false, p->s->loop.now);
+	} else if (status == 200 && object_decode(&o, text, len, &e) == 0) {
+		seen(p, &o);
+		free(o.spec);
+	}
+}
+
+static void
+write_answer(void *arg, int status, const char *text, size_t len)
+{
+	plan_t *p = arg;
+	serve_t *s = p->s;
+	object_t o = { 0 };
+	err_t e = { 0 };
+	bool taking = p->taking, have;
+
+	p->lease_call = NULL;
+	p->taking = false;
+	have = (status == 200 || status == 201 || status == 409) &&
+	    object_decode(&o, text, len, &e) == 0;
+	if (status == 409 && have) {
+		/* Ours after all, if an earlier answer was lost. */
+		seen(p, &o);
+		if (p->tenure.held && p->tenure.own)
+			tenure_renewed(
+			    &p->tenure, o.revision, p->tenure.renewed);
+		else
+			drop_all(p, "another one has written");
+	} else if ((status == 200 || status == 201) && have && taking) {
+		tenure_took(&p->tenure, o.revision, p->lease_sent);
+		p->began = s->loop.now;
+		note(LOG_NOTICE, "holder",
+		    "token=%" PRId64 " orders_in_ms=%" PRId64,
+		    p->tenure.token, p->tenure.from - s->loop.now);
+		peers_tell(s);
+	} else if ((status == 200 || status == 201) && have) {
+		tenure_renewed(&p->tenure, o.revision, p->lease_sent);
+	} else if (status == 404) {
+		drop_all(p, "the lease is gone");
+	} else if (taking) {
+		/* Taken or not: look again. */
+		p->tenure.read = false;
+	}
+	free(o.spec);
+}
+
+static void
+write_lease(plan_t *p, bool taking)
+{
+	buf_t b = { 0 };
+	char *text = spec(p, false);
+
+	objects_put(&b, KIND_LEASES, name, p->tenure.revision, text,
+	    p->s->site.store_addr);
+	free(text);
+	p->taking = taking;
+	p->lease_sent = clock_now(&machine_clock);
+	p->lease_call =
+	    webcall(p->s, &p->s->store, &b, CALL_MS, write_answer, p);
+}
+
+static void
+read_lease(plan_t *p)
+{
+	buf_t b = { 0 };
+
+	objects_get(&b, KIND_LEASES, name, p->s->site.store_addr);
+	p->lease_call =
+	    webcall(p->s, &p->s->store, &b, CALL_MS, read_answer, p);
+}
+
+/* Does someone who lives hold it? */
+static bool
+heard_of(const serve_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		if (s->peers.peer[i]->holder &&
+		    peer_alive(s, s->peers.peer[i]))
+			return true;
+	return false;
+}
+
+/* Instances that live and come before this one. */
+static int
+turn(const serve_t *s)
+{
+	int i, n = 0;
+
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
+
+		n += peer_alive(s, p) && !p->leaving &&
+		    strcmp(p->instance, s->site.instance) < 0;
+	}
+	return n < 8 ? n : 8;
+}
+
+void
+lease_step(plan_t *p)
+{
+	serve_t *s = p->s;
+	ms_t now = s->loop.now;
+
+	if (p->lease_call != NULL)
+		return;
+	if (p->tenure.held) {
+		if (now - p->tenure.renewed > p->tenure.lease * 2)
+			drop_all(p, "no renewal was taken");
+		else if (tenure_due(&p->tenure, now))
+			write_lease(p, false);
+		return;
+	}
+	if (s->leaving || !s->ready || now < p->lease_next)
+		return;
+	if (heard_of(s)) {
+		p->tenure.read = false;
+		p->lease_next = now + FIRST_MS + TURN_MS * turn(s);
+		return;
+	}
+	if (tenure_may_take(&p->tenure, now)) {
+		write_lease(p, true);
+		return;
+	}
+	p->lease_next = now + FIRST_MS +
+	    (p->tenure.read ? 0 : (ms_t)(rng_unit(&s->rng) * FIRST_MS));
+	read_lease(p);
+}
+
+void
+lease_release(plan_t *p)
+{
+	buf_t b = { 0 };
+	char *text;
+
+	if (!p->tenure.held)
+		return;
+	webcall_drop(p->lease_call);
+	p->lease_call = NULL;
+	text = spec(p, true);
+	objects_put(&b, KIND_LEASES, name, p->tenure.revision, text,
+	    p->s->site.store_addr);
+	free(text);
+	drop_all(p, "leaving");
+	p->lease_next = INT64_MAX;
+	webcall(p->s, &p->s->store, &b, CALL_MS, NULL, NULL);
+}
--- /dev/null
+++ b/serve/orders.c
@@ -0,0 +1,324 @@
+#include "serve/plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	ORDER_MS = 1000,   /* an endpoint answers within a few ms */
+	REPORT_MS = 1000,
+	LATE_MS = 13000,   /* an unanswered order is carried out by then */
+	ADAPTER_MS = 30,   /* an adapter's load, once taken */
+	RETRY_MS = 150,	   /* after a refusal */
+	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
+	SHOWN_MS = 6000,   /* a load that was taken shows by then */
+};
+
+desk_t *
+desk_of(plan_t *p, ep_t *ep)
+{
+	desk_t *d = g_hash_table_lookup(p->desk, ep);
+
+	if (d == NULL) {
+		d = g_new0(desk_t, 1);
+		d->s = p->s;
+		d->ep = ep;
+		d->born = ep->entry.born;
+		d->orders = ep->entry.orders;
+		g_hash_table_insert(p->desk, ep, d);
+	}
+	if (d->born != ep->entry.born) {
+		/* A process started anew counts from nothing. */
+		d->born = ep->entry.born;
+		d->orders = ep->entry.orders;
+		d->busy_until = 0;
+	}
+	if (ep->entry.orders > d->orders)
+		d->orders = ep->entry.orders;
+	return d;
+}
+
+bool
+desk_free(const desk_t *d)
+{
+	ms_t now = d->s->loop.now;
+
+	return d->call == NULL && !d->ask && now >= d->wait_until &&
+	    ep_usable(d->ep) && d->ep->missing_at == 0;
+}
+
+static bool
+listed(const ep_t *p, const char *model, const char *adapter)
+{
+	const holding_set_t *h = &p->entry.holds;
+	int i, m = -1;
+
+	for (i = 0; i < h->nmodel; i++)
+		if (strcmp(h->model[i], model) == 0)
+			m = i;
+	if (*adapter == '\0' || m == -1)
+		return m != -1;
+	for (i = 0; i < h->nadapter; i++)
+		if (h->adapter[i].model == m &&
+		    strcmp(h->adapter[i].name, adapter) == 0)
+			return true;
+	return false;
+}
+
+/* Taken, and neither shown by the entry nor long overdue. */
+static bool
+pending(const desk_t *d, const learnt_t *l)
+{
+	return l->load && !listed(d->ep, l->model, l->adapter) &&
+	    (l->orders > d->ep->entry.orders ||
+		d->s->loop.now < l->at + SHOWN_MS);
+}
+
+static bool
+doubted(const desk_t *d)
+{
+	return d->doubt_until != 0 && d->s->loop.now < d->doubt_until;
+}
+
+bool
+desk_coming(const desk_t *d, const char *model, const char *adapter)
+{
+	const ep_t *p = d->ep;
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++)
+		if (strcmp(p->learnt[i].model, model) == 0 &&
+		    strcmp(p->learnt[i].adapter, adapter) == 0 &&
+		    pending(d, &p->learnt[i]))
+			return true;
+	return d->call != NULL && d->load && strcmp(d->model, model) == 0 &&
+	    strcmp(d->adapter, adapter) == 0;
+}
+
+bool
+desk_going(const desk_t *d, const char *model)
+{
+	const ep_t *p = d->ep;
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++)
+		if (!p->learnt[i].load && p->learnt[i].adapter[0] == '\0' &&
+		    p->learnt[i].orders > p->entry.orders &&
+		    strcmp(p->learnt[i].model, model) == 0)
+			return true;
+	return d->call != NULL && !d->load && d->adapter[0] == '\0' &&
+	    strcmp(d->model, model) == 0;
+}
+
+static double
+size_of(const desk_t *d, const char *model, const char *adapter)
+{
+	const service_def_t *def =
+	    config_service(d->s->config, d->ep->entry.service);
+	const model_conf_t *m = service_model(def, model);
+
+	if (m == NULL)
+		/* Not known: as large as all of it, so nothing is added. */
+		return def != NULL ? def->weights_mb : 0;
+	return *adapter != '\0' ? m->adapter_mb : m->weights_mb;
+}
+
+double
+desk_memory(const desk_t *d)
+{
+	const ep_t *p = d->ep;
+	const holding_set_t *h = &p->entry.holds;
+	double mb = 0;
+	int i;
+
+	for (i = 0; i < h->nmodel; i++)
+		mb += size_of(d, h->model[i], "");
+	for (i = 0; i < h->nadapter; i++)
+		mb += size_of(d, h->model[h->adapter[i].model],
+		    h->adapter[i].name);
+	for (i = 0; i < p->nlearnt; i++)
+		if (pending(d, &p->learnt[i]))
+			mb += size_of(
+			    d, p->learnt[i].model, p->learnt[i].adapter);
+	if (doubted(d) && !listed(p, d->doubt, d->doubt_adapter))
+		mb += size_of(d, d->doubt, d->doubt_adapter);
+	if (d->call != NULL && d->load)
+		mb += size_of(d, d->model, d->adapter);
+	return mb;
+}
+
+int
+desk_adapters(const desk_t *d)
+{
+	const ep_t *p = d->ep;
+	int i, n = p->entry.holds.nadapter;
+
+	for (i = 0; i < p->nlearnt; i++)
+		n += p->learnt[i].adapter[0] != '\0' &&
+		    pending(d, &p->learnt[i]);
+	if (doubted(d) && d->doubt_adapter[0] != '\0' &&
+	    !listed(p, d->doubt, d->doubt_adapter))
+		n++;
+	return n + (d->call != NULL && d->load && d->adapter[0] != '\0');
+}
+
+static void
+taken(desk_t *d, bool now_so)
+{
+	serve_t *s = d->s;
+	const service_def_t *def =
+	    config_service(s->config, d->ep->entry.service);
+	const model_conf_t *m = service_model(def, d->model);
+	learnt_t l = { .orders = d->orders + 1, .load = d->load };
+
+	d->orders++;
+	/* Whatever was in doubt had an older count and can't land now. */
+	d->doubt_until = 0;
+	str_copy(l.model, ID_MAX, d->model);
+	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
+	l.at = s->loop.now;
+	if (d->adapter[0] != '\0')
+		l.at += now_so ? 0 : ADAPTER_MS;
+	else if (m != NULL && d->load)
+		l.at += m->load * 11 / 10;
+	if (d->adapter[0] == '\0')
+		d->busy_until = l.at;
+	ep_learn(d->ep, &l);
+	peers_taken(s, d->ep, &l);
+	s->plan->wanted = true;
+	calls_retry(s);
+}
+
+static void
+doubt(desk_t *d)
+{
+	if (d->load) {
+		str_copy(d->doubt, ID_MAX, d->model);
+		str_copy(d->doubt_adapter, sizeof(d->doubt_adapter),
+		    d->adapter);
+		d->doubt_until = d->s->loop.now + LATE_MS;
+	}
+	d->ask = true;
+}
+
+static void
+answered(void *arg, int status, const char *text, size_t len)
+{
+	desk_t *d = arg;
+	order_result_t r = status == 0 ? ORDER_UNKNOWN : order_result(status);
+
+	(void)text, (void)len;
+	d->call = NULL;
+	note(LOG_NOTICE, "order-answered",
+	    "endpoint=%s op=%s model=%s adapter=%s status=%d expect=%" PRId64
+	    " after_ms=%" PRId64, d->ep->entry.id,
+	    d->load ? "load" : "unload", d->model, d->adapter, status,
+	    d->orders, d->s->loop.now - d->sent);
+	switch (r) {
+	case ORDER_TAKEN:
+		taken(d, false);
+		return;
+	case ORDER_HOLDS:
+		/* An adapter's unload is done at once, and counts. */
+		if (!d->load && d->adapter[0] != '\0')
+			taken(d, true);
+		else
+			d->wait_until = d->s->loop.now + RETRY_MS;
+		return;
+	case ORDER_CONFLICT:
+		d->ask = true;
+		break;
+	case ORDER_STALE:
+	case ORDER_REFUSED:
+		break;
+	case ORDER_UNKNOWN:
+		doubt(d);
+		break;
+	}
+	d->wait_until = d->s->loop.now + RETRY_MS;
+}
+
+void
+desk_order(plan_t *p, desk_t *d, bool load, const char *model,
+    const char *adapter, const char *why)
+{
+	serve_t *s = p->s;
+	buf_t b = { 0 };
+	order_t o = { .load = load, .model = model, .adapter = adapter,
+		.endpoint = d->ep->entry.id, .expect = d->orders,
+		.holder = s->site.instance, .token = p->tenure.token };
+
+	order_send(&b, &o, d->ep->entry.addr);
+	/* The last look at the clock, after all that takes time. */
+	if (!lease_may_order(p)) {
+		buf_free(&b);
+		return;
+	}
+	str_copy(d->model, ID_MAX, model);
+	str_copy(d->adapter, sizeof(d->adapter), adapter);
+	d->load = load;
+	d->sent = s->loop.now;
+	note(LOG_NOTICE, "order",
+	    "endpoint=%s op=%s model=%s adapter=%s why=%s expect=%" PRId64
+	    " token=%" PRId64 " memory_mb=%.0f entry_age_ms=%" PRId64,
+	    d->ep->entry.id, load ? "load" : "unload", model, adapter, why,
+	    d->orders, p->tenure.token, desk_memory(d),
+	    s->loop.now - d->ep->seen_at);
+	if (!load && *adapter == '\0') {
+		/* Calls go elsewhere from now on. */
+		learnt_t l = { .orders = d->orders + 1, .at = s->loop.now };
+
+		str_copy(l.model, ID_MAX, model);
+		ep_learn(d->ep, &l);
+		peers_taken(s, d->ep, &l);
+	}
+	d->call = webcall(s, &d->ep->sa, &b, ORDER_MS, answered, d);
+}
+
+static void
+reported(void *arg, int status, const char *text, size_t len)
+{
+	desk_t *d = arg;
+	endpoint_report_t r;
+	err_t e = { 0 };
+
+	d->call = NULL;
+	if (status != 200 || report_decode(&r, text, len, &e) == -1) {
+		note(LOG_WARNING, "report", "endpoint=%s status=%d why=\"%s\"",
+		    d->ep->entry.id, status, e.text);
+		d->wait_until = d->s->loop.now + RETRY_MS;
+		return;
+	}
+	d->ask = false;
+	if (r.born != d->born && r.born != 0) {
+		/* Its entry will say the same soon. */
+		d->ask = true;
+		d->wait_until = d->s->loop.now + RETRY_MS;
+		return;
+	}
+	note(LOG_NOTICE, "report",
+	    "endpoint=%s orders=%" PRId64 " known=%" PRId64 " busy=%d models=%d",
+	    d->ep->entry.id, r.orders, d->orders, r.busy, r.holds.nmodel);
+	if (r.orders > d->orders) {
+		d->orders = r.orders;
+		d->ep->entry.holds = r.holds;
+		d->ep->entry.orders = r.orders;
+	}
+	if (r.busy)
+		d->wait_until = d->s->loop.now + RETRY_MS;
+}
+
+void
+desk_report(desk_t *d)
+{
+	buf_t b = { 0 };
+	ms_t now = d->s->loop.now;
+
+	/* What it shows must be newer than what is asked about. */
+	if (d->call != NULL || now < d->wait_until ||
+	    now < d->sent + REPORT_LAG_MS)
+		return;
+	report_send(&b, d->ep->entry.addr);
+	d->load = false;
+	d->model[0] = d->adapter[0] = '\0';
+	d->call = webcall(d->s, &d->ep->sa, &b, REPORT_MS, reported, d);
+}
--- /dev/null
+++ b/serve/pages.c
@@ -0,0 +1,258 @@
+#define _GNU_SOURCE /* accept4() */
+#include "serve/serve.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	METRICS_PORT = 9464, /* as deploy/system.toml names it */
+	ADDRESSES_MAX = 64,  /* in one answer */
+	IDLE_MS = 10000,
+	HEAD_MAX = 8192, /* bytes */
+	LIST_AGE_MS = 2000, /* an address that left is asked so long */
+	NEAR_LEAST = 2,	 /* instances of the asker's own domain are enough */
+};
+
+typedef struct visitor {
+	serve_t *s;
+	link_t *link;
+	alarm_t idle;
+} visitor_t;
+
+typedef struct stand {
+	serve_t *s;
+	watch_t watch;
+} stand_t;
+
+static void
+leave(visitor_t *v)
+{
+	alarm_stop(&v->s->loop, &v->idle);
+	loop_bury(&v->s->loop, v);
+}
+
+static void
+reply(visitor_t *v, int status, const char *type, const buf_t *body)
+{
+	buf_fmt(&v->link->out,
+	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+	    "%s\r\n",
+	    status, http_reason(status), type, buf_len(body),
+	    v->link->keep ? "" : "Connection: close\r\n");
+	buf_add(&v->link->out, body->p, body->len);
+	link_flush(v->link);
+}
+
+static bool
+lists(const serve_t *s, const peer_t *p)
+{
+	return p->ready && !p->leaving && peer_alive(s, p) &&
+	    p->caller_addr[0] != '\0';
+}
+
+/* Instances of the asker's domain if they are enough, else all. */
+static int
+addresses(serve_t *s, const char *domain, char (*to)[ADDR_MAX])
+{
+	int near = 0, n = 0, i;
+	bool self = s->ready && !s->leaving, all;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		near += lists(s, s->peers.peer[i]) &&
+		    strcmp(s->peers.peer[i]->domain, domain) == 0;
+	near += self && strcmp(s->site.domain, domain) == 0;
+	all = near < NEAR_LEAST;
+	if (self && (all || strcmp(s->site.domain, domain) == 0))
+		str_copy(to[n++], ADDR_MAX, s->site.caller_addr);
+	for (i = 0; i < s->peers.npeer && n < ADDRESSES_MAX; i++) {
+		const peer_t *p = s->peers.peer[i];
+
+		if (lists(s, p) && (all || strcmp(p->domain, domain) == 0))
+			str_copy(to[n++], ADDR_MAX, p->caller_addr);
+	}
+	return n;
+}
+
+static void
+entries(visitor_t *v)
+{
+	char domain[ID_MAX], list[ADDRESSES_MAX][ADDR_MAX];
+	serve_t *s = v->s;
+	ms_t age = s->site.bounds.answer_age;
+	buf_t b = { 0 };
+	int n;
+
+	page_asker(head_target(&v->link->head), domain, sizeof(domain));
+	n = addresses(s, domain, list);
+	if (n == 0) {
+		buf_str(&b, "{\"error\":\"no instance is ready\"}");
+		reply(v, 503, "application/json", &b);
+		buf_free(&b);
+		return;
+	}
+	entries_encode(&b, (const char(*)[ADDR_MAX])list, n,
+	    age < LIST_AGE_MS ? age : LIST_AGE_MS);
+	reply(v, 200, "application/json", &b);
+	buf_free(&b);
+}
+
+static void
+metrics(visitor_t *v)
+{
+	serve_t *s = v->s;
+	char *text;
+	buf_t b = { 0 };
+
+	serve_gauges(s);
+	text = counters_text();
+	buf_str(&b, text);
+	free(text);
+	histo_text(&b, "ebonypitch_first_ms", "Until the first event.",
+	    &s->first_ms);
+	histo_text(
+	    &b, "ebonypitch_whole_ms", "Until a call ended.", &s->whole_ms);
+	reply(v, 200, "text/plain", &b);
+	buf_free(&b);
+}
+
+static void
+on_done(void *u, link_t *k)
+{
+	visitor_t *v = u;
+	const char *target = head_target(&k->head);
+	buf_t b = { 0 };
+
+	alarm_set(&v->s->loop, &v->idle, v->s->loop.now + IDLE_MS);
+	switch (page_find(target)) {
+	case PAGE_READY:
+		buf_str(&b, v->s->ready && !v->s->leaving ? "{\"ready\":true}"
+							   : "{\"ready\":false}");
+		reply(v, v->s->ready && !v->s->leaving ? 200 : 503,
+		    "application/json", &b);
+		break;
+	case PAGE_ENTRIES:
+		entries(v);
+		break;
+	case PAGE_NONE:
+		if (strcmp(target, "/metrics") == 0) {
+			metrics(v);
+			break;
+		}
+		buf_str(&b, "{\"error\":\"no such page\"}");
+		reply(v, 404, "application/json", &b);
+		break;
+	}
+	buf_free(&b);
+	if (k->keep) {
+		link_next(k);
+		return;
+	}
+	link_finish(k);
+	leave(v);
+}
+
+static void
+nothing(void *u, link_t *k)
+{
+	(void)u, (void)k;
+}
+
+static void
+no_body(void *u, link_t *k, const char *p, size_t n)
+{
+	(void)u, (void)k, (void)p, (void)n;
+}
+
+static void
+on_bad(void *u, link_t *k, int status)
+{
+	visitor_t *v = u;
+	buf_t b = { 0 };
+
+	buf_str(&b, "{\"error\":\"malformed\"}");
+	k->keep = false;
+	reply(v, status, "application/json", &b);
+	buf_free(&b);
+	link_finish(k);
+	leave(v);
+}
+
+static void
+on_end(void *u, link_t *k, link_end_t why)
+{
+	(void)k, (void)why;
+	leave(u);
+}
+
+static const link_ops_t ops = {
+	.head = nothing,
+	.body = no_body,
+	.done = on_done,
+	.bad = on_bad,
+	.end = on_end,
+};
+
+static void
+idle(void *arg)
+{
+	visitor_t *v = arg;
+
+	link_finish(v->link);
+	leave(v);
+}
+
+static void
+visit(void *arg, uint32_t ev)
+{
+	stand_t *st = arg;
+	serve_t *s = st->s;
+	visitor_t *v;
+	int fd;
+
+	(void)ev;
+	while ((fd = accept4(st->watch.fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1) {
+		v = calloc(1, sizeof(*v));
+		if (v == NULL)
+			abort();
+		v->s = s;
+		v->link = link_accept(&s->loop, fd, &ops, v);
+		v->link->head_max = v->link->body_max = HEAD_MAX;
+		v->idle = (alarm_t) { .fn = idle, .arg = v };
+		alarm_set(&s->loop, &v->idle, s->loop.now + IDLE_MS);
+	}
+	if (errno != EAGAIN && errno != EINTR)
+		note(LOG_WARNING, "accept", "why=\"%s\"", strerror(errno));
+}
+
+static int
+stand(serve_t *s, const char *addr, err_t *e)
+{
+	stand_t *st = calloc(1, sizeof(*st));
+
+	if (st == NULL)
+		abort();
+	st->s = s;
+	st->watch = (watch_t) { net_listen(addr, e), 0, visit, st };
+	if (st->watch.fd == -1) {
+		free(st);
+		return -1;
+	}
+	return watch_add(&s->loop, &st->watch, EPOLLIN);
+}
+
+int
+pages_open(serve_t *s, err_t *e)
+{
+	char addr[ADDR_MAX + 8];
+
+	snprintf(addr, sizeof(addr), "%s:%d", s->site.ip, METRICS_PORT);
+	if (stand(s, s->site.ready_addr, e) == -1 ||
+	    stand(s, s->site.entries_addr, e) == -1)
+		return -1;
+	return stand(s, addr, e);
+}
--- /dev/null
+++ b/serve/plan.c
@@ -0,0 +1,477 @@
+#include "serve/plan.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	TICK_MS = 100,
+	MOVES = 6,	  /* orders in one tick */
+	WANTS_MS = 3000,  /* a call that waits has given up by then */
+	ADAPTER_IDLE_MS = 3000, /* asked for since: it isn't dropped */
+	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
+	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
+	PACE = 15000,	  /* tokens/s, before any pace was learnt */
+};
+/* Work that one more copy of an adapter is worth, in parts of a pace. */
+static const double ADAPTER_BUSY = 0.3;
+
+/** Demand of all instances for one model or adapter. */
+typedef struct asked {
+	char adapter[16];
+	int model;
+	double work;
+	bool waiting;
+} asked_t;
+
+typedef struct board {
+	plan_t *p;
+	const service_def_t *def;
+	spread_model_t *model;
+	spread_ep_t *ep;
+	desk_t **desk;
+	uint8_t *held, *hand;
+	int nep;
+	GArray *adapter; /* asked_t */
+} board_t;
+
+static int
+model_index(const service_def_t *d, const char *name)
+{
+	int i;
+
+	for (i = 0; i < d->nmodel; i++)
+		if (strcmp(d->model[i].name, name) == 0)
+			return i;
+	return -1;
+}
+
+static void
+ask_for(board_t *b, const char *service, const char *model,
+    const char *adapter, double work, bool waiting)
+{
+	int m = model_index(b->def, model);
+	asked_t a = { .model = m, .work = work, .waiting = waiting };
+	guint i;
+
+	if (m == -1 || strcmp(service, b->def->name) != 0)
+		return;
+	if (*adapter == '\0') {
+		b->model[m].work += work;
+		b->model[m].waiting |= waiting;
+		return;
+	}
+	for (i = 0; i < b->adapter->len; i++) {
+		asked_t *x = &g_array_index(b->adapter, asked_t, i);
+
+		if (x->model == m && strcmp(x->adapter, adapter) == 0) {
+			x->work += work;
+			x->waiting |= waiting;
+			return;
+		}
+	}
+	if (str_copy(a.adapter, sizeof(a.adapter), adapter))
+		g_array_append_val(b->adapter, a);
+}
+
+static void
+gather_demand(board_t *b)
+{
+	serve_t *s = b->p->s;
+	ms_t now = s->loop.now;
+	GHashTableIter it;
+	gpointer v;
+	guint k;
+	int i;
+
+	g_hash_table_iter_init(&it, s->demand);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		demand_t *d = v;
+
+		ask_for(b, d->service, d->model, d->adapter, demand_now(s, d),
+		    d->waiting_at != 0 && now - d->waiting_at < WANTS_MS);
+	}
+	for (i = 0; i < s->peers.npeer; i++) {
+		peer_t *p = s->peers.peer[i];
+
+		if (!peer_alive(s, p))
+			continue;
+		for (k = 0; k < p->demand->len; k++) {
+			demand_told_t *t =
+			    &g_array_index(p->demand, demand_told_t, k);
+
+			ask_for(b, t->service, t->model, t->adapter, t->work,
+			    t->waiting && now - t->at < WANTS_MS);
+		}
+	}
+}
+
+static bool
+named(const char (*list)[ID_MAX], int n, const char *name)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(list[i], name) == 0)
+			return true;
+	return false;
+}
+
+static void
+put_endpoint(board_t *b, int e, desk_t *d)
+{
+	serve_t *s = b->p->s;
+	const holding_set_t *h = &d->ep->entry.holds;
+	int m;
+
+	b->desk[e] = d;
+	b->ep[e] = (spread_ep_t) {
+		.usable = ep_usable(d->ep) && d->ep->missing_at == 0 &&
+		    breaker_allows(&d->ep->breaker, s->loop.now),
+		.free = desk_free(d) && s->loop.now >= d->busy_until,
+		.room = b->def->weights_mb - desk_memory(d),
+		.pace = 1000 *
+		    (s->usual_pace.pace > 0 ? s->usual_pace.pace
+					    : PACE / 1000.0),
+	};
+	for (m = 0; m < b->def->nmodel; m++) {
+		const char *name = b->def->model[m].name;
+		uint8_t *to = &b->held[e * b->def->nmodel + m];
+
+		if (desk_going(d, name))
+			*to = SPREAD_GOING;
+		else if (named(h->model, h->nmodel, name))
+			*to = SPREAD_READY;
+		else if (desk_coming(d, name, ""))
+			*to = SPREAD_COMING;
+		b->hand[e * b->def->nmodel + m] =
+		    named(h->in_memory, h->nin_memory, name) ||
+		    named(h->on_disk, h->non_disk, name);
+	}
+}
+
+static void
+board_make(board_t *b, plan_t *p, const service_def_t *def)
+{
+	eps_t *f = &p->s->fleet;
+	int i;
+
+	*b = (board_t) { .p = p, .def = def };
+	b->model = g_new0(spread_model_t, def->nmodel + 1);
+	b->ep = g_new0(spread_ep_t, f->nep + 1);
+	b->desk = g_new0(desk_t *, f->nep + 1);
+	b->held = g_malloc0((gsize)f->nep * def->nmodel + 1);
+	b->hand = g_malloc0((gsize)f->nep * def->nmodel + 1);
+	b->adapter = g_array_new(FALSE, FALSE, sizeof(asked_t));
+	for (i = 0; i < def->nmodel; i++)
+		b->model[i].mb = def->model[i].weights_mb;
+	gather_demand(b);
+	for (i = 0; i < f->nep; i++) {
+		if (!f->ep[i]->listed ||
+		    strcmp(f->ep[i]->entry.service, def->name) != 0)
+			continue;
+		put_endpoint(b, b->nep++, desk_of(p, f->ep[i]));
+	}
+}
+
+static void
+board_free(board_t *b)
+{
+	g_free(b->model);
+	g_free(b->ep);
+	g_free(b->desk);
+	g_free(b->held);
+	g_free(b->hand);
+	g_array_free(b->adapter, TRUE);
+}
+
+/* Loads from the weight store that may begin now. */
+static bool
+may_fetch(const plan_t *p, const service_def_t *def)
+{
+	const site_bounds_t *bo = &p->s->site.bounds;
+	ms_t now = p->s->loop.now;
+	double most =
+	    floor(def->loads_per_s * (double)bo->ceiling_window / 1000);
+	int i, n = 0;
+
+	/* What the holder before us began isn't known. */
+	if (now - p->began < bo->ceiling_window && most > FIRST_LOADS)
+		most = FIRST_LOADS;
+	for (i = 0; i < LOADS_KEPT && i < p->nload; i++)
+		n += now - p->load_at[i] <= bo->ceiling_window;
+	return n < most;
+}
+
+static void
+count_load(plan_t *p)
+{
+	p->load_at[p->nload % LOADS_KEPT] = p->s->loop.now;
+	if (++p->nload >= 2 * LOADS_KEPT)
+		p->nload -= LOADS_KEPT;
+}
+
+static void
+move_models(board_t *b)
+{
+	plan_t *p = b->p;
+	const service_def_t *def = b->def;
+	spread_in_t in = { .model = b->model, .nmodel = def->nmodel,
+		.ep = b->ep, .nep = b->nep, .held = b->held, .hand = b->hand };
+	spread_move_t mv;
+	int i;
+
+	for (i = 0; i < MOVES; i++) {
+		in.may_fetch = may_fetch(p, def);
+		if (!spread_next(&in, &mv))
+			return;
+		if (mv.load && !b->hand[mv.ep * def->nmodel + mv.model])
+			count_load(p);
+		desk_order(p, b->desk[mv.ep], mv.load,
+		    def->model[mv.model].name, "",
+		    spread_reason_name(mv.reason));
+		/* One order an endpoint, and the board shows it. */
+		b->ep[mv.ep].free = false;
+		b->held[mv.ep * def->nmodel + mv.model] =
+		    mv.load ? SPREAD_COMING : SPREAD_GOING;
+		if (mv.load)
+			b->ep[mv.ep].room -= b->model[mv.model].mb;
+	}
+}
+
+/* Adapters. */
+
+static bool
+has_adapter(const board_t *b, const desk_t *d, const asked_t *a)
+{
+	const char *model = b->def->model[a->model].name;
+
+	return ep_holds(d->ep, model, a->adapter, INT64_MAX) ||
+	    desk_coming(d, model, a->adapter);
+}
+
+static double
+wanted_work(const board_t *b, int model, const char *adapter)
+{
+	guint i;
+
+	for (i = 0; i < b->adapter->len; i++) {
+		asked_t *x = &g_array_index(b->adapter, asked_t, i);
+
+		if (x->model == model && strcmp(x->adapter, adapter) == 0)
+			return x->work + (x->waiting ? PACE : 0);
+	}
+	return 0;
+}
+
+/* The adapter that is asked for least, to be unloaded; -1: none may go. */
+static int
+spare_adapter(const board_t *b, const desk_t *d, double gain)
+{
+	const holding_set_t *h = &d->ep->entry.holds;
+	double least = gain;
+	int i, best = -1;
+
+	for (i = 0; i < h->nadapter; i++) {
+		int m = model_index(b->def, h->model[h->adapter[i].model]);
+		double work = m == -1
+		    ? 0
+		    : wanted_work(b, m, h->adapter[i].name);
+
+		if (work < least) {
+			least = work;
+			best = i;
+		}
+	}
+	return best;
+}
+
+/* Adapters on their way; the endpoint takes a few at a time. */
+static int
+arriving(const desk_t *d)
+{
+	const ep_t *p = d->ep;
+	int i, n = 0;
+
+	for (i = 0; i < p->nlearnt; i++)
+		n += p->learnt[i].adapter[0] != '\0' && p->learnt[i].load &&
+		    d->s->loop.now < p->learnt[i].at;
+	return n;
+}
+
+static bool
+fits_adapter(const board_t *b, const desk_t *d, const asked_t *a)
+{
+	return desk_adapters(d) < b->def->adapter_slots &&
+	    desk_memory(d) + b->def->model[a->model].adapter_mb <=
+	    b->def->weights_mb;
+}
+
+static void
+place_adapter(board_t *b, const asked_t *a)
+{
+	plan_t *p = b->p;
+	const char *model = b->def->model[a->model].name;
+	desk_t *best = NULL, *full = NULL;
+	double cost, least = INFINITY;
+	int e, n;
+
+	for (e = 0; e < b->nep; e++) {
+		desk_t *d = b->desk[e];
+
+		if (!b->ep[e].usable || !desk_free(d) ||
+		    has_adapter(b, d, a) || arriving(d) >= ADAPTERS_AT_ONCE ||
+		    b->held[e * b->def->nmodel + a->model] != SPREAD_READY)
+			continue;
+		if (!fits_adapter(b, d, a)) {
+			full = d;
+			continue;
+		}
+		cost = burden_first(&d->ep->burden, &p->s->usual_pace, 0) +
+		    20 * desk_adapters(d);
+		if (cost < least) {
+			least = cost;
+			best = d;
+		}
+	}
+	if (best != NULL) {
+		desk_order(p, best, true, model, a->adapter,
+		    a->waiting ? "waiting" : "demand");
+		return;
+	}
+	if (full == NULL)
+		return;
+	n = spare_adapter(b, full, a->work + (a->waiting ? PACE : 0));
+	if (n == -1)
+		return;
+	desk_order(p, full, false,
+	    full->ep->entry.holds.model[full->ep->entry.holds.adapter[n].model],
+	    full->ep->entry.holds.adapter[n].name, "make-room");
+}
+
+static void
+move_adapters(board_t *b)
+{
+	double pace = b->nep > 0 ? b->ep[0].pace : PACE;
+	guint i;
+	int e;
+
+	for (i = 0; i < b->adapter->len; i++) {
+		asked_t *a = &g_array_index(b->adapter, asked_t, i);
+		int copies = 0, want = 1 + (int)(a->work /
+					(ADAPTER_BUSY * pace));
+
+		for (e = 0; e < b->nep; e++)
+			copies += b->ep[e].usable &&
+			    has_adapter(b, b->desk[e], a);
+		if (copies == 0 ? a->waiting || a->work > 0 : copies < want)
+			place_adapter(b, a);
+	}
+}
+
+static void
+ask_reports(board_t *b)
+{
+	int e;
+
+	for (e = 0; e < b->nep; e++)
+		if (b->desk[e]->ask)
+			desk_report(b->desk[e]);
+}
+
+static void
+round_of(plan_t *p)
+{
+	const config_t *c = p->s->config;
+	board_t b;
+	int i;
+
+	for (i = 0; c != NULL && i < c->nservice; i++) {
+		if (!c->service[i].engine)
+			continue;
+		board_make(&b, p, &c->service[i]);
+		ask_reports(&b);
+		move_adapters(&b);
+		move_models(&b);
+		board_free(&b);
+	}
+}
+
+static void
+tick(void *arg)
+{
+	plan_t *p = arg;
+
+	alarm_set(&p->s->loop, &p->tick, p->s->loop.now + TICK_MS);
+	lease_step(p);
+	p->wanted = false;
+	if (lease_may_order(p))
+		round_of(p);
+}
+
+void
+plan_wanted(serve_t *s)
+{
+	if (s->plan != NULL && s->plan->tenure.held)
+		s->plan->wanted = true;
+}
+
+void
+plan_turn(serve_t *s)
+{
+	plan_t *p = s->plan;
+
+	if (p == NULL || !p->wanted)
+		return;
+	p->wanted = false;
+	if (lease_may_order(p))
+		round_of(p);
+}
+
+void
+plan_want(serve_t *s, const call_t *c)
+{
+	demand_t *d = demand_find(
+	    s, c->service, c->ask.model, c->ask.adapter);
+
+	if (d->waiting_at == 0 ||
+	    s->loop.now - d->waiting_at > TICK_MS)
+		s->peers.tell_wants = true;
+	d->waiting_at = s->loop.now;
+	plan_wanted(s);
+}
+
+void
+plan_forget(serve_t *s, const ep_t *ep)
+{
+	desk_t *d;
+
+	if (s->plan == NULL)
+		return;
+	d = g_hash_table_lookup(s->plan->desk, ep);
+	if (d == NULL)
+		return;
+	webcall_drop(d->call);
+	g_hash_table_remove(s->plan->desk, ep);
+}
+
+void
+plan_leave(serve_t *s)
+{
+	if (s->plan != NULL)
+		lease_release(s->plan);
+}
+
+plan_t *
+plan_new(serve_t *s)
+{
+	plan_t *p = g_new0(plan_t, 1);
+
+	p->s = s;
+	tenure_init(&p->tenure, s->site.bounds.lease);
+	p->desk = g_hash_table_new_full(
+	    g_direct_hash, g_direct_equal, NULL, g_free);
+	p->tick = (alarm_t) { .fn = tick, .arg = p };
+	alarm_set(&s->loop, &p->tick, s->loop.now + TICK_MS);
+	return p;
+}
--- /dev/null
+++ b/serve/plan.h
@@ -0,0 +1,71 @@
+/**
+ * @file plan.h
+ * The holder's orders to endpoints: who holds the lease (lease.c), what is
+ * sent and what came of it (orders.c), and what to order (plan.c).
+ */
+#ifndef PLAN_H
+#define PLAN_H
+
+#include "serve/serve.h"
+#include "policy/spread.h"
+#include "policy/tenure.h"
+
+enum {
+	LOADS_KEPT = 64
+};
+
+/** Orders of this holder to one endpoint. */
+typedef struct desk {
+	serve_t *s;
+	ep_t *ep;
+	int64_t born;	/* of the process that `orders` counts for */
+	int64_t orders; /* that it has taken, as far as is known */
+	webcall_t *call;
+	/* The order that is on its way. */
+	char model[ID_MAX], adapter[16];
+	bool load;
+	ms_t sent;
+	/* A load whose fate isn't known may still land until then. */
+	char doubt[ID_MAX], doubt_adapter[16];
+	ms_t doubt_until;
+	bool ask;	/* a report is needed before the next order */
+	ms_t busy_until;
+	ms_t wait_until; /* after a refusal */
+} desk_t;
+
+struct plan {
+	serve_t *s;
+	tenure_t tenure;
+	alarm_t tick;
+	webcall_t *lease_call;
+	ms_t lease_sent, lease_next;
+	bool said_unable;
+	bool taking;
+	GHashTable *desk; /* by ep_t */
+	ms_t load_at[LOADS_KEPT]; /* from the weight store, a ring */
+	int nload;
+	ms_t began; /* as holder */
+	bool wanted;
+};
+
+void lease_step(plan_t *p);
+/** May an order go out at this moment? Reads the clock. */
+bool lease_may_order(plan_t *p);
+void lease_release(plan_t *p);
+
+desk_t *desk_of(plan_t *p, ep_t *ep);
+/** May it be given an order now? */
+bool desk_free(const desk_t *d);
+/** Give an order. @param why for the log */
+void desk_order(plan_t *p, desk_t *d, bool load, const char *model,
+    const char *adapter, const char *why);
+void desk_report(desk_t *d);
+/** MB that are or may come to be taken at the endpoint. */
+double desk_memory(const desk_t *d);
+/** Adapter places that are or may come to be taken. */
+int desk_adapters(const desk_t *d);
+/** A load that was taken and isn't done. */
+bool desk_coming(const desk_t *d, const char *model, const char *adapter);
+bool desk_going(const desk_t *d, const char *model);
+
+#endif
--- /dev/null
+++ b/serve/pool.c
@@ -0,0 +1,151 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+
+enum {
+	/* A peer that is cut off shows after KEEP_IDLE + PROBES * EVERY. */
+	KEEP_IDLE_S = 1,
+	KEEP_EVERY_S = 1,
+	KEEP_PROBES = 2,
+	IDLE_MS = 4000,	     /* kept without being told for how long */
+	IDLE_UNSAFE_MS = 2000, /* for calls that may run once only */
+	LEAST_WIRES = 4,     /* to an endpoint, however many instances */
+};
+
+static int
+most_wires(const serve_t *s, const ep_t *p)
+{
+	const service_def_t *d = config_service(s->config, p->entry.service);
+	int most = d != NULL ? d->connections : 0;
+
+	/* A tenth is left for those who know of fewer instances. */
+	most = most * 9 / 10 / peers_alive(s);
+	return most > LEAST_WIRES ? most : LEAST_WIRES;
+}
+
+static void
+forget(wire_t *w)
+{
+	ep_t *p = w->ep;
+	wire_t **at;
+
+	for (at = &p->idle; *at != NULL; at = &(*at)->next)
+		if (*at == w) {
+			*at = w->next;
+			p->nidle--;
+			break;
+		}
+	p->wires--;
+	loop_bury(&w->s->loop, w);
+}
+
+/* Half of what the endpoint says: a request on its way must not cross. */
+static bool
+stale(const wire_t *w, const call_t *c)
+{
+	ms_t age = w->s->loop.now - w->idle_since;
+	ms_t most = w->idle_for >= 0 ? w->idle_for / 2 : IDLE_MS;
+
+	if (most > IDLE_MS)
+		most = IDLE_MS;
+	if (!call_idempotent(c) && most > IDLE_UNSAFE_MS)
+		most = IDLE_UNSAFE_MS;
+	return age > most;
+}
+
+static void
+idle_end(void *u, link_t *k, link_end_t why)
+{
+	(void)k, (void)why;
+	forget(u);
+}
+
+static void
+idle_bytes(void *u, link_t *k)
+{
+	pool_drop(u);
+	(void)k;
+}
+
+/* What comes while nothing is asked for belongs to no call. */
+static const link_ops_t idle_ops = {
+	.head = idle_bytes,
+	.end = idle_end,
+};
+
+wire_t *
+pool_take(serve_t *s, ep_t *p, call_t *c, const link_ops_t *ops)
+{
+	wire_t *w;
+
+	while ((w = p->idle) != NULL) {
+		p->idle = w->next;
+		p->nidle--;
+		w->next = NULL;
+		if (!stale(w, c))
+			break;
+		link_close(w->link);
+		forget(w);
+	}
+	if (w != NULL) {
+		w->link->ops = ops;
+		w->link->held = false;
+		w->link->surplus = false;
+		w->fresh = false;
+		w->call = c->id;
+		return w;
+	}
+	if (p->wires >= most_wires(s, p))
+		return NULL;
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		abort();
+	*w = (wire_t) { .s = s, .ep = p, .call = c->id, .idle_for = -1,
+		.fresh = true };
+	w->link = link_connect(&s->loop, &p->sa, ops, w);
+	if (w->link == NULL) {
+		free(w);
+		return NULL;
+	}
+	link_keepalive(w->link, KEEP_IDLE_S, KEEP_EVERY_S, KEEP_PROBES);
+	p->wires++;
+	return w;
+}
+
+void
+pool_keep(wire_t *w)
+{
+	ep_t *p = w->ep;
+
+	if (!ep_usable(p)) {
+		pool_drop(w);
+		return;
+	}
+	w->call = 0;
+	w->idle_since = w->s->loop.now;
+	w->link->ops = &idle_ops;
+	w->link->held = true;
+	w->next = p->idle;
+	p->idle = w;
+	p->nidle++;
+}
+
+void
+pool_drop(wire_t *w)
+{
+	link_close(w->link);
+	forget(w);
+}
+
+void
+pool_lost(wire_t *w)
+{
+	forget(w);
+}
+
+void
+pool_clear(ep_t *p)
+{
+	while (p->idle != NULL)
+		pool_drop(p->idle);
+}
--- /dev/null
+++ b/serve/serve.c
@@ -0,0 +1,206 @@
+#include "serve/serve.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum {
+	TABLE_MAX = 4000,     /* calls in progress; each takes some KB */
+	FILE_MS = 1000,	      /* between looks at the settings file */
+	LEAVE_LEAST_MS = 3000, /* callers use their list so much longer */
+	LEAVE_MARGIN_MS = 400, /* before SIGKILL */
+	TIDY_MS = 1000,
+};
+
+static void
+leaving_tick(void *arg)
+{
+	serve_t *s = arg;
+	ms_t gone = s->loop.now - s->leave_at;
+
+	if ((table_count(s->calls) == 0 && gone >= LEAVE_LEAST_MS) ||
+	    gone >= s->site.bounds.grace - LEAVE_MARGIN_MS) {
+		s->loop.stop = true;
+		return;
+	}
+	alarm_set(&s->loop, &s->leave_alarm, s->loop.now + 50);
+}
+
+void
+serve_leave(serve_t *s)
+{
+	if (s->leaving)
+		return;
+	note(LOG_NOTICE, "leaving", "calls=%u guests=%d",
+	    table_count(s->calls), s->nguest);
+	s->leaving = true;
+	s->leave_at = s->loop.now;
+	plan_leave(s);
+	peers_tell(s);
+	door_leave(s);
+	s->leave_alarm = (alarm_t) { .fn = leaving_tick, .arg = s };
+	alarm_set(&s->loop, &s->leave_alarm, s->loop.now + 50);
+}
+
+/* What may change while the process runs: the rest needs a start. */
+void
+serve_reload(serve_t *s, const char *why)
+{
+	site_t fresh;
+	err_t e = { 0 };
+
+	if (site_read(&fresh, s->site_path, &e) == -1) {
+		note(LOG_ERR, "reload", "why=%s outcome=kept error=\"%s\"",
+		    why, e.text);
+		return;
+	}
+	s->site.bounds = fresh.bounds;
+	s->site.heartbeat = fresh.heartbeat;
+	s->site.history = fresh.history;
+	if (strcmp(s->site.store_addr, fresh.store_addr) != 0) {
+		str_copy(s->site.store_addr, ADDR_MAX, fresh.store_addr);
+		net_addr(s->site.store_addr, &s->store);
+	}
+	note(LOG_NOTICE, "reload", "why=%s outcome=taken", why);
+}
+
+static void
+signalled(void *arg, uint32_t ev)
+{
+	serve_t *s = arg;
+	struct signalfd_siginfo si;
+
+	(void)ev;
+	while (read(s->signals.fd, &si, sizeof(si)) == (ssize_t)sizeof(si)) {
+		if (si.ssi_signo == SIGHUP)
+			serve_reload(s, "signal");
+		else
+			serve_leave(s);
+	}
+}
+
+static int
+watch_signals(serve_t *s, err_t *e)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	s->signals = (watch_t) { signalfd(-1, &set,
+				     SFD_NONBLOCK | SFD_CLOEXEC),
+		0, signalled, s };
+	if (s->signals.fd == -1)
+		return err_set(
+		    e, ERR_INTERNAL, "signalfd: %s", strerror(errno));
+	return watch_add(&s->loop, &s->signals, EPOLLIN);
+}
+
+/* The file may change without a signal. */
+static void
+look_at_file(void *arg)
+{
+	serve_t *s = arg;
+	struct stat st;
+
+	alarm_set(&s->loop, &s->watch_site, s->loop.now + FILE_MS);
+	eps_tidy(s);
+	if (stat(s->site_path, &st) == -1)
+		return;
+	if (s->site_mtime.tv_sec != 0 &&
+	    (st.st_mtim.tv_sec != s->site_mtime.tv_sec ||
+		st.st_mtim.tv_nsec != s->site_mtime.tv_nsec))
+		serve_reload(s, "file");
+	s->site_mtime = st.st_mtim;
+}
+
+void
+serve_changed(serve_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->fleet.nep; i++) {
+		ep_t *p = s->fleet.ep[i];
+		const service_def_t *d =
+		    config_service(s->config, p->entry.service);
+
+		p->burden.capacity = d != NULL && d->engine ? d->kv_tokens : 0;
+	}
+	if (!s->ready && s->config != NULL && s->follow_endpoints.ever != 0) {
+		s->ready = true;
+		note(LOG_NOTICE, "ready", "config=%" PRId64 " endpoints=%d",
+		    s->config->version, s->fleet.nep);
+		peers_tell(s);
+	}
+	calls_retry(s);
+}
+
+static void
+turn(void *arg)
+{
+	serve_t *s = arg;
+
+	plan_turn(s);
+	peers_turn(s);
+	log_flush();
+}
+
+serve_t *
+serve_new(const char *path, err_t *e)
+{
+	serve_t *s = calloc(1, sizeof(*s));
+
+	if (s == NULL)
+		abort();
+	s->site_path = path;
+	if (site_read(&s->site, path, e) == -1)
+		return NULL;
+	log_open("ebonypitchd", s->site.instance, s->site.domain);
+	if (loop_init(&s->loop) == -1) {
+		err_set(e, ERR_INTERNAL, "epoll: %s", strerror(errno));
+		return NULL;
+	}
+	s->rng.s = hash_str(s->site.instance, (uint64_t)clock_wall());
+	s->calls = table_new(sizeof(call_t *), TABLE_MAX);
+	eps_init(&s->fleet);
+	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
+	s->usual = g_hash_table_new(g_str_hash, g_str_equal);
+	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
+	s->loop.turn = turn;
+	s->loop.turn_arg = s;
+	if (net_addr(s->site.store_addr, &s->store) == -1) {
+		err_set(e, ERR_INVAL, "platform.address isn't an address");
+		return NULL;
+	}
+	if (watch_signals(s, e) == -1 || door_open(s, e) == -1 ||
+	    pages_open(s, e) == -1 || peers_open(s, e) == -1)
+		return NULL;
+	s->watch_site = (alarm_t) { .fn = look_at_file, .arg = s };
+	alarm_set(&s->loop, &s->watch_site, s->loop.now + TIDY_MS);
+	follow_start(&s->follow_config, s, KIND_CONFIG);
+	follow_start(&s->follow_endpoints, s, KIND_ENDPOINTS);
+	follow_start(&s->follow_instances, s, KIND_INSTANCES);
+	s->plan = plan_new(s);
+	return s;
+}
+
+void
+serve_run(serve_t *s)
+{
+	note(LOG_NOTICE, "started",
+	    "caller_addr=%s store=%s peer_port=%d memory_mb=%d",
+	    s->site.caller_addr, s->site.store_addr, s->site.peer_port,
+	    s->site.memory_mb);
+	loop_run(&s->loop);
+	peers_goodbye(s);
+	note(LOG_NOTICE, "stopped", "calls=%u", table_count(s->calls));
+	log_flush();
+}
--- /dev/null
+++ b/serve/serve.h
@@ -0,0 +1,461 @@
+/**
+ * @file serve.h
+ * One instance: callers' calls go to endpoints, what the store says is
+ * followed, and one instance at a time orders what endpoints hold. All of it
+ * runs on one thread's event loop.
+ */
+#ifndef SERVE_H
+#define SERVE_H
+
+#include "net/net.h"
+#include "platform/platform.h"
+#include "policy/breaker.h"
+#include "policy/burden.h"
+#include "policy/retries.h"
+
+#include <glib.h>
+#include <time.h>
+
+typedef struct serve serve_t;
+typedef struct call call_t;
+
+/* Endpoints. fleet.c */
+
+/** A connection to an endpoint. */
+typedef struct wire {
+	serve_t *s;
+	struct ep *ep;
+	link_t *link;
+	handle_t call;	   /* 0: idle */
+	ms_t idle_since;
+	ms_t idle_for;	   /* the endpoint closes it after, -1: unknown */
+	bool fresh;	   /* carried nothing yet */
+	bool skipping;	   /* an answer to another call goes by */
+	bool tainted;	   /* one went by: not kept */
+	struct wire *next; /* of the idle ones, latest first */
+} wire_t;
+
+enum {
+	LEARNT_MAX = 24,
+	TRIED_MAX = 8,
+	FULL_RETRY_MS = 500, /* to come back when the instance is full */
+};
+
+/** A plain endpoint queues a few calls, so many times its slots. */
+static const double FILL_PLAIN = 2;
+
+/** An order that an endpoint took and its entry may not show yet. */
+typedef struct learnt {
+	int64_t orders; /* the endpoint's count with it */
+	char model[ID_MAX];
+	char adapter[16]; /* "": the model itself */
+	bool load;
+	ms_t at; /* when it is carried out, by estimate */
+} learnt_t;
+
+enum {
+	KEPT_MAX = 512 /* power of two; prompts' parts remembered */
+};
+
+/** A prompt's part that was sent to an endpoint. */
+typedef struct kept {
+	uint64_t key;
+	ms_t at;
+} kept_t;
+
+/** An endpoint as this instance knows it. */
+typedef struct ep {
+	endpoint_entry_t entry;
+	int64_t revision; /* of the entry */
+	struct sockaddr_in sa;
+	uint64_t hash;
+	bool listed;	  /* its entry stands in the store */
+	ms_t seen_at;	  /* when the entry was read last */
+	ms_t missing_at;  /* not in the store since, may come back; 0: no */
+	ms_t gone_at;
+	learnt_t learnt[LEARNT_MAX];
+	int nlearnt;
+	wire_t *idle;
+	int wires, nidle;
+	int calls;	  /* of ours on their way */
+	burden_t burden;
+	breaker_t breaker;
+	bool touched;	  /* its burden changed since it was told */
+	kept_t kept[KEPT_MAX];
+} ep_t;
+
+typedef struct fleet {
+	ep_t **ep;
+	int nep, room;
+	GHashTable *by_id, *by_hash;
+} eps_t;
+
+void eps_init(eps_t *f);
+ep_t *eps_find(const eps_t *f, const char *id);
+ep_t *eps_by_hash(const eps_t *f, uint64_t hash);
+/** An entry was read. @return the endpoint, or NULL if it names none. */
+ep_t *eps_entry(serve_t *s, const object_t *o);
+/** Its entry is gone. @param may_return the store was away just now */
+void eps_gone(serve_t *s, const char *id, bool may_return);
+/** Forget endpoints that are long gone. */
+void eps_tidy(serve_t *s);
+/** May a call be sent there, as far as its entry says? */
+bool ep_usable(const ep_t *p);
+/** An order was taken. @return true if that is news */
+bool ep_learn(ep_t *p, const learnt_t *l);
+/** @param adapter "": the model itself */
+bool ep_holds(const ep_t *p, const char *model, const char *adapter, ms_t now);
+
+/* Connections to endpoints. pool.c */
+
+/**
+ * Take a connection for a call. A kept one that was idle for long isn't used.
+ * @return NULL if none may be had now.
+ */
+wire_t *pool_take(serve_t *s, ep_t *p, call_t *c, const link_ops_t *ops);
+/** Give back one that may carry another call. */
+void pool_keep(wire_t *w);
+/** Close it; what runs there is cancelled by that. */
+void pool_drop(wire_t *w);
+/** Its connection has ended by itself. */
+void pool_lost(wire_t *w);
+/** Close the idle ones of an endpoint. */
+void pool_clear(ep_t *p);
+
+/* Calls. call.c, choose.c, answer.c, stream.c */
+
+typedef enum call_state {
+	ST_WAITING,	 /* for an endpoint or for what it must hold */
+	ST_CONNECTING, /* no byte was sent */
+	ST_SENT,	 /* it may have run */
+	ST_RELAYING,	 /* the caller has part of the answer */
+} call_state_t;
+
+struct call {
+	serve_t *s;
+	handle_t id;
+	struct guest *guest; /* the caller's connection */
+	call_head_t ask;
+	route_t route;
+	char service[ID_MAX];
+	const char *method;
+	buf_t body;
+	ms_t came, due; /* due: final answer at the latest */
+	call_state_t state;
+	alarm_t alarm;
+	bool ran;	 /* it may have run somewhere */
+	bool ran_before; /* and did before this attempt */
+	bool returned;	 /* the caller was refused before */
+	int sends;	 /* endpoints that got it */
+	ep_t *tried[TRIED_MAX], *full[TRIED_MAX];
+	int nfull;
+	const char *wait_why;
+
+	/* The attempt that is on. */
+	ep_t *ep;
+	wire_t *wire;
+	ms_t sent_at, heard_at;
+	burden_ticket_t ticket;
+	struct {
+		int status;
+		bool own; /* signed, for this call, as the endpoint made it */
+		bool not_run, stream;
+	} got;
+
+	/* The answer. */
+	int status;
+	bool passing;	/* its head went to the caller */
+	buf_t answer;	/* head, kept until it is known what to do */
+	buf_t text;	/* body, or a piece of an event */
+	int64_t last_event; /* that the caller has, -1: none */
+	int64_t resume_from; /* that it had when it called */
+	int events;
+	ms_t first_at, event_at;
+	call_t *next_waiting;
+};
+
+/** A request is whole. */
+void call_start(struct guest *g);
+/** The caller left. */
+void call_gone(call_t *c);
+call_t *call_get(serve_t *s, handle_t id);
+/** Try to send calls that wait; what they wait for may be there. */
+void calls_retry(serve_t *s);
+
+/* The same, for the parts of a call. */
+void call_dispatch(call_t *c);
+void call_end(call_t *c, const char *outcome);
+/** End with an answer of our own. @param retry ms, 0: none. */
+void call_answer(call_t *c, int status, const char *why, ms_t retry);
+/** End with what is true: failed if it may have run, else refused. */
+void call_give_up(call_t *c, const char *why, ms_t retry);
+/** End an answer that is under way so that it doesn't look whole. */
+void call_cut(call_t *c, const char *why);
+/** The attempt failed. @param not_run surely */
+void call_failed(call_t *c, bool not_run, const char *why);
+/** Let go of the attempt's connection. */
+void call_detach(call_t *c, bool keep);
+/** Set the alarm for what bounds its state. */
+void call_arm(call_t *c);
+void call_tick(call_t *c);
+bool call_idempotent(const call_t *c);
+/** Idempotent, with an attempt and budget left. */
+bool call_may_repeat(const call_t *c);
+extern const link_ops_t answer_ops;
+void stream_body(call_t *c, const char *p, size_t n);
+void stream_done(call_t *c, bool keep);
+void answer_head_text(call_t *c, const head_t *h, int status);
+/** The caller gets the endpoint's head. @param length -1: in chunks */
+void answer_pass(call_t *c, int64_t length);
+void answer_chunk(call_t *c, const char *p, size_t n);
+void answer_last_chunk(call_t *c);
+
+/* Who is served when not all can be. admit.c */
+
+/** Urgency at the endpoint, 0 (first) to 9. */
+int call_rank(const call_t *c);
+/** ms after it came by which its first event must be expected. */
+double call_bound(const call_t *c);
+/** @return true if the caller has less patience than it began with. */
+bool usual_patience(serve_t *s, const route_t *r, ms_t patience);
+/** Keep the usual share of failed calls. */
+void usual_failure(serve_t *s, bool failed);
+void retry_asked(serve_t *s, const char *service);
+bool retry_allowed(serve_t *s, const call_t *c);
+void retry_spent(serve_t *s, const call_t *c);
+void count_outcome(const call_t *c, const char *outcome);
+
+/** What choose() found. */
+typedef enum choice_kind {
+	CHOICE_SEND,
+	CHOICE_WAIT,	/* for a load or a free connection */
+	CHOICE_REFUSE,	/* can't be served in time */
+	CHOICE_NOWHERE, /* no endpoint of the service is left to try */
+} choice_kind_t;
+
+typedef struct choice {
+	choice_kind_t kind;
+	ep_t *ep;
+	ms_t first;   /* predicted ms to the first event */
+	ms_t retry;   /* when to come back */
+	int fresh;    /* prompt tokens to be read */
+	const char *why;
+} choice_t;
+
+void choose(call_t *c, choice_t *out);
+/** The endpoint gets the call's prompt. */
+void prefix_note(ep_t *p, const call_t *c, ms_t now);
+
+/* Callers' connections. door.c */
+
+typedef struct guest {
+	serve_t *s;
+	link_t *link;
+	handle_t call;
+	buf_t body;
+	alarm_t idle;
+	int served;
+	int place; /* in the list of guests */
+} guest_t;
+
+int door_open(serve_t *s, err_t *e);
+/** Answer a guest; @p extra are further header lines. */
+void guest_answer(guest_t *g, int status, const char *extra, const char *body);
+/** The answer is whole: next request, or close. */
+void guest_done(guest_t *g);
+/** Close what is idle: the instance leaves. */
+void door_leave(serve_t *s);
+
+/* Pages for callers, the platform and operators. pages.c */
+
+int pages_open(serve_t *s, err_t *e);
+
+/* The store. follow.c and webcall.c */
+
+/** One request to the store or, for orders and reports, to an endpoint. */
+typedef struct webcall webcall_t;
+typedef void webcall_fn(void *arg, int status, const char *text, size_t len);
+
+/** One kind that is listed, then watched. */
+typedef struct follow {
+	serve_t *s;
+	kind_t kind;
+	webcall_t *call;
+	alarm_t alarm;
+	int64_t as_of; /* 0: to be listed */
+	bool listing;
+	char after[ID_MAX];
+	GHashTable *seen; /* names in the list that is being read */
+	int failures;
+	ms_t good_at; /* last answer */
+	bool lost;
+	ms_t ever;     /* first whole list, 0: never */
+	ms_t regained; /* answers came again after an outage, 0: never */
+} follow_t;
+
+void follow_start(follow_t *f, serve_t *s, kind_t k);
+/**
+ * Send @p request, which is emptied.
+ * @param fn told once, later: status 0 means that no answer came
+ */
+webcall_t *webcall(serve_t *s, const struct sockaddr_in *to, buf_t *request,
+    ms_t span, webcall_fn *fn, void *arg);
+/** Let go: fn isn't called. */
+void webcall_drop(webcall_t *c);
+
+/* Other instances. peers.c */
+
+enum {
+	TAKEN_KEPT = 48
+};
+
+typedef struct peer_share {
+	ep_t *ep;
+	burden_share_t share;
+	bool told; /* in the last whole digest */
+} peer_share_t;
+
+typedef struct peer {
+	char instance[ID_MAX];
+	char ip[ADDR_MAX];
+	char domain[ID_MAX];
+	char caller_addr[ADDR_MAX];
+	struct sockaddr_in sa;
+	uint64_t incarnation;
+	uint32_t sequence; /* of its last datagram */
+	bool ready, leaving, holder, goodbye;
+	ms_t heard_at;	   /* 0: never */
+	ms_t known_at;
+	int64_t revision;  /* of its object, 0: none */
+	bool counted;	   /* its shares are in the burdens */
+	GHashTable *share; /* peer_share_t by ep_t */
+	GArray *demand;	   /* demand_told_t */
+} peer_t;
+
+/** Work that another instance's callers ask for. */
+typedef struct demand_told {
+	char service[ID_MAX];
+	char model[ID_MAX];
+	char adapter[ID_MAX];
+	double work;
+	bool waiting;
+	ms_t at;
+} demand_told_t;
+
+/** An order that was taken, to be told for a while. */
+typedef struct taken {
+	uint64_t endpoint;
+	learnt_t what;
+	ms_t since;
+} taken_t;
+
+typedef struct peers {
+	watch_t watch;
+	peer_t **peer;
+	int npeer, room;
+	alarm_t beat, share;
+	int64_t object; /* revision of our own, 0: not written */
+	webcall_t *writing;
+	uint64_t incarnation;
+	uint32_t sequence;
+	taken_t taken[TAKEN_KEPT];
+	int ntaken;
+	bool tell_taken, tell_wants; /* at the end of this turn */
+	ms_t wants_at;
+} peers_t;
+
+int peers_open(serve_t *s, err_t *e);
+void peers_object(serve_t *s, const object_t *o);
+/** Those not among the names in the store are forgotten when silent. */
+void peers_sweep(serve_t *s, GHashTable *names);
+void peers_forget(serve_t *s, const ep_t *p);
+/** Tell all at once: our state has changed. */
+void peers_tell(serve_t *s);
+/** We end. */
+void peers_goodbye(serve_t *s);
+/** An endpoint took an order of ours: let all know. */
+void peers_taken(serve_t *s, ep_t *p, const learnt_t *l);
+/** What was gathered in this turn goes out. */
+void peers_turn(serve_t *s);
+/** Instances that live, this one included. */
+int peers_alive(const serve_t *s);
+bool peer_alive(const serve_t *s, const peer_t *p);
+
+/* Demand by model and adapter. demand.c */
+
+typedef struct demand {
+	char service[ID_MAX];
+	char model[ID_MAX];
+	char adapter[ID_MAX];
+	double work; /* tokens a second, this instance's, decayed */
+	ms_t at;     /* of the last decay */
+	ms_t asked_at; /* last call */
+	ms_t waiting_at; /* last call that found none, 0: none */
+} demand_t;
+
+void demand_note(serve_t *s, const call_t *c);
+demand_t *demand_find(serve_t *s, const char *service, const char *model,
+    const char *adapter);
+double demand_now(const serve_t *s, const demand_t *d);
+
+/* Orders to endpoints. plan.c, lease.c */
+
+typedef struct plan plan_t;
+plan_t *plan_new(serve_t *s);
+/** A call waits for something that no endpoint holds. */
+void plan_want(serve_t *s, const call_t *c);
+bool plan_holder(const serve_t *s);
+void plan_forget(serve_t *s, const ep_t *p);
+/** Others wait for something: look at once. */
+void plan_wanted(serve_t *s);
+void plan_turn(serve_t *s);
+void plan_leave(serve_t *s);
+
+struct serve {
+	loop_t loop;
+	site_t site;
+	const char *site_path;
+	config_t *config;
+	ms_t config_at;
+	bool ready, leaving;
+	ms_t leave_at;
+	eps_t fleet;
+	table_t *calls; /* of call_t * */
+	call_t *waiting;
+	guest_t **guest;
+	int nguest, guest_room;
+	follow_t follow_config, follow_endpoints, follow_instances;
+	struct sockaddr_in store;
+	peers_t peers;
+	plan_t *plan;
+	watch_t door;
+	watch_t signals;
+	alarm_t watch_site, leave_alarm;
+	struct timespec site_mtime;
+	rng_t rng;
+	GHashTable *retries; /* retries_t by service */
+	GHashTable *usual;   /* longest patience seen, by route */
+	GHashTable *demand;  /* demand_t by service, model, adapter */
+	burden_usual_t usual_pace;
+	double usual_failed; /* share of calls */
+	histo_t first_ms, whole_ms;
+};
+
+serve_t *serve_new(const char *path, err_t *e);
+void serve_run(serve_t *s);
+/** Configuration, endpoints or instances changed. */
+void serve_changed(serve_t *s);
+/** Stop as soon as the calls in progress are done. */
+void serve_leave(serve_t *s);
+void serve_reload(serve_t *s, const char *why);
+/** Bring gauges up to date. */
+void serve_gauges(serve_t *s);
+/** Print a histogram in Prometheus's text form. */
+void histo_text(
+    buf_t *out, const char *name, const char *help, const histo_t *h);
+
+/** One line about a call or a belief, bounded in number by kind. */
+void note(int priority, const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/serve/stream.c
@@ -0,0 +1,104 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The end of the first whole event, or 0. */
+static size_t
+event_end(const char *p, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < n; i++) {
+		if (p[i] != '\n')
+			continue;
+		if (p[i + 1] == '\n')
+			return i + 2;
+		if (i + 2 < n && p[i + 1] == '\r' && p[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+/* The event's id, or -1. */
+static int64_t
+event_id(const char *p, size_t n)
+{
+	const char *end = p + n, *line = p, *next;
+
+	for (; line < end; line = next) {
+		next = memchr(line, '\n', (size_t)(end - line));
+		next = next != NULL ? next + 1 : end;
+		if (next - line > 3 && memcmp(line, "id:", 3) == 0)
+			return strtoll(line + 3, NULL, 10);
+	}
+	return -1;
+}
+
+static void
+first_seen(call_t *c)
+{
+	ms_t now = c->s->loop.now;
+
+	burden_first_seen(&c->ep->burden, &c->s->usual_pace, &c->ticket,
+	    now - c->sent_at);
+	c->ep->touched = true;
+	breaker_good(&c->ep->breaker);
+	usual_failure(c->s, false);
+	if (c->first_at == 0)
+		c->first_at = now;
+}
+
+void
+stream_body(call_t *c, const char *p, size_t n)
+{
+	ms_t now = c->s->loop.now;
+	size_t end;
+
+	buf_add(&c->text, p, n);
+	while ((end = event_end(
+		    c->text.p + c->text.off, buf_len(&c->text))) > 0) {
+		const char *ev = c->text.p + c->text.off;
+		int64_t id = event_id(ev, end);
+
+		if (c->event_at < c->sent_at || c->events == 0)
+			first_seen(c);
+		c->event_at = now;
+		if (id >= 0 && c->last_event >= 0 && id <= c->last_event) {
+			buf_take(&c->text, end);
+			continue;
+		}
+		if (id >= 0 && c->last_event >= 0 && id > c->last_event + 1) {
+			breaker_bad(&c->ep->breaker, false, now);
+			call_failed(c, false, "an event is missing");
+			return;
+		}
+		if (!c->passing)
+			answer_pass(c, -1);
+		answer_chunk(c, ev, end);
+		if (id >= 0)
+			c->last_event = id;
+		c->events++;
+		buf_take(&c->text, end);
+	}
+	call_arm(c);
+}
+
+void
+stream_done(call_t *c, bool keep)
+{
+	if (!c->passing && buf_len(&c->text) == 0) {
+		/* A stream of no events: whole, as the endpoint says. */
+		first_seen(c);
+		answer_pass(c, -1);
+	}
+	if (buf_len(&c->text) > 0) {
+		breaker_bad(&c->ep->breaker, false, c->s->loop.now);
+		call_failed(c, false, "the stream ended inside an event");
+		return;
+	}
+	call_detach(c, keep);
+	answer_last_chunk(c);
+	link_flush(c->guest->link);
+	call_end(c, "served");
+}
--- /dev/null
+++ b/serve/webcall.c
@@ -0,0 +1,171 @@
+#include "serve/serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	IDLE_LINKS = 4, /* kept connections to the store */
+	/* A store that is silent on an idle connection is noticed in 3 s. */
+	KEEP_IDLE_S = 1,
+	KEEP_EVERY_S = 1,
+	KEEP_PROBES = 2,
+};
+
+struct webcall {
+	serve_t *s;
+	link_t *link;
+	webcall_fn *fn;
+	void *arg;
+	alarm_t alarm;
+	buf_t text;
+	int status;
+	bool keep; /* its connection, for the next one */
+	bool dead;
+};
+
+static link_t *idle[IDLE_LINKS];
+static int nidle;
+
+static void
+finish(webcall_t *c, int status)
+{
+	webcall_fn *fn = c->fn;
+	buf_t text = c->text;
+
+	if (c->dead)
+		return;
+	c->dead = true;
+	alarm_stop(&c->s->loop, &c->alarm);
+	buf_add(&text, "", 1);
+	loop_bury(&c->s->loop, c);
+	if (fn != NULL)
+		fn(c->arg, status, text.p, text.len - 1);
+	buf_free(&text);
+}
+
+static void
+on_head(void *u, link_t *k)
+{
+	webcall_t *c = u;
+
+	if (c != NULL)
+		c->status = (int)k->parser.status_code;
+}
+
+static void
+on_body(void *u, link_t *k, const char *p, size_t n)
+{
+	webcall_t *c = u;
+
+	(void)k;
+	if (c != NULL)
+		buf_add(&c->text, p, n);
+}
+
+static void
+on_done(void *u, link_t *k)
+{
+	webcall_t *c = u;
+
+	if (c == NULL) {
+		link_close(k);
+		return;
+	}
+	k->user = NULL;
+	if (c->keep && k->keep && !k->surplus && nidle < IDLE_LINKS)
+		idle[nidle++] = k;
+	else
+		link_close(k);
+	c->link = NULL;
+	finish(c, c->status);
+}
+
+static void
+on_end(void *u, link_t *k, link_end_t why)
+{
+	webcall_t *c = u;
+	int i;
+
+	(void)why;
+	for (i = 0; i < nidle; i++)
+		if (idle[i] == k) {
+			idle[i] = idle[--nidle];
+			break;
+		}
+	if (c != NULL) {
+		c->link = NULL;
+		finish(c, 0);
+	}
+}
+
+static const link_ops_t ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.end = on_end,
+};
+
+void
+webcall_drop(webcall_t *c)
+{
+	if (c == NULL || c->dead)
+		return;
+	if (c->link != NULL) {
+		c->link->user = NULL;
+		link_close(c->link);
+	}
+	c->fn = NULL;
+	finish(c, 0);
+}
+
+static void
+too_late(void *arg)
+{
+	webcall_t *c = arg;
+
+	if (c->link != NULL) {
+		c->link->user = NULL;
+		link_close(c->link);
+		c->link = NULL;
+	}
+	finish(c, 0);
+}
+
+static bool
+to_store(const serve_t *s, const struct sockaddr_in *to)
+{
+	return to->sin_addr.s_addr == s->store.sin_addr.s_addr &&
+	    to->sin_port == s->store.sin_port;
+}
+
+webcall_t *
+webcall(serve_t *s, const struct sockaddr_in *to, buf_t *request, ms_t span,
+    webcall_fn *fn, void *arg)
+{
+	webcall_t *c = calloc(1, sizeof(*c));
+
+	if (c == NULL)
+		abort();
+	*c = (webcall_t) { .s = s, .fn = fn, .arg = arg };
+	c->alarm = (alarm_t) { .fn = too_late, .arg = c };
+	c->keep = to_store(s, to);
+	if (c->keep && nidle > 0) {
+		c->link = idle[--nidle];
+		c->link->user = c;
+		c->link->held = false;
+	} else {
+		c->link = link_connect(&s->loop, to, &ops, c);
+		if (c->link != NULL)
+			link_keepalive(c->link, KEEP_IDLE_S, KEEP_EVERY_S,
+			    KEEP_PROBES);
+	}
+	/* No connection: told by the alarm, so that fn never runs in here. */
+	alarm_set(&s->loop, &c->alarm, s->loop.now + (c->link ? span : 1));
+	if (c->link != NULL) {
+		buf_add(&c->link->out, request->p + request->off,
+		    buf_len(request));
+		link_flush(c->link);
+	}
+	buf_free(request);
+	return c;
+}
--- a/platform/audit.c
+++ b/store/audit.c
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <pthread.h>
 #include <stdlib.h>
--- a/platform/bucket.c
+++ b/store/bucket.c
@@ -1,4 +1,4 @@
-#include "platform/bucket.h"
+#include "store/bucket.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/platform/bucket.h
+++ b/store/bucket.h
@@ -8,7 +8,7 @@
 #ifndef PLATFORM_BUCKET_H
 #define PLATFORM_BUCKET_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <glib.h>
 
--- a/platform/claims.h
+++ b/store/claims.h
@@ -6,7 +6,7 @@
 #ifndef PLATFORM_CLAIMS_H
 #define PLATFORM_CLAIMS_H
 
-#include "platform/bucket.h"
+#include "store/bucket.h"
 
 #include <pthread.h>
 
--- a/platform/client.c
+++ b/store/client.c
@@ -1,11 +1,11 @@
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <curl/curl.h>
 #include <jansson.h>
 
-#include "platform/json.h"
+#include "store/json.h"
 
 enum {
 	URL_MAX = 1024,
--- a/platform/commit.c
+++ b/store/commit.c
@@ -1,4 +1,4 @@
-#include "platform/claims.h"
+#include "store/claims.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/platform/json.h
+++ b/store/json.h
@@ -5,7 +5,7 @@
 #ifndef PLATFORM_JSON_H
 #define PLATFORM_JSON_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <jansson.h>
 
--- a/platform/list.c
+++ b/store/list.c
@@ -1,10 +1,10 @@
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <jansson.h>
 
-#include "platform/json.h"
+#include "store/json.h"
 
 /* @return false if the field is there but doesn't fit. */
 static bool
--- a/tests/claims_proc.c
+++ b/tests/claims_proc.c
@@ -3,7 +3,7 @@
  * is a claims_t with its own thread; a gate in its store stops it in the
  * middle of a commit, as a pause of the process would.
  */
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "tests/proc.h"
 
 #include <stdlib.h>
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -3,7 +3,7 @@
  * loses, delays and reorders, driven by a seed. Where a call to the store
  * would wait, other owners go on: that is an owner frozen in mid-commit.
  */
-#include "platform/bucket.h"
+#include "store/bucket.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/tests/platform_proc.c
+++ b/tests/platform_proc.c
@@ -1,5 +1,5 @@
 /* The platform's client against the stand-in: outcomes of faults, leases. */
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "tests/proc.h"
 
 #include <stdlib.h>
