--- a/policy/spread.c
+++ b/policy/spread.c
@@ -153,7 +153,7 @@
 	int m, round;
 
 	/* Those that callers wait for, then those asked for, then the rest. */
-	for (round = 0; round < 3; round++)
+	for (round = 0; round < (in->settled ? 3 : 1); round++)
 		for (m = 0; m < in->nmodel; m++) {
 			const spread_model_t *mo = &in->model[m];
 
@@ -215,7 +215,8 @@
 spread_next(spread_in_t *in, spread_move_t *out)
 {
 	count(in);
-	return repair(in, out) || follow_demand(in, out) || second(in, out);
+	return repair(in, out) ||
+	    (in->settled && (follow_demand(in, out) || second(in, out)));
 }
 
 const char *
--- a/policy/spread.h
+++ b/policy/spread.h
@@ -39,6 +39,7 @@
 	int nep;
 	const uint8_t *held; /* held[ep * nmodel + model], spread_held_t */
 	const uint8_t *hand; /* the same: its weights are quick to load */
+	bool settled;	/* no endpoint came just now */
 	bool may_fetch; /* a load from the weight store is allowed now */
 } spread_in_t;
 
--- a/policy/tenure.c
+++ b/policy/tenure.c
@@ -80,8 +80,14 @@
 	t->read = false;
 }
 
+bool
+tenure_valid(const tenure_t *t, ms_t now)
+{
+	return t->held && now - t->renewed < valid(t);
+}
+
 bool
 tenure_may_order(const tenure_t *t, ms_t now)
 {
-	return t->held && now >= t->from && now - t->renewed < valid(t);
+	return now >= t->from && tenure_valid(t, now);
 }
--- a/policy/tenure.h
+++ b/policy/tenure.h
@@ -44,6 +44,8 @@
 bool tenure_due(const tenure_t *t, ms_t now);
 void tenure_renewed(tenure_t *t, int64_t revision, ms_t sent);
 void tenure_lost(tenure_t *t);
+/** Held, with a renewal young enough to order by. */
+bool tenure_valid(const tenure_t *t, ms_t now);
 /** To be asked right before each order. */
 bool tenure_may_order(const tenure_t *t, ms_t now);
 
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -5,7 +5,8 @@
 
 enum {
 	LAPSED_MS = 2500, /* an entry lost in an outage may come back */
-	LEARNT_MS = 20000, /* a change that the entry never showed is dropped */
+	FORGET_MS = 20000, /* an endpoint that is gone */
+	SHOWN_MS = 150,	   /* an entry older than that may lack it */
 };
 
 void
@@ -50,6 +51,7 @@
 	f->ep[f->nep++] = p;
 	g_hash_table_insert(f->by_id, p->entry.id, p);
 	g_hash_table_insert(f->by_hash, &p->hash, p);
+	s->came_at = s->loop.now;
 	return p;
 }
 
@@ -62,6 +64,7 @@
 	    p->entry.born);
 	pool_clear(p);
 	p->nlearnt = 0;
+	p->orders = 0;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	(void)s;
 }
@@ -139,7 +142,7 @@
 		    s->loop.now - p->missing_at > LAPSED_MS)
 			eps_gone(s, p->entry.id, false);
 		if (p->listed || p->calls > 0 || p->wires > 0 ||
-		    s->loop.now - p->gone_at < LEARNT_MS)
+		    s->loop.now - p->gone_at < FORGET_MS)
 			continue;
 		g_hash_table_remove(f->by_id, p->entry.id);
 		g_hash_table_remove(f->by_hash, &p->hash);
@@ -156,13 +159,19 @@
 	return p->listed && !p->entry.leaving;
 }
 
+bool
+ep_unshown(const ep_t *p, const learnt_t *l)
+{
+	return p->seen_at < l->at + SHOWN_MS;
+}
+
 bool
 ep_learn(ep_t *p, const learnt_t *l)
 {
 	int i;
 
-	if (l->orders <= p->entry.orders)
-		return false;
+	if (l->orders > p->orders)
+		p->orders = l->orders;
 	for (i = 0; i < p->nlearnt; i++)
 		if (p->learnt[i].orders == l->orders)
 			return false;
@@ -197,7 +206,7 @@
 	for (i = 0; i < p->nlearnt; i++) {
 		const learnt_t *l = &p->learnt[i];
 
-		if (l->orders <= p->entry.orders ||
+		if (!ep_unshown(p, l) ||
 		    strcmp(l->model, model) != 0)
 			continue;
 		if (strcmp(l->adapter, adapter) == 0)
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -6,6 +6,7 @@
 	WATCH_MS = 10000,    /* a quiet watch is asked again after */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
+	PACE_MS = 250,	     /* between answers: each is priced */
 	RETRY_FIRST_MS = 50, /* after a failure, doubling ... */
 	RETRY_MOST_MS = 800, /* ... so that an outage's end is seen soon */
 	LAPSED_MS = 2500,    /* entries may be away so long after an outage */
@@ -164,7 +165,10 @@
 	}
 	objects_free(&list);
 	serve_changed(s);
-	ask(f);
+	if (f->listing)
+		ask(f);
+	else
+		again(f, PACE_MS);
 }
 
 static void
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -17,6 +17,14 @@
 	return s->plan != NULL && s->plan->tenure.held;
 }
 
+bool
+plan_tells(const serve_t *s)
+{
+	const tenure_t *t = s->plan != NULL ? &s->plan->tenure : NULL;
+
+	return t != NULL && t->held && tenure_valid(t, s->loop.now);
+}
+
 bool
 lease_may_order(plan_t *p)
 {
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -10,7 +10,8 @@
 	ADAPTER_MS = 30,   /* an adapter's load, once taken */
 	RETRY_MS = 150,	   /* after a refusal */
 	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
-	SHOWN_MS = 6000,   /* a load that was taken shows by then */
+	SHOWN_MS = 4000,   /* an entry shows a load by then, or we ask */
+	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
 
 desk_t *
@@ -23,20 +24,35 @@
 		d->s = p->s;
 		d->ep = ep;
 		d->born = ep->entry.born;
-		d->orders = ep->entry.orders;
+		d->orders = ep->orders;
 		g_hash_table_insert(p->desk, ep, d);
 	}
 	if (d->born != ep->entry.born) {
 		/* A process started anew counts from nothing. */
 		d->born = ep->entry.born;
-		d->orders = ep->entry.orders;
+		d->orders = 0;
 		d->busy_until = 0;
 	}
-	if (ep->entry.orders > d->orders)
-		d->orders = ep->entry.orders;
+	if (ep->orders > d->orders)
+		d->orders = ep->orders;
 	return d;
 }
 
+void
+desk_check(desk_t *d)
+{
+	const ep_t *p = d->ep;
+	int i, n = 0;
+
+	for (i = 0; i < p->nlearnt; i++) {
+		if (!ep_unshown(p, &p->learnt[i]))
+			continue;
+		n++;
+		d->ask |= d->s->loop.now > p->learnt[i].at + SHOWN_MS;
+	}
+	d->ask |= n > UNSHOWN_MOST;
+}
+
 bool
 desk_free(const desk_t *d)
 {
@@ -64,13 +80,22 @@
 	return false;
 }
 
-/* Taken, and neither shown by the entry nor long overdue. */
+/* Taken, and neither shown by the entry nor undone. */
 static bool
 pending(const desk_t *d, const learnt_t *l)
 {
-	return l->load && !listed(d->ep, l->model, l->adapter) &&
-	    (l->orders > d->ep->entry.orders ||
-		d->s->loop.now < l->at + SHOWN_MS);
+	const ep_t *p = d->ep;
+	const learnt_t *m;
+
+	if (!l->load || !ep_unshown(p, l) ||
+	    listed(p, l->model, l->adapter))
+		return false;
+	for (m = l + 1; m < p->learnt + p->nlearnt; m++)
+		if (!m->load && strcmp(m->model, l->model) == 0 &&
+		    (m->adapter[0] == '\0' ||
+			strcmp(m->adapter, l->adapter) == 0))
+			return false;
+	return true;
 }
 
 static bool
@@ -102,7 +127,7 @@
 
 	for (i = 0; i < p->nlearnt; i++)
 		if (!p->learnt[i].load && p->learnt[i].adapter[0] == '\0' &&
-		    p->learnt[i].orders > p->entry.orders &&
+		    ep_unshown(p, &p->learnt[i]) &&
 		    strcmp(p->learnt[i].model, model) == 0)
 			return true;
 	return d->call != NULL && !d->load && d->adapter[0] == '\0' &&
@@ -298,11 +323,10 @@
 	note(LOG_NOTICE, "report",
 	    "endpoint=%s orders=%" PRId64 " known=%" PRId64 " busy=%d models=%d",
 	    d->ep->entry.id, r.orders, d->orders, r.busy, r.holds.nmodel);
-	if (r.orders > d->orders) {
-		d->orders = r.orders;
-		d->ep->entry.holds = r.holds;
-		d->ep->entry.orders = r.orders;
-	}
+	/* Newer than all that was sent: what it says is so. */
+	d->orders = d->ep->orders = r.orders;
+	d->ep->entry.holds = r.holds;
+	d->ep->seen_at = d->s->loop.now;
 	if (r.busy)
 		d->wait_until = d->s->loop.now + RETRY_MS;
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -193,7 +193,7 @@
 	d->sequence = ++s->peers.sequence;
 	d->ready = s->ready;
 	d->leaving = s->leaving;
-	d->holder = plan_holder(s);
+	d->holder = plan_tells(s);
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
 		note(LOG_WARNING, "digest-cut", "shares=%zu demands=%zu",
 		    d->n_share, d->n_demand);
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -12,6 +12,7 @@
 	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
 	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
 	PACE = 15000,	  /* tokens/s, before any pace was learnt */
+	SETTLED_MS = 2500, /* endpoints have come as far as they will */
 };
 /* Work that one more copy of an adapter is worth, in parts of a pace. */
 static const double ADAPTER_BUSY = 0.3;
@@ -211,13 +212,24 @@
 		p->nload -= LOADS_KEPT;
 }
 
+/* Copies may be missing only because their endpoints aren't listed yet. */
+static bool
+settled(const plan_t *p)
+{
+	const serve_t *s = p->s;
+
+	return s->loop.now - s->came_at > SETTLED_MS &&
+	    s->loop.now - p->began > SETTLED_MS;
+}
+
 static void
 move_models(board_t *b)
 {
 	plan_t *p = b->p;
 	const service_def_t *def = b->def;
 	spread_in_t in = { .model = b->model, .nmodel = def->nmodel,
-		.ep = b->ep, .nep = b->nep, .held = b->held, .hand = b->hand };
+		.ep = b->ep, .nep = b->nep, .held = b->held, .hand = b->hand,
+		.settled = settled(p) };
 	spread_move_t mv;
 	int i;
 
@@ -374,9 +386,11 @@
 {
 	int e;
 
-	for (e = 0; e < b->nep; e++)
+	for (e = 0; e < b->nep; e++) {
+		desk_check(b->desk[e]);
 		if (b->desk[e]->ask)
 			desk_report(b->desk[e]);
+	}
 }
 
 static void
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -54,6 +54,8 @@
 void lease_release(plan_t *p);
 
 desk_t *desk_of(plan_t *p, ep_t *ep);
+/** Ask for a report if the entry is silent on what was ordered. */
+void desk_check(desk_t *d);
 /** May it be given an order now? */
 bool desk_free(const desk_t *d);
 /** Give an order. @param why for the log */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -73,6 +73,7 @@
 	ms_t seen_at;	  /* when the entry was read last */
 	ms_t missing_at;  /* not in the store since, may come back; 0: no */
 	ms_t gone_at;
+	int64_t orders;	  /* that it has taken, as far as is known */
 	learnt_t learnt[LEARNT_MAX];
 	int nlearnt;
 	wire_t *idle;
@@ -101,6 +102,8 @@
 void eps_tidy(serve_t *s);
 /** May a call be sent there, as far as its entry says? */
 bool ep_usable(const ep_t *p);
+/** May the entry not show it yet? */
+bool ep_unshown(const ep_t *p, const learnt_t *l);
 /** An order was taken. @return true if that is news */
 bool ep_learn(ep_t *p, const learnt_t *l);
 /** @param adapter "": the model itself */
@@ -405,6 +408,8 @@
 /** A call waits for something that no endpoint holds. */
 void plan_want(serve_t *s, const call_t *c);
 bool plan_holder(const serve_t *s);
+/** May others rely on this holder? */
+bool plan_tells(const serve_t *s);
 void plan_forget(serve_t *s, const ep_t *p);
 /** Others wait for something: look at once. */
 void plan_wanted(serve_t *s);
@@ -419,6 +424,7 @@
 	ms_t config_at;
 	bool ready, leaving;
 	ms_t leave_at;
+	ms_t came_at; /* when an endpoint came last */
 	eps_t fleet;
 	table_t *calls; /* of call_t * */
 	call_t *waiting;
--- a/serve/webcall.c
+++ b/serve/webcall.c
@@ -9,6 +9,8 @@
 	KEEP_IDLE_S = 1,
 	KEEP_EVERY_S = 1,
 	KEEP_PROBES = 2,
+	/* A lost opening packet is sent again after a second and more. */
+	CONNECT_MS = 500,
 };
 
 struct webcall {
@@ -17,6 +19,7 @@
 	webcall_fn *fn;
 	void *arg;
 	alarm_t alarm;
+	ms_t until;
 	buf_t text;
 	int status;
 	bool keep; /* its connection, for the next one */
@@ -123,6 +126,11 @@
 {
 	webcall_t *c = arg;
 
+	if (c->link != NULL && !c->link->connecting &&
+	    c->s->loop.now < c->until) {
+		alarm_set(&c->s->loop, &c->alarm, c->until);
+		return;
+	}
 	if (c->link != NULL) {
 		c->link->user = NULL;
 		link_close(c->link);
@@ -160,6 +168,9 @@
 			    KEEP_PROBES);
 	}
 	/* No connection: told by the alarm, so that fn never runs in here. */
+	c->until = s->loop.now + span;
+	if (c->link != NULL && c->link->connecting && span > CONNECT_MS)
+		span = CONNECT_MS;
 	alarm_set(&s->loop, &c->alarm, s->loop.now + (c->link ? span : 1));
 	if (c->link != NULL) {
 		buf_add(&c->link->out, request->p + request->off,
