Orders: one at a time to an endpoint, and none is forgotten before it shows

Learnt orders were told apart by number alone; a report taken while a load is under way lists no trace of it; two orders to one endpoint went out in one round.

--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -173,17 +173,17 @@
 	if (l->orders > p->orders)
 		p->orders = l->orders;
 	for (i = 0; i < p->nlearnt; i++)
-		if (p->learnt[i].orders == l->orders)
+		if (p->learnt[i].orders == l->orders &&
+		    p->learnt[i].load == l->load &&
+		    strcmp(p->learnt[i].model, l->model) == 0 &&
+		    strcmp(p->learnt[i].adapter, l->adapter) == 0)
 			return false;
 	if (p->nlearnt == LEARNT_MAX) {
 		memmove(p->learnt, p->learnt + 1,
 		    (LEARNT_MAX - 1) * sizeof(*l));
 		p->nlearnt--;
 	}
-	/* In the order in which the endpoint took them. */
-	for (i = p->nlearnt; i > 0 && p->learnt[i - 1].orders > l->orders; i--)
-		p->learnt[i] = p->learnt[i - 1];
-	p->learnt[i] = *l;
+	p->learnt[p->nlearnt] = *l;
 	p->nlearnt++;
 	return true;
 }
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -9,6 +9,7 @@
 	LATE_MS = 13000,   /* an unanswered order is carried out by then */
 	ADAPTER_MS = 30,   /* an adapter's load, once taken */
 	RETRY_MS = 150,	   /* after a refusal */
+	BUSY_MS = 300,	   /* until a busy one is asked again */
 	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
 	SHOWN_MS = 4000,   /* an entry shows a load by then, or we ask */
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
@@ -59,6 +60,7 @@
 	ms_t now = d->s->loop.now;
 
 	return d->call == NULL && !d->ask && now >= d->wait_until &&
+	    now >= d->busy_until &&
 	    ep_usable(d->ep) && d->ep->missing_at == 0;
 }
 
@@ -186,6 +188,24 @@
 	return n + (d->call != NULL && d->load && d->adapter[0] != '\0');
 }
 
+/* All learn that the endpoint holds, or doesn't hold, what the order names. */
+static void
+announce(desk_t *d, bool load, int64_t orders, ms_t at)
+{
+	learnt_t l = { .orders = orders, .load = load, .at = at };
+
+	str_copy(l.model, ID_MAX, d->model);
+	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
+	ep_learn(d->ep, &l);
+	peers_taken(d->s, d->ep, &l);
+}
+
+static bool
+unloads_model(const desk_t *d)
+{
+	return !d->load && d->adapter[0] == '\0' && d->model[0] != '\0';
+}
+
 static void
 taken(desk_t *d, bool now_so)
 {
@@ -193,22 +213,18 @@
 	const service_def_t *def =
 	    config_service(s->config, d->ep->entry.service);
 	const model_conf_t *m = service_model(def, d->model);
-	learnt_t l = { .orders = d->orders + 1, .load = d->load };
+	ms_t at = s->loop.now;
 
 	d->orders++;
 	/* Whatever was in doubt had an older count and can't land now. */
 	d->doubt_until = 0;
-	str_copy(l.model, ID_MAX, d->model);
-	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
-	l.at = s->loop.now;
 	if (d->adapter[0] != '\0')
-		l.at += now_so ? 0 : ADAPTER_MS;
+		at += now_so ? 0 : ADAPTER_MS;
 	else if (m != NULL && d->load)
-		l.at += m->load * 11 / 10;
+		at += m->load * 11 / 10;
 	if (d->adapter[0] == '\0')
-		d->busy_until = l.at;
-	ep_learn(d->ep, &l);
-	peers_taken(s, d->ep, &l);
+		d->busy_until = at;
+	announce(d, d->load, d->orders, at);
 	s->plan->wanted = true;
 	calls_retry(s);
 }
@@ -247,7 +263,7 @@
 		if (!d->load && d->adapter[0] != '\0')
 			taken(d, true);
 		else
-			d->wait_until = d->s->loop.now + RETRY_MS;
+			announce(d, d->load, 0, d->s->loop.now);
 		return;
 	case ORDER_CONFLICT:
 		d->ask = true;
@@ -259,6 +275,8 @@
 		doubt(d);
 		break;
 	}
+	if (unloads_model(d) && r != ORDER_UNKNOWN)
+		announce(d, true, 0, d->s->loop.now);
 	d->wait_until = d->s->loop.now + RETRY_MS;
 }
 
@@ -274,7 +292,7 @@
 
 	order_send(&b, &o, d->ep->entry.addr);
 	/* The last look at the clock, after all that takes time. */
-	if (!lease_may_order(p)) {
+	if (d->call != NULL || !lease_may_order(p)) {
 		buf_free(&b);
 		return;
 	}
@@ -288,14 +306,9 @@
 	    d->ep->entry.id, load ? "load" : "unload", model, adapter, why,
 	    d->orders, p->tenure.token, desk_memory(d),
 	    s->loop.now - d->ep->seen_at);
-	if (!load && *adapter == '\0') {
-		/* Calls go elsewhere from now on. */
-		learnt_t l = { .orders = d->orders + 1, .at = s->loop.now };
-
-		str_copy(l.model, ID_MAX, model);
-		ep_learn(d->ep, &l);
-		peers_taken(s, d->ep, &l);
-	}
+	/* Calls go elsewhere from now on. */
+	if (unloads_model(d))
+		announce(d, false, 0, s->loop.now);
 	d->call = webcall(s, &d->ep->sa, &b, ORDER_MS, answered, d);
 }
 
@@ -325,10 +338,14 @@
 	    d->ep->entry.id, r.orders, d->orders, r.busy, r.holds.nmodel);
 	/* Newer than all that was sent: what it says is so. */
 	d->orders = d->ep->orders = r.orders;
+	if (r.busy) {
+		/* What is being loaded isn't among its models yet. */
+		d->busy_until = d->s->loop.now + BUSY_MS;
+		return;
+	}
 	d->ep->entry.holds = r.holds;
 	d->ep->seen_at = d->s->loop.now;
-	if (r.busy)
-		d->wait_until = d->s->loop.now + RETRY_MS;
+	d->ep->nlearnt = 0;
 }
 
 void
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -129,7 +129,7 @@
 	b->ep[e] = (spread_ep_t) {
 		.usable = ep_usable(d->ep) && d->ep->missing_at == 0 &&
 		    breaker_allows(&d->ep->breaker, s->loop.now),
-		.free = desk_free(d) && s->loop.now >= d->busy_until,
+		.free = desk_free(d),
 		.room = b->def->weights_mb - desk_memory(d),
 		.pace = 1000 *
 		    (s->usual_pace.pace > 0 ? s->usual_pace.pace
@@ -233,6 +233,9 @@
 	spread_move_t mv;
 	int i;
 
+	/* An adapter's order may just have gone out. */
+	for (i = 0; i < b->nep; i++)
+		b->ep[i].free = desk_free(b->desk[i]);
 	for (i = 0; i < MOVES; i++) {
 		in.may_fetch = may_fetch(p, def);
 		if (!spread_next(&in, &mv))
@@ -290,7 +293,10 @@
 		    ? 0
 		    : wanted_work(b, m, h->adapter[i].name);
 
-		if (work < least) {
+		/* One that is in use, or goes already, isn't spare. */
+		if (work < least &&
+		    ep_holds(d->ep, h->model[h->adapter[i].model],
+			h->adapter[i].name, INT64_MAX)) {
 			least = work;
 			best = i;
 		}
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -46,7 +46,7 @@
 
 /** An order that an endpoint took and its entry may not show yet. */
 typedef struct learnt {
-	int64_t orders; /* the endpoint's count with it */
+	int64_t orders; /* the endpoint's count with it, 0: not known */
 	char model[ID_MAX];
 	char adapter[16]; /* "": the model itself */
 	bool load;
