--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -457,7 +457,7 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[14] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[16] =
 {
   {
     "instance",
@@ -627,11 +627,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_news",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, config_news),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_news",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, endpoint_news),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   3,   /* field[3] = caller_addr */
+  14,   /* field[14] = config_news */
   11,   /* field[11] = demand */
   2,   /* field[2] = domain */
+  15,   /* field[15] = endpoint_news */
   13,   /* field[13] = goodbye */
   8,   /* field[8] = holder */
   4,   /* field[4] = incarnation */
@@ -647,7 +673,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -657,7 +683,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  14,
+  16,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -127,10 +127,15 @@
    * the process ends
    */
   protobuf_c_boolean goodbye;
+  /*
+   * The store's revision at the last change that was seen of each.
+   */
+  int64_t config_news;
+  int64_t endpoint_news;
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /* Digest__Share methods */
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -3,7 +3,16 @@
 #include <string.h>
 
 enum {
-	WATCH_MS = 10000,    /* a quiet watch is asked again after */
+	/*
+	 * A watch may miss a change and not be cut. It is asked again after
+	 * WATCH_EACH_MS for each instance, and they tell each other: one of
+	 * them finds out within about that.
+	 */
+	WATCH_EACH_MS = 600,
+	WATCH_LEAST_MS = 1200,
+	WATCH_MOST_MS = 10000,
+	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
+	BEHIND_MS = 300,     /* a change is on its way to us so long */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
 	PACE_MS = 250,	     /* between answers: each is priced */
@@ -114,6 +123,18 @@
 	again(f, wait / 2 + (ms_t)(rng_unit(&f->s->rng) * (double)wait));
 }
 
+static int64_t
+newest(const objects_t *l)
+{
+	int64_t r = 0;
+	int i;
+
+	for (i = 0; i < l->nobject; i++)
+		if (l->object[i].revision > r)
+			r = l->object[i].revision;
+	return r;
+}
+
 static void
 answered(void *arg, int status, const char *text, size_t len)
 {
@@ -139,7 +160,7 @@
 		fail(f, status);
 		return;
 	}
-	if (f->lost || s->loop.now - f->good_at > WATCH_MS + WATCH_SLACK_MS)
+	if (f->lost || s->loop.now - f->good_at > f->wait + WATCH_SLACK_MS)
 		f->regained = f->ever != 0 ? s->loop.now : 0;
 	if (f->lost) {
 		f->lost = false;
@@ -162,6 +183,10 @@
 			sweep(f);
 		f->listing = false;
 		f->as_of = list.as_of;
+		if (list.nobject > 0)
+			f->news = newest(&list);
+		if (f->news <= f->as_of)
+			f->behind = 0;
 	}
 	objects_free(&list);
 	serve_changed(s);
@@ -171,6 +196,20 @@
 		again(f, PACE_MS);
 }
 
+static ms_t
+wait_of(const follow_t *f)
+{
+	ms_t v = (ms_t)WATCH_EACH_MS * peers_alive(f->s);
+
+	if (f->kind == KIND_INSTANCES)
+		return WATCH_QUIET_MS;
+	v = v < WATCH_LEAST_MS ? WATCH_LEAST_MS
+	    : v > WATCH_MOST_MS ? WATCH_MOST_MS
+				: v;
+	/* Spread, so that instances don't ask together. */
+	return v * 3 / 4 + (ms_t)(rng_unit(&f->s->rng) * (double)v / 2);
+}
+
 static void
 ask(follow_t *f)
 {
@@ -186,9 +225,10 @@
 		}
 		objects_list(&b, f->kind, f->after, s->site.store_addr);
 	} else {
+		f->wait = wait_of(f);
 		objects_watch(
-		    &b, f->kind, f->as_of, WATCH_MS, s->site.store_addr);
-		span = WATCH_MS + WATCH_SLACK_MS;
+		    &b, f->kind, f->as_of, f->wait, s->site.store_addr);
+		span = f->wait + WATCH_SLACK_MS;
 	}
 	f->call = webcall(s, &s->store, &b, span, answered, f);
 }
@@ -208,3 +248,26 @@
 	f->good_at = s->loop.now;
 	ask(f);
 }
+
+void
+follow_news(follow_t *f, int64_t news)
+{
+	serve_t *s = f->s;
+
+	if (f->as_of == 0 || news <= f->as_of)
+		return;
+	if (f->behind == 0) {
+		f->behind = s->loop.now;
+		return;
+	}
+	if (s->loop.now - f->behind < BEHIND_MS)
+		return;
+	note(LOG_NOTICE, "watch-behind",
+	    "kind=%s as_of=%" PRId64 " news=%" PRId64, kind_name[f->kind],
+	    f->as_of, news);
+	f->behind = s->loop.now;
+	webcall_drop(f->call);
+	f->call = NULL;
+	alarm_stop(&s->loop, &f->alarm);
+	ask(f);
+}
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -194,6 +194,8 @@
 	d->ready = s->ready;
 	d->leaving = s->leaving;
 	d->holder = plan_tells(s);
+	d->config_news = s->follow_config.news;
+	d->endpoint_news = s->follow_endpoints.news;
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
 		note(LOG_WARNING, "digest-cut", "shares=%zu demands=%zu",
 		    d->n_share, d->n_demand);
@@ -514,6 +516,8 @@
 		drop_untold(p);
 	take_demand(s, p, d);
 	take_taken(s, d);
+	follow_news(&s->follow_config, d->config_news);
+	follow_news(&s->follow_endpoints, d->endpoint_news);
 }
 
 static void
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -286,17 +286,22 @@
 	webcall_t *call;
 	alarm_t alarm;
 	int64_t as_of; /* 0: to be listed */
+	int64_t news;  /* store's revision at the last change seen */
+	ms_t behind;   /* others saw a later one since, 0: no */
 	bool listing;
 	char after[ID_MAX];
 	GHashTable *seen; /* names in the list that is being read */
 	int failures;
 	ms_t good_at; /* last answer */
+	ms_t wait;    /* of the watch that is on */
 	bool lost;
 	ms_t ever;     /* first whole list, 0: never */
 	ms_t regained; /* answers came again after an outage, 0: never */
 } follow_t;
 
 void follow_start(follow_t *f, serve_t *s, kind_t k);
+/** Another instance saw a change at @p news: a watch may have missed it. */
+void follow_news(follow_t *f, int64_t news);
 /**
  * Send @p request, which is emptied.
  * @param fn told once, later: status 0 means that no answer came
