--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -70,7 +70,7 @@
 }
 
 ep_t *
-eps_entry(serve_t *s, const object_t *o)
+eps_entry(serve_t *s, const object_t *o, ms_t written)
 {
 	endpoint_entry_t en;
 	err_t e = { 0 };
@@ -82,8 +82,10 @@
 		    PRId64 " why=\"%s\"", o->name, o->revision, e.text);
 		return NULL;
 	}
-	if (p != NULL && o->revision < p->revision)
+	if (p != NULL && o->revision <= p->revision && p->listed) {
+		p->missing_at = 0;
 		return p;
+	}
 	if (p == NULL)
 		p = add(s, &en);
 	else if (p->entry.born != en.born)
@@ -96,6 +98,7 @@
 	p->listed = true;
 	p->missing_at = 0;
 	p->seen_at = s->loop.now;
+	p->written = written;
 	p->burden.slots = en.slots;
 	net_addr(en.addr, &p->sa);
 	if (fresh || was != !en.leaving)
@@ -162,7 +165,7 @@
 bool
 ep_unshown(const ep_t *p, const learnt_t *l)
 {
-	return p->seen_at < l->at + SHOWN_MS;
+	return p->written < l->at + SHOWN_MS;
 }
 
 bool
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -12,6 +12,7 @@
 	WATCH_LEAST_MS = 1200,
 	WATCH_MOST_MS = 10000,
 	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
+	FRESH_MS = 300,	     /* a change's way to us, with a slow store */
 	BEHIND_MS = 300,     /* a change is on its way to us so long */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
@@ -68,7 +69,7 @@
 			eps_gone(s, o->name, f->regained != 0 &&
 				s->loop.now - f->regained < LAPSED_MS);
 		else
-			eps_entry(s, o);
+			eps_entry(s, o, f->written);
 		break;
 	case KIND_INSTANCES:
 		peers_object(s, o);
@@ -167,6 +168,14 @@
 		note(LOG_NOTICE, "store-regained", "kind=%s away_ms=%" PRId64,
 		    kind_name[f->kind], s->loop.now - f->good_at);
 	}
+	/*
+	 * An answer that was waited for tells what has just been written; else
+	 * it may be anything since the answer before.
+	 */
+	if (!f->listing && s->loop.now - f->asked_at > FRESH_MS)
+		f->written = s->loop.now - FRESH_MS;
+	else
+		f->written = f->good_at;
 	f->failures = 0;
 	f->good_at = s->loop.now;
 	for (i = 0; i < list.nobject; i++) {
@@ -217,6 +226,7 @@
 	buf_t b = { 0 };
 	ms_t span = LIST_MS;
 
+	f->asked_at = s->loop.now;
 	if (f->as_of == 0) {
 		if (!f->listing) {
 			f->listing = true;
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -344,7 +344,7 @@
 		return;
 	}
 	d->ep->entry.holds = r.holds;
-	d->ep->seen_at = d->s->loop.now;
+	d->ep->seen_at = d->ep->written = d->s->loop.now;
 	d->ep->nlearnt = 0;
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -71,6 +71,7 @@
 	uint64_t hash;
 	bool listed;	  /* its entry stands in the store */
 	ms_t seen_at;	  /* when the entry was read last */
+	ms_t written;	  /* and was written at the earliest */
 	ms_t missing_at;  /* not in the store since, may come back; 0: no */
 	ms_t gone_at;
 	int64_t orders;	  /* that it has taken, as far as is known */
@@ -94,8 +95,12 @@
 void eps_init(eps_t *f);
 ep_t *eps_find(const eps_t *f, const char *id);
 ep_t *eps_by_hash(const eps_t *f, uint64_t hash);
-/** An entry was read. @return the endpoint, or NULL if it names none. */
-ep_t *eps_entry(serve_t *s, const object_t *o);
+/**
+ * An entry was read.
+ * @param written it was written then at the earliest
+ * @return the endpoint, or NULL if it names none
+ */
+ep_t *eps_entry(serve_t *s, const object_t *o, ms_t written);
 /** Its entry is gone. @param may_return the store was away just now */
 void eps_gone(serve_t *s, const char *id, bool may_return);
 /** Forget endpoints that are long gone. */
@@ -294,6 +299,8 @@
 	int failures;
 	ms_t good_at; /* last answer */
 	ms_t wait;    /* of the watch that is on */
+	ms_t asked_at;
+	ms_t written; /* what it tells was written then at the earliest */
 	bool lost;
 	ms_t ever;     /* first whole list, 0: never */
 	ms_t regained; /* answers came again after an outage, 0: never */
