--- a/serve/choose.c
+++ b/serve/choose.c
@@ -6,9 +6,15 @@
 	LOAD_GUESS_MS = 400, /* an adapter's load and the way there */
 	RETRY_LEAST_MS = 50,
 	BUSY_MS = 100, /* a place frees within about that */
+	LEAVE_SERVE_MS = 2000, /* calls that came until then have all of
+				  the grace */
 };
 /* An endpoint further down a prompt's list must be this much quicker. */
 static const double RANK_MS = 4;
+/* A token of output in a batch that is half full, by estimate. */
+static const double TOKEN_MS = 12;
+/* Part of what is left of the grace that a call may be expected to take. */
+static const double LEAVE_PART = 0.6;
 /* Prompts come back within this, or their parts have yielded. */
 enum {
 	PREFIX_MS = 20000
@@ -128,6 +134,18 @@
 	sc->fresh = fresh;
 }
 
+/* Would it last beyond the end of this instance? Another one takes it. */
+static bool
+outlasts(const call_t *c, double first)
+{
+	const serve_t *s = c->s;
+	ms_t left = s->leave_at + s->site.bounds.grace - s->loop.now;
+	double whole = first + c->ask.output * TOKEN_MS;
+
+	return s->leaving && c->came >= s->leave_at + LEAVE_SERVE_MS &&
+	    whole > (double)left * LEAVE_PART;
+}
+
 /* Refuse at once what wouldn't come in time. */
 static bool
 too_late(const call_t *c, double first, choice_t *out)
@@ -151,6 +169,10 @@
 
 	out->kind = CHOICE_NOWHERE;
 	out->retry = RETRY_LEAST_MS;
+	if (s->leaving && now - s->leave_at > LEAVE_SERVE_MS) {
+		out->why = "the instance ends, and nothing is free now";
+		return;
+	}
 	if (sc->usable == 0) {
 		out->why = "no endpoint of the service is there";
 		out->retry = s->site.heartbeat;
@@ -215,6 +237,12 @@
 		nowhere(c, &sc, out);
 		return;
 	}
+	if (outlasts(c, sc.first)) {
+		out->kind = CHOICE_REFUSE;
+		out->why = "the instance ends before the answer would";
+		out->retry = RETRY_ELSEWHERE_MS;
+		return;
+	}
 	if (c->ask.model[0] != '\0' && too_late(c, sc.first, out))
 		return;
 	out->kind = CHOICE_SEND;
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -14,6 +14,9 @@
 	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
 	FRESH_MS = 300,	     /* a change's way to us, with a slow store */
 	BEHIND_MS = 300,     /* a change is on its way to us so long */
+	POKE_MS = 1500,	     /* between asks because of others' news */
+	SHAKEN_MS = 4000,    /* after a cut or lost history, watches ... */
+	SHAKEN_WAIT_MS = 1000, /* ... are asked again so soon */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
 	PACE_MS = 250,	     /* between answers: each is priced */
@@ -101,6 +104,35 @@
 		f->ever = s->loop.now;
 }
 
+/* Ask anew, whatever is on. */
+static void
+renew(follow_t *f)
+{
+	webcall_drop(f->call);
+	f->call = NULL;
+	alarm_stop(&f->s->loop, &f->alarm);
+	ask(f);
+}
+
+/*
+ * One watch was cut or its history is gone: another may hang on without ever
+ * being told, so each is asked again.
+ */
+static void
+shaken(follow_t *f)
+{
+	serve_t *s = f->s;
+	follow_t *all[] = { &s->follow_config, &s->follow_endpoints };
+	size_t i;
+
+	if (s->loop.now - s->shaken_at < SHAKEN_WAIT_MS)
+		return;
+	s->shaken_at = s->loop.now;
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++)
+		if (all[i] != f && all[i]->as_of != 0 && all[i]->call != NULL)
+			renew(all[i]);
+}
+
 static void
 again(follow_t *f, ms_t after)
 {
@@ -113,6 +145,7 @@
 	ms_t wait = RETRY_FIRST_MS << (f->failures < 5 ? f->failures : 5);
 
 	f->failures++;
+	shaken(f);
 	if (!f->lost && f->failures >= 2) {
 		f->lost = true;
 		note(LOG_WARNING, "store-lost", "kind=%s status=%d age_ms=%"
@@ -151,6 +184,7 @@
 		    kind_name[f->kind], f->as_of);
 		f->as_of = 0;
 		f->listing = false;
+		shaken(f);
 		ask(f);
 		return;
 	}
@@ -212,6 +246,8 @@
 
 	if (f->kind == KIND_INSTANCES)
 		return WATCH_QUIET_MS;
+	if (f->s->loop.now - f->s->shaken_at < SHAKEN_MS)
+		return SHAKEN_WAIT_MS;
 	v = v < WATCH_LEAST_MS ? WATCH_LEAST_MS
 	    : v > WATCH_MOST_MS ? WATCH_MOST_MS
 				: v;
@@ -264,20 +300,18 @@
 {
 	serve_t *s = f->s;
 
-	if (f->as_of == 0 || news <= f->as_of)
+	if (f->as_of == 0 || news <= f->as_of || f->lost)
 		return;
 	if (f->behind == 0) {
 		f->behind = s->loop.now;
 		return;
 	}
-	if (s->loop.now - f->behind < BEHIND_MS)
+	if (s->loop.now - f->behind < BEHIND_MS ||
+	    s->loop.now - f->poked_at < POKE_MS)
 		return;
 	note(LOG_NOTICE, "watch-behind",
 	    "kind=%s as_of=%" PRId64 " news=%" PRId64, kind_name[f->kind],
 	    f->as_of, news);
-	f->behind = s->loop.now;
-	webcall_drop(f->call);
-	f->call = NULL;
-	alarm_stop(&s->loop, &f->alarm);
-	ask(f);
+	f->poked_at = s->loop.now;
+	renew(f);
 }
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -9,7 +9,7 @@
 	LATE_MS = 13000,   /* an unanswered order is carried out by then */
 	ADAPTER_MS = 30,   /* an adapter's load, once taken */
 	RETRY_MS = 150,	   /* after a refusal */
-	BUSY_MS = 300,	   /* until a busy one is asked again */
+	BUSY_MS = 400,	   /* until a busy one is asked again */
 	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
 	SHOWN_MS = 4000,   /* an entry shows a load by then, or we ask */
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
@@ -339,8 +339,12 @@
 	/* Newer than all that was sent: what it says is so. */
 	d->orders = d->ep->orders = r.orders;
 	if (r.busy) {
-		/* What is being loaded isn't among its models yet. */
-		d->busy_until = d->s->loop.now + BUSY_MS;
+		/*
+		 * What is being loaded isn't among its models yet, and an
+		 * earlier holder may have ordered it: ask until it is done.
+		 */
+		d->ask = true;
+		d->wait_until = d->s->loop.now + BUSY_MS;
 		return;
 	}
 	d->ep->entry.holds = r.holds;
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -13,7 +13,7 @@
 	ADDRESSES_MAX = 64,  /* in one answer */
 	IDLE_MS = 10000,
 	HEAD_MAX = 8192, /* bytes */
-	LIST_AGE_MS = 2000, /* an address that left is asked so long */
+	LIST_AGE_MS = 1000, /* some keep an answer three times as long */
 	NEAR_LEAST = 2,	 /* instances of the asker's own domain are enough */
 };
 
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -13,21 +13,41 @@
 	TABLE_MAX = 4000,     /* calls in progress; each takes some KB */
 	FILE_MS = 1000,	      /* between looks at the settings file */
 	LEAVE_LEAST_MS = 3000, /* callers use their list so much longer */
-	LEAVE_MARGIN_MS = 400, /* before SIGKILL */
+	LEAVE_MARGIN_MS = 500, /* before SIGKILL, for the last answers */
+	LEAVE_SENT_MS = 150,   /* for these to reach the callers */
 	TIDY_MS = 1000,
 };
 
+/* Every call gets an answer, true as far as it is known, before the end. */
+static void
+answer_all(serve_t *s)
+{
+	handle_t h, next;
+
+	for (h = table_next(s->calls, 0); h != 0; h = next) {
+		next = table_next(s->calls, h);
+		call_give_up(
+		    call_get(s, h), "the instance ends", RETRY_ELSEWHERE_MS);
+	}
+}
+
 static void
 leaving_tick(void *arg)
 {
 	serve_t *s = arg;
 	ms_t gone = s->loop.now - s->leave_at;
+	ms_t last = s->site.bounds.grace - LEAVE_MARGIN_MS;
 
-	if ((table_count(s->calls) == 0 && gone >= LEAVE_LEAST_MS) ||
-	    gone >= s->site.bounds.grace - LEAVE_MARGIN_MS) {
+	if (gone >= LEAVE_LEAST_MS && s->door.fd != -1)
+		watch_del(&s->loop, &s->door);
+	if ((table_count(s->calls) == 0 &&
+		gone >= LEAVE_LEAST_MS + LEAVE_SENT_MS) ||
+	    gone >= last + LEAVE_SENT_MS) {
 		s->loop.stop = true;
 		return;
 	}
+	if (gone >= last)
+		answer_all(s);
 	alarm_set(&s->loop, &s->leave_alarm, s->loop.now + 50);
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -38,6 +38,7 @@
 enum {
 	LEARNT_MAX = 24,
 	TRIED_MAX = 8,
+	RETRY_ELSEWHERE_MS = 50, /* another instance can take it at once */
 	FULL_RETRY_MS = 500, /* to come back when the instance is full */
 };
 
@@ -292,6 +293,7 @@
 	alarm_t alarm;
 	int64_t as_of; /* 0: to be listed */
 	int64_t news;  /* store's revision at the last change seen */
+	ms_t poked_at; /* when it was asked anew for that */
 	ms_t behind;   /* others saw a later one since, 0: no */
 	bool listing;
 	char after[ID_MAX];
@@ -436,6 +438,7 @@
 	ms_t config_at;
 	bool ready, leaving;
 	ms_t leave_at;
+	ms_t shaken_at; /* when a watch was cut last */
 	ms_t came_at; /* when an endpoint came last */
 	eps_t fleet;
 	table_t *calls; /* of call_t * */
