--- a/policy/burden.c
+++ b/policy/burden.c
@@ -56,6 +56,49 @@
 	    (b->own.unread + b->others.unread + fresh) / pace(b, u);
 }
 
+/* What is left of the level, and the rate at which it goes. */
+static double
+level(const burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo,
+    ms_t now)
+{
+	double v = b->level -
+	    (double)(now - b->level_at) * pace(b, u) * bo->part;
+
+	return v > 0 ? v : 0;
+}
+
+void
+burden_pour(burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo,
+    int tokens, ms_t now)
+{
+	b->level = level(b, u, bo, now) + tokens;
+	b->level_at = now;
+}
+
+double
+burden_wait(const burden_t *b, const burden_usual_t *u,
+    const burden_bounds_t *bo, int fresh, ms_t now)
+{
+	double rate = pace(b, u) * bo->part, most, v;
+
+	if (b->capacity == 0)
+		return 0;
+	most = pace(b, u) * bo->gap;
+	v = level(b, u, bo, now);
+	if (v + fresh <= most)
+		return 0;
+	if (fresh >= most)
+		return v / rate;
+	return (v + fresh - most) / rate;
+}
+
+double
+burden_rate(
+    const burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo)
+{
+	return pace(b, u) * bo->part;
+}
+
 int
 burden_room(const burden_t *b)
 {
--- a/policy/burden.h
+++ b/policy/burden.h
@@ -17,8 +17,20 @@
 	int memory;  /* tokens that they take, output included */
 } burden_share_t;
 
+/**
+ * Prompts read without a pause keep all streams of the endpoint waiting: one
+ * after another they would miss their gaps and never end. So prompts are sent
+ * at a part of the endpoint's pace, and only so many at once.
+ */
+typedef struct burden_bounds {
+	double part;	/* of the pace that prompts may take, 0..1 */
+	double gap;	/* ms that a stream may wait between its events */
+} burden_bounds_t;
+
 typedef struct burden {
 	burden_share_t own, others;
+	double level;	 /* tokens sent and not yet worked off at that part */
+	ms_t level_at;
 	double pace;	 /* prompt tokens read in a ms, 0: not learnt */
 	double work;	 /* ms of a plain call alone, 0: not learnt */
 	int slots;	 /* calls in one batch */
@@ -47,6 +59,18 @@
  * with @p fresh prompt tokens to be read.
  */
 double burden_first(const burden_t *b, const burden_usual_t *u, int fresh);
+/** Tokens were sent there, by this instance or another one. */
+void burden_pour(burden_t *b, const burden_usual_t *u,
+    const burden_bounds_t *bo, int tokens, ms_t now);
+/**
+ * ms until a call with @p fresh tokens may be sent, 0: now. One that is too
+ * large for the bounds goes to an endpoint that has nothing to read.
+ */
+double burden_wait(const burden_t *b, const burden_usual_t *u,
+    const burden_bounds_t *bo, int fresh, ms_t now);
+/** Prompt tokens a ms that may be sent there. */
+double burden_rate(const burden_t *b, const burden_usual_t *u,
+    const burden_bounds_t *bo);
 /** Tokens of memory that are free beside what is promised. */
 int burden_room(const burden_t *b);
 /** Share of its slots in use. */
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -69,7 +69,6 @@
 	}
 	switch (c->state) {
 	case ST_WAITING:
-		call_dispatch(c);
 		return;
 	case ST_CONNECTING:
 		if (now >= c->sent_at + CONNECT_MS) {
--- a/serve/call.c
+++ b/serve/call.c
@@ -8,7 +8,6 @@
 	CALLS_MAX = 4000,  /* in progress; each takes some KB */
 	GUESS_MS = 10000,  /* patience of a caller that says none */
 	SLACK_MS = 30,	   /* the caller hears of its time limit itself */
-	WAIT_TICK_MS = 25, /* a waiting call looks again */
 };
 
 call_t *
@@ -164,43 +163,15 @@
 		return;
 	}
 	demand_note(s, c);
-	call_dispatch(c);
-}
-
-static void
-unwait(call_t *c)
-{
-	call_t **at;
-
-	for (at = &c->s->waiting; *at != NULL; at = &(*at)->next_waiting)
-		if (*at == c) {
-			*at = c->next_waiting;
-			c->next_waiting = NULL;
-			return;
-		}
-}
-
-/* Behind those that wait already. */
-static void
-wait_for(call_t *c)
-{
-	call_t **at;
-
-	for (at = &c->s->waiting; *at != NULL; at = &(*at)->next_waiting)
-		if (*at == c)
-			return;
-	*at = c;
-}
-
-void
-calls_retry(serve_t *s)
-{
-	call_t *c = s->waiting, *next;
-
-	for (; c != NULL; c = next) {
-		next = c->next_waiting;
-		call_dispatch(c);
+	/* Those that wait come first, by their rank. */
+	if (s->waiting != NULL) {
+		c->state = ST_WAITING;
+		queue_add(c);
+		queue_wake(s);
+		alarm_set(&s->loop, &c->alarm, c->due);
+		return;
 	}
+	call_dispatch(c);
 }
 
 static void
@@ -225,7 +196,7 @@
 		send.left = 1;
 	if (c->ask.model[0] != '\0')
 		send.rank = call_rank(c);
-	unwait(c);
+	queue_remove(c);
 	c->ep = p;
 	c->state = ST_CONNECTING;
 	c->sent_at = c->heard_at = s->loop.now;
@@ -236,7 +207,10 @@
 	p->calls++;
 	breaker_sent(&p->breaker, s->loop.now);
 	burden_send(&p->burden, &s->usual_pace, &c->ticket, ch->fresh, memory);
-	p->touched = true;
+	burden_pour(&p->burden, &s->usual_pace, &s->bounds, ch->fresh,
+	    s->loop.now);
+	p->sent += (uint32_t)ch->fresh;
+	peers_touched(s, p);
 	prefix_note(p, c, s->loop.now);
 	c->wire->link->no_body = strcmp(c->method, "HEAD") == 0;
 	call_send_head(&c->wire->link->out, &send);
@@ -281,11 +255,12 @@
 	case CHOICE_WAIT:
 		c->state = ST_WAITING;
 		c->wait_why = ch.why;
-		wait_for(c);
-		alarm_set(&s->loop, &c->alarm, s->loop.now + WAIT_TICK_MS);
+		queue_add(c);
+		alarm_set(&s->loop, &c->alarm, c->due);
 		return;
 	case CHOICE_REFUSE:
 	case CHOICE_NOWHERE:
+		queue_remove(c);
 		call_give_up(c, ch.why, ch.retry);
 		return;
 	}
@@ -308,7 +283,7 @@
 	if (c->ep != NULL) {
 		burden_end(&c->ep->burden, &c->ticket);
 		c->ep->calls--;
-		c->ep->touched = true;
+		peers_touched(c->s, c->ep);
 	}
 	c->ep = NULL;
 	c->wire = NULL;
@@ -334,7 +309,7 @@
 	    s->loop.now - c->came, c->events);
 	count_outcome(c, outcome);
 	call_detach(c, false);
-	unwait(c);
+	queue_remove(c);
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -11,6 +11,8 @@
 };
 /* An endpoint further down a prompt's list must be this much quicker. */
 static const double RANK_MS = 4;
+/* A way to another domain costs the operators, and the call some ms. */
+static const double FAR_ENGINE_MS = 25, FAR_PLAIN_MS = 5;
 /* A token of output in a batch that is half full, by estimate. */
 static const double TOKEN_MS = 12;
 /* Part of what is left of the grace that a call may be expected to take. */
@@ -83,6 +85,8 @@
 	int fresh;
 	int usable, holding, tried, full, broken;
 	double shortest; /* predicted first event anywhere */
+	double wait;	 /* until one may take it, least */
+	double pace;	 /* tokens a ms that those which hold it take */
 } scan_t;
 
 static void
@@ -92,7 +96,7 @@
 	ms_t now = s->loop.now;
 	bool engine = c->ask.model[0] != '\0';
 	int fresh = c->ask.prompt;
-	double first, cost;
+	double first, cost, wait;
 
 	if (!ep_usable(p) || strcmp(p->entry.service, c->service) != 0)
 		return;
@@ -121,11 +125,20 @@
 		sc->full++;
 		return;
 	}
+	wait = burden_wait(
+	    &p->burden, &s->usual_pace, &s->bounds, fresh, now);
+	sc->pace += burden_rate(&p->burden, &s->usual_pace, &s->bounds);
+	if (wait > 0) {
+		sc->full++;
+		if (sc->wait == 0 || wait < sc->wait)
+			sc->wait = wait;
+		return;
+	}
 	cost = first * breaker_weight(&p->breaker, s->usual_failed);
 	/* Prompts with the same parts tend to the same endpoints. */
 	cost += RANK_MS * (double)(hash64(&p->hash, 8, group) % 1000) / 100;
-	if (!engine && strcmp(p->entry.domain, s->site.domain) != 0)
-		cost += 2;
+	if (strcmp(p->entry.domain, s->site.domain) != 0)
+		cost += engine ? FAR_ENGINE_MS : FAR_PLAIN_MS;
 	if (sc->best != NULL && cost >= sc->cost)
 		return;
 	sc->best = p;
@@ -194,9 +207,15 @@
 		return;
 	}
 	if (sc->full > 0) {
+		double wait = sc->wait > 0 ? sc->wait : BUSY_MS;
+
+		/* Those before it go first, here and on other instances. */
+		if (sc->pace > 0)
+			wait += queue_ahead(c) * peers_alive(s) / sc->pace;
 		out->why = "all endpoints are full";
-		out->retry = BUSY_MS;
-		if (now - c->came + BUSY_MS < c->route.promise / 2)
+		out->retry = (ms_t)wait + RETRY_LEAST_MS;
+		if ((double)(now - c->came) + wait + sc->shortest <=
+		    call_bound(c))
 			out->kind = CHOICE_WAIT;
 		return;
 	}
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -7,49 +7,49 @@
 #endif
 
 #include "serve/digest.pb-c.h"
-void   digest__share__init
-                     (Digest__Share         *message)
+void   digest__card__init
+                     (Digest__Card         *message)
 {
-  static const Digest__Share init_value = DIGEST__SHARE__INIT;
+  static const Digest__Card init_value = DIGEST__CARD__INIT;
   *message = init_value;
 }
-size_t digest__share__get_packed_size
-                     (const Digest__Share *message)
+size_t digest__card__get_packed_size
+                     (const Digest__Card *message)
 {
-  assert(message->base.descriptor == &digest__share__descriptor);
+  assert(message->base.descriptor == &digest__card__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t digest__share__pack
-                     (const Digest__Share *message,
+size_t digest__card__pack
+                     (const Digest__Card *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &digest__share__descriptor);
+  assert(message->base.descriptor == &digest__card__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t digest__share__pack_to_buffer
-                     (const Digest__Share *message,
+size_t digest__card__pack_to_buffer
+                     (const Digest__Card *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &digest__share__descriptor);
+  assert(message->base.descriptor == &digest__card__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Digest__Share *
-       digest__share__unpack
+Digest__Card *
+       digest__card__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Digest__Share *)
-     protobuf_c_message_unpack (&digest__share__descriptor,
+  return (Digest__Card *)
+     protobuf_c_message_unpack (&digest__card__descriptor,
                                 allocator, len, data);
 }
-void   digest__share__free_unpacked
-                     (Digest__Share *message,
+void   digest__card__free_unpacked
+                     (Digest__Card *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &digest__share__descriptor);
+  assert(message->base.descriptor == &digest__card__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   digest__demand__init
@@ -187,81 +187,81 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__share__field_descriptors[4] =
+static const ProtobufCFieldDescriptor digest__card__field_descriptors[4] =
 {
   {
-    "endpoint",
+    "instance",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Digest__Share, endpoint),
-    NULL,
+    offsetof(Digest__Card, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unread",
+    "ip",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Digest__Share, unread),
-    NULL,
+    offsetof(Digest__Card, ip),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "domain",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Digest__Share, running),
-    NULL,
+    offsetof(Digest__Card, domain),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory",
+    "caller_addr",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Digest__Share, memory),
-    NULL,
+    offsetof(Digest__Card, caller_addr),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned digest__share__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  3,   /* field[3] = memory */
-  2,   /* field[2] = running */
-  1,   /* field[1] = unread */
+static const unsigned digest__card__field_indices_by_name[] = {
+  3,   /* field[3] = caller_addr */
+  2,   /* field[2] = domain */
+  0,   /* field[0] = instance */
+  1,   /* field[1] = ip */
 };
-static const ProtobufCIntRange digest__share__number_ranges[1 + 1] =
+static const ProtobufCIntRange digest__card__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor digest__share__descriptor =
+const ProtobufCMessageDescriptor digest__card__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "digest.Share",
-  "Share",
-  "Digest__Share",
+  "digest.Card",
+  "Card",
+  "Digest__Card",
   "digest",
-  sizeof(Digest__Share),
+  sizeof(Digest__Card),
   4,
-  digest__share__field_descriptors,
-  digest__share__field_indices_by_name,
-  1,  digest__share__number_ranges,
-  (ProtobufCMessageInit) digest__share__init,
+  digest__card__field_descriptors,
+  digest__card__field_indices_by_name,
+  1,  digest__card__number_ranges,
+  (ProtobufCMessageInit) digest__card__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor digest__demand__field_descriptors[5] =
@@ -360,7 +360,7 @@
     "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
     offsetof(Digest__Taken, endpoint),
     NULL,
@@ -457,223 +457,262 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[16] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[19] =
 {
   {
-    "instance",
+    "sender",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, instance),
+    offsetof(Digest__Digest, sender),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ip",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, ip),
+    offsetof(Digest__Digest, incarnation),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "domain",
+    "sequence",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, domain),
+    offsetof(Digest__Digest, sequence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "caller_addr",
+    "ready",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, caller_addr),
+    offsetof(Digest__Digest, ready),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "leaving",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, incarnation),
+    offsetof(Digest__Digest, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "holder",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, sequence),
+    offsetof(Digest__Digest, holder),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ready",
+    "goodbye",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, ready),
+    offsetof(Digest__Digest, goodbye),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "whole",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, leaving),
+    offsetof(Digest__Digest, whole),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holder",
+    "all_demand",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, holder),
+    offsetof(Digest__Digest, all_demand),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "whole",
+    "card",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Digest__Digest, whole),
-    NULL,
+    offsetof(Digest__Digest, card),
+    &digest__card__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "share",
+    "config_news",
     11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Digest__Digest, n_share),
-    offsetof(Digest__Digest, share),
-    &digest__share__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, config_news),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "demand",
+    "endpoint_news",
     12,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Digest__Digest, n_demand),
-    offsetof(Digest__Digest, demand),
-    &digest__demand__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, endpoint_news),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "taken",
+    "endpoint",
     13,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Digest__Digest, n_taken),
-    offsetof(Digest__Digest, taken),
-    &digest__taken__descriptor,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_endpoint),
+    offsetof(Digest__Digest, endpoint),
     NULL,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "goodbye",
+    "unread",
     14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Digest__Digest, goodbye),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_unread),
+    offsetof(Digest__Digest, unread),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_news",
+    "running",
     15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Digest__Digest, config_news),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_running),
+    offsetof(Digest__Digest, running),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint_news",
+    "memory",
     16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Digest__Digest, endpoint_news),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_memory),
+    offsetof(Digest__Digest, memory),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_sent),
+    offsetof(Digest__Digest, sent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__Digest, n_demand),
+    offsetof(Digest__Digest, demand),
+    &digest__demand__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__Digest, n_taken),
+    offsetof(Digest__Digest, taken),
+    &digest__taken__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
-  3,   /* field[3] = caller_addr */
-  14,   /* field[14] = config_news */
-  11,   /* field[11] = demand */
-  2,   /* field[2] = domain */
-  15,   /* field[15] = endpoint_news */
-  13,   /* field[13] = goodbye */
-  8,   /* field[8] = holder */
-  4,   /* field[4] = incarnation */
-  0,   /* field[0] = instance */
-  1,   /* field[1] = ip */
-  7,   /* field[7] = leaving */
-  6,   /* field[6] = ready */
-  5,   /* field[5] = sequence */
-  10,   /* field[10] = share */
-  12,   /* field[12] = taken */
-  9,   /* field[9] = whole */
+  8,   /* field[8] = all_demand */
+  9,   /* field[9] = card */
+  10,   /* field[10] = config_news */
+  17,   /* field[17] = demand */
+  12,   /* field[12] = endpoint */
+  11,   /* field[11] = endpoint_news */
+  6,   /* field[6] = goodbye */
+  5,   /* field[5] = holder */
+  1,   /* field[1] = incarnation */
+  4,   /* field[4] = leaving */
+  15,   /* field[15] = memory */
+  3,   /* field[3] = ready */
+  14,   /* field[14] = running */
+  0,   /* field[0] = sender */
+  16,   /* field[16] = sent */
+  2,   /* field[2] = sequence */
+  18,   /* field[18] = taken */
+  13,   /* field[13] = unread */
+  7,   /* field[7] = whole */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -683,7 +722,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  16,
+  19,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -15,7 +15,7 @@
 #endif
 
 
-typedef struct Digest__Share Digest__Share;
+typedef struct Digest__Card Digest__Card;
 typedef struct Digest__Demand Digest__Demand;
 typedef struct Digest__Taken Digest__Taken;
 typedef struct Digest__Digest Digest__Digest;
@@ -27,32 +27,23 @@
 /* --- messages --- */
 
 /*
- * What one instance has at an endpoint.
+ * Who an instance is; sent now and then.
  */
-struct  Digest__Share
+struct  Digest__Card
 {
   ProtobufCMessage base;
-  /*
-   * hash of its id
-   */
-  uint64_t endpoint;
-  /*
-   * prompt tokens
-   */
-  uint32_t unread;
-  uint32_t running;
-  /*
-   * tokens
-   */
-  uint32_t memory;
+  char *instance;
+  char *ip;
+  char *domain;
+  char *caller_addr;
 };
-#define DIGEST__SHARE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&digest__share__descriptor) \
-    , 0, 0, 0, 0 }
+#define DIGEST__CARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__card__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
- * Work that callers ask for.
+ * Work that callers ask for; to the holder only.
  */
 struct  Digest__Demand
 {
@@ -80,9 +71,9 @@
 struct  Digest__Taken
 {
   ProtobufCMessage base;
-  uint64_t endpoint;
+  uint32_t endpoint;
   /*
-   * its count of orders with it
+   * its count of orders with it, 0: not known
    */
   uint64_t orders;
   char *model;
@@ -104,58 +95,83 @@
 struct  Digest__Digest
 {
   ProtobufCMessage base;
-  char *instance;
-  char *ip;
-  char *domain;
-  char *caller_addr;
-  uint64_t incarnation;
+  /*
+   * hash of its name
+   */
+  uint64_t sender;
+  uint32_t incarnation;
   uint32_t sequence;
   protobuf_c_boolean ready;
   protobuf_c_boolean leaving;
   protobuf_c_boolean holder;
-  /*
-   * shares not named are none
-   */
-  protobuf_c_boolean whole;
-  size_t n_share;
-  Digest__Share **share;
-  size_t n_demand;
-  Digest__Demand **demand;
-  size_t n_taken;
-  Digest__Taken **taken;
   /*
    * the process ends
    */
   protobuf_c_boolean goodbye;
+  /*
+   * endpoints not named have nothing of its
+   */
+  protobuf_c_boolean whole;
+  protobuf_c_boolean all_demand;
+  Digest__Card *card;
   /*
    * The store's revision at the last change that was seen of each.
    */
   int64_t config_news;
   int64_t endpoint_news;
+  /*
+   * What it has at endpoints, one entry of each list an endpoint.
+   */
+  /*
+   * hash of its id
+   */
+  size_t n_endpoint;
+  uint32_t *endpoint;
+  /*
+   * prompt tokens
+   */
+  size_t n_unread;
+  uint32_t *unread;
+  size_t n_running;
+  uint32_t *running;
+  /*
+   * tokens, in MEMORY_UNIT
+   */
+  size_t n_memory;
+  uint32_t *memory;
+  /*
+   * prompt tokens since the start
+   */
+  size_t n_sent;
+  uint32_t *sent;
+  size_t n_demand;
+  Digest__Demand **demand;
+  size_t n_taken;
+  Digest__Taken **taken;
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
-/* Digest__Share methods */
-void   digest__share__init
-                     (Digest__Share         *message);
-size_t digest__share__get_packed_size
-                     (const Digest__Share   *message);
-size_t digest__share__pack
-                     (const Digest__Share   *message,
+/* Digest__Card methods */
+void   digest__card__init
+                     (Digest__Card         *message);
+size_t digest__card__get_packed_size
+                     (const Digest__Card   *message);
+size_t digest__card__pack
+                     (const Digest__Card   *message,
                       uint8_t             *out);
-size_t digest__share__pack_to_buffer
-                     (const Digest__Share   *message,
+size_t digest__card__pack_to_buffer
+                     (const Digest__Card   *message,
                       ProtobufCBuffer     *buffer);
-Digest__Share *
-       digest__share__unpack
+Digest__Card *
+       digest__card__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   digest__share__free_unpacked
-                     (Digest__Share *message,
+void   digest__card__free_unpacked
+                     (Digest__Card *message,
                       ProtobufCAllocator *allocator);
 /* Digest__Demand methods */
 void   digest__demand__init
@@ -216,8 +232,8 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
-typedef void (*Digest__Share_Closure)
-                 (const Digest__Share *message,
+typedef void (*Digest__Card_Closure)
+                 (const Digest__Card *message,
                   void *closure_data);
 typedef void (*Digest__Demand_Closure)
                  (const Digest__Demand *message,
@@ -234,7 +250,7 @@
 
 /* --- descriptors --- */
 
-extern const ProtobufCMessageDescriptor digest__share__descriptor;
+extern const ProtobufCMessageDescriptor digest__card__descriptor;
 extern const ProtobufCMessageDescriptor digest__demand__descriptor;
 extern const ProtobufCMessageDescriptor digest__taken__descriptor;
 extern const ProtobufCMessageDescriptor digest__digest__descriptor;
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -14,7 +14,7 @@
 {
 	memset(f, 0, sizeof(*f));
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	f->by_tag = g_hash_table_new(g_direct_hash, g_direct_equal);
 }
 
 ep_t *
@@ -24,9 +24,9 @@
 }
 
 ep_t *
-eps_by_hash(const eps_t *f, uint64_t hash)
+eps_by_tag(const eps_t *f, uint32_t tag)
 {
-	return g_hash_table_lookup(f->by_hash, &hash);
+	return g_hash_table_lookup(f->by_tag, GUINT_TO_POINTER(tag));
 }
 
 static ep_t *
@@ -40,6 +40,7 @@
 		abort();
 	p->entry = *en;
 	p->hash = hash_str(en->id, 0);
+	p->tag = (uint32_t)p->hash;
 	burden_init(&p->burden, en->slots,
 	    d != NULL && d->engine ? d->kv_tokens : 0);
 	if (f->nep == f->room) {
@@ -50,7 +51,7 @@
 	}
 	f->ep[f->nep++] = p;
 	g_hash_table_insert(f->by_id, p->entry.id, p);
-	g_hash_table_insert(f->by_hash, &p->hash, p);
+	g_hash_table_insert(f->by_tag, GUINT_TO_POINTER(p->tag), p);
 	s->came_at = s->loop.now;
 	return p;
 }
@@ -148,7 +149,7 @@
 		    s->loop.now - p->gone_at < FORGET_MS)
 			continue;
 		g_hash_table_remove(f->by_id, p->entry.id);
-		g_hash_table_remove(f->by_hash, &p->hash);
+		g_hash_table_remove(f->by_tag, GUINT_TO_POINTER(p->tag));
 		plan_forget(s, p);
 		peers_forget(s, p);
 		f->ep[i] = f->ep[--f->nep];
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -10,10 +10,13 @@
 #include <jansson.h>
 
 enum {
-	BEAT_MS = 400,	     /* a whole digest, for few instances */
-	SHARE_MS = 80,	     /* what changed at endpoints, for few */
+	BEAT_MS = 500,	     /* a sign of life, for few instances */
+	WHOLE_BEATS = 3,     /* each so many beats one tells all */
+	SHARE_EACH_MS = 3,   /* between shares, for each instance */
+	SHARE_LEAST_MS = 15,
 	BEAT_EACH_MS = 12,   /* more for each further instance: a datagram
 				costs its receiver some 30 us */
+	MEMORY_UNIT = 16,    /* tokens; shares are told in it */
 	ALIVE_BEATS = 4,     /* beats missed by one that is gone */
 	DATAGRAM_MAX = 8192, /* bytes */
 	TAKEN_MS = 3000,     /* an entry shows an order within that */
@@ -86,12 +89,13 @@
 }
 
 static void
-take_share(serve_t *s, peer_t *p, const Digest__Share *m)
+take_share(serve_t *s, peer_t *p, const Digest__Digest *d, size_t i)
 {
-	ep_t *ep = eps_by_hash(&s->fleet, m->endpoint);
-	burden_share_t now = { (int)m->unread, (int)m->running,
-		(int)m->memory };
+	ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
+	burden_share_t now = { (int)d->unread[i], (int)d->running[i],
+		(int)d->memory[i] * MEMORY_UNIT };
 	peer_share_t *sh;
+	int32_t fresh;
 
 	if (ep == NULL)
 		return;
@@ -99,8 +103,17 @@
 	if (sh == NULL) {
 		sh = g_new0(peer_share_t, 1);
 		sh->ep = ep;
+		sh->sent = d->sent[i];
 		g_hash_table_insert(p->share, ep, sh);
 	}
+	/* Counted since its start, so that a lost datagram loses nothing. */
+	fresh = (int32_t)(d->sent[i] - sh->sent);
+	if (fresh > 0)
+		burden_pour(&ep->burden, &s->usual_pace, &s->bounds, fresh,
+		    s->loop.now);
+	sh->sent = d->sent[i];
+	if (now.running < sh->share.running || now.unread < sh->share.unread)
+		queue_wake(s);
 	shift(ep, &sh->share, &now);
 	sh->share = now;
 	sh->told = true;
@@ -122,8 +135,9 @@
 			sh->told = false;
 			continue;
 		}
+		/* Its count of what was sent stays. */
 		shift(sh->ep, &sh->share, &none);
-		g_hash_table_iter_remove(&it);
+		sh->share = none;
 	}
 }
 
@@ -138,6 +152,17 @@
 	return NULL;
 }
 
+static peer_t *
+find_hash(serve_t *s, uint64_t hash)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		if (s->peers.peer[i]->hash == hash)
+			return s->peers.peer[i];
+	return NULL;
+}
+
 static peer_t *
 add(serve_t *s, const char *instance, const char *ip)
 {
@@ -146,6 +171,7 @@
 	char addr[ADDR_MAX + 8];
 
 	str_copy(p->instance, ID_MAX, instance);
+	p->hash = hash_str(instance, 0);
 	str_copy(p->ip, ADDR_MAX, ip);
 	snprintf(addr, sizeof(addr), "%s:%d", ip, s->site.peer_port);
 	if (net_addr(addr, &p->sa) == -1) {
@@ -185,10 +211,7 @@
 static size_t
 pack(serve_t *s, Digest__Digest *d, uint8_t *to)
 {
-	d->instance = s->site.instance;
-	d->ip = s->site.ip;
-	d->domain = s->site.domain;
-	d->caller_addr = s->site.caller_addr;
+	d->sender = s->peers.hash;
 	d->incarnation = s->peers.incarnation;
 	d->sequence = ++s->peers.sequence;
 	d->ready = s->ready;
@@ -198,11 +221,12 @@
 	d->endpoint_news = s->follow_endpoints.news;
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
 		note(LOG_WARNING, "digest-cut", "shares=%zu demands=%zu",
-		    d->n_share, d->n_demand);
+		    d->n_endpoint, d->n_demand);
 		d->n_demand = 0;
 	}
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX)
-		d->n_share = 0;
+		d->n_endpoint = d->n_unread = d->n_running = d->n_memory =
+		    d->n_sent = 0;
 	return digest__digest__pack(d, to);
 }
 
@@ -225,16 +249,24 @@
 		post(s, &s->peers.peer[i]->sa, bytes, n);
 }
 
+/* A digest in the making; each list holds one kind of its entries. */
 typedef struct parcel {
 	Digest__Digest d;
-	GPtrArray *share, *demand, *taken;
+	Digest__Card card;
+	GArray *endpoint, *unread, *running, *memory, *sent;
+	GPtrArray *demand, *taken;
 } parcel_t;
 
 static void
 parcel_init(parcel_t *c)
 {
+	GArray **list[] = { &c->endpoint, &c->unread, &c->running, &c->memory,
+		&c->sent };
+	size_t i;
+
 	digest__digest__init(&c->d);
-	c->share = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		*list[i] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c->demand = g_ptr_array_new_with_free_func(g_free);
 	c->taken = g_ptr_array_new_with_free_func(g_free);
 }
@@ -242,22 +274,45 @@
 static void
 parcel_close(parcel_t *c)
 {
-	c->d.n_share = c->share->len;
-	c->d.share = (Digest__Share **)c->share->pdata;
-	c->d.n_demand = c->demand->len;
-	c->d.demand = (Digest__Demand **)c->demand->pdata;
-	c->d.n_taken = c->taken->len;
-	c->d.taken = (Digest__Taken **)c->taken->pdata;
+	Digest__Digest *d = &c->d;
+
+	d->n_endpoint = d->n_unread = d->n_running = d->n_memory = d->n_sent =
+	    c->endpoint->len;
+	d->endpoint = (uint32_t *)(void *)c->endpoint->data;
+	d->unread = (uint32_t *)(void *)c->unread->data;
+	d->running = (uint32_t *)(void *)c->running->data;
+	d->memory = (uint32_t *)(void *)c->memory->data;
+	d->sent = (uint32_t *)(void *)c->sent->data;
+	d->n_demand = c->demand->len;
+	d->demand = (Digest__Demand **)c->demand->pdata;
+	d->n_taken = c->taken->len;
+	d->taken = (Digest__Taken **)c->taken->pdata;
 }
 
 static void
 parcel_free(parcel_t *c)
 {
-	g_ptr_array_free(c->share, TRUE);
+	GArray *list[] = { c->endpoint, c->unread, c->running, c->memory,
+		c->sent };
+	size_t i;
+
+	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		g_array_free(list[i], TRUE);
 	g_ptr_array_free(c->demand, TRUE);
 	g_ptr_array_free(c->taken, TRUE);
 }
 
+static void
+put_card(serve_t *s, parcel_t *c)
+{
+	digest__card__init(&c->card);
+	c->card.instance = s->site.instance;
+	c->card.ip = s->site.ip;
+	c->card.domain = s->site.domain;
+	c->card.caller_addr = s->site.caller_addr;
+	c->d.card = &c->card;
+}
+
 static void
 put_shares(serve_t *s, parcel_t *c, bool all)
 {
@@ -266,18 +321,19 @@
 	for (i = 0; i < s->fleet.nep; i++) {
 		ep_t *p = s->fleet.ep[i];
 		const burden_share_t *o = &p->burden.own;
-		Digest__Share *m;
+		uint32_t v[] = { p->tag, (uint32_t)o->unread,
+			(uint32_t)o->running,
+			(uint32_t)(o->memory + MEMORY_UNIT - 1) / MEMORY_UNIT,
+			p->sent };
 
-		if (all ? o->running == 0 : !p->touched)
+		if (all ? o->running == 0 && p->sent == 0 : !p->touched)
 			continue;
 		p->touched = false;
-		m = g_new(Digest__Share, 1);
-		digest__share__init(m);
-		m->endpoint = p->hash;
-		m->unread = (uint32_t)o->unread;
-		m->running = (uint32_t)o->running;
-		m->memory = (uint32_t)o->memory;
-		g_ptr_array_add(c->share, m);
+		g_array_append_val(c->endpoint, v[0]);
+		g_array_append_val(c->unread, v[1]);
+		g_array_append_val(c->running, v[2]);
+		g_array_append_val(c->memory, v[3]);
+		g_array_append_val(c->sent, v[4]);
 	}
 }
 
@@ -337,22 +393,32 @@
 	ps->ntaken = kept;
 }
 
+/** How much a digest tells. */
+typedef enum telling {
+	TELL_SHARES, /* what changed at endpoints */
+	TELL_LIFE,   /* a sign of life, with that */
+	TELL_WHOLE,  /* all, and who we are */
+	TELL_GOODBYE,
+} telling_t;
+
 static void
-tell(serve_t *s, bool whole, bool goodbye)
+tell(serve_t *s, telling_t how)
 {
+	bool whole = how == TELL_WHOLE || how == TELL_GOODBYE;
 	parcel_t c;
 
 	parcel_init(&c);
 	put_shares(s, &c, whole);
-	if (whole)
-		put_demand(s, &c, false);
-	if (whole || s->peers.tell_taken)
+	if (how != TELL_SHARES || s->peers.tell_taken)
 		put_taken(s, &c);
-	s->peers.tell_taken = false;
+	if (whole)
+		put_card(s, &c);
+	s->peers.tell_taken = s->peers.tell_shares = false;
+	s->peers.share_at = s->loop.now;
 	c.d.whole = whole;
-	c.d.goodbye = goodbye;
+	c.d.goodbye = how == TELL_GOODBYE;
 	parcel_close(&c);
-	if (whole || c.d.n_share > 0 || c.d.n_taken > 0)
+	if (how != TELL_SHARES || c.d.n_endpoint > 0 || c.d.n_taken > 0)
 		post_all(s, &c.d);
 	parcel_free(&c);
 }
@@ -360,13 +426,13 @@
 void
 peers_tell(serve_t *s)
 {
-	tell(s, true, false);
+	tell(s, TELL_WHOLE);
 }
 
 void
 peers_goodbye(serve_t *s)
 {
-	tell(s, true, true);
+	tell(s, TELL_GOODBYE);
 }
 
 void
@@ -379,12 +445,13 @@
 		    (TAKEN_KEPT - 1) * sizeof(ps->taken[0]));
 		ps->ntaken--;
 	}
-	ps->taken[ps->ntaken++] = (taken_t) { p->hash, *l, s->loop.now };
+	ps->taken[ps->ntaken++] = (taken_t) { p->tag, *l, s->loop.now };
 	ps->tell_taken = true;
 }
 
+/* Demand goes to the holder alone. */
 static void
-tell_wants(serve_t *s)
+tell_demand(serve_t *s, bool all)
 {
 	static uint8_t bytes[DATAGRAM_MAX];
 	parcel_t c;
@@ -394,23 +461,48 @@
 	s->peers.tell_wants = false;
 	s->peers.wants_at = s->loop.now;
 	parcel_init(&c);
-	put_demand(s, &c, true);
+	put_demand(s, &c, !all);
+	c.d.all_demand = all;
 	parcel_close(&c);
-	n = pack(s, &c.d, bytes);
-	for (i = 0; i < s->peers.npeer; i++)
+	n = c.d.n_demand > 0 ? pack(s, &c.d, bytes) : 0;
+	for (i = 0; i < s->peers.npeer && n > 0; i++)
 		if (s->peers.peer[i]->holder)
 			post(s, &s->peers.peer[i]->sa, bytes, n);
 	parcel_free(&c);
 }
 
+static void
+share_due(void *arg)
+{
+	serve_t *s = arg;
+
+	s->peers.tell_shares = true;
+}
+
+void
+peers_touched(serve_t *s, ep_t *p)
+{
+	peers_t *ps = &s->peers;
+	ms_t span = (ms_t)SHARE_EACH_MS * ps->npeer;
+
+	p->touched = true;
+	queue_wake(s);
+	if (span < SHARE_LEAST_MS)
+		span = SHARE_LEAST_MS;
+	if (s->loop.now - ps->share_at >= span)
+		ps->tell_shares = true;
+	else if (ps->share.pos == 0)
+		alarm_set(&s->loop, &ps->share, ps->share_at + span);
+}
+
 void
 peers_turn(serve_t *s)
 {
-	if (s->peers.tell_taken)
-		tell(s, false, false);
+	if (s->peers.tell_taken || s->peers.tell_shares)
+		tell(s, TELL_SHARES);
 	if (s->peers.tell_wants && !plan_holder(s) &&
 	    s->loop.now - s->peers.wants_at >= WANTS_MS)
-		tell_wants(s);
+		tell_demand(s, false);
 }
 
 /* What others tell. */
@@ -422,7 +514,7 @@
 
 	if (!plan_holder(s))
 		return;
-	if (d->whole)
+	if (d->all_demand)
 		g_array_set_size(p->demand, 0);
 	for (i = 0; i < d->n_demand; i++) {
 		const Digest__Demand *m = d->demand[i];
@@ -432,7 +524,7 @@
 		str_copy(t.service, ID_MAX, m->service);
 		str_copy(t.model, ID_MAX, m->model);
 		str_copy(t.adapter, ID_MAX, m->adapter);
-		if (!d->whole)
+		if (!d->all_demand)
 			t.work = 0;
 		g_array_append_val(p->demand, t);
 		if (t.waiting)
@@ -448,7 +540,7 @@
 
 	for (i = 0; i < d->n_taken; i++) {
 		const Digest__Taken *m = d->taken[i];
-		ep_t *ep = eps_by_hash(&s->fleet, m->endpoint);
+		ep_t *ep = eps_by_tag(&s->fleet, m->endpoint);
 		learnt_t l = { .orders = (int64_t)m->orders, .load = m->load,
 			.at = s->loop.now + m->in_ms };
 
@@ -462,42 +554,55 @@
 		calls_retry(s);
 }
 
-static void
-take(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
+/* @return the sender, or NULL: not known, or it is an old digest. */
+static peer_t *
+sender(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
 {
 	char ip[ADDR_MAX];
-	peer_t *p;
-	bool was;
-	size_t i;
+	peer_t *p = find_hash(s, d->sender);
 
 	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
-	if (strcmp(d->instance, s->site.instance) == 0)
-		return;
-	p = find(s, d->instance);
+	if (d->sender == s->peers.hash)
+		return NULL;
 	if (p != NULL && strcmp(p->ip, ip) != 0) {
 		/* The instance has another address now. */
 		drop(s, p);
 		p = NULL;
 	}
+	if (p == NULL && d->card != NULL)
+		p = add(s, d->card->instance, ip);
 	if (p == NULL)
-		p = add(s, d->instance, ip);
-	if (p == NULL)
-		return;
+		return NULL;
 	if (p->incarnation == d->incarnation &&
 	    (int32_t)(d->sequence - p->sequence) <= 0)
-		return;
+		return NULL;
 	if (p->incarnation != d->incarnation)
 		forget_shares(p);
-	was = peer_alive(s, p) && p->ready && !p->leaving;
 	p->incarnation = d->incarnation;
 	p->sequence = d->sequence;
+	if (d->card != NULL) {
+		str_copy(p->domain, ID_MAX, d->card->domain);
+		str_copy(p->caller_addr, ADDR_MAX, d->card->caller_addr);
+	}
+	return p;
+}
+
+static void
+take(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
+{
+	peer_t *p = sender(s, d, from);
+	bool was;
+	size_t i, n = d->n_endpoint;
+
+	if (p == NULL || d->n_unread != n || d->n_running != n ||
+	    d->n_memory != n || d->n_sent != n)
+		return;
+	was = peer_alive(s, p) && p->ready && !p->leaving;
 	p->heard_at = s->loop.now;
 	p->ready = d->ready;
 	p->leaving = d->leaving;
 	p->holder = d->holder;
 	p->goodbye = d->goodbye;
-	str_copy(p->domain, ID_MAX, d->domain);
-	str_copy(p->caller_addr, ADDR_MAX, d->caller_addr);
 	if (was != (p->ready && !p->leaving && !p->goodbye))
 		note(LOG_NOTICE, "instance",
 		    "instance_known=%s state=%s holder=%d", p->instance,
@@ -510,8 +615,8 @@
 		forget_shares(p);
 		return;
 	}
-	for (i = 0; i < d->n_share; i++)
-		take_share(s, p, d->share[i]);
+	for (i = 0; i < n; i++)
+		take_share(s, p, d, i);
 	if (d->whole)
 		drop_untold(p);
 	take_demand(s, p, d);
@@ -683,17 +788,9 @@
 	join(s);
 	if (plan_holder(s))
 		prune(s);
-	tell(s, true, false);
-}
-
-static void
-share(void *arg)
-{
-	serve_t *s = arg;
-	ms_t span = beat_ms(s) * SHARE_MS / BEAT_MS;
-
-	alarm_set(&s->loop, &s->peers.share, s->loop.now + span);
-	tell(s, false, false);
+	else
+		tell_demand(s, true);
+	tell(s, s->peers.beats++ % WHOLE_BEATS == 0 ? TELL_WHOLE : TELL_LIFE);
 }
 
 int
@@ -706,10 +803,10 @@
 	ps->watch = (watch_t) { net_datagram(addr, e), 0, readable, s };
 	if (ps->watch.fd == -1)
 		return -1;
-	ps->incarnation = (uint64_t)clock_wall() ^ rng_next(&s->rng) << 44;
+	ps->hash = hash_str(s->site.instance, 0);
+	ps->incarnation = (uint32_t)rng_next(&s->rng);
 	ps->beat = (alarm_t) { .fn = beat, .arg = s };
-	ps->share = (alarm_t) { .fn = share, .arg = s };
+	ps->share = (alarm_t) { .fn = share_due, .arg = s };
 	alarm_set(&s->loop, &ps->beat, s->loop.now + JOIN_MS);
-	alarm_set(&s->loop, &ps->share, s->loop.now + JOIN_MS);
 	return watch_add(&s->loop, &ps->watch, EPOLLIN);
 }
--- /dev/null
+++ b/serve/queue.c
@@ -0,0 +1,101 @@
+#include "serve/serve.h"
+
+#include <string.h>
+
+enum {
+	LOOK_MS = 15, /* places come free by time alone */
+};
+
+/* By rank, then by when the promise ends. */
+static bool
+before(const call_t *a, const call_t *b)
+{
+	if (a->route.rank != b->route.rank)
+		return a->route.rank < b->route.rank;
+	return a->came + a->route.promise < b->came + b->route.promise;
+}
+
+void
+queue_add(call_t *c)
+{
+	serve_t *s = c->s;
+	call_t **at;
+
+	if (c->queued)
+		return;
+	for (at = &s->waiting; *at != NULL && !before(c, *at);
+	     at = &(*at)->next_waiting)
+		;
+	c->next_waiting = *at;
+	*at = c;
+	c->queued = true;
+	if (s->queue.pos == 0)
+		alarm_set(&s->loop, &s->queue, s->loop.now + LOOK_MS);
+}
+
+void
+queue_remove(call_t *c)
+{
+	call_t **at;
+
+	if (!c->queued)
+		return;
+	for (at = &c->s->waiting; *at != c; at = &(*at)->next_waiting)
+		;
+	*at = c->next_waiting;
+	c->next_waiting = NULL;
+	c->queued = false;
+}
+
+double
+queue_ahead(const call_t *c)
+{
+	const call_t *o;
+	double sum = 0;
+
+	for (o = c->s->waiting; o != NULL && o != c; o = o->next_waiting)
+		if (strcmp(o->ask.model, c->ask.model) == 0 &&
+		    (c->queued || before(o, c)))
+			sum += o->ask.prompt;
+	return sum;
+}
+
+void
+calls_retry(serve_t *s)
+{
+	handle_t id[QUEUE_LOOKS];
+	call_t *c;
+	int i, n = 0;
+
+	/* Sending one may end others: go by handle. */
+	for (c = s->waiting; c != NULL && n < QUEUE_LOOKS; c = c->next_waiting)
+		id[n++] = c->id;
+	for (i = 0; i < n; i++) {
+		c = call_get(s, id[i]);
+		if (c != NULL && c->queued)
+			call_dispatch(c);
+	}
+	if (s->waiting != NULL)
+		alarm_set(&s->loop, &s->queue, s->loop.now + LOOK_MS);
+	else
+		alarm_stop(&s->loop, &s->queue);
+}
+
+void
+queue_wake(serve_t *s)
+{
+	if (s->waiting != NULL)
+		s->wake = true;
+}
+
+static void
+look(void *arg)
+{
+	calls_retry(arg);
+}
+
+void
+queue_open(serve_t *s)
+{
+	s->queue = (alarm_t) { .fn = look, .arg = s };
+}
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -31,6 +31,14 @@
 	}
 }
 
+/*
+ * Streams run on while prompts are read: at more than this part of the pace
+ * long ones don't end in time.
+ */
+static const double PROMPT_PART = 0.65;
+/* The shortest gap that routes ask for is not far from this, ms. */
+static const double GAP_MS = 300;
+
 static void
 leaving_tick(void *arg)
 {
@@ -168,6 +176,10 @@
 {
 	serve_t *s = arg;
 
+	if (s->wake) {
+		s->wake = false;
+		calls_retry(s);
+	}
 	plan_turn(s);
 	peers_turn(s);
 	log_flush();
@@ -194,6 +206,7 @@
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->usual = g_hash_table_new(g_str_hash, g_str_equal);
 	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
+	s->bounds = (burden_bounds_t) { PROMPT_PART, GAP_MS };
 	s->loop.turn = turn;
 	s->loop.turn_arg = s;
 	if (net_addr(s->site.store_addr, &s->store) == -1) {
@@ -208,6 +221,7 @@
 	follow_start(&s->follow_config, s, KIND_CONFIG);
 	follow_start(&s->follow_endpoints, s, KIND_ENDPOINTS);
 	follow_start(&s->follow_instances, s, KIND_INSTANCES);
+	queue_open(s);
 	s->plan = plan_new(s);
 	return s;
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -38,6 +38,7 @@
 enum {
 	LEARNT_MAX = 24,
 	TRIED_MAX = 8,
+	QUEUE_LOOKS = 256, /* waiting calls tried in one go */
 	RETRY_ELSEWHERE_MS = 50, /* another instance can take it at once */
 	FULL_RETRY_MS = 500, /* to come back when the instance is full */
 };
@@ -70,6 +71,7 @@
 	int64_t revision; /* of the entry */
 	struct sockaddr_in sa;
 	uint64_t hash;
+	uint32_t tag;	  /* of its hash, as instances name it */
 	bool listed;	  /* its entry stands in the store */
 	ms_t seen_at;	  /* when the entry was read last */
 	ms_t written;	  /* and was written at the earliest */
@@ -82,6 +84,7 @@
 	int wires, nidle;
 	int calls;	  /* of ours on their way */
 	burden_t burden;
+	uint32_t sent;	  /* prompt tokens, by this instance, wraps */
 	breaker_t breaker;
 	bool touched;	  /* its burden changed since it was told */
 	kept_t kept[KEPT_MAX];
@@ -90,12 +93,12 @@
 typedef struct fleet {
 	ep_t **ep;
 	int nep, room;
-	GHashTable *by_id, *by_hash;
+	GHashTable *by_id, *by_tag;
 } eps_t;
 
 void eps_init(eps_t *f);
 ep_t *eps_find(const eps_t *f, const char *id);
-ep_t *eps_by_hash(const eps_t *f, uint64_t hash);
+ep_t *eps_by_tag(const eps_t *f, uint32_t tag);
 /**
  * An entry was read.
  * @param written it was written then at the earliest
@@ -180,6 +183,7 @@
 	int64_t resume_from; /* that it had when it called */
 	int events;
 	ms_t first_at, event_at;
+	bool queued;
 	call_t *next_waiting;
 };
 
@@ -188,8 +192,6 @@
 /** The caller left. */
 void call_gone(call_t *c);
 call_t *call_get(serve_t *s, handle_t id);
-/** Try to send calls that wait; what they wait for may be there. */
-void calls_retry(serve_t *s);
 
 /* The same, for the parts of a call. */
 void call_dispatch(call_t *c);
@@ -234,6 +236,18 @@
 void retry_spent(serve_t *s, const call_t *c);
 void count_outcome(const call_t *c, const char *outcome);
 
+/* Calls that wait, the most urgent first. queue.c */
+
+void queue_add(call_t *c);
+void queue_remove(call_t *c);
+/** Try to send calls that wait; what they wait for may be there. */
+void calls_retry(serve_t *s);
+/** Look again at the end of this turn. */
+void queue_wake(serve_t *s);
+/** Prompt tokens of the same model that wait before a call like this. */
+double queue_ahead(const call_t *c);
+void queue_open(serve_t *s);
+
 /** What choose() found. */
 typedef enum choice_kind {
 	CHOICE_SEND,
@@ -329,6 +343,7 @@
 typedef struct peer_share {
 	ep_t *ep;
 	burden_share_t share;
+	uint32_t sent;
 	bool told; /* in the last whole digest */
 } peer_share_t;
 
@@ -338,7 +353,8 @@
 	char domain[ID_MAX];
 	char caller_addr[ADDR_MAX];
 	struct sockaddr_in sa;
-	uint64_t incarnation;
+	uint64_t hash; /* of its name */
+	uint32_t incarnation;
 	uint32_t sequence; /* of its last datagram */
 	bool ready, leaving, holder, goodbye;
 	ms_t heard_at;	   /* 0: never */
@@ -361,7 +377,7 @@
 
 /** An order that was taken, to be told for a while. */
 typedef struct taken {
-	uint64_t endpoint;
+	uint32_t endpoint; /* its tag */
 	learnt_t what;
 	ms_t since;
 } taken_t;
@@ -373,11 +389,14 @@
 	alarm_t beat, share;
 	int64_t object; /* revision of our own, 0: not written */
 	webcall_t *writing;
-	uint64_t incarnation;
+	uint64_t hash; /* of our own name */
+	uint32_t incarnation;
 	uint32_t sequence;
+	ms_t share_at; /* shares went out last */
+	int beats;
 	taken_t taken[TAKEN_KEPT];
 	int ntaken;
-	bool tell_taken, tell_wants; /* at the end of this turn */
+	bool tell_taken, tell_wants, tell_shares; /* at the end of this turn */
 	ms_t wants_at;
 } peers_t;
 
@@ -386,6 +405,8 @@
 /** Those not among the names in the store are forgotten when silent. */
 void peers_sweep(serve_t *s, GHashTable *names);
 void peers_forget(serve_t *s, const ep_t *p);
+/** What we have at an endpoint changed. */
+void peers_touched(serve_t *s, ep_t *p);
 /** Tell all at once: our state has changed. */
 void peers_tell(serve_t *s);
 /** We end. */
@@ -443,6 +464,9 @@
 	eps_t fleet;
 	table_t *calls; /* of call_t * */
 	call_t *waiting;
+	bool wake;
+	alarm_t queue;
+	burden_bounds_t bounds;
 	guest_t **guest;
 	int nguest, guest_room;
 	follow_t follow_config, follow_endpoints, follow_instances;
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -42,7 +42,7 @@
 
 	burden_first_seen(&c->ep->burden, &c->s->usual_pace, &c->ticket,
 	    now - c->sent_at);
-	c->ep->touched = true;
+	peers_touched(c->s, c->ep);
 	breaker_good(&c->ep->breaker);
 	usual_failure(c->s, false);
 	if (c->first_at == 0)
