--- a/policy/spread.c
+++ b/policy/spread.c
@@ -8,6 +8,8 @@
 static const double SHARE = 1.3;
 /* A copy gives way only if it carries so much less than the new one would. */
 static const double GIVE_WAY = 0.6;
+/* A copy where the new one's weights are at hand gives way this much easier. */
+static const double AT_HAND = 0.5;
 
 static spread_held_t
 held(const spread_in_t *in, int e, int m)
@@ -112,7 +114,8 @@
 			continue;
 		for (v = 0; v < in->nmodel; v++) {
 			const spread_model_t *vm = &in->model[v];
-			double cost = carries(vm);
+			double cost = carries(vm) *
+			    (at_hand(in, e, m) ? AT_HAND : 1);
 
 			if (v == m || held(in, e, v) != SPREAD_READY ||
 			    vm->copies < 2 || p->room + vm->mb < want->mb)
--- a/policy/tenure.c
+++ b/policy/tenure.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* Parts of a lease: orders go out within VALID of a renewal's sending. */
-static const double VALID = 0.5, RENEW = 0.2;
+static const double VALID = 0.35, RENEW = 0.15;
 enum {
 	WAY_MS = 250 /* an order's way to its endpoint */
 };
@@ -26,12 +26,24 @@
 {
 	if (!t->read || revision != t->revision)
 		t->still_since = now;
+	/* A renewal that was told of had been sent by then. */
+	if (revision == t->told && t->told_at < t->still_since)
+		t->still_since = t->told_at;
 	t->read = true;
 	t->revision = revision;
 	t->own = own;
 	t->released = released;
 }
 
+void
+tenure_told(tenure_t *t, int64_t revision, ms_t now)
+{
+	if (revision <= t->told)
+		return;
+	t->told = revision;
+	t->told_at = now;
+}
+
 bool
 tenure_may_take(const tenure_t *t, ms_t now)
 {
--- a/policy/tenure.h
+++ b/policy/tenure.h
@@ -3,8 +3,8 @@
  * Who may order endpoints, over one object of a store that replaces an object
  * only at a revision. Endpoints may not check tokens, so two holders are kept
  * apart by time alone:
- * - A holder orders only within half a lease of having sent the last renewal
- *   that was taken.
+ * - A holder orders only within a part of a lease (VALID) of having sent the
+ *   last renewal that was taken.
  * - Another one takes over only when the object has stood still for longer
  *   than that, and orders nothing for a whole lease after the old holder may
  *   last have done so.
@@ -22,6 +22,8 @@
 	int64_t revision; /* 0: there is none */
 	bool read, own, released;
 	ms_t still_since; /* it was first seen at this revision */
+	int64_t told;	  /* revision that the holder itself told of ... */
+	ms_t told_at;	  /* ... first at that time */
 
 	bool held;
 	int64_t token; /* revision of the take-over: only goes up */
@@ -37,6 +39,8 @@
  */
 void tenure_seen(
     tenure_t *t, int64_t revision, bool own, bool released, ms_t now);
+/** The holder says that its renewal made this revision. */
+void tenure_told(tenure_t *t, int64_t revision, ms_t now);
 /** May a take-over be written, on condition of t->revision? */
 bool tenure_may_take(const tenure_t *t, ms_t now);
 /** The take-over was taken. @param sent when it was sent */
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -457,7 +457,7 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[19] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[20] =
 {
   {
     "sender",
@@ -687,6 +687,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   8,   /* field[8] = all_demand */
@@ -698,6 +710,7 @@
   6,   /* field[6] = goodbye */
   5,   /* field[5] = holder */
   1,   /* field[1] = incarnation */
+  19,   /* field[19] = lease */
   4,   /* field[4] = leaving */
   15,   /* field[15] = memory */
   3,   /* field[3] = ready */
@@ -712,7 +725,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -722,7 +735,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  19,
+  20,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -119,6 +119,10 @@
    */
   int64_t config_news;
   int64_t endpoint_news;
+  /*
+   * the holder's: revision of its last renewal
+   */
+  int64_t lease;
   /*
    * What it has at endpoints, one entry of each list an endpoint.
    */
@@ -151,7 +155,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Digest__Card methods */
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -25,6 +25,19 @@
 	return t != NULL && t->held && tenure_valid(t, s->loop.now);
 }
 
+int64_t
+plan_lease(const serve_t *s)
+{
+	return plan_holder(s) ? s->plan->tenure.revision : 0;
+}
+
+void
+plan_told(serve_t *s, int64_t revision)
+{
+	if (s->plan != NULL)
+		tenure_told(&s->plan->tenure, revision, s->loop.now);
+}
+
 bool
 lease_may_order(plan_t *p)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -217,6 +217,7 @@
 	d->ready = s->ready;
 	d->leaving = s->leaving;
 	d->holder = plan_tells(s);
+	d->lease = plan_lease(s);
 	d->config_news = s->follow_config.news;
 	d->endpoint_news = s->follow_endpoints.news;
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
@@ -603,6 +604,8 @@
 	p->leaving = d->leaving;
 	p->holder = d->holder;
 	p->goodbye = d->goodbye;
+	if (d->holder)
+		plan_told(s, d->lease);
 	if (was != (p->ready && !p->leaving && !p->goodbye))
 		note(LOG_NOTICE, "instance",
 		    "instance_known=%s state=%s holder=%d", p->instance,
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -12,6 +12,8 @@
 	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
 	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
 	PACE = 15000,	  /* tokens/s, before any pace was learnt */
+	TELL_MS = 1000,	  /* between lines on what is believed */
+	TELL_MODELS = 24,
 	SETTLED_MS = 2500, /* endpoints have come as far as they will */
 };
 /* Work that one more copy of an adapter is worth, in parts of a pace. */
@@ -127,8 +129,8 @@
 
 	b->desk[e] = d;
 	b->ep[e] = (spread_ep_t) {
-		.usable = ep_usable(d->ep) && d->ep->missing_at == 0 &&
-		    breaker_allows(&d->ep->breaker, s->loop.now),
+		/* Failures come and go: they move no model. */
+		.usable = ep_usable(d->ep) && d->ep->missing_at == 0,
 		.free = desk_free(d),
 		.room = b->def->weights_mb - desk_memory(d),
 		.pace = 1000 *
@@ -222,6 +224,37 @@
 	    s->loop.now - p->began > SETTLED_MS;
 }
 
+/* What the holder believes, once a second: the models that are asked for. */
+static void
+tell_board(const board_t *b)
+{
+	plan_t *p = b->p;
+	buf_t t = { 0 };
+	int m, e, usable = 0, idle = 0, n = 0;
+
+	if (p->s->loop.now - p->told_at < TELL_MS)
+		return;
+	p->told_at = p->s->loop.now;
+	for (e = 0; e < b->nep; e++) {
+		usable += b->ep[e].usable;
+		idle += b->ep[e].free;
+	}
+	for (m = 0; m < b->def->nmodel && n < TELL_MODELS; m++) {
+		const spread_model_t *mo = &b->model[m];
+
+		if (mo->work < 1 && mo->copies > 0)
+			continue;
+		n++;
+		buf_fmt(&t, " %s=%.0f/%d/%d%s", b->def->model[m].name,
+		    mo->work, mo->copies, mo->target, mo->waiting ? "!" : "");
+	}
+	buf_add(&t, "", 1);
+	note(LOG_INFO, "placement",
+	    "service=%s usable=%d free=%d fetch=%d work_copies_target:%s",
+	    b->def->name, usable, idle, may_fetch(p, b->def), t.p);
+	buf_free(&t);
+}
+
 static void
 move_models(board_t *b)
 {
@@ -413,6 +446,7 @@
 		ask_reports(&b);
 		move_adapters(&b);
 		move_models(&b);
+		tell_board(&b);
 		board_free(&b);
 	}
 }
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -45,6 +45,7 @@
 	ms_t load_at[LOADS_KEPT]; /* from the weight store, a ring */
 	int nload;
 	ms_t began; /* as holder */
+	ms_t told_at;
 	bool wanted;
 };
 
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -37,7 +37,7 @@
  */
 static const double PROMPT_PART = 0.65;
 /* The shortest gap that routes ask for is not far from this, ms. */
-static const double GAP_MS = 300;
+static const double GAP_MS = 200;
 
 static void
 leaving_tick(void *arg)
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -445,6 +445,10 @@
 bool plan_holder(const serve_t *s);
 /** May others rely on this holder? */
 bool plan_tells(const serve_t *s);
+/** Revision of our last renewal, 0: none. */
+int64_t plan_lease(const serve_t *s);
+/** Another instance, the holder, tells its own. */
+void plan_told(serve_t *s, int64_t revision);
 void plan_forget(serve_t *s, const ep_t *p);
 /** Others wait for something: look at once. */
 void plan_wanted(serve_t *s);
