--- a/policy/spread.c
+++ b/policy/spread.c
@@ -55,6 +55,8 @@
 		double share = all > 0 ? SHARE * n * mo->work / all : 0;
 
 		mo->target = (int)ceil(fmin(need, share));
+		if (mo->target < mo->least)
+			mo->target = mo->least;
 		if (mo->target < 1)
 			mo->target = 1;
 		if (mo->target > n)
--- a/policy/spread.h
+++ b/policy/spread.h
@@ -19,6 +19,7 @@
 	double mb;
 	double work;  /* tokens a second that are asked for */
 	bool waiting; /* a call found it nowhere */
+	int least;    /* copies that its adapters need */
 	/* Made by spread_next(). */
 	int copies, target;
 } spread_model_t;
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -457,7 +457,7 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[20] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[21] =
 {
   {
     "sender",
@@ -699,6 +699,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   8,   /* field[8] = all_demand */
@@ -720,12 +732,13 @@
   2,   /* field[2] = sequence */
   18,   /* field[18] = taken */
   13,   /* field[13] = unread */
+  20,   /* field[20] = waiting */
   7,   /* field[7] = whole */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -735,7 +748,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  20,
+  21,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -119,6 +119,10 @@
    */
   int64_t config_news;
   int64_t endpoint_news;
+  /*
+   * prompt tokens of calls that wait there
+   */
+  uint32_t waiting;
   /*
    * the holder's: revision of its last renewal
    */
@@ -155,7 +159,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Digest__Card methods */
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -218,6 +218,7 @@
 	d->leaving = s->leaving;
 	d->holder = plan_tells(s);
 	d->lease = plan_lease(s);
+	d->waiting = (uint32_t)queue_tokens(s, NULL);
 	d->config_news = s->follow_config.news;
 	d->endpoint_news = s->follow_endpoints.news;
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
@@ -604,6 +605,7 @@
 	p->leaving = d->leaving;
 	p->holder = d->holder;
 	p->goodbye = d->goodbye;
+	p->waiting = (int)d->waiting;
 	if (d->holder)
 		plan_told(s, d->lease);
 	if (was != (p->ready && !p->leaving && !p->goodbye))
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -9,7 +9,9 @@
 	MOVES = 6,	  /* orders in one tick */
 	WANTS_MS = 3000,  /* a call that waits has given up by then */
 	ADAPTER_IDLE_MS = 3000, /* asked for since: it isn't dropped */
+	ADAPTER_WORK = 300, /* tokens/s: a call in the last seconds */
 	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
+	ADAPTER_MS = 20,  /* a place left free is worth so much waiting */
 	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
 	PACE = 15000,	  /* tokens/s, before any pace was learnt */
 	TELL_MS = 1000,	  /* between lines on what is believed */
@@ -109,6 +111,22 @@
 	}
 }
 
+/* Adapters that are asked for need places beside each other. */
+static void
+least_copies(board_t *b)
+{
+	int *n = g_new0(int, b->def->nmodel + 1), m;
+	guint i;
+
+	for (i = 0; i < b->adapter->len; i++)
+		n[g_array_index(b->adapter, asked_t, i).model] +=
+		    g_array_index(b->adapter, asked_t, i).work > ADAPTER_WORK;
+	for (m = 0; m < b->def->nmodel && b->def->adapter_slots > 0; m++)
+		b->model[m].least = (n[m] + b->def->adapter_slots - 1) /
+		    b->def->adapter_slots;
+	g_free(n);
+}
+
 static bool
 named(const char (*list)[ID_MAX], int n, const char *name)
 {
@@ -169,6 +187,7 @@
 	for (i = 0; i < def->nmodel; i++)
 		b->model[i].mb = def->model[i].weights_mb;
 	gather_demand(b);
+	least_copies(b);
 	for (i = 0; i < f->nep; i++) {
 		if (!f->ep[i]->listed ||
 		    strcmp(f->ep[i]->entry.service, def->name) != 0)
@@ -314,25 +333,23 @@
 
 /* The adapter that is asked for least, to be unloaded; -1: none may go. */
 static int
-spare_adapter(const board_t *b, const desk_t *d, double gain)
+spare_adapter(const board_t *b, const desk_t *d, double *least)
 {
 	const holding_set_t *h = &d->ep->entry.holds;
-	double least = gain;
 	int i, best = -1;
 
 	for (i = 0; i < h->nadapter; i++) {
-		int m = model_index(b->def, h->model[h->adapter[i].model]);
-		double work = m == -1
-		    ? 0
-		    : wanted_work(b, m, h->adapter[i].name);
-
-		/* One that is in use, or goes already, isn't spare. */
-		if (work < least &&
-		    ep_holds(d->ep, h->model[h->adapter[i].model],
-			h->adapter[i].name, INT64_MAX)) {
-			least = work;
-			best = i;
-		}
+		const char *model = h->model[h->adapter[i].model];
+		int m = model_index(b->def, model);
+		double work =
+		    m == -1 ? 0 : wanted_work(b, m, h->adapter[i].name);
+
+		/* One that goes already isn't spare. */
+		if (work >= *least ||
+		    !ep_holds(d->ep, model, h->adapter[i].name, INT64_MAX))
+			continue;
+		*least = work;
+		best = i;
 	}
 	return best;
 }
@@ -365,7 +382,8 @@
 	const char *model = b->def->model[a->model].name;
 	desk_t *best = NULL, *full = NULL;
 	double cost, least = INFINITY;
-	int e, n;
+	double spare = a->work + (a->waiting ? PACE : 0);
+	int e, n, victim = -1;
 
 	for (e = 0; e < b->nep; e++) {
 		desk_t *d = b->desk[e];
@@ -375,11 +393,15 @@
 		    b->held[e * b->def->nmodel + a->model] != SPREAD_READY)
 			continue;
 		if (!fits_adapter(b, d, a)) {
-			full = d;
+			n = spare_adapter(b, d, &spare);
+			if (n != -1) {
+				victim = n;
+				full = d;
+			}
 			continue;
 		}
 		cost = burden_first(&d->ep->burden, &p->s->usual_pace, 0) +
-		    20 * desk_adapters(d);
+		    ADAPTER_MS * desk_adapters(d);
 		if (cost < least) {
 			least = cost;
 			best = d;
@@ -388,16 +410,12 @@
 	if (best != NULL) {
 		desk_order(p, best, true, model, a->adapter,
 		    a->waiting ? "waiting" : "demand");
-		return;
+	} else if (full != NULL) {
+		const holding_set_t *h = &full->ep->entry.holds;
+
+		desk_order(p, full, false, h->model[h->adapter[victim].model],
+		    h->adapter[victim].name, "make-room");
 	}
-	if (full == NULL)
-		return;
-	n = spare_adapter(b, full, a->work + (a->waiting ? PACE : 0));
-	if (n == -1)
-		return;
-	desk_order(p, full, false,
-	    full->ep->entry.holds.model[full->ep->entry.holds.adapter[n].model],
-	    full->ep->entry.holds.adapter[n].name, "make-room");
 }
 
 static void
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -48,18 +48,37 @@
 }
 
 double
-queue_ahead(const call_t *c)
+queue_tokens(const serve_t *s, const char *model)
 {
 	const call_t *o;
 	double sum = 0;
 
-	for (o = c->s->waiting; o != NULL && o != c; o = o->next_waiting)
-		if (strcmp(o->ask.model, c->ask.model) == 0 &&
-		    (c->queued || before(o, c)))
+	for (o = s->waiting; o != NULL; o = o->next_waiting)
+		if (model == NULL || strcmp(o->ask.model, model) == 0)
 			sum += o->ask.prompt;
 	return sum;
 }
 
+double
+queue_ahead(const call_t *c)
+{
+	const serve_t *s = c->s;
+	const call_t *o;
+	double here = 0, all = queue_tokens(s, NULL), there = 0, part;
+	int i;
+
+	for (o = s->waiting; o != NULL && o != c; o = o->next_waiting)
+		if (strcmp(o->ask.model, c->ask.model) == 0 &&
+		    (c->queued || before(o, c)))
+			here += o->ask.prompt;
+	for (i = 0; i < s->peers.npeer; i++)
+		if (peer_alive(s, s->peers.peer[i]))
+			there += s->peers.peer[i]->waiting;
+	/* Theirs are of the same models as ours, and half of them go first. */
+	part = all > 0 ? queue_tokens(s, c->ask.model) / all : 0;
+	return here + there * part / 2;
+}
+
 void
 calls_retry(serve_t *s)
 {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -244,7 +244,12 @@
 void calls_retry(serve_t *s);
 /** Look again at the end of this turn. */
 void queue_wake(serve_t *s);
-/** Prompt tokens of the same model that wait before a call like this. */
+/** Prompt tokens that wait here, of one model or (NULL) of all. */
+double queue_tokens(const serve_t *s, const char *model);
+/**
+ * Prompt tokens of the same model that wait before a call like this, here and,
+ * by what they tell, on other instances.
+ */
 double queue_ahead(const call_t *c);
 void queue_open(serve_t *s);
 
@@ -357,6 +362,7 @@
 	uint32_t incarnation;
 	uint32_t sequence; /* of its last datagram */
 	bool ready, leaving, holder, goodbye;
+	int waiting;	   /* prompt tokens of calls that wait there */
 	ms_t heard_at;	   /* 0: never */
 	ms_t known_at;
 	int64_t revision;  /* of its object, 0: none */
