--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WARN += -Wno-format-truncation -Wno-stringop-truncation
 CFLAGS = -std=gnu11 -O2 -g -pthread -I. $(WARN) $(foreach p,$(PKGS),$(shell pkg-config --cflags $(p) 2>/dev/null))
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm -pthread
-PACKAGES = base policy net platform serve store endpoint peer operator caller control entry
+PACKAGES = base policy store endpoint peer operator caller control entry
 B = build
 # V=1 shows each command.
 Q = $(if $(V),,@)
@@ -26,6 +26,9 @@
 
 LIBSRC = $(foreach p,$(PACKAGES),$(wildcard $(p)/*.c))
 LIB = $(O)/libebonypitch.a
+# The daemon on a platform; its own archive, since files' names recur.
+SERVESRC = $(foreach p,net platform serve,$(wildcard $(p)/*.c))
+SERVELIB = $(O)/libserve.a
 CMDS = $(patsubst cmd/%.c,$(B)/bin/%,$(wildcard cmd/*.c))
 # Each of these is a program; the other files in standin/ are theirs to share.
 STANDIN = platform engine service
@@ -40,8 +43,8 @@
 PROC = $(patsubst tests/%.c,$(O)/tests/%,$(wildcard tests/*_proc.c))
 TESTLIB = $(patsubst tests/%.c,$(O)/tests/%.o,$(filter-out %_test.c %_proc.c,$(wildcard tests/*.c)))
 OBJ = $(patsubst %.c,$(O)/%.o,$(LIBSRC))
-SRC = $(filter-out %.pb-c.c,$(LIBSRC)) $(wildcard cmd/*.c standin/*.c bench/*.c tests/*.c)
-HDR = $(filter-out %.pb-c.h,$(wildcard $(PACKAGES:%=%/*.h) standin/*.h bench/*.h tests/*.h))
+SRC = $(filter-out %.pb-c.c,$(LIBSRC) $(SERVESRC)) $(wildcard cmd/*.c standin/*.c bench/*.c tests/*.c)
+HDR = $(filter-out %.pb-c.h,$(wildcard $(PACKAGES:%=%/*.h) net/*.h platform/*.h serve/*.h standin/*.h bench/*.h tests/*.h))
 DEPLOYMENT = granite-ridge
 
 # The daemon alone, for deploy/system.toml: everything goes under target/.
@@ -65,10 +68,13 @@
 $(O)/%.pb-c.o: %.pb-c.c
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -Wno-shadow -MMD -MP -c -o $@ $<
+$(SERVELIB): $(patsubst %.c,$(O)/%.o,$(SERVESRC))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
 $(LIB): $(OBJ)
 	@rm -f $@
 	$(Q)ar rcs $@ $^
-$(B)/bin/standin-%: $(O)/standin/%.o $(STANDLIB) $(LIB)
+$(B)/bin/standin-%: $(O)/standin/%.o $(STANDLIB) $(SERVELIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 $(B)/bin/ebonypitchd: $(DAEMONOBJ)
@@ -77,10 +83,10 @@
 $(B)/bin/%: $(O)/cmd/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(B)/bin/%: $(O)/bench/%.o $(BENCHLIB) $(STANDLIB) $(LIB)
+$(B)/bin/%: $(O)/bench/%.o $(BENCHLIB) $(STANDLIB) $(SERVELIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
-$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(BENCHLIB) $(STANDLIB) $(LIB)
+$(O)/tests/%: $(O)/tests/%.o $(TESTLIB) $(BENCHLIB) $(STANDLIB) $(SERVELIB) $(LIB)
 	$(Q)$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 .SECONDARY:
 
@@ -127,6 +133,7 @@
 	@for m in $(wildcard man/*.[1-8]); do mandoc -T lint -W warning $$m || exit 1; done
 proto:
 	protoc-c --c_out=. peer/wire.proto
+	protoc-c --c_out=. serve/digest.proto
 clean:
 	rm -rf $(B)
 
--- a/policy/tenure.c
+++ b/policy/tenure.c
@@ -22,7 +22,8 @@
 }
 
 void
-tenure_seen(tenure_t *t, int64_t revision, bool own, bool released, ms_t now)
+tenure_seen(tenure_t *t, int64_t revision, bool own, bool settled,
+    bool released, ms_t now)
 {
 	if (!t->read || revision != t->revision)
 		t->still_since = now;
@@ -32,6 +33,7 @@
 	t->read = true;
 	t->revision = revision;
 	t->own = own;
+	t->settled = settled;
 	t->released = released;
 }
 
@@ -57,12 +59,16 @@
 void
 tenure_took(tenure_t *t, int64_t revision, ms_t sent)
 {
-	t->from = sent;
-	if (t->revision != 0 && !t->own)
-		t->from = t->still_since + valid(t) + t->lease + WAY_MS;
-	/* One who has given it up stopped before it wrote that. */
-	if (t->revision != 0 && !t->own && t->released)
+	if (t->revision == 0 || (t->own && t->settled))
+		t->from = sent;
+	else if (t->own)
+		/* The process before may not have waited for its own. */
+		t->from = sent + t->lease + WAY_MS;
+	else if (t->released)
+		/* One who has given it up stopped before it wrote that. */
 		t->from = t->still_since + t->lease + WAY_MS;
+	else
+		t->from = t->still_since + valid(t) + t->lease + WAY_MS;
 	t->held = true;
 	t->token = t->revision = revision;
 	t->renewed = sent;
@@ -92,6 +98,12 @@
 	t->read = false;
 }
 
+bool
+tenure_settled(const tenure_t *t, ms_t now)
+{
+	return t->held && now >= t->from;
+}
+
 bool
 tenure_valid(const tenure_t *t, ms_t now)
 {
--- a/policy/tenure.h
+++ b/policy/tenure.h
@@ -20,7 +20,7 @@
 
 	/* The object as it was read last. */
 	int64_t revision; /* 0: there is none */
-	bool read, own, released;
+	bool read, own, settled, released;
 	ms_t still_since; /* it was first seen at this revision */
 	int64_t told;	  /* revision that the holder itself told of ... */
 	ms_t told_at;	  /* ... first at that time */
@@ -35,10 +35,14 @@
 /**
  * The object was read.
  * @param own this instance's machine stands in it
+ * @param settled its holder had begun to order when it wrote it: a process
+ *	started anew on that machine may go on at once
  * @param released its holder has given it up
  */
-void tenure_seen(
-    tenure_t *t, int64_t revision, bool own, bool released, ms_t now);
+void tenure_seen(tenure_t *t, int64_t revision, bool own, bool settled,
+    bool released, ms_t now);
+/** Has this holder's wait for the one before ended? */
+bool tenure_settled(const tenure_t *t, ms_t now);
 /** The holder says that its renewal made this revision. */
 void tenure_told(tenure_t *t, int64_t revision, ms_t now);
 /** May a take-over be written, on condition of t->revision? */
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -60,9 +60,11 @@
 static char *
 spec(const plan_t *p, bool released)
 {
-	json_t *j = json_pack("{s:s,s:s,s:I,s:b}", "holder",
+	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b}", "holder",
 	    p->s->site.instance, "ip", p->s->site.ip, "beat",
-	    (json_int_t)clock_wall(), "released", released);
+	    (json_int_t)clock_wall(), "settled",
+	    tenure_settled(&p->tenure, clock_now(&machine_clock)), "released",
+	    released);
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -77,6 +79,7 @@
 
 	tenure_seen(&p->tenure, o->revision,
 	    ip != NULL && strcmp(ip, p->s->site.ip) == 0,
+	    json_is_true(json_object_get(j, "settled")),
 	    json_is_true(json_object_get(j, "released")), p->s->loop.now);
 	json_decref(j);
 }
@@ -90,7 +93,8 @@
 
 	p->lease_call = NULL;
 	if (status == 404) {
-		tenure_seen(&p->tenure, 0, false, false, p->s->loop.now);
+		tenure_seen(
+		    &p->tenure, 0, false, false, false, p->s->loop.now);
 	} else if (status == 200 && object_decode(&o, text, len, &e) == 0) {
 		seen(p, &o);
 		free(o.spec);
--- /dev/null
+++ b/standin/crew.c
@@ -0,0 +1,444 @@
+#include "standin/crew.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+typedef struct job {
+	hand_t *h;
+	link_t *link;
+	buf_t body;
+	run_t *run; /* under way, or NULL */
+	int64_t next; /* event */
+	alarm_t alarm;
+} job_t;
+
+struct hand {
+	loop_t *loop;
+	watch_t door;
+	char id[ID_MAX], addr[ADDR_MAX], model[ID_MAX];
+	int events, slots;
+	ms_t gap, work;
+	hand_fault_t fault;
+	GPtrArray *run, *order, *job, *adapter;
+	int64_t seq;
+	int connections;
+};
+
+static void
+finish(job_t *j, bool whole)
+{
+	j->run->whole = whole;
+	j->run = NULL;
+	link_flush(j->link);
+	if (!j->link->dead)
+		link_next(j->link);
+}
+
+static void
+head(job_t *j, int status, const char *extra)
+{
+	buf_fmt(&j->link->out,
+	    "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n"
+	    "Server-Load: 1,0,8\r\n%s",
+	    status, http_reason(status), j->run->id, j->h->id, extra);
+}
+
+static void
+plain(void *arg)
+{
+	job_t *j = arg;
+	char body[160];
+	bool bad = j->h->fault == HAND_ERROR;
+
+	snprintf(body, sizeof(body), "answer to %s by %s", j->run->id,
+	    j->h->id);
+	if (j->h->fault == HAND_BUSY) {
+		head(j, 503, "Content-Length: 0\r\n\r\n");
+		finish(j, true);
+		return;
+	}
+	head(j, bad ? 500 : 200,
+	    j->h->fault == HAND_UNSIGNED ? "" : "Server-Signature: s1\r\n");
+	buf_fmt(&j->link->out, "Content-Length: %zu\r\n\r\n%s", strlen(body),
+	    body);
+	if (j->h->fault == HAND_EXTRA)
+		buf_str(&j->link->out,
+		    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+		    "Content-Length: 5\r\n\r\nextra");
+	finish(j, true);
+}
+
+static void
+chunk(job_t *j, const char *p, size_t n)
+{
+	buf_fmt(&j->link->out, "%zx\r\n", n);
+	buf_add(&j->link->out, p, n);
+	buf_str(&j->link->out, "\r\n");
+	link_flush(j->link);
+}
+
+static void
+drop(job_t *j)
+{
+	alarm_stop(j->h->loop, &j->alarm);
+	if (j->run != NULL)
+		j->run->cancelled = true;
+	g_ptr_array_remove(j->h->job, j);
+}
+
+static void
+event(void *arg)
+{
+	job_t *j = arg;
+	char ev[120];
+	int n;
+
+	n = snprintf(ev, sizeof(ev), "id: %" PRId64 "\ndata: %s %" PRId64
+	    "\n\n", j->next, "token", j->next);
+	if (j->h->fault == HAND_CUT && j->next >= 3) {
+		chunk(j, ev, (size_t)n / 2);
+		link_close(j->link);
+		drop(j);
+		return;
+	}
+	chunk(j, ev, (size_t)n);
+	if (j->link->dead)
+		return;
+	if (j->next++ < j->h->events) {
+		alarm_set(j->h->loop, &j->alarm, j->h->loop->now + j->h->gap);
+		return;
+	}
+	buf_str(&j->link->out, "0\r\n\r\n");
+	finish(j, true);
+}
+
+static run_t *
+record(job_t *j)
+{
+	const head_t *h = &j->link->head;
+	const char *v;
+	run_t *r = g_new0(run_t, 1);
+	GString *text = g_string_new(NULL);
+	int i;
+
+	v = head_get(h, "Request-Id");
+	str_copy(r->id, sizeof(r->id), v != NULL ? v : "");
+	v = head_get(h, "Last-Event-Id");
+	r->from = v != NULL ? strtoll(v, NULL, 10) : -1;
+	v = head_get(h, "Deadline-Remaining");
+	r->left = v != NULL ? strtoll(v, NULL, 10) : -1;
+	r->at = j->h->loop->now;
+	g_string_append_printf(text, "%s\n", head_target(h));
+	for (i = 0; i < h->nfield; i++)
+		g_string_append_printf(
+		    text, "%s: %s\n", head_name(h, i), head_value(h, i));
+	r->head = g_string_free(text, FALSE);
+	r->body = g_strndup(j->body.p != NULL ? j->body.p + j->body.off : "",
+	    buf_len(&j->body));
+	g_ptr_array_add(j->h->run, r);
+	return r;
+}
+
+static void
+order(job_t *j)
+{
+	hand_t *h = j->h;
+	json_t *b = json_loadb(j->body.p + j->body.off, buf_len(&j->body), 0,
+	    NULL);
+	order_seen_t *o = g_new0(order_seen_t, 1);
+	const json_t *expect = json_object_get(b, "expect_revision");
+	const char *adapter = json_string_value(json_object_get(b, "adapter"));
+
+	str_copy(o->op, sizeof(o->op),
+	    json_string_value(json_object_get(b, "operation")));
+	str_copy(o->model, ID_MAX,
+	    json_string_value(json_object_get(b, "model")));
+	str_copy(o->adapter, ID_MAX, adapter != NULL ? adapter : "");
+	str_copy(o->holder, ID_MAX,
+	    json_string_value(json_object_get(b, "holder")));
+	o->expect = expect != NULL ? json_integer_value(expect) : -1;
+	o->token =
+	    json_integer_value(json_object_get(b, "fencing_token"));
+	o->status = o->expect >= 0 && o->expect != h->seq ? 409 : 202;
+	if (o->status == 202) {
+		h->seq++;
+		if (adapter != NULL && strcmp(o->op, "load") == 0)
+			g_ptr_array_add(h->adapter, g_strdup(adapter));
+	}
+	g_ptr_array_add(h->order, o);
+	buf_fmt(&j->link->out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n",
+	    o->status, http_reason(o->status));
+	link_flush(j->link);
+	link_next(j->link);
+	json_decref(b);
+}
+
+static json_t *
+models(const hand_t *h)
+{
+	json_t *list = json_array();
+	guint i;
+
+	for (i = 0; i < h->adapter->len; i++)
+		json_array_append_new(
+		    list, json_string(h->adapter->pdata[i]));
+	return json_pack("[{s:s,s:i,s:o}]", "name", h->model, "version", 1,
+	    "adapters", list);
+}
+
+static void
+report(job_t *j)
+{
+	hand_t *h = j->h;
+	json_t *r = json_pack("{s:o,s:b,s:I,s:i,s:i,s:i,s:i}", "models",
+	    models(h), "busy", 0, "seq", (json_int_t)h->seq, "running", 0,
+	    "waiting", 0, "kv_used", 0, "kv_total", 100000);
+	char *text = json_dumps(r, JSON_COMPACT);
+
+	buf_fmt(&j->link->out,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(text),
+	    text);
+	free(text);
+	json_decref(r);
+	link_flush(j->link);
+	link_next(j->link);
+}
+
+/* A call that it doesn't run. */
+static bool
+refuses(job_t *j)
+{
+	const head_t *h = &j->link->head;
+	const char *expect = head_get(h, "Expect-Instance");
+	const char *model = head_get(h, "Model"), *slash;
+	bool other = expect != NULL && strcmp(expect, j->h->id) != 0;
+	bool lacks = false;
+	guint i;
+
+	slash = model != NULL ? strchr(model, '/') : NULL;
+	if (slash != NULL) {
+		lacks = true;
+		for (i = 0; i < j->h->adapter->len; i++)
+			lacks &= strcmp(slash + 1,
+				     j->h->adapter->pdata[i]) != 0;
+	}
+	if (!other && !lacks && j->h->fault != HAND_NOT_RUN)
+		return false;
+	buf_fmt(&j->link->out,
+	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	    other || lacks ? 421 : 503,
+	    http_reason(other || lacks ? 421 : 503));
+	link_flush(j->link);
+	link_next(j->link);
+	return true;
+}
+
+static void
+on_done(void *u, link_t *k)
+{
+	job_t *j = u;
+	hand_t *h = j->h;
+	const char *target = head_target(&k->head);
+
+	if (strcmp(target, "/v1/order") == 0) {
+		order(j);
+		return;
+	}
+	if (strcmp(target, "/v1/report") == 0) {
+		report(j);
+		return;
+	}
+	if (refuses(j))
+		return;
+	j->run = record(j);
+	switch (h->fault) {
+	case HAND_RESET:
+		link_close(k);
+		drop(j);
+		return;
+	case HAND_MUTE:
+		return;
+	case HAND_FOREIGN:
+		buf_str(&k->out,
+		    "HTTP/1.1 200 OK\r\nRequest-Id: late\r\n"
+		    "Server-Signature: s0\r\nContent-Length: 4\r\n\r\nlate");
+		break;
+	default:
+		break;
+	}
+	if (h->model[0] == '\0' || h->fault == HAND_ERROR ||
+	    h->fault == HAND_BUSY) {
+		j->alarm = (alarm_t) { .fn = plain, .arg = j };
+		alarm_set(h->loop, &j->alarm, h->loop->now + h->work);
+		return;
+	}
+	head(j, 200,
+	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n");
+	j->next = j->run->from >= 0 ? j->run->from + 1 : 1;
+	j->alarm = (alarm_t) { .fn = event, .arg = j };
+	alarm_set(h->loop, &j->alarm, h->loop->now + h->gap);
+}
+
+static void
+on_head(void *u, link_t *k)
+{
+	job_t *j = u;
+
+	(void)k;
+	j->body.off = j->body.len = 0;
+}
+
+static void
+on_body(void *u, link_t *k, const char *p, size_t n)
+{
+	job_t *j = u;
+
+	(void)k;
+	buf_add(&j->body, p, n);
+}
+
+static void
+on_end(void *u, link_t *k, link_end_t why)
+{
+	(void)k, (void)why;
+	drop(u);
+}
+
+static void
+on_bad(void *u, link_t *k, int status)
+{
+	(void)status;
+	link_close(k);
+	drop(u);
+}
+
+static const link_ops_t ops = { .head = on_head, .body = on_body,
+	.done = on_done, .bad = on_bad, .end = on_end };
+
+static void
+knock(void *arg, uint32_t ev)
+{
+	hand_t *h = arg;
+	int fd;
+
+	(void)ev;
+	while ((fd = accept(h->door.fd, NULL, NULL)) != -1) {
+		job_t *j = calloc(1, sizeof(*j));
+
+		h->connections++;
+		j->h = h;
+		j->link = link_accept(h->loop, fd, &ops, j);
+		g_ptr_array_add(h->job, j);
+	}
+}
+
+static void
+free_job(gpointer p)
+{
+	job_t *j = p;
+
+	buf_free(&j->body);
+	loop_bury(j->h->loop, j);
+}
+
+static void
+free_run(gpointer p)
+{
+	run_t *r = p;
+
+	g_free(r->head);
+	g_free(r->body);
+	g_free(r);
+}
+
+hand_t *
+hand_new(loop_t *l, const hand_opts_t *o)
+{
+	hand_t *h = g_new0(hand_t, 1);
+	err_t e = { 0 };
+
+	h->loop = l;
+	str_copy(h->id, ID_MAX, o->id);
+	str_copy(h->addr, ADDR_MAX, o->addr);
+	if (o->model != NULL)
+		str_copy(h->model, ID_MAX, o->model);
+	h->events = o->events;
+	h->gap = o->gap;
+	h->work = o->work;
+	h->slots = o->adapter_slots;
+	h->run = g_ptr_array_new_with_free_func(free_run);
+	h->order = g_ptr_array_new_with_free_func(g_free);
+	h->job = g_ptr_array_new_with_free_func(free_job);
+	h->adapter = g_ptr_array_new_with_free_func(g_free);
+	h->door = (watch_t) { net_listen(o->addr, &e), 0, knock, h };
+	if (h->door.fd == -1)
+		g_error("%s", e.text);
+	watch_add(l, &h->door, EPOLLIN);
+	return h;
+}
+
+void
+hand_fault(hand_t *h, hand_fault_t f)
+{
+	h->fault = f;
+}
+
+const GPtrArray *
+hand_runs(const hand_t *h)
+{
+	return h->run;
+}
+
+const GPtrArray *
+hand_orders(const hand_t *h)
+{
+	return h->order;
+}
+
+int
+hand_connections(const hand_t *h)
+{
+	return h->connections;
+}
+
+char *
+hand_entry(
+    const hand_t *h, const char *service, const char *domain, bool leaving)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i}",
+	    "service", service, "address", h->addr, "zone", domain, "version",
+	    "v1", "slots", 8, "state", leaving ? "draining" : "ready",
+	    "cold_left_ms", 0, "born", (json_int_t)1000, "seq", 1);
+	char *text, *out;
+
+	if (h->model[0] != '\0')
+		json_object_set_new(j, "models", models(h));
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	out = g_strdup(text);
+	free(text);
+	return out;
+}
+
+void
+hand_free(hand_t *h)
+{
+	guint i;
+
+	watch_del(h->loop, &h->door);
+	for (i = 0; i < h->job->len; i++) {
+		job_t *j = h->job->pdata[i];
+
+		alarm_stop(h->loop, &j->alarm);
+		link_close(j->link);
+	}
+	g_ptr_array_free(h->job, TRUE);
+	g_ptr_array_free(h->run, TRUE);
+	g_ptr_array_free(h->order, TRUE);
+	g_ptr_array_free(h->adapter, TRUE);
+	g_free(h);
+}
--- /dev/null
+++ b/tests/spread_test.c
@@ -0,0 +1,229 @@
+#include "policy/spread.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum {
+	EPS = 12,
+	MODELS = 26,
+};
+
+typedef struct fleet {
+	spread_ep_t ep[EPS];
+	spread_model_t model[MODELS];
+	uint8_t held[EPS * MODELS], hand[EPS * MODELS];
+	spread_in_t in;
+} fleet_t;
+
+static void
+put(fleet_t *f, int e, int m)
+{
+	f->held[e * MODELS + m] = SPREAD_READY;
+	f->ep[e].room -= f->model[m].mb;
+}
+
+/* Three places an endpoint; two busy models on many, the others on one. */
+static void
+fleet(fleet_t *f)
+{
+	int e, m, next = 2;
+
+	memset(f, 0, sizeof(*f));
+	for (m = 0; m < MODELS; m++)
+		f->model[m].mb = 70000;
+	for (e = 0; e < EPS; e++) {
+		f->ep[e] = (spread_ep_t) { .usable = true, .free = true,
+			.room = 220000, .pace = 19000 };
+		put(f, e, e < 8 ? 0 : 1);
+		put(f, e, next < MODELS ? next++ : 0);
+		if (next < MODELS)
+			put(f, e, next++);
+	}
+	f->in = (spread_in_t) { .model = f->model, .nmodel = MODELS,
+		.ep = f->ep, .nep = EPS, .held = f->held, .hand = f->hand,
+		.settled = true, .may_fetch = true };
+}
+
+static int
+copies(const fleet_t *f, int m)
+{
+	int e, n = 0;
+
+	for (e = 0; e < EPS; e++)
+		n += f->held[e * MODELS + m] == SPREAD_READY;
+	return n;
+}
+
+/* Carry an order out at once. */
+static void
+obey(fleet_t *f, const spread_move_t *mv)
+{
+	uint8_t *h = &f->held[mv->ep * MODELS + mv->model];
+
+	if (mv->load) {
+		g_assert_cmpint(*h, ==, SPREAD_NO);
+		f->ep[mv->ep].room -= f->model[mv->model].mb;
+		g_assert_cmpfloat(f->ep[mv->ep].room, >=, 0);
+		*h = SPREAD_READY;
+	} else {
+		g_assert_cmpint(*h, ==, SPREAD_READY);
+		g_assert_cmpint(copies(f, mv->model), >, 1);
+		f->ep[mv->ep].room += f->model[mv->model].mb;
+		*h = SPREAD_NO;
+	}
+}
+
+static int
+settle(fleet_t *f)
+{
+	spread_move_t mv;
+	int n;
+
+	for (n = 0; n < 200 && spread_next(&f->in, &mv); n++)
+		obey(f, &mv);
+	return n;
+}
+
+static void
+busiest_moves_on(void)
+{
+	fleet_t f;
+	int m;
+
+	fleet(&f);
+	f.model[0].work = 100000;
+	f.model[1].work = 40000;
+	settle(&f);
+	g_assert_cmpint(copies(&f, 0), >=, 5);
+	/* The demand goes to models that had one copy each. */
+	f.model[0].work = 500;
+	f.model[1].work = 500;
+	f.model[2].work = 100000;
+	f.model[3].work = 40000;
+	g_assert_cmpint(settle(&f), <, 100);
+	g_assert_cmpint(copies(&f, 2), >=, 4);
+	g_assert_cmpint(copies(&f, 3), >=, 2);
+	for (m = 0; m < MODELS; m++)
+		g_assert_cmpint(copies(&f, m), >=, 1);
+}
+
+static void
+steady_demand_moves_nothing(void)
+{
+	fleet_t f;
+	spread_move_t mv;
+
+	fleet(&f);
+	f.model[0].work = 60000;
+	f.model[1].work = 30000;
+	settle(&f);
+	f.model[0].work *= 1.1;
+	f.model[1].work *= 0.95;
+	settle(&f);
+	g_assert_false(spread_next(&f.in, &mv));
+}
+
+/* Its only endpoint crashed: it comes back before any second copy. */
+static void
+lost_last_copy_is_repaired_first(void)
+{
+	fleet_t f;
+	spread_move_t mv;
+
+	fleet(&f);
+	f.model[0].work = 150000;
+	f.model[5].waiting = true;
+	memset(&f.held[0], 0, 0);
+	f.ep[1].usable = false;
+	g_assert_true(spread_next(&f.in, &mv));
+	if (!mv.load) {
+		g_assert_cmpint(mv.reason, ==, SPREAD_ROOM);
+		g_assert_true(mv.for_model == 4 || mv.for_model == 5);
+	} else {
+		g_assert_cmpint(mv.reason, ==, SPREAD_REPAIR);
+	}
+}
+
+static void
+nothing_is_repaired_while_endpoints_come(void)
+{
+	fleet_t f;
+	spread_move_t mv;
+
+	fleet(&f);
+	f.in.settled = false;
+	f.ep[1].usable = false;
+	g_assert_false(spread_next(&f.in, &mv));
+	f.model[4].waiting = f.model[5].waiting = true;
+	g_assert_true(spread_next(&f.in, &mv));
+}
+
+static void
+weight_store_is_spared(void)
+{
+	fleet_t f;
+	spread_move_t mv;
+	int e;
+
+	fleet(&f);
+	f.model[0].work = 200000;
+	f.in.may_fetch = false;
+	g_assert_false(spread_next(&f.in, &mv));
+	for (e = 0; e < EPS; e++)
+		f.hand[e * MODELS + 0] = 1;
+	g_assert_true(spread_next(&f.in, &mv));
+}
+
+static void
+adapters_need_copies(void)
+{
+	fleet_t f;
+
+	fleet(&f);
+	f.model[1].work = 1000;
+	f.model[1].least = 6;
+	settle(&f);
+	g_assert_cmpint(copies(&f, 1), >=, 5);
+}
+
+/* Random demand, failures and orders: never the last copy, never too much. */
+static void
+any_demand_keeps_the_bounds(void)
+{
+	GRand *g = g_rand_new_with_seed(11);
+	int round, e, m;
+
+	for (round = 0; round < 300; round++) {
+		fleet_t f;
+
+		fleet(&f);
+		for (m = 0; m < MODELS; m++) {
+			f.model[m].work = g_rand_boolean(g)
+			    ? 0
+			    : g_rand_double_range(g, 0, 60000);
+			f.model[m].waiting = g_rand_int_range(g, 0, 9) == 0;
+		}
+		for (e = 0; e < EPS; e++)
+			f.ep[e].free = g_rand_int_range(g, 0, 4) != 0;
+		g_assert_cmpint(settle(&f), <, 200);
+	}
+	g_rand_free(g);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/spread/busiest-moves-on", busiest_moves_on);
+	g_test_add_func(
+	    "/spread/steady-demand-moves-nothing", steady_demand_moves_nothing);
+	g_test_add_func("/spread/lost-last-copy-is-repaired-first",
+	    lost_last_copy_is_repaired_first);
+	g_test_add_func("/spread/nothing-is-repaired-while-endpoints-come",
+	    nothing_is_repaired_while_endpoints_come);
+	g_test_add_func("/spread/weight-store-is-spared", weight_store_is_spared);
+	g_test_add_func("/spread/adapters-need-copies", adapters_need_copies);
+	g_test_add_func(
+	    "/spread/any-demand-keeps-the-bounds", any_demand_keeps_the_bounds);
+	return g_test_run();
+}
