--- a/net/link.c
+++ b/net/link.c
@@ -127,7 +127,9 @@
 	k->head_bytes = k->body_bytes = 0;
 	k->in_msg = true;
 	k->headed = false;
-	k->since = k->loop->now;
+	k->since = k->began = k->loop->now;
+	if (k->ops->begin != NULL)
+		k->ops->begin(k->user, k);
 	return 0;
 }
 
@@ -184,6 +186,9 @@
 	if (k->headed)
 		return 0;
 	if (f->value == 0) {
+		/* The parser lets a blank stand before the colon. */
+		if (h->text.p[h->text.len - 1] == ' ')
+			return -1;
 		buf_add(&h->text, "", 1);
 		f->value = (uint32_t)h->text.len;
 	}
@@ -245,12 +250,17 @@
 	.on_message_complete = on_done,
 };
 
-/* The parser takes a lone line feed as an end of line; proxies disagree. */
+/*
+ * The parser takes a lone line feed as an end of line and joins folded lines;
+ * other implementations read such a head differently.
+ */
 static bool
-bare_feed(link_t *k, const char *p, size_t n)
+odd_lines(link_t *k, const char *p, size_t n)
 {
 	const char *q = p, *end = p + n;
 
+	if (n > 0 && k->last == '\n' && (*p == ' ' || *p == '\t'))
+		return true;
 	while ((q = memchr(q, '\n', (size_t)(end - q))) != NULL) {
 		char before = q == p ? k->last : q[-1];
 
@@ -258,6 +268,8 @@
 			return true;
 		if (end - q > 2 && q[1] == '\r' && q[2] == '\n')
 			return false; /* what follows is body */
+		if (end - q > 1 && (q[1] == ' ' || q[1] == '\t'))
+			return true;
 		q++;
 	}
 	k->last = n > 0 ? p[n - 1] : k->last;
@@ -279,7 +291,7 @@
 {
 	size_t used;
 
-	if (k->side == LINK_SERVER && !k->headed && bare_feed(k, p, n)) {
+	if (k->side == LINK_SERVER && !k->headed && odd_lines(k, p, n)) {
 		failed(k);
 		return;
 	}
--- a/net/net.h
+++ b/net/net.h
@@ -143,6 +143,7 @@
 	void (*end)(void *u, link_t *k, link_end_t why);
 	void (*up)(void *u, link_t *k);	     /* a client's is made; or NULL */
 	void (*drained)(void *u, link_t *k); /* out became empty; or NULL */
+	void (*begin)(void *u, link_t *k);   /* a message begins; or NULL */
 } link_ops_t;
 
 struct link {
@@ -167,7 +168,8 @@
 	bool keep;    /* may carry another message */
 	int refuse;   /* status for a malformed or oversized request */
 	char last;    /* previous byte of a head, to find bare line feeds */
-	ms_t since;   /* last byte in or out, or start of a head */
+	ms_t since;   /* last byte in or out */
+	ms_t began;   /* the message that is under way */
 	alarm_t alarm; /* its user's */
 	bool lingering;
 };
--- a/serve/door.c
+++ b/serve/door.c
@@ -12,6 +12,7 @@
 	ACCEPTS = 64,	       /* taken in one turn */
 	IDLE_MS = 15000,       /* before a configuration says how long */
 	HEAD_MS = 3000,	       /* the same, for a request's head */
+	BODY_MS = 5000,	       /* silence within a body */
 	BODY_MAX = 4 << 20,    /* bytes, the same for a body */
 	HEAD_MAX = 16384,      /* bytes */
 	LEAVE_IDLE_MS = 1500,  /* idle connections stay so long when we leave */
@@ -30,7 +31,7 @@
 	loop_bury(&s->loop, g);
 }
 
-/* The bound on silence that fits what the connection is doing. */
+/* The bound on silence, or on a head's whole arrival. */
 static void
 arm(guest_t *g)
 {
@@ -39,11 +40,13 @@
 						     : IDLE_MS;
 	ms_t head = c != NULL && c->head_timeout > 0 ? c->head_timeout
 						     : HEAD_MS;
-	ms_t span = g->link->in_msg && !g->link->headed ? head : idle;
+	ms_t at = g->link->since + idle;
 
-	if (g->s->leaving && !g->link->in_msg && span > LEAVE_IDLE_MS)
-		span = LEAVE_IDLE_MS;
-	alarm_set(&g->s->loop, &g->idle, g->link->since + span);
+	if (g->link->in_msg && !g->link->headed)
+		at = g->link->began + head;
+	else if (g->s->leaving && !g->link->in_msg)
+		at = g->link->since + LEAVE_IDLE_MS;
+	alarm_set(&g->s->loop, &g->idle, at);
 }
 
 static void
@@ -53,9 +56,13 @@
 
 	if (g->call != 0)
 		return;
+	if (g->link->in_msg && g->link->headed &&
+	    g->s->loop.now < g->link->since + BODY_MS) {
+		/* A long body is on its way. */
+		alarm_set(&g->s->loop, &g->idle, g->link->since + BODY_MS);
+		return;
+	}
 	if (g->link->in_msg) {
-		if (g->s->loop.now < g->idle.at)
-			return;
 		note(LOG_NOTICE, "caller-slow", "bytes=%zu",
 		    g->link->head_bytes + g->link->body_bytes);
 		guest_answer(g, 408, "Connection: close\r\n",
@@ -65,6 +72,13 @@
 	forget(g);
 }
 
+static void
+on_begin(void *u, link_t *k)
+{
+	(void)k;
+	arm(u);
+}
+
 static void
 on_head(void *u, link_t *k)
 {
@@ -144,6 +158,7 @@
 }
 
 static const link_ops_t ops = {
+	.begin = on_begin,
 	.head = on_head,
 	.body = on_body,
 	.done = on_done,
--- /dev/null
+++ b/tests/path_proc.c
@@ -0,0 +1,460 @@
+/* A call's way through one daemon, with endpoints that fail in each way. */
+#include "tests/stage.h"
+
+#include <string.h>
+
+static const hand_opts_t plain = { .work = 20 };
+static const hand_opts_t stream = { .model = "m1", .events = 8, .gap = 20,
+	.adapter_slots = 4 };
+
+static stage_t *
+one_daemon(const hand_opts_t *o, int n, const char *service)
+{
+	stage_t *st = stage_new();
+
+	stage_config(st, "");
+	while (n-- > 0)
+		stage_hand(st, o, service);
+	stage_daemon(st, 0, true);
+	return st;
+}
+
+static int
+runs(const stage_t *st)
+{
+	int i, n = 0;
+
+	for (i = 0; i < st->nhand; i++)
+		n += (int)hand_runs(st->hand[i])->len;
+	return n;
+}
+
+static const run_t *
+run_at(const stage_t *st, int hand, guint i)
+{
+	const GPtrArray *r = hand_runs(st->hand[hand]);
+
+	return i < r->len ? r->pdata[i] : NULL;
+}
+
+/* Events 1..n, each once, in order. */
+static void
+assert_events(const caller_t *c, int from, int n)
+{
+	GString *want = g_string_new(NULL);
+	int i;
+
+	for (i = from; i <= n; i++)
+		g_string_append_printf(
+		    want, "id: %d\ndata: token %d\n\n", i, i);
+	g_assert_cmpuint(buf_len(&c->body), ==, want->len);
+	g_assert_cmpint(
+	    memcmp(c->body.p + c->body.off, want->str, want->len), ==, 0);
+	g_string_free(want, TRUE);
+}
+
+static void
+plain_call_goes_unchanged(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	caller_t *c = caller_call(st, 0, "POST", "/once/a?b=c", "r1",
+	    "Deadline-Remaining: 1500\r\nX-Own: kept\r\nKv-From: evil\r\n"
+	    "Request-Priority: 0\r\nHold: evil\r\nConnection: X-Hop\r\n"
+	    "X-Hop: dropped\r\n");
+	const run_t *r;
+
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->head, "Server-Signature: s1"));
+	g_assert_nonnull(strstr(c->head, "Request-Id: r1"));
+	r = run_at(st, 0, 0);
+	g_assert_true(g_str_has_prefix(r->head, "/once/a?b=c\n"));
+	g_assert_cmpstr(r->body, ==, "body");
+	g_assert_nonnull(strstr(r->head, "X-Own: kept"));
+	g_assert_nonnull(strstr(r->head, "Expect-Instance: ep-0"));
+	g_assert_null(strstr(r->head, "evil"));
+	g_assert_null(strstr(r->head, "X-Hop"));
+	g_assert_null(strstr(r->head, "Request-Priority"));
+	g_assert_cmpint(r->left, <=, 1500);
+	g_assert_cmpint(r->left, >, 1200);
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+stream_is_whole(void)
+{
+	stage_t *st = one_daemon(&stream, 1, "llm");
+	caller_t *c = caller_call(st, 0, "POST", "/gen/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_true(c->done);
+	g_assert_cmpint(c->status, ==, 200);
+	assert_events(c, 1, 8);
+	/* As they came, not at the end. */
+	g_assert_cmpint(c->over - c->first, >, 80);
+	caller_free(c);
+	stage_free(st);
+}
+
+/* It may have run: never again, and no word that says it hasn't. */
+static void
+once_is_sent_once(void)
+{
+	static const hand_fault_t faults[] = { HAND_RESET, HAND_BUSY,
+		HAND_UNSIGNED, HAND_MUTE };
+	stage_t *st = one_daemon(&plain, 3, "app");
+	size_t i;
+	int h;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		char id[16];
+		int before = runs(st);
+		caller_t *c;
+
+		for (h = 0; h < st->nhand; h++)
+			hand_fault(st->hand[h], faults[i]);
+		snprintf(id, sizeof(id), "r%zu", i);
+		c = caller_call(st, 0, "POST", "/once/a", id,
+		    "Deadline-Remaining: 900\r\n");
+		g_assert_true(caller_wait(c, 3000));
+		g_assert_true(c->done);
+		g_assert_true(c->status == 502 || c->status == 504);
+		g_assert_cmpint(runs(st) - before, ==, 1);
+		caller_free(c);
+	}
+	stage_free(st);
+}
+
+static void
+safe_is_sent_again(void)
+{
+	stage_t *st = one_daemon(&plain, 2, "app");
+	caller_t *c;
+	int i;
+
+	hand_fault(st->hand[0], HAND_RESET);
+	for (i = 0; i < 6; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "r%d", i);
+		c = caller_call(st, 0, "GET", "/safe/a", id,
+		    "Deadline-Remaining: 1500\r\n");
+		g_assert_true(caller_wait(c, 3000));
+		g_assert_cmpint(c->status, ==, 200);
+		caller_free(c);
+	}
+	g_assert_cmpuint(hand_runs(st->hand[0])->len, >, 0);
+	stage_free(st);
+}
+
+static void
+not_run_is_said_as_such(void)
+{
+	stage_t *st = one_daemon(&plain, 2, "app");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_NOT_RUN);
+	hand_fault(st->hand[1], HAND_NOT_RUN);
+	c = caller_call(st, 0, "POST", "/once/a", "r1",
+	    "Deadline-Remaining: 1500\r\n");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 503);
+	g_assert_nonnull(strstr(c->head, "Retry-After: "));
+	g_assert_cmpint(runs(st), ==, 0);
+	caller_free(c);
+	hand_fault(st->hand[0], HAND_SOUND);
+	c = caller_call(st, 0, "POST", "/once/a", "r2",
+	    "Deadline-Remaining: 1500\r\n");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+cut_stream_goes_on_elsewhere(void)
+{
+	stage_t *st = one_daemon(&stream, 2, "llm");
+	caller_t *c;
+	int first;
+
+	hand_fault(st->hand[0], HAND_CUT);
+	hand_fault(st->hand[1], HAND_CUT);
+	c = caller_call(st, 0, "POST", "/gen/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+	stage_run(st, 50);
+	first = hand_runs(st->hand[0])->len > 0 ? 0 : 1;
+	hand_fault(st->hand[1 - first], HAND_SOUND);
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_true(c->done);
+	assert_events(c, 1, 8);
+	g_assert_cmpint(runs(st), ==, 2);
+	/* It goes on after the last whole event, cut inside the third. */
+	g_assert_cmpint(run_at(st, 1 - first, 0)->from, ==, 2);
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+cut_stream_that_cant_go_on_doesnt_look_whole(void)
+{
+	stage_t *st = one_daemon(&stream, 2, "llm");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_CUT);
+	hand_fault(st->hand[1], HAND_CUT);
+	c = caller_call(st, 0, "POST", "/gen1/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_false(c->done);
+	g_assert_true(c->ended);
+	assert_events(c, 1, 2);
+	g_assert_cmpint(runs(st), ==, 1);
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+answers_to_others_go_by(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		char id[16];
+		caller_t *c;
+
+		hand_fault(st->hand[0], i % 2 ? HAND_FOREIGN : HAND_EXTRA);
+		snprintf(id, sizeof(id), "r%d", i);
+		c = caller_call(st, 0, "POST", "/once/a", id,
+		    "Deadline-Remaining: 1500\r\n");
+		g_assert_true(caller_wait(c, 3000));
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpuint(buf_len(&c->body), ==,
+		    strlen("answer to r0 by ep-0"));
+		caller_free(c);
+	}
+	stage_free(st);
+}
+
+/* Its work is cancelled within half a second. */
+static bool
+is_cancelled(void *arg)
+{
+	stage_t *st = arg;
+	const run_t *r = run_at(st, 0, 0);
+
+	return r != NULL && r->cancelled;
+}
+
+static void
+caller_that_leaves_is_seen(void)
+{
+	static const hand_opts_t slow = { .model = "m1", .events = 400,
+		.gap = 20 };
+	stage_t *st = one_daemon(&slow, 1, "llm");
+	caller_t *c = caller_call(st, 0, "POST", "/gen/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+
+	stage_run(st, 200);
+	g_assert_cmpint(runs(st), ==, 1);
+	caller_leave(c);
+	g_assert_true(stage_until(st, is_cancelled, st, 500));
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+caller_that_leaves_before_an_answer_is_seen(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_MUTE);
+	c = caller_call(st, 0, "POST", "/once/a", "r1",
+	    "Deadline-Remaining: 1900\r\n");
+	stage_run(st, 150);
+	caller_leave(c);
+	g_assert_true(stage_until(st, is_cancelled, st, 500));
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+route_s_time_is_kept(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_MUTE);
+	c = caller_call(st, 0, "GET", "/safe/brief/a", "r1",
+	    "Deadline-Remaining: 1900\r\n");
+	g_assert_true(caller_wait(c, 2000));
+	g_assert_cmpint(c->status, ==, 504);
+	g_assert_cmpint(c->over - c->began, <, 700);
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+unknown_route_and_no_configuration(void)
+{
+	stage_t *st = stage_new();
+	caller_t *c;
+
+	stage_daemon(st, 0, false);
+	stage_run(st, 600);
+	g_assert_cmpint(
+	    page_status(st, st->ready[0], "/v1/ready", NULL), ==, 503);
+	c = caller_call(st, 0, "GET", "/safe/a", "r1", "");
+	g_assert_true(caller_wait(c, 2000));
+	g_assert_cmpint(c->status, ==, 503);
+	caller_free(c);
+	stage_config(st, "");
+	stage_run(st, 1500);
+	c = caller_call(st, 0, "GET", "/nowhere/a", "r2", "");
+	g_assert_true(caller_wait(c, 2000));
+	g_assert_cmpint(c->status, ==, 404);
+	caller_free(c);
+	stage_free(st);
+}
+
+/* Each gets one JSON error, and its connection is closed. */
+static void
+malformed_requests_end_their_connection(void)
+{
+	static const char *const bad[] = {
+		"POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"0\r\n\r\nGET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+		"Request-Id: smuggled\r\n\r\n",
+		"POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+		"POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"Content-Length : 4\r\n\r\nbody",
+		"POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"Content-Length: -1\r\n\r\nbody",
+		"POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"Transfer-Encoding: gzip\r\n\r\nbody",
+		"POST /once/a HTTP/1.1\nHost: h.example\nRequest-Id: x\n"
+		"Content-Length: 4\n\nbody",
+		"GET /safe/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+		"X-Folded: a\r\n b\r\n\r\n",
+		"nonsense\r\n\r\n",
+	};
+	stage_t *st = one_daemon(&plain, 1, "app");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		caller_t *c = caller_send(st, 0, bad[i]);
+
+		g_assert_true(caller_wait(c, 1500));
+		g_assert_cmpint(c->status, ==, 400);
+		stage_run(st, 100);
+		g_assert_true(c->ended);
+		caller_free(c);
+	}
+	g_assert_cmpint(runs(st), ==, 0);
+	stage_free(st);
+}
+
+static void
+missing_host_and_limits(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	GString *big = g_string_new(
+	    "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n");
+	caller_t *c;
+	int i;
+
+	c = caller_send(st, 0, "GET /safe/a HTTP/1.1\r\nRequest-Id: x\r\n\r\n");
+	g_assert_true(caller_wait(c, 1500));
+	g_assert_cmpint(c->status, ==, 400);
+	caller_free(c);
+	for (i = 0; i < 60; i++)
+		g_string_append_printf(big, "X-%d: %0100d\r\n", i, i);
+	g_string_append(big, "\r\n");
+	c = caller_send(st, 0, big->str);
+	g_assert_true(caller_wait(c, 1500));
+	g_assert_cmpint(c->status, ==, 431);
+	caller_free(c);
+	c = caller_send(st, 0,
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n"
+	    "Content-Length: 70000\r\n\r\nstart");
+	g_assert_true(caller_wait(c, 1500));
+	g_assert_cmpint(c->status, ==, 413);
+	caller_free(c);
+	/* A head that never ends. */
+	c = caller_send(st, 0, "GET /safe/a HTTP/1.1\r\nHost: h");
+	g_assert_true(caller_wait(c, 2500));
+	g_assert_cmpint(c->status, ==, 408);
+	caller_free(c);
+	g_string_free(big, TRUE);
+	g_assert_cmpint(runs(st), ==, 0);
+	stage_free(st);
+}
+
+static void
+body_in_chunks_is_forwarded(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	caller_t *c = caller_send(st, 0,
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+	    "Deadline-Remaining: 1500\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n2\r\nde\r\n0\r\nKv-From: trailer\r\n\r\n");
+
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpstr(run_at(st, 0, 0)->body, ==, "abcde");
+	g_assert_null(strstr(run_at(st, 0, 0)->head, "trailer"));
+	caller_free(c);
+	stage_free(st);
+}
+
+static void
+connections_are_kept(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		char id[16];
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "r%d", i);
+		c = caller_call(st, 0, "GET", "/safe/a", id,
+		    "Deadline-Remaining: 1500\r\n");
+		g_assert_true(caller_wait(c, 3000));
+		g_assert_cmpint(c->status, ==, 200);
+		caller_free(c);
+	}
+	g_assert_cmpint(hand_connections(st->hand[0]), ==, 1);
+	stage_free(st);
+}
+
+#define T(name) g_test_add_func("/path/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(plain_call_goes_unchanged);
+	T(stream_is_whole);
+	T(once_is_sent_once);
+	T(safe_is_sent_again);
+	T(not_run_is_said_as_such);
+	T(cut_stream_goes_on_elsewhere);
+	T(cut_stream_that_cant_go_on_doesnt_look_whole);
+	T(answers_to_others_go_by);
+	T(caller_that_leaves_is_seen);
+	T(caller_that_leaves_before_an_answer_is_seen);
+	T(route_s_time_is_kept);
+	T(unknown_route_and_no_configuration);
+	T(malformed_requests_end_their_connection);
+	T(missing_host_and_limits);
+	T(body_in_chunks_is_forwarded);
+	T(connections_are_kept);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/stage.h
@@ -0,0 +1,72 @@
+/**
+ * @file stage.h
+ * A store and endpoints that speak the platform's protocol in this process,
+ * daemons as real processes, and callers.
+ */
+#ifndef STAGE_H
+#define STAGE_H
+
+#include "net/net.h"
+#include "standin/crew.h"
+#include "standin/shelf.h"
+#include "tests/proc.h"
+
+enum {
+	STAGE_DAEMONS = 3,
+	STAGE_HANDS = 8,
+};
+
+typedef struct stage {
+	loop_t loop;
+	shelf_t *shelf;
+	hand_t *hand[STAGE_HANDS];
+	char *addr[STAGE_HANDS], *id[STAGE_HANDS];
+	int nhand;
+	proc_t *daemon[STAGE_DAEMONS];
+	char *dir, *store, *settings[STAGE_DAEMONS];
+	char *caller[STAGE_DAEMONS], *ready[STAGE_DAEMONS];
+	char *entries[STAGE_DAEMONS];
+	int peer_port;
+	int version;
+} stage_t;
+
+/** What one caller sees. */
+typedef struct caller {
+	stage_t *st;
+	link_t *link;
+	int status;
+	buf_t body;
+	char *head; /* of the answer: "Name: value" lines */
+	bool done;  /* the answer is whole */
+	bool ended; /* the connection closed */
+	ms_t began, first, over;
+} caller_t;
+
+/** A store with a configuration, no endpoints, no daemons. */
+stage_t *stage_new(void);
+void stage_free(stage_t *st);
+/** Let all of it run for @p span ms. */
+void stage_run(stage_t *st, ms_t span);
+/** Let it run until @p cond holds. @return whether it does, within @p span. */
+bool stage_until(stage_t *st, cond_t *cond, void *arg, ms_t span);
+/** An endpoint, listed in the store. @return its index. */
+int stage_hand(stage_t *st, const hand_opts_t *o, const char *service);
+void stage_entry(stage_t *st, int hand, const char *service, bool leaving);
+/** Start daemon @p i and wait until it is ready, if it should be. */
+void stage_daemon(stage_t *st, int i, bool wait_ready);
+/** Write the next configuration. @param more further routes, JSON, or "". */
+void stage_config(stage_t *st, const char *more);
+
+/** Send a request's bytes to daemon @p i. */
+caller_t *caller_send(stage_t *st, int i, const char *bytes);
+/** A plain call: "GET /safe/x" or "POST /once/x" and the like. */
+caller_t *caller_call(stage_t *st, int i, const char *method, const char *path,
+    const char *id, const char *headers);
+/** Wait for its answer or its end. */
+bool caller_wait(caller_t *c, ms_t span);
+void caller_leave(caller_t *c);
+void caller_free(caller_t *c);
+/** Ask one of a daemon's pages. @return the status, 0: none. */
+int page_status(stage_t *st, const char *addr, const char *path, char **body);
+
+#endif
