--- /dev/null
+++ b/tests/touch_proc.c
@@ -0,0 +1,503 @@
+/* What daemons do as the store, endpoints, each other and signals change. */
+#include "tests/stage.h"
+
+#include <signal.h>
+#include <string.h>
+
+static const hand_opts_t plain = { .work = 20 };
+static const hand_opts_t stream = { .model = "m1", .events = 8, .gap = 20,
+	.adapter_slots = 4 };
+
+static const char *const added_route =
+    ",{\"name\":\"new\",\"host\":\"h.example\",\"path_prefix\":\"/new/\","
+    "\"kind\":\"safe\",\"timeout_ms\":2000,\"target_latency_ms\":300,"
+    "\"priority\":2,\"service\":\"app\",\"max_attempts\":2}";
+
+static int
+status_of(stage_t *st, int daemon, const char *path, const char *id)
+{
+	caller_t *c = caller_call(
+	    st, daemon, "GET", path, id, "Deadline-Remaining: 1500\r\n");
+	int status;
+
+	caller_wait(c, 2500);
+	status = c->done ? c->status : 0;
+	caller_free(c);
+	return status;
+}
+
+typedef struct expect {
+	stage_t *st;
+	int daemon;
+	const char *path;
+	int status;
+	int n;
+} expect_t;
+
+static bool
+answers(void *arg)
+{
+	expect_t *x = arg;
+	char id[32];
+
+	snprintf(id, sizeof(id), "try-%d-%d", x->daemon, x->n++);
+	return status_of(x->st, x->daemon, x->path, id) == x->status;
+}
+
+static void
+configuration_is_in_force_in_time(void)
+{
+	stage_t *st = stage_new();
+	expect_t x = { st, 0, "/new/a", 200, 0 };
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	g_assert_cmpint(status_of(st, 0, "/new/a", "r1"), ==, 404);
+	stage_config(st, added_route);
+	g_assert_true(stage_until(st, answers, &x, 1500));
+	stage_free(st);
+}
+
+/* A watch that is asked while the store is deaf is never told. */
+static void
+missed_change_is_found(void)
+{
+	stage_t *st = stage_new();
+	expect_t x = { st, 0, "/new/a", 200, 0 };
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	stage_run(st, 500);
+	shelf_deaf(st->shelf, true);
+	stage_config(st, added_route);
+	stage_run(st, 300);
+	shelf_deaf(st->shelf, false);
+	shelf_compact(st->shelf);
+	g_assert_true(stage_until(st, answers, &x, 1800));
+	stage_free(st);
+}
+
+static void
+version_never_goes_back(void)
+{
+	stage_t *st = stage_new();
+	expect_t x = { st, 0, "/new/a", 200, 0 };
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	stage_config(st, added_route);
+	g_assert_true(stage_until(st, answers, &x, 1500));
+	st->version -= 2;
+	stage_config(st, "");
+	stage_run(st, 1000);
+	g_assert_cmpint(status_of(st, 0, "/new/a", "last"), ==, 200);
+	stage_free(st);
+}
+
+static void
+leaving_endpoint_gets_no_call(void)
+{
+	stage_t *st = stage_new();
+	guint before;
+	int i;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	for (i = 0; i < 6; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "a%d", i);
+		g_assert_cmpint(status_of(st, 0, "/safe/a", id), ==, 200);
+	}
+	stage_entry(st, 0, "app", true);
+	stage_run(st, 1000);
+	before = hand_runs(st->hand[0])->len;
+	for (i = 0; i < 10; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "b%d", i);
+		g_assert_cmpint(status_of(st, 0, "/safe/a", id), ==, 200);
+	}
+	g_assert_cmpuint(hand_runs(st->hand[0])->len, ==, before);
+	stage_free(st);
+}
+
+/* Another writer's entries name no endpoint and harm none. */
+static void
+malformed_entries_harm_nothing(void)
+{
+	static const char *const bad[] = { "7", "{}", "[]", "null",
+		"{\"service\":\"app\",\"address\":\"nowhere\",\"zone\":\"z\","
+		"\"slots\":8,\"state\":\"ready\"}",
+		"{\"service\":\"app\",\"address\":\"127.0.0.1:9\",\"zone\":7,"
+		"\"slots\":8,\"state\":\"ready\"}",
+		"{\"service\":\"app\",\"address\":\"127.0.0.1:9\","
+		"\"zone\":\"z\",\"slots\":\"x\",\"state\":\"odd\"}" };
+	stage_t *st = stage_new();
+	size_t i;
+	int n;
+
+	stage_config(st, "");
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "bad-%zu", i);
+		shelf_put(st->shelf, "servers", name, bad[i]);
+	}
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	for (n = 0; n < 8; n++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "a%d", n);
+		g_assert_cmpint(status_of(st, 0, "/safe/a", id), ==, 200);
+	}
+	stage_free(st);
+}
+
+/* Whatever the store does, calls are served on what is known. */
+static void
+store_s_faults_stop_no_call(void)
+{
+	static const shelf_fault_t faults[] = { SHELF_SILENT, SHELF_BUSY,
+		SHELF_LIMIT, SHELF_RESET, SHELF_LOST };
+	stage_t *st = stage_new();
+	expect_t x = { st, 0, "/new/a", 200, 0 };
+	size_t i;
+	int n;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		shelf_fault(st->shelf, faults[i]);
+		shelf_compact(st->shelf);
+		for (n = 0; n < 4; n++) {
+			char id[24];
+
+			snprintf(id, sizeof(id), "a%zu-%d", i, n);
+			g_assert_cmpint(
+			    status_of(st, 0, "/safe/a", id), ==, 200);
+			stage_run(st, 100);
+		}
+		shelf_fault(st->shelf, SHELF_SOUND);
+	}
+	stage_config(st, added_route);
+	g_assert_true(stage_until(st, answers, &x, 3500));
+	stage_free(st);
+}
+
+/* Entries that lapsed while the store was away come back; none is dropped. */
+static void
+lapsed_entries_come_back(void)
+{
+	stage_t *st = stage_new();
+	int n;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	shelf_fault(st->shelf, SHELF_BUSY);
+	shelf_compact(st->shelf);
+	stage_run(st, 1200);
+	shelf_del(st->shelf, "servers", "ep-0");
+	shelf_compact(st->shelf);
+	shelf_fault(st->shelf, SHELF_SOUND);
+	for (n = 0; n < 6; n++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "a%d", n);
+		g_assert_cmpint(status_of(st, 0, "/safe/a", id), ==, 200);
+		stage_run(st, 200);
+	}
+	stage_entry(st, 0, "app", false);
+	stage_run(st, 2500);
+	g_assert_cmpint(status_of(st, 0, "/safe/a", "back"), ==, 200);
+	/* And one that stays away is gone. */
+	shelf_del(st->shelf, "servers", "ep-0");
+	stage_run(st, 3500);
+	g_assert_cmpint(status_of(st, 0, "/safe/a", "gone"), ==, 503);
+	stage_free(st);
+}
+
+static bool
+lists_two(void *arg)
+{
+	stage_t *st = arg;
+	char *body = NULL;
+	bool ok = page_status(st, st->entries[0],
+		      "/v1/resolve?name=h&region=r&zone=north", &body) == 200 &&
+	    strstr(body, st->caller[0]) != NULL &&
+	    strstr(body, st->caller[1]) != NULL;
+
+	g_free(body);
+	return ok;
+}
+
+static bool
+lists_first_only(void *arg)
+{
+	stage_t *st = arg;
+	char *body = NULL;
+	bool ok = page_status(st, st->entries[0],
+		      "/v1/resolve?name=h&region=r&zone=north", &body) == 200 &&
+	    strstr(body, st->caller[0]) != NULL &&
+	    strstr(body, st->caller[1]) == NULL;
+
+	g_free(body);
+	return ok;
+}
+
+static bool
+has_run(void *arg)
+{
+	stage_t *st = arg;
+
+	return hand_runs(st->hand[0])->len > 0;
+}
+
+static void
+stopped_instance_finishes_its_calls(void)
+{
+	static const hand_opts_t slow = { .model = "m1", .events = 60,
+		.gap = 30 };
+	stage_t *st = stage_new();
+	caller_t *c;
+
+	stage_config(st, "");
+	stage_hand(st, &slow, "llm");
+	stage_daemon(st, 0, true);
+	stage_daemon(st, 1, true);
+	g_assert_true(stage_until(st, lists_two, st, 4000));
+	c = caller_call(st, 1, "POST", "/gen/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+	g_assert_true(stage_until(st, has_run, st, 1000));
+	proc_signal(st->daemon[1], SIGTERM);
+	g_assert_true(stage_until(st, lists_first_only, st, 400));
+	g_assert_cmpint(
+	    page_status(st, st->ready[1], "/v1/ready", NULL), ==, 503);
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_true(c->done);
+	g_assert_cmpint(c->status, ==, 200);
+	caller_free(c);
+	stage_run(st, 2500);
+	g_assert_true(proc_ended(st->daemon[1], 3000));
+	stage_free(st);
+}
+
+/* At the end of its grace every call gets an answer that is true. */
+static void
+stopped_instance_answers_what_it_can_t_finish(void)
+{
+	stage_t *st = stage_new();
+	caller_t *c;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	hand_fault(st->hand[0], HAND_MUTE);
+	stage_daemon(st, 0, true);
+	proc_signal(st->daemon[0], SIGTERM);
+	stage_run(st, 1900);
+	c = caller_call(
+	    st, 0, "POST", "/once/a", "r1", "Deadline-Remaining: 9000\r\n");
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_true(c->done);
+	g_assert_true(c->status == 502 || c->status == 504);
+	caller_free(c);
+	g_assert_true(proc_ended(st->daemon[0], 3000));
+	stage_free(st);
+}
+
+static void
+killed_instance_leaves_the_list(void)
+{
+	stage_t *st = stage_new();
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	stage_daemon(st, 1, true);
+	g_assert_true(stage_until(st, lists_two, st, 4000));
+	proc_signal(st->daemon[1], SIGKILL);
+	g_assert_true(stage_until(st, lists_first_only, st, 3500));
+	proc_kill(st->daemon[1]);
+	st->daemon[1] = NULL;
+	stage_daemon(st, 1, true);
+	g_assert_true(stage_until(st, lists_two, st, 3000));
+	stage_free(st);
+}
+
+static void
+adapter_is_loaded_when_it_is_asked_for(void)
+{
+	stage_t *st = stage_new();
+	const order_seen_t *o;
+	caller_t *c;
+
+	stage_config(st, "");
+	stage_hand(st, &stream, "llm");
+	stage_daemon(st, 0, true);
+	stage_run(st, 1200);
+	c = caller_call(st, 0, "POST", "/gen/a", "r1",
+	    "Model: m1/a3\r\nToken-Usage: 100,20\r\n"
+	    "Deadline-Remaining: 5000\r\n");
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_cmpint(c->status, ==, 200);
+	caller_free(c);
+	g_assert_cmpuint(hand_orders(st->hand[0])->len, >=, 1);
+	o = hand_orders(st->hand[0])->pdata[0];
+	g_assert_cmpstr(o->op, ==, "load");
+	g_assert_cmpint(o->expect, >=, 0);
+	g_assert_cmpint(o->token, >, 0);
+	stage_free(st);
+}
+
+typedef struct holder {
+	stage_t *st;
+	char name[ID_MAX];
+} holder_t;
+
+static bool
+someone_holds(void *arg)
+{
+	holder_t *h = arg;
+	const char *spec =
+	    shelf_get(h->st->shelf, "ebonypitch-leases", "planner");
+	const char *p = spec != NULL ? strstr(spec, "\"holder\":\"") : NULL;
+
+	if (p == NULL)
+		return false;
+	g_strlcpy(h->name, p + 10, sizeof(h->name));
+	h->name[strcspn(h->name, "\"")] = '\0';
+	return true;
+}
+
+static bool
+other_holds(void *arg)
+{
+	holder_t *h = arg, now = { h->st, "" };
+
+	return someone_holds(&now) && strcmp(now.name, h->name) != 0;
+}
+
+static void
+holder_that_is_gone_is_followed_by_another(void)
+{
+	stage_t *st = stage_new();
+	holder_t h = { st, "" };
+	const GPtrArray *orders;
+	ms_t killed;
+	caller_t *c;
+	int i;
+
+	stage_config(st, "");
+	stage_hand(st, &stream, "llm");
+	stage_daemon(st, 0, true);
+	stage_daemon(st, 1, true);
+	g_assert_true(stage_until(st, someone_holds, &h, 4000));
+	i = strcmp(h.name, "entry-0") == 0 ? 0 : 1;
+	stage_run(st, 1500);
+	c = caller_call(st, i, "POST", "/gen/a", "r1",
+	    "Model: m1/a1\r\nToken-Usage: 100,20\r\n"
+	    "Deadline-Remaining: 5000\r\n");
+	g_assert_true(caller_wait(c, 4000));
+	caller_free(c);
+	killed = clock_now(&machine_clock);
+	proc_kill(st->daemon[i]);
+	st->daemon[i] = NULL;
+	g_assert_true(stage_until(st, other_holds, &h, 6000));
+	for (;;) {
+		c = caller_call(st, 1 - i, "POST", "/gen/a", "r2",
+		    "Model: m1/a2\r\nToken-Usage: 100,20\r\n"
+		    "Deadline-Remaining: 5000\r\n");
+		g_assert_true(caller_wait(c, 5500));
+		if (c->status == 200)
+			break;
+		caller_free(c);
+		g_assert_cmpint(
+		    clock_now(&machine_clock) - killed, <, 12000);
+	}
+	caller_free(c);
+	/* Its first order came a lease after the old one's last. */
+	g_assert_cmpint(clock_now(&machine_clock) - killed, >=, 2800);
+	orders = hand_orders(st->hand[0]);
+	g_assert_cmpint(((order_seen_t *)orders->pdata[orders->len - 1])->token,
+	    >, ((order_seen_t *)orders->pdata[0])->token);
+	stage_free(st);
+}
+
+static void
+settings_are_read_again(void)
+{
+	stage_t *st = stage_new();
+	char *text, *other;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	g_assert_true(
+	    g_file_get_contents(st->settings[0], &text, NULL, NULL));
+	/* A broken file changes nothing. */
+	g_file_set_contents(st->settings[0], "node_name: [", -1, NULL);
+	proc_signal(st->daemon[0], SIGHUP);
+	stage_run(st, 300);
+	g_assert_cmpint(status_of(st, 0, "/safe/a", "r1"), ==, 200);
+	other = g_strdup_printf("%s\n", text);
+	g_file_set_contents(st->settings[0], other, -1, NULL);
+	proc_signal(st->daemon[0], SIGHUP);
+	stage_run(st, 300);
+	g_assert_cmpint(status_of(st, 0, "/safe/a", "r2"), ==, 200);
+	g_free(text);
+	g_free(other);
+	stage_free(st);
+}
+
+static void
+metrics_are_served(void)
+{
+	stage_t *st = stage_new();
+	char *ip, *addr, *body = NULL;
+
+	stage_config(st, "");
+	stage_hand(st, &plain, "app");
+	stage_daemon(st, 0, true);
+	g_assert_cmpint(status_of(st, 0, "/safe/a", "r1"), ==, 200);
+	ip = g_strndup(st->caller[0], strcspn(st->caller[0], ":"));
+	addr = g_strdup_printf("%s:9464", ip);
+	g_assert_cmpint(page_status(st, addr, "/metrics", &body), ==, 200);
+	g_assert_nonnull(
+	    strstr(body, "ebonypitch_calls_total{outcome=\"served\"} 1"));
+	g_assert_nonnull(strstr(body, "ebonypitch_whole_ms{quantile=\"0.5\"}"));
+	g_free(ip);
+	g_free(addr);
+	g_free(body);
+	stage_free(st);
+}
+
+#define T(name) g_test_add_func("/touch/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(configuration_is_in_force_in_time);
+	T(missed_change_is_found);
+	T(version_never_goes_back);
+	T(leaving_endpoint_gets_no_call);
+	T(malformed_entries_harm_nothing);
+	T(store_s_faults_stop_no_call);
+	T(lapsed_entries_come_back);
+	T(stopped_instance_finishes_its_calls);
+	T(stopped_instance_answers_what_it_can_t_finish);
+	T(killed_instance_leaves_the_list);
+	T(adapter_is_loaded_when_it_is_asked_for);
+	T(holder_that_is_gone_is_followed_by_another);
+	T(settings_are_read_again);
+	T(metrics_are_served);
+	return g_test_run();
+}
