--- a/serve/answer.c
+++ b/serve/answer.c
@@ -300,7 +300,7 @@
 		buf_add(&c->guest->link->out, c->text.p, buf_len(&c->text));
 	}
 	link_flush(c->guest->link);
-	call_end(c, good ? "served" : "endpoint-failed");
+	call_over(c, good ? "served" : "endpoint-failed");
 }
 
 static void
--- a/serve/call.c
+++ b/serve/call.c
@@ -166,8 +166,8 @@
 	/* Those that wait come first, by their rank. */
 	if (s->waiting != NULL) {
 		c->state = ST_WAITING;
-		queue_add(c);
-		queue_wake(s);
+		line_add(c);
+		line_wake(s);
 		alarm_set(&s->loop, &c->alarm, c->due);
 		return;
 	}
@@ -196,7 +196,7 @@
 		send.left = 1;
 	if (c->ask.model[0] != '\0')
 		send.rank = call_rank(c);
-	queue_remove(c);
+	line_remove(c);
 	c->ep = p;
 	c->state = ST_CONNECTING;
 	c->sent_at = c->heard_at = s->loop.now;
@@ -255,12 +255,12 @@
 	case CHOICE_WAIT:
 		c->state = ST_WAITING;
 		c->wait_why = ch.why;
-		queue_add(c);
+		line_add(c);
 		alarm_set(&s->loop, &c->alarm, c->due);
 		return;
 	case CHOICE_REFUSE:
 	case CHOICE_NOWHERE:
-		queue_remove(c);
+		line_remove(c);
 		call_give_up(c, ch.why, ch.retry);
 		return;
 	}
@@ -296,7 +296,7 @@
 }
 
 void
-call_end(call_t *c, const char *outcome)
+call_over(call_t *c, const char *outcome)
 {
 	serve_t *s = c->s;
 	guest_t *g = c->guest;
@@ -309,7 +309,7 @@
 	    s->loop.now - c->came, c->events);
 	count_outcome(c, outcome);
 	call_detach(c, false);
-	queue_remove(c);
+	line_remove(c);
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
@@ -347,7 +347,7 @@
 	    c->s->loop.now - c->came, c->ep ? c->ep->entry.id : "-");
 	call_detach(c, false);
 	guest_answer(g, status, extra, why);
-	call_end(c, status == 503 ? "refused" : "failed");
+	call_over(c, status == 503 ? "refused" : "failed");
 }
 
 void
@@ -359,12 +359,12 @@
 	    PRId64, c->ask.id, why, c->events, c->s->loop.now - c->came);
 	/* Without its last chunk an answer doesn't look whole. */
 	g->link->closing = true;
-	call_end(c, "cut");
+	call_over(c, "cut");
 }
 
 void
-call_gone(call_t *c)
+call_left(call_t *c)
 {
 	c->guest = NULL;
-	call_end(c, "caller-left");
+	call_over(c, "caller-left");
 }
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -211,7 +211,7 @@
 
 		/* Those before it go first, here and on other instances. */
 		if (sc->pace > 0)
-			wait += queue_ahead(c) / sc->pace;
+			wait += line_ahead(c) / sc->pace;
 		out->why = "all endpoints are full";
 		out->retry = (ms_t)wait + RETRY_LEAST_MS;
 		if ((double)(now - c->came) + wait + sc->shortest <=
--- a/serve/door.c
+++ b/serve/door.c
@@ -141,7 +141,7 @@
 	g->call = 0;
 	if (c != NULL) {
 		c->guest = NULL;
-		call_gone(c);
+		call_left(c);
 	}
 	forget(g);
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -113,7 +113,7 @@
 		    s->loop.now);
 	sh->sent = d->sent[i];
 	if (now.running < sh->share.running || now.unread < sh->share.unread)
-		queue_wake(s);
+		line_wake(s);
 	shift(ep, &sh->share, &now);
 	sh->share = now;
 	sh->told = true;
@@ -218,7 +218,7 @@
 	d->leaving = s->leaving;
 	d->holder = plan_tells(s);
 	d->lease = plan_lease(s);
-	d->waiting = (uint32_t)queue_tokens(s, NULL);
+	d->waiting = (uint32_t)line_tokens(s, NULL);
 	d->config_news = s->follow_config.news;
 	d->endpoint_news = s->follow_endpoints.news;
 	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
@@ -488,7 +488,7 @@
 	ms_t span = (ms_t)SHARE_EACH_MS * ps->npeer;
 
 	p->touched = true;
-	queue_wake(s);
+	line_wake(s);
 	if (span < SHARE_LEAST_MS)
 		span = SHARE_LEAST_MS;
 	if (s->loop.now - ps->share_at >= span)
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -16,7 +16,7 @@
 }
 
 void
-queue_add(call_t *c)
+line_add(call_t *c)
 {
 	serve_t *s = c->s;
 	call_t **at;
@@ -34,7 +34,7 @@
 }
 
 void
-queue_remove(call_t *c)
+line_remove(call_t *c)
 {
 	call_t **at;
 
@@ -48,7 +48,7 @@
 }
 
 double
-queue_tokens(const serve_t *s, const char *model)
+line_tokens(const serve_t *s, const char *model)
 {
 	const call_t *o;
 	double sum = 0;
@@ -60,11 +60,11 @@
 }
 
 double
-queue_ahead(const call_t *c)
+line_ahead(const call_t *c)
 {
 	const serve_t *s = c->s;
 	const call_t *o;
-	double here = 0, all = queue_tokens(s, NULL), there = 0, part;
+	double here = 0, all = line_tokens(s, NULL), there = 0, part;
 	int i;
 
 	for (o = s->waiting; o != NULL && o != c; o = o->next_waiting)
@@ -75,7 +75,7 @@
 		if (peer_alive(s, s->peers.peer[i]))
 			there += s->peers.peer[i]->waiting;
 	/* Theirs are of the same models as ours, and half of them go first. */
-	part = all > 0 ? queue_tokens(s, c->ask.model) / all : 0;
+	part = all > 0 ? line_tokens(s, c->ask.model) / all : 0;
 	return here + there * part / 2;
 }
 
@@ -101,7 +101,7 @@
 }
 
 void
-queue_wake(serve_t *s)
+line_wake(serve_t *s)
 {
 	if (s->waiting != NULL)
 		s->wake = true;
@@ -114,7 +114,7 @@
 }
 
 void
-queue_open(serve_t *s)
+line_open(serve_t *s)
 {
 	s->queue = (alarm_t) { .fn = look, .arg = s };
 }
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -221,7 +221,7 @@
 	follow_start(&s->follow_config, s, KIND_CONFIG);
 	follow_start(&s->follow_endpoints, s, KIND_ENDPOINTS);
 	follow_start(&s->follow_instances, s, KIND_INSTANCES);
-	queue_open(s);
+	line_open(s);
 	s->plan = plan_new(s);
 	return s;
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -190,12 +190,12 @@
 /** A request is whole. */
 void call_start(struct guest *g);
 /** The caller left. */
-void call_gone(call_t *c);
+void call_left(call_t *c);
 call_t *call_get(serve_t *s, handle_t id);
 
 /* The same, for the parts of a call. */
 void call_dispatch(call_t *c);
-void call_end(call_t *c, const char *outcome);
+void call_over(call_t *c, const char *outcome);
 /** End with an answer of our own. @param retry ms, 0: none. */
 void call_answer(call_t *c, int status, const char *why, ms_t retry);
 /** End with what is true: failed if it may have run, else refused. */
@@ -238,20 +238,20 @@
 
 /* Calls that wait, the most urgent first. queue.c */
 
-void queue_add(call_t *c);
-void queue_remove(call_t *c);
+void line_add(call_t *c);
+void line_remove(call_t *c);
 /** Try to send calls that wait; what they wait for may be there. */
 void calls_retry(serve_t *s);
 /** Look again at the end of this turn. */
-void queue_wake(serve_t *s);
+void line_wake(serve_t *s);
 /** Prompt tokens that wait here, of one model or (NULL) of all. */
-double queue_tokens(const serve_t *s, const char *model);
+double line_tokens(const serve_t *s, const char *model);
 /**
  * Prompt tokens of the same model that wait before a call like this, here and,
  * by what they tell, on other instances.
  */
-double queue_ahead(const call_t *c);
-void queue_open(serve_t *s);
+double line_ahead(const call_t *c);
+void line_open(serve_t *s);
 
 /** What choose() found. */
 typedef enum choice_kind {
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -100,5 +100,5 @@
 	call_detach(c, keep);
 	answer_last_chunk(c);
 	link_flush(c->guest->link);
-	call_end(c, "served");
+	call_over(c, "served");
 }
--- /dev/null
+++ b/tests/adapter_test.c
@@ -0,0 +1,253 @@
+/* The platform's formats, decoded: what is read, ignored and refused. */
+#include "platform/platform.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char settings[] =
+    "node_name: \"n1\"\nip: \"10.1.0.38\"\nzone: \"z1\"\nregion: \"r\"\n"
+    "zones:\n  z1: \"r\"\n  z2: \"r\"\n"
+    "listen:\n  front: \"10.1.0.38:8149\"\n  ready: \"10.1.0.38:8141\"\n"
+    "  directory: \"10.1.0.38:8143\"\n"
+    "internal_ports:\n  - 7380\n  - 7395\nseeds:\n  - \"10.2.0.4:8144\"\n"
+    "limits:\n  cpu_share: 0.25\n  memory_mb: 260\n  max_fds: 4100\n"
+    "heartbeat_ms: 1200\nbounds:\n  drain_ms: 2000\n  grace_s: 8\n"
+    "  config_apply_ms: 2000\n  stability_window_ms: 3000\n"
+    "  lease_ms: 3000\n  ceiling_window_s: 5\n  ceiling_over: 1.1\n"
+    "  budget_ratio: 0.2\n  budget_extra_tries: 54\n"
+    "  budget_window_s: 10\n  ttl_max_s: 5\n  require_fencing: false\n"
+    "platform:\n  address: \"10.200.1.7:8142\"\n  history_s: 20\n";
+
+static void
+settings_are_read(void)
+{
+	site_t s;
+	err_t e = { 0 };
+
+	g_assert_cmpint(site_parse(&s, settings, strlen(settings), &e), ==, 0);
+	g_assert_cmpstr(s.instance, ==, "n1");
+	g_assert_cmpstr(s.store_addr, ==, "10.200.1.7:8142");
+	g_assert_cmpint(s.bounds.grace, ==, 8000);
+	g_assert_cmpint(s.bounds.drain, ==, 2000);
+	g_assert_cmpint(s.bounds.retry_extra, ==, 54);
+	g_assert_cmpint(s.ndomain, ==, 2);
+	g_assert_cmpint(s.peer_port, ==, 7380);
+	g_assert_cmpstr(s.seed_ip[0], ==, "10.2.0.4");
+	g_assert_false(s.bounds.fencing);
+}
+
+/* Each line taken away or spoilt is one error that names the field. */
+static void
+each_missing_field_is_named(void)
+{
+	static const char *const field[] = { "node_name", "ip", "zone",
+		"listen.front", "listen.ready", "listen.directory",
+		"bounds.grace_s", "bounds.lease_ms", "heartbeat_ms",
+		"platform.address", "limits.memory_mb", "internal_ports" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(field); i++) {
+		const char *last = strrchr(field[i], '.');
+		char *key = g_strdup_printf(
+		    "%s:", last != NULL ? last + 1 : field[i]);
+		char *at, *text = g_strdup(settings);
+		err_t e = { 0 };
+		site_t s;
+
+		at = strstr(text, key);
+		/* "ip:" stands alone in its line. */
+		while (at != text && at[-1] != '\n' && at[-1] != ' ')
+			at = strstr(at + 1, key);
+		*at = 'X';
+		g_assert_cmpint(site_parse(&s, text, strlen(text), &e), ==, -1);
+		g_assert_cmpint(e.code, ==, ERR_INVAL);
+		g_assert_nonnull(strstr(e.text, field[i]));
+		g_free(text);
+		g_free(key);
+	}
+}
+
+static void
+spoilt_settings_are_errors(void)
+{
+	site_t s;
+	err_t e = { 0 };
+	char *text = g_strdup(settings);
+
+	memcpy(strstr(text, "grace_s: 8") + 9, "x", 1);
+	g_assert_cmpint(site_parse(&s, text, strlen(text), &e), ==, -1);
+	g_assert_nonnull(strstr(e.text, "grace_s"));
+	g_assert_cmpint(site_parse(&s, "a: [", 4, &e), ==, -1);
+	g_assert_cmpint(site_parse(&s, "", 0, &e), ==, -1);
+	g_free(text);
+}
+
+static void
+configuration_is_read(void)
+{
+	static const char text[] =
+	    "{\"version\":7,\"routes\":["
+	    "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/p/\","
+	    "\"kind\":\"safe\",\"timeout_ms\":10,\"service\":\"s\"},"
+	    "{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/p/q/\","
+	    "\"kind\":\"streaming\",\"resumable\":true,\"traffic_split\":["
+	    "{\"service\":\"s\",\"weight\":90},"
+	    "{\"service\":\"t\",\"weight\":10}],\"max_attempts\":2},"
+	    "{\"name\":\"odd\",\"kind\":\"of tomorrow\",\"host\":\"h\","
+	    "\"path_prefix\":\"/z/\",\"service\":\"s\"},"
+	    "{\"name\":\"empty\"},7],"
+	    "\"services\":[{\"name\":\"s\",\"max_connections\":5,"
+	    "\"engine\":{\"slots\":4,\"models\":[{\"name\":\"m\","
+	    "\"weights_mb\":10,\"load_s\":1.5}]}}],"
+	    "\"limits\":{\"max_body_bytes\":9}}";
+	config_t *c = config_decode(text, strlen(text), NULL);
+
+	g_assert_nonnull(c);
+	g_assert_cmpint(c->version, ==, 7);
+	g_assert_cmpint(c->nroute, ==, 3);
+	/* The longest prefix first; a kind not known may run once. */
+	g_assert_cmpstr(c->route[0].name, ==, "b");
+	g_assert_true(c->route[0].resumable);
+	g_assert_cmpint(c->route[0].nto, ==, 2);
+	g_assert_cmpint(c->route[1].kind, ==, ROUTE_SAFE);
+	g_assert_cmpint(c->route[2].kind, ==, ROUTE_UNSAFE);
+	g_assert_cmpint(service_model(config_service(c, "s"), "m")->load, ==,
+	    1500);
+	g_assert_null(config_service(c, "t"));
+	config_free(c);
+	g_assert_null(config_decode("{}", 2, NULL));
+	g_assert_null(config_decode("x", 1, NULL));
+}
+
+static void
+entries_are_read(void)
+{
+	endpoint_entry_t en;
+	err_t e = { 0 };
+
+	g_assert_cmpint(
+	    entry_decode(&en, "i-1",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		"\"z\",\"slots\":8,\"state\":\"draining\",\"remaining_ms\":"
+		"900,\"seq\":12,\"born\":1700000000000,\"models\":["
+		"{\"name\":\"m\",\"adapters\":[\"a1\",\"a2@3\"]}],"
+		"\"at_hand\":{\"in_memory\":[\"m\"],\"on_disk\":[\"n\"]}}",
+		&e),
+	    ==, 0);
+	g_assert_true(en.leaving);
+	g_assert_cmpint(en.remaining, ==, 900);
+	g_assert_cmpint(en.beat, ==, 12);
+	g_assert_cmpint(en.born, ==, 1700000000000);
+	g_assert_cmpint(en.holds.nadapter, ==, 2);
+	g_assert_cmpstr(en.holds.adapter[1].name, ==, "a2");
+	g_assert_cmpstr(en.holds.on_disk[0], ==, "n");
+}
+
+/* Bytes from anywhere: an error, or an entry within its bounds. */
+static void
+spoilt_entries_are_errors(void)
+{
+	static const char good[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\",\"models\":[{\"name\":\"m\","
+	    "\"adapters\":[\"a1\"]}],\"seq\":1,\"born\":5}";
+	GRand *g = g_rand_new_with_seed(3);
+	endpoint_entry_t en;
+	endpoint_report_t r;
+	objects_t o;
+	int i, k;
+
+	for (i = 0; i < 20000; i++) {
+		char *t = g_strdup(good);
+
+		for (k = g_rand_int_range(g, 1, 5); k > 0; k--)
+			t[g_rand_int_range(g, 0, sizeof(good) - 1)] =
+			    (char)g_rand_int_range(g, 1, 256);
+		if (entry_decode(&en, "i-1", t, NULL) == 0)
+			g_assert_cmpint(en.holds.nmodel, <=, HOLDS_MAX);
+		if (report_decode(&r, t, strlen(t), NULL) == 0)
+			g_assert_cmpint(r.holds.nmodel, <=, HOLDS_MAX);
+		if (objects_decode(&o, t, strlen(t), NULL) == 0)
+			objects_free(&o);
+		config_free(config_decode(t, strlen(t), NULL));
+		g_free(t);
+	}
+	g_rand_free(g);
+}
+
+static void
+lists_hide_none_for_one(void)
+{
+	static const char text[] =
+	    "{\"items\":[{\"metadata\":{}},{\"metadata\":{\"name\":\"a\","
+	    "\"revision\":4},\"spec\":{\"x\":1}},7],\"has_more\":true,"
+	    "\"as_of\":9}";
+	static const char events[] =
+	    "{\"events\":[{\"tombstone\":true,\"object\":{\"metadata\":"
+	    "{\"name\":\"b\",\"revision\":10},\"spec\":null}}],\"as_of\":10}";
+	objects_t o;
+
+	g_assert_cmpint(objects_decode(&o, text, strlen(text), NULL), ==, 0);
+	g_assert_cmpint(o.nobject, ==, 1);
+	g_assert_true(o.more);
+	g_assert_cmpstr(o.object[0].spec, ==, "{\"x\":1}");
+	objects_free(&o);
+	g_assert_cmpint(
+	    objects_decode(&o, events, strlen(events), NULL), ==, 0);
+	g_assert_true(o.object[0].gone);
+	objects_free(&o);
+	g_assert_cmpint(objects_decode(&o, "{}", 2, NULL), ==, -1);
+}
+
+static void
+orders_carry_their_conditions(void)
+{
+	buf_t b = { 0 };
+	order_t o = { .load = true, .model = "m", .adapter = "a3",
+		.endpoint = "i-1", .expect = 4, .holder = "n1", .token = 41 };
+
+	order_send(&b, &o, "h:1");
+	buf_add(&b, "", 1);
+	g_assert_nonnull(strstr(b.p, "Expect-Instance: i-1\r\n"));
+	g_assert_nonnull(strstr(b.p, "\"expect_revision\":4"));
+	g_assert_nonnull(strstr(b.p, "\"fencing_token\":41"));
+	g_assert_nonnull(strstr(b.p, "\"adapter\":\"a3\""));
+	g_assert_cmpint(order_result(202), ==, ORDER_TAKEN);
+	g_assert_cmpint(order_result(409), ==, ORDER_CONFLICT);
+	g_assert_cmpint(order_result(500), ==, ORDER_UNKNOWN);
+	buf_free(&b);
+}
+
+static void
+pages_are_found(void)
+{
+	char domain[ID_MAX];
+
+	g_assert_cmpint(page_find("/v1/ready"), ==, PAGE_READY);
+	g_assert_cmpint(page_find("/v1/resolve?name=x"), ==, PAGE_ENTRIES);
+	g_assert_cmpint(page_find("/v1/readyx"), ==, PAGE_NONE);
+	page_asker("/v1/resolve?name=x&zone=z1&region=r", domain,
+	    sizeof(domain));
+	g_assert_cmpstr(domain, ==, "z1");
+	page_asker("/v1/resolve", domain, sizeof(domain));
+	g_assert_cmpstr(domain, ==, "");
+}
+
+#define T(name) g_test_add_func("/adapter/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(settings_are_read);
+	T(each_missing_field_is_named);
+	T(spoilt_settings_are_errors);
+	T(configuration_is_read);
+	T(entries_are_read);
+	T(spoilt_entries_are_errors);
+	T(lists_hide_none_for_one);
+	T(orders_carry_their_conditions);
+	T(pages_are_found);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/orders_test.c
@@ -0,0 +1,170 @@
+/* What the holder counts at an endpoint, without network. */
+#include "serve/plan.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char config_text[] =
+    "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"llm\","
+    "\"engine\":{\"weights_mb\":200000,\"adapter_slots\":4,\"models\":["
+    "{\"name\":\"m1\",\"weights_mb\":70000,\"load_s\":8,\"adapter_mb\":60},"
+    "{\"name\":\"m2\",\"weights_mb\":70000,\"load_s\":8,\"adapter_mb\":60},"
+    "{\"name\":\"m3\",\"weights_mb\":70000,\"load_s\":8,\"adapter_mb\":60}"
+    "]}}]}";
+
+typedef struct desk_set {
+	serve_t s;
+	ep_t ep;
+	desk_t d;
+} desk_set_t;
+
+static void
+set_up(desk_set_t *t)
+{
+	memset(t, 0, sizeof(*t));
+	t->s.config = config_decode(config_text, strlen(config_text), NULL);
+	t->s.loop.now = 100000;
+	t->d.s = &t->s;
+	t->d.ep = &t->ep;
+	t->ep.listed = true;
+	t->ep.written = t->ep.seen_at = 90000;
+	strcpy(t->ep.entry.service, "llm");
+	strcpy(t->ep.entry.holds.model[0], "m1");
+	t->ep.entry.holds.nmodel = 1;
+}
+
+static void
+learn(desk_set_t *t, const char *model, const char *adapter, bool load,
+    int64_t orders, ms_t at)
+{
+	learnt_t l = { .orders = orders, .load = load, .at = at };
+
+	strcpy(l.model, model);
+	strcpy(l.adapter, adapter);
+	ep_learn(&t->ep, &l);
+}
+
+/* The store is away for long and the entry stands still. */
+static void
+load_counts_until_it_is_shown(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	learn(&t, "m2", "", true, 1, 108000);
+	t.s.loop.now = 160000;
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
+	g_assert_true(desk_coming(&t.d, "m2", ""));
+	/* An entry written before it was done says nothing of it. */
+	t.ep.written = 107000;
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
+	t.ep.written = 110000;
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	config_free(t.s.config);
+}
+
+/* Reports restart the count; two orders then bear one number. */
+static void
+orders_are_told_apart_by_content(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m1", "a1", true, 5, 100000);
+	learn(&t, "m1", "a2", true, 5, 100000);
+	learn(&t, "m1", "a2", true, 5, 100000);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 2);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70120);
+	config_free(t.s.config);
+}
+
+static void
+announced_unload_isn_t_an_order_taken(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m1", "", false, 0, 100000);
+	g_assert_cmpint(t.ep.orders, ==, 0);
+	g_assert_false(ep_holds(&t.ep, "m1", "", 100001));
+	/* Its memory is free only when the entry shows that. */
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	/* Refused: it holds the model as before. */
+	learn(&t, "m1", "", true, 0, 100010);
+	g_assert_true(ep_holds(&t.ep, "m1", "", 100020));
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	config_free(t.s.config);
+}
+
+static void
+unloaded_load_isn_t_pending(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m2", "", true, 1, 100000);
+	learn(&t, "m2", "", false, 2, 100100);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	g_assert_false(ep_holds(&t.ep, "m2", "", 100200));
+	config_free(t.s.config);
+}
+
+/* An order without an answer may land seconds later. */
+static void
+unanswered_load_counts_while_it_may_land(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	strcpy(t.d.doubt, "m3");
+	t.d.doubt_until = t.s.loop.now + 13000;
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
+	t.s.loop.now += 13001;
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	config_free(t.s.config);
+}
+
+static void
+silent_entry_is_asked_about(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m2", "", true, 1, 100000);
+	desk_check(&t.d);
+	g_assert_false(t.d.ask);
+	t.s.loop.now = 106000;
+	desk_check(&t.d);
+	g_assert_true(t.d.ask);
+	g_assert_false(desk_free(&t.d));
+	config_free(t.s.config);
+}
+
+static void
+model_of_no_configuration_fills_the_memory(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	strcpy(t.ep.entry.holds.model[1], "unheard-of");
+	t.ep.entry.holds.nmodel = 2;
+	g_assert_cmpfloat(desk_memory(&t.d), >=, 200000);
+	config_free(t.s.config);
+}
+
+#define T(name) g_test_add_func("/orders/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(load_counts_until_it_is_shown);
+	T(orders_are_told_apart_by_content);
+	T(announced_unload_isn_t_an_order_taken);
+	T(unloaded_load_isn_t_pending);
+	T(unanswered_load_counts_while_it_may_land);
+	T(silent_entry_is_asked_about);
+	T(model_of_no_configuration_fills_the_memory);
+	return g_test_run();
+}
