--- a/policy/spread.c
+++ b/policy/spread.c
@@ -146,7 +146,8 @@
 		*out = (spread_move_t) { true, e, m, why, m };
 		return true;
 	}
-	if (!victim(in, m, urgent, &e, &v))
+	/* Room that is being made will do for one copy. */
+	if (in->model[m].making > 0 || !victim(in, m, urgent, &e, &v))
 		return false;
 	*out = (spread_move_t) { false, e, v, SPREAD_ROOM, m };
 	return true;
--- a/policy/spread.h
+++ b/policy/spread.h
@@ -20,6 +20,7 @@
 	double work;  /* tokens a second that are asked for */
 	bool waiting; /* a call found it nowhere */
 	int least;    /* copies that its adapters need */
+	int making;   /* unloads under way that make room for it */
 	/* Made by spread_next(). */
 	int copies, target;
 } spread_model_t;
--- a/serve/call.c
+++ b/serve/call.c
@@ -302,9 +302,9 @@
 	guest_t *g = c->guest;
 
 	note(LOG_INFO, "done",
-	    "request=%s route=%s outcome=%s status=%d sends=%d first_ms=%"
-	    PRId64 " whole_ms=%" PRId64 " events=%d",
-	    c->ask.id, c->route.name, outcome, c->status, c->sends,
+	    "request=%s route=%s model=%s/%s outcome=%s status=%d sends=%d "
+	    "first_ms=%" PRId64 " whole_ms=%" PRId64 " events=%d",
+	    c->ask.id, c->route.name, c->ask.model, c->ask.adapter, outcome, c->status, c->sends,
 	    c->first_at != 0 ? c->first_at - c->came : -1,
 	    s->loop.now - c->came, c->events);
 	count_outcome(c, outcome);
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -8,6 +8,7 @@
 	REPORT_MS = 1000,
 	LATE_MS = 13000,   /* an unanswered order is carried out by then */
 	ADAPTER_MS = 30,   /* an adapter's load, once taken */
+	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
 	RETRY_MS = 150,	   /* after a refusal */
 	BUSY_MS = 400,	   /* until a busy one is asked again */
 	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
@@ -149,6 +150,52 @@
 	return *adapter != '\0' ? m->adapter_mb : m->weights_mb;
 }
 
+/* Listed, but its unload was answered as done since. */
+static bool
+unloaded(const desk_t *d, const char *model, const char *adapter)
+{
+	const ep_t *p = d->ep;
+	bool gone = false;
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++) {
+		const learnt_t *l = &p->learnt[i];
+
+		if (ep_unshown(p, l) && strcmp(l->model, model) == 0 &&
+		    strcmp(l->adapter, adapter) == 0)
+			gone = !l->load && l->sure;
+	}
+	return gone;
+}
+
+bool
+desk_unloads_adapter(const desk_t *d)
+{
+	const ep_t *p = d->ep;
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++)
+		if (!p->learnt[i].load && p->learnt[i].adapter[0] != '\0' &&
+		    !p->learnt[i].sure && ep_unshown(p, &p->learnt[i]))
+			return true;
+	return false;
+}
+
+bool
+desk_just_loaded(const desk_t *d, const char *model, const char *adapter)
+{
+	const ep_t *p = d->ep;
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++)
+		if (p->learnt[i].load &&
+		    d->s->loop.now < p->learnt[i].at + ADAPTER_STAYS_MS &&
+		    strcmp(p->learnt[i].model, model) == 0 &&
+		    strcmp(p->learnt[i].adapter, adapter) == 0)
+			return true;
+	return false;
+}
+
 double
 desk_memory(const desk_t *d)
 {
@@ -160,8 +207,10 @@
 	for (i = 0; i < h->nmodel; i++)
 		mb += size_of(d, h->model[i], "");
 	for (i = 0; i < h->nadapter; i++)
-		mb += size_of(d, h->model[h->adapter[i].model],
-		    h->adapter[i].name);
+		if (!unloaded(d, h->model[h->adapter[i].model],
+			h->adapter[i].name))
+			mb += size_of(d, h->model[h->adapter[i].model],
+			    h->adapter[i].name);
 	for (i = 0; i < p->nlearnt; i++)
 		if (pending(d, &p->learnt[i]))
 			mb += size_of(
@@ -177,7 +226,12 @@
 desk_adapters(const desk_t *d)
 {
 	const ep_t *p = d->ep;
-	int i, n = p->entry.holds.nadapter;
+	const holding_set_t *h = &p->entry.holds;
+	int i, n = 0;
+
+	for (i = 0; i < h->nadapter; i++)
+		n += !unloaded(d, h->model[h->adapter[i].model],
+		    h->adapter[i].name);
 
 	for (i = 0; i < p->nlearnt; i++)
 		n += p->learnt[i].adapter[0] != '\0' &&
@@ -190,9 +244,10 @@
 
 /* All learn that the endpoint holds, or doesn't hold, what the order names. */
 static void
-announce(desk_t *d, bool load, int64_t orders, ms_t at)
+announce(desk_t *d, bool load, bool sure, int64_t orders, ms_t at)
 {
-	learnt_t l = { .orders = orders, .load = load, .at = at };
+	learnt_t l = { .orders = orders, .load = load, .sure = sure,
+		.at = at };
 
 	str_copy(l.model, ID_MAX, d->model);
 	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
@@ -224,7 +279,7 @@
 		at += m->load * 11 / 10;
 	if (d->adapter[0] == '\0')
 		d->busy_until = at;
-	announce(d, d->load, d->orders, at);
+	announce(d, d->load, now_so, d->orders, at);
 	s->plan->wanted = true;
 	calls_retry(s);
 }
@@ -263,7 +318,7 @@
 		if (!d->load && d->adapter[0] != '\0')
 			taken(d, true);
 		else
-			announce(d, d->load, 0, d->s->loop.now);
+			announce(d, d->load, true, 0, d->s->loop.now);
 		return;
 	case ORDER_CONFLICT:
 		d->ask = true;
@@ -276,7 +331,7 @@
 		break;
 	}
 	if (unloads_model(d) && r != ORDER_UNKNOWN)
-		announce(d, true, 0, d->s->loop.now);
+		announce(d, true, false, 0, d->s->loop.now);
 	d->wait_until = d->s->loop.now + RETRY_MS;
 }
 
@@ -308,7 +363,7 @@
 	    s->loop.now - d->ep->seen_at);
 	/* Calls go elsewhere from now on. */
 	if (unloads_model(d))
-		announce(d, false, 0, s->loop.now);
+		announce(d, false, false, 0, s->loop.now);
 	d->call = webcall(s, &d->ep->sa, &b, ORDER_MS, answered, d);
 }
 
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -143,7 +143,7 @@
 {
 	serve_t *s = b->p->s;
 	const holding_set_t *h = &d->ep->entry.holds;
-	int m;
+	int m, w;
 
 	b->desk[e] = d;
 	b->ep[e] = (spread_ep_t) {
@@ -165,6 +165,9 @@
 			*to = SPREAD_READY;
 		else if (desk_coming(d, name, ""))
 			*to = SPREAD_COMING;
+		if (*to == SPREAD_GOING && strcmp(name, d->gave) == 0 &&
+		    (w = model_index(b->def, d->room_for)) != -1)
+			b->model[w].making++;
 		b->hand[e * b->def->nmodel + m] =
 		    named(h->in_memory, h->nin_memory, name) ||
 		    named(h->on_disk, h->non_disk, name);
@@ -301,8 +304,15 @@
 		b->ep[mv.ep].free = false;
 		b->held[mv.ep * def->nmodel + mv.model] =
 		    mv.load ? SPREAD_COMING : SPREAD_GOING;
-		if (mv.load)
+		if (mv.load) {
 			b->ep[mv.ep].room -= b->model[mv.model].mb;
+			continue;
+		}
+		b->model[mv.for_model].making++;
+		str_copy(b->desk[mv.ep]->gave, ID_MAX,
+		    def->model[mv.model].name);
+		str_copy(b->desk[mv.ep]->room_for, ID_MAX,
+		    def->model[mv.for_model].name);
 	}
 }
 
@@ -346,7 +356,8 @@
 
 		/* One that goes already isn't spare. */
 		if (work >= *least ||
-		    !ep_holds(d->ep, model, h->adapter[i].name, INT64_MAX))
+		    !ep_holds(d->ep, model, h->adapter[i].name, INT64_MAX) ||
+		    desk_just_loaded(d, model, h->adapter[i].name))
 			continue;
 		*least = work;
 		best = i;
@@ -393,7 +404,9 @@
 		    b->held[e * b->def->nmodel + a->model] != SPREAD_READY)
 			continue;
 		if (!fits_adapter(b, d, a)) {
-			n = spare_adapter(b, d, &spare);
+			n = desk_unloads_adapter(d)
+			    ? -1
+			    : spare_adapter(b, d, &spare);
 			if (n != -1) {
 				victim = n;
 				full = d;
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -25,6 +25,8 @@
 	char model[ID_MAX], adapter[16];
 	bool load;
 	ms_t sent;
+	/* Its last unload of a model makes room for this one. */
+	char room_for[ID_MAX], gave[ID_MAX];
 	/* A load whose fate isn't known may still land until then. */
 	char doubt[ID_MAX], doubt_adapter[16];
 	ms_t doubt_until;
@@ -67,6 +69,11 @@
 double desk_memory(const desk_t *d);
 /** Adapter places that are or may come to be taken. */
 int desk_adapters(const desk_t *d);
+/** Does an adapter leave when the calls that use it have ended? */
+bool desk_unloads_adapter(const desk_t *d);
+/** Too new to give way. */
+bool desk_just_loaded(
+    const desk_t *d, const char *model, const char *adapter);
 /** A load that was taken and isn't done. */
 bool desk_coming(const desk_t *d, const char *model, const char *adapter);
 bool desk_going(const desk_t *d, const char *model);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -52,7 +52,8 @@
 	char model[ID_MAX];
 	char adapter[16]; /* "": the model itself */
 	bool load;
-	ms_t at; /* when it is carried out, by estimate */
+	bool sure; /* it was done with the endpoint's answer */
+	ms_t at;   /* when it is carried out, by estimate */
 } learnt_t;
 
 enum {
--- a/tests/spread_test.c
+++ b/tests/spread_test.c
@@ -144,6 +144,31 @@
 	}
 }
 
+/* One copy gives way for one that is missing, not one at each look. */
+static void
+one_unload_for_one_copy(void)
+{
+	fleet_t f;
+	spread_move_t mv;
+	int unloads = 0, n;
+
+	fleet(&f);
+	f.model[0].work = 100000;
+	/* Models 4 and 5 have lost their endpoint. */
+	f.ep[1].usable = false;
+	for (n = 0; n < 50 && spread_next(&f.in, &mv); n++) {
+		if (mv.load) {
+			obey(&f, &mv);
+			continue;
+		}
+		unloads++;
+		f.held[mv.ep * MODELS + mv.model] = SPREAD_GOING;
+		f.model[mv.for_model].making++;
+		f.ep[mv.ep].free = false;
+	}
+	g_assert_cmpint(unloads, <=, 3);
+}
+
 static void
 nothing_is_repaired_while_endpoints_come(void)
 {
@@ -219,6 +244,8 @@
 	    "/spread/steady-demand-moves-nothing", steady_demand_moves_nothing);
 	g_test_add_func("/spread/lost-last-copy-is-repaired-first",
 	    lost_last_copy_is_repaired_first);
+	g_test_add_func(
+	    "/spread/one-unload-for-one-copy", one_unload_for_one_copy);
 	g_test_add_func("/spread/nothing-is-repaired-while-endpoints-come",
 	    nothing_is_repaired_while_endpoints_come);
 	g_test_add_func("/spread/weight-store-is-spared", weight_store_is_spared);
