--- a/policy/burden.c
+++ b/policy/burden.c
@@ -15,6 +15,10 @@
 	SAMPLE_TOKENS = 200,
 	STEP_MS = 15, /* a step of the batch: the least time to an event */
 };
+/* What came within about that counts as the flow of prompts. */
+static const double FLOW_MS = 1500;
+/* Beyond that a stream hardly moves; it bounds the estimate. */
+static const double BUSY_MOST = 0.9;
 /* Share of the memory left for what grows beyond its estimate. */
 static const double MEMORY_USED = 0.92;
 
@@ -67,12 +71,36 @@
 	return v > 0 ? v : 0;
 }
 
+/* Tokens a ms, as of late. */
+static double
+flow(const burden_t *b, ms_t now)
+{
+	return b->flow * exp(-(double)(now - b->flow_at) / FLOW_MS);
+}
+
 void
 burden_pour(burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo,
     int tokens, ms_t now)
 {
 	b->level = level(b, u, bo, now) + tokens;
 	b->level_at = now;
+	b->flow = flow(b, now) + tokens / FLOW_MS;
+	b->flow_at = now;
+}
+
+double
+burden_cost(const burden_t *b, const burden_usual_t *u,
+    const burden_weights_t *w, int fresh, int output, ms_t now)
+{
+	double read, busy;
+	int running = b->own.running + b->others.running;
+
+	if (b->capacity == 0)
+		return 0;
+	read = fresh / pace(b, u);
+	busy = fmin(flow(b, now) / pace(b, u), BUSY_MOST);
+	return w->stream * output * STEP_MS * busy / (1 - busy) +
+	    w->others * running * read;
 }
 
 double
--- a/policy/burden.h
+++ b/policy/burden.h
@@ -31,6 +31,8 @@
 	burden_share_t own, others;
 	double level;	 /* tokens sent and not yet worked off at that part */
 	ms_t level_at;
+	double flow;	 /* tokens a ms that came of late */
+	ms_t flow_at;
 	double pace;	 /* prompt tokens read in a ms, 0: not learnt */
 	double work;	 /* ms of a plain call alone, 0: not learnt */
 	int slots;	 /* calls in one batch */
@@ -68,6 +70,19 @@
  */
 double burden_wait(const burden_t *b, const burden_usual_t *u,
     const burden_bounds_t *bo, int fresh, ms_t now);
+/** Weights of what a call costs beside its own first event. */
+typedef struct burden_weights {
+	double stream; /* ms of its own output that prompts delay */
+	double others; /* ms that its prompt delays streams there, each */
+} burden_weights_t;
+
+/**
+ * What a call costs at the endpoint, in ms: its output goes slower where many
+ * prompts are read, and its prompt holds up the streams that run there. So
+ * long streams gather where few prompts go.
+ */
+double burden_cost(const burden_t *b, const burden_usual_t *u,
+    const burden_weights_t *w, int fresh, int output, ms_t now);
 /** Prompt tokens a ms that may be sent there. */
 double burden_rate(const burden_t *b, const burden_usual_t *u,
     const burden_bounds_t *bo);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -134,7 +134,10 @@
 			sc->wait = wait;
 		return;
 	}
-	cost = first * breaker_weight(&p->breaker, s->usual_failed);
+	cost = first +
+	    burden_cost(&p->burden, &s->usual_pace, &s->weights, fresh,
+		c->ask.output, now);
+	cost *= breaker_weight(&p->breaker, s->usual_failed);
 	/* Prompts with the same parts tend to the same endpoints. */
 	cost += RANK_MS * (double)(hash64(&p->hash, 8, group) % 1000) / 100;
 	if (strcmp(p->entry.domain, s->site.domain) != 0)
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -39,6 +39,9 @@
 /* The shortest gap that routes ask for is not far from this, ms. */
 static const double GAP_MS = 200;
 
+/* Ends of streams matter less than first events, and so do others' gaps. */
+static const double STREAM_WEIGHT = 1.0, OTHERS_WEIGHT = 0.2;
+
 static void
 leaving_tick(void *arg)
 {
@@ -207,6 +210,7 @@
 	s->usual = g_hash_table_new(g_str_hash, g_str_equal);
 	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
 	s->bounds = (burden_bounds_t) { PROMPT_PART, GAP_MS };
+	s->weights = (burden_weights_t) { STREAM_WEIGHT, OTHERS_WEIGHT };
 	s->loop.turn = turn;
 	s->loop.turn_arg = s;
 	if (net_addr(s->site.store_addr, &s->store) == -1) {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -478,6 +478,7 @@
 	bool wake;
 	alarm_t queue;
 	burden_bounds_t bounds;
+	burden_weights_t weights;
 	guest_t **guest;
 	int nguest, guest_room;
 	follow_t follow_config, follow_endpoints, follow_instances;
