Few instances watch endpoints closely and tell the others

Two instances and the holder watch as before; the others at 1.2 s and a tenth of the price, and ask at once when they are told that an endpoint came, left or is gone.

--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -70,7 +70,7 @@
 	(void)s;
 }
 
-ep_t *
+bool
 eps_entry(serve_t *s, const object_t *o, ms_t written)
 {
 	endpoint_entry_t en;
@@ -81,11 +81,11 @@
 	if (entry_decode(&en, o->name, o->spec, &e) == -1) {
 		note(LOG_WARNING, "entry-unreadable", "endpoint=%s revision=%"
 		    PRId64 " why=\"%s\"", o->name, o->revision, e.text);
-		return NULL;
+		return false;
 	}
 	if (p != NULL && o->revision <= p->revision && p->listed) {
 		p->missing_at = 0;
-		return p;
+		return false;
 	}
 	if (p == NULL)
 		p = add(s, &en);
@@ -111,7 +111,7 @@
 		    en.holds.nmodel);
 	if (en.leaving)
 		pool_clear(p);
-	return p;
+	return fresh || was != !en.leaving;
 }
 
 void
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -13,13 +13,19 @@
 	WATCH_MOST_MS = 10000,
 	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
 	FRESH_MS = 300,	     /* a change's way to us, with a slow store */
-	BEHIND_MS = 300,     /* a change is on its way to us so long */
-	POKE_MS = 1500,	     /* between asks because of others' news */
+	POKE_MS = 400,	     /* between asks because of others' news */
 	SHAKEN_MS = 4000,    /* after a cut or lost history, watches ... */
 	SHAKEN_WAIT_MS = 1000, /* ... are asked again so soon */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
 	PACE_MS = 250,	     /* between answers: each is priced */
+	/*
+	 * Endpoints' entries change often. WATCHERS instances and the holder
+	 * watch closely and tell the others when one comes, leaves or goes;
+	 * these watch at a slower pace and a lower price.
+	 */
+	WATCHERS = 2,
+	FAR_PACE_MS = 1200,
 	RETRY_FIRST_MS = 50, /* after a failure, doubling ... */
 	RETRY_MOST_MS = 800, /* ... so that an outage's end is seen soon */
 	LAPSED_MS = 2500,    /* entries may be away so long after an outage */
@@ -71,8 +77,10 @@
 		if (o->gone)
 			eps_gone(s, o->name, f->regained != 0 &&
 				s->loop.now - f->regained < LAPSED_MS);
-		else
-			eps_entry(s, o, f->written);
+		else if (eps_entry(s, o, f->written))
+			f->news = o->revision;
+		if (o->gone)
+			f->news = o->revision;
 		break;
 	case KIND_INSTANCES:
 		peers_object(s, o);
@@ -157,6 +165,17 @@
 	again(f, wait / 2 + (ms_t)(rng_unit(&f->s->rng) * (double)wait));
 }
 
+/* Do others watch this kind more closely for us? */
+static bool
+relayed(const follow_t *f)
+{
+	const serve_t *s = f->s;
+
+	return f->kind == KIND_ENDPOINTS && !plan_holder(s) &&
+	    peers_before(s) >= WATCHERS &&
+	    s->loop.now - s->shaken_at >= SHAKEN_MS;
+}
+
 static int64_t
 newest(const objects_t *l)
 {
@@ -176,6 +195,7 @@
 	serve_t *s = f->s;
 	objects_t list;
 	err_t e = { 0 };
+	int64_t news = f->news;
 	int i;
 
 	f->call = NULL;
@@ -226,17 +246,18 @@
 			sweep(f);
 		f->listing = false;
 		f->as_of = list.as_of;
-		if (list.nobject > 0)
+		if (f->kind == KIND_CONFIG && list.nobject > 0)
 			f->news = newest(&list);
-		if (f->news <= f->as_of)
-			f->behind = 0;
+		f->pokes = 0;
 	}
 	objects_free(&list);
+	if (f->news != news)
+		s->peers.tell_news = true;
 	serve_changed(s);
 	if (f->listing)
 		ask(f);
 	else
-		again(f, PACE_MS);
+		again(f, relayed(f) ? FAR_PACE_MS : PACE_MS);
 }
 
 static ms_t
@@ -272,8 +293,9 @@
 		objects_list(&b, f->kind, f->after, s->site.store_addr);
 	} else {
 		f->wait = wait_of(f);
-		objects_watch(
-		    &b, f->kind, f->as_of, f->wait, s->site.store_addr);
+		objects_watch(&b, f->kind, f->as_of, f->wait,
+		    relayed(f) && !f->urgent, s->site.store_addr);
+		f->urgent = false;
 		span = f->wait + WATCH_SLACK_MS;
 	}
 	f->call = webcall(s, &s->store, &b, span, answered, f);
@@ -302,16 +324,14 @@
 
 	if (f->as_of == 0 || news <= f->as_of || f->lost)
 		return;
-	if (f->behind == 0) {
-		f->behind = s->loop.now;
-		return;
-	}
-	if (s->loop.now - f->behind < BEHIND_MS ||
-	    s->loop.now - f->poked_at < POKE_MS)
+	/* Others' words alone must not make a lost store look busy. */
+	if (s->loop.now - f->poked_at < POKE_MS << (f->pokes < 4 ? f->pokes : 4))
 		return;
+	f->pokes++;
 	note(LOG_NOTICE, "watch-behind",
 	    "kind=%s as_of=%" PRId64 " news=%" PRId64, kind_name[f->kind],
 	    f->as_of, news);
 	f->poked_at = s->loop.now;
+	f->urgent = true;
 	renew(f);
 }
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -7,6 +7,7 @@
 enum {
 	CALL_MS = 700,	/* an answer of the store; a renewal is late after */
 	FIRST_MS = 250, /* between looks when no holder is heard of */
+	TURNS = 8,	/* more don't wait longer */
 	TURN_MS = 300,	/* each further instance in line looks so much later */
 };
 static const char *const name = "planner";
@@ -178,21 +179,6 @@
 	return false;
 }
 
-/* Instances that live and come before this one. */
-static int
-turn(const serve_t *s)
-{
-	int i, n = 0;
-
-	for (i = 0; i < s->peers.npeer; i++) {
-		const peer_t *p = s->peers.peer[i];
-
-		n += peer_alive(s, p) && !p->leaving &&
-		    strcmp(p->instance, s->site.instance) < 0;
-	}
-	return n < 8 ? n : 8;
-}
-
 void
 lease_step(plan_t *p)
 {
@@ -212,7 +198,7 @@
 		return;
 	if (heard_of(s)) {
 		p->tenure.read = false;
-		p->lease_next = now + FIRST_MS + TURN_MS * turn(s);
+		p->lease_next = now + FIRST_MS + TURN_MS * (peers_before(s) < TURNS ? peers_before(s) : TURNS);
 		return;
 	}
 	if (tenure_may_take(&p->tenure, now)) {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -51,6 +51,20 @@
 	return n;
 }
 
+int
+peers_before(const serve_t *s)
+{
+	int i, n = 0;
+
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
+
+		n += peer_alive(s, p) && !p->leaving &&
+		    strcmp(p->instance, s->site.instance) < 0;
+	}
+	return n;
+}
+
 /* Shares that others have at endpoints. */
 
 static void
@@ -416,6 +430,7 @@
 	if (whole)
 		put_card(s, &c);
 	s->peers.tell_taken = s->peers.tell_shares = false;
+	s->peers.tell_news = false;
 	s->peers.share_at = s->loop.now;
 	c.d.whole = whole;
 	c.d.goodbye = how == TELL_GOODBYE;
@@ -500,7 +515,9 @@
 void
 peers_turn(serve_t *s)
 {
-	if (s->peers.tell_taken || s->peers.tell_shares)
+	if (s->peers.tell_news)
+		tell(s, TELL_LIFE);
+	else if (s->peers.tell_taken || s->peers.tell_shares)
 		tell(s, TELL_SHARES);
 	if (s->peers.tell_wants && !plan_holder(s) &&
 	    s->loop.now - s->peers.wants_at >= WANTS_MS)
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -21,6 +21,9 @@
 /* Work that one more copy of an adapter is worth, in parts of a pace. */
 static const double ADAPTER_BUSY = 0.3;
 
+/* Weights that seem at hand may have yielded: such loads aren't counted. */
+static const double CEILING_PART = 0.9;
+
 /** Demand of all instances for one model or adapter. */
 typedef struct asked {
 	char adapter[16];
@@ -217,7 +220,8 @@
 	const site_bounds_t *bo = &p->s->site.bounds;
 	ms_t now = p->s->loop.now;
 	double most =
-	    floor(def->loads_per_s * (double)bo->ceiling_window / 1000);
+	    floor(CEILING_PART * def->loads_per_s *
+		(double)bo->ceiling_window / 1000);
 	int i, n = 0;
 
 	/* What the holder before us began isn't known. */
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -11,7 +11,7 @@
 #include "policy/tenure.h"
 
 enum {
-	LOADS_KEPT = 64
+	LOADS_KEPT = 256 /* more than any window allows */
 };
 
 /** Orders of this holder to one endpoint. */
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -35,7 +35,7 @@
  * Streams run on while prompts are read: at more than this part of the pace
  * long ones don't end in time.
  */
-static const double PROMPT_PART = 0.65;
+static const double PROMPT_PART = 0.8;
 /* The shortest gap that routes ask for is not far from this, ms. */
 static const double GAP_MS = 200;
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -103,9 +103,9 @@
 /**
  * An entry was read.
  * @param written it was written then at the earliest
- * @return the endpoint, or NULL if it names none
+ * @return whether an endpoint came or changed its state
  */
-ep_t *eps_entry(serve_t *s, const object_t *o, ms_t written);
+bool eps_entry(serve_t *s, const object_t *o, ms_t written);
 /** Its entry is gone. @param may_return the store was away just now */
 void eps_gone(serve_t *s, const char *id, bool may_return);
 /** Forget endpoints that are long gone. */
@@ -314,7 +314,8 @@
 	int64_t as_of; /* 0: to be listed */
 	int64_t news;  /* store's revision at the last change seen */
 	ms_t poked_at; /* when it was asked anew for that */
-	ms_t behind;   /* others saw a later one since, 0: no */
+	int pokes;     /* since the last answer */
+	bool urgent;   /* others have seen more: no old answer will do */
 	bool listing;
 	char after[ID_MAX];
 	GHashTable *seen; /* names in the list that is being read */
@@ -403,7 +404,8 @@
 	int beats;
 	taken_t taken[TAKEN_KEPT];
 	int ntaken;
-	bool tell_taken, tell_wants, tell_shares; /* at the end of this turn */
+	/* To be told at the end of this turn. */
+	bool tell_taken, tell_wants, tell_shares, tell_news;
 	ms_t wants_at;
 } peers_t;
 
@@ -425,6 +427,8 @@
 /** Instances that live, this one included. */
 int peers_alive(const serve_t *s);
 bool peer_alive(const serve_t *s, const peer_t *p);
+/** Instances that live, don't leave and come before this one. */
+int peers_before(const serve_t *s);
 
 /* Demand by model and adapter. demand.c */
 
