--- a/cmd/ebonypitchd.c
+++ b/cmd/ebonypitchd.c
@@ -11,8 +11,8 @@
 	{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 	    "Settings file, instead of the one that the environment names",
 	    "FILE" },
-	{ "check", 'c', 0, G_OPTION_ARG_NONE, &check,
-	    "Only read the settings", NULL },
+	{ "check", 'c', 0, G_OPTION_ARG_NONE, &check, "Only read the settings",
+	    NULL },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
--- a/net/head.c
+++ b/net/head.c
@@ -28,8 +28,8 @@
 http_reason(int status)
 {
 	switch (status) {
-#define XX(num, name, string)                                                  \
-	case num:                                                              \
+#define XX(num, name, string) \
+	case num:             \
 		return #string;
 		HTTP_STATUS_MAP(XX)
 #undef XX
--- a/net/link.c
+++ b/net/link.c
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 enum {
-	READ_MAX = 65536,   /* bytes taken from a socket at once */
-	LINGER_MS = 1000,   /* a peer has this long to read a last answer */
+	READ_MAX = 65536, /* bytes taken from a socket at once */
+	LINGER_MS = 1000, /* a peer has this long to read a last answer */
 	BAD_REQUEST = 400,
 	HEAD_TOO_LARGE = 431,
 	BODY_TOO_LARGE = 413,
@@ -429,8 +429,7 @@
 		ended(k, LINK_RESET);
 		return;
 	}
-	if ((ev & (EPOLLHUP | EPOLLRDHUP)) && k->held &&
-	    k->side == LINK_SERVER)
+	if ((ev & (EPOLLHUP | EPOLLRDHUP)) && k->held && k->side == LINK_SERVER)
 		ended(k, LINK_EOF);
 }
 
@@ -448,9 +447,9 @@
 	k->ops = ops;
 	k->user = user;
 	k->since = l->now;
-	k->watch = (watch_t) { fd, 0, event, k };
-	http_parser_init(&k->parser,
-	    side == LINK_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
+	k->watch = (watch_t){ fd, 0, event, k };
+	http_parser_init(
+	    &k->parser, side == LINK_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
 	k->parser.data = k;
 	return k;
 }
@@ -465,11 +464,10 @@
 }
 
 link_t *
-link_connect(loop_t *l, const struct sockaddr_in *to, const link_ops_t *ops,
-    void *user)
+link_connect(
+    loop_t *l, const struct sockaddr_in *to, const link_ops_t *ops, void *user)
 {
-	int fd = socket(
-	    AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	link_t *k;
 
 	if (fd == -1)
@@ -518,7 +516,6 @@
 
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof(every_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof(every_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
--- a/net/loop.c
+++ b/net/loop.c
@@ -13,7 +13,7 @@
 int
 loop_init(loop_t *l)
 {
-	*l = (loop_t) { 0 };
+	*l = (loop_t){ 0 };
 	l->ep = epoll_create1(EPOLL_CLOEXEC);
 	l->now = clock_now(&machine_clock);
 	return l->ep == -1 ? -1 : 0;
@@ -112,7 +112,7 @@
 	}
 	if (l->nheap + 1 >= l->room) {
 		l->room = l->room ? l->room * 2 : 64;
-		l->heap = realloc(l->heap, l->room * sizeof(*l->heap));
+		l->heap = realloc(l->heap, l->room * sizeof(alarm_t *));
 		if (l->heap == NULL)
 			abort();
 	}
--- a/net/net.h
+++ b/net/net.h
@@ -158,18 +158,18 @@
 	size_t head_max, body_max; /* bytes, 0: no bound */
 	size_t head_bytes, body_bytes;
 	bool connecting, dead;
-	bool held;    /* no further message is parsed: one is being served */
-	bool paused;  /* reading waits for the other side */
-	bool in_msg;  /* part of a message came */
-	bool headed;  /* its head is whole; trailers are dropped */
-	bool no_body; /* the answer to a HEAD */
-	bool closing; /* closes when out is empty */
-	bool surplus; /* bytes came after a whole message */
-	bool keep;    /* may carry another message */
-	int refuse;   /* status for a malformed or oversized request */
-	char last;    /* previous byte of a head, to find bare line feeds */
-	ms_t since;   /* last byte in or out */
-	ms_t began;   /* the message that is under way */
+	bool held;     /* no further message is parsed: one is being served */
+	bool paused;   /* reading waits for the other side */
+	bool in_msg;   /* part of a message came */
+	bool headed;   /* its head is whole; trailers are dropped */
+	bool no_body;  /* the answer to a HEAD */
+	bool closing;  /* closes when out is empty */
+	bool surplus;  /* bytes came after a whole message */
+	bool keep;     /* may carry another message */
+	int refuse;    /* status for a malformed or oversized request */
+	char last;     /* previous byte of a head, to find bare line feeds */
+	ms_t since;    /* last byte in or out */
+	ms_t began;    /* the message that is under way */
 	alarm_t alarm; /* its user's */
 	bool lingering;
 };
@@ -177,8 +177,8 @@
 /** Take an accepted descriptor. @return NULL: closed, out of memory. */
 link_t *link_accept(loop_t *l, int fd, const link_ops_t *ops, void *user);
 /** Start a connection. @return NULL if it failed at once. */
-link_t *link_connect(loop_t *l, const struct sockaddr_in *to,
-    const link_ops_t *ops, void *user);
+link_t *link_connect(
+    loop_t *l, const struct sockaddr_in *to, const link_ops_t *ops, void *user);
 void link_write(link_t *k, const void *p, size_t n);
 /** Send what link_write() and k->out gathered. */
 void link_flush(link_t *k);
--- a/policy/breaker.c
+++ b/policy/breaker.c
@@ -1,15 +1,15 @@
 #include "policy/breaker.h"
 
 enum {
-	IN_A_ROW = 3,	   /* hard failures that open it */
-	SPAN_FIRST = 500,  /* ms open at first: a restart is as quick */
-	SPAN_MOST = 6000,  /* ms: a recovered one is found by then */
-	SEEN_ENOUGH = 5,   /* calls before a share means something */
+	IN_A_ROW = 3,	  /* hard failures that open it */
+	SPAN_FIRST = 500, /* ms open at first: a restart is as quick */
+	SPAN_MOST = 6000, /* ms: a recovered one is found by then */
+	SEEN_ENOUGH = 5,  /* calls before a share means something */
 };
 /* One call's weight in the share of failed ones. */
-static const double SHARE_STEP = 0.15;
+static const double share_step = 0.15;
 /* Failed calls beyond the usual share count this much in time. */
-static const double SHARE_COST = 8;
+static const double share_cost = 8;
 
 void
 breaker_good(breaker_t *b)
@@ -18,7 +18,7 @@
 	b->span = 0;
 	b->open_until = 0;
 	b->trying = false;
-	b->share -= SHARE_STEP * b->share;
+	b->share -= share_step * b->share;
 	if (b->seen < SEEN_ENOUGH)
 		b->seen++;
 }
@@ -26,7 +26,7 @@
 void
 breaker_bad(breaker_t *b, bool hard, ms_t now)
 {
-	b->share += SHARE_STEP * (1 - b->share);
+	b->share += share_step * (1 - b->share);
 	if (b->seen < SEEN_ENOUGH)
 		b->seen++;
 	if (!hard)
@@ -66,5 +66,5 @@
 
 	if (b->seen < SEEN_ENOUGH || over <= 0)
 		return 1;
-	return 1 + SHARE_COST * over;
+	return 1 + share_cost * over;
 }
--- a/policy/breaker.h
+++ b/policy/breaker.h
@@ -13,8 +13,8 @@
 	double share; /* of failed calls, decayed */
 	int seen;     /* calls, up to a few */
 	ms_t open_until;
-	ms_t span;    /* of the last opening */
-	bool trying;  /* one call tries it */
+	ms_t span;   /* of the last opening */
+	bool trying; /* one call tries it */
 } breaker_t;
 
 void breaker_good(breaker_t *b);
--- a/policy/burden.c
+++ b/policy/burden.c
@@ -4,23 +4,23 @@
 #include <string.h>
 
 /* Used until the first answers were seen. */
-static const double PACE_FIRST = 15; /* tokens/ms: a large accelerator's */
-static const double WORK_FIRST = 40; /* ms */
+static const double pace_first = 15; /* tokens/ms: a large accelerator's */
+static const double work_first = 40; /* ms */
 /* Weight of one sample: some ten answers settle it. */
-static const double LEARN = 0.15;
+static const double learn_weight = 0.15;
 /* A sample is bounded to this factor around the usual pace. */
-static const double PACE_SPREAD = 6;
+static const double pace_spread = 6;
 /* Samples of short prompts tell of steps, not of reading. */
 enum {
 	SAMPLE_TOKENS = 200,
 	STEP_MS = 15, /* a step of the batch: the least time to an event */
 };
 /* What came within about that counts as the flow of prompts. */
-static const double FLOW_MS = 1500;
+static const double flow_ms = 1500;
 /* Beyond that a stream hardly moves; it bounds the estimate. */
-static const double BUSY_MOST = 0.9;
+static const double busy_most = 0.9;
 /* Share of the memory left for what grows beyond its estimate. */
-static const double MEMORY_USED = 0.92;
+static const double memory_used = 0.92;
 
 void
 burden_init(burden_t *b, int slots, int capacity)
@@ -36,7 +36,7 @@
 {
 	if (b->pace > 0)
 		return b->pace;
-	return u->pace > 0 ? u->pace : PACE_FIRST;
+	return u->pace > 0 ? u->pace : pace_first;
 }
 
 static double
@@ -44,20 +44,21 @@
 {
 	if (b->work > 0)
 		return b->work;
-	return u->work > 0 ? u->work : WORK_FIRST;
+	return u->work > 0 ? u->work : work_first;
 }
 
 double
 burden_first(const burden_t *b, const burden_usual_t *u, int fresh)
 {
 	int running = b->own.running + b->others.running;
+	/* Calls that fill all slots before this one. */
+	int rounds = running / b->slots;
 
 	if (b->capacity == 0)
-		return work(b, u) *
-		    (1 + (double)(running / b->slots)) *
-		    (1 + 0.1 * running / b->slots);
+		return work(b, u) * (1 + rounds) *
+		       (1 + 0.1 * running / b->slots);
 	return STEP_MS +
-	    (b->own.unread + b->others.unread + fresh) / pace(b, u);
+	       (b->own.unread + b->others.unread + fresh) / pace(b, u);
 }
 
 /* What is left of the level, and the rate at which it goes. */
@@ -65,8 +66,8 @@
 level(const burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo,
     ms_t now)
 {
-	double v = b->level -
-	    (double)(now - b->level_at) * pace(b, u) * bo->part;
+	double v =
+	    b->level - (double)(now - b->level_at) * pace(b, u) * bo->part;
 
 	return v > 0 ? v : 0;
 }
@@ -75,7 +76,7 @@
 static double
 flow(const burden_t *b, ms_t now)
 {
-	return b->flow * exp(-(double)(now - b->flow_at) / FLOW_MS);
+	return b->flow * exp(-(double)(now - b->flow_at) / flow_ms);
 }
 
 void
@@ -84,7 +85,7 @@
 {
 	b->level = level(b, u, bo, now) + tokens;
 	b->level_at = now;
-	b->flow = flow(b, now) + tokens / FLOW_MS;
+	b->flow = flow(b, now) + tokens / flow_ms;
 	b->flow_at = now;
 }
 
@@ -98,9 +99,9 @@
 	if (b->capacity == 0)
 		return 0;
 	read = fresh / pace(b, u);
-	busy = fmin(flow(b, now) / pace(b, u), BUSY_MOST);
+	busy = fmin(flow(b, now) / pace(b, u), busy_most);
 	return w->stream * output * STEP_MS * busy / (1 - busy) +
-	    w->others * running * read;
+	       w->others * running * read;
 }
 
 double
@@ -132,8 +133,8 @@
 {
 	if (b->capacity == 0)
 		return INT32_MAX;
-	return (int)(b->capacity * MEMORY_USED) - b->own.memory -
-	    b->others.memory;
+	return (int)(b->capacity * memory_used) - b->own.memory -
+	       b->others.memory;
 }
 
 double
@@ -159,13 +160,13 @@
 static void
 learn(double *to, double sample)
 {
-	*to = *to > 0 ? *to + LEARN * (sample - *to) : sample;
+	*to = *to > 0 ? *to + learn_weight * (sample - *to) : sample;
 }
 
 void
 burden_first_seen(burden_t *b, burden_usual_t *u, burden_ticket_t *t, ms_t took)
 {
-	double sample, mid = u->pace > 0 ? u->pace : PACE_FIRST;
+	double sample, mid = u->pace > 0 ? u->pace : pace_first;
 
 	if (!t->on)
 		return;
@@ -177,7 +178,7 @@
 	if (t->queue < SAMPLE_TOKENS || took <= STEP_MS)
 		return;
 	sample = t->queue / (double)(took - STEP_MS);
-	sample = fmin(fmax(sample, mid / PACE_SPREAD), mid * PACE_SPREAD);
+	sample = fmin(fmax(sample, mid / pace_spread), mid * pace_spread);
 	learn(&b->pace, sample);
 	u->pace = u->pace > 0 ? u->pace + 0.02 * (sample - u->pace) : sample;
 }
--- a/policy/burden.h
+++ b/policy/burden.h
@@ -23,30 +23,30 @@
  * at a part of the endpoint's pace, and only so many at once.
  */
 typedef struct burden_bounds {
-	double part;	/* of the pace that prompts may take, 0..1 */
-	double gap;	/* ms that a stream may wait between its events */
+	double part; /* of the pace that prompts may take, 0..1 */
+	double gap;  /* ms that a stream may wait between its events */
 } burden_bounds_t;
 
 typedef struct burden {
 	burden_share_t own, others;
-	double level;	 /* tokens sent and not yet worked off at that part */
+	double level; /* tokens sent and not yet worked off at that part */
 	ms_t level_at;
-	double flow;	 /* tokens a ms that came of late */
+	double flow; /* tokens a ms that came of late */
 	ms_t flow_at;
-	double pace;	 /* prompt tokens read in a ms, 0: not learnt */
-	double work;	 /* ms of a plain call alone, 0: not learnt */
-	int slots;	 /* calls in one batch */
-	int capacity;	 /* tokens of memory, 0: a plain service */
+	double pace;  /* prompt tokens read in a ms, 0: not learnt */
+	double work;  /* ms of a plain call alone, 0: not learnt */
+	int slots;    /* calls in one batch */
+	int capacity; /* tokens of memory, 0: a plain service */
 	int said_running, said_waiting; /* by the endpoint, -1: never */
 	ms_t said_at;
-	double error;	 /* mean |predicted - seen| / seen */
+	double error; /* mean |predicted - seen| / seen */
 } burden_t;
 
 /** One call's part; given back when the call ends. */
 typedef struct burden_ticket {
 	int unread, memory;
 	bool on;
-	int queue;	/* tokens before and with it when it was sent */
+	int queue;	  /* tokens before and with it when it was sent */
 	double predicted; /* ms to the first event */
 } burden_ticket_t;
 
@@ -84,8 +84,8 @@
 double burden_cost(const burden_t *b, const burden_usual_t *u,
     const burden_weights_t *w, int fresh, int output, ms_t now);
 /** Prompt tokens a ms that may be sent there. */
-double burden_rate(const burden_t *b, const burden_usual_t *u,
-    const burden_bounds_t *bo);
+double burden_rate(
+    const burden_t *b, const burden_usual_t *u, const burden_bounds_t *bo);
 /** Tokens of memory that are free beside what is promised. */
 int burden_room(const burden_t *b);
 /** Share of its slots in use. */
--- a/policy/retries.c
+++ b/policy/retries.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* Instances disagree for a while on how many they are, and on the window. */
-static const double USED = 0.6;
+static const double budget_part = 0.6;
 
 void
 retries_init(retries_t *r, ms_t window)
@@ -58,5 +58,5 @@
 	}
 	if (instances < 1)
 		instances = 1;
-	return again + 1 <= USED * (ratio * asked + extra / instances);
+	return again + 1 <= budget_part * (ratio * asked + extra / instances);
 }
--- a/policy/retries.h
+++ b/policy/retries.h
@@ -13,7 +13,7 @@
 };
 
 typedef struct retries {
-	ms_t part; /* length of one */
+	ms_t part;  /* length of one */
 	int64_t at; /* number of the current one */
 	int asked[RETRY_PARTS], again[RETRY_PARTS];
 } retries_t;
--- a/policy/spread.c
+++ b/policy/spread.c
@@ -3,13 +3,13 @@
 #include <math.h>
 
 /* An endpoint is planned to be busy so much of the time. */
-static const double BUSY = 0.35;
+static const double busy_part = 0.35;
 /* With more work than that, copies go in proportion, and a few more. */
-static const double SHARE = 1.3;
+static const double work_share = 1.3;
 /* A copy gives way only if it carries so much less than the new one would. */
-static const double GIVE_WAY = 0.6;
+static const double give_way = 0.6;
 /* A copy where the new one's weights are at hand gives way this much easier. */
-static const double AT_HAND = 0.5;
+static const double at_hand_factor = 0.5;
 
 static spread_held_t
 held(const spread_in_t *in, int e, int m)
@@ -46,13 +46,13 @@
 			spread_held_t h = held(in, e, m);
 
 			mo->copies += in->ep[e].usable &&
-			    (h == SPREAD_READY || h == SPREAD_COMING);
+				      (h == SPREAD_READY || h == SPREAD_COMING);
 		}
 	}
 	for (m = 0; m < in->nmodel; m++) {
 		spread_model_t *mo = &in->model[m];
-		double need = mo->work / (BUSY * pace);
-		double share = all > 0 ? SHARE * n * mo->work / all : 0;
+		double need = mo->work / (busy_part * pace);
+		double share = all > 0 ? work_share * n * mo->work / all : 0;
 
 		mo->target = (int)ceil(fmin(need, share));
 		if (mo->target < mo->least)
@@ -117,14 +117,13 @@
 		for (v = 0; v < in->nmodel; v++) {
 			const spread_model_t *vm = &in->model[v];
 			double cost = carries(vm) *
-			    (at_hand(in, e, m) ? AT_HAND : 1);
+				      (at_hand(in, e, m) ? at_hand_factor : 1);
 
 			if (v == m || held(in, e, v) != SPREAD_READY ||
 			    vm->copies < 2 || p->room + vm->mb < want->mb)
 				continue;
-			if (!urgent &&
-			    (vm->copies <= vm->target ||
-				cost > GIVE_WAY * gain))
+			if (!urgent && (vm->copies <= vm->target ||
+					   cost > give_way * gain))
 				continue;
 			if (*ep != -1 && cost >= least)
 				continue;
@@ -143,13 +142,13 @@
 	int e = roomy(in, m), v;
 
 	if (e != -1) {
-		*out = (spread_move_t) { true, e, m, why, m };
+		*out = (spread_move_t){ true, e, m, why, m };
 		return true;
 	}
 	/* Room that is being made will do for one copy. */
 	if (in->model[m].making > 0 || !victim(in, m, urgent, &e, &v))
 		return false;
-	*out = (spread_move_t) { false, e, v, SPREAD_ROOM, m };
+	*out = (spread_move_t){ false, e, v, SPREAD_ROOM, m };
 	return true;
 }
 
@@ -211,7 +210,7 @@
 		e = roomy(in, m);
 		if (e == -1)
 			continue;
-		*out = (spread_move_t) { true, e, m, SPREAD_SECOND, m };
+		*out = (spread_move_t){ true, e, m, SPREAD_SECOND, m };
 		return true;
 	}
 	return false;
@@ -222,7 +221,7 @@
 {
 	count(in);
 	return repair(in, out) ||
-	    (in->settled && (follow_demand(in, out) || second(in, out)));
+	       (in->settled && (follow_demand(in, out) || second(in, out)));
 }
 
 const char *
--- a/policy/spread.h
+++ b/policy/spread.h
@@ -26,10 +26,10 @@
 } spread_model_t;
 
 typedef struct spread_ep {
-	bool usable;  /* what it holds serves calls */
-	bool free;    /* takes an order now */
-	double room;  /* MB beside all that is or may come to be held */
-	double pace;  /* tokens a second that it works off */
+	bool usable; /* what it holds serves calls */
+	bool free;   /* takes an order now */
+	double room; /* MB beside all that is or may come to be held */
+	double pace; /* tokens a second that it works off */
 	/* Made by spread_next(). */
 	double work;
 } spread_ep_t;
@@ -41,8 +41,8 @@
 	int nep;
 	const uint8_t *held; /* held[ep * nmodel + model], spread_held_t */
 	const uint8_t *hand; /* the same: its weights are quick to load */
-	bool settled;	/* no endpoint came just now */
-	bool may_fetch; /* a load from the weight store is allowed now */
+	bool settled;	     /* no endpoint came just now */
+	bool may_fetch;	     /* a load from the weight store is allowed now */
 } spread_in_t;
 
 typedef enum spread_reason {
--- a/policy/tenure.c
+++ b/policy/tenure.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* Parts of a lease: orders go out within VALID of a renewal's sending. */
-static const double VALID = 0.35, RENEW = 0.15;
+/* Parts of a lease: orders go out within valid_part of a renewal's sending. */
+static const double valid_part = 0.35, renew_part = 0.15;
 enum {
 	WAY_MS = 250 /* an order's way to its endpoint */
 };
@@ -18,7 +18,7 @@
 static ms_t
 valid(const tenure_t *t)
 {
-	return (ms_t)((double)t->lease * VALID);
+	return (ms_t)((double)t->lease * valid_part);
 }
 
 void
@@ -79,7 +79,8 @@
 bool
 tenure_due(const tenure_t *t, ms_t now)
 {
-	return t->held && now - t->renewed >= (ms_t)((double)t->lease * RENEW);
+	return t->held &&
+	       now - t->renewed >= (ms_t)((double)t->lease * renew_part);
 }
 
 void
--- a/serve/admit.c
+++ b/serve/admit.c
@@ -10,9 +10,9 @@
  * Predictions are short when instances send at the same moment; what is left
  * of the promise covers that. A caller who was told to come back gets more.
  */
-static const double BOUND_FRESH = 0.8, BOUND_RETURNED = 1.0;
+static const double bound_fresh = 0.8, bound_returned = 1.0;
 /* One call's weight in the usual share of failures. */
-static const double FAILED_STEP = 0.01;
+static const double failed_step = 0.01;
 
 int
 call_rank(const call_t *c)
@@ -26,8 +26,8 @@
 call_bound(const call_t *c)
 {
 	double v = (double)c->route.promise *
-	    (c->returned ? BOUND_RETURNED : BOUND_FRESH);
-	double last = (double)(c->due - c->came) * BOUND_FRESH;
+		   (c->returned ? bound_returned : bound_fresh);
+	double last = (double)(c->due - c->came) * bound_fresh;
 
 	/* What is under way is finished, late if need be. */
 	if (c->passing)
@@ -52,7 +52,7 @@
 void
 usual_failure(serve_t *s, bool failed)
 {
-	s->usual_failed += FAILED_STEP * ((failed ? 1 : 0) - s->usual_failed);
+	s->usual_failed += failed_step * ((failed ? 1 : 0) - s->usual_failed);
 }
 
 static retries_t *
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -4,21 +4,21 @@
 #include <string.h>
 
 enum {
-	PASS_BYTES = 1 << 20, /* a larger answer isn't gathered first */
-	CONNECT_MS = 400,     /* a way across domains and a busy endpoint */
+	PASS_BYTES = 1 << 20,	/* a larger answer isn't gathered first */
+	CONNECT_MS = 400,	/* a way across domains and a busy endpoint */
 	HELD_BYTES = 256 << 10, /* a slow caller stops its endpoint then */
 	FIRST_LEAST_MS = 1000,	/* silence before a first event is normal */
 	PLAIN_LEAST_MS = 700,	/* the same for a plain answer */
 	GAP_LEAST_MS = 1000,	/* and between events */
 };
 /* Silence of so many times what was expected is a failure. */
-static const double FIRST_TIMES = 5, PLAIN_TIMES = 8, GAP_TIMES = 3;
+static const double first_times = 5, plain_times = 8, gap_times = 3;
 
 bool
 call_may_repeat(const call_t *c)
 {
 	return call_idempotent(c) && c->sends < c->route.attempts &&
-	    retry_allowed(c->s, c);
+	       retry_allowed(c->s, c);
 }
 
 /* How long the endpoint may be silent; 0: until the call is due. */
@@ -30,14 +30,14 @@
 	if (!call_may_repeat(c))
 		return 0;
 	if (c->ask.model[0] == '\0') {
-		v = c->ticket.predicted * PLAIN_TIMES;
+		v = c->ticket.predicted * plain_times;
 		return v > PLAIN_LEAST_MS ? (ms_t)v : PLAIN_LEAST_MS;
 	}
 	if (c->first_at == 0 || c->event_at < c->sent_at) {
-		v = c->ticket.predicted * FIRST_TIMES;
+		v = c->ticket.predicted * first_times;
 		return v > FIRST_LEAST_MS ? (ms_t)v : FIRST_LEAST_MS;
 	}
-	v = (double)c->route.gap * GAP_TIMES;
+	v = (double)c->route.gap * gap_times;
 	return v > GAP_LEAST_MS ? (ms_t)v : GAP_LEAST_MS;
 }
 
@@ -63,8 +63,9 @@
 		if (c->ran)
 			call_answer(c, 504, "no answer in time", 0);
 		else
-			call_answer(c, 503, c->wait_why ? c->wait_why
-					: "not sent in time", FULL_RETRY_MS);
+			call_answer(c, 503,
+			    c->wait_why ? c->wait_why : "not sent in time",
+			    FULL_RETRY_MS);
 		return;
 	}
 	switch (c->state) {
@@ -95,9 +96,9 @@
 {
 	note(LOG_NOTICE, "attempt-failed",
 	    "request=%s endpoint=%s why=\"%s\" not_run=%d send=%d events=%d "
-	    "after_ms=%" PRId64, c->ask.id,
-	    c->ep != NULL ? c->ep->entry.id : "-", why, not_run, c->sends,
-	    c->events, c->s->loop.now - c->sent_at);
+	    "after_ms=%" PRId64,
+	    c->ask.id, c->ep != NULL ? c->ep->entry.id : "-", why, not_run,
+	    c->sends, c->events, c->s->loop.now - c->sent_at);
 	call_detach(c, false);
 	if (not_run && !c->ran_before)
 		c->ran = false;
@@ -262,8 +263,7 @@
 static bool
 promises(int status)
 {
-	return status == 503 || status == 429 || status == 408 ||
-	    status == 421;
+	return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
 static void
@@ -278,13 +278,14 @@
 		breaker_bad(&c->ep->breaker, false, s->loop.now);
 	usual_failure(s, !good);
 	if (c->ask.model[0] == '\0' && good)
-		burden_plain_seen(&c->ep->burden, &s->usual_pace,
-		    s->loop.now - c->sent_at);
+		burden_plain_seen(
+		    &c->ep->burden, &s->usual_pace, s->loop.now - c->sent_at);
 	if (!good && call_may_repeat(c)) {
 		note(LOG_NOTICE, "attempt-failed",
 		    "request=%s endpoint=%s why=\"status %d\" not_run=0 "
-		    "send=%d after_ms=%" PRId64, c->ask.id, c->ep->entry.id,
-		    c->got.status, c->sends, s->loop.now - c->sent_at);
+		    "send=%d after_ms=%" PRId64,
+		    c->ask.id, c->ep->entry.id, c->got.status, c->sends,
+		    s->loop.now - c->sent_at);
 		c->text.off = c->text.len = 0;
 		call_detach(c, keep);
 		call_dispatch(c);
@@ -348,8 +349,7 @@
 		return;
 	}
 	/* An answer before the whole request was sent: no second one here. */
-	keep = k->keep && !k->surplus && !w->tainted &&
-	    buf_len(&k->out) == 0;
+	keep = k->keep && !k->surplus && !w->tainted && buf_len(&k->out) == 0;
 	if (k->surplus)
 		note(LOG_WARNING, "answer-surplus", "request=%s endpoint=%s",
 		    c->ask.id, w->ep->entry.id);
--- a/serve/call.c
+++ b/serve/call.c
@@ -5,9 +5,9 @@
 #include <strings.h>
 
 enum {
-	CALLS_MAX = 4000,  /* in progress; each takes some KB */
-	GUESS_MS = 10000,  /* patience of a caller that says none */
-	SLACK_MS = 30,	   /* the caller hears of its time limit itself */
+	CALLS_MAX = 4000, /* in progress; each takes some KB */
+	GUESS_MS = 10000, /* patience of a caller that says none */
+	SLACK_MS = 30,	  /* the caller hears of its time limit itself */
 };
 
 call_t *
@@ -106,7 +106,7 @@
 		c->due = c->came + r->timeout;
 	c->last_event = ask->resume_at;
 	c->resume_from = ask->resume_at;
-	c->alarm = (alarm_t) { .fn = alarm_due, .arg = c };
+	c->alarm = (alarm_t){ .fn = alarm_due, .arg = c };
 	c->returned = usual_patience(s, r, patience);
 	return c;
 }
@@ -121,8 +121,7 @@
 		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)retry / 1000);
 	if (g->s->leaving || !g->link->keep)
-		snprintf(
-		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
+		snprintf(extra + n, sizeof(extra) - n, "Connection: close\r\n");
 	note(LOG_NOTICE, "refused",
 	    "request=%s status=%d why=\"%s\" config=%" PRId64, id, status, why,
 	    g->s->config != NULL ? g->s->config->version : -1);
@@ -180,13 +179,15 @@
 	serve_t *s = c->s;
 	ep_t *p = ch->ep;
 	ms_t left = c->ask.patience >= 0
-	    ? c->ask.patience - (s->loop.now - c->came)
-	    : -1;
+			? c->ask.patience - (s->loop.now - c->came)
+			: -1;
 	call_send_t send = { .head = &c->guest->link->head,
-		.method = c->method, .endpoint = p->entry.id,
-		.left = left, .rank = -1,
-		.resume_at = c->last_event > c->resume_from ? c->last_event
-							    : -1,
+		.method = c->method,
+		.endpoint = p->entry.id,
+		.left = left,
+		.rank = -1,
+		.resume_at =
+		    c->last_event > c->resume_from ? c->last_event : -1,
 		.body = buf_len(&c->body) };
 	int memory = c->ask.prompt + c->ask.output;
 
@@ -207,19 +208,20 @@
 	p->calls++;
 	breaker_sent(&p->breaker, s->loop.now);
 	burden_send(&p->burden, &s->usual_pace, &c->ticket, ch->fresh, memory);
-	burden_pour(&p->burden, &s->usual_pace, &s->bounds, ch->fresh,
-	    s->loop.now);
+	burden_pour(
+	    &p->burden, &s->usual_pace, &s->bounds, ch->fresh, s->loop.now);
 	p->sent += (uint32_t)ch->fresh;
 	peers_touched(s, p);
 	prefix_note(p, c, s->loop.now);
 	c->wire->link->no_body = strcmp(c->method, "HEAD") == 0;
 	call_send_head(&c->wire->link->out, &send);
 	if (send.body > 0)
-		buf_add(&c->wire->link->out, c->body.p + c->body.off,
-		    send.body);
+		buf_add(
+		    &c->wire->link->out, c->body.p + c->body.off, send.body);
 	note(LOG_INFO, "sent",
 	    "request=%s route=%s endpoint=%s send=%d fresh=%d first_ms=%.0f "
-	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64 " kept=%d config=%" PRId64,
+	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64
+	    " kept=%d config=%" PRId64,
 	    c->ask.id, c->route.name, p->entry.id, c->sends, ch->fresh,
 	    c->ticket.predicted, send.left, s->loop.now - p->seen_at,
 	    !c->wire->fresh, s->config->version);
@@ -304,8 +306,8 @@
 	note(LOG_INFO, "done",
 	    "request=%s route=%s model=%s/%s outcome=%s status=%d sends=%d "
 	    "first_ms=%" PRId64 " whole_ms=%" PRId64 " events=%d",
-	    c->ask.id, c->route.name, c->ask.model, c->ask.adapter, outcome, c->status, c->sends,
-	    c->first_at != 0 ? c->first_at - c->came : -1,
+	    c->ask.id, c->route.name, c->ask.model, c->ask.adapter, outcome,
+	    c->status, c->sends, c->first_at != 0 ? c->first_at - c->came : -1,
 	    s->loop.now - c->came, c->events);
 	count_outcome(c, outcome);
 	call_detach(c, false);
@@ -337,8 +339,7 @@
 		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)retry / 1000);
 	if (g->s->leaving || !g->link->keep)
-		snprintf(
-		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
+		snprintf(extra + n, sizeof(extra) - n, "Connection: close\r\n");
 	c->status = status;
 	note(LOG_NOTICE, "answered",
 	    "request=%s status=%d why=\"%s\" retry_ms=%" PRId64
@@ -355,8 +356,9 @@
 {
 	guest_t *g = c->guest;
 
-	note(LOG_NOTICE, "cut", "request=%s why=\"%s\" events=%d after_ms=%"
-	    PRId64, c->ask.id, why, c->events, c->s->loop.now - c->came);
+	note(LOG_NOTICE, "cut",
+	    "request=%s why=\"%s\" events=%d after_ms=%" PRId64, c->ask.id, why,
+	    c->events, c->s->loop.now - c->came);
 	/* Without its last chunk an answer doesn't look whole. */
 	g->link->closing = true;
 	call_over(c, "cut");
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -5,18 +5,18 @@
 enum {
 	LOAD_GUESS_MS = 400, /* an adapter's load and the way there */
 	RETRY_LEAST_MS = 50,
-	BUSY_MS = 100, /* a place frees within about that */
+	BUSY_MS = 100,	       /* a place frees within about that */
 	LEAVE_SERVE_MS = 2000, /* calls that came until then have all of
 				  the grace */
 };
 /* An endpoint further down a prompt's list must be this much quicker. */
-static const double RANK_MS = 4;
+static const double rank_ms = 4;
 /* A way to another domain costs the operators, and the call some ms. */
-static const double FAR_ENGINE_MS = 25, FAR_PLAIN_MS = 5;
+static const double far_engine_ms = 25, far_plain_ms = 5;
 /* A token of output in a batch that is half full, by estimate. */
-static const double TOKEN_MS = 12;
+static const double token_ms = 12;
 /* Part of what is left of the grace that a call may be expected to take. */
-static const double LEAVE_PART = 0.6;
+static const double leave_part = 0.6;
 /* Prompts come back within this, or their parts have yielded. */
 enum {
 	PREFIX_MS = 20000
@@ -59,7 +59,7 @@
 	for (i = 0; i < c->ask.npart; i++) {
 		uint64_t key = part_key(c, i);
 
-		*kept_slot(p, key) = (kept_t) { key, now };
+		*kept_slot(p, key) = (kept_t){ key, now };
 	}
 }
 
@@ -118,15 +118,14 @@
 	if (sc->shortest == 0 || first < sc->shortest)
 		sc->shortest = first;
 	if (among(c->full, c->nfull, p) ||
-	    (engine && burden_room(&p->burden) <
-		    c->ask.prompt + c->ask.output &&
+	    (engine &&
+		burden_room(&p->burden) < c->ask.prompt + c->ask.output &&
 		p->burden.own.running + p->burden.others.running > 0) ||
-	    burden_fill(&p->burden) >= 1 + (engine ? 0 : FILL_PLAIN)) {
+	    burden_fill(&p->burden) >= 1 + (engine ? 0 : fill_plain)) {
 		sc->full++;
 		return;
 	}
-	wait = burden_wait(
-	    &p->burden, &s->usual_pace, &s->bounds, fresh, now);
+	wait = burden_wait(&p->burden, &s->usual_pace, &s->bounds, fresh, now);
 	sc->pace += burden_rate(&p->burden, &s->usual_pace, &s->bounds);
 	if (wait > 0) {
 		sc->full++;
@@ -134,14 +133,13 @@
 			sc->wait = wait;
 		return;
 	}
-	cost = first +
-	    burden_cost(&p->burden, &s->usual_pace, &s->weights, fresh,
-		c->ask.output, now);
+	cost = first + burden_cost(&p->burden, &s->usual_pace, &s->weights,
+			   fresh, c->ask.output, now);
 	cost *= breaker_weight(&p->breaker, s->usual_failed);
 	/* Prompts with the same parts tend to the same endpoints. */
-	cost += RANK_MS * (double)(hash64(&p->hash, 8, group) % 1000) / 100;
+	cost += rank_ms * (double)(hash64(&p->hash, 8, group) % 1000) / 100;
 	if (strcmp(p->entry.domain, s->site.domain) != 0)
-		cost += engine ? FAR_ENGINE_MS : FAR_PLAIN_MS;
+		cost += engine ? far_engine_ms : far_plain_ms;
 	if (sc->best != NULL && cost >= sc->cost)
 		return;
 	sc->best = p;
@@ -156,10 +154,10 @@
 {
 	const serve_t *s = c->s;
 	ms_t left = s->leave_at + s->site.bounds.grace - s->loop.now;
-	double whole = first + c->ask.output * TOKEN_MS;
+	double whole = first + c->ask.output * token_ms;
 
 	return s->leaving && c->came >= s->leave_at + LEAVE_SERVE_MS &&
-	    whole > (double)left * LEAVE_PART;
+	       whole > (double)left * leave_part;
 }
 
 /* Refuse at once what wouldn't come in time. */
@@ -198,13 +196,14 @@
 		const service_def_t *d = config_service(s->config, c->service);
 		const model_conf_t *m = service_model(d, c->ask.model);
 		ms_t need = c->ask.adapter[0] != '\0' || m == NULL
-		    ? LOAD_GUESS_MS
-		    : m->load + LOAD_GUESS_MS;
+				? LOAD_GUESS_MS
+				: m->load + LOAD_GUESS_MS;
 
 		plan_want(s, c);
 		out->why = "no endpoint holds the model yet";
 		if (now - c->came + need < call_bound(c) ||
-		    (c->state == ST_WAITING && now < c->came + c->route.promise))
+		    (c->state == ST_WAITING &&
+			now < c->came + c->route.promise))
 			out->kind = CHOICE_WAIT;
 		out->retry = need;
 		return;
@@ -235,13 +234,13 @@
 choose(call_t *c, choice_t *out)
 {
 	serve_t *s = c->s;
-	uint64_t key[PREFIX_MAX], group = 0;
+	uint64_t key[PREFIX_MAX] = { 0 }, group = 0;
 	scan_t sc = { 0 };
 	int i;
 
-	*out = (choice_t) { 0 };
-	if (c->sends > 0 && (c->sends >= c->route.attempts ||
-				!retry_allowed(s, c))) {
+	*out = (choice_t){ 0 };
+	if (c->sends > 0 &&
+	    (c->sends >= c->route.attempts || !retry_allowed(s, c))) {
 		out->kind = CHOICE_NOWHERE;
 		out->why = "no further attempt is allowed";
 		return;
--- a/serve/demand.c
+++ b/serve/demand.c
@@ -4,19 +4,19 @@
 #include <string.h>
 
 /* Demand half as old counts half: shifts are seen within a second or two. */
-static const double HALF_MS = 2000;
+static const double half_life_ms = 2000;
 /* A token made costs a batch about as much as this many read. */
-static const double OUTPUT_WEIGHT = 10;
+static const double output_weight = 10;
 
 static double
 faded(const demand_t *d, ms_t now)
 {
-	return d->work * exp2(-(double)(now - d->at) / HALF_MS);
+	return d->work * exp2(-(double)(now - d->at) / half_life_ms);
 }
 
 demand_t *
-demand_find(serve_t *s, const char *service, const char *model,
-    const char *adapter)
+demand_find(
+    serve_t *s, const char *service, const char *model, const char *adapter)
 {
 	char key[3 * ID_MAX];
 	demand_t *d;
@@ -38,7 +38,7 @@
 double
 demand_now(const serve_t *s, const demand_t *d)
 {
-	return faded(d, s->loop.now) * 1000 * M_LN2 / HALF_MS;
+	return faded(d, s->loop.now) * 1000 * M_LN2 / half_life_ms;
 }
 
 static void
@@ -47,7 +47,7 @@
 	demand_t *d = demand_find(s, c->service, c->ask.model, adapter);
 
 	d->work = faded(d, s->loop.now) + c->ask.prompt +
-	    OUTPUT_WEIGHT * c->ask.output;
+		  output_weight * c->ask.output;
 	d->at = d->asked_at = s->loop.now;
 }
 
--- a/serve/door.c
+++ b/serve/door.c
@@ -9,14 +9,14 @@
 #include <sys/socket.h>
 
 enum {
-	ACCEPTS = 64,	       /* taken in one turn */
-	IDLE_MS = 15000,       /* before a configuration says how long */
-	HEAD_MS = 3000,	       /* the same, for a request's head */
-	BODY_MS = 5000,	       /* silence within a body */
-	BODY_MAX = 4 << 20,    /* bytes, the same for a body */
-	HEAD_MAX = 16384,      /* bytes */
-	LEAVE_IDLE_MS = 1500,  /* idle connections stay so long when we leave */
-	RESERVED_FDS = 256,    /* descriptors kept for endpoints and files */
+	ACCEPTS = 64,	      /* taken in one turn */
+	IDLE_MS = 15000,      /* before a configuration says how long */
+	HEAD_MS = 3000,	      /* the same, for a request's head */
+	BODY_MS = 5000,	      /* silence within a body */
+	BODY_MAX = 4 << 20,   /* bytes, the same for a body */
+	HEAD_MAX = 16384,     /* bytes */
+	LEAVE_IDLE_MS = 1500, /* idle connections stay so long when we leave */
+	RESERVED_FDS = 256,   /* descriptors kept for endpoints and files */
 };
 
 static void
@@ -36,10 +36,10 @@
 arm(guest_t *g)
 {
 	const config_t *c = g->s->config;
-	ms_t idle = c != NULL && c->idle_timeout > 0 ? c->idle_timeout
-						     : IDLE_MS;
-	ms_t head = c != NULL && c->head_timeout > 0 ? c->head_timeout
-						     : HEAD_MS;
+	ms_t idle =
+	    c != NULL && c->idle_timeout > 0 ? c->idle_timeout : IDLE_MS;
+	ms_t head =
+	    c != NULL && c->head_timeout > 0 ? c->head_timeout : HEAD_MS;
 	ms_t at = g->link->since + idle;
 
 	if (g->link->in_msg && !g->link->headed)
@@ -177,13 +177,12 @@
 		abort();
 	g->s = s;
 	g->link = link_accept(&s->loop, fd, &ops, g);
-	g->link->head_max = c != NULL && c->head_max > 0 ? c->head_max
-							  : HEAD_MAX;
-	g->idle = (alarm_t) { .fn = silent, .arg = g };
+	g->link->head_max =
+	    c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
+	g->idle = (alarm_t){ .fn = silent, .arg = g };
 	if (s->nguest == s->guest_room) {
 		s->guest_room = s->guest_room ? 2 * s->guest_room : 64;
-		s->guest =
-		    realloc(s->guest, s->guest_room * sizeof(*s->guest));
+		s->guest = realloc(s->guest, s->guest_room * sizeof(guest_t *));
 		if (s->guest == NULL)
 			abort();
 	}
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 enum {
-	LAPSED_MS = 2500, /* an entry lost in an outage may come back */
+	LAPSED_MS = 2500,  /* an entry lost in an outage may come back */
 	FORGET_MS = 20000, /* an endpoint that is gone */
 	SHOWN_MS = 150,	   /* an entry older than that may lack it */
 };
@@ -41,11 +41,11 @@
 	p->entry = *en;
 	p->hash = hash_str(en->id, 0);
 	p->tag = (uint32_t)p->hash;
-	burden_init(&p->burden, en->slots,
-	    d != NULL && d->engine ? d->kv_tokens : 0);
+	burden_init(
+	    &p->burden, en->slots, d != NULL && d->engine ? d->kv_tokens : 0);
 	if (f->nep == f->room) {
 		f->room = f->room ? 2 * f->room : 32;
-		f->ep = realloc(f->ep, f->room * sizeof(*f->ep));
+		f->ep = realloc(f->ep, f->room * sizeof(ep_t *));
 		if (f->ep == NULL)
 			abort();
 	}
@@ -79,8 +79,9 @@
 	bool was, fresh = p == NULL;
 
 	if (entry_decode(&en, o->name, o->spec, &e) == -1) {
-		note(LOG_WARNING, "entry-unreadable", "endpoint=%s revision=%"
-		    PRId64 " why=\"%s\"", o->name, o->revision, e.text);
+		note(LOG_WARNING, "entry-unreadable",
+		    "endpoint=%s revision=%" PRId64 " why=\"%s\"", o->name,
+		    o->revision, e.text);
 		return false;
 	}
 	if (p != NULL && o->revision <= p->revision && p->listed) {
@@ -129,8 +130,9 @@
 	p->listed = false;
 	p->gone_at = s->loop.now;
 	pool_clear(p);
-	note(LOG_NOTICE, "endpoint", "endpoint=%s state=gone entry_age_ms=%"
-	    PRId64, id, s->loop.now - p->seen_at);
+	note(LOG_NOTICE, "endpoint",
+	    "endpoint=%s state=gone entry_age_ms=%" PRId64, id,
+	    s->loop.now - p->seen_at);
 }
 
 void
@@ -183,8 +185,8 @@
 		    strcmp(p->learnt[i].adapter, l->adapter) == 0)
 			return false;
 	if (p->nlearnt == LEARNT_MAX) {
-		memmove(p->learnt, p->learnt + 1,
-		    (LEARNT_MAX - 1) * sizeof(*l));
+		memmove(
+		    p->learnt, p->learnt + 1, (LEARNT_MAX - 1) * sizeof(*l));
 		p->nlearnt--;
 	}
 	p->learnt[p->nlearnt] = *l;
@@ -205,13 +207,12 @@
 	has = m >= 0 && *adapter == '\0';
 	for (i = 0; m >= 0 && !has && i < h->nadapter; i++)
 		has = h->adapter[i].model == m &&
-		    strcmp(h->adapter[i].name, adapter) == 0;
+		      strcmp(h->adapter[i].name, adapter) == 0;
 	/* Orders that the entry doesn't show yet. */
 	for (i = 0; i < p->nlearnt; i++) {
 		const learnt_t *l = &p->learnt[i];
 
-		if (!ep_unshown(p, l) ||
-		    strcmp(l->model, model) != 0)
+		if (!ep_unshown(p, l) || strcmp(l->model, model) != 0)
 			continue;
 		if (strcmp(l->adapter, adapter) == 0)
 			has = l->load && now >= l->at;
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -12,13 +12,13 @@
 	WATCH_LEAST_MS = 1200,
 	WATCH_MOST_MS = 10000,
 	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
-	FRESH_MS = 300,	     /* a change's way to us, with a slow store */
-	POKE_MS = 400,	     /* between asks because of others' news */
-	SHAKEN_MS = 4000,    /* after a cut or lost history, watches ... */
-	SHAKEN_WAIT_MS = 1000, /* ... are asked again so soon */
-	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
-	LIST_MS = 2000,	     /* a list that takes longer is asked anew */
-	PACE_MS = 250,	     /* between answers: each is priced */
+	FRESH_MS = 300,		/* a change's way to us, with a slow store */
+	POKE_MS = 400,		/* between asks because of others' news */
+	SHAKEN_MS = 4000,	/* after a cut or lost history, watches ... */
+	SHAKEN_WAIT_MS = 1000,	/* ... are asked again so soon */
+	WATCH_SLACK_MS = 1500,	/* an answer's way and a slow store */
+	LIST_MS = 2000,		/* a list that takes longer is asked anew */
+	PACE_MS = 250,		/* between answers: each is priced */
 	/*
 	 * Endpoints' entries change often. WATCHERS instances and the holder
 	 * watch closely and tell the others when one comes, leaves or goes;
@@ -46,8 +46,8 @@
 		return;
 	c = config_decode(o->spec, strlen(o->spec), &e);
 	if (c == NULL) {
-		note(LOG_ERR, "config-unreadable", "revision=%" PRId64
-		    " why=\"%s\"", o->revision, e.text);
+		note(LOG_ERR, "config-unreadable",
+		    "revision=%" PRId64 " why=\"%s\"", o->revision, e.text);
 		return;
 	}
 	if (s->config != NULL && c->version <= s->config->version) {
@@ -75,7 +75,8 @@
 		break;
 	case KIND_ENDPOINTS:
 		if (o->gone)
-			eps_gone(s, o->name, f->regained != 0 &&
+			eps_gone(s, o->name,
+			    f->regained != 0 &&
 				s->loop.now - f->regained < LAPSED_MS);
 		else if (eps_entry(s, o, f->written))
 			f->news = o->revision;
@@ -156,9 +157,9 @@
 	shaken(f);
 	if (!f->lost && f->failures >= 2) {
 		f->lost = true;
-		note(LOG_WARNING, "store-lost", "kind=%s status=%d age_ms=%"
-		    PRId64, kind_name[f->kind], status,
-		    f->s->loop.now - f->good_at);
+		note(LOG_WARNING, "store-lost",
+		    "kind=%s status=%d age_ms=%" PRId64, kind_name[f->kind],
+		    status, f->s->loop.now - f->good_at);
 	}
 	if (wait > RETRY_MOST_MS)
 		wait = RETRY_MOST_MS;
@@ -172,8 +173,8 @@
 	const serve_t *s = f->s;
 
 	return f->kind == KIND_ENDPOINTS && !plan_holder(s) &&
-	    peers_before(s) >= WATCHERS &&
-	    s->loop.now - s->shaken_at >= SHAKEN_MS;
+	       peers_before(s) >= WATCHERS &&
+	       s->loop.now - s->shaken_at >= SHAKEN_MS;
 }
 
 static int64_t
@@ -269,7 +270,7 @@
 		return WATCH_QUIET_MS;
 	if (f->s->loop.now - f->s->shaken_at < SHAKEN_MS)
 		return SHAKEN_WAIT_MS;
-	v = v < WATCH_LEAST_MS ? WATCH_LEAST_MS
+	v = v < WATCH_LEAST_MS	? WATCH_LEAST_MS
 	    : v > WATCH_MOST_MS ? WATCH_MOST_MS
 				: v;
 	/* Spread, so that instances don't ask together. */
@@ -310,8 +311,8 @@
 void
 follow_start(follow_t *f, serve_t *s, kind_t k)
 {
-	*f = (follow_t) { .s = s, .kind = k };
-	f->alarm = (alarm_t) { .fn = due, .arg = f };
+	*f = (follow_t){ .s = s, .kind = k };
+	f->alarm = (alarm_t){ .fn = due, .arg = f };
 	f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->good_at = s->loop.now;
 	ask(f);
@@ -325,7 +326,8 @@
 	if (f->as_of == 0 || news <= f->as_of || f->lost)
 		return;
 	/* Others' words alone must not make a lost store look busy. */
-	if (s->loop.now - f->poked_at < POKE_MS << (f->pokes < 4 ? f->pokes : 4))
+	if (s->loop.now - f->poked_at < POKE_MS
+					    << (f->pokes < 4 ? f->pokes : 4))
 		return;
 	f->pokes++;
 	note(LOG_NOTICE, "watch-behind",
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -33,15 +33,12 @@
 	gauge("ebonypitch_store_age_ms", "Since the store last answered.",
 	    s->loop.now - s->follow_endpoints.good_at);
 	gauge("ebonypitch_endpoints", "Endpoints that may be used.", usable);
-	gauge("ebonypitch_endpoints_open", "Endpoints left for failures.",
-	    open);
-	gauge("ebonypitch_calls", "Calls in progress.",
-	    table_count(s->calls));
+	gauge(
+	    "ebonypitch_endpoints_open", "Endpoints left for failures.", open);
+	gauge("ebonypitch_calls", "Calls in progress.", table_count(s->calls));
 	gauge("ebonypitch_guests", "Callers' connections.", s->nguest);
-	gauge("ebonypitch_instances", "Instances that live.",
-	    peers_alive(s));
-	gauge("ebonypitch_holder", "1 if it orders endpoints.",
-	    plan_holder(s));
+	gauge("ebonypitch_instances", "Instances that live.", peers_alive(s));
+	gauge("ebonypitch_holder", "1 if it orders endpoints.", plan_holder(s));
 	gauge("ebonypitch_log_dropped", "Log lines that weren't taken.",
 	    log_dropped());
 	gauge("ebonypitch_first_error_percent",
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -44,7 +44,7 @@
 {
 	/* A process that was stopped must not trust its loop's clock. */
 	return !p->s->leaving &&
-	    tenure_may_order(&p->tenure, clock_now(&machine_clock));
+	       tenure_may_order(&p->tenure, clock_now(&machine_clock));
 }
 
 static void
@@ -94,8 +94,7 @@
 
 	p->lease_call = NULL;
 	if (status == 404) {
-		tenure_seen(
-		    &p->tenure, 0, false, false, false, p->s->loop.now);
+		tenure_seen(&p->tenure, 0, false, false, false, p->s->loop.now);
 	} else if (status == 200 && object_decode(&o, text, len, &e) == 0) {
 		seen(p, &o);
 		free(o.spec);
@@ -114,7 +113,7 @@
 	p->lease_call = NULL;
 	p->taking = false;
 	have = (status == 200 || status == 201 || status == 409) &&
-	    object_decode(&o, text, len, &e) == 0;
+	       object_decode(&o, text, len, &e) == 0;
 	if (status == 409 && have) {
 		/* Ours after all, if an earlier answer was lost. */
 		seen(p, &o);
@@ -127,8 +126,8 @@
 		tenure_took(&p->tenure, o.revision, p->lease_sent);
 		p->began = s->loop.now;
 		note(LOG_NOTICE, "holder",
-		    "token=%" PRId64 " orders_in_ms=%" PRId64,
-		    p->tenure.token, p->tenure.from - s->loop.now);
+		    "token=%" PRId64 " orders_in_ms=%" PRId64, p->tenure.token,
+		    p->tenure.from - s->loop.now);
 		peers_tell(s);
 	} else if ((status == 200 || status == 201) && have) {
 		tenure_renewed(&p->tenure, o.revision, p->lease_sent);
@@ -173,8 +172,7 @@
 	int i;
 
 	for (i = 0; i < s->peers.npeer; i++)
-		if (s->peers.peer[i]->holder &&
-		    peer_alive(s, s->peers.peer[i]))
+		if (s->peers.peer[i]->holder && peer_alive(s, s->peers.peer[i]))
 			return true;
 	return false;
 }
@@ -198,14 +196,18 @@
 		return;
 	if (heard_of(s)) {
 		p->tenure.read = false;
-		p->lease_next = now + FIRST_MS + TURN_MS * (peers_before(s) < TURNS ? peers_before(s) : TURNS);
+		p->lease_next =
+		    now + FIRST_MS +
+		    TURN_MS *
+			(peers_before(s) < TURNS ? peers_before(s) : TURNS);
 		return;
 	}
 	if (tenure_may_take(&p->tenure, now)) {
 		write_lease(p, true);
 		return;
 	}
-	p->lease_next = now + FIRST_MS +
+	p->lease_next =
+	    now + FIRST_MS +
 	    (p->tenure.read ? 0 : (ms_t)(rng_unit(&s->rng) * FIRST_MS));
 	read_lease(p);
 }
--- a/serve/note.c
+++ b/serve/note.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 enum {
-	KINDS = 128,	 /* events told apart */
-	BURST = 400,	 /* lines of one kind at once ... */
-	PER_S = 200,	 /* ... and in a second, at a few us each */
+	KINDS = 128, /* events told apart */
+	BURST = 400, /* lines of one kind at once ... */
+	PER_S = 200, /* ... and in a second, at a few us each */
 };
 
 typedef struct kind_rate {
@@ -25,7 +25,7 @@
 
 	for (n = 0; n < KINDS; n++, i = (i + 1) % KINDS) {
 		if (rates[i].event == NULL) {
-			rates[i] = (kind_rate_t) { event, BURST, 0, 0 };
+			rates[i] = (kind_rate_t){ event, BURST, 0, 0 };
 			return &rates[i];
 		}
 		if (strcmp(rates[i].event, event) == 0)
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -4,15 +4,15 @@
 #include <string.h>
 
 enum {
-	ORDER_MS = 1000,   /* an endpoint answers within a few ms */
+	ORDER_MS = 1000, /* an endpoint answers within a few ms */
 	REPORT_MS = 1000,
-	LATE_MS = 13000,   /* an unanswered order is carried out by then */
-	ADAPTER_MS = 30,   /* an adapter's load, once taken */
+	LATE_MS = 13000,	/* an unanswered order is carried out by then */
+	ADAPTER_MS = 30,	/* an adapter's load, once taken */
 	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
-	RETRY_MS = 150,	   /* after a refusal */
-	BUSY_MS = 400,	   /* until a busy one is asked again */
-	REPORT_LAG_MS = 300, /* what a report shows is so old at most */
-	SHOWN_MS = 4000,   /* an entry shows a load by then, or we ask */
+	RETRY_MS = 150,		/* after a refusal */
+	BUSY_MS = 400,		/* until a busy one is asked again */
+	REPORT_LAG_MS = 300,	/* what a report shows is so old at most */
+	SHOWN_MS = 4000,	/* an entry shows a load by then, or we ask */
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
 
@@ -61,8 +61,8 @@
 	ms_t now = d->s->loop.now;
 
 	return d->call == NULL && !d->ask && now >= d->wait_until &&
-	    now >= d->busy_until &&
-	    ep_usable(d->ep) && d->ep->missing_at == 0;
+	       now >= d->busy_until && ep_usable(d->ep) &&
+	       d->ep->missing_at == 0;
 }
 
 static bool
@@ -90,8 +90,7 @@
 	const ep_t *p = d->ep;
 	const learnt_t *m;
 
-	if (!l->load || !ep_unshown(p, l) ||
-	    listed(p, l->model, l->adapter))
+	if (!l->load || !ep_unshown(p, l) || listed(p, l->model, l->adapter))
 		return false;
 	for (m = l + 1; m < p->learnt + p->nlearnt; m++)
 		if (!m->load && strcmp(m->model, l->model) == 0 &&
@@ -119,7 +118,7 @@
 		    pending(d, &p->learnt[i]))
 			return true;
 	return d->call != NULL && d->load && strcmp(d->model, model) == 0 &&
-	    strcmp(d->adapter, adapter) == 0;
+	       strcmp(d->adapter, adapter) == 0;
 }
 
 bool
@@ -134,7 +133,7 @@
 		    strcmp(p->learnt[i].model, model) == 0)
 			return true;
 	return d->call != NULL && !d->load && d->adapter[0] == '\0' &&
-	    strcmp(d->model, model) == 0;
+	       strcmp(d->model, model) == 0;
 }
 
 static double
@@ -207,8 +206,8 @@
 	for (i = 0; i < h->nmodel; i++)
 		mb += size_of(d, h->model[i], "");
 	for (i = 0; i < h->nadapter; i++)
-		if (!unloaded(d, h->model[h->adapter[i].model],
-			h->adapter[i].name))
+		if (!unloaded(
+			d, h->model[h->adapter[i].model], h->adapter[i].name))
 			mb += size_of(d, h->model[h->adapter[i].model],
 			    h->adapter[i].name);
 	for (i = 0; i < p->nlearnt; i++)
@@ -230,12 +229,12 @@
 	int i, n = 0;
 
 	for (i = 0; i < h->nadapter; i++)
-		n += !unloaded(d, h->model[h->adapter[i].model],
-		    h->adapter[i].name);
+		n += !unloaded(
+		    d, h->model[h->adapter[i].model], h->adapter[i].name);
 
 	for (i = 0; i < p->nlearnt; i++)
 		n += p->learnt[i].adapter[0] != '\0' &&
-		    pending(d, &p->learnt[i]);
+		     pending(d, &p->learnt[i]);
 	if (doubted(d) && d->doubt_adapter[0] != '\0' &&
 	    !listed(p, d->doubt, d->doubt_adapter))
 		n++;
@@ -246,8 +245,7 @@
 static void
 announce(desk_t *d, bool load, bool sure, int64_t orders, ms_t at)
 {
-	learnt_t l = { .orders = orders, .load = load, .sure = sure,
-		.at = at };
+	learnt_t l = { .orders = orders, .load = load, .sure = sure, .at = at };
 
 	str_copy(l.model, ID_MAX, d->model);
 	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
@@ -289,8 +287,8 @@
 {
 	if (d->load) {
 		str_copy(d->doubt, ID_MAX, d->model);
-		str_copy(d->doubt_adapter, sizeof(d->doubt_adapter),
-		    d->adapter);
+		str_copy(
+		    d->doubt_adapter, sizeof(d->doubt_adapter), d->adapter);
 		d->doubt_until = d->s->loop.now + LATE_MS;
 	}
 	d->ask = true;
@@ -306,9 +304,9 @@
 	d->call = NULL;
 	note(LOG_NOTICE, "order-answered",
 	    "endpoint=%s op=%s model=%s adapter=%s status=%d expect=%" PRId64
-	    " after_ms=%" PRId64, d->ep->entry.id,
-	    d->load ? "load" : "unload", d->model, d->adapter, status,
-	    d->orders, d->s->loop.now - d->sent);
+	    " after_ms=%" PRId64,
+	    d->ep->entry.id, d->load ? "load" : "unload", d->model, d->adapter,
+	    status, d->orders, d->s->loop.now - d->sent);
 	switch (r) {
 	case ORDER_TAKEN:
 		taken(d, false);
@@ -341,9 +339,13 @@
 {
 	serve_t *s = p->s;
 	buf_t b = { 0 };
-	order_t o = { .load = load, .model = model, .adapter = adapter,
-		.endpoint = d->ep->entry.id, .expect = d->orders,
-		.holder = s->site.instance, .token = p->tenure.token };
+	order_t o = { .load = load,
+		.model = model,
+		.adapter = adapter,
+		.endpoint = d->ep->entry.id,
+		.expect = d->orders,
+		.holder = s->site.instance,
+		.token = p->tenure.token };
 
 	order_send(&b, &o, d->ep->entry.addr);
 	/* The last look at the clock, after all that takes time. */
@@ -389,7 +391,8 @@
 		return;
 	}
 	note(LOG_NOTICE, "report",
-	    "endpoint=%s orders=%" PRId64 " known=%" PRId64 " busy=%d models=%d",
+	    "endpoint=%s orders=%" PRId64 " known=%" PRId64
+	    " busy=%d models=%d",
 	    d->ep->entry.id, r.orders, d->orders, r.busy, r.holds.nmodel);
 	/* Newer than all that was sent: what it says is so. */
 	d->orders = d->ep->orders = r.orders;
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -12,9 +12,9 @@
 	METRICS_PORT = 9464, /* as deploy/system.toml names it */
 	ADDRESSES_MAX = 64,  /* in one answer */
 	IDLE_MS = 10000,
-	HEAD_MAX = 8192, /* bytes */
+	HEAD_MAX = 8192,    /* bytes */
 	LIST_AGE_MS = 1000, /* some keep an answer three times as long */
-	NEAR_LEAST = 2,	 /* instances of the asker's own domain are enough */
+	NEAR_LEAST = 2,	    /* instances of the asker's own domain are enough */
 };
 
 typedef struct visitor {
@@ -51,7 +51,7 @@
 lists(const serve_t *s, const peer_t *p)
 {
 	return p->ready && !p->leaving && peer_alive(s, p) &&
-	    p->caller_addr[0] != '\0';
+	       p->caller_addr[0] != '\0';
 }
 
 /* Instances of the asker's domain if they are enough, else all. */
@@ -63,7 +63,7 @@
 
 	for (i = 0; i < s->peers.npeer; i++)
 		near += lists(s, s->peers.peer[i]) &&
-		    strcmp(s->peers.peer[i]->domain, domain) == 0;
+			strcmp(s->peers.peer[i]->domain, domain) == 0;
 	near += self && strcmp(s->site.domain, domain) == 0;
 	all = near < NEAR_LEAST;
 	if (self && (all || strcmp(s->site.domain, domain) == 0))
@@ -111,8 +111,8 @@
 	text = counters_text();
 	buf_str(&b, text);
 	free(text);
-	histo_text(&b, "ebonypitch_first_ms", "Until the first event.",
-	    &s->first_ms);
+	histo_text(
+	    &b, "ebonypitch_first_ms", "Until the first event.", &s->first_ms);
 	histo_text(
 	    &b, "ebonypitch_whole_ms", "Until a call ended.", &s->whole_ms);
 	reply(v, 200, "text/plain", &b);
@@ -129,8 +129,9 @@
 	alarm_set(&v->s->loop, &v->idle, v->s->loop.now + IDLE_MS);
 	switch (page_find(target)) {
 	case PAGE_READY:
-		buf_str(&b, v->s->ready && !v->s->leaving ? "{\"ready\":true}"
-							   : "{\"ready\":false}");
+		buf_str(&b, v->s->ready && !v->s->leaving
+				? "{\"ready\":true}"
+				: "{\"ready\":false}");
 		reply(v, v->s->ready && !v->s->leaving ? 200 : 503,
 		    "application/json", &b);
 		break;
@@ -222,7 +223,7 @@
 		v->s = s;
 		v->link = link_accept(&s->loop, fd, &ops, v);
 		v->link->head_max = v->link->body_max = HEAD_MAX;
-		v->idle = (alarm_t) { .fn = idle, .arg = v };
+		v->idle = (alarm_t){ .fn = idle, .arg = v };
 		alarm_set(&s->loop, &v->idle, s->loop.now + IDLE_MS);
 	}
 	if (errno != EAGAIN && errno != EINTR)
@@ -237,7 +238,7 @@
 	if (st == NULL)
 		abort();
 	st->s = s;
-	st->watch = (watch_t) { net_listen(addr, e), 0, visit, st };
+	st->watch = (watch_t){ net_listen(addr, e), 0, visit, st };
 	if (st->watch.fd == -1) {
 		free(st);
 		return -1;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -10,9 +10,9 @@
 #include <jansson.h>
 
 enum {
-	BEAT_MS = 500,	     /* a sign of life, for few instances */
-	WHOLE_BEATS = 3,     /* each so many beats one tells all */
-	SHARE_EACH_MS = 3,   /* between shares, for each instance */
+	BEAT_MS = 500,	   /* a sign of life, for few instances */
+	WHOLE_BEATS = 3,   /* each so many beats one tells all */
+	SHARE_EACH_MS = 3, /* between shares, for each instance */
 	SHARE_LEAST_MS = 15,
 	BEAT_EACH_MS = 12,   /* more for each further instance: a datagram
 				costs its receiver some 30 us */
@@ -38,7 +38,7 @@
 peer_alive(const serve_t *s, const peer_t *p)
 {
 	return p->heard_at != 0 && !p->goodbye &&
-	    s->loop.now - p->heard_at < ALIVE_BEATS * beat_ms(s);
+	       s->loop.now - p->heard_at < ALIVE_BEATS * beat_ms(s);
 }
 
 int
@@ -60,7 +60,7 @@
 		const peer_t *p = s->peers.peer[i];
 
 		n += peer_alive(s, p) && !p->leaving &&
-		    strcmp(p->instance, s->site.instance) < 0;
+		     strcmp(p->instance, s->site.instance) < 0;
 	}
 	return n;
 }
@@ -193,8 +193,8 @@
 		return NULL;
 	}
 	p->known_at = s->loop.now;
-	p->share = g_hash_table_new_full(
-	    g_direct_hash, g_direct_equal, NULL, g_free);
+	p->share =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	p->demand = g_array_new(FALSE, FALSE, sizeof(demand_told_t));
 	if (ps->npeer == ps->room) {
 		ps->room = ps->room ? 2 * ps->room : 16;
@@ -363,8 +363,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		demand_t *d = v;
 		double work = demand_now(s, d);
-		bool waits = d->waiting_at != 0 &&
-		    s->loop.now - d->waiting_at < BEAT_MS;
+		bool waits =
+		    d->waiting_at != 0 && s->loop.now - d->waiting_at < BEAT_MS;
 		Digest__Demand *m;
 
 		if (only_waiting ? !waits : work < 1 && !waits)
@@ -402,8 +402,8 @@
 		m->adapter = t->what.adapter;
 		m->load = t->what.load;
 		m->in_ms = t->what.at > s->loop.now
-		    ? (uint32_t)(t->what.at - s->loop.now)
-		    : 0;
+			       ? (uint32_t)(t->what.at - s->loop.now)
+			       : 0;
 		g_ptr_array_add(c->taken, m);
 	}
 	ps->ntaken = kept;
@@ -462,7 +462,7 @@
 		    (TAKEN_KEPT - 1) * sizeof(ps->taken[0]));
 		ps->ntaken--;
 	}
-	ps->taken[ps->ntaken++] = (taken_t) { p->tag, *l, s->loop.now };
+	ps->taken[ps->ntaken++] = (taken_t){ p->tag, *l, s->loop.now };
 	ps->tell_taken = true;
 }
 
@@ -537,7 +537,8 @@
 		g_array_set_size(p->demand, 0);
 	for (i = 0; i < d->n_demand; i++) {
 		const Digest__Demand *m = d->demand[i];
-		demand_told_t t = { .work = m->work, .waiting = m->waiting,
+		demand_told_t t = { .work = m->work,
+			.waiting = m->waiting,
 			.at = s->loop.now };
 
 		str_copy(t.service, ID_MAX, m->service);
@@ -560,7 +561,8 @@
 	for (i = 0; i < d->n_taken; i++) {
 		const Digest__Taken *m = d->taken[i];
 		ep_t *ep = eps_by_tag(&s->fleet, m->endpoint);
-		learnt_t l = { .orders = (int64_t)m->orders, .load = m->load,
+		learnt_t l = { .orders = (int64_t)m->orders,
+			.load = m->load,
 			.at = s->loop.now + m->in_ms };
 
 		if (ep == NULL)
@@ -628,10 +630,10 @@
 	if (was != (p->ready && !p->leaving && !p->goodbye))
 		note(LOG_NOTICE, "instance",
 		    "instance_known=%s state=%s holder=%d", p->instance,
-		    p->goodbye	      ? "gone"
-			: p->leaving  ? "leaving"
-			: p->ready    ? "ready"
-				      : "starting",
+		    p->goodbye	 ? "gone"
+		    : p->leaving ? "leaving"
+		    : p->ready	 ? "ready"
+				 : "starting",
 		    p->holder);
 	if (p->goodbye) {
 		forget_shares(p);
@@ -723,19 +725,19 @@
 	peer_t *p = find(s, o->name);
 
 	if (self)
-		s->peers.object = o->gone ? 0
+		s->peers.object =
+		    o->gone ? 0
 		    : ip != NULL && caller != NULL &&
-			strcmp(ip, s->site.ip) == 0 &&
-			strcmp(caller, s->site.caller_addr) == 0
-		    ? o->revision
-		    : -1;
+			    strcmp(ip, s->site.ip) == 0 &&
+			    strcmp(caller, s->site.caller_addr) == 0
+			? o->revision
+			: -1;
 	else if (o->gone && p != NULL && !peer_alive(s, p))
 		drop(s, p);
 	else if (o->gone && p != NULL)
 		p->revision = 0;
 	else if (!o->gone && ip != NULL) {
-		if (p != NULL && strcmp(p->ip, ip) != 0 &&
-		    !peer_alive(s, p)) {
+		if (p != NULL && strcmp(p->ip, ip) != 0 && !peer_alive(s, p)) {
 			drop(s, p);
 			p = NULL;
 		}
@@ -822,13 +824,13 @@
 	char addr[ADDR_MAX + 8];
 
 	snprintf(addr, sizeof(addr), "%s:%d", s->site.ip, s->site.peer_port);
-	ps->watch = (watch_t) { net_datagram(addr, e), 0, readable, s };
+	ps->watch = (watch_t){ net_datagram(addr, e), 0, readable, s };
 	if (ps->watch.fd == -1)
 		return -1;
 	ps->hash = hash_str(s->site.instance, 0);
 	ps->incarnation = (uint32_t)rng_next(&s->rng);
-	ps->beat = (alarm_t) { .fn = beat, .arg = s };
-	ps->share = (alarm_t) { .fn = share_due, .arg = s };
+	ps->beat = (alarm_t){ .fn = beat, .arg = s };
+	ps->share = (alarm_t){ .fn = share_due, .arg = s };
 	alarm_set(&s->loop, &ps->beat, s->loop.now + JOIN_MS);
 	return watch_add(&s->loop, &ps->watch, EPOLLIN);
 }
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -6,23 +6,23 @@
 
 enum {
 	TICK_MS = 100,
-	MOVES = 6,	  /* orders in one tick */
-	WANTS_MS = 3000,  /* a call that waits has given up by then */
+	MOVES = 6,		/* orders in one tick */
+	WANTS_MS = 3000,	/* a call that waits has given up by then */
 	ADAPTER_IDLE_MS = 3000, /* asked for since: it isn't dropped */
-	ADAPTER_WORK = 300, /* tokens/s: a call in the last seconds */
-	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
-	ADAPTER_MS = 20,  /* a place left free is worth so much waiting */
+	ADAPTER_WORK = 300,	/* tokens/s: a call in the last seconds */
+	FIRST_LOADS = 4, /* from the store, in a new holder's first window */
+	ADAPTER_MS = 20, /* a place left free is worth so much waiting */
 	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
-	PACE = 15000,	  /* tokens/s, before any pace was learnt */
-	TELL_MS = 1000,	  /* between lines on what is believed */
+	PACE = 15000,	      /* tokens/s, before any pace was learnt */
+	TELL_MS = 1000,	      /* between lines on what is believed */
 	TELL_MODELS = 24,
 	SETTLED_MS = 2500, /* endpoints have come as far as they will */
 };
 /* Work that one more copy of an adapter is worth, in parts of a pace. */
-static const double ADAPTER_BUSY = 0.3;
+static const double adapter_busy = 0.3;
 
 /* Weights that seem at hand may have yielded: such loads aren't counted. */
-static const double CEILING_PART = 0.9;
+static const double ceiling_part = 0.9;
 
 /** Demand of all instances for one model or adapter. */
 typedef struct asked {
@@ -55,8 +55,8 @@
 }
 
 static void
-ask_for(board_t *b, const char *service, const char *model,
-    const char *adapter, double work, bool waiting)
+ask_for(board_t *b, const char *service, const char *model, const char *adapter,
+    double work, bool waiting)
 {
 	int m = model_index(b->def, model);
 	asked_t a = { .model = m, .work = work, .waiting = waiting };
@@ -125,8 +125,8 @@
 		n[g_array_index(b->adapter, asked_t, i).model] +=
 		    g_array_index(b->adapter, asked_t, i).work > ADAPTER_WORK;
 	for (m = 0; m < b->def->nmodel && b->def->adapter_slots > 0; m++)
-		b->model[m].least = (n[m] + b->def->adapter_slots - 1) /
-		    b->def->adapter_slots;
+		b->model[m].least =
+		    (n[m] + b->def->adapter_slots - 1) / b->def->adapter_slots;
 	g_free(n);
 }
 
@@ -149,14 +149,13 @@
 	int m, w;
 
 	b->desk[e] = d;
-	b->ep[e] = (spread_ep_t) {
+	b->ep[e] = (spread_ep_t){
 		/* Failures come and go: they move no model. */
 		.usable = ep_usable(d->ep) && d->ep->missing_at == 0,
 		.free = desk_free(d),
 		.room = b->def->weights_mb - desk_memory(d),
-		.pace = 1000 *
-		    (s->usual_pace.pace > 0 ? s->usual_pace.pace
-					    : PACE / 1000.0),
+		.pace = 1000 * (s->usual_pace.pace > 0 ? s->usual_pace.pace
+						       : PACE / 1000.0),
 	};
 	for (m = 0; m < b->def->nmodel; m++) {
 		const char *name = b->def->model[m].name;
@@ -183,7 +182,7 @@
 	eps_t *f = &p->s->fleet;
 	int i;
 
-	*b = (board_t) { .p = p, .def = def };
+	*b = (board_t){ .p = p, .def = def };
 	b->model = g_new0(spread_model_t, def->nmodel + 1);
 	b->ep = g_new0(spread_ep_t, f->nep + 1);
 	b->desk = g_new0(desk_t *, f->nep + 1);
@@ -219,9 +218,8 @@
 {
 	const site_bounds_t *bo = &p->s->site.bounds;
 	ms_t now = p->s->loop.now;
-	double most =
-	    floor(CEILING_PART * def->loads_per_s *
-		(double)bo->ceiling_window / 1000);
+	double most = floor(ceiling_part * def->loads_per_s *
+			    (double)bo->ceiling_window / 1000);
 	int i, n = 0;
 
 	/* What the holder before us began isn't known. */
@@ -247,7 +245,7 @@
 	const serve_t *s = p->s;
 
 	return s->loop.now - s->came_at > SETTLED_MS &&
-	    s->loop.now - p->began > SETTLED_MS;
+	       s->loop.now - p->began > SETTLED_MS;
 }
 
 /* What the holder believes, once a second: the models that are asked for. */
@@ -271,8 +269,8 @@
 		if (mo->work < 1 && mo->copies > 0)
 			continue;
 		n++;
-		buf_fmt(&t, " %s=%.0f/%d/%d%s", b->def->model[m].name,
-		    mo->work, mo->copies, mo->target, mo->waiting ? "!" : "");
+		buf_fmt(&t, " %s=%.0f/%d/%d%s", b->def->model[m].name, mo->work,
+		    mo->copies, mo->target, mo->waiting ? "!" : "");
 	}
 	buf_add(&t, "", 1);
 	note(LOG_INFO, "placement",
@@ -286,8 +284,12 @@
 {
 	plan_t *p = b->p;
 	const service_def_t *def = b->def;
-	spread_in_t in = { .model = b->model, .nmodel = def->nmodel,
-		.ep = b->ep, .nep = b->nep, .held = b->held, .hand = b->hand,
+	spread_in_t in = { .model = b->model,
+		.nmodel = def->nmodel,
+		.ep = b->ep,
+		.nep = b->nep,
+		.held = b->held,
+		.hand = b->hand,
 		.settled = settled(p) };
 	spread_move_t mv;
 	int i;
@@ -313,8 +315,8 @@
 			continue;
 		}
 		b->model[mv.for_model].making++;
-		str_copy(b->desk[mv.ep]->gave, ID_MAX,
-		    def->model[mv.model].name);
+		str_copy(
+		    b->desk[mv.ep]->gave, ID_MAX, def->model[mv.model].name);
 		str_copy(b->desk[mv.ep]->room_for, ID_MAX,
 		    def->model[mv.for_model].name);
 	}
@@ -328,7 +330,7 @@
 	const char *model = b->def->model[a->model].name;
 
 	return ep_holds(d->ep, model, a->adapter, INT64_MAX) ||
-	    desk_coming(d, model, a->adapter);
+	       desk_coming(d, model, a->adapter);
 }
 
 static double
@@ -378,7 +380,7 @@
 
 	for (i = 0; i < p->nlearnt; i++)
 		n += p->learnt[i].adapter[0] != '\0' && p->learnt[i].load &&
-		    d->s->loop.now < p->learnt[i].at;
+		     d->s->loop.now < p->learnt[i].at;
 	return n;
 }
 
@@ -386,8 +388,8 @@
 fits_adapter(const board_t *b, const desk_t *d, const asked_t *a)
 {
 	return desk_adapters(d) < b->def->adapter_slots &&
-	    desk_memory(d) + b->def->model[a->model].adapter_mb <=
-	    b->def->weights_mb;
+	       desk_memory(d) + b->def->model[a->model].adapter_mb <=
+		   b->def->weights_mb;
 }
 
 static void
@@ -403,14 +405,14 @@
 	for (e = 0; e < b->nep; e++) {
 		desk_t *d = b->desk[e];
 
-		if (!b->ep[e].usable || !desk_free(d) ||
-		    has_adapter(b, d, a) || arriving(d) >= ADAPTERS_AT_ONCE ||
+		if (!b->ep[e].usable || !desk_free(d) || has_adapter(b, d, a) ||
+		    arriving(d) >= ADAPTERS_AT_ONCE ||
 		    b->held[e * b->def->nmodel + a->model] != SPREAD_READY)
 			continue;
 		if (!fits_adapter(b, d, a)) {
 			n = desk_unloads_adapter(d)
-			    ? -1
-			    : spare_adapter(b, d, &spare);
+				? -1
+				: spare_adapter(b, d, &spare);
 			if (n != -1) {
 				victim = n;
 				full = d;
@@ -418,7 +420,7 @@
 			continue;
 		}
 		cost = burden_first(&d->ep->burden, &p->s->usual_pace, 0) +
-		    ADAPTER_MS * desk_adapters(d);
+		       ADAPTER_MS * desk_adapters(d);
 		if (cost < least) {
 			least = cost;
 			best = d;
@@ -444,12 +446,12 @@
 
 	for (i = 0; i < b->adapter->len; i++) {
 		asked_t *a = &g_array_index(b->adapter, asked_t, i);
-		int copies = 0, want = 1 + (int)(a->work /
-					(ADAPTER_BUSY * pace));
+		int copies = 0,
+		    want = 1 + (int)(a->work / (adapter_busy * pace));
 
 		for (e = 0; e < b->nep; e++)
-			copies += b->ep[e].usable &&
-			    has_adapter(b, b->desk[e], a);
+			copies +=
+			    b->ep[e].usable && has_adapter(b, b->desk[e], a);
 		if (copies == 0 ? a->waiting || a->work > 0 : copies < want)
 			place_adapter(b, a);
 	}
@@ -520,11 +522,9 @@
 void
 plan_want(serve_t *s, const call_t *c)
 {
-	demand_t *d = demand_find(
-	    s, c->service, c->ask.model, c->ask.adapter);
+	demand_t *d = demand_find(s, c->service, c->ask.model, c->ask.adapter);
 
-	if (d->waiting_at == 0 ||
-	    s->loop.now - d->waiting_at > TICK_MS)
+	if (d->waiting_at == 0 || s->loop.now - d->waiting_at > TICK_MS)
 		s->peers.tell_wants = true;
 	d->waiting_at = s->loop.now;
 	plan_wanted(s);
@@ -558,9 +558,9 @@
 
 	p->s = s;
 	tenure_init(&p->tenure, s->site.bounds.lease);
-	p->desk = g_hash_table_new_full(
-	    g_direct_hash, g_direct_equal, NULL, g_free);
-	p->tick = (alarm_t) { .fn = tick, .arg = p };
+	p->desk =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	p->tick = (alarm_t){ .fn = tick, .arg = p };
 	alarm_set(&s->loop, &p->tick, s->loop.now + TICK_MS);
 	return p;
 }
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -30,7 +30,7 @@
 	/* A load whose fate isn't known may still land until then. */
 	char doubt[ID_MAX], doubt_adapter[16];
 	ms_t doubt_until;
-	bool ask;	/* a report is needed before the next order */
+	bool ask; /* a report is needed before the next order */
 	ms_t busy_until;
 	ms_t wait_until; /* after a refusal */
 } desk_t;
@@ -43,7 +43,7 @@
 	ms_t lease_sent, lease_next;
 	bool said_unable;
 	bool taking;
-	GHashTable *desk; /* by ep_t */
+	GHashTable *desk;	  /* by ep_t */
 	ms_t load_at[LOADS_KEPT]; /* from the weight store, a ring */
 	int nload;
 	ms_t began; /* as holder */
@@ -72,8 +72,7 @@
 /** Does an adapter leave when the calls that use it have ended? */
 bool desk_unloads_adapter(const desk_t *d);
 /** Too new to give way. */
-bool desk_just_loaded(
-    const desk_t *d, const char *model, const char *adapter);
+bool desk_just_loaded(const desk_t *d, const char *model, const char *adapter);
 /** A load that was taken and isn't done. */
 bool desk_coming(const desk_t *d, const char *model, const char *adapter);
 bool desk_going(const desk_t *d, const char *model);
--- a/serve/pool.c
+++ b/serve/pool.c
@@ -7,9 +7,9 @@
 	KEEP_IDLE_S = 1,
 	KEEP_EVERY_S = 1,
 	KEEP_PROBES = 2,
-	IDLE_MS = 4000,	     /* kept without being told for how long */
+	IDLE_MS = 4000,	       /* kept without being told for how long */
 	IDLE_UNSAFE_MS = 2000, /* for calls that may run once only */
-	LEAST_WIRES = 4,     /* to an endpoint, however many instances */
+	LEAST_WIRES = 4,       /* to an endpoint, however many instances */
 };
 
 static int
@@ -100,8 +100,9 @@
 	w = calloc(1, sizeof(*w));
 	if (w == NULL)
 		abort();
-	*w = (wire_t) { .s = s, .ep = p, .call = c->id, .idle_for = -1,
-		.fresh = true };
+	*w = (wire_t){
+		.s = s, .ep = p, .call = c->id, .idle_for = -1, .fresh = true
+	};
 	w->link = link_connect(&s->loop, &p->sa, ops, w);
 	if (w->link == NULL) {
 		free(w);
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -116,5 +116,5 @@
 void
 line_open(serve_t *s)
 {
-	s->queue = (alarm_t) { .fn = look, .arg = s };
+	s->queue = (alarm_t){ .fn = look, .arg = s };
 }
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -10,8 +10,8 @@
 #include <unistd.h>
 
 enum {
-	TABLE_MAX = 4000,     /* calls in progress; each takes some KB */
-	FILE_MS = 1000,	      /* between looks at the settings file */
+	TABLE_MAX = 4000,      /* calls in progress; each takes some KB */
+	FILE_MS = 1000,	       /* between looks at the settings file */
 	LEAVE_LEAST_MS = 3000, /* callers use their list so much longer */
 	LEAVE_MARGIN_MS = 500, /* before SIGKILL, for the last answers */
 	LEAVE_SENT_MS = 150,   /* for these to reach the callers */
@@ -35,12 +35,12 @@
  * Streams run on while prompts are read: at more than this part of the pace
  * long ones don't end in time.
  */
-static const double PROMPT_PART = 0.8;
+static const double prompt_part = 0.8;
 /* The shortest gap that routes ask for is not far from this, ms. */
-static const double GAP_MS = 200;
+static const double gap_ms = 200;
 
 /* Ends of streams matter less than first events, and so do others' gaps. */
-static const double STREAM_WEIGHT = 1.0, OTHERS_WEIGHT = 0.2;
+static const double stream_weight = 1.0, others_weight = 0.2;
 
 static void
 leaving_tick(void *arg)
@@ -67,14 +67,14 @@
 {
 	if (s->leaving)
 		return;
-	note(LOG_NOTICE, "leaving", "calls=%u guests=%d",
-	    table_count(s->calls), s->nguest);
+	note(LOG_NOTICE, "leaving", "calls=%u guests=%d", table_count(s->calls),
+	    s->nguest);
 	s->leaving = true;
 	s->leave_at = s->loop.now;
 	plan_leave(s);
 	peers_tell(s);
 	door_leave(s);
-	s->leave_alarm = (alarm_t) { .fn = leaving_tick, .arg = s };
+	s->leave_alarm = (alarm_t){ .fn = leaving_tick, .arg = s };
 	alarm_set(&s->loop, &s->leave_alarm, s->loop.now + 50);
 }
 
@@ -86,8 +86,8 @@
 	err_t e = { 0 };
 
 	if (site_read(&fresh, s->site_path, &e) == -1) {
-		note(LOG_ERR, "reload", "why=%s outcome=kept error=\"%s\"",
-		    why, e.text);
+		note(LOG_ERR, "reload", "why=%s outcome=kept error=\"%s\"", why,
+		    e.text);
 		return;
 	}
 	s->site.bounds = fresh.bounds;
@@ -126,8 +126,7 @@
 	sigaddset(&set, SIGINT);
 	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
-	s->signals = (watch_t) { signalfd(-1, &set,
-				     SFD_NONBLOCK | SFD_CLOEXEC),
+	s->signals = (watch_t){ signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC),
 		0, signalled, s };
 	if (s->signals.fd == -1)
 		return err_set(
@@ -209,8 +208,8 @@
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->usual = g_hash_table_new(g_str_hash, g_str_equal);
 	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
-	s->bounds = (burden_bounds_t) { PROMPT_PART, GAP_MS };
-	s->weights = (burden_weights_t) { STREAM_WEIGHT, OTHERS_WEIGHT };
+	s->bounds = (burden_bounds_t){ prompt_part, gap_ms };
+	s->weights = (burden_weights_t){ stream_weight, others_weight };
 	s->loop.turn = turn;
 	s->loop.turn_arg = s;
 	if (net_addr(s->site.store_addr, &s->store) == -1) {
@@ -220,7 +219,7 @@
 	if (watch_signals(s, e) == -1 || door_open(s, e) == -1 ||
 	    pages_open(s, e) == -1 || peers_open(s, e) == -1)
 		return NULL;
-	s->watch_site = (alarm_t) { .fn = look_at_file, .arg = s };
+	s->watch_site = (alarm_t){ .fn = look_at_file, .arg = s };
 	alarm_set(&s->loop, &s->watch_site, s->loop.now + TIDY_MS);
 	follow_start(&s->follow_config, s, KIND_CONFIG);
 	follow_start(&s->follow_endpoints, s, KIND_ENDPOINTS);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -26,7 +26,7 @@
 	serve_t *s;
 	struct ep *ep;
 	link_t *link;
-	handle_t call;	   /* 0: idle */
+	handle_t call; /* 0: idle */
 	ms_t idle_since;
 	ms_t idle_for;	   /* the endpoint closes it after, -1: unknown */
 	bool fresh;	   /* carried nothing yet */
@@ -38,13 +38,13 @@
 enum {
 	LEARNT_MAX = 24,
 	TRIED_MAX = 8,
-	QUEUE_LOOKS = 256, /* waiting calls tried in one go */
+	QUEUE_LOOKS = 256,	 /* waiting calls tried in one go */
 	RETRY_ELSEWHERE_MS = 50, /* another instance can take it at once */
-	FULL_RETRY_MS = 500, /* to come back when the instance is full */
+	FULL_RETRY_MS = 500,	 /* to come back when the instance is full */
 };
 
 /** A plain endpoint queues a few calls, so many times its slots. */
-static const double FILL_PLAIN = 2;
+static const double fill_plain = 2;
 
 /** An order that an endpoint took and its entry may not show yet. */
 typedef struct learnt {
@@ -72,22 +72,22 @@
 	int64_t revision; /* of the entry */
 	struct sockaddr_in sa;
 	uint64_t hash;
-	uint32_t tag;	  /* of its hash, as instances name it */
-	bool listed;	  /* its entry stands in the store */
-	ms_t seen_at;	  /* when the entry was read last */
-	ms_t written;	  /* and was written at the earliest */
-	ms_t missing_at;  /* not in the store since, may come back; 0: no */
+	uint32_t tag;	 /* of its hash, as instances name it */
+	bool listed;	 /* its entry stands in the store */
+	ms_t seen_at;	 /* when the entry was read last */
+	ms_t written;	 /* and was written at the earliest */
+	ms_t missing_at; /* not in the store since, may come back; 0: no */
 	ms_t gone_at;
-	int64_t orders;	  /* that it has taken, as far as is known */
+	int64_t orders; /* that it has taken, as far as is known */
 	learnt_t learnt[LEARNT_MAX];
 	int nlearnt;
 	wire_t *idle;
 	int wires, nidle;
-	int calls;	  /* of ours on their way */
+	int calls; /* of ours on their way */
 	burden_t burden;
-	uint32_t sent;	  /* prompt tokens, by this instance, wraps */
+	uint32_t sent; /* prompt tokens, by this instance, wraps */
 	breaker_t breaker;
-	bool touched;	  /* its burden changed since it was told */
+	bool touched; /* its burden changed since it was told */
 	kept_t kept[KEPT_MAX];
 } ep_t;
 
@@ -138,10 +138,10 @@
 /* Calls. call.c, choose.c, answer.c, stream.c */
 
 typedef enum call_state {
-	ST_WAITING,	 /* for an endpoint or for what it must hold */
+	ST_WAITING,    /* for an endpoint or for what it must hold */
 	ST_CONNECTING, /* no byte was sent */
-	ST_SENT,	 /* it may have run */
-	ST_RELAYING,	 /* the caller has part of the answer */
+	ST_SENT,       /* it may have run */
+	ST_RELAYING,   /* the caller has part of the answer */
 } call_state_t;
 
 struct call {
@@ -177,10 +177,10 @@
 
 	/* The answer. */
 	int status;
-	bool passing;	/* its head went to the caller */
-	buf_t answer;	/* head, kept until it is known what to do */
-	buf_t text;	/* body, or a piece of an event */
-	int64_t last_event; /* that the caller has, -1: none */
+	bool passing;	     /* its head went to the caller */
+	buf_t answer;	     /* head, kept until it is known what to do */
+	buf_t text;	     /* body, or a piece of an event */
+	int64_t last_event;  /* that the caller has, -1: none */
 	int64_t resume_from; /* that it had when it called */
 	int events;
 	ms_t first_at, event_at;
@@ -265,9 +265,9 @@
 typedef struct choice {
 	choice_kind_t kind;
 	ep_t *ep;
-	ms_t first;   /* predicted ms to the first event */
-	ms_t retry;   /* when to come back */
-	int fresh;    /* prompt tokens to be read */
+	ms_t first; /* predicted ms to the first event */
+	ms_t retry; /* when to come back */
+	int fresh;  /* prompt tokens to be read */
 	const char *why;
 } choice_t;
 
@@ -364,8 +364,8 @@
 	uint32_t incarnation;
 	uint32_t sequence; /* of its last datagram */
 	bool ready, leaving, holder, goodbye;
-	int waiting;	   /* prompt tokens of calls that wait there */
-	ms_t heard_at;	   /* 0: never */
+	int waiting;   /* prompt tokens of calls that wait there */
+	ms_t heard_at; /* 0: never */
 	ms_t known_at;
 	int64_t revision;  /* of its object, 0: none */
 	bool counted;	   /* its shares are in the burdens */
@@ -436,15 +436,15 @@
 	char service[ID_MAX];
 	char model[ID_MAX];
 	char adapter[ID_MAX];
-	double work; /* tokens a second, this instance's, decayed */
-	ms_t at;     /* of the last decay */
-	ms_t asked_at; /* last call */
+	double work;	 /* tokens a second, this instance's, decayed */
+	ms_t at;	 /* of the last decay */
+	ms_t asked_at;	 /* last call */
 	ms_t waiting_at; /* last call that found none, 0: none */
 } demand_t;
 
 void demand_note(serve_t *s, const call_t *c);
-demand_t *demand_find(serve_t *s, const char *service, const char *model,
-    const char *adapter);
+demand_t *demand_find(
+    serve_t *s, const char *service, const char *model, const char *adapter);
 double demand_now(const serve_t *s, const demand_t *d);
 
 /* Orders to endpoints. plan.c, lease.c */
@@ -475,7 +475,7 @@
 	bool ready, leaving;
 	ms_t leave_at;
 	ms_t shaken_at; /* when a watch was cut last */
-	ms_t came_at; /* when an endpoint came last */
+	ms_t came_at;	/* when an endpoint came last */
 	eps_t fleet;
 	table_t *calls; /* of call_t * */
 	call_t *waiting;
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -40,8 +40,8 @@
 {
 	ms_t now = c->s->loop.now;
 
-	burden_first_seen(&c->ep->burden, &c->s->usual_pace, &c->ticket,
-	    now - c->sent_at);
+	burden_first_seen(
+	    &c->ep->burden, &c->s->usual_pace, &c->ticket, now - c->sent_at);
 	peers_touched(c->s, c->ep);
 	breaker_good(&c->ep->breaker);
 	usual_failure(c->s, false);
@@ -56,8 +56,8 @@
 	size_t end;
 
 	buf_add(&c->text, p, n);
-	while ((end = event_end(
-		    c->text.p + c->text.off, buf_len(&c->text))) > 0) {
+	while (
+	    (end = event_end(c->text.p + c->text.off, buf_len(&c->text))) > 0) {
 		const char *ev = c->text.p + c->text.off;
 		int64_t id = event_id(ev, end);
 
--- a/serve/webcall.c
+++ b/serve/webcall.c
@@ -143,7 +143,7 @@
 to_store(const serve_t *s, const struct sockaddr_in *to)
 {
 	return to->sin_addr.s_addr == s->store.sin_addr.s_addr &&
-	    to->sin_port == s->store.sin_port;
+	       to->sin_port == s->store.sin_port;
 }
 
 webcall_t *
@@ -154,8 +154,8 @@
 
 	if (c == NULL)
 		abort();
-	*c = (webcall_t) { .s = s, .fn = fn, .arg = arg };
-	c->alarm = (alarm_t) { .fn = too_late, .arg = c };
+	*c = (webcall_t){ .s = s, .fn = fn, .arg = arg };
+	c->alarm = (alarm_t){ .fn = too_late, .arg = c };
 	c->keep = to_store(s, to);
 	if (c->keep && nidle > 0) {
 		c->link = idle[--nidle];
@@ -164,8 +164,8 @@
 	} else {
 		c->link = link_connect(&s->loop, to, &ops, c);
 		if (c->link != NULL)
-			link_keepalive(c->link, KEEP_IDLE_S, KEEP_EVERY_S,
-			    KEEP_PROBES);
+			link_keepalive(
+			    c->link, KEEP_IDLE_S, KEEP_EVERY_S, KEEP_PROBES);
 	}
 	/* No connection: told by the alarm, so that fn never runs in here. */
 	c->until = s->loop.now + span;
@@ -173,8 +173,8 @@
 		span = CONNECT_MS;
 	alarm_set(&s->loop, &c->alarm, s->loop.now + (c->link ? span : 1));
 	if (c->link != NULL) {
-		buf_add(&c->link->out, request->p + request->off,
-		    buf_len(request));
+		buf_add(
+		    &c->link->out, request->p + request->off, buf_len(request));
 		link_flush(c->link);
 	}
 	buf_free(request);
--- a/standin/crew.c
+++ b/standin/crew.c
@@ -10,7 +10,7 @@
 	hand_t *h;
 	link_t *link;
 	buf_t body;
-	run_t *run; /* under way, or NULL */
+	run_t *run;   /* under way, or NULL */
 	int64_t next; /* event */
 	alarm_t alarm;
 } job_t;
@@ -53,8 +53,8 @@
 	char body[160];
 	bool bad = j->h->fault == HAND_ERROR;
 
-	snprintf(body, sizeof(body), "answer to %s by %s", j->run->id,
-	    j->h->id);
+	snprintf(
+	    body, sizeof(body), "answer to %s by %s", j->run->id, j->h->id);
 	if (j->h->fault == HAND_BUSY) {
 		head(j, 503, "Content-Length: 0\r\n\r\n");
 		finish(j, true);
@@ -62,8 +62,8 @@
 	}
 	head(j, bad ? 500 : 200,
 	    j->h->fault == HAND_UNSIGNED ? "" : "Server-Signature: s1\r\n");
-	buf_fmt(&j->link->out, "Content-Length: %zu\r\n\r\n%s", strlen(body),
-	    body);
+	buf_fmt(
+	    &j->link->out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
 	if (j->h->fault == HAND_EXTRA)
 		buf_str(&j->link->out,
 		    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
@@ -96,8 +96,9 @@
 	char ev[120];
 	int n;
 
-	n = snprintf(ev, sizeof(ev), "id: %" PRId64 "\ndata: %s %" PRId64
-	    "\n\n", j->next, "token", j->next);
+	n = snprintf(ev, sizeof(ev),
+	    "id: %" PRId64 "\ndata: %s %" PRId64 "\n\n", j->next, "token",
+	    j->next);
 	if (j->h->fault == HAND_CUT && j->next >= 3) {
 		chunk(j, ev, (size_t)n / 2);
 		link_close(j->link);
@@ -146,22 +147,21 @@
 order(job_t *j)
 {
 	hand_t *h = j->h;
-	json_t *b = json_loadb(j->body.p + j->body.off, buf_len(&j->body), 0,
-	    NULL);
+	json_t *b =
+	    json_loadb(j->body.p + j->body.off, buf_len(&j->body), 0, NULL);
 	order_seen_t *o = g_new0(order_seen_t, 1);
 	const json_t *expect = json_object_get(b, "expect_revision");
 	const char *adapter = json_string_value(json_object_get(b, "adapter"));
 
 	str_copy(o->op, sizeof(o->op),
 	    json_string_value(json_object_get(b, "operation")));
-	str_copy(o->model, ID_MAX,
-	    json_string_value(json_object_get(b, "model")));
+	str_copy(
+	    o->model, ID_MAX, json_string_value(json_object_get(b, "model")));
 	str_copy(o->adapter, ID_MAX, adapter != NULL ? adapter : "");
-	str_copy(o->holder, ID_MAX,
-	    json_string_value(json_object_get(b, "holder")));
+	str_copy(
+	    o->holder, ID_MAX, json_string_value(json_object_get(b, "holder")));
 	o->expect = expect != NULL ? json_integer_value(expect) : -1;
-	o->token =
-	    json_integer_value(json_object_get(b, "fencing_token"));
+	o->token = json_integer_value(json_object_get(b, "fencing_token"));
 	o->status = o->expect >= 0 && o->expect != h->seq ? 409 : 202;
 	if (o->status == 202) {
 		h->seq++;
@@ -183,8 +183,7 @@
 	guint i;
 
 	for (i = 0; i < h->adapter->len; i++)
-		json_array_append_new(
-		    list, json_string(h->adapter->pdata[i]));
+		json_array_append_new(list, json_string(h->adapter->pdata[i]));
 	return json_pack("[{s:s,s:i,s:o}]", "name", h->model, "version", 1,
 	    "adapters", list);
 }
@@ -222,8 +221,8 @@
 	if (slash != NULL) {
 		lacks = true;
 		for (i = 0; i < j->h->adapter->len; i++)
-			lacks &= strcmp(slash + 1,
-				     j->h->adapter->pdata[i]) != 0;
+			lacks &=
+			    strcmp(slash + 1, j->h->adapter->pdata[i]) != 0;
 	}
 	if (!other && !lacks && j->h->fault != HAND_NOT_RUN)
 		return false;
@@ -271,7 +270,7 @@
 	}
 	if (h->model[0] == '\0' || h->fault == HAND_ERROR ||
 	    h->fault == HAND_BUSY) {
-		j->alarm = (alarm_t) { .fn = plain, .arg = j };
+		j->alarm = (alarm_t){ .fn = plain, .arg = j };
 		alarm_set(h->loop, &j->alarm, h->loop->now + h->work);
 		return;
 	}
@@ -279,7 +278,7 @@
 	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n");
 	j->next = j->run->from >= 0 ? j->run->from + 1 : 1;
-	j->alarm = (alarm_t) { .fn = event, .arg = j };
+	j->alarm = (alarm_t){ .fn = event, .arg = j };
 	alarm_set(h->loop, &j->alarm, h->loop->now + h->gap);
 }
 
@@ -316,8 +315,11 @@
 	drop(u);
 }
 
-static const link_ops_t ops = { .head = on_head, .body = on_body,
-	.done = on_done, .bad = on_bad, .end = on_end };
+static const link_ops_t ops = { .head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.bad = on_bad,
+	.end = on_end };
 
 static void
 knock(void *arg, uint32_t ev)
@@ -374,7 +376,7 @@
 	h->order = g_ptr_array_new_with_free_func(g_free);
 	h->job = g_ptr_array_new_with_free_func(free_job);
 	h->adapter = g_ptr_array_new_with_free_func(g_free);
-	h->door = (watch_t) { net_listen(o->addr, &e), 0, knock, h };
+	h->door = (watch_t){ net_listen(o->addr, &e), 0, knock, h };
 	if (h->door.fd == -1)
 		g_error("%s", e.text);
 	watch_add(l, &h->door, EPOLLIN);
--- a/standin/crew.h
+++ b/standin/crew.h
@@ -12,15 +12,15 @@
 
 typedef enum hand_fault {
 	HAND_SOUND,
-	HAND_RESET,   /* closes after it has taken a call, no answer */
-	HAND_NOT_RUN, /* 503, and says that it didn't run it */
-	HAND_ERROR,   /* 500 of its own */
-	HAND_BUSY,    /* 503 without a word on whether it ran */
-	HAND_MUTE,    /* takes calls and says nothing */
-	HAND_CUT,     /* breaks a stream off inside its third event */
-	HAND_EXTRA,   /* a second answer after each */
-	HAND_FOREIGN, /* an answer to another call first */
-	HAND_UNSIGNED,/* a success without its signature */
+	HAND_RESET,    /* closes after it has taken a call, no answer */
+	HAND_NOT_RUN,  /* 503, and says that it didn't run it */
+	HAND_ERROR,    /* 500 of its own */
+	HAND_BUSY,     /* 503 without a word on whether it ran */
+	HAND_MUTE,     /* takes calls and says nothing */
+	HAND_CUT,      /* breaks a stream off inside its third event */
+	HAND_EXTRA,    /* a second answer after each */
+	HAND_FOREIGN,  /* an answer to another call first */
+	HAND_UNSIGNED, /* a success without its signature */
 } hand_fault_t;
 
 /** A call that it ran. */
@@ -31,7 +31,7 @@
 	ms_t left;	/* time limit that it was given, -1: none */
 	bool cancelled; /* its connection closed before the end */
 	bool whole;
-	char *head;	/* names and values, a line each */
+	char *head; /* names and values, a line each */
 	char *body;
 } run_t;
 
--- a/standin/shelf.c
+++ b/standin/shelf.c
@@ -89,9 +89,9 @@
 		thing_t *t = s->thing->pdata[i];
 
 		if (strcmp(t->kind, kind) == 0 && t->revision > from)
-			json_array_append_new(list,
-			    json_pack("{s:b,s:o}", "tombstone", t->gone,
-				"object", object_json(t)));
+			json_array_append_new(
+			    list, json_pack("{s:b,s:o}", "tombstone", t->gone,
+				      "object", object_json(t)));
 	}
 	if (json_array_size(list) > 0)
 		return list;
@@ -252,9 +252,9 @@
 		return;
 	}
 	v->watching = true;
-	v->due = (alarm_t) { .fn = watch_due, .arg = v };
-	alarm_set(s->loop, &v->due,
-	    s->loop->now + query(target, "wait_ms=", 1000));
+	v->due = (alarm_t){ .fn = watch_due, .arg = v };
+	alarm_set(
+	    s->loop, &v->due, s->loop->now + query(target, "wait_ms=", 1000));
 }
 
 /* POST creates; PUT replaces, at the revision that it names if it does. */
@@ -262,8 +262,8 @@
 write_thing(visit_t *v, const char *kind, const char *name, bool create)
 {
 	shelf_t *s = v->s;
-	json_t *j = json_loadb(v->body.p + v->body.off, buf_len(&v->body), 0,
-	    NULL);
+	json_t *j =
+	    json_loadb(v->body.p + v->body.off, buf_len(&v->body), 0, NULL);
 	json_t *meta = json_object_get(j, "metadata");
 	int64_t at = json_integer_value(json_object_get(meta, "revision"));
 	const char *named = json_string_value(json_object_get(meta, "name"));
@@ -279,8 +279,7 @@
 			link_pause(v->link, true);
 		else
 			reply(v, 200,
-			    object_json(
-				find(s, kind, create ? named : name)));
+			    object_json(find(s, kind, create ? named : name)));
 	}
 	free(spec);
 	json_decref(j);
@@ -322,8 +321,7 @@
 		reply(v, 200, NULL);
 		break;
 	default:
-		write_thing(
-		    v, kind, name, v->link->parser.method == HTTP_POST);
+		write_thing(v, kind, name, v->link->parser.method == HTTP_POST);
 		break;
 	}
 	g_free(kind);
@@ -392,8 +390,11 @@
 	link_close(k);
 }
 
-static const link_ops_t ops = { .head = on_head, .body = on_body,
-	.done = on_done, .bad = on_bad, .end = on_end };
+static const link_ops_t ops = { .head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.bad = on_bad,
+	.end = on_end };
 
 static void
 free_visit(gpointer p)
@@ -438,7 +439,7 @@
 	s->loop = l;
 	s->thing = g_ptr_array_new_with_free_func(free_thing);
 	s->visit = g_ptr_array_new_with_free_func(free_visit);
-	s->door = (watch_t) { net_listen(addr, &e), 0, knock, s };
+	s->door = (watch_t){ net_listen(addr, &e), 0, knock, s };
 	if (s->door.fd == -1)
 		g_error("%s", e.text);
 	watch_add(l, &s->door, EPOLLIN);
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -49,8 +49,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(field); i++) {
 		const char *last = strrchr(field[i], '.');
-		char *key = g_strdup_printf(
-		    "%s:", last != NULL ? last + 1 : field[i]);
+		char *key =
+		    g_strdup_printf("%s:", last != NULL ? last + 1 : field[i]);
 		char *at, *text = g_strdup(settings);
 		err_t e = { 0 };
 		site_t s;
@@ -75,7 +75,7 @@
 	err_t e = { 0 };
 	char *text = g_strdup(settings);
 
-	memcpy(strstr(text, "grace_s: 8") + 9, "x", 1);
+	strstr(text, "grace_s: 8")[9] = 'x';
 	g_assert_cmpint(site_parse(&s, text, strlen(text), &e), ==, -1);
 	g_assert_nonnull(strstr(e.text, "grace_s"));
 	g_assert_cmpint(site_parse(&s, "a: [", 4, &e), ==, -1);
@@ -112,8 +112,8 @@
 	g_assert_cmpint(c->route[0].nto, ==, 2);
 	g_assert_cmpint(c->route[1].kind, ==, ROUTE_SAFE);
 	g_assert_cmpint(c->route[2].kind, ==, ROUTE_UNSAFE);
-	g_assert_cmpint(service_model(config_service(c, "s"), "m")->load, ==,
-	    1500);
+	g_assert_cmpint(
+	    service_model(config_service(c, "s"), "m")->load, ==, 1500);
 	g_assert_null(config_service(c, "t"));
 	config_free(c);
 	g_assert_null(config_decode("{}", 2, NULL));
@@ -204,8 +204,13 @@
 orders_carry_their_conditions(void)
 {
 	buf_t b = { 0 };
-	order_t o = { .load = true, .model = "m", .adapter = "a3",
-		.endpoint = "i-1", .expect = 4, .holder = "n1", .token = 41 };
+	order_t o = { .load = true,
+		.model = "m",
+		.adapter = "a3",
+		.endpoint = "i-1",
+		.expect = 4,
+		.holder = "n1",
+		.token = 41 };
 
 	order_send(&b, &o, "h:1");
 	buf_add(&b, "", 1);
@@ -227,8 +232,8 @@
 	g_assert_cmpint(page_find("/v1/ready"), ==, PAGE_READY);
 	g_assert_cmpint(page_find("/v1/resolve?name=x"), ==, PAGE_ENTRIES);
 	g_assert_cmpint(page_find("/v1/readyx"), ==, PAGE_NONE);
-	page_asker("/v1/resolve?name=x&zone=z1&region=r", domain,
-	    sizeof(domain));
+	page_asker(
+	    "/v1/resolve?name=x&zone=z1&region=r", domain, sizeof(domain));
 	g_assert_cmpstr(domain, ==, "z1");
 	page_asker("/v1/resolve", domain, sizeof(domain));
 	g_assert_cmpstr(domain, ==, "");
--- a/tests/burden_test.c
+++ b/tests/burden_test.c
@@ -5,14 +5,14 @@
 #include <glib.h>
 
 /* Tokens/ms of the endpoints in these patterns, and their bounds. */
-static const double PACE = 20;
+static const double pace = 20;
 static const burden_bounds_t bounds = { 0.65, 200 };
 
 static void
 endpoint(burden_t *b)
 {
 	burden_init(b, 64, 100000);
-	b->pace = PACE;
+	b->pace = pace;
 }
 
 /* Many callers at once: streams that run keep their gaps. */
@@ -36,12 +36,12 @@
 		if (now >= 200)
 			sum -= window[now - 200];
 		g_assert_cmpint(sum, <=,
-		    (int)(PACE * bounds.gap * (1 + bounds.part)) + 1500);
+		    (int)(pace * bounds.gap * (1 + bounds.part)) + 1500);
 	}
 	for (i = 0, sum = 0; i < 2000; i++)
 		sum += window[i];
 	/* And the endpoint isn't left idle. */
-	g_assert_cmpint(sum, >, (int)(PACE * bounds.part * 2000 * 0.9));
+	g_assert_cmpint(sum, >, (int)(pace * bounds.part * 2000 * 0.9));
 }
 
 /* One whose prompt is larger than the bound isn't starved. */
@@ -56,8 +56,8 @@
 	burden_pour(&b, &u, &bounds, 3000, 0);
 	wait = burden_wait(&b, &u, &bounds, 9000, 0);
 	g_assert_cmpfloat(wait, >, 0);
-	g_assert_cmpfloat(burden_wait(&b, &u, &bounds, 9000, (ms_t)wait + 1),
-	    ==, 0);
+	g_assert_cmpfloat(
+	    burden_wait(&b, &u, &bounds, 9000, (ms_t)wait + 1), ==, 0);
 }
 
 static void
@@ -69,9 +69,9 @@
 
 	endpoint(&b);
 	alone = burden_first(&b, &u, 1000);
-	b.others = (burden_share_t) { 4000, 3, 50000 };
+	b.others = (burden_share_t){ 4000, 3, 50000 };
 	beside = burden_first(&b, &u, 1000);
-	g_assert_cmpfloat(beside - alone, ==, 4000 / PACE);
+	g_assert_cmpfloat(beside - alone, ==, 4000 / pace);
 	g_assert_cmpint(burden_room(&b), ==, 92000 - 50000);
 }
 
@@ -189,7 +189,12 @@
 static void
 budget_holds_in_any_window(void)
 {
-	enum { N = 7, RATE = 4, END = 60000, WINDOW = 10000 };
+	enum {
+		N = 7,
+		RATE = 4,
+		END = 60000,
+		WINDOW = 10000
+	};
 	retries_t r[N];
 	static int asked[END], again[END];
 	int64_t a = 0, b = 0, before = 0;
@@ -254,8 +259,8 @@
 	    "/burden/plain-calls-wait-for-slots", plain_calls_wait_for_slots);
 	g_test_add_func(
 	    "/breaker/opens-and-tries-one", breaker_opens_and_tries_one);
-	g_test_add_func("/breaker/lost-try-isnt-the-last",
-	    breaker_lost_try_isnt_the_last);
+	g_test_add_func(
+	    "/breaker/lost-try-isnt-the-last", breaker_lost_try_isnt_the_last);
 	g_test_add_func(
 	    "/breaker/grey-endpoint-weighs-more", grey_endpoint_weighs_more);
 	g_test_add_func(
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -28,8 +28,9 @@
 	t->d.ep = &t->ep;
 	t->ep.listed = true;
 	t->ep.written = t->ep.seen_at = 90000;
-	strcpy(t->ep.entry.service, "llm");
-	strcpy(t->ep.entry.holds.model[0], "m1");
+	g_strlcpy(t->ep.entry.service, "llm", sizeof(t->ep.entry.service));
+	g_strlcpy(t->ep.entry.holds.model[0], "m1",
+	    sizeof(t->ep.entry.holds.model[0]));
 	t->ep.entry.holds.nmodel = 1;
 }
 
@@ -39,8 +40,8 @@
 {
 	learnt_t l = { .orders = orders, .load = load, .at = at };
 
-	strcpy(l.model, model);
-	strcpy(l.adapter, adapter);
+	g_strlcpy(l.model, model, sizeof(l.model));
+	g_strlcpy(l.adapter, adapter, sizeof(l.adapter));
 	ep_learn(&t->ep, &l);
 }
 
@@ -117,7 +118,7 @@
 	desk_set_t t;
 
 	set_up(&t);
-	strcpy(t.d.doubt, "m3");
+	g_strlcpy(t.d.doubt, "m3", sizeof(t.d.doubt));
 	t.d.doubt_until = t.s.loop.now + 13000;
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
 	t.s.loop.now += 13001;
@@ -147,7 +148,8 @@
 	desk_set_t t;
 
 	set_up(&t);
-	strcpy(t.ep.entry.holds.model[1], "unheard-of");
+	g_strlcpy(t.ep.entry.holds.model[1], "unheard-of",
+	    sizeof(t.ep.entry.holds.model[1]));
 	t.ep.entry.holds.nmodel = 2;
 	g_assert_cmpfloat(desk_memory(&t.d), >=, 200000);
 	config_free(t.s.config);
--- a/tests/path_proc.c
+++ b/tests/path_proc.c
@@ -4,8 +4,9 @@
 #include <string.h>
 
 static const hand_opts_t plain = { .work = 20 };
-static const hand_opts_t stream = { .model = "m1", .events = 8, .gap = 20,
-	.adapter_slots = 4 };
+static const hand_opts_t stream = {
+	.model = "m1", .events = 8, .gap = 20, .adapter_slots = 4
+};
 
 static stage_t *
 one_daemon(const hand_opts_t *o, int n, const char *service)
@@ -157,16 +158,16 @@
 
 	hand_fault(st->hand[0], HAND_NOT_RUN);
 	hand_fault(st->hand[1], HAND_NOT_RUN);
-	c = caller_call(st, 0, "POST", "/once/a", "r1",
-	    "Deadline-Remaining: 1500\r\n");
+	c = caller_call(
+	    st, 0, "POST", "/once/a", "r1", "Deadline-Remaining: 1500\r\n");
 	g_assert_true(caller_wait(c, 3000));
 	g_assert_cmpint(c->status, ==, 503);
 	g_assert_nonnull(strstr(c->head, "Retry-After: "));
 	g_assert_cmpint(runs(st), ==, 0);
 	caller_free(c);
 	hand_fault(st->hand[0], HAND_SOUND);
-	c = caller_call(st, 0, "POST", "/once/a", "r2",
-	    "Deadline-Remaining: 1500\r\n");
+	c = caller_call(
+	    st, 0, "POST", "/once/a", "r2", "Deadline-Remaining: 1500\r\n");
 	g_assert_true(caller_wait(c, 3000));
 	g_assert_cmpint(c->status, ==, 200);
 	caller_free(c);
@@ -232,8 +233,8 @@
 		    "Deadline-Remaining: 1500\r\n");
 		g_assert_true(caller_wait(c, 3000));
 		g_assert_cmpint(c->status, ==, 200);
-		g_assert_cmpuint(buf_len(&c->body), ==,
-		    strlen("answer to r0 by ep-0"));
+		g_assert_cmpuint(
+		    buf_len(&c->body), ==, strlen("answer to r0 by ep-0"));
 		caller_free(c);
 	}
 	stage_free(st);
@@ -252,8 +253,9 @@
 static void
 caller_that_leaves_is_seen(void)
 {
-	static const hand_opts_t slow = { .model = "m1", .events = 400,
-		.gap = 20 };
+	static const hand_opts_t slow = {
+		.model = "m1", .events = 400, .gap = 20
+	};
 	stage_t *st = one_daemon(&slow, 1, "llm");
 	caller_t *c = caller_call(st, 0, "POST", "/gen/a", "r1",
 	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
@@ -273,8 +275,8 @@
 	caller_t *c;
 
 	hand_fault(st->hand[0], HAND_MUTE);
-	c = caller_call(st, 0, "POST", "/once/a", "r1",
-	    "Deadline-Remaining: 1900\r\n");
+	c = caller_call(
+	    st, 0, "POST", "/once/a", "r1", "Deadline-Remaining: 1900\r\n");
 	stage_run(st, 150);
 	caller_leave(c);
 	g_assert_true(stage_until(st, is_cancelled, st, 500));
--- a/tests/spread_test.c
+++ b/tests/spread_test.c
@@ -32,16 +32,23 @@
 	for (m = 0; m < MODELS; m++)
 		f->model[m].mb = 70000;
 	for (e = 0; e < EPS; e++) {
-		f->ep[e] = (spread_ep_t) { .usable = true, .free = true,
-			.room = 220000, .pace = 19000 };
+		f->ep[e] = (spread_ep_t){ .usable = true,
+			.free = true,
+			.room = 220000,
+			.pace = 19000 };
 		put(f, e, e < 8 ? 0 : 1);
 		put(f, e, next < MODELS ? next++ : 0);
 		if (next < MODELS)
 			put(f, e, next++);
 	}
-	f->in = (spread_in_t) { .model = f->model, .nmodel = MODELS,
-		.ep = f->ep, .nep = EPS, .held = f->held, .hand = f->hand,
-		.settled = true, .may_fetch = true };
+	f->in = (spread_in_t){ .model = f->model,
+		.nmodel = MODELS,
+		.ep = f->ep,
+		.nep = EPS,
+		.held = f->held,
+		.hand = f->hand,
+		.settled = true,
+		.may_fetch = true };
 }
 
 static int
@@ -223,9 +230,10 @@
 
 		fleet(&f);
 		for (m = 0; m < MODELS; m++) {
-			f.model[m].work = g_rand_boolean(g)
-			    ? 0
-			    : g_rand_double_range(g, 0, 60000);
+			f.model[m].work =
+			    g_rand_boolean(g)
+				? 0
+				: g_rand_double_range(g, 0, 60000);
 			f.model[m].waiting = g_rand_int_range(g, 0, 9) == 0;
 		}
 		for (e = 0; e < EPS; e++)
@@ -248,7 +256,8 @@
 	    "/spread/one-unload-for-one-copy", one_unload_for_one_copy);
 	g_test_add_func("/spread/nothing-is-repaired-while-endpoints-come",
 	    nothing_is_repaired_while_endpoints_come);
-	g_test_add_func("/spread/weight-store-is-spared", weight_store_is_spared);
+	g_test_add_func(
+	    "/spread/weight-store-is-spared", weight_store_is_spared);
 	g_test_add_func("/spread/adapters-need-copies", adapters_need_copies);
 	g_test_add_func(
 	    "/spread/any-demand-keeps-the-bounds", any_demand_keeps_the_bounds);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -138,8 +138,7 @@
 {
 	asked_t *a = arg;
 
-	return page_status(a->st, a->st->ready[a->i], "/v1/ready", NULL) ==
-	    200;
+	return page_status(a->st, a->st->ready[a->i], "/v1/ready", NULL) == 200;
 }
 
 /* Daemons have an address each, since their metrics' port is one. */
@@ -151,8 +150,8 @@
 	int port[3];
 
 	if (st->settings[i] == NULL) {
-		snprintf(ip, sizeof(ip), "127.0.%d.%d",
-		    10 + getpid() % 200, i + 1);
+		snprintf(
+		    ip, sizeof(ip), "127.0.%d.%d", 10 + getpid() % 200, i + 1);
 		ports_take(port, 3);
 		st->caller[i] = g_strdup_printf("%s:%d", ip, port[0]);
 		st->ready[i] = g_strdup_printf("%s:%d", ip, port[1]);
@@ -249,8 +248,9 @@
 		c->over = clock_now(&machine_clock);
 }
 
-static const link_ops_t ops = { .head = on_head, .body = on_body,
-	.done = on_done, .end = on_end };
+static const link_ops_t ops = {
+	.head = on_head, .body = on_body, .done = on_done, .end = on_end
+};
 
 static caller_t *
 open_to(stage_t *st, const char *addr, const char *bytes)
@@ -322,16 +322,16 @@
 int
 page_status(stage_t *st, const char *addr, const char *path, char **body)
 {
-	char *text = g_strdup_printf(
-	    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr);
+	char *text =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr);
 	caller_t *c = open_to(st, addr, text);
 	int status;
 
 	caller_wait(c, 1000);
 	status = c->done ? c->status : 0;
 	if (body != NULL)
-		*body = g_strndup(c->body.p != NULL ? c->body.p : "",
-		    buf_len(&c->body));
+		*body = g_strndup(
+		    c->body.p != NULL ? c->body.p : "", buf_len(&c->body));
 	caller_free(c);
 	g_free(text);
 	return status;
--- a/tests/tenure_test.c
+++ b/tests/tenure_test.c
@@ -107,9 +107,9 @@
 		return;
 	}
 	if (luck < 14) { /* carried out seconds later, no answer */
-		w->late[g_rand_int_range(g, 0, LATE)] = (late_t) {
-			now + g_rand_int_range(g, 1000, 6000), i, condition,
-			tenure_settled(t, now), true };
+		w->late[g_rand_int_range(g, 0, LATE)] =
+		    (late_t){ now + g_rand_int_range(g, 1000, 6000), i,
+			    condition, tenure_settled(t, now), true };
 		if (take)
 			t->read = false;
 		return;
@@ -225,10 +225,10 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func(
-	    "/tenure/two-holders-never-take-turns", two_holders_never_take_turns);
-	g_test_add_func(
-	    "/tenure/frozen-holder-orders-nothing", frozen_holder_orders_nothing);
+	g_test_add_func("/tenure/two-holders-never-take-turns",
+	    two_holders_never_take_turns);
+	g_test_add_func("/tenure/frozen-holder-orders-nothing",
+	    frozen_holder_orders_nothing);
 	g_test_add_func("/tenure/told-renewal-counts",
 	    told_renewal_counts_from_when_it_was_told);
 	g_test_add_func(
--- a/tests/touch_proc.c
+++ b/tests/touch_proc.c
@@ -5,8 +5,9 @@
 #include <string.h>
 
 static const hand_opts_t plain = { .work = 20 };
-static const hand_opts_t stream = { .model = "m1", .events = 8, .gap = 20,
-	.adapter_slots = 4 };
+static const hand_opts_t stream = {
+	.model = "m1", .events = 8, .gap = 20, .adapter_slots = 4
+};
 
 static const char *const added_route =
     ",{\"name\":\"new\",\"host\":\"h.example\",\"path_prefix\":\"/new/\","
@@ -232,8 +233,8 @@
 	char *body = NULL;
 	bool ok = page_status(st, st->entries[0],
 		      "/v1/resolve?name=h&region=r&zone=north", &body) == 200 &&
-	    strstr(body, st->caller[0]) != NULL &&
-	    strstr(body, st->caller[1]) != NULL;
+		  strstr(body, st->caller[0]) != NULL &&
+		  strstr(body, st->caller[1]) != NULL;
 
 	g_free(body);
 	return ok;
@@ -246,8 +247,8 @@
 	char *body = NULL;
 	bool ok = page_status(st, st->entries[0],
 		      "/v1/resolve?name=h&region=r&zone=north", &body) == 200 &&
-	    strstr(body, st->caller[0]) != NULL &&
-	    strstr(body, st->caller[1]) == NULL;
+		  strstr(body, st->caller[0]) != NULL &&
+		  strstr(body, st->caller[1]) == NULL;
 
 	g_free(body);
 	return ok;
@@ -264,8 +265,9 @@
 static void
 stopped_instance_finishes_its_calls(void)
 {
-	static const hand_opts_t slow = { .model = "m1", .events = 60,
-		.gap = 30 };
+	static const hand_opts_t slow = {
+		.model = "m1", .events = 60, .gap = 30
+	};
 	stage_t *st = stage_new();
 	caller_t *c;
 
@@ -419,8 +421,7 @@
 		if (c->status == 200)
 			break;
 		caller_free(c);
-		g_assert_cmpint(
-		    clock_now(&machine_clock) - killed, <, 12000);
+		g_assert_cmpint(clock_now(&machine_clock) - killed, <, 12000);
 	}
 	caller_free(c);
 	/* Its first order came a lease after the old one's last. */
@@ -440,8 +441,7 @@
 	stage_config(st, "");
 	stage_hand(st, &plain, "app");
 	stage_daemon(st, 0, true);
-	g_assert_true(
-	    g_file_get_contents(st->settings[0], &text, NULL, NULL));
+	g_assert_true(g_file_get_contents(st->settings[0], &text, NULL, NULL));
 	/* A broken file changes nothing. */
 	g_file_set_contents(st->settings[0], "node_name: [", -1, NULL);
 	proc_signal(st->daemon[0], SIGHUP);
