--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -457,7 +457,7 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[21] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[23] =
 {
   {
     "sender",
@@ -711,6 +711,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_left),
+    offsetof(Digest__Digest, left),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_at",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Digest__Digest, n_left_at),
+    offsetof(Digest__Digest, left_at),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   8,   /* field[8] = all_demand */
@@ -724,6 +748,8 @@
   1,   /* field[1] = incarnation */
   19,   /* field[19] = lease */
   4,   /* field[4] = leaving */
+  21,   /* field[21] = left */
+  22,   /* field[22] = left_at */
   15,   /* field[15] = memory */
   3,   /* field[3] = ready */
   14,   /* field[14] = running */
@@ -738,7 +764,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -748,7 +774,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  21,
+  23,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -119,6 +119,13 @@
    */
   int64_t config_news;
   int64_t endpoint_news;
+  /*
+   * Endpoints that leave or are gone, and the revision that said so.
+   */
+  size_t n_left;
+  uint32_t *left;
+  size_t n_left_at;
+  int64_t *left_at;
   /*
    * prompt tokens of calls that wait there
    */
@@ -159,7 +166,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Digest__Card methods */
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -110,13 +110,17 @@
 		    en.id, en.service, en.addr, en.domain,
 		    en.leaving ? "leaving" : "ready", o->revision,
 		    en.holds.nmodel);
+	if (en.leaving && p->left_at == 0)
+		p->left_at = s->loop.now;
+	if (!en.leaving)
+		p->left_at = 0;
 	if (en.leaving)
 		pool_clear(p);
 	return fresh || was != !en.leaving;
 }
 
 void
-eps_gone(serve_t *s, const char *id, bool may_return)
+eps_gone(serve_t *s, const char *id, int64_t revision, bool may_return)
 {
 	ep_t *p = eps_find(&s->fleet, id);
 
@@ -128,11 +132,31 @@
 		return;
 	}
 	p->listed = false;
+	if (revision > p->revision)
+		p->revision = revision;
+	p->left_at = s->loop.now;
 	p->gone_at = s->loop.now;
 	pool_clear(p);
 	note(LOG_NOTICE, "endpoint",
-	    "endpoint=%s state=gone entry_age_ms=%" PRId64, id,
-	    s->loop.now - p->seen_at);
+	    "endpoint=%s state=gone entry_age_ms=%" PRId64
+	    " revision=%" PRId64,
+	    id, s->loop.now - p->seen_at, revision);
+}
+
+void
+eps_told_left(serve_t *s, uint32_t tag, int64_t revision)
+{
+	ep_t *p = eps_by_tag(&s->fleet, tag);
+
+	if (p == NULL || !ep_usable(p) || revision <= p->revision)
+		return;
+	note(LOG_NOTICE, "endpoint",
+	    "endpoint=%s state=leaving told=1 revision=%" PRId64
+	    " before=%" PRId64,
+	    p->entry.id, revision, p->revision);
+	p->revision = revision;
+	p->entry.leaving = true;
+	pool_clear(p);
 }
 
 void
@@ -146,7 +170,7 @@
 
 		if (p->missing_at != 0 &&
 		    s->loop.now - p->missing_at > LAPSED_MS)
-			eps_gone(s, p->entry.id, false);
+			eps_gone(s, p->entry.id, 0, false);
 		if (p->listed || p->calls > 0 || p->wires > 0 ||
 		    s->loop.now - p->gone_at < FORGET_MS)
 			continue;
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -75,7 +75,7 @@
 		break;
 	case KIND_ENDPOINTS:
 		if (o->gone)
-			eps_gone(s, o->name,
+			eps_gone(s, o->name, o->revision,
 			    f->regained != 0 &&
 				s->loop.now - f->regained < LAPSED_MS);
 		else if (eps_entry(s, o, f->written))
@@ -104,7 +104,8 @@
 
 			if (p->listed &&
 			    !g_hash_table_contains(f->seen, p->entry.id))
-				eps_gone(s, p->entry.id, f->regained != 0);
+				eps_gone(
+				    s, p->entry.id, 0, f->regained != 0);
 		}
 	if (f->kind == KIND_INSTANCES)
 		peers_sweep(s, f->seen);
@@ -172,6 +173,9 @@
 {
 	const serve_t *s = f->s;
 
+	/* Instances make themselves known by datagrams. */
+	if (f->kind == KIND_INSTANCES)
+		return true;
 	return f->kind == KIND_ENDPOINTS && !plan_holder(s) &&
 	       peers_before(s) >= WATCHERS &&
 	       s->loop.now - s->shaken_at >= SHAKEN_MS;
@@ -323,7 +327,8 @@
 {
 	serve_t *s = f->s;
 
-	if (f->as_of == 0 || news <= f->as_of || f->lost)
+	/* What matters of endpoints is told by itself: see eps_told_left(). */
+	if (f->as_of == 0 || news <= f->as_of || f->lost || relayed(f))
 		return;
 	/* Others' words alone must not make a lost store look busy. */
 	if (s->loop.now - f->poked_at < POKE_MS
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -78,6 +78,7 @@
 	ms_t written;	 /* and was written at the earliest */
 	ms_t missing_at; /* not in the store since, may come back; 0: no */
 	ms_t gone_at;
+	ms_t left_at;	  /* the store said that it leaves or is gone */
 	int64_t orders; /* that it has taken, as far as is known */
 	learnt_t learnt[LEARNT_MAX];
 	int nlearnt;
@@ -107,7 +108,10 @@
  */
 bool eps_entry(serve_t *s, const object_t *o, ms_t written);
 /** Its entry is gone. @param may_return the store was away just now */
-void eps_gone(serve_t *s, const char *id, bool may_return);
+void eps_gone(
+    serve_t *s, const char *id, int64_t revision, bool may_return);
+/** Another instance read at @p revision that it leaves or is gone. */
+void eps_told_left(serve_t *s, uint32_t tag, int64_t revision);
 /** Forget endpoints that are long gone. */
 void eps_tidy(serve_t *s);
 /** May a call be sent there, as far as its entry says? */
@@ -416,6 +420,18 @@
 void peers_forget(serve_t *s, const ep_t *p);
 /** What we have at an endpoint changed. */
 void peers_touched(serve_t *s, ep_t *p);
+/* What is told to them. tell.c */
+
+enum {
+	DATAGRAM_MAX = 8192, /* bytes */
+	MEMORY_UNIT = 16,    /* tokens; shares of memory are told in it */
+};
+
+void tell_open(serve_t *s);
+/** A sign of life, with what changed. */
+void tell_life(serve_t *s);
+/** Demand, to the holder. @param all or only what calls wait for */
+void tell_demand(serve_t *s, bool all);
 /** Tell all at once: our state has changed. */
 void peers_tell(serve_t *s);
 /** We end. */
--- /dev/null
+++ b/serve/tell.c
@@ -0,0 +1,354 @@
+/* What an instance tells the others of itself. */
+#include "serve/serve.h"
+#include "serve/digest.pb-c.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum {
+	WANTED_MS = 500,     /* a call that waits asks again within */
+	SHARE_EACH_MS = 3, /* between shares, for each instance */
+	SHARE_LEAST_MS = 15,
+	LEFT_MS = 4000,	     /* an endpoint's leaving is told so long */
+	TAKEN_MS = 3000,     /* an entry shows an order within that */
+	WANTS_MS = 15,	     /* between wants: an order takes as long */
+};
+
+static size_t
+pack(serve_t *s, Digest__Digest *d, uint8_t *to)
+{
+	d->sender = s->peers.hash;
+	d->incarnation = s->peers.incarnation;
+	d->sequence = ++s->peers.sequence;
+	d->ready = s->ready;
+	d->leaving = s->leaving;
+	d->holder = plan_tells(s);
+	d->lease = plan_lease(s);
+	d->waiting = (uint32_t)line_tokens(s, NULL);
+	d->config_news = s->follow_config.news;
+	d->endpoint_news = s->follow_endpoints.news;
+	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX) {
+		note(LOG_WARNING, "digest-cut", "shares=%zu demands=%zu",
+		    d->n_endpoint, d->n_demand);
+		d->n_demand = 0;
+	}
+	if (digest__digest__get_packed_size(d) > DATAGRAM_MAX)
+		d->n_endpoint = d->n_unread = d->n_running = d->n_memory =
+		    d->n_sent = 0;
+	return digest__digest__pack(d, to);
+}
+
+static void
+post(serve_t *s, const struct sockaddr_in *to, const uint8_t *p, size_t n)
+{
+	/* A datagram that is lost is made good by the next. */
+	sendto(s->peers.watch.fd, p, n, MSG_DONTWAIT | MSG_NOSIGNAL,
+	    (const struct sockaddr *)to, sizeof(*to));
+}
+
+static void
+post_all(serve_t *s, Digest__Digest *d)
+{
+	static uint8_t bytes[DATAGRAM_MAX];
+	size_t n = pack(s, d, bytes);
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		post(s, &s->peers.peer[i]->sa, bytes, n);
+}
+
+/* A digest in the making; each list holds one kind of its entries. */
+typedef struct parcel {
+	Digest__Digest d;
+	Digest__Card card;
+	GArray *endpoint, *unread, *running, *memory, *sent, *left, *left_at;
+	GPtrArray *demand, *taken;
+} parcel_t;
+
+static void
+parcel_init(parcel_t *c)
+{
+	GArray **list[] = { &c->endpoint, &c->unread, &c->running, &c->memory,
+		&c->sent };
+	size_t i;
+
+	digest__digest__init(&c->d);
+	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		*list[i] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	c->left = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	c->left_at = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	c->demand = g_ptr_array_new_with_free_func(g_free);
+	c->taken = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void
+parcel_close(parcel_t *c)
+{
+	Digest__Digest *d = &c->d;
+
+	d->n_endpoint = d->n_unread = d->n_running = d->n_memory = d->n_sent =
+	    c->endpoint->len;
+	d->endpoint = (uint32_t *)(void *)c->endpoint->data;
+	d->unread = (uint32_t *)(void *)c->unread->data;
+	d->running = (uint32_t *)(void *)c->running->data;
+	d->memory = (uint32_t *)(void *)c->memory->data;
+	d->sent = (uint32_t *)(void *)c->sent->data;
+	d->n_left = d->n_left_at = c->left->len;
+	d->left = (uint32_t *)(void *)c->left->data;
+	d->left_at = (int64_t *)(void *)c->left_at->data;
+	d->n_demand = c->demand->len;
+	d->demand = (Digest__Demand **)c->demand->pdata;
+	d->n_taken = c->taken->len;
+	d->taken = (Digest__Taken **)c->taken->pdata;
+}
+
+static void
+parcel_free(parcel_t *c)
+{
+	GArray *list[] = { c->endpoint, c->unread, c->running, c->memory,
+		c->sent, c->left, c->left_at };
+	size_t i;
+
+	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		g_array_free(list[i], TRUE);
+	g_ptr_array_free(c->demand, TRUE);
+	g_ptr_array_free(c->taken, TRUE);
+}
+
+static void
+put_card(serve_t *s, parcel_t *c)
+{
+	digest__card__init(&c->card);
+	c->card.instance = s->site.instance;
+	c->card.ip = s->site.ip;
+	c->card.domain = s->site.domain;
+	c->card.caller_addr = s->site.caller_addr;
+	c->d.card = &c->card;
+}
+
+static void
+put_shares(serve_t *s, parcel_t *c, bool all)
+{
+	int i;
+
+	for (i = 0; i < s->fleet.nep; i++) {
+		ep_t *p = s->fleet.ep[i];
+		const burden_share_t *o = &p->burden.own;
+		uint32_t v[] = { p->tag, (uint32_t)o->unread,
+			(uint32_t)o->running,
+			(uint32_t)(o->memory + MEMORY_UNIT - 1) / MEMORY_UNIT,
+			p->sent };
+
+		if (all ? o->running == 0 && p->sent == 0 : !p->touched)
+			continue;
+		p->touched = false;
+		g_array_append_val(c->endpoint, v[0]);
+		g_array_append_val(c->unread, v[1]);
+		g_array_append_val(c->running, v[2]);
+		g_array_append_val(c->memory, v[3]);
+		g_array_append_val(c->sent, v[4]);
+	}
+}
+
+/* What the store said lately of endpoints that leave. */
+static void
+put_left(serve_t *s, parcel_t *c)
+{
+	int i;
+
+	for (i = 0; i < s->fleet.nep; i++) {
+		const ep_t *p = s->fleet.ep[i];
+
+		if (p->left_at == 0 || s->loop.now - p->left_at > LEFT_MS)
+			continue;
+		g_array_append_val(c->left, p->tag);
+		g_array_append_val(c->left_at, p->revision);
+	}
+}
+
+static void
+put_demand(serve_t *s, parcel_t *c, bool only_waiting)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->demand);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		demand_t *d = v;
+		double work = demand_now(s, d);
+		bool waits =
+		    d->waiting_at != 0 && s->loop.now - d->waiting_at < WANTED_MS;
+		Digest__Demand *m;
+
+		if (only_waiting ? !waits : work < 1 && !waits)
+			continue;
+		m = g_new(Digest__Demand, 1);
+		digest__demand__init(m);
+		m->service = d->service;
+		m->model = d->model;
+		m->adapter = d->adapter;
+		m->work = (uint32_t)work;
+		m->waiting = waits;
+		g_ptr_array_add(c->demand, m);
+	}
+}
+
+static void
+put_taken(serve_t *s, parcel_t *c)
+{
+	peers_t *ps = &s->peers;
+	int i, kept = 0;
+
+	for (i = 0; i < ps->ntaken; i++) {
+		taken_t *t = &ps->taken[i];
+		Digest__Taken *m;
+
+		if (s->loop.now - t->since > TAKEN_MS)
+			continue;
+		ps->taken[kept] = *t;
+		t = &ps->taken[kept++];
+		m = g_new(Digest__Taken, 1);
+		digest__taken__init(m);
+		m->endpoint = t->endpoint;
+		m->orders = (uint64_t)t->what.orders;
+		m->model = t->what.model;
+		m->adapter = t->what.adapter;
+		m->load = t->what.load;
+		m->in_ms = t->what.at > s->loop.now
+			       ? (uint32_t)(t->what.at - s->loop.now)
+			       : 0;
+		g_ptr_array_add(c->taken, m);
+	}
+	ps->ntaken = kept;
+}
+
+/** How much a digest tells. */
+typedef enum telling {
+	TELL_SHARES, /* what changed at endpoints */
+	TELL_LIFE,   /* a sign of life, with that */
+	TELL_WHOLE,  /* all, and who we are */
+	TELL_GOODBYE,
+} telling_t;
+
+static void
+tell(serve_t *s, telling_t how)
+{
+	bool whole = how == TELL_WHOLE || how == TELL_GOODBYE;
+	parcel_t c;
+
+	parcel_init(&c);
+	put_shares(s, &c, whole);
+	if (how != TELL_SHARES || s->peers.tell_taken)
+		put_taken(s, &c);
+	if (how != TELL_SHARES)
+		put_left(s, &c);
+	if (whole)
+		put_card(s, &c);
+	s->peers.tell_taken = s->peers.tell_shares = false;
+	s->peers.tell_news = false;
+	s->peers.share_at = s->loop.now;
+	c.d.whole = whole;
+	c.d.goodbye = how == TELL_GOODBYE;
+	parcel_close(&c);
+	if (how != TELL_SHARES || c.d.n_endpoint > 0 || c.d.n_taken > 0)
+		post_all(s, &c.d);
+	parcel_free(&c);
+}
+
+void
+peers_tell(serve_t *s)
+{
+	tell(s, TELL_WHOLE);
+}
+
+void
+tell_life(serve_t *s)
+{
+	tell(s, TELL_LIFE);
+}
+
+void
+peers_goodbye(serve_t *s)
+{
+	tell(s, TELL_GOODBYE);
+}
+
+void
+peers_taken(serve_t *s, ep_t *p, const learnt_t *l)
+{
+	peers_t *ps = &s->peers;
+
+	if (ps->ntaken == TAKEN_KEPT) {
+		memmove(ps->taken, ps->taken + 1,
+		    (TAKEN_KEPT - 1) * sizeof(ps->taken[0]));
+		ps->ntaken--;
+	}
+	ps->taken[ps->ntaken++] = (taken_t){ p->tag, *l, s->loop.now };
+	ps->tell_taken = true;
+}
+
+/* Demand goes to the holder alone. */
+void
+tell_demand(serve_t *s, bool all)
+{
+	static uint8_t bytes[DATAGRAM_MAX];
+	parcel_t c;
+	size_t n;
+	int i;
+
+	s->peers.tell_wants = false;
+	s->peers.wants_at = s->loop.now;
+	parcel_init(&c);
+	put_demand(s, &c, !all);
+	c.d.all_demand = all;
+	parcel_close(&c);
+	n = c.d.n_demand > 0 ? pack(s, &c.d, bytes) : 0;
+	for (i = 0; i < s->peers.npeer && n > 0; i++)
+		if (s->peers.peer[i]->holder)
+			post(s, &s->peers.peer[i]->sa, bytes, n);
+	parcel_free(&c);
+}
+
+static void
+share_due(void *arg)
+{
+	serve_t *s = arg;
+
+	s->peers.tell_shares = true;
+}
+
+void
+tell_open(serve_t *s)
+{
+	s->peers.share = (alarm_t){ .fn = share_due, .arg = s };
+}
+
+void
+peers_touched(serve_t *s, ep_t *p)
+{
+	peers_t *ps = &s->peers;
+	ms_t span = (ms_t)SHARE_EACH_MS * ps->npeer;
+
+	p->touched = true;
+	line_wake(s);
+	if (span < SHARE_LEAST_MS)
+		span = SHARE_LEAST_MS;
+	if (s->loop.now - ps->share_at >= span)
+		ps->tell_shares = true;
+	else if (ps->share.pos == 0)
+		alarm_set(&s->loop, &ps->share, ps->share_at + span);
+}
+
+void
+peers_turn(serve_t *s)
+{
+	if (s->peers.tell_news)
+		tell(s, TELL_LIFE);
+	else if (s->peers.tell_taken || s->peers.tell_shares)
+		tell(s, TELL_SHARES);
+	if (s->peers.tell_wants && !plan_holder(s) &&
+	    s->loop.now - s->peers.wants_at >= WANTS_MS)
+		tell_demand(s, false);
+}
+
