Quieter starts and watches within the store's history

Cause: on the grown site 178 watches of instances lapsed because they waited as long as the store keeps history, and each lapse made every instance watch all kinds closely for 4 s.

--- a/serve/follow.c
+++ b/serve/follow.c
@@ -11,7 +11,7 @@
 	WATCH_EACH_MS = 600,
 	WATCH_LEAST_MS = 1200,
 	WATCH_MOST_MS = 10000,
-	WATCH_QUIET_MS = 20000, /* of a kind that others make good */
+	START_MS = 2000,     /* others aren't known yet */
 	FRESH_MS = 300,		/* a change's way to us, with a slow store */
 	POKE_MS = 400,		/* between asks because of others' news */
 	SHAKEN_MS = 4000,	/* after a cut or lost history, watches ... */
@@ -155,7 +155,8 @@
 	ms_t wait = RETRY_FIRST_MS << (f->failures < 5 ? f->failures : 5);
 
 	f->failures++;
-	shaken(f);
+	if (f->kind != KIND_INSTANCES)
+		shaken(f);
 	if (!f->lost && f->failures >= 2) {
 		f->lost = true;
 		note(LOG_WARNING, "store-lost",
@@ -201,6 +202,7 @@
 	objects_t list;
 	err_t e = { 0 };
 	int64_t news = f->news;
+	bool far = relayed(f) || s->loop.now - s->born < START_MS;
 	int i;
 
 	f->call = NULL;
@@ -209,7 +211,8 @@
 		    kind_name[f->kind], f->as_of);
 		f->as_of = 0;
 		f->listing = false;
-		shaken(f);
+		if (f->kind != KIND_INSTANCES)
+			shaken(f);
 		ask(f);
 		return;
 	}
@@ -262,7 +265,7 @@
 	if (f->listing)
 		ask(f);
 	else
-		again(f, relayed(f) ? FAR_PACE_MS : PACE_MS);
+		again(f, far ? FAR_PACE_MS : PACE_MS);
 }
 
 static ms_t
@@ -270,8 +273,9 @@
 {
 	ms_t v = (ms_t)WATCH_EACH_MS * peers_alive(f->s);
 
+	/* Within the history that the store keeps. */
 	if (f->kind == KIND_INSTANCES)
-		return WATCH_QUIET_MS;
+		return f->s->site.history / 2;
 	if (f->s->loop.now - f->s->shaken_at < SHAKEN_MS)
 		return SHAKEN_WAIT_MS;
 	v = v < WATCH_LEAST_MS	? WATCH_LEAST_MS
@@ -281,6 +285,20 @@
 	return v * 3 / 4 + (ms_t)(rng_unit(&f->s->rng) * (double)v / 2);
 }
 
+static void
+count_ask(const follow_t *f)
+{
+	char name[128];
+
+	snprintf(name, sizeof(name),
+	    "ebonypitch_store_asks_total{kind=\"%s\",how=\"%s\"}",
+	    kind_name[f->kind],
+	    f->as_of == 0    ? "list"
+		: relayed(f) ? "cheap-watch"
+			     : "watch");
+	counter_add(counter_get(name, "Lists and watches asked for."), 1);
+}
+
 static void
 ask(follow_t *f)
 {
@@ -303,6 +321,7 @@
 		f->urgent = false;
 		span = f->wait + WATCH_SLACK_MS;
 	}
+	count_ask(f);
 	f->call = webcall(s, &s->store, &b, span, answered, f);
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -375,11 +375,19 @@
 written(void *arg, int status, const char *text, size_t len)
 {
 	serve_t *s = arg;
+	object_t o;
 
-	(void)text, (void)len;
 	s->peers.writing = NULL;
-	if (status < 200 || status > 299)
+	if (status >= 200 && status <= 299) {
+		/* The watch tells its revision later. */
+		s->peers.object = 1;
+	} else if (status == 409 && object_decode(&o, text, len, NULL) == 0) {
+		/* It stands there already; is it as it should be? */
+		peers_object(s, &o);
+		free(o.spec);
+	} else {
 		note(LOG_WARNING, "instance-object", "status=%d", status);
+	}
 }
 
 /* Write our own object unless it stands in the store as it should. */
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -202,6 +202,7 @@
 		err_set(e, ERR_INTERNAL, "epoll: %s", strerror(errno));
 		return NULL;
 	}
+	s->born = s->loop.now;
 	s->rng.s = hash_str(s->site.instance, (uint64_t)clock_wall());
 	s->calls = table_new(sizeof(call_t *), TABLE_MAX);
 	eps_init(&s->fleet);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -490,6 +490,7 @@
 	ms_t config_at;
 	bool ready, leaving;
 	ms_t leave_at;
+	ms_t born;	/* start of the process */
 	ms_t shaken_at; /* when a watch was cut last */
 	ms_t came_at;	/* when an endpoint came last */
 	eps_t fleet;
