--- a/serve/choose.c
+++ b/serve/choose.c
@@ -12,7 +12,7 @@
 /* An endpoint further down a prompt's list must be this much quicker. */
 static const double rank_ms = 4;
 /* A way to another domain costs the operators, and the call some ms. */
-static const double far_engine_ms = 25, far_plain_ms = 5;
+static const double far_engine_ms = 60, far_plain_ms = 5;
 /* A token of output in a batch that is half full, by estimate. */
 static const double token_ms = 12;
 /* Part of what is left of the grace that a call may be expected to take. */
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -11,7 +11,8 @@
 
 enum {
 	BEAT_MS = 500,	   /* a sign of life, for few instances */
-	WHOLE_BEATS = 3,   /* each so many beats one tells all */
+	WHOLE_BEATS = 3, /* each so many beats one tells all, ... */
+	WHOLE_EACH = 12, /* ... and one more for so many instances */
 	BEAT_EACH_MS = 12,   /* more for each further instance: a datagram
 				costs its receiver some 30 us */
 	ALIVE_BEATS = 4,     /* beats missed by one that is gone */
@@ -514,7 +515,9 @@
 		prune(s);
 	else
 		tell_demand(s, true);
-	if (s->peers.beats++ % WHOLE_BEATS == 0)
+	if (s->peers.beats++ %
+		(WHOLE_BEATS + s->peers.npeer / WHOLE_EACH) ==
+	    0)
 		peers_tell(s);
 	else
 		tell_life(s);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -89,6 +89,7 @@
 	uint32_t sent; /* prompt tokens, by this instance, wraps */
 	breaker_t breaker;
 	bool touched; /* its burden changed since it was told */
+	bool touched_far; /* and since other domains were told */
 	kept_t kept[KEPT_MAX];
 } ep_t;
 
--- a/serve/tell.c
+++ b/serve/tell.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 enum {
+	MANY = 16,	     /* instances: bytes between domains cost */
 	WANTED_MS = 500,     /* a call that waits asks again within */
 	SHARE_EACH_MS = 3, /* between shares, for each instance */
 	SHARE_LEAST_MS = 15,
@@ -47,15 +48,24 @@
 	    (const struct sockaddr *)to, sizeof(*to));
 }
 
+/* Many instances share only within their domain; a beat tells the others. */
+static bool
+reaches(const serve_t *s, const peer_t *p, bool near_only)
+{
+	return !near_only || s->peers.npeer < MANY ||
+	    strcmp(p->domain, s->site.domain) == 0;
+}
+
 static void
-post_all(serve_t *s, Digest__Digest *d)
+post_all(serve_t *s, Digest__Digest *d, bool near_only)
 {
 	static uint8_t bytes[DATAGRAM_MAX];
 	size_t n = pack(s, d, bytes);
 	int i;
 
 	for (i = 0; i < s->peers.npeer; i++)
-		post(s, &s->peers.peer[i]->sa, bytes, n);
+		if (reaches(s, s->peers.peer[i], near_only))
+			post(s, &s->peers.peer[i]->sa, bytes, n);
 }
 
 /* A digest in the making; each list holds one kind of its entries. */
@@ -127,8 +137,29 @@
 	c->d.card = &c->card;
 }
 
+/** Which shares a digest names. */
+typedef enum shares {
+	SHARES_ALL,
+	SHARES_CHANGED,	    /* since the last digest */
+	SHARES_CHANGED_FAR, /* since the last one to other domains */
+} shares_t;
+
+static bool
+names_share(const ep_t *p, shares_t which)
+{
+	switch (which) {
+	case SHARES_ALL:
+		return p->burden.own.running > 0 || p->sent > 0;
+	case SHARES_CHANGED:
+		return p->touched;
+	case SHARES_CHANGED_FAR:
+		return p->touched_far;
+	}
+	return false;
+}
+
 static void
-put_shares(serve_t *s, parcel_t *c, bool all)
+put_shares(serve_t *s, parcel_t *c, shares_t which)
 {
 	int i;
 
@@ -140,9 +171,11 @@
 			(uint32_t)(o->memory + MEMORY_UNIT - 1) / MEMORY_UNIT,
 			p->sent };
 
-		if (all ? o->running == 0 && p->sent == 0 : !p->touched)
+		if (!names_share(p, which))
 			continue;
 		p->touched = false;
+		if (which != SHARES_CHANGED)
+			p->touched_far = false;
 		g_array_append_val(c->endpoint, v[0]);
 		g_array_append_val(c->unread, v[1]);
 		g_array_append_val(c->running, v[2]);
@@ -238,7 +271,10 @@
 	parcel_t c;
 
 	parcel_init(&c);
-	put_shares(s, &c, whole);
+	put_shares(s, &c,
+	    whole		   ? SHARES_ALL
+		: how == TELL_SHARES ? SHARES_CHANGED
+				     : SHARES_CHANGED_FAR);
 	if (how != TELL_SHARES || s->peers.tell_taken)
 		put_taken(s, &c);
 	if (how != TELL_SHARES)
@@ -252,7 +288,7 @@
 	c.d.goodbye = how == TELL_GOODBYE;
 	parcel_close(&c);
 	if (how != TELL_SHARES || c.d.n_endpoint > 0 || c.d.n_taken > 0)
-		post_all(s, &c.d);
+		post_all(s, &c.d, how == TELL_SHARES && c.d.n_taken == 0);
 	parcel_free(&c);
 }
 
@@ -330,7 +366,7 @@
 	peers_t *ps = &s->peers;
 	ms_t span = (ms_t)SHARE_EACH_MS * ps->npeer;
 
-	p->touched = true;
+	p->touched = p->touched_far = true;
 	line_wake(s);
 	if (span < SHARE_LEAST_MS)
 		span = SHARE_LEAST_MS;
