--- a/serve/follow.c
+++ b/serve/follow.c
@@ -13,6 +13,7 @@
 	WATCH_MOST_MS = 10000,
 	START_MS = 2000,     /* others aren't known yet */
 	FRESH_MS = 300,		/* a change's way to us, with a slow store */
+	STALE_MS = 6000, /* twice the oldest answer that was seen */
 	POKE_MS = 400,		/* between asks because of others' news */
 	SHAKEN_MS = 4000,	/* after a cut or lost history, watches ... */
 	SHAKEN_WAIT_MS = 1000,	/* ... are asked again so soon */
@@ -182,6 +183,21 @@
 	       s->loop.now - s->shaken_at >= SHAKEN_MS;
 }
 
+ms_t
+follow_written(const follow_t *f, ms_t now)
+{
+	/* At a lower price the store may answer from an older copy. */
+	if (f->cheap)
+		return now - STALE_MS;
+	/*
+	 * An answer that was waited for tells what has just been written; else
+	 * it may be anything since the answer before.
+	 */
+	if (!f->listing && now - f->asked_at > FRESH_MS)
+		return now - FRESH_MS;
+	return f->good_at;
+}
+
 static int64_t
 newest(const objects_t *l)
 {
@@ -230,14 +246,7 @@
 		note(LOG_NOTICE, "store-regained", "kind=%s away_ms=%" PRId64,
 		    kind_name[f->kind], s->loop.now - f->good_at);
 	}
-	/*
-	 * An answer that was waited for tells what has just been written; else
-	 * it may be anything since the answer before.
-	 */
-	if (!f->listing && s->loop.now - f->asked_at > FRESH_MS)
-		f->written = s->loop.now - FRESH_MS;
-	else
-		f->written = f->good_at;
+	f->written = follow_written(f, s->loop.now);
 	f->failures = 0;
 	f->good_at = s->loop.now;
 	for (i = 0; i < list.nobject; i++) {
@@ -308,6 +317,7 @@
 
 	f->asked_at = s->loop.now;
 	if (f->as_of == 0) {
+		f->cheap = false;
 		if (!f->listing) {
 			f->listing = true;
 			f->after[0] = '\0';
@@ -316,8 +326,9 @@
 		objects_list(&b, f->kind, f->after, s->site.store_addr);
 	} else {
 		f->wait = wait_of(f);
-		objects_watch(&b, f->kind, f->as_of, f->wait,
-		    relayed(f) && !f->urgent, s->site.store_addr);
+		f->cheap = relayed(f) && !f->urgent;
+		objects_watch(&b, f->kind, f->as_of, f->wait, f->cheap,
+		    s->site.store_addr);
 		f->urgent = false;
 		span = f->wait + WATCH_SLACK_MS;
 	}
@@ -361,3 +372,10 @@
 	f->urgent = true;
 	renew(f);
 }
+
+void
+follow_closely(follow_t *f)
+{
+	if (f->as_of != 0 && f->cheap)
+		renew(f);
+}
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -125,6 +125,7 @@
 	} else if ((status == 200 || status == 201) && have && taking) {
 		tenure_took(&p->tenure, o.revision, p->lease_sent);
 		p->began = s->loop.now;
+		follow_closely(&s->follow_endpoints);
 		note(LOG_NOTICE, "holder",
 		    "token=%" PRId64 " orders_in_ms=%" PRId64, p->tenure.token,
 		    p->tenure.from - s->loop.now);
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -10,8 +10,9 @@
 	ADAPTER_MS = 30,	/* an adapter's load, once taken */
 	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
 	RETRY_MS = 150,		/* after a refusal */
+	STALE_MS = 2500, /* after it a lower count is ours that is wrong */
 	BUSY_MS = 400,		/* until a busy one is asked again */
-	REPORT_LAG_MS = 300,	/* what a report shows is so old at most */
+	REPORT_LAG_MS = 600, /* what a report shows is no older */
 	SHOWN_MS = 4000,	/* an entry shows a load by then, or we ask */
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
@@ -394,6 +395,12 @@
 	    "endpoint=%s orders=%" PRId64 " known=%" PRId64
 	    " busy=%d models=%d",
 	    d->ep->entry.id, r.orders, d->orders, r.busy, r.holds.nmodel);
+	if (r.orders < d->orders && d->s->loop.now - d->sent < STALE_MS) {
+		/* From before the last order that it took. */
+		d->ask = true;
+		d->wait_until = d->s->loop.now + RETRY_MS;
+		return;
+	}
 	/* Newer than all that was sent: what it says is so. */
 	d->orders = d->ep->orders = r.orders;
 	if (r.busy) {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -320,6 +320,7 @@
 	int64_t news;  /* store's revision at the last change seen */
 	ms_t poked_at; /* when it was asked anew for that */
 	int pokes;     /* since the last answer */
+	bool cheap; /* the watch that is on may be answered from an old copy */
 	bool urgent;   /* others have seen more: no old answer will do */
 	bool listing;
 	char after[ID_MAX];
@@ -335,6 +336,10 @@
 } follow_t;
 
 void follow_start(follow_t *f, serve_t *s, kind_t k);
+/** We order endpoints now: no old answer will do. */
+void follow_closely(follow_t *f);
+/** What an answer tells at @p now was written then at the earliest. */
+ms_t follow_written(const follow_t *f, ms_t now);
 /** Another instance saw a change at @p news: a watch may have missed it. */
 void follow_news(follow_t *f, int64_t news);
 /**
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -155,6 +155,31 @@
 	config_free(t.s.config);
 }
 
+/* A new holder has read entries from old copies; orders aren't in them. */
+static void
+old_copies_show_no_order(void)
+{
+	desk_set_t t;
+	follow_t f = { .kind = KIND_ENDPOINTS, .cheap = true,
+		.asked_at = 108000, .good_at = 107000 };
+
+	set_up(&t);
+	learn(&t, "m2", "", true, 1, 108000);
+	t.s.loop.now = 110000;
+	t.ep.written = follow_written(&f, t.s.loop.now);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
+	/* Answered at once, it may be from any time since the last answer. */
+	f.cheap = false;
+	f.asked_at = 109990;
+	t.ep.written = follow_written(&f, t.s.loop.now);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
+	/* Waited for, it has just been written. */
+	f.asked_at = 108500;
+	t.ep.written = follow_written(&f, t.s.loop.now);
+	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
+	config_free(t.s.config);
+}
+
 #define T(name) g_test_add_func("/orders/" #name, name)
 
 int
@@ -168,5 +193,6 @@
 	T(unanswered_load_counts_while_it_may_land);
 	T(silent_entry_is_asked_about);
 	T(model_of_no_configuration_fills_the_memory);
+	T(old_copies_show_no_order);
 	return g_test_run();
 }
