--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -138,8 +138,7 @@
 	p->gone_at = s->loop.now;
 	pool_clear(p);
 	note(LOG_NOTICE, "endpoint",
-	    "endpoint=%s state=gone entry_age_ms=%" PRId64
-	    " revision=%" PRId64,
+	    "endpoint=%s state=gone entry_age_ms=%" PRId64 " revision=%" PRId64,
 	    id, s->loop.now - p->seen_at, revision);
 }
 
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -11,15 +11,15 @@
 	WATCH_EACH_MS = 600,
 	WATCH_LEAST_MS = 1200,
 	WATCH_MOST_MS = 10000,
-	START_MS = 2000,     /* others aren't known yet */
-	FRESH_MS = 300,		/* a change's way to us, with a slow store */
-	STALE_MS = 6000, /* twice the oldest answer that was seen */
-	POKE_MS = 400,		/* between asks because of others' news */
-	SHAKEN_MS = 4000,	/* after a cut or lost history, watches ... */
-	SHAKEN_WAIT_MS = 1000,	/* ... are asked again so soon */
-	WATCH_SLACK_MS = 1500,	/* an answer's way and a slow store */
-	LIST_MS = 2000,		/* a list that takes longer is asked anew */
-	PACE_MS = 250,		/* between answers: each is priced */
+	START_MS = 2000,       /* others aren't known yet */
+	FRESH_MS = 300,	       /* a change's way to us, with a slow store */
+	STALE_MS = 6000,       /* twice the oldest answer that was seen */
+	POKE_MS = 400,	       /* between asks because of others' news */
+	SHAKEN_MS = 4000,      /* after a cut or lost history, watches ... */
+	SHAKEN_WAIT_MS = 1000, /* ... are asked again so soon */
+	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
+	LIST_MS = 2000,	       /* a list that takes longer is asked anew */
+	PACE_MS = 250,	       /* between answers: each is priced */
 	/*
 	 * Endpoints' entries change often. WATCHERS instances and the holder
 	 * watch closely and tell the others when one comes, leaves or goes;
@@ -105,8 +105,7 @@
 
 			if (p->listed &&
 			    !g_hash_table_contains(f->seen, p->entry.id))
-				eps_gone(
-				    s, p->entry.id, 0, f->regained != 0);
+				eps_gone(s, p->entry.id, 0, f->regained != 0);
 		}
 	if (f->kind == KIND_INSTANCES)
 		peers_sweep(s, f->seen);
@@ -302,9 +301,9 @@
 	snprintf(name, sizeof(name),
 	    "ebonypitch_store_asks_total{kind=\"%s\",how=\"%s\"}",
 	    kind_name[f->kind],
-	    f->as_of == 0    ? "list"
-		: relayed(f) ? "cheap-watch"
-			     : "watch");
+	    f->as_of == 0 ? "list"
+	    : relayed(f)  ? "cheap-watch"
+			  : "watch");
 	counter_add(counter_get(name, "Lists and watches asked for."), 1);
 }
 
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -10,10 +10,10 @@
 	ADAPTER_MS = 30,	/* an adapter's load, once taken */
 	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
 	RETRY_MS = 150,		/* after a refusal */
-	STALE_MS = 2500, /* after it a lower count is ours that is wrong */
-	BUSY_MS = 400,		/* until a busy one is asked again */
+	STALE_MS = 2500,     /* after it a lower count is ours that is wrong */
+	BUSY_MS = 400,	     /* until a busy one is asked again */
 	REPORT_LAG_MS = 600, /* what a report shows is no older */
-	SHOWN_MS = 4000,	/* an entry shows a load by then, or we ask */
+	SHOWN_MS = 4000,     /* an entry shows a load by then, or we ask */
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -11,14 +11,14 @@
 
 enum {
 	BEAT_MS = 500,	   /* a sign of life, for few instances */
-	WHOLE_BEATS = 3, /* each so many beats one tells all, ... */
-	WHOLE_EACH = 12, /* ... and one more for so many instances */
-	BEAT_EACH_MS = 12,   /* more for each further instance: a datagram
-				costs its receiver some 30 us */
-	ALIVE_BEATS = 4,     /* beats missed by one that is gone */
-	WRITE_MS = 2000,     /* an answer of the store */
-	SILENT_MS = 20000,   /* an instance's object is removed after */
-	JOIN_MS = 300,	     /* its own object is looked at so often */
+	WHOLE_BEATS = 3,   /* each so many beats one tells all, ... */
+	WHOLE_EACH = 12,   /* ... and one more for so many instances */
+	BEAT_EACH_MS = 12, /* more for each further instance: a datagram
+			      costs its receiver some 30 us */
+	ALIVE_BEATS = 4,   /* beats missed by one that is gone */
+	WRITE_MS = 2000,   /* an answer of the store */
+	SILENT_MS = 20000, /* an instance's object is removed after */
+	JOIN_MS = 300,	   /* its own object is looked at so often */
 };
 
 static ms_t
@@ -515,9 +515,7 @@
 		prune(s);
 	else
 		tell_demand(s, true);
-	if (s->peers.beats++ %
-		(WHOLE_BEATS + s->peers.npeer / WHOLE_EACH) ==
-	    0)
+	if (s->peers.beats++ % (WHOLE_BEATS + s->peers.npeer / WHOLE_EACH) == 0)
 		peers_tell(s);
 	else
 		tell_life(s);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -78,7 +78,7 @@
 	ms_t written;	 /* and was written at the earliest */
 	ms_t missing_at; /* not in the store since, may come back; 0: no */
 	ms_t gone_at;
-	ms_t left_at;	  /* the store said that it leaves or is gone */
+	ms_t left_at;	/* the store said that it leaves or is gone */
 	int64_t orders; /* that it has taken, as far as is known */
 	learnt_t learnt[LEARNT_MAX];
 	int nlearnt;
@@ -88,7 +88,7 @@
 	burden_t burden;
 	uint32_t sent; /* prompt tokens, by this instance, wraps */
 	breaker_t breaker;
-	bool touched; /* its burden changed since it was told */
+	bool touched;	  /* its burden changed since it was told */
 	bool touched_far; /* and since other domains were told */
 	kept_t kept[KEPT_MAX];
 } ep_t;
@@ -109,8 +109,7 @@
  */
 bool eps_entry(serve_t *s, const object_t *o, ms_t written);
 /** Its entry is gone. @param may_return the store was away just now */
-void eps_gone(
-    serve_t *s, const char *id, int64_t revision, bool may_return);
+void eps_gone(serve_t *s, const char *id, int64_t revision, bool may_return);
 /** Another instance read at @p revision that it leaves or is gone. */
 void eps_told_left(serve_t *s, uint32_t tag, int64_t revision);
 /** Forget endpoints that are long gone. */
@@ -320,8 +319,8 @@
 	int64_t news;  /* store's revision at the last change seen */
 	ms_t poked_at; /* when it was asked anew for that */
 	int pokes;     /* since the last answer */
-	bool cheap; /* the watch that is on may be answered from an old copy */
-	bool urgent;   /* others have seen more: no old answer will do */
+	bool cheap;  /* the watch that is on may be answered from an old copy */
+	bool urgent; /* others have seen more: no old answer will do */
 	bool listing;
 	char after[ID_MAX];
 	GHashTable *seen; /* names in the list that is being read */
--- a/serve/tell.c
+++ b/serve/tell.c
@@ -7,13 +7,13 @@
 #include <sys/socket.h>
 
 enum {
-	MANY = 16,	     /* instances: bytes between domains cost */
-	WANTED_MS = 500,     /* a call that waits asks again within */
+	MANY = 16,	   /* instances: bytes between domains cost */
+	WANTED_MS = 500,   /* a call that waits asks again within */
 	SHARE_EACH_MS = 3, /* between shares, for each instance */
 	SHARE_LEAST_MS = 15,
-	LEFT_MS = 4000,	     /* an endpoint's leaving is told so long */
-	TAKEN_MS = 3000,     /* an entry shows an order within that */
-	WANTS_MS = 15,	     /* between wants: an order takes as long */
+	LEFT_MS = 4000,	 /* an endpoint's leaving is told so long */
+	TAKEN_MS = 3000, /* an entry shows an order within that */
+	WANTS_MS = 15,	 /* between wants: an order takes as long */
 };
 
 static size_t
@@ -53,7 +53,7 @@
 reaches(const serve_t *s, const peer_t *p, bool near_only)
 {
 	return !near_only || s->peers.npeer < MANY ||
-	    strcmp(p->domain, s->site.domain) == 0;
+	       strcmp(p->domain, s->site.domain) == 0;
 }
 
 static void
@@ -210,8 +210,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		demand_t *d = v;
 		double work = demand_now(s, d);
-		bool waits =
-		    d->waiting_at != 0 && s->loop.now - d->waiting_at < WANTED_MS;
+		bool waits = d->waiting_at != 0 &&
+			     s->loop.now - d->waiting_at < WANTED_MS;
 		Digest__Demand *m;
 
 		if (only_waiting ? !waits : work < 1 && !waits)
@@ -272,9 +272,9 @@
 
 	parcel_init(&c);
 	put_shares(s, &c,
-	    whole		   ? SHARES_ALL
-		: how == TELL_SHARES ? SHARES_CHANGED
-				     : SHARES_CHANGED_FAR);
+	    whole		 ? SHARES_ALL
+	    : how == TELL_SHARES ? SHARES_CHANGED
+				 : SHARES_CHANGED_FAR);
 	if (how != TELL_SHARES || s->peers.tell_taken)
 		put_taken(s, &c);
 	if (how != TELL_SHARES)
@@ -387,4 +387,3 @@
 	    s->loop.now - s->peers.wants_at >= WANTS_MS)
 		tell_demand(s, false);
 }
-
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -160,8 +160,10 @@
 old_copies_show_no_order(void)
 {
 	desk_set_t t;
-	follow_t f = { .kind = KIND_ENDPOINTS, .cheap = true,
-		.asked_at = 108000, .good_at = 107000 };
+	follow_t f = { .kind = KIND_ENDPOINTS,
+		.cheap = true,
+		.asked_at = 108000,
+		.good_at = 107000 };
 
 	set_up(&t);
 	learn(&t, "m2", "", true, 1, 108000);
