A young process sees a leaving endpoint in time

Ruled out: load (it failed on the quiet machine, and did so in the one place that the change touched).

--- a/serve/follow.c
+++ b/serve/follow.c
@@ -11,11 +11,13 @@
 	WATCH_EACH_MS = 600,
 	WATCH_LEAST_MS = 1200,
 	WATCH_MOST_MS = 10000,
-	START_MS = 2000,       /* others aren't known yet */
-	FRESH_MS = 300,	       /* a change's way to us, with a slow store */
-	STALE_MS = 6000,       /* twice the oldest answer that was seen */
-	POKE_MS = 400,	       /* between asks because of others' news */
-	SHAKEN_MS = 4000,      /* after a cut or lost history, watches ... */
+	START_MS = 2000, /* others aren't known yet */
+	START_PACE_MS =
+	    500,	  /* until then: a leaving endpoint is seen in time */
+	FRESH_MS = 300,	  /* a change's way to us, with a slow store */
+	STALE_MS = 6000,  /* twice the oldest answer that was seen */
+	POKE_MS = 400,	  /* between asks because of others' news */
+	SHAKEN_MS = 4000, /* after a cut or lost history, watches ... */
 	SHAKEN_WAIT_MS = 1000, /* ... are asked again so soon */
 	WATCH_SLACK_MS = 1500, /* an answer's way and a slow store */
 	LIST_MS = 2000,	       /* a list that takes longer is asked anew */
@@ -217,7 +219,8 @@
 	objects_t list;
 	err_t e = { 0 };
 	int64_t news = f->news;
-	bool far = relayed(f) || s->loop.now - s->born < START_MS;
+	bool early = s->loop.now - s->born < START_MS;
+	bool far = relayed(f);
 	int i;
 
 	f->call = NULL;
@@ -273,7 +276,7 @@
 	if (f->listing)
 		ask(f);
 	else
-		again(f, far ? FAR_PACE_MS : PACE_MS);
+		again(f, far ? FAR_PACE_MS : early ? START_PACE_MS : PACE_MS);
 }
 
 static ms_t
