Many instances: few watch the store, domains tell each other sums

Bytes between domains: every beat carried shares to every instance, and each order that was taken sent up to 48 orders of the last 3 s to all 83.

Now, with 16 instances or more: two instances of a domain (strong ones first, not those that have lost the store) watch closely; the others watch old copies at a tenth of the price, also of the configuration, and ask closely once after a cut, or when others saw a newer configuration 400 ms ago. A domain's relay tells the relays of other domains the sum of its shares four times a second, and these pass it on to their own. Orders taken are told once at once, and again with the beats. Looks at the lease follow the line. Fewer instances do as before, except for the looks at the lease.

Ruled out: reads of entries between domains as the largest part (38 MB of some 178 MB), requests to far endpoints.

--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -470,7 +470,7 @@
   (ProtobufCMessageInit) digest__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[23] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[25] =
 {
   {
     "sender",
@@ -748,9 +748,34 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blind",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sum_of",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, sum_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   8,   /* field[8] = all_demand */
+  23,   /* field[23] = blind */
   9,   /* field[9] = card */
   10,   /* field[10] = config_news */
   17,   /* field[17] = demand */
@@ -769,6 +794,7 @@
   0,   /* field[0] = sender */
   16,   /* field[16] = sent */
   2,   /* field[2] = sequence */
+  24,   /* field[24] = sum_of */
   18,   /* field[18] = taken */
   13,   /* field[13] = unread */
   20,   /* field[20] = waiting */
@@ -777,7 +803,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -787,7 +813,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  23,
+  25,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -130,6 +130,15 @@
   uint32_t *left;
   size_t n_left_at;
   int64_t *left_at;
+  /*
+   * It has lost the store: others must watch for its domain.
+   */
+  protobuf_c_boolean blind;
+  /*
+   * Shares are the sum of a domain's, told by its relay: hash of its
+   * name. 0: they are the sender's own.
+   */
+  uint32_t sum_of;
   /*
    * prompt tokens of calls that wait there
    */
@@ -170,7 +179,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Digest__Card methods */
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -23,11 +23,13 @@
 	LIST_MS = 2000,	       /* a list that takes longer is asked anew */
 	PACE_MS = 250,	       /* between answers: each is priced */
 	/*
-	 * Endpoints' entries change often. WATCHERS instances and the holder
-	 * watch closely and tell the others when one comes, leaves or goes;
-	 * these watch at a slower pace and a lower price.
+	 * Each answer is priced, and entries change often. WATCHERS instances
+	 * (of each domain, where there are many) and the holder watch closely
+	 * and tell the others what has changed; these watch at a lower price,
+	 * where an answer may come from an old copy.
 	 */
 	WATCHERS = 2,
+	COPY_MS = 400, /* for an old copy to show a change that others saw */
 	FAR_PACE_MS = 1200,
 	RETRY_FIRST_MS = 50, /* after a failure, doubling ... */
 	RETRY_MOST_MS = 800, /* ... so that an outage's end is seen soon */
@@ -175,18 +177,38 @@
 	again(f, wait / 2 + (ms_t)(rng_unit(&f->s->rng) * (double)wait));
 }
 
-/* Do others watch this kind more closely for us? */
-static bool
-relayed(const follow_t *f)
+bool
+follow_blind(const serve_t *s)
+{
+	return s->follow_config.lost || s->follow_endpoints.lost;
+}
+
+bool
+follow_relayed(const follow_t *f)
 {
 	const serve_t *s = f->s;
+	bool many = s->peers.npeer >= MANY;
 
-	/* Instances make themselves known by datagrams. */
-	if (f->kind == KIND_INSTANCES)
+	switch (f->kind) {
+	case KIND_INSTANCES:
+		/* They make themselves known by datagrams. */
 		return true;
-	return f->kind == KIND_ENDPOINTS && !plan_holder(s) &&
-	       peers_before(s) >= WATCHERS &&
-	       s->loop.now - s->shaken_at >= SHAKEN_MS;
+	case KIND_LEASES:
+		return false;
+	case KIND_CONFIG:
+		if (!many)
+			return false;
+		break;
+	case KIND_ENDPOINTS:
+		if (plan_holder(s))
+			return false;
+		break;
+	}
+	/* After a cut the few ask closely for a while, the others once. */
+	if (many ? f->close_at < s->shaken_at
+		 : s->loop.now - s->shaken_at < SHAKEN_MS)
+		return false;
+	return peers_watching(s) >= WATCHERS;
 }
 
 ms_t
@@ -225,7 +247,7 @@
 	err_t e = { 0 };
 	int64_t news = f->news;
 	bool early = s->loop.now - s->born < START_MS;
-	bool far = relayed(f);
+	bool far = follow_relayed(f);
 	int i;
 
 	f->call = NULL;
@@ -281,7 +303,9 @@
 	if (f->listing)
 		ask(f);
 	else
-		again(f, far ? FAR_PACE_MS : early ? START_PACE_MS : PACE_MS);
+		again(f, far && f->kind != KIND_CONFIG ? FAR_PACE_MS
+			 : early		       ? START_PACE_MS
+						       : PACE_MS);
 }
 
 static ms_t
@@ -310,7 +334,7 @@
 	    "ebonypitch_store_asks_total{kind=\"%s\",how=\"%s\"}",
 	    kind_name[f->kind],
 	    f->as_of == 0 ? "list"
-	    : relayed(f)  ? "cheap-watch"
+	    : f->cheap	  ? "cheap-watch"
 			  : "watch");
 	counter_add(counter_get(name, "Lists and watches asked for."), 1);
 }
@@ -333,7 +357,9 @@
 		objects_list(&b, f->kind, f->after, s->site.store_addr);
 	} else {
 		f->wait = wait_of(f);
-		f->cheap = relayed(f) && !f->urgent;
+		f->cheap = follow_relayed(f) && !f->urgent;
+		if (!f->cheap)
+			f->close_at = s->loop.now;
 		objects_watch(&b, f->kind, f->as_of, f->wait, f->cheap,
 		    s->site.store_addr);
 		f->urgent = false;
@@ -364,9 +390,18 @@
 {
 	serve_t *s = f->s;
 
-	/* What matters of endpoints is told by itself: see eps_told_left(). */
-	if (f->as_of == 0 || news <= f->as_of || f->lost || relayed(f))
+	if (f->as_of == 0 || news <= f->as_of || f->lost)
 		return;
+	if (news > f->told) {
+		f->told = news;
+		f->told_at = s->loop.now;
+	}
+	if (follow_relayed(f)) {
+		/* What matters of endpoints is told: see eps_told_left(). */
+		if (f->kind == KIND_ENDPOINTS ||
+		    s->loop.now - f->told_at < COPY_MS)
+			return;
+	}
 	/* Others' words alone must not make a lost store look busy. */
 	if (s->loop.now - f->poked_at < POKE_MS
 					    << (f->pokes < 4 ? f->pokes : 4))
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -192,6 +192,15 @@
 	return false;
 }
 
+/* Each look is priced: those further back in line look less often. */
+static ms_t
+turn_ms(const serve_t *s)
+{
+	int n = peers_before(s);
+
+	return FIRST_MS + TURN_MS * (n < TURNS ? n : TURNS);
+}
+
 void
 lease_step(plan_t *p)
 {
@@ -214,10 +223,7 @@
 		return;
 	if (heard_of(s)) {
 		p->tenure.read = false;
-		p->lease_next =
-		    now + FIRST_MS +
-		    TURN_MS *
-			(peers_before(s) < TURNS ? peers_before(s) : TURNS);
+		p->lease_next = now + turn_ms(s);
 		return;
 	}
 	if (tenure_may_take(&p->tenure, now)) {
@@ -225,7 +231,7 @@
 		return;
 	}
 	p->lease_next =
-	    now + FIRST_MS +
+	    now + turn_ms(s) +
 	    (p->tenure.read ? 0 : (ms_t)(rng_unit(&s->rng) * FIRST_MS));
 	read_lease(p);
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,5 +1,4 @@
-#include "serve/serve.h"
-#include "serve/digest.pb-c.h"
+#include "serve/shares.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -62,117 +61,77 @@
 }
 
 bool
-peers_stronger(const serve_t *s)
+peer_near(const serve_t *s, const peer_t *p)
 {
-	int i;
-
-	for (i = 0; i < s->peers.npeer; i++)
-		if (s->peers.peer[i]->power > peers_power(s))
-			return true;
-	return false;
+	return strcmp(p->domain, s->site.domain) == 0;
 }
 
-int
-peers_before(const serve_t *s)
+peer_t *
+peers_relay(const serve_t *s, const char *domain)
 {
-	int i, n = 0;
+	peer_t *best = NULL;
+	int i;
 
 	for (i = 0; i < s->peers.npeer; i++) {
-		const peer_t *p = s->peers.peer[i];
+		peer_t *p = s->peers.peer[i];
 
-		n += peer_alive(s, p) && !p->leaving && before(s, p);
+		if (!peer_alive(s, p) || p->leaving ||
+		    strcmp(p->domain, domain) != 0)
+			continue;
+		if (best == NULL || p->power > best->power ||
+		    (p->power == best->power &&
+			strcmp(p->instance, best->instance) < 0))
+			best = p;
 	}
-	return n;
+	return best;
 }
 
-/* Shares that others have at endpoints. */
-
-static void
-shift(ep_t *p, const burden_share_t *old, const burden_share_t *now)
-{
-	burden_share_t *o = &p->burden.others;
-
-	o->unread += now->unread - old->unread;
-	o->running += now->running - old->running;
-	o->memory += now->memory - old->memory;
-}
-
-static void
-forget_shares(peer_t *p)
+bool
+peers_relays(const serve_t *s)
 {
-	static const burden_share_t none;
-	GHashTableIter it;
-	gpointer v;
+	const peer_t *p = peers_relay(s, s->site.domain);
 
-	g_hash_table_iter_init(&it, p->share);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		peer_share_t *sh = v;
-
-		shift(sh->ep, &sh->share, &none);
-	}
-	g_hash_table_remove_all(p->share);
+	return s->peers.npeer >= MANY && !s->leaving &&
+	       (p == NULL || !before(s, p));
 }
 
-void
-peers_forget(serve_t *s, const ep_t *ep)
+bool
+peers_stronger(const serve_t *s)
 {
 	int i;
 
 	for (i = 0; i < s->peers.npeer; i++)
-		g_hash_table_remove(s->peers.peer[i]->share, ep);
+		if (s->peers.peer[i]->power > peers_power(s))
+			return true;
+	return false;
 }
 
-static void
-take_share(serve_t *s, peer_t *p, const Digest__Digest *d, size_t i)
+int
+peers_before(const serve_t *s)
 {
-	ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
-	burden_share_t now = { (int)d->unread[i], (int)d->running[i],
-		(int)d->memory[i] * MEMORY_UNIT };
-	peer_share_t *sh;
-	int32_t fresh;
+	int i, n = 0;
 
-	if (ep == NULL)
-		return;
-	sh = g_hash_table_lookup(p->share, ep);
-	if (sh == NULL) {
-		sh = g_new0(peer_share_t, 1);
-		sh->ep = ep;
-		sh->sent = d->sent[i];
-		g_hash_table_insert(p->share, ep, sh);
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
+
+		n += peer_alive(s, p) && !p->leaving && before(s, p);
 	}
-	/* Counted since its start, so that a lost datagram loses nothing. */
-	fresh = (int32_t)(d->sent[i] - sh->sent);
-	if (fresh > 0)
-		burden_pour(&ep->burden, &s->usual_pace, &s->bounds, fresh,
-		    s->loop.now);
-	sh->sent = d->sent[i];
-	if (now.running < sh->share.running || now.unread < sh->share.unread)
-		line_wake(s);
-	shift(ep, &sh->share, &now);
-	sh->share = now;
-	sh->told = true;
+	return n;
 }
 
-/* A whole digest names every share that isn't none. */
-static void
-drop_untold(peer_t *p)
+int
+peers_watching(const serve_t *s)
 {
-	static const burden_share_t none;
-	GHashTableIter it;
-	gpointer v;
+	bool many = s->peers.npeer >= MANY;
+	int i, n = 0;
 
-	g_hash_table_iter_init(&it, p->share);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		peer_share_t *sh = v;
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
 
-		if (sh->told) {
-			sh->told = false;
-			continue;
-		}
-		/* Its count of what was sent stays. */
-		shift(sh->ep, &sh->share, &none);
-		sh->share = none;
+		n += peer_alive(s, p) && !p->leaving && !p->blind &&
+		     (!many || peer_near(s, p)) && before(s, p);
 	}
+	return n;
 }
 
 static peer_t *
@@ -234,7 +193,7 @@
 			s->peers.peer[i] = s->peers.peer[--s->peers.npeer];
 	note(LOG_NOTICE, "instance", "instance_known=%s state=forgotten",
 	    p->instance);
-	forget_shares(p);
+	shares_forget(p);
 	g_hash_table_destroy(p->share);
 	g_array_free(p->demand, TRUE);
 	g_free(p);
@@ -314,7 +273,7 @@
 	    (int32_t)(d->sequence - p->sequence) <= 0)
 		return NULL;
 	if (p->incarnation != d->incarnation)
-		forget_shares(p);
+		shares_forget(p);
 	p->incarnation = d->incarnation;
 	p->sequence = d->sequence;
 	if (d->card != NULL) {
@@ -328,12 +287,12 @@
 static void
 take(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
 {
-	peer_t *p = sender(s, d, from);
+	peer_t *p;
 	bool was;
-	size_t i, n = d->n_endpoint;
+	size_t i;
 
-	if (p == NULL || d->n_unread != n || d->n_running != n ||
-	    d->n_memory != n || d->n_sent != n)
+	p = sender(s, d, from);
+	if (p == NULL)
 		return;
 	was = peer_alive(s, p) && p->ready && !p->leaving;
 	p->heard_at = s->loop.now;
@@ -341,6 +300,7 @@
 	p->leaving = d->leaving;
 	p->holder = d->holder;
 	p->goodbye = d->goodbye;
+	p->blind = d->blind;
 	p->waiting = (int)d->waiting;
 	if (d->holder)
 		plan_told(s, d->lease);
@@ -353,13 +313,10 @@
 				 : "starting",
 		    p->holder);
 	if (p->goodbye) {
-		forget_shares(p);
+		shares_forget(p);
 		return;
 	}
-	for (i = 0; i < n; i++)
-		take_share(s, p, d, i);
-	if (d->whole)
-		drop_untold(p);
+	shares_take(s, p, d);
 	for (i = 0; i < d->n_left && i < d->n_left_at; i++)
 		eps_told_left(s, d->left[i], d->left_at[i]);
 	take_demand(s, p, d);
@@ -368,6 +325,24 @@
 	follow_news(&s->follow_endpoints, d->endpoint_news);
 }
 
+/* A relay of another domain tells of it; our domain hears it from us. */
+static void
+take_sum(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from,
+    const uint8_t *bytes, size_t n)
+{
+	char ip[ADDR_MAX];
+	int i;
+
+	sums_take(s, d);
+	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
+	for (i = 0; i < s->peers.npeer; i++)
+		if (strcmp(s->peers.peer[i]->ip, ip) == 0 &&
+		    !peer_near(s, s->peers.peer[i])) {
+			tell_near(s, bytes, n);
+			return;
+		}
+}
+
 static void
 readable(void *arg, uint32_t ev)
 {
@@ -391,7 +366,10 @@
 			note(LOG_WARNING, "digest-unreadable", "bytes=%zd", n);
 			continue;
 		}
-		take(s, d, &from);
+		if (d->sum_of != 0)
+			take_sum(s, d, &from, bytes, (size_t)n);
+		else
+			take(s, d, &from);
 		digest__digest__free_unpacked(d, NULL);
 	}
 }
@@ -538,7 +516,8 @@
 	alarm_set(&s->loop, &s->peers.beat, s->loop.now + beat_ms(s));
 	for (i = 0; i < s->peers.npeer; i++)
 		if (!peer_alive(s, s->peers.peer[i]))
-			forget_shares(s->peers.peer[i]);
+			shares_forget(s->peers.peer[i]);
+	sums_tidy(s);
 	join(s);
 	if (plan_holder(s))
 		prune(s);
@@ -560,6 +539,7 @@
 	ps->watch = (watch_t){ net_datagram(addr, e), 0, readable, s };
 	if (ps->watch.fd == -1)
 		return -1;
+	ps->sum = g_ptr_array_new();
 	ps->hash = hash_str(s->site.instance, 0);
 	ps->incarnation = (uint32_t)rng_next(&s->rng);
 	ps->beat = (alarm_t){ .fn = beat, .arg = s };
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -88,7 +88,11 @@
 	int wires, nidle;
 	int calls; /* of ours on their way */
 	burden_t burden;
-	uint32_t sent; /* prompt tokens, by this instance, wraps */
+	uint32_t sent;	    /* prompt tokens, by this instance, wraps */
+	uint32_t sent_near; /* by the others of its domain, wraps */
+	/* Last told to other domains. */
+	burden_share_t sum_told;
+	uint32_t sum_sent;
 	breaker_t breaker;
 	bool touched;	  /* its burden changed since it was told */
 	bool touched_far; /* and since other domains were told */
@@ -324,6 +328,9 @@
 	int64_t as_of; /* 0: to be listed */
 	int64_t news;  /* store's revision at the last change seen */
 	ms_t poked_at; /* when it was asked anew for that */
+	int64_t told;  /* others have seen a change at this revision, ... */
+	ms_t told_at;  /* ... first heard then */
+	ms_t close_at; /* last watch that no old copy may answer */
 	int pokes;     /* since the last answer */
 	bool cheap;  /* the watch that is on may be answered from an old copy */
 	bool urgent; /* others have seen more: no old answer will do */
@@ -341,6 +348,8 @@
 } follow_t;
 
 void follow_start(follow_t *f, serve_t *s, kind_t k);
+/** Do others watch this kind more closely for us? */
+bool follow_relayed(const follow_t *f);
 /** The store was away just now: what it lacks may be written again. */
 bool follow_may_return(const follow_t *f, ms_t now);
 /** We order endpoints now: no old answer will do. */
@@ -361,7 +370,9 @@
 /* Other instances. peers.c */
 
 enum {
-	TAKEN_KEPT = 48
+	TAKEN_KEPT = 48,
+	/* So many know each other by domain: bytes between these cost. */
+	MANY = 16,
 };
 
 typedef struct peer_share {
@@ -382,6 +393,7 @@
 	uint32_t incarnation;
 	uint32_t sequence; /* of its last datagram */
 	bool ready, leaving, holder, goodbye;
+	bool blind;    /* has lost the store */
 	int waiting;   /* prompt tokens of calls that wait there */
 	ms_t heard_at; /* 0: never */
 	ms_t known_at;
@@ -406,13 +418,16 @@
 	uint32_t endpoint; /* its tag */
 	learnt_t what;
 	ms_t since;
+	bool told; /* at least once */
 } taken_t;
 
 typedef struct peers {
 	watch_t watch;
 	peer_t **peer;
 	int npeer, room;
-	alarm_t beat, share;
+	GPtrArray *sum; /* peer_t: other domains as one each */
+	alarm_t beat, share, sums;
+	int nsum;	/* sums told */
 	int64_t object; /* revision of our own, 0: not written */
 	webcall_t *writing;
 	uint64_t hash; /* of our own name */
@@ -457,12 +472,27 @@
 /** Instances that live, this one included. */
 int peers_alive(const serve_t *s);
 bool peer_alive(const serve_t *s, const peer_t *p);
+/** Is it of our failure domain? */
+bool peer_near(const serve_t *s, const peer_t *p);
+/** Another instance that tells other domains of its own, NULL: none. */
+peer_t *peers_relay(const serve_t *s, const char *domain);
+/** Do we tell other domains of ours? */
+bool peers_relays(const serve_t *s);
+/** Pass a datagram on to our domain. */
+void tell_near(serve_t *s, const uint8_t *bytes, size_t n);
 /** Thousandths of a core that this instance may use. */
 int peers_power(const serve_t *s);
 /** Is an instance known that may use more? */
 bool peers_stronger(const serve_t *s);
 /** Instances that live, don't leave and come before this one. */
 int peers_before(const serve_t *s);
+/**
+ * Those of them that can watch the store for this one: they reach it and,
+ * where instances are many, are of its domain.
+ */
+int peers_watching(const serve_t *s);
+/** Has this instance lost the store? */
+bool follow_blind(const serve_t *s);
 
 /* Demand by model and adapter. demand.c */
 
--- /dev/null
+++ b/serve/shares.c
@@ -0,0 +1,222 @@
+/*
+ * What other instances have at endpoints. Few instances tell each other. Where
+ * they are many, those of a domain do, and one of them, the relay, tells the
+ * other domains the sum.
+ */
+#include "serve/shares.h"
+
+#include <string.h>
+
+enum {
+	SUM_BEATS = 16, /* sums that may be missed: some 4 s, like a beat's */
+};
+
+uint32_t
+domain_hash(const char *domain)
+{
+	uint32_t h = (uint32_t)hash_str(domain, 0);
+
+	/* 0 says that a digest is no sum. */
+	return h != 0 ? h : 1;
+}
+
+static void
+shift(ep_t *p, const burden_share_t *old, const burden_share_t *now)
+{
+	burden_share_t *o = &p->burden.others;
+
+	o->unread += now->unread - old->unread;
+	o->running += now->running - old->running;
+	o->memory += now->memory - old->memory;
+}
+
+void
+shares_forget(peer_t *p)
+{
+	static const burden_share_t none;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->share);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		peer_share_t *sh = v;
+
+		shift(sh->ep, &sh->share, &none);
+	}
+	g_hash_table_remove_all(p->share);
+}
+
+static peer_t *
+sum_at(const serve_t *s, int i)
+{
+	return g_ptr_array_index(s->peers.sum, i);
+}
+
+void
+peers_forget(serve_t *s, const ep_t *ep)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		g_hash_table_remove(s->peers.peer[i]->share, ep);
+	for (i = 0; i < (int)s->peers.sum->len; i++)
+		g_hash_table_remove(sum_at(s, i)->share, ep);
+}
+
+/* @return prompt tokens sent there since the last digest */
+static int32_t
+take_share(serve_t *s, peer_t *p, const Digest__Digest *d, size_t i)
+{
+	ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
+	burden_share_t now = { (int)d->unread[i], (int)d->running[i],
+		(int)d->memory[i] * MEMORY_UNIT };
+	peer_share_t *sh;
+	int32_t fresh;
+
+	if (ep == NULL)
+		return 0;
+	sh = g_hash_table_lookup(p->share, ep);
+	if (sh == NULL) {
+		sh = g_new0(peer_share_t, 1);
+		sh->ep = ep;
+		sh->sent = d->sent[i];
+		g_hash_table_insert(p->share, ep, sh);
+	}
+	/* Counted since its start, so that a lost datagram loses nothing. */
+	fresh = (int32_t)(d->sent[i] - sh->sent);
+	if (fresh > 0)
+		burden_pour(&ep->burden, &s->usual_pace, &s->bounds, fresh,
+		    s->loop.now);
+	sh->sent = d->sent[i];
+	if (now.running < sh->share.running || now.unread < sh->share.unread)
+		line_wake(s);
+	shift(ep, &sh->share, &now);
+	sh->share = now;
+	sh->told = true;
+	return fresh > 0 ? fresh : 0;
+}
+
+/* A whole digest names every share that isn't none. */
+static void
+drop_untold(peer_t *p)
+{
+	static const burden_share_t none;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->share);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		peer_share_t *sh = v;
+
+		if (sh->told) {
+			sh->told = false;
+			continue;
+		}
+		/* Its count of what was sent stays. */
+		shift(sh->ep, &sh->share, &none);
+		sh->share = none;
+	}
+}
+
+static bool
+whole_lists(const Digest__Digest *d)
+{
+	size_t n = d->n_endpoint;
+
+	return d->n_unread == n && d->n_running == n && d->n_memory == n &&
+	       d->n_sent == n;
+}
+
+void
+shares_take(serve_t *s, peer_t *p, const Digest__Digest *d)
+{
+	bool near = peer_near(s, p);
+	size_t i;
+
+	if (!whole_lists(d))
+		return;
+	for (i = 0; i < d->n_endpoint; i++) {
+		int32_t fresh = take_share(s, p, d, i);
+		ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
+
+		if (near && ep != NULL)
+			ep->sent_near += (uint32_t)fresh;
+	}
+	if (d->whole)
+		drop_untold(p);
+}
+
+/* Sums of other domains. */
+
+static peer_t *
+sum_of(serve_t *s, uint32_t domain)
+{
+	peer_t *p;
+	guint i;
+
+	for (i = 0; i < s->peers.sum->len; i++)
+		if (sum_at(s, (int)i)->hash == domain)
+			return sum_at(s, (int)i);
+	p = g_new0(peer_t, 1);
+	p->hash = domain;
+	p->share =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	g_ptr_array_add(s->peers.sum, p);
+	return p;
+}
+
+void
+sums_take(serve_t *s, const Digest__Digest *d)
+{
+	peer_t *p;
+	size_t i;
+
+	if (d->sum_of == domain_hash(s->site.domain) || !whole_lists(d))
+		return;
+	p = sum_of(s, d->sum_of);
+	if (p->incarnation != d->incarnation) {
+		/* Another relay, or another process: it counts from anew. */
+		shares_forget(p);
+		p->incarnation = d->incarnation;
+	} else if ((int32_t)(d->sequence - p->sequence) <= 0) {
+		return;
+	}
+	p->sequence = d->sequence;
+	p->heard_at = s->loop.now;
+	for (i = 0; i < d->n_endpoint; i++)
+		take_share(s, p, d, i);
+	if (d->whole)
+		drop_untold(p);
+}
+
+void
+sums_tidy(serve_t *s)
+{
+	int i;
+
+	for (i = 0; i < (int)s->peers.sum->len; i++)
+		if (s->loop.now - sum_at(s, i)->heard_at >
+		    (ms_t)SUM_BEATS * SUM_MS)
+			shares_forget(sum_at(s, i));
+}
+
+void
+sums_own(const serve_t *s, const ep_t *ep, burden_share_t *to)
+{
+	int i;
+
+	*to = ep->burden.own;
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
+		const peer_share_t *sh;
+
+		if (!peer_near(s, p) || !peer_alive(s, p))
+			continue;
+		sh = g_hash_table_lookup(p->share, ep);
+		if (sh == NULL)
+			continue;
+		to->unread += sh->share.unread;
+		to->running += sh->share.running;
+		to->memory += sh->share.memory;
+	}
+}
--- a/serve/tell.c
+++ b/serve/tell.c
@@ -1,18 +1,17 @@
 /* What an instance tells the others of itself. */
-#include "serve/serve.h"
-#include "serve/digest.pb-c.h"
+#include "serve/shares.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
 enum {
-	MANY = 16,	   /* instances: bytes between domains cost */
 	WANTED_MS = 500,   /* a call that waits asks again within */
 	SHARE_EACH_MS = 3, /* between shares, for each instance */
 	SHARE_LEAST_MS = 15,
 	LEFT_MS = 4000,	 /* an endpoint's leaving is told so long */
 	TAKEN_MS = 3000, /* an entry shows an order within that */
+	SUM_WHOLE = 8,	 /* each so many sums one names all endpoints */
 	WANTS_MS = 15,	 /* between wants: an order takes as long */
 };
 
@@ -25,6 +24,7 @@
 	d->ready = s->ready;
 	d->leaving = s->leaving;
 	d->holder = plan_tells(s);
+	d->blind = follow_blind(s);
 	d->lease = plan_lease(s);
 	d->waiting = (uint32_t)line_tokens(s, NULL);
 	d->config_news = s->follow_config.news;
@@ -48,26 +48,45 @@
 	    (const struct sockaddr *)to, sizeof(*to));
 }
 
-/* Many instances share only within their domain; a beat tells the others. */
-static bool
-reaches(const serve_t *s, const peer_t *p, bool near_only)
+void
+tell_near(serve_t *s, const uint8_t *bytes, size_t n)
 {
-	return !near_only || s->peers.npeer < MANY ||
-	       strcmp(p->domain, s->site.domain) == 0;
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		if (peer_near(s, s->peers.peer[i]))
+			post(s, &s->peers.peer[i]->sa, bytes, n);
 }
 
 static void
-post_all(serve_t *s, Digest__Digest *d, bool near_only)
+post_far(serve_t *s, const uint8_t *bytes, size_t n)
 {
-	static uint8_t bytes[DATAGRAM_MAX];
-	size_t n = pack(s, d, bytes);
 	int i;
 
 	for (i = 0; i < s->peers.npeer; i++)
-		if (reaches(s, s->peers.peer[i], near_only))
+		if (!peer_near(s, s->peers.peer[i]))
 			post(s, &s->peers.peer[i]->sa, bytes, n);
 }
 
+/* Where instances are many, other domains hear of shares by sums. */
+static void
+post_all(serve_t *s, Digest__Digest *d, bool near_only)
+{
+	static uint8_t bytes[DATAGRAM_MAX];
+	bool many = s->peers.npeer >= MANY;
+	size_t n = pack(s, d, bytes);
+
+	tell_near(s, bytes, n);
+	if (many && near_only)
+		return;
+	if (many) {
+		d->n_endpoint = d->n_unread = d->n_running = d->n_memory =
+		    d->n_sent = 0;
+		n = pack(s, d, bytes);
+	}
+	post_far(s, bytes, n);
+}
+
 /* A digest in the making; each list holds one kind of its entries. */
 typedef struct parcel {
 	Digest__Digest d;
@@ -159,6 +178,19 @@
 	return false;
 }
 
+static void
+put_share(parcel_t *c, uint32_t tag, const burden_share_t *o, uint32_t sent)
+{
+	uint32_t v[] = { tag, (uint32_t)o->unread, (uint32_t)o->running,
+		(uint32_t)(o->memory + MEMORY_UNIT - 1) / MEMORY_UNIT, sent };
+
+	g_array_append_val(c->endpoint, v[0]);
+	g_array_append_val(c->unread, v[1]);
+	g_array_append_val(c->running, v[2]);
+	g_array_append_val(c->memory, v[3]);
+	g_array_append_val(c->sent, v[4]);
+}
+
 static void
 put_shares(serve_t *s, parcel_t *c, shares_t which)
 {
@@ -166,22 +198,13 @@
 
 	for (i = 0; i < s->fleet.nep; i++) {
 		ep_t *p = s->fleet.ep[i];
-		const burden_share_t *o = &p->burden.own;
-		uint32_t v[] = { p->tag, (uint32_t)o->unread,
-			(uint32_t)o->running,
-			(uint32_t)(o->memory + MEMORY_UNIT - 1) / MEMORY_UNIT,
-			p->sent };
 
 		if (!names_share(p, which))
 			continue;
 		p->touched = false;
 		if (which != SHARES_CHANGED)
 			p->touched_far = false;
-		g_array_append_val(c->endpoint, v[0]);
-		g_array_append_val(c->unread, v[1]);
-		g_array_append_val(c->running, v[2]);
-		g_array_append_val(c->memory, v[3]);
-		g_array_append_val(c->sent, v[4]);
+		put_share(c, p->tag, &p->burden.own, p->sent);
 	}
 }
 
@@ -228,8 +251,9 @@
 	}
 }
 
+/* @param news only those that weren't told yet; beats repeat the others */
 static void
-put_taken(serve_t *s, parcel_t *c)
+put_taken(serve_t *s, parcel_t *c, bool news)
 {
 	peers_t *ps = &s->peers;
 	int i, kept = 0;
@@ -242,6 +266,9 @@
 			continue;
 		ps->taken[kept] = *t;
 		t = &ps->taken[kept++];
+		if (news && t->told)
+			continue;
+		t->told = true;
 		m = g_new(Digest__Taken, 1);
 		digest__taken__init(m);
 		m->endpoint = t->endpoint;
@@ -277,7 +304,7 @@
 	    : how == TELL_SHARES ? SHARES_CHANGED
 				 : SHARES_CHANGED_FAR);
 	if (how != TELL_SHARES || s->peers.tell_taken)
-		put_taken(s, &c);
+		put_taken(s, &c, how == TELL_SHARES);
 	if (how != TELL_SHARES)
 		put_left(s, &c);
 	if (whole)
@@ -321,7 +348,7 @@
 		    (TAKEN_KEPT - 1) * sizeof(ps->taken[0]));
 		ps->ntaken--;
 	}
-	ps->taken[ps->ntaken++] = (taken_t){ p->tag, *l, s->loop.now };
+	ps->taken[ps->ntaken++] = (taken_t){ p->tag, *l, s->loop.now, false };
 	ps->tell_taken = true;
 }
 
@@ -347,6 +374,62 @@
 	parcel_free(&c);
 }
 
+static bool
+same_share(const burden_share_t *a, const burden_share_t *b)
+{
+	return a->unread == b->unread && a->running == b->running &&
+	       a->memory == b->memory;
+}
+
+static void
+put_sums(serve_t *s, parcel_t *c, bool whole)
+{
+	int i;
+
+	for (i = 0; i < s->fleet.nep; i++) {
+		ep_t *p = s->fleet.ep[i];
+		uint32_t sent = p->sent + p->sent_near;
+		burden_share_t sum;
+
+		sums_own(s, p, &sum);
+		if (whole
+			? sum.running == 0 && sent == 0
+			: same_share(&sum, &p->sum_told) && sent == p->sum_sent)
+			continue;
+		p->sum_told = sum;
+		p->sum_sent = sent;
+		put_share(c, p->tag, &sum, sent);
+	}
+}
+
+/* The relay of each other domain hears what ours has at endpoints. */
+static void
+tell_sums(void *arg)
+{
+	static uint8_t bytes[DATAGRAM_MAX];
+	serve_t *s = arg;
+	parcel_t c;
+	size_t n;
+	int i;
+
+	alarm_set(&s->loop, &s->peers.sums, s->loop.now + SUM_MS);
+	if (!peers_relays(s))
+		return;
+	parcel_init(&c);
+	c.d.whole = s->peers.nsum++ % SUM_WHOLE == 0;
+	c.d.sum_of = domain_hash(s->site.domain);
+	put_sums(s, &c, c.d.whole);
+	parcel_close(&c);
+	n = c.d.n_endpoint > 0 || c.d.whole ? pack(s, &c.d, bytes) : 0;
+	for (i = 0; i < s->peers.npeer && n > 0; i++) {
+		peer_t *p = s->peers.peer[i];
+
+		if (!peer_near(s, p) && peers_relay(s, p->domain) == p)
+			post(s, &p->sa, bytes, n);
+	}
+	parcel_free(&c);
+}
+
 static void
 share_due(void *arg)
 {
@@ -359,6 +442,8 @@
 tell_open(serve_t *s)
 {
 	s->peers.share = (alarm_t){ .fn = share_due, .arg = s };
+	s->peers.sums = (alarm_t){ .fn = tell_sums, .arg = s };
+	alarm_set(&s->loop, &s->peers.sums, s->loop.now + SUM_MS);
 }
 
 void
--- /dev/null
+++ b/tests/shares_test.c
@@ -0,0 +1,297 @@
+/* Many instances: who watches the store, and what domains tell each other. */
+#include "serve/shares.h"
+
+#include <string.h>
+
+enum {
+	DOMAINS = 3,
+	EACH = 8,
+	STRONG = 500, /* thousandths of a core */
+	WEAK = 120,
+};
+
+typedef struct crowd {
+	serve_t s;
+	ep_t ep;
+} crowd_t;
+
+/* Seen by the weak instance "d0-7"; "d0-0" and "d0-1" are strong. */
+static void
+set_up(crowd_t *t, int each)
+{
+	int d, i;
+
+	memset(t, 0, sizeof(*t));
+	t->s.loop.now = 50000;
+	t->s.site.cpu_share = WEAK / 1000.0;
+	g_strlcpy(t->s.site.domain, "d0", sizeof(t->s.site.domain));
+	g_strlcpy(t->s.site.instance, "d0-7", sizeof(t->s.site.instance));
+	t->s.peers.sum = g_ptr_array_new();
+	eps_init(&t->s.fleet);
+	g_strlcpy(t->ep.entry.id, "i-1", sizeof(t->ep.entry.id));
+	t->ep.tag = 77;
+	g_hash_table_insert(
+	    t->s.fleet.by_tag, GUINT_TO_POINTER(t->ep.tag), &t->ep);
+	t->s.peers.peer = g_new0(peer_t *, DOMAINS * each);
+	for (d = 0; d < DOMAINS; d++)
+		for (i = 0; i < each; i++) {
+			peer_t *p = g_new0(peer_t, 1);
+
+			g_snprintf(p->instance, ID_MAX, "d%d-%d", d, i);
+			if (strcmp(p->instance, t->s.site.instance) == 0) {
+				g_free(p);
+				continue;
+			}
+			g_snprintf(p->domain, ID_MAX, "d%d", d);
+			p->heard_at = t->s.loop.now;
+			p->ready = true;
+			p->power = i < 2 ? STRONG : WEAK;
+			p->share = g_hash_table_new_full(
+			    g_direct_hash, g_direct_equal, NULL, g_free);
+			t->s.peers.peer[t->s.peers.npeer++] = p;
+		}
+}
+
+static peer_t *
+named(crowd_t *t, const char *instance)
+{
+	int i;
+
+	for (i = 0; i < t->s.peers.npeer; i++)
+		if (strcmp(t->s.peers.peer[i]->instance, instance) == 0)
+			return t->s.peers.peer[i];
+	g_assert_not_reached();
+}
+
+static void
+tear_down(crowd_t *t)
+{
+	int i;
+
+	for (i = 0; i < t->s.peers.npeer; i++) {
+		g_hash_table_destroy(t->s.peers.peer[i]->share);
+		g_free(t->s.peers.peer[i]);
+	}
+	for (i = 0; i < (int)t->s.peers.sum->len; i++) {
+		peer_t *p = g_ptr_array_index(t->s.peers.sum, i);
+
+		g_hash_table_destroy(p->share);
+		g_free(p);
+	}
+	g_ptr_array_free(t->s.peers.sum, TRUE);
+	g_free(t->s.peers.peer);
+	g_hash_table_destroy(t->s.fleet.by_id);
+	g_hash_table_destroy(t->s.fleet.by_tag);
+}
+
+static void
+strong_machines_watch_for_their_domain(void)
+{
+	crowd_t t;
+	follow_t f = { .s = &t.s, .kind = KIND_CONFIG };
+
+	set_up(&t, EACH);
+	g_assert_true(follow_relayed(&f));
+	f.kind = KIND_ENDPOINTS;
+	g_assert_true(follow_relayed(&f));
+	/* The watchers are "d0-0" and "d0-1"; then come the weak by name. */
+	g_assert_cmpint(peers_watching(&t.s), ==, 7);
+	g_strlcpy(t.s.site.instance, "d0-2", sizeof(t.s.site.instance));
+	g_assert_cmpint(peers_watching(&t.s), ==, 2);
+	/* Another domain's watchers may be cut off with it. */
+	g_strlcpy(t.s.site.domain, "d9", sizeof(t.s.site.domain));
+	g_assert_false(follow_relayed(&f));
+	tear_down(&t);
+}
+
+/* The store turns the watchers away: the next ones take their place. */
+static void
+watcher_without_store_is_replaced(void)
+{
+	crowd_t t;
+	follow_t f = { .s = &t.s, .kind = KIND_CONFIG };
+
+	set_up(&t, EACH);
+	g_strlcpy(t.s.site.instance, "d0-2", sizeof(t.s.site.instance));
+	g_assert_true(follow_relayed(&f));
+	named(&t, "d0-0")->blind = true;
+	g_assert_false(follow_relayed(&f));
+	named(&t, "d0-0")->blind = false;
+	named(&t, "d0-1")->heard_at = 0;
+	g_assert_false(follow_relayed(&f));
+	tear_down(&t);
+}
+
+/* Lost history or a cut watch: each asks closely once, not for seconds. */
+static void
+shaken_crowd_asks_once_each(void)
+{
+	crowd_t t;
+	follow_t f = { .s = &t.s, .kind = KIND_ENDPOINTS };
+
+	set_up(&t, EACH);
+	t.s.shaken_at = t.s.loop.now;
+	g_assert_false(follow_relayed(&f));
+	f.close_at = t.s.loop.now;
+	g_assert_true(follow_relayed(&f));
+	tear_down(&t);
+}
+
+static void
+few_instances_all_watch_the_configuration(void)
+{
+	crowd_t t;
+	follow_t f = { .s = &t.s, .kind = KIND_CONFIG };
+
+	set_up(&t, 3);
+	g_assert_cmpint(t.s.peers.npeer, <, MANY);
+	g_assert_false(follow_relayed(&f));
+	tear_down(&t);
+}
+
+/* Lists of one endpoint each. */
+typedef struct one {
+	uint32_t tag, unread, running, memory, sent;
+	Digest__Digest d;
+} one_t;
+
+static const Digest__Digest *
+digest(one_t *o, uint32_t incarnation, uint32_t sequence)
+{
+	digest__digest__init(&o->d);
+	o->d.incarnation = incarnation;
+	o->d.sequence = sequence;
+	o->d.n_endpoint = o->d.n_unread = o->d.n_running = o->d.n_memory =
+	    o->d.n_sent = 1;
+	o->d.endpoint = &o->tag;
+	o->d.unread = &o->unread;
+	o->d.running = &o->running;
+	o->d.memory = &o->memory;
+	o->d.sent = &o->sent;
+	return &o->d;
+}
+
+static const Digest__Digest *
+sum(one_t *o, const char *domain, uint32_t incarnation, uint32_t sequence)
+{
+	digest(o, incarnation, sequence);
+	o->d.sum_of = domain_hash(domain);
+	return &o->d;
+}
+
+static void
+sums_count_once_each_domain(void)
+{
+	crowd_t t;
+	one_t o = { .tag = 77, .unread = 900, .running = 4, .memory = 10 };
+
+	set_up(&t, EACH);
+	sums_take(&t.s, sum(&o, "d1", 5, 1));
+	sums_take(&t.s, sum(&o, "d2", 6, 1));
+	g_assert_cmpint(t.ep.burden.others.running, ==, 8);
+	g_assert_cmpint(t.ep.burden.others.unread, ==, 1800);
+	g_assert_cmpint(t.ep.burden.others.memory, ==, 2 * 10 * MEMORY_UNIT);
+	/* Later, and one that was overtaken on its way. */
+	o.running = 1;
+	sums_take(&t.s, sum(&o, "d1", 5, 9));
+	o.running = 30;
+	sums_take(&t.s, sum(&o, "d1", 5, 8));
+	g_assert_cmpint(t.ep.burden.others.running, ==, 5);
+	/* Its own domain's instances tell it themselves. */
+	sums_take(&t.s, sum(&o, "d0", 7, 1));
+	g_assert_cmpint(t.ep.burden.others.running, ==, 5);
+	tear_down(&t);
+}
+
+static void
+next_relay_takes_the_place_of_the_last(void)
+{
+	crowd_t t;
+	one_t o = { .tag = 77, .running = 4, .sent = 1000 };
+
+	set_up(&t, EACH);
+	sums_take(&t.s, sum(&o, "d1", 5, 100));
+	o.running = 3;
+	o.sent = 900000;
+	sums_take(&t.s, sum(&o, "d1", 8, 1));
+	g_assert_cmpint(t.ep.burden.others.running, ==, 3);
+	/* The first count of another process is no prompt that was sent. */
+	g_assert_cmpint(t.ep.burden.others.unread, ==, 0);
+	tear_down(&t);
+}
+
+static void
+silent_domain_is_forgotten(void)
+{
+	crowd_t t;
+	one_t o = { .tag = 77, .running = 4 };
+
+	set_up(&t, EACH);
+	sums_take(&t.s, sum(&o, "d1", 5, 1));
+	t.s.loop.now += 3000;
+	sums_tidy(&t.s);
+	g_assert_cmpint(t.ep.burden.others.running, ==, 4);
+	t.s.loop.now += 2000;
+	sums_tidy(&t.s);
+	g_assert_cmpint(t.ep.burden.others.running, ==, 0);
+	tear_down(&t);
+}
+
+/* The relay adds up what lives in its own domain, and only there. */
+static void
+sum_is_of_the_own_domain(void)
+{
+	crowd_t t;
+	burden_share_t got;
+	one_t o = { .tag = 77, .running = 2, .sent = 10 };
+
+	set_up(&t, EACH);
+	t.ep.burden.own.running = 1;
+	shares_take(&t.s, named(&t, "d0-1"), digest(&o, 1, 1));
+	o.sent = 510;
+	shares_take(&t.s, named(&t, "d0-1"), digest(&o, 1, 2));
+	shares_take(&t.s, named(&t, "d0-3"), digest(&o, 2, 1));
+	shares_take(&t.s, named(&t, "d1-0"), digest(&o, 3, 1));
+	sums_own(&t.s, &t.ep, &got);
+	g_assert_cmpint(got.running, ==, 5);
+	g_assert_cmpint(t.ep.sent_near, ==, 500);
+	named(&t, "d0-3")->heard_at = 0;
+	sums_own(&t.s, &t.ep, &got);
+	g_assert_cmpint(got.running, ==, 3);
+	tear_down(&t);
+}
+
+static void
+strongest_that_lives_relays(void)
+{
+	crowd_t t;
+
+	set_up(&t, EACH);
+	g_assert_cmpstr(peers_relay(&t.s, "d1")->instance, ==, "d1-0");
+	g_assert_false(peers_relays(&t.s));
+	named(&t, "d1-0")->leaving = true;
+	g_assert_cmpstr(peers_relay(&t.s, "d1")->instance, ==, "d1-1");
+	t.s.site.cpu_share = 1;
+	g_assert_true(peers_relays(&t.s));
+	t.s.leaving = true;
+	g_assert_false(peers_relays(&t.s));
+	tear_down(&t);
+}
+
+#define T(name) g_test_add_func("/shares/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(strong_machines_watch_for_their_domain);
+	T(watcher_without_store_is_replaced);
+	T(shaken_crowd_asks_once_each);
+	T(few_instances_all_watch_the_configuration);
+	T(sums_count_once_each_domain);
+	T(next_relay_takes_the_place_of_the_last);
+	T(silent_domain_is_forgotten);
+	T(sum_is_of_the_own_domain);
+	T(strongest_that_lives_relays);
+	return g_test_run();
+}
