--- a/standin/crew.c
+++ b/standin/crew.c
@@ -6,6 +6,19 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+enum {
+	LEAVE_MS = 50, /* between looks whether calls on a model have ended */
+};
+
+/** A model that it holds or loads. */
+typedef struct held {
+	hand_t *h;
+	char name[ID_MAX];
+	bool loading, leaving;
+	GPtrArray *adapter; /* names */
+	alarm_t alarm;
+} held_t;
+
 typedef struct job {
 	hand_t *h;
 	link_t *link;
@@ -18,11 +31,17 @@
 struct hand {
 	loop_t *loop;
 	watch_t door;
-	char id[ID_MAX], addr[ADDR_MAX], model[ID_MAX];
+	char id[ID_MAX], addr[ADDR_MAX];
+	bool engine;
 	int events, slots;
+	const ware_t *ware;
+	int nware, weights_mb, over;
+	void (*changed)(void *arg, hand_t *h);
+	void *arg;
 	ms_t gap, work;
 	hand_fault_t fault;
-	GPtrArray *run, *order, *job, *adapter;
+	GPtrArray *run, *order, *job;
+	GPtrArray *held; /* held_t */
 	int64_t seq;
 	int connections;
 };
@@ -143,6 +162,196 @@
 	return r;
 }
 
+/* What it holds. */
+
+static held_t *
+held_find(const hand_t *h, const char *model)
+{
+	guint i;
+
+	for (i = 0; i < h->held->len; i++) {
+		held_t *m = h->held->pdata[i];
+
+		if (strcmp(m->name, model) == 0)
+			return m;
+	}
+	return NULL;
+}
+
+static int
+held_adapter(const held_t *m, const char *adapter)
+{
+	guint i;
+
+	for (i = 0; m != NULL && i < m->adapter->len; i++)
+		if (strcmp(m->adapter->pdata[i], adapter) == 0)
+			return (int)i;
+	return -1;
+}
+
+static const ware_t *
+ware_of(const hand_t *h, const char *model)
+{
+	int i;
+
+	for (i = 0; i < h->nware; i++)
+		if (strcmp(h->ware[i].name, model) == 0)
+			return &h->ware[i];
+	return NULL;
+}
+
+static void
+tell(hand_t *h)
+{
+	if (h->changed != NULL)
+		h->changed(h->arg, h);
+}
+
+/* Has it been ordered more than it can hold? */
+static void
+weigh(hand_t *h)
+{
+	int mb = 0, places = 0;
+	guint i;
+
+	for (i = 0; i < h->held->len; i++) {
+		const held_t *m = h->held->pdata[i];
+		const ware_t *w = ware_of(h, m->name);
+
+		places += (int)m->adapter->len;
+		if (w != NULL)
+			mb += w->mb + (int)m->adapter->len * w->adapter_mb;
+	}
+	if (h->nware > 0 && (mb > h->weights_mb || places > h->slots))
+		h->over++;
+}
+
+static void
+loaded(void *arg)
+{
+	held_t *m = arg;
+
+	m->loading = false;
+	tell(m->h);
+}
+
+static bool
+in_use(const held_t *m)
+{
+	guint i;
+
+	for (i = 0; i < m->h->job->len; i++) {
+		const job_t *j = m->h->job->pdata[i];
+		const char *v =
+		    j->run != NULL ? head_get(&j->link->head, "Model") : NULL;
+
+		if (v != NULL && strncmp(v, m->name, strlen(m->name)) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+leave(void *arg)
+{
+	held_t *m = arg;
+	hand_t *h = m->h;
+
+	if (in_use(m)) {
+		alarm_set(h->loop, &m->alarm, h->loop->now + LEAVE_MS);
+		return;
+	}
+	g_ptr_array_remove(h->held, m);
+	tell(h);
+}
+
+static held_t *
+held_add(hand_t *h, const char *model)
+{
+	held_t *m = g_new0(held_t, 1);
+
+	m->h = h;
+	str_copy(m->name, ID_MAX, model);
+	m->adapter = g_ptr_array_new_with_free_func(g_free);
+	m->alarm = (alarm_t){ .fn = loaded, .arg = m };
+	g_ptr_array_add(h->held, m);
+	return m;
+}
+
+static void
+free_held(gpointer p)
+{
+	held_t *m = p;
+
+	alarm_stop(m->h->loop, &m->alarm);
+	g_ptr_array_free(m->adapter, TRUE);
+	loop_bury(m->h->loop, m);
+}
+
+static bool
+busy(const hand_t *h)
+{
+	guint i;
+
+	for (i = 0; i < h->held->len; i++) {
+		const held_t *m = h->held->pdata[i];
+
+		if (m->loading || m->leaving)
+			return true;
+	}
+	return false;
+}
+
+/* @return the answer's status; -1: an order that isn't carried out here */
+static int
+model_order(hand_t *h, const order_seen_t *o)
+{
+	const ware_t *w = ware_of(h, o->model);
+	held_t *m = held_find(h, o->model);
+	bool load = strcmp(o->op, "load") == 0;
+
+	if (w == NULL)
+		return -1;
+	if (load == (m != NULL))
+		return 200;
+	if (busy(h))
+		return 409;
+	if (load) {
+		m = held_add(h, o->model);
+		m->loading = true;
+		alarm_set(h->loop, &m->alarm, h->loop->now + w->load);
+		weigh(h);
+		return 202;
+	}
+	m->leaving = true;
+	m->alarm.fn = leave;
+	alarm_set(h->loop, &m->alarm, h->loop->now);
+	return 202;
+}
+
+static int
+adapter_order(hand_t *h, const order_seen_t *o)
+{
+	held_t *m = held_find(h, o->model);
+	int at = held_adapter(m, o->adapter);
+
+	if (m == NULL || m->loading || m->leaving)
+		return h->nware > 0 ? 409 : -1;
+	if (strcmp(o->op, "load") == 0) {
+		if (at != -1)
+			return 200;
+		g_ptr_array_add(m->adapter, g_strdup(o->adapter));
+		weigh(h);
+		tell(h);
+		return 202;
+	}
+	if (at == -1)
+		return 200;
+	g_ptr_array_remove_index(m->adapter, (guint)at);
+	tell(h);
+	return 200;
+}
+
 static void
 order(job_t *j)
 {
@@ -152,6 +361,7 @@
 	order_seen_t *o = g_new0(order_seen_t, 1);
 	const json_t *expect = json_object_get(b, "expect_revision");
 	const char *adapter = json_string_value(json_object_get(b, "adapter"));
+	int status;
 
 	str_copy(o->op, sizeof(o->op),
 	    json_string_value(json_object_get(b, "operation")));
@@ -164,9 +374,15 @@
 	o->token = json_integer_value(json_object_get(b, "fencing_token"));
 	o->status = o->expect >= 0 && o->expect != h->seq ? 409 : 202;
 	if (o->status == 202) {
-		h->seq++;
-		if (adapter != NULL && strcmp(o->op, "load") == 0)
-			g_ptr_array_add(h->adapter, g_strdup(adapter));
+		status = o->adapter[0] != '\0' ? adapter_order(h, o)
+					       : model_order(h, o);
+		if (status != -1)
+			o->status = status;
+		/* What was done or begun counts; "holds already" doesn't. */
+		if (o->status == 202 ||
+		    (o->status == 200 && o->adapter[0] != '\0' &&
+			strcmp(o->op, "unload") == 0))
+			h->seq++;
 	}
 	g_ptr_array_add(h->order, o);
 	buf_fmt(&j->link->out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n",
@@ -179,13 +395,23 @@
 static json_t *
 models(const hand_t *h)
 {
-	json_t *list = json_array();
-	guint i;
-
-	for (i = 0; i < h->adapter->len; i++)
-		json_array_append_new(list, json_string(h->adapter->pdata[i]));
-	return json_pack("[{s:s,s:i,s:o}]", "name", h->model, "version", 1,
-	    "adapters", list);
+	json_t *out = json_array(), *list;
+	guint i, k;
+
+	for (i = 0; i < h->held->len; i++) {
+		const held_t *m = h->held->pdata[i];
+
+		if (m->loading)
+			continue;
+		list = json_array();
+		for (k = 0; k < m->adapter->len; k++)
+			json_array_append_new(
+			    list, json_string(m->adapter->pdata[k]));
+		json_array_append_new(
+		    out, json_pack("{s:s,s:i,s:o}", "name", m->name, "version",
+			     1, "adapters", list));
+	}
+	return out;
 }
 
 static void
@@ -193,7 +419,7 @@
 {
 	hand_t *h = j->h;
 	json_t *r = json_pack("{s:o,s:b,s:I,s:i,s:i,s:i,s:i}", "models",
-	    models(h), "busy", 0, "seq", (json_int_t)h->seq, "running", 0,
+	    models(h), "busy", busy(h), "seq", (json_int_t)h->seq, "running", 0,
 	    "waiting", 0, "kv_used", 0, "kv_total", 100000);
 	char *text = json_dumps(r, JSON_COMPACT);
 
@@ -212,17 +438,19 @@
 {
 	const head_t *h = &j->link->head;
 	const char *expect = head_get(h, "Expect-Instance");
-	const char *model = head_get(h, "Model"), *slash;
+	const char *asked = head_get(h, "Model"), *adapter;
 	bool other = expect != NULL && strcmp(expect, j->h->id) != 0;
 	bool lacks = false;
-	guint i;
-
-	slash = model != NULL ? strchr(model, '/') : NULL;
-	if (slash != NULL) {
-		lacks = true;
-		for (i = 0; i < j->h->adapter->len; i++)
-			lacks &=
-			    strcmp(slash + 1, j->h->adapter->pdata[i]) != 0;
+	char model[ID_MAX];
+	const held_t *m;
+
+	if (asked != NULL && j->h->engine) {
+		snprintf(model, sizeof(model), "%.*s", (int)strcspn(asked, "/"),
+		    asked);
+		adapter = strchr(asked, '/');
+		m = held_find(j->h, model);
+		lacks = m == NULL || m->loading || m->leaving ||
+			(adapter != NULL && held_adapter(m, adapter + 1) == -1);
 	}
 	if (!other && !lacks && j->h->fault != HAND_NOT_RUN)
 		return false;
@@ -268,8 +496,7 @@
 	default:
 		break;
 	}
-	if (h->model[0] == '\0' || h->fault == HAND_ERROR ||
-	    h->fault == HAND_BUSY) {
+	if (!h->engine || h->fault == HAND_ERROR || h->fault == HAND_BUSY) {
 		j->alarm = (alarm_t){ .fn = plain, .arg = j };
 		alarm_set(h->loop, &j->alarm, h->loop->now + h->work);
 		return;
@@ -366,8 +593,12 @@
 	h->loop = l;
 	str_copy(h->id, ID_MAX, o->id);
 	str_copy(h->addr, ADDR_MAX, o->addr);
-	if (o->model != NULL)
-		str_copy(h->model, ID_MAX, o->model);
+	h->engine = o->model != NULL;
+	h->ware = o->ware;
+	h->nware = o->nware;
+	h->weights_mb = o->weights_mb;
+	h->changed = o->changed;
+	h->arg = o->arg;
 	h->events = o->events;
 	h->gap = o->gap;
 	h->work = o->work;
@@ -375,7 +606,9 @@
 	h->run = g_ptr_array_new_with_free_func(free_run);
 	h->order = g_ptr_array_new_with_free_func(g_free);
 	h->job = g_ptr_array_new_with_free_func(free_job);
-	h->adapter = g_ptr_array_new_with_free_func(g_free);
+	h->held = g_ptr_array_new_with_free_func(free_held);
+	if (o->model != NULL)
+		held_add(h, o->model);
 	h->door = (watch_t){ net_listen(o->addr, &e), 0, knock, h };
 	if (h->door.fd == -1)
 		g_error("%s", e.text);
@@ -401,6 +634,24 @@
 	return h->order;
 }
 
+void
+hand_hold(hand_t *h, const char *model)
+{
+	held_add(h, model);
+}
+
+const char *
+hand_id(const hand_t *h)
+{
+	return h->id;
+}
+
+int
+hand_over(const hand_t *h)
+{
+	return h->over;
+}
+
 int
 hand_connections(const hand_t *h)
 {
@@ -417,7 +668,7 @@
 	    "cold_left_ms", 0, "born", (json_int_t)1000, "seq", 1);
 	char *text, *out;
 
-	if (h->model[0] != '\0')
+	if (h->engine)
 		json_object_set_new(j, "models", models(h));
 	text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
@@ -441,6 +692,6 @@
 	g_ptr_array_free(h->job, TRUE);
 	g_ptr_array_free(h->run, TRUE);
 	g_ptr_array_free(h->order, TRUE);
-	g_ptr_array_free(h->adapter, TRUE);
+	g_ptr_array_free(h->held, TRUE);
 	g_free(h);
 }
--- a/standin/crew.h
+++ b/standin/crew.h
@@ -43,12 +43,25 @@
 
 typedef struct hand hand_t;
 
+/** A model that endpoints may be ordered to hold. */
+typedef struct ware {
+	char name[ID_MAX];
+	int mb, adapter_mb;
+	ms_t load;
+} ware_t;
+
 typedef struct hand_opts {
 	const char *id, *addr;
 	const char *model; /* that it holds, NULL: a plain service */
-	int events;	   /* in a stream */
-	ms_t gap;	   /* between them */
-	ms_t work;	   /* of a plain answer */
+	/* It carries out orders for these; none: it only counts them. */
+	const ware_t *ware;
+	int nware, weights_mb;
+	/* What it holds has changed. */
+	void (*changed)(void *arg, hand_t *h);
+	void *arg;
+	int events; /* in a stream */
+	ms_t gap;   /* between them */
+	ms_t work;  /* of a plain answer */
 	int adapter_slots;
 } hand_opts_t;
 
@@ -58,6 +71,11 @@
 const GPtrArray *hand_runs(const hand_t *h);
 /** Orders in order; order_seen_t. */
 const GPtrArray *hand_orders(const hand_t *h);
+/** Hold a further model, without an order. */
+void hand_hold(hand_t *h, const char *model);
+const char *hand_id(const hand_t *h);
+/** Orders that it took beyond its memory or its places. */
+int hand_over(const hand_t *h);
 /** Connections that were made to it. */
 int hand_connections(const hand_t *h);
 /** Content of its entry in the store, g_malloc'd. */
--- /dev/null
+++ b/standin/crowd.h
@@ -0,0 +1,43 @@
+/**
+ * @file crowd.h
+ * Callers who come at a steady rate, whatever becomes of the earlier ones, and
+ * what they were told against what the endpoints ran.
+ */
+#ifndef CROWD_H
+#define CROWD_H
+
+#include "standin/crew.h"
+#include "standin/patron.h"
+
+typedef struct crowd_opts {
+	loop_t *loop;
+	char *const *entries; /* addresses that tell where to call */
+	int nentries;
+	hand_t *const *hand;
+	int nhand;
+	const char *host;
+	const ware_t *ware;
+	int nware, adapters; /* of each model */
+	int events;	     /* in a whole stream */
+	double rate;	     /* calls a second */
+	ms_t span;
+	/* Called each turn with the time since the first call, or NULL. */
+	void (*turn)(void *arg, ms_t since);
+	void *arg;
+} crowd_opts_t;
+
+typedef struct crowd_result {
+	int calls, served, refused, failed;
+	int again;   /* came back after a refusal or a lost connection */
+	int cut;     /* an answer that began and didn't end */
+	int lost;    /* a call that was taken and got no answer */
+	int mixed;   /* an answer to another call, or events out of order */
+	int doubled; /* a call that may run once ran more often */
+	int untrue;  /* "not run", and it ran */
+	histo_t first, whole; /* ms */
+} crowd_result_t;
+
+/** Call for the span, then wait for the last answers. */
+void crowd_run(const crowd_opts_t *o, crowd_result_t *r);
+
+#endif
--- /dev/null
+++ b/standin/sitefile.c
@@ -0,0 +1,37 @@
+#include "standin/sitefile.h"
+
+#include <glib.h>
+
+static const char limits_text[] =
+    "heartbeat_ms: 1200\nbounds:\n  drain_ms: 2000\n  grace_s: 4\n"
+    "  config_apply_ms: 2000\n  stability_window_ms: 3000\n"
+    "  lease_ms: 3000\n  ceiling_window_s: 5\n  ceiling_over: 1.1\n"
+    "  budget_ratio: 0.2\n  budget_extra_tries: 54\n"
+    "  budget_window_s: 10\n  ttl_max_s: 5\n  require_fencing: false\n";
+
+char *
+sitefile_text(const sitefile_t *f)
+{
+	GString *t = g_string_new(NULL);
+	int i;
+
+	g_string_append_printf(t,
+	    "node_name: \"%s\"\nip: \"%s\"\nzone: \"%s\"\nregion: \"r\"\n"
+	    "zones:\n",
+	    f->instance, f->ip, f->domain);
+	for (i = 0; f->domains[i] != NULL; i++)
+		g_string_append_printf(t, "  %s: \"r\"\n", f->domains[i]);
+	g_string_append_printf(t,
+	    "listen:\n  front: \"%s\"\n  ready: \"%s\"\n  directory: \"%s\"\n"
+	    "internal_ports:\n  - %d\n  - %d\n",
+	    f->caller, f->ready, f->entries, f->peer_port, f->peer_port + 1);
+	g_string_append_printf(t,
+	    "limits:\n  cpu_share: %g\n  memory_mb: 260\n  max_fds: 4100\n",
+	    f->cpu_share);
+	g_string_append(t, limits_text);
+	g_string_append_printf(t,
+	    "platform:\n  address: \"%s\"\n  history_s: 20\n"
+	    "a_field_of_tomorrow: 1\n",
+	    f->store);
+	return g_string_free(t, FALSE);
+}
--- /dev/null
+++ b/standin/yard.c
@@ -0,0 +1,123 @@
+/* A deployment's surroundings and its callers; its daemons start elsewhere. */
+#include "standin/ground.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	TURN_MS = 20,
+	READY_MS = 20000, /* all of a deployment, on a busy machine */
+};
+
+typedef struct choices {
+	char *dir, *name, *sizes, *ports;
+	int seconds;
+} choices_t;
+
+static volatile sig_atomic_t stop;
+
+static void
+on_stop(int sig)
+{
+	(void)sig;
+	stop = 1;
+}
+
+static int
+verdict(const ground_t *y, const crowd_result_t *r)
+{
+	int over = ground_over(y);
+	bool good =
+	    r->cut + r->lost + r->mixed + r->doubled + r->untrue + over == 0 &&
+	    r->served > 0;
+
+	printf("calls %d  served %d  refused %d  failed %d  came back %d\n",
+	    r->calls, r->served, r->refused, r->failed, r->again);
+	printf("must be 0: cut %d  lost %d  mixed %d  doubled %d  "
+	       "said not to have run %d  over memory %d\n",
+	    r->cut, r->lost, r->mixed, r->doubled, r->untrue, over);
+	printf("first event or answer: p50 %" PRId64 " ms  p99 %" PRId64
+	       " ms; whole p99 %" PRId64 " ms; orders %d\n",
+	    histo_quantile(&r->first, 0.5), histo_quantile(&r->first, 0.99),
+	    histo_quantile(&r->whole, 0.99), ground_orders(y));
+	printf("load: %s\n", good ? "good" : "BAD");
+	return good ? 0 : 1;
+}
+
+static int
+load(ground_t *y, int seconds)
+{
+	crowd_opts_t o = { .span = (ms_t)seconds * 1000 };
+	crowd_result_t r;
+
+	ground_load(y, &o);
+	crowd_run(&o, &r);
+	return verdict(y, &r);
+}
+
+static void
+options(choices_t *c, int argc, char **argv)
+{
+	const GOptionEntry entry[] = {
+		{ "dir", 0, 0, G_OPTION_ARG_STRING, &c->dir,
+		    "where the daemons' settings go", "DIR" },
+		{ "sizes", 0, 0, G_OPTION_ARG_STRING, &c->sizes,
+		    "sizes of the deployment", "FILE" },
+		{ "name", 0, 0, G_OPTION_ARG_STRING, &c->name,
+		    "name of the deployment", "NAME" },
+		{ "ports", 0, 0, G_OPTION_ARG_STRING, &c->ports,
+		    "free ones, for the store and each endpoint", "P,P,..." },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &c->seconds,
+		    "of load, 0: none, until a signal", "N" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+	GOptionContext *x =
+	    g_option_context_new("- store, endpoints and callers");
+	GError *e = NULL;
+
+	g_option_context_add_main_entries(x, entry, NULL);
+	if (!g_option_context_parse(x, &argc, &argv, &e) || c->dir == NULL ||
+	    c->sizes == NULL || c->name == NULL || c->ports == NULL) {
+		fprintf(stderr, "standin-yard: %s\n",
+		    e != NULL ? e->message
+			      : "--dir, --sizes, --name and --ports are "
+				"wanted");
+		exit(2);
+	}
+	g_option_context_free(x);
+}
+
+int
+main(int argc, char **argv)
+{
+	choices_t c = { 0 };
+	ground_t *y;
+	ms_t until;
+	int rc = 0;
+
+	options(&c, argc, argv);
+	signal(SIGTERM, on_stop);
+	signal(SIGINT, on_stop);
+	y = ground_new(&(ground_opts_t){ c.name, c.sizes, c.dir, c.ports });
+	printf("%d engines, %d plain endpoints, store at %s\n", y->z.engines,
+	    y->z.plain, y->store);
+	fflush(stdout);
+	until = y->loop.now + READY_MS;
+	while (!stop && !ground_ready(y) && y->loop.now < until)
+		loop_turn(&y->loop, TURN_MS);
+	if (!ground_ready(y)) {
+		printf("not all of %d daemons came\n", y->z.daemons);
+		return 1;
+	}
+	printf("%d daemons are ready\n", y->z.daemons);
+	fflush(stdout);
+	if (c.seconds > 0)
+		rc = load(y, c.seconds);
+	fflush(stdout);
+	while (!stop)
+		loop_turn(&y->loop, TURN_MS);
+	ground_free(y);
+	return rc;
+}
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -1,4 +1,5 @@
 #include "tests/stage.h"
+#include "standin/sitefile.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -11,19 +12,7 @@
 	TURN_MS = 20,
 };
 
-static const char settings_text[] =
-    "node_name: \"entry-%d\"\nip: \"%s\"\nzone: \"north\"\n"
-    "region: \"r\"\nzones:\n  north: \"r\"\n  south: \"r\"\n"
-    "listen:\n  front: \"%s\"\n  ready: \"%s\"\n  directory: \"%s\"\n"
-    "internal_ports:\n  - %d\n  - %d\n"
-    "limits:\n  cpu_share: 0.25\n  memory_mb: 260\n  max_fds: 4100\n"
-    "heartbeat_ms: 1200\nbounds:\n  drain_ms: 2000\n  grace_s: 4\n"
-    "  config_apply_ms: 2000\n  stability_window_ms: 3000\n"
-    "  lease_ms: 3000\n  ceiling_window_s: 5\n  ceiling_over: 1.1\n"
-    "  budget_ratio: 0.2\n  budget_extra_tries: 54\n"
-    "  budget_window_s: 10\n  ttl_max_s: 5\n  require_fencing: false\n"
-    "platform:\n  address: \"%s\"\n  history_s: 20\n"
-    "a_field_of_tomorrow: 1\n";
+static const char *const domains[] = { "north", "south", NULL };
 
 static const char config_text[] =
     "{\"version\":%d,\"routes\":["
@@ -145,7 +134,7 @@
 void
 stage_daemon(stage_t *st, int i, bool wait_ready)
 {
-	char ip[32], name[32], *text;
+	char ip[32], name[32], instance[32], *text;
 	asked_t a = { st, i };
 	int port[3];
 
@@ -158,9 +147,17 @@
 		st->entries[i] = g_strdup_printf("%s:%d", ip, port[2]);
 		snprintf(name, sizeof(name), "node-%d.yaml", i);
 		st->settings[i] = g_build_filename(st->dir, name, NULL);
-		text = g_strdup_printf(settings_text, i, ip, st->caller[i],
-		    st->ready[i], st->entries[i], st->peer_port,
-		    st->peer_port + 1, st->store);
+		snprintf(instance, sizeof(instance), "entry-%d", i);
+		text = sitefile_text(&(sitefile_t){ .instance = instance,
+		    .ip = ip,
+		    .domain = domains[0],
+		    .domains = domains,
+		    .caller = st->caller[i],
+		    .ready = st->ready[i],
+		    .entries = st->entries[i],
+		    .peer_port = st->peer_port,
+		    .store = st->store,
+		    .cpu_share = 0.25 });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
 		g_free(text);
 	}
@@ -200,70 +197,12 @@
 
 /* Callers */
 
-static void
-on_head(void *u, link_t *k)
-{
-	caller_t *c = u;
-	GString *t = g_string_new(NULL);
-	int i;
-
-	c->status = (int)k->parser.status_code;
-	for (i = 0; i < k->head.nfield; i++)
-		g_string_append_printf(t, "%s: %s\n", head_name(&k->head, i),
-		    head_value(&k->head, i));
-	g_free(c->head);
-	c->head = g_string_free(t, FALSE);
-}
-
-static void
-on_body(void *u, link_t *k, const char *p, size_t n)
-{
-	caller_t *c = u;
-
-	(void)k;
-	if (c->first == 0)
-		c->first = clock_now(&machine_clock);
-	buf_add(&c->body, p, n);
-}
-
-static void
-on_done(void *u, link_t *k)
-{
-	caller_t *c = u;
-
-	(void)k;
-	c->done = true;
-	c->over = clock_now(&machine_clock);
-}
-
-static void
-on_end(void *u, link_t *k, link_end_t why)
-{
-	caller_t *c = u;
-
-	(void)k, (void)why;
-	c->ended = true;
-	c->link = NULL;
-	if (c->over == 0)
-		c->over = clock_now(&machine_clock);
-}
-
-static const link_ops_t ops = {
-	.head = on_head, .body = on_body, .done = on_done, .end = on_end
-};
-
 static caller_t *
 open_to(stage_t *st, const char *addr, const char *bytes)
 {
-	caller_t *c = g_new0(caller_t, 1);
-	struct sockaddr_in sa;
-
-	c->st = st;
-	c->began = clock_now(&machine_clock);
-	g_assert_cmpint(net_addr(addr, &sa), ==, 0);
-	c->link = link_connect(&st->loop, &sa, &ops, c);
-	g_assert_nonnull(c->link);
-	buf_str(&c->link->out, bytes);
+	caller_t *c = patron_open(&st->loop, addr, bytes, NULL, st);
+
+	g_assert_nonnull(c);
 	return c;
 }
 
@@ -299,24 +238,19 @@
 bool
 caller_wait(caller_t *c, ms_t span)
 {
-	return stage_until(c->st, is_over, c, span);
+	return stage_until(c->arg, is_over, c, span);
 }
 
 void
 caller_leave(caller_t *c)
 {
-	if (c->link != NULL)
-		link_close(c->link);
-	c->link = NULL;
+	patron_leave(c);
 }
 
 void
 caller_free(caller_t *c)
 {
-	caller_leave(c);
-	buf_free(&c->body);
-	g_free(c->head);
-	g_free(c);
+	patron_free(c);
 }
 
 int
@@ -330,8 +264,7 @@
 	caller_wait(c, 1000);
 	status = c->done ? c->status : 0;
 	if (body != NULL)
-		*body = g_strndup(
-		    c->body.p != NULL ? c->body.p : "", buf_len(&c->body));
+		*body = patron_text(c);
 	caller_free(c);
 	g_free(text);
 	return status;
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -8,6 +8,7 @@
 
 #include "net/net.h"
 #include "standin/crew.h"
+#include "standin/patron.h"
 #include "standin/shelf.h"
 #include "tests/proc.h"
 
@@ -30,17 +31,8 @@
 	int version;
 } stage_t;
 
-/** What one caller sees. */
-typedef struct caller {
-	stage_t *st;
-	link_t *link;
-	int status;
-	buf_t body;
-	char *head; /* of the answer: "Name: value" lines */
-	bool done;  /* the answer is whole */
-	bool ended; /* the connection closed */
-	ms_t began, first, over;
-} caller_t;
+/** What one caller sees; its arg is the stage. */
+typedef patron_t caller_t;
 
 /** A store with a configuration, no endpoints, no daemons. */
 stage_t *stage_new(void);
