One more copy of an adapter for a call that has tried all there are

Found by tests/crowd_proc.c: of some 500 calls beside one endpoint that breaks streams off, 17 and 11 (two runs) were cut, and 8 failed beside one that resets, with 'every endpoint that may be tried was': the adapter was held by that endpoint alone, and no other was asked to take it, though it would be there in some 30 ms.

Such a call now waits, and the holder orders one copy more (a flag of its own, for half a second: a call that merely waits for the first copy asks for no second one). Ruled out: the same for models, whose load takes seconds.

--- a/serve/choose.c
+++ b/serve/choose.c
@@ -199,7 +199,7 @@
 				? LOAD_GUESS_MS
 				: m->load + LOAD_GUESS_MS;
 
-		plan_want(s, c);
+		plan_want(s, c, false);
 		out->why = "no endpoint holds the model yet";
 		if (now - c->came + need < call_bound(c) ||
 		    (c->state == ST_WAITING &&
@@ -228,6 +228,12 @@
 		return;
 	}
 	out->why = "every endpoint that may be tried was";
+	/* An adapter is soon at another one that holds the model. */
+	if (c->ask.adapter[0] != '\0' && sc->usable > sc->tried &&
+	    now - c->came + LOAD_GUESS_MS < call_bound(c)) {
+		plan_want(s, c, true);
+		out->kind = CHOICE_WAIT;
+	}
 }
 
 void
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -277,7 +277,7 @@
   (ProtobufCMessageInit) digest__card__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor digest__demand__field_descriptors[6] =
 {
   {
     "service",
@@ -339,9 +339,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "further",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Demand, further),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__demand__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
+  5,   /* field[5] = further */
   1,   /* field[1] = model */
   0,   /* field[0] = service */
   4,   /* field[4] = waiting */
@@ -350,7 +363,7 @@
 static const ProtobufCIntRange digest__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor digest__demand__descriptor =
 {
@@ -360,7 +373,7 @@
   "Digest__Demand",
   "digest",
   sizeof(Digest__Demand),
-  5,
+  6,
   digest__demand__field_descriptors,
   digest__demand__field_indices_by_name,
   1,  digest__demand__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -63,10 +63,14 @@
    * a call found no endpoint that holds it
    */
   protobuf_c_boolean waiting;
+  /*
+   * a call has tried all that hold it
+   */
+  protobuf_c_boolean further;
 };
 #define DIGEST__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__demand__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -214,6 +214,7 @@
 		const Digest__Demand *m = d->demand[i];
 		demand_told_t t = { .work = m->work,
 			.waiting = m->waiting,
+			.further = m->further,
 			.at = s->loop.now };
 
 		str_copy(t.service, ID_MAX, m->service);
@@ -222,7 +223,7 @@
 		if (!d->all_demand)
 			t.work = 0;
 		g_array_append_val(p->demand, t);
-		if (t.waiting)
+		if (t.waiting || t.further)
 			plan_wanted(s);
 	}
 }
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -8,6 +8,7 @@
 	TICK_MS = 100,
 	MOVES = 6,		/* orders in one tick */
 	WANTS_MS = 3000,	/* a call that waits has given up by then */
+	FURTHER_MS = 500,	/* one copy more is there by then */
 	ADAPTER_IDLE_MS = 3000, /* asked for since: it isn't dropped */
 	ADAPTER_WORK = 300,	/* tokens/s: a call in the last seconds */
 	FIRST_LOADS = 4, /* from the store, in a new holder's first window */
@@ -30,6 +31,7 @@
 	int model;
 	double work;
 	bool waiting;
+	bool further; /* one copy more: a call has tried those there are */
 } asked_t;
 
 typedef struct board {
@@ -56,10 +58,12 @@
 
 static void
 ask_for(board_t *b, const char *service, const char *model, const char *adapter,
-    double work, bool waiting)
+    double work, bool waiting, bool further)
 {
 	int m = model_index(b->def, model);
-	asked_t a = { .model = m, .work = work, .waiting = waiting };
+	asked_t a = {
+		.model = m, .work = work, .waiting = waiting, .further = further
+	};
 	guint i;
 
 	if (m == -1 || strcmp(service, b->def->name) != 0)
@@ -75,6 +79,7 @@
 		if (x->model == m && strcmp(x->adapter, adapter) == 0) {
 			x->work += work;
 			x->waiting |= waiting;
+			x->further |= further;
 			return;
 		}
 	}
@@ -97,7 +102,8 @@
 		demand_t *d = v;
 
 		ask_for(b, d->service, d->model, d->adapter, demand_now(s, d),
-		    d->waiting_at != 0 && now - d->waiting_at < WANTS_MS);
+		    d->waiting_at != 0 && now - d->waiting_at < WANTS_MS,
+		    d->further_at != 0 && now - d->further_at < FURTHER_MS);
 	}
 	for (i = 0; i < s->peers.npeer; i++) {
 		peer_t *p = s->peers.peer[i];
@@ -109,7 +115,8 @@
 			    &g_array_index(p->demand, demand_told_t, k);
 
 			ask_for(b, t->service, t->model, t->adapter, t->work,
-			    t->waiting && now - t->at < WANTS_MS);
+			    t->waiting && now - t->at < WANTS_MS,
+			    t->further && now - t->at < FURTHER_MS);
 		}
 	}
 }
@@ -452,7 +459,8 @@
 		for (e = 0; e < b->nep; e++)
 			copies +=
 			    b->ep[e].usable && has_adapter(b, b->desk[e], a);
-		if (copies == 0 ? a->waiting || a->work > 0 : copies < want)
+		if (copies == 0 ? a->waiting || a->work > 0
+				: copies < want + a->further)
 			place_adapter(b, a);
 	}
 }
@@ -520,13 +528,14 @@
 }
 
 void
-plan_want(serve_t *s, const call_t *c)
+plan_want(serve_t *s, const call_t *c, bool further)
 {
 	demand_t *d = demand_find(s, c->service, c->ask.model, c->ask.adapter);
+	ms_t *at = further ? &d->further_at : &d->waiting_at;
 
-	if (d->waiting_at == 0 || s->loop.now - d->waiting_at > TICK_MS)
+	if (*at == 0 || s->loop.now - *at > TICK_MS)
 		s->peers.tell_wants = true;
-	d->waiting_at = s->loop.now;
+	*at = s->loop.now;
 	plan_wanted(s);
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -409,7 +409,7 @@
 	char model[ID_MAX];
 	char adapter[ID_MAX];
 	double work;
-	bool waiting;
+	bool waiting, further;
 	ms_t at;
 } demand_told_t;
 
@@ -504,6 +504,7 @@
 	ms_t at;	 /* of the last decay */
 	ms_t asked_at;	 /* last call */
 	ms_t waiting_at; /* last call that found none, 0: none */
+	ms_t further_at; /* last call that had tried all, 0: none */
 } demand_t;
 
 void demand_note(serve_t *s, const call_t *c);
@@ -515,8 +516,11 @@
 
 typedef struct plan plan_t;
 plan_t *plan_new(serve_t *s);
-/** A call waits for something that no endpoint holds. */
-void plan_want(serve_t *s, const call_t *c);
+/**
+ * A call waits for something that no endpoint holds.
+ * @param further it has tried all that hold it
+ */
+void plan_want(serve_t *s, const call_t *c, bool further);
 bool plan_holder(const serve_t *s);
 /** May others rely on this holder? */
 bool plan_tells(const serve_t *s);
--- a/serve/tell.c
+++ b/serve/tell.c
@@ -236,9 +236,11 @@
 		double work = demand_now(s, d);
 		bool waits = d->waiting_at != 0 &&
 			     s->loop.now - d->waiting_at < WANTED_MS;
+		bool further = d->further_at != 0 &&
+			       s->loop.now - d->further_at < WANTED_MS;
 		Digest__Demand *m;
 
-		if (only_waiting ? !waits : work < 1 && !waits)
+		if (only_waiting ? !waits && !further : work < 1 && !waits)
 			continue;
 		m = g_new(Digest__Demand, 1);
 		digest__demand__init(m);
@@ -247,6 +249,7 @@
 		m->adapter = d->adapter;
 		m->work = (uint32_t)work;
 		m->waiting = waits;
+		m->further = further;
 		g_ptr_array_add(c->demand, m);
 	}
 }
--- a/tests/crowd_proc.c
+++ b/tests/crowd_proc.c
@@ -391,7 +391,7 @@
 static void
 endpoints_reset(void)
 {
-	with_hands(hands_reset, 0.85);
+	with_hands(hands_reset, 0.95);
 }
 
 static void
@@ -403,7 +403,7 @@
 static void
 endpoints_break_streams_off(void)
 {
-	with_hands(hands_cut, 0.95);
+	with_hands(hands_cut, 0.98);
 }
 
 static void
