A load from hand serves as soon as an entry shows it

Now a load that an entry has shown is done; one whose unload came shortly before is shown only by a report, since entries may show the time before.

Ruled out: entries that list a model while it is being loaded (reports show it only when done).

--- a/Makefile
+++ b/Makefile
@@ -116,10 +116,10 @@
 prove: deps
 	@$(MAKE) --no-print-directory -j8 programs proc-build
 	@tools/prove
-SEED = 1
+SEEDS = 1-50
 soak: deps
 	@$(MAKE) --no-print-directory -j8 programs proc-build
-	@tools/soak $(SEED)
+	@SOAK_SEEDS="$(SEEDS)" $(O)/tests/soak_proc --tap -k
 bench: deps
 	@$(MAKE) --no-print-directory -j8 programs
 	@tools/bench
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -220,7 +220,8 @@
 	for (i = 0; i < p->nlearnt; i++) {
 		learnt_t *l = &p->learnt[i];
 
-		l->shown |= l->load && ep_lists(p, l->model, l->adapter);
+		l->shown |=
+		    l->load && !l->again && ep_lists(p, l->model, l->adapter);
 	}
 }
 
@@ -238,6 +239,21 @@
 	    (size_t)(p->nlearnt - at) * sizeof(p->learnt[0]));
 }
 
+/* Is an unload of the same known that no entry need have shown? */
+static bool
+was_unloaded(const ep_t *p, const learnt_t *l)
+{
+	int i;
+
+	for (i = 0; i < p->nlearnt; i++)
+		if (!p->learnt[i].load &&
+		    strcmp(p->learnt[i].model, l->model) == 0 &&
+		    (p->learnt[i].adapter[0] == '\0' ||
+			strcmp(p->learnt[i].adapter, l->adapter) == 0))
+			return true;
+	return false;
+}
+
 bool
 ep_learn(ep_t *p, const learnt_t *l)
 {
@@ -254,6 +270,7 @@
 	if (p->nlearnt == LEARNT_MAX)
 		forget_one(p);
 	p->learnt[p->nlearnt] = *l;
+	p->learnt[p->nlearnt].again = l->load && was_unloaded(p, l);
 	p->nlearnt++;
 	return true;
 }
@@ -271,7 +288,7 @@
 		if (!ep_unshown(p, l) || strcmp(l->model, model) != 0)
 			continue;
 		if (strcmp(l->adapter, adapter) == 0)
-			has = l->load && now >= l->at;
+			has = l->load && (l->shown || now >= l->at);
 		else if (l->adapter[0] == '\0' && !l->load)
 			has = false;
 	}
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -17,6 +17,19 @@
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
 
+/* Weights at hand load faster than the configuration says. */
+static bool
+loaded(const desk_t *d)
+{
+	const ep_t *p = d->ep;
+	int i;
+
+	for (i = p->nlearnt - 1; i >= 0; i--)
+		if (p->learnt[i].adapter[0] == '\0')
+			return p->learnt[i].load && p->learnt[i].shown;
+	return false;
+}
+
 desk_t *
 desk_of(plan_t *p, ep_t *ep)
 {
@@ -40,6 +53,8 @@
 	}
 	if (ep->orders > d->orders)
 		d->orders = ep->orders;
+	if (loaded(d))
+		d->busy_until = 0;
 	return d;
 }
 
--- a/standin/crew.c
+++ b/standin/crew.c
@@ -24,6 +24,7 @@
 	link_t *link;
 	buf_t body;
 	run_t *run;   /* under way, or NULL */
+	bool early;   /* answered already */
 	int64_t next; /* event */
 	alarm_t alarm;
 } job_t;
@@ -65,6 +66,26 @@
 	    status, http_reason(status), j->run->id, j->h->id, extra);
 }
 
+static void drop(job_t *j);
+
+/* An answer without a length; a reset tells that it isn't whole. */
+static void
+unframed(job_t *j, const char *body, bool torn)
+{
+	struct linger hard = { 1, 0 };
+
+	head(j, 200, "Server-Signature: s1\r\nConnection: close\r\n\r\n");
+	buf_add(&j->link->out, body, strlen(body) / (torn ? 2 : 1));
+	link_flush(j->link);
+	if (torn)
+		setsockopt(j->link->watch.fd, SOL_SOCKET, SO_LINGER, &hard,
+		    sizeof(hard));
+	j->run->whole = !torn;
+	j->run = NULL;
+	link_close(j->link);
+	drop(j);
+}
+
 static void
 plain(void *arg)
 {
@@ -79,6 +100,10 @@
 		finish(j, true);
 		return;
 	}
+	if (j->h->fault == HAND_UNFRAMED || j->h->fault == HAND_TORN) {
+		unframed(j, body, j->h->fault == HAND_TORN);
+		return;
+	}
 	head(j, bad ? 500 : 200,
 	    j->h->fault == HAND_UNSIGNED ? "" : "Server-Signature: s1\r\n");
 	buf_fmt(
@@ -470,6 +495,11 @@
 	hand_t *h = j->h;
 	const char *target = head_target(&k->head);
 
+	if (j->early) {
+		j->early = false;
+		link_next(k);
+		return;
+	}
 	if (strcmp(target, "/v1/order") == 0) {
 		order(j);
 		return;
@@ -514,8 +544,13 @@
 {
 	job_t *j = u;
 
-	(void)k;
 	j->body.off = j->body.len = 0;
+	if (j->h->fault != HAND_EARLY)
+		return;
+	j->early = true;
+	buf_str(&k->out, "HTTP/1.1 503 Service Unavailable\r\n"
+			 "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	link_flush(k);
 }
 
 static void
--- a/standin/crew.h
+++ b/standin/crew.h
@@ -21,6 +21,9 @@
 	HAND_EXTRA,    /* a second answer after each */
 	HAND_FOREIGN,  /* an answer to another call first */
 	HAND_UNSIGNED, /* a success without its signature */
+	HAND_UNFRAMED, /* no length: the end of the connection ends it */
+	HAND_TORN,     /* no length, half of it, and a reset */
+	HAND_EARLY,    /* answers a request before it has read its body */
 } hand_fault_t;
 
 /** A call that it ran. */
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -98,6 +98,53 @@
 	config_free(t.s.config);
 }
 
+/* Its weights were at hand: it is there long before the load's usual time. */
+static void
+load_from_hand_serves_as_soon_as_it_is_shown(void)
+{
+	desk_set_t t;
+	plan_t p = { 0 };
+
+	set_up(&t);
+	p.s = &t.s;
+	p.desk =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	desk_of(&p, &t.ep)->ask = false;
+	learn(&t, "m2", "", true, 1, 108000);
+	desk_of(&p, &t.ep)->busy_until = 108000;
+	t.s.loop.now = 101000;
+	g_assert_false(ep_holds(&t.ep, "m2", "", t.s.loop.now));
+	g_assert_false(desk_free(desk_of(&p, &t.ep)));
+	hold(&t, "m2");
+	ep_mark_shown(&t.ep);
+	g_assert_true(ep_holds(&t.ep, "m2", "", t.s.loop.now));
+	g_assert_true(desk_free(desk_of(&p, &t.ep)));
+	g_hash_table_destroy(p.desk);
+	config_free(t.s.config);
+}
+
+/* Entries from before its unload don't show the load that came after it. */
+static void
+load_after_an_unload_isn_t_shown_by_old_entries(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m1", "a1", true, 1, 100000);
+	learn(&t, "m1", "a1", false, 2, 100100);
+	t.ep.learnt[1].sure = true;
+	learn(&t, "m1", "a1", true, 3, 100200);
+	t.ep.entry.holds.nadapter = 1;
+	g_strlcpy(t.ep.entry.holds.adapter[0].name, "a1",
+	    sizeof(t.ep.entry.holds.adapter[0].name));
+	ep_mark_shown(&t.ep);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
+	t.ep.entry.holds.nadapter = 0;
+	ep_mark_shown(&t.ep);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
+	config_free(t.s.config);
+}
+
 /* It waits for the calls that use it. */
 static void
 unload_that_waits_frees_nothing(void)
@@ -311,6 +358,8 @@
 	T(old_copies_show_no_order);
 	T(places_count_though_a_late_entry_lacks_them);
 	T(unload_that_waits_frees_nothing);
+	T(load_from_hand_serves_as_soon_as_it_is_shown);
+	T(load_after_an_unload_isn_t_shown_by_old_entries);
 	T(entry_older_than_a_report_hides_nothing);
 	T(many_orders_push_out_no_unshown_load);
 	T(new_desk_asks_before_it_orders);
--- a/tests/path_proc.c
+++ b/tests/path_proc.c
@@ -1,7 +1,10 @@
 /* A call's way through one daemon, with endpoints that fail in each way. */
+#define _GNU_SOURCE /* F_SETPIPE_SZ */
 #include "tests/stage.h"
 
+#include <fcntl.h>
 #include <string.h>
+#include <unistd.h>
 
 static const hand_opts_t plain = { .work = 20 };
 static const hand_opts_t stream = {
@@ -436,6 +439,160 @@
 	stage_free(st);
 }
 
+/* The end of the connection ends the answer: it is whole. */
+static void
+answer_without_a_length_is_whole(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_UNFRAMED);
+	c = caller_call(st, 0, "POST", "/once/a", "r1", "");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->body.p, "answer to r1 by ep-0"));
+	caller_free(c);
+	stage_free(st);
+}
+
+/* A reset ends it: half an answer is none, and it may have run. */
+static void
+torn_answer_is_no_answer(void)
+{
+	stage_t *st = one_daemon(&plain, 2, "app");
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_TORN);
+	hand_fault(st->hand[1], HAND_TORN);
+	c = caller_call(st, 0, "POST", "/once/a", "r1", "");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_cmpint(runs(st), ==, 1);
+	caller_free(c);
+	/* One that may be repeated gets its answer elsewhere. */
+	hand_fault(st->hand[1], HAND_SOUND);
+	c = caller_call(st, 0, "GET", "/safe/a", "r2", "");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->body.p, "answer to r2 by ep-1"));
+	caller_free(c);
+	stage_free(st);
+}
+
+/* What is left of the request would be read as another one there. */
+static void
+early_answer_ends_its_connection(void)
+{
+	stage_t *st = one_daemon(&plain, 1, "app");
+	enum {
+		BODY = 60000
+	};
+	char *body = g_strnfill(BODY, 'x');
+	char *text = g_strdup_printf(
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+	    "Content-Length: %d\r\n\r\n%s",
+	    BODY, body);
+	caller_t *c;
+
+	hand_fault(st->hand[0], HAND_EARLY);
+	c = caller_send(st, 0, text);
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 503);
+	g_assert_cmpint(runs(st), ==, 0);
+	caller_free(c);
+	hand_fault(st->hand[0], HAND_SOUND);
+	c = caller_call(st, 0, "POST", "/once/b", "r2", "");
+	g_assert_true(caller_wait(c, 3000));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpint(hand_connections(st->hand[0]), ==, 2);
+	caller_free(c);
+	g_free(text);
+	g_free(body);
+	stage_free(st);
+}
+
+enum {
+	PIPE_BYTES = 4096, /* the least that a pipe holds */
+	AT_ONCE = 40,
+	ROUNDS = 10,
+};
+
+static double
+metric(stage_t *st, const char *name)
+{
+	char addr[64], *body = NULL, *at;
+	double v;
+
+	snprintf(addr, sizeof(addr), "%.*s:9464",
+	    (int)strcspn(st->caller[0], ":"), st->caller[0]);
+	g_assert_cmpint(page_status(st, addr, "/metrics", &body), ==, 200);
+	at = g_strrstr(body, name);
+	g_assert_nonnull(at);
+	v = g_ascii_strtod(at + strlen(name), NULL);
+	g_free(body);
+	return v;
+}
+
+static void
+many_calls(stage_t *st)
+{
+	caller_t *c[AT_ONCE];
+	char id[24];
+	int i, k;
+
+	for (k = 0; k < ROUNDS; k++) {
+		for (i = 0; i < AT_ONCE; i++) {
+			snprintf(id, sizeof(id), "r%d-%d", k, i);
+			c[i] = caller_call(st, 0, "GET", "/safe/a", id,
+			    "Deadline-Remaining: 1500\r\n");
+		}
+		for (i = 0; i < AT_ONCE; i++) {
+			g_assert_true(caller_wait(c[i], 3000));
+			g_assert_cmpint(c[i]->status, ==, 200);
+			caller_free(c[i]);
+		}
+	}
+}
+
+/* Its pipe is full, and nobody reads it: lines are dropped, calls aren't. */
+static void
+log_reader_that_stops_holds_nothing_up(void)
+{
+	static char bytes[PIPE_BYTES * 16];
+	stage_t *st = stage_new();
+	caller_t *c;
+	int out[2], i;
+	ssize_t n;
+
+	stage_config(st, "");
+	for (i = 0; i < 3; i++)
+		stage_hand(st, &plain, "app");
+	g_assert_cmpint(pipe(out), ==, 0);
+	g_assert_cmpint(fcntl(out[1], F_SETPIPE_SZ, PIPE_BYTES), >, 0);
+	g_assert_cmpint(write(out[1], bytes, PIPE_BYTES), ==, PIPE_BYTES);
+	g_assert_cmpint(fcntl(out[0], F_SETFL, O_NONBLOCK), ==, 0);
+	proc_output(out[1]);
+	stage_daemon(st, 0, true);
+	many_calls(st);
+	g_assert_cmpfloat(metric(st, "\nebonypitch_log_dropped "), >, 0);
+	/* The reader comes back: lines go on, and tell what is missing. */
+	n = read(out[0], bytes, sizeof(bytes) - 1);
+	g_assert_cmpint(n, ==, PIPE_BYTES);
+	for (i = 0; i < 20; i++) {
+		c = caller_call(st, 0, "GET", "/safe/a", "after", "");
+		g_assert_true(caller_wait(c, 3000));
+		caller_free(c);
+		n = read(out[0], bytes, sizeof(bytes) - 1);
+		bytes[n > 0 ? n : 0] = '\0';
+		if (strstr(bytes, "event=log-dropped") != NULL)
+			break;
+	}
+	g_assert_cmpint(i, <, 20);
+	close(out[0]);
+	close(out[1]);
+	stage_free(st);
+}
+
 #define T(name) g_test_add_func("/path/" #name, name)
 
 int
@@ -458,5 +615,9 @@
 	T(missing_host_and_limits);
 	T(body_in_chunks_is_forwarded);
 	T(connections_are_kept);
+	T(answer_without_a_length_is_whole);
+	T(torn_answer_is_no_answer);
+	T(early_answer_ends_its_connection);
+	T(log_reader_that_stops_holds_nothing_up);
 	return g_test_run();
 }
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -20,6 +20,14 @@
 	LOOK_MS = 10,
 };
 
+static int output = -1;
+
+void
+proc_output(int fd)
+{
+	output = fd;
+}
+
 proc_t *
 proc_startv(const char *name, char *const args[])
 {
@@ -41,12 +49,13 @@
 	g_assert_cmpint(p->pid, !=, -1);
 	if (p->pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		dup2(fd, STDOUT_FILENO);
+		dup2(output != -1 ? output : fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		execv(bin, argv);
 		_exit(127);
 	}
 	close(fd);
+	output = -1;
 	g_free(bin);
 	g_free(log);
 	return p;
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -19,6 +19,8 @@
 /** Start @p name with the arguments that follow, up to NULL. */
 proc_t *proc_start(const char *name, ...) __attribute__((sentinel));
 proc_t *proc_startv(const char *name, char *const args[]);
+/** The next program started writes its output there, not to build/testlog. */
+void proc_output(int fd);
 void proc_signal(proc_t *p, int sig);
 /** @return true once it has ended, within @p span ms. */
 bool proc_ended(proc_t *p, ms_t span);
--- /dev/null
+++ b/tests/soak_proc.c
@@ -0,0 +1,238 @@
+/*
+ * Seeded faults of all kinds, alone and overlapping, beside callers. SOAK_SEEDS
+ * is a list ("7 21") or a span ("1-50"); without it a fixed few and a fresh
+ * one are run.
+ */
+#include "tests/bed.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SPAN_MS = 8000,
+	FAULTS = 7,	   /* in a run */
+	FIRST_MS = 800,	   /* the earliest begins */
+	LAST_MS = 6000,	   /* the latest begins */
+	LEAST_MS = 300,	   /* a fault lasts at least ... */
+	MOST_MS = 3000,	   /* ... and at most so long */
+	FIXED = 2,	   /* seeds 1 to this in a run of all tests */
+	SEEDS_MOST = 1000, /* of a span */
+};
+
+typedef enum kind {
+	F_KILL,
+	F_STOP, /* as planned */
+	F_FREEZE,
+	F_HUP,
+	F_STORE,
+	F_COMPACT,
+	F_DEAF,
+	F_HAND,
+	KINDS
+} fault_kind_t;
+
+static const char *const kind_name[] = { "kill", "stop", "freeze", "hup",
+	"store", "compact", "deaf", "hand" };
+/* Of endpoints: each may answer anything but its own, whole answer. */
+static const hand_fault_t hand_faults[] = { HAND_RESET, HAND_NOT_RUN,
+	HAND_ERROR, HAND_BUSY, HAND_MUTE, HAND_CUT, HAND_EXTRA, HAND_FOREIGN,
+	HAND_UNSIGNED, HAND_UNFRAMED, HAND_TORN, HAND_EARLY };
+static const shelf_fault_t store_faults[] = { SHELF_SILENT, SHELF_BUSY,
+	SHELF_LIMIT, SHELF_RESET, SHELF_LOST };
+
+typedef struct fault {
+	fault_kind_t kind;
+	int which, how; /* daemon or endpoint; variant */
+	ms_t at, until;
+	bool begun, ended;
+} fault_t;
+
+typedef struct run_ {
+	bed_t *b;
+	fault_t fault[FAULTS];
+} run_of_t;
+
+static void
+plan(run_of_t *r, uint64_t seed)
+{
+	rng_t g = { seed * 2654435761u + 1 };
+	int i;
+
+	for (i = 0; i < FAULTS; i++) {
+		fault_t *f = &r->fault[i];
+
+		f->kind = (fault_kind_t)(rng_next(&g) % KINDS);
+		f->which = (int)(rng_next(&g) % 1000);
+		f->how = (int)(rng_next(&g) % 1000);
+		f->at = FIRST_MS + (ms_t)(rng_unit(&g) * (LAST_MS - FIRST_MS));
+		f->until = f->at + LEAST_MS +
+			   (ms_t)(rng_unit(&g) * (MOST_MS - LEAST_MS));
+		g_test_message("seed %" PRIu64
+			       ": %s which=%d how=%d at=%" PRId64
+			       " for=%" PRId64,
+		    seed, kind_name[f->kind], f->which, f->how, f->at,
+		    f->until - f->at);
+	}
+}
+
+/* Is another fault of this kind on at the same place? */
+static bool
+still(const run_of_t *r, const fault_t *f)
+{
+	int i;
+
+	for (i = 0; i < FAULTS; i++) {
+		const fault_t *o = &r->fault[i];
+
+		if (o != f && o->kind == f->kind && o->begun && !o->ended)
+			return true;
+	}
+	return false;
+}
+
+static void
+begin(run_of_t *r, const fault_t *f)
+{
+	ground_t *g = r->b->ground;
+	proc_t *d = r->b->daemon[f->which % g->z.daemons];
+
+	switch (f->kind) {
+	case F_KILL:
+		proc_signal(d, SIGKILL);
+		break;
+	case F_STOP:
+		proc_signal(d, SIGTERM);
+		break;
+	case F_FREEZE:
+		proc_signal(d, SIGSTOP);
+		break;
+	case F_HUP:
+		proc_signal(d, SIGHUP);
+		break;
+	case F_STORE:
+		shelf_fault(g->shelf,
+		    store_faults[f->how % G_N_ELEMENTS(store_faults)]);
+		break;
+	case F_COMPACT:
+		shelf_compact(g->shelf);
+		break;
+	case F_DEAF:
+		shelf_deaf(g->shelf, true);
+		break;
+	case F_HAND:
+		hand_fault(g->hand[f->which % g->nhand],
+		    hand_faults[f->how % G_N_ELEMENTS(hand_faults)]);
+		break;
+	case KINDS:
+		break;
+	}
+}
+
+static void
+end(run_of_t *r, const fault_t *f)
+{
+	ground_t *g = r->b->ground;
+	int i = f->which % g->z.daemons;
+
+	switch (f->kind) {
+	case F_KILL:
+	case F_STOP:
+		/* One that is still leaving is killed: worse comes. */
+		bed_start(r->b, i);
+		break;
+	case F_FREEZE:
+		proc_signal(r->b->daemon[i], SIGCONT);
+		break;
+	case F_STORE:
+		if (!still(r, f))
+			shelf_fault(g->shelf, SHELF_SOUND);
+		break;
+	case F_DEAF:
+		shelf_deaf(g->shelf, false);
+		break;
+	case F_HAND:
+		hand_fault(g->hand[f->which % g->nhand], HAND_SOUND);
+		break;
+	case F_HUP:
+	case F_COMPACT:
+	case KINDS:
+		break;
+	}
+}
+
+static void
+turn(void *arg, ms_t since)
+{
+	run_of_t *r = arg;
+	int i;
+
+	for (i = 0; i < FAULTS; i++) {
+		fault_t *f = &r->fault[i];
+
+		if (!f->begun && since >= f->at) {
+			f->begun = true;
+			begin(r, f);
+		}
+		if (!f->ended && since >= f->until) {
+			f->ended = true;
+			end(r, f);
+		}
+	}
+}
+
+static void
+soak(gconstpointer arg)
+{
+	uint64_t seed = GPOINTER_TO_SIZE(arg);
+	run_of_t r = { .b = bed_new() };
+
+	plan(&r, seed);
+	bed_call(r.b, SPAN_MS, turn, &r);
+	bed_free(r.b);
+}
+
+static void
+add(uint64_t seed)
+{
+	char *name = g_strdup_printf("/soak/%" PRIu64, seed);
+
+	g_test_add_data_func(name, GSIZE_TO_POINTER(seed), soak);
+	g_free(name);
+}
+
+static void
+add_given(const char *list)
+{
+	char **part = g_strsplit(list, " ", 0);
+	uint64_t from, to, s;
+	char *rest;
+	int i;
+
+	for (i = 0; part[i] != NULL; i++) {
+		from = to = g_ascii_strtoull(part[i], &rest, 10);
+		if (*rest == '-')
+			to = g_ascii_strtoull(rest + 1, NULL, 10);
+		for (s = from; s <= to && s < from + SEEDS_MOST; s++)
+			add(s);
+	}
+	g_strfreev(part);
+}
+
+int
+main(int argc, char **argv)
+{
+	const char *given = g_getenv("SOAK_SEEDS");
+	int i;
+
+	g_test_init(&argc, &argv, NULL);
+	if (given != NULL) {
+		add_given(given);
+		return g_test_run();
+	}
+	for (i = 1; i <= FIXED; i++)
+		add((uint64_t)i);
+	/* Its name tells it, so that it can be run again. */
+	add((uint64_t)(clock_wall() % 1000000000));
+	return g_test_run();
+}
