An adapter in long use doesn't stop its endpoint's other places

Now half of an endpoint's places may wait for calls to end; after 300 ms without 'done' the next may go.

--- a/serve/orders.c
+++ b/serve/orders.c
@@ -10,6 +10,8 @@
 	ADAPTER_MS = 30,	/* an adapter's load, once taken */
 	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
 	RETRY_MS = 150,		/* after a refusal */
+	IN_USE_MS =
+	    300, /* an unload that isn't done by then waits for a call */
 	STALE_MS = 2500,     /* after it a lower count is ours that is wrong */
 	BUSY_MS = 400,	     /* until a busy one is asked again */
 	REPORT_LAG_MS = 600, /* what a report shows is no older */
@@ -199,16 +201,22 @@
 }
 
 bool
-desk_unloads_adapter(const desk_t *d)
+desk_unloads_adapter(const desk_t *d, int most)
 {
 	const ep_t *p = d->ep;
-	int i;
+	int i, n = 0;
 
-	for (i = 0; i < p->nlearnt; i++)
-		if (!p->learnt[i].load && p->learnt[i].adapter[0] != '\0' &&
-		    !p->learnt[i].sure && ep_unshown(p, &p->learnt[i]))
+	for (i = 0; i < p->nlearnt; i++) {
+		const learnt_t *l = &p->learnt[i];
+
+		if (l->load || l->adapter[0] == '\0' || l->sure ||
+		    !ep_unshown(p, l))
+			continue;
+		if (d->s->loop.now < l->at + IN_USE_MS)
 			return true;
-	return false;
+		n++;
+	}
+	return n >= most;
 }
 
 bool
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -11,8 +11,9 @@
 	FURTHER_MS = 500,	/* one copy more is there by then */
 	ADAPTER_IDLE_MS = 3000, /* asked for since: it isn't dropped */
 	ADAPTER_WORK = 300,	/* tokens/s: a call in the last seconds */
-	FIRST_LOADS = 4, /* from the store, in a new holder's first window */
-	ADAPTER_MS = 20, /* a place left free is worth so much waiting */
+	FIRST_LOADS = 4,  /* from the store, in a new holder's first window */
+	ADAPTER_MS = 20,  /* a place left free is worth so much waiting */
+	WAITING_PART = 2, /* of the places may wait for long calls to end */
 	ADAPTERS_AT_ONCE = 3, /* on their way to one endpoint */
 	PACE = 15000,	      /* tokens/s, before any pace was learnt */
 	TELL_MS = 1000,	      /* between lines on what is believed */
@@ -417,7 +418,8 @@
 		    b->held[e * b->def->nmodel + a->model] != SPREAD_READY)
 			continue;
 		if (!fits_adapter(b, d, a)) {
-			n = desk_unloads_adapter(d)
+			n = desk_unloads_adapter(
+				d, b->def->adapter_slots / WAITING_PART)
 				? -1
 				: spare_adapter(b, d, &spare);
 			if (n != -1) {
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -72,8 +72,11 @@
 double desk_memory(const desk_t *d);
 /** Adapter places that are or may come to be taken. */
 int desk_adapters(const desk_t *d);
-/** Does an adapter leave when the calls that use it have ended? */
-bool desk_unloads_adapter(const desk_t *d);
+/**
+ * May no further adapter be unloaded now? One has just been told to go, or
+ * @p most wait for the calls that use them.
+ */
+bool desk_unloads_adapter(const desk_t *d, int most);
 /** Too new to give way. */
 bool desk_just_loaded(const desk_t *d, const char *model, const char *adapter);
 /** A load that was taken and isn't done. */
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -98,6 +98,25 @@
 	config_free(t.s.config);
 }
 
+/* A call of 12 s used it; its endpoint's other places were kept meanwhile. */
+static void
+adapter_in_long_use_doesn_t_stop_the_others(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m1", "a1", false, 1, 100000);
+	g_assert_true(desk_unloads_adapter(&t.d, 2));
+	t.s.loop.now += 400;
+	g_assert_false(desk_unloads_adapter(&t.d, 2));
+	learn(&t, "m1", "a2", false, 2, 100400);
+	g_assert_true(desk_unloads_adapter(&t.d, 2));
+	t.s.loop.now += 400;
+	/* Half of the places wait: enough. */
+	g_assert_true(desk_unloads_adapter(&t.d, 2));
+	config_free(t.s.config);
+}
+
 /* Its weights were at hand: it is there long before the load's usual time. */
 static void
 load_from_hand_serves_as_soon_as_it_is_shown(void)
@@ -358,6 +377,7 @@
 	T(old_copies_show_no_order);
 	T(places_count_though_a_late_entry_lacks_them);
 	T(unload_that_waits_frees_nothing);
+	T(adapter_in_long_use_doesn_t_stop_the_others);
 	T(load_from_hand_serves_as_soon_as_it_is_shown);
 	T(load_after_an_unload_isn_t_shown_by_old_entries);
 	T(entry_older_than_a_report_hides_nothing);
