A place goes to the adapter it was made for; the demand's order decides

Now adapters are looked at by their claim: the work they bring, and more if callers wait and nobody holds it. What is held has no bonus. An adapter stays 1.5 s (0.7 before), some answers long.

--- a/serve/orders.c
+++ b/serve/orders.c
@@ -6,10 +6,10 @@
 enum {
 	ORDER_MS = 1000, /* an endpoint answers within a few ms */
 	REPORT_MS = 1000,
-	LATE_MS = 13000,	/* an unanswered order is carried out by then */
-	ADAPTER_MS = 30,	/* an adapter's load, once taken */
-	ADAPTER_STAYS_MS = 700, /* one that came serves those that waited */
-	RETRY_MS = 150,		/* after a refusal */
+	LATE_MS = 13000, /* an unanswered order is carried out by then */
+	ADAPTER_MS = 30, /* an adapter's load, once taken */
+	ADAPTER_STAYS_MS = 1500, /* one that came serves those that waited */
+	RETRY_MS = 150,		 /* after a refusal */
 	IN_USE_MS =
 	    300, /* an unload that isn't done by then waits for a call */
 	STALE_MS = 2500,     /* after it a lower count is ours that is wrong */
@@ -216,7 +216,7 @@
 			return true;
 		n++;
 	}
-	return n >= most;
+	return n > 0 && n >= most;
 }
 
 bool
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -33,6 +33,7 @@
 	double work;
 	bool waiting;
 	bool further; /* one copy more: a call has tried those there are */
+	int copies;
 } asked_t;
 
 typedef struct board {
@@ -350,7 +351,7 @@
 		asked_t *x = &g_array_index(b->adapter, asked_t, i);
 
 		if (x->model == model && strcmp(x->adapter, adapter) == 0)
-			return x->work + (x->waiting ? PACE : 0);
+			return x->work;
 	}
 	return 0;
 }
@@ -400,6 +401,13 @@
 		   b->def->weights_mb;
 }
 
+/* Work that it brings if it gets a place; what nobody holds comes first. */
+static double
+claim(const asked_t *a)
+{
+	return a->work + (a->copies == 0 && a->waiting ? PACE : 0);
+}
+
 static void
 place_adapter(board_t *b, const asked_t *a)
 {
@@ -407,7 +415,7 @@
 	const char *model = b->def->model[a->model].name;
 	desk_t *best = NULL, *full = NULL;
 	double cost, least = INFINITY;
-	double spare = a->work + (a->waiting ? PACE : 0);
+	double spare = claim(a);
 	int e, n, victim = -1;
 
 	for (e = 0; e < b->nep; e++) {
@@ -446,6 +454,14 @@
 	}
 }
 
+static gint
+by_claim(gconstpointer x, gconstpointer y)
+{
+	double a = claim(x), b = claim(y);
+
+	return a > b ? -1 : a < b;
+}
+
 static void
 move_adapters(board_t *b)
 {
@@ -455,14 +471,19 @@
 
 	for (i = 0; i < b->adapter->len; i++) {
 		asked_t *a = &g_array_index(b->adapter, asked_t, i);
-		int copies = 0,
-		    want = 1 + (int)(a->work / (adapter_busy * pace));
 
 		for (e = 0; e < b->nep; e++)
-			copies +=
+			a->copies +=
 			    b->ep[e].usable && has_adapter(b, b->desk[e], a);
-		if (copies == 0 ? a->waiting || a->work > 0
-				: copies < want + a->further)
+	}
+	/* A place that was made free goes to the one it was made for. */
+	g_array_sort(b->adapter, by_claim);
+	for (i = 0; i < b->adapter->len; i++) {
+		const asked_t *a = &g_array_index(b->adapter, asked_t, i);
+		int want = 1 + (int)(a->work / (adapter_busy * pace));
+
+		if (a->copies == 0 ? a->waiting || a->work > 0
+				   : a->copies < want + a->further)
 			place_adapter(b, a);
 	}
 }
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -74,7 +74,7 @@
 int desk_adapters(const desk_t *d);
 /**
  * May no further adapter be unloaded now? One has just been told to go, or
- * @p most wait for the calls that use them.
+ * @p most (at least one) wait for the calls that use them.
  */
 bool desk_unloads_adapter(const desk_t *d, int most);
 /** Too new to give way. */
--- a/standin/crowd.c
+++ b/standin/crowd.c
@@ -15,6 +15,7 @@
 	ADDRESSES = 64,
 	PROMPT = 600, /* tokens */
 	TURN_MS = 5,
+	OFTEN = 4, /* calls for a model or adapter: it shouldn't starve */
 };
 /* Parts of the calls. */
 static const double part_once = 0.2, part_read = 0.1;
@@ -55,8 +56,13 @@
 	ms_t begin, end;
 	int open;
 	GHashTable *told; /* id -> what the caller was told: told_t */
+	GHashTable *ware; /* model/adapter -> asked_t */
 };
 
+typedef struct asked {
+	int asked, served;
+} asked_t;
+
 typedef struct told {
 	wish_kind_t kind;
 	int status; /* 0: no answer */
@@ -172,6 +178,18 @@
 	return true;
 }
 
+static asked_t *
+asked_of(const wish_t *w)
+{
+	asked_t *a = g_hash_table_lookup(w->c->ware, w->model);
+
+	if (a == NULL) {
+		a = g_new0(asked_t, 1);
+		g_hash_table_insert(w->c->ware, g_strdup(w->model), a);
+	}
+	return a;
+}
+
 static void
 succeeded(wish_t *w, const patron_t *p)
 {
@@ -182,6 +200,8 @@
 		return;
 	}
 	r->served++;
+	if (w->kind == KIND_STREAM)
+		asked_of(w)->served++;
 	histo_add(&r->first, p->first - w->began);
 	histo_add(&r->whole, p->over - w->began);
 }
@@ -333,6 +353,8 @@
 	pick_model(c, w->model);
 	c->open++;
 	c->r->calls++;
+	if (w->kind == KIND_STREAM)
+		asked_of(w)->asked++;
 	try_it(w);
 }
 
@@ -374,6 +396,21 @@
 	}
 }
 
+static void
+count_starved(crowd_t *c)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, c->ware);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const asked_t *a = v;
+
+		c->r->wares += a->asked >= OFTEN;
+		c->r->starved += a->asked >= OFTEN && a->served == 0;
+	}
+}
+
 void
 crowd_run(const crowd_opts_t *o, crowd_result_t *r)
 {
@@ -383,6 +420,7 @@
 	memset(r, 0, sizeof(*r));
 	c.rng.s = (uint64_t)clock_wall();
 	c.told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c.ware = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c.ask = (alarm_t){ .fn = ask, .arg = &c };
 	c.next = (alarm_t){ .fn = arrive, .arg = &c };
 	c.begin = o->loop->now;
@@ -401,5 +439,7 @@
 		patron_free(c.asking);
 	r->lost += c.open;
 	compare(&c);
+	count_starved(&c);
 	g_hash_table_destroy(c.told);
+	g_hash_table_destroy(c.ware);
 }
--- a/standin/crowd.h
+++ b/standin/crowd.h
@@ -34,6 +34,8 @@
 	int mixed;   /* an answer to another call, or events out of order */
 	int doubled; /* a call that may run once ran more often */
 	int untrue;  /* "not run", and it ran */
+	int wares;   /* models and adapters that were asked for often */
+	int starved; /* of these, never served */
 	histo_t first, whole; /* ms */
 } crowd_result_t;
 
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -27,16 +27,19 @@
 }
 
 bed_t *
-bed_new(void)
+bed_new(const char *more)
 {
 	bed_t *b = g_new0(bed_t, 1);
 	GString *ports = g_string_new(NULL);
 	int port[PORTS], i;
 	ms_t until;
+	char *text;
 
 	b->dir = g_dir_make_tmp("crowd-XXXXXX", NULL);
 	b->sizes = g_build_filename(b->dir, "sizes.ini", NULL);
-	g_file_set_contents(b->sizes, sizes_text, -1, NULL);
+	text = g_strconcat(sizes_text, more, NULL);
+	g_file_set_contents(b->sizes, text, -1, NULL);
+	g_free(text);
 	ports_take(port, PORTS);
 	for (i = 0; i < PORTS; i++)
 		g_string_append_printf(
@@ -84,9 +87,9 @@
 	ground_load(b->ground, &o);
 	crowd_run(&o, &b->r);
 	g_test_message("calls %d served %d refused %d failed %d cut %d lost %d "
-		       "again %d orders %d",
+		       "again %d orders %d starved %d of %d",
 	    r->calls, r->served, r->refused, r->failed, r->cut, r->lost,
-	    r->again, ground_orders(b->ground));
+	    r->again, ground_orders(b->ground), r->starved, r->wares);
 	g_assert_cmpint(r->calls, >, (int)(rate * (double)span / 1000 / 2));
 	g_assert_cmpint(r->mixed, ==, 0);
 	g_assert_cmpint(r->doubled, ==, 0);
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -16,8 +16,8 @@
 	crowd_result_t r;
 } bed_t;
 
-/** All daemons are ready. */
-bed_t *bed_new(void);
+/** All daemons are ready. @param more sizes that differ, "key = n" lines */
+bed_t *bed_new(const char *more);
 void bed_free(bed_t *b);
 /** Start a daemon; one that still runs is killed first. */
 void bed_start(bed_t *b, int i);
--- a/tests/crowd_proc.c
+++ b/tests/crowd_proc.c
@@ -59,7 +59,7 @@
 static void
 nothing_fails(void)
 {
-	test_t t = { bed_new(), NULL, NULL, 0, 0 };
+	test_t t = { bed_new(""), NULL, NULL, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -84,7 +84,7 @@
 static void
 daemon_is_killed(void)
 {
-	test_t t = { bed_new(), kill_one, start_one, 0, 0 };
+	test_t t = { bed_new(""), kill_one, start_one, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -114,7 +114,7 @@
 static void
 all_daemons_are_killed(void)
 {
-	test_t t = { bed_new(), kill_all, start_all, 0, 0 };
+	test_t t = { bed_new(""), kill_all, start_all, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -140,7 +140,7 @@
 static void
 daemons_are_frozen(void)
 {
-	test_t t = { bed_new(), freeze_two, thaw_two, 0, 0 };
+	test_t t = { bed_new(""), freeze_two, thaw_two, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -170,7 +170,7 @@
 static void
 daemons_are_stopped_as_planned(void)
 {
-	test_t t = { bed_new(), stop_two, start_two, 0, 0 };
+	test_t t = { bed_new(""), stop_two, start_two, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -200,7 +200,7 @@
 static void
 store_is_silent(void)
 {
-	test_t t = { bed_new(), store_silent, store_sound, 0, 0 };
+	test_t t = { bed_new(""), store_silent, store_sound, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -212,7 +212,7 @@
 static void
 store_is_busy(void)
 {
-	test_t t = { bed_new(), store_busy, store_sound, 0, 0 };
+	test_t t = { bed_new(""), store_busy, store_sound, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -230,7 +230,7 @@
 static void
 store_forgets_its_history(void)
 {
-	test_t t = { bed_new(), forget_history, forget_history, 0, 0 };
+	test_t t = { bed_new(""), forget_history, forget_history, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -286,7 +286,7 @@
 static void
 with_hands(void (*fault)(bed_t *b), double part)
 {
-	test_t t = { bed_new(), fault, hands_sound, 0, 0 };
+	test_t t = { bed_new(""), fault, hands_sound, 0, 0 };
 	bed_t *b = t.b;
 
 	call_all(&t);
@@ -325,6 +325,24 @@
 	with_hands(hands_foreign, 0.85);
 }
 
+/* Twice as many adapters are asked for as there are places. */
+static void
+more_adapters_than_places_all_get_a_turn(void)
+{
+	test_t t = { bed_new("engines = 2\nmodels = 2\nadapters = 8\n"), NULL,
+		NULL, 0, 0 };
+	bed_t *b = t.b;
+
+	call_all(&t);
+	none_lost(b);
+	/* Two engines of four places each. */
+	g_assert_cmpint(b->r.wares, >, 8);
+	g_assert_cmpint(b->r.starved, ==, 0);
+	/* Each order for a call or two that it serves, not one for another. */
+	g_assert_cmpint(ground_orders(b->ground), <, b->r.calls);
+	bed_free(b);
+}
+
 #define T(name) g_test_add_func("/crowd/" #name, name)
 
 int
@@ -339,6 +357,7 @@
 	T(store_is_silent);
 	T(store_is_busy);
 	T(store_forgets_its_history);
+	T(more_adapters_than_places_all_get_a_turn);
 	T(endpoints_reset);
 	T(endpoints_refuse);
 	T(endpoints_break_streams_off);
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -109,6 +109,11 @@
 	g_assert_true(desk_unloads_adapter(&t.d, 2));
 	t.s.loop.now += 400;
 	g_assert_false(desk_unloads_adapter(&t.d, 2));
+	/* An endpoint with a single place. */
+	g_assert_true(desk_unloads_adapter(&t.d, 0));
+	t.ep.nlearnt = 0;
+	g_assert_false(desk_unloads_adapter(&t.d, 0));
+	learn(&t, "m1", "a1", false, 1, 100000);
 	learn(&t, "m1", "a2", false, 2, 100400);
 	g_assert_true(desk_unloads_adapter(&t.d, 2));
 	t.s.loop.now += 400;
--- a/tests/soak_proc.c
+++ b/tests/soak_proc.c
@@ -185,7 +185,7 @@
 soak(gconstpointer arg)
 {
 	uint64_t seed = GPOINTER_TO_SIZE(arg);
-	run_of_t r = { .b = bed_new() };
+	run_of_t r = { .b = bed_new("") };
 
 	plan(&r, seed);
 	bed_call(r.b, SPAN_MS, turn, &r);
