--- /dev/null
+++ b/bench/notecost.c
@@ -0,0 +1,74 @@
+/* What a line of the log costs, and one that is over its rate. */
+#include "serve/serve.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <unistd.h>
+
+enum {
+	LINES = 300,	/* below what is taken at once */
+	OVER = 1000000, /* far above it */
+	ROUNDS = 200,
+};
+
+static double
+seconds(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+/* A line as long as those of requests; each round another kind: no rate. */
+static double
+taken(void)
+{
+	static char kind[ROUNDS][16];
+	double sum = 0, at;
+	int r, i;
+
+	for (r = 0; r < ROUNDS; r++) {
+		snprintf(kind[r], sizeof(kind[r]), "kind-%d", r % 100);
+		at = seconds();
+		for (i = 0; i < LINES / 4; i++)
+			note(LOG_INFO, kind[r],
+			    "request=%s route=%s endpoint=%s send=%d "
+			    "fresh=%d first_ms=%d left_ms=%d",
+			    "0123456789abcdef", "r-h67hy6t", "i-217e1745ed", 1,
+			    i, 200, 4800);
+		log_flush();
+		sum += seconds() - at;
+	}
+	return sum / ROUNDS / (LINES / 4);
+}
+
+static double
+dropped(void)
+{
+	double at = seconds();
+	int i;
+
+	for (i = 0; i < OVER; i++)
+		note(
+		    LOG_INFO, "over", "request=%s n=%d", "0123456789abcdef", i);
+	return (seconds() - at) / OVER;
+}
+
+int
+main(void)
+{
+	int null = open("/dev/null", O_WRONLY), out = dup(STDOUT_FILENO);
+	double a, b;
+
+	if (null == -1 || out == -1)
+		return 1;
+	dup2(null, STDOUT_FILENO);
+	log_open("ebonypitchd", "entry-1", "north");
+	log_gather();
+	a = taken();
+	b = dropped();
+	dprintf(out, "a line: %.2f us; one over its rate: %.3f us\n", a * 1e6,
+	    b * 1e6);
+	return 0;
+}
