One place each for what an order is about, who stands first, what is recent

Read over, no change of behaviour. Whether an order is about a model or adapter, or undoes a load, was spelled out seven and two times in fleet.c and orders.c; power and name were compared twice in peers.c, and living, staying peers before us counted in two loops; a digest's shares were walked twice, each endpoint looked up twice a datagram. reborn() had a parameter it didn't use. An instance that is one of few no longer looks for its relay four times a second.

--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -57,7 +57,7 @@
 
 /* Another process under the same id knows nothing of before. */
 static void
-reborn(serve_t *s, ep_t *p, const endpoint_entry_t *en)
+reborn(ep_t *p, const endpoint_entry_t *en)
 {
 	note(LOG_NOTICE, "endpoint-restarted",
 	    "endpoint=%s born=%" PRId64 " before=%" PRId64, en->id, en->born,
@@ -66,7 +66,6 @@
 	p->nlearnt = 0;
 	p->orders = 0;
 	memset(&p->breaker, 0, sizeof(p->breaker));
-	(void)s;
 }
 
 bool
@@ -90,7 +89,7 @@
 	if (p == NULL)
 		p = add(s, &en);
 	else if (p->entry.born != en.born)
-		reborn(s, p, &en);
+		reborn(p, &en);
 	was = p->listed && !p->entry.leaving;
 	if (strcmp(p->entry.addr, en.addr) != 0)
 		pool_clear(p);
@@ -194,6 +193,19 @@
 	return p->written < l->at + SHOWN_MS;
 }
 
+bool
+learnt_is(const learnt_t *l, const char *model, const char *adapter)
+{
+	return strcmp(l->model, model) == 0 && strcmp(l->adapter, adapter) == 0;
+}
+
+bool
+learnt_undoes(const learnt_t *m, const learnt_t *l)
+{
+	return !m->load && strcmp(m->model, l->model) == 0 &&
+	       (m->adapter[0] == '\0' || strcmp(m->adapter, l->adapter) == 0);
+}
+
 bool
 ep_lists(const ep_t *p, const char *model, const char *adapter)
 {
@@ -246,10 +258,7 @@
 	int i;
 
 	for (i = 0; i < p->nlearnt; i++)
-		if (!p->learnt[i].load &&
-		    strcmp(p->learnt[i].model, l->model) == 0 &&
-		    (p->learnt[i].adapter[0] == '\0' ||
-			strcmp(p->learnt[i].adapter, l->adapter) == 0))
+		if (learnt_undoes(&p->learnt[i], l))
 			return true;
 	return false;
 }
@@ -264,8 +273,7 @@
 	for (i = 0; i < p->nlearnt; i++)
 		if (p->learnt[i].orders == l->orders &&
 		    p->learnt[i].load == l->load &&
-		    strcmp(p->learnt[i].model, l->model) == 0 &&
-		    strcmp(p->learnt[i].adapter, l->adapter) == 0)
+		    learnt_is(&p->learnt[i], l->model, l->adapter))
 			return false;
 	if (p->nlearnt == LEARNT_MAX)
 		forget_one(p);
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -71,7 +71,7 @@
 bool
 follow_may_return(const follow_t *f, ms_t now)
 {
-	return f->regained != 0 && now - f->regained < LAPSED_MS;
+	return lately(f->regained, now, LAPSED_MS);
 }
 
 static void
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -77,10 +77,7 @@
 	const learnt_t *m;
 
 	for (m = l + 1; m < p->learnt + p->nlearnt; m++)
-		if (!m->load && (m->sure || !sure) &&
-		    strcmp(m->model, l->model) == 0 &&
-		    (m->adapter[0] == '\0' ||
-			strcmp(m->adapter, l->adapter) == 0))
+		if (learnt_undoes(m, l) && (m->sure || !sure))
 			return true;
 	return false;
 }
@@ -120,17 +117,18 @@
 	d->ask |= n > UNSHOWN_MOST;
 }
 
-/* Is another load of the same counted already? */
+/* Is it to be counted apart, and not by an earlier load of the same? */
 static bool
-repeated(const ep_t *p, const learnt_t *l)
+counts(const ep_t *p, const learnt_t *l)
 {
 	const learnt_t *m;
 
+	if (!unsettled(p, l))
+		return false;
 	for (m = p->learnt; m < l; m++)
-		if (strcmp(m->model, l->model) == 0 &&
-		    strcmp(m->adapter, l->adapter) == 0 && unsettled(p, m))
-			return true;
-	return false;
+		if (learnt_is(m, l->model, l->adapter) && unsettled(p, m))
+			return false;
+	return true;
 }
 
 static bool
@@ -146,8 +144,7 @@
 	int i;
 
 	for (i = 0; i < p->nlearnt; i++)
-		if (strcmp(p->learnt[i].model, model) == 0 &&
-		    strcmp(p->learnt[i].adapter, adapter) == 0 &&
+		if (learnt_is(&p->learnt[i], model, adapter) &&
 		    pending(p, &p->learnt[i]))
 			return true;
 	return d->call != NULL && d->load && strcmp(d->model, model) == 0 &&
@@ -161,9 +158,8 @@
 	int i;
 
 	for (i = 0; i < p->nlearnt; i++)
-		if (!p->learnt[i].load && p->learnt[i].adapter[0] == '\0' &&
-		    ep_unshown(p, &p->learnt[i]) &&
-		    strcmp(p->learnt[i].model, model) == 0)
+		if (!p->learnt[i].load && learnt_is(&p->learnt[i], model, "") &&
+		    ep_unshown(p, &p->learnt[i]))
 			return true;
 	return d->call != NULL && !d->load && d->adapter[0] == '\0' &&
 	       strcmp(d->model, model) == 0;
@@ -193,8 +189,7 @@
 	for (i = 0; i < p->nlearnt; i++) {
 		const learnt_t *l = &p->learnt[i];
 
-		if (ep_unshown(p, l) && strcmp(l->model, model) == 0 &&
-		    strcmp(l->adapter, adapter) == 0)
+		if (ep_unshown(p, l) && learnt_is(l, model, adapter))
 			gone = !l->load && l->sure;
 	}
 	return gone;
@@ -228,8 +223,7 @@
 	for (i = 0; i < p->nlearnt; i++)
 		if (p->learnt[i].load &&
 		    d->s->loop.now < p->learnt[i].at + ADAPTER_STAYS_MS &&
-		    strcmp(p->learnt[i].model, model) == 0 &&
-		    strcmp(p->learnt[i].adapter, adapter) == 0)
+		    learnt_is(&p->learnt[i], model, adapter))
 			return true;
 	return false;
 }
@@ -250,7 +244,7 @@
 			mb += size_of(d, h->model[h->adapter[i].model],
 			    h->adapter[i].name);
 	for (i = 0; i < p->nlearnt; i++)
-		if (unsettled(p, &p->learnt[i]) && !repeated(p, &p->learnt[i]))
+		if (counts(p, &p->learnt[i]))
 			mb += size_of(
 			    d, p->learnt[i].model, p->learnt[i].adapter);
 	if (doubted(d) && !ep_lists(p, d->doubt, d->doubt_adapter))
@@ -272,8 +266,8 @@
 		    d, h->model[h->adapter[i].model], h->adapter[i].name);
 
 	for (i = 0; i < p->nlearnt; i++)
-		n += p->learnt[i].adapter[0] != '\0' &&
-		     unsettled(p, &p->learnt[i]) && !repeated(p, &p->learnt[i]);
+		n +=
+		    p->learnt[i].adapter[0] != '\0' && counts(p, &p->learnt[i]);
 	if (doubted(d) && d->doubt_adapter[0] != '\0' &&
 	    !ep_lists(p, d->doubt, d->doubt_adapter))
 		n++;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -52,12 +52,18 @@
 }
 
 /* The holder's work is much for a weak machine: the strong stand first. */
+static bool
+first_of(int power, const char *name, int other_power, const char *other)
+{
+	return power != other_power ? power > other_power
+				    : strcmp(name, other) < 0;
+}
+
 static bool
 before(const serve_t *s, const peer_t *p)
 {
-	if (p->power != peers_power(s))
-		return p->power > peers_power(s);
-	return strcmp(p->instance, s->site.instance) < 0;
+	return first_of(
+	    p->power, p->instance, peers_power(s), s->site.instance);
 }
 
 bool
@@ -78,9 +84,8 @@
 		if (!peer_alive(s, p) || p->leaving ||
 		    strcmp(p->domain, domain) != 0)
 			continue;
-		if (best == NULL || p->power > best->power ||
-		    (p->power == best->power &&
-			strcmp(p->instance, best->instance) < 0))
+		if (best == NULL || first_of(p->power, p->instance, best->power,
+					best->instance))
 			best = p;
 	}
 	return best;
@@ -89,10 +94,12 @@
 bool
 peers_relays(const serve_t *s)
 {
-	const peer_t *p = peers_relay(s, s->site.domain);
+	const peer_t *p;
 
-	return s->peers.npeer >= MANY && !s->leaving &&
-	       (p == NULL || !before(s, p));
+	if (s->peers.npeer < MANY || s->leaving)
+		return false;
+	p = peers_relay(s, s->site.domain);
+	return p == NULL || !before(s, p);
 }
 
 bool
@@ -106,16 +113,20 @@
 	return false;
 }
 
+/* Does it live, stay, and stand before us? */
+static bool
+leads(const serve_t *s, const peer_t *p)
+{
+	return peer_alive(s, p) && !p->leaving && before(s, p);
+}
+
 int
 peers_before(const serve_t *s)
 {
 	int i, n = 0;
 
-	for (i = 0; i < s->peers.npeer; i++) {
-		const peer_t *p = s->peers.peer[i];
-
-		n += peer_alive(s, p) && !p->leaving && before(s, p);
-	}
+	for (i = 0; i < s->peers.npeer; i++)
+		n += leads(s, s->peers.peer[i]);
 	return n;
 }
 
@@ -128,8 +139,7 @@
 	for (i = 0; i < s->peers.npeer; i++) {
 		const peer_t *p = s->peers.peer[i];
 
-		n += peer_alive(s, p) && !p->leaving && !p->blind &&
-		     (!many || peer_near(s, p)) && before(s, p);
+		n += leads(s, p) && !p->blind && (!many || peer_near(s, p));
 	}
 	return n;
 }
@@ -288,11 +298,10 @@
 static void
 take(serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
 {
-	peer_t *p;
+	peer_t *p = sender(s, d, from);
 	bool was;
 	size_t i;
 
-	p = sender(s, d, from);
 	if (p == NULL)
 		return;
 	was = peer_alive(s, p) && p->ready && !p->leaving;
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -104,8 +104,8 @@
 		demand_t *d = v;
 
 		ask_for(b, d->service, d->model, d->adapter, demand_now(s, d),
-		    d->waiting_at != 0 && now - d->waiting_at < WANTS_MS,
-		    d->further_at != 0 && now - d->further_at < FURTHER_MS);
+		    lately(d->waiting_at, now, WANTS_MS),
+		    lately(d->further_at, now, FURTHER_MS));
 	}
 	for (i = 0; i < s->peers.npeer; i++) {
 		peer_t *p = s->peers.peer[i];
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -19,6 +19,13 @@
 typedef struct serve serve_t;
 typedef struct call call_t;
 
+/** Did it happen (0: never) less than @p span ms ago? */
+static inline bool
+lately(ms_t at, ms_t now, ms_t span)
+{
+	return at != 0 && now - at < span;
+}
+
 /* Endpoints. fleet.c */
 
 /** A connection to an endpoint. */
@@ -125,6 +132,10 @@
 bool ep_usable(const ep_t *p);
 /** May the entry not show it yet? */
 bool ep_unshown(const ep_t *p, const learnt_t *l);
+/** Is the order about just this? @param adapter "": the model itself */
+bool learnt_is(const learnt_t *l, const char *model, const char *adapter);
+/** Is @p m an unload of what @p l is about, or of its model? */
+bool learnt_undoes(const learnt_t *m, const learnt_t *l);
 /** Does the entry list it? @param adapter "": the model itself */
 bool ep_lists(const ep_t *p, const char *model, const char *adapter);
 /** The entry was read anew: note which loads it shows. */
--- a/serve/shares.c
+++ b/serve/shares.c
@@ -63,9 +63,9 @@
 		g_hash_table_remove(sum_at(s, i)->share, ep);
 }
 
-/* @return prompt tokens sent there since the last digest */
-static int32_t
-take_share(serve_t *s, peer_t *p, const Digest__Digest *d, size_t i)
+/* @param near the sum of our domain includes it */
+static void
+take_share(serve_t *s, peer_t *p, const Digest__Digest *d, size_t i, bool near)
 {
 	ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
 	burden_share_t now = { (int)d->unread[i], (int)d->running[i],
@@ -74,7 +74,7 @@
 	int32_t fresh;
 
 	if (ep == NULL)
-		return 0;
+		return;
 	sh = g_hash_table_lookup(p->share, ep);
 	if (sh == NULL) {
 		sh = g_new0(peer_share_t, 1);
@@ -84,16 +84,18 @@
 	}
 	/* Counted since its start, so that a lost datagram loses nothing. */
 	fresh = (int32_t)(d->sent[i] - sh->sent);
-	if (fresh > 0)
+	if (fresh > 0) {
 		burden_pour(&ep->burden, &s->usual_pace, &s->bounds, fresh,
 		    s->loop.now);
+		if (near)
+			ep->sent_near += (uint32_t)fresh;
+	}
 	sh->sent = d->sent[i];
 	if (now.running < sh->share.running || now.unread < sh->share.unread)
 		line_wake(s);
 	shift(ep, &sh->share, &now);
 	sh->share = now;
 	sh->told = true;
-	return fresh > 0 ? fresh : 0;
 }
 
 /* A whole digest names every share that isn't none. */
@@ -127,25 +129,24 @@
 	       d->n_sent == n;
 }
 
-void
-shares_take(serve_t *s, peer_t *p, const Digest__Digest *d)
+static void
+take_shares(serve_t *s, peer_t *p, const Digest__Digest *d, bool near)
 {
-	bool near = peer_near(s, p);
 	size_t i;
 
-	if (!whole_lists(d))
-		return;
-	for (i = 0; i < d->n_endpoint; i++) {
-		int32_t fresh = take_share(s, p, d, i);
-		ep_t *ep = eps_by_tag(&s->fleet, d->endpoint[i]);
-
-		if (near && ep != NULL)
-			ep->sent_near += (uint32_t)fresh;
-	}
+	for (i = 0; i < d->n_endpoint; i++)
+		take_share(s, p, d, i, near);
 	if (d->whole)
 		drop_untold(p);
 }
 
+void
+shares_take(serve_t *s, peer_t *p, const Digest__Digest *d)
+{
+	if (whole_lists(d))
+		take_shares(s, p, d, peer_near(s, p));
+}
+
 /* Sums of other domains. */
 
 static peer_t *
@@ -169,7 +170,6 @@
 sums_take(serve_t *s, const Digest__Digest *d)
 {
 	peer_t *p;
-	size_t i;
 
 	if (d->sum_of == domain_hash(s->site.domain) || !whole_lists(d))
 		return;
@@ -183,10 +183,7 @@
 	}
 	p->sequence = d->sequence;
 	p->heard_at = s->loop.now;
-	for (i = 0; i < d->n_endpoint; i++)
-		take_share(s, p, d, i);
-	if (d->whole)
-		drop_untold(p);
+	take_shares(s, p, d, false);
 }
 
 void
--- a/serve/tell.c
+++ b/serve/tell.c
@@ -234,10 +234,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		demand_t *d = v;
 		double work = demand_now(s, d);
-		bool waits = d->waiting_at != 0 &&
-			     s->loop.now - d->waiting_at < WANTED_MS;
-		bool further = d->further_at != 0 &&
-			       s->loop.now - d->further_at < WANTED_MS;
+		bool waits = lately(d->waiting_at, s->loop.now, WANTED_MS);
+		bool further = lately(d->further_at, s->loop.now, WANTED_MS);
 		Digest__Demand *m;
 
 		if (only_waiting ? !waits && !further : work < 1 && !waits)
