--- a/standin/crew.c
+++ b/standin/crew.c
@@ -1,9 +1,9 @@
 #include "standin/crew.h"
+#include "standin/booth.h"
 
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 
 enum {
@@ -20,18 +20,14 @@
 } held_t;
 
 typedef struct job {
-	hand_t *h;
-	link_t *link;
-	buf_t body;
+	visit_t v;
 	run_t *run;   /* under way, or NULL */
 	bool early;   /* answered already */
 	int64_t next; /* event */
-	alarm_t alarm;
 } job_t;
 
 struct hand {
-	loop_t *loop;
-	watch_t door;
+	booth_t booth;
 	char id[ID_MAX], addr[ADDR_MAX];
 	bool engine;
 	int events, slots;
@@ -41,33 +37,36 @@
 	void *arg;
 	ms_t gap, work;
 	hand_fault_t fault;
-	GPtrArray *run, *order, *job;
+	GPtrArray *run, *order;
 	GPtrArray *held; /* held_t */
 	int64_t seq;
-	int connections;
 };
 
+static hand_t *
+hand_of(const job_t *j)
+{
+	return j->v.booth->owner;
+}
+
 static void
 finish(job_t *j, bool whole)
 {
 	j->run->whole = whole;
 	j->run = NULL;
-	link_flush(j->link);
-	if (!j->link->dead)
-		link_next(j->link);
+	link_flush(j->v.link);
+	if (!j->v.link->dead)
+		link_next(j->v.link);
 }
 
 static void
 head(job_t *j, int status, const char *extra)
 {
-	buf_fmt(&j->link->out,
+	buf_fmt(&j->v.link->out,
 	    "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n"
 	    "Server-Load: 1,0,8\r\n%s",
-	    status, http_reason(status), j->run->id, j->h->id, extra);
+	    status, http_reason(status), j->run->id, hand_of(j)->id, extra);
 }
 
-static void drop(job_t *j);
-
 /* An answer without a length; a reset tells that it isn't whole. */
 static void
 unframed(job_t *j, const char *body, bool torn)
@@ -75,41 +74,40 @@
 	struct linger hard = { 1, 0 };
 
 	head(j, 200, "Server-Signature: s1\r\nConnection: close\r\n\r\n");
-	buf_add(&j->link->out, body, strlen(body) / (torn ? 2 : 1));
-	link_flush(j->link);
+	buf_add(&j->v.link->out, body, strlen(body) / (torn ? 2 : 1));
+	link_flush(j->v.link);
 	if (torn)
-		setsockopt(j->link->watch.fd, SOL_SOCKET, SO_LINGER, &hard,
+		setsockopt(j->v.link->watch.fd, SOL_SOCKET, SO_LINGER, &hard,
 		    sizeof(hard));
 	j->run->whole = !torn;
 	j->run = NULL;
-	link_close(j->link);
-	drop(j);
+	booth_hang_up(&j->v);
 }
 
 static void
 plain(void *arg)
 {
 	job_t *j = arg;
+	const hand_t *h = hand_of(j);
 	char body[160];
-	bool bad = j->h->fault == HAND_ERROR;
+	bool bad = h->fault == HAND_ERROR;
 
-	snprintf(
-	    body, sizeof(body), "answer to %s by %s", j->run->id, j->h->id);
-	if (j->h->fault == HAND_BUSY) {
+	snprintf(body, sizeof(body), "answer to %s by %s", j->run->id, h->id);
+	if (h->fault == HAND_BUSY) {
 		head(j, 503, "Content-Length: 0\r\n\r\n");
 		finish(j, true);
 		return;
 	}
-	if (j->h->fault == HAND_UNFRAMED || j->h->fault == HAND_TORN) {
-		unframed(j, body, j->h->fault == HAND_TORN);
+	if (h->fault == HAND_UNFRAMED || h->fault == HAND_TORN) {
+		unframed(j, body, h->fault == HAND_TORN);
 		return;
 	}
 	head(j, bad ? 500 : 200,
-	    j->h->fault == HAND_UNSIGNED ? "" : "Server-Signature: s1\r\n");
-	buf_fmt(
-	    &j->link->out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
-	if (j->h->fault == HAND_EXTRA)
-		buf_str(&j->link->out,
+	    h->fault == HAND_UNSIGNED ? "" : "Server-Signature: s1\r\n");
+	buf_fmt(&j->v.link->out, "Content-Length: %zu\r\n\r\n%s", strlen(body),
+	    body);
+	if (h->fault == HAND_EXTRA)
+		buf_str(&j->v.link->out,
 		    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
 		    "Content-Length: 5\r\n\r\nextra");
 	finish(j, true);
@@ -118,19 +116,10 @@
 static void
 chunk(job_t *j, const char *p, size_t n)
 {
-	buf_fmt(&j->link->out, "%zx\r\n", n);
-	buf_add(&j->link->out, p, n);
-	buf_str(&j->link->out, "\r\n");
-	link_flush(j->link);
-}
-
-static void
-drop(job_t *j)
-{
-	alarm_stop(j->h->loop, &j->alarm);
-	if (j->run != NULL)
-		j->run->cancelled = true;
-	g_ptr_array_remove(j->h->job, j);
+	buf_fmt(&j->v.link->out, "%zx\r\n", n);
+	buf_add(&j->v.link->out, p, n);
+	buf_str(&j->v.link->out, "\r\n");
+	link_flush(j->v.link);
 }
 
 static void
@@ -143,27 +132,27 @@
 	n = snprintf(ev, sizeof(ev),
 	    "id: %" PRId64 "\ndata: %s %" PRId64 "\n\n", j->next, "token",
 	    j->next);
-	if (j->h->fault == HAND_CUT && j->next >= 3) {
+	if (hand_of(j)->fault == HAND_CUT && j->next >= 3) {
 		chunk(j, ev, (size_t)n / 2);
-		link_close(j->link);
-		drop(j);
+		booth_hang_up(&j->v);
 		return;
 	}
 	chunk(j, ev, (size_t)n);
-	if (j->link->dead)
+	if (j->v.link->dead)
 		return;
-	if (j->next++ < j->h->events) {
-		alarm_set(j->h->loop, &j->alarm, j->h->loop->now + j->h->gap);
+	if (j->next++ < hand_of(j)->events) {
+		alarm_set(hand_of(j)->booth.loop, &j->v.alarm,
+		    hand_of(j)->booth.loop->now + hand_of(j)->gap);
 		return;
 	}
-	buf_str(&j->link->out, "0\r\n\r\n");
+	buf_str(&j->v.link->out, "0\r\n\r\n");
 	finish(j, true);
 }
 
 static run_t *
 record(job_t *j)
 {
-	const head_t *h = &j->link->head;
+	const head_t *h = &j->v.link->head;
 	const char *v;
 	run_t *r = g_new0(run_t, 1);
 	GString *text = g_string_new(NULL);
@@ -175,15 +164,16 @@
 	r->from = v != NULL ? strtoll(v, NULL, 10) : -1;
 	v = head_get(h, "Deadline-Remaining");
 	r->left = v != NULL ? strtoll(v, NULL, 10) : -1;
-	r->at = j->h->loop->now;
+	r->at = hand_of(j)->booth.loop->now;
 	g_string_append_printf(text, "%s\n", head_target(h));
 	for (i = 0; i < h->nfield; i++)
 		g_string_append_printf(
 		    text, "%s: %s\n", head_name(h, i), head_value(h, i));
 	r->head = g_string_free(text, FALSE);
-	r->body = g_strndup(j->body.p != NULL ? j->body.p + j->body.off : "",
-	    buf_len(&j->body));
-	g_ptr_array_add(j->h->run, r);
+	r->body =
+	    g_strndup(j->v.body.p != NULL ? j->v.body.p + j->v.body.off : "",
+		buf_len(&j->v.body));
+	g_ptr_array_add(hand_of(j)->run, r);
 	return r;
 }
 
@@ -265,10 +255,10 @@
 {
 	guint i;
 
-	for (i = 0; i < m->h->job->len; i++) {
-		const job_t *j = m->h->job->pdata[i];
+	for (i = 0; i < m->h->booth.visit->len; i++) {
+		const job_t *j = m->h->booth.visit->pdata[i];
 		const char *v =
-		    j->run != NULL ? head_get(&j->link->head, "Model") : NULL;
+		    j->run != NULL ? head_get(&j->v.link->head, "Model") : NULL;
 
 		if (v != NULL && strncmp(v, m->name, strlen(m->name)) == 0)
 			return true;
@@ -283,7 +273,8 @@
 	hand_t *h = m->h;
 
 	if (in_use(m)) {
-		alarm_set(h->loop, &m->alarm, h->loop->now + LEAVE_MS);
+		alarm_set(
+		    h->booth.loop, &m->alarm, h->booth.loop->now + LEAVE_MS);
 		return;
 	}
 	g_ptr_array_remove(h->held, m);
@@ -308,9 +299,9 @@
 {
 	held_t *m = p;
 
-	alarm_stop(m->h->loop, &m->alarm);
+	alarm_stop(m->h->booth.loop, &m->alarm);
 	g_ptr_array_free(m->adapter, TRUE);
-	loop_bury(m->h->loop, m);
+	loop_bury(m->h->booth.loop, m);
 }
 
 static bool
@@ -344,13 +335,14 @@
 	if (load) {
 		m = held_add(h, o->model);
 		m->loading = true;
-		alarm_set(h->loop, &m->alarm, h->loop->now + w->load);
+		alarm_set(
+		    h->booth.loop, &m->alarm, h->booth.loop->now + w->load);
 		weigh(h);
 		return 202;
 	}
 	m->leaving = true;
 	m->alarm.fn = leave;
-	alarm_set(h->loop, &m->alarm, h->loop->now);
+	alarm_set(h->booth.loop, &m->alarm, h->booth.loop->now);
 	return 202;
 }
 
@@ -380,9 +372,9 @@
 static void
 order(job_t *j)
 {
-	hand_t *h = j->h;
-	json_t *b =
-	    json_loadb(j->body.p + j->body.off, buf_len(&j->body), 0, NULL);
+	hand_t *h = hand_of(j);
+	json_t *b = json_loadb(
+	    j->v.body.p + j->v.body.off, buf_len(&j->v.body), 0, NULL);
 	order_seen_t *o = g_new0(order_seen_t, 1);
 	const json_t *expect = json_object_get(b, "expect_revision");
 	const char *adapter = json_string_value(json_object_get(b, "adapter"));
@@ -410,10 +402,10 @@
 			h->seq++;
 	}
 	g_ptr_array_add(h->order, o);
-	buf_fmt(&j->link->out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n",
+	buf_fmt(&j->v.link->out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n",
 	    o->status, http_reason(o->status));
-	link_flush(j->link);
-	link_next(j->link);
+	link_flush(j->v.link);
+	link_next(j->v.link);
 	json_decref(b);
 }
 
@@ -442,57 +434,58 @@
 static void
 report(job_t *j)
 {
-	hand_t *h = j->h;
+	hand_t *h = hand_of(j);
 	json_t *r = json_pack("{s:o,s:b,s:I,s:i,s:i,s:i,s:i}", "models",
 	    models(h), "busy", busy(h), "seq", (json_int_t)h->seq, "running", 0,
 	    "waiting", 0, "kv_used", 0, "kv_total", 100000);
 	char *text = json_dumps(r, JSON_COMPACT);
 
-	buf_fmt(&j->link->out,
+	buf_fmt(&j->v.link->out,
 	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(text),
 	    text);
 	free(text);
 	json_decref(r);
-	link_flush(j->link);
-	link_next(j->link);
+	link_flush(j->v.link);
+	link_next(j->v.link);
 }
 
 /* A call that it doesn't run. */
 static bool
 refuses(job_t *j)
 {
-	const head_t *h = &j->link->head;
+	const head_t *h = &j->v.link->head;
 	const char *expect = head_get(h, "Expect-Instance");
 	const char *asked = head_get(h, "Model"), *adapter;
-	bool other = expect != NULL && strcmp(expect, j->h->id) != 0;
+	bool other = expect != NULL && strcmp(expect, hand_of(j)->id) != 0;
 	bool lacks = false;
 	char model[ID_MAX];
 	const held_t *m;
 
-	if (asked != NULL && j->h->engine) {
+	if (asked != NULL && hand_of(j)->engine) {
 		snprintf(model, sizeof(model), "%.*s", (int)strcspn(asked, "/"),
 		    asked);
 		adapter = strchr(asked, '/');
-		m = held_find(j->h, model);
+		m = held_find(hand_of(j), model);
 		lacks = m == NULL || m->loading || m->leaving ||
 			(adapter != NULL && held_adapter(m, adapter + 1) == -1);
 	}
-	if (!other && !lacks && j->h->fault != HAND_NOT_RUN)
+	if (!other && !lacks && hand_of(j)->fault != HAND_NOT_RUN)
 		return false;
-	buf_fmt(&j->link->out,
+	buf_fmt(&j->v.link->out,
 	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	    other || lacks ? 421 : 503,
 	    http_reason(other || lacks ? 421 : 503));
-	link_flush(j->link);
-	link_next(j->link);
+	link_flush(j->v.link);
+	link_next(j->v.link);
 	return true;
 }
 
 static void
-on_done(void *u, link_t *k)
+done(visit_t *v)
 {
-	job_t *j = u;
-	hand_t *h = j->h;
+	job_t *j = (job_t *)v;
+	hand_t *h = hand_of(j);
+	link_t *k = v->link;
 	const char *target = head_target(&k->head);
 
 	if (j->early) {
@@ -513,8 +506,7 @@
 	j->run = record(j);
 	switch (h->fault) {
 	case HAND_RESET:
-		link_close(k);
-		drop(j);
+		booth_hang_up(v);
 		return;
 	case HAND_MUTE:
 		return;
@@ -527,87 +519,44 @@
 		break;
 	}
 	if (!h->engine || h->fault == HAND_ERROR || h->fault == HAND_BUSY) {
-		j->alarm = (alarm_t){ .fn = plain, .arg = j };
-		alarm_set(h->loop, &j->alarm, h->loop->now + h->work);
+		j->v.alarm = (alarm_t){ .fn = plain, .arg = j };
+		alarm_set(
+		    h->booth.loop, &j->v.alarm, h->booth.loop->now + h->work);
 		return;
 	}
 	head(j, 200,
 	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n");
 	j->next = j->run->from >= 0 ? j->run->from + 1 : 1;
-	j->alarm = (alarm_t){ .fn = event, .arg = j };
-	alarm_set(h->loop, &j->alarm, h->loop->now + h->gap);
+	j->v.alarm = (alarm_t){ .fn = event, .arg = j };
+	alarm_set(h->booth.loop, &j->v.alarm, h->booth.loop->now + h->gap);
 }
 
 static void
-on_head(void *u, link_t *k)
+head_read(visit_t *v)
 {
-	job_t *j = u;
+	job_t *j = (job_t *)v;
 
-	j->body.off = j->body.len = 0;
-	if (j->h->fault != HAND_EARLY)
+	if (hand_of(j)->fault != HAND_EARLY)
 		return;
 	j->early = true;
-	buf_str(&k->out, "HTTP/1.1 503 Service Unavailable\r\n"
-			 "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-	link_flush(k);
-}
-
-static void
-on_body(void *u, link_t *k, const char *p, size_t n)
-{
-	job_t *j = u;
-
-	(void)k;
-	buf_add(&j->body, p, n);
+	buf_str(&v->link->out, "HTTP/1.1 503 Service Unavailable\r\n"
+			       "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	link_flush(v->link);
 }
 
 static void
-on_end(void *u, link_t *k, link_end_t why)
+gone(visit_t *v)
 {
-	(void)k, (void)why;
-	drop(u);
-}
+	job_t *j = (job_t *)v;
 
-static void
-on_bad(void *u, link_t *k, int status)
-{
-	(void)status;
-	link_close(k);
-	drop(u);
-}
-
-static const link_ops_t ops = { .head = on_head,
-	.body = on_body,
-	.done = on_done,
-	.bad = on_bad,
-	.end = on_end };
-
-static void
-knock(void *arg, uint32_t ev)
-{
-	hand_t *h = arg;
-	int fd;
-
-	(void)ev;
-	while ((fd = accept(h->door.fd, NULL, NULL)) != -1) {
-		job_t *j = calloc(1, sizeof(*j));
-
-		h->connections++;
-		j->h = h;
-		j->link = link_accept(h->loop, fd, &ops, j);
-		g_ptr_array_add(h->job, j);
-	}
+	if (j->run != NULL)
+		j->run->cancelled = true;
 }
 
-static void
-free_job(gpointer p)
-{
-	job_t *j = p;
-
-	buf_free(&j->body);
-	loop_bury(j->h->loop, j);
-}
+static const booth_ops_t ops = {
+	.size = sizeof(job_t), .head = head_read, .done = done, .gone = gone
+};
 
 static void
 free_run(gpointer p)
@@ -623,9 +572,7 @@
 hand_new(loop_t *l, const hand_opts_t *o)
 {
 	hand_t *h = g_new0(hand_t, 1);
-	err_t e = { 0 };
 
-	h->loop = l;
 	str_copy(h->id, ID_MAX, o->id);
 	str_copy(h->addr, ADDR_MAX, o->addr);
 	h->engine = o->model != NULL;
@@ -640,14 +587,10 @@
 	h->slots = o->adapter_slots;
 	h->run = g_ptr_array_new_with_free_func(free_run);
 	h->order = g_ptr_array_new_with_free_func(g_free);
-	h->job = g_ptr_array_new_with_free_func(free_job);
 	h->held = g_ptr_array_new_with_free_func(free_held);
 	if (o->model != NULL)
 		held_add(h, o->model);
-	h->door = (watch_t){ net_listen(o->addr, &e), 0, knock, h };
-	if (h->door.fd == -1)
-		g_error("%s", e.text);
-	watch_add(l, &h->door, EPOLLIN);
+	booth_open(&h->booth, l, o->addr, &ops, h);
 	return h;
 }
 
@@ -690,7 +633,7 @@
 int
 hand_connections(const hand_t *h)
 {
-	return h->connections;
+	return h->booth.visits;
 }
 
 char *
@@ -715,16 +658,7 @@
 void
 hand_free(hand_t *h)
 {
-	guint i;
-
-	watch_del(h->loop, &h->door);
-	for (i = 0; i < h->job->len; i++) {
-		job_t *j = h->job->pdata[i];
-
-		alarm_stop(h->loop, &j->alarm);
-		link_close(j->link);
-	}
-	g_ptr_array_free(h->job, TRUE);
+	booth_close(&h->booth);
 	g_ptr_array_free(h->run, TRUE);
 	g_ptr_array_free(h->order, TRUE);
 	g_ptr_array_free(h->held, TRUE);
--- a/standin/ground.c
+++ b/standin/ground.c
@@ -11,8 +11,9 @@
 enum {
 	DOMAINS = 16,
 	ASK_MS = 200, /* between questions whether a daemon is ready */
-	CPU_PERMILLE = 250,
 };
+/* Of a core, as the weaker machines of a deployment have. */
+static const double cpu_share = 0.25;
 
 static void
 die(const char *what, const char *why)
@@ -241,7 +242,7 @@
 		    .entries = y->entries[i],
 		    .peer_port = 7380,
 		    .store = y->store,
-		    .cpu_share = CPU_PERMILLE / 1000.0 });
+		    .cpu_share = cpu_share });
 		if (!g_file_set_contents(path, text, -1, NULL))
 			die(path, "can't be written");
 		g_string_append_printf(all, "%s %s %s %s\n", instance, path,
@@ -269,6 +270,17 @@
 	patron_free(p);
 }
 
+bool
+ground_ready(const ground_t *y)
+{
+	int i;
+
+	for (i = 0; i < y->z.daemons; i++)
+		if (!y->is_ready[i])
+			return false;
+	return true;
+}
+
 /* Ask one after the other. */
 static void
 ask(void *arg)
@@ -279,26 +291,15 @@
 	alarm_set(&y->loop, &y->ask, y->loop.now + ASK_MS);
 	if (y->asking != NULL)
 		return;
-	for (i = 0; i < y->z.daemons && y->is_ready[i]; i++)
-		;
-	if (i == y->z.daemons)
+	if (ground_ready(y))
 		return;
+	for (i = 0; y->is_ready[i]; i++)
+		;
 	y->asked = i;
 	y->asking = patron_open(&y->loop, y->ready[i],
 	    "GET /v1/ready HTTP/1.1\r\nHost: ground\r\n\r\n", told, y);
 }
 
-bool
-ground_ready(const ground_t *y)
-{
-	int i;
-
-	for (i = 0; i < y->z.daemons; i++)
-		if (!y->is_ready[i])
-			return false;
-	return true;
-}
-
 ground_t *
 ground_new(const ground_opts_t *o)
 {
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -4,9 +4,6 @@
 
 enum {
 	READY_MS = 15000, /* four daemons on a busy machine */
-	SPAN_MS = 9000,
-	AT_MS = 2500,  /* the fault begins ... */
-	FOR_MS = 2500, /* ... and ends */
 	TURN_MS = 20,
 	PORTS = 16,
 };
--- a/tests/crowd_proc.c
+++ b/tests/crowd_proc.c
@@ -13,33 +13,56 @@
 	END_MS = 9000, /* a daemon's grace, and some */
 };
 
-typedef struct test {
-	bed_t *b;
+/** What goes wrong while callers call; each of it may be none. */
+typedef struct trouble {
+	const char *sizes; /* that differ from the bed's */
 	void (*begin)(bed_t *b), (*end)(bed_t *b);
+	hand_fault_t hand; /* of one engine and one plain endpoint */
+	shelf_fault_t store;
+} trouble_t;
+
+typedef struct play {
+	bed_t *b;
+	const trouble_t *trouble;
 	bool begun, ended;
-} test_t;
+} play_t;
+
+static void
+set_faults(bed_t *b, hand_fault_t hand, shelf_fault_t store)
+{
+	hand_fault(b->ground->hand[0], hand);
+	hand_fault(b->ground->hand[b->ground->nhand - 1], hand);
+	shelf_fault(b->ground->shelf, store);
+}
 
 static void
 turn(void *arg, ms_t since)
 {
-	test_t *t = arg;
+	play_t *p = arg;
+	const trouble_t *t = p->trouble;
 
-	if (!t->begun && since >= AT_MS) {
-		t->begun = true;
+	if (!p->begun && since >= AT_MS) {
+		p->begun = true;
+		set_faults(p->b, t->hand, t->store);
 		if (t->begin != NULL)
-			t->begin(t->b);
+			t->begin(p->b);
 	}
-	if (!t->ended && since >= AT_MS + FOR_MS) {
-		t->ended = true;
+	if (!p->ended && since >= AT_MS + FOR_MS) {
+		p->ended = true;
+		set_faults(p->b, HAND_SOUND, SHELF_SOUND);
 		if (t->end != NULL)
-			t->end(t->b);
+			t->end(p->b);
 	}
 }
 
-static void
-call_all(test_t *t)
+/* Callers call through the trouble; what holds whatever fails is checked. */
+static bed_t *
+play(const trouble_t *t)
 {
-	bed_call(t->b, SPAN_MS, turn, t);
+	play_t p = { bed_new(t->sizes != NULL ? t->sizes : ""), t, 0, 0 };
+
+	bed_call(p.b, SPAN_MS, turn, &p);
+	return p.b;
 }
 
 /* What holds too where no process of ours is lost. */
@@ -59,10 +82,8 @@
 static void
 nothing_fails(void)
 {
-	test_t t = { bed_new(""), NULL, NULL, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ 0 });
 
-	call_all(&t);
 	none_lost(b);
 	g_assert_cmpint(b->r.failed, ==, 0);
 	served_at_least(b, 0.98);
@@ -84,10 +105,8 @@
 static void
 daemon_is_killed(void)
 {
-	test_t t = { bed_new(""), kill_one, start_one, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .begin = kill_one, .end = start_one });
 
-	call_all(&t);
 	/* Lost is what was open there, some 100 ms of its calls. */
 	served_at_least(b, 0.9);
 	bed_free(b);
@@ -114,10 +133,8 @@
 static void
 all_daemons_are_killed(void)
 {
-	test_t t = { bed_new(""), kill_all, start_all, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .begin = kill_all, .end = start_all });
 
-	call_all(&t);
 	/* Away for FOR_MS of SPAN_MS, and the start. */
 	served_at_least(b, 0.5);
 	bed_free(b);
@@ -140,10 +157,8 @@
 static void
 daemons_are_frozen(void)
 {
-	test_t t = { bed_new(""), freeze_two, thaw_two, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .begin = freeze_two, .end = thaw_two });
 
-	call_all(&t);
 	none_lost(b);
 	bed_free(b);
 }
@@ -170,40 +185,18 @@
 static void
 daemons_are_stopped_as_planned(void)
 {
-	test_t t = { bed_new(""), stop_two, start_two, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .begin = stop_two, .end = start_two });
 
-	call_all(&t);
 	none_lost(b);
 	served_at_least(b, 0.97);
 	bed_free(b);
 }
 
-static void
-store_silent(bed_t *b)
-{
-	shelf_fault(b->ground->shelf, SHELF_SILENT);
-}
-
-static void
-store_busy(bed_t *b)
-{
-	shelf_fault(b->ground->shelf, SHELF_BUSY);
-}
-
-static void
-store_sound(bed_t *b)
-{
-	shelf_fault(b->ground->shelf, SHELF_SOUND);
-}
-
 static void
 store_is_silent(void)
 {
-	test_t t = { bed_new(""), store_silent, store_sound, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .store = SHELF_SILENT });
 
-	call_all(&t);
 	none_lost(b);
 	served_at_least(b, 0.95);
 	bed_free(b);
@@ -212,10 +205,8 @@
 static void
 store_is_busy(void)
 {
-	test_t t = { bed_new(""), store_busy, store_sound, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .store = SHELF_BUSY });
 
-	call_all(&t);
 	none_lost(b);
 	served_at_least(b, 0.95);
 	bed_free(b);
@@ -230,66 +221,19 @@
 static void
 store_forgets_its_history(void)
 {
-	test_t t = { bed_new(""), forget_history, forget_history, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(
+	    &(trouble_t){ .begin = forget_history, .end = forget_history });
 
-	call_all(&t);
 	none_lost(b);
 	served_at_least(b, 0.97);
 	bed_free(b);
 }
 
-/* One engine and one plain endpoint misbehave. */
-static void
-set_fault(bed_t *b, hand_fault_t f)
-{
-	hand_fault(b->ground->hand[0], f);
-	hand_fault(b->ground->hand[b->ground->nhand - 1], f);
-}
-
-static void
-hands_reset(bed_t *b)
-{
-	set_fault(b, HAND_RESET);
-}
-
-static void
-hands_refuse(bed_t *b)
-{
-	set_fault(b, HAND_NOT_RUN);
-}
-
-static void
-hands_cut(bed_t *b)
-{
-	set_fault(b, HAND_CUT);
-}
-
-static void
-hands_extra(bed_t *b)
-{
-	set_fault(b, HAND_EXTRA);
-}
-
-static void
-hands_foreign(bed_t *b)
-{
-	set_fault(b, HAND_FOREIGN);
-}
-
-static void
-hands_sound(bed_t *b)
-{
-	set_fault(b, HAND_SOUND);
-}
-
 static void
-with_hands(void (*fault)(bed_t *b), double part)
+with_hands(hand_fault_t fault, double part)
 {
-	test_t t = { bed_new(""), fault, hands_sound, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(&(trouble_t){ .hand = fault });
 
-	call_all(&t);
 	g_assert_cmpint(b->r.lost, ==, 0);
 	served_at_least(b, part);
 	bed_free(b);
@@ -298,42 +242,40 @@
 static void
 endpoints_reset(void)
 {
-	with_hands(hands_reset, 0.95);
+	with_hands(HAND_RESET, 0.95);
 }
 
 static void
 endpoints_refuse(void)
 {
-	with_hands(hands_refuse, 0.95);
+	with_hands(HAND_NOT_RUN, 0.95);
 }
 
 static void
 endpoints_break_streams_off(void)
 {
-	with_hands(hands_cut, 0.98);
+	with_hands(HAND_CUT, 0.98);
 }
 
 static void
 endpoints_answer_twice(void)
 {
-	with_hands(hands_extra, 0.95);
+	with_hands(HAND_EXTRA, 0.95);
 }
 
 static void
 endpoints_answer_others_first(void)
 {
-	with_hands(hands_foreign, 0.85);
+	with_hands(HAND_FOREIGN, 0.85);
 }
 
 /* Twice as many adapters are asked for as there are places. */
 static void
 more_adapters_than_places_all_get_a_turn(void)
 {
-	test_t t = { bed_new("engines = 2\nmodels = 2\nadapters = 8\n"), NULL,
-		NULL, 0, 0 };
-	bed_t *b = t.b;
+	bed_t *b = play(
+	    &(trouble_t){ .sizes = "engines = 2\nmodels = 2\nadapters = 8\n" });
 
-	call_all(&t);
 	none_lost(b);
 	/* Two engines of four places each. */
 	g_assert_cmpint(b->r.wares, >, 8);
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -16,6 +16,7 @@
 	serve_t s;
 	ep_t ep;
 	desk_t d;
+	plan_t p; /* for desk_of() */
 } desk_set_t;
 
 static void
@@ -24,6 +25,9 @@
 	memset(t, 0, sizeof(*t));
 	t->s.config = config_decode(config_text, strlen(config_text), NULL);
 	t->s.loop.now = 100000;
+	t->p.s = &t->s;
+	t->p.desk =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	t->d.s = &t->s;
 	t->d.ep = &t->ep;
 	t->ep.listed = true;
@@ -34,6 +38,13 @@
 	t->ep.entry.holds.nmodel = 1;
 }
 
+static void
+tear_down(desk_set_t *t)
+{
+	g_hash_table_destroy(t->p.desk);
+	config_free(t->s.config);
+}
+
 static void
 learn(desk_set_t *t, const char *model, const char *adapter, bool load,
     int64_t orders, ms_t at)
@@ -77,7 +88,7 @@
 	t.ep.entry.holds.nmodel = 1;
 	ep_mark_shown(&t.ep);
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* A loaded endpoint's entry comes late; its five places are taken. */
@@ -95,7 +106,7 @@
 	/* The same load again, which it answered as done already. */
 	learn(&t, "m1", "a2", true, 0, 104100);
 	g_assert_cmpint(desk_adapters(&t.d), ==, 2);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* A call of 12 s used it; its endpoint's other places were kept meanwhile. */
@@ -119,7 +130,7 @@
 	t.s.loop.now += 400;
 	/* Half of the places wait: enough. */
 	g_assert_true(desk_unloads_adapter(&t.d, 2));
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* Its weights were at hand: it is there long before the load's usual time. */
@@ -127,24 +138,19 @@
 load_from_hand_serves_as_soon_as_it_is_shown(void)
 {
 	desk_set_t t;
-	plan_t p = { 0 };
 
 	set_up(&t);
-	p.s = &t.s;
-	p.desk =
-	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-	desk_of(&p, &t.ep)->ask = false;
+	desk_of(&t.p, &t.ep)->ask = false;
 	learn(&t, "m2", "", true, 1, 108000);
-	desk_of(&p, &t.ep)->busy_until = 108000;
+	desk_of(&t.p, &t.ep)->busy_until = 108000;
 	t.s.loop.now = 101000;
 	g_assert_false(ep_holds(&t.ep, "m2", "", t.s.loop.now));
-	g_assert_false(desk_free(desk_of(&p, &t.ep)));
+	g_assert_false(desk_free(desk_of(&t.p, &t.ep)));
 	hold(&t, "m2");
 	ep_mark_shown(&t.ep);
 	g_assert_true(ep_holds(&t.ep, "m2", "", t.s.loop.now));
-	g_assert_true(desk_free(desk_of(&p, &t.ep)));
-	g_hash_table_destroy(p.desk);
-	config_free(t.s.config);
+	g_assert_true(desk_free(desk_of(&t.p, &t.ep)));
+	tear_down(&t);
 }
 
 /* Entries from before its unload don't show the load that came after it. */
@@ -166,7 +172,7 @@
 	t.ep.entry.holds.nadapter = 0;
 	ep_mark_shown(&t.ep);
 	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* It waits for the calls that use it. */
@@ -181,7 +187,7 @@
 	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
 	t.ep.learnt[1].sure = true;
 	g_assert_cmpint(desk_adapters(&t.d), ==, 0);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* The store lags, and an entry from before the report comes after it. */
@@ -207,7 +213,7 @@
 	ep_mark_shown(&t.ep);
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140060);
 	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* Adapters change fast; what no entry has shown is remembered longest. */
@@ -225,7 +231,7 @@
 		learn(&t, "m1", name, false, 2 + i, 100000 + i);
 	}
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* What others tell of its orders, and the entry, may both be behind. */
@@ -233,17 +239,12 @@
 new_desk_asks_before_it_orders(void)
 {
 	desk_set_t t;
-	plan_t p = { 0 };
 
 	set_up(&t);
-	p.s = &t.s;
-	p.desk =
-	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
-	g_assert_false(desk_free(desk_of(&p, &t.ep)));
-	desk_of(&p, &t.ep)->ask = false;
-	g_assert_true(desk_free(desk_of(&p, &t.ep)));
-	g_hash_table_destroy(p.desk);
-	config_free(t.s.config);
+	g_assert_false(desk_free(desk_of(&t.p, &t.ep)));
+	desk_of(&t.p, &t.ep)->ask = false;
+	g_assert_true(desk_free(desk_of(&t.p, &t.ep)));
+	tear_down(&t);
 }
 
 /* Reports restart the count; two orders then bear one number. */
@@ -258,7 +259,7 @@
 	learn(&t, "m1", "a2", true, 5, 100000);
 	g_assert_cmpint(desk_adapters(&t.d), ==, 2);
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 70120);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 static void
@@ -276,7 +277,7 @@
 	learn(&t, "m1", "", true, 0, 100010);
 	g_assert_true(ep_holds(&t.ep, "m1", "", 100020));
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 static void
@@ -291,7 +292,7 @@
 	/* Its memory is free only when the calls on it have ended. */
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
 	g_assert_false(ep_holds(&t.ep, "m2", "", 100200));
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* An order without an answer may land seconds later. */
@@ -306,7 +307,7 @@
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
 	t.s.loop.now += 13001;
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 70000);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 static void
@@ -322,7 +323,7 @@
 	desk_check(&t.d);
 	g_assert_true(t.d.ask);
 	g_assert_false(desk_free(&t.d));
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 static void
@@ -335,7 +336,7 @@
 	    sizeof(t.ep.entry.holds.model[1]));
 	t.ep.entry.holds.nmodel = 2;
 	g_assert_cmpfloat(desk_memory(&t.d), >=, 200000);
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 /* A new holder has read entries from old copies; orders aren't in them. */
@@ -363,7 +364,7 @@
 	t.ep.written = follow_written(&f, t.s.loop.now);
 	g_assert_cmpfloat(desk_memory(&t.d), ==, 140000);
 	g_assert_false(ep_unshown(&t.ep, &t.ep.learnt[0]));
-	config_free(t.s.config);
+	tear_down(&t);
 }
 
 #define T(name) g_test_add_func("/orders/" #name, name)
--- a/tests/path_proc.c
+++ b/tests/path_proc.c
@@ -143,10 +143,8 @@
 		char id[16];
 
 		snprintf(id, sizeof(id), "r%d", i);
-		c = caller_call(st, 0, "GET", "/safe/a", id,
+		c = caller_told(st, 200, "GET", "/safe/a", id,
 		    "Deadline-Remaining: 1500\r\n");
-		g_assert_true(caller_wait(c, 3000));
-		g_assert_cmpint(c->status, ==, 200);
 		caller_free(c);
 	}
 	g_assert_cmpuint(hand_runs(st->hand[0])->len, >, 0);
@@ -161,18 +159,14 @@
 
 	hand_fault(st->hand[0], HAND_NOT_RUN);
 	hand_fault(st->hand[1], HAND_NOT_RUN);
-	c = caller_call(
-	    st, 0, "POST", "/once/a", "r1", "Deadline-Remaining: 1500\r\n");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 503);
+	c = caller_told(
+	    st, 503, "POST", "/once/a", "r1", "Deadline-Remaining: 1500\r\n");
 	g_assert_nonnull(strstr(c->head, "Retry-After: "));
 	g_assert_cmpint(runs(st), ==, 0);
 	caller_free(c);
 	hand_fault(st->hand[0], HAND_SOUND);
-	c = caller_call(
-	    st, 0, "POST", "/once/a", "r2", "Deadline-Remaining: 1500\r\n");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 200);
+	c = caller_told(
+	    st, 200, "POST", "/once/a", "r2", "Deadline-Remaining: 1500\r\n");
 	caller_free(c);
 	stage_free(st);
 }
@@ -232,10 +226,8 @@
 
 		hand_fault(st->hand[0], i % 2 ? HAND_FOREIGN : HAND_EXTRA);
 		snprintf(id, sizeof(id), "r%d", i);
-		c = caller_call(st, 0, "POST", "/once/a", id,
+		c = caller_told(st, 200, "POST", "/once/a", id,
 		    "Deadline-Remaining: 1500\r\n");
-		g_assert_true(caller_wait(c, 3000));
-		g_assert_cmpint(c->status, ==, 200);
 		g_assert_cmpuint(
 		    buf_len(&c->body), ==, strlen("answer to r0 by ep-0"));
 		caller_free(c);
@@ -429,10 +421,8 @@
 		caller_t *c;
 
 		snprintf(id, sizeof(id), "r%d", i);
-		c = caller_call(st, 0, "GET", "/safe/a", id,
+		c = caller_told(st, 200, "GET", "/safe/a", id,
 		    "Deadline-Remaining: 1500\r\n");
-		g_assert_true(caller_wait(c, 3000));
-		g_assert_cmpint(c->status, ==, 200);
 		caller_free(c);
 	}
 	g_assert_cmpint(hand_connections(st->hand[0]), ==, 1);
@@ -447,9 +437,7 @@
 	caller_t *c;
 
 	hand_fault(st->hand[0], HAND_UNFRAMED);
-	c = caller_call(st, 0, "POST", "/once/a", "r1", "");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 200);
+	c = caller_told(st, 200, "POST", "/once/a", "r1", "");
 	g_assert_nonnull(strstr(c->body.p, "answer to r1 by ep-0"));
 	caller_free(c);
 	stage_free(st);
@@ -464,16 +452,12 @@
 
 	hand_fault(st->hand[0], HAND_TORN);
 	hand_fault(st->hand[1], HAND_TORN);
-	c = caller_call(st, 0, "POST", "/once/a", "r1", "");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 502);
+	c = caller_told(st, 502, "POST", "/once/a", "r1", "");
 	g_assert_cmpint(runs(st), ==, 1);
 	caller_free(c);
 	/* One that may be repeated gets its answer elsewhere. */
 	hand_fault(st->hand[1], HAND_SOUND);
-	c = caller_call(st, 0, "GET", "/safe/a", "r2", "");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 200);
+	c = caller_told(st, 200, "GET", "/safe/a", "r2", "");
 	g_assert_nonnull(strstr(c->body.p, "answer to r2 by ep-1"));
 	caller_free(c);
 	stage_free(st);
@@ -501,9 +485,7 @@
 	g_assert_cmpint(runs(st), ==, 0);
 	caller_free(c);
 	hand_fault(st->hand[0], HAND_SOUND);
-	c = caller_call(st, 0, "POST", "/once/b", "r2", "");
-	g_assert_true(caller_wait(c, 3000));
-	g_assert_cmpint(c->status, ==, 200);
+	c = caller_told(st, 200, "POST", "/once/b", "r2", "");
 	g_assert_cmpint(hand_connections(st->hand[0]), ==, 2);
 	caller_free(c);
 	g_free(text);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -9,6 +9,7 @@
 
 enum {
 	READY_MS = 8000, /* a start on a busy machine */
+	ANSWER_MS = 3000,
 	TURN_MS = 20,
 };
 
@@ -241,6 +242,17 @@
 	return stage_until(c->arg, is_over, c, span);
 }
 
+caller_t *
+caller_told(stage_t *st, int status, const char *method, const char *path,
+    const char *id, const char *headers)
+{
+	caller_t *c = caller_call(st, 0, method, path, id, headers);
+
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, status);
+	return c;
+}
+
 void
 caller_leave(caller_t *c)
 {
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -54,6 +54,9 @@
 /** A plain call: "GET /safe/x" or "POST /once/x" and the like. */
 caller_t *caller_call(stage_t *st, int i, const char *method, const char *path,
     const char *id, const char *headers);
+/** The same, to daemon 0; wait, and assert the status of the answer. */
+caller_t *caller_told(stage_t *st, int status, const char *method,
+    const char *path, const char *id, const char *headers);
 /** Wait for its answer or its end. */
 bool caller_wait(caller_t *c, ms_t span);
 void caller_leave(caller_t *c);
--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -1,4 +1,4 @@
-# Sourced by demo, bench and soak: a deployment of real processes on this
+# Sourced by bench: a deployment of real processes on this
 # machine with stand-ins in the platform's place. Needs build/bin.
 #
 # deploy_settings NAME reads settings/NAME.ini; deploy_start starts all;
@@ -43,7 +43,6 @@
 answers() { curl -sf -m 2 "http://$1$2"; }
 
 deploy_settings() {
-	deployment=$1
 	settings=${settings-settings/$1.ini}
 	[ -f "$settings" ] || die "no $settings"
 	mkdir -p "$dir"
@@ -55,13 +54,7 @@
 		esac
 	done
 	fencing=$(ini_get "service $engine_service" fencing)
-	case $deployment in
-	granite-ridge) sizes='8 18 3' ;;
-	tostadero) sizes='7 12 4' ;;
-	*) sizes='1 1 1' ;;
-	esac
-	set -- $sizes
-	nentry=${nentry-$1} nengine=${nengine-$2} nservice=${nservice-$3}
+	nentry=${nentry-1} nengine=${nengine-1} nservice=${nservice-1}
 	slots=${slots-16}
 	ports=($($bin/freeports $((1 + 3 * nentry + nengine + nservice))))
 	platform=127.0.0.1:${ports[0]}
