A connection that breaks while it is written to ends from the loop

The caller's connection was reset; link_flush() failed and told its user the end at once, from inside the call that was writing the answer; the call was forgotten, and then ended a second time. Every way an answer is written had this: our own answers, plain ones, streams, 408 and malformed requests.

--- a/net/link.c
+++ b/net/link.c
@@ -59,6 +59,21 @@
 	link_close(k);
 }
 
+static void
+broken(void *arg)
+{
+	ended(arg, LINK_RESET);
+}
+
+/* From the loop: the user may be in the middle of what it writes. */
+static void
+end_soon(link_t *k)
+{
+	k->alarm.fn = broken;
+	k->alarm.arg = k;
+	alarm_set(k->loop, &k->alarm, k->loop->now);
+}
+
 static void
 linger_over(void *arg)
 {
@@ -98,7 +113,7 @@
 		/* Reading may still give what the peer said before. */
 		buf_take(&k->out, buf_len(&k->out));
 		if (k->side == LINK_SERVER || k->closing)
-			ended(k, LINK_RESET);
+			end_soon(k);
 		return;
 	}
 	if (buf_len(&k->out) == 0 && k->closing)
--- a/net/net.h
+++ b/net/net.h
@@ -170,7 +170,7 @@
 	char last;     /* previous byte of a head, to find bare line feeds */
 	ms_t since;    /* last byte in or out */
 	ms_t began;    /* the message that is under way */
-	alarm_t alarm; /* its user's */
+	alarm_t alarm; /* of its end */
 	bool lingering;
 };
 
@@ -180,7 +180,10 @@
 link_t *link_connect(
     loop_t *l, const struct sockaddr_in *to, const link_ops_t *ops, void *user);
 void link_write(link_t *k, const void *p, size_t n);
-/** Send what link_write() and k->out gathered. */
+/**
+ * Send what link_write() and k->out gathered. If that fails, the end is told
+ * later, from the loop.
+ */
 void link_flush(link_t *k);
 /**
  * A server has answered: the next request may be parsed; or a client lets an
--- a/tests/path_proc.c
+++ b/tests/path_proc.c
@@ -3,7 +3,9 @@
 #include "tests/stage.h"
 
 #include <fcntl.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 static const hand_opts_t plain = { .work = 20 };
@@ -429,6 +431,33 @@
 	stage_free(st);
 }
 
+/* Its reset and its answer are read in one turn, the answer first. */
+static void
+caller_that_resets_as_its_answer_comes(void)
+{
+	static const char *const path[] = { "/once/a", "/gen/a" };
+	struct linger hard = { 1, 0 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(path); i++) {
+		stage_t *st = one_daemon(
+		    i == 0 ? &plain : &stream, 1, i == 0 ? "app" : "llm");
+		caller_t *c = caller_call(st, 0, "POST", path[i], "r1",
+		    i == 0 ? "" : "Model: m1\r\nToken-Usage: 100,20\r\n");
+
+		g_assert_true(stage_until(st, stage_has_run, st, 1000));
+		proc_signal(st->daemon[0], SIGSTOP);
+		stage_run(st, 300);
+		setsockopt(c->link->watch.fd, SOL_SOCKET, SO_LINGER, &hard,
+		    sizeof(hard));
+		caller_free(c);
+		proc_signal(st->daemon[0], SIGCONT);
+		stage_run(st, 300);
+		g_assert_false(proc_ended(st->daemon[0], 0));
+		stage_free(st);
+	}
+}
+
 /* The end of the connection ends the answer: it is whole. */
 static void
 answer_without_a_length_is_whole(void)
@@ -597,6 +626,7 @@
 	T(missing_host_and_limits);
 	T(body_in_chunks_is_forwarded);
 	T(connections_are_kept);
+	T(caller_that_resets_as_its_answer_comes);
 	T(answer_without_a_length_is_whole);
 	T(torn_answer_is_no_answer);
 	T(early_answer_ends_its_connection);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -109,6 +109,12 @@
 	return i;
 }
 
+bool
+stage_has_run(void *st)
+{
+	return hand_runs(((stage_t *)st)->hand[0])->len > 0;
+}
+
 void
 stage_entry(stage_t *st, int hand, const char *service, bool leaving)
 {
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -41,6 +41,8 @@
 void stage_run(stage_t *st, ms_t span);
 /** Let it run until @p cond holds. @return whether it does, within @p span. */
 bool stage_until(stage_t *st, cond_t *cond, void *arg, ms_t span);
+/** For stage_until(): has the first endpoint got a call? @param st a stage */
+bool stage_has_run(void *st);
 /** An endpoint, listed in the store. @return its index. */
 int stage_hand(stage_t *st, const hand_opts_t *o, const char *service);
 void stage_entry(stage_t *st, int hand, const char *service, bool leaving);
--- a/tests/touch_proc.c
+++ b/tests/touch_proc.c
@@ -254,14 +254,6 @@
 	return ok;
 }
 
-static bool
-has_run(void *arg)
-{
-	stage_t *st = arg;
-
-	return hand_runs(st->hand[0])->len > 0;
-}
-
 static void
 stopped_instance_finishes_its_calls(void)
 {
@@ -278,7 +270,7 @@
 	g_assert_true(stage_until(st, lists_two, st, 4000));
 	c = caller_call(st, 1, "POST", "/gen/a", "r1",
 	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
-	g_assert_true(stage_until(st, has_run, st, 1000));
+	g_assert_true(stage_until(st, stage_has_run, st, 1000));
 	proc_signal(st->daemon[1], SIGTERM);
 	g_assert_true(stage_until(st, lists_first_only, st, 400));
 	g_assert_cmpint(
