An entry from before a load doesn't show it

Now only an entry written, by the cautious estimate, after a load was done shows it; a load that an entry lists counts as done from then on, as before. The new test failed before.

--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -232,8 +232,13 @@
 	for (i = 0; i < p->nlearnt; i++) {
 		learnt_t *l = &p->learnt[i];
 
-		l->shown |=
-		    l->load && !l->again && ep_lists(p, l->model, l->adapter);
+		if (!l->load || l->again || !ep_lists(p, l->model, l->adapter))
+			continue;
+		/* Weights at hand load faster than was expected. */
+		if (p->seen_at < l->at)
+			l->at = p->seen_at;
+		/* An entry from before it may show an earlier load. */
+		l->shown |= p->written >= l->at;
 	}
 }
 
@@ -296,7 +301,7 @@
 		if (!ep_unshown(p, l) || strcmp(l->model, model) != 0)
 			continue;
 		if (strcmp(l->adapter, adapter) == 0)
-			has = l->load && (l->shown || now >= l->at);
+			has = l->load && now >= l->at;
 		else if (l->adapter[0] == '\0' && !l->load)
 			has = false;
 	}
--- a/serve/orders.c
+++ b/serve/orders.c
@@ -19,7 +19,7 @@
 	UNSHOWN_MOST = LEARNT_MAX / 2, /* orders to be remembered */
 };
 
-/* Weights at hand load faster than the configuration says. */
+/* Is the last order about a model a load that is done? */
 static bool
 loaded(const desk_t *d)
 {
@@ -28,7 +28,8 @@
 
 	for (i = p->nlearnt - 1; i >= 0; i--)
 		if (p->learnt[i].adapter[0] == '\0')
-			return p->learnt[i].load && p->learnt[i].shown;
+			return p->learnt[i].load &&
+			       d->s->loop.now >= p->learnt[i].at;
 	return false;
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -61,7 +61,7 @@
 	char adapter[16]; /* "": the model itself */
 	bool load;
 	bool sure;  /* it was done with the endpoint's answer */
-	bool shown; /* an entry has shown the load */
+	bool shown; /* an entry from after it has shown the load */
 	bool again; /* unloaded shortly before: entries may show that time */
 	ms_t at;    /* when it is carried out, by estimate */
 } learnt_t;
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -109,6 +109,37 @@
 	tear_down(&t);
 }
 
+/*
+ * The store was away; what it tells afterwards is from before, when the adapter
+ * was held for the first time. A report has settled its unload meanwhile.
+ */
+static void
+entry_from_before_the_load_doesn_t_show_it(void)
+{
+	desk_set_t t;
+
+	set_up(&t);
+	learn(&t, "m1", "a1", true, 7, 100000);
+	t.ep.entry.holds.nadapter = 1;
+	g_strlcpy(t.ep.entry.holds.adapter[0].name, "a1",
+	    sizeof(t.ep.entry.holds.adapter[0].name));
+	t.ep.seen_at = 101000;
+	t.ep.written = 95000;
+	ep_mark_shown(&t.ep);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
+	t.ep.entry.holds.nadapter = 0;
+	ep_mark_shown(&t.ep);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 1);
+	/* One that was written after it does. */
+	t.ep.entry.holds.nadapter = 1;
+	t.ep.written = 101000;
+	ep_mark_shown(&t.ep);
+	t.ep.entry.holds.nadapter = 0;
+	ep_mark_shown(&t.ep);
+	g_assert_cmpint(desk_adapters(&t.d), ==, 0);
+	tear_down(&t);
+}
+
 /* A call of 12 s used it; its endpoint's other places were kept meanwhile. */
 static void
 adapter_in_long_use_doesn_t_stop_the_others(void)
@@ -383,6 +414,7 @@
 	T(old_copies_show_no_order);
 	T(places_count_though_a_late_entry_lacks_them);
 	T(unload_that_waits_frees_nothing);
+	T(entry_from_before_the_load_doesn_t_show_it);
 	T(adapter_in_long_use_doesn_t_stop_the_others);
 	T(load_from_hand_serves_as_soon_as_it_is_shown);
 	T(load_after_an_unload_isn_t_shown_by_old_entries);
