--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -517,6 +517,18 @@
 	update_events(c);
 }
 
+size_t
+http_conn_unread(const http_conn_t *c)
+{
+	char peeked[4096];
+	ssize_t n;
+
+	if (c->closed || c->connecting)
+		return 0;
+	n = recv(c->watch.fd, peeked, sizeof(peeked), MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 ? (size_t)n : 0;
+}
+
 static void
 ignore_end(void *u, http_conn_t *c, http_end_t why)
 {
--- a/net/loop.c
+++ b/net/loop.c
@@ -155,7 +155,7 @@
 loop_turn(loop_t *l, ms_t span)
 {
 	struct epoll_event ev[EVENTS_PER_TURN];
-	ms_t wait = span;
+	ms_t wait = span, before = l->now;
 	int i, n;
 
 	if (l->nheap > 0 && l->heap[1]->at - l->now < wait)
@@ -164,6 +164,7 @@
 		wait = 0;
 	n = epoll_wait(l->epoll_fd, ev, EVENTS_PER_TURN, (int)wait);
 	l->now = clock_now(&machine_clock);
+	l->late = l->now - before - wait;
 	for (i = 0; i < n; i++) {
 		watch_t *w = ev[i].data.ptr;
 
--- a/net/net.h
+++ b/net/net.h
@@ -53,7 +53,9 @@
 
 typedef struct loop {
 	int epoll_fd;
-	ms_t now; /* monotonic clock when this turn's wait ended */
+	ms_t now;  /* monotonic clock when this turn's wait ended */
+	ms_t late; /* this turn began so long after the planned time, < 0:
+		      before */
 	bool stop;
 	alarm_t **heap; /* earliest alarm at index 1 */
 	int nheap, heap_room;
@@ -216,6 +218,8 @@
 void http_conn_next(http_conn_t *c);
 /** Stop or resume reading, for flow control. */
 void http_conn_pause(http_conn_t *c, bool paused);
+/** @return bytes received that weren't read yet, at most some KB. */
+size_t http_conn_unread(const http_conn_t *c);
 /** Close at once, without the end callback. */
 void http_conn_close(http_conn_t *c);
 /**
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -97,14 +97,28 @@
 	call_set_timer(c);
 }
 
-void
-call_attempt_failed(call_t *c, bool not_run, const char *why)
+/* Unread bytes or a paused connection show that the endpoint wasn't silent. */
+static void
+log_attempt_failed(const call_t *c, bool not_run, const char *why)
 {
+	const http_conn_t *k = c->conn != NULL ? c->conn->http : NULL;
+	ms_t now = c->s->loop.now;
+
 	log_limited(LOG_NOTICE, "attempt-failed",
 	    "request=%s endpoint=%s why=\"%s\" not_run=%d send=%d events=%d "
-	    "after_ms=%" PRId64,
+	    "after_ms=%" PRId64 " silent_ms=%" PRId64
+	    " unread=%zu paused=%d late_ms=%" PRId64,
 	    c->request.id, c->ep != NULL ? c->ep->entry.id : "-", why, not_run,
-	    c->attempts, c->nevent, c->s->loop.now - c->sent_at);
+	    c->attempts, c->nevent, now - c->sent_at, now - c->last_activity_at,
+	    k != NULL ? http_conn_unread(k) : 0, k != NULL && k->paused,
+	    c->s->loop.late);
+}
+
+void
+call_attempt_failed(call_t *c, bool not_run, const char *why)
+{
+	log_attempt_failed(c, not_run, why);
+	c->failure = why;
 	call_end_attempt(c, false);
 	if (not_run && !c->had_run_before)
 		c->may_have_run = false;
@@ -284,6 +298,7 @@
 {
 	serve_t *s = c->s;
 	bool succeeded = c->response.status < 500;
+	char why[32];
 
 	if (succeeded)
 		breaker_success(&c->ep->breaker);
@@ -294,11 +309,9 @@
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
 	if (!succeeded && call_may_retry(c)) {
-		log_limited(LOG_NOTICE, "attempt-failed",
-		    "request=%s endpoint=%s why=\"status %d\" not_run=0 "
-		    "send=%d after_ms=%" PRId64,
-		    c->request.id, c->ep->entry.id, c->response.status,
-		    c->attempts, s->loop.now - c->sent_at);
+		snprintf(why, sizeof(why), "status %d", c->response.status);
+		log_attempt_failed(c, false, why);
+		c->failure = "the endpoint answered with an error";
 		c->answer_body.off = c->answer_body.len = 0;
 		call_end_attempt(c, keep);
 		call_dispatch(c);
--- a/serve/call.c
+++ b/serve/call.c
@@ -374,8 +374,14 @@
 	caller_conn_t *cc = c->caller;
 
 	log_limited(LOG_NOTICE, "cut",
-	    "request=%s why=\"%s\" events=%d after_ms=%" PRId64, c->request.id,
-	    why, c->nevent, c->s->loop.now - c->received_at);
+	    "request=%s why=\"%s\" failure=\"%s\" events=%d after_ms=%" PRId64
+	    " config=%" PRId64 " config_age_ms=%" PRId64,
+	    c->request.id, why, c->failure != NULL ? c->failure : "none",
+	    c->nevent, c->s->loop.now - c->received_at, c->s->config->version,
+	    c->s->loop.now - c->s->config_read_at);
+	counter_add(counter_get("ebonypitch_cuts_total",
+			"Answers ended without their last chunk."),
+	    1);
 	/* The caller sees an answer without its last chunk as incomplete. */
 	cc->http->closing = true;
 	call_finish(c, "cut");
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -17,6 +17,7 @@
 	DRAIN_MARGIN_MS = 500,	 /* before SIGKILL, for the last answers */
 	FINAL_SEND_MS = 150,	 /* for the last answers to reach callers */
 	FIRST_POLL_MS = 1000,
+	LATE_TURN_MS = 200, /* logged from then on */
 };
 
 /* Before exit, answer every call; the status says whether it may have run. */
@@ -185,6 +186,10 @@
 {
 	serve_t *s = arg;
 
+	if (s->loop.late >= LATE_TURN_MS)
+		log_limited(LOG_NOTICE, "loop-late",
+		    "late_ms=%" PRId64 " calls=%u", s->loop.late,
+		    table_count(s->calls));
 	if (s->queue_woken) {
 		s->queue_woken = false;
 		call_queue_dispatch(s);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -208,6 +208,7 @@
 	ep_t *tried[TRIED_MAX], *pool_full[TRIED_MAX];
 	int npool_full;
 	const char *wait_reason;
+	const char *failure; /* of the last failed attempt, NULL: none */
 
 	/* The current attempt. */
 	ep_t *ep;
