--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -36,6 +36,9 @@
 	void (*changed)(void *arg, fake_endpoint_t *ep);
 	void *arg;
 	ms_t event_gap, plain_ms;
+	int event_bytes;
+	int64_t silent_after; /* event, -1: none */
+	ms_t silence_ms, silent_until;
 	endpoint_fault_t fault;
 	GPtrArray *executed, *orders;
 	GPtrArray *models; /* loaded_model_t */
@@ -85,6 +88,28 @@
 	server_conn_close(&c->conn);
 }
 
+/* A run has sent this event: fall silent if it is the chosen one. */
+static void
+event_sent(fake_endpoint_t *ep, int64_t event)
+{
+	if (ep->silent_after != event)
+		return;
+	ep->silent_after = -1;
+	ep->silent_until = ep->server.loop->now + ep->silence_ms;
+}
+
+/* @return whether the run has to wait for the end of a silence */
+static bool
+hold_back(endpoint_conn_t *c)
+{
+	fake_endpoint_t *ep = endpoint_of(c);
+
+	if (!fake_endpoint_is_silent(ep))
+		return false;
+	alarm_set(ep->server.loop, &c->conn.alarm, ep->silent_until);
+	return true;
+}
+
 static void
 answer_plain(void *arg)
 {
@@ -93,6 +118,8 @@
 	char body[160];
 	bool bad = ep->fault == ENDPOINT_ERROR;
 
+	if (hold_back(c))
+		return;
 	snprintf(body, sizeof(body), "answer to %s by %s", c->call->id, ep->id);
 	if (ep->fault == ENDPOINT_BUSY) {
 		put_head(c, 503, "Content-Length: 0\r\n\r\n");
@@ -124,25 +151,41 @@
 	http_conn_flush(c->conn.http);
 }
 
+char *
+fake_endpoint_event(int64_t id, int bytes)
+{
+	GString *ev = g_string_new(NULL);
+
+	g_string_append_printf(
+	    ev, "id: %" PRId64 "\ndata: token %" PRId64, id, id);
+	while (ev->len + 2 < (size_t)bytes)
+		g_string_append_c(ev, '.');
+	g_string_append(ev, "\n\n");
+	return g_string_free(ev, FALSE);
+}
+
 static void
 send_event(void *arg)
 {
 	endpoint_conn_t *c = arg;
-	char ev[120];
-	int n;
-
-	n = snprintf(ev, sizeof(ev),
-	    "id: %" PRId64 "\ndata: %s %" PRId64 "\n\n", c->next_event, "token",
-	    c->next_event);
-	if (endpoint_of(c)->fault == ENDPOINT_CUT_STREAM &&
-	    c->next_event >= 3) {
-		send_chunk(c, ev, (size_t)n / 2);
+	char *ev;
+	size_t n;
+	bool cut =
+	    endpoint_of(c)->fault == ENDPOINT_CUT_STREAM && c->next_event >= 3;
+
+	if (hold_back(c))
+		return;
+	ev = fake_endpoint_event(c->next_event, endpoint_of(c)->event_bytes);
+	n = strlen(ev);
+	send_chunk(c, ev, cut ? n / 2 : n);
+	g_free(ev);
+	if (cut) {
 		server_conn_close(&c->conn);
 		return;
 	}
-	send_chunk(c, ev, (size_t)n);
 	if (c->conn.http->closed)
 		return;
+	event_sent(endpoint_of(c), c->next_event);
 	if (c->next_event++ < endpoint_of(c)->events) {
 		alarm_set(endpoint_of(c)->server.loop, &c->conn.alarm,
 		    endpoint_of(c)->server.loop->now +
@@ -518,6 +561,7 @@
 	if (refuse_call(c))
 		return;
 	c->call = record_call(c);
+	event_sent(ep, 0);
 	switch (ep->fault) {
 	case ENDPOINT_RESET:
 		server_conn_close(v);
@@ -602,6 +646,8 @@
 	ep->events = o->events;
 	ep->event_gap = o->event_gap;
 	ep->plain_ms = o->plain_ms;
+	ep->event_bytes = o->event_bytes;
+	ep->silent_after = -1;
 	ep->slots = o->adapter_slots;
 	ep->executed = g_ptr_array_new_with_free_func(free_call);
 	ep->orders = g_ptr_array_new_with_free_func(g_free);
@@ -618,6 +664,19 @@
 	ep->fault = f;
 }
 
+void
+fake_endpoint_set_silence(fake_endpoint_t *ep, int64_t after, ms_t span)
+{
+	ep->silent_after = after;
+	ep->silence_ms = span;
+}
+
+bool
+fake_endpoint_is_silent(const fake_endpoint_t *ep)
+{
+	return ep->server.loop->now < ep->silent_until;
+}
+
 const GPtrArray *
 fake_endpoint_executed(const fake_endpoint_t *ep)
 {
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -64,14 +64,24 @@
 	/* Called when the set of loaded models changes, may be NULL. */
 	void (*changed)(void *arg, fake_endpoint_t *ep);
 	void *arg;
-	int events;	/* in a stream */
-	ms_t event_gap; /* ms between events */
-	ms_t plain_ms;	/* ms until a plain answer */
+	int events;	 /* in a stream */
+	ms_t event_gap;	 /* ms between events */
+	ms_t plain_ms;	 /* ms until a plain answer */
+	int event_bytes; /* least length of an event */
 	int adapter_slots;
 } fake_endpoint_opts_t;
 
 fake_endpoint_t *fake_endpoint_new(loop_t *l, const fake_endpoint_opts_t *o);
 void fake_endpoint_set_fault(fake_endpoint_t *ep, endpoint_fault_t f);
+/**
+ * Let it fall silent once: as soon as a run has sent its event @p after (0: as
+ * soon as a call has come, before its first event or plain answer), no run
+ * sends anything for @p span ms. Then all go on. Connections stay open, and
+ * calls are accepted all the while.
+ * @param after -1: not at all
+ */
+void fake_endpoint_set_silence(fake_endpoint_t *ep, int64_t after, ms_t span);
+bool fake_endpoint_is_silent(const fake_endpoint_t *ep);
 /** @return the calls that it ran, in order: executed_call_t. */
 const GPtrArray *fake_endpoint_executed(const fake_endpoint_t *ep);
 /** @return the orders that it received, in order: received_order_t. */
@@ -86,6 +96,8 @@
 /** @return the JSON text of its entry in the store, g_malloc'd. */
 char *fake_endpoint_entry(const fake_endpoint_t *ep, const char *service,
     const char *domain, bool leaving);
+/** @return the text of an event of a stream, g_malloc'd. */
+char *fake_endpoint_event(int64_t id, int bytes);
 void fake_endpoint_free(fake_endpoint_t *ep);
 
 #endif
