serve: an endpoint's refusal doesn't cut a stream under way

A stream whose endpoint broke off was cut, though a third endpoint could have continued it, when the second one refused the rest (Not-Executed). call_attempt_failed() ends an answer under way that isn't a stream, as no other run can complete a plain body. It asked what the failed attempt's response was, but a refusal is no stream: the question is what the caller has been sent. Events have, or a plain body has begun.

The stand-in counts its refusals, so that the test waits for that event.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -114,6 +114,13 @@
 	    c->s->loop.late);
 }
 
+/* Part of a plain body was sent to the caller: no other run can complete it. */
+static bool
+plain_body_begun(const call_t *c)
+{
+	return c->head_sent && c->nevent == 0;
+}
+
 void
 call_attempt_failed(call_t *c, bool not_run, const char *why)
 {
@@ -123,7 +130,7 @@
 	if (not_run && !c->had_run_before)
 		c->may_have_run = false;
 	c->answer_body.off = c->answer_body.len = 0;
-	if (c->head_sent && !c->response.stream) {
+	if (plain_body_begun(c)) {
 		call_abort_answer(c, why);
 		return;
 	}
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -32,7 +32,7 @@
 	bool engine;
 	int events, slots;
 	const model_spec_t *specs;
-	int nspec, weights_mb, overcommits;
+	int nspec, weights_mb, overcommits, refused;
 	void (*changed)(void *arg, fake_endpoint_t *ep);
 	void *arg;
 	ms_t event_gap, plain_ms;
@@ -528,6 +528,7 @@
 	}
 	if (!other && !lacks && endpoint_of(c)->fault != ENDPOINT_NOT_RUN)
 		return false;
+	endpoint_of(c)->refused++;
 	buf_fmt(&c->conn.http->out,
 	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	    other || lacks ? 421 : 503,
@@ -707,6 +708,12 @@
 	return ep->overcommits;
 }
 
+int
+fake_endpoint_refused(const fake_endpoint_t *ep)
+{
+	return ep->refused;
+}
+
 int
 fake_endpoint_connections(const fake_endpoint_t *ep)
 {
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -91,6 +91,8 @@
 const char *fake_endpoint_id(const fake_endpoint_t *ep);
 /** @return orders carried out beyond its memory or adapter slots. */
 int fake_endpoint_overcommits(const fake_endpoint_t *ep);
+/** @return calls that it refused as not run. */
+int fake_endpoint_refused(const fake_endpoint_t *ep);
 /** @return connections accepted since the start. */
 int fake_endpoint_connections(const fake_endpoint_t *ep);
 /** @return the JSON text of its entry in the store, g_malloc'd. */
--- a/tests/call_proc.c
+++ b/tests/call_proc.c
@@ -205,6 +205,54 @@
 	fixture_free(st);
 }
 
+static bool
+any_call_ran(void *st)
+{
+	return run_count(st) > 0;
+}
+
+static bool
+one_has_refused(void *arg)
+{
+	const fixture_t *st = arg;
+	int i, n = 0;
+
+	for (i = 0; i < st->nendpoint; i++)
+		n += fake_endpoint_refused(st->endpoint[i]);
+	return n == 1;
+}
+
+/*
+ * Guards against a cut when an endpoint refuses the rest of a stream and a
+ * third one may still be tried.
+ */
+static void
+broken_stream_goes_on_after_a_refusal(void)
+{
+	fixture_t *st = one_daemon(&stream, 3, "llm");
+	caller_t *c;
+	int i;
+
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_fault(st->endpoint[i], ENDPOINT_CUT_STREAM);
+	c = caller_call(st, 0, "POST", "/gen/a", "r1",
+	    "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n");
+	g_assert_true(fixture_run_until(st, any_call_ran, st, 1000));
+	for (i = 0; i < st->nendpoint; i++)
+		if (run_at(st, i, 0) == NULL)
+			fake_endpoint_set_fault(
+			    st->endpoint[i], ENDPOINT_NOT_RUN);
+	g_assert_true(fixture_run_until(st, one_has_refused, st, 2000));
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_fault(st->endpoint[i], ENDPOINT_OK);
+	g_assert_true(caller_wait(c, 4000));
+	g_assert_true(c->done);
+	assert_events(c, 1, 8);
+	g_assert_cmpint(run_count(st), ==, 2);
+	caller_free(c);
+	fixture_free(st);
+}
+
 static void
 broken_stream_that_cant_resume_ends_incomplete(void)
 {
@@ -643,6 +691,7 @@
 	T(safe_call_is_retried);
 	T(call_not_run_is_refused_as_such);
 	T(broken_stream_resumes_on_another_endpoint);
+	T(broken_stream_goes_on_after_a_refusal);
 	T(broken_stream_that_cant_resume_ends_incomplete);
 	T(answers_to_other_calls_are_discarded);
 	T(stream_is_cancelled_when_its_caller_disconnects);
