serve: a silent endpoint keeps its call until another one can take it

What callers saw: requests that were read whole ended with a closed connection, or with a 502, though their endpoint was sound: it had been silent for a second or so and would have gone on.

Cause: call_timer_fired() ended the attempt when the silence limit passed (0.7 to 1.2 s) and looked for another endpoint only then. With none left (the only one with the model, the route's attempts or the retry budget used up, the others full, refusing or breaking off) the answer was cut or became a 502. A configuration or SIGHUP in that second made no difference; users count the loss there.

Now silence is only a reason to look for a replacement. The attempt goes on while none has a slot and a connection for the call; it is looked for every 250 ms. A replacement that refuses, or breaks off, sends the call back to the endpoint that it left, after its last event, or to one that refused it; if none is free, it waits until its deadline. Only calls that may run again are ever moved; each send needs retry budget; returning is no further endpoint of the route's max_attempts, which now bounds the endpoints tried and not the sends. A call whose endpoint is or was silent isn't given up as too late for its target: it may have run, so it couldn't be refused anyway. The breaker counts a silence once an attempt and a success when the endpoint goes on; it doesn't keep a call from returning, because a trial with six streams showed that their silences open it for seconds and that all six were then cut.

Log lines: event=silence decision=keep|replace|over|return.

--- a/serve/admit.c
+++ b/serve/admit.c
@@ -32,8 +32,11 @@
 	double deadline_ms =
 	    (double)(c->deadline - c->received_at) * limit_part;
 
-	/* An answer under way is continued even if it is late. */
-	if (c->head_sent)
+	/*
+	 * An answer under way is continued even if it is late, and so is a call
+	 * whose endpoint fell silent: it can't be refused any more.
+	 */
+	if (c->head_sent || c->silent || c->left_silent)
 		return deadline_ms;
 	return limit_ms < deadline_ms ? limit_ms : deadline_ms;
 }
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -12,6 +12,8 @@
 	FIRST_SILENCE_MIN_MS = 1000, /* before a first event */
 	PLAIN_SILENCE_MIN_MS = 700,  /* before a plain answer */
 	GAP_SILENCE_MIN_MS = 1000,   /* between events */
+	LOOK_INTERVAL_MS = 250,	     /* between looks for a replacement */
+	REFUSED_RETRY_MS = 500, /* per send, until a refused call returns */
 };
 /* Silence longer than the expected time by this factor is a failure. */
 static const double first_silence_factor = 5, plain_silence_factor = 8,
@@ -20,17 +22,29 @@
 bool
 call_may_retry(const call_t *c)
 {
-	return call_idempotent(c) && c->attempts < c->route.attempts &&
+	return call_idempotent(c) &&
+	       (c->ntried < c->route.attempts || call_may_return(c)) &&
 	       retry_budget_allows(c->s, c);
 }
 
-/* How long the endpoint may be silent; 0: until the call's deadline. */
+/* Part of a plain body was sent to the caller: no other run can complete it. */
+static bool
+plain_body_begun(const call_t *c)
+{
+	return c->head_sent && c->nevent == 0;
+}
+
+/*
+ * How long the endpoint may be silent before another one is looked for; 0:
+ * until the call's deadline, as none can take over.
+ */
 static ms_t
 silence_limit(const call_t *c)
 {
 	double v;
 
-	if (!call_may_retry(c))
+	if (!call_idempotent(c) || c->ntried >= c->route.attempts ||
+	    plain_body_begun(c))
 		return 0;
 	if (c->request.model[0] == '\0') {
 		v = c->reservation.predicted_ms * plain_silence_factor;
@@ -46,23 +60,79 @@
 	return v > GAP_SILENCE_MIN_MS ? (ms_t)v : GAP_SILENCE_MIN_MS;
 }
 
+/* When the endpoint's silence is next acted on; 0: not before the deadline. */
+static ms_t
+silence_due_at(const call_t *c)
+{
+	ms_t limit_ms = silence_limit(c), at;
+
+	if (limit_ms == 0)
+		return 0;
+	at = c->last_activity_at + limit_ms;
+	return at > c->look_at ? at : c->look_at;
+}
+
 void
 call_set_timer(call_t *c)
 {
-	ms_t at = c->deadline, silence_ms;
+	ms_t at = c->deadline, silence_at;
 
 	if (c->state == CALL_CONNECTING && c->sent_at + CONNECT_TIMEOUT_MS < at)
 		at = c->sent_at + CONNECT_TIMEOUT_MS;
-	silence_ms = c->state != CALL_CONNECTING ? silence_limit(c) : 0;
-	if (silence_ms > 0 && c->last_activity_at + silence_ms < at)
-		at = c->last_activity_at + silence_ms;
+	silence_at = c->state != CALL_CONNECTING ? silence_due_at(c) : 0;
+	if (silence_at != 0 && silence_at < at)
+		at = silence_at;
 	alarm_set(&c->s->loop, &c->alarm, at);
 }
 
+/* Unread bytes show that the endpoint wasn't silent. */
+static void
+log_silence(
+    const call_t *c, const char *decision, const char *why, const char *to)
+{
+	ms_t now = c->s->loop.now;
+
+	log_limited(LOG_NOTICE, "silence",
+	    "request=%s endpoint=%s decision=%s why=\"%s\" to=%s send=%d "
+	    "events=%d after_ms=%" PRId64 " silent_ms=%" PRId64
+	    " unread=%zu late_ms=%" PRId64,
+	    c->request.id, c->ep->entry.id, decision, why, to, c->attempts,
+	    c->nevent, now - c->sent_at, now - c->last_activity_at,
+	    http_conn_unread(c->conn->http), c->s->loop.late);
+}
+
+/*
+ * A sound endpoint may be silent for a while and go on. So its attempt goes on
+ * too until another endpoint can take the call.
+ */
+static bool
+replace_silent(call_t *c)
+{
+	ms_t now = c->s->loop.now;
+	bool noticed = c->silent;
+	choice_t ch;
+	ep_conn_t *w;
+
+	if (!c->silence_counted)
+		breaker_failure(&c->ep->breaker, true, now);
+	c->silent = c->silence_counted = true;
+	w = call_find_replacement(c, &ch);
+	if (w == NULL) {
+		if (!noticed)
+			log_silence(c, "keep", ch.reason, "-");
+		c->look_at = now + LOOK_INTERVAL_MS;
+		return false;
+	}
+	c->failure = "the endpoint is silent";
+	log_silence(c, "replace", c->failure, w->ep->entry.id);
+	call_replace_attempt(c, w, &ch);
+	return true;
+}
+
 void
 call_timer_fired(call_t *c)
 {
-	ms_t now = c->s->loop.now, silence_ms;
+	ms_t now = c->s->loop.now, silence_at;
 
 	if (now >= c->deadline) {
 		if (c->may_have_run)
@@ -86,12 +156,9 @@
 		break;
 	case CALL_SENT:
 	case CALL_RELAYING:
-		silence_ms = silence_limit(c);
-		if (silence_ms > 0 && now >= c->last_activity_at + silence_ms) {
-			breaker_failure(&c->ep->breaker, true, now);
-			call_attempt_failed(c, false, "the endpoint is silent");
+		silence_at = silence_due_at(c);
+		if (silence_at != 0 && now >= silence_at && replace_silent(c))
 			return;
-		}
 		break;
 	}
 	call_set_timer(c);
@@ -114,18 +181,14 @@
 	    c->s->loop.late);
 }
 
-/* Part of a plain body was sent to the caller: no other run can complete it. */
-static bool
-plain_body_begun(const call_t *c)
-{
-	return c->head_sent && c->nevent == 0;
-}
-
 void
 call_attempt_failed(call_t *c, bool not_run, const char *why)
 {
 	log_attempt_failed(c, not_run, why);
 	c->failure = why;
+	if (not_run && c->left_silent)
+		call_allow_return(
+		    c, c->s->loop.now + REFUSED_RETRY_MS * c->attempts);
 	call_end_attempt(c, false);
 	if (not_run && !c->had_run_before)
 		c->may_have_run = false;
@@ -134,7 +197,7 @@
 		call_abort_answer(c, why);
 		return;
 	}
-	if (not_run || call_may_retry(c)) {
+	if (not_run || call_may_retry(c) || call_may_return(c)) {
 		call_dispatch(c);
 		return;
 	}
@@ -149,6 +212,17 @@
 	return call_get(w->s, w->call);
 }
 
+static void
+bytes_received(call_t *c)
+{
+	if (c->silent) {
+		log_silence(c, "over", "the endpoint goes on", "-");
+		c->silent = false;
+		breaker_success(&c->ep->breaker);
+	}
+	c->last_activity_at = c->s->loop.now;
+}
+
 static void
 on_connected(void *u, http_conn_t *k)
 {
@@ -182,7 +256,7 @@
 		    w->ep->entry.id, a.call_id);
 		return;
 	}
-	c->last_activity_at = w->s->loop.now;
+	bytes_received(c);
 	w->idle_timeout = a.idle;
 	if (a.running >= 0)
 		workload_set_reported(&w->ep->workload, a.running, a.waiting,
@@ -265,7 +339,7 @@
 
 	if (c == NULL || w->discarding)
 		return;
-	c->last_activity_at = w->s->loop.now;
+	bytes_received(c);
 	if (c->response.stream) {
 		stream_body(c, p, n);
 	} else if (!c->head_sent) {
--- a/serve/call.c
+++ b/serve/call.c
@@ -198,7 +198,7 @@
 				    ? c->last_event_id
 				    : -1,
 		.body = buf_len(&c->body) };
-	int kv_tokens = c->request.prompt + c->request.output;
+	int kv_tokens = c->request.prompt + c->request.output, at;
 
 	if (c->request.remaining >= 0 &&
 	    remaining_ms > c->deadline - s->loop.now)
@@ -211,7 +211,13 @@
 	c->ep = p;
 	c->state = CALL_CONNECTING;
 	c->sent_at = c->last_activity_at = s->loop.now;
-	c->tried[c->attempts % TRIED_MAX] = p;
+	c->silent = c->silence_counted = false;
+	c->look_at = 0;
+	at = call_tried_index(c, p);
+	if (at == -1)
+		at = c->ntried++ % TRIED_MAX;
+	c->tried[at] = p;
+	c->return_at[at] = 0;
 	if (c->attempts++ > 0)
 		retry_budget_spend(s, c);
 	c->had_run_before = c->may_have_run;
@@ -245,24 +251,86 @@
 	call_set_timer(c);
 }
 
+/*
+ * Choose an endpoint and get a connection to it. Returns NULL if the call can't
+ * be sent now.
+ */
+static ep_conn_t *
+acquire(call_t *c, void (*choose)(call_t *, choice_t *), choice_t *out)
+{
+	ep_conn_t *w = NULL;
+
+	for (;;) {
+		choose(c, out);
+		if (out->kind != CHOICE_SEND)
+			break;
+		w = pool_acquire(c->s, out->ep, c, &answer_ops);
+		if (w != NULL)
+			break;
+		c->pool_full[c->npool_full++ % TRIED_MAX] = out->ep;
+	}
+	c->npool_full = 0;
+	return w;
+}
+
+bool
+call_may_return(const call_t *c)
+{
+	int i;
+
+	for (i = 0; i < c->ntried && i < TRIED_MAX; i++)
+		if (c->return_at[i] != 0)
+			return true;
+	return false;
+}
+
+void
+call_allow_return(call_t *c, ms_t at)
+{
+	int i = call_tried_index(c, c->ep);
+
+	if (i != -1)
+		c->return_at[i] = at;
+}
+
+ep_conn_t *
+call_find_replacement(call_t *c, choice_t *out)
+{
+	return acquire(c, choose_endpoint, out);
+}
+
+void
+call_replace_attempt(call_t *c, ep_conn_t *w, const choice_t *ch)
+{
+	c->left_silent = true;
+	call_allow_return(c, c->s->loop.now);
+	/* Closed first: the endpoint then cancels its run. */
+	call_end_attempt(c, false);
+	c->answer_body.off = c->answer_body.len = 0;
+	c->conn = w;
+	send_to(c, ch);
+}
+
 void
 call_dispatch(call_t *c)
 {
 	serve_t *s = c->s;
 	choice_t ch = { 0 };
 
-	for (;;) {
-		choose_endpoint(c, &ch);
-		if (ch.kind != CHOICE_SEND)
-			break;
-		c->conn = pool_acquire(s, ch.ep, c, &answer_ops);
-		if (c->conn != NULL) {
-			send_to(c, &ch);
-			return;
-		}
-		c->pool_full[c->npool_full++ % TRIED_MAX] = ch.ep;
+	c->conn = acquire(c, choose_endpoint, &ch);
+	if (c->conn == NULL && call_may_return(c)) {
+		c->conn = acquire(c, choose_return, &ch);
+		if (c->conn != NULL)
+			log_limited(LOG_NOTICE, "silence",
+			    "request=%s endpoint=%s decision=return events=%d "
+			    "after_ms=%" PRId64,
+			    c->request.id, ch.ep->entry.id, c->nevent,
+			    s->loop.now - c->received_at);
+	}
+	if (c->conn != NULL) {
+		send_to(c, &ch);
+		return;
 	}
-	c->npool_full = 0;
 	switch (ch.kind) {
 	case CHOICE_SEND:
 		break;
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -30,15 +30,33 @@
 	PREFIX_TTL_MS = 20000
 };
 
-static bool
-list_contains(ep_t *const *list, int n, const ep_t *p)
+static int
+list_index(ep_t *const *list, int n, const ep_t *p)
 {
 	int i;
 
 	for (i = 0; i < n && i < TRIED_MAX; i++)
 		if (list[i] == p)
-			return true;
-	return false;
+			return i;
+	return -1;
+}
+
+int
+call_tried_index(const call_t *c, const ep_t *p)
+{
+	return list_index(c->tried, c->ntried, p);
+}
+
+/* Whether the call's earlier attempts exclude the endpoint. */
+static bool
+is_excluded(const call_t *c, const ep_t *p, bool returning)
+{
+	int at = call_tried_index(c, p);
+
+	if (!returning)
+		return at != -1;
+	return at == -1 || c->return_at[at] == 0 ||
+	       c->s->loop.now < c->return_at[at];
 }
 
 /* The key covers all parts up to the given one, the model and the adapter. */
@@ -92,6 +110,7 @@
 	ep_t *best;
 	double cost, first_ms;
 	int uncached_tokens;
+	bool returning; /* only endpoints that the call may return to */
 	int nusable, nholding, ntried, nfull, nbroken;
 	double least_first_ms; /* least prediction of all endpoints */
 	double least_wait_ms;  /* least time until one accepts the call */
@@ -114,11 +133,15 @@
 	if (engine && !ep_holds(p, c->request.model, c->request.adapter, now))
 		return;
 	sc->nholding++;
-	if (list_contains(c->tried, c->attempts, p)) {
+	if (is_excluded(c, p, sc->returning)) {
 		sc->ntried++;
 		return;
 	}
-	if (!breaker_allows(&p->breaker, now)) {
+	/*
+	 * The silence that a call left also counts there, once for each call;
+	 * nothing better is at hand for a call that returns.
+	 */
+	if (!sc->returning && !breaker_allows(&p->breaker, now)) {
 		sc->nbroken++;
 		return;
 	}
@@ -128,7 +151,7 @@
 	    &p->workload, &s->average_speed, uncached_tokens);
 	if (sc->least_first_ms == 0 || first_ms < sc->least_first_ms)
 		sc->least_first_ms = first_ms;
-	if (list_contains(c->pool_full, c->npool_full, p) ||
+	if (list_index(c->pool_full, c->npool_full, p) != -1 ||
 	    (engine &&
 		workload_kv_free(&p->workload) <
 		    c->request.prompt + c->request.output &&
@@ -268,21 +291,13 @@
 	}
 }
 
-void
-choose_endpoint(call_t *c, choice_t *out)
+static void
+scan_endpoints(call_t *c, scan_t *sc)
 {
 	serve_t *s = c->s;
 	uint64_t key[PREFIX_MAX] = { 0 }, group = 0;
-	scan_t sc = { 0 };
 	int i;
 
-	*out = (choice_t){ 0 };
-	if (c->attempts > 0 &&
-	    (c->attempts >= c->route.attempts || !retry_budget_allows(s, c))) {
-		out->kind = CHOICE_NONE;
-		out->reason = "no further attempt is allowed";
-		return;
-	}
 	for (i = 0; i < c->request.npart; i++)
 		key[i] = prefix_key(c, i);
 	/* The last part is unique to the call; the group is what it shares. */
@@ -292,7 +307,31 @@
 		group =
 		    hash_str(c->request.adapter, hash_str(c->request.model, 0));
 	for (i = 0; i < s->endpoints.nep; i++)
-		consider_endpoint(c, s->endpoints.ep[i], key, group, &sc);
+		consider_endpoint(c, s->endpoints.ep[i], key, group, sc);
+}
+
+static void
+choose_best(const scan_t *sc, choice_t *out)
+{
+	out->kind = CHOICE_SEND;
+	out->ep = sc->best;
+	out->first_ms = (ms_t)sc->first_ms;
+	out->uncached_tokens = sc->uncached_tokens;
+}
+
+void
+choose_endpoint(call_t *c, choice_t *out)
+{
+	scan_t sc = { 0 };
+
+	*out = (choice_t){ 0 };
+	if (c->attempts > 0 &&
+	    (c->ntried >= c->route.attempts || !retry_budget_allows(c->s, c))) {
+		out->kind = CHOICE_NONE;
+		out->reason = "no further attempt is allowed";
+		return;
+	}
+	scan_endpoints(c, &sc);
 	if (sc.best == NULL) {
 		choose_none(c, &sc, out);
 		return;
@@ -306,8 +345,25 @@
 	if (c->request.model[0] != '\0' &&
 	    refuse_if_too_late(c, sc.first_ms, out))
 		return;
-	out->kind = CHOICE_SEND;
-	out->ep = sc.best;
-	out->first_ms = (ms_t)sc.first_ms;
-	out->uncached_tokens = sc.uncached_tokens;
+	choose_best(&sc, out);
+}
+
+/*
+ * Its answer may be late, and this instance may end before it: giving the call
+ * up is worse.
+ */
+void
+choose_return(call_t *c, choice_t *out)
+{
+	scan_t sc = { .returning = true };
+
+	*out = (choice_t){ .kind = CHOICE_WAIT,
+		.reason = "the endpoint that it left isn't free" };
+	if (!retry_budget_allows(c->s, c)) {
+		out->reason = "no further attempt is allowed";
+		return;
+	}
+	scan_endpoints(c, &sc);
+	if (sc.best != NULL)
+		choose_best(&sc, out);
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -205,7 +205,12 @@
 	bool had_run_before; /* the same, before this attempt */
 	bool resubmitted;    /* the caller was probably refused before */
 	int attempts;	     /* so far, the current one included */
-	ep_t *tried[TRIED_MAX], *pool_full[TRIED_MAX];
+	/* Endpoints that it was sent to. */
+	ep_t *tried[TRIED_MAX];
+	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
+	int ntried;
+	bool left_silent; /* an attempt was replaced because of silence */
+	ep_t *pool_full[TRIED_MAX];
 	int npool_full;
 	const char *wait_reason;
 	const char *failure; /* of the last failed attempt, NULL: none */
@@ -214,6 +219,9 @@
 	ep_t *ep;
 	ep_conn_t *conn;
 	ms_t sent_at, last_activity_at;
+	bool silent;	      /* for longer than the limit */
+	bool silence_counted; /* by the circuit breaker */
+	ms_t look_at;	      /* for a replacement again; 0: when silent */
 	workload_reservation_t reservation;
 	struct {
 		int status;
@@ -241,7 +249,39 @@
 call_t *call_get(serve_t *s, handle_t id);
 
 /* Internal to the files that handle calls. */
+/** Result of choose_endpoint(). */
+typedef enum choice_kind {
+	CHOICE_SEND,
+	CHOICE_WAIT,   /* for a model load or a free slot */
+	CHOICE_REFUSE, /* it can't be served in time */
+	CHOICE_NONE,   /* no endpoint may be tried now */
+} choice_kind_t;
+
+typedef struct choice {
+	choice_kind_t kind;
+	ep_t *ep;
+	ms_t first_ms;	     /* predicted time to the first event */
+	ms_t retry_ms;	     /* suggested delay for the caller's retry */
+	int uncached_tokens; /* prompt tokens not in its cache */
+	const char *reason;
+} choice_t;
+
 void call_dispatch(call_t *c);
+/**
+ * Find another endpoint that can take the call now; the attempt goes on.
+ * @param out the choice, or why there is none
+ * @return a connection to it, or NULL
+ */
+ep_conn_t *call_find_replacement(call_t *c, choice_t *out);
+/** End the current attempt and send the call to the replacement. */
+void call_replace_attempt(call_t *c, ep_conn_t *w, const choice_t *ch);
+/**
+ * Left because of silence, or refused since then, and not failed otherwise: is
+ * there an endpoint that the call may be sent to once more?
+ */
+bool call_may_return(const call_t *c);
+/** The call may be sent once more to the endpoint of this attempt. */
+void call_allow_return(call_t *c, ms_t at);
 void call_finish(call_t *c, const char *outcome);
 /**
  * End the call with an error answer made by this instance.
@@ -263,7 +303,7 @@
 void call_set_timer(call_t *c);
 void call_timer_fired(call_t *c);
 bool call_idempotent(const call_t *c);
-/** Idempotent, with an attempt and retry budget left? */
+/** Idempotent, with an endpoint to try or return to and retry budget left? */
 bool call_may_retry(const call_t *c);
 extern const http_conn_ops_t answer_ops;
 void stream_body(call_t *c, const char *p, size_t n);
@@ -315,24 +355,12 @@
 double call_queue_tokens_ahead(const call_t *c);
 void call_queue_init(serve_t *s);
 
-/** Result of choose_endpoint(). */
-typedef enum choice_kind {
-	CHOICE_SEND,
-	CHOICE_WAIT,   /* for a model load or a free slot */
-	CHOICE_REFUSE, /* it can't be served in time */
-	CHOICE_NONE,   /* no endpoint may be tried now */
-} choice_kind_t;
-
-typedef struct choice {
-	choice_kind_t kind;
-	ep_t *ep;
-	ms_t first_ms;	     /* predicted time to the first event */
-	ms_t retry_ms;	     /* suggested delay for the caller's retry */
-	int uncached_tokens; /* prompt tokens not in its cache */
-	const char *reason;
-} choice_t;
-
+/** Choose an endpoint that the call wasn't sent to yet. */
 void choose_endpoint(call_t *c, choice_t *out);
+/** Choose one that the call may return to, or CHOICE_WAIT. */
+void choose_return(call_t *c, choice_t *out);
+/** @return the endpoint's index in call_t.tried, or -1. */
+int call_tried_index(const call_t *c, const ep_t *p);
 /** Record that the endpoint gets the call's prompt, for its prefix cache. */
 void prefix_record(ep_t *p, const call_t *c, ms_t now);
 
--- a/tests/silence_proc.c
+++ b/tests/silence_proc.c
@@ -16,6 +16,7 @@
 	EVENTS = 8,
 	LAST_EVENT = 3, /* before the silence */
 	WAIT_MS = 6500, /* longer than any call's deadline */
+	STREAMS = 6,	/* at once */
 	BUSY_CALLS = 8, /* slots of an endpoint */
 	BIG_EVENT = 64 << 10,
 	BIG_EVENTS = 100,
@@ -185,6 +186,35 @@
 	stream_goes_on(LAST_EVENT, 2, ENDPOINT_RESET);
 }
 
+/*
+ * Guards against calls that can't return because their silences have opened the
+ * endpoint's circuit breaker.
+ */
+static void
+streams_beside_an_endpoint_that_refuses(void)
+{
+	fixture_t *st = one_daemon(&stream, 1, "llm");
+	caller_t *c[STREAMS];
+	int i, at;
+
+	set_silence(st, LAST_EVENT, SILENCE_MS);
+	for (i = 0; i < STREAMS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "r%d", i);
+		c[i] = caller_call(st, 0, "POST", "/gen/a", id, GEN);
+	}
+	wait_for_silence(st);
+	at = fixture_add_endpoint(st, &stream, "llm");
+	fake_endpoint_set_fault(st->endpoint[at], ENDPOINT_NOT_RUN);
+	for (i = 0; i < STREAMS; i++) {
+		assert_stream(c[i], EVENTS, 0);
+		caller_free(c[i]);
+	}
+	g_assert_cmpint(fake_endpoint_refused(st->endpoint[at]), >, 0);
+	fixture_free(st);
+}
+
 /* A plain call, as in stream_goes_on(). */
 static void
 plain_call_is_answered(int nendpoint, endpoint_fault_t fault)
@@ -221,6 +251,48 @@
 	plain_call_is_answered(2, ENDPOINT_NOT_RUN);
 }
 
+static bool
+one_has_refused(void *arg)
+{
+	const fixture_t *st = arg;
+	int i, n = 0;
+
+	for (i = 0; i < st->nendpoint; i++)
+		n += fake_endpoint_refused(st->endpoint[i]);
+	return n == 1;
+}
+
+/*
+ * Guards against more endpoints than the route allows, two: the call returns to
+ * the first one though a third one would take it.
+ */
+static void
+return_is_no_further_endpoint(void)
+{
+	fixture_t *st = one_daemon(&plain, 3, "app");
+	caller_t *c;
+	int first, i;
+
+	set_silence(st, 0, PLAIN_SILENCE_MS);
+	c = caller_call(st, 0, "GET", "/safe/a", "r1", PLAIN);
+	first = wait_for_silence(st);
+	for (i = 0; i < st->nendpoint; i++)
+		if (i != first)
+			fake_endpoint_set_fault(
+			    st->endpoint[i], ENDPOINT_NOT_RUN);
+	g_assert_true(fixture_run_until(st, one_has_refused, st, 3000));
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_fault(st->endpoint[i], ENDPOINT_OK);
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpuint(run_count(st, first), ==, 2);
+	for (i = 0; i < st->nendpoint; i++)
+		if (i != first)
+			g_assert_cmpuint(run_count(st, i), ==, 0);
+	caller_free(c);
+	fixture_free(st);
+}
+
 /* Guards against a second run of a call that may run once. */
 static void
 call_that_may_run_once_is_sent_once(void)
@@ -395,8 +467,10 @@
 	T(stream_beside_an_endpoint_that_refuses);
 	T(first_event_beside_an_endpoint_that_refuses);
 	T(stream_beside_an_endpoint_that_resets);
+	T(streams_beside_an_endpoint_that_refuses);
 	T(plain_call_at_the_only_endpoint);
 	T(plain_call_beside_an_endpoint_that_refuses);
+	T(return_is_no_further_endpoint);
 	T(call_that_may_run_once_is_sent_once);
 	T(stream_beside_a_new_configuration);
 	T(stream_beside_sighup);
