serve: a connection kept for the next call is read again

What callers saw: a call whose endpoint had answered at once got a 502 after 1 s, now a 504 at its deadline.

Cause: an endpoint's connection isn't read while the caller of its call is behind. If the answer ended in the bytes that made us pause, on_drained() no longer found a call with a connection, and pool_release() kept the connection for the next call as it was, so that call's answer was never read.

Now pool_release() ends the pause: an idle connection is always read, also so that its end is noticed.

--- a/serve/pool.c
+++ b/serve/pool.c
@@ -138,6 +138,8 @@
 	w->idle_since = w->s->loop.now;
 	w->http->ops = &idle_ops;
 	w->http->parse_stopped = true;
+	/* The answer's end may have come as its caller fell behind. */
+	http_conn_pause(w->http, false);
 	w->next = p->idle;
 	p->idle = w;
 	p->nidle++;
