serve: an endpoint that isn't read isn't silent

What callers saw: one that reads slowly had its stream cut, or moved to another endpoint, though its endpoint had sent everything.

Cause: while over 256 KB wait for the caller, the endpoint's connection isn't read.

Now no limit applies while the connection is paused, and silence begins anew when it is read again. Since a pause that is never ended would now last until the call's deadline, one that is no longer needed also ends as the caller catches up between two parts of the same read; then nothing waits and on_drained() isn't called. That is by reading: no test makes it happen.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -60,13 +60,16 @@
 	return v > GAP_SILENCE_MIN_MS ? (ms_t)v : GAP_SILENCE_MIN_MS;
 }
 
-/* When the endpoint's silence is next acted on; 0: not before the deadline. */
+/*
+ * When the endpoint's silence is next acted on; 0: not before the deadline. One
+ * that isn't read isn't silent.
+ */
 static ms_t
 silence_due_at(const call_t *c)
 {
 	ms_t limit_ms = silence_limit(c), at;
 
-	if (limit_ms == 0)
+	if (limit_ms == 0 || (c->conn != NULL && c->conn->http->paused))
 		return 0;
 	at = c->last_activity_at + limit_ms;
 	return at > c->look_at ? at : c->look_at;
@@ -331,12 +334,25 @@
 		buf_str(&k->out, "0\r\n\r\n");
 }
 
+/* Read the endpoint only while the caller takes what was read. */
+static void
+pause_if_behind(call_t *c)
+{
+	bool behind = buf_len(&c->caller->http->out) > UNSENT_MAX;
+
+	if (behind == c->conn->http->paused)
+		return;
+	http_conn_pause(c->conn->http, behind);
+	call_set_timer(c);
+}
+
 static void
 on_body(void *u, http_conn_t *k, const char *p, size_t n)
 {
 	ep_conn_t *w = u;
 	call_t *c = conn_call(w);
 
+	(void)k;
 	if (c == NULL || w->discarding)
 		return;
 	bytes_received(c);
@@ -359,9 +375,19 @@
 		return;
 	http_conn_flush(c->caller->http);
 	c = conn_call(w);
-	if (c != NULL && c->conn == w &&
-	    buf_len(&c->caller->http->out) > UNSENT_MAX)
-		http_conn_pause(k, true);
+	if (c != NULL && c->conn == w)
+		pause_if_behind(c);
+}
+
+void
+call_caller_drained(call_t *c)
+{
+	if (c->conn == NULL || !c->conn->http->paused)
+		return;
+	http_conn_pause(c->conn->http, false);
+	/* The endpoint may have sent all the while. */
+	c->last_activity_at = c->s->loop.now;
+	call_set_timer(c);
 }
 
 /*
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -154,8 +154,8 @@
 	call_t *c = call_get(cc->s, cc->call);
 
 	(void)k;
-	if (c != NULL && c->conn != NULL && c->conn->http->paused)
-		http_conn_pause(c->conn->http, false);
+	if (c != NULL)
+		call_caller_drained(c);
 }
 
 static const http_conn_ops_t ops = {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -246,6 +246,8 @@
 void call_start(struct caller_conn *cc);
 /** The caller closed its connection: cancel the call. */
 void call_caller_gone(call_t *c);
+/** The caller has taken all that was written: read its endpoint again. */
+void call_caller_drained(call_t *c);
 call_t *call_get(serve_t *s, handle_t id);
 
 /* Internal to the files that handle calls. */
