tests: a daemon's IP address is its test program's own

Daemons of two test programs got the same address if their process ids differed by a multiple of 200; the second one couldn't bind the port of its metrics and the case failed ("fixture_run_until(st, is_ready, ...) should be TRUE"). Two process ids now share an address only if they differ by 40000; the largest one here is 32767.

--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -149,8 +149,8 @@
 	int port[3];
 
 	if (st->settings[i] == NULL) {
-		snprintf(
-		    ip, sizeof(ip), "127.0.%d.%d", 10 + getpid() % 200, i + 1);
+		snprintf(ip, sizeof(ip), "127.%d.%d.%d",
+		    1 + getpid() / 200 % 200, 10 + getpid() % 200, i + 1);
 		ports_take(port, 3);
 		st->caller[i] = g_strdup_printf("%s:%d", ip, port[0]);
 		st->ready[i] = g_strdup_printf("%s:%d", ip, port[1]);
