policy: a probe without an outcome doesn't close an endpoint for good

Cause: an open breaker admits one call as a probe and refuses all others until that one succeeds or fails. A probe may end as neither: the endpoint refuses it, its caller leaves, or its deadline passes in silence. Then breaker_allows() refused every call from then on, for the rest of the process's life unless an earlier call still ended there.

/breaker/probes-again-after-one-without-outcome failed before ("'breaker_allows(&b, 600 + 6000)' should be TRUE") and passes now: another probe is admitted OPEN_MAX_MS after the last one, as breaker_sent() intended.

--- a/policy/breaker.c
+++ b/policy/breaker.c
@@ -44,9 +44,7 @@
 bool
 breaker_allows(const breaker_t *b, ms_t now)
 {
-	if (b->open_until == 0)
-		return true;
-	return now >= b->open_until && !b->probing;
+	return now >= b->open_until;
 }
 
 void
@@ -54,11 +52,7 @@
 {
 	if (b->open_until != 0 && now >= b->open_until) {
 		b->probing = true;
-		/*
-		 * This is to allow another probe if this one ends without an
-		 * outcome. It has no effect yet: breaker_allows() refuses every
-		 * call while probing is set.
-		 */
+		/* Another one then, if this one ends without an outcome. */
 		b->open_until = now + OPEN_MAX_MS;
 	}
 }
--- a/tests/workload_test.c
+++ b/tests/workload_test.c
@@ -172,6 +172,26 @@
 	g_assert_true(breaker_allows(&b, 700 + 1000));
 }
 
+/*
+ * Guards against an endpoint that is never used again because its probe was
+ * refused, or its caller left, or its deadline passed first.
+ */
+static void
+breaker_probes_again_after_one_without_outcome(void)
+{
+	breaker_t b = { 0 };
+	int i;
+
+	for (i = 0; i < 3; i++)
+		breaker_failure(&b, true, 0);
+	breaker_sent(&b, 600);
+	g_assert_false(breaker_allows(&b, 601));
+	g_assert_false(breaker_allows(&b, 600 + 5999));
+	g_assert_true(breaker_allows(&b, 600 + 6000));
+	breaker_sent(&b, 7000);
+	g_assert_false(breaker_allows(&b, 7001));
+}
+
 /* An endpoint fails part of its calls while its status checks succeed. */
 static void
 partly_failing_endpoint_costs_more(void)
@@ -271,6 +291,8 @@
 	    "/workload/slow-endpoint-is-measured", slow_endpoint_is_measured);
 	g_test_add_func(
 	    "/workload/plain-calls-wait-for-slots", plain_calls_wait_for_slots);
+	g_test_add_func("/breaker/probes-again-after-one-without-outcome",
+	    breaker_probes_again_after_one_without_outcome);
 	g_test_add_func("/breaker/opens-and-admits-one-probe",
 	    breaker_opens_and_admits_one_probe);
 	g_test_add_func("/breaker/probes-again-after-a-failed-probe",
