--- a/tests/silence_proc.c
+++ b/tests/silence_proc.c
@@ -258,15 +258,50 @@
 	plain_call_is_answered(2, ENDPOINT_NOT_RUN);
 }
 
-static bool
-one_has_refused(void *arg)
+static int
+refused_count(const fixture_t *st)
 {
-	const fixture_t *st = arg;
 	int i, n = 0;
 
 	for (i = 0; i < st->nendpoint; i++)
 		n += fake_endpoint_refused(st->endpoint[i]);
-	return n == 1;
+	return n;
+}
+
+static bool
+one_has_refused(void *st)
+{
+	return refused_count(st) == 1;
+}
+
+static bool
+two_have_refused(void *st)
+{
+	return refused_count(st) == 2;
+}
+
+/*
+ * Guards against a cut because the endpoint that the call returns to refuses it
+ * for the moment, as the replacement did.
+ */
+static void
+stream_waits_while_both_endpoints_refuse(void)
+{
+	fixture_t *st = one_daemon(&stream, 2, "llm");
+	caller_t *c;
+	int i;
+
+	set_silence(st, LAST_EVENT, SILENCE_MS);
+	c = caller_call(st, 0, "POST", "/gen/a", "r1", GEN);
+	wait_for_silence(st);
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_fault(st->endpoint[i], ENDPOINT_NOT_RUN);
+	g_assert_true(fixture_run_until(st, two_have_refused, st, 3000));
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_fault(st->endpoint[i], ENDPOINT_OK);
+	assert_stream(c, EVENTS, 0);
+	caller_free(c);
+	fixture_free(st);
 }
 
 /*
@@ -520,6 +555,7 @@
 	T(plain_call_at_the_only_endpoint);
 	T(plain_call_beside_an_endpoint_that_refuses);
 	T(return_is_no_further_endpoint);
+	T(stream_waits_while_both_endpoints_refuse);
 	T(call_that_may_run_once_is_sent_once);
 	T(stream_beside_a_new_configuration);
 	T(stream_beside_sighup);
