serve: check the lease when an order's connection is made

Endpoints could get an order from a holder whose lease had expired. The lease was checked when the order was made; the order leaves when its connection is made, up to half a second later, or after any time if the process is stopped between the two. By then another instance may order, so two holders could order the same endpoint.

The check now runs again in the connection's callback, directly before the bytes are sent, and reads the clock there. It covers a lease that was released or lost meanwhile too. An order that isn't sent counts as unknown, as one whose connection isn't made in time.

/thaw-requests/order_isnt_sent_with_an_expired_lease failed before: the endpoint got the order.

--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -398,6 +398,12 @@
 	d->retry_at = d->s->loop.now + RETRY_DELAY_MS;
 }
 
+static bool
+may_order(void *arg)
+{
+	return lease_may_order(((dispatcher_t *)arg)->s->plan);
+}
+
 void
 dispatcher_send_order(plan_t *p, dispatcher_t *d, bool load, const char *model,
     const char *adapter, const char *why)
@@ -433,6 +439,8 @@
 		record_order(d, false, false, 0, s->loop.now);
 	d->request = http_request_send(
 	    s, &d->ep->sa, &b, ORDER_TIMEOUT_MS, on_order_answer, d);
+	/* It leaves when the connection is made, which may be later. */
+	http_request_check(d->request, may_order);
 }
 
 /* Keep a reported load, since entries read later may be older than it. */
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -18,6 +18,7 @@
 	serve_t *s;
 	http_conn_t *conn;
 	http_request_fn *fn;
+	bool (*may_send)(void *arg); /* may be NULL */
 	void *arg;
 	alarm_t alarm;
 	ms_t deadline;
@@ -85,6 +86,28 @@
 	finish(c, c->status);
 }
 
+static void
+give_up(http_request_t *c)
+{
+	if (c->conn != NULL) {
+		c->conn->user = NULL;
+		http_conn_close(c->conn);
+		c->conn = NULL;
+	}
+	finish(c, 0);
+}
+
+/* The request leaves only now. */
+static void
+on_connected(void *u, http_conn_t *k)
+{
+	http_request_t *c = u;
+
+	(void)k;
+	if (c->may_send != NULL && !c->may_send(c->arg))
+		give_up(c);
+}
+
 static void
 on_end(void *u, http_conn_t *k, http_end_t why)
 {
@@ -104,6 +127,7 @@
 }
 
 static const http_conn_ops_t ops = {
+	.connected = on_connected,
 	.head = on_head,
 	.body = on_body,
 	.done = on_done,
@@ -133,12 +157,7 @@
 		alarm_set(&c->s->loop, &c->alarm, c->deadline);
 		return;
 	}
-	if (c->conn != NULL) {
-		c->conn->user = NULL;
-		http_conn_close(c->conn);
-		c->conn = NULL;
-	}
-	finish(c, 0);
+	give_up(c);
 }
 
 static bool
@@ -182,3 +201,9 @@
 	buf_free(request);
 	return c;
 }
+
+void
+http_request_check(http_request_t *c, bool (*may_send)(void *arg))
+{
+	c->may_send = may_send;
+}
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -418,6 +418,11 @@
  */
 http_request_t *http_request_send(serve_t *s, const struct sockaddr_in *to,
     buf_t *request, ms_t span, http_request_fn *fn, void *arg);
+/**
+ * Ask may_send(arg) when the connection is made; if it returns false, nothing
+ * is sent. Must directly follow http_request_send().
+ */
+void http_request_check(http_request_t *c, bool (*may_send)(void *arg));
 /** Close the connection without calling fn. NULL is allowed. */
 void http_request_cancel(http_request_t *c);
 
