net: alarms run after what was ready when they became due

After a freeze callers got cut streams, 502 though the whole answer waited in the endpoint's socket, and 408 or a closed connection though their request waited. Cause: after SIGSTOP and SIGCONT epoll_wait() returns EINTR, the clock jumps, and loop_turn() ran all alarms that were due by the new clock, though nothing had been polled since. The same with more ready descriptors than a turn handles, and with a standstill between the wait and the clock.

The loop now keeps the time until which all that was ready has been handled, and runs an alarm only up to that time. A wait that times out lasted to its end; one that reports fewer descriptors than fit proves it for the time it began; with more, the proof is a round: as many handled as are watched, since epoll reports ready descriptors in turn. That also bounds the delay under permanent load. An alarm alone still takes one wait.

Connections made during a freeze are now seen before the alarm that would have ended them. They are used, but not after their call's or request's limit (send_by): a call that is refused as not sent mustn't run.

Without the check of send_by, late_connection_sends_nothing and connection_made_too_late_sends_nothing fail.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -418,6 +418,8 @@
 		end_conn(c, HTTP_END_CONNECT_FAILED);
 		return;
 	}
+	if (c->send_by != 0 && c->loop->now >= c->send_by)
+		return;
 	c->connecting = false;
 	if (c->ops->connected != NULL)
 		c->ops->connected(c->user, c);
--- a/net/loop.c
+++ b/net/loop.c
@@ -15,7 +15,7 @@
 {
 	*l = (loop_t){ 0 };
 	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	l->now = clock_now(&machine_clock);
+	l->now = l->handled_until = clock_now(&machine_clock);
 	return l->epoll_fd == -1 ? -1 : 0;
 }
 
@@ -127,6 +127,7 @@
 	struct epoll_event ev = { .events = events, .data.ptr = w };
 
 	w->events = events;
+	l->nwatch++;
 	return epoll_ctl(l->epoll_fd, EPOLL_CTL_ADD, w->fd, &ev);
 }
 
@@ -146,25 +147,62 @@
 {
 	if (w->fd == -1)
 		return;
+	l->nwatch--;
 	epoll_ctl(l->epoll_fd, EPOLL_CTL_DEL, w->fd, NULL);
 	close(w->fd);
 	w->fd = -1;
 }
 
+/* The time until the next alarm, at most @p span. */
+static ms_t
+time_to_wait(const loop_t *l, ms_t span)
+{
+	ms_t wait = span;
+
+	if (l->nheap > 0 && l->heap[1]->at - l->now < wait)
+		wait = l->heap[1]->at - l->now;
+	return wait > 0 ? wait : 0;
+}
+
+/*
+ * The n descriptors that a wait reported have been handled: note until when
+ * nothing that was ready is left. The wait began at or after @p from.
+ */
+static void
+note_handled(loop_t *l, int n, ms_t from, ms_t wait)
+{
+	if (n == -1)
+		return;
+	if (n < EVENTS_PER_TURN) {
+		/* A wait without an event lasted to its end. */
+		l->handled_until = n == 0 ? from + wait : from;
+		l->round_left = 0;
+		return;
+	}
+	/*
+	 * More may be ready. Waits report ready descriptors in turn, so all
+	 * that were ready when a round began have been handled when as many
+	 * were handled as were watched then.
+	 */
+	if (l->round_left <= 0) {
+		l->round_left = l->nwatch;
+		l->round_from = from;
+	}
+	l->round_left -= n;
+	if (l->round_left <= 0)
+		l->handled_until = l->round_from;
+}
+
 void
 loop_turn(loop_t *l, ms_t span)
 {
 	struct epoll_event ev[EVENTS_PER_TURN];
-	ms_t wait = span, before = l->now;
+	ms_t wait = time_to_wait(l, span), from = l->now;
 	int i, n;
 
-	if (l->nheap > 0 && l->heap[1]->at - l->now < wait)
-		wait = l->heap[1]->at - l->now;
-	if (wait < 0)
-		wait = 0;
 	n = epoll_wait(l->epoll_fd, ev, EVENTS_PER_TURN, (int)wait);
 	l->now = clock_now(&machine_clock);
-	l->late = l->now - before - wait;
+	l->late = l->now - from - wait;
 	for (i = 0; i < n; i++) {
 		watch_t *w = ev[i].data.ptr;
 
@@ -172,7 +210,12 @@
 		if (w->fd != -1)
 			w->fn(w->arg, ev[i].events);
 	}
-	while (l->nheap > 0 && l->heap[1]->at <= l->now) {
+	note_handled(l, n, from, wait);
+	/*
+	 * The process may have stood still: an alarm that became due later may
+	 * be for something that is ready by now, so it waits for the next turn.
+	 */
+	while (l->nheap > 0 && l->heap[1]->at <= l->handled_until) {
 		alarm_t *a = l->heap[1];
 
 		alarm_stop(l, a);
--- a/net/net.h
+++ b/net/net.h
@@ -5,6 +5,10 @@
  * A callback may close any connection, its own included: the memory is freed
  * at the end of the loop's turn, which is one wait for events and the
  * callbacks for them.
+ *
+ * An alarm runs after the callbacks of all descriptors that were ready when it
+ * became due: what an alarm calls late or silent hasn't just not been read yet,
+ * though the process was stopped or had much to do.
  */
 #ifndef NET_H
 #define NET_H
@@ -56,6 +60,15 @@
 	ms_t now;  /* monotonic clock when this turn's wait ended */
 	ms_t late; /* this turn began so long after the planned time, < 0:
 		      before */
+	/*
+	 * All that was ready by then has been handled; before now. Silence can
+	 * be judged only up to this time.
+	 */
+	ms_t handled_until;
+	/* More was ready than a turn handles: a round over all descriptors. */
+	ms_t round_from; /* when it began */
+	int round_left;	 /* descriptors until it ends, <= 0: none */
+	int nwatch;	 /* watched descriptors */
 	bool stop;
 	alarm_t **heap; /* earliest alarm at index 1 */
 	int nheap, heap_room;
@@ -194,8 +207,13 @@
 	char last_byte;	    /* last byte of a partial head, to find bare LFs */
 	ms_t last_io;	    /* when the last byte was received or sent */
 	ms_t message_start; /* when the current message began */
-	alarm_t alarm;	    /* for a delayed end and for lingering */
-	bool lingering;	    /* shut down for writing, reads are discarded */
+	/*
+	 * A connection made later isn't used: no callback, nothing is sent. An
+	 * alarm of its user ends it. 0: none
+	 */
+	ms_t send_by;
+	alarm_t alarm;	/* for a delayed end and for lingering */
+	bool lingering; /* shut down for writing, reads are discarded */
 };
 
 /** Serve an accepted descriptor. @return the connection, never NULL. */
--- a/serve/call.c
+++ b/serve/call.c
@@ -237,7 +237,10 @@
 	    ch->uncached_tokens, c->reservation.predicted_ms, send.remaining,
 	    s->loop.now - p->entry_read_at, !c->conn->unused,
 	    s->config->version);
-	if (!c->conn->unused) {
+	if (c->conn->unused) {
+		/* Its deadline may pass while the process is stopped. */
+		c->conn->http->send_by = c->deadline;
+	} else {
 		c->state = CALL_SENT;
 		c->may_have_run = true;
 		http_conn_flush(c->conn->http);
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -190,6 +190,8 @@
 	}
 	/* Without a connection, the alarm calls fn, never this function. */
 	c->deadline = s->loop.now + span;
+	if (c->conn != NULL && c->conn->connecting)
+		c->conn->send_by = c->deadline;
 	if (c->conn != NULL && c->conn->connecting && span > CONNECT_TIMEOUT_MS)
 		span = CONNECT_TIMEOUT_MS;
 	alarm_set(&s->loop, &c->alarm, s->loop.now + (c->conn ? span : 1));
