serve: after a freeze, no peer counts as gone before its datagrams are read

In the turn after a freeze all peers counted as gone until the datagrams that waited had been read. By reading, calls sent before that in the turn took a larger share of each endpoint's connections, and the order of descriptors decided it. No record shows a caller who was hurt. Cause: peer_alive() compared the clock with the last datagram, though nothing had been read for the length of the freeze.

It now compares with the loop's handled_until. Without a freeze that is the time of the turn before, at most a heartbeat ago.

--- a/serve/peers.c
+++ b/serve/peers.c
@@ -35,8 +35,9 @@
 bool
 peer_alive(const serve_t *s, const peer_t *p)
 {
+	/* What it has sent since may wait in the socket. */
 	return p->last_heard_at != 0 && !p->goodbye &&
-	       s->loop.now - p->last_heard_at <
+	       s->loop.handled_until - p->last_heard_at <
 		   DEAD_HEARTBEATS * heartbeat_ms(s);
 }
 
