serve: answer requests read in a leaving instance's last moments

Cause: on_drain_timer() ends the loop without giving up the calls received since its last run, and call_start() still passes calls on when all open ones are being given up.

Now a request that comes from then on is refused with 503, as not run, and the last run of the timer gives up what is open before it ends the loop, so no call is open when the process ends. The last turn reads requests before its timers run.

--- a/serve/call.c
+++ b/serve/call.c
@@ -157,6 +157,11 @@
 		    cc, request.id, 503, "no configuration is known yet", 300);
 		return;
 	}
+	if (s->leaving && s->loop.now >= serve_gives_up_at(s)) {
+		refuse_request(cc, request.id, 503, "the instance ends",
+		    RETRY_ELSEWHERE_MS);
+		return;
+	}
 	r = find_route(s->config, request.host, head_target(h));
 	if (r == NULL) {
 		refuse_request(cc, request.id, 404, "no route", 0);
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -47,23 +47,29 @@
  */
 static const double stream_output_weight = 1.0, other_streams_weight = 0.2;
 
+ms_t
+serve_gives_up_at(const serve_t *s)
+{
+	return s->leaving_since + s->conf.bounds.grace - DRAIN_MARGIN_MS;
+}
+
 static void
 on_drain_timer(void *arg)
 {
 	serve_t *s = arg;
 	ms_t elapsed = s->loop.now - s->leaving_since;
-	ms_t last = s->conf.bounds.grace - DRAIN_MARGIN_MS;
+	ms_t last = serve_gives_up_at(s) - s->leaving_since;
+	bool done = table_count(s->calls) == 0 &&
+		    elapsed >= DRAIN_MIN_MS + FINAL_SEND_MS;
 
 	if (elapsed >= DRAIN_MIN_MS && s->caller_listener.fd != -1)
 		watch_del(&s->loop, &s->caller_listener);
-	if ((table_count(s->calls) == 0 &&
-		elapsed >= DRAIN_MIN_MS + FINAL_SEND_MS) ||
-	    elapsed >= last + FINAL_SEND_MS) {
+	if (elapsed >= last)
+		give_up_all_calls(s);
+	if (done || elapsed >= last + FINAL_SEND_MS) {
 		s->loop.stop = true;
 		return;
 	}
-	if (elapsed >= last)
-		give_up_all_calls(s);
 	alarm_set(&s->loop, &s->drain_alarm, s->loop.now + 50);
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -647,6 +647,8 @@
 void serve_state_changed(serve_t *s);
 /** Begin shutdown: end when the calls in progress are done. */
 void serve_drain(serve_t *s);
+/** @return when an instance that leaves ends the calls still open */
+ms_t serve_gives_up_at(const serve_t *s);
 /** Read the settings file again. @param why for the log */
 void serve_reload(serve_t *s, const char *why);
 /** Update the gauges. */
