serve: keep a connection open when its answer didn't announce the close

When SIGTERM came after the head of an answer had been sent, callers saw the connection end with that answer although the head let them keep it. A request that they sent next, or had sent in the same segment as the first, was read and dropped. Cause: caller_answer_done() closes every connection of a leaving instance, but only heads sent after SIGTERM carry Connection: close.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -244,8 +244,12 @@
 void
 caller_answer_done(caller_conn_t *cc)
 {
+	bool kept = cc->kept;
+
 	cc->call = 0;
-	if (!cc->http->keep_alive || cc->s->leaving || cc->http->closing) {
+	cc->kept = false;
+	if (!cc->http->keep_alive || (cc->s->leaving && !kept) ||
+	    cc->http->closing) {
 		http_conn_finish(cc->http);
 		conn_free(cc);
 		return;
@@ -259,7 +263,13 @@
 {
 	int i;
 
-	for (i = 0; i < s->ncaller; i++)
-		if (s->caller[i]->call == 0)
-			set_idle_timer(s->caller[i]);
+	for (i = 0; i < s->ncaller; i++) {
+		caller_conn_t *cc = s->caller[i];
+		const call_t *c = call_get(s, cc->call);
+
+		if (c == NULL)
+			set_idle_timer(cc);
+		else
+			cc->kept = c->head_sent;
+	}
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -346,6 +346,8 @@
 	alarm_t idle_alarm;
 	int served;
 	int index; /* in serve_t.caller */
+	bool kept; /* the answer's head, sent before the instance began to
+		      leave, doesn't announce a close */
 } caller_conn_t;
 
 int callers_listen(serve_t *s, err_t *e);
@@ -354,7 +356,10 @@
     caller_conn_t *cc, int status, const char *extra, const char *body);
 /** The answer was sent: read the next request, or close the connection. */
 void caller_answer_done(caller_conn_t *cc);
-/** The instance is leaving: close idle connections. */
+/**
+ * The instance is leaving: close idle connections soon, and others after the
+ * first answer that announces it.
+ */
 void callers_drain(serve_t *s);
 
 /* HTTP pages for callers, the platform and operators. pages.c */
