serve: don't end a leaving instance before its answers are sent

A caller that reads slowly saw its answer cut 3.15 s after SIGTERM, with most of grace_s left, and a request that was being received then ended without an answer. Cause: the process ends as soon as no call is in the table, but a call leaves it when its answer is in the connection's buffer, and a request enters it only when it is complete. A connection that was to be closed was forgotten at once, with its unsent bytes.

A connection now stays in the list of callers until its last byte is handed to the socket, and the process waits, at most until grace_s ends the calls, while one sends or receives. http_conn reports the drained buffer of a connection that closes, too. /answered-stop/slow_reader (4 of 7 answers complete) and half_received failed before and pass.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -441,7 +441,7 @@
 		if (c->closed)
 			return;
 		if (was_pending && buf_len(&c->out) == 0 &&
-		    c->ops->drained != NULL && !c->lingering)
+		    c->ops->drained != NULL)
 			c->ops->drained(c->user, c);
 		if (c->closed)
 			return;
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -31,6 +31,20 @@
 	loop_free_later(&s->loop, cc);
 }
 
+/* Close the connection once its last answer is sent. */
+static void
+finish(caller_conn_t *cc)
+{
+	alarm_stop(&cc->s->loop, &cc->idle_alarm);
+	cc->http->closing = cc->http->parse_stopped = true;
+	http_conn_flush(cc->http);
+	/* Else on_drained() or on_end() frees it; see callers_busy(). */
+	if (buf_len(&cc->http->out) > 0)
+		return;
+	http_conn_finish(cc->http);
+	conn_free(cc);
+}
+
 /* Sets the timer for silence, or for the arrival of a whole request head. */
 static void
 set_idle_timer(caller_conn_t *cc)
@@ -69,8 +83,7 @@
 		caller_answer(cc, 408, "Connection: close\r\n",
 		    "the request took too long to arrive");
 	}
-	http_conn_finish(cc->http);
-	conn_free(cc);
+	finish(cc);
 }
 
 static void
@@ -128,8 +141,7 @@
 	    status, http_errno_name(HTTP_PARSER_ERRNO(&k->parser)));
 	caller_answer(cc, status, "Connection: close\r\n",
 	    "the request is malformed or too large");
-	http_conn_finish(k);
-	conn_free(cc);
+	finish(cc);
 }
 
 static void
@@ -153,9 +165,10 @@
 	caller_conn_t *cc = u;
 	call_t *c = call_get(cc->s, cc->call);
 
-	(void)k;
 	if (c != NULL && c->conn != NULL && c->conn->http->paused)
 		http_conn_pause(c->conn->http, false);
+	else if (c == NULL && k->closing)
+		finish(cc);
 }
 
 static const http_conn_ops_t ops = {
@@ -250,8 +263,7 @@
 	cc->kept = false;
 	if (!cc->http->keep_alive || (cc->s->leaving && !kept) ||
 	    cc->http->closing) {
-		http_conn_finish(cc->http);
-		conn_free(cc);
+		finish(cc);
 		return;
 	}
 	set_idle_timer(cc);
@@ -267,9 +279,21 @@
 		caller_conn_t *cc = s->caller[i];
 		const call_t *c = call_get(s, cc->call);
 
-		if (c == NULL)
-			set_idle_timer(cc);
-		else
+		if (c != NULL)
 			cc->kept = c->head_sent;
+		else if (!cc->http->closing)
+			set_idle_timer(cc);
 	}
 }
+
+bool
+callers_busy(const serve_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->ncaller; i++)
+		if (s->caller[i]->http->in_message ||
+		    buf_len(&s->caller[i]->http->out) > 0)
+			return true;
+	return false;
+}
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -59,7 +59,7 @@
 	serve_t *s = arg;
 	ms_t elapsed = s->loop.now - s->leaving_since;
 	ms_t last = serve_gives_up_at(s) - s->leaving_since;
-	bool done = table_count(s->calls) == 0 &&
+	bool done = table_count(s->calls) == 0 && !callers_busy(s) &&
 		    elapsed >= DRAIN_MIN_MS + FINAL_SEND_MS;
 
 	if (elapsed >= DRAIN_MIN_MS && s->caller_listener.fd != -1)
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -361,6 +361,8 @@
  * first answer that announces it.
  */
 void callers_drain(serve_t *s);
+/** @return whether a request is being received or an answer being sent */
+bool callers_busy(const serve_t *s);
 
 /* HTTP pages for callers, the platform and operators. pages.c */
 
