serve: with a short grace_s, give calls up in its last sixth only

Cause: a fixed margin of 500 ms. The margin is now at most a sixth of grace_s, which leaves 333 ms of 2 s for the last answers and changes nothing from 3 s on. /answered-stop/outlast/grace-2 failed before (1506 ms) and passes (1708 ms).

--- a/serve/serve.c
+++ b/serve/serve.c
@@ -15,7 +15,9 @@
 	SETTINGS_POLL_MS = 1000, /* between checks of the settings file */
 	DRAIN_MIN_MS = 3000,	 /* callers may keep an old address list */
 	DRAIN_MARGIN_MS = 500,	 /* before SIGKILL, for the last answers */
-	FINAL_SEND_MS = 150,	 /* for the last answers to reach callers */
+	/* The rules let calls be cut in the last sixth of grace_s only. */
+	DRAIN_LAST_PART = 6,
+	FINAL_SEND_MS = 150, /* for the last answers to reach callers */
 	FIRST_POLL_MS = 1000,
 	LATE_TURN_MS = 200, /* logged from then on */
 };
@@ -50,7 +52,11 @@
 ms_t
 serve_gives_up_at(const serve_t *s)
 {
-	return s->leaving_since + s->conf.bounds.grace - DRAIN_MARGIN_MS;
+	ms_t grace = s->conf.bounds.grace;
+	ms_t last_part = grace / DRAIN_LAST_PART;
+
+	return s->leaving_since + grace -
+	       (last_part < DRAIN_MARGIN_MS ? last_part : DRAIN_MARGIN_MS);
 }
 
 static void
