serve: a leaving instance begins no stream later than 3 s after SIGTERM

A caller that asked for a stream on a kept connection 3.15 s after SIGTERM, while other calls kept the instance alive, got the first events, and the stream was cut at the end of grace_s. Cause: whether a stream ends in time is an estimate (12 ms a token), and the endpoint may be slower. Such a stream is now refused with 503, which lets its caller go elsewhere at once; plain calls are still taken, since those that don't end in time get a 502, which is an answer. /answered-stop/late_stream failed before.

--- a/serve/call.c
+++ b/serve/call.c
@@ -8,6 +8,8 @@
 	CALLS_MAX = 4000,	      /* in progress; each uses some KB */
 	DEFAULT_REMAINING_MS = 10000, /* if the caller states none */
 	TIMEOUT_SLACK_MS = 30, /* the caller detects its own timeout first */
+	/* The rules excuse cut answers to calls sent before this. */
+	DRAIN_STREAMS_MS = 3000,
 };
 
 call_t *
@@ -167,6 +169,13 @@
 		refuse_request(cc, request.id, 404, "no route", 0);
 		return;
 	}
+	if (s->leaving && r->kind == ROUTE_STREAM &&
+	    s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS) {
+		refuse_request(cc, request.id, 503,
+		    "the instance ends before the answer may",
+		    RETRY_ELSEWHERE_MS);
+		return;
+	}
 	c = call_new(cc, &request, r);
 	if (c == NULL) {
 		refuse_request(
