serve: apply a new configuration's limits to open connections

Callers on kept connections were held to the limits of an older configuration: a head that the new max_header_bytes allows got 431, and an idle connection was closed at the old idle_timeout_ms, so that a request that the new one allows crossed the close. Cause: max_header_bytes was read when the connection was accepted, and the time of the idle timer when it was set. Now the first is read when a request begins, and the timer, when it fires, is moved if the configuration in force allows more. /answered/limits_of_open_connections and /answered-stop/idle_limit_raised failed before.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -45,22 +45,33 @@
 	conn_free(cc);
 }
 
-/* Sets the timer for silence, or for the arrival of a whole request head. */
+/*
+ * When silence, or the arrival of a request, has taken too long by the
+ * configuration in force.
+ */
+static ms_t
+idle_until(const caller_conn_t *cc)
+{
+	const config_t *c = cc->s->config;
+	const http_conn_t *k = cc->http;
+
+	if (k->in_message && !k->head_done)
+		return k->message_start + (c != NULL && c->head_timeout > 0
+						  ? c->head_timeout
+						  : HEAD_TIMEOUT_MS);
+	if (k->in_message)
+		return k->last_io + BODY_SILENCE_MAX_MS;
+	if (cc->s->leaving)
+		return k->last_io + DRAIN_IDLE_MS;
+	return k->last_io + (c != NULL && c->idle_timeout > 0
+				    ? c->idle_timeout
+				    : IDLE_TIMEOUT_MS);
+}
+
 static void
 set_idle_timer(caller_conn_t *cc)
 {
-	const config_t *c = cc->s->config;
-	ms_t idle = c != NULL && c->idle_timeout > 0 ? c->idle_timeout
-						     : IDLE_TIMEOUT_MS;
-	ms_t head = c != NULL && c->head_timeout > 0 ? c->head_timeout
-						     : HEAD_TIMEOUT_MS;
-	ms_t at = cc->http->last_io + idle;
-
-	if (cc->http->in_message && !cc->http->head_done)
-		at = cc->http->message_start + head;
-	else if (cc->s->leaving && !cc->http->in_message)
-		at = cc->http->last_io + DRAIN_IDLE_MS;
-	alarm_set(&cc->s->loop, &cc->idle_alarm, at);
+	alarm_set(&cc->s->loop, &cc->idle_alarm, idle_until(cc));
 }
 
 static void
@@ -70,11 +81,9 @@
 
 	if (cc->call != 0)
 		return;
-	if (cc->http->in_message && cc->http->head_done &&
-	    cc->s->loop.now < cc->http->last_io + BODY_SILENCE_MAX_MS) {
-		/* A long body is still arriving. */
-		alarm_set(&cc->s->loop, &cc->idle_alarm,
-		    cc->http->last_io + BODY_SILENCE_MAX_MS);
+	/* More has arrived, or a newer configuration allows more time. */
+	if (idle_until(cc) > cc->s->loop.now) {
+		set_idle_timer(cc);
 		return;
 	}
 	if (cc->http->in_message) {
@@ -89,8 +98,11 @@
 static void
 on_begin(void *u, http_conn_t *k)
 {
-	(void)k;
-	set_idle_timer(u);
+	caller_conn_t *cc = u;
+	const config_t *c = cc->s->config;
+
+	k->head_max = c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
+	set_idle_timer(cc);
 }
 
 static void
@@ -185,14 +197,11 @@
 add_caller(serve_t *s, int fd)
 {
 	caller_conn_t *cc = calloc(1, sizeof(*cc));
-	const config_t *c = s->config;
 
 	if (cc == NULL)
 		abort();
 	cc->s = s;
 	cc->http = http_conn_accept(&s->loop, fd, &ops, cc);
-	cc->http->head_max =
-	    c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
 	cc->idle_alarm = (alarm_t){ .fn = on_idle_alarm, .arg = cc };
 	if (s->ncaller == s->caller_capacity) {
 		s->caller_capacity =
