serve: don't end a connection whose bytes wait to be read

Callers lost a request that they had sent before their connection's idle limit: the daemon closed the connection although the request was in its socket, read it afterwards and dropped it. Cause: the idle timer looks at what was read, and it may run before the socket is: when the loop was held up, or a request arrives while a turn runs. The timer now looks for unread bytes first and then leaves the decision to the next turn. /answered-stop/request_at_the_idle_limit (a daemon that was stopped over the limit; 100 of 100 lost) failed before.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -86,6 +86,11 @@
 		set_idle_timer(cc);
 		return;
 	}
+	if (http_conn_unread(cc->http) > 0) {
+		/* It arrived since the loop's last wait. */
+		alarm_set(&cc->s->loop, &cc->idle_alarm, cc->s->loop.now + 1);
+		return;
+	}
 	if (cc->http->in_message) {
 		log_limited(LOG_NOTICE, "caller-slow", "bytes=%zu",
 		    cc->http->head_bytes + cc->http->body_bytes);
