serve: don't read from an idle connection after its close

A request that crossed the close of an idle connection was read for up to a second and dropped. Its caller saw a close after its request had been taken, which promises nothing, so a request that may run only once couldn't be sent again. Cause: the connection lingers as after an answer, where reading protects the answer from a reset; on an idle connection there is none. It is now closed at once, so such a request is reset unread. /answered-stop/idle_close failed before (no reset in 500 ms).

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -96,6 +96,14 @@
 		    cc->http->head_bytes + cc->http->body_bytes);
 		caller_answer(cc, 408, "Connection: close\r\n",
 		    "the request took too long to arrive");
+	} else if (buf_len(&cc->http->out) == 0) {
+		/*
+		 * Nothing is read from now on: a request that crosses the close
+		 * is reset, so its caller knows that it wasn't read.
+		 */
+		http_conn_close(cc->http);
+		conn_free(cc);
+		return;
 	}
 	finish(cc);
 }
