serve: reset a cut answer whose end is the end of the connection

A caller that speaks HTTP/1.0 gets a stream without a length. When the stream had to be cut, it saw a normal close, which is the sign of a complete answer. Cause: call_abort_answer() relies on the missing last chunk.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -50,6 +50,17 @@
 	loop_free_later(c->loop, c);
 }
 
+void
+http_conn_reset(http_conn_t *c)
+{
+	struct linger hard = { 1, 0 };
+
+	if (c->closed)
+		return;
+	setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	http_conn_close(c);
+}
+
 static void
 end_conn(http_conn_t *c, http_end_t why)
 {
--- a/net/net.h
+++ b/net/net.h
@@ -222,6 +222,8 @@
 size_t http_conn_unread(const http_conn_t *c);
 /** Close at once, without the end callback. */
 void http_conn_close(http_conn_t *c);
+/** The same by a reset, which drops what isn't sent. */
+void http_conn_reset(http_conn_t *c);
 /**
  * Close once all is sent. Reading goes on for a moment, since unread data
  * would reset the connection and lose the answer. No callback is called any
--- a/serve/call.c
+++ b/serve/call.c
@@ -396,9 +396,9 @@
 	counter_add(counter_get("ebonypitch_cuts_total",
 			"Answers ended without their last chunk."),
 	    1);
-	/* The caller sees an answer without its last chunk as incomplete. */
-	cc->http->closing = true;
+	c->caller = NULL;
 	call_finish(c, "cut");
+	caller_cut_answer(cc);
 }
 
 void
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -292,6 +292,22 @@
 	http_conn_next(cc->http);
 }
 
+void
+caller_cut_answer(caller_conn_t *cc)
+{
+	const http_parser *ps = &cc->http->parser;
+
+	cc->call = 0;
+	if (ps->http_major == 1 && ps->http_minor >= 1) {
+		/* The last chunk is missing. */
+		finish(cc);
+		return;
+	}
+	/* The end of the connection would be the end of the answer. */
+	http_conn_reset(cc->http);
+	conn_free(cc);
+}
+
 void
 callers_drain(serve_t *s)
 {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -356,6 +356,8 @@
     caller_conn_t *cc, int status, const char *extra, const char *body);
 /** The answer was sent: read the next request, or close the connection. */
 void caller_answer_done(caller_conn_t *cc);
+/** End an incomplete answer so that the caller sees that it is incomplete. */
+void caller_cut_answer(caller_conn_t *cc);
 /**
  * The instance is leaving: close idle connections soon, and others after the
  * first answer that announces it.
