--- a/tests/answered_proc.c
+++ b/tests/answered_proc.c
@@ -324,6 +324,30 @@
 	callers_free(s);
 }
 
+/*
+ * Guards against callers that take the descriptors that the daemon needs for
+ * its endpoints: those that it accepts must be served.
+ */
+static void
+descriptors_for_endpoints(void)
+{
+	callers_t *s = callers_new(GRACE_S, 20, EVENTS, GAP_MS);
+	struct rlimit few = { FEW_FDS, FEW_FDS };
+	int i;
+
+	proc_kill(s->st->daemon[0]);
+	settings_edit(s->st, "max_fds: 4100", "max_fds: 64");
+	fixture_start_daemon(s->st, 0, true);
+	g_assert_cmpint(
+	    prlimit(s->st->daemon[0]->pid, RLIMIT_NOFILE, &few, NULL), ==, 0);
+	for (i = 0; i < FEW_FDS_CALLERS; i++)
+		kept_ask(kept_open(s), "GET", "/plain/a",
+		    "Deadline-Remaining: 1500\r\n");
+	expect_answers_in_turn(s);
+	g_assert_cmpint(callers_check(s).served, ==, FEW_FDS_CALLERS);
+	callers_free(s);
+}
+
 static bool
 table_is_full(void *arg)
 {
@@ -380,6 +404,7 @@
 	T(endpoint_restarted);
 	T(address_reused);
 	T(few_descriptors);
+	T(descriptors_for_endpoints);
 	T(table_of_calls_full);
 	return g_test_run();
 }
