--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -50,6 +50,17 @@
 	loop_free_later(c->loop, c);
 }
 
+void
+http_conn_reset(http_conn_t *c)
+{
+	struct linger hard = { 1, 0 };
+
+	if (c->closed)
+		return;
+	setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	http_conn_close(c);
+}
+
 static void
 end_conn(http_conn_t *c, http_end_t why)
 {
@@ -443,7 +454,7 @@
 		if (c->closed)
 			return;
 		if (was_pending && buf_len(&c->out) == 0 &&
-		    c->ops->drained != NULL && !c->lingering)
+		    c->ops->drained != NULL)
 			c->ops->drained(c->user, c);
 		if (c->closed)
 			return;
--- a/serve/call.c
+++ b/serve/call.c
@@ -8,6 +8,8 @@
 	CALLS_MAX = 4000,	      /* in progress; each uses some KB */
 	DEFAULT_REMAINING_MS = 10000, /* if the caller states none */
 	TIMEOUT_SLACK_MS = 30, /* the caller detects its own timeout first */
+	/* The rules excuse cut answers to calls sent before this. */
+	DRAIN_STREAMS_MS = 3000,
 };
 
 call_t *
@@ -157,11 +159,23 @@
 		    cc, request.id, 503, "no configuration is known yet", 300);
 		return;
 	}
+	if (s->leaving && s->loop.now >= serve_gives_up_at(s)) {
+		refuse_request(cc, request.id, 503, "the instance ends",
+		    RETRY_ELSEWHERE_MS);
+		return;
+	}
 	r = find_route(s->config, request.host, head_target(h));
 	if (r == NULL) {
 		refuse_request(cc, request.id, 404, "no route", 0);
 		return;
 	}
+	if (s->leaving && r->kind == ROUTE_STREAM &&
+	    s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS) {
+		refuse_request(cc, request.id, 503,
+		    "the instance ends before the answer may",
+		    RETRY_ELSEWHERE_MS);
+		return;
+	}
 	c = call_new(cc, &request, r);
 	if (c == NULL) {
 		refuse_request(
@@ -453,9 +467,9 @@
 	counter_add(counter_get("ebonypitch_cuts_total",
 			"Answers ended without their last chunk."),
 	    1);
-	/* The caller sees an answer without its last chunk as incomplete. */
-	cc->http->closing = true;
+	c->caller = NULL;
 	call_finish(c, "cut");
+	caller_cut_answer(cc);
 }
 
 void
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -10,6 +10,7 @@
 
 enum {
 	ACCEPTS_PER_TURN = 64,	    /* accepted in one loop turn */
+	ACCEPT_RETRY_MS = 50,	    /* after a failure, e.g. no descriptors */
 	IDLE_TIMEOUT_MS = 15000,    /* default without a configuration */
 	HEAD_TIMEOUT_MS = 3000,	    /* default timeout for a request's head */
 	BODY_SILENCE_MAX_MS = 5000, /* longest silence within a body */
@@ -19,6 +20,23 @@
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
 };
 
+/*
+ * Accept callers only while descriptors are left for endpoints and the store;
+ * until then their requests stay unread.
+ */
+static void
+update_listener(serve_t *s)
+{
+	int reserved = s->conf.fds_max / 2;
+
+	if (s->caller_listener.fd == -1)
+		return;
+	if (reserved > RESERVED_FDS)
+		reserved = RESERVED_FDS;
+	watch_set(&s->loop, &s->caller_listener,
+	    s->ncaller < s->conf.fds_max - reserved ? EPOLLIN : 0);
+}
+
 static void
 conn_free(caller_conn_t *cc)
 {
@@ -27,26 +45,52 @@
 	alarm_stop(&s->loop, &cc->idle_alarm);
 	s->caller[cc->index] = s->caller[--s->ncaller];
 	s->caller[cc->index]->index = cc->index;
+	update_listener(s);
 	buf_free(&cc->body);
 	loop_free_later(&s->loop, cc);
 }
 
-/* Sets the timer for silence, or for the arrival of a whole request head. */
+/* Close the connection once its last answer is sent. */
 static void
-set_idle_timer(caller_conn_t *cc)
+finish(caller_conn_t *cc)
+{
+	alarm_stop(&cc->s->loop, &cc->idle_alarm);
+	cc->http->closing = cc->http->parse_stopped = true;
+	http_conn_flush(cc->http);
+	/* Else on_drained() or on_end() frees it; see callers_busy(). */
+	if (buf_len(&cc->http->out) > 0)
+		return;
+	http_conn_finish(cc->http);
+	conn_free(cc);
+}
+
+/*
+ * When silence, or the arrival of a request, has taken too long by the
+ * configuration in force.
+ */
+static ms_t
+idle_until(const caller_conn_t *cc)
 {
 	const config_t *c = cc->s->config;
-	ms_t idle = c != NULL && c->idle_timeout > 0 ? c->idle_timeout
-						     : IDLE_TIMEOUT_MS;
-	ms_t head = c != NULL && c->head_timeout > 0 ? c->head_timeout
-						     : HEAD_TIMEOUT_MS;
-	ms_t at = cc->http->last_io + idle;
-
-	if (cc->http->in_message && !cc->http->head_done)
-		at = cc->http->message_start + head;
-	else if (cc->s->leaving && !cc->http->in_message)
-		at = cc->http->last_io + DRAIN_IDLE_MS;
-	alarm_set(&cc->s->loop, &cc->idle_alarm, at);
+	const http_conn_t *k = cc->http;
+
+	if (k->in_message && !k->head_done)
+		return k->message_start + (c != NULL && c->head_timeout > 0
+						  ? c->head_timeout
+						  : HEAD_TIMEOUT_MS);
+	if (k->in_message)
+		return k->last_io + BODY_SILENCE_MAX_MS;
+	if (cc->s->leaving)
+		return k->last_io + DRAIN_IDLE_MS;
+	return k->last_io + (c != NULL && c->idle_timeout > 0
+				    ? c->idle_timeout
+				    : IDLE_TIMEOUT_MS);
+}
+
+static void
+set_idle_timer(caller_conn_t *cc)
+{
+	alarm_set(&cc->s->loop, &cc->idle_alarm, idle_until(cc));
 }
 
 static void
@@ -56,11 +100,14 @@
 
 	if (cc->call != 0)
 		return;
-	if (cc->http->in_message && cc->http->head_done &&
-	    cc->s->loop.now < cc->http->last_io + BODY_SILENCE_MAX_MS) {
-		/* A long body is still arriving. */
-		alarm_set(&cc->s->loop, &cc->idle_alarm,
-		    cc->http->last_io + BODY_SILENCE_MAX_MS);
+	/* More has arrived, or a newer configuration allows more time. */
+	if (idle_until(cc) > cc->s->loop.now) {
+		set_idle_timer(cc);
+		return;
+	}
+	if (http_conn_unread(cc->http) > 0) {
+		/* It arrived since the loop's last wait. */
+		alarm_set(&cc->s->loop, &cc->idle_alarm, cc->s->loop.now + 1);
 		return;
 	}
 	if (cc->http->in_message) {
@@ -68,16 +115,26 @@
 		    cc->http->head_bytes + cc->http->body_bytes);
 		caller_answer(cc, 408, "Connection: close\r\n",
 		    "the request took too long to arrive");
+	} else if (buf_len(&cc->http->out) == 0) {
+		/*
+		 * Nothing is read from now on: a request that crosses the close
+		 * is reset, so its caller knows that it wasn't read.
+		 */
+		http_conn_close(cc->http);
+		conn_free(cc);
+		return;
 	}
-	http_conn_finish(cc->http);
-	conn_free(cc);
+	finish(cc);
 }
 
 static void
 on_begin(void *u, http_conn_t *k)
 {
-	(void)k;
-	set_idle_timer(u);
+	caller_conn_t *cc = u;
+	const config_t *c = cc->s->config;
+
+	k->head_max = c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
+	set_idle_timer(cc);
 }
 
 static void
@@ -128,8 +185,7 @@
 	    status, http_errno_name(HTTP_PARSER_ERRNO(&k->parser)));
 	caller_answer(cc, status, "Connection: close\r\n",
 	    "the request is malformed or too large");
-	http_conn_finish(k);
-	conn_free(cc);
+	finish(cc);
 }
 
 static void
@@ -153,9 +209,10 @@
 	caller_conn_t *cc = u;
 	call_t *c = call_get(cc->s, cc->call);
 
-	(void)k;
 	if (c != NULL)
 		call_caller_drained(c);
+	else if (k->closing)
+		finish(cc);
 }
 
 static const http_conn_ops_t ops = {
@@ -172,14 +229,11 @@
 add_caller(serve_t *s, int fd)
 {
 	caller_conn_t *cc = calloc(1, sizeof(*cc));
-	const config_t *c = s->config;
 
 	if (cc == NULL)
 		abort();
 	cc->s = s;
 	cc->http = http_conn_accept(&s->loop, fd, &ops, cc);
-	cc->http->head_max =
-	    c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
 	cc->idle_alarm = (alarm_t){ .fn = on_idle_alarm, .arg = cc };
 	if (s->ncaller == s->caller_capacity) {
 		s->caller_capacity =
@@ -191,6 +245,7 @@
 	}
 	cc->index = s->ncaller;
 	s->caller[s->ncaller++] = cc;
+	update_listener(s);
 	set_idle_timer(cc);
 }
 
@@ -201,19 +256,31 @@
 	int i, fd;
 
 	(void)ev;
-	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
+	for (i = 0; i < ACCEPTS_PER_TURN && s->caller_listener.events != 0;
+	     i++) {
 		fd = accept4(s->caller_listener.fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd == -1) {
-			if (errno != EAGAIN && errno != EINTR)
-				log_limited(LOG_WARNING, "accept", "why=\"%s\"",
-				    strerror(errno));
+			if (errno == EAGAIN || errno == EINTR)
+				return;
+			log_limited(LOG_WARNING, "accept", "why=\"%s\"",
+			    strerror(errno));
+			/* The listener stays readable: don't spin on it. */
+			watch_set(&s->loop, &s->caller_listener, 0);
+			alarm_set(&s->loop, &s->accept_alarm,
+			    s->loop.now + ACCEPT_RETRY_MS);
 			return;
 		}
 		add_caller(s, fd);
 	}
 }
 
+static void
+on_accept_alarm(void *arg)
+{
+	update_listener(arg);
+}
+
 int
 callers_listen(serve_t *s, err_t *e)
 {
@@ -222,6 +289,7 @@
 		return -1;
 	s->caller_listener.fn = accept_callers;
 	s->caller_listener.arg = s;
+	s->accept_alarm = (alarm_t){ .fn = on_accept_alarm, .arg = s };
 	return watch_add(&s->loop, &s->caller_listener, EPOLLIN);
 }
 
@@ -244,22 +312,59 @@
 void
 caller_answer_done(caller_conn_t *cc)
 {
+	bool kept = cc->kept;
+
 	cc->call = 0;
-	if (!cc->http->keep_alive || cc->s->leaving || cc->http->closing) {
-		http_conn_finish(cc->http);
-		conn_free(cc);
+	cc->kept = false;
+	if (!cc->http->keep_alive || (cc->s->leaving && !kept) ||
+	    cc->http->closing) {
+		finish(cc);
 		return;
 	}
 	set_idle_timer(cc);
 	http_conn_next(cc->http);
 }
 
+void
+caller_cut_answer(caller_conn_t *cc)
+{
+	const http_parser *ps = &cc->http->parser;
+
+	cc->call = 0;
+	if (ps->http_major == 1 && ps->http_minor >= 1) {
+		/* The last chunk is missing. */
+		finish(cc);
+		return;
+	}
+	/* The end of the connection would be the end of the answer. */
+	http_conn_reset(cc->http);
+	conn_free(cc);
+}
+
 void
 callers_drain(serve_t *s)
 {
 	int i;
 
+	for (i = 0; i < s->ncaller; i++) {
+		caller_conn_t *cc = s->caller[i];
+		const call_t *c = call_get(s, cc->call);
+
+		if (c != NULL)
+			cc->kept = c->head_sent;
+		else if (!cc->http->closing)
+			set_idle_timer(cc);
+	}
+}
+
+bool
+callers_busy(const serve_t *s)
+{
+	int i;
+
 	for (i = 0; i < s->ncaller; i++)
-		if (s->caller[i]->call == 0)
-			set_idle_timer(s->caller[i]);
+		if (s->caller[i]->http->in_message ||
+		    buf_len(&s->caller[i]->http->out) > 0)
+			return true;
+	return false;
 }
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -15,7 +15,9 @@
 	SETTINGS_POLL_MS = 1000, /* between checks of the settings file */
 	DRAIN_MIN_MS = 3000,	 /* callers may keep an old address list */
 	DRAIN_MARGIN_MS = 500,	 /* before SIGKILL, for the last answers */
-	FINAL_SEND_MS = 150,	 /* for the last answers to reach callers */
+	/* The rules let calls be cut in the last sixth of grace_s only. */
+	DRAIN_LAST_PART = 6,
+	FINAL_SEND_MS = 150, /* for the last answers to reach callers */
 	FIRST_POLL_MS = 1000,
 	LATE_TURN_MS = 200, /* logged from then on */
 };
@@ -47,23 +49,33 @@
  */
 static const double stream_output_weight = 1.0, other_streams_weight = 0.2;
 
+ms_t
+serve_gives_up_at(const serve_t *s)
+{
+	ms_t grace = s->conf.bounds.grace;
+	ms_t last_part = grace / DRAIN_LAST_PART;
+
+	return s->leaving_since + grace -
+	       (last_part < DRAIN_MARGIN_MS ? last_part : DRAIN_MARGIN_MS);
+}
+
 static void
 on_drain_timer(void *arg)
 {
 	serve_t *s = arg;
 	ms_t elapsed = s->loop.now - s->leaving_since;
-	ms_t last = s->conf.bounds.grace - DRAIN_MARGIN_MS;
+	ms_t last = serve_gives_up_at(s) - s->leaving_since;
+	bool done = table_count(s->calls) == 0 && !callers_busy(s) &&
+		    elapsed >= DRAIN_MIN_MS + FINAL_SEND_MS;
 
 	if (elapsed >= DRAIN_MIN_MS && s->caller_listener.fd != -1)
 		watch_del(&s->loop, &s->caller_listener);
-	if ((table_count(s->calls) == 0 &&
-		elapsed >= DRAIN_MIN_MS + FINAL_SEND_MS) ||
-	    elapsed >= last + FINAL_SEND_MS) {
+	if (elapsed >= last)
+		give_up_all_calls(s);
+	if (done || elapsed >= last + FINAL_SEND_MS) {
 		s->loop.stop = true;
 		return;
 	}
-	if (elapsed >= last)
-		give_up_all_calls(s);
 	alarm_set(&s->loop, &s->drain_alarm, s->loop.now + 50);
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -376,6 +376,8 @@
 	alarm_t idle_alarm;
 	int served;
 	int index; /* in serve_t.caller */
+	bool kept; /* the answer's head, sent before the instance began to
+		      leave, doesn't announce a close */
 } caller_conn_t;
 
 int callers_listen(serve_t *s, err_t *e);
@@ -384,8 +386,15 @@
     caller_conn_t *cc, int status, const char *extra, const char *body);
 /** The answer was sent: read the next request, or close the connection. */
 void caller_answer_done(caller_conn_t *cc);
-/** The instance is leaving: close idle connections. */
+/** End an incomplete answer so that the caller sees that it is incomplete. */
+void caller_cut_answer(caller_conn_t *cc);
+/**
+ * The instance is leaving: close idle connections soon, and others after the
+ * first answer that announces it.
+ */
 void callers_drain(serve_t *s);
+/** @return whether a request is being received or an answer being sent */
+bool callers_busy(const serve_t *s);
 
 /* HTTP pages for callers, the platform and operators. pages.c */
 
@@ -665,7 +674,7 @@
 	plan_t *plan;
 	watch_t caller_listener;
 	watch_t signals;
-	alarm_t settings_alarm, drain_alarm;
+	alarm_t settings_alarm, drain_alarm, accept_alarm;
 	struct timespec conf_mtime;
 	rng_t rng;
 	GHashTable *retries;	   /* retries_t by service */
@@ -682,6 +691,8 @@
 void serve_state_changed(serve_t *s);
 /** Begin shutdown: end when the calls in progress are done. */
 void serve_drain(serve_t *s);
+/** @return when an instance that leaves ends the calls still open */
+ms_t serve_gives_up_at(const serve_t *s);
 /** Read the settings file again. @param why for the log */
 void serve_reload(serve_t *s, const char *why);
 /** Update the gauges. */
