tests: streams must go on at the software version that began them

Stand-ins: an endpoint has a software version, in its entry and in the record of each call it ran, and can restart under its id as another one with a later `born`. The load generator takes a stream that broke after its first event up at another daemon, with Last-Event-Id and Resumes, and counts the streams with events of several versions. Settings files say `bootstrap: true` at a daemon's first start in a fixture, and false later.

--- a/standin/daemon_settings.c
+++ b/standin/daemon_settings.c
@@ -25,6 +25,8 @@
 	    "listen:\n  front: \"%s\"\n  ready: \"%s\"\n  directory: \"%s\"\n"
 	    "internal_ports:\n  - %d\n  - %d\n",
 	    f->caller, f->ready, f->entries, f->peer_port, f->peer_port + 1);
+	g_string_append_printf(
+	    t, "bootstrap: %s\n", f->bootstrap ? "true" : "false");
 	g_string_append_printf(t,
 	    "limits:\n  cpu_share: %g\n  memory_mb: 260\n  max_fds: 4100\n",
 	    f->cpu_share);
@@ -36,3 +38,19 @@
 	    f->store);
 	return g_string_free(t, FALSE);
 }
+
+void
+daemon_settings_end_bootstrap(const char *path)
+{
+	GString *t;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, NULL))
+		return;
+	t = g_string_new_len(text, (gssize)len);
+	if (g_string_replace(t, "bootstrap: true", "bootstrap: false", 1) > 0)
+		g_file_set_contents(path, t->str, -1, NULL);
+	g_string_free(t, TRUE);
+	g_free(text);
+}
--- a/standin/daemon_settings.h
+++ b/standin/daemon_settings.h
@@ -14,9 +14,12 @@
 	int peer_port;			      /* the next port is used, too */
 	const char *store;
 	double cpu_share; /* of a core */
+	bool bootstrap;	  /* the whole system starts for the first time */
 } daemon_settings_t;
 
 /** @return the settings as YAML text, g_malloc'd. */
 char *daemon_settings_yaml(const daemon_settings_t *f);
+/** Change the settings file of a daemon that has started to no bootstrap. */
+void daemon_settings_end_bootstrap(const char *path);
 
 #endif
--- a/standin/deployment.c
+++ b/standin/deployment.c
@@ -104,8 +104,8 @@
 	options(&c, argc, argv);
 	signal(SIGTERM, on_stop);
 	signal(SIGINT, on_stop);
-	env = environment_new(
-	    &(environment_opts_t){ c.name, c.sizes, c.dir, c.ports });
+	env = environment_new(&(environment_opts_t){
+	    .name = c.name, .sizes = c.sizes, .dir = c.dir, .ports = c.ports });
 	printf("%d engines, %d plain endpoints, store at %s\n",
 	    env->sizes.engines, env->sizes.plain, env->store_addr);
 	fflush(stdout);
--- a/standin/environment.c
+++ b/standin/environment.c
@@ -42,7 +42,8 @@
 	{ "events", offsetof(deployment_sizes_t, events) },
 	{ "gap_ms", offsetof(deployment_sizes_t, gap_ms) },
 	{ "plain_ms", offsetof(deployment_sizes_t, plain_ms) },
-	{ "rate", offsetof(deployment_sizes_t, rate) } };
+	{ "rate", offsetof(deployment_sizes_t, rate) },
+	{ "versions", offsetof(deployment_sizes_t, versions) } };
 
 static void
 on_size(
@@ -73,6 +74,7 @@
 	GError *e = NULL;
 	size_t i;
 
+	env->sizes.versions = 1;
 	if (!g_file_get_contents(path, &text, &len, &e))
 		die(path, e->message);
 	if (ini_text(text, len, on_size, &env->sizes) != 0)
@@ -180,6 +182,7 @@
 	int ndomain = (int)g_strv_length(env->domain);
 	char *id = g_strdup_printf("%s-%d", kind, n);
 	char *addr = take_port(env);
+	char *version = g_strdup_printf("v%d", 1 + n % env->sizes.versions);
 	fake_endpoint_opts_t o = { .id = id,
 		.addr = addr,
 		.model = model,
@@ -190,6 +193,7 @@
 		.events = env->sizes.events,
 		.event_gap = env->sizes.gap_ms,
 		.plain_ms = env->sizes.plain_ms,
+		.version = version,
 		.changed = put_entry,
 		.arg = env };
 
@@ -197,6 +201,7 @@
 	env->endpoint[env->nendpoint++] = fake_endpoint_new(&env->loop, &o);
 	g_free(id);
 	g_free(addr);
+	g_free(version);
 }
 
 /* Engines start with as many models as fit, until each model is loaded. */
@@ -255,7 +260,8 @@
 			.entries = env->entries[i],
 			.peer_port = 7380,
 			.store = env->store_addr,
-			.cpu_share = daemon_cpu_share });
+			.cpu_share = daemon_cpu_share,
+			.bootstrap = env->bootstrap });
 		if (!g_file_set_contents(path, text, -1, NULL))
 			die(path, "can't be written");
 		g_string_append_printf(all, "%s %s %s %s\n", instance, path,
@@ -322,6 +328,7 @@
 	int i;
 
 	env->dir = o->dir;
+	env->bootstrap = o->bootstrap;
 	env->ports = g_strsplit(o->ports, ",", 0);
 	read_sizes(env, o->sizes);
 	loop_init(&env->loop);
--- a/standin/environment.h
+++ b/standin/environment.h
@@ -19,12 +19,14 @@
 	int daemons, engines, plain, models, adapters;
 	int weights_mb, adapter_slots, model_mb, adapter_mb, load_ms;
 	int loads_per_s, slots, events, gap_ms, plain_ms, rate;
+	int versions; /* of the engines' software, 1 if unset */
 } deployment_sizes_t;
 
 typedef struct environment {
 	loop_t loop;
 	deployment_sizes_t sizes;
 	const char *dir;
+	bool bootstrap; /* in the daemons' settings */
 	char *store_addr, *host;
 	char **ports;	/* free ones, from the options */
 	int ports_used; /* of these */
@@ -47,6 +49,7 @@
 	const char *name, *sizes; /* name, and path of the size file */
 	const char *dir;	  /* for the settings files and their list */
 	const char *ports;	  /* free ones, as "P,P,..." */
+	bool bootstrap;		  /* in the daemons' settings */
 } environment_opts_t;
 
 /**
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -7,7 +7,8 @@
 #include <sys/socket.h>
 
 enum {
-	UNLOAD_POLL_MS = 50, /* between checks whether a model is still used */
+	UNLOAD_POLL_MS = 50,  /* between checks whether a model is still used */
+	FIRST_BORN_MS = 1000, /* the time of the first start */
 };
 
 /** A model that is loaded, loading or unloading. */
@@ -28,7 +29,9 @@
 
 struct fake_endpoint {
 	http_server_t server;
-	char id[ID_MAX], addr[ADDR_MAX];
+	char id[ID_MAX], addr[ADDR_MAX], version[ID_MAX];
+	char model[ID_MAX]; /* loaded from the start, or empty */
+	int64_t born;
 	bool engine;
 	int events, slots;
 	const model_spec_t *specs;
@@ -164,6 +167,7 @@
 
 	v = head_get(head, "Request-Id");
 	str_copy(r->id, sizeof(r->id), v != NULL ? v : "");
+	str_copy(r->version, sizeof(r->version), endpoint_of(c)->version);
 	v = head_get(head, "Last-Event-Id");
 	r->last_event_id = v != NULL ? strtoll(v, NULL, 10) : -1;
 	v = head_get(head, "Deadline-Remaining");
@@ -445,9 +449,10 @@
 send_report(endpoint_conn_t *c)
 {
 	fake_endpoint_t *ep = endpoint_of(c);
-	json_t *r = json_pack("{s:o,s:b,s:I,s:i,s:i,s:i,s:i}", "models",
+	json_t *r = json_pack("{s:o,s:b,s:I,s:I,s:i,s:i,s:i,s:i}", "models",
 	    models_json(ep), "busy", is_busy(ep), "seq", (json_int_t)ep->seq,
-	    "running", 0, "waiting", 0, "kv_used", 0, "kv_total", 100000);
+	    "born", (json_int_t)ep->born, "running", 0, "waiting", 0, "kv_used",
+	    0, "kv_total", 100000);
 	char *text = json_dumps(r, JSON_COMPACT);
 
 	buf_fmt(&c->conn.http->out,
@@ -606,6 +611,9 @@
 	ep->executed = g_ptr_array_new_with_free_func(free_call);
 	ep->orders = g_ptr_array_new_with_free_func(g_free);
 	ep->models = g_ptr_array_new_with_free_func(free_model);
+	str_copy(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
+	str_copy(ep->model, ID_MAX, o->model != NULL ? o->model : "");
+	ep->born = FIRST_BORN_MS;
 	if (o->model != NULL)
 		add_model(ep, o->model);
 	http_server_open(&ep->server, l, o->addr, &ops, ep);
@@ -636,6 +644,31 @@
 	add_model(ep, model);
 }
 
+void
+fake_endpoint_restart(fake_endpoint_t *ep, const char *version)
+{
+	loop_t *l = ep->server.loop;
+	guint i;
+
+	for (i = 0; i < ep->server.conns->len; i++)
+		on_end(ep->server.conns->pdata[i]);
+	http_server_close(&ep->server);
+	g_ptr_array_set_size(ep->models, 0);
+	if (ep->model[0] != '\0')
+		add_model(ep, ep->model);
+	ep->seq = 0;
+	ep->born++;
+	str_copy(ep->version, ID_MAX, version);
+	http_server_open(&ep->server, l, ep->addr, &ops, ep);
+	notify_change(ep);
+}
+
+const char *
+fake_endpoint_version(const fake_endpoint_t *ep)
+{
+	return ep->version;
+}
+
 const char *
 fake_endpoint_id(const fake_endpoint_t *ep)
 {
@@ -660,8 +693,8 @@
 {
 	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i}",
 	    "service", service, "address", ep->addr, "zone", domain, "version",
-	    "v1", "slots", 8, "state", leaving ? "draining" : "ready",
-	    "cold_left_ms", 0, "born", (json_int_t)1000, "seq", 1);
+	    ep->version, "slots", 8, "state", leaving ? "draining" : "ready",
+	    "cold_left_ms", 0, "born", (json_int_t)ep->born, "seq", 1);
 	char *text, *out;
 
 	if (ep->engine)
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -30,6 +30,7 @@
 /** A call that the endpoint ran. */
 typedef struct executed_call {
 	char id[80];
+	char version[ID_MAX]; /* of the endpoint's software */
 	ms_t at;
 	int64_t last_event_id; /* of the request, -1: none */
 	ms_t time_left;	       /* Deadline-Remaining in ms, -1: none */
@@ -68,6 +69,7 @@
 	ms_t event_gap; /* ms between events */
 	ms_t plain_ms;	/* ms until a plain answer */
 	int adapter_slots;
+	const char *version; /* of its software, NULL: "v1" */
 } fake_endpoint_opts_t;
 
 fake_endpoint_t *fake_endpoint_new(loop_t *l, const fake_endpoint_opts_t *o);
@@ -78,6 +80,12 @@
 const GPtrArray *fake_endpoint_orders(const fake_endpoint_t *ep);
 /** Load a model without an order, at once. */
 void fake_endpoint_add_model(fake_endpoint_t *ep, const char *model);
+/**
+ * Restart under the same id with software @p version and a later start time:
+ * its connections close, and it holds what it held at its first start.
+ */
+void fake_endpoint_restart(fake_endpoint_t *ep, const char *version);
+const char *fake_endpoint_version(const fake_endpoint_t *ep);
 const char *fake_endpoint_id(const fake_endpoint_t *ep);
 /** @return orders carried out beyond its memory or adapter slots. */
 int fake_endpoint_overcommits(const fake_endpoint_t *ep);
--- a/standin/loadgen.h
+++ b/standin/loadgen.h
@@ -22,6 +22,7 @@
 	int events;	      /* in a complete stream */
 	double rate;	      /* calls per second */
 	ms_t span;
+	uint64_t seed; /* of the calls that are drawn, 0: from the clock */
 	/* Called each turn of the loop with the ms since the start, or NULL. */
 	void (*turn)(void *arg, ms_t since);
 	void *arg;
@@ -37,6 +38,11 @@
 	int ran_refused; /* calls reported as not run that had run */
 	int popular;	 /* models and adapters with several calls */
 	int starved;	 /* of these, those with no served call */
+	int streams;	 /* new ones; a broken one that goes on isn't served */
+	int begun;	 /* of these, those with a first event */
+	int resumed;	 /* taken up at another daemon after a break */
+	int resumed_served;   /* of these, those completed there */
+	int mixed_versions;   /* streams with events of several versions */
 	histo_t first, whole; /* ms to the first byte, to the end */
 } loadgen_result_t;
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -1,4 +1,5 @@
 #include "tests/cluster.h"
+#include "standin/daemon_settings.h"
 
 #include <glib/gstdio.h>
 
@@ -18,6 +19,8 @@
 void
 cluster_start_daemon(cluster_t *cluster, int i)
 {
+	if (cluster->daemon[i] != NULL)
+		daemon_settings_end_bootstrap(cluster->env->settings[i]);
 	proc_kill(cluster->daemon[i]);
 	cluster->daemon[i] = proc_start(
 	    "ebonypitchd", "--settings", cluster->env->settings[i], NULL);
@@ -41,8 +44,11 @@
 	for (i = 0; i < PORTS; i++)
 		g_string_append_printf(
 		    ports, "%s%d", i > 0 ? "," : "", port[i]);
-	cluster->env = environment_new(&(environment_opts_t){
-	    "cluster", cluster->sizes, cluster->dir, ports->str });
+	cluster->env = environment_new(&(environment_opts_t){ .name = "cluster",
+	    .sizes = cluster->sizes,
+	    .dir = cluster->dir,
+	    .ports = ports->str,
+	    .bootstrap = true });
 	g_string_free(ports, TRUE);
 	for (i = 0; i < cluster->env->sizes.daemons; i++)
 		cluster_start_daemon(cluster, i);
@@ -79,20 +85,29 @@
     void (*turn)(void *arg, ms_t since), void *arg)
 {
 	loadgen_opts_t o = {
-		.span = span, .rate = rate, .turn = turn, .arg = arg
+		.span = span,
+		.rate = rate,
+		.seed = CLUSTER_SEED,
+		.turn = turn,
+		.arg = arg,
 	};
 	const loadgen_result_t *r = &cluster->result;
 
 	environment_load_opts(cluster->env, &o);
 	loadgen_run(&o, &cluster->result);
-	g_test_message("calls %d served %d refused %d failed %d cut %d lost %d "
-		       "retried %d orders %d starved %d of %d",
-	    r->calls, r->served, r->refused, r->failed, r->cut, r->lost,
-	    r->retried, environment_orders(cluster->env), r->starved,
+	g_test_message("seed %d calls %d served %d refused %d failed %d cut %d "
+		       "lost %d retried %d orders %d starved %d of %d",
+	    CLUSTER_SEED, r->calls, r->served, r->refused, r->failed, r->cut,
+	    r->lost, r->retried, environment_orders(cluster->env), r->starved,
 	    r->popular);
+	g_test_message("streams %d begun %d resumed %d went on %d of several "
+		       "versions %d",
+	    r->streams, r->begun, r->resumed, r->resumed_served,
+	    r->mixed_versions);
 	g_assert_cmpint(r->calls, >, (int)(rate * (double)span / 1000 / 2));
 	g_assert_cmpint(r->mismatched, ==, 0);
 	g_assert_cmpint(r->doubled, ==, 0);
 	g_assert_cmpint(r->ran_refused, ==, 0);
+	g_assert_cmpint(r->mixed_versions, ==, 0);
 	g_assert_cmpint(environment_overcommits(cluster->env), ==, 0);
 }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -9,6 +9,10 @@
 #include "standin/environment.h"
 #include "tests/proc.h"
 
+enum {
+	CLUSTER_SEED = 1, /* of the load that is drawn */
+};
+
 typedef struct cluster {
 	char *dir, *sizes;
 	environment_t *env;
@@ -26,8 +30,9 @@
 void cluster_start_daemon(cluster_t *cluster, int i);
 /**
  * Run the load for @p span ms, then check what must hold under any fault: no
- * mismatched answer, no call run twice that may run once, no call that ran
- * reported as not run, no endpoint over its memory.
+ * mismatched answer, no stream with events of several versions, no call run
+ * twice that may run once, no call that ran reported as not run, no endpoint
+ * over its memory.
  * @param turn called each turn with the ms since the start, may be NULL
  */
 void cluster_run_load(cluster_t *cluster, ms_t span,
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -106,6 +106,7 @@
 	own.addr = st->addr[i];
 	own.id = st->id[i];
 	st->endpoint[i] = fake_endpoint_new(&st->loop, &own);
+	st->domain[i] = domains[0];
 	fixture_put_entry(st, i, service, false);
 	return i;
 }
@@ -121,7 +122,7 @@
     fixture_t *st, int endpoint, const char *service, bool leaving)
 {
 	char *text = fake_endpoint_entry(
-	    st->endpoint[endpoint], service, "north", leaving);
+	    st->endpoint[endpoint], service, st->domain[endpoint], leaving);
 
 	fake_store_put(st->store, "servers", st->id[endpoint], text);
 	g_free(text);
@@ -168,9 +169,12 @@
 			.entries = st->entries[i],
 			.peer_port = st->peer_port,
 			.store = st->store_addr,
-			.cpu_share = 0.25 });
+			.cpu_share = 0.25,
+			.bootstrap = !st->no_bootstrap });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
 		g_free(text);
+	} else {
+		daemon_settings_end_bootstrap(st->settings[i]);
 	}
 	st->daemon[i] =
 	    proc_start("ebonypitchd", "--settings", st->settings[i], NULL);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -22,6 +22,7 @@
 	fake_store_t *store;
 	fake_endpoint_t *endpoint[FIXTURE_ENDPOINTS];
 	char *addr[FIXTURE_ENDPOINTS], *id[FIXTURE_ENDPOINTS];
+	const char *domain[FIXTURE_ENDPOINTS]; /* "north", as the daemons' */
 	int nendpoint;
 	proc_t *daemon[FIXTURE_DAEMONS];
 	char *dir, *store_addr;
@@ -29,8 +30,10 @@
 	/* The daemons' addresses for calls, readiness and the entry list. */
 	char *caller[FIXTURE_DAEMONS], *ready[FIXTURE_DAEMONS];
 	char *entries[FIXTURE_DAEMONS];
-	int peer_port; /* the same for all; each daemon has its own IP */
+	/* The same for all, as each has its own IP; used at the first start. */
+	int peer_port;
 	int config_version;
+	bool no_bootstrap; /* in the settings of daemons started from now on */
 } fixture_t;
 
 /** A caller's request; its arg is the fixture. */
