standin, tests: each store's daemons have IP addresses of their own

Test programs that ran at once failed by chance: a daemon ended at its start, "bind 127.0.150.1:9464: Address already in use", in 2 of 30 runs of the cases of versions_proc beside other programs. The IP of a fixture's daemons came from the process id modulo 200, and the ports of the metrics, and in a deployment all of them, are fixed. It now comes from the port of the store, which ports_take() gives to one program only; fixtures and the deployment share that function. Nothing else in tests, tools or stand-ins derives an address from the process id but the start of the search for free ports.

/standin/two-stores failed before: the second store's daemon could not bind 127.0.75.1:9464. With it pass call_proc, daemon_proc, standin_proc and cluster_faults_proc, run three at a time, and versions_proc fails as before.

--- a/standin/daemon_settings.c
+++ b/standin/daemon_settings.c
@@ -1,6 +1,8 @@
 #include "standin/daemon_settings.h"
 
 #include <glib.h>
+#include <stdlib.h>
+#include <string.h>
 
 static const char limits_text[] =
     "heartbeat_ms: 1200\nbounds:\n  drain_ms: 2000\n  grace_s: 4\n"
@@ -9,6 +11,14 @@
     "  budget_ratio: 0.2\n  budget_extra_tries: 54\n"
     "  budget_window_s: 10\n  ttl_max_s: 5\n  require_fencing: false\n";
 
+char *
+daemon_settings_ip(const char *store, int i)
+{
+	int port = atoi(strrchr(store, ':') + 1);
+
+	return g_strdup_printf("127.%d.%d.%d", port >> 8, port & 0xff, i + 1);
+}
+
 char *
 daemon_settings_yaml(const daemon_settings_t *f)
 {
--- a/standin/daemon_settings.h
+++ b/standin/daemon_settings.h
@@ -17,6 +17,12 @@
 	bool bootstrap;	  /* the whole system starts for the first time */
 } daemon_settings_t;
 
+/**
+ * @return the IP of a store's daemon @p i, below 254, g_malloc'd. A daemon
+ * needs its own, as it has ports that can't be chosen. The store's port, which
+ * only one program has, keeps the daemons of several stores apart.
+ */
+char *daemon_settings_ip(const char *store, int i);
 /** @return the settings as YAML text, g_malloc'd. */
 char *daemon_settings_yaml(const daemon_settings_t *f);
 /** Change the settings file of a daemon that has started to no bootstrap. */
--- a/standin/environment.c
+++ b/standin/environment.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 enum {
 	DOMAINS_MAX = 16,
@@ -237,12 +236,12 @@
 static void
 put_settings(environment_t *env)
 {
-	int ndomain = (int)g_strv_length(env->domain), i, net = getpid() % 200;
+	int ndomain = (int)g_strv_length(env->domain), i;
 	GString *all = g_string_new(NULL);
 	char *list_path;
 
 	for (i = 0; i < env->sizes.daemons; i++) {
-		char *ip = g_strdup_printf("127.%d.%d.1", 10 + net, i + 1);
+		char *ip = daemon_settings_ip(env->store_addr, i);
 		char *instance = g_strdup_printf("entry-%d", i);
 		char *path = g_strdup_printf("%s/%s.yaml", env->dir, instance);
 		char *text;
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -4,7 +4,6 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 #include <glib/gstdio.h>
 
 enum {
@@ -141,17 +140,15 @@
 	return page_status(a->st, a->st->ready[a->i], "/v1/ready", NULL) == 200;
 }
 
-/* Each daemon has an IP address of its own: the port of metrics is fixed. */
 void
 fixture_start_daemon(fixture_t *st, int i, bool wait_ready)
 {
-	char ip[32], name[32], instance[32], *text;
+	char name[32], instance[32], *ip, *text;
 	daemon_probe_t a = { st, i };
 	int port[3];
 
 	if (st->settings[i] == NULL) {
-		snprintf(
-		    ip, sizeof(ip), "127.0.%d.%d", 10 + getpid() % 200, i + 1);
+		ip = daemon_settings_ip(st->store_addr, i);
 		ports_take(port, 3);
 		st->caller[i] = g_strdup_printf("%s:%d", ip, port[0]);
 		st->ready[i] = g_strdup_printf("%s:%d", ip, port[1]);
@@ -173,6 +170,7 @@
 			.bootstrap = !st->no_bootstrap });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
 		g_free(text);
+		g_free(ip);
 	} else {
 		daemon_settings_end_bootstrap(st->settings[i]);
 	}
--- a/tests/standin_proc.c
+++ b/tests/standin_proc.c
@@ -1,4 +1,5 @@
 #include "standin/memory.h"
+#include "tests/fixture.h"
 #include "tests/proc.h"
 #include "tests/system.h"
 
@@ -178,6 +179,22 @@
 	}
 }
 
+/* Guards against daemons that can't bind as others run with another store. */
+static void
+two_stores_run_at_once(void)
+{
+	fixture_t *st[2];
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		st[i] = fixture_new();
+		fixture_put_config(st[i], "");
+		fixture_start_daemon(st[i], 0, true);
+	}
+	for (i = 0; i < 2; i++)
+		fixture_free(st[i]);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -187,5 +204,6 @@
 	g_test_add_func("/standin/double-run", double_run_is_recorded);
 	g_test_add_func(
 	    "/standin/request-at-start", service_answers_while_starting);
+	g_test_add_func("/standin/two-stores", two_stores_run_at_once);
 	return g_test_run();
 }
