--- a/standin/daemon_settings.c
+++ b/standin/daemon_settings.c
@@ -1,6 +1,8 @@
 #include "standin/daemon_settings.h"
 
 #include <glib.h>
+#include <stdlib.h>
+#include <string.h>
 
 static const char limits_text[] =
     "heartbeat_ms: 1200\nbounds:\n  drain_ms: 2000\n  grace_s: 4\n"
@@ -9,6 +11,14 @@
     "  budget_ratio: 0.2\n  budget_extra_tries: 54\n"
     "  budget_window_s: 10\n  ttl_max_s: 5\n  require_fencing: false\n";
 
+char *
+daemon_settings_ip(const char *store, int i)
+{
+	int port = atoi(strrchr(store, ':') + 1);
+
+	return g_strdup_printf("127.%d.%d.%d", port >> 8, port & 0xff, i + 1);
+}
+
 char *
 daemon_settings_yaml(const daemon_settings_t *f)
 {
@@ -25,6 +35,8 @@
 	    "listen:\n  front: \"%s\"\n  ready: \"%s\"\n  directory: \"%s\"\n"
 	    "internal_ports:\n  - %d\n  - %d\n",
 	    f->caller, f->ready, f->entries, f->peer_port, f->peer_port + 1);
+	g_string_append_printf(
+	    t, "bootstrap: %s\n", f->bootstrap ? "true" : "false");
 	g_string_append_printf(t,
 	    "limits:\n  cpu_share: %g\n  memory_mb: 260\n  max_fds: 4100\n",
 	    f->cpu_share);
@@ -36,3 +48,19 @@
 	    f->store);
 	return g_string_free(t, FALSE);
 }
+
+void
+daemon_settings_end_bootstrap(const char *path)
+{
+	GString *t;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, NULL))
+		return;
+	t = g_string_new_len(text, (gssize)len);
+	if (g_string_replace(t, "bootstrap: true", "bootstrap: false", 1) > 0)
+		g_file_set_contents(path, t->str, -1, NULL);
+	g_string_free(t, TRUE);
+	g_free(text);
+}
--- a/standin/environment.c
+++ b/standin/environment.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 enum {
 	DOMAINS_MAX = 16,
@@ -42,7 +41,8 @@
 	{ "events", offsetof(deployment_sizes_t, events) },
 	{ "gap_ms", offsetof(deployment_sizes_t, gap_ms) },
 	{ "plain_ms", offsetof(deployment_sizes_t, plain_ms) },
-	{ "rate", offsetof(deployment_sizes_t, rate) } };
+	{ "rate", offsetof(deployment_sizes_t, rate) },
+	{ "versions", offsetof(deployment_sizes_t, versions) } };
 
 static void
 on_size(
@@ -73,6 +73,7 @@
 	GError *e = NULL;
 	size_t i;
 
+	env->sizes.versions = 1;
 	if (!g_file_get_contents(path, &text, &len, &e))
 		die(path, e->message);
 	if (ini_text(text, len, on_size, &env->sizes) != 0)
@@ -180,6 +181,7 @@
 	int ndomain = (int)g_strv_length(env->domain);
 	char *id = g_strdup_printf("%s-%d", kind, n);
 	char *addr = take_port(env);
+	char *version = g_strdup_printf("v%d", 1 + n % env->sizes.versions);
 	fake_endpoint_opts_t o = { .id = id,
 		.addr = addr,
 		.model = model,
@@ -190,6 +192,7 @@
 		.events = env->sizes.events,
 		.event_gap = env->sizes.gap_ms,
 		.plain_ms = env->sizes.plain_ms,
+		.version = version,
 		.changed = put_entry,
 		.arg = env };
 
@@ -197,6 +200,7 @@
 	env->endpoint[env->nendpoint++] = fake_endpoint_new(&env->loop, &o);
 	g_free(id);
 	g_free(addr);
+	g_free(version);
 }
 
 /* Engines start with as many models as fit, until each model is loaded. */
@@ -232,12 +236,12 @@
 static void
 put_settings(environment_t *env)
 {
-	int ndomain = (int)g_strv_length(env->domain), i, net = getpid() % 200;
+	int ndomain = (int)g_strv_length(env->domain), i;
 	GString *all = g_string_new(NULL);
 	char *list_path;
 
 	for (i = 0; i < env->sizes.daemons; i++) {
-		char *ip = g_strdup_printf("127.%d.%d.1", 10 + net, i + 1);
+		char *ip = daemon_settings_ip(env->store_addr, i);
 		char *instance = g_strdup_printf("entry-%d", i);
 		char *path = g_strdup_printf("%s/%s.yaml", env->dir, instance);
 		char *text;
@@ -255,7 +259,8 @@
 			.entries = env->entries[i],
 			.peer_port = 7380,
 			.store = env->store_addr,
-			.cpu_share = daemon_cpu_share });
+			.cpu_share = daemon_cpu_share,
+			.bootstrap = env->bootstrap });
 		if (!g_file_set_contents(path, text, -1, NULL))
 			die(path, "can't be written");
 		g_string_append_printf(all, "%s %s %s %s\n", instance, path,
@@ -322,6 +327,7 @@
 	int i;
 
 	env->dir = o->dir;
+	env->bootstrap = o->bootstrap;
 	env->ports = g_strsplit(o->ports, ",", 0);
 	read_sizes(env, o->sizes);
 	loop_init(&env->loop);
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -4,7 +4,6 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 #include <glib/gstdio.h>
 
 enum {
@@ -106,6 +105,7 @@
 	own.addr = st->addr[i];
 	own.id = st->id[i];
 	st->endpoint[i] = fake_endpoint_new(&st->loop, &own);
+	st->domain[i] = domains[0];
 	fixture_put_entry(st, i, service, false);
 	return i;
 }
@@ -121,7 +121,7 @@
     fixture_t *st, int endpoint, const char *service, bool leaving)
 {
 	char *text = fake_endpoint_entry(
-	    st->endpoint[endpoint], service, "north", leaving);
+	    st->endpoint[endpoint], service, st->domain[endpoint], leaving);
 
 	fake_store_put(st->store, "servers", st->id[endpoint], text);
 	g_free(text);
@@ -140,17 +140,15 @@
 	return page_status(a->st, a->st->ready[a->i], "/v1/ready", NULL) == 200;
 }
 
-/* Each daemon has an IP address of its own: the port of metrics is fixed. */
 void
 fixture_start_daemon(fixture_t *st, int i, bool wait_ready)
 {
-	char ip[32], name[32], instance[32], *text;
+	char name[32], instance[32], *ip, *text;
 	daemon_probe_t a = { st, i };
 	int port[3];
 
 	if (st->settings[i] == NULL) {
-		snprintf(ip, sizeof(ip), "127.%d.%d.%d",
-		    1 + getpid() / 200 % 200, 10 + getpid() % 200, i + 1);
+		ip = daemon_settings_ip(st->store_addr, i);
 		ports_take(port, 3);
 		st->caller[i] = g_strdup_printf("%s:%d", ip, port[0]);
 		st->ready[i] = g_strdup_printf("%s:%d", ip, port[1]);
@@ -168,9 +166,13 @@
 			.entries = st->entries[i],
 			.peer_port = st->peer_port,
 			.store = st->store_addr,
-			.cpu_share = 0.25 });
+			.cpu_share = 0.25,
+			.bootstrap = !st->no_bootstrap });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
 		g_free(text);
+		g_free(ip);
+	} else {
+		daemon_settings_end_bootstrap(st->settings[i]);
 	}
 	st->daemon[i] =
 	    proc_start("ebonypitchd", "--settings", st->settings[i], NULL);
