--- a/serve/call.c
+++ b/serve/call.c
@@ -249,14 +249,22 @@
 	if (send.body > 0)
 		buf_add(
 		    &c->conn->http->out, c->body.p + c->body.off, send.body);
+	if (c->request.resumes[0] != '\0' || c->nevent > 0)
+		log_limited(LOG_NOTICE, "resume",
+		    "request=%s resumes=%s after=%" PRId64
+		    " endpoint=%s software=%s",
+		    c->request.id,
+		    c->request.resumes[0] != '\0' ? c->request.resumes
+						  : c->request.id,
+		    c->last_event_id, p->entry.id, p->entry.software);
 	log_limited(LOG_INFO, "sent",
 	    "request=%s route=%s endpoint=%s send=%d fresh=%d first_ms=%.0f "
 	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64
-	    " kept=%d config=%" PRId64,
+	    " kept=%d software=%s events=%d config=%" PRId64,
 	    c->request.id, c->route.name, p->entry.id, c->attempts,
 	    ch->uncached_tokens, c->reservation.predicted_ms, send.remaining,
-	    s->loop.now - p->entry_read_at, !c->conn->unused,
-	    s->config->version);
+	    s->loop.now - p->entry_read_at, !c->conn->unused, p->entry.software,
+	    c->nevent, s->config->version);
 	if (c->conn->unused) {
 		/* Its deadline may pass while the process is stopped. */
 		c->conn->http->send_by = c->deadline;
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -108,9 +108,9 @@
 	net_addr(en.addr, &p->sa);
 	if (is_new || was_ready != !en.leaving)
 		log_limited(LOG_NOTICE, "endpoint",
-		    "endpoint=%s service=%s addr=%s domain=%s state=%s "
-		    "revision=%" PRId64 " models=%d",
-		    en.id, en.service, en.addr, en.domain,
+		    "endpoint=%s service=%s software=%s addr=%s domain=%s "
+		    "state=%s revision=%" PRId64 " models=%d",
+		    en.id, en.service, en.software, en.addr, en.domain,
 		    en.leaving ? "leaving" : "ready", o->revision,
 		    en.holds.nmodel);
 	if (en.leaving && p->leaving_since == 0)
