--- /dev/null
+++ b/tests/software_test.c
@@ -0,0 +1,143 @@
+/*
+ * When a single software version can have begun a stream, and the table of
+ * streams' versions.
+ */
+#include "policy/software.h"
+#include "policy/stream_table.h"
+
+#include <glib.h>
+
+static const ms_t start = 1000000;
+static const uint64_t llm = 7, app = 8, v1 = 11, v2 = 12;
+
+/* Guards against a version that left being forgotten while streams last. */
+static void
+version_counts_while_its_streams_may_last(void)
+{
+	software_t s;
+
+	software_init(&s, start - STREAM_LIFE_MS);
+	g_assert_true(software_add(&s, llm, v1, start));
+	g_assert_false(software_add(&s, llm, v1, start + 10));
+	g_assert_cmpuint(software_sole(&s, llm, start + 10), ==, v1);
+	g_assert_true(software_add(&s, llm, v2, start + 20));
+	g_assert_cmpuint(software_sole(&s, llm, start + 20), ==, 0);
+	/* v1 isn't seen any more, v2 is. */
+	software_add(&s, llm, v2, start + 10 + STREAM_LIFE_MS);
+	g_assert_cmpuint(
+	    software_sole(&s, llm, start + 10 + STREAM_LIFE_MS), ==, 0);
+	g_assert_cmpuint(
+	    software_sole(&s, llm, start + 11 + STREAM_LIFE_MS), ==, v2);
+}
+
+/* Guards against a new process taking its short past for the whole one. */
+static void
+short_history_knows_no_sole_version(void)
+{
+	software_t s;
+
+	software_init(&s, start);
+	software_add(&s, llm, v1, start);
+	g_assert_cmpuint(
+	    software_sole(&s, llm, start + STREAM_LIFE_MS - 1), ==, 0);
+	g_assert_cmpuint(
+	    software_sole(&s, llm, start + STREAM_LIFE_MS), ==, v1);
+}
+
+/* Guards against the versions of one service counting for another. */
+static void
+services_are_apart(void)
+{
+	software_t s;
+
+	software_init(&s, start - STREAM_LIFE_MS);
+	software_add(&s, llm, v1, start);
+	software_add(&s, app, v2, start);
+	g_assert_cmpuint(software_sole(&s, llm, start), ==, v1);
+	g_assert_cmpuint(software_sole(&s, app, start), ==, v2);
+	g_assert_cmpuint(software_sole(&s, 9, start), ==, 0);
+}
+
+/* Guards against versions dropped for lack of room being taken for none. */
+static void
+overflow_knows_no_sole_version(void)
+{
+	software_t s;
+	uint64_t i;
+
+	software_init(&s, start - STREAM_LIFE_MS);
+	for (i = 0; i <= SOFTWARE_MAX; i++)
+		software_add(&s, 100 + i, v1, start);
+	g_assert_cmpuint(software_sole(&s, 100, start), ==, 0);
+}
+
+/* Guards against records lost while the table grows and shrinks. */
+static void
+records_last_until_they_expire(void)
+{
+	enum {
+		N = 5000
+	};
+	stream_table_t t = { 0 };
+	rng_t r = { 42 };
+	uint64_t id[N];
+	int i;
+
+	for (i = 0; i < N; i++) {
+		id[i] = rng_next(&r);
+		stream_table_put(&t, id[i], id[i] ^ 1, start + i);
+	}
+	for (i = 0; i < N; i++)
+		g_assert_cmpuint(
+		    stream_table_get(&t, id[i], start - 1), ==, id[i] ^ 1);
+	stream_table_expire(&t, start + N / 2);
+	g_assert_cmpint(t.nused, ==, N / 2 - 1);
+	g_assert_cmpuint(stream_table_get(&t, id[0], start - 1), ==, 0);
+	g_assert_cmpuint(
+	    stream_table_get(&t, id[N - 1], start), ==, id[N - 1] ^ 1);
+	g_assert_cmpuint(stream_table_get(&t, id[N - 1], start + N), ==, 0);
+	stream_table_free(&t);
+}
+
+/* Guards against a later record changing the version that began a stream. */
+static void
+first_version_stays(void)
+{
+	stream_table_t t = { 0 };
+
+	stream_table_put(&t, 5, v1, start);
+	stream_table_put(&t, 5, v2, start + 100);
+	g_assert_cmpuint(stream_table_get(&t, 5, start + 50), ==, v1);
+	stream_table_free(&t);
+}
+
+/* Guards against memory without a bound when streams come without end. */
+static void
+full_table_drops_new_records(void)
+{
+	stream_table_t t = { 0 };
+	uint64_t i;
+
+	for (i = 1; i <= STREAM_TABLE_MAX + 10; i++)
+		stream_table_put(&t, i, v1, start);
+	g_assert_cmpint(t.nused, ==, STREAM_TABLE_MAX);
+	g_assert_cmpint(t.dropped, ==, 10);
+	g_assert_cmpint(t.nslot, <=, 2 * STREAM_TABLE_MAX);
+	stream_table_free(&t);
+}
+
+#define T(name) g_test_add_func("/software/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(version_counts_while_its_streams_may_last);
+	T(short_history_knows_no_sole_version);
+	T(services_are_apart);
+	T(overflow_knows_no_sole_version);
+	T(records_last_until_they_expire);
+	T(first_version_stays);
+	T(full_table_drops_new_records);
+	return g_test_run();
+}
