serve: a stream goes on only at the software version that began it

Cause: a daemon that goes on with a broken stream, or takes one up for its caller, chose any endpoint that holds the model. It knew neither the version of an endpoint's software nor, at another instance, which version had begun the stream, as it ignored Resumes. The class: a fact that outlives an instance was kept in none.

While a service has had one version, its history says so; it stands in the lease too, which an instance reads at its start. While versions are mixed, the instance that forwards a first event sends a record to three others beforehand, and one that has no record asks five. Unknown: 503, not run. A call that goes on with a stream of a split route goes to the service that began it.

--- a/policy/stream_table.h
+++ b/policy/stream_table.h
@@ -10,7 +10,8 @@
 #include "base/base.h"
 
 enum {
-	STREAM_TABLE_MAX = 65536, /* 24 bytes each, in at most twice as many slots */
+	STREAM_TABLE_MAX =
+	    65536, /* 24 bytes each, in at most twice as many slots */
 };
 
 typedef struct stream_record {
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -82,7 +82,11 @@
 
 	if (c->state == CALL_CONNECTING && c->sent_at + CONNECT_TIMEOUT_MS < at)
 		at = c->sent_at + CONNECT_TIMEOUT_MS;
-	silence_at = c->state != CALL_CONNECTING ? silence_due_at(c) : 0;
+	if (c->state == CALL_LOCATING && stream_lookup_next(c) < at)
+		at = stream_lookup_next(c);
+	silence_at = c->state == CALL_SENT || c->state == CALL_RELAYING
+			 ? silence_due_at(c)
+			 : 0;
 	if (silence_at != 0 && silence_at < at)
 		at = silence_at;
 	alarm_set(&c->s->loop, &c->alarm, at);
@@ -148,6 +152,9 @@
 		return;
 	}
 	switch (c->state) {
+	case CALL_LOCATING:
+		stream_lookup_timer(c);
+		return;
 	case CALL_WAITING:
 		return;
 	case CALL_CONNECTING:
--- a/serve/call.c
+++ b/serve/call.c
@@ -55,7 +55,10 @@
 	return NULL;
 }
 
-/* Hashing the call's id sends a resubmitted call to the same service. */
+/*
+ * Hashing the id sends a call that is sent again, and one that goes on with its
+ * stream, to the same service.
+ */
 static const char *
 pick_service(const route_t *r, const char *id)
 {
@@ -85,6 +88,7 @@
 {
 	serve_t *s = cc->s;
 	call_t *c = calloc(1, sizeof(*c)), **at;
+	const char *stream;
 	ms_t remaining =
 	    request->remaining >= 0 ? request->remaining : DEFAULT_REMAINING_MS;
 
@@ -102,7 +106,8 @@
 	cc->call = c->id;
 	c->request = *request;
 	c->route = *r;
-	str_copy(c->service, sizeof(c->service), pick_service(r, request->id));
+	stream = request->resumes[0] != '\0' ? request->resumes : request->id;
+	str_copy(c->service, sizeof(c->service), pick_service(r, stream));
 	c->method = http_method_str(cc->http->parser.method);
 	c->body = cc->body;
 	memset(&cc->body, 0, sizeof(cc->body));
@@ -113,6 +118,7 @@
 	c->last_event_id = request->resume_after;
 	c->resume_event_id = request->resume_after;
 	c->alarm = (alarm_t){ .fn = on_alarm, .arg = c };
+	c->stream_id = hash_str(stream, 0);
 	c->resubmitted = remaining_is_reduced(s, r, remaining);
 	return c;
 }
@@ -183,6 +189,8 @@
 		return;
 	}
 	demand_add_call(s, c);
+	if (!stream_bind(c))
+		return;
 	/* Calls already waiting go first, by priority. */
 	if (s->wait_queue != NULL) {
 		c->state = CALL_WAITING;
@@ -419,6 +427,7 @@
 	count_outcome(c, outcome);
 	call_end_attempt(c, false);
 	call_queue_remove(c);
+	stream_lookup_end(c);
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -129,6 +129,8 @@
 
 	if (!ep_usable(p) || strcmp(p->entry.service, c->service) != 0)
 		return;
+	if (c->software != 0 && p->software != c->software)
+		return;
 	sc->nusable++;
 	if (engine && !ep_holds(p, c->request.model, c->request.adapter, now))
 		return;
@@ -234,7 +236,10 @@
 		return;
 	}
 	if (sc->nusable == 0) {
-		out->reason = "no endpoint of the service is there";
+		out->reason =
+		    c->software != 0
+			? "no endpoint has the software that began the stream"
+			: "no endpoint of the service is there";
 		out->retry_ms = s->conf.heartbeat;
 		return;
 	}
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[25] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[27] =
 {
   {
     "sender",
@@ -354,6 +354,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, streams),
+    &digest__stream_versions__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "several_versions",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, several_versions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -379,13 +403,15 @@
   0,   /* field[0] = sender */
   16,   /* field[16] = sent_tokens */
   2,   /* field[2] = sequence */
+  26,   /* field[26] = several_versions */
   23,   /* field[23] = store_lost */
+  25,   /* field[25] = streams */
   24,   /* field[24] = sum_domain */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -395,7 +421,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  25,
+  27,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &digest__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__stream_versions__init
+                     (Digest__StreamVersions         *message)
+{
+  static const Digest__StreamVersions init_value = DIGEST__STREAM_VERSIONS__INIT;
+  *message = init_value;
+}
+size_t digest__stream_versions__get_packed_size
+                     (const Digest__StreamVersions *message)
+{
+  assert(message->base.descriptor == &digest__stream_versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__stream_versions__pack
+                     (const Digest__StreamVersions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__stream_versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__stream_versions__pack_to_buffer
+                     (const Digest__StreamVersions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__stream_versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__StreamVersions *
+       digest__stream_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__StreamVersions *)
+     protobuf_c_message_unpack (&digest__stream_versions__descriptor,
+                                allocator, len, data);
+}
+void   digest__stream_versions__free_unpacked
+                     (Digest__StreamVersions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__stream_versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   digest__accepted_order__init
                      (Digest__AcceptedOrder         *message)
 {
@@ -335,6 +380,122 @@
   (ProtobufCMessageInit) digest__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__stream_versions__field_descriptors[7] =
+{
+  {
+    "began",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_began),
+    offsetof(Digest__StreamVersions, began),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_software),
+    offsetof(Digest__StreamVersions, software),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__StreamVersions, n_left_ms),
+    offsetof(Digest__StreamVersions, left_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_asked),
+    offsetof(Digest__StreamVersions, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_service),
+    offsetof(Digest__StreamVersions, service),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unknown",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_unknown),
+    offsetof(Digest__StreamVersions, unknown),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__StreamVersions, n_sole),
+    offsetof(Digest__StreamVersions, sole),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__stream_versions__field_indices_by_name[] = {
+  3,   /* field[3] = asked */
+  0,   /* field[0] = began */
+  2,   /* field[2] = left_ms */
+  4,   /* field[4] = service */
+  1,   /* field[1] = software */
+  6,   /* field[6] = sole */
+  5,   /* field[5] = unknown */
+};
+static const ProtobufCIntRange digest__stream_versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor digest__stream_versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.StreamVersions",
+  "StreamVersions",
+  "Digest__StreamVersions",
+  "digest",
+  sizeof(Digest__StreamVersions),
+  7,
+  digest__stream_versions__field_descriptors,
+  digest__stream_versions__field_indices_by_name,
+  1,  digest__stream_versions__number_ranges,
+  (ProtobufCMessageInit) digest__stream_versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor digest__accepted_order__field_descriptors[6] =
 {
   {
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -98,6 +98,10 @@
 	if (strcmp(p->entry.addr, en.addr) != 0)
 		pool_close_idle(p);
 	p->entry = en;
+	p->software = software_hash(en.service, en.software);
+	if (software_add(&s->software, hash_str(en.service, 0), p->software,
+		s->loop.now))
+		streams_version_added(s);
 	p->revision = o->revision;
 	p->listed = true;
 	p->missing_at = 0;
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -11,6 +11,8 @@
 	CHECK_INTERVAL_MS = 250, /* between reads while no holder is known */
 	RANK_DELAY_MS = 300,	 /* added for each instance ranked before */
 	RANK_MAX = 8,		 /* no more is added beyond this rank */
+	/* A history of versions with a longer gap isn't complete. */
+	SOFTWARE_GAP_MS = 10000,
 	/*
 	 * After the start, instances with a greater CPU share go first: time
 	 * for them to start and to read the lease once.
@@ -66,14 +68,67 @@
 	send_full_digest(p->s);
 }
 
+/*
+ * The versions seen lately stand in the lease, so that they outlive all
+ * instances without a write of their own. Times are of the wall clock.
+ */
+static json_t *
+software_json(const serve_t *s)
+{
+	const software_t *v = &s->software;
+	ms_t offset = clock_wall() - s->loop.now;
+	json_t *list = json_array();
+	char service[17], version[17];
+	int i;
+
+	for (i = 0; i < v->nseen; i++) {
+		snprintf(service, sizeof(service), "%016" PRIx64,
+		    v->seen[i].service);
+		snprintf(version, sizeof(version), "%016" PRIx64,
+		    v->seen[i].version);
+		json_array_append_new(
+		    list, json_pack("[s,s,I]", service, version,
+			      (json_int_t)(v->seen[i].at + offset)));
+	}
+	return json_pack("{s:I,s:o}", "since",
+	    (json_int_t)(v->complete_since + offset), "seen", list);
+}
+
+static void
+software_merge(serve_t *s, const json_t *lease)
+{
+	const json_t *o = json_object_get(lease, "software"), *item;
+	ms_t wall = clock_wall(), now = s->loop.now, since;
+	ms_t beat = json_integer_value(json_object_get(lease, "beat"));
+	size_t i;
+
+	json_array_foreach(json_object_get(o, "seen"), i, item)
+	{
+		const char *service =
+		    json_string_value(json_array_get(item, 0));
+		const char *version =
+		    json_string_value(json_array_get(item, 1));
+		ms_t age = wall - json_integer_value(json_array_get(item, 2));
+
+		if (service != NULL && version != NULL && age < STREAM_LIFE_MS)
+			software_add(&s->software, strtoull(service, NULL, 16),
+			    strtoull(version, NULL, 16),
+			    age > 0 ? now - age : now);
+	}
+	since = now - (wall - json_integer_value(json_object_get(o, "since")));
+	if (o != NULL && since < s->software.complete_since &&
+	    wall - beat < SOFTWARE_GAP_MS + now - s->started_at)
+		s->software.complete_since = since;
+}
+
 static char *
 lease_spec(const plan_t *p, bool released)
 {
-	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b}", "holder",
+	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b,s:o}", "holder",
 	    p->s->conf.instance, "ip", p->s->conf.ip, "beat",
 	    (json_int_t)clock_wall(), "settled",
 	    leadership_settled(&p->leadership, clock_now(&machine_clock)),
-	    "released", released);
+	    "released", released, "software", software_json(p->s));
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -86,6 +141,7 @@
 	json_t *j = o->spec != NULL ? json_loads(o->spec, 0, NULL) : NULL;
 	const char *ip = json_string_value(json_object_get(j, "ip"));
 
+	software_merge(p->s, j);
 	leadership_observe(&p->leadership, o->revision,
 	    ip != NULL && strcmp(ip, p->s->conf.ip) == 0,
 	    json_is_true(json_object_get(j, "settled")),
@@ -101,6 +157,8 @@
 	err_t e = { 0 };
 
 	p->lease_request = NULL;
+	if (status == 404 || status == 200)
+		p->s->software_read = true;
 	if (status == 404) {
 		leadership_observe(
 		    &p->leadership, 0, false, false, false, p->s->loop.now);
@@ -108,6 +166,7 @@
 		apply_lease(p, &o);
 		free(o.spec);
 	}
+	streams_history_read(p->s);
 }
 
 /* Another holder may have sent orders: ask each endpoint what it holds. */
@@ -181,8 +240,8 @@
 	    p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, on_lease_written, p);
 }
 
-static void
-read_lease(plan_t *p)
+void
+lease_read(plan_t *p)
 {
 	buf_t b = { 0 };
 
@@ -247,7 +306,7 @@
 	    (p->leadership.read
 		    ? 0
 		    : (ms_t)(rng_unit(&s->rng) * CHECK_INTERVAL_MS));
-	read_lease(p);
+	lease_read(p);
 }
 
 void
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -25,6 +25,7 @@
 	d->leaving = s->leaving;
 	d->holder = plan_holder_valid(s);
 	d->store_lost = store_lost(s);
+	d->several_versions = streams_several_versions(s);
 	d->lease_revision = plan_lease_revision(s);
 	d->queued_tokens = (uint32_t)call_queue_prompt_tokens(s, NULL);
 	d->config_revision = s->config_watch.changed_revision;
@@ -40,7 +41,7 @@
 	return digest__digest__pack(d, to);
 }
 
-static void
+void
 send_datagram(
     serve_t *s, const struct sockaddr_in *to, const uint8_t *p, size_t n)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -324,6 +324,7 @@
 	p->holder = d->holder;
 	p->goodbye = d->exiting;
 	p->lost_store = d->store_lost;
+	p->several_versions = d->several_versions;
 	p->queued_tokens = (int)d->queued_tokens;
 	if (d->holder)
 		plan_peer_renewed(s, d->lease_revision);
@@ -393,7 +394,9 @@
 			    LOG_WARNING, "digest-unreadable", "bytes=%zd", n);
 			continue;
 		}
-		if (d->sum_domain != 0)
+		if (d->streams != NULL)
+			streams_receive(s, d->streams, &from);
+		else if (d->sum_domain != 0)
 			receive_sum(s, d, &from, bytes, (size_t)n);
 		else
 			receive_digest(s, d, &from);
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -632,5 +632,8 @@
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	p->timer = (alarm_t){ .fn = on_timer, .arg = p };
 	alarm_set(&s->loop, &p->timer, s->loop.now + ROUND_INTERVAL_MS);
+	/* The history of versions is needed for the first call already. */
+	if (!s->software_read)
+		lease_read(p);
 	return p;
 }
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -54,6 +54,8 @@
 	bool run_pending;
 };
 
+/** Read the lease, and with it the history of versions. */
+void lease_read(plan_t *p);
 /** Renew the lease, try to acquire it, or read who holds it. */
 void lease_update(plan_t *p);
 /** @return whether an order may be sent now; reads the clock */
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -90,6 +90,7 @@
 	s->leaving_since = s->loop.now;
 	plan_release(s);
 	send_full_digest(s);
+	streams_hand_over(s);
 	callers_drain(s);
 	s->drain_alarm = (alarm_t){ .fn = on_drain_timer, .arg = s };
 	alarm_set(&s->loop, &s->drain_alarm, s->loop.now + 50);
@@ -160,6 +161,7 @@
 
 	alarm_set(&s->loop, &s->settings_alarm, s->loop.now + SETTINGS_POLL_MS);
 	ep_table_purge(s);
+	streams_tick(s);
 	if (stat(s->conf_path, &st) == -1)
 		return;
 	if (s->conf_mtime.tv_sec != 0 &&
@@ -207,6 +209,7 @@
 		call_queue_dispatch(s);
 	}
 	plan_run_if_due(s);
+	streams_flush(s);
 	digests_flush(s);
 	log_flush();
 }
@@ -229,6 +232,7 @@
 	s->started_at = s->loop.now;
 	s->rng.s = hash_str(s->conf.instance, (uint64_t)clock_wall());
 	s->calls = table_new(sizeof(call_t *), CALLS_MAX);
+	streams_init(s);
 	ep_table_init(&s->endpoints);
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -11,6 +11,8 @@
 #include "platform/platform.h"
 #include "policy/breaker.h"
 #include "policy/retries.h"
+#include "policy/software.h"
+#include "policy/stream_table.h"
 #include "policy/workload.h"
 
 #include <glib.h>
@@ -85,6 +87,7 @@
 	struct sockaddr_in sa;
 	uint64_t hash;	    /* of its id */
 	uint32_t tag;	    /* low half of the hash; names it in digests */
+	uint64_t software;  /* software_hash() of its service and version */
 	bool listed;	    /* its entry is in the store */
 	ms_t entry_read_at; /* when the entry was last read */
 	ms_t entry_written_after; /* earliest time it can have been written */
@@ -183,12 +186,23 @@
 /* Calls. call.c, choose.c, answer.c, stream.c */
 
 typedef enum call_state {
+	CALL_LOCATING,	 /* asking which software version began the stream */
 	CALL_WAITING,	 /* for a free endpoint or a model to be loaded */
 	CALL_CONNECTING, /* no byte sent yet */
 	CALL_SENT,	 /* it may have run */
 	CALL_RELAYING,	 /* the answer's head was sent to the caller */
 } call_state_t;
 
+/** A question to peers which software version began a call's stream. */
+typedef struct stream_lookup {
+	ms_t ask_again_at, until;
+	int nasked;
+	uint64_t answered[8]; /* hashes of the peers that know no record */
+	int nanswered;
+	uint64_t sole;	   /* by their answers, 0: none yet */
+	bool contradicted; /* one of them knows several versions */
+} stream_lookup_t;
+
 struct call {
 	serve_t *s;
 	handle_t id;
@@ -240,6 +254,11 @@
 	ms_t first_at, last_event_at;
 	bool queued;
 	call_t *next_waiting;
+
+	/* Resumable streams. */
+	uint64_t stream_id; /* hash of the attempt that began it */
+	uint64_t software;  /* version that it must go on at, 0: any */
+	stream_lookup_t lookup;
 };
 
 /** A request was received completely: handle it. */
@@ -366,6 +385,36 @@
 /** Record that the endpoint gets the call's prompt, for its prefix cache. */
 void prefix_record(ep_t *p, const call_t *c, ms_t now);
 
+/* Which software version began a stream. streams.c */
+
+void streams_init(serve_t *s);
+/**
+ * Bind a call that goes on with a stream to the software version that began it.
+ * @return false if the call isn't to be dispatched: peers were asked, or it was
+ * refused
+ */
+bool stream_bind(call_t *c);
+/** The first event of a stream is forwarded. */
+void stream_began(call_t *c);
+/** The call's timer fired while peers were asked. */
+void stream_lookup_timer(call_t *c);
+/** Time of the next step while peers are asked. */
+ms_t stream_lookup_next(const call_t *c);
+/** The call ends: its lookup, if there is one, ends too. */
+void stream_lookup_end(call_t *c);
+/** An endpoint runs a version that its service wasn't seen with lately. */
+void streams_version_added(serve_t *s);
+/** Note the versions in use; to be called every second. */
+void streams_tick(serve_t *s);
+/** The instance leaves: give its records to the others. */
+void streams_hand_over(serve_t *s);
+/** Send the records that became due in this loop turn. */
+void streams_flush(serve_t *s);
+/** The lease was read: the history of versions may be longer now. */
+void streams_history_read(serve_t *s);
+/** @return whether some service has had several versions lately */
+bool streams_several_versions(const serve_t *s);
+
 /* Callers' connections. caller_conn.c */
 
 typedef struct caller_conn {
@@ -494,9 +543,10 @@
 	uint32_t incarnation;
 	uint32_t sequence; /* of its last datagram */
 	bool ready, leaving, holder, goodbye;
-	bool lost_store;    /* it has lost contact with the store */
-	int queued_tokens;  /* prompt tokens of its waiting calls */
-	ms_t last_heard_at; /* 0: never */
+	bool lost_store;       /* it has lost contact with the store */
+	bool several_versions; /* it knows several of some service */
+	int queued_tokens;     /* prompt tokens of its waiting calls */
+	ms_t last_heard_at;    /* 0: never */
 	ms_t known_at;
 	int64_t revision;  /* of its object in the store, 0: none */
 	bool in_workload;  /* its shares count in ep_t.workload */
@@ -583,6 +633,8 @@
 peer_t *domain_relay(const serve_t *s, const char *domain);
 /** Do we send our domain's sums to other domains? */
 bool is_domain_relay(const serve_t *s);
+void send_datagram(
+    serve_t *s, const struct sockaddr_in *to, const uint8_t *p, size_t n);
 /** Send a datagram to all peers in our domain. */
 void send_within_domain(serve_t *s, const uint8_t *bytes, size_t n);
 /** CPU share of this instance, in thousandths of a core. */
@@ -660,7 +712,12 @@
 	ms_t watch_broken_at; /* last failed or expired watch */
 	ms_t ep_added_at;     /* last new endpoint */
 	ep_table_t endpoints;
-	table_t *calls; /* of call_t * */
+	software_t software;
+	bool software_read; /* the history in the lease, or there is none */
+	stream_table_t streams;
+	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
+	int nlocating;		/* calls in CALL_LOCATING */
+	table_t *calls;		/* of call_t * */
 	call_t *wait_queue;
 	bool queue_woken;
 	alarm_t queue_alarm;
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -75,6 +75,8 @@
 			call_attempt_failed(c, false, "an event is missing");
 			return;
 		}
+		if (c->nevent == 0)
+			stream_began(c);
 		if (!c->head_sent)
 			answer_forward_head(c, -1);
 		answer_write_chunk(c, ev, end);
