tests: a holder frozen past its lease orders nothing

The bytes that wait are now read before the alarms that would have ended the lease ran, so this guards against orders with an old token after a newer one.

--- a/tests/thaw_proc.c
+++ b/tests/thaw_proc.c
@@ -22,6 +22,7 @@
 	/* TCP sends a SYN that got no answer again after a second. */
 	SYN_FREEZE_MS = 1400,
 	PEER_FREEZE_MS = 2600, /* over the silence of a dead peer */
+	TAKE_OVER_MS = 15000,  /* limit until another instance orders */
 	LOG_MAX = 1 << 20,
 };
 
@@ -29,6 +30,9 @@
 static const fake_endpoint_opts_t stream = {
 	.model = "m1", .events = 40, .event_gap = 60, .adapter_slots = 4
 };
+static const fake_endpoint_opts_t brief_stream = {
+	.model = "m1", .events = 8, .event_gap = 20, .adapter_slots = 4
+};
 
 /** Calls that are in progress together, and their conditions. */
 typedef struct calls {
@@ -470,6 +474,78 @@
 	fixture_free(st);
 }
 
+static bool
+has_holder(void *arg)
+{
+	return fake_store_get(((fixture_t *)arg)->store, "ebonypitch-leases",
+		   "planner") != NULL;
+}
+
+static const received_order_t *
+last_order(const fixture_t *st)
+{
+	const GPtrArray *orders = fake_endpoint_orders(st->endpoint[0]);
+
+	return orders->len > 0 ? orders->pdata[orders->len - 1] : NULL;
+}
+
+/* Calls for an adapter that isn't loaded, until an order makes one succeed. */
+static void
+call_until_served(fixture_t *st, int daemon, const char *model)
+{
+	ms_t end = clock_now(&machine_clock) + TAKE_OVER_MS;
+	char *head = g_strdup_printf("Model: %s\r\nToken-Usage: 100,20\r\n"
+				     "Deadline-Remaining: 5000\r\n",
+	    model);
+	int status = 0;
+
+	while (status != 200) {
+		caller_t *c =
+		    caller_call(st, daemon, "POST", "/gen/a", "h", head);
+
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		status = c->status;
+		caller_free(c);
+		g_assert_cmpint(clock_now(&machine_clock), <, end);
+	}
+	g_free(head);
+}
+
+/*
+ * The holder of the lease is frozen until another instance orders. A call that
+ * needs an order waits in its socket: it mustn't order any more.
+ */
+static void
+frozen_holder_orders_nothing(void)
+{
+	fixture_t *st = one_daemon(&brief_stream, "llm");
+	const GPtrArray *orders = fake_endpoint_orders(st->endpoint[0]);
+	int64_t old, token;
+	caller_t *c;
+	guint i;
+
+	g_assert_true(fixture_run_until(st, has_holder, st, ANSWER_MS));
+	fixture_start_daemon(st, 1, true);
+	call_until_served(st, 0, "m1/a1");
+	old = last_order(st)->token;
+	stop(st);
+	c = caller_call(st, 0, "POST", "/gen/a", "w",
+	    "Model: m1/a3\r\nToken-Usage: 100,20\r\n");
+	call_until_served(st, 1, "m1/a2");
+	g_assert_cmpint(last_order(st)->token, >, old);
+	thaw_after(st, 0);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	call_until_served(st, 0, "m1/a4");
+	for (token = 0, i = 0; i < orders->len; i++) {
+		const received_order_t *o = orders->pdata[i];
+
+		g_assert_cmpint(o->token, >=, token);
+		token = o->token;
+	}
+	caller_free(c);
+	fixture_free(st);
+}
+
 #define T(name) g_test_add_func("/thaw/" #name, name)
 
 int
@@ -483,5 +559,6 @@
 	T(connection_made_meanwhile_is_used);
 	T(connection_made_too_late_sends_nothing);
 	T(peers_stay_known);
+	T(frozen_holder_orders_nothing);
 	return g_test_run();
 }
