net: limit heads, chunk lines and trailers of an answer

What callers saw: a status line, header fields, 1xx heads, a chunk extension or trailers without end, a byte each 100 ms or as many whole 1xx heads as fit, were read until the call's deadline, as 504.

Cause: a client's connection had no limits of its own (head_max was 0), and http_parser's, 80 KB, counts each head from zero and knows no time.

Now a client's connection counts the bytes since the last head, chunk line or part of a body: over 32 KB, or still more of them 1 s after the first, ends it as HTTP_END_ENDLESS, as do more than 8 interim heads. It is checked when bytes arrive, so that a silent or frozen side doesn't trip it; a 100 long before the answer and pauses around chunk lines pass (slow_parts_of_an_answer_pass in http_conn_test). The daemon's handling of a broken connection does the rest: the breaker counts it, the call is retried or ends with 502.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -14,6 +14,13 @@
 	BAD_REQUEST = 400,
 	HEAD_TOO_LARGE = 431,
 	BODY_TOO_LARGE = 413,
+	/*
+	 * Of an answer: heads, chunk extensions and trailers may be sent
+	 * without end. An endpoint sends each of them at once.
+	 */
+	FRAME_MAX = 32 << 10, /* bytes */
+	FRAME_MAX_MS = 1000,
+	INTERIM_MAX = 8, /* 1xx heads before an answer */
 };
 
 static char read_buf[READ_MAX];
@@ -131,6 +138,14 @@
 		buf_add(&c->out, p, n);
 }
 
+/* A head, a chunk or a part of a body was read. */
+static void
+frame_read(http_conn_t *c)
+{
+	c->frame_bytes = 0;
+	c->frame_since = 0;
+}
+
 /* Parser callbacks. They store the strings of a head in one buffer. */
 
 static int
@@ -228,6 +243,7 @@
 	c->last_byte = 0;
 	if (c->side == HTTP_CLIENT && ps->status_code < 200)
 		return 0;
+	frame_read(c);
 	c->keep_alive = http_should_keep_alive(ps);
 	c->ops->head(c->user, c);
 	if (c->closed)
@@ -240,6 +256,7 @@
 {
 	http_conn_t *c = ps->data;
 
+	frame_read(c);
 	c->body_bytes += n;
 	if (c->body_max != 0 && c->body_bytes > c->body_max) {
 		c->refuse_status = BODY_TOO_LARGE;
@@ -255,13 +272,28 @@
 	http_conn_t *c = ps->data;
 
 	c->in_message = c->head_done = false;
-	if (c->side == HTTP_CLIENT && ps->status_code < 200)
-		return 0;
+	if (c->side == HTTP_CLIENT && ps->status_code < 200) {
+		/* The answer may come much later; frame_bytes goes on. */
+		c->frame_since = 0;
+		if (++c->interim <= INTERIM_MAX)
+			return 0;
+		c->refuse_status = HEAD_TOO_LARGE;
+		return -1;
+	}
+	frame_read(c);
+	c->interim = 0;
 	c->parse_stopped = true;
 	http_parser_pause(ps, 1);
 	return 0;
 }
 
+static int
+on_chunk(http_parser *ps)
+{
+	frame_read(ps->data);
+	return 0;
+}
+
 static const http_parser_settings callbacks = {
 	.on_message_begin = on_begin,
 	.on_url = on_url,
@@ -270,6 +302,8 @@
 	.on_headers_complete = on_head,
 	.on_body = on_body,
 	.on_message_complete = on_done,
+	.on_chunk_header = on_chunk,
+	.on_chunk_complete = on_chunk,
 };
 
 /*
@@ -303,13 +337,33 @@
 on_parse_error(http_conn_t *c)
 {
 	if (c->side == HTTP_CLIENT) {
-		end_conn(c, HTTP_END_MALFORMED);
+		end_conn(c,
+		    c->refuse_status != 0 ||
+			    HTTP_PARSER_ERRNO(&c->parser) == HPE_HEADER_OVERFLOW
+			? HTTP_END_ENDLESS
+			: HTTP_END_MALFORMED);
 		return;
 	}
 	c->ops->bad(
 	    c->user, c, c->refuse_status != 0 ? c->refuse_status : BAD_REQUEST);
 }
 
+/*
+ * True if the bytes since the last head, chunk or body part are too many or
+ * have come for too long. To be called when bytes have arrived: a silent
+ * endpoint isn't endless.
+ */
+static bool
+frame_is_endless(http_conn_t *c)
+{
+	if (c->side == HTTP_SERVER || c->frame_bytes == 0)
+		return false;
+	if (c->frame_since == 0)
+		c->frame_since = c->loop->now;
+	return c->frame_bytes > FRAME_MAX ||
+	       c->loop->now - c->frame_since > FRAME_MAX_MS;
+}
+
 static void
 parse(http_conn_t *c, const char *p, size_t n)
 {
@@ -320,6 +374,7 @@
 		on_parse_error(c);
 		return;
 	}
+	c->frame_bytes += n;
 	used = http_parser_execute(&c->parser, &callbacks, p, n);
 	if (c->closed)
 		return;
@@ -327,6 +382,8 @@
 	case HPE_OK:
 		if (c->parser.upgrade)
 			on_parse_error(c);
+		else if (frame_is_endless(c))
+			end_conn(c, HTTP_END_ENDLESS);
 		return;
 	case HPE_PAUSED:
 		break;
@@ -474,6 +531,7 @@
 	c->ops = ops;
 	c->user = user;
 	c->last_io = l->now;
+	c->head_max = side == HTTP_CLIENT ? FRAME_MAX : 0;
 	c->watch = (watch_t){ fd, 0, on_event, c };
 	http_parser_init(
 	    &c->parser, side == HTTP_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
--- a/net/net.h
+++ b/net/net.h
@@ -141,8 +141,9 @@
 typedef enum http_end {
 	HTTP_END_EOF,		 /* closed by the peer */
 	HTTP_END_RESET,		 /* reset, or timed out in the kernel */
-	HTTP_END_MALFORMED,	 /* invalid or oversized, or not requested */
+	HTTP_END_MALFORMED,	 /* invalid, or not requested */
 	HTTP_END_CONNECT_FAILED, /* not established: no byte was sent */
+	HTTP_END_ENDLESS,	 /* over a limit of a client's connection */
 } http_end_t;
 
 typedef struct http_conn http_conn_t;
@@ -181,6 +182,10 @@
 	buf_t in, out;
 	size_t head_max, body_max; /* limits of a message, 0: none */
 	size_t head_bytes, body_bytes;
+	/* Bytes that a client read since the last head, chunk or body part. */
+	size_t frame_bytes;
+	ms_t frame_since; /* when the first of them was read, 0: none */
+	int interim;	  /* 1xx heads before this answer */
 	bool connecting, closed;
 	bool parse_stopped; /* until http_conn_next() */
 	bool paused;	    /* by http_conn_pause(): nothing is read */
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -402,7 +402,7 @@
 	call_t *c = conn_call(w);
 	static const char *const text[] = { "the connection was closed",
 		"the connection was reset", "the answer is malformed",
-		"the connection wasn't made" };
+		"the connection wasn't made", "the answer doesn't end" };
 
 	(void)k;
 	if (c == NULL || c->conn != w) {
