serve: limit bodies that aren't for the caller

What callers saw: an unsigned body, one of another request's answer or one of a refusal that went on was read until the call's deadline, as 504; a signed 503 without Not-Executed was even passed on after 1 MB, a promise that it hasn't run although it may have. An unsigned body was kept whole in memory.

Cause: `discarding` in on_body() had no limit, and the other bodies were kept and judged only when they were complete.

Now a body of which the caller gets no byte (another request's, unsigned, with Not-Executed or a status that implies it, or not a stream after the start of one) isn't kept, and fails its attempt after 8 MB, or when bytes still come 1 s after the first such head; so do more than 4 answers to other requests. The call may have run: it is retried if it may be repeated, else gets 502. A complete refusal or unsigned answer is handled as before. A signed plain body ends its attempt after 64 MB; a slow one can't be told from a sound answer and ends at the deadline, as before.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -8,6 +8,11 @@
 	/* A busy endpoint in another domain needs that long. */
 	CONNECT_TIMEOUT_MS = 400,
 	UNSENT_MAX = 256 << 10, /* bytes; above it the endpoint isn't read */
+	ANSWER_MAX = 64 << 20,	/* bytes of a body for the caller */
+	/* Of bodies that aren't for the caller, on one attempt. */
+	DROPPED_MAX = 8 << 20, /* bytes of each */
+	DROPPED_MAX_MS = 1000,
+	FOREIGN_MAX = 4, /* answers to other calls */
 	/* Shorter silence is normal. */
 	FIRST_SILENCE_MIN_MS = 1000, /* before a first event */
 	PLAIN_SILENCE_MIN_MS = 700,  /* before a plain answer */
@@ -134,6 +139,14 @@
 	call_give_up(c, why, 0);
 }
 
+void
+answer_is_endless(call_t *c)
+{
+	breaker_failure(&c->ep->breaker, true, c->s->loop.now);
+	failure_rate_update(c->s, true);
+	call_attempt_failed(c, false, "the answer doesn't end");
+}
+
 /* Callbacks of connections to endpoints. */
 
 static call_t *
@@ -157,6 +170,34 @@
 	call_set_timer(c);
 }
 
+/*
+ * A caller reads these statuses as "not run", so such an answer counts only if
+ * the endpoint states that explicitly.
+ */
+static bool
+implies_not_run(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* The caller gets no byte of such a body, whether it is complete or not. */
+static bool
+body_is_dropped(const call_t *c)
+{
+	return !c->response.authentic || c->response.not_run ||
+	       implies_not_run(c->response.status) ||
+	       (c->head_sent && c->route.kind == ROUTE_STREAM &&
+		   !c->response.stream);
+}
+
+static void
+begin_dropped(call_t *c, http_conn_t *k)
+{
+	k->body_max = DROPPED_MAX;
+	if (c->reading.dropped_since == 0)
+		c->reading.dropped_since = c->s->loop.now;
+}
+
 static void
 on_head(void *u, http_conn_t *k)
 {
@@ -173,6 +214,9 @@
 		log_limited(LOG_WARNING, "answer-foreign",
 		    "request=%s endpoint=%s answer_to=%s", c->request.id,
 		    w->ep->entry.id, a.call_id);
+		begin_dropped(c, k);
+		if (++c->reading.foreign > FOREIGN_MAX)
+			answer_is_endless(c);
 		return;
 	}
 	c->last_activity_at = w->s->loop.now;
@@ -186,6 +230,10 @@
 	c->response.not_run = a.not_run;
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
+	c->response.dropped = body_is_dropped(c);
+	k->body_max = c->response.stream ? 0 : ANSWER_MAX;
+	if (c->response.dropped)
+		begin_dropped(c, k);
 	if (c->head_sent)
 		return;
 	c->answer_head.off = c->answer_head.len = 0;
@@ -256,21 +304,27 @@
 	ep_conn_t *w = u;
 	call_t *c = conn_call(w);
 
-	if (c == NULL || w->discarding)
+	if (c == NULL)
 		return;
+	if (w->discarding || c->response.dropped) {
+		if (w->s->loop.now - c->reading.dropped_since > DROPPED_MAX_MS)
+			answer_is_endless(c);
+		else if (!w->discarding)
+			c->last_activity_at = w->s->loop.now;
+		return;
+	}
 	c->last_activity_at = w->s->loop.now;
 	if (c->response.stream) {
 		stream_body(c, p, n);
 	} else if (!c->head_sent) {
 		buf_add(&c->answer_body, p, n);
-		if (buf_len(&c->answer_body) > ANSWER_HELD_MAX &&
-		    c->response.authentic && !c->response.not_run) {
+		if (buf_len(&c->answer_body) > ANSWER_HELD_MAX) {
 			answer_forward_head(c, -1);
 			answer_write_chunk(
 			    c, c->answer_body.p, c->answer_body.len);
 			c->answer_body.off = c->answer_body.len = 0;
 		}
-	} else if (!c->route.resumable) {
+	} else {
 		answer_write_chunk(c, p, n);
 	}
 	c = conn_call(w);
@@ -283,16 +337,6 @@
 		http_conn_pause(k, true);
 }
 
-/*
- * A caller reads these statuses as "not run", so such an answer counts only if
- * the endpoint states that explicitly.
- */
-static bool
-implies_not_run(int status)
-{
-	return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 static void
 forward_answer(call_t *c, bool keep)
 {
--- a/serve/call.c
+++ b/serve/call.c
@@ -211,6 +211,7 @@
 	c->ep = p;
 	c->state = CALL_CONNECTING;
 	c->sent_at = c->last_activity_at = s->loop.now;
+	memset(&c->reading, 0, sizeof(c->reading));
 	c->tried[c->attempts % TRIED_MAX] = p;
 	if (c->attempts++ > 0)
 		retry_budget_spend(s, c);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -219,7 +219,13 @@
 		int status;
 		bool authentic; /* signed for this call, not re-encoded */
 		bool not_run, stream;
+		bool dropped; /* its body isn't for the caller */
 	} response;
+	/* What was read on this attempt. */
+	struct {
+		int foreign;	    /* answers to other calls */
+		ms_t dropped_since; /* first body that isn't for the caller */
+	} reading;
 
 	/* The answer. */
 	int status;
@@ -266,6 +272,8 @@
 /** Idempotent, with an attempt and retry budget left? */
 bool call_may_retry(const call_t *c);
 extern const http_conn_ops_t answer_ops;
+/** The attempt's answer exceeds a limit: it fails, and may have run. */
+void answer_is_endless(call_t *c);
 void stream_body(call_t *c, const char *p, size_t n);
 void stream_done(call_t *c, bool keep);
 void answer_store_head(call_t *c, const head_t *h, int status);
