serve: limit an event, and events without a new id

What callers saw: an event that never ends held their stream until its deadline, and later at full speed: 8.7 to 11.5 s after the call for 8 s. Events without an id or with the same id came, or were dropped, until then. On a route that can't resume, all this until the route's timeout.

Cause: stream_body() kept an incomplete event of any length and searched it from its start with each part that arrived, so that the parts' number squared kept the loop busy for all calls; it forwarded events without an id at once, and dropped those with an old id, in any number.

Now an event fails its attempt over 1 MB, or when it is still incomplete 1 s after its first byte (counted anew when the caller's slowness pauses the reading), and so does the 33rd event without a new id, or one that comes 1 s after the first such with no new id between. Each byte is searched once. Events without an id wait for the next one that has an id, or for the end, and are forwarded with it: what an endless series of them holds is never passed on in front of another attempt's events.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -333,8 +333,11 @@
 	http_conn_flush(c->caller->http);
 	c = conn_call(w);
 	if (c != NULL && c->conn == w &&
-	    buf_len(&c->caller->http->out) > UNSENT_MAX)
+	    buf_len(&c->caller->http->out) > UNSENT_MAX) {
 		http_conn_pause(k, true);
+		/* An event that is cut by this may take any time. */
+		c->reading.event_since = 0;
+	}
 }
 
 static void
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -3,6 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	/* Of an event, with those without an id before it. */
+	EVENT_MAX = 1 << 20, /* bytes */
+	EVENT_MAX_MS = 1000, /* from the first byte to the last */
+	/* Events without a new id, on one attempt. */
+	STRAY_MAX = 32,
+	STRAY_MAX_MS = 1000, /* with no new id between them */
+};
+
 /* Returns the length of the first complete event, or 0. */
 static size_t
 event_end(const char *p, size_t n)
@@ -49,6 +58,59 @@
 		c->first_at = now;
 }
 
+/* Drops the @p n bytes of whole events. */
+static void
+consume_events(call_t *c, size_t n)
+{
+	buf_consume(&c->answer_body, n);
+	c->reading.event_start = c->reading.event_parsed = 0;
+	c->reading.event_since = 0;
+}
+
+/* @return whether too many events without a new id have come. */
+static bool
+too_many_stray(call_t *c)
+{
+	ms_t now = c->s->loop.now;
+
+	if (c->reading.stray_since == 0)
+		c->reading.stray_since = now;
+	return ++c->reading.stray > STRAY_MAX ||
+	       now - c->reading.stray_since > STRAY_MAX_MS;
+}
+
+static bool
+event_is_endless(call_t *c)
+{
+	ms_t now = c->s->loop.now;
+
+	if (buf_len(&c->answer_body) == 0)
+		return false;
+	if (c->reading.event_since == 0)
+		c->reading.event_since = now;
+	return now - c->reading.event_since > EVENT_MAX_MS ||
+	       buf_len(&c->answer_body) > EVENT_MAX;
+}
+
+/*
+ * Length of the bytes up to the end of the next event, or 0. Bytes that were
+ * searched before aren't searched again: an event may come in many parts.
+ */
+static size_t
+next_event_end(call_t *c)
+{
+	const char *p = c->answer_body.p + c->answer_body.off;
+	size_t n = buf_len(&c->answer_body), end;
+	size_t from = c->reading.event_parsed;
+
+	/* The end is up to three bytes long. */
+	from = from > c->reading.event_start + 2 ? from - 2
+						 : c->reading.event_start;
+	end = event_end(p + from, n - from);
+	c->reading.event_parsed = end > 0 ? from + end : n;
+	return end > 0 ? from + end : 0;
+}
+
 void
 stream_body(call_t *c, const char *p, size_t n)
 {
@@ -56,21 +118,29 @@
 	size_t end;
 
 	buf_add(&c->answer_body, p, n);
-	while ((end = event_end(c->answer_body.p + c->answer_body.off,
-		    buf_len(&c->answer_body))) > 0) {
+	while ((end = next_event_end(c)) > 0) {
 		const char *ev = c->answer_body.p + c->answer_body.off;
-		int64_t id = event_id(ev, end);
+		int64_t id = event_id(
+		    ev + c->reading.event_start, end - c->reading.event_start);
+		bool old = id >= 0 && id <= c->last_event_id;
 
+		if ((id < 0 || old) && too_many_stray(c)) {
+			answer_is_endless(c);
+			return;
+		}
+		if (id < 0) {
+			/* It is forwarded with the event that follows it. */
+			c->reading.event_start = end;
+			continue;
+		}
 		if (c->last_event_at < c->sent_at || c->nevent == 0)
 			first_event_received(c);
 		c->last_event_at = now;
-		if (id >= 0 && c->last_event_id >= 0 &&
-		    id <= c->last_event_id) {
-			buf_consume(&c->answer_body, end);
+		if (old) {
+			consume_events(c, end);
 			continue;
 		}
-		if (id >= 0 && c->last_event_id >= 0 &&
-		    id > c->last_event_id + 1) {
+		if (c->last_event_id >= 0 && id > c->last_event_id + 1) {
 			breaker_failure(&c->ep->breaker, false, now);
 			call_attempt_failed(c, false, "an event is missing");
 			return;
@@ -78,10 +148,14 @@
 		if (!c->head_sent)
 			answer_forward_head(c, -1);
 		answer_write_chunk(c, ev, end);
-		if (id >= 0)
-			c->last_event_id = id;
+		c->last_event_id = id;
 		c->nevent++;
-		buf_consume(&c->answer_body, end);
+		c->reading.stray_since = 0;
+		consume_events(c, end);
+	}
+	if (event_is_endless(c)) {
+		answer_is_endless(c);
+		return;
 	}
 	call_set_timer(c);
 }
@@ -89,17 +163,21 @@
 void
 stream_done(call_t *c, bool keep)
 {
-	if (!c->head_sent && buf_len(&c->answer_body) == 0) {
-		/* A complete stream without events. */
-		first_event_received(c);
-		answer_forward_head(c, -1);
-	}
-	if (buf_len(&c->answer_body) > 0) {
+	size_t n = buf_len(&c->answer_body);
+
+	if (n > c->reading.event_start) {
 		breaker_failure(&c->ep->breaker, false, c->s->loop.now);
 		call_attempt_failed(
 		    c, false, "the stream ended inside an event");
 		return;
 	}
+	if (!c->head_sent) {
+		/* A complete stream without events that have an id. */
+		first_event_received(c);
+		answer_forward_head(c, -1);
+	}
+	/* Events without an id at the end. */
+	answer_write_chunk(c, c->answer_body.p + c->answer_body.off, n);
 	call_end_attempt(c, keep);
 	answer_write_last_chunk(c);
 	http_conn_flush(c->caller->http);
