serve: limit answers of the store and to orders and reports

What was seen: the body of an answer of the store, or of an endpoint to an order or a report request, was kept whole until the request's time was over: 146 MB of peak memory with a store that sends 128 MB on each connection, where the daemon has 260 MB; at full speed, a longer time limit ends the process. Nothing was logged unless the store was lost.

Cause: http_request.c added each part of a body to its text.

Now the body of such an answer has a limit, 4 MB from the store (a list has about 1 MB) and 512 KB from an endpoint; the request fails like one whose connection broke, and is repeated as before. A line store-answer-dropped or endpoint-answer-dropped says why, also when an answer has begun and isn't complete in time, or bytes come on an idle connection to the store.

--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -12,6 +12,9 @@
 	KEEPALIVE_PROBES = 2,
 	/* TCP resends a lost SYN only after a second or more. */
 	CONNECT_TIMEOUT_MS = 500,
+	/* A list has about 1 MB, a report some KB. */
+	STORE_ANSWER_MAX = 4 << 20,	 /* bytes */
+	ENDPOINT_ANSWER_MAX = 512 << 10, /* bytes */
 };
 
 struct http_request {
@@ -47,13 +50,28 @@
 	buf_free(&text);
 }
 
+/* @param c NULL: the bytes came on an idle connection, to the store */
+static void
+log_answer_dropped(
+    const http_request_t *c, const http_conn_t *k, const char *why)
+{
+	bool store = c == NULL || c->keep_conn;
+
+	log_limited(LOG_WARNING,
+	    store ? "store-answer-dropped" : "endpoint-answer-dropped",
+	    "status=%d bytes=%zu why=\"%s\"", c != NULL ? c->status : 0,
+	    k->body_bytes, why);
+}
+
 static void
 on_head(void *u, http_conn_t *k)
 {
 	http_request_t *c = u;
 
-	if (c != NULL)
-		c->status = (int)k->parser.status_code;
+	if (c == NULL)
+		return;
+	c->status = (int)k->parser.status_code;
+	k->body_max = c->keep_conn ? STORE_ANSWER_MAX : ENDPOINT_ANSWER_MAX;
 }
 
 static void
@@ -91,7 +109,10 @@
 	http_request_t *c = u;
 	int i;
 
-	(void)why;
+	if (why == HTTP_END_ENDLESS)
+		log_answer_dropped(c, k, "it doesn't end");
+	else if (why == HTTP_END_MALFORMED)
+		log_answer_dropped(c, k, "it is malformed or wasn't requested");
 	for (i = 0; i < nidle; i++)
 		if (idle[i] == k) {
 			idle[i] = idle[--nidle];
@@ -134,6 +155,9 @@
 		return;
 	}
 	if (c->conn != NULL) {
+		if (c->conn->in_message)
+			log_answer_dropped(
+			    c, c->conn, "it isn't complete in time");
 		c->conn->user = NULL;
 		http_conn_close(c->conn);
 		c->conn = NULL;
