serve, net: share the memory for answers among the calls in progress

What was seen: 260 answers without end whose callers don't read took 172 MB of memory, 1 MB held of each and as much not sent in some; each call more adds up to 2 MB, up to the 260 MB at which the process is killed.

Cause: what is held of an answer or an event and what isn't sent yet were limited for each call alone, and a buffer kept its largest size when it was empty, also on a connection that is only kept for another call.

Now a call may hold a quarter of limits.memory_mb divided by the calls in progress, between 16 KB and the limits as they were; a buffer that becomes empty keeps 64 KB at most.

--- a/net/buf.c
+++ b/net/buf.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum {
-	FIRST_CAPACITY = 512 /* bytes */
+	FIRST_CAPACITY = 512, /* bytes */
+	EMPTY_MAX = 64 << 10, /* bytes that an empty buffer keeps */
 };
 
 static void
@@ -66,8 +67,11 @@
 buf_consume(buf_t *b, size_t n)
 {
 	b->off += n;
-	if (b->off >= b->len)
-		b->off = b->len = 0;
+	if (b->off < b->len)
+		return;
+	b->off = b->len = 0;
+	if (b->cap > EMPTY_MAX)
+		buf_free(b);
 }
 
 void
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -8,7 +8,10 @@
 	/* A busy endpoint in another domain needs that long. */
 	CONNECT_TIMEOUT_MS = 400,
 	UNSENT_MAX = 256 << 10, /* bytes; above it the endpoint isn't read */
-	ANSWER_MAX = 64 << 20,	/* bytes of a body for the caller */
+	/* Each of a call's buffers may have this part of the memory. */
+	MEMORY_PARTS = 4,
+	MEMORY_SHARE_MIN = 16 << 10, /* bytes, for any number of calls */
+	ANSWER_MAX = 64 << 20,	     /* bytes of a body for the caller */
 	/* Of bodies that aren't for the caller, on one attempt. */
 	DROPPED_MAX = 8 << 20, /* bytes of each */
 	DROPPED_MAX_MS = 1000,
@@ -147,6 +150,17 @@
 	call_attempt_failed(c, false, "the answer doesn't end");
 }
 
+size_t
+answer_memory_share(const call_t *c, size_t max)
+{
+	size_t share = ((size_t)c->s->conf.memory_mb << 20) / MEMORY_PARTS /
+		       table_count(c->s->calls);
+
+	if (share < MEMORY_SHARE_MIN)
+		share = MEMORY_SHARE_MIN;
+	return share < max ? share : max;
+}
+
 /* Callbacks of connections to endpoints. */
 
 static call_t *
@@ -318,11 +332,12 @@
 		stream_body(c, p, n);
 	} else if (!c->head_sent) {
 		buf_add(&c->answer_body, p, n);
-		if (buf_len(&c->answer_body) > ANSWER_HELD_MAX) {
+		if (buf_len(&c->answer_body) >
+		    answer_memory_share(c, ANSWER_HELD_MAX)) {
 			answer_forward_head(c, -1);
 			answer_write_chunk(
 			    c, c->answer_body.p, c->answer_body.len);
-			c->answer_body.off = c->answer_body.len = 0;
+			buf_free(&c->answer_body);
 		}
 	} else {
 		answer_write_chunk(c, p, n);
@@ -333,7 +348,8 @@
 	http_conn_flush(c->caller->http);
 	c = conn_call(w);
 	if (c != NULL && c->conn == w &&
-	    buf_len(&c->caller->http->out) > UNSENT_MAX) {
+	    buf_len(&c->caller->http->out) >
+		answer_memory_share(c, UNSENT_MAX)) {
 		http_conn_pause(k, true);
 		/* An event that is cut by this may take any time. */
 		c->reading.event_since = 0;
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -280,6 +280,8 @@
 extern const http_conn_ops_t answer_ops;
 /** The attempt's answer exceeds a limit: it fails, and may have run. */
 void answer_is_endless(call_t *c);
+/** @return bytes that the call may keep now for each of its buffers */
+size_t answer_memory_share(const call_t *c, size_t max);
 void stream_body(call_t *c, const char *p, size_t n);
 void stream_done(call_t *c, bool keep);
 void answer_store_head(call_t *c, const head_t *h, int status);
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -89,7 +89,7 @@
 	if (c->reading.event_since == 0)
 		c->reading.event_since = now;
 	return now - c->reading.event_since > EVENT_MAX_MS ||
-	       buf_len(&c->answer_body) > EVENT_MAX;
+	       buf_len(&c->answer_body) > answer_memory_share(c, EVENT_MAX);
 }
 
 /*
