serve: don't retry an error whose start was passed on

What callers saw: of a signed 500 with over 1 MB on a route that may be repeated, the head and the start of the body, and then the body of another attempt's answer in it.

Cause: forward_answer() retried an endpoint's error without a look at whether its head had been passed on, which happens once more than 1 MB is held.

Now such an answer is completed as the endpoint's own. Found while reading for answers without end; /endless/sound/large-error failed before (the answer wasn't complete after 8 s) and passes.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -371,7 +371,7 @@
 	if (c->request.model[0] == '\0' && succeeded)
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
-	if (!succeeded && call_may_retry(c)) {
+	if (!succeeded && !c->head_sent && call_may_retry(c)) {
 		snprintf(why, sizeof(why), "status %d", c->response.status);
 		log_attempt_failed(c, false, why);
 		c->failure = "the endpoint answered with an error";
