serve: log bytes that come on an idle endpoint connection

What was seen: bytes after a complete answer got a line answer-surplus only if they came with its end; later ones closed the idle connection without a line.

Cause: idle_end() didn't look at why the connection ended.

--- a/serve/pool.c
+++ b/serve/pool.c
@@ -65,8 +65,13 @@
 static void
 idle_end(void *u, http_conn_t *k, http_end_t why)
 {
-	(void)k, (void)why;
-	conn_free(u);
+	ep_conn_t *w = u;
+
+	(void)k;
+	if (why == HTTP_END_MALFORMED)
+		log_limited(LOG_WARNING, "answer-surplus",
+		    "request=- endpoint=%s", w->ep->entry.id);
+	conn_free(w);
 }
 
 static void
