--- a/serve/answer.c
+++ b/serve/answer.c
@@ -8,6 +8,14 @@
 	/* A busy endpoint in another domain needs that long. */
 	CONNECT_TIMEOUT_MS = 400,
 	UNSENT_MAX = 256 << 10, /* bytes; above it the endpoint isn't read */
+	/* Each of a call's buffers may have this part of the memory. */
+	MEMORY_PARTS = 4,
+	MEMORY_SHARE_MIN = 16 << 10, /* bytes, for any number of calls */
+	ANSWER_MAX = 64 << 20,	     /* bytes of a body for the caller */
+	/* Of bodies that aren't for the caller, on one attempt. */
+	DROPPED_MAX = 8 << 20, /* bytes of each */
+	DROPPED_MAX_MS = 1000,
+	FOREIGN_MAX = 4, /* answers to other calls */
 	/* Shorter silence is normal. */
 	FIRST_SILENCE_MIN_MS = 1000, /* before a first event */
 	PLAIN_SILENCE_MIN_MS = 700,  /* before a plain answer */
@@ -214,6 +222,25 @@
 	call_give_up(c, why, 0);
 }
 
+void
+answer_is_endless(call_t *c)
+{
+	breaker_failure(&c->ep->breaker, true, c->s->loop.now);
+	failure_rate_update(c->s, true);
+	call_attempt_failed(c, false, "the answer doesn't end");
+}
+
+size_t
+answer_memory_share(const call_t *c, size_t max)
+{
+	size_t share = ((size_t)c->s->conf.memory_mb << 20) / MEMORY_PARTS /
+		       table_count(c->s->calls);
+
+	if (share < MEMORY_SHARE_MIN)
+		share = MEMORY_SHARE_MIN;
+	return share < max ? share : max;
+}
+
 /* Callbacks of connections to endpoints. */
 
 static call_t *
@@ -248,6 +275,34 @@
 	call_set_timer(c);
 }
 
+/*
+ * A caller reads these statuses as "not run", so such an answer counts only if
+ * the endpoint states that explicitly.
+ */
+static bool
+implies_not_run(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* The caller gets no byte of such a body, whether it is complete or not. */
+static bool
+body_is_dropped(const call_t *c)
+{
+	return !c->response.authentic || c->response.not_run ||
+	       implies_not_run(c->response.status) ||
+	       (c->head_sent && c->route.kind == ROUTE_STREAM &&
+		   !c->response.stream);
+}
+
+static void
+begin_dropped(call_t *c, http_conn_t *k)
+{
+	k->body_max = DROPPED_MAX;
+	if (c->reading.dropped_since == 0)
+		c->reading.dropped_since = c->s->loop.now;
+}
+
 static void
 on_head(void *u, http_conn_t *k)
 {
@@ -264,6 +319,9 @@
 		log_limited(LOG_WARNING, "answer-foreign",
 		    "request=%s endpoint=%s answer_to=%s", c->request.id,
 		    w->ep->entry.id, a.call_id);
+		begin_dropped(c, k);
+		if (++c->reading.foreign > FOREIGN_MAX)
+			answer_is_endless(c);
 		return;
 	}
 	bytes_received(c);
@@ -277,6 +335,10 @@
 	c->response.not_run = a.not_run;
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
+	c->response.dropped = body_is_dropped(c);
+	k->body_max = c->response.stream ? 0 : ANSWER_MAX;
+	if (c->response.dropped)
+		begin_dropped(c, k);
 	if (c->head_sent)
 		return;
 	c->answer_head.off = c->answer_head.len = 0;
@@ -345,11 +407,15 @@
 static void
 pause_if_behind(call_t *c)
 {
-	bool behind = buf_len(&c->caller->http->out) > UNSENT_MAX;
+	bool behind =
+	    buf_len(&c->caller->http->out) > answer_memory_share(c, UNSENT_MAX);
 
 	if (behind == c->conn->http->paused)
 		return;
 	http_conn_pause(c->conn->http, behind);
+	/* An event that is cut by this may take any time. */
+	if (behind)
+		c->reading.event_since = 0;
 	call_set_timer(c);
 }
 
@@ -360,21 +426,28 @@
 	call_t *c = conn_call(w);
 
 	(void)k;
-	if (c == NULL || w->discarding)
+	if (c == NULL)
+		return;
+	if (w->discarding || c->response.dropped) {
+		if (w->s->loop.now - c->reading.dropped_since > DROPPED_MAX_MS)
+			answer_is_endless(c);
+		else if (!w->discarding)
+			bytes_received(c);
 		return;
+	}
 	bytes_received(c);
 	if (c->response.stream) {
 		stream_body(c, p, n);
 	} else if (!c->head_sent) {
 		buf_add(&c->answer_body, p, n);
-		if (buf_len(&c->answer_body) > ANSWER_HELD_MAX &&
-		    c->response.authentic && !c->response.not_run) {
+		if (buf_len(&c->answer_body) >
+		    answer_memory_share(c, ANSWER_HELD_MAX)) {
 			answer_forward_head(c, -1);
 			answer_write_chunk(
 			    c, c->answer_body.p, c->answer_body.len);
-			c->answer_body.off = c->answer_body.len = 0;
+			buf_free(&c->answer_body);
 		}
-	} else if (!c->route.resumable) {
+	} else {
 		answer_write_chunk(c, p, n);
 	}
 	c = conn_call(w);
@@ -397,16 +470,6 @@
 	call_set_timer(c);
 }
 
-/*
- * A caller reads these statuses as "not run", so such an answer counts only if
- * the endpoint states that explicitly.
- */
-static bool
-implies_not_run(int status)
-{
-	return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 static void
 forward_answer(call_t *c, bool keep)
 {
@@ -422,7 +485,7 @@
 	if (c->request.model[0] == '\0' && succeeded)
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
-	if (!succeeded && call_may_retry(c)) {
+	if (!succeeded && !c->head_sent && call_may_retry(c)) {
 		snprintf(why, sizeof(why), "status %d", c->response.status);
 		log_attempt_failed(c, false, why);
 		c->failure = "the endpoint answered with an error";
@@ -516,7 +579,7 @@
 	call_t *c = conn_call(w);
 	static const char *const text[] = { "the connection was closed",
 		"the connection was reset", "the answer is malformed",
-		"the connection wasn't made" };
+		"the connection wasn't made", "the answer doesn't end" };
 
 	(void)k;
 	if (c == NULL || c->conn != w) {
--- a/serve/call.c
+++ b/serve/call.c
@@ -240,6 +240,7 @@
 		at = c->ntried++ % TRIED_MAX;
 	c->tried[at] = p;
 	c->return_at[at] = 0;
+	memset(&c->reading, 0, sizeof(c->reading));
 	if (c->attempts++ > 0)
 		retry_budget_spend(s, c);
 	c->had_run_before = c->may_have_run;
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -241,7 +241,19 @@
 		int status;
 		bool authentic; /* signed for this call, not re-encoded */
 		bool not_run, stream;
+		bool dropped; /* its body isn't for the caller */
 	} response;
+	/* What was read on this attempt. */
+	struct {
+		int foreign;	     /* answers to other calls */
+		ms_t dropped_since;  /* first body that isn't for the caller */
+		size_t event_start;  /* of the incomplete event, after whole
+					ones without an id */
+		size_t event_parsed; /* no event ends before this offset */
+		ms_t event_since;    /* when its first byte came, 0: none */
+		int stray;	     /* events without a new id */
+		ms_t stray_since;    /* first one after a new id, 0: none */
+	} reading;
 
 	/* The answer. */
 	int status;
@@ -327,6 +339,10 @@
 /** Idempotent, with an endpoint to try or return to and retry budget left? */
 bool call_may_retry(const call_t *c);
 extern const http_conn_ops_t answer_ops;
+/** The attempt's answer exceeds a limit: it fails, and may have run. */
+void answer_is_endless(call_t *c);
+/** @return bytes that the call may keep now for each of its buffers */
+size_t answer_memory_share(const call_t *c, size_t max);
 void stream_body(call_t *c, const char *p, size_t n);
 void stream_done(call_t *c, bool keep);
 void answer_store_head(call_t *c, const head_t *h, int status);
