net, serve: a sound endpoint's silence doesn't count as an endless answer

The limits of answers without end (1 s for a head, a chunk's line, an event, a body that is dropped) counted from the first byte, so a sound endpoint that was silent for a while in the middle of one lost its call: cut streams, 502, and a refusal that no longer counted as not run.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -154,7 +154,7 @@
 frame_read(http_conn_t *c)
 {
 	c->frame_bytes = 0;
-	c->frame_since = 0;
+	c->frame = (arrival_t){ 0 };
 }
 
 /* Parser callbacks. They store the strings of a head in one buffer. */
@@ -285,7 +285,7 @@
 	c->in_message = c->head_done = false;
 	if (c->side == HTTP_CLIENT && ps->status_code < 200) {
 		/* The answer may come much later; frame_bytes goes on. */
-		c->frame_since = 0;
+		c->frame = (arrival_t){ 0 };
 		if (++c->interim <= INTERIM_MAX)
 			return 0;
 		c->refuse_status = HEAD_TOO_LARGE;
@@ -369,10 +369,8 @@
 {
 	if (c->side == HTTP_SERVER || c->frame_bytes == 0)
 		return false;
-	if (c->frame_since == 0)
-		c->frame_since = c->loop->now;
-	return c->frame_bytes > FRAME_MAX ||
-	       c->loop->now - c->frame_since > FRAME_MAX_MS;
+	return arrival_note(&c->frame, c->loop->now) > FRAME_MAX_MS ||
+	       c->frame_bytes > FRAME_MAX;
 }
 
 static void
--- a/net/net.h
+++ b/net/net.h
@@ -159,6 +159,30 @@
 	HTTP_END_ENDLESS,	 /* over a limit of a client's connection */
 } http_end_t;
 
+enum {
+	ARRIVAL_GAP_MS = 250
+};
+
+/**
+ * For how long parts of something have been arriving. A silence counts for
+ * ARRIVAL_GAP_MS at most: a sound peer may be silent between two parts.
+ */
+typedef struct arrival {
+	ms_t last; /* when the last part arrived, 0: none has */
+	ms_t busy;
+} arrival_t;
+
+/** A part has arrived. @return the time so far, in ms */
+static inline ms_t
+arrival_note(arrival_t *a, ms_t now)
+{
+	ms_t gap = a->last != 0 ? now - a->last : 0;
+
+	a->busy += gap < ARRIVAL_GAP_MS ? gap : ARRIVAL_GAP_MS;
+	a->last = now;
+	return a->busy;
+}
+
 typedef struct http_conn http_conn_t;
 
 /** Callbacks of a connection; @p u is the user's pointer. */
@@ -197,8 +221,8 @@
 	size_t head_bytes, body_bytes;
 	/* Bytes that a client read since the last head, chunk or body part. */
 	size_t frame_bytes;
-	ms_t frame_since; /* when the first of them was read, 0: none */
-	int interim;	  /* 1xx heads before this answer */
+	arrival_t frame; /* of these bytes */
+	int interim;	 /* 1xx heads before this answer */
 	bool connecting, closed;
 	bool parse_stopped; /* until http_conn_next() */
 	bool paused;	    /* by http_conn_pause(): nothing is read */
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -299,8 +299,7 @@
 begin_dropped(call_t *c, http_conn_t *k)
 {
 	k->body_max = DROPPED_MAX;
-	if (c->reading.dropped_since == 0)
-		c->reading.dropped_since = c->s->loop.now;
+	arrival_note(&c->reading.dropped, c->s->loop.now);
 }
 
 static void
@@ -415,7 +414,7 @@
 	http_conn_pause(c->conn->http, behind);
 	/* An event that is cut by this may take any time. */
 	if (behind)
-		c->reading.event_since = 0;
+		c->reading.event = (arrival_t){ 0 };
 	call_set_timer(c);
 }
 
@@ -429,7 +428,8 @@
 	if (c == NULL)
 		return;
 	if (w->discarding || c->response.dropped) {
-		if (w->s->loop.now - c->reading.dropped_since > DROPPED_MAX_MS)
+		if (arrival_note(&c->reading.dropped, w->s->loop.now) >
+		    DROPPED_MAX_MS)
 			answer_is_endless(c);
 		else if (!w->discarding)
 			bytes_received(c);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -246,13 +246,13 @@
 	/* What was read on this attempt. */
 	struct {
 		int foreign;	     /* answers to other calls */
-		ms_t dropped_since;  /* first body that isn't for the caller */
+		arrival_t dropped;   /* of bodies that aren't for the caller */
 		size_t event_start;  /* of the incomplete event, after whole
 					ones without an id */
 		size_t event_parsed; /* no event ends before this offset */
-		ms_t event_since;    /* when its first byte came, 0: none */
+		arrival_t event;     /* of the incomplete event */
 		int stray;	     /* events without a new id */
-		ms_t stray_since;    /* first one after a new id, 0: none */
+		arrival_t strays;    /* of these, since the last new id */
 	} reading;
 
 	/* The answer. */
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -64,7 +64,7 @@
 {
 	buf_consume(&c->answer_body, n);
 	c->reading.event_start = c->reading.event_parsed = 0;
-	c->reading.event_since = 0;
+	c->reading.event = (arrival_t){ 0 };
 }
 
 /* @return whether too many events without a new id have come. */
@@ -73,10 +73,8 @@
 {
 	ms_t now = c->s->loop.now;
 
-	if (c->reading.stray_since == 0)
-		c->reading.stray_since = now;
 	return ++c->reading.stray > STRAY_MAX ||
-	       now - c->reading.stray_since > STRAY_MAX_MS;
+	       arrival_note(&c->reading.strays, now) > STRAY_MAX_MS;
 }
 
 static bool
@@ -86,9 +84,7 @@
 
 	if (buf_len(&c->answer_body) == 0)
 		return false;
-	if (c->reading.event_since == 0)
-		c->reading.event_since = now;
-	return now - c->reading.event_since > EVENT_MAX_MS ||
+	return arrival_note(&c->reading.event, now) > EVENT_MAX_MS ||
 	       buf_len(&c->answer_body) > answer_memory_share(c, EVENT_MAX);
 }
 
@@ -152,7 +148,7 @@
 		answer_write_chunk(c, ev, end);
 		c->last_event_id = id;
 		c->nevent++;
-		c->reading.stray_since = 0;
+		c->reading.strays = (arrival_t){ 0 };
 		consume_events(c, end);
 	}
 	if (event_is_endless(c)) {
