--- a/tests/silence_proc.c
+++ b/tests/silence_proc.c
@@ -21,7 +21,6 @@
 	BIG_EVENT = 64 << 10,
 	BIG_EVENTS = 100,
 	READER_PAUSE_MS = 2500,
-	ONE_EVENT = 8 << 20,
 	READER_BUFFER = 64 << 10,
 };
 
@@ -42,12 +41,6 @@
 	.event_bytes = BIG_EVENT,
 	.adapter_slots = 4 };
 
-static const fake_endpoint_opts_t one_event = { .model = "m1",
-	.events = 1,
-	.event_gap = 5,
-	.event_bytes = ONE_EVENT,
-	.adapter_slots = 4 };
-
 static fixture_t *
 one_daemon(const fake_endpoint_opts_t *o, int n, const char *service)
 {
@@ -427,23 +420,6 @@
 	fixture_free(st);
 }
 
-/* Whether the daemon has read the whole answer of its first call. */
-static bool
-first_call_is_served(void *arg)
-{
-	fixture_t *st = arg;
-	char addr[64], *body = NULL;
-	bool served;
-
-	snprintf(addr, sizeof(addr), "%.*s:9464",
-	    (int)strcspn(st->caller[0], ":"), st->caller[0]);
-	page_status(st, addr, "/metrics", &body);
-	served = strstr(body, "ebonypitch_calls_total{outcome=\"served\"} 1") !=
-		 NULL;
-	g_free(body);
-	return served;
-}
-
 /* A caller that stops reading for a while, longer than a silence may last. */
 static void
 slow_caller(int nendpoint)
@@ -480,31 +456,6 @@
 	slow_caller(2);
 }
 
-/*
- * Guards against a connection that is kept for the next call but no longer read
- * as the caller of the last one was slow. The only event is larger than the
- * buffers of the caller's connection, so that its end is also the answer's.
- */
-static void
-connection_is_read_again_after_a_slow_caller(void)
-{
-	fixture_t *st = one_daemon(&one_event, 1, "llm");
-	caller_t *c = caller_call(st, 0, "POST", "/gen/a", "r1", GEN);
-	int bytes = READER_BUFFER;
-
-	setsockopt(
-	    c->http->watch.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-	http_conn_pause(c->http, true);
-	g_assert_true(fixture_run_until(st, first_call_is_served, st, 3000));
-	http_conn_pause(c->http, false);
-	assert_stream(c, 1, ONE_EVENT);
-	caller_free(c);
-	c = caller_call(st, 0, "POST", "/gen/a", "r2", GEN);
-	assert_stream(c, 1, ONE_EVENT);
-	caller_free(c);
-	fixture_free(st);
-}
-
 /* The endpoint is silent for good, the other one is good. */
 static void
 stream_is_moved(int64_t after)
@@ -562,7 +513,6 @@
 	T(stream_beside_a_busy_endpoint);
 	T(caller_reads_slowly);
 	T(caller_reads_slowly_beside_another_endpoint);
-	T(connection_is_read_again_after_a_slow_caller);
 	T(stream_leaves_an_endpoint_that_stopped);
 	T(stream_leaves_an_endpoint_that_never_began);
 	return g_test_run();
