serve: keep descriptors free for endpoints and the store

Cause: the number of callers had no limit (RESERVED_FDS and fds_max were read and never used), so they took the descriptors that connections to endpoints and to the store need.

/answered/table_of_calls_full met the new limit before the table of 4000 calls was full, with max_fds 4100 in its settings; it now sets 9000 and checks the same.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -20,6 +20,23 @@
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
 };
 
+/*
+ * Accept callers only while descriptors are left for endpoints and the store;
+ * until then their requests stay unread.
+ */
+static void
+update_listener(serve_t *s)
+{
+	int reserved = s->conf.fds_max / 2;
+
+	if (s->caller_listener.fd == -1)
+		return;
+	if (reserved > RESERVED_FDS)
+		reserved = RESERVED_FDS;
+	watch_set(&s->loop, &s->caller_listener,
+	    s->ncaller < s->conf.fds_max - reserved ? EPOLLIN : 0);
+}
+
 static void
 conn_free(caller_conn_t *cc)
 {
@@ -28,6 +45,7 @@
 	alarm_stop(&s->loop, &cc->idle_alarm);
 	s->caller[cc->index] = s->caller[--s->ncaller];
 	s->caller[cc->index]->index = cc->index;
+	update_listener(s);
 	buf_free(&cc->body);
 	loop_free_later(&s->loop, cc);
 }
@@ -227,6 +245,7 @@
 	}
 	cc->index = s->ncaller;
 	s->caller[s->ncaller++] = cc;
+	update_listener(s);
 	set_idle_timer(cc);
 }
 
@@ -237,7 +256,8 @@
 	int i, fd;
 
 	(void)ev;
-	for (i = 0; i < ACCEPTS_PER_TURN; i++) {
+	for (i = 0; i < ACCEPTS_PER_TURN && s->caller_listener.events != 0;
+	     i++) {
 		fd = accept4(s->caller_listener.fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd == -1) {
@@ -258,10 +278,7 @@
 static void
 on_accept_alarm(void *arg)
 {
-	serve_t *s = arg;
-
-	if (s->caller_listener.fd != -1)
-		watch_set(&s->loop, &s->caller_listener, EPOLLIN);
+	update_listener(arg);
 }
 
 int
--- a/tests/answered_proc.c
+++ b/tests/answered_proc.c
@@ -324,6 +324,36 @@
 	callers_free(s);
 }
 
+static void
+restart_with_fds(callers_t *s, const char *setting)
+{
+	proc_kill(s->st->daemon[0]);
+	settings_edit(s->st, "max_fds: 4100", setting);
+	fixture_start_daemon(s->st, 0, true);
+}
+
+/*
+ * Guards against callers that take the descriptors that the daemon needs for
+ * its endpoints: those that it accepts must be served.
+ */
+static void
+descriptors_for_endpoints(void)
+{
+	callers_t *s = callers_new(GRACE_S, 20, EVENTS, GAP_MS);
+	struct rlimit few = { FEW_FDS, FEW_FDS };
+	int i;
+
+	restart_with_fds(s, "max_fds: 64");
+	g_assert_cmpint(
+	    prlimit(s->st->daemon[0]->pid, RLIMIT_NOFILE, &few, NULL), ==, 0);
+	for (i = 0; i < FEW_FDS_CALLERS; i++)
+		kept_ask(kept_open(s), "GET", "/plain/a",
+		    "Deadline-Remaining: 1500\r\n");
+	expect_answers_in_turn(s);
+	g_assert_cmpint(callers_check(s).served, ==, FEW_FDS_CALLERS);
+	callers_free(s);
+}
+
 static bool
 table_is_full(void *arg)
 {
@@ -338,6 +368,8 @@
 	outcomes_t o;
 	int i;
 
+	/* Else the descriptors limit the callers first. */
+	restart_with_fds(s, "max_fds: 9000");
 	fake_endpoint_set_fault(s->st->endpoint[0], ENDPOINT_SILENT);
 	conf_put(s->st, &(conf_t){ .timeout = 3000 });
 	conf_wait(s->st);
@@ -380,6 +412,7 @@
 	T(endpoint_restarted);
 	T(address_reused);
 	T(few_descriptors);
+	T(descriptors_for_endpoints);
 	T(table_of_calls_full);
 	return g_test_run();
 }
