--- a/tests/answered.c
+++ b/tests/answered.c
@@ -120,6 +120,27 @@
 	g_assert_true(fixture_run_until(st, config_is_used, st, APPLY_MS));
 }
 
+typedef struct usable {
+	fixture_t *st;
+	int n;
+} usable_t;
+
+static bool
+endpoints_are_known(void *arg)
+{
+	const usable_t *u = arg;
+
+	return (int)daemon_metric(u->st, "ebonypitch_endpoints") == u->n;
+}
+
+void
+endpoints_wait(fixture_t *st, int n)
+{
+	usable_t u = { st, n };
+
+	g_assert_true(fixture_run_until(st, endpoints_are_known, &u, APPLY_MS));
+}
+
 void
 settings_edit(fixture_t *st, const char *from, const char *to)
 {
--- a/tests/answered.h
+++ b/tests/answered.h
@@ -63,6 +63,8 @@
 void conf_put(fixture_t *st, const conf_t *o);
 /** Wait until daemon 0 uses the last version written. */
 void conf_wait(fixture_t *st);
+/** Wait until daemon 0 may use @p n endpoints. */
+void endpoints_wait(fixture_t *st, int n);
 /**
  * A store, two plain endpoints (services app and app2), two engines (service
  * llm, not the same model on both) and daemon 0.
--- a/tests/answered_stop_proc.c
+++ b/tests/answered_stop_proc.c
@@ -304,6 +304,7 @@
 	    "\"slots\":8,\"state\":\"ready\",\"born\":1,\"seq\":1}",
 	    addr);
 	fake_store_put(s->st->store, "servers", "ep-big", entry);
+	endpoints_wait(s->st, 4);
 	conf_put(s->st, &(conf_t){ .service = "big", .timeout = 400 });
 	conf_wait(s->st);
 	k = kept_open(s);
