--- a/serve/lease.c
+++ b/serve/lease.c
@@ -76,7 +76,7 @@
 software_json(const serve_t *s)
 {
 	const software_t *v = &s->software;
-	ms_t offset = clock_wall() - s->loop.now;
+	json_int_t offset = clock_wall() - s->loop.now;
 	json_t *list = json_array();
 	char service[17], version[17];
 	int i;
@@ -88,10 +88,10 @@
 		    v->seen[i].version);
 		json_array_append_new(
 		    list, json_pack("[s,s,I]", service, version,
-			      (json_int_t)(v->seen[i].at + offset)));
+			      v->seen[i].at + offset));
 	}
-	return json_pack("{s:I,s:o}", "since",
-	    (json_int_t)(v->complete_since + offset), "seen", list);
+	return json_pack(
+	    "{s:I,s:o}", "since", v->complete_since + offset, "seen", list);
 }
 
 static void
