--- a/policy/note.c
+++ b/policy/note.c
@@ -50,9 +50,18 @@
 parse_number(parser_t *p, const char *key, const char *v, uint64_t least,
     uint64_t most, uint64_t *out)
 {
-	guint64 n;
+	size_t len = strlen(v);
+	unsigned long long n;
 
-	if (g_ascii_string_to_unsigned(v, 10, least, most, &n, NULL))
+	/*
+	 * g_ascii_string_to_unsigned() of GLib 2.74 fails with EAGAIN in a
+	 * thread that waits for another one to make the C locale. Digits alone
+	 * don't depend on a locale.
+	 */
+	errno = 0;
+	n = strtoull(v, NULL, 10);
+	if (len > 0 && strspn(v, "0123456789") == len && errno == 0 &&
+	    n >= least && n <= most)
 		*out = n;
 	else
 		report_error(p,
