serve: the search for a connection ends with any number of endpoints

What callers saw: neither an answer nor a refusal, from any call of an instance, nor its ready page. Cause: a call remembered the eight last endpoints that had no free connection; with nine or more of them the first was chosen again, without end, in acquire(). The class: a bound that is right only below a size.

--- a/serve/call.c
+++ b/serve/call.c
@@ -294,6 +294,7 @@
 {
 	ep_conn_t *w = NULL;
 
+	c->s->search++;
 	for (;;) {
 		choose(c, out);
 		if (out->kind != CHOICE_SEND)
@@ -301,9 +302,8 @@
 		w = pool_acquire(c->s, out->ep, c, &answer_ops);
 		if (w != NULL)
 			break;
-		c->pool_full[c->npool_full++ % TRIED_MAX] = out->ep;
+		out->ep->no_conn_in = c->s->search;
 	}
-	c->npool_full = 0;
 	return w;
 }
 
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -30,23 +30,17 @@
 	PREFIX_TTL_MS = 20000
 };
 
-static int
-list_index(ep_t *const *list, int n, const ep_t *p)
+int
+call_tried_index(const call_t *c, const ep_t *p)
 {
 	int i;
 
-	for (i = 0; i < n && i < TRIED_MAX; i++)
-		if (list[i] == p)
+	for (i = 0; i < c->ntried && i < TRIED_MAX; i++)
+		if (c->tried[i] == p)
 			return i;
 	return -1;
 }
 
-int
-call_tried_index(const call_t *c, const ep_t *p)
-{
-	return list_index(c->tried, c->ntried, p);
-}
-
 /* Whether the call's earlier attempts exclude the endpoint. */
 static bool
 is_excluded(const call_t *c, const ep_t *p, bool returning)
@@ -153,7 +147,7 @@
 	    &p->workload, &s->average_speed, uncached_tokens);
 	if (sc->least_first_ms == 0 || first_ms < sc->least_first_ms)
 		sc->least_first_ms = first_ms;
-	if (list_index(c->pool_full, c->npool_full, p) != -1 ||
+	if (p->no_conn_in == s->search ||
 	    (engine &&
 		workload_kv_free(&p->workload) <
 		    c->request.prompt + c->request.output &&
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -99,7 +99,8 @@
 	int nknown;
 	ep_conn_t *idle;
 	int nconn, nidle;
-	int ncall; /* calls of this instance in progress */
+	int ncall;	     /* calls of this instance in progress */
+	uint64_t no_conn_in; /* serve_t.search in which it had no connection */
 	workload_t workload;
 	uint32_t sent_tokens; /* prompt tokens from this instance; wraps */
 	uint32_t domain_sent_tokens; /* from the rest of this domain; wraps */
@@ -224,8 +225,6 @@
 	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
 	int ntried;
 	bool left_silent; /* an attempt was replaced because of silence */
-	ep_t *pool_full[TRIED_MAX];
-	int npool_full;
 	const char *wait_reason;
 	const char *failure; /* of the last failed attempt, NULL: none */
 
@@ -734,6 +733,7 @@
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
+	uint64_t search;	/* searches for an endpoint so far */
 	call_t *wait_queue;
 	bool queue_woken;
 	alarm_t queue_alarm;
