net: the end of a connection that isn't read isn't polled for

A daemon used a whole core while a caller read slowly and the endpoint had closed its connection: EPOLLRDHUP is level-triggered, and a paused connection reads nothing. Its end is now seen when it is read again.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -30,7 +30,9 @@
 static void
 update_events(http_conn_t *c)
 {
-	uint32_t ev = EPOLLRDHUP;
+	/* The end of a connection that isn't read would be reported on and on.
+	 */
+	uint32_t ev = c->paused ? 0 : EPOLLRDHUP;
 
 	if (c->closed)
 		return;
