serve: a caller that reads nothing keeps its connection for the idle time only

A caller that never read its last answer kept the connection, and one of the descriptors that bound the callers, for ever: finish() stopped the only timer. Now the idle limit holds from the last byte that it took; then the connection is reset.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -50,16 +50,30 @@
 	loop_free_later(&s->loop, cc);
 }
 
+static ms_t
+idle_limit(const caller_conn_t *cc)
+{
+	const config_t *c = cc->s->config;
+
+	return c != NULL && c->idle_timeout > 0 ? c->idle_timeout
+						: IDLE_TIMEOUT_MS;
+}
+
 /* Close the connection once its last answer is sent. */
 static void
 finish(caller_conn_t *cc)
 {
-	alarm_stop(&cc->s->loop, &cc->idle_alarm);
 	cc->http->closing = cc->http->parse_stopped = true;
 	http_conn_flush(cc->http);
-	/* Else on_drained() or on_end() frees it; see callers_busy(). */
-	if (buf_len(&cc->http->out) > 0)
+	/*
+	 * Else on_drained() or on_end() frees it, or the timer if its caller
+	 * reads nothing any more; see callers_busy().
+	 */
+	if (buf_len(&cc->http->out) > 0) {
+		alarm_set(&cc->s->loop, &cc->idle_alarm,
+		    cc->http->last_io + idle_limit(cc));
 		return;
+	}
 	http_conn_finish(cc->http);
 	conn_free(cc);
 }
@@ -74,6 +88,8 @@
 	const config_t *c = cc->s->config;
 	const http_conn_t *k = cc->http;
 
+	if (k->closing)
+		return k->last_io + idle_limit(cc);
 	if (k->in_message && !k->head_done)
 		return k->message_start + (c != NULL && c->head_timeout > 0
 						  ? c->head_timeout
@@ -82,9 +98,7 @@
 		return k->last_io + BODY_SILENCE_MAX_MS;
 	if (cc->s->leaving)
 		return k->last_io + DRAIN_IDLE_MS;
-	return k->last_io + (c != NULL && c->idle_timeout > 0
-				    ? c->idle_timeout
-				    : IDLE_TIMEOUT_MS);
+	return k->last_io + idle_limit(cc);
 }
 
 static void
@@ -105,6 +119,13 @@
 		set_idle_timer(cc);
 		return;
 	}
+	if (cc->http->closing) {
+		log_limited(LOG_NOTICE, "caller-slow", "unsent=%zu",
+		    buf_len(&cc->http->out));
+		http_conn_reset(cc->http);
+		conn_free(cc);
+		return;
+	}
 	if (http_conn_unread(cc->http) > 0) {
 		/* It arrived since the loop's last wait. */
 		alarm_set(&cc->s->loop, &cc->idle_alarm, cc->s->loop.now + 1);
--- a/tests/review_proc.c
+++ b/tests/review_proc.c
@@ -19,7 +19,8 @@
 	PLAIN_SILENCE_MS = 1100,
 	WAIT_MS = 6500, /* longer than any call's deadline */
 	APPLY_MS = 400, /* until the daemon has read its settings */
-	ONE_EVENT = 8 << 20,
+	BIG_EVENT = 64 << 10,
+	BIG_EVENTS = 200, /* more than all buffers hold */
 	PIECE = 64 << 10,
 	PIECES_MIN = 62, /* the buffers take some 66 */
 	PIECES_MAX = 90,
@@ -49,10 +50,10 @@
 static const fake_endpoint_opts_t long_stream = {
 	.model = "m1", .events = 200, .event_gap = 20, .adapter_slots = 4
 };
-static const fake_endpoint_opts_t one_event = { .model = "m1",
-	.events = 1,
+static const fake_endpoint_opts_t big_stream = { .model = "m1",
+	.events = BIG_EVENTS,
 	.event_gap = 5,
-	.event_bytes = ONE_EVENT,
+	.event_bytes = BIG_EVENT,
 	.adapter_slots = 4 };
 static const fake_endpoint_opts_t pieces = {
 	.model = "m1", .event_gap = 5, .event_bytes = PIECE, .adapter_slots = 4
@@ -356,7 +357,7 @@
 static void
 caller_that_never_reads(void)
 {
-	fixture_t *st = one_daemon(&one_event, 1, "llm");
+	fixture_t *st = one_daemon(&big_stream, 1, "llm");
 	caller_t *c = caller_that_doesnt_read(st);
 
 	fixture_run(st, 1000);
