--- a/serve/streams.c
+++ b/serve/streams.c
@@ -45,7 +45,10 @@
 	    c->s->loop.now - c->received_at);
 }
 
-/* By the store, as watched by this instance and, if it is alone, by no one. */
+/*
+ * The only version that can have begun a stream, 0: unknown. An instance that
+ * has lost the store and all peers may not know of a new version.
+ */
 static uint64_t
 sole_version(const serve_t *s, uint64_t service)
 {
