serve: log whether a failed attempt had begun, and its prompt's shared parts

Events are counted for each attempt; the first one of an attempt was told by comparing times before, which took an event of the millisecond in which the call was sent again for one of the new attempt.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -182,21 +182,39 @@
 	call_set_timer(c);
 }
 
-/* Unread bytes or a paused connection show that the endpoint wasn't silent. */
+/* Append the ids of the prompt's parts that other calls may share, or "-". */
+static void
+shared_parts_text(buf_t *out, const call_head_t *r)
+{
+	int i, n = call_shared_parts(r);
+
+	for (i = 0; i < n; i++)
+		buf_fmt(out, "%s%" PRIx64, i > 0 ? "," : "", r->part[i].id);
+	if (n == 0)
+		buf_fmt(out, "-");
+}
+
+/*
+ * Unread bytes or a paused connection show that the endpoint wasn't silent. An
+ * attempt that had begun, with events of its own, didn't crash its endpoint.
+ */
 static void
 log_attempt_failed(const call_t *c, bool not_run, const char *why)
 {
 	const http_conn_t *k = c->conn != NULL ? c->conn->http : NULL;
 	ms_t now = c->s->loop.now;
+	buf_t parts = { 0 };
 
+	shared_parts_text(&parts, &c->request);
 	log_limited(LOG_NOTICE, "attempt-failed",
 	    "request=%s endpoint=%s why=\"%s\" not_run=%d send=%d events=%d "
 	    "after_ms=%" PRId64 " silent_ms=%" PRId64
-	    " unread=%zu paused=%d late_ms=%" PRId64,
+	    " unread=%zu paused=%d late_ms=%" PRId64 " began=%d parts=%s",
 	    c->request.id, c->ep != NULL ? c->ep->entry.id : "-", why, not_run,
 	    c->attempts, c->nevent, now - c->sent_at, now - c->last_activity_at,
 	    k != NULL ? http_conn_unread(k) : 0, k != NULL && k->paused,
-	    c->s->loop.late);
+	    c->s->loop.late, c->reading.events > 0, parts.p);
+	buf_free(&parts);
 }
 
 void
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -244,6 +244,7 @@
 	} response;
 	/* What was read on this attempt. */
 	struct {
+		int events;	     /* with an id */
 		int foreign;	     /* answers to other calls */
 		arrival_t dropped;   /* of bodies that aren't for the caller */
 		size_t event_start;  /* of the incomplete event, after whole
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -129,7 +129,7 @@
 			c->reading.event_start = end;
 			continue;
 		}
-		if (c->last_event_at < c->sent_at || c->nevent == 0)
+		if (c->reading.events++ == 0)
 			first_event_received(c);
 		c->last_event_at = now;
 		if (old) {
