--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -1,59 +1,13 @@
-#include "standin/fake_endpoint.h"
-#include "standin/http_server.h"
+#include "standin/fake_endpoint_state.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
 enum {
-	UNLOAD_POLL_MS = 50,  /* between checks whether a model is still used */
 	FIRST_BORN_MS = 1000, /* the time of the first start */
 };
 
-/** A model that is loaded, loading or unloading. */
-typedef struct loaded_model {
-	fake_endpoint_t *ep;
-	char name[ID_MAX];
-	bool loading, unloading;
-	GPtrArray *adapter; /* names */
-	alarm_t alarm;
-} loaded_model_t;
-
-typedef struct endpoint_conn {
-	server_conn_t conn;
-	executed_call_t *call; /* in progress, or NULL */
-	bool answered;	       /* before its body was read */
-	int64_t next_event;    /* id of the next event */
-} endpoint_conn_t;
-
-struct fake_endpoint {
-	http_server_t server;
-	char id[ID_MAX], addr[ADDR_MAX], version[ID_MAX];
-	char model[ID_MAX]; /* loaded from the start, or empty */
-	int64_t born;
-	bool engine;
-	int events, slots;
-	const model_spec_t *specs;
-	int nspec, weights_mb, overcommits, refused;
-	void (*changed)(void *arg, fake_endpoint_t *ep);
-	void *arg;
-	ms_t event_gap, plain_ms;
-	int event_bytes;
-	int64_t silent_after; /* event, -1: none */
-	ms_t silence_ms, silent_until;
-	endpoint_fault_t fault;
-	GPtrArray *executed, *orders;
-	GPtrArray *models; /* loaded_model_t */
-	int64_t seq;
-};
-
-static fake_endpoint_t *
-endpoint_of(const endpoint_conn_t *c)
-{
-	return c->conn.server->owner;
-}
-
 static void
 finish_call(endpoint_conn_t *c, bool whole)
 {
@@ -228,285 +182,6 @@
 	return r;
 }
 
-/* Loaded models and orders. */
-
-static loaded_model_t *
-find_model(const fake_endpoint_t *ep, const char *model)
-{
-	guint i;
-
-	for (i = 0; i < ep->models->len; i++) {
-		loaded_model_t *m = ep->models->pdata[i];
-
-		if (strcmp(m->name, model) == 0)
-			return m;
-	}
-	return NULL;
-}
-
-static int
-adapter_index(const loaded_model_t *m, const char *adapter)
-{
-	guint i;
-
-	for (i = 0; m != NULL && i < m->adapter->len; i++)
-		if (strcmp(m->adapter->pdata[i], adapter) == 0)
-			return (int)i;
-	return -1;
-}
-
-static const model_spec_t *
-spec_of(const fake_endpoint_t *ep, const char *model)
-{
-	int i;
-
-	for (i = 0; i < ep->nspec; i++)
-		if (strcmp(ep->specs[i].name, model) == 0)
-			return &ep->specs[i];
-	return NULL;
-}
-
-static void
-notify_change(fake_endpoint_t *ep)
-{
-	if (ep->changed != NULL)
-		ep->changed(ep->arg, ep);
-}
-
-/* Count an order that exceeds the memory or the adapter slots. */
-static void
-check_capacity(fake_endpoint_t *ep)
-{
-	int mb = 0, adapters = 0;
-	guint i;
-
-	for (i = 0; i < ep->models->len; i++) {
-		const loaded_model_t *m = ep->models->pdata[i];
-		const model_spec_t *spec = spec_of(ep, m->name);
-
-		adapters += (int)m->adapter->len;
-		if (spec != NULL)
-			mb +=
-			    spec->mb + (int)m->adapter->len * spec->adapter_mb;
-	}
-	if (ep->nspec > 0 && (mb > ep->weights_mb || adapters > ep->slots))
-		ep->overcommits++;
-}
-
-static void
-on_loaded(void *arg)
-{
-	loaded_model_t *m = arg;
-
-	m->loading = false;
-	notify_change(m->ep);
-}
-
-static bool
-in_use(const loaded_model_t *m)
-{
-	guint i;
-
-	for (i = 0; i < m->ep->server.conns->len; i++) {
-		const endpoint_conn_t *c = m->ep->server.conns->pdata[i];
-		const char *v = c->call != NULL
-				    ? head_get(&c->conn.http->head, "Model")
-				    : NULL;
-
-		if (v != NULL && strncmp(v, m->name, strlen(m->name)) == 0)
-			return true;
-	}
-	return false;
-}
-
-static void
-unload_if_idle(void *arg)
-{
-	loaded_model_t *m = arg;
-	fake_endpoint_t *ep = m->ep;
-
-	if (in_use(m)) {
-		alarm_set(ep->server.loop, &m->alarm,
-		    ep->server.loop->now + UNLOAD_POLL_MS);
-		return;
-	}
-	g_ptr_array_remove(ep->models, m);
-	notify_change(ep);
-}
-
-static loaded_model_t *
-add_model(fake_endpoint_t *ep, const char *model)
-{
-	loaded_model_t *m = g_new0(loaded_model_t, 1);
-
-	m->ep = ep;
-	str_copy(m->name, ID_MAX, model);
-	m->adapter = g_ptr_array_new_with_free_func(g_free);
-	m->alarm = (alarm_t){ .fn = on_loaded, .arg = m };
-	g_ptr_array_add(ep->models, m);
-	return m;
-}
-
-static void
-free_model(gpointer p)
-{
-	loaded_model_t *m = p;
-
-	alarm_stop(m->ep->server.loop, &m->alarm);
-	g_ptr_array_free(m->adapter, TRUE);
-	loop_free_later(m->ep->server.loop, m);
-}
-
-static bool
-is_busy(const fake_endpoint_t *ep)
-{
-	guint i;
-
-	for (i = 0; i < ep->models->len; i++) {
-		const loaded_model_t *m = ep->models->pdata[i];
-
-		if (m->loading || m->unloading)
-			return true;
-	}
-	return false;
-}
-
-/* @return the answer's status, or -1: only recorded */
-static int
-model_order(fake_endpoint_t *ep, const received_order_t *o)
-{
-	const model_spec_t *spec = spec_of(ep, o->model);
-	loaded_model_t *m = find_model(ep, o->model);
-	bool load = strcmp(o->op, "load") == 0;
-
-	if (spec == NULL)
-		return -1;
-	if (load == (m != NULL))
-		return 200;
-	if (is_busy(ep))
-		return 409;
-	if (load) {
-		m = add_model(ep, o->model);
-		m->loading = true;
-		alarm_set(ep->server.loop, &m->alarm,
-		    ep->server.loop->now + spec->load_ms);
-		check_capacity(ep);
-		return 202;
-	}
-	m->unloading = true;
-	m->alarm.fn = unload_if_idle;
-	alarm_set(ep->server.loop, &m->alarm, ep->server.loop->now);
-	return 202;
-}
-
-static int
-adapter_order(fake_endpoint_t *ep, const received_order_t *o)
-{
-	loaded_model_t *m = find_model(ep, o->model);
-	int at = adapter_index(m, o->adapter);
-
-	if (m == NULL || m->loading || m->unloading)
-		return ep->nspec > 0 ? 409 : -1;
-	if (strcmp(o->op, "load") == 0) {
-		if (at != -1)
-			return 200;
-		g_ptr_array_add(m->adapter, g_strdup(o->adapter));
-		check_capacity(ep);
-		notify_change(ep);
-		return 202;
-	}
-	if (at == -1)
-		return 200;
-	g_ptr_array_remove_index(m->adapter, (guint)at);
-	notify_change(ep);
-	return 200;
-}
-
-static void
-take_order(endpoint_conn_t *c)
-{
-	fake_endpoint_t *ep = endpoint_of(c);
-	json_t *b = json_loadb(
-	    c->conn.body.p + c->conn.body.off, buf_len(&c->conn.body), 0, NULL);
-	received_order_t *o = g_new0(received_order_t, 1);
-	const json_t *expect = json_object_get(b, "expect_revision");
-	const char *adapter = json_string_value(json_object_get(b, "adapter"));
-	int status;
-
-	str_copy(o->op, sizeof(o->op),
-	    json_string_value(json_object_get(b, "operation")));
-	str_copy(
-	    o->model, ID_MAX, json_string_value(json_object_get(b, "model")));
-	str_copy(o->adapter, ID_MAX, adapter != NULL ? adapter : "");
-	str_copy(
-	    o->holder, ID_MAX, json_string_value(json_object_get(b, "holder")));
-	o->expect_revision = expect != NULL ? json_integer_value(expect) : -1;
-	o->token = json_integer_value(json_object_get(b, "fencing_token"));
-	o->status = o->expect_revision >= 0 && o->expect_revision != ep->seq
-			? 409
-			: 202;
-	if (o->status == 202) {
-		status = o->adapter[0] != '\0' ? adapter_order(ep, o)
-					       : model_order(ep, o);
-		if (status != -1)
-			o->status = status;
-		/* An order that changes nothing keeps the revision, but any
-		 * unload of an adapter from a loaded model raises it. */
-		if (o->status == 202 ||
-		    (o->status == 200 && o->adapter[0] != '\0' &&
-			strcmp(o->op, "unload") == 0))
-			ep->seq++;
-	}
-	g_ptr_array_add(ep->orders, o);
-	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", o->status,
-	    http_reason(o->status));
-	http_conn_flush(c->conn.http);
-	http_conn_next(c->conn.http);
-	json_decref(b);
-}
-
-static json_t *
-models_json(const fake_endpoint_t *ep)
-{
-	json_t *out = json_array(), *list;
-	guint i, k;
-
-	for (i = 0; i < ep->models->len; i++) {
-		const loaded_model_t *m = ep->models->pdata[i];
-
-		if (m->loading)
-			continue;
-		list = json_array();
-		for (k = 0; k < m->adapter->len; k++)
-			json_array_append_new(
-			    list, json_string(m->adapter->pdata[k]));
-		json_array_append_new(
-		    out, json_pack("{s:s,s:i,s:o}", "name", m->name, "version",
-			     1, "adapters", list));
-	}
-	return out;
-}
-
-static void
-send_report(endpoint_conn_t *c)
-{
-	fake_endpoint_t *ep = endpoint_of(c);
-	json_t *r = json_pack("{s:o,s:b,s:I,s:I,s:i,s:i,s:i,s:i}", "models",
-	    models_json(ep), "busy", is_busy(ep), "seq", (json_int_t)ep->seq,
-	    "born", (json_int_t)ep->born, "running", 0, "waiting", 0, "kv_used",
-	    0, "kv_total", 100000);
-	char *text = json_dumps(r, JSON_COMPACT);
-
-	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(text),
-	    text);
-	free(text);
-	json_decref(r);
-	http_conn_flush(c->conn.http);
-	http_conn_next(c->conn.http);
-}
-
 /*
  * Refuse a call for another instance or for a model that isn't loaded, and any
  * call under ENDPOINT_NOT_RUN. @return whether it was refused.
@@ -526,10 +201,10 @@
 		snprintf(model, sizeof(model), "%.*s", (int)strcspn(asked, "/"),
 		    asked);
 		adapter = strchr(asked, '/');
-		m = find_model(endpoint_of(c), model);
-		lacks =
-		    m == NULL || m->loading || m->unloading ||
-		    (adapter != NULL && adapter_index(m, adapter + 1) == -1);
+		m = endpoint_find_model(endpoint_of(c), model);
+		lacks = m == NULL || m->loading || m->unloading ||
+			(adapter != NULL &&
+			    endpoint_adapter_index(m, adapter + 1) == -1);
 	}
 	if (!other && !lacks && endpoint_of(c)->fault != ENDPOINT_NOT_RUN)
 		return false;
@@ -557,11 +232,11 @@
 		return;
 	}
 	if (strcmp(target, "/v1/order") == 0) {
-		take_order(c);
+		endpoint_take_order(c);
 		return;
 	}
 	if (strcmp(target, "/v1/report") == 0) {
-		send_report(c);
+		endpoint_send_report(c);
 		return;
 	}
 	if (refuse_call(c))
@@ -657,12 +332,12 @@
 	ep->slots = o->adapter_slots;
 	ep->executed = g_ptr_array_new_with_free_func(free_call);
 	ep->orders = g_ptr_array_new_with_free_func(g_free);
-	ep->models = g_ptr_array_new_with_free_func(free_model);
+	ep->models = g_ptr_array_new_with_free_func(endpoint_free_model);
 	str_copy(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
 	str_copy(ep->model, ID_MAX, o->model != NULL ? o->model : "");
 	ep->born = FIRST_BORN_MS;
 	if (o->model != NULL)
-		add_model(ep, o->model);
+		endpoint_add_model(ep, o->model);
 	http_server_open(&ep->server, l, o->addr, &ops, ep);
 	return ep;
 }
@@ -701,7 +376,7 @@
 void
 fake_endpoint_add_model(fake_endpoint_t *ep, const char *model)
 {
-	add_model(ep, model);
+	endpoint_add_model(ep, model);
 }
 
 void
@@ -715,12 +390,12 @@
 	http_server_close(&ep->server);
 	g_ptr_array_set_size(ep->models, 0);
 	if (ep->model[0] != '\0')
-		add_model(ep, ep->model);
+		endpoint_add_model(ep, ep->model);
 	ep->seq = 0;
 	ep->born++;
 	str_copy(ep->version, ID_MAX, version);
 	http_server_open(&ep->server, l, ep->addr, &ops, ep);
-	notify_change(ep);
+	endpoint_notify_change(ep);
 }
 
 const char *
@@ -764,7 +439,7 @@
 	char *text, *out;
 
 	if (ep->engine)
-		json_object_set_new(j, "models", models_json(ep));
+		json_object_set_new(j, "models", endpoint_models_json(ep));
 	text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
 	out = g_strdup(text);
