--- /dev/null
+++ b/standin/fake_crash.c
@@ -0,0 +1,100 @@
+/* Crashes and restarts of a fake endpoint. */
+#include "standin/fake_endpoint_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* End the process: its connections close, and it forgets what it held. */
+static void
+go_down(fake_endpoint_t *ep)
+{
+	guint i;
+
+	for (i = 0; i < ep->server.conns->len; i++)
+		endpoint_server_ops.end(ep->server.conns->pdata[i]);
+	http_server_close(&ep->server);
+	g_ptr_array_set_size(ep->models, 0);
+	ep->down = true;
+}
+
+static void
+go_up(void *arg)
+{
+	fake_endpoint_t *ep = arg;
+
+	if (ep->model[0] != '\0')
+		endpoint_add_model(ep, ep->model);
+	ep->seq = 0;
+	ep->born++;
+	ep->down = false;
+	http_server_open(
+	    &ep->server, ep->server.loop, ep->addr, &endpoint_server_ops, ep);
+	endpoint_notify_change(ep);
+}
+
+void
+fake_endpoint_restart(fake_endpoint_t *ep, const char *version)
+{
+	go_down(ep);
+	str_copy(ep->version, ID_MAX, version);
+	go_up(ep);
+}
+
+void
+fake_endpoint_crash(fake_endpoint_t *ep, ms_t down)
+{
+	if (ep->down)
+		return;
+	go_down(ep);
+	ep->crashes++;
+	ep->up_alarm = (alarm_t){ .fn = go_up, .arg = ep };
+	alarm_set(ep->server.loop, &ep->up_alarm, ep->server.loop->now + down);
+}
+
+void
+fake_endpoint_set_crash_part(fake_endpoint_t *ep, uint64_t part, ms_t down)
+{
+	ep->crash_part = part;
+	ep->crash_down_ms = down;
+}
+
+int
+fake_endpoint_crashes(const fake_endpoint_t *ep)
+{
+	return ep->crashes;
+}
+
+bool
+fake_endpoint_has_part(const executed_call_t *r, uint64_t part)
+{
+	const char *p = strstr(r->headers, "\nPrompt-Prefix: ");
+	char *end;
+
+	if (p == NULL || part == 0)
+		return false;
+	p += strlen("\nPrompt-Prefix: ");
+	for (;;) {
+		uint64_t id = strtoull(p, &end, 16);
+
+		p = end + strcspn(end, ",\n");
+		if (*p != ',')
+			return false;
+		if (id == part)
+			return true;
+		p++;
+	}
+}
+
+bool
+endpoint_run_begins(endpoint_conn_t *c)
+{
+	fake_endpoint_t *ep = endpoint_of(c);
+
+	if (c->began)
+		return false;
+	c->began = true;
+	if (!fake_endpoint_has_part(c->call, ep->crash_part))
+		return false;
+	fake_endpoint_crash(ep, ep->crash_down_ms);
+	return true;
+}
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -99,12 +99,23 @@
 	finish_call(c, true);
 }
 
+static bool
+is_unframed(const fake_endpoint_t *ep)
+{
+	return ep->fault == ENDPOINT_UNFRAMED ||
+	       ep->fault == ENDPOINT_UNFRAMED_CUT;
+}
+
 static void
-send_chunk(endpoint_conn_t *c, const char *p, size_t n)
+send_part(endpoint_conn_t *c, const char *p, size_t n)
 {
-	buf_fmt(&c->conn.http->out, "%zx\r\n", n);
+	bool chunked = !is_unframed(endpoint_of(c));
+
+	if (chunked)
+		buf_fmt(&c->conn.http->out, "%zx\r\n", n);
 	buf_add(&c->conn.http->out, p, n);
-	buf_str(&c->conn.http->out, "\r\n");
+	if (chunked)
+		buf_str(&c->conn.http->out, "\r\n");
 	http_conn_flush(c->conn.http);
 }
 
@@ -127,14 +138,16 @@
 	endpoint_conn_t *c = arg;
 	char *ev;
 	size_t n;
+	endpoint_fault_t fault = endpoint_of(c)->fault;
 	bool cut =
-	    endpoint_of(c)->fault == ENDPOINT_CUT_STREAM && c->next_event >= 3;
+	    (fault == ENDPOINT_CUT_STREAM || fault == ENDPOINT_UNFRAMED_CUT) &&
+	    c->next_event >= 3;
 
-	if (hold_back(c))
+	if (hold_back(c) || endpoint_run_begins(c))
 		return;
 	ev = fake_endpoint_event(c->next_event, endpoint_of(c)->event_bytes);
 	n = strlen(ev);
-	send_chunk(c, ev, cut ? n / 2 : n);
+	send_part(c, ev, cut ? n / 2 : n);
 	g_free(ev);
 	if (cut) {
 		server_conn_close(&c->conn);
@@ -149,6 +162,12 @@
 			endpoint_of(c)->event_gap);
 		return;
 	}
+	if (is_unframed(endpoint_of(c))) {
+		c->call->complete = true;
+		c->call = NULL;
+		server_conn_close(&c->conn);
+		return;
+	}
 	buf_str(&c->conn.http->out, "0\r\n\r\n");
 	finish_call(c, true);
 }
@@ -265,8 +284,10 @@
 		return;
 	}
 	put_head(c, 200,
-	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n");
+	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n");
+	buf_str(&k->out,
+	    is_unframed(ep) ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
+	c->began = false;
 	c->next_event =
 	    c->call->last_event_id >= 0 ? c->call->last_event_id + 1 : 1;
 	c->conn.alarm = (alarm_t){ .fn = send_event, .arg = c };
@@ -296,7 +317,7 @@
 		c->call->cancelled = true;
 }
 
-static const http_server_ops_t ops = { .size = sizeof(endpoint_conn_t),
+const http_server_ops_t endpoint_server_ops = { .size = sizeof(endpoint_conn_t),
 	.head = on_head,
 	.done = on_request,
 	.end = on_end };
@@ -338,7 +359,7 @@
 	ep->born = FIRST_BORN_MS;
 	if (o->model != NULL)
 		endpoint_add_model(ep, o->model);
-	http_server_open(&ep->server, l, o->addr, &ops, ep);
+	http_server_open(&ep->server, l, o->addr, &endpoint_server_ops, ep);
 	return ep;
 }
 
@@ -379,25 +400,6 @@
 	endpoint_add_model(ep, model);
 }
 
-void
-fake_endpoint_restart(fake_endpoint_t *ep, const char *version)
-{
-	loop_t *l = ep->server.loop;
-	guint i;
-
-	for (i = 0; i < ep->server.conns->len; i++)
-		on_end(ep->server.conns->pdata[i]);
-	http_server_close(&ep->server);
-	g_ptr_array_set_size(ep->models, 0);
-	if (ep->model[0] != '\0')
-		endpoint_add_model(ep, ep->model);
-	ep->seq = 0;
-	ep->born++;
-	str_copy(ep->version, ID_MAX, version);
-	http_server_open(&ep->server, l, ep->addr, &ops, ep);
-	endpoint_notify_change(ep);
-}
-
 const char *
 fake_endpoint_version(const fake_endpoint_t *ep)
 {
@@ -450,7 +452,9 @@
 void
 fake_endpoint_free(fake_endpoint_t *ep)
 {
-	http_server_close(&ep->server);
+	alarm_stop(ep->server.loop, &ep->up_alarm);
+	if (!ep->down)
+		http_server_close(&ep->server);
 	g_ptr_array_free(ep->executed, TRUE);
 	g_ptr_array_free(ep->orders, TRUE);
 	g_ptr_array_free(ep->models, TRUE);
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -25,6 +25,8 @@
 	ENDPOINT_NO_LENGTH,	 /* delimits the body by closing */
 	ENDPOINT_TRUNCATED,	 /* the same; half a body, then a reset */
 	ENDPOINT_EARLY_ANSWER,	 /* answers before the body is read */
+	ENDPOINT_UNFRAMED,	 /* streams that end by closing */
+	ENDPOINT_UNFRAMED_CUT,	 /* the same, closed inside the third event */
 } endpoint_fault_t;
 
 /** A call that the endpoint ran. */
@@ -95,6 +97,21 @@
  * its connections close, and it holds what it held at its first start.
  */
 void fake_endpoint_restart(fake_endpoint_t *ep, const char *version);
+/**
+ * Crash and come back after @p down ms as after fake_endpoint_restart(), with
+ * the same software. Until then connections are refused.
+ */
+void fake_endpoint_crash(fake_endpoint_t *ep, ms_t down);
+/**
+ * From now on crash for @p down ms whenever a run begins to write on a prompt
+ * that has this part, unless it is the last one. @param part 0: no part
+ */
+void fake_endpoint_set_crash_part(
+    fake_endpoint_t *ep, uint64_t part, ms_t down);
+/** @return crashes since the start. */
+int fake_endpoint_crashes(const fake_endpoint_t *ep);
+/** @return whether the prompt of a call has the part, not as its last one. */
+bool fake_endpoint_has_part(const executed_call_t *r, uint64_t part);
 const char *fake_endpoint_version(const fake_endpoint_t *ep);
 const char *fake_endpoint_id(const fake_endpoint_t *ep);
 /** @return orders carried out beyond its memory or adapter slots. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -24,6 +24,7 @@
 	executed_call_t *call; /* in progress, or NULL */
 	bool answered;	       /* before its body was read */
 	int64_t next_event;    /* id of the next event */
+	bool began;	       /* the run has begun to write */
 } endpoint_conn_t;
 
 struct fake_endpoint {
@@ -45,6 +46,11 @@
 	GPtrArray *executed, *orders;
 	GPtrArray *models; /* loaded_model_t */
 	int64_t seq;
+	uint64_t crash_part; /* 0: none */
+	ms_t crash_down_ms;
+	int crashes;
+	bool down;
+	alarm_t up_alarm;
 };
 
 static inline fake_endpoint_t *
@@ -53,6 +59,13 @@
 	return c->conn.server->owner;
 }
 
+extern const http_server_ops_t endpoint_server_ops;
+
+/* Crashes. fake_crash.c */
+
+/** The run begins to write. @return whether the endpoint crashed */
+bool endpoint_run_begins(endpoint_conn_t *c);
+
 /* Loaded models and orders. fake_orders.c */
 
 loaded_model_t *endpoint_find_model(
--- /dev/null
+++ b/tests/blame_proc.c
@@ -0,0 +1,228 @@
+/*
+ * Prompt parts that crash endpoints: calls with such a part soon reach no
+ * endpoint, and all other calls go on. Three daemons, of which each sees only
+ * its own calls.
+ */
+#include "tests/fixture.h"
+
+#include <signal.h>
+#include <string.h>
+
+enum {
+	ENDPOINTS = 8,
+	DAEMONS = 3,
+	EVENTS = 8,
+	EVENT_GAP_MS = 30,
+	DOWN_MS = 1500,	     /* of an endpoint that crashed */
+	STABILITY_MS = 3000, /* stability_window_ms of the daemons' settings */
+	CRASHES_FREE = 5,    /* the bound holds from the fifth crash on */
+	CRASHING_CALLS_MAX = 3, /* that reach endpoints from then on */
+	SOUND_GAP_MS = 40,	/* between sound calls */
+	CRASHING_GAP_MS = 150,	/* between calls that crash */
+	SUBJECTS = 8,		/* parts that sound and crashing calls share */
+	BEFORE_MS = 3000,
+	SPAN_MS = 12000,
+	ANSWER_MS = 7000,
+};
+
+static const uint64_t first_part = 0xf1, crashing_part = 0xdead;
+
+/** A call that the test made. */
+typedef struct made_call {
+	caller_t *caller;
+	bool crashing;
+	ms_t at;
+} made_call_t;
+
+typedef struct traffic {
+	fixture_t *st;
+	GArray *calls; /* made_call_t */
+	int n;
+	ms_t crashing_gap; /* 0: none */
+	ms_t next_sound, next_crashing;
+	ms_t fifth_crash; /* 0: not yet */
+} traffic_t;
+
+static void
+on_endpoint_changed(void *arg, fake_endpoint_t *ep)
+{
+	fixture_t *st = arg;
+	int i;
+
+	for (i = 0; i < st->nendpoint; i++)
+		if (st->endpoint[i] == ep)
+			fixture_put_entry(st, i, "llm", false);
+}
+
+static traffic_t *
+traffic_new(int nendpoint)
+{
+	traffic_t *t = g_new0(traffic_t, 1);
+	fixture_t *st = t->st = fixture_new();
+	fake_endpoint_opts_t o = { .model = "m1",
+		.events = EVENTS,
+		.event_gap = EVENT_GAP_MS,
+		.adapter_slots = 4,
+		.changed = on_endpoint_changed,
+		.arg = st };
+	int i;
+
+	fixture_put_config(st, "");
+	for (i = 0; i < nendpoint; i++)
+		fixture_add_endpoint(st, &o, "llm");
+	for (i = 0; i < DAEMONS; i++)
+		fixture_start_daemon(st, i, true);
+	t->calls = g_array_new(FALSE, FALSE, sizeof(made_call_t));
+	return t;
+}
+
+static void
+traffic_free(traffic_t *t)
+{
+	guint i;
+
+	for (i = 0; i < t->calls->len; i++)
+		caller_free(g_array_index(t->calls, made_call_t, i).caller);
+	g_array_free(t->calls, TRUE);
+	fixture_free(t->st);
+	g_free(t);
+}
+
+/* Call daemon after daemon; no two calls are alike. */
+static caller_t *
+make_call(traffic_t *t, bool crashing)
+{
+	char id[32], headers[256], part[32] = "";
+	int n = t->n++;
+	made_call_t m = { .crashing = crashing, .at = t->st->loop.now };
+
+	if (crashing)
+		snprintf(part, sizeof(part), "%" PRIx64 ":50,", crashing_part);
+	snprintf(id, sizeof(id), "r%d", n);
+	snprintf(headers, sizeof(headers),
+	    "Model: m1\r\nToken-Usage: 320,20\r\nDeadline-Remaining: 5000\r\n"
+	    "Prompt-Prefix: %" PRIx64 ":200,%s%x:100,%x:20\r\n",
+	    first_part, part, 0x100 + n % SUBJECTS, 0x10000 + n);
+	m.caller =
+	    caller_call(t->st, n % DAEMONS, "POST", "/gen/a", id, headers);
+	g_array_append_val(t->calls, m);
+	return m.caller;
+}
+
+static int
+crashes(const fixture_t *st)
+{
+	int i, n = 0;
+
+	for (i = 0; i < st->nendpoint; i++)
+		n += fake_endpoint_crashes(st->endpoint[i]);
+	return n;
+}
+
+static void
+set_crash_part(fixture_t *st, uint64_t part)
+{
+	int i;
+
+	for (i = 0; i < st->nendpoint; i++)
+		fake_endpoint_set_crash_part(st->endpoint[i], part, DOWN_MS);
+}
+
+static void
+traffic_run(traffic_t *t, ms_t span)
+{
+	ms_t now = clock_now(&machine_clock), end = now + span;
+
+	t->next_sound = t->next_crashing = now;
+	for (; now < end; now = clock_now(&machine_clock)) {
+		if (now >= t->next_sound) {
+			make_call(t, false);
+			t->next_sound += SOUND_GAP_MS;
+		}
+		if (t->crashing_gap > 0 && now >= t->next_crashing) {
+			make_call(t, true);
+			t->next_crashing += t->crashing_gap;
+		}
+		loop_turn(&t->st->loop, 5);
+		if (t->fifth_crash == 0 && crashes(t->st) >= CRASHES_FREE)
+			t->fifth_crash = t->st->loop.now;
+	}
+}
+
+/* Calls with the crashing part that reached endpoints at or after @p from. */
+static int
+crashing_arrivals(const fixture_t *st, ms_t from)
+{
+	int i, n = 0;
+	guint k;
+
+	for (i = 0; i < st->nendpoint; i++) {
+		const GPtrArray *r = fake_endpoint_executed(st->endpoint[i]);
+
+		for (k = 0; k < r->len; k++) {
+			const executed_call_t *e = r->pdata[k];
+
+			n += e->at >= from &&
+			     fake_endpoint_has_part(e, crashing_part);
+		}
+	}
+	return n;
+}
+
+/* Share of the sound calls made from @p from to @p to that were served. */
+static double
+sound_share(const traffic_t *t, ms_t from, ms_t to)
+{
+	int made = 0, served = 0;
+	guint i;
+
+	for (i = 0; i < t->calls->len; i++) {
+		const made_call_t *m = &g_array_index(t->calls, made_call_t, i);
+
+		if (m->crashing || m->at < from || m->at >= to)
+			continue;
+		made++;
+		caller_wait(m->caller, ANSWER_MS);
+		served += m->caller->done && m->caller->status == 200;
+	}
+	g_assert_cmpint(made, >=, 20);
+	return (double)served / made;
+}
+
+/*
+ * Guards against calls with one prompt part crashing endpoint after endpoint,
+ * and against refusing the sound calls that share their other parts.
+ */
+static void
+crashing_part_is_refused_and_sound_calls_go_on(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	ms_t from = clock_now(&machine_clock), crashing_from, bound_from;
+	double before, after;
+
+	traffic_run(t, BEFORE_MS);
+	crashing_from = t->st->loop.now;
+	set_crash_part(t->st, crashing_part);
+	t->crashing_gap = CRASHING_GAP_MS;
+	traffic_run(t, SPAN_MS);
+	g_test_message("crashes=%d", crashes(t->st));
+	bound_from = t->fifth_crash != 0 ? t->fifth_crash : crashing_from;
+	g_assert_cmpint(crashing_arrivals(t->st, bound_from + STABILITY_MS), <=,
+	    CRASHING_CALLS_MAX);
+	before = sound_share(t, from, crashing_from);
+	after = sound_share(
+	    t, bound_from + (ms_t)2 * STABILITY_MS, t->st->loop.now);
+	g_test_message("sound before=%.3f after=%.3f", before, after);
+	g_assert_cmpfloat(after, >=, before / 2);
+	traffic_free(t);
+}
+
+#define T(name) g_test_add_func("/blame/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(crashing_part_is_refused_and_sound_calls_go_on);
+	return g_test_run();
+}
