serve, policy: prompt parts that crash endpoints reach no further endpoint

Cause: the end of an endpoint was charged to the endpoint alone (breaker_failure()). Nothing connected the calls that had not begun there, so new ones with the part went on to the next sound endpoint, and a call whose endpoint had ended was itself sent to up to two more.

Change: when a connection ends under a call that has not begun, a new connection tells whether the endpoint is gone (serve/crash_check.c). The parts of the calls that had not begun there are suspects of the crash; a call that begins clears its parts. Instances send each other both (serve/blame_send.c), and policy/blame.c blames a part that is suspect of three crashes at different times and of two calls, when no other explains them. A call with a blamed part is refused, or ended if it has not begun; a suspect is not repeated a second time. One call is tried again after 15 s, then ever more rarely, on the holder's word. The holder writes the blamed parts into the lease, which it renews anyway.

It works because a crash needs a call that begins, so the calls with events and all that share their parts are out of question at once, and only the part at fault is left in several crashes.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/blame.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -500,6 +500,8 @@
 	else
 		breaker_failure(&c->ep->breaker, false, s->loop.now);
 	failure_rate_update(s, !succeeded);
+	if (c->response.status / 100 == 2)
+		blame_call_began(c);
 	if (c->request.model[0] == '\0' && succeeded)
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
@@ -606,6 +608,8 @@
 	}
 	breaker_failure(&c->ep->breaker, true, w->s->loop.now);
 	failure_rate_update(w->s, true);
+	if (why == HTTP_END_EOF || why == HTTP_END_RESET)
+		crash_check(c);
 	c->conn = NULL;
 	pool_remove(w);
 	call_attempt_failed(c, why == HTTP_END_CONNECT_FAILED, text[why]);
--- /dev/null
+++ b/serve/blame.h
@@ -0,0 +1,71 @@
+/**
+ * @file blame.h
+ * Prompt parts that crash endpoints: what this instance sees of them, what the
+ * others report, and what becomes of calls with such a part. Decisions are made
+ * by policy/blame.c.
+ */
+#ifndef SERVE_BLAME_H
+#define SERVE_BLAME_H
+
+#include "policy/blame.h"
+#include "serve/digest.pb-c.h"
+#include "serve/serve.h"
+
+#include <jansson.h>
+
+/** The state of this instance; one for each serve_t. */
+struct blame_feed {
+	serve_t *s;
+	blame_t blame;
+	alarm_t decide_alarm, send_alarm;
+	GArray *unsent;	  /* unsent_evidence_t, in blame_send.c */
+	bool news_due;	  /* part of the next datagram */
+	int blamed_sends; /* how often the blamed parts are still to be sent */
+};
+
+/* Crashes. crash_check.c */
+
+/**
+ * The connection of a call's attempt has ended. If that may be a crash by a
+ * part of its prompt, check whether the endpoint still accepts connections.
+ */
+void crash_check(call_t *c);
+
+/* Calls and verdicts. blame.c */
+
+void blame_feed_init(serve_t *s);
+/** To be called every second. */
+void blame_tick(serve_t *s);
+/** A call began, so the parts of its prompt don't crash endpoints. */
+void blame_call_began(call_t *c);
+/**
+ * The call is about to be dispatched.
+ * @return true if it may not be: it was answered, or waits
+ */
+bool blame_stops_call(call_t *c);
+/** A call that is a trial was sent. */
+void blame_trial_sent(call_t *c);
+/** Evidence changed: decide when it is time. */
+void blame_evidence_changed(serve_t *s);
+/** End the calls with parts that are newly blamed. */
+void blame_enforce(serve_t *s);
+/** A part is no longer blamed. @param why for the log */
+void blame_log_cleared(uint64_t part, const char *why);
+/** The blamed parts for the lease, so that they outlive all instances. */
+json_t *blame_json(const serve_t *s);
+void blame_merge_json(serve_t *s, const json_t *list);
+
+/* Messages. blame_send.c */
+
+void blame_send_init(serve_t *s);
+void blame_send_crash(serve_t *s, const blame_crash_t *c);
+/** The table of blamed parts changed. */
+void blame_send_blamed(serve_t *s);
+/** Beginnings are to be told; see blame_next_news(). */
+void blame_send_news(serve_t *s);
+/** Ask the holder whether a call with the part may be a trial. */
+void blame_ask_trial(serve_t *s, uint64_t part);
+void blame_receive(
+    serve_t *s, const Digest__PromptBlame *m, const struct sockaddr_in *from);
+
+#endif
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/blame.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -243,6 +243,8 @@
 	memset(&c->reading, 0, sizeof(c->reading));
 	if (c->attempts++ > 0)
 		retry_budget_spend(s, c);
+	if (c->trial)
+		blame_trial_sent(c);
 	c->had_run_before = c->may_have_run;
 	p->ncall++;
 	breaker_sent(&p->breaker, s->loop.now);
@@ -351,6 +353,8 @@
 	serve_t *s = c->s;
 	choice_t ch = { 0 };
 
+	if (blame_stops_call(c))
+		return;
 	c->conn = acquire(c, choose_endpoint, &ch);
 	if (c->conn == NULL && call_may_return(c)) {
 		c->conn = acquire(c, choose_return, &ch);
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[27] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[28] =
 {
   {
     "sender",
@@ -378,9 +378,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blame",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, blame),
+    &digest__prompt_blame__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
+  27,   /* field[27] = blame */
   10,   /* field[10] = config_revision */
   17,   /* field[17] = demand */
   12,   /* field[12] = endpoint */
@@ -411,7 +424,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -421,7 +434,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  27,
+  28,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -106,13 +106,14 @@
 	size_t n_accepted_order;
 	Digest__AcceptedOrder **accepted_order;
 	Digest__StreamVersions *streams;
+	Digest__PromptBlame *blame;
 };
 #define DIGEST__DIGEST__INIT                                                  \
 	{                                                                     \
 		PROTOBUF_C_MESSAGE_INIT(&digest__digest__descriptor)          \
 		, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, NULL, 0, NULL, 0, \
 		    0, 0, 0, 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL,  \
-		    0, NULL, 0, NULL, NULL                                    \
+		    0, NULL, 0, NULL, NULL, NULL                              \
 	}
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -187,6 +187,141 @@
   assert(message->base.descriptor == &digest__accepted_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__prompt_blame__init
+                     (Digest__PromptBlame         *message)
+{
+  static const Digest__PromptBlame init_value = DIGEST__PROMPT_BLAME__INIT;
+  *message = init_value;
+}
+size_t digest__prompt_blame__get_packed_size
+                     (const Digest__PromptBlame *message)
+{
+  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__prompt_blame__pack
+                     (const Digest__PromptBlame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__prompt_blame__pack_to_buffer
+                     (const Digest__PromptBlame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__PromptBlame *
+       digest__prompt_blame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__PromptBlame *)
+     protobuf_c_message_unpack (&digest__prompt_blame__descriptor,
+                                allocator, len, data);
+}
+void   digest__prompt_blame__free_unpacked
+                     (Digest__PromptBlame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   digest__endpoint_crash__init
+                     (Digest__EndpointCrash         *message)
+{
+  static const Digest__EndpointCrash init_value = DIGEST__ENDPOINT_CRASH__INIT;
+  *message = init_value;
+}
+size_t digest__endpoint_crash__get_packed_size
+                     (const Digest__EndpointCrash *message)
+{
+  assert(message->base.descriptor == &digest__endpoint_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__endpoint_crash__pack
+                     (const Digest__EndpointCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__endpoint_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__endpoint_crash__pack_to_buffer
+                     (const Digest__EndpointCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__endpoint_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__EndpointCrash *
+       digest__endpoint_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__EndpointCrash *)
+     protobuf_c_message_unpack (&digest__endpoint_crash__descriptor,
+                                allocator, len, data);
+}
+void   digest__endpoint_crash__free_unpacked
+                     (Digest__EndpointCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__endpoint_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   digest__blamed_part__init
+                     (Digest__BlamedPart         *message)
+{
+  static const Digest__BlamedPart init_value = DIGEST__BLAMED_PART__INIT;
+  *message = init_value;
+}
+size_t digest__blamed_part__get_packed_size
+                     (const Digest__BlamedPart *message)
+{
+  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__blamed_part__pack
+                     (const Digest__BlamedPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__blamed_part__pack_to_buffer
+                     (const Digest__BlamedPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__BlamedPart *
+       digest__blamed_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__BlamedPart *)
+     protobuf_c_message_unpack (&digest__blamed_part__descriptor,
+                                allocator, len, data);
+}
+void   digest__blamed_part__free_unpacked
+                     (Digest__BlamedPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor digest__identity__field_descriptors[5] =
 {
   {
@@ -599,3 +734,273 @@
   (ProtobufCMessageInit) digest__accepted_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__prompt_blame__field_descriptors[7] =
+{
+  {
+    "crash",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__PromptBlame, n_crash),
+    offsetof(Digest__PromptBlame, crash),
+    &digest__endpoint_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__PromptBlame, n_begun),
+    offsetof(Digest__PromptBlame, begun),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_ago",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__PromptBlame, n_begun_ago),
+    offsetof(Digest__PromptBlame, begun_ago),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blamed",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__PromptBlame, n_blamed),
+    offsetof(Digest__PromptBlame, blamed),
+    &digest__blamed_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_asked",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__PromptBlame, n_trial_asked),
+    offsetof(Digest__PromptBlame, trial_asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_granted",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__PromptBlame, n_trial_granted),
+    offsetof(Digest__PromptBlame, trial_granted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PromptBlame, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__prompt_blame__field_indices_by_name[] = {
+  1,   /* field[1] = begun */
+  2,   /* field[2] = begun_ago */
+  3,   /* field[3] = blamed */
+  0,   /* field[0] = crash */
+  6,   /* field[6] = pass_on */
+  4,   /* field[4] = trial_asked */
+  5,   /* field[5] = trial_granted */
+};
+static const ProtobufCIntRange digest__prompt_blame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor digest__prompt_blame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.PromptBlame",
+  "PromptBlame",
+  "Digest__PromptBlame",
+  "digest",
+  sizeof(Digest__PromptBlame),
+  7,
+  digest__prompt_blame__field_descriptors,
+  digest__prompt_blame__field_indices_by_name,
+  1,  digest__prompt_blame__number_ranges,
+  (ProtobufCMessageInit) digest__prompt_blame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor digest__endpoint_crash__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__EndpointCrash, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ago",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__EndpointCrash, ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__EndpointCrash, n_part),
+    offsetof(Digest__EndpointCrash, part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__EndpointCrash, n_call),
+    offsetof(Digest__EndpointCrash, call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__endpoint_crash__field_indices_by_name[] = {
+  1,   /* field[1] = ago */
+  3,   /* field[3] = call */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = part */
+};
+static const ProtobufCIntRange digest__endpoint_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.EndpointCrash",
+  "EndpointCrash",
+  "Digest__EndpointCrash",
+  "digest",
+  sizeof(Digest__EndpointCrash),
+  4,
+  digest__endpoint_crash__field_descriptors,
+  digest__endpoint_crash__field_indices_by_name,
+  1,  digest__endpoint_crash__number_ranges,
+  (ProtobufCMessageInit) digest__endpoint_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor digest__blamed_part__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__BlamedPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_ago",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__BlamedPart, crash_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__BlamedPart, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_in",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__BlamedPart, trial_in),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__blamed_part__field_indices_by_name[] = {
+  1,   /* field[1] = crash_ago */
+  0,   /* field[0] = part */
+  3,   /* field[3] = trial_in */
+  2,   /* field[2] = trials */
+};
+static const ProtobufCIntRange digest__blamed_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor digest__blamed_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.BlamedPart",
+  "BlamedPart",
+  "Digest__BlamedPart",
+  "digest",
+  sizeof(Digest__BlamedPart),
+  4,
+  digest__blamed_part__field_descriptors,
+  digest__blamed_part__field_indices_by_name,
+  1,  digest__blamed_part__number_ranges,
+  (ProtobufCMessageInit) digest__blamed_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -18,6 +18,9 @@
 typedef struct Digest__Demand Digest__Demand;
 typedef struct Digest__StreamVersions Digest__StreamVersions;
 typedef struct Digest__AcceptedOrder Digest__AcceptedOrder;
+typedef struct Digest__PromptBlame Digest__PromptBlame;
+typedef struct Digest__EndpointCrash Digest__EndpointCrash;
+typedef struct Digest__BlamedPart Digest__BlamedPart;
 
 /* --- enums --- */
 
@@ -152,6 +155,91 @@
 		    (char *)protobuf_c_empty_string, 0, 0                    \
 	}
 
+/*
+ * Which parts of prompts crash endpoints. A datagram that has this part has
+ * nothing else. Ages are in ms.
+ */
+struct Digest__PromptBlame {
+	ProtobufCMessage base;
+	size_t n_crash;
+	Digest__EndpointCrash **crash;
+	/*
+	 * Parts on which calls began.
+	 */
+	size_t n_begun;
+	uint64_t *begun;
+	/*
+	 * one for each of begun
+	 */
+	size_t n_begun_ago;
+	uint32_t *begun_ago;
+	size_t n_blamed;
+	Digest__BlamedPart **blamed;
+	/*
+	 * Parts with which a call may be tried again: to the holder, and back.
+	 */
+	size_t n_trial_asked;
+	uint64_t *trial_asked;
+	size_t n_trial_granted;
+	uint64_t *trial_granted;
+	/*
+	 * To be passed on within the receiver's domain.
+	 */
+	protobuf_c_boolean pass_on;
+};
+#define DIGEST__PROMPT_BLAME__INIT                                         \
+	{                                                                  \
+		PROTOBUF_C_MESSAGE_INIT(&digest__prompt_blame__descriptor) \
+		, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0  \
+	}
+
+/*
+ * An endpoint that crashed, and what may have been the cause: parts of calls
+ * that had not begun there.
+ */
+struct Digest__EndpointCrash {
+	ProtobufCMessage base;
+	uint32_t endpoint;
+	uint32_t ago;
+	size_t n_part;
+	uint64_t *part;
+	/*
+	 * one for each of part
+	 */
+	size_t n_call;
+	uint32_t *call;
+};
+#define DIGEST__ENDPOINT_CRASH__INIT                                         \
+	{                                                                    \
+		PROTOBUF_C_MESSAGE_INIT(&digest__endpoint_crash__descriptor) \
+		, 0, 0, 0, NULL, 0, NULL                                     \
+	}
+
+/*
+ * A part that crashes endpoints.
+ */
+struct Digest__BlamedPart {
+	ProtobufCMessage base;
+	uint64_t part;
+	/*
+	 * the last crash
+	 */
+	uint32_t crash_ago;
+	/*
+	 * so far
+	 */
+	uint32_t trials;
+	/*
+	 * until the next trial is due
+	 */
+	uint32_t trial_in;
+};
+#define DIGEST__BLAMED_PART__INIT                                         \
+	{                                                                 \
+		PROTOBUF_C_MESSAGE_INIT(&digest__blamed_part__descriptor) \
+		, 0, 0, 0, 0                                              \
+	}
+
 /* Digest__Identity methods */
 void digest__identity__init(Digest__Identity *message);
 size_t digest__identity__get_packed_size(const Digest__Identity *message);
@@ -196,6 +284,41 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void digest__accepted_order__free_unpacked(
     Digest__AcceptedOrder *message, ProtobufCAllocator *allocator);
+/* Digest__PromptBlame methods */
+void digest__prompt_blame__init(Digest__PromptBlame *message);
+size_t digest__prompt_blame__get_packed_size(
+    const Digest__PromptBlame *message);
+size_t digest__prompt_blame__pack(
+    const Digest__PromptBlame *message, uint8_t *out);
+size_t digest__prompt_blame__pack_to_buffer(
+    const Digest__PromptBlame *message, ProtobufCBuffer *buffer);
+Digest__PromptBlame *digest__prompt_blame__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void digest__prompt_blame__free_unpacked(
+    Digest__PromptBlame *message, ProtobufCAllocator *allocator);
+/* Digest__EndpointCrash methods */
+void digest__endpoint_crash__init(Digest__EndpointCrash *message);
+size_t digest__endpoint_crash__get_packed_size(
+    const Digest__EndpointCrash *message);
+size_t digest__endpoint_crash__pack(
+    const Digest__EndpointCrash *message, uint8_t *out);
+size_t digest__endpoint_crash__pack_to_buffer(
+    const Digest__EndpointCrash *message, ProtobufCBuffer *buffer);
+Digest__EndpointCrash *digest__endpoint_crash__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void digest__endpoint_crash__free_unpacked(
+    Digest__EndpointCrash *message, ProtobufCAllocator *allocator);
+/* Digest__BlamedPart methods */
+void digest__blamed_part__init(Digest__BlamedPart *message);
+size_t digest__blamed_part__get_packed_size(const Digest__BlamedPart *message);
+size_t digest__blamed_part__pack(
+    const Digest__BlamedPart *message, uint8_t *out);
+size_t digest__blamed_part__pack_to_buffer(
+    const Digest__BlamedPart *message, ProtobufCBuffer *buffer);
+Digest__BlamedPart *digest__blamed_part__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void digest__blamed_part__free_unpacked(
+    Digest__BlamedPart *message, ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Digest__Identity_Closure)(
@@ -206,6 +329,12 @@
     const Digest__StreamVersions *message, void *closure_data);
 typedef void (*Digest__AcceptedOrder_Closure)(
     const Digest__AcceptedOrder *message, void *closure_data);
+typedef void (*Digest__PromptBlame_Closure)(
+    const Digest__PromptBlame *message, void *closure_data);
+typedef void (*Digest__EndpointCrash_Closure)(
+    const Digest__EndpointCrash *message, void *closure_data);
+typedef void (*Digest__BlamedPart_Closure)(
+    const Digest__BlamedPart *message, void *closure_data);
 
 /* --- services --- */
 
@@ -215,6 +344,9 @@
 extern const ProtobufCMessageDescriptor digest__demand__descriptor;
 extern const ProtobufCMessageDescriptor digest__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor digest__accepted_order__descriptor;
+extern const ProtobufCMessageDescriptor digest__prompt_blame__descriptor;
+extern const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor;
+extern const ProtobufCMessageDescriptor digest__blamed_part__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/blame.h"
 
 #include <string.h>
 
@@ -43,6 +43,8 @@
 	    "ebonypitch_instances", "Instances that live.", peers_alive(s));
 	set_gauge("ebonypitch_holder", "1 if it orders endpoints.",
 	    plan_is_holder(s));
+	set_gauge("ebonypitch_prompt_parts_blamed",
+	    "Prompt parts that crash endpoints.", s->blame->blame.nblamed);
 	set_gauge("ebonypitch_log_dropped", "Log lines that weren't taken.",
 	    log_dropped());
 	set_gauge("ebonypitch_first_error_percent",
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -1,4 +1,5 @@
 /* The lease in the store: its holder alone sends orders to endpoints. */
+#include "serve/blame.h"
 #include "serve/plan.h"
 
 #include <jansson.h>
@@ -124,11 +125,12 @@
 static char *
 lease_spec(const plan_t *p, bool released)
 {
-	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b,s:o}", "holder",
+	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b,s:o,s:o}", "holder",
 	    p->s->conf.instance, "ip", p->s->conf.ip, "beat",
 	    (json_int_t)clock_wall(), "settled",
 	    leadership_settled(&p->leadership, clock_now(&machine_clock)),
-	    "released", released, "software", software_json(p->s));
+	    "released", released, "software", software_json(p->s), "blamed",
+	    blame_json(p->s));
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -142,6 +144,7 @@
 	const char *ip = json_string_value(json_object_get(j, "ip"));
 
 	software_merge(p->s, j);
+	blame_merge_json(p->s, json_object_get(j, "blamed"));
 	leadership_observe(&p->leadership, o->revision,
 	    ip != NULL && strcmp(ip, p->s->conf.ip) == 0,
 	    json_is_true(json_object_get(j, "settled")),
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,3 +1,4 @@
+#include "serve/blame.h"
 #include "serve/shares.h"
 
 #include <arpa/inet.h>
@@ -177,6 +178,19 @@
 	return NULL;
 }
 
+const peer_t *
+peer_at(const serve_t *s, const struct sockaddr_in *from)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		if (s->peers.peer[i]->sa.sin_addr.s_addr ==
+			from->sin_addr.s_addr &&
+		    s->peers.peer[i]->sa.sin_port == from->sin_port)
+			return s->peers.peer[i];
+	return NULL;
+}
+
 static peer_t *
 add_peer(serve_t *s, const char *instance, const char *ip)
 {
@@ -396,6 +410,8 @@
 		}
 		if (d->streams != NULL)
 			streams_receive(s, d->streams, &from);
+		else if (d->blame != NULL)
+			blame_receive(s, d->blame, &from);
 		else if (d->sum_domain != 0)
 			receive_sum(s, d, &from, bytes, (size_t)n);
 		else
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -1,5 +1,5 @@
 /* Startup, settings, the event loop's hooks and shutdown. */
-#include "serve/serve.h"
+#include "serve/blame.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -162,6 +162,7 @@
 	alarm_set(&s->loop, &s->settings_alarm, s->loop.now + SETTINGS_POLL_MS);
 	ep_table_purge(s);
 	streams_tick(s);
+	blame_tick(s);
 	if (stat(s->conf_path, &st) == -1)
 		return;
 	if (s->conf_mtime.tv_sec != 0 &&
@@ -233,6 +234,7 @@
 	s->rng.s = hash_str(s->conf.instance, (uint64_t)clock_wall());
 	s->calls = table_new(sizeof(call_t *), CALLS_MAX);
 	streams_init(s);
+	blame_feed_init(s);
 	ep_table_init(&s->endpoints);
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -20,6 +20,7 @@
 
 typedef struct serve serve_t;
 typedef struct call call_t;
+typedef struct blame_feed blame_feed_t;
 
 /** @return whether @p at (0: never) is less than @p span ms ago */
 static inline bool
@@ -108,6 +109,7 @@
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
 	breaker_t breaker;
+	struct crash_check *crash_check; /* in progress, or NULL */
 	bool changed;	     /* own share changed since it was last sent */
 	bool changed_remote; /* the same, to other domains */
 	sent_prefix_t prefix[PREFIX_SLOTS];
@@ -225,6 +227,10 @@
 	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
 	int ntried;
 	bool left_silent; /* an attempt was replaced because of silence */
+	int crashes;	  /* of its endpoints, before it had begun there */
+	ms_t crashed_at;  /* the last one */
+	bool suspected;	  /* parts of it were suspect of other crashes then */
+	bool trial;	  /* may be sent in spite of a blamed part */
 	const char *wait_reason;
 	const char *failure; /* of the last failed attempt, NULL: none */
 
@@ -300,6 +306,8 @@
 } choice_t;
 
 void call_dispatch(call_t *c);
+/** Has the endpoint of this attempt surely begun to write an answer? */
+bool call_began(const call_t *c);
 /**
  * Find another endpoint that can take the call now; the attempt goes on.
  * @param out the choice, or why there is none
@@ -640,6 +648,8 @@
 /** Number of live instances, this one included. */
 int peers_alive(const serve_t *s);
 bool peer_alive(const serve_t *s, const peer_t *p);
+/** @return the instance that has this address, NULL: none */
+const peer_t *peer_at(const serve_t *s, const struct sockaddr_in *from);
 /** Is it in our failure domain? */
 bool peer_same_domain(const serve_t *s, const peer_t *p);
 /**
@@ -731,6 +741,7 @@
 	software_t software;
 	bool software_read; /* the history in the lease, or there is none */
 	stream_table_t streams;
+	blame_feed_t *blame;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/blame.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -131,6 +131,8 @@
 		}
 		if (c->reading.events++ == 0)
 			first_event_received(c);
+		else if (c->reading.events == 2)
+			blame_call_began(c);
 		c->last_event_at = now;
 		if (old) {
 			consume_events(c, end);
@@ -169,6 +171,8 @@
 		    c, false, "the stream ended inside an event");
 		return;
 	}
+	if (!call_began(c))
+		blame_call_began(c);
 	if (!c->head_sent) {
 		/* A complete stream without events that have an id. */
 		first_event_received(c);
--- a/serve/streams.c
+++ b/serve/streams.c
@@ -480,19 +480,6 @@
 
 /* What other instances send. */
 
-static const peer_t *
-peer_at(const serve_t *s, const struct sockaddr_in *from)
-{
-	int i;
-
-	for (i = 0; i < s->peers.npeer; i++)
-		if (s->peers.peer[i]->sa.sin_addr.s_addr ==
-			from->sin_addr.s_addr &&
-		    s->peers.peer[i]->sa.sin_port == from->sin_port)
-			return s->peers.peer[i];
-	return NULL;
-}
-
 /* The next call after @p h that asks for the stream, NULL: none. */
 static call_t *
 next_locating(serve_t *s, handle_t *h, uint64_t id)
