policy/blame.c: ends of endpoints at one moment are no evidence

Causes: a rack's endpoints end together, and a part may be in a call that hasn't begun at one of them, moment after moment; the first event of a call wasn't taken for its beginning; two crashes of one call counted as two.

Now a crash is no evidence against a part if another endpoint ended at the same moment without it, so ends under calls that had begun are reported, too; a call counts once; a call has begun with its first event if the endpoint lives on for 10 ms.

--- a/policy/blame.c
+++ b/policy/blame.c
@@ -3,15 +3,14 @@
 #include <string.h>
 
 enum {
-	CRASHES_NEEDED = 3, /* to blame a part */
-	CALLS_NEEDED = 2,   /* that were about to begin in these crashes */
+	/* Crashes of different calls that are needed to blame a part. */
+	CRASHES_NEEDED = 3,
 	/* To blame parts between which the evidence can't decide. */
 	CRASHES_NEEDED_TIED = 5,
-	/*
-	 * Crashes closer to each other count as one: endpoints of a domain that
-	 * fails end together.
-	 */
+	/* Crashes closer to each other count as one. */
 	CRASH_SPACING_MS = 100,
+	/* Endpoints that end within it may have a common cause. */
+	SAME_MOMENT_MS = 50,
 	/* Within it, other instances report that calls with a suspect began. */
 	DECISION_DELAY_MS = 250,
 	SAME_CRASH_MS = 1000, /* between reports of the same crash */
@@ -148,7 +147,7 @@
 void
 blame_add_crash(blame_t *b, const blame_crash_t *c)
 {
-	blame_crash_t *r = NULL;
+	blame_crash_t *r = crash_record(b, c->endpoint, c->at);
 	int i;
 
 	for (i = 0; i < c->nsuspect; i++) {
@@ -160,8 +159,6 @@
 			continue;
 		if (p != NULL && p->crash_at < c->at)
 			p->crash_at = c->at;
-		if (r == NULL)
-			r = crash_record(b, c->endpoint, c->at);
 		if (find_suspect(r, part) == -1 &&
 		    r->nsuspect < BLAME_SUSPECTS_MAX)
 			r->suspect[r->nsuspect++] = c->suspect[i];
@@ -187,8 +184,6 @@
 		if (last == 0)
 			last = c->at;
 		c->suspect[k] = c->suspect[--c->nsuspect];
-		if (c->nsuspect == 0)
-			remove_crash(b, i);
 	}
 	return last;
 }
@@ -244,32 +239,64 @@
 	return false;
 }
 
+/*
+ * Did another endpoint end at the same moment without the part, and without a
+ * blamed one? What ended both wasn't this part.
+ */
+static bool
+has_common_cause(const blame_t *b, int at, uint64_t part)
+{
+	int i, step;
+
+	for (step = -1; step <= 1; step += 2)
+		for (i = at + step; i >= 0 && i < b->ncrash; i += step) {
+			const blame_crash_t *c = &b->crash[i];
+			ms_t apart = c->at - b->crash[at].at;
+
+			if (apart > SAME_MOMENT_MS || -apart > SAME_MOMENT_MS)
+				break;
+			if (find_suspect(c, part) == -1 && !is_explained(b, c))
+				return true;
+		}
+	return false;
+}
+
 /** The evidence against a part. */
 typedef struct evidence {
-	int crashes;  /* at different times */
+	int crashes;  /* at different times and of different calls */
 	ms_t last_at; /* the last of these */
-	int calls;    /* different ones, up to CALLS_NEEDED */
+	uint32_t call[CRASHES_NEEDED_TIED];
 } evidence_t;
 
+/* Repeats of one call may have another cause than the part. */
+static bool
+is_repeat(const evidence_t *v, uint32_t call)
+{
+	int i;
+
+	for (i = 0; i < v->crashes && i < CRASHES_NEEDED_TIED; i++)
+		if (v->call[i] == call)
+			return true;
+	return false;
+}
+
 static evidence_t
 evidence_against(const blame_t *b, uint64_t part, ms_t until)
 {
 	evidence_t v = { 0 };
-	uint32_t call[CALLS_NEEDED];
-	int i, k, n;
+	int i, k;
 
 	for (i = 0; i < b->ncrash && b->crash[i].at <= until; i++) {
 		const blame_crash_t *c = &b->crash[i];
 
 		k = find_suspect(c, part);
-		if (k == -1 || is_explained(b, c))
-			continue;
-		for (n = 0; n < v.calls && call[n] != c->suspect[k].call; n++)
-			;
-		if (n == v.calls && n < CALLS_NEEDED)
-			call[v.calls++] = c->suspect[k].call;
-		if (v.crashes > 0 && c->at - v.last_at < CRASH_SPACING_MS)
+		if (k == -1 || is_explained(b, c) ||
+		    has_common_cause(b, i, part) ||
+		    is_repeat(&v, c->suspect[k].call) ||
+		    (v.crashes > 0 && c->at - v.last_at < CRASH_SPACING_MS))
 			continue;
+		if (v.crashes < CRASHES_NEEDED_TIED)
+			v.call[v.crashes] = c->suspect[k].call;
 		v.crashes++;
 		v.last_at = c->at;
 	}
@@ -329,7 +356,7 @@
 	ms_t at = begun_at(b, part);
 	int i;
 
-	if (v.crashes < CRASHES_NEEDED || v.calls < CALLS_NEEDED)
+	if (v.crashes < CRASHES_NEEDED)
 		return;
 	for (i = 0; i < top->npart; i++)
 		if (top->part[i] == part)
--- a/policy/blame.h
+++ b/policy/blame.h
@@ -5,8 +5,9 @@
  * Evidence for a part is a crash of an endpoint where a call with it had not
  * begun; such a part is a suspect of the crash. A call with the part that
  * begins clears it of all earlier crashes. A part is blamed when it is a
- * suspect of several crashes at different times and of several calls, and a
- * crash with a blamed part is evidence against no other part.
+ * suspect of several crashes at different times, under different calls. A crash
+ * is no evidence against it if a blamed part explains it, or if another
+ * endpoint ended at the same moment without the part.
  *
  * All instances keep the same evidence, as each sends the others what it sees
  * (docs/design/blame.md). Times are of the local clock.
@@ -18,7 +19,7 @@
 
 enum {
 	BLAME_SUSPECTS_MAX = 24,  /* of one crash */
-	BLAME_CRASHES_MAX = 256,  /* of which something is suspect */
+	BLAME_CRASHES_MAX = 256,  /* remembered */
 	BLAME_PARTS_MAX = 64,	  /* blamed at a time */
 	BLAME_BEGUN_SLOTS = 4096, /* a power of two */
 	BLAME_NEWS_MAX = 64,	  /* beginnings to be sent to others */
@@ -30,7 +31,10 @@
 	uint32_t call; /* hash of the id of a call with it */
 } blame_suspect_t;
 
-/** A crash of an endpoint, and the parts of calls that had not begun there. */
+/**
+ * A crash of an endpoint, and the parts of calls that had not begun there, if
+ * there were any.
+ */
 typedef struct blame_crash {
 	uint32_t endpoint; /* hash of its id */
 	ms_t at;
@@ -94,7 +98,7 @@
 ms_t blame_decide_at(const blame_t *b, ms_t now);
 /** @return the part if it is blamed, else NULL; valid until the next change */
 blamed_part_t *blame_find(blame_t *b, uint64_t part);
-/** @return crashes of which it is a suspect and no blamed part is */
+/** @return crashes that are evidence against it */
 int blame_crash_count(const blame_t *b, uint64_t part);
 /** Another instance, or the store, says that a part is blamed. */
 void blame_adopt(blame_t *b, const blamed_part_t *p);
--- a/serve/blame.c
+++ b/serve/blame.c
@@ -7,6 +7,7 @@
 	DECIDE_INTERVAL_MS = 20, /* at least, between decisions */
 	/* Within it, most parts of sound calls are cleared. */
 	HOLD_MS = 300,
+	EVENT_AGE_MS = 10,   /* an endpoint that lives so long didn't crash */
 	RETRY_MIN_MS = 1000, /* told to callers of refused calls */
 };
 static const char *const refusal = "a part of its prompt crashes endpoints";
@@ -117,12 +118,14 @@
 bool
 call_began(const call_t *c)
 {
-	/* An endpoint that crashes may have sent one event. */
-	return c->reading.events > 1;
+	/* An endpoint that crashes may just have sent one event. */
+	return c->reading.events > 1 ||
+	       (c->reading.events == 1 &&
+		   c->s->loop.now - c->last_event_at >= EVENT_AGE_MS);
 }
 
 void
-blame_call_began(call_t *c)
+blame_call_began(call_t *c, ms_t at)
 {
 	serve_t *s = c->s;
 	blame_t *b = &s->blame->blame;
@@ -131,7 +134,7 @@
 	for (i = 0; i < n; i++) {
 		uint64_t part = c->request.part[i].id;
 
-		if (!blame_part_began(b, part, s->loop.now, true))
+		if (!blame_part_began(b, part, at, true))
 			continue;
 		blame_log_cleared(part, "a call began");
 		blame_send_blamed(s);
--- a/serve/blame.h
+++ b/serve/blame.h
@@ -26,8 +26,8 @@
 /* Crashes. crash_check.c */
 
 /**
- * The connection of a call's attempt has ended. If that may be a crash by a
- * part of its prompt, check whether the endpoint still accepts connections.
+ * The connection of a call's attempt has ended: check whether the endpoint
+ * still accepts connections.
  */
 void crash_check(call_t *c);
 
@@ -36,8 +36,8 @@
 void blame_feed_init(serve_t *s);
 /** To be called every second. */
 void blame_tick(serve_t *s);
-/** A call began, so the parts of its prompt don't crash endpoints. */
-void blame_call_began(call_t *c);
+/** A call began at @p at, so the parts of its prompt don't crash endpoints. */
+void blame_call_began(call_t *c, ms_t at);
 /**
  * The call is about to be dispatched.
  * @return true if it may not be: it was answered, or waits
--- a/serve/crash_check.c
+++ b/serve/crash_check.c
@@ -1,7 +1,8 @@
 /*
  * Was the end of a connection the end of its endpoint? A new connection that is
  * refused tells. The calls that had not begun there are evidence against parts
- * of their prompts.
+ * of their prompts; an end without such calls shows a common cause if others
+ * end at the same moment.
  */
 #include "serve/blame.h"
 
@@ -9,6 +10,8 @@
 
 enum {
 	CHECK_TIMEOUT_MS = 400, /* without an answer nothing is known */
+	/* Checks of an endpoint where no call is a suspect, at least. */
+	CHECK_INTERVAL_MS = 500,
 };
 
 struct crash_check {
@@ -50,7 +53,7 @@
 
 	(void)http, (void)why;
 	counter_add(counter_get("ebonypitch_endpoint_crashes_total",
-			"Endpoints that ended under calls that hadn't begun."),
+			"Endpoints that ended under calls."),
 	    1);
 	blame_add_crash(&s->blame->blame, &k->crash);
 	blame_send_crash(s, &k->crash);
@@ -88,7 +91,7 @@
 	}
 	k->alarm = (alarm_t){ .fn = on_timeout, .arg = k };
 	alarm_set(&s->loop, &k->alarm, s->loop.now + CHECK_TIMEOUT_MS);
-	c->ep->crash_check = k;
+	c->ep->crash_checked_at = s->loop.now;
 	return k;
 }
 
@@ -105,22 +108,37 @@
 		    (blame_suspect_t){ part, call };
 }
 
-void
-crash_check(call_t *c)
+/* The call's parts may be the cause. */
+static void
+note_suspect(call_t *c, int nshared)
 {
-	blame_t *b = &c->s->blame->blame;
-	struct crash_check *k = c->ep->crash_check;
-	int i, n = call_shared_parts(&c->request);
+	const blame_t *b = &c->s->blame->blame;
+	int i;
 
-	if (n == 0 || call_began(c) || !ep_usable(c->ep))
-		return;
 	c->crashes++;
 	c->crashed_at = c->s->loop.now;
-	for (i = 0; i < n; i++)
+	for (i = 0; i < nshared; i++)
 		c->suspected |= blame_crash_count(b, c->request.part[i].id) > 0;
-	if (k == NULL)
-		k = check_start(c);
-	for (i = 0; k != NULL && i < n; i++)
-		add_suspect(&k->crash, c->request.part[i].id,
+}
+
+void
+crash_check(call_t *c)
+{
+	ep_t *p = c->ep;
+	int i, n = call_began(c) ? 0 : call_shared_parts(&c->request);
+
+	if (!ep_usable(p))
+		return;
+	if (c->reading.events == 1 && n == 0)
+		blame_call_began(c, c->last_event_at);
+	if (n > 0)
+		note_suspect(c, n);
+	else if (is_recent(
+		     p->crash_checked_at, c->s->loop.now, CHECK_INTERVAL_MS))
+		return;
+	if (p->crash_check == NULL)
+		p->crash_check = check_start(c);
+	for (i = 0; p->crash_check != NULL && i < n; i++)
+		add_suspect(&p->crash_check->crash, c->request.part[i].id,
 		    (uint32_t)hash_str(c->request.id, 0));
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -110,6 +110,7 @@
 	uint32_t sent_sum_tokens;
 	breaker_t breaker;
 	struct crash_check *crash_check; /* in progress, or NULL */
+	ms_t crash_checked_at;		 /* the last one, 0: never */
 	bool changed;	     /* own share changed since it was last sent */
 	bool changed_remote; /* the same, to other domains */
 	sent_prefix_t prefix[PREFIX_SLOTS];
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -132,7 +132,7 @@
 		if (c->reading.events++ == 0)
 			first_event_received(c);
 		else if (c->reading.events == 2)
-			blame_call_began(c);
+			blame_call_began(c, now);
 		c->last_event_at = now;
 		if (old) {
 			consume_events(c, end);
@@ -172,7 +172,7 @@
 		return;
 	}
 	if (!call_began(c))
-		blame_call_began(c);
+		blame_call_began(c, c->s->loop.now);
 	if (!c->head_sent) {
 		/* A complete stream without events that have an id. */
 		first_event_received(c);
--- a/tests/blame_test.c
+++ b/tests/blame_test.c
@@ -144,6 +144,46 @@
 	g_free(b);
 }
 
+/* Guards against blame by a common cause: rack after rack loses power. */
+static void
+ends_without_the_part_at_the_same_moment_clear_it(void)
+{
+	blame_t *b = blame_new();
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		crash(b, (uint32_t)(10 * i), START + i * GAP, (uint32_t)i,
+		    other, 0, 0);
+		/* Only calls that had begun were there. */
+		crash(
+		    b, (uint32_t)(10 * i + 1), START + i * GAP + 5, 0, 0, 0, 0);
+	}
+	g_assert_cmpint(blame_crash_count(b, other), ==, 0);
+	g_assert_false(blame_decide(b, START + 10 * GAP + LATER));
+	g_free(b);
+}
+
+/* Guards against a crash beside another one hiding the part at fault. */
+static void
+blamed_part_doesn_t_hide_another(void)
+{
+	blame_t *b = blame_new();
+	int i;
+
+	for (i = 0; i < 3; i++)
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
+	g_assert_true(blame_decide(b, START + 2 * GAP + LATER));
+	for (i = 0; i < 3; i++) {
+		crash(b, 10 + (uint32_t)i, START + LATER + i * GAP,
+		    10 + (uint32_t)i, bad, 0, 0);
+		crash(b, 20 + (uint32_t)i, START + LATER + i * GAP + 5,
+		    20 + (uint32_t)i, other, 0, 0);
+	}
+	g_assert_true(blame_decide(b, START + 3 * LATER));
+	g_assert_nonnull(blame_find(b, other));
+	g_free(b);
+}
+
 /* Guards against blaming a part for a single call that is sent again. */
 static void
 repeats_of_one_call_blame_nothing(void)
@@ -356,6 +396,8 @@
 	T(part_that_never_began_goes_before_one_that_did);
 	T(part_that_began_once_is_blamed_by_later_crashes);
 	T(crashes_at_one_moment_blame_nothing);
+	T(ends_without_the_part_at_the_same_moment_clear_it);
+	T(blamed_part_doesn_t_hide_another);
 	T(repeats_of_one_call_blame_nothing);
 	T(equal_evidence_needs_more_crashes);
 	T(reports_of_one_crash_are_joined);
