--- a/serve/blame.c
+++ b/serve/blame.c
@@ -93,6 +93,10 @@
 		if (p->enforced)
 			continue;
 		p->enforced = any = true;
+		counter_add(counter_get("ebonypitch_parts_blamed_total",
+				"Prompt parts blamed, by this instance or "
+				"another."),
+		    1);
 		log_limited(LOG_WARNING, "part-blamed",
 		    "part=%" PRIx64 " crash_ago_ms=%" PRId64
 		    " trials=%d trial_in_ms=%" PRId64,
--- a/tests/blame_proc.c
+++ b/tests/blame_proc.c
@@ -5,7 +5,7 @@
  */
 #include "tests/fixture.h"
 
-#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -23,6 +23,10 @@
 	BEFORE_MS = 3000,
 	SPAN_MS = 12000,
 	ANSWER_MS = 7000,
+	CRASH_GAP_MS = 600,  /* between unrelated crashes */
+	CRASHES_AT_ONCE = 2, /* of these */
+	TRIAL_MS = 25000,    /* by then a part is tried again */
+	TRIAL_CALL_GAP_MS = 300,
 };
 
 static const uint64_t first_part = 0xf1, crashing_part = 0xdead;
@@ -169,6 +173,53 @@
 	return n;
 }
 
+/* Sum of a counter of all daemons. */
+static int64_t
+counter_sum(const fixture_t *st, const char *name)
+{
+	char addr[ADDR_MAX], *body, *at;
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < DAEMONS; i++) {
+		snprintf(addr, sizeof(addr), "%.*s:9464",
+		    (int)strcspn(st->caller[i], ":"), st->caller[i]);
+		g_assert_cmpint(
+		    page_status((fixture_t *)st, addr, "/metrics", &body), ==,
+		    200);
+		at = strstr(body, name);
+		while (
+		    at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
+			at = strstr(at + 1, name);
+		if (at != NULL)
+			sum += strtoll(at + strlen(name), NULL, 10);
+		g_free(body);
+	}
+	return sum;
+}
+
+/* Wait for the answer to a call with the crashing part. */
+static int
+status_of_crashing(traffic_t *t)
+{
+	caller_t *c = make_call(t, true);
+
+	caller_wait(c, ANSWER_MS);
+	return c->done ? c->status : 0;
+}
+
+/* Make calls until the part is blamed by all daemons; then none crashes. */
+static void
+have_part_blamed(traffic_t *t)
+{
+	set_crash_part(t->st, crashing_part);
+	t->crashing_gap = CRASHING_GAP_MS;
+	traffic_run(t, BEFORE_MS);
+	t->crashing_gap = 0;
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==, DAEMONS);
+}
+
 /* Share of the sound calls made from @p from to @p to that were served. */
 static double
 sound_share(const traffic_t *t, ms_t from, ms_t to)
@@ -217,6 +268,116 @@
 	traffic_free(t);
 }
 
+/*
+ * Guards against blaming sound parts for crashes of endpoints that have another
+ * cause, as each part is in some call that hasn't begun.
+ */
+static void
+unrelated_crashes_blame_nothing(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	rng_t rng = { 1 };
+	int i, k;
+
+	for (i = 0; i < 12; i++) {
+		traffic_run(t, CRASH_GAP_MS);
+		for (k = 0; k < CRASHES_AT_ONCE; k++)
+			fake_endpoint_crash(
+			    t->st->endpoint[rng_next(&rng) % ENDPOINTS],
+			    DOWN_MS / 2);
+	}
+	traffic_run(t, CRASH_GAP_MS);
+	g_assert_cmpint(crashes(t->st), >=, 12);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), >, 0);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
+	traffic_free(t);
+}
+
+/* Guards against an instance that restarts and sends on what others refuse. */
+static void
+blame_is_known_after_a_restart(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	ms_t from;
+	int i;
+
+	have_part_blamed(t);
+	proc_kill(t->st->daemon[1]);
+	fixture_start_daemon(t->st, 1, true);
+	fixture_run(t->st, STABILITY_MS);
+	from = clock_now(&machine_clock);
+	for (i = 0; i < 2 * DAEMONS; i++)
+		g_assert_cmpint(status_of_crashing(t), ==, 503);
+	g_assert_cmpint(crashing_arrivals(t->st, from), ==, 0);
+	traffic_free(t);
+}
+
+/* Guards against learning by further crashes after all instances ended. */
+static void
+blame_outlives_all_instances(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	ms_t from;
+	int i;
+
+	have_part_blamed(t);
+	/* The holder renews the lease, which has the blamed parts. */
+	fixture_run(t->st, STABILITY_MS);
+	for (i = 0; i < DAEMONS; i++)
+		proc_kill(t->st->daemon[i]);
+	for (i = 0; i < DAEMONS; i++)
+		fixture_start_daemon(t->st, i, true);
+	fixture_run(t->st, STABILITY_MS);
+	from = clock_now(&machine_clock);
+	for (i = 0; i < 2 * DAEMONS; i++)
+		g_assert_cmpint(status_of_crashing(t), ==, 503);
+	g_assert_cmpint(crashing_arrivals(t->st, from), ==, 0);
+	traffic_free(t);
+}
+
+/* Guards against a part that stays refused though endpoints were repaired. */
+static void
+blamed_part_is_tried_again(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	ms_t end;
+	int i;
+
+	have_part_blamed(t);
+	set_crash_part(t->st, 0);
+	end = clock_now(&machine_clock) + TRIAL_MS;
+	while (status_of_crashing(t) != 200) {
+		g_assert_cmpint(clock_now(&machine_clock), <, end);
+		fixture_run(t->st, TRIAL_CALL_GAP_MS);
+	}
+	fixture_run(t->st, TRIAL_CALL_GAP_MS);
+	for (i = 0; i < 2 * DAEMONS; i++)
+		g_assert_cmpint(status_of_crashing(t), ==, 200);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==, 0);
+	traffic_free(t);
+}
+
+/* Guards against trials at all instances, each of which ends an endpoint. */
+static void
+trial_of_a_crashing_part_is_a_single_call(void)
+{
+	traffic_t *t = traffic_new(ENDPOINTS);
+	ms_t from, end;
+
+	have_part_blamed(t);
+	from = clock_now(&machine_clock);
+	end = from + TRIAL_MS;
+	while (clock_now(&machine_clock) < end) {
+		make_call(t, true);
+		fixture_run(t->st, TRIAL_CALL_GAP_MS / DAEMONS);
+	}
+	g_assert_cmpint(crashing_arrivals(t->st, from), ==, 1);
+	traffic_free(t);
+}
+
 #define T(name) g_test_add_func("/blame/" #name, name)
 
 int
@@ -224,5 +385,10 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(crashing_part_is_refused_and_sound_calls_go_on);
+	T(unrelated_crashes_blame_nothing);
+	T(blame_is_known_after_a_restart);
+	T(blame_outlives_all_instances);
+	T(blamed_part_is_tried_again);
+	T(trial_of_a_crashing_part_is_a_single_call);
 	return g_test_run();
 }
