--- /dev/null
+++ b/tests/unframed_proc.c
@@ -0,0 +1,164 @@
+/*
+ * Answers with neither a length nor chunks, which end with their connection:
+ * each is complete for its caller, or is not taken for complete.
+ */
+#include "tests/fixture.h"
+
+#include <string.h>
+
+enum {
+	EVENTS = 5,
+	EVENT_GAP_MS = 20,
+	WAIT_MS = 6500,
+	LAST_WHOLE = 2, /* event before the one that is cut */
+};
+
+#define GEN "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n"
+#define PLAIN "Deadline-Remaining: 1900\r\n"
+
+static fixture_t *
+one_daemon(int nendpoint, const char *service, endpoint_fault_t fault)
+{
+	fake_endpoint_opts_t plain = { .plain_ms = 20 };
+	fake_endpoint_opts_t stream = { .model = "m1",
+		.events = EVENTS,
+		.event_gap = EVENT_GAP_MS,
+		.adapter_slots = 4 };
+	bool engine = strcmp(service, "llm") == 0;
+	fixture_t *st = fixture_new();
+
+	fixture_put_config(st, "");
+	while (nendpoint-- > 0)
+		fixture_add_endpoint(st, engine ? &stream : &plain, service);
+	fake_endpoint_set_fault(st->endpoint[0], fault);
+	fixture_start_daemon(st, 0, true);
+	return st;
+}
+
+static void
+assert_events(const caller_t *c, int n)
+{
+	GString *want = g_string_new(NULL);
+	int i;
+
+	for (i = 1; i <= n; i++) {
+		char *ev = fake_endpoint_event(i, 0);
+
+		g_string_append(want, ev);
+		g_free(ev);
+	}
+	g_assert_cmpuint(buf_len(&c->body), ==, want->len);
+	g_assert_cmpint(
+	    memcmp(c->body.p + c->body.off, want->str, want->len), ==, 0);
+	g_string_free(want, TRUE);
+}
+
+/* Guards against a plain answer without a length that its caller doesn't get.
+ */
+static void
+plain_answer_is_whole(void)
+{
+	fixture_t *st = one_daemon(1, "app", ENDPOINT_NO_LENGTH);
+	caller_t *c = caller_expect(st, 200, "GET", "/safe/a", "r1", PLAIN);
+	char *body = client_request_body(c);
+
+	g_assert_cmpstr(body, ==, "answer to r1 by ep-0");
+	g_free(body);
+	caller_free(c);
+	fixture_free(st);
+}
+
+/* Guards against a plain answer that was cut and looks complete. */
+static void
+plain_answer_that_is_reset_is_not_whole(void)
+{
+	fixture_t *st = one_daemon(1, "app", ENDPOINT_TRUNCATED);
+	caller_t *c = caller_call(st, 0, "POST", "/once/a", "r1", PLAIN);
+
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 502);
+	caller_free(c);
+	fixture_free(st);
+}
+
+/* Guards against a stream without chunks that is taken for broken off. */
+static void
+stream_is_whole(void)
+{
+	fixture_t *st = one_daemon(1, "llm", ENDPOINT_UNFRAMED);
+	caller_t *c = caller_call(st, 0, "POST", "/gen/a", "r1", GEN);
+
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_true(c->done);
+	assert_events(c, EVENTS);
+	g_assert_cmpuint(fake_endpoint_executed(st->endpoint[0])->len, ==, 1);
+	caller_free(c);
+	fixture_free(st);
+}
+
+/* Guards against a stream that ends inside an event and looks complete. */
+static void
+stream_that_ends_inside_an_event_is_cut(void)
+{
+	fixture_t *st = one_daemon(1, "llm", ENDPOINT_UNFRAMED_CUT);
+	caller_t *c = caller_call(st, 0, "POST", "/gen1/a", "r1", GEN);
+
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_false(c->done);
+	g_assert_true(c->closed);
+	assert_events(c, LAST_WHOLE);
+	caller_free(c);
+	fixture_free(st);
+}
+
+static bool
+first_has_run(void *arg)
+{
+	return fake_endpoint_executed(((fixture_t *)arg)->endpoint[0])->len > 0;
+}
+
+/* Guards against a part of an event, or none, where another endpoint goes on.
+ */
+static void
+stream_that_ends_inside_an_event_goes_on_elsewhere(void)
+{
+	fixture_t *st = one_daemon(2, "llm", ENDPOINT_UNFRAMED_CUT);
+	caller_t *c;
+	char id[16], headers[160];
+	int n = 0;
+
+	/* Until the prompt's group prefers the endpoint that cuts streams. */
+	do {
+		snprintf(id, sizeof(id), "r%d", n++);
+		snprintf(headers, sizeof(headers),
+		    GEN "Prompt-Prefix: %x:80,%x:20\r\n", n, 0x1000 + n);
+		g_assert_cmpint(n, <, 20);
+		c = caller_call(st, 0, "POST", "/gen/a", id, headers);
+		g_assert_true(caller_wait(c, WAIT_MS));
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_true(c->done);
+		assert_events(c, EVENTS);
+		caller_free(c);
+	} while (!first_has_run(st));
+	g_assert_cmpint(
+	    ((const executed_call_t *)fake_endpoint_executed(st->endpoint[1])
+		    ->pdata[n - 1])
+		->last_event_id,
+	    ==, LAST_WHOLE);
+	fixture_free(st);
+}
+
+#define T(name) g_test_add_func("/unframed/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(plain_answer_is_whole);
+	T(plain_answer_that_is_reset_is_not_whole);
+	T(stream_is_whole);
+	T(stream_that_ends_inside_an_event_is_cut);
+	T(stream_that_ends_inside_an_event_goes_on_elsewhere);
+	return g_test_run();
+}
