--- a/serve/blame.c
+++ b/serve/blame.c
@@ -4,7 +4,9 @@
 #include <stdlib.h>
 
 enum {
-	DECIDE_INTERVAL_MS = 20, /* at least, between decisions */
+	/* At least, between decisions, and more for each crash remembered. */
+	DECIDE_INTERVAL_MS = 20,
+	DECIDE_PER_CRASH_MS = 2,
 	/* Within it, most parts of sound calls are cleared. */
 	HOLD_MS = 300,
 	EVENT_AGE_MS = 10,   /* an endpoint that lives so long didn't crash */
@@ -40,11 +42,13 @@
 {
 	blame_feed_t *f = s->blame;
 	ms_t at = blame_decide_at(&f->blame, s->loop.now);
+	ms_t least = s->loop.now + DECIDE_INTERVAL_MS +
+		     (ms_t)DECIDE_PER_CRASH_MS * f->blame.ncrash;
 
 	if (at == 0 || f->decide_alarm.pos != 0)
 		return;
-	if (at < s->loop.now + DECIDE_INTERVAL_MS)
-		at = s->loop.now + DECIDE_INTERVAL_MS;
+	if (at < least)
+		at = least;
 	alarm_set(&s->loop, &f->decide_alarm, at);
 }
 
