--- a/serve/blame.c
+++ b/serve/blame.c
@@ -7,6 +7,11 @@
 	/* At least, between decisions, and more for each crash remembered. */
 	DECIDE_INTERVAL_MS = 20,
 	DECIDE_PER_CRASH_MS = 2,
+	/*
+	 * The holder repeats the blamed parts each second, and a second later
+	 * for each so many instances.
+	 */
+	REPEAT_PEERS = 64,
 	/* Within it, most parts of sound calls are cleared. */
 	HOLD_MS = 300,
 	EVENT_AGE_MS = 10,   /* an endpoint that lives so long didn't crash */
@@ -307,9 +312,12 @@
 void
 blame_tick(serve_t *s)
 {
-	blame_expire(&s->blame->blame, s->loop.now);
+	blame_feed_t *f = s->blame;
+
+	blame_expire(&f->blame, s->loop.now);
 	/* Instances that have just started learn it from the holder. */
-	if (plan_holder_valid(s) && s->blame->blame.nblamed > 0)
+	if (f->ticks++ % (1 + s->peers.npeer / REPEAT_PEERS) == 0 &&
+	    plan_holder_valid(s) && f->blame.nblamed > 0)
 		blame_send_blamed(s);
 }
 
--- a/serve/blame.h
+++ b/serve/blame.h
@@ -19,6 +19,7 @@
 	blame_t blame;
 	alarm_t decide_alarm, send_alarm;
 	GArray *unsent;	  /* unsent_evidence_t, in blame_send.c */
+	int ticks;	  /* seconds */
 	bool news_due;	  /* part of the next datagram */
 	int blamed_sends; /* how often the blamed parts are still to be sent */
 };
