--- a/serve/serve.h
+++ b/serve/serve.h
@@ -109,6 +109,7 @@
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
 	breaker_t breaker;
+	named_limit_t limit; /* in its last answer to this instance */
 	struct crash_check *crash_check; /* in progress, or NULL */
 	ms_t crash_checked_at;		 /* the last one, 0: never */
 	bool changed;	     /* own share changed since it was last sent */
