--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -23,9 +23,9 @@
 {
 	buf_fmt(&c->conn.http->out,
 	    "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n"
-	    "Server-Load: 1,0,8\r\n%s",
+	    "Server-Load: 1,0,8\r\n%s%s",
 	    status, http_reason(status), c->call->id, endpoint_of(c)->id,
-	    extra);
+	    endpoint_of(c)->limit, extra);
 }
 
 /* An answer without a length; a reset marks it as incomplete. */
@@ -258,6 +258,7 @@
 		endpoint_send_report(c);
 		return;
 	}
+	g_array_append_val(ep->arrivals, ep->server.loop->now);
 	if (refuse_call(c))
 		return;
 	c->call = record_call(c);
@@ -353,6 +354,7 @@
 	ep->slots = o->adapter_slots;
 	ep->executed = g_ptr_array_new_with_free_func(free_call);
 	ep->orders = g_ptr_array_new_with_free_func(g_free);
+	ep->arrivals = g_array_new(FALSE, FALSE, sizeof(ms_t));
 	ep->models = g_ptr_array_new_with_free_func(endpoint_free_model);
 	str_copy(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
 	str_copy(ep->model, ID_MAX, o->model != NULL ? o->model : "");
@@ -369,6 +371,21 @@
 	ep->fault = f;
 }
 
+void
+fake_endpoint_set_limit(fake_endpoint_t *ep, const char *text)
+{
+	ep->limit[0] = '\0';
+	if (text != NULL)
+		snprintf(
+		    ep->limit, sizeof(ep->limit), "Server-Limit: %s\r\n", text);
+}
+
+const GArray *
+fake_endpoint_arrivals(const fake_endpoint_t *ep)
+{
+	return ep->arrivals;
+}
+
 void
 fake_endpoint_set_silence(fake_endpoint_t *ep, int64_t after, ms_t span)
 {
@@ -457,6 +474,7 @@
 		http_server_close(&ep->server);
 	g_ptr_array_free(ep->executed, TRUE);
 	g_ptr_array_free(ep->orders, TRUE);
+	g_array_free(ep->arrivals, TRUE);
 	g_ptr_array_free(ep->models, TRUE);
 	g_free(ep);
 }
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -108,6 +108,13 @@
  */
 void fake_endpoint_set_crash_part(
     fake_endpoint_t *ep, uint64_t part, ms_t down);
+/**
+ * Name a limit, the value of a Server-Limit field, in all answers from now on.
+ * It isn't enforced. @param text copied; NULL: name none
+ */
+void fake_endpoint_set_limit(fake_endpoint_t *ep, const char *text);
+/** @return when each call arrived, refused ones too: ms_t. */
+const GArray *fake_endpoint_arrivals(const fake_endpoint_t *ep);
 /** @return crashes since the start. */
 int fake_endpoint_crashes(const fake_endpoint_t *ep);
 /** @return whether the prompt of a call has the part, not as its last one. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -46,6 +46,8 @@
 	GPtrArray *executed, *orders;
 	GPtrArray *models; /* loaded_model_t */
 	int64_t seq;
+	char limit[64];	     /* the header line, or empty */
+	GArray *arrivals;    /* ms_t */
 	uint64_t crash_part; /* 0: none */
 	ms_t crash_down_ms;
 	int crashes;
--- /dev/null
+++ b/tests/limit_proc.c
@@ -0,0 +1,171 @@
+/*
+ * An endpoint that names a limit in its answers gets no more calls than that
+ * from all daemons together. Three daemons, of which each sees the answers to
+ * its own calls only.
+ */
+#include "tests/fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DAEMONS = 3,
+	EVENTS = 3,
+	EVENT_GAP_MS = 20,
+	STABILITY_MS = 3000, /* stability_window_ms of the daemons' settings */
+	WINDOW_MS = 4000,    /* in which arrivals are counted */
+	EXTRA = 5,	     /* arrivals allowed beyond the limit's factor */
+	CALL_GAP_MS = 25,
+	SPAN_MS = 9000,
+	ANSWER_MS = 7000,
+	REFUSAL_MS = 500, /* of a call that can't run */
+};
+static const double factor = 1.5; /* on what the limit allows in a window */
+
+typedef struct traffic {
+	fixture_t *st;
+	GPtrArray *calls; /* caller_t */
+	int n;
+	int daemons; /* the first of them get all calls */
+	bool plain;  /* calls to "app", else to "llm" */
+} traffic_t;
+
+static traffic_t *
+traffic_new(int nendpoint, bool plain)
+{
+	traffic_t *t = g_new0(traffic_t, 1);
+	fake_endpoint_opts_t stream = { .model = "m1",
+		.events = EVENTS,
+		.event_gap = EVENT_GAP_MS,
+		.adapter_slots = 4 };
+	fake_endpoint_opts_t app = { .plain_ms = 20 };
+	int i;
+
+	t->st = fixture_new();
+	fixture_put_config(t->st, "");
+	for (i = 0; i < nendpoint; i++)
+		fixture_add_endpoint(
+		    t->st, plain ? &app : &stream, plain ? "app" : "llm");
+	for (i = 0; i < DAEMONS; i++)
+		fixture_start_daemon(t->st, i, true);
+	t->calls = g_ptr_array_new();
+	t->daemons = DAEMONS;
+	t->plain = plain;
+	return t;
+}
+
+static void
+traffic_free(traffic_t *t)
+{
+	guint i;
+
+	for (i = 0; i < t->calls->len; i++)
+		caller_free(t->calls->pdata[i]);
+	g_ptr_array_free(t->calls, TRUE);
+	fixture_free(t->st);
+	g_free(t);
+}
+
+static caller_t *
+make_call(traffic_t *t)
+{
+	char id[32], headers[160];
+	int n = t->n++;
+	caller_t *c;
+
+	snprintf(id, sizeof(id), "r%d", n);
+	snprintf(headers, sizeof(headers),
+	    t->plain ? "Deadline-Remaining: 1900\r\n"
+		     : "Model: m1\r\nToken-Usage: 40,6\r\n"
+		       "Deadline-Remaining: 5000\r\n"
+		       "Prompt-Prefix: f1:20,%x:20\r\n",
+	    0x1000 + n);
+	c = caller_call(t->st, n % t->daemons, t->plain ? "GET" : "POST",
+	    t->plain ? "/safe/a" : "/gen/a", id, headers);
+	g_ptr_array_add(t->calls, c);
+	return c;
+}
+
+static void
+traffic_run(traffic_t *t, ms_t span)
+{
+	ms_t now = clock_now(&machine_clock), end = now + span, next = now;
+
+	for (; now < end; now = clock_now(&machine_clock)) {
+		if (now >= next) {
+			make_call(t);
+			next += CALL_GAP_MS;
+		}
+		loop_turn(&t->st->loop, 5);
+	}
+}
+
+/* Arrivals at an endpoint from @p from on, before @p to. */
+static int
+arrivals(const fixture_t *st, int endpoint, ms_t from, ms_t to)
+{
+	const GArray *a = fake_endpoint_arrivals(st->endpoint[endpoint]);
+	guint i;
+	int n = 0;
+
+	for (i = 0; i < a->len; i++)
+		n += g_array_index(a, ms_t, i) >= from &&
+		     g_array_index(a, ms_t, i) < to;
+	return n;
+}
+
+/* The most arrivals in any window that begins at or after @p from. */
+static int
+most_in_window(const fixture_t *st, int endpoint, ms_t from)
+{
+	const GArray *a = fake_endpoint_arrivals(st->endpoint[endpoint]);
+	guint i;
+	int n, most = 0;
+
+	for (i = 0; i < a->len; i++) {
+		ms_t at = g_array_index(a, ms_t, i);
+
+		n = at >= from ? arrivals(st, endpoint, at, at + WINDOW_MS) : 0;
+		if (n > most)
+			most = n;
+	}
+	return most;
+}
+
+static void
+assert_limit_kept(const fixture_t *st, int endpoint, double limit, ms_t from)
+{
+	int most = most_in_window(st, endpoint, from);
+
+	g_test_message("limit=%g most=%d", limit, most);
+	g_assert_cmpfloat(most, <=, factor * limit * WINDOW_MS / 1000 + EXTRA);
+}
+
+/* Guards against each daemon sending as much as before, or the whole limit. */
+static void
+limit_bounds_the_sum_of_all_daemons(void)
+{
+	traffic_t *t = traffic_new(3, false);
+	ms_t named;
+
+	traffic_run(t, 1000);
+	fake_endpoint_set_limit(t->st->endpoint[0], "1.3");
+	named = t->st->loop.now;
+	traffic_run(t, SPAN_MS);
+	assert_limit_kept(t->st, 0, 1.3, named + STABILITY_MS);
+	/* The others take the rest. */
+	g_assert_cmpint(arrivals(t->st, 1, named, INT64_MAX) +
+			    arrivals(t->st, 2, named, INT64_MAX),
+	    >, SPAN_MS / CALL_GAP_MS / 2);
+	traffic_free(t);
+}
+
+#define T(name) g_test_add_func("/limit/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(limit_bounds_the_sum_of_all_daemons);
+	return g_test_run();
+}
