--- a/serve/blame.h
+++ b/serve/blame.h
@@ -67,6 +67,6 @@
 /** Ask the holder whether a call with the part may be a trial. */
 void blame_ask_trial(serve_t *s, uint64_t part);
 void blame_receive(
-    serve_t *s, const Digest__PromptBlame *m, const struct sockaddr_in *from);
+    serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *from);
 
 #endif
--- a/serve/blame_send.c
+++ b/serve/blame_send.c
@@ -1,12 +1,10 @@
 /*
  * What instances tell each other of prompt parts that crash endpoints. A
  * datagram may be lost, so each report is sent several times; receivers join
- * the repeats. Where instances are many, one in each other failure domain
- * passes it on.
+ * the repeats.
  */
 #include "serve/blame.h"
-
-#include <string.h>
+#include "serve/spread.h"
 
 enum {
 	SENDS = 3, /* of each report */
@@ -130,73 +128,22 @@
 	t->m.n_blamed = (size_t)b->nblamed;
 }
 
-static size_t
-pack(Digest__PromptBlame *m, uint8_t *bytes, size_t size)
-{
-	Digest__Digest d = DIGEST__DIGEST__INIT;
-
-	d.blame = m;
-	if (digest__digest__get_packed_size(&d) > size) {
-		log_limited(LOG_WARNING, "digest-cut",
-		    "crashes=%zu begun=%zu blamed=%zu", m->n_crash, m->n_begun,
-		    m->n_blamed);
-		return 0;
-	}
-	return digest__digest__pack(&d, bytes);
-}
-
 static void
 message_send(serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *to)
 {
-	static uint8_t bytes[DATAGRAM_MAX];
-	size_t n = pack(m, bytes, sizeof(bytes));
-
-	if (n > 0)
-		send_datagram(s, to, bytes, n);
-}
-
-/* To one instance of each other failure domain, which passes it on. */
-static void
-send_to_relays(serve_t *s, const uint8_t *bytes, size_t n)
-{
-	const char *done[CONF_DOMAINS_MAX];
-	int i, k, ndone = 0;
-
-	for (i = 0; i < s->peers.npeer; i++) {
-		const peer_t *p = s->peers.peer[i], *relay;
+	Digest__Digest d = DIGEST__DIGEST__INIT;
 
-		if (peer_same_domain(s, p))
-			continue;
-		for (k = 0; k < ndone && strcmp(done[k], p->domain) != 0; k++)
-			;
-		if (k < ndone || ndone == CONF_DOMAINS_MAX)
-			continue;
-		done[ndone++] = p->domain;
-		relay = domain_relay(s, p->domain);
-		if (relay != NULL)
-			send_datagram(s, &relay->sa, bytes, n);
-	}
+	d.blame = m;
+	spread_to(s, &d, to);
 }
 
 static void
-send_to_all(serve_t *s, Digest__PromptBlame *m)
+message_spread(serve_t *s, Digest__PromptBlame *m)
 {
-	static uint8_t bytes[DATAGRAM_MAX];
-	bool few = s->peers.npeer < DOMAIN_RELAY_MIN_PEERS;
-	size_t n = pack(m, bytes, sizeof(bytes));
-	int i;
+	Digest__Digest d = DIGEST__DIGEST__INIT;
 
-	if (n == 0)
-		return;
-	if (!few) {
-		send_within_domain(s, bytes, n);
-		m->pass_on = true;
-		n = pack(m, bytes, sizeof(bytes));
-		send_to_relays(s, bytes, n);
-		return;
-	}
-	for (i = 0; i < s->peers.npeer; i++)
-		send_datagram(s, &s->peers.peer[i]->sa, bytes, n);
+	d.blame = m;
+	spread(s, &d, &m->pass_on);
 }
 
 /* Sending. */
@@ -235,7 +182,7 @@
 		add_blamed(s, &t);
 	}
 	if (t.m.n_crash + t.m.n_begun + t.m.n_blamed > 0)
-		send_to_all(s, &t.m);
+		message_spread(s, &t.m);
 	if (f->unsent->len > 0 || f->blamed_sends > 0)
 		alarm_set(
 		    &s->loop, &f->send_alarm, s->loop.now + SEND_INTERVAL_MS);
@@ -281,23 +228,12 @@
 	send_by(s, s->loop.now + (ms_t)(rng_unit(&s->rng) * most));
 }
 
-static const peer_t *
-find_holder(const serve_t *s)
-{
-	int i;
-
-	for (i = 0; i < s->peers.npeer; i++)
-		if (s->peers.peer[i]->holder && peer_alive(s, s->peers.peer[i]))
-			return s->peers.peer[i];
-	return NULL;
-}
-
 void
 blame_ask_trial(serve_t *s, uint64_t part)
 {
 	Digest__PromptBlame m = DIGEST__PROMPT_BLAME__INIT;
 	blamed_part_t *p = blame_find(&s->blame->blame, part);
-	const peer_t *holder = find_holder(s);
+	const peer_t *holder = live_holder(s);
 
 	if (p == NULL || holder == NULL ||
 	    is_recent(p->trial_asked_at, s->loop.now, ASK_INTERVAL_MS))
@@ -355,31 +291,18 @@
 	}
 }
 
-/* It came from another domain: this instance is the relay of its own. */
-static void
-pass_on(serve_t *s, const Digest__PromptBlame *m)
-{
-	static uint8_t bytes[DATAGRAM_MAX];
-	Digest__PromptBlame copy = *m;
-	size_t n;
-
-	copy.pass_on = false;
-	n = pack(&copy, bytes, sizeof(bytes));
-	if (n > 0)
-		send_within_domain(s, bytes, n);
-}
-
 void
 blame_receive(
-    serve_t *s, const Digest__PromptBlame *m, const struct sockaddr_in *from)
+    serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *from)
 {
+	Digest__Digest copy = DIGEST__DIGEST__INIT;
 	blame_t *b = &s->blame->blame;
 	size_t i;
 
 	if (peer_at(s, from) == NULL)
 		return;
-	if (m->pass_on)
-		pass_on(s, m);
+	copy.blame = m;
+	spread_on(s, &copy, &m->pass_on);
 	for (i = 0; i < m->n_begun && i < m->n_begun_ago; i++)
 		if (blame_part_began(b, m->begun[i],
 			s->loop.now - (ms_t)m->begun_ago[i], false))
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -1,6 +1,7 @@
 /* The lease in the store: its holder alone sends orders to endpoints. */
 #include "serve/blame.h"
 #include "serve/plan.h"
+#include "serve/spread.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -253,18 +254,6 @@
 	    p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, on_lease_read, p);
 }
 
-/* Is another live instance the holder? */
-static bool
-live_holder_known(const serve_t *s)
-{
-	int i;
-
-	for (i = 0; i < s->peers.npeer; i++)
-		if (s->peers.peer[i]->holder && peer_alive(s, s->peers.peer[i]))
-			return true;
-	return false;
-}
-
 /* Reads are charged, so instances that rank lower read less often. */
 static ms_t
 check_delay(const serve_t *s)
@@ -295,7 +284,7 @@
 	/* When all start together, the strongest acquire the lease first. */
 	if (now - s->started_at < STRONG_HEAD_START_MS && has_stronger_peer(s))
 		return;
-	if (live_holder_known(s)) {
+	if (live_holder(s) != NULL) {
 		p->leadership.read = false;
 		p->lease_check_at = now + check_delay(s);
 		return;
