serve, policy: an endpoint's limit of calls bounds the sum of all instances

The users saw: an endpoint that named 1.3 requests a second got 13 in 4 s from machines that it had told, and as many as before the limit.

Change: an answer's limit is decoded, kept for the endpoint's incarnation and sent to all instances when it changes. A call goes to such an endpoint only with a permit. The holder of the lease gives permits at the endpoint's rate to whoever asks, so the sum is bounded and skewed calls get all of it; who gets no answer keeps to its part of half the rate. New calls, queued ones, repeats, resumes and probes of the circuit breaker pass the same place, send_to(). With the giver's answer an instance knows when the next permit may come, so a call that can't get one in time is refused at once. An answer ends a limit only if its call was sent after the limit was last named, as answers may overtake each other.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/limits.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -320,22 +321,6 @@
 	arrival_note(&c->reading.dropped, c->s->loop.now);
 }
 
-/* The limit that an answer names, when it isn't the one named before. */
-static void
-log_limit(call_t *c, const named_limit_t *l)
-{
-	if (l->kind == c->ep->limit.kind && l->rate == c->ep->limit.rate)
-		return;
-	c->ep->limit = *l;
-	log_limited(LOG_NOTICE, "endpoint-limit",
-	    "endpoint=%s request=%s kind=%s rate=%g", c->ep->entry.id,
-	    c->request.id,
-	    l->kind == NAMED_LIMIT_RATE	  ? "rate"
-	    : l->kind == NAMED_LIMIT_NONE ? "none"
-					  : "malformed",
-	    l->rate);
-}
-
 static void
 on_head(void *u, http_conn_t *k)
 {
@@ -362,11 +347,11 @@
 	if (a.running >= 0)
 		workload_set_reported(&w->ep->workload, a.running, a.waiting,
 		    a.slots, w->s->loop.now);
-	log_limit(c, &a.limit);
 	c->response.status = (int)k->parser.status_code;
 	c->response.authentic =
 	    a.signature != NULL && a.call_id != NULL && !a.encoded;
 	c->response.not_run = a.not_run;
+	limits_observe(c, &a.limit);
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
 	c->response.dropped = body_is_dropped(c);
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/limits.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -245,6 +246,7 @@
 		retry_budget_spend(s, c);
 	if (c->trial)
 		blame_trial_sent(c);
+	limits_spend(p);
 	c->had_run_before = c->may_have_run;
 	p->ncall++;
 	breaker_sent(&p->breaker, s->loop.now);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/limits.h"
 
 #include <string.h>
 
@@ -105,12 +105,53 @@
 	double cost, first_ms;
 	int uncached_tokens;
 	bool returning; /* only endpoints that the call may return to */
-	int nusable, nholding, ntried, nfull, nbroken;
+	int nusable, nholding, ntried, nfull, nbroken, nlimited;
+	ep_t *limited; /* the best of those that need a permit */
+	double limited_cost;
 	double least_first_ms; /* least prediction of all endpoints */
 	double least_wait_ms;  /* least time until one accepts the call */
 	double prefill_rate;   /* prompt tokens per ms, of all holders */
 } scan_t;
 
+static double
+endpoint_cost(const call_t *c, const ep_t *p, uint64_t group, double first_ms,
+    int uncached_tokens)
+{
+	const serve_t *s = c->s;
+	bool engine = c->request.model[0] != '\0';
+	double cost_ms =
+	    first_ms + workload_cost_ms(&p->workload, &s->average_speed,
+			   &s->cost_weights, uncached_tokens, c->request.output,
+			   s->loop.now);
+
+	cost_ms *= breaker_time_factor(&p->breaker, s->failure_rate);
+	/*
+	 * By rendezvous hashing, prompts that share a prefix prefer the same
+	 * endpoints.
+	 */
+	cost_ms += preference_step_ms *
+		   (double)(hash64(&p->hash, 8, group) % 1000) / 100;
+	if (strcmp(p->entry.domain, s->conf.domain) != 0)
+		cost_ms += engine ? remote_engine_ms : remote_plain_ms;
+	return cost_ms;
+}
+
+/* An endpoint that takes the call once there is a permit. */
+static void
+consider_limited(const call_t *c, ep_t *p, double cost_ms, scan_t *sc)
+{
+	double wait_ms = (double)limits_wait_ms(c, p);
+
+	sc->nfull++;
+	sc->nlimited++;
+	if (sc->least_wait_ms == 0 || wait_ms < sc->least_wait_ms)
+		sc->least_wait_ms = wait_ms;
+	if (sc->limited != NULL && cost_ms >= sc->limited_cost)
+		return;
+	sc->limited = p;
+	sc->limited_cost = cost_ms;
+}
+
 static void
 consider_endpoint(
     call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
@@ -157,6 +198,11 @@
 		sc->nfull++;
 		return;
 	}
+	if (!limits_allow(s, p)) {
+		consider_limited(c, p,
+		    endpoint_cost(c, p, group, first_ms, uncached_tokens), sc);
+		return;
+	}
 	wait_ms = workload_send_delay_ms(&p->workload, &s->average_speed,
 	    &s->workload_limits, uncached_tokens, now);
 	sc->prefill_rate += workload_prompt_rate(
@@ -167,18 +213,7 @@
 			sc->least_wait_ms = wait_ms;
 		return;
 	}
-	cost_ms = first_ms + workload_cost_ms(&p->workload, &s->average_speed,
-				 &s->cost_weights, uncached_tokens,
-				 c->request.output, now);
-	cost_ms *= breaker_time_factor(&p->breaker, s->failure_rate);
-	/*
-	 * By rendezvous hashing, prompts that share a prefix prefer the same
-	 * endpoints.
-	 */
-	cost_ms += preference_step_ms *
-		   (double)(hash64(&p->hash, 8, group) % 1000) / 100;
-	if (strcmp(p->entry.domain, s->conf.domain) != 0)
-		cost_ms += engine ? remote_engine_ms : remote_plain_ms;
+	cost_ms = endpoint_cost(c, p, group, first_ms, uncached_tokens);
 	if (sc->best != NULL && cost_ms >= sc->cost)
 		return;
 	sc->best = p;
@@ -265,7 +300,9 @@
 		if (sc->prefill_rate > 0)
 			wait_ms +=
 			    call_queue_tokens_ahead(c) / sc->prefill_rate;
-		out->reason = "all endpoints are full";
+		out->reason = sc->nlimited == sc->nfull
+				  ? "its endpoints take no more calls now"
+				  : "all endpoints are full";
 		out->retry_ms = (ms_t)wait_ms + RETRY_AFTER_MIN_MS;
 		if ((double)(now - c->received_at) + wait_ms +
 			sc->least_first_ms <=
@@ -307,6 +344,9 @@
 		    hash_str(c->request.adapter, hash_str(c->request.model, 0));
 	for (i = 0; i < s->endpoints.nep; i++)
 		consider_endpoint(c, s->endpoints.ep[i], key, group, sc);
+	if (sc->limited != NULL &&
+	    (sc->best == NULL || sc->limited_cost < sc->cost))
+		limits_want(c, sc->limited);
 }
 
 static void
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[28] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[29] =
 {
   {
     "sender",
@@ -390,6 +390,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, limits),
+    &digest__call_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -409,6 +421,7 @@
   4,   /* field[4] = leaving */
   21,   /* field[21] = leaving_endpoint */
   22,   /* field[22] = leaving_revision */
+  28,   /* field[28] = limits */
   13,   /* field[13] = prefill_tokens */
   20,   /* field[20] = queued_tokens */
   3,   /* field[3] = ready */
@@ -424,7 +437,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -434,7 +447,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  28,
+  29,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -18,125 +18,138 @@
 
 typedef struct Digest__Digest Digest__Digest;
 
+
 /* --- enums --- */
 
+
 /* --- messages --- */
 
 /*
  * A datagram that an instance sends to the others.
  */
-struct Digest__Digest {
-	ProtobufCMessage base;
-	/*
-	 * hash of the instance's name
-	 */
-	uint64_t sender;
-	uint32_t incarnation;
-	uint32_t sequence;
-	protobuf_c_boolean ready;
-	protobuf_c_boolean leaving;
-	protobuf_c_boolean holder;
-	/*
-	 * the process ends
-	 */
-	protobuf_c_boolean exiting;
-	/*
-	 * shares at endpoints not listed are zero
-	 */
-	protobuf_c_boolean full;
-	protobuf_c_boolean full_demand;
-	Digest__Identity *identity;
-	/*
-	 * The store's revision at the last change seen of each kind.
-	 */
-	int64_t config_revision;
-	int64_t endpoint_revision;
-	/*
-	 * Endpoints that leave or are gone, and the revision that showed it.
-	 */
-	size_t n_leaving_endpoint;
-	uint32_t *leaving_endpoint;
-	size_t n_leaving_revision;
-	int64_t *leaving_revision;
-	/*
-	 * It has lost contact with the store: others must watch for its domain.
-	 */
-	protobuf_c_boolean store_lost;
-	/*
-	 * It has seen several software versions of some service lately.
-	 */
-	protobuf_c_boolean several_versions;
-	/*
-	 * Hash of the domain whose sums the shares are, sent by its relay.
-	 * 0: the shares are the sender's own.
-	 */
-	uint32_t sum_domain;
-	/*
-	 * prompt tokens of its waiting calls
-	 */
-	uint32_t queued_tokens;
-	/*
-	 * of the holder's last renewal
-	 */
-	int64_t lease_revision;
-	/*
-	 * Shares at endpoints; each list has one element for each endpoint.
-	 */
-	/*
-	 * hash of its id
-	 */
-	size_t n_endpoint;
-	uint32_t *endpoint;
-	size_t n_prefill_tokens;
-	uint32_t *prefill_tokens;
-	size_t n_running;
-	uint32_t *running;
-	/*
-	 * of KV_UNIT_TOKENS each
-	 */
-	size_t n_kv_units;
-	uint32_t *kv_units;
-	/*
-	 * prompt tokens since the start
-	 */
-	size_t n_sent_tokens;
-	uint32_t *sent_tokens;
-	size_t n_demand;
-	Digest__Demand **demand;
-	size_t n_accepted_order;
-	Digest__AcceptedOrder **accepted_order;
-	Digest__StreamVersions *streams;
-	Digest__PromptBlame *blame;
+struct  Digest__Digest
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the instance's name
+   */
+  uint64_t sender;
+  uint32_t incarnation;
+  uint32_t sequence;
+  protobuf_c_boolean ready;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean holder;
+  /*
+   * the process ends
+   */
+  protobuf_c_boolean exiting;
+  /*
+   * shares at endpoints not listed are zero
+   */
+  protobuf_c_boolean full;
+  protobuf_c_boolean full_demand;
+  Digest__Identity *identity;
+  /*
+   * The store's revision at the last change seen of each kind.
+   */
+  int64_t config_revision;
+  int64_t endpoint_revision;
+  /*
+   * Endpoints that leave or are gone, and the revision that showed it.
+   */
+  size_t n_leaving_endpoint;
+  uint32_t *leaving_endpoint;
+  size_t n_leaving_revision;
+  int64_t *leaving_revision;
+  /*
+   * It has lost contact with the store: others must watch for its domain.
+   */
+  protobuf_c_boolean store_lost;
+  /*
+   * It has seen several software versions of some service lately.
+   */
+  protobuf_c_boolean several_versions;
+  /*
+   * Hash of the domain whose sums the shares are, sent by its relay.
+   * 0: the shares are the sender's own.
+   */
+  uint32_t sum_domain;
+  /*
+   * prompt tokens of its waiting calls
+   */
+  uint32_t queued_tokens;
+  /*
+   * of the holder's last renewal
+   */
+  int64_t lease_revision;
+  /*
+   * Shares at endpoints; each list has one element for each endpoint.
+   */
+  /*
+   * hash of its id
+   */
+  size_t n_endpoint;
+  uint32_t *endpoint;
+  size_t n_prefill_tokens;
+  uint32_t *prefill_tokens;
+  size_t n_running;
+  uint32_t *running;
+  /*
+   * of KV_UNIT_TOKENS each
+   */
+  size_t n_kv_units;
+  uint32_t *kv_units;
+  /*
+   * prompt tokens since the start
+   */
+  size_t n_sent_tokens;
+  uint32_t *sent_tokens;
+  size_t n_demand;
+  Digest__Demand **demand;
+  size_t n_accepted_order;
+  Digest__AcceptedOrder **accepted_order;
+  Digest__StreamVersions *streams;
+  Digest__PromptBlame *blame;
+  Digest__CallLimits *limits;
 };
-#define DIGEST__DIGEST__INIT                                                  \
-	{                                                                     \
-		PROTOBUF_C_MESSAGE_INIT(&digest__digest__descriptor)          \
-		, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, NULL, 0, NULL, 0, \
-		    0, 0, 0, 0, 0, NULL, 0, NULL, 0, NULL, 0, NULL, 0, NULL,  \
-		    0, NULL, 0, NULL, NULL, NULL                              \
-	}
+#define DIGEST__DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+
 
 /* Digest__Digest methods */
-void digest__digest__init(Digest__Digest *message);
-size_t digest__digest__get_packed_size(const Digest__Digest *message);
-size_t digest__digest__pack(const Digest__Digest *message, uint8_t *out);
-size_t digest__digest__pack_to_buffer(
-    const Digest__Digest *message, ProtobufCBuffer *buffer);
-Digest__Digest *digest__digest__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
-void digest__digest__free_unpacked(
-    Digest__Digest *message, ProtobufCAllocator *allocator);
+void   digest__digest__init
+                     (Digest__Digest         *message);
+size_t digest__digest__get_packed_size
+                     (const Digest__Digest   *message);
+size_t digest__digest__pack
+                     (const Digest__Digest   *message,
+                      uint8_t             *out);
+size_t digest__digest__pack_to_buffer
+                     (const Digest__Digest   *message,
+                      ProtobufCBuffer     *buffer);
+Digest__Digest *
+       digest__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   digest__digest__free_unpacked
+                     (Digest__Digest *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
-typedef void (*Digest__Digest_Closure)(
-    const Digest__Digest *message, void *closure_data);
+typedef void (*Digest__Digest_Closure)
+                 (const Digest__Digest *message,
+                  void *closure_data);
 
 /* --- services --- */
 
+
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor digest__digest__descriptor;
 
 PROTOBUF_C__END_DECLS
 
-#endif /* PROTOBUF_C_serve_2fdigest_2eproto__INCLUDED */
+
+#endif  /* PROTOBUF_C_serve_2fdigest_2eproto__INCLUDED */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -322,6 +322,186 @@
   assert(message->base.descriptor == &digest__blamed_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__call_limits__init
+                     (Digest__CallLimits         *message)
+{
+  static const Digest__CallLimits init_value = DIGEST__CALL_LIMITS__INIT;
+  *message = init_value;
+}
+size_t digest__call_limits__get_packed_size
+                     (const Digest__CallLimits *message)
+{
+  assert(message->base.descriptor == &digest__call_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__call_limits__pack
+                     (const Digest__CallLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__call_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__call_limits__pack_to_buffer
+                     (const Digest__CallLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__call_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__CallLimits *
+       digest__call_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__CallLimits *)
+     protobuf_c_message_unpack (&digest__call_limits__descriptor,
+                                allocator, len, data);
+}
+void   digest__call_limits__free_unpacked
+                     (Digest__CallLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__call_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   digest__call_limit__init
+                     (Digest__CallLimit         *message)
+{
+  static const Digest__CallLimit init_value = DIGEST__CALL_LIMIT__INIT;
+  *message = init_value;
+}
+size_t digest__call_limit__get_packed_size
+                     (const Digest__CallLimit *message)
+{
+  assert(message->base.descriptor == &digest__call_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__call_limit__pack
+                     (const Digest__CallLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__call_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__call_limit__pack_to_buffer
+                     (const Digest__CallLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__call_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__CallLimit *
+       digest__call_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__CallLimit *)
+     protobuf_c_message_unpack (&digest__call_limit__descriptor,
+                                allocator, len, data);
+}
+void   digest__call_limit__free_unpacked
+                     (Digest__CallLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__call_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   digest__permit_request__init
+                     (Digest__PermitRequest         *message)
+{
+  static const Digest__PermitRequest init_value = DIGEST__PERMIT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t digest__permit_request__get_packed_size
+                     (const Digest__PermitRequest *message)
+{
+  assert(message->base.descriptor == &digest__permit_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__permit_request__pack
+                     (const Digest__PermitRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__permit_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__permit_request__pack_to_buffer
+                     (const Digest__PermitRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__permit_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__PermitRequest *
+       digest__permit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__PermitRequest *)
+     protobuf_c_message_unpack (&digest__permit_request__descriptor,
+                                allocator, len, data);
+}
+void   digest__permit_request__free_unpacked
+                     (Digest__PermitRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__permit_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   digest__permit_grant__init
+                     (Digest__PermitGrant         *message)
+{
+  static const Digest__PermitGrant init_value = DIGEST__PERMIT_GRANT__INIT;
+  *message = init_value;
+}
+size_t digest__permit_grant__get_packed_size
+                     (const Digest__PermitGrant *message)
+{
+  assert(message->base.descriptor == &digest__permit_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__permit_grant__pack
+                     (const Digest__PermitGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__permit_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__permit_grant__pack_to_buffer
+                     (const Digest__PermitGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__permit_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__PermitGrant *
+       digest__permit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__PermitGrant *)
+     protobuf_c_message_unpack (&digest__permit_grant__descriptor,
+                                allocator, len, data);
+}
+void   digest__permit_grant__free_unpacked
+                     (Digest__PermitGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__permit_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor digest__identity__field_descriptors[5] =
 {
   {
@@ -1004,3 +1184,285 @@
   (ProtobufCMessageInit) digest__blamed_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__call_limits__field_descriptors[4] =
+{
+  {
+    "limit",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__CallLimits, n_limit),
+    offsetof(Digest__CallLimits, limit),
+    &digest__call_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__CallLimits, n_request),
+    offsetof(Digest__CallLimits, request),
+    &digest__permit_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__CallLimits, n_grant),
+    offsetof(Digest__CallLimits, grant),
+    &digest__permit_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__CallLimits, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__call_limits__field_indices_by_name[] = {
+  2,   /* field[2] = grant */
+  0,   /* field[0] = limit */
+  3,   /* field[3] = pass_on */
+  1,   /* field[1] = request */
+};
+static const ProtobufCIntRange digest__call_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor digest__call_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.CallLimits",
+  "CallLimits",
+  "Digest__CallLimits",
+  "digest",
+  sizeof(Digest__CallLimits),
+  4,
+  digest__call_limits__field_descriptors,
+  digest__call_limits__field_indices_by_name,
+  1,  digest__call_limits__number_ranges,
+  (ProtobufCMessageInit) digest__call_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor digest__call_limit__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__CallLimit, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_at",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__CallLimit, started_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__CallLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ago",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__CallLimit, ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__call_limit__field_indices_by_name[] = {
+  3,   /* field[3] = ago */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = rate */
+  1,   /* field[1] = started_at */
+};
+static const ProtobufCIntRange digest__call_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor digest__call_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.CallLimit",
+  "CallLimit",
+  "Digest__CallLimit",
+  "digest",
+  sizeof(Digest__CallLimit),
+  4,
+  digest__call_limit__field_descriptors,
+  digest__call_limit__field_indices_by_name,
+  1,  digest__call_limit__number_ranges,
+  (ProtobufCMessageInit) digest__call_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor digest__permit_request__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitRequest, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitRequest, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__permit_request__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = permits */
+};
+static const ProtobufCIntRange digest__permit_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor digest__permit_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.PermitRequest",
+  "PermitRequest",
+  "Digest__PermitRequest",
+  "digest",
+  sizeof(Digest__PermitRequest),
+  2,
+  digest__permit_request__field_descriptors,
+  digest__permit_request__field_indices_by_name,
+  1,  digest__permit_request__number_ranges,
+  (ProtobufCMessageInit) digest__permit_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor digest__permit_grant__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitGrant, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitGrant, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_in",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitGrant, next_in),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__PermitGrant, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__permit_grant__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = next_in */
+  1,   /* field[1] = permits */
+  3,   /* field[3] = share */
+};
+static const ProtobufCIntRange digest__permit_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor digest__permit_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.PermitGrant",
+  "PermitGrant",
+  "Digest__PermitGrant",
+  "digest",
+  sizeof(Digest__PermitGrant),
+  4,
+  digest__permit_grant__field_descriptors,
+  digest__permit_grant__field_indices_by_name,
+  1,  digest__permit_grant__number_ranges,
+  (ProtobufCMessageInit) digest__permit_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -2,7 +2,7 @@
  * The table of endpoints: their entries in the store, and the orders that the
  * entries may not show yet.
  */
-#include "serve/serve.h"
+#include "serve/limits.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -70,6 +70,7 @@
 	p->nknown = 0;
 	p->order_count = 0;
 	memset(&p->breaker, 0, sizeof(p->breaker));
+	limits_forget(p);
 }
 
 bool
@@ -185,6 +186,7 @@
 		plan_forget_endpoint(s, p);
 		peers_forget_endpoint(s, p);
 		f->ep[i] = f->ep[--f->nep];
+		limits_forget(p);
 		loop_free_later(&s->loop, p);
 	}
 }
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -8,6 +8,7 @@
 #include "net/net.h"
 #include "platform/platform.h"
 #include "policy/breaker.h"
+#include "policy/call_limit.h"
 #include "policy/workload.h"
 
 #include <glib.h>
@@ -102,7 +103,9 @@
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
 	breaker_t breaker;
-	named_limit_t limit; /* in its last answer to this instance */
+	call_limit_t limit;
+	int limit_sends; /* how often it is still to be sent to others */
+	struct ep_permits *permits;	 /* NULL: none needed yet */
 	struct crash_check *crash_check; /* in progress, or NULL */
 	ms_t crash_checked_at;		 /* the last one, 0: never */
 	bool changed;	     /* own share changed since it was last sent */
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -12,13 +12,14 @@
 update_gauges(serve_t *s)
 {
 	double error = 0;
-	int i, usable = 0, open = 0, n = 0;
+	int i, usable = 0, open = 0, limited = 0, n = 0;
 
 	for (i = 0; i < s->endpoints.nep; i++) {
 		const ep_t *p = s->endpoints.ep[i];
 
 		usable += ep_usable(p);
 		open += !breaker_allows(&p->breaker, s->loop.now);
+		limited += ep_usable(p) && p->limit.active;
 		if (p->workload.prediction_error > 0) {
 			error += p->workload.prediction_error;
 			n++;
@@ -36,6 +37,8 @@
 	    "ebonypitch_endpoints", "Endpoints that may be used.", usable);
 	set_gauge(
 	    "ebonypitch_endpoints_open", "Endpoints left for failures.", open);
+	set_gauge("ebonypitch_endpoints_limited",
+	    "Endpoints that name a limit of calls.", limited);
 	set_gauge(
 	    "ebonypitch_calls", "Calls in progress.", table_count(s->calls));
 	set_gauge("ebonypitch_guests", "Callers' connections.", s->ncaller);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/limits.h"
 #include "serve/shares.h"
 
 #include <arpa/inet.h>
@@ -412,6 +413,8 @@
 			streams_receive(s, d->streams, &from);
 		else if (d->blame != NULL)
 			blame_receive(s, d->blame, &from);
+		else if (d->limits != NULL)
+			limits_receive(s, d->limits, &from);
 		else if (d->sum_domain != 0)
 			receive_sum(s, d, &from, bytes, (size_t)n);
 		else
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -86,6 +86,19 @@
 	return tokens_here + tokens_elsewhere * model_share / 2;
 }
 
+int
+call_queue_calls_ahead(const call_t *c)
+{
+	const call_t *o;
+	int n = 0;
+
+	for (o = c->s->wait_queue; o != NULL && o != c; o = o->next_waiting)
+		n += strcmp(o->service, c->service) == 0 &&
+		     strcmp(o->request.model, c->request.model) == 0 &&
+		     (c->queued || goes_before(o, c));
+	return n;
+}
+
 void
 call_queue_dispatch(serve_t *s)
 {
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -1,5 +1,6 @@
 /* Startup, settings, the event loop's hooks and shutdown. */
 #include "serve/blame.h"
+#include "serve/limits.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -235,6 +236,7 @@
 	s->calls = table_new(sizeof(call_t *), CALLS_MAX);
 	streams_init(s);
 	blame_feed_init(s);
+	limits_init(s);
 	ep_table_init(&s->endpoints);
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -229,6 +229,8 @@
  * by their digests, on other instances.
  */
 double call_queue_tokens_ahead(const call_t *c);
+/** @return calls of the same service and model queued ahead of the call here */
+int call_queue_calls_ahead(const call_t *c);
 void call_queue_init(serve_t *s);
 
 /** Choose an endpoint that the call wasn't sent to yet. */
@@ -573,6 +575,7 @@
 	bool software_read; /* the history in the lease, or there is none */
 	stream_table_t streams;
 	blame_feed_t *blame;
+	struct limits_feed *limits;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
