serve/limits.c: the holder repeats limits; refusals count who else asks

tests/limit_proc.c found both. An instance that wasn't known as a peer when a limit was spread learned it from its own first answers only: 20 of 20 calls at once reached the endpoint. And a call waited 0.9 s for the next permit though two other instances asked for the same one; now the giver says for how long others may go first, and the call is refused at once.

--- a/policy/call_limit.c
+++ b/policy/call_limit.c
@@ -134,6 +134,7 @@
 	g->permits -= a.permits;
 	a.next_ms = clamp_next((1 - g->permits) * 1000 / l->rate *
 			       (1 + (double)askers / ASKERS_PER_PERIOD));
+	a.turn_ms = (ms_t)((askers - 1) * 1000 / l->rate);
 	a.share_ms = (ms_t)(askers * 1000 / l->rate);
 	return a;
 }
@@ -196,6 +197,7 @@
 		be_alone(p, sharers->phase, now);
 	if (p->alone) {
 		collect_own(p, rate, now);
+		p->turn_ms = 0;
 		p->share_ms = (ms_t)(1000 / rate);
 	}
 	if (now < p->ask_at)
@@ -215,6 +217,7 @@
 		p->held = PERMITS_MAX;
 	p->expire_at = now + PERMIT_LIFE_MS;
 	p->ask_at = now + a->next_ms;
+	p->turn_ms = a->turn_ms;
 	p->share_ms = a->share_ms;
 	p->asked_at = 0;
 	p->alone = false;
@@ -225,5 +228,10 @@
 {
 	ms_t next = p->ask_at > now ? p->ask_at - now : 0;
 
-	return next + ahead * p->share_ms;
+	/* The giver's answer will tell. */
+	if (p->asked_at != 0 && !p->alone)
+		return 0;
+	if (p->alone)
+		next = (ms_t)((1 - p->own) * (double)p->share_ms);
+	return next + p->turn_ms + ahead * p->share_ms;
 }
--- a/policy/call_limit.h
+++ b/policy/call_limit.h
@@ -49,6 +49,7 @@
 typedef struct permit_answer {
 	int permits;
 	ms_t next_ms;  /* until it is worth asking again */
+	ms_t turn_ms;  /* for which others who ask may go first */
 	ms_t share_ms; /* between permits to one of those who ask */
 } permit_answer_t;
 
@@ -59,10 +60,10 @@
 /** The permits for one endpoint that an instance holds. */
 typedef struct permits {
 	int held;
-	ms_t expire_at; /* those held */
-	ms_t ask_at;	/* not before */
-	ms_t asked_at;	/* without an answer yet, 0: not */
-	ms_t share_ms;	/* by the last answer, 0: unknown */
+	ms_t expire_at;		/* those held */
+	ms_t ask_at;		/* not before */
+	ms_t asked_at;		/* without an answer yet, 0: not */
+	ms_t turn_ms, share_ms; /* by the last answer, 0: unknown */
 	/* Without a giver. */
 	bool alone;
 	double own; /* permits, of this instance's part of the rate */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -1389,7 +1389,7 @@
   (ProtobufCMessageInit) digest__permit_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__permit_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor digest__permit_grant__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -1428,11 +1428,23 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "share",
+    "turn",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
+    offsetof(Digest__PermitGrant, turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
     offsetof(Digest__PermitGrant, share),
     NULL,
     NULL,
@@ -1444,12 +1456,13 @@
   0,   /* field[0] = endpoint */
   2,   /* field[2] = next_in */
   1,   /* field[1] = permits */
-  3,   /* field[3] = share */
+  4,   /* field[4] = share */
+  3,   /* field[3] = turn */
 };
 static const ProtobufCIntRange digest__permit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor digest__permit_grant__descriptor =
 {
@@ -1459,7 +1472,7 @@
   "Digest__PermitGrant",
   "digest",
   sizeof(Digest__PermitGrant),
-  4,
+  5,
   digest__permit_grant__field_descriptors,
   digest__permit_grant__field_indices_by_name,
   1,  digest__permit_grant__number_ranges,
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -311,6 +311,10 @@
    * ms until it is worth asking again
    */
   uint32_t next_in;
+  /*
+   * ms for which others may go first
+   */
+  uint32_t turn;
   /*
    * ms between permits to one instance
    */
@@ -318,7 +322,7 @@
 };
 #define DIGEST__PERMIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__permit_grant__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /* Digest__Identity methods */
--- a/serve/limits.c
+++ b/serve/limits.c
@@ -7,6 +7,8 @@
 	SENDS = 3, /* of each change, as datagrams are lost */
 	SEND_INTERVAL_MS = 60,
 	LIMITS_PER_DATAGRAM = 64,
+	/* The holder repeats limits later by a second for so many instances. */
+	REPEAT_PEERS = 64,
 };
 
 struct ep_permits {
@@ -16,6 +18,7 @@
 
 struct limits_feed {
 	alarm_t send_alarm;
+	int ticks; /* seconds */
 };
 
 static struct ep_permits *
@@ -138,6 +141,28 @@
 	call_queue_wake(s);
 }
 
+void
+limits_tick(serve_t *s)
+{
+	bool any = false;
+	int i;
+
+	if (s->limits->ticks++ % (1 + s->peers.npeer / REPEAT_PEERS) != 0 ||
+	    !plan_holder_valid(s))
+		return;
+	/* Instances that have just started learn them from the holder. */
+	for (i = 0; i < s->endpoints.nep; i++) {
+		ep_t *p = s->endpoints.ep[i];
+
+		if (!p->limit.active || !ep_usable(p) || p->limit_sends > 0)
+			continue;
+		p->limit_sends = 1;
+		any = true;
+	}
+	if (any)
+		alarm_set(&s->loop, &s->limits->send_alarm, s->loop.now);
+}
+
 /* Permits. */
 
 bool
@@ -244,6 +269,7 @@
 		grant.endpoint = p->tag;
 		grant.permits = (uint32_t)a.permits;
 		grant.next_in = (uint32_t)a.next_ms;
+		grant.turn = (uint32_t)a.turn_ms;
 		grant.share = (uint32_t)a.share_ms;
 		answer.grant = &list;
 		answer.n_grant = 1;
@@ -258,7 +284,7 @@
 	ep_t *p = ep_find_tag(&s->endpoints, m->endpoint);
 	permit_answer_t a = { (int)(m->permits < PERMITS_MAX ? m->permits
 							     : PERMITS_MAX),
-		(ms_t)m->next_in, (ms_t)m->share };
+		(ms_t)m->next_in, (ms_t)m->turn, (ms_t)m->share };
 
 	if (p != NULL && p->limit.active)
 		take_answer(s, p, &a);
--- a/serve/limits.h
+++ b/serve/limits.h
@@ -11,6 +11,8 @@
 #include "serve/serve.h"
 
 void limits_init(serve_t *s);
+/** To be called every second. */
+void limits_tick(serve_t *s);
 /** The head of an answer to the call was read. */
 void limits_observe(call_t *c, const named_limit_t *l);
 /** @return whether the endpoint takes a call of this instance now */
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -164,6 +164,7 @@
 	ep_table_purge(s);
 	streams_tick(s);
 	blame_tick(s);
+	limits_tick(s);
 	if (stat(s->conf_path, &st) == -1)
 		return;
 	if (s->conf_mtime.tv_sec != 0 &&
--- a/tests/limit_proc.c
+++ b/tests/limit_proc.c
@@ -160,6 +160,178 @@
 	traffic_free(t);
 }
 
+/* Arrivals at endpoint 0 in a second, lately. */
+static double
+rate_now(const fixture_t *st, ms_t span)
+{
+	ms_t now = clock_now(&machine_clock);
+
+	return (double)arrivals(st, 0, now - span, now + 1) * 1000 /
+	       (double)span;
+}
+
+/* Guards against an even split: all calls come to one daemon. */
+static void
+skewed_calls_get_the_whole_limit(void)
+{
+	traffic_t *t = traffic_new(1, true);
+	ms_t named;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "4");
+	named = t->st->loop.now;
+	t->daemons = 1;
+	traffic_run(t, SPAN_MS);
+	assert_limit_kept(t->st, 0, 4, named + STABILITY_MS);
+	/* A third would be 1.3 a second. */
+	g_assert_cmpfloat(rate_now(t->st, SPAN_MS - STABILITY_MS), >, 2);
+	traffic_free(t);
+}
+
+/* Guards against calls that wait for a permit until their deadline. */
+static void
+call_that_cant_run_is_refused_at_once(void)
+{
+	traffic_t *t = traffic_new(1, false);
+	guint from, i;
+	int refused = 0;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "0.5");
+	traffic_run(t, 2000);
+	from = t->calls->len;
+	traffic_run(t, 3000);
+	for (i = from; i < t->calls->len; i++) {
+		const caller_t *c = t->calls->pdata[i];
+
+		g_assert_true(caller_wait(t->calls->pdata[i], ANSWER_MS));
+		if (c->status == 200)
+			continue;
+		refused++;
+		g_assert_cmpint(c->status, ==, 503);
+		g_assert_nonnull(strstr(c->headers, "Retry-After: "));
+		g_assert_cmpint(c->ended_at - c->started_at, <, REFUSAL_MS);
+	}
+	g_assert_cmpint(refused, >, 0);
+	traffic_free(t);
+}
+
+/* Guards against a limit that is kept after it has changed or ended. */
+static void
+limit_may_change_and_end(void)
+{
+	traffic_t *t = traffic_new(1, true);
+	ms_t changed;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "1");
+	traffic_run(t, 4000);
+	g_assert_cmpfloat(rate_now(t->st, 2000), <=, 2);
+	fake_endpoint_set_limit(t->st->endpoint[0], "6");
+	changed = t->st->loop.now;
+	traffic_run(t, SPAN_MS);
+	assert_limit_kept(t->st, 0, 6, changed);
+	g_assert_cmpfloat(rate_now(t->st, WINDOW_MS), >, 3);
+	fake_endpoint_set_limit(t->st->endpoint[0], NULL);
+	traffic_run(t, 4000);
+	g_assert_cmpfloat(rate_now(t->st, 2000), >, 15);
+	traffic_free(t);
+}
+
+/* Guards against a limit of a process that has ended, for the next one. */
+static void
+limit_ends_with_its_process(void)
+{
+	traffic_t *t = traffic_new(1, true);
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "0.2");
+	traffic_run(t, 3000);
+	fake_endpoint_set_limit(t->st->endpoint[0], NULL);
+	fake_endpoint_restart(t->st->endpoint[0], "v1");
+	fixture_put_entry(t->st, 0, "app", false);
+	traffic_run(t, 3000);
+	g_assert_cmpfloat(rate_now(t->st, 1000), >, 15);
+	traffic_free(t);
+}
+
+/* Guards against a value that isn't a rate stopping an endpoint. */
+static void
+malformed_limit_bounds_nothing(void)
+{
+	static const char *const values[] = { "-1", "NaN", "1e3", "few",
+		"99999999999" };
+	traffic_t *t = traffic_new(1, true);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		fake_endpoint_set_limit(t->st->endpoint[0], values[i]);
+		traffic_run(t, 1000);
+		g_assert_cmpfloat(rate_now(t->st, 1000), >, 15);
+	}
+	traffic_free(t);
+}
+
+/* Guards against a daemon that learns a limit only from its own first calls. */
+static void
+daemon_that_got_no_answer_is_told(void)
+{
+	traffic_t *t = traffic_new(1, true);
+	ms_t from;
+	int i;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "0.5");
+	t->daemons = 2;
+	traffic_run(t, 5000);
+	from = clock_now(&machine_clock);
+	for (i = 0; i < 20; i++)
+		g_ptr_array_add(
+		    t->calls, caller_call(t->st, 2, "GET", "/safe/a", "late",
+				  "Deadline-Remaining: 1900\r\n"));
+	fixture_run(t->st, 1000);
+	g_assert_cmpint(arrivals(t->st, 0, from, INT64_MAX), <=, 2);
+	traffic_free(t);
+}
+
+/* Guards against repeats of failed calls that pass the limit. */
+static void
+repeats_are_bounded_too(void)
+{
+	traffic_t *t = traffic_new(2, true);
+	ms_t named = t->st->loop.now;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		fake_endpoint_set_limit(t->st->endpoint[i], "1");
+		fake_endpoint_set_fault(t->st->endpoint[i], ENDPOINT_ERROR);
+	}
+	traffic_run(t, SPAN_MS);
+	for (i = 0; i < 2; i++)
+		assert_limit_kept(t->st, i, 1, named + STABILITY_MS);
+	traffic_free(t);
+}
+
+/*
+ * Guards against a burst, or a standstill, when the instance that gives permits
+ * is killed.
+ */
+static void
+limit_holds_when_instances_are_killed(void)
+{
+	traffic_t *t = traffic_new(1, true);
+	ms_t named = t->st->loop.now, killed;
+	int i;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "2");
+	traffic_run(t, 4000);
+	for (i = 0; i < DAEMONS - 1; i++) {
+		proc_kill(t->st->daemon[i]);
+		t->st->daemon[i] = NULL;
+		killed = clock_now(&machine_clock);
+		traffic_run(t, 6000);
+		fixture_start_daemon(t->st, i, true);
+		g_assert_cmpint(arrivals(t->st, 0, killed, INT64_MAX), >, 0);
+	}
+	assert_limit_kept(t->st, 0, 2, named + STABILITY_MS);
+	traffic_free(t);
+}
+
 #define T(name) g_test_add_func("/limit/" #name, name)
 
 int
@@ -167,5 +339,13 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(limit_bounds_the_sum_of_all_daemons);
+	T(skewed_calls_get_the_whole_limit);
+	T(call_that_cant_run_is_refused_at_once);
+	T(limit_may_change_and_end);
+	T(limit_ends_with_its_process);
+	T(malformed_limit_bounds_nothing);
+	T(daemon_that_got_no_answer_is_told);
+	T(repeats_are_bounded_too);
+	T(limit_holds_when_instances_are_killed);
 	return g_test_run();
 }
