serve/http_request.c: an answer that has arrived is read before it is given up

Known red: an answer of more than one read (64 KB) that waited across a standstill was given up, as a turn reads only a part of a socket and the next one's alarms ran before the rest was read. While unread bytes wait, a request goes on for up to 0.5 s after its deadline.

--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -12,6 +12,8 @@
 	KEEPALIVE_PROBES = 2,
 	/* TCP resends a lost SYN only after a second or more. */
 	CONNECT_TIMEOUT_MS = 500,
+	/* The rest of an answer that has arrived in time is read by then. */
+	READ_REST_MS = 500,
 	/* A list has about 1 MB, a report some KB. */
 	STORE_ANSWER_MAX = 4 << 20,	 /* bytes */
 	ENDPOINT_ANSWER_MAX = 512 << 10, /* bytes */
@@ -178,6 +180,12 @@
 		alarm_set(&c->s->loop, &c->alarm, c->deadline);
 		return;
 	}
+	/* A turn reads only a part of what a socket holds. */
+	if (c->conn != NULL && c->s->loop.now < c->deadline + READ_REST_MS &&
+	    http_conn_unread(c->conn) > 0) {
+		alarm_set(&c->s->loop, &c->alarm, c->s->loop.now + 1);
+		return;
+	}
 	if (c->conn != NULL && c->conn->in_message)
 		log_answer_dropped(c, c->conn, "it isn't complete in time");
 	give_up(c);
