soak: endpoints that crash, prompt parts that crash them, named limits

Two faults of these kinds are drawn after the others, so that the seeds keep the faults that they had. Prompts of the load have a first part and one of 16 more in common.

--- a/standin/loadgen.c
+++ b/standin/loadgen.c
@@ -15,7 +15,8 @@
 	RETRY_MS = 100,	  /* if there is no Retry-After */
 	ADDRESSES_MAX = 64,
 	PROMPT_TOKENS = 600,
-	TURN_MS = 5,	   /* longest wait for events */
+	PART_TOKENS = PROMPT_TOKENS / 4, /* of each shared part */
+	TURN_MS = 5,			 /* longest wait for events */
 	POPULAR_CALLS = 4, /* a target with as many should be served */
 };
 /* Shares of all calls; the rest are streams. */
@@ -356,11 +357,14 @@
 		? g_strdup("")
 		: g_strdup_printf("Last-Event-Id: %d\r\nResumes: %s\r\n",
 		      call->last_event, call->began);
+	uint64_t own =
+	    hash_str(call->take_ups == 0 ? call->id : call->began, 0);
 	char *all = g_strdup_printf("Model: %s\r\nToken-Usage: %d,%d\r\n"
-				    "Prompt-Prefix: %s:%d\r\n%s",
-	    call->model, PROMPT_TOKENS, call->gen->opts->events,
-	    call->take_ups == 0 ? call->id : call->began, PROMPT_TOKENS,
-	    resume);
+				    "Prompt-Prefix: f1:%d,%x:%d,%" PRIx64
+				    ":%d\r\n%s",
+	    call->model, PROMPT_TOKENS, call->gen->opts->events, PART_TOKENS,
+	    LOADGEN_SUBJECT + (unsigned)(own % LOADGEN_SUBJECTS), PART_TOKENS,
+	    own, PROMPT_TOKENS - 2 * PART_TOKENS, resume);
 
 	g_free(resume);
 	return all;
--- a/standin/loadgen.h
+++ b/standin/loadgen.h
@@ -10,6 +10,12 @@
 #include "standin/fake_endpoint.h"
 #include "standin/client_request.h"
 
+enum {
+	/* Prompts share one of these parts after their first one. */
+	LOADGEN_SUBJECT = 0x100, /* id of the first */
+	LOADGEN_SUBJECTS = 16,
+};
+
 typedef struct loadgen_opts {
 	loop_t *loop;
 	char *const *entries; /* addresses that answer GET /v1/resolve */
--- a/tests/soak_proc.c
+++ b/tests/soak_proc.c
@@ -11,11 +11,13 @@
 
 enum {
 	RUN_MS = 8000,
-	FAULTS_PER_RUN = 7,
+	FAULTS_PER_RUN = 9,
+	FAULTS_LATER = 2,      /* of these, of the kinds from F_LATER on */
 	START_MIN_MS = 800,    /* earliest start of a fault */
 	START_MAX_MS = 6000,   /* latest start */
 	FAULT_MIN_MS = 300,    /* shortest fault */
 	FAULT_MAX_MS = 3000,   /* longest fault */
+	CRASH_MS = 700,	       /* until an endpoint is back */
 	FIXED_SEEDS = 2,       /* seeds 1 to this, without SOAK_SEEDS */
 	SEED_RANGE_MAX = 1000, /* seeds of a range */
 };
@@ -29,17 +31,24 @@
 	F_COMPACT,
 	F_MUTE_WATCHES,
 	F_ENDPOINT,
+	/* Drawn after the others, so that old seeds keep their faults. */
+	F_LATER,
+	F_CRASH = F_LATER, /* of an endpoint */
+	F_CRASH_PART,	   /* a part of prompts that crashes endpoints */
+	F_LIMIT,	   /* that an endpoint names */
 	F_COUNT
 } fault_kind_t;
 
 static const char *const kind_name[] = { "kill", "stop", "freeze", "hup",
-	"store", "compact", "mute-watches", "endpoint" };
+	"store", "compact", "mute-watches", "endpoint", "crash", "crash-part",
+	"limit" };
 /* All endpoint faults but ENDPOINT_OK. */
 static const endpoint_fault_t endpoint_faults[] = { ENDPOINT_RESET,
 	ENDPOINT_NOT_RUN, ENDPOINT_ERROR, ENDPOINT_BUSY, ENDPOINT_SILENT,
 	ENDPOINT_CUT_STREAM, ENDPOINT_EXTRA_ANSWER, ENDPOINT_FOREIGN_ANSWER,
 	ENDPOINT_UNSIGNED, ENDPOINT_NO_LENGTH, ENDPOINT_TRUNCATED,
 	ENDPOINT_EARLY_ANSWER };
+static const char *const limits[] = { "0", "0.5", "2", "30", "-1", "NaN" };
 static const store_fault_t store_faults[] = { STORE_SILENT, STORE_BUSY,
 	STORE_RATE_LIMIT, STORE_RESET, STORE_LOST_ANSWER };
 
@@ -64,7 +73,11 @@
 	for (i = 0; i < FAULTS_PER_RUN; i++) {
 		fault_t *f = &r->fault[i];
 
-		f->kind = (fault_kind_t)(rng_next(&g) % F_COUNT);
+		f->kind =
+		    (fault_kind_t)(i < FAULTS_PER_RUN - FAULTS_LATER
+				       ? rng_next(&g) % F_LATER
+				       : F_LATER + rng_next(&g) %
+						       (F_COUNT - F_LATER));
 		f->which = (int)(rng_next(&g) % 1000);
 		f->how = (int)(rng_next(&g) % 1000);
 		f->at = START_MIN_MS +
@@ -94,10 +107,20 @@
 	return false;
 }
 
+static void
+set_crash_part(const environment_t *g, uint64_t part)
+{
+	int i;
+
+	for (i = 0; i < g->nendpoint; i++)
+		fake_endpoint_set_crash_part(g->endpoint[i], part, CRASH_MS);
+}
+
 static void
 apply_fault(soak_run_t *r, const fault_t *f)
 {
 	environment_t *g = r->cluster->env;
+	fake_endpoint_t *ep = g->endpoint[f->which % g->nendpoint];
 	proc_t *d = r->cluster->daemon[f->which % g->sizes.daemons];
 
 	switch (f->kind) {
@@ -124,9 +147,20 @@
 		fake_store_mute_watches(g->store, true);
 		break;
 	case F_ENDPOINT:
-		fake_endpoint_set_fault(g->endpoint[f->which % g->nendpoint],
+		fake_endpoint_set_fault(ep,
 		    endpoint_faults[f->how % G_N_ELEMENTS(endpoint_faults)]);
 		break;
+	case F_CRASH:
+		fake_endpoint_crash(ep, f->until - f->at);
+		break;
+	case F_CRASH_PART:
+		set_crash_part(
+		    g, LOADGEN_SUBJECT + (uint64_t)f->how % LOADGEN_SUBJECTS);
+		break;
+	case F_LIMIT:
+		fake_endpoint_set_limit(
+		    ep, limits[f->how % G_N_ELEMENTS(limits)]);
+		break;
 	case F_COUNT:
 		break;
 	}
@@ -158,8 +192,16 @@
 		fake_endpoint_set_fault(
 		    g->endpoint[f->which % g->nendpoint], ENDPOINT_OK);
 		break;
+	case F_CRASH_PART:
+		set_crash_part(g, 0);
+		break;
+	case F_LIMIT:
+		fake_endpoint_set_limit(
+		    g->endpoint[f->which % g->nendpoint], NULL);
+		break;
 	case F_HUP:
 	case F_COMPACT:
+	case F_CRASH:
 	case F_COUNT:
 		break;
 	}
