standin: an answer has the fault that was set when its call arrived

The trace shows the stand-in: the fault (busy) was lifted between the call and its plain answer, which then became a success. The stand-in keeps the fault with the call.

--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -73,26 +73,25 @@
 	endpoint_conn_t *c = arg;
 	const fake_endpoint_t *ep = endpoint_of(c);
 	char body[160];
-	bool bad = ep->fault == ENDPOINT_ERROR;
+	bool bad = c->fault == ENDPOINT_ERROR;
 
 	if (hold_back(c))
 		return;
 	snprintf(body, sizeof(body), "answer to %s by %s", c->call->id, ep->id);
-	if (ep->fault == ENDPOINT_BUSY) {
+	if (c->fault == ENDPOINT_BUSY) {
 		put_head(c, 503, "Content-Length: 0\r\n\r\n");
 		finish_call(c, true);
 		return;
 	}
-	if (ep->fault == ENDPOINT_NO_LENGTH ||
-	    ep->fault == ENDPOINT_TRUNCATED) {
-		answer_no_length(c, body, ep->fault == ENDPOINT_TRUNCATED);
+	if (c->fault == ENDPOINT_NO_LENGTH || c->fault == ENDPOINT_TRUNCATED) {
+		answer_no_length(c, body, c->fault == ENDPOINT_TRUNCATED);
 		return;
 	}
 	put_head(c, bad ? 500 : 200,
-	    ep->fault == ENDPOINT_UNSIGNED ? "" : "Server-Signature: s1\r\n");
+	    c->fault == ENDPOINT_UNSIGNED ? "" : "Server-Signature: s1\r\n");
 	buf_fmt(&c->conn.http->out, "Content-Length: %zu\r\n\r\n%s",
 	    strlen(body), body);
-	if (ep->fault == ENDPOINT_EXTRA_ANSWER)
+	if (c->fault == ENDPOINT_EXTRA_ANSWER)
 		buf_str(&c->conn.http->out,
 		    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
 		    "Content-Length: 5\r\n\r\nextra");
@@ -100,16 +99,16 @@
 }
 
 static bool
-is_unframed(const fake_endpoint_t *ep)
+is_unframed(const endpoint_conn_t *c)
 {
-	return ep->fault == ENDPOINT_UNFRAMED ||
-	       ep->fault == ENDPOINT_UNFRAMED_CUT;
+	return c->fault == ENDPOINT_UNFRAMED ||
+	       c->fault == ENDPOINT_UNFRAMED_CUT;
 }
 
 static void
 send_part(endpoint_conn_t *c, const char *p, size_t n)
 {
-	bool chunked = !is_unframed(endpoint_of(c));
+	bool chunked = !is_unframed(c);
 
 	if (chunked)
 		buf_fmt(&c->conn.http->out, "%zx\r\n", n);
@@ -162,7 +161,7 @@
 			endpoint_of(c)->event_gap);
 		return;
 	}
-	if (is_unframed(endpoint_of(c))) {
+	if (is_unframed(c)) {
 		c->call->complete = true;
 		c->call = NULL;
 		server_conn_close(&c->conn);
@@ -262,6 +261,7 @@
 	if (refuse_call(c))
 		return;
 	c->call = record_call(c);
+	c->fault = ep->fault;
 	event_sent(ep, 0);
 	switch (ep->fault) {
 	case ENDPOINT_RESET:
@@ -287,7 +287,7 @@
 	put_head(c, 200,
 	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n");
 	buf_str(&k->out,
-	    is_unframed(ep) ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
+	    is_unframed(c) ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
 	c->began = false;
 	c->next_event =
 	    c->call->last_event_id >= 0 ? c->call->last_event_id + 1 : 1;
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -21,10 +21,11 @@
 
 typedef struct endpoint_conn {
 	server_conn_t conn;
-	executed_call_t *call; /* in progress, or NULL */
-	bool answered;	       /* before its body was read */
-	int64_t next_event;    /* id of the next event */
-	bool began;	       /* the run has begun to write */
+	executed_call_t *call;	/* in progress, or NULL */
+	bool answered;		/* before its body was read */
+	int64_t next_event;	/* id of the next event */
+	bool began;		/* the run has begun to write */
+	endpoint_fault_t fault; /* when the call arrived */
 } endpoint_conn_t;
 
 struct fake_endpoint {
