serve: a call leaves a silent endpoint only if it can return

Known red: streams cut and plain calls answered 504 though the first, silent endpoint went on. Leaving it took the last of the retry budget, so that a replacement's refusal was the end; a replacement that was silent itself was never left, as all endpoints had been tried; and a call that left a draining endpoint may not return there.

Now replace_silent() needs budget for two sends, looks for an endpoint to return to when none is new, and stays at one that is draining. A call that may return has a limit of silence though it has used up its endpoints.

--- a/policy/retries.c
+++ b/policy/retries.c
@@ -47,8 +47,8 @@
 }
 
 bool
-retries_allowed(
-    retries_t *r, double ratio, double extra, int instances, ms_t now)
+retries_allow(retries_t *r, int wanted, double ratio, double extra,
+    int instances, ms_t now)
 {
 	int i, calls = 0, retries = 0;
 
@@ -63,6 +63,13 @@
 	}
 	if (instances < 1)
 		instances = 1;
-	return retries + 1 <=
+	return retries + wanted <=
 	       usable_share * (ratio * calls + extra / instances);
 }
+
+bool
+retries_allowed(
+    retries_t *r, double ratio, double extra, int instances, ms_t now)
+{
+	return retries_allow(r, 1, ratio, extra, instances, now);
+}
--- a/policy/retries.h
+++ b/policy/retries.h
@@ -26,11 +26,15 @@
 /** A call is sent again. */
 void retries_add_retry(retries_t *r, ms_t now);
 /**
- * May another call be sent again?
+ * May so many calls be sent again?
+ * @param wanted how many
  * @param ratio retries per call
  * @param extra retries per window beyond that, for all instances together
  * @param instances the number of instances that share the budget
  */
+bool retries_allow(retries_t *r, int wanted, double ratio, double extra,
+    int instances, ms_t now);
+/** The same for one call. */
 bool retries_allowed(
     retries_t *r, double ratio, double extra, int instances, ms_t now);
 
--- a/serve/admit.c
+++ b/serve/admit.c
@@ -82,13 +82,25 @@
 	retries_add_call(retry_budget(s, service), s->loop.now);
 }
 
+static bool
+budget_allows(serve_t *s, const call_t *c, int retries)
+{
+	const deployment_bounds_t *b = &s->conf.bounds;
+
+	return retries_allow(retry_budget(s, c->service), retries,
+	    b->retry_ratio, b->retry_extra, peers_alive(s), s->loop.now);
+}
+
 bool
 retry_budget_allows(serve_t *s, const call_t *c)
 {
-	const deployment_bounds_t *b = &s->conf.bounds;
+	return budget_allows(s, c, 1);
+}
 
-	return retries_allowed(retry_budget(s, c->service), b->retry_ratio,
-	    b->retry_extra, peers_alive(s), s->loop.now);
+bool
+retry_budget_allows_return(serve_t *s, const call_t *c)
+{
+	return budget_allows(s, c, 2);
 }
 
 void
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -52,8 +52,8 @@
 {
 	double v;
 
-	if (!call_idempotent(c) || c->ntried >= c->route.attempts ||
-	    plain_body_begun(c))
+	if (!call_idempotent(c) || plain_body_begun(c) ||
+	    (c->ntried >= c->route.attempts && !call_may_return(c)))
 		return 0;
 	if (c->request.model[0] == '\0') {
 		v = c->reservation.predicted_ms * plain_silence_factor;
@@ -117,6 +117,22 @@
 	    http_conn_unread(c->conn->http), c->s->loop.late);
 }
 
+/*
+ * Could the call return to its endpoint, if the replacement refuses it or is
+ * silent, too? Not to one that leaves: it only completes what it runs.
+ */
+static bool
+may_leave(const call_t *c, choice_t *out)
+{
+	if (c->ep->listed && c->ep->entry.leaving)
+		out->reason = "the endpoint leaves, and the call can't return";
+	else if (!retry_budget_allows_return(c->s, c))
+		out->reason = "no further attempt is allowed";
+	else
+		return true;
+	return false;
+}
+
 /*
  * A sound endpoint may be silent for a while and go on. So its attempt goes on
  * too until another endpoint can take the call.
@@ -126,13 +142,14 @@
 {
 	ms_t now = c->s->loop.now;
 	bool noticed = c->silent;
-	choice_t ch;
-	ep_conn_t *w;
+	choice_t ch = { 0 };
+	ep_conn_t *w = NULL;
 
 	if (!c->silence_counted)
 		breaker_failure(&c->ep->breaker, true, now);
 	c->silent = c->silence_counted = true;
-	w = call_find_replacement(c, &ch);
+	if (may_leave(c, &ch))
+		w = call_find_replacement(c, &ch);
 	if (w == NULL) {
 		if (!noticed)
 			log_silence(c, "keep", ch.reason, "-");
--- a/serve/call.c
+++ b/serve/call.c
@@ -334,7 +334,11 @@
 ep_conn_t *
 call_find_replacement(call_t *c, choice_t *out)
 {
-	return acquire(c, choose_endpoint, out);
+	ep_conn_t *w = acquire(c, choose_endpoint, out);
+
+	if (w == NULL && call_may_return(c))
+		w = acquire(c, choose_return, out);
+	return w;
 }
 
 void
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -140,7 +140,8 @@
 /** Has the endpoint of this attempt surely begun to write an answer? */
 bool call_began(const call_t *c);
 /**
- * Find another endpoint that can take the call now; the attempt goes on.
+ * Find another endpoint that can take the call now, or one that it left and may
+ * return to; the attempt goes on.
  * @param out the choice, or why there is none
  * @return a connection to it, or NULL
  */
@@ -211,6 +212,8 @@
 void failure_rate_update(serve_t *s, bool failed);
 void retry_budget_add_call(serve_t *s, const char *service);
 bool retry_budget_allows(serve_t *s, const call_t *c);
+/** May the call be sent elsewhere, and then return to where it was? */
+bool retry_budget_allows_return(serve_t *s, const call_t *c);
 void retry_budget_spend(serve_t *s, const call_t *c);
 void count_outcome(const call_t *c, const char *outcome);
 
