serve: an endpoint that says in an answer that it leaves gets no more calls

The daemon didn't read it: an endpoint got 92 calls in the 2.3 s from 0.7 s after it had said so. Now the instance that gets such an answer takes the endpoint out at once, closes its idle connections and tells the others, at once and with its heartbeats; streams there go on. It holds for the endpoint's incarnation.

/hint/leaving_endpoint_gets_no_call and /hint/daemon_is_told_that_an_endpoint_leaves failed before.

Not part of this: the field in reports and in answers to orders.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -124,7 +124,7 @@
 static bool
 may_leave(const call_t *c, choice_t *out)
 {
-	if (c->ep->listed && c->ep->entry.leaving)
+	if (ep_leaves(c->ep))
 		out->reason = "the endpoint leaves, and the call can't return";
 	else if (!retry_budget_allows_return(c->s, c))
 		out->reason = "no further attempt is allowed";
@@ -369,6 +369,8 @@
 	    a.signature != NULL && a.call_id != NULL && !a.encoded;
 	c->response.not_run = a.not_run;
 	limits_observe(c, &a.limit);
+	if (a.leaving)
+		ep_says_leaving(w->s, w->ep, true);
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
 	c->response.dropped = body_is_dropped(c);
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[29] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[31] =
 {
   {
     "sender",
@@ -402,6 +402,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "said_leaving",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_said_leaving),
+    offsetof(Digest__Digest, said_leaving),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "said_leaving_started",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Digest__Digest, n_said_leaving_started),
+    offsetof(Digest__Digest, said_leaving_started),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -426,6 +450,8 @@
   20,   /* field[20] = queued_tokens */
   3,   /* field[3] = ready */
   14,   /* field[14] = running */
+  29,   /* field[29] = said_leaving */
+  30,   /* field[30] = said_leaving_started */
   0,   /* field[0] = sender */
   16,   /* field[16] = sent_tokens */
   2,   /* field[2] = sequence */
@@ -437,7 +463,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -447,7 +473,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  29,
+  31,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -71,6 +71,8 @@
 	p->order_count = 0;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	limits_forget(p);
+	p->said_leaving_at = 0;
+	p->said_leaving_here = false;
 }
 
 bool
@@ -166,6 +168,24 @@
 	pool_close_idle(p);
 }
 
+void
+ep_says_leaving(serve_t *s, ep_t *p, bool here)
+{
+	if (here && !p->said_leaving_here)
+		s->peers.state_due = true;
+	p->said_leaving_here |= here;
+	if (p->said_leaving_at != 0)
+		return;
+	p->said_leaving_at = s->loop.now;
+	log_limited(LOG_NOTICE, "endpoint",
+	    "endpoint=%s state=leaving said=1 told=%d revision=%" PRId64,
+	    p->entry.id, !here, p->revision);
+	counter_add(counter_get("ebonypitch_endpoints_leaving_total",
+			"Endpoints that said in an answer that they leave."),
+	    1);
+	pool_close_idle(p);
+}
+
 void
 ep_table_purge(serve_t *s)
 {
@@ -194,7 +214,13 @@
 bool
 ep_usable(const ep_t *p)
 {
-	return p->listed && !p->entry.leaving;
+	return p->listed && !p->entry.leaving && p->said_leaving_at == 0;
+}
+
+bool
+ep_leaves(const ep_t *p)
+{
+	return p->listed && !ep_usable(p);
 }
 
 bool
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -88,8 +88,11 @@
 	ms_t entry_written_after; /* earliest time it can have been written */
 	ms_t missing_at; /* entry missing, may be rewritten; 0: not missing */
 	ms_t removed_at;
-	ms_t leaving_since;  /* when the store showed it leaving or gone */
-	int64_t order_count; /* accepted by it, as far as is known */
+	ms_t leaving_since; /* when the store showed it leaving or gone */
+	/* When an answer of this incarnation said that it leaves, 0: never. */
+	ms_t said_leaving_at;
+	bool said_leaving_here; /* to this instance */
+	int64_t order_count;	/* accepted by it, as far as is known */
 	known_order_t known[KNOWN_ORDERS_MAX];
 	int nknown;
 	ep_conn_t *idle;
@@ -136,10 +139,17 @@
     serve_t *s, const char *id, int64_t revision, bool may_return);
 /** Another instance read at @p revision that an endpoint leaves or is gone. */
 void ep_peer_saw_leaving(serve_t *s, uint32_t tag, int64_t revision);
+/**
+ * An answer of the endpoint says that it leaves.
+ * @param here to this instance, not to another one
+ */
+void ep_says_leaving(serve_t *s, ep_t *p, bool here);
 /** Free endpoints that were removed long ago. */
 void ep_table_purge(serve_t *s);
-/** @return whether its entry allows sending calls to it */
+/** @return whether calls may be sent to it: it is there and doesn't leave */
 bool ep_usable(const ep_t *p);
+/** @return whether it is there and leaves: it completes what it runs */
+bool ep_leaves(const ep_t *p);
 /** @return whether the entry may be too old to show the order */
 bool ep_entry_may_lag(const ep_t *p, const known_order_t *l);
 /**
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -94,7 +94,8 @@
 	Digest__Digest d;
 	Digest__Identity identity;
 	GArray *endpoint, *prefill_tokens, *running, *kv_units, *sent_tokens,
-	    *leaving_endpoint, *leaving_revision;
+	    *leaving_endpoint, *leaving_revision, *said_leaving,
+	    *said_leaving_started;
 	GPtrArray *demand, *accepted_order;
 } digest_builder_t;
 
@@ -110,6 +111,8 @@
 		*list[i] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c->leaving_endpoint = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c->leaving_revision = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	c->said_leaving = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	c->said_leaving_started = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	c->demand = g_ptr_array_new_with_free_func(g_free);
 	c->accepted_order = g_ptr_array_new_with_free_func(g_free);
 }
@@ -130,6 +133,10 @@
 	    c->leaving_endpoint->len;
 	d->leaving_endpoint = (uint32_t *)(void *)c->leaving_endpoint->data;
 	d->leaving_revision = (int64_t *)(void *)c->leaving_revision->data;
+	d->n_said_leaving = d->n_said_leaving_started = c->said_leaving->len;
+	d->said_leaving = (uint32_t *)(void *)c->said_leaving->data;
+	d->said_leaving_started =
+	    (int64_t *)(void *)c->said_leaving_started->data;
 	d->n_demand = c->demand->len;
 	d->demand = (Digest__Demand **)c->demand->pdata;
 	d->n_accepted_order = c->accepted_order->len;
@@ -141,7 +148,7 @@
 {
 	GArray *list[] = { c->endpoint, c->prefill_tokens, c->running,
 		c->kv_units, c->sent_tokens, c->leaving_endpoint,
-		c->leaving_revision };
+		c->leaving_revision, c->said_leaving, c->said_leaving_started };
 	size_t i;
 
 	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
@@ -215,7 +222,10 @@
 	}
 }
 
-/* Adds the endpoints that the store recently showed as leaving or gone. */
+/*
+ * Adds the endpoints that the store recently showed as leaving or gone, and
+ * those that recently said so in an answer.
+ */
 static void
 add_leaving(serve_t *s, digest_builder_t *c)
 {
@@ -224,6 +234,14 @@
 	for (i = 0; i < s->endpoints.nep; i++) {
 		const ep_t *p = s->endpoints.ep[i];
 
+		if (p->said_leaving_here &&
+		    is_recent(
+			p->said_leaving_at, s->loop.now, LEAVING_ANNOUNCE_MS)) {
+			g_array_append_val(c->said_leaving, p->tag);
+			g_array_append_val(
+			    c->said_leaving_started, p->entry.started_at);
+		}
+
 		if (p->leaving_since == 0 ||
 		    s->loop.now - p->leaving_since > LEAVING_ANNOUNCE_MS)
 			continue;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -287,6 +287,21 @@
 		call_queue_dispatch(s);
 }
 
+static void
+receive_said_leaving(serve_t *s, const Digest__Digest *d)
+{
+	size_t i;
+
+	for (i = 0; i < d->n_said_leaving && i < d->n_said_leaving_started;
+	     i++) {
+		ep_t *ep = ep_find_tag(&s->endpoints, d->said_leaving[i]);
+
+		if (ep != NULL &&
+		    ep->entry.started_at == d->said_leaving_started[i])
+			ep_says_leaving(s, ep, false);
+	}
+}
+
 /* Returns the sender, or NULL if it is unknown or the digest is outdated. */
 static peer_t *
 digest_sender(
@@ -359,6 +374,7 @@
 	for (i = 0; i < d->n_leaving_endpoint && i < d->n_leaving_revision; i++)
 		ep_peer_saw_leaving(
 		    s, d->leaving_endpoint[i], d->leaving_revision[i]);
+	receive_said_leaving(s, d);
 	receive_demand(s, p, d);
 	receive_orders(s, d);
 	store_watch_peer_revision(&s->config_watch, d->config_revision);
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -23,9 +23,9 @@
 {
 	buf_fmt(&c->conn.http->out,
 	    "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n"
-	    "Server-Load: 1,0,8\r\n%s%s",
+	    "Server-Load: 1,0,8\r\n%s%s%s",
 	    status, http_reason(status), c->call->id, endpoint_of(c)->id,
-	    endpoint_of(c)->limit, extra);
+	    endpoint_of(c)->limit, endpoint_of(c)->headers, extra);
 }
 
 /* An answer without a length; a reset marks it as incomplete. */
@@ -228,9 +228,9 @@
 		return false;
 	endpoint_of(c)->refused++;
 	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	    other || lacks ? 421 : 503,
-	    http_reason(other || lacks ? 421 : 503));
+	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
+	    other || lacks ? 421 : 503, http_reason(other || lacks ? 421 : 503),
+	    endpoint_of(c)->headers);
 	http_conn_flush(c->conn.http);
 	http_conn_next(c->conn.http);
 	return true;
@@ -380,6 +380,12 @@
 		    ep->limit, sizeof(ep->limit), "Server-Limit: %s\r\n", text);
 }
 
+void
+fake_endpoint_set_headers(fake_endpoint_t *ep, const char *lines)
+{
+	str_copy(ep->headers, sizeof(ep->headers), lines != NULL ? lines : "");
+}
+
 const GArray *
 fake_endpoint_arrivals(const fake_endpoint_t *ep)
 {
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -113,6 +113,11 @@
  * It isn't enforced. @param text copied; NULL: name none
  */
 void fake_endpoint_set_limit(fake_endpoint_t *ep, const char *text);
+/**
+ * Add header lines to all answers to calls from now on, refusals too.
+ * @param lines each ended by CRLF; copied; NULL: none
+ */
+void fake_endpoint_set_headers(fake_endpoint_t *ep, const char *lines);
 /** @return when each call arrived, refused ones too: ms_t. */
 const GArray *fake_endpoint_arrivals(const fake_endpoint_t *ep);
 /** @return crashes since the start. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -48,6 +48,7 @@
 	GPtrArray *models; /* loaded_model_t */
 	int64_t seq;
 	char limit[64];	     /* the header line, or empty */
+	char headers[128];   /* further header lines, or empty */
 	GArray *arrivals;    /* ms_t */
 	uint64_t crash_part; /* 0: none */
 	ms_t crash_down_ms;
--- /dev/null
+++ b/tests/hint_proc.c
@@ -0,0 +1,163 @@
+/* What endpoints say of themselves in answers to calls: that they leave. */
+#include "tests/fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DAEMONS = 3,
+	CALL_GAP_MS = 25,
+	ANSWER_MS = 3000,
+	TOLD_MS = 700, /* by then all daemons know that an endpoint leaves */
+};
+
+typedef struct traffic {
+	fixture_t *st;
+	GPtrArray *calls; /* caller_t */
+	int n, daemons;
+} traffic_t;
+
+static traffic_t *
+traffic_new(int nendpoint, int ndaemon)
+{
+	traffic_t *t = g_new0(traffic_t, 1);
+	fake_endpoint_opts_t app = { .plain_ms = 20 };
+	int i;
+
+	t->st = fixture_new();
+	fixture_put_config(t->st, "");
+	for (i = 0; i < nendpoint; i++)
+		fixture_add_endpoint(t->st, &app, "app");
+	for (i = 0; i < ndaemon; i++)
+		fixture_start_daemon(t->st, i, true);
+	t->calls = g_ptr_array_new();
+	t->daemons = ndaemon;
+	return t;
+}
+
+static void
+traffic_free(traffic_t *t)
+{
+	guint i;
+
+	for (i = 0; i < t->calls->len; i++)
+		caller_free(t->calls->pdata[i]);
+	g_ptr_array_free(t->calls, TRUE);
+	fixture_free(t->st);
+	g_free(t);
+}
+
+static void
+traffic_run(traffic_t *t, ms_t span)
+{
+	ms_t now = clock_now(&machine_clock), end = now + span, next = now;
+	char id[32];
+
+	for (; now < end; now = clock_now(&machine_clock)) {
+		if (now >= next) {
+			snprintf(id, sizeof(id), "r%d", t->n);
+			g_ptr_array_add(t->calls,
+			    caller_call(t->st, t->n++ % t->daemons, "GET",
+				"/safe/a", id, "Deadline-Remaining: 1900\r\n"));
+			next += CALL_GAP_MS;
+		}
+		loop_turn(&t->st->loop, 5);
+	}
+}
+
+static int
+arrivals(const fixture_t *st, int endpoint, ms_t from, ms_t to)
+{
+	const GArray *a = fake_endpoint_arrivals(st->endpoint[endpoint]);
+	guint i;
+	int n = 0;
+
+	for (i = 0; i < a->len; i++)
+		n += g_array_index(a, ms_t, i) >= from &&
+		     g_array_index(a, ms_t, i) < to;
+	return n;
+}
+
+/* Wait for all calls. @return how many weren't answered with 200 */
+static int
+count_unserved(traffic_t *t, guint from)
+{
+	guint i;
+	int n = 0;
+
+	for (i = from; i < t->calls->len; i++) {
+		caller_t *c = t->calls->pdata[i];
+
+		caller_wait(c, ANSWER_MS);
+		n += !c->done || c->status != 200;
+	}
+	return n;
+}
+
+/* Guards against calls to an endpoint that has said that it leaves. */
+static void
+leaving_endpoint_gets_no_call(void)
+{
+	traffic_t *t = traffic_new(2, DAEMONS);
+	ms_t said;
+
+	traffic_run(t, 1000);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Server-Leaving: 1\r\n");
+	said = clock_now(&machine_clock);
+	traffic_run(t, 3000);
+	g_assert_cmpint(arrivals(t->st, 0, said + TOLD_MS, INT64_MAX), ==, 0);
+	g_assert_cmpint(count_unserved(t, 0), ==, 0);
+	traffic_free(t);
+}
+
+/* Guards against daemons that learn it only from their own calls. */
+static void
+daemon_is_told_that_an_endpoint_leaves(void)
+{
+	traffic_t *t = traffic_new(1, DAEMONS);
+	caller_t *c;
+
+	fixture_run(t->st, 2000);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Server-Leaving: 1\r\n");
+	c = caller_expect(
+	    t->st, 200, "GET", "/safe/a", "r1", "Deadline-Remaining: 1900\r\n");
+	caller_free(c);
+	fixture_run(t->st, TOLD_MS);
+	c = caller_call(
+	    t->st, 1, "GET", "/safe/a", "r2", "Deadline-Remaining: 1900\r\n");
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 503);
+	caller_free(c);
+	traffic_free(t);
+}
+
+/* Guards against holding it against the next process of the endpoint. */
+static void
+next_process_gets_calls(void)
+{
+	traffic_t *t = traffic_new(1, DAEMONS);
+	guint from;
+
+	fake_endpoint_set_headers(t->st->endpoint[0], "Server-Leaving: 1\r\n");
+	traffic_run(t, 1000);
+	fake_endpoint_set_headers(t->st->endpoint[0], NULL);
+	fake_endpoint_restart(t->st->endpoint[0], "v1");
+	fixture_put_entry(t->st, 0, "app", false);
+	fixture_run(t->st, 1500);
+	from = t->calls->len;
+	traffic_run(t, 1000);
+	g_assert_cmpint(count_unserved(t, from), ==, 0);
+	traffic_free(t);
+}
+
+#define T(name) g_test_add_func("/hint/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(leaving_endpoint_gets_no_call);
+	T(daemon_is_told_that_an_endpoint_leaves);
+	T(next_process_gets_calls);
+	return g_test_run();
+}
