serve: an endpoint that turns a call away with Retry-After gets none meanwhile

The daemon didn't read it: an endpoint got 100 calls in 2.5 s after it had asked for none in 3 s. Now the instance sends it nothing until then; calls go elsewhere, and what has nowhere to go is refused at once with the least wait as Retry-After.

/hint/retry_after_of_an_endpoint_is_kept and /hint/call_with_nowhere_to_go_is_refused_at_once failed before.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -338,6 +338,25 @@
 	arrival_note(&c->reading.dropped, c->s->loop.now);
 }
 
+/* The endpoint turned the call away, and may want no other one for a while. */
+static void
+note_closed(const call_t *c, const answer_head_t *a)
+{
+	ep_t *p = c->ep;
+
+	if (a->closed <= 0 && !a->closed_malformed)
+		return;
+	log_limited(a->closed_malformed ? LOG_WARNING : LOG_NOTICE,
+	    "endpoint-closed", "endpoint=%s request=%s for_ms=%" PRId64,
+	    p->entry.id, c->request.id, a->closed);
+	if (a->closed_malformed)
+		return;
+	counter_add(counter_get("ebonypitch_endpoint_closed_total",
+			"Answers of endpoints that want no call for a while."),
+	    1);
+	p->closed_until = c->s->loop.now + a->closed;
+}
+
 static void
 on_head(void *u, http_conn_t *k)
 {
@@ -371,6 +390,7 @@
 	limits_observe(c, &a.limit);
 	if (a.leaving)
 		ep_says_leaving(w->s, w->ep, true);
+	note_closed(c, &a);
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
 	c->response.dropped = body_is_dropped(c);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -105,7 +105,8 @@
 	double cost, first_ms;
 	int uncached_tokens;
 	bool returning; /* only endpoints that the call may return to */
-	int nusable, nholding, ntried, nfull, nbroken, nlimited;
+	int nusable, nholding, ntried, nfull, nbroken;
+	int nclosed;   /* of nfull: they want no call now, or need a permit */
 	ep_t *limited; /* the best of those that need a permit */
 	double limited_cost;
 	double least_first_ms; /* least prediction of all endpoints */
@@ -136,16 +137,20 @@
 	return cost_ms;
 }
 
+static void
+note_wait(scan_t *sc, double wait_ms)
+{
+	if (sc->least_wait_ms == 0 || wait_ms < sc->least_wait_ms)
+		sc->least_wait_ms = wait_ms;
+}
+
 /* An endpoint that takes the call once there is a permit. */
 static void
 consider_limited(const call_t *c, ep_t *p, double cost_ms, scan_t *sc)
 {
-	double wait_ms = (double)limits_wait_ms(c, p);
-
 	sc->nfull++;
-	sc->nlimited++;
-	if (sc->least_wait_ms == 0 || wait_ms < sc->least_wait_ms)
-		sc->least_wait_ms = wait_ms;
+	sc->nclosed++;
+	note_wait(sc, (double)limits_wait_ms(c, p));
 	if (sc->limited != NULL && cost_ms >= sc->limited_cost)
 		return;
 	sc->limited = p;
@@ -198,6 +203,12 @@
 		sc->nfull++;
 		return;
 	}
+	if (now < p->closed_until) {
+		sc->nfull++;
+		sc->nclosed++;
+		note_wait(sc, (double)(p->closed_until - now));
+		return;
+	}
 	if (!limits_allow(s, p)) {
 		consider_limited(c, p,
 		    endpoint_cost(c, p, group, first_ms, uncached_tokens), sc);
@@ -209,8 +220,7 @@
 	    &p->workload, &s->average_speed, &s->workload_limits);
 	if (wait_ms > 0) {
 		sc->nfull++;
-		if (sc->least_wait_ms == 0 || wait_ms < sc->least_wait_ms)
-			sc->least_wait_ms = wait_ms;
+		note_wait(sc, wait_ms);
 		return;
 	}
 	cost_ms = endpoint_cost(c, p, group, first_ms, uncached_tokens);
@@ -300,7 +310,7 @@
 		if (sc->prefill_rate > 0)
 			wait_ms +=
 			    call_queue_tokens_ahead(c) / sc->prefill_rate;
-		out->reason = sc->nlimited == sc->nfull
+		out->reason = sc->nclosed == sc->nfull
 				  ? "its endpoints take no more calls now"
 				  : "all endpoints are full";
 		out->retry_ms = (ms_t)wait_ms + RETRY_AFTER_MIN_MS;
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -73,6 +73,7 @@
 	limits_forget(p);
 	p->said_leaving_at = 0;
 	p->said_leaving_here = false;
+	p->closed_until = 0;
 }
 
 bool
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -106,6 +106,7 @@
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
 	breaker_t breaker;
+	ms_t closed_until; /* it wants no call of this instance until then */
 	call_limit_t limit;
 	int limit_sends; /* how often it is still to be sent to others */
 	struct ep_permits *permits;	 /* NULL: none needed yet */
--- a/tests/hint_proc.c
+++ b/tests/hint_proc.c
@@ -1,4 +1,7 @@
-/* What endpoints say of themselves in answers to calls: that they leave. */
+/*
+ * What endpoints say of themselves in answers to calls: that they leave, and
+ * that they want nothing for a while.
+ */
 #include "tests/fixture.h"
 
 #include <stdlib.h>
@@ -8,7 +11,10 @@
 	DAEMONS = 3,
 	CALL_GAP_MS = 25,
 	ANSWER_MS = 3000,
-	TOLD_MS = 700, /* by then all daemons know that an endpoint leaves */
+	TOLD_MS = 700,	 /* by then all daemons know that an endpoint leaves */
+	GRACE_MS = 500,	 /* after a Retry-After */
+	GRACE_CALLS = 2, /* that may come after it */
+	REFUSAL_MS = 400,
 };
 
 typedef struct traffic {
@@ -150,6 +156,74 @@
 	traffic_free(t);
 }
 
+/* Guards against calls to an endpoint that wants none for a while. */
+static void
+retry_after_of_an_endpoint_is_kept(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	ms_t said;
+
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 3\r\n");
+	said = clock_now(&machine_clock);
+	traffic_run(t, 3000);
+	g_assert_cmpint(arrivals(t->st, 0, said, INT64_MAX), >, 0);
+	g_assert_cmpint(
+	    arrivals(t->st, 0, said + GRACE_MS, said + 3000), <=, GRACE_CALLS);
+	g_assert_cmpint(count_unserved(t, 0), ==, 0);
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_OK);
+	traffic_run(t, 3000);
+	g_assert_cmpint(
+	    arrivals(t->st, 0, said + 3500, INT64_MAX), >, GRACE_CALLS);
+	traffic_free(t);
+}
+
+/* Guards against calls that wait for an endpoint that wants none for long. */
+static void
+call_with_nowhere_to_go_is_refused_at_once(void)
+{
+	traffic_t *t = traffic_new(1, 1);
+	caller_t *c;
+	char *at;
+
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 4\r\n");
+	traffic_run(t, 500);
+	c = caller_expect(t->st, 503, "GET", "/safe/a", "late",
+	    "Deadline-Remaining: 1900\r\n");
+	g_assert_cmpint(c->ended_at - c->started_at, <, REFUSAL_MS);
+	at = strstr(c->headers, "Retry-After: ");
+	g_assert_nonnull(at);
+	g_assert_cmpfloat(
+	    g_ascii_strtod(at + strlen("Retry-After: "), NULL), >, 2);
+	caller_free(c);
+	traffic_free(t);
+}
+
+/* Guards against a value that isn't a time closing an endpoint. */
+static void
+malformed_retry_after_is_ignored(void)
+{
+	static const char *const lines[] = { "Retry-After: -5\r\n",
+		"Retry-After: soon\r\n", "Retry-After: NaN\r\n",
+		"Retry-After: 1e9\r\n" };
+	traffic_t *t = traffic_new(1, 1);
+	guint from;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+		fake_endpoint_set_headers(t->st->endpoint[0], lines[i]);
+		traffic_run(t, 200);
+		fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_OK);
+		fixture_run(t->st, 500);
+		from = t->calls->len;
+		traffic_run(t, 500);
+		g_assert_cmpint(count_unserved(t, from), ==, 0);
+	}
+	traffic_free(t);
+}
+
 #define T(name) g_test_add_func("/hint/" #name, name)
 
 int
@@ -159,5 +233,8 @@
 	T(leaving_endpoint_gets_no_call);
 	T(daemon_is_told_that_an_endpoint_leaves);
 	T(next_process_gets_calls);
+	T(retry_after_of_an_endpoint_is_kept);
+	T(call_with_nowhere_to_go_is_refused_at_once);
+	T(malformed_retry_after_is_ignored);
 	return g_test_run();
 }
