peer: a view isn't older than 3 s because making the last one took long

Traced: the time to the next view is 100 times what the last one took, counted from the start of the loop's turn by the clock on the wall. A thread that got no processor for 130 ms meanwhile published none for 13 s; in 6 of 6 failures a view of one member had "taken" 126 to 228 ms (a scratch copy that printed it). entryd's client had the same.

Now the cost is the thread's processor time, and the interval at most 3 s.

--- a/base/base.h
+++ b/base/base.h
@@ -66,6 +66,8 @@
 ms_t clock_now(const msclock_t *c);
 /** @return ms since 1970 UTC, for people and audit records only. */
 ms_t clock_wall(void);
+/** @return ms of processor time that the calling thread has used */
+ms_t clock_thread(void);
 /** Sleep for @p span ms on the machine's clock. */
 void clock_sleep(ms_t span);
 
--- a/base/clock.c
+++ b/base/clock.c
@@ -25,6 +25,15 @@
 	return read_clock(CLOCK_BOOTTIME);
 }
 
+ms_t
+clock_thread(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+	return (ms_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
 ms_t
 clock_wall(void)
 {
--- a/peer/client.c
+++ b/peer/client.c
@@ -419,8 +419,8 @@
 static void
 publish(client_t *c)
 {
+	ms_t began = clock_thread();
 	view_t *v = store_make_view(c->store, c->catalogue), *old;
-	ms_t cost;
 
 	c->publish_pending = false;
 	c->published_catalogue = c->catalogue->number;
@@ -430,9 +430,7 @@
 	pthread_mutex_unlock(&c->lock);
 	view_unref(old);
 	deliver(c, ANSWER_VIEW, 0, false, NULL);
-	/* Limits the cost of views of a large fleet. */
-	cost = clock_now(&machine_clock) - c->now;
-	c->publish_at = c->now + cost * VIEW_INTERVAL_FACTOR;
+	c->publish_at = c->now + view_interval(clock_thread() - began);
 }
 
 static void
--- a/peer/node.c
+++ b/peer/node.c
@@ -466,8 +466,8 @@
 static void
 publish_view(node_t *n)
 {
+	ms_t began = clock_thread(), interval;
 	view_t *v = store_make_view(n->store, n->catalogue), *old;
-	ms_t cost;
 
 	n->publish_pending = false;
 	n->published_change = n->store->change;
@@ -476,10 +476,10 @@
 	n->view = v;
 	pthread_mutex_unlock(&n->lock);
 	view_unref(old);
-	cost = clock_now(n->clock) - n->now;
-	n->publish_at = n->now + cost * VIEW_INTERVAL_FACTOR;
-	if (n->publish_at < n->now + n->settings->peer.view_ms)
-		n->publish_at = n->now + n->settings->peer.view_ms;
+	interval = view_interval(clock_thread() - began);
+	if (interval < n->settings->peer.view_ms)
+		interval = n->settings->peer.view_ms;
+	n->publish_at = n->now + interval;
 }
 
 static void
--- a/peer/store.c
+++ b/peer/store.c
@@ -625,6 +625,14 @@
 	return m->m;
 }
 
+ms_t
+view_interval(ms_t cost)
+{
+	ms_t span = cost * VIEW_INTERVAL_FACTOR;
+
+	return span < VIEW_INTERVAL_MAX_MS ? span : VIEW_INTERVAL_MAX_MS;
+}
+
 view_t *
 store_make_view(store_t *s, catalogue_t *c)
 {
--- a/peer/store.h
+++ b/peer/store.h
@@ -103,8 +103,16 @@
 	SHARD_KEY_MAX = 2 * ID_MAX + 16, /* bytes of a shard's key */
 	/* Least time between two views, in multiples of the cost of one. */
 	VIEW_INTERVAL_FACTOR = 100,
+	VIEW_INTERVAL_MAX_MS = 3000, /* it is no longer than that */
 };
 
+/**
+ * Time from one view to the next, which limits the cost of views of a large
+ * fleet.
+ * @param cost ms of processor time that a view took
+ */
+ms_t view_interval(ms_t cost);
+
 store_t *store_new(const msclock_t *clock, int shard_workers);
 void store_free(store_t *s);
 
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -464,6 +464,15 @@
 	store_free(s);
 }
 
+/* Guards against a view that grows old because making one took long once. */
+static void
+views_are_renewed(void)
+{
+	g_assert_cmpint(view_interval(0), ==, 0);
+	g_assert_cmpint(view_interval(2), ==, 2 * VIEW_INTERVAL_FACTOR);
+	g_assert_cmpint(view_interval(200), ==, VIEW_INTERVAL_MAX_MS);
+}
+
 /* Threads of nodes and a client in one process, mainly for TSan. */
 
 static void
@@ -499,6 +508,7 @@
 	g_test_add_func("/peer/suspect", late_gone_record_raises_suspicion);
 	g_test_add_func("/peer/list-and-heartbeats", list_and_heartbeats);
 	g_test_add_func("/peer/stale-lists", stale_lists_restore_nothing);
+	g_test_add_func("/peer/view-interval", views_are_renewed);
 	g_test_add_func("/peer/nodes-and-a-client", nodes_and_a_client);
 	return g_test_run();
 }
