--- a/serve/answer.c
+++ b/serve/answer.c
@@ -305,6 +305,10 @@
 	(void)k;
 	if (c == NULL)
 		return;
+	if (!ep_usable(w->ep))
+		log_limited(LOG_NOTICE, "connected-late",
+		    "request=%s endpoint=%s after_ms=%" PRId64, c->request.id,
+		    w->ep->entry.id, w->s->loop.now - c->sent_at);
 	c->state = CALL_SENT;
 	c->may_have_run = true;
 	c->last_activity_at = w->s->loop.now;
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -202,6 +202,9 @@
 		if (p->listed || p->ncall > 0 || p->nconn > 0 ||
 		    s->loop.now - p->removed_at < REMOVED_KEEP_MS)
 			continue;
+		log_limited(LOG_NOTICE, "endpoint",
+		    "endpoint=%s state=freed said=%d born=%" PRId64,
+		    p->entry.id, p->said_leaving_at != 0, p->entry.started_at);
 		g_hash_table_remove(f->by_id, p->entry.id);
 		g_hash_table_remove(f->by_tag, GUINT_TO_POINTER(p->tag));
 		plan_forget_endpoint(s, p);
