--- a/standin/fake_crash.c
+++ b/standin/fake_crash.c
@@ -21,11 +21,12 @@
 go_up(void *arg)
 {
 	fake_endpoint_t *ep = arg;
+	int64_t now = clock_wall();
 
 	if (ep->model[0] != '\0')
 		endpoint_add_model(ep, ep->model);
 	ep->seq = 0;
-	ep->born++;
+	ep->born = now > ep->born ? now : ep->born + 1;
 	ep->down = false;
 	http_server_open(
 	    &ep->server, ep->server.loop, ep->addr, &endpoint_server_ops, ep);
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -4,10 +4,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-enum {
-	FIRST_BORN_MS = 1000, /* the time of the first start */
-};
-
 static void
 finish_call(endpoint_conn_t *c, bool whole)
 {
@@ -358,7 +354,7 @@
 	ep->models = g_ptr_array_new_with_free_func(endpoint_free_model);
 	str_copy(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
 	str_copy(ep->model, ID_MAX, o->model != NULL ? o->model : "");
-	ep->born = FIRST_BORN_MS;
+	ep->born = clock_wall();
 	if (o->model != NULL)
 		endpoint_add_model(ep, o->model);
 	http_server_open(&ep->server, l, o->addr, &endpoint_server_ops, ep);
@@ -386,6 +382,25 @@
 	str_copy(ep->headers, sizeof(ep->headers), lines != NULL ? lines : "");
 }
 
+void
+fake_endpoint_set_control_headers(fake_endpoint_t *ep, const char *lines)
+{
+	str_copy(ep->control_headers, sizeof(ep->control_headers),
+	    lines != NULL ? lines : "");
+}
+
+void
+fake_endpoint_set_born(fake_endpoint_t *ep, int64_t born)
+{
+	ep->born = born;
+}
+
+int64_t
+fake_endpoint_born(const fake_endpoint_t *ep)
+{
+	return ep->born;
+}
+
 const GArray *
 fake_endpoint_arrivals(const fake_endpoint_t *ep)
 {
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -118,6 +118,11 @@
  * @param lines each ended by CRLF; copied; NULL: none
  */
 void fake_endpoint_set_headers(fake_endpoint_t *ep, const char *lines);
+/** The same for answers to orders and reports. */
+void fake_endpoint_set_control_headers(fake_endpoint_t *ep, const char *lines);
+/** Show another start time from now on, without a restart. */
+void fake_endpoint_set_born(fake_endpoint_t *ep, int64_t born);
+int64_t fake_endpoint_born(const fake_endpoint_t *ep);
 /** @return when each call arrived, refused ones too: ms_t. */
 const GArray *fake_endpoint_arrivals(const fake_endpoint_t *ep);
 /** @return crashes since the start. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -47,10 +47,11 @@
 	GPtrArray *executed, *orders;
 	GPtrArray *models; /* loaded_model_t */
 	int64_t seq;
-	char limit[64];	     /* the header line, or empty */
-	char headers[128];   /* further header lines, or empty */
-	GArray *arrivals;    /* ms_t */
-	uint64_t crash_part; /* 0: none */
+	char limit[64];		   /* the header line, or empty */
+	char headers[128];	   /* further header lines, or empty */
+	char control_headers[128]; /* the same, of reports and orders */
+	GArray *arrivals;	   /* ms_t */
+	uint64_t crash_part;	   /* 0: none */
 	ms_t crash_down_ms;
 	int crashes;
 	bool down;
--- a/standin/fake_orders.c
+++ b/standin/fake_orders.c
@@ -237,8 +237,8 @@
 	}
 	g_ptr_array_add(ep->orders, o);
 	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", o->status,
-	    http_reason(o->status));
+	    "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", o->status,
+	    http_reason(o->status), ep->control_headers);
 	http_conn_flush(c->conn.http);
 	http_conn_next(c->conn.http);
 	json_decref(b);
@@ -277,8 +277,8 @@
 	char *text = json_dumps(r, JSON_COMPACT);
 
 	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(text),
-	    text);
+	    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s",
+	    ep->control_headers, strlen(text), text);
 	free(text);
 	json_decref(r);
 	http_conn_flush(c->conn.http);
--- a/tests/hint_proc.c
+++ b/tests/hint_proc.c
@@ -2,14 +2,13 @@
  * What endpoints say of themselves in answers to calls: that they leave, and
  * that they want nothing for a while.
  */
-#include "tests/fixture.h"
+#include "tests/traffic.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 enum {
 	DAEMONS = 3,
-	CALL_GAP_MS = 25,
 	ANSWER_MS = 3000,
 	TOLD_MS = 700,	 /* by then all daemons know that an endpoint leaves */
 	GRACE_MS = 500,	 /* after a Retry-After */
@@ -17,89 +16,6 @@
 	REFUSAL_MS = 400,
 };
 
-typedef struct traffic {
-	fixture_t *st;
-	GPtrArray *calls; /* caller_t */
-	int n, daemons;
-} traffic_t;
-
-static traffic_t *
-traffic_new(int nendpoint, int ndaemon)
-{
-	traffic_t *t = g_new0(traffic_t, 1);
-	fake_endpoint_opts_t app = { .plain_ms = 20 };
-	int i;
-
-	t->st = fixture_new();
-	fixture_put_config(t->st, "");
-	for (i = 0; i < nendpoint; i++)
-		fixture_add_endpoint(t->st, &app, "app");
-	for (i = 0; i < ndaemon; i++)
-		fixture_start_daemon(t->st, i, true);
-	t->calls = g_ptr_array_new();
-	t->daemons = ndaemon;
-	return t;
-}
-
-static void
-traffic_free(traffic_t *t)
-{
-	guint i;
-
-	for (i = 0; i < t->calls->len; i++)
-		caller_free(t->calls->pdata[i]);
-	g_ptr_array_free(t->calls, TRUE);
-	fixture_free(t->st);
-	g_free(t);
-}
-
-static void
-traffic_run(traffic_t *t, ms_t span)
-{
-	ms_t now = clock_now(&machine_clock), end = now + span, next = now;
-	char id[32];
-
-	for (; now < end; now = clock_now(&machine_clock)) {
-		if (now >= next) {
-			snprintf(id, sizeof(id), "r%d", t->n);
-			g_ptr_array_add(t->calls,
-			    caller_call(t->st, t->n++ % t->daemons, "GET",
-				"/safe/a", id, "Deadline-Remaining: 1900\r\n"));
-			next += CALL_GAP_MS;
-		}
-		loop_turn(&t->st->loop, 5);
-	}
-}
-
-static int
-arrivals(const fixture_t *st, int endpoint, ms_t from, ms_t to)
-{
-	const GArray *a = fake_endpoint_arrivals(st->endpoint[endpoint]);
-	guint i;
-	int n = 0;
-
-	for (i = 0; i < a->len; i++)
-		n += g_array_index(a, ms_t, i) >= from &&
-		     g_array_index(a, ms_t, i) < to;
-	return n;
-}
-
-/* Wait for all calls. @return how many weren't answered with 200 */
-static int
-count_unserved(traffic_t *t, guint from)
-{
-	guint i;
-	int n = 0;
-
-	for (i = from; i < t->calls->len; i++) {
-		caller_t *c = t->calls->pdata[i];
-
-		caller_wait(c, ANSWER_MS);
-		n += !c->done || c->status != 200;
-	}
-	return n;
-}
-
 /* Guards against calls to an endpoint that has said that it leaves. */
 static void
 leaving_endpoint_gets_no_call(void)
