serve, policy: what an endpoint said of leaving outlives changes of its entry

Callers' calls reached an endpoint again that had said in an answer that it leaves, once its entry in the store showed another start time: an earlier one (an old copy), or that of the very process that had said it, read late. They also did if the entry was away for over 20 s, as the endpoint was freed with all that was known of it.

Cause: endpoint_restarted() cleared the statement at any other start time, as if the store showed the state of the moment.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -393,7 +393,7 @@
 	c->response.not_run = a.not_run;
 	limits_observe(c, &a.limit);
 	if (a.leaving)
-		ep_says_leaving(w->s, w->ep, true);
+		ep_says_leaving(w->s, w->ep, w->started_at, w->made_at);
 	note_closed(c, &a);
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[31] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[32] =
 {
   {
     "sender",
@@ -426,6 +426,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "said_leaving_connected",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_said_leaving_connected),
+    offsetof(Digest__Digest, said_leaving_connected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -451,6 +463,7 @@
   3,   /* field[3] = ready */
   14,   /* field[14] = running */
   29,   /* field[29] = said_leaving */
+  31,   /* field[31] = said_leaving_connected */
   30,   /* field[30] = said_leaving_started */
   0,   /* field[0] = sender */
   16,   /* field[16] = sent_tokens */
@@ -463,7 +476,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -473,7 +486,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  31,
+  32,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -62,13 +62,16 @@
   size_t n_leaving_revision;
   int64_t *leaving_revision;
   /*
-   * Endpoints that said in an answer to the sender that they leave, and
-   * their incarnations.
+   * Endpoints that said in an answer to the sender that they leave, the
+   * incarnations that it knew when the answers' connections were made, and
+   * how many ms ago that was.
    */
   size_t n_said_leaving;
   uint32_t *said_leaving;
   size_t n_said_leaving_started;
   int64_t *said_leaving_started;
+  size_t n_said_leaving_connected;
+  uint32_t *said_leaving_connected;
   /*
    * It has lost contact with the store: others must watch for its domain.
    */
@@ -122,7 +125,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -44,6 +44,7 @@
 	p->entry = *en;
 	p->hash = hash_str(en->id, 0);
 	p->tag = (uint32_t)p->hash;
+	p->leaving = leaving_recall(&f->said_leaving, p->hash);
 	workload_init(
 	    &p->workload, en->slots, d != NULL && d->engine ? d->kv_tokens : 0);
 	if (f->nep == f->capacity) {
@@ -71,11 +72,18 @@
 	p->order_count = 0;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	limits_forget(p);
-	p->said_leaving_at = 0;
-	p->said_leaving_here = false;
 	p->closed_until = 0;
 }
 
+static void
+update_says_leaving(const serve_t *s, ep_t *p)
+{
+	p->says_leaving =
+	    leaving_holds(&p->leaving, p->entry.started_at, s->loop.now);
+	if (!p->says_leaving)
+		p->said_leaving_here = false;
+}
+
 bool
 ep_update_entry(serve_t *s, const object_t *o, ms_t written_after)
 {
@@ -102,6 +110,8 @@
 	if (strcmp(p->entry.addr, en.addr) != 0)
 		pool_close_idle(p);
 	p->entry = en;
+	leaving_show(&p->leaving, en.started_at, s->loop.now);
+	update_says_leaving(s, p);
 	p->software = software_hash(en.service, en.software);
 	if (software_add(&s->software, hash_str(en.service, 0), p->software,
 		s->loop.now))
@@ -169,24 +179,46 @@
 	pool_close_idle(p);
 }
 
-void
-ep_says_leaving(serve_t *s, ep_t *p, bool here)
+static void
+note_statement(serve_t *s, ep_t *p, int64_t started_at, ms_t made_at, bool here)
 {
-	if (here && !p->said_leaving_here)
-		s->peers.state_due = true;
-	p->said_leaving_here |= here;
-	if (p->said_leaving_at != 0)
+	leaving_statement_t said = { .started_at = started_at,
+		.connected_at = clock_wall() - (s->loop.now - made_at) };
+	bool known = p->says_leaving;
+
+	leaving_say(&p->leaving, &said, s->loop.now);
+	update_says_leaving(s, p);
+	if (known)
 		return;
-	p->said_leaving_at = s->loop.now;
 	log_limited(LOG_NOTICE, "endpoint",
-	    "endpoint=%s state=leaving said=1 told=%d revision=%" PRId64,
-	    p->entry.id, !here, p->revision);
+	    "endpoint=%s state=leaving said=1 told=%d revision=%" PRId64
+	    " born=%" PRId64 " by=%" PRId64 " holds=%d",
+	    p->entry.id, !here, p->revision, p->entry.started_at, started_at,
+	    p->says_leaving);
+	if (!p->says_leaving)
+		return;
 	counter_add(counter_get("ebonypitch_endpoints_leaving_total",
 			"Endpoints that said in an answer that they leave."),
 	    1);
 	pool_close_idle(p);
 }
 
+void
+ep_says_leaving(serve_t *s, ep_t *p, int64_t started_at, ms_t made_at)
+{
+	note_statement(s, p, started_at, made_at, true);
+	if (p->said_leaving_here || !p->says_leaving)
+		return;
+	p->said_leaving_here = true;
+	s->peers.state_due = true;
+}
+
+void
+ep_said_leaving_elsewhere(serve_t *s, ep_t *p, int64_t started_at, ms_t made_at)
+{
+	note_statement(s, p, started_at, made_at, false);
+}
+
 void
 ep_table_purge(serve_t *s)
 {
@@ -196,6 +228,7 @@
 	for (i = f->nep - 1; i >= 0; i--) {
 		ep_t *p = f->ep[i];
 
+		update_says_leaving(s, p);
 		if (p->missing_at != 0 &&
 		    s->loop.now - p->missing_at > ENTRY_RETURN_MS)
 			ep_entry_gone(s, p->entry.id, 0, false);
@@ -204,7 +237,8 @@
 			continue;
 		log_limited(LOG_NOTICE, "endpoint",
 		    "endpoint=%s state=freed said=%d born=%" PRId64,
-		    p->entry.id, p->said_leaving_at != 0, p->entry.started_at);
+		    p->entry.id, p->leaving.said_at != 0, p->entry.started_at);
+		leaving_remember(&f->said_leaving, p->hash, &p->leaving);
 		g_hash_table_remove(f->by_id, p->entry.id);
 		g_hash_table_remove(f->by_tag, GUINT_TO_POINTER(p->tag));
 		plan_forget_endpoint(s, p);
@@ -218,7 +252,7 @@
 bool
 ep_usable(const ep_t *p)
 {
-	return p->listed && !p->entry.leaving && p->said_leaving_at == 0;
+	return p->listed && !p->entry.leaving && !p->says_leaving;
 }
 
 bool
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -9,6 +9,7 @@
 #include "platform/platform.h"
 #include "policy/breaker.h"
 #include "policy/call_limit.h"
+#include "policy/leaving.h"
 #include "policy/workload.h"
 
 #include <glib.h>
@@ -31,6 +32,8 @@
 	struct ep *ep;
 	http_conn_t *http;
 	handle_t call; /* 0: idle */
+	ms_t made_at;
+	int64_t started_at; /* the incarnation known when it was made */
 	ms_t idle_since;
 	ms_t idle_timeout;    /* ms, as the endpoint says; -1: unknown */
 	bool unused;	      /* it has carried no call yet */
@@ -88,9 +91,9 @@
 	ms_t entry_written_after; /* earliest time it can have been written */
 	ms_t missing_at; /* entry missing, may be rewritten; 0: not missing */
 	ms_t removed_at;
-	ms_t leaving_since; /* when the store showed it leaving or gone */
-	/* When an answer of this incarnation said that it leaves, 0: never. */
-	ms_t said_leaving_at;
+	ms_t leaving_since;	/* when the store showed it leaving or gone */
+	leaving_t leaving;	/* what its answers said */
+	bool says_leaving;	/* that holds for the incarnation shown */
 	bool said_leaving_here; /* to this instance */
 	int64_t order_count;	/* accepted by it, as far as is known */
 	known_order_t known[KNOWN_ORDERS_MAX];
@@ -121,6 +124,7 @@
 	ep_t **ep;
 	int nep, capacity;
 	GHashTable *by_id, *by_tag;
+	leaving_memory_t said_leaving; /* of endpoints that were freed */
 } ep_table_t;
 
 void ep_table_init(ep_table_t *f);
@@ -141,11 +145,15 @@
 /** Another instance read at @p revision that an endpoint leaves or is gone. */
 void ep_peer_saw_leaving(serve_t *s, uint32_t tag, int64_t revision);
 /**
- * An answer of the endpoint says that it leaves.
- * @param here to this instance, not to another one
+ * An answer to this instance says that the endpoint leaves.
+ * @param started_at the incarnation known when its connection was made
+ * @param made_at when that was
  */
-void ep_says_leaving(serve_t *s, ep_t *p, bool here);
-/** Free endpoints that were removed long ago. */
+void ep_says_leaving(serve_t *s, ep_t *p, int64_t started_at, ms_t made_at);
+/** The same of an answer to another instance. */
+void ep_said_leaving_elsewhere(
+    serve_t *s, ep_t *p, int64_t started_at, ms_t made_at);
+/** Free endpoints that were removed long ago. To be called every second. */
 void ep_table_purge(serve_t *s);
 /** @return whether calls may be sent to it: it is there and doesn't leave */
 bool ep_usable(const ep_t *p);
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -95,7 +95,7 @@
 	Digest__Identity identity;
 	GArray *endpoint, *prefill_tokens, *running, *kv_units, *sent_tokens,
 	    *leaving_endpoint, *leaving_revision, *said_leaving,
-	    *said_leaving_started;
+	    *said_leaving_started, *said_leaving_connected;
 	GPtrArray *demand, *accepted_order;
 } digest_builder_t;
 
@@ -113,6 +113,7 @@
 	c->leaving_revision = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	c->said_leaving = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c->said_leaving_started = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	c->said_leaving_connected = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	c->demand = g_ptr_array_new_with_free_func(g_free);
 	c->accepted_order = g_ptr_array_new_with_free_func(g_free);
 }
@@ -133,7 +134,10 @@
 	    c->leaving_endpoint->len;
 	d->leaving_endpoint = (uint32_t *)(void *)c->leaving_endpoint->data;
 	d->leaving_revision = (int64_t *)(void *)c->leaving_revision->data;
-	d->n_said_leaving = d->n_said_leaving_started = c->said_leaving->len;
+	d->n_said_leaving = d->n_said_leaving_started =
+	    d->n_said_leaving_connected = c->said_leaving->len;
+	d->said_leaving_connected =
+	    (uint32_t *)(void *)c->said_leaving_connected->data;
 	d->said_leaving = (uint32_t *)(void *)c->said_leaving->data;
 	d->said_leaving_started =
 	    (int64_t *)(void *)c->said_leaving_started->data;
@@ -148,7 +152,8 @@
 {
 	GArray *list[] = { c->endpoint, c->prefill_tokens, c->running,
 		c->kv_units, c->sent_tokens, c->leaving_endpoint,
-		c->leaving_revision, c->said_leaving, c->said_leaving_started };
+		c->leaving_revision, c->said_leaving, c->said_leaving_started,
+		c->said_leaving_connected };
 	size_t i;
 
 	for (i = 0; i < sizeof(list) / sizeof(list[0]); i++)
@@ -222,6 +227,17 @@
 	}
 }
 
+static void
+add_said_leaving(digest_builder_t *c, const ep_t *p)
+{
+	const leaving_statement_t *said = &p->leaving.said;
+	uint32_t ago = (uint32_t)(clock_wall() - said->connected_at);
+
+	g_array_append_val(c->said_leaving, p->tag);
+	g_array_append_val(c->said_leaving_started, said->started_at);
+	g_array_append_val(c->said_leaving_connected, ago);
+}
+
 /*
  * Adds the endpoints that the store recently showed as leaving or gone, and
  * those that recently said so in an answer.
@@ -236,12 +252,8 @@
 
 		if (p->said_leaving_here &&
 		    is_recent(
-			p->said_leaving_at, s->loop.now, LEAVING_ANNOUNCE_MS)) {
-			g_array_append_val(c->said_leaving, p->tag);
-			g_array_append_val(
-			    c->said_leaving_started, p->entry.started_at);
-		}
-
+			p->leaving.said_at, s->loop.now, LEAVING_ANNOUNCE_MS))
+			add_said_leaving(c, p);
 		if (p->leaving_since == 0 ||
 		    s->loop.now - p->leaving_since > LEAVING_ANNOUNCE_MS)
 			continue;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -295,10 +295,13 @@
 	for (i = 0; i < d->n_said_leaving && i < d->n_said_leaving_started;
 	     i++) {
 		ep_t *ep = ep_find_tag(&s->endpoints, d->said_leaving[i]);
+		ms_t made_ago = i < d->n_said_leaving_connected
+				    ? (ms_t)d->said_leaving_connected[i]
+				    : 0;
 
-		if (ep != NULL &&
-		    ep->entry.started_at == d->said_leaving_started[i])
-			ep_says_leaving(s, ep, false);
+		if (ep != NULL)
+			ep_said_leaving_elsewhere(s, ep,
+			    d->said_leaving_started[i], s->loop.now - made_ago);
 	}
 }
 
--- a/serve/pool.c
+++ b/serve/pool.c
@@ -117,6 +117,8 @@
 	*w = (ep_conn_t){ .s = s,
 		.ep = p,
 		.call = c->id,
+		.made_at = s->loop.now,
+		.started_at = p->entry.started_at,
 		.idle_timeout = -1,
 		.unused = true };
 	w->http = http_conn_connect(&s->loop, &p->sa, ops, w);
