serve: reports and answers to orders tell that an endpoint leaves

The field was read in answers to calls only, so an endpoint that had told the holder in a report or in an answer to an order still got calls of all instances until a call's answer said it. No rule of the users is broken by that alone, as such answers aren't passed on; each such call is one that needn't go there.

The head of these answers is read now, and leads to the same statement, of the incarnation known when the request was sent.

--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -398,6 +398,29 @@
 	d->retry_at = d->s->loop.now + RETRY_DELAY_MS;
 }
 
+/* An answer to an order or a report request may say that its endpoint leaves.
+ */
+static void
+on_answer_head(void *arg, const head_t *h, int status)
+{
+	dispatcher_t *d = arg;
+	answer_head_t a;
+
+	answer_head_decode(&a, h, status);
+	if (a.leaving)
+		ep_says_leaving(d->s, d->ep, d->asked_started_at, d->asked_at);
+}
+
+/* Send an order or a report request on a connection of its own. */
+static void
+send_request(dispatcher_t *d, buf_t *b, ms_t span, http_request_fn *fn)
+{
+	d->asked_at = d->s->loop.now;
+	d->asked_started_at = d->ep->entry.started_at;
+	d->request = http_request_send(d->s, &d->ep->sa, b, span, fn, d);
+	http_request_read_head(d->request, on_answer_head);
+}
+
 static bool
 may_order(void *arg)
 {
@@ -437,8 +460,7 @@
 	/* From now on, calls go to other endpoints. */
 	if (is_model_unload(d))
 		record_order(d, false, false, 0, s->loop.now);
-	d->request = http_request_send(
-	    s, &d->ep->sa, &b, ORDER_TIMEOUT_MS, on_order_answer, d);
+	send_request(d, &b, ORDER_TIMEOUT_MS, on_order_answer);
 	/* It leaves when the connection is made, which may be later. */
 	http_request_check(d->request, may_order);
 }
@@ -535,6 +557,5 @@
 	report_request_encode(&b, d->ep->entry.addr);
 	d->load = false;
 	d->model[0] = d->adapter[0] = '\0';
-	d->request = http_request_send(
-	    d->s, &d->ep->sa, &b, REPORT_TIMEOUT_MS, on_report, d);
+	send_request(d, &b, REPORT_TIMEOUT_MS, on_report);
 }
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -24,6 +24,7 @@
 	http_conn_t *conn;
 	http_request_fn *fn;
 	bool (*may_send)(void *arg); /* may be NULL */
+	void (*read_head)(void *arg, const head_t *h, int status); /* or NULL */
 	void *arg;
 	alarm_t alarm;
 	ms_t deadline;
@@ -75,6 +76,8 @@
 		return;
 	c->status = (int)k->parser.status_code;
 	k->body_max = c->keep_conn ? STORE_ANSWER_MAX : ENDPOINT_ANSWER_MAX;
+	if (c->read_head != NULL)
+		c->read_head(c->arg, &k->head, c->status);
 }
 
 static void
@@ -240,3 +243,10 @@
 {
 	c->may_send = may_send;
 }
+
+void
+http_request_read_head(
+    http_request_t *c, void (*fn)(void *arg, const head_t *h, int status))
+{
+	c->read_head = fn;
+}
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -26,7 +26,9 @@
 	char model[ID_MAX], adapter[16];
 	bool load;
 	ms_t sent_at;
-	ms_t done_at; /* last answer or timeout */
+	ms_t asked_at;		  /* the request in progress, or the last one */
+	int64_t asked_started_at; /* the incarnation known then */
+	ms_t done_at;		  /* last answer or timeout */
 	/* The model to be loaded here, and the last one unloaded for it. */
 	char room_for[ID_MAX], evicted[ID_MAX];
 	/* A load without an answer may still be carried out until then. */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -371,6 +371,9 @@
  * is sent. Must directly follow http_request_send().
  */
 void http_request_check(http_request_t *c, bool (*may_send)(void *arg));
+/** Pass the head of the answer to fn, with its arg. The same holds. */
+void http_request_read_head(
+    http_request_t *c, void (*fn)(void *arg, const head_t *h, int status));
 /** Close the connection without calling fn. NULL is allowed. */
 void http_request_cancel(http_request_t *c);
 
