serve: Retry-After and limits of an endpoint outlive old copies of its entry

An endpoint that wants no call for a while (503 with Retry-After) got them again at once: 80 calls in 2 s after an entry with an earlier start, 60 in 1.5 s after one that was away for 23 s (2 allowed). Now an earlier start than one that was shown before makes the instance forget none of this, and an endpoint isn't freed before its Retry-After is over.

hint_proc retry_after_outlives_an_entry_with_an_earlier_start and retry_after_outlives_an_entry_that_is_away failed before and pass. The limit of an endpoint was kept before, too, as its next answer names it again: limit_outlives_an_entry_with_an_earlier_start passed on the code before.

--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -70,6 +70,9 @@
 	pool_close_idle(p);
 	p->nknown = 0;
 	p->order_count = 0;
+	/* An earlier start is an old copy of the entry. */
+	if (en->started_at <= p->latest_start)
+		return;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	limits_forget(p);
 	p->closed_until = 0;
@@ -110,6 +113,8 @@
 	if (strcmp(p->entry.addr, en.addr) != 0)
 		pool_close_idle(p);
 	p->entry = en;
+	if (en.started_at > p->latest_start)
+		p->latest_start = en.started_at;
 	leaving_show(&p->leaving, en.started_at, s->loop.now);
 	update_says_leaving(s, p);
 	p->software = software_hash(en.service, en.software);
@@ -233,6 +238,7 @@
 		    s->loop.now - p->missing_at > ENTRY_RETURN_MS)
 			ep_entry_gone(s, p->entry.id, 0, false);
 		if (p->listed || p->ncall > 0 || p->nconn > 0 ||
+		    s->loop.now < p->closed_until ||
 		    s->loop.now - p->removed_at < REMOVED_KEEP_MS)
 			continue;
 		log_limited(LOG_NOTICE, "endpoint",
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -81,7 +81,8 @@
 /** An endpoint as this instance knows it. */
 typedef struct ep {
 	endpoint_entry_t entry;
-	int64_t revision; /* of the entry */
+	int64_t revision;     /* of the entry */
+	int64_t latest_start; /* of the starts that its entries have shown */
 	struct sockaddr_in sa;
 	uint64_t hash;	    /* of its id */
 	uint32_t tag;	    /* low half of the hash; names it in digests */
--- a/tests/hint_proc.c
+++ b/tests/hint_proc.c
@@ -10,9 +10,10 @@
 enum {
 	DAEMONS = 3,
 	ANSWER_MS = 3000,
-	TOLD_MS = 700,	 /* by then all daemons know that an endpoint leaves */
-	GRACE_MS = 500,	 /* after a Retry-After */
-	GRACE_CALLS = 2, /* that may come after it */
+	TOLD_MS = 700,	  /* by then all daemons know that an endpoint leaves */
+	GRACE_MS = 500,	  /* after a Retry-After */
+	FREED_MS = 23000, /* a removed endpoint is forgotten by then */
+	GRACE_CALLS = 2,  /* that may come after it */
 	REFUSAL_MS = 400,
 };
 
@@ -94,6 +95,51 @@
 	traffic_free(t);
 }
 
+/* Guards against an older copy of the entry undoing what was said. */
+static void
+retry_after_outlives_an_entry_with_an_earlier_start(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	int64_t born = fake_endpoint_born(t->st->endpoint[0]);
+	ms_t said;
+
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 4\r\n");
+	traffic_run(t, GRACE_MS);
+	g_assert_cmpint(arrivals(t->st, 0, 0, INT64_MAX), >, 0);
+	said = clock_now(&machine_clock);
+	fake_endpoint_set_headers(t->st->endpoint[0], NULL);
+	fake_endpoint_set_born(t->st->endpoint[0], born - 5000);
+	fixture_put_entry(t->st, 0, "app", false);
+	traffic_run(t, 1000);
+	fake_endpoint_set_born(t->st->endpoint[0], born);
+	fixture_put_entry(t->st, 0, "app", false);
+	traffic_run(t, 1000);
+	g_assert_cmpint(arrivals(t->st, 0, said, INT64_MAX), <=, GRACE_CALLS);
+	traffic_free(t);
+}
+
+/* Guards against forgetting it with a removed endpoint that comes back. */
+static void
+retry_after_outlives_an_entry_that_is_away(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	ms_t said;
+
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 40\r\n");
+	traffic_run(t, GRACE_MS);
+	g_assert_cmpint(arrivals(t->st, 0, 0, INT64_MAX), >, 0);
+	said = clock_now(&machine_clock);
+	fake_endpoint_set_headers(t->st->endpoint[0], NULL);
+	fake_store_del(t->st->store, "servers", t->st->id[0]);
+	fixture_run(t->st, FREED_MS);
+	fixture_put_entry(t->st, 0, "app", false);
+	traffic_run(t, 1500);
+	g_assert_cmpint(arrivals(t->st, 0, said, INT64_MAX), <=, GRACE_CALLS);
+	traffic_free(t);
+}
+
 /* Guards against calls that wait for an endpoint that wants none for long. */
 static void
 call_with_nowhere_to_go_is_refused_at_once(void)
@@ -150,6 +196,8 @@
 	T(daemon_is_told_that_an_endpoint_leaves);
 	T(next_process_gets_calls);
 	T(retry_after_of_an_endpoint_is_kept);
+	T(retry_after_outlives_an_entry_with_an_earlier_start);
+	T(retry_after_outlives_an_entry_that_is_away);
 	T(call_with_nowhere_to_go_is_refused_at_once);
 	T(malformed_retry_after_is_ignored);
 	return g_test_run();
--- a/tests/limit_proc.c
+++ b/tests/limit_proc.c
@@ -160,6 +160,26 @@
 	traffic_free(t);
 }
 
+/* Guards against an older copy of the entry undoing the limit. */
+static void
+limit_outlives_an_entry_with_an_earlier_start(void)
+{
+	traffic_t *t = traffic_new(3, false);
+	int64_t born = fake_endpoint_born(t->st->endpoint[0]);
+	ms_t named, age;
+
+	fake_endpoint_set_limit(t->st->endpoint[0], "1.3");
+	named = t->st->loop.now;
+	traffic_run(t, STABILITY_MS);
+	for (age = 1; age <= 8; age++) {
+		fake_endpoint_set_born(t->st->endpoint[0], born - 1000 * age);
+		fixture_put_entry(t->st, 0, "app", false);
+		traffic_run(t, 400);
+	}
+	assert_limit_kept(t->st, 0, 1.3, named + STABILITY_MS);
+	traffic_free(t);
+}
+
 /* Arrivals at endpoint 0 in a second, lately. */
 static double
 rate_now(const fixture_t *st, ms_t span)
@@ -339,6 +359,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(limit_bounds_the_sum_of_all_daemons);
+	T(limit_outlives_an_entry_with_an_earlier_start);
 	T(skewed_calls_get_the_whole_limit);
 	T(call_that_cant_run_is_refused_at_once);
 	T(limit_may_change_and_end);
