serve: a failed attempt's log line names the request by its contents

No decision uses it yet.

platform_test: two cases, for what it identifies and for bodies in pieces.

--- a/base/hash.c
+++ b/base/hash.c
@@ -1,9 +1,9 @@
 #include "base/base.h"
+#include "base/hash.h"
 
 #include <string.h>
 #include <stdlib.h>
 #include <arpa/inet.h>
-#include <xxhash.h>
 
 uint64_t
 hash64(const void *p, size_t n, uint64_t seed)
@@ -17,6 +17,30 @@
 	return XXH64(s, strlen(s), seed);
 }
 
+void
+hasher_init(hasher_t *h)
+{
+	XXH64_reset(&h->state, 0);
+}
+
+void
+hasher_add(hasher_t *h, const void *p, size_t n)
+{
+	XXH64_update(&h->state, p, n);
+}
+
+void
+hasher_add_str(hasher_t *h, const char *s)
+{
+	hasher_add(h, s, strlen(s) + 1);
+}
+
+uint64_t
+hasher_sum(const hasher_t *h)
+{
+	return XXH64_digest(&h->state);
+}
+
 /* splitmix64 */
 uint64_t
 rng_next(rng_t *r)
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -227,11 +227,12 @@
 	log_limited(LOG_NOTICE, "attempt-failed",
 	    "request=%s endpoint=%s why=\"%s\" not_run=%d send=%d events=%d "
 	    "after_ms=%" PRId64 " silent_ms=%" PRId64
-	    " unread=%zu paused=%d late_ms=%" PRId64 " began=%d parts=%s",
+	    " unread=%zu paused=%d late_ms=%" PRId64
+	    " began=%d parts=%s fingerprint=%016" PRIx64,
 	    c->request.id, c->ep != NULL ? c->ep->entry.id : "-", why, not_run,
 	    c->attempts, c->nevent, now - c->sent_at, now - c->last_activity_at,
 	    k != NULL ? http_conn_unread(k) : 0, k != NULL && k->paused,
-	    c->s->loop.late, c->reading.events > 0, parts.p);
+	    c->s->loop.late, c->reading.events > 0, parts.p, c->fingerprint);
 	buf_free(&parts);
 }
 
--- a/serve/call.c
+++ b/serve/call.c
@@ -110,6 +110,8 @@
 	stream = request->resumes[0] != '\0' ? request->resumes : request->id;
 	str_copy(c->service, sizeof(c->service), pick_service(r, stream));
 	c->method = http_method_str(cc->http->parser.method);
+	c->fingerprint = call_fingerprint(
+	    request, &cc->http->head, c->method, hasher_sum(&cc->body_hash));
 	c->body = cc->body;
 	memset(&cc->body, 0, sizeof(cc->body));
 	c->received_at = s->loop.now;
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -167,6 +167,7 @@
 
 	k->body_max = c != NULL && c->body_max > 0 ? c->body_max : BODY_MAX;
 	buf_consume(&cc->body, buf_len(&cc->body));
+	hasher_init(&cc->body_hash);
 	if (k->parser.content_length != ULLONG_MAX &&
 	    k->parser.content_length > k->body_max) {
 		k->refuse_status = 413;
@@ -184,6 +185,7 @@
 
 	(void)k;
 	buf_add(&cc->body, p, n);
+	hasher_add(&cc->body_hash, p, n);
 }
 
 static void
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -7,6 +7,7 @@
 #ifndef SERVE_H
 #define SERVE_H
 
+#include "base/hash.h"
 #include "policy/retries.h"
 #include "policy/software.h"
 #include "policy/stream_table.h"
@@ -46,6 +47,7 @@
 	char service[ID_MAX];
 	const char *method;
 	buf_t body;
+	uint64_t fingerprint;	    /* call_fingerprint() */
 	ms_t received_at, deadline; /* deadline: of the whole answer */
 	call_state_t state;
 	alarm_t alarm;
@@ -282,6 +284,7 @@
 	http_conn_t *http;
 	handle_t call;
 	buf_t body;
+	hasher_t body_hash;
 	alarm_t idle_alarm;
 	int served;
 	int index; /* in serve_t.caller */
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -1,4 +1,5 @@
 /* Decoding the platform's formats: what is read, ignored and rejected. */
+#include "base/hash.h"
 #include "platform/platform.h"
 
 #include <glib.h>
@@ -226,6 +227,90 @@
 	buf_free(&b);
 }
 
+/* A call's head from its target and "Name: value" lines. */
+static uint64_t
+fingerprint(const char *target, const char *lines, const char *body)
+{
+	char **line = g_strsplit(lines, "\n", -1);
+	head_t h = { 0 };
+	call_head_t c;
+	uint64_t sum;
+	int i;
+
+	h.target = (uint32_t)h.text.len;
+	buf_add(&h.text, target, strlen(target) + 1);
+	for (i = 0; line[i] != NULL && *line[i] != '\0'; i++) {
+		char *value = strstr(line[i], ": ");
+
+		*value = '\0';
+		h.field[i].name = (uint32_t)h.text.len;
+		buf_add(&h.text, line[i], strlen(line[i]) + 1);
+		h.field[i].value = (uint32_t)h.text.len;
+		buf_add(&h.text, value + 2, strlen(value + 2) + 1);
+		h.nfield++;
+	}
+	call_head_decode(&c, &h);
+	sum = call_fingerprint(&c, &h, "POST", hash_str(body, 0));
+	buf_free(&h.text);
+	g_strfreev(line);
+	return sum;
+}
+
+/*
+ * Guards against a request that isn't recognised when it is sent again, and
+ * against taking another request of the same caller and path for it.
+ */
+static void
+fingerprint_identifies_a_request(void)
+{
+	static const char lines[] = "Host: h\nRequest-Id: a\nModel: m/x\n"
+				    "Prompt-Prefix: f1:20,f2:10,aa:5\n"
+				    "Deadline-Remaining: 900\n";
+	static const char *const same[] = {
+		"Host: h\nRequest-Id: b\nModel: m/x\n"
+		"Prompt-Prefix: f1:20,f2:10,bb:5\nDeadline-Remaining: 500\n",
+		"Resumes: a\nLast-Event-Id: 4\nLength-Hint: 7\nHost: h\n"
+		"Request-Id: c\nModel: m/x\nPrompt-Prefix: f1:20,f2:10,aa:5\n",
+	};
+	static const char *const other[] = {
+		"Host: g\nRequest-Id: a\nModel: m/x\n"
+		"Prompt-Prefix: f1:20,f2:10,aa:5\n",
+		"Host: h\nRequest-Id: a\nModel: m/y\n"
+		"Prompt-Prefix: f1:20,f2:10,aa:5\n",
+		"Host: h\nRequest-Id: a\nModel: m/x\n"
+		"Prompt-Prefix: f1:20,f3:10,aa:5\n",
+		"Host: h\nRequest-Id: a\nModel: m/x\n"
+		"Prompt-Prefix: f1:20,f2:10,aa:5\nAuthorization: other\n",
+	};
+	uint64_t sum = fingerprint("/a", lines, "body");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(same); i++)
+		g_assert_cmpuint(fingerprint("/a", same[i], "body"), ==, sum);
+	for (i = 0; i < G_N_ELEMENTS(other); i++)
+		g_assert_cmpuint(fingerprint("/a", other[i], "body"), !=, sum);
+	g_assert_cmpuint(fingerprint("/b", lines, "body"), !=, sum);
+	g_assert_cmpuint(fingerprint("/a?n=1", lines, "body"), !=, sum);
+	g_assert_cmpuint(fingerprint("/a", lines, "bodx"), !=, sum);
+}
+
+/* Guards against a body's hash that depends on how the body arrives. */
+static void
+body_hash_ignores_how_it_is_cut(void)
+{
+	static const char body[] = "a body that arrives in several pieces, long"
+				   " enough for more than one block of it";
+	size_t n = strlen(body), cut;
+	hasher_t h;
+
+	for (cut = 0; cut <= n; cut++) {
+		hasher_init(&h);
+		hasher_add(&h, body, cut);
+		hasher_add(&h, body + cut, n - cut);
+		g_assert_cmpuint(hasher_sum(&h), ==, hash64(body, n, 0));
+	}
+}
+
 static void
 pages_are_found(void)
 {
@@ -255,6 +340,8 @@
 	T(corrupted_input_is_an_error_or_bounded);
 	T(bad_item_doesn_t_hide_the_rest);
 	T(orders_carry_their_conditions);
+	T(fingerprint_identifies_a_request);
+	T(body_hash_ignores_how_it_is_cut);
 	T(pages_are_found);
 	return g_test_run();
 }
