--- a/standin/fake_crash.c
+++ b/standin/fake_crash.c
@@ -59,6 +59,16 @@
 	ep->crash_down_ms = down;
 }
 
+void
+fake_endpoint_set_crash_request(
+    fake_endpoint_t *ep, const char *target, const char *body, ms_t down)
+{
+	str_copy(ep->crash_target, sizeof(ep->crash_target),
+	    target != NULL ? target : "");
+	str_copy(ep->crash_body, sizeof(ep->crash_body), body);
+	ep->crash_down_ms = down;
+}
+
 int
 fake_endpoint_crashes(const fake_endpoint_t *ep)
 {
@@ -86,6 +96,16 @@
 	}
 }
 
+bool
+fake_endpoint_is_request(
+    const executed_call_t *r, const char *target, const char *body)
+{
+	size_t n = strlen(target);
+
+	return n > 0 && strncmp(r->headers, target, n) == 0 &&
+	       r->headers[n] == '\n' && strcmp(r->body, body) == 0;
+}
+
 bool
 endpoint_run_begins(endpoint_conn_t *c)
 {
@@ -94,7 +114,9 @@
 	if (c->began)
 		return false;
 	c->began = true;
-	if (!fake_endpoint_has_part(c->call, ep->crash_part))
+	if (!fake_endpoint_has_part(c->call, ep->crash_part) &&
+	    !fake_endpoint_is_request(
+		c->call, ep->crash_target, ep->crash_body))
 		return false;
 	fake_endpoint_crash(ep, ep->crash_down_ms);
 	return true;
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -71,7 +71,7 @@
 	char body[160];
 	bool bad = c->fault == ENDPOINT_ERROR;
 
-	if (hold_back(c))
+	if (hold_back(c) || endpoint_run_begins(c))
 		return;
 	snprintf(body, sizeof(body), "answer to %s by %s", c->call->id, ep->id);
 	if (c->fault == ENDPOINT_BUSY) {
@@ -257,6 +257,7 @@
 	if (refuse_call(c))
 		return;
 	c->call = record_call(c);
+	c->began = false;
 	c->fault = ep->fault;
 	event_sent(ep, 0);
 	switch (ep->fault) {
@@ -284,7 +285,6 @@
 	    "Server-Signature: s1\r\nContent-Type: text/event-stream\r\n");
 	buf_str(&k->out,
 	    is_unframed(c) ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
-	c->began = false;
 	c->next_event =
 	    c->call->last_event_id >= 0 ? c->call->last_event_id + 1 : 1;
 	c->conn.alarm = (alarm_t){ .fn = send_event, .arg = c };
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -108,6 +108,13 @@
  */
 void fake_endpoint_set_crash_part(
     fake_endpoint_t *ep, uint64_t part, ms_t down);
+/**
+ * From now on crash for @p down ms whenever it runs a request: after its
+ * plain_ms, or before the first event of a stream.
+ * @param target NULL: no request
+ */
+void fake_endpoint_set_crash_request(
+    fake_endpoint_t *ep, const char *target, const char *body, ms_t down);
 /**
  * Name a limit, the value of a Server-Limit field, in all answers from now on.
  * It isn't enforced. @param text copied; NULL: name none
@@ -127,6 +134,9 @@
 const GArray *fake_endpoint_arrivals(const fake_endpoint_t *ep);
 /** @return crashes since the start. */
 int fake_endpoint_crashes(const fake_endpoint_t *ep);
+/** @return whether the call is this request. */
+bool fake_endpoint_is_request(
+    const executed_call_t *r, const char *target, const char *body);
 /** @return whether the prompt of a call has the part, not as its last one. */
 bool fake_endpoint_has_part(const executed_call_t *r, uint64_t part);
 const char *fake_endpoint_version(const fake_endpoint_t *ep);
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -52,6 +52,7 @@
 	char control_headers[128]; /* the same, of reports and orders */
 	GArray *arrivals;	   /* ms_t */
 	uint64_t crash_part;	   /* 0: none */
+	char crash_target[128], crash_body[128]; /* of a request, or empty */
 	ms_t crash_down_ms;
 	int crashes;
 	bool down;
