--- a/policy/blame.c
+++ b/policy/blame.c
@@ -1,17 +1,17 @@
 #include "policy/blame.h"
 
+#include <limits.h>
 #include <string.h>
 
 enum {
-	/* Crashes of different calls that are needed to blame a part. */
+	/* Crashes that are needed to blame a suspect. */
 	CRASHES_NEEDED = 3,
-	/* To blame parts between which the evidence can't decide. */
+	/* To blame suspects between which the evidence can't decide. */
 	CRASHES_NEEDED_TIED = 5,
-	/* Crashes closer to each other count as one. */
-	CRASH_SPACING_MS = 100,
 	/* Endpoints that end within it may have a common cause. */
 	SAME_MOMENT_MS = 50,
-	/* Within it, other instances report that calls with a suspect began. */
+	/* Within it, other instances report that calls with a suspect passed.
+	 */
 	DECISION_DELAY_MS = 250,
 	SAME_CRASH_MS = 1000, /* between reports of the same crash */
 	EVIDENCE_LIFE_MS = 600000,
@@ -19,6 +19,36 @@
 	TRIAL_FIRST_MS = 15000,
 	TRIAL_FACTOR = 4, /* between a trial and the next */
 	TRIAL_MAX_MS = 3600 * 1000,
+	/* What passed so recently is rather a victim of the crashes. */
+	PASSED_RECENTLY_MS = 60000,
+	COUNTERS = 4096, /* of crashes by suspect; a power of two */
+};
+
+/** How evidence against a kind of suspect is weighed. */
+typedef struct blame_rule {
+	int crashes; /* needed */
+	/* Needed if a call with it passed shortly before them. */
+	int crashes_after_passing;
+	/* Crashes closer to each other count as one. */
+	ms_t spacing;
+	/* The same, if no call with it is known to have passed. */
+	ms_t spacing_never_passed;
+	/* A call that is sent again may crash endpoints by something else. */
+	bool repeats_count;
+	int trials; /* at most */
+} blame_rule_t;
+
+static const blame_rule_t rules[SUSPECT_KINDS] = {
+	[SUSPECT_PART] = { .crashes = CRASHES_NEEDED,
+	    .crashes_after_passing = CRASHES_NEEDED,
+	    .spacing = 100,
+	    .spacing_never_passed = 100,
+	    .trials = INT_MAX },
+	[SUSPECT_REQUEST] = { .crashes = CRASHES_NEEDED,
+	    .crashes_after_passing = CRASHES_NEEDED_TIED,
+	    .spacing = 100,
+	    .repeats_count = true,
+	    .trials = 2 },
 };
 
 void
@@ -27,59 +57,61 @@
 	memset(b, 0, sizeof(*b));
 }
 
-/* Parts that began. */
+/* Suspects that passed. */
 
-static begun_part_t *
-begun_slot(const blame_t *b, uint64_t part)
+static passed_t *
+passed_slot(const blame_t *b, suspect_t what)
 {
-	return (begun_part_t *)&b
-	    ->begun[hash64(&part, sizeof(part), 0) % BLAME_BEGUN_SLOTS];
+	uint64_t h = hash64(&what.id, sizeof(what.id), 0);
+
+	return (passed_t *)&b->passed[what.kind][h % BLAME_PASSED_SLOTS];
 }
 
-/* The last time that a call with the part began, 0: not known. */
+/* The last time that a call with it passed, 0: not known. */
 static ms_t
-begun_at(const blame_t *b, uint64_t part)
+passed_at(const blame_t *b, suspect_t what)
 {
-	const begun_part_t *g = begun_slot(b, part);
+	const passed_t *g = passed_slot(b, what);
 
-	return g->part == part ? g->at : 0;
+	return g->id == what.id ? g->at : 0;
 }
 
 static void
-add_news(blame_t *b, uint64_t part, ms_t crash_at)
+add_news(blame_t *b, suspect_t what, ms_t crash_at)
 {
 	int i;
 
-	for (i = 0; i < b->nnews && b->news[i].part != part; i++)
+	for (i = 0; i < b->nnews && !suspect_same(b->news[i].what, what); i++)
 		;
 	if (i == BLAME_NEWS_MAX)
 		return;
 	if (i == b->nnews)
-		b->news[b->nnews++] = (blame_news_t){ .part = part };
+		b->news[b->nnews++] = (blame_news_t){ .what = what };
 	if (b->news[i].crash_at < crash_at)
 		b->news[i].crash_at = crash_at;
 }
 
-/* Another instance has told all that the part began at @p at. */
+/* Another instance has told all that it passed at @p at. */
 static void
-drop_news(blame_t *b, uint64_t part, ms_t at)
+drop_news(blame_t *b, suspect_t what, ms_t at)
 {
 	int i;
 
 	for (i = 0; i < b->nnews; i++)
-		if (b->news[i].part == part && b->news[i].crash_at < at)
+		if (suspect_same(b->news[i].what, what) &&
+		    b->news[i].crash_at < at)
 			b->news[i--] = b->news[--b->nnews];
 }
 
 bool
-blame_next_news(blame_t *b, uint64_t *part, ms_t *at)
+blame_next_news(blame_t *b, suspect_t *what, ms_t *at)
 {
 	while (b->nnews > 0) {
-		*part = b->news[--b->nnews].part;
-		*at = begun_at(b, *part);
+		*what = b->news[--b->nnews].what;
+		*at = passed_at(b, *what);
 		if (*at == 0)
 			continue;
-		begun_slot(b, *part)->told = true;
+		passed_slot(b, *what)->told = true;
 		return true;
 	}
 	return false;
@@ -88,12 +120,12 @@
 /* Crashes. */
 
 static int
-find_suspect(const blame_crash_t *c, uint64_t part)
+find_suspect(const blame_crash_t *c, suspect_t what)
 {
 	int i;
 
 	for (i = 0; i < c->nsuspect; i++)
-		if (c->suspect[i].part == part)
+		if (suspect_same(c->suspect[i].what, what))
 			return i;
 	return -1;
 }
@@ -130,18 +162,18 @@
 	return &b->crash[i];
 }
 
-/* Others may not know that the part has begun: tell them. */
+/* Others may not know that it has passed: tell them. */
 static void
-tell_begun(blame_t *b, uint64_t part, ms_t crash_at)
+tell_passed(blame_t *b, suspect_t what, ms_t crash_at)
 {
-	const begun_part_t *g = begun_slot(b, part);
+	const passed_t *g = passed_slot(b, what);
 
-	if (g->part != part)
+	if (g->id != what.id)
 		return;
 	if (g->at > crash_at)
-		add_news(b, part, crash_at);
+		add_news(b, what, crash_at);
 	else if (!g->told)
-		add_news(b, part, 0);
+		add_news(b, what, 0);
 }
 
 void
@@ -151,26 +183,26 @@
 	int i;
 
 	for (i = 0; i < c->nsuspect; i++) {
-		uint64_t part = c->suspect[i].part;
-		blamed_part_t *p = blame_find(b, part);
+		suspect_t what = c->suspect[i].what;
+		blamed_t *p = blame_find(b, what);
 
-		tell_begun(b, part, c->at);
-		if (begun_at(b, part) > c->at)
+		tell_passed(b, what, c->at);
+		if (passed_at(b, what) > c->at)
 			continue;
 		if (p != NULL && p->crash_at < c->at)
 			p->crash_at = c->at;
-		if (find_suspect(r, part) == -1 &&
+		if (find_suspect(r, what) == -1 &&
 		    r->nsuspect < BLAME_SUSPECTS_MAX)
 			r->suspect[r->nsuspect++] = c->suspect[i];
 	}
 }
 
 /*
- * The part is no suspect of crashes before @p at. @return the last of which it
+ * It is no suspect of crashes before @p at. @return the last of which it
  * was, 0: none
  */
 static ms_t
-remove_suspect(blame_t *b, uint64_t part, ms_t at)
+remove_suspect(blame_t *b, suspect_t what, ms_t at)
 {
 	ms_t last = 0;
 	int i, k;
@@ -178,7 +210,7 @@
 	for (i = b->ncrash - 1; i >= 0; i--) {
 		blame_crash_t *c = &b->crash[i];
 
-		k = c->at < at ? find_suspect(c, part) : -1;
+		k = c->at < at ? find_suspect(c, what) : -1;
 		if (k == -1)
 			continue;
 		if (last == 0)
@@ -189,27 +221,27 @@
 }
 
 bool
-blame_part_began(blame_t *b, uint64_t part, ms_t at, bool own)
+blame_passed(blame_t *b, suspect_t what, ms_t at, bool own)
 {
-	begun_part_t *g = begun_slot(b, part);
-	blamed_part_t *p = blame_find(b, part);
+	passed_t *g = passed_slot(b, what);
+	blamed_t *p = blame_find(b, what);
 	bool cleared = p != NULL && p->crash_at < at;
 	ms_t suspect_of;
 
-	if (g->part != part)
-		*g = (begun_part_t){ .part = part };
+	if (g->id != what.id)
+		*g = (passed_t){ .id = what.id };
 	if (at > g->at)
 		g->at = at;
-	suspect_of = remove_suspect(b, part, at);
+	suspect_of = remove_suspect(b, what, at);
 	if (cleared && p->crash_at > suspect_of)
 		suspect_of = p->crash_at;
 	if (cleared)
 		*p = b->blamed[--b->nblamed];
 	if (own && suspect_of != 0)
-		add_news(b, part, suspect_of);
+		add_news(b, what, suspect_of);
 	if (!own) {
 		g->told = true;
-		drop_news(b, part, at);
+		drop_news(b, what, at);
 	}
 	return cleared;
 }
@@ -217,34 +249,34 @@
 /* Decisions. */
 
 static bool
-is_blamed(const blame_t *b, uint64_t part)
+is_blamed(const blame_t *b, suspect_t what)
 {
 	int i;
 
 	for (i = 0; i < b->nblamed; i++)
-		if (b->blamed[i].part == part)
+		if (suspect_same(b->blamed[i].what, what))
 			return true;
 	return false;
 }
 
-/* A blamed part explains the crash. */
+/* A blamed suspect explains the crash. */
 static bool
 is_explained(const blame_t *b, const blame_crash_t *c)
 {
 	int i;
 
 	for (i = 0; b->nblamed > 0 && i < c->nsuspect; i++)
-		if (is_blamed(b, c->suspect[i].part))
+		if (is_blamed(b, c->suspect[i].what))
 			return true;
 	return false;
 }
 
 /*
- * Did another endpoint end at the same moment without the part, and without a
- * blamed one? What ended both wasn't this part.
+ * Did another endpoint end at the same moment without the suspect, and without
+ * a blamed one? What ended both wasn't this suspect.
  */
 static bool
-has_common_cause(const blame_t *b, int at, uint64_t part)
+has_common_cause(const blame_t *b, int at, suspect_t what)
 {
 	int i, step;
 
@@ -255,20 +287,19 @@
 
 			if (apart > SAME_MOMENT_MS || -apart > SAME_MOMENT_MS)
 				break;
-			if (find_suspect(c, part) == -1 && !is_explained(b, c))
+			if (find_suspect(c, what) == -1 && !is_explained(b, c))
 				return true;
 		}
 	return false;
 }
 
-/** The evidence against a part. */
+/** The evidence against a suspect. */
 typedef struct evidence {
-	int crashes;  /* at different times and of different calls */
-	ms_t last_at; /* the last of these */
+	int crashes; /* at different times, and of different calls if needed */
+	ms_t first_at, last_at; /* of these */
 	uint32_t call[CRASHES_NEEDED_TIED];
 } evidence_t;
 
-/* Repeats of one call may have another cause than the part. */
 static bool
 is_repeat(const evidence_t *v, uint32_t call)
 {
@@ -281,20 +312,26 @@
 }
 
 static evidence_t
-evidence_against(const blame_t *b, uint64_t part, ms_t until)
+evidence_against(const blame_t *b, suspect_t what, ms_t until)
 {
+	const blame_rule_t *rule = &rules[what.kind];
+	ms_t spacing = passed_at(b, what) != 0 ? rule->spacing
+					       : rule->spacing_never_passed;
 	evidence_t v = { 0 };
 	int i, k;
 
 	for (i = 0; i < b->ncrash && b->crash[i].at <= until; i++) {
 		const blame_crash_t *c = &b->crash[i];
 
-		k = find_suspect(c, part);
+		k = find_suspect(c, what);
 		if (k == -1 || is_explained(b, c) ||
-		    has_common_cause(b, i, part) ||
-		    is_repeat(&v, c->suspect[k].call) ||
-		    (v.crashes > 0 && c->at - v.last_at < CRASH_SPACING_MS))
+		    has_common_cause(b, i, what) ||
+		    (!rule->repeats_count && is_repeat(&v, c->suspect[k].call)))
+			continue;
+		if (v.crashes > 0 && c->at - v.last_at < spacing)
 			continue;
+		if (v.crashes == 0)
+			v.first_at = c->at;
 		if (v.crashes < CRASHES_NEEDED_TIED)
 			v.call[v.crashes] = c->suspect[k].call;
 		v.crashes++;
@@ -303,13 +340,23 @@
 	return v;
 }
 
+static int
+crashes_needed(const blame_t *b, suspect_t what, const evidence_t *v)
+{
+	ms_t at = passed_at(b, what);
+
+	return at != 0 && v->first_at - at < PASSED_RECENTLY_MS
+		   ? rules[what.kind].crashes_after_passing
+		   : rules[what.kind].crashes;
+}
+
 int
-blame_crash_count(const blame_t *b, uint64_t part)
+blame_crash_count(const blame_t *b, suspect_t what)
 {
-	return evidence_against(b, part, INT64_MAX).crashes;
+	return evidence_against(b, what, INT64_MAX).crashes;
 }
 
-/* The evidence goes, too, or the part would be blamed again at once. */
+/* The evidence goes, too, or it would be blamed again at once. */
 static void
 drop_oldest_blamed(blame_t *b)
 {
@@ -318,87 +365,140 @@
 	for (i = 1; i < b->nblamed; i++)
 		if (b->blamed[i].crash_at < b->blamed[at].crash_at)
 			at = i;
-	remove_suspect(b, b->blamed[at].part, b->blamed[at].crash_at + 1);
+	remove_suspect(b, b->blamed[at].what, b->blamed[at].crash_at + 1);
 	b->blamed[at] = b->blamed[--b->nblamed];
 	b->dropped++;
 }
 
 static void
-blame_part(blame_t *b, const blamed_part_t *p)
+blame(blame_t *b, const blamed_t *p)
 {
-	if (b->nblamed == BLAME_PARTS_MAX)
+	if (b->nblamed == BLAME_MAX)
 		drop_oldest_blamed(b);
-	b->blamed[b->nblamed++] = (blamed_part_t){ .part = p->part,
+	b->blamed[b->nblamed++] = (blamed_t){ .what = p->what,
 		.crash_at = p->crash_at,
 		.trial_at = p->trial_at,
 		.trials = p->trials };
 }
 
-/** The parts with the most evidence against them. */
-typedef struct top_suspects {
-	uint64_t part[BLAME_SUSPECTS_MAX];
-	int npart;
+/** A suspect against which there is enough evidence. */
+typedef struct candidate {
+	suspect_t what;
 	int crashes;
-	ms_t begun_at; /* before the first of the crashes, 0: not known */
+	ms_t passed_at; /* before the first of the crashes, 0: not known */
 	ms_t last_at;
-} top_suspects_t;
+} candidate_t;
+
+/** The most likely causes; the evidence can't decide between them. */
+typedef struct top_candidates {
+	candidate_t c[BLAME_SUSPECTS_MAX];
+	int n;
+} top_candidates_t;
 
 /*
- * A part on which calls have begun is less likely to be the cause than one on
- * which none is known to have begun, and one that last began long ago is more
- * likely than one that began just before the crashes.
+ * < 0: @p a is the more likely cause. A suspect that has passed is less likely
+ * than one that isn't known to have, and one that passed long ago is more
+ * likely than one that passed just before the crashes.
  */
+static int
+compare_candidates(const candidate_t *a, const candidate_t *b)
+{
+	if (a->passed_at != b->passed_at)
+		return a->passed_at < b->passed_at ? -1 : 1;
+	if (a->crashes != b->crashes)
+		return a->crashes > b->crashes ? -1 : 1;
+	/* A request is narrower: others with the same part may go on. */
+	return (int)b->what.kind - (int)a->what.kind;
+}
+
 static void
 consider_suspect(
-    const blame_t *b, uint64_t part, ms_t until, top_suspects_t *top)
+    const blame_t *b, suspect_t what, ms_t until, top_candidates_t *top)
 {
-	evidence_t v = evidence_against(b, part, until);
-	ms_t at = begun_at(b, part);
-	int i;
+	evidence_t v = evidence_against(b, what, until);
+	candidate_t c = { what, v.crashes, passed_at(b, what), v.last_at };
+	int i, order;
 
-	if (v.crashes < CRASHES_NEEDED)
+	if (v.crashes < crashes_needed(b, what, &v))
 		return;
-	for (i = 0; i < top->npart; i++)
-		if (top->part[i] == part)
+	for (i = 0; i < top->n; i++)
+		if (suspect_same(top->c[i].what, what))
 			return;
-	if (top->npart > 0 &&
-	    (at > top->begun_at ||
-		(at == top->begun_at && v.crashes < top->crashes)))
+	order = top->n > 0 ? compare_candidates(&c, &top->c[0]) : -1;
+	if (order > 0)
 		return;
-	if (at < top->begun_at || v.crashes > top->crashes)
-		top->npart = 0;
-	if (top->npart == BLAME_SUSPECTS_MAX)
-		return;
-	top->part[top->npart++] = part;
-	top->crashes = v.crashes;
-	top->begun_at = at;
-	top->last_at = v.last_at;
+	if (order < 0)
+		top->n = 0;
+	if (top->n < BLAME_SUSPECTS_MAX)
+		top->c[top->n++] = c;
+}
+
+/** Crashes by suspect; those that share a counter are counted together. */
+typedef struct crash_counters {
+	uint8_t n[COUNTERS];
+} crash_counters_t;
+
+static uint8_t *
+counter_of(crash_counters_t *t, suspect_t what)
+{
+	return &t->n[hash64(&what.id, sizeof(what.id), what.kind) % COUNTERS];
+}
+
+static void
+count_crashes(const blame_t *b, crash_counters_t *t)
+{
+	int i, k;
+
+	memset(t, 0, sizeof(*t));
+	for (i = 0; i < b->ncrash; i++)
+		for (k = 0; k < b->crash[i].nsuspect; k++) {
+			uint8_t *n = counter_of(t, b->crash[i].suspect[k].what);
+
+			*n += *n < CRASHES_NEEDED;
+		}
+}
+
+/* The most likely causes of the crashes that nothing explains yet. */
+static top_candidates_t
+top_candidates(const blame_t *b, crash_counters_t *counters, ms_t until)
+{
+	top_candidates_t top = { 0 };
+	int i, k;
+
+	for (i = 0; i < b->ncrash && b->crash[i].at <= until; i++) {
+		const blame_crash_t *c = &b->crash[i];
+
+		if (is_explained(b, c))
+			continue;
+		for (k = 0; k < c->nsuspect; k++)
+			/* Most suspects are in one crash only. */
+			if (*counter_of(counters, c->suspect[k].what) >=
+			    CRASHES_NEEDED)
+				consider_suspect(
+				    b, c->suspect[k].what, until, &top);
+	}
+	return top;
 }
 
 bool
 blame_decide(blame_t *b, ms_t now)
 {
 	ms_t until = now - DECISION_DELAY_MS;
-	int i, k, n = 0;
+	crash_counters_t counters;
+	int i, n = 0;
 
-	while (n < BLAME_PARTS_MAX) {
-		top_suspects_t top = { 0 };
+	count_crashes(b, &counters);
+	while (n < BLAME_MAX) {
+		top_candidates_t top = top_candidates(b, &counters, until);
 
-		for (i = 0; i < b->ncrash && b->crash[i].at <= until; i++) {
-			if (is_explained(b, &b->crash[i]))
-				continue;
-			for (k = 0; k < b->crash[i].nsuspect; k++)
-				consider_suspect(b, b->crash[i].suspect[k].part,
-				    until, &top);
-		}
-		if (top.npart == 0 ||
-		    (top.npart > 1 && top.crashes < CRASHES_NEEDED_TIED))
+		if (top.n == 0 ||
+		    (top.n > 1 && top.c[0].crashes < CRASHES_NEEDED_TIED))
 			break;
-		for (i = 0; i < top.npart; i++)
-			blame_part(b, &(blamed_part_t){ .part = top.part[i],
-					  .crash_at = top.last_at,
-					  .trial_at = now + TRIAL_FIRST_MS });
-		n += top.npart;
+		for (i = 0; i < top.n; i++)
+			blame(b, &(blamed_t){ .what = top.c[i].what,
+				     .crash_at = top.c[i].last_at,
+				     .trial_at = now + TRIAL_FIRST_MS });
+		n += top.n;
 	}
 	return n > 0;
 }
@@ -414,28 +514,54 @@
 	return 0;
 }
 
-blamed_part_t *
-blame_find(blame_t *b, uint64_t part)
+blamed_t *
+blame_find(blame_t *b, suspect_t what)
 {
 	int i;
 
 	for (i = 0; i < b->nblamed; i++)
-		if (b->blamed[i].part == part)
+		if (suspect_same(b->blamed[i].what, what))
 			return &b->blamed[i];
 	return NULL;
 }
 
+int
+blame_count(const blame_t *b, suspect_kind_t kind)
+{
+	int i, n = 0;
+
+	for (i = 0; i < b->nblamed; i++)
+		n += b->blamed[i].what.kind == kind;
+	return n;
+}
+
+/*
+ * An instance that has just started may not know that calls with it passed
+ * shortly before the crashes.
+ */
+static bool
+knows_better(const blame_t *b, const blamed_t *from)
+{
+	const blame_rule_t *rule = &rules[from->what.kind];
+	ms_t at = passed_at(b, from->what);
+
+	return at != 0 && from->crash_at - at < PASSED_RECENTLY_MS &&
+	       rule->crashes_after_passing > rule->crashes &&
+	       blame_crash_count(b, from->what) < rule->crashes_after_passing;
+}
+
 void
-blame_adopt(blame_t *b, const blamed_part_t *from)
+blame_adopt(blame_t *b, const blamed_t *from)
 {
-	blamed_part_t *p = blame_find(b, from->part);
+	blamed_t *p = blame_find(b, from->what);
 
-	if (begun_at(b, from->part) > from->crash_at) {
-		add_news(b, from->part, from->crash_at);
+	if (passed_at(b, from->what) > from->crash_at) {
+		add_news(b, from->what, from->crash_at);
 		return;
 	}
 	if (p == NULL) {
-		blame_part(b, from);
+		if (!knows_better(b, from))
+			blame(b, from);
 		return;
 	}
 	if (from->crash_at > p->crash_at)
@@ -447,24 +573,28 @@
 }
 
 bool
-blame_trial_due(const blamed_part_t *p, ms_t now)
+blame_trial_due(const blamed_t *p, ms_t now)
 {
 	return now >= p->trial_at;
 }
 
 void
-blame_trial_granted(blamed_part_t *p, ms_t now)
+blame_trial_granted(blamed_t *p, ms_t now)
 {
 	p->trial_at = now + BLAME_GRANT_MS;
 }
 
 void
-blame_trial_started(blamed_part_t *p, ms_t now)
+blame_trial_started(blamed_t *p, ms_t now)
 {
 	ms_t delay = TRIAL_FIRST_MS;
 	int i;
 
 	p->trials++;
+	if (p->trials >= rules[p->what.kind].trials) {
+		p->trial_at = now + BLAME_LIFE_MS;
+		return;
+	}
 	for (i = 0; i < p->trials && delay < TRIAL_MAX_MS; i++)
 		delay *= TRIAL_FACTOR;
 	p->trial_at = now + (delay < TRIAL_MAX_MS ? delay : TRIAL_MAX_MS);
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -547,7 +547,7 @@
 		breaker_failure(&c->ep->breaker, false, s->loop.now);
 	failure_rate_update(s, !succeeded);
 	if (c->response.status / 100 == 2)
-		blame_call_began(c, s->loop.now);
+		blame_call_completed(c);
 	if (c->request.model[0] == '\0' && succeeded)
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
--- a/serve/blame.c
+++ b/serve/blame.c
@@ -1,4 +1,4 @@
-/* What becomes of calls with a part that crashes endpoints. */
+/* What becomes of calls with something that crashes endpoints. */
 #include "serve/blame.h"
 
 #include <stdlib.h>
@@ -8,16 +8,41 @@
 	DECIDE_INTERVAL_MS = 20,
 	DECIDE_PER_CRASH_MS = 2,
 	/*
-	 * The holder repeats the blamed parts each second, and a second later
+	 * The holder repeats what is blamed each second, and a second later
 	 * for each so many instances.
 	 */
 	REPEAT_PEERS = 64,
-	/* Within it, most parts of sound calls are cleared. */
+	/* Within it, most suspects of sound calls are cleared. */
 	HOLD_MS = 300,
 	EVENT_AGE_MS = 10,   /* an endpoint that lives so long didn't crash */
 	RETRY_MIN_MS = 1000, /* told to callers of refused calls */
 };
-static const char *const refusal = "a part of its prompt crashes endpoints";
+
+/** How a kind of suspect is named in logs, metrics and answers. */
+static const struct {
+	const char *name, *counter, *help, *refusal, *hold;
+} text[SUSPECT_KINDS] = {
+	[SUSPECT_PART] = { "part", "ebonypitch_parts_blamed_total",
+	    "Prompt parts blamed, by this instance or another.",
+	    "a part of its prompt crashes endpoints",
+	    "a part of its prompt may crash endpoints" },
+	[SUSPECT_REQUEST] = { "request", "ebonypitch_requests_blamed_total",
+	    "Requests blamed, by this instance or another.",
+	    "the request crashes endpoints",
+	    "the request may crash endpoints" },
+};
+
+/* Log an event of a suspect: the kind's name and what happened. */
+static void
+log_suspect(suspect_t what, const char *happened, const char *details)
+{
+	char event[32];
+
+	snprintf(event, sizeof(event), "%s-%s", text[what.kind].name, happened);
+	log_limited(LOG_WARNING, event, "%s=%" PRIx64 " %s",
+	    what.kind == SUSPECT_PART ? "part" : "fingerprint", what.id,
+	    details);
+}
 
 static void
 count_calls(const char *how)
@@ -26,7 +51,7 @@
 
 	snprintf(name, sizeof(name),
 	    "ebonypitch_blamed_calls_total{how=\"%s\"}", how);
-	counter_add(counter_get(name, "Calls with a blamed prompt part."), 1);
+	counter_add(counter_get(name, "Calls with something blamed."), 1);
 }
 
 /* Decisions. */
@@ -57,22 +82,39 @@
 	alarm_set(&s->loop, &f->decide_alarm, at);
 }
 
-static blamed_part_t *
-blamed_part_of(const call_t *c)
+/* All suspects of a call; @p began: without the parts of its prompt. */
+static int
+suspects_of(const call_t *c, bool began, suspect_t *list)
 {
-	blame_t *b = &c->s->blame->blame;
-	int i, n = b->nblamed > 0 ? call_shared_parts(&c->request) : 0;
+	int i, n = began ? 0 : call_shared_parts(&c->request);
 
-	for (i = 0; i < n; i++) {
-		blamed_part_t *p = blame_find(b, c->request.part[i].id);
+	for (i = 0; i < n; i++)
+		list[i] = (suspect_t){ SUSPECT_PART, c->request.part[i].id };
+	list[n++] = (suspect_t){ SUSPECT_REQUEST, c->fingerprint };
+	return n;
+}
 
-		if (p != NULL)
-			return p;
-	}
-	return NULL;
+int
+call_suspects(const call_t *c, suspect_t *list)
+{
+	return suspects_of(c, call_began(c), list);
 }
 
-/* Calls that wait, and those sent that have not begun; not trials. */
+/* What of a call is blamed, NULL: nothing. */
+static blamed_t *
+blamed_of(const call_t *c, bool began)
+{
+	blame_t *b = &c->s->blame->blame;
+	suspect_t list[CALL_SUSPECTS_MAX];
+	blamed_t *p = NULL;
+	int i, n = b->nblamed > 0 ? suspects_of(c, began, list) : 0;
+
+	for (i = 0; i < n && p == NULL; i++)
+		p = blame_find(b, list[i]);
+	return p;
+}
+
+/* Calls that wait or were sent, and may crash an endpoint; not trials. */
 static void
 end_blamed_calls(serve_t *s)
 {
@@ -80,12 +122,14 @@
 
 	for (h = table_next(s->calls, 0); h != 0; h = next) {
 		call_t *c = call_get(s, h);
+		const blamed_t *p =
+		    c->trial ? NULL : blamed_of(c, call_began(c));
 
 		next = table_next(s->calls, h);
-		if (c->trial || call_began(c) || blamed_part_of(c) == NULL)
+		if (p == NULL)
 			continue;
 		count_calls("ended");
-		call_give_up(c, refusal, RETRY_MIN_MS);
+		call_give_up(c, text[p->what.kind].refusal, RETRY_MIN_MS);
 	}
 }
 
@@ -97,32 +141,34 @@
 	int i;
 
 	for (i = 0; i < b->nblamed; i++) {
-		blamed_part_t *p = &b->blamed[i];
+		blamed_t *p = &b->blamed[i];
+		char details[96];
 
 		if (p->enforced)
 			continue;
 		p->enforced = any = true;
-		counter_add(counter_get("ebonypitch_parts_blamed_total",
-				"Prompt parts blamed, by this instance or "
-				"another."),
+		counter_add(counter_get(text[p->what.kind].counter,
+				text[p->what.kind].help),
 		    1);
-		log_limited(LOG_WARNING, "part-blamed",
-		    "part=%" PRIx64 " crash_ago_ms=%" PRId64
-		    " trials=%d trial_in_ms=%" PRId64,
-		    p->part, s->loop.now - p->crash_at, p->trials,
+		snprintf(details, sizeof(details),
+		    "crash_ago_ms=%" PRId64 " trials=%d trial_in_ms=%" PRId64,
+		    s->loop.now - p->crash_at, p->trials,
 		    p->trial_at - s->loop.now);
+		log_suspect(p->what, "blamed", details);
 	}
 	if (any)
 		end_blamed_calls(s);
 }
 
 void
-blame_log_cleared(uint64_t part, const char *why)
+blame_log_cleared(suspect_t what, const char *why)
 {
-	log_limited(LOG_WARNING, "part-cleared", "part=%" PRIx64 " why=\"%s\"",
-	    part, why);
+	char details[64];
+
+	snprintf(details, sizeof(details), "why=\"%s\"", why);
+	log_suspect(what, "cleared", details);
 	counter_add(counter_get("ebonypitch_blame_cleared_total",
-			"Blamed parts with which a call began."),
+			"Blamed parts and requests with which a call passed."),
 	    1);
 }
 
@@ -137,28 +183,44 @@
 		   c->s->loop.now - c->last_event_at >= EVENT_AGE_MS);
 }
 
+static void
+passed(serve_t *s, suspect_t what, ms_t at, const char *why)
+{
+	if (!blame_passed(&s->blame->blame, what, at, true))
+		return;
+	blame_log_cleared(what, why);
+	blame_send_blamed(s);
+}
+
 void
 blame_call_began(call_t *c, ms_t at)
 {
-	serve_t *s = c->s;
-	blame_t *b = &s->blame->blame;
-	int i, n = call_shared_parts(&c->request);
-
-	for (i = 0; i < n; i++) {
-		uint64_t part = c->request.part[i].id;
+	suspect_t list[CALL_SUSPECTS_MAX];
+	int i, n = suspects_of(c, false, list);
+
+	for (i = 0; i < n; i++)
+		if (list[i].kind == SUSPECT_PART)
+			passed(c->s, list[i], at, "a call began");
+	if (c->s->blame->blame.nnews > 0)
+		blame_send_news(c->s);
+}
 
-		if (!blame_part_began(b, part, at, true))
-			continue;
-		blame_log_cleared(part, "a call began");
-		blame_send_blamed(s);
-	}
-	if (b->nnews > 0)
-		blame_send_news(s);
+void
+blame_call_completed(call_t *c)
+{
+	ms_t now = c->s->loop.now;
+	suspect_t request = { SUSPECT_REQUEST, c->fingerprint };
+
+	if (!call_began(c))
+		blame_call_began(c, now);
+	passed(c->s, request, now, "a call was completed");
+	if (c->s->blame->blame.nnews > 0)
+		blame_send_news(c->s);
 }
 
 /* May the call be sent as a trial? Asks for the next one if it may not. */
 static bool
-is_trial(call_t *c, blamed_part_t *p)
+is_trial(call_t *c, blamed_t *p)
 {
 	serve_t *s = c->s;
 	ms_t now = s->loop.now;
@@ -171,7 +233,7 @@
 		p->trial_granted_until = 0;
 	} else {
 		if (!plan_holder_valid(s) && blame_trial_due(p, now))
-			blame_ask_trial(s, p->part);
+			blame_ask_trial(s, p->what);
 		return false;
 	}
 	c->trial = true;
@@ -182,38 +244,41 @@
 blame_trial_sent(call_t *c)
 {
 	serve_t *s = c->s;
-	blamed_part_t *p = blamed_part_of(c);
+	blamed_t *p = blamed_of(c, false);
+	char details[192];
 
 	if (p == NULL)
 		return;
 	blame_trial_started(p, s->loop.now);
 	blame_send_blamed(s);
-	log_limited(LOG_WARNING, "part-trial",
-	    "request=%s part=%" PRIx64 " trials=%d endpoint=%s", c->request.id,
-	    p->part, p->trials, c->ep->entry.id);
+	snprintf(details, sizeof(details), "request=%s trials=%d endpoint=%s",
+	    c->request.id, p->trials, c->ep->entry.id);
+	log_suspect(p->what, "trial", details);
 }
 
 static void
-refuse_blamed(call_t *c, const blamed_part_t *p)
+refuse_blamed(call_t *c, const blamed_t *p)
 {
 	ms_t retry = p->trial_at - c->s->loop.now;
 
 	count_calls("refused");
 	call_queue_remove(c);
-	call_give_up(c, refusal, retry > RETRY_MIN_MS ? retry : RETRY_MIN_MS);
+	call_give_up(c, text[p->what.kind].refusal,
+	    retry > RETRY_MIN_MS ? retry : RETRY_MIN_MS);
 }
 
-/* Crashes that its parts are suspects of, by what is known now. */
+/* Crashes that something of it is a suspect of, by what is known now. */
 static int
 most_crashes(const call_t *c)
 {
 	const blame_t *b = &c->s->blame->blame;
-	int i, n, most = 0;
+	suspect_t list[CALL_SUSPECTS_MAX];
+	int i, crashes, most = 0, n = suspects_of(c, false, list);
 
-	for (i = 0; i < call_shared_parts(&c->request); i++) {
-		n = blame_crash_count(b, c->request.part[i].id);
-		if (n > most)
-			most = n;
+	for (i = 0; i < n; i++) {
+		crashes = blame_crash_count(b, list[i]);
+		if (crashes > most)
+			most = crashes;
 	}
 	return most;
 }
@@ -226,18 +291,21 @@
 hold_suspect(call_t *c)
 {
 	serve_t *s = c->s;
+	suspect_kind_t kind;
 
 	if (c->crashes == 0 || (!c->suspected && c->crashes < 2) ||
 	    most_crashes(c) == 0)
 		return false;
 	call_queue_remove(c);
+	kind =
+	    call_shared_parts(&c->request) > 0 ? SUSPECT_PART : SUSPECT_REQUEST;
 	if (s->loop.now >= c->crashed_at + HOLD_MS) {
 		count_calls("not-repeated");
-		call_give_up(c, "a part of its prompt may crash endpoints", 0);
+		call_give_up(c, text[kind].hold, 0);
 		return true;
 	}
 	c->state = CALL_WAITING;
-	c->wait_reason = "a part of its prompt may crash endpoints";
+	c->wait_reason = text[kind].hold;
 	call_queue_add(c);
 	alarm_set(&s->loop, &c->alarm, c->deadline);
 	return true;
@@ -246,7 +314,7 @@
 bool
 blame_stops_call(call_t *c)
 {
-	blamed_part_t *p = blamed_part_of(c);
+	blamed_t *p = blamed_of(c, false);
 
 	if (p != NULL && !is_trial(c, p)) {
 		refuse_blamed(c, p);
@@ -263,16 +331,16 @@
 	const blame_t *b = &s->blame->blame;
 	json_int_t offset = clock_wall() - s->loop.now;
 	json_t *list = json_array();
-	char part[17];
+	char id[17];
 	int i;
 
 	for (i = 0; i < b->nblamed; i++) {
-		const blamed_part_t *p = &b->blamed[i];
+		const blamed_t *p = &b->blamed[i];
 
-		snprintf(part, sizeof(part), "%016" PRIx64, p->part);
-		json_array_append_new(
-		    list, json_pack("[s,I,i,I]", part, p->crash_at + offset,
-			      p->trials, p->trial_at + offset));
+		snprintf(id, sizeof(id), "%016" PRIx64, p->what.id);
+		json_array_append_new(list,
+		    json_pack("[s,I,i,I,i]", id, p->crash_at + offset,
+			p->trials, p->trial_at + offset, (int)p->what.kind));
 	}
 	return list;
 }
@@ -286,22 +354,25 @@
 
 	json_array_foreach(list, i, item)
 	{
-		const char *part = json_string_value(json_array_get(item, 0));
-		blamed_part_t p = { .crash_at = json_integer_value(
-						    json_array_get(item, 1)) -
-						offset,
+		const char *id = json_string_value(json_array_get(item, 0));
+		/* Missing, it is a part. */
+		json_int_t kind = json_integer_value(json_array_get(item, 4));
+		blamed_t p = { .crash_at =
+				   json_integer_value(json_array_get(item, 1)) -
+				   offset,
 			.trials =
 			    (int)json_integer_value(json_array_get(item, 2)),
 			.trial_at =
 			    json_integer_value(json_array_get(item, 3)) -
 			    offset };
 
-		if (part == NULL)
+		if (id == NULL || kind < 0 || kind >= SUSPECT_KINDS)
 			continue;
 		/* The writer's clock may be ahead of ours. */
 		if (p.crash_at > s->loop.now)
 			p.crash_at = s->loop.now;
-		p.part = strtoull(part, NULL, 16);
+		p.what =
+		    (suspect_t){ (suspect_kind_t)kind, strtoull(id, NULL, 16) };
 		blame_adopt(&s->blame->blame, &p);
 	}
 	blame_enforce(s);
--- a/serve/blame.h
+++ b/serve/blame.h
@@ -1,8 +1,8 @@
 /**
  * @file blame.h
- * Prompt parts that crash endpoints: what this instance sees of them, what the
- * others report, and what becomes of calls with such a part. Decisions are made
- * by policy/blame.c.
+ * Prompt parts and requests that crash endpoints: what this instance sees of
+ * them, what the others report, and what becomes of calls with one. Decisions
+ * are made by policy/blame.c.
  */
 #ifndef SERVE_BLAME_H
 #define SERVE_BLAME_H
@@ -21,7 +21,7 @@
 	GArray *unsent;	  /* unsent_evidence_t, in blame_send.c */
 	int ticks;	  /* seconds */
 	bool news_due;	  /* part of the next datagram */
-	int blamed_sends; /* how often the blamed parts are still to be sent */
+	int blamed_sends; /* how often the blamed are still to be sent */
 };
 
 /* Crashes. crash_check.c */
@@ -37,8 +37,21 @@
 void blame_feed_init(serve_t *s);
 /** To be called every second. */
 void blame_tick(serve_t *s);
+enum {
+	CALL_SUSPECTS_MAX = PREFIX_MAX + 1,
+};
+
+/**
+ * What of a call may crash endpoints: the parts of its prompt until it begins,
+ * and the whole request until it is completed.
+ * @param list room for CALL_SUSPECTS_MAX
+ * @return how many
+ */
+int call_suspects(const call_t *c, suspect_t *list);
 /** A call began at @p at, so the parts of its prompt don't crash endpoints. */
 void blame_call_began(call_t *c, ms_t at);
+/** A call was completed: nothing of it crashes endpoints. */
+void blame_call_completed(call_t *c);
 /**
  * The call is about to be dispatched.
  * @return true if it may not be: it was answered, or waits
@@ -48,11 +61,11 @@
 void blame_trial_sent(call_t *c);
 /** Evidence changed: decide when it is time. */
 void blame_evidence_changed(serve_t *s);
-/** End the calls with parts that are newly blamed. */
+/** End the calls with suspects that are newly blamed. */
 void blame_enforce(serve_t *s);
-/** A part is no longer blamed. @param why for the log */
-void blame_log_cleared(uint64_t part, const char *why);
-/** The blamed parts for the lease, so that they outlive all instances. */
+/** A suspect is no longer blamed. @param why for the log */
+void blame_log_cleared(suspect_t what, const char *why);
+/** The blamed suspects for the lease, so that they outlive all instances. */
 json_t *blame_json(const serve_t *s);
 void blame_merge_json(serve_t *s, const json_t *list);
 
@@ -60,13 +73,13 @@
 
 void blame_send_init(serve_t *s);
 void blame_send_crash(serve_t *s, const blame_crash_t *c);
-/** The table of blamed parts changed. */
+/** The table of blamed suspects changed. */
 void blame_send_blamed(serve_t *s);
-/** Beginnings are to be told; see blame_next_news(). */
+/** Passings are to be told; see blame_next_news(). */
 void blame_send_news(serve_t *s);
-/** Ask the holder whether a call with the part may be a trial. */
-void blame_ask_trial(serve_t *s, uint64_t part);
+/** Ask the holder whether a call with the suspect may be a trial. */
+void blame_ask_trial(serve_t *s, suspect_t what);
 void blame_receive(
-    serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *from);
+    serve_t *s, Digest__Blame *m, const struct sockaddr_in *from);
 
 #endif
--- a/serve/blame_send.c
+++ b/serve/blame_send.c
@@ -1,7 +1,6 @@
 /*
- * What instances tell each other of prompt parts that crash endpoints. A
- * datagram may be lost, so each report is sent several times; receivers join
- * the repeats.
+ * What instances tell each other of what crashes endpoints. A datagram may be
+ * lost, so each report is sent several times; receivers join the repeats.
  */
 #include "serve/blame.h"
 #include "serve/spread.h"
@@ -10,9 +9,9 @@
 	SENDS = 3, /* of each report */
 	SEND_INTERVAL_MS = 60,
 	REPORTS_PER_DATAGRAM = 16,
-	ASK_INTERVAL_MS = 1000, /* for one part */
+	ASK_INTERVAL_MS = 1000, /* for one suspect */
 	/*
-	 * An instance waits before it tells of a beginning, as another one may
+	 * An instance waits before it tells of a passing, as another one may
 	 * have told the same: a random time, up to this for each instance.
 	 */
 	NEWS_DELAY_PER_PEER_MS = 2,
@@ -22,7 +21,7 @@
 /** Kind of evidence. */
 typedef enum evidence_kind {
 	EVIDENCE_CRASH,
-	EVIDENCE_BEGUN,
+	EVIDENCE_PASSED,
 } evidence_kind_t;
 
 /** Evidence of this instance that is still to be sent. */
@@ -32,23 +31,24 @@
 	union {
 		blame_crash_t crash;
 		struct {
-			uint64_t part;
+			suspect_t what;
 			ms_t at;
-		} begun;
+		} passed;
 	};
 } unsent_evidence_t;
 
 /** A message and the arrays of its fields. */
 typedef struct message {
-	Digest__PromptBlame m;
+	Digest__Blame m;
 	Digest__EndpointCrash crash[REPORTS_PER_DATAGRAM];
 	Digest__EndpointCrash *crash_list[REPORTS_PER_DATAGRAM];
-	uint64_t part[REPORTS_PER_DATAGRAM][BLAME_SUSPECTS_MAX];
+	uint64_t suspect[REPORTS_PER_DATAGRAM][BLAME_SUSPECTS_MAX];
 	uint32_t call[REPORTS_PER_DATAGRAM][BLAME_SUSPECTS_MAX];
-	uint64_t begun[BLAME_NEWS_MAX];
-	uint32_t begun_ago[BLAME_NEWS_MAX];
-	Digest__BlamedPart blamed[BLAME_PARTS_MAX];
-	Digest__BlamedPart *blamed_list[BLAME_PARTS_MAX];
+	uint32_t kind[REPORTS_PER_DATAGRAM][BLAME_SUSPECTS_MAX];
+	uint64_t passed[BLAME_NEWS_MAX];
+	uint32_t passed_ago[BLAME_NEWS_MAX], passed_kind[BLAME_NEWS_MAX];
+	Digest__Blamed blamed[BLAME_MAX];
+	Digest__Blamed *blamed_list[BLAME_MAX];
 } message_t;
 
 static void
@@ -56,14 +56,15 @@
 {
 	int i;
 
-	digest__prompt_blame__init(&t->m);
+	digest__blame__init(&t->m);
 	t->m.crash = t->crash_list;
-	t->m.begun = t->begun;
-	t->m.begun_ago = t->begun_ago;
+	t->m.passed = t->passed;
+	t->m.passed_ago = t->passed_ago;
+	t->m.passed_kind = t->passed_kind;
 	t->m.blamed = t->blamed_list;
 	for (i = 0; i < REPORTS_PER_DATAGRAM; i++)
 		t->crash_list[i] = &t->crash[i];
-	for (i = 0; i < BLAME_PARTS_MAX; i++)
+	for (i = 0; i < BLAME_MAX; i++)
 		t->blamed_list[i] = &t->blamed[i];
 }
 
@@ -86,25 +87,28 @@
 	to->endpoint = c->endpoint;
 	to->ago = age(s, c->at);
 	for (i = 0; i < c->nsuspect; i++) {
-		t->part[at][i] = c->suspect[i].part;
+		t->suspect[at][i] = c->suspect[i].what.id;
+		t->kind[at][i] = c->suspect[i].what.kind;
 		t->call[at][i] = c->suspect[i].call;
 	}
-	to->part = t->part[at];
+	to->suspect = t->suspect[at];
+	to->kind = t->kind[at];
 	to->call = t->call[at];
-	to->n_part = to->n_call = (size_t)c->nsuspect;
+	to->n_suspect = to->n_kind = to->n_call = (size_t)c->nsuspect;
 	t->m.n_crash++;
 }
 
 static void
-add_begun(const serve_t *s, message_t *t, uint64_t part, ms_t at)
+add_passed(const serve_t *s, message_t *t, suspect_t what, ms_t at)
 {
-	size_t n = t->m.n_begun;
+	size_t n = t->m.n_passed;
 
 	if (n == BLAME_NEWS_MAX)
 		return;
-	t->begun[n] = part;
-	t->begun_ago[n] = age(s, at);
-	t->m.n_begun = t->m.n_begun_ago = n + 1;
+	t->passed[n] = what.id;
+	t->passed_kind[n] = what.kind;
+	t->passed_ago[n] = age(s, at);
+	t->m.n_passed = t->m.n_passed_ago = t->m.n_passed_kind = n + 1;
 }
 
 static void
@@ -114,11 +118,12 @@
 	int i;
 
 	for (i = 0; i < b->nblamed; i++) {
-		const blamed_part_t *p = &b->blamed[i];
-		Digest__BlamedPart *to = &t->blamed[i];
+		const blamed_t *p = &b->blamed[i];
+		Digest__Blamed *to = &t->blamed[i];
 
-		digest__blamed_part__init(to);
-		to->part = p->part;
+		digest__blamed__init(to);
+		to->id = p->what.id;
+		to->kind = p->what.kind;
 		to->crash_ago = age(s, p->crash_at);
 		to->trials = (uint32_t)p->trials;
 		to->trial_in = p->trial_at > s->loop.now
@@ -129,7 +134,7 @@
 }
 
 static void
-message_send(serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *to)
+message_send(serve_t *s, Digest__Blame *m, const struct sockaddr_in *to)
 {
 	Digest__Digest d = DIGEST__DIGEST__INIT;
 
@@ -138,7 +143,7 @@
 }
 
 static void
-message_spread(serve_t *s, Digest__PromptBlame *m)
+message_spread(serve_t *s, Digest__Blame *m)
 {
 	Digest__Digest d = DIGEST__DIGEST__INIT;
 
@@ -154,11 +159,11 @@
 	serve_t *s = arg;
 	blame_feed_t *f = s->blame;
 	static message_t t;
-	unsent_evidence_t news = { .kind = EVIDENCE_BEGUN, .sends = SENDS };
+	unsent_evidence_t news = { .kind = EVIDENCE_PASSED, .sends = SENDS };
 	guint i;
 
 	while (f->news_due &&
-	       blame_next_news(&f->blame, &news.begun.part, &news.begun.at))
+	       blame_next_news(&f->blame, &news.passed.what, &news.passed.at))
 		g_array_append_val(f->unsent, news);
 	f->news_due = false;
 	message_init(&t);
@@ -170,8 +175,8 @@
 		case EVIDENCE_CRASH:
 			add_crash(s, &t, &e->crash);
 			break;
-		case EVIDENCE_BEGUN:
-			add_begun(s, &t, e->begun.part, e->begun.at);
+		case EVIDENCE_PASSED:
+			add_passed(s, &t, e->passed.what, e->passed.at);
 			break;
 		}
 		if (--e->sends == 0)
@@ -181,7 +186,7 @@
 		f->blamed_sends--;
 		add_blamed(s, &t);
 	}
-	if (t.m.n_crash + t.m.n_begun + t.m.n_blamed > 0)
+	if (t.m.n_crash + t.m.n_passed + t.m.n_blamed > 0)
 		message_spread(s, &t.m);
 	if (f->unsent->len > 0 || f->blamed_sends > 0)
 		alarm_set(
@@ -229,23 +234,36 @@
 }
 
 void
-blame_ask_trial(serve_t *s, uint64_t part)
+blame_ask_trial(serve_t *s, suspect_t what)
 {
-	Digest__PromptBlame m = DIGEST__PROMPT_BLAME__INIT;
-	blamed_part_t *p = blame_find(&s->blame->blame, part);
+	Digest__Blame m = DIGEST__BLAME__INIT;
+	blamed_t *p = blame_find(&s->blame->blame, what);
+	uint32_t kind = what.kind;
 	const peer_t *holder = live_holder(s);
 
 	if (p == NULL || holder == NULL ||
 	    is_recent(p->trial_asked_at, s->loop.now, ASK_INTERVAL_MS))
 		return;
 	p->trial_asked_at = s->loop.now;
-	m.trial_asked = &part;
-	m.n_trial_asked = 1;
+	m.trial_asked = &what.id;
+	m.trial_asked_kind = &kind;
+	m.n_trial_asked = m.n_trial_asked_kind = 1;
 	message_send(s, &m, &holder->sa);
 }
 
 /* What other instances send. */
 
+/* The suspect at an index of two lists. @return false: of no known kind */
+static bool
+suspect_read(const uint64_t *id, const uint32_t *kind, size_t nkind, size_t at,
+    suspect_t *to)
+{
+	uint32_t k = at < nkind ? kind[at] : SUSPECT_PART;
+
+	*to = (suspect_t){ (suspect_kind_t)k, id[at] };
+	return k < SUSPECT_KINDS;
+}
+
 static void
 receive_crash(serve_t *s, const Digest__EndpointCrash *m)
 {
@@ -253,68 +271,81 @@
 		.at = s->loop.now - (ms_t)m->ago };
 	size_t i;
 
-	for (i = 0; i < m->n_part && i < m->n_call && i < BLAME_SUSPECTS_MAX;
+	for (i = 0; i < m->n_suspect && i < m->n_call && i < BLAME_SUSPECTS_MAX;
 	     i++)
-		c.suspect[c.nsuspect++] =
-		    (blame_suspect_t){ m->part[i], m->call[i] };
+		if (suspect_read(m->suspect, m->kind, m->n_kind, i,
+			&c.suspect[c.nsuspect].what))
+			c.suspect[c.nsuspect++].call = m->call[i];
 	blame_add_crash(&s->blame->blame, &c);
 }
 
 static void
-receive_blamed(serve_t *s, const Digest__BlamedPart *m)
+receive_blamed(serve_t *s, const Digest__Blamed *m)
 {
-	blamed_part_t p = { .part = m->part,
+	blamed_t p = { .what = { (suspect_kind_t)m->kind, m->id },
 		.crash_at = s->loop.now - (ms_t)m->crash_ago,
 		.trials = (int)m->trials,
 		.trial_at = s->loop.now + (ms_t)m->trial_in };
 
-	blame_adopt(&s->blame->blame, &p);
+	if (m->kind < SUSPECT_KINDS)
+		blame_adopt(&s->blame->blame, &p);
 }
 
 static void
-grant_trials(
-    serve_t *s, const Digest__PromptBlame *m, const struct sockaddr_in *from)
+grant_trials(serve_t *s, const Digest__Blame *m, const struct sockaddr_in *from)
 {
 	size_t i;
 
 	for (i = 0; i < m->n_trial_asked && plan_holder_valid(s); i++) {
-		Digest__PromptBlame answer = DIGEST__PROMPT_BLAME__INIT;
-		blamed_part_t *p =
-		    blame_find(&s->blame->blame, m->trial_asked[i]);
+		Digest__Blame answer = DIGEST__BLAME__INIT;
+		suspect_t what;
+		uint32_t kind;
+		blamed_t *p;
 
+		if (!suspect_read(m->trial_asked, m->trial_asked_kind,
+			m->n_trial_asked_kind, i, &what))
+			continue;
+		p = blame_find(&s->blame->blame, what);
 		if (p == NULL || !blame_trial_due(p, s->loop.now))
 			continue;
 		blame_trial_granted(p, s->loop.now);
-		answer.trial_granted = &m->trial_asked[i];
-		answer.n_trial_granted = 1;
+		kind = what.kind;
+		answer.trial_granted = &what.id;
+		answer.trial_granted_kind = &kind;
+		answer.n_trial_granted = answer.n_trial_granted_kind = 1;
 		message_send(s, &answer, from);
 	}
 }
 
 void
-blame_receive(
-    serve_t *s, Digest__PromptBlame *m, const struct sockaddr_in *from)
+blame_receive(serve_t *s, Digest__Blame *m, const struct sockaddr_in *from)
 {
 	Digest__Digest copy = DIGEST__DIGEST__INIT;
 	blame_t *b = &s->blame->blame;
+	suspect_t what;
 	size_t i;
 
 	if (peer_at(s, from) == NULL)
 		return;
 	copy.blame = m;
 	spread_on(s, &copy, &m->pass_on);
-	for (i = 0; i < m->n_begun && i < m->n_begun_ago; i++)
-		if (blame_part_began(b, m->begun[i],
-			s->loop.now - (ms_t)m->begun_ago[i], false))
-			blame_log_cleared(m->begun[i], "told by an instance");
+	for (i = 0; i < m->n_passed && i < m->n_passed_ago; i++)
+		if (suspect_read(m->passed, m->passed_kind, m->n_passed_kind, i,
+			&what) &&
+		    blame_passed(
+			b, what, s->loop.now - (ms_t)m->passed_ago[i], false))
+			blame_log_cleared(what, "told by an instance");
 	for (i = 0; i < m->n_crash; i++)
 		receive_crash(s, m->crash[i]);
 	for (i = 0; i < m->n_blamed; i++)
 		receive_blamed(s, m->blamed[i]);
 	grant_trials(s, m, from);
 	for (i = 0; i < m->n_trial_granted; i++) {
-		blamed_part_t *p = blame_find(b, m->trial_granted[i]);
+		blamed_t *p = NULL;
 
+		if (suspect_read(m->trial_granted, m->trial_granted_kind,
+			m->n_trial_granted_kind, i, &what))
+			p = blame_find(b, what);
 		if (p != NULL)
 			p->trial_granted_until = s->loop.now + BLAME_GRANT_MS;
 	}
--- a/serve/crash_check.c
+++ b/serve/crash_check.c
@@ -1,8 +1,7 @@
 /*
  * Was the end of a connection the end of its endpoint? A new connection that is
- * refused tells. The calls that had not begun there are evidence against parts
- * of their prompts; an end without such calls shows a common cause if others
- * end at the same moment.
+ * refused tells. Each call there is evidence against its whole request and, if
+ * it hadn't begun, against the parts of its prompt.
  */
 #include "serve/blame.h"
 
@@ -10,8 +9,12 @@
 
 enum {
 	CHECK_TIMEOUT_MS = 400, /* without an answer nothing is known */
-	/* Checks of an endpoint where no call is a suspect, at least. */
-	CHECK_INTERVAL_MS = 500,
+	/*
+	 * At least, between checks of an endpoint: endpoints in trouble end
+	 * many connections and live on, and each check costs another one.
+	 */
+	CHECK_INTERVAL_MS = 100,
+	CHECK_INTERVAL_BEGUN_MS = 500, /* for calls that had begun */
 };
 
 struct crash_check {
@@ -95,50 +98,55 @@
 	return k;
 }
 
+/*
+ * Requests of calls that have begun are less likely to be the cause: they leave
+ * room for the others.
+ */
 static void
-add_suspect(blame_crash_t *crash, uint64_t part, uint32_t call)
+add_suspect(blame_crash_t *crash, suspect_t what, uint32_t call, bool began)
 {
-	int i;
+	int i, room = began ? BLAME_SUSPECTS_MAX / 2 : BLAME_SUSPECTS_MAX;
 
 	for (i = 0; i < crash->nsuspect; i++)
-		if (crash->suspect[i].part == part)
+		if (suspect_same(crash->suspect[i].what, what))
 			return;
-	if (crash->nsuspect < BLAME_SUSPECTS_MAX)
+	if (crash->nsuspect < room)
 		crash->suspect[crash->nsuspect++] =
-		    (blame_suspect_t){ part, call };
+		    (blame_suspect_t){ what, call };
 }
 
-/* The call's parts may be the cause. */
+/* The call may be the cause; it hadn't begun. */
 static void
-note_suspect(call_t *c, int nshared)
+note_suspect(call_t *c, const suspect_t *list, int n)
 {
 	const blame_t *b = &c->s->blame->blame;
 	int i;
 
 	c->crashes++;
 	c->crashed_at = c->s->loop.now;
-	for (i = 0; i < nshared; i++)
-		c->suspected |= blame_crash_count(b, c->request.part[i].id) > 0;
+	for (i = 0; i < n; i++)
+		c->suspected |= blame_crash_count(b, list[i]) > 0;
 }
 
 void
 crash_check(call_t *c)
 {
 	ep_t *p = c->ep;
-	int i, n = call_began(c) ? 0 : call_shared_parts(&c->request);
+	bool began = call_began(c);
+	suspect_t list[CALL_SUSPECTS_MAX];
+	int i, n = call_suspects(c, list);
 
 	if (!ep_usable(p))
 		return;
-	if (c->reading.events == 1 && n == 0)
+	if (c->reading.events == 1 && began)
 		blame_call_began(c, c->last_event_at);
-	if (n > 0)
-		note_suspect(c, n);
-	else if (is_recent(
-		     p->crash_checked_at, c->s->loop.now, CHECK_INTERVAL_MS))
-		return;
-	if (p->crash_check == NULL)
+	if (!began)
+		note_suspect(c, list, n);
+	if (p->crash_check == NULL &&
+	    !is_recent(p->crash_checked_at, c->s->loop.now,
+		began ? CHECK_INTERVAL_BEGUN_MS : CHECK_INTERVAL_MS))
 		p->crash_check = check_start(c);
 	for (i = 0; p->crash_check != NULL && i < n; i++)
-		add_suspect(&p->crash_check->crash, c->request.part[i].id,
-		    (uint32_t)hash_str(c->request.id, 0));
+		add_suspect(&p->crash_check->crash, list[i],
+		    (uint32_t)hash_str(c->request.id, 0), began);
 }
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -385,7 +385,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Digest__Digest, blame),
-    &digest__prompt_blame__descriptor,
+    &digest__blame__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -120,7 +120,7 @@
   size_t n_accepted_order;
   Digest__AcceptedOrder **accepted_order;
   Digest__StreamVersions *streams;
-  Digest__PromptBlame *blame;
+  Digest__Blame *blame;
   Digest__CallLimits *limits;
 };
 #define DIGEST__DIGEST__INIT \
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -187,49 +187,49 @@
   assert(message->base.descriptor == &digest__accepted_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   digest__prompt_blame__init
-                     (Digest__PromptBlame         *message)
+void   digest__blame__init
+                     (Digest__Blame         *message)
 {
-  static const Digest__PromptBlame init_value = DIGEST__PROMPT_BLAME__INIT;
+  static const Digest__Blame init_value = DIGEST__BLAME__INIT;
   *message = init_value;
 }
-size_t digest__prompt_blame__get_packed_size
-                     (const Digest__PromptBlame *message)
+size_t digest__blame__get_packed_size
+                     (const Digest__Blame *message)
 {
-  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  assert(message->base.descriptor == &digest__blame__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t digest__prompt_blame__pack
-                     (const Digest__PromptBlame *message,
+size_t digest__blame__pack
+                     (const Digest__Blame *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  assert(message->base.descriptor == &digest__blame__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t digest__prompt_blame__pack_to_buffer
-                     (const Digest__PromptBlame *message,
+size_t digest__blame__pack_to_buffer
+                     (const Digest__Blame *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  assert(message->base.descriptor == &digest__blame__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Digest__PromptBlame *
-       digest__prompt_blame__unpack
+Digest__Blame *
+       digest__blame__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Digest__PromptBlame *)
-     protobuf_c_message_unpack (&digest__prompt_blame__descriptor,
+  return (Digest__Blame *)
+     protobuf_c_message_unpack (&digest__blame__descriptor,
                                 allocator, len, data);
 }
-void   digest__prompt_blame__free_unpacked
-                     (Digest__PromptBlame *message,
+void   digest__blame__free_unpacked
+                     (Digest__Blame *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &digest__prompt_blame__descriptor);
+  assert(message->base.descriptor == &digest__blame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   digest__endpoint_crash__init
@@ -277,49 +277,49 @@
   assert(message->base.descriptor == &digest__endpoint_crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   digest__blamed_part__init
-                     (Digest__BlamedPart         *message)
+void   digest__blamed__init
+                     (Digest__Blamed         *message)
 {
-  static const Digest__BlamedPart init_value = DIGEST__BLAMED_PART__INIT;
+  static const Digest__Blamed init_value = DIGEST__BLAMED__INIT;
   *message = init_value;
 }
-size_t digest__blamed_part__get_packed_size
-                     (const Digest__BlamedPart *message)
+size_t digest__blamed__get_packed_size
+                     (const Digest__Blamed *message)
 {
-  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  assert(message->base.descriptor == &digest__blamed__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t digest__blamed_part__pack
-                     (const Digest__BlamedPart *message,
+size_t digest__blamed__pack
+                     (const Digest__Blamed *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  assert(message->base.descriptor == &digest__blamed__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t digest__blamed_part__pack_to_buffer
-                     (const Digest__BlamedPart *message,
+size_t digest__blamed__pack_to_buffer
+                     (const Digest__Blamed *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  assert(message->base.descriptor == &digest__blamed__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Digest__BlamedPart *
-       digest__blamed_part__unpack
+Digest__Blamed *
+       digest__blamed__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Digest__BlamedPart *)
-     protobuf_c_message_unpack (&digest__blamed_part__descriptor,
+  return (Digest__Blamed *)
+     protobuf_c_message_unpack (&digest__blamed__descriptor,
                                 allocator, len, data);
 }
-void   digest__blamed_part__free_unpacked
-                     (Digest__BlamedPart *message,
+void   digest__blamed__free_unpacked
+                     (Digest__Blamed *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &digest__blamed_part__descriptor);
+  assert(message->base.descriptor == &digest__blamed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   digest__call_limits__init
@@ -914,39 +914,39 @@
   (ProtobufCMessageInit) digest__accepted_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__prompt_blame__field_descriptors[7] =
+static const ProtobufCFieldDescriptor digest__blame__field_descriptors[10] =
 {
   {
     "crash",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Digest__PromptBlame, n_crash),
-    offsetof(Digest__PromptBlame, crash),
+    offsetof(Digest__Blame, n_crash),
+    offsetof(Digest__Blame, crash),
     &digest__endpoint_crash__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begun",
+    "passed",
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Digest__PromptBlame, n_begun),
-    offsetof(Digest__PromptBlame, begun),
+    offsetof(Digest__Blame, n_passed),
+    offsetof(Digest__Blame, passed),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begun_ago",
+    "passed_ago",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Digest__PromptBlame, n_begun_ago),
-    offsetof(Digest__PromptBlame, begun_ago),
+    offsetof(Digest__Blame, n_passed_ago),
+    offsetof(Digest__Blame, passed_ago),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -957,9 +957,9 @@
     4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Digest__PromptBlame, n_blamed),
-    offsetof(Digest__PromptBlame, blamed),
-    &digest__blamed_part__descriptor,
+    offsetof(Digest__Blame, n_blamed),
+    offsetof(Digest__Blame, blamed),
+    &digest__blamed__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -969,8 +969,8 @@
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Digest__PromptBlame, n_trial_asked),
-    offsetof(Digest__PromptBlame, trial_asked),
+    offsetof(Digest__Blame, n_trial_asked),
+    offsetof(Digest__Blame, trial_asked),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -981,8 +981,8 @@
     6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Digest__PromptBlame, n_trial_granted),
-    offsetof(Digest__PromptBlame, trial_granted),
+    offsetof(Digest__Blame, n_trial_granted),
+    offsetof(Digest__Blame, trial_granted),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -994,43 +994,82 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Digest__PromptBlame, pass_on),
+    offsetof(Digest__Blame, pass_on),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "passed_kind",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Blame, n_passed_kind),
+    offsetof(Digest__Blame, passed_kind),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_asked_kind",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Blame, n_trial_asked_kind),
+    offsetof(Digest__Blame, trial_asked_kind),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_granted_kind",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Blame, n_trial_granted_kind),
+    offsetof(Digest__Blame, trial_granted_kind),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned digest__prompt_blame__field_indices_by_name[] = {
-  1,   /* field[1] = begun */
-  2,   /* field[2] = begun_ago */
+static const unsigned digest__blame__field_indices_by_name[] = {
   3,   /* field[3] = blamed */
   0,   /* field[0] = crash */
   6,   /* field[6] = pass_on */
+  1,   /* field[1] = passed */
+  2,   /* field[2] = passed_ago */
+  7,   /* field[7] = passed_kind */
   4,   /* field[4] = trial_asked */
+  8,   /* field[8] = trial_asked_kind */
   5,   /* field[5] = trial_granted */
+  9,   /* field[9] = trial_granted_kind */
 };
-static const ProtobufCIntRange digest__prompt_blame__number_ranges[1 + 1] =
+static const ProtobufCIntRange digest__blame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor digest__prompt_blame__descriptor =
+const ProtobufCMessageDescriptor digest__blame__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "digest.PromptBlame",
-  "PromptBlame",
-  "Digest__PromptBlame",
+  "digest.Blame",
+  "Blame",
+  "Digest__Blame",
   "digest",
-  sizeof(Digest__PromptBlame),
-  7,
-  digest__prompt_blame__field_descriptors,
-  digest__prompt_blame__field_indices_by_name,
-  1,  digest__prompt_blame__number_ranges,
-  (ProtobufCMessageInit) digest__prompt_blame__init,
+  sizeof(Digest__Blame),
+  10,
+  digest__blame__field_descriptors,
+  digest__blame__field_indices_by_name,
+  1,  digest__blame__number_ranges,
+  (ProtobufCMessageInit) digest__blame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__endpoint_crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor digest__endpoint_crash__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -1057,12 +1096,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "part",
+    "suspect",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Digest__EndpointCrash, n_part),
-    offsetof(Digest__EndpointCrash, part),
+    offsetof(Digest__EndpointCrash, n_suspect),
+    offsetof(Digest__EndpointCrash, suspect),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1080,17 +1119,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__EndpointCrash, n_kind),
+    offsetof(Digest__EndpointCrash, kind),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__endpoint_crash__field_indices_by_name[] = {
   1,   /* field[1] = ago */
   3,   /* field[3] = call */
   0,   /* field[0] = endpoint */
-  2,   /* field[2] = part */
+  4,   /* field[4] = kind */
+  2,   /* field[2] = suspect */
 };
 static const ProtobufCIntRange digest__endpoint_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor =
 {
@@ -1100,22 +1152,22 @@
   "Digest__EndpointCrash",
   "digest",
   sizeof(Digest__EndpointCrash),
-  4,
+  5,
   digest__endpoint_crash__field_descriptors,
   digest__endpoint_crash__field_indices_by_name,
   1,  digest__endpoint_crash__number_ranges,
   (ProtobufCMessageInit) digest__endpoint_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__blamed_part__field_descriptors[4] =
+static const ProtobufCFieldDescriptor digest__blamed__field_descriptors[5] =
 {
   {
-    "part",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Digest__BlamedPart, part),
+    offsetof(Digest__Blamed, id),
     NULL,
     NULL,
     0,             /* flags */
@@ -1127,7 +1179,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Digest__BlamedPart, crash_ago),
+    offsetof(Digest__Blamed, crash_ago),
     NULL,
     NULL,
     0,             /* flags */
@@ -1139,7 +1191,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Digest__BlamedPart, trials),
+    offsetof(Digest__Blamed, trials),
     NULL,
     NULL,
     0,             /* flags */
@@ -1151,37 +1203,50 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Digest__BlamedPart, trial_in),
+    offsetof(Digest__Blamed, trial_in),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Blamed, kind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned digest__blamed_part__field_indices_by_name[] = {
+static const unsigned digest__blamed__field_indices_by_name[] = {
   1,   /* field[1] = crash_ago */
-  0,   /* field[0] = part */
+  0,   /* field[0] = id */
+  4,   /* field[4] = kind */
   3,   /* field[3] = trial_in */
   2,   /* field[2] = trials */
 };
-static const ProtobufCIntRange digest__blamed_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange digest__blamed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor digest__blamed_part__descriptor =
+const ProtobufCMessageDescriptor digest__blamed__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "digest.BlamedPart",
-  "BlamedPart",
-  "Digest__BlamedPart",
+  "digest.Blamed",
+  "Blamed",
+  "Digest__Blamed",
   "digest",
-  sizeof(Digest__BlamedPart),
-  4,
-  digest__blamed_part__field_descriptors,
-  digest__blamed_part__field_indices_by_name,
-  1,  digest__blamed_part__number_ranges,
-  (ProtobufCMessageInit) digest__blamed_part__init,
+  sizeof(Digest__Blamed),
+  5,
+  digest__blamed__field_descriptors,
+  digest__blamed__field_indices_by_name,
+  1,  digest__blamed__number_ranges,
+  (ProtobufCMessageInit) digest__blamed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor digest__call_limits__field_descriptors[4] =
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -19,9 +19,9 @@
 typedef struct Digest__Demand Digest__Demand;
 typedef struct Digest__StreamVersions Digest__StreamVersions;
 typedef struct Digest__AcceptedOrder Digest__AcceptedOrder;
-typedef struct Digest__PromptBlame Digest__PromptBlame;
+typedef struct Digest__Blame Digest__Blame;
 typedef struct Digest__EndpointCrash Digest__EndpointCrash;
-typedef struct Digest__BlamedPart Digest__BlamedPart;
+typedef struct Digest__Blamed Digest__Blamed;
 typedef struct Digest__CallLimits Digest__CallLimits;
 typedef struct Digest__CallLimit Digest__CallLimit;
 typedef struct Digest__PermitRequest Digest__PermitRequest;
@@ -156,28 +156,29 @@
 
 
 /*
- * Which parts of prompts crash endpoints. A datagram that has this part has
- * nothing else. Ages are in ms.
+ * What crashes endpoints: parts of prompts and whole requests. A datagram that
+ * has this part has nothing else. Ages are in ms. A kind is a suspect_kind_t;
+ * one that is missing is 0.
  */
-struct  Digest__PromptBlame
+struct  Digest__Blame
 {
   ProtobufCMessage base;
   size_t n_crash;
   Digest__EndpointCrash **crash;
   /*
-   * Parts on which calls began.
+   * Suspects with which calls passed.
    */
-  size_t n_begun;
-  uint64_t *begun;
+  size_t n_passed;
+  uint64_t *passed;
   /*
-   * one for each of begun
+   * one for each of passed
    */
-  size_t n_begun_ago;
-  uint32_t *begun_ago;
+  size_t n_passed_ago;
+  uint32_t *passed_ago;
   size_t n_blamed;
-  Digest__BlamedPart **blamed;
+  Digest__Blamed **blamed;
   /*
-   * Parts with which a call may be tried again: to the holder, and back.
+   * Suspects with which a call may be tried again: to the holder, and back.
    */
   size_t n_trial_asked;
   uint64_t *trial_asked;
@@ -187,41 +188,60 @@
    * To be passed on within the receiver's domain.
    */
   protobuf_c_boolean pass_on;
+  /*
+   * one for each of passed
+   */
+  size_t n_passed_kind;
+  uint32_t *passed_kind;
+  /*
+   * one for each of trial_asked
+   */
+  size_t n_trial_asked_kind;
+  uint32_t *trial_asked_kind;
+  /*
+   * one for each of trial_granted
+   */
+  size_t n_trial_granted_kind;
+  uint32_t *trial_granted_kind;
 };
-#define DIGEST__PROMPT_BLAME__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&digest__prompt_blame__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+#define DIGEST__BLAME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__blame__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
- * An endpoint that crashed, and what may have been the cause: parts of calls
- * that had not begun there.
+ * An endpoint that crashed, and its suspects.
  */
 struct  Digest__EndpointCrash
 {
   ProtobufCMessage base;
   uint32_t endpoint;
   uint32_t ago;
-  size_t n_part;
-  uint64_t *part;
+  size_t n_suspect;
+  uint64_t *suspect;
   /*
-   * one for each of part
+   * one for each of suspect
    */
   size_t n_call;
   uint32_t *call;
+  /*
+   * one for each of suspect
+   */
+  size_t n_kind;
+  uint32_t *kind;
 };
 #define DIGEST__ENDPOINT_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__endpoint_crash__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
- * A part that crashes endpoints.
+ * A suspect that is blamed.
  */
-struct  Digest__BlamedPart
+struct  Digest__Blamed
 {
   ProtobufCMessage base;
-  uint64_t part;
+  uint64_t id;
   /*
    * the last crash
    */
@@ -234,10 +254,11 @@
    * until the next trial is due
    */
   uint32_t trial_in;
+  uint32_t kind;
 };
-#define DIGEST__BLAMED_PART__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&digest__blamed_part__descriptor) \
-    , 0, 0, 0, 0 }
+#define DIGEST__BLAMED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__blamed__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -401,24 +422,24 @@
 void   digest__accepted_order__free_unpacked
                      (Digest__AcceptedOrder *message,
                       ProtobufCAllocator *allocator);
-/* Digest__PromptBlame methods */
-void   digest__prompt_blame__init
-                     (Digest__PromptBlame         *message);
-size_t digest__prompt_blame__get_packed_size
-                     (const Digest__PromptBlame   *message);
-size_t digest__prompt_blame__pack
-                     (const Digest__PromptBlame   *message,
+/* Digest__Blame methods */
+void   digest__blame__init
+                     (Digest__Blame         *message);
+size_t digest__blame__get_packed_size
+                     (const Digest__Blame   *message);
+size_t digest__blame__pack
+                     (const Digest__Blame   *message,
                       uint8_t             *out);
-size_t digest__prompt_blame__pack_to_buffer
-                     (const Digest__PromptBlame   *message,
+size_t digest__blame__pack_to_buffer
+                     (const Digest__Blame   *message,
                       ProtobufCBuffer     *buffer);
-Digest__PromptBlame *
-       digest__prompt_blame__unpack
+Digest__Blame *
+       digest__blame__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   digest__prompt_blame__free_unpacked
-                     (Digest__PromptBlame *message,
+void   digest__blame__free_unpacked
+                     (Digest__Blame *message,
                       ProtobufCAllocator *allocator);
 /* Digest__EndpointCrash methods */
 void   digest__endpoint_crash__init
@@ -439,24 +460,24 @@
 void   digest__endpoint_crash__free_unpacked
                      (Digest__EndpointCrash *message,
                       ProtobufCAllocator *allocator);
-/* Digest__BlamedPart methods */
-void   digest__blamed_part__init
-                     (Digest__BlamedPart         *message);
-size_t digest__blamed_part__get_packed_size
-                     (const Digest__BlamedPart   *message);
-size_t digest__blamed_part__pack
-                     (const Digest__BlamedPart   *message,
+/* Digest__Blamed methods */
+void   digest__blamed__init
+                     (Digest__Blamed         *message);
+size_t digest__blamed__get_packed_size
+                     (const Digest__Blamed   *message);
+size_t digest__blamed__pack
+                     (const Digest__Blamed   *message,
                       uint8_t             *out);
-size_t digest__blamed_part__pack_to_buffer
-                     (const Digest__BlamedPart   *message,
+size_t digest__blamed__pack_to_buffer
+                     (const Digest__Blamed   *message,
                       ProtobufCBuffer     *buffer);
-Digest__BlamedPart *
-       digest__blamed_part__unpack
+Digest__Blamed *
+       digest__blamed__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   digest__blamed_part__free_unpacked
-                     (Digest__BlamedPart *message,
+void   digest__blamed__free_unpacked
+                     (Digest__Blamed *message,
                       ProtobufCAllocator *allocator);
 /* Digest__CallLimits methods */
 void   digest__call_limits__init
@@ -548,14 +569,14 @@
 typedef void (*Digest__AcceptedOrder_Closure)
                  (const Digest__AcceptedOrder *message,
                   void *closure_data);
-typedef void (*Digest__PromptBlame_Closure)
-                 (const Digest__PromptBlame *message,
+typedef void (*Digest__Blame_Closure)
+                 (const Digest__Blame *message,
                   void *closure_data);
 typedef void (*Digest__EndpointCrash_Closure)
                  (const Digest__EndpointCrash *message,
                   void *closure_data);
-typedef void (*Digest__BlamedPart_Closure)
-                 (const Digest__BlamedPart *message,
+typedef void (*Digest__Blamed_Closure)
+                 (const Digest__Blamed *message,
                   void *closure_data);
 typedef void (*Digest__CallLimits_Closure)
                  (const Digest__CallLimits *message,
@@ -579,9 +600,9 @@
 extern const ProtobufCMessageDescriptor digest__demand__descriptor;
 extern const ProtobufCMessageDescriptor digest__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor digest__accepted_order__descriptor;
-extern const ProtobufCMessageDescriptor digest__prompt_blame__descriptor;
+extern const ProtobufCMessageDescriptor digest__blame__descriptor;
 extern const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor;
-extern const ProtobufCMessageDescriptor digest__blamed_part__descriptor;
+extern const ProtobufCMessageDescriptor digest__blamed__descriptor;
 extern const ProtobufCMessageDescriptor digest__call_limits__descriptor;
 extern const ProtobufCMessageDescriptor digest__call_limit__descriptor;
 extern const ProtobufCMessageDescriptor digest__permit_request__descriptor;
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -47,7 +47,11 @@
 	set_gauge("ebonypitch_holder", "1 if it orders endpoints.",
 	    plan_is_holder(s));
 	set_gauge("ebonypitch_prompt_parts_blamed",
-	    "Prompt parts that crash endpoints.", s->blame->blame.nblamed);
+	    "Prompt parts that crash endpoints.",
+	    blame_count(&s->blame->blame, SUSPECT_PART));
+	set_gauge("ebonypitch_requests_blamed",
+	    "Requests that crash endpoints.",
+	    blame_count(&s->blame->blame, SUSPECT_REQUEST));
 	set_gauge("ebonypitch_log_dropped", "Log lines that weren't taken.",
 	    log_dropped());
 	set_gauge("ebonypitch_first_error_percent",
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -171,8 +171,7 @@
 		    c, false, "the stream ended inside an event");
 		return;
 	}
-	if (!call_began(c))
-		blame_call_began(c, c->s->loop.now);
+	blame_call_completed(c);
 	if (!c->head_sent) {
 		/* A complete stream without events that have an id. */
 		first_event_received(c);
--- a/tests/blame_test.c
+++ b/tests/blame_test.c
@@ -11,7 +11,9 @@
 };
 
 /* Parts: the first of most prompts, one that crashes, and others. */
-static const uint64_t first = 1, bad = 2, other = 3, another = 4;
+static const suspect_t first = { SUSPECT_PART, 1 }, bad = { SUSPECT_PART, 2 },
+		       other = { SUSPECT_PART, 3 },
+		       another = { SUSPECT_PART, 4 }, none = { 0 };
 
 static blame_t *
 blame_new(void)
@@ -22,17 +24,17 @@
 	return b;
 }
 
-/* One instance reports a crash; the call has all of these parts, up to 0. */
+/* One instance reports a crash; the call has all of these, up to none. */
 static void
-crash(blame_t *b, uint32_t endpoint, ms_t at, uint32_t call, uint64_t p1,
-    uint64_t p2, uint64_t p3)
+crash(blame_t *b, uint32_t endpoint, ms_t at, uint32_t call, suspect_t s1,
+    suspect_t s2, suspect_t s3)
 {
-	uint64_t part[] = { p1, p2, p3 };
+	suspect_t what[] = { s1, s2, s3 };
 	blame_crash_t c = { .endpoint = endpoint, .at = at };
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(part) && part[i] != 0; i++)
-		c.suspect[c.nsuspect++] = (blame_suspect_t){ part[i], call };
+	for (i = 0; i < G_N_ELEMENTS(what) && what[i].id != 0; i++)
+		c.suspect[c.nsuspect++] = (blame_suspect_t){ what[i], call };
 	blame_add_crash(b, &c);
 }
 
@@ -42,19 +44,19 @@
 {
 	blame_t *b = blame_new();
 
-	crash(b, 1, START, 1, bad, other, 0);
-	crash(b, 2, START + GAP, 2, bad, another, 0);
+	crash(b, 1, START, 1, bad, other, none);
+	crash(b, 2, START + GAP, 2, bad, another, none);
 	g_assert_false(blame_decide(b, START + GAP + LATER));
 	g_assert_cmpint(blame_crash_count(b, bad), ==, 2);
-	crash(b, 3, START + 2 * GAP, 3, bad, 0, 0);
+	crash(b, 3, START + 2 * GAP, 3, bad, none, none);
 	g_assert_true(blame_decide(b, START + 2 * GAP + LATER));
 	g_assert_nonnull(blame_find(b, bad));
 	g_assert_null(blame_find(b, other));
 	g_assert_null(blame_find(b, another));
 	/* Further crashes with it are no evidence against other parts. */
-	crash(b, 4, START + 3 * GAP, 4, bad, other, 0);
-	crash(b, 5, START + 4 * GAP, 5, bad, other, 0);
-	crash(b, 6, START + 5 * GAP, 6, bad, other, 0);
+	crash(b, 4, START + 3 * GAP, 4, bad, other, none);
+	crash(b, 5, START + 4 * GAP, 5, bad, other, none);
+	crash(b, 6, START + 5 * GAP, 6, bad, other, none);
 	g_assert_false(blame_decide(b, START + 5 * GAP + LATER));
 	g_assert_cmpint(blame_crash_count(b, other), ==, 0);
 	g_free(b);
@@ -69,7 +71,8 @@
 	int i;
 
 	for (i = 0; i < 3; i++)
-		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, none,
+		    none);
 	at = blame_decide_at(b, last);
 	while (at != 0 && !blame_decide(b, at))
 		at = blame_decide_at(b, at);
@@ -86,10 +89,10 @@
 	int i;
 
 	for (i = 0; i < 50; i++) {
-		crash(
-		    b, (uint32_t)i, START + i * GAP, (uint32_t)i, first, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, first, none,
+		    none);
 		if (i % 2 == 1)
-			blame_part_began(
+			blame_passed(
 			    b, first, START + i * GAP + 50, i % 4 == 1);
 		g_assert_false(blame_decide(b, START + i * GAP + 150));
 	}
@@ -104,10 +107,10 @@
 	blame_t *b = blame_new();
 	int i;
 
-	blame_part_began(b, first, START - 50, true);
+	blame_passed(b, first, START - 50, true);
 	for (i = 0; i < 3; i++)
 		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, first, bad,
-		    0);
+		    none);
 	g_assert_true(blame_decide(b, START + 2 * GAP + LATER));
 	g_assert_nonnull(blame_find(b, bad));
 	g_assert_null(blame_find(b, first));
@@ -121,9 +124,10 @@
 	blame_t *b = blame_new();
 	int i;
 
-	blame_part_began(b, bad, START - HOUR, true);
+	blame_passed(b, bad, START - HOUR, true);
 	for (i = 0; i < 3; i++)
-		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, none,
+		    none);
 	g_assert_true(blame_decide(b, START + 2 * GAP + LATER));
 	g_assert_nonnull(blame_find(b, bad));
 	g_free(b);
@@ -138,7 +142,8 @@
 	int i;
 
 	for (i = 0; i < 40; i++)
-		crash(b, (uint32_t)i, START + i, (uint32_t)i, other, 0, 0);
+		crash(
+		    b, (uint32_t)i, START + i, (uint32_t)i, other, none, none);
 	g_assert_false(blame_decide(b, START + LATER));
 	g_assert_cmpint(blame_crash_count(b, other), ==, 1);
 	g_free(b);
@@ -153,10 +158,10 @@
 
 	for (i = 0; i < 10; i++) {
 		crash(b, (uint32_t)(10 * i), START + i * GAP, (uint32_t)i,
-		    other, 0, 0);
+		    other, none, none);
 		/* Only calls that had begun were there. */
-		crash(
-		    b, (uint32_t)(10 * i + 1), START + i * GAP + 5, 0, 0, 0, 0);
+		crash(b, (uint32_t)(10 * i + 1), START + i * GAP + 5, 0, none,
+		    none, none);
 	}
 	g_assert_cmpint(blame_crash_count(b, other), ==, 0);
 	g_assert_false(blame_decide(b, START + 10 * GAP + LATER));
@@ -171,13 +176,14 @@
 	int i;
 
 	for (i = 0; i < 3; i++)
-		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, none,
+		    none);
 	g_assert_true(blame_decide(b, START + 2 * GAP + LATER));
 	for (i = 0; i < 3; i++) {
 		crash(b, 10 + (uint32_t)i, START + LATER + i * GAP,
-		    10 + (uint32_t)i, bad, 0, 0);
+		    10 + (uint32_t)i, bad, none, none);
 		crash(b, 20 + (uint32_t)i, START + LATER + i * GAP + 5,
-		    20 + (uint32_t)i, other, 0, 0);
+		    20 + (uint32_t)i, other, none, none);
 	}
 	g_assert_true(blame_decide(b, START + 3 * LATER));
 	g_assert_nonnull(blame_find(b, other));
@@ -192,7 +198,7 @@
 	int i;
 
 	for (i = 0; i < 8; i++)
-		crash(b, (uint32_t)i, START + i * GAP, 7, other, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, 7, other, none, none);
 	g_assert_false(blame_decide(b, START + 8 * GAP + LATER));
 	g_free(b);
 }
@@ -209,16 +215,16 @@
 
 	for (i = 0; i < 4; i++) {
 		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, other,
-		    0);
+		    none);
 		g_assert_false(blame_decide(b, START + i * GAP + LATER));
 	}
-	crash(b, 4, START + 4 * GAP, 4, bad, other, 0);
+	crash(b, 4, START + 4 * GAP, 4, bad, other, none);
 	g_assert_true(blame_decide(b, START + 4 * GAP + LATER));
 	g_assert_nonnull(blame_find(b, bad));
 	g_assert_nonnull(blame_find(b, other));
 	/* The sound one is cleared as soon as one call with it begins. */
 	g_assert_true(
-	    blame_part_began(b, other, START + 4 * GAP + 2 * LATER, true));
+	    blame_passed(b, other, START + 4 * GAP + 2 * LATER, true));
 	g_assert_null(blame_find(b, other));
 	g_assert_nonnull(blame_find(b, bad));
 	g_free(b);
@@ -232,11 +238,11 @@
 	int i;
 
 	for (i = 0; i < 5; i++)
-		crash(b, 1, START + i * 110, (uint32_t)i, other, 0, 0);
+		crash(b, 1, START + i * 110, (uint32_t)i, other, none, none);
 	g_assert_cmpint(b->ncrash, ==, 1);
 	g_assert_false(blame_decide(b, START + LATER));
 	/* A later crash of the same endpoint is another one. */
-	crash(b, 1, START + 2000, 9, other, 0, 0);
+	crash(b, 1, START + 2000, 9, other, none, none);
 	g_assert_cmpint(b->ncrash, ==, 2);
 	g_free(b);
 }
@@ -246,18 +252,18 @@
 late_report_does_not_count(void)
 {
 	blame_t *b = blame_new();
-	uint64_t part;
+	suspect_t what;
 	ms_t at;
 
-	blame_part_began(b, first, START + 10, true);
-	crash(b, 1, START, 1, first, bad, 0);
+	blame_passed(b, first, START + 10, true);
+	crash(b, 1, START, 1, first, bad, none);
 	g_assert_cmpint(blame_crash_count(b, first), ==, 0);
 	g_assert_cmpint(blame_crash_count(b, bad), ==, 1);
 	/* The other instances are told. */
-	g_assert_true(blame_next_news(b, &part, &at));
-	g_assert_cmpuint(part, ==, first);
+	g_assert_true(blame_next_news(b, &what, &at));
+	g_assert_true(suspect_same(what, first));
 	g_assert_cmpint(at, ==, START + 10);
-	g_assert_false(blame_next_news(b, &part, &at));
+	g_assert_false(blame_next_news(b, &what, &at));
 	g_free(b);
 }
 
@@ -266,16 +272,16 @@
 beginning_that_was_told_is_not_news(void)
 {
 	blame_t *b = blame_new();
-	uint64_t part;
+	suspect_t what;
 	ms_t at;
 
-	crash(b, 1, START, 1, first, 0, 0);
-	blame_part_began(b, first, START + 30, true);
-	blame_part_began(b, first, START + 20, false);
-	g_assert_false(blame_next_news(b, &part, &at));
+	crash(b, 1, START, 1, first, none, none);
+	blame_passed(b, first, START + 30, true);
+	blame_passed(b, first, START + 20, false);
+	g_assert_false(blame_next_news(b, &what, &at));
 	/* Nor is that of a part that nobody suspects. */
-	blame_part_began(b, other, START + 30, true);
-	g_assert_false(blame_next_news(b, &part, &at));
+	blame_passed(b, other, START + 30, true);
+	g_assert_false(blame_next_news(b, &what, &at));
 	g_free(b);
 }
 
@@ -284,17 +290,17 @@
 old_blame_is_not_adopted(void)
 {
 	blame_t *b = blame_new();
-	blamed_part_t p = { .part = bad, .crash_at = START, .trial_at = START };
-	uint64_t part;
+	blamed_t p = { .what = bad, .crash_at = START, .trial_at = START };
+	suspect_t what;
 	ms_t at;
 
 	blame_adopt(b, &p);
 	g_assert_nonnull(blame_find(b, bad));
-	g_assert_true(blame_part_began(b, bad, START + 10, false));
+	g_assert_true(blame_passed(b, bad, START + 10, false));
 	blame_adopt(b, &p);
 	g_assert_null(blame_find(b, bad));
-	g_assert_true(blame_next_news(b, &part, &at));
-	g_assert_cmpuint(part, ==, bad);
+	g_assert_true(blame_next_news(b, &what, &at));
+	g_assert_true(suspect_same(what, bad));
 	p.crash_at = START + 20;
 	blame_adopt(b, &p);
 	g_assert_nonnull(blame_find(b, bad));
@@ -306,12 +312,13 @@
 trials_become_rare(void)
 {
 	blame_t *b = blame_new();
-	blamed_part_t *p;
+	blamed_t *p;
 	ms_t now, due;
 	int i, n;
 
 	for (i = 0; i < 3; i++)
-		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, none,
+		    none);
 	blame_decide(b, START + LATER);
 	p = blame_find(b, bad);
 	g_assert_nonnull(p);
@@ -321,15 +328,15 @@
 		if (!blame_trial_due(p, now))
 			continue;
 		blame_trial_started(p, now);
-		crash(b, 100 + (uint32_t)n, now + 50, 100 + (uint32_t)n, bad, 0,
-		    0);
+		crash(b, 100 + (uint32_t)n, now + 50, 100 + (uint32_t)n, bad,
+		    none, none);
 		n++;
 	}
 	g_assert_cmpint(n, <=, 4);
 	/* A new holder goes on from there. */
 	due = p->trial_at;
-	blame_adopt(b, &(blamed_part_t){
-			   .part = bad, .trials = n + 1, .trial_at = due + 1 });
+	blame_adopt(b,
+	    &(blamed_t){ .what = bad, .trials = n + 1, .trial_at = due + 1 });
 	g_assert_cmpint(blame_find(b, bad)->trial_at, ==, due + 1);
 	g_free(b);
 }
@@ -342,8 +349,9 @@
 	int i;
 
 	for (i = 0; i < 3; i++)
-		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, 0, 0);
-	crash(b, 9, START + 3 * GAP, 9, other, 0, 0);
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad, none,
+		    none);
+	crash(b, 9, START + 3 * GAP, 9, other, none, none);
 	g_assert_true(blame_decide(b, START + LATER));
 	blame_expire(b, START + HOUR);
 	g_assert_cmpint(b->ncrash, ==, 0);
@@ -365,20 +373,22 @@
 		c.endpoint = (uint32_t)i;
 		c.at = START + (ms_t)i * GAP;
 		for (k = 0; k < BLAME_SUSPECTS_MAX; k++)
-			c.suspect[k] =
-			    (blame_suspect_t){ (uint64_t)(10 + i / 8 * 100 + k),
-				    (uint32_t)i };
+			c.suspect[k] = (blame_suspect_t){
+				{ SUSPECT_PART,
+				    (uint64_t)(10 + i / 8 * 100 + k) },
+				(uint32_t)i
+			};
 		blame_add_crash(b, &c);
 		if (i % 8 == 7)
 			blame_decide(b, c.at + LATER);
 	}
 	g_assert_cmpint(b->ncrash, <=, BLAME_CRASHES_MAX);
-	g_assert_cmpint(b->nblamed, ==, BLAME_PARTS_MAX);
+	g_assert_cmpint(b->nblamed, ==, BLAME_MAX);
 	g_assert_cmpint(b->dropped, >, 0);
 	/* The latest evidence still counts. */
 	for (i = 0; i < 3; i++)
 		crash(b, 5000 + (uint32_t)i, START + 2000 * GAP + i * GAP,
-		    (uint32_t)i, bad, 0, 0);
+		    (uint32_t)i, bad, none, none);
 	g_assert_true(blame_decide(b, START + 2000 * GAP + 2 * LATER));
 	g_assert_nonnull(blame_find(b, bad));
 	g_free(b);
