--- a/tests/answered_proc.c
+++ b/tests/answered_proc.c
@@ -219,18 +219,12 @@
 endpoint_restarted(void)
 {
 	callers_t *s = start_loaded();
-	char *entry =
-	    fake_endpoint_entry(s->st->endpoint[2], "llm", "north", false);
-	char **part = g_strsplit(entry, "1000", 2), *later;
+	fake_endpoint_t *ep = s->st->endpoint[2];
 
-	g_assert_nonnull(part[1]);
-	later = g_strjoinv("2000", part);
-	fake_store_put(s->st->store, "servers", "ep-2", later);
+	fake_endpoint_set_born(ep, fake_endpoint_born(ep) + 1000);
+	fixture_put_entry(s->st, 2, "llm", false);
 	fixture_run(s->st, 400);
 	end_loaded(s, ALL, 0);
-	g_strfreev(part);
-	g_free(later);
-	g_free(entry);
 }
 
 /*
