serve: all crashes of a moment are told to the other instances

With the longer lists of suspects a full datagram would also have exceeded its size and been dropped whole.

A report is counted only when it is in a datagram; what is due is sent in as many as it takes, of 10 reports each, which fit with all else that may be in one.

New gauge ebonypitch_crashes_remembered.

--- a/serve/blame_send.c
+++ b/serve/blame_send.c
@@ -8,7 +8,8 @@
 enum {
 	SENDS = 3, /* of each report */
 	SEND_INTERVAL_MS = 60,
-	REPORTS_PER_DATAGRAM = 16,
+	/* With all that else may be in a datagram they have DATAGRAM_MAX. */
+	REPORTS_PER_DATAGRAM = 10,
 	ASK_INTERVAL_MS = 1000, /* for one suspect */
 	/*
 	 * An instance waits before it tells of a passing, as another one may
@@ -81,8 +82,6 @@
 	Digest__EndpointCrash *to = &t->crash[at];
 	int i;
 
-	if (at == REPORTS_PER_DATAGRAM)
-		return;
 	digest__endpoint_crash__init(to);
 	to->endpoint = c->endpoint;
 	to->ago = age(s, c->at);
@@ -103,8 +102,6 @@
 {
 	size_t n = t->m.n_passed;
 
-	if (n == BLAME_NEWS_MAX)
-		return;
 	t->passed[n] = what.id;
 	t->passed_kind[n] = what.kind;
 	t->passed_ago[n] = age(s, at);
@@ -153,32 +150,62 @@
 
 /* Sending. */
 
+static bool
+has_room(const message_t *t, const unsent_evidence_t *e)
+{
+	switch (e->kind) {
+	case EVIDENCE_CRASH:
+		return t->m.n_crash < REPORTS_PER_DATAGRAM;
+	case EVIDENCE_PASSED:
+		return t->m.n_passed < BLAME_NEWS_MAX;
+	}
+	return false;
+}
+
 static void
-send_due(void *arg)
+add_evidence(const serve_t *s, message_t *t, const unsent_evidence_t *e)
+{
+	switch (e->kind) {
+	case EVIDENCE_CRASH:
+		add_crash(s, t, &e->crash);
+		break;
+	case EVIDENCE_PASSED:
+		add_passed(s, t, e->passed.what, e->passed.at);
+		break;
+	}
+}
+
+static void
+take_news(blame_feed_t *f)
 {
-	serve_t *s = arg;
-	blame_feed_t *f = s->blame;
-	static message_t t;
 	unsent_evidence_t news = { .kind = EVIDENCE_PASSED, .sends = SENDS };
-	guint i;
 
 	while (f->news_due &&
 	       blame_next_news(&f->blame, &news.passed.what, &news.passed.at))
 		g_array_append_val(f->unsent, news);
 	f->news_due = false;
+}
+
+/* Send all that is due, in as many datagrams as it takes. */
+static void
+send_due(void *arg)
+{
+	serve_t *s = arg;
+	blame_feed_t *f = s->blame;
+	static message_t t;
+	guint i;
+
+	take_news(f);
 	message_init(&t);
 	for (i = 0; i < f->unsent->len; i++) {
 		unsent_evidence_t *e =
 		    &g_array_index(f->unsent, unsent_evidence_t, i);
 
-		switch (e->kind) {
-		case EVIDENCE_CRASH:
-			add_crash(s, &t, &e->crash);
-			break;
-		case EVIDENCE_PASSED:
-			add_passed(s, &t, e->passed.what, e->passed.at);
-			break;
+		if (!has_room(&t, e)) {
+			message_spread(s, &t.m);
+			message_init(&t);
 		}
+		add_evidence(s, &t, e);
 		if (--e->sends == 0)
 			g_array_remove_index(f->unsent, i--);
 	}
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -49,6 +49,8 @@
 	set_gauge("ebonypitch_prompt_parts_blamed",
 	    "Prompt parts that crash endpoints.",
 	    blame_count(&s->blame->blame, SUSPECT_PART));
+	set_gauge("ebonypitch_crashes_remembered",
+	    "Crashes of endpoints that are evidence.", s->blame->blame.ncrash);
 	set_gauge("ebonypitch_requests_blamed",
 	    "Requests that crash endpoints.",
 	    blame_count(&s->blame->blame, SUSPECT_REQUEST));
--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -23,8 +23,9 @@
 	ANSWER_MS = 7000,
 	REFUSAL_MS = 400,   /* until a call that isn't sent is answered */
 	CRASH_GAP_MS = 600, /* between unrelated crashes */
-	UNRELATED = 12,	    /* rounds of these */
-	TRIAL_MS = 25000,   /* by then a request is tried again */
+	MANY_ENDPOINTS = 24,
+	UNRELATED = 12,	  /* rounds of these */
+	TRIAL_MS = 25000, /* by then a request is tried again */
 	TRIAL_CALL_GAP_MS = 300,
 };
 
@@ -239,6 +240,48 @@
 	return sum;
 }
 
+/*
+ * Guards against reports that don't fit into a datagram and are lost: one
+ * instance sees more endpoints end at once than that.
+ */
+static void
+all_crashes_of_a_moment_are_told(void)
+{
+	fixture_t *st = fixture_new();
+	fake_endpoint_opts_t app = { .plain_ms = ANSWER_MS };
+	GPtrArray *calls = g_ptr_array_new();
+	char id[32];
+	guint i;
+	int k, busy = 0;
+
+	fixture_put_config(st, "");
+	for (k = 0; k < MANY_ENDPOINTS; k++)
+		fixture_add_endpoint(st, &app, "app");
+	for (k = 0; k < DAEMONS; k++)
+		fixture_start_daemon(st, k, true);
+	/* They get to know each other. */
+	fixture_run(st, BEFORE_MS);
+	for (k = 0; k < 15 * MANY_ENDPOINTS; k++) {
+		snprintf(id, sizeof(id), "r%d", k);
+		g_ptr_array_add(calls, caller_call(st, 0, "GET", "/safe/a", id,
+					   "Deadline-Remaining: 5000\r\n"));
+	}
+	fixture_run(st, 500);
+	for (k = 0; k < MANY_ENDPOINTS; k++) {
+		busy += fake_endpoint_executed(st->endpoint[k])->len > 0;
+		fake_endpoint_crash(st->endpoint[k], ANSWER_MS);
+	}
+	g_test_message("busy=%d", busy);
+	g_assert_cmpint(busy, >, MANY_ENDPOINTS * 3 / 4);
+	fixture_run(st, 1000);
+	g_assert_cmpint(counter_sum(st, "ebonypitch_crashes_remembered"), ==,
+	    DAEMONS * busy);
+	for (i = 0; i < calls->len; i++)
+		caller_free(calls->pdata[i]);
+	g_ptr_array_free(calls, TRUE);
+	fixture_free(st);
+}
+
 static int
 status_of(traffic_t *t, request_kind_t kind)
 {
@@ -491,6 +534,7 @@
 	T(call_that_may_run_once_is_refused);
 	T(refusal_comes_at_once);
 	T(unrelated_crashes_blame_nothing);
+	T(all_crashes_of_a_moment_are_told);
 	T(blame_is_known_after_a_restart);
 	T(blame_outlives_all_instances);
 	T(blamed_request_is_tried_again);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -14,7 +14,7 @@
 
 enum {
 	FIXTURE_DAEMONS = 3,
-	FIXTURE_ENDPOINTS = 8,
+	FIXTURE_ENDPOINTS = 24,
 };
 
 typedef struct fixture {
