policy: a completed call that decides between suspects is followed by a decision

Two requests had been at all three crashes, so no decision was possible; then one of them was completed, but the next decision was due at the next crash only, which costs an endpoint. A passing that clears a suspect of some crash now makes a decision due.

blame_request_test completed_call_decides_a_tie failed before.

--- a/policy/blame.c
+++ b/policy/blame.c
@@ -233,6 +233,7 @@
 	if (at > g->at)
 		g->at = at;
 	suspect_of = remove_suspect(b, what, at);
+	b->cleared |= suspect_of != 0;
 	if (cleared && p->crash_at > suspect_of)
 		suspect_of = p->crash_at;
 	if (cleared)
@@ -487,6 +488,7 @@
 	crash_counters_t counters;
 	int i, n = 0;
 
+	b->cleared = false;
 	count_crashes(b, &counters);
 	while (n < BLAME_MAX) {
 		top_candidates_t top = top_candidates(b, &counters, until);
@@ -508,6 +510,9 @@
 {
 	int i;
 
+	if (b->cleared)
+		return now;
+
 	for (i = 0; i < b->ncrash; i++)
 		if (b->crash[i].at + DECISION_DELAY_MS > now)
 			return b->crash[i].at + DECISION_DELAY_MS;
--- a/policy/blame.h
+++ b/policy/blame.h
@@ -91,6 +91,7 @@
 	passed_t passed[SUSPECT_KINDS][BLAME_PASSED_SLOTS]; /* one slot each */
 	blame_news_t news[BLAME_NEWS_MAX];
 	int nnews;
+	bool cleared;	 /* of some crash, since the last decision */
 	int64_t dropped; /* crashes and blamed suspects that didn't fit */
 } blame_t;
 
--- a/serve/blame.c
+++ b/serve/blame.c
@@ -186,7 +186,11 @@
 static void
 passed(serve_t *s, suspect_t what, ms_t at, const char *why)
 {
-	if (!blame_passed(&s->blame->blame, what, at, true))
+	bool was_blamed = blame_passed(&s->blame->blame, what, at, true);
+
+	if (s->blame->blame.cleared)
+		blame_evidence_changed(s);
+	if (!was_blamed)
 		return;
 	blame_log_cleared(what, why);
 	blame_send_blamed(s);
--- a/tests/blame_request_test.c
+++ b/tests/blame_request_test.c
@@ -182,6 +182,31 @@
 	g_free(b);
 }
 
+/*
+ * Guards against waiting for the next crash when a completed call has decided
+ * between two requests that were at all crashes.
+ */
+static void
+completed_call_decides_a_tie(void)
+{
+	blame_t *b = blame_new();
+	ms_t now = START + 3 * GAP + LATER;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		crash(b, (uint32_t)i, START + i * GAP, (uint32_t)i, bad,
+		    popular, none);
+	g_assert_false(blame_decide(b, now));
+	g_assert_cmpint(blame_decide_at(b, now), ==, 0);
+	blame_passed(b, popular, now + GAP, false);
+	g_assert_cmpint(blame_decide_at(b, now + GAP), !=, 0);
+	g_assert_true(blame_decide(b, now + GAP));
+	g_assert_nonnull(blame_find(b, bad));
+	g_assert_null(blame_find(b, popular));
+	g_assert_cmpint(blame_decide_at(b, now + GAP), ==, 0);
+	g_free(b);
+}
+
 /* Guards against refusing other prompts with the parts of a bad request. */
 static void
 request_goes_before_its_parts(void)
@@ -312,6 +337,7 @@
 	T(request_that_was_completed_before_all_endpoints_ended);
 	T(request_that_crashes_since_lately);
 	T(neighbours_are_not_blamed);
+	T(completed_call_decides_a_tie);
 	T(request_goes_before_its_parts);
 	T(part_of_different_requests_is_blamed);
 	T(trials_end);
