tests: prompts of blame_proc differ in path, engines carry out orders

Traced: the planner ordered an engine to unload m1, the stand-in answered 202 and, having been given no models, did nothing; so the daemons held m1 for unloaded at all three.

In the same logs blame_proc's calls with the bad part, which all had the path and body of each other, were blamed as one request before the part was. The users' requests with such a part are no two alike; each call has a path of its own now. No check is changed.

--- a/tests/blame_proc.c
+++ b/tests/blame_proc.c
@@ -96,19 +96,19 @@
 static caller_t *
 make_call(traffic_t *t, bool crashing)
 {
-	char id[32], headers[256], part[32] = "";
+	char id[32], path[32], headers[256], part[32] = "";
 	int n = t->n++;
 	made_call_t m = { .crashing = crashing, .at = t->st->loop.now };
 
 	if (crashing)
 		snprintf(part, sizeof(part), "%" PRIx64 ":50,", crashing_part);
 	snprintf(id, sizeof(id), "r%d", n);
+	snprintf(path, sizeof(path), "/gen/%d", n);
 	snprintf(headers, sizeof(headers),
 	    "Model: m1\r\nToken-Usage: 320,20\r\nDeadline-Remaining: 5000\r\n"
 	    "Prompt-Prefix: %" PRIx64 ":200,%s%x:100,%x:20\r\n",
 	    first_part, part, 0x100 + n % SUBJECTS, 0x10000 + n);
-	m.caller =
-	    caller_call(t->st, n % DAEMONS, "POST", "/gen/a", id, headers);
+	m.caller = caller_call(t->st, n % DAEMONS, "POST", path, id, headers);
 	g_array_append_val(t->calls, m);
 	return m.caller;
 }
--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -93,12 +93,18 @@
 static traffic_t *
 traffic_new(const load_t *load)
 {
+	/* Those of the configuration. */
+	static const model_spec_t models[] = { { "m1", 70000, 60, 300 },
+		{ "m2", 70000, 60, 300 } };
 	traffic_t *t = g_new0(traffic_t, 1);
 	fixture_t *st = t->st = fixture_new();
 	fake_endpoint_opts_t app = {
 		.plain_ms = PLAIN_MS, .changed = on_endpoint_changed, .arg = st
 	};
 	fake_endpoint_opts_t llm = { .model = "m1",
+		.models = models,
+		.nmodel = G_N_ELEMENTS(models),
+		.weights_mb = 200000,
 		.events = 4,
 		.event_gap = PLAIN_MS / 2,
 		.adapter_slots = 4,
