--- a/policy/blame.c
+++ b/policy/blame.c
@@ -21,7 +21,7 @@
 	TRIAL_MAX_MS = 3600 * 1000,
 	/* What passed so recently is rather a victim of the crashes. */
 	PASSED_RECENTLY_MS = 60000,
-	COUNTERS = 4096, /* of crashes by suspect; a power of two */
+	COUNTERS = 32768, /* of crashes by suspect; a power of two */
 };
 
 /** How evidence against a kind of suspect is weighed. */
