--- a/policy/blame.c
+++ b/policy/blame.c
@@ -1,4 +1,4 @@
-#include "policy/blame.h"
+#include "policy/blame_table.h"
 
 #include <limits.h>
 #include <string.h>
@@ -13,7 +13,6 @@
 	/* Within it, other instances report that calls with a suspect passed.
 	 */
 	DECISION_DELAY_MS = 250,
-	SAME_CRASH_MS = 1000, /* between reports of the same crash */
 	EVIDENCE_LIFE_MS = 600000,
 	BLAME_LIFE_MS = 24 * 3600 * 1000, /* since the last crash */
 	TRIAL_FIRST_MS = 15000,
@@ -51,202 +50,6 @@
 	    .trials = 2 },
 };
 
-void
-blame_init(blame_t *b)
-{
-	memset(b, 0, sizeof(*b));
-}
-
-/* Suspects that passed. */
-
-static passed_t *
-passed_slot(const blame_t *b, suspect_t what)
-{
-	uint64_t h = hash64(&what.id, sizeof(what.id), 0);
-
-	return (passed_t *)&b->passed[what.kind][h % BLAME_PASSED_SLOTS];
-}
-
-/* The last time that a call with it passed, 0: not known. */
-static ms_t
-passed_at(const blame_t *b, suspect_t what)
-{
-	const passed_t *g = passed_slot(b, what);
-
-	return g->id == what.id ? g->at : 0;
-}
-
-static void
-add_news(blame_t *b, suspect_t what, ms_t crash_at)
-{
-	int i;
-
-	for (i = 0; i < b->nnews && !suspect_same(b->news[i].what, what); i++)
-		;
-	if (i == BLAME_NEWS_MAX)
-		return;
-	if (i == b->nnews)
-		b->news[b->nnews++] = (blame_news_t){ .what = what };
-	if (b->news[i].crash_at < crash_at)
-		b->news[i].crash_at = crash_at;
-}
-
-/* Another instance has told all that it passed at @p at. */
-static void
-drop_news(blame_t *b, suspect_t what, ms_t at)
-{
-	int i;
-
-	for (i = 0; i < b->nnews; i++)
-		if (suspect_same(b->news[i].what, what) &&
-		    b->news[i].crash_at < at)
-			b->news[i--] = b->news[--b->nnews];
-}
-
-bool
-blame_next_news(blame_t *b, suspect_t *what, ms_t *at)
-{
-	while (b->nnews > 0) {
-		*what = b->news[--b->nnews].what;
-		*at = passed_at(b, *what);
-		if (*at == 0)
-			continue;
-		passed_slot(b, *what)->told = true;
-		return true;
-	}
-	return false;
-}
-
-/* Crashes. */
-
-static int
-find_suspect(const blame_crash_t *c, suspect_t what)
-{
-	int i;
-
-	for (i = 0; i < c->nsuspect; i++)
-		if (suspect_same(c->suspect[i].what, what))
-			return i;
-	return -1;
-}
-
-static void
-remove_crash(blame_t *b, int i)
-{
-	memmove(b->crash + i, b->crash + i + 1,
-	    (size_t)(--b->ncrash - i) * sizeof(b->crash[0]));
-}
-
-/* The record of the same crash, or a new one in the order of time. */
-static blame_crash_t *
-crash_record(blame_t *b, uint32_t endpoint, ms_t at)
-{
-	int i;
-
-	for (i = 0; i < b->ncrash; i++) {
-		ms_t apart = at - b->crash[i].at;
-
-		if (b->crash[i].endpoint == endpoint && apart < SAME_CRASH_MS &&
-		    -apart < SAME_CRASH_MS)
-			return &b->crash[i];
-	}
-	if (b->ncrash == BLAME_CRASHES_MAX) {
-		remove_crash(b, 0);
-		b->dropped++;
-	}
-	for (i = b->ncrash; i > 0 && b->crash[i - 1].at > at; i--)
-		;
-	memmove(b->crash + i + 1, b->crash + i,
-	    (size_t)(b->ncrash++ - i) * sizeof(b->crash[0]));
-	b->crash[i] = (blame_crash_t){ .endpoint = endpoint, .at = at };
-	return &b->crash[i];
-}
-
-/* Others may not know that it has passed: tell them. */
-static void
-tell_passed(blame_t *b, suspect_t what, ms_t crash_at)
-{
-	const passed_t *g = passed_slot(b, what);
-
-	if (g->id != what.id)
-		return;
-	if (g->at > crash_at)
-		add_news(b, what, crash_at);
-	else if (!g->told)
-		add_news(b, what, 0);
-}
-
-void
-blame_add_crash(blame_t *b, const blame_crash_t *c)
-{
-	blame_crash_t *r = crash_record(b, c->endpoint, c->at);
-	int i;
-
-	for (i = 0; i < c->nsuspect; i++) {
-		suspect_t what = c->suspect[i].what;
-		blamed_t *p = blame_find(b, what);
-
-		tell_passed(b, what, c->at);
-		if (passed_at(b, what) > c->at)
-			continue;
-		if (p != NULL && p->crash_at < c->at)
-			p->crash_at = c->at;
-		if (find_suspect(r, what) == -1 &&
-		    r->nsuspect < BLAME_SUSPECTS_MAX)
-			r->suspect[r->nsuspect++] = c->suspect[i];
-	}
-}
-
-/*
- * It is no suspect of crashes before @p at. @return the last of which it
- * was, 0: none
- */
-static ms_t
-remove_suspect(blame_t *b, suspect_t what, ms_t at)
-{
-	ms_t last = 0;
-	int i, k;
-
-	for (i = b->ncrash - 1; i >= 0; i--) {
-		blame_crash_t *c = &b->crash[i];
-
-		k = c->at < at ? find_suspect(c, what) : -1;
-		if (k == -1)
-			continue;
-		if (last == 0)
-			last = c->at;
-		c->suspect[k] = c->suspect[--c->nsuspect];
-	}
-	return last;
-}
-
-bool
-blame_passed(blame_t *b, suspect_t what, ms_t at, bool own)
-{
-	passed_t *g = passed_slot(b, what);
-	blamed_t *p = blame_find(b, what);
-	bool cleared = p != NULL && p->crash_at < at;
-	ms_t suspect_of;
-
-	if (g->id != what.id)
-		*g = (passed_t){ .id = what.id };
-	if (at > g->at)
-		g->at = at;
-	suspect_of = remove_suspect(b, what, at);
-	b->cleared |= suspect_of != 0;
-	if (cleared && p->crash_at > suspect_of)
-		suspect_of = p->crash_at;
-	if (cleared)
-		*p = b->blamed[--b->nblamed];
-	if (own && suspect_of != 0)
-		add_news(b, what, suspect_of);
-	if (!own) {
-		g->told = true;
-		drop_news(b, what, at);
-	}
-	return cleared;
-}
-
 /* Decisions. */
 
 static bool
@@ -288,7 +91,8 @@
 
 			if (apart > SAME_MOMENT_MS || -apart > SAME_MOMENT_MS)
 				break;
-			if (find_suspect(c, what) == -1 && !is_explained(b, c))
+			if (blame_find_suspect(c, what) == -1 &&
+			    !is_explained(b, c))
 				return true;
 		}
 	return false;
@@ -316,15 +120,16 @@
 evidence_against(const blame_t *b, suspect_t what, ms_t until)
 {
 	const blame_rule_t *rule = &rules[what.kind];
-	ms_t spacing = passed_at(b, what) != 0 ? rule->spacing
-					       : rule->spacing_never_passed;
+	ms_t spacing = blame_passed_at(b, what) != 0
+			   ? rule->spacing
+			   : rule->spacing_never_passed;
 	evidence_t v = { 0 };
 	int i, k;
 
 	for (i = 0; i < b->ncrash && b->crash[i].at <= until; i++) {
 		const blame_crash_t *c = &b->crash[i];
 
-		k = find_suspect(c, what);
+		k = blame_find_suspect(c, what);
 		if (k == -1 || is_explained(b, c) ||
 		    has_common_cause(b, i, what) ||
 		    (!rule->repeats_count && is_repeat(&v, c->suspect[k].call)))
@@ -344,7 +149,7 @@
 static int
 crashes_needed(const blame_t *b, suspect_t what, const evidence_t *v)
 {
-	ms_t at = passed_at(b, what);
+	ms_t at = blame_passed_at(b, what);
 
 	return at != 0 && v->first_at - at < PASSED_RECENTLY_MS
 		   ? rules[what.kind].crashes_after_passing
@@ -366,7 +171,7 @@
 	for (i = 1; i < b->nblamed; i++)
 		if (b->blamed[i].crash_at < b->blamed[at].crash_at)
 			at = i;
-	remove_suspect(b, b->blamed[at].what, b->blamed[at].crash_at + 1);
+	blame_remove_suspect(b, b->blamed[at].what, b->blamed[at].crash_at + 1);
 	b->blamed[at] = b->blamed[--b->nblamed];
 	b->dropped++;
 }
@@ -417,7 +222,8 @@
     const blame_t *b, suspect_t what, ms_t until, top_candidates_t *top)
 {
 	evidence_t v = evidence_against(b, what, until);
-	candidate_t c = { what, v.crashes, passed_at(b, what), v.last_at };
+	candidate_t c = { what, v.crashes, blame_passed_at(b, what),
+		v.last_at };
 	int i, order;
 
 	if (v.crashes < crashes_needed(b, what, &v))
@@ -548,7 +354,7 @@
 knows_better(const blame_t *b, const blamed_t *from)
 {
 	const blame_rule_t *rule = &rules[from->what.kind];
-	ms_t at = passed_at(b, from->what);
+	ms_t at = blame_passed_at(b, from->what);
 
 	return at != 0 && from->crash_at - at < PASSED_RECENTLY_MS &&
 	       rule->crashes_after_passing > rule->crashes &&
@@ -560,8 +366,8 @@
 {
 	blamed_t *p = blame_find(b, from->what);
 
-	if (passed_at(b, from->what) > from->crash_at) {
-		add_news(b, from->what, from->crash_at);
+	if (blame_passed_at(b, from->what) > from->crash_at) {
+		blame_add_news(b, from->what, from->crash_at);
 		return;
 	}
 	if (p == NULL) {
@@ -611,7 +417,7 @@
 	int i;
 
 	while (b->ncrash > 0 && now - b->crash[0].at > EVIDENCE_LIFE_MS)
-		remove_crash(b, 0);
+		blame_remove_crash(b, 0);
 	for (i = b->nblamed - 1; i >= 0; i--)
 		if (now - b->blamed[i].crash_at > BLAME_LIFE_MS)
 			b->blamed[i] = b->blamed[--b->nblamed];
