serve: names of blame events are constants, as log_limited() keeps them

Found by reading, before it was landed: passed log_limited() an event name from its stack, and the rate limiter keeps the pointer, so that lines of one event could be counted for another.

--- a/serve/blame.c
+++ b/serve/blame.c
@@ -20,30 +20,24 @@
 
 /** How a kind of suspect is named in logs, metrics and answers. */
 static const struct {
-	const char *name, *counter, *help, *refusal, *hold;
+	const char *key;		      /* in logs */
+	const char *blamed, *cleared, *trial; /* events */
+	const char *counter, *help;
+	const char *refusal, *hold;
 } text[SUSPECT_KINDS] = {
-	[SUSPECT_PART] = { "part", "ebonypitch_parts_blamed_total",
+	[SUSPECT_PART] = { "part", "part-blamed", "part-cleared", "part-trial",
+	    "ebonypitch_parts_blamed_total",
 	    "Prompt parts blamed, by this instance or another.",
 	    "a part of its prompt crashes endpoints",
 	    "a part of its prompt may crash endpoints" },
-	[SUSPECT_REQUEST] = { "request", "ebonypitch_requests_blamed_total",
+	[SUSPECT_REQUEST] = { "fingerprint", "request-blamed",
+	    "request-cleared", "request-trial",
+	    "ebonypitch_requests_blamed_total",
 	    "Requests blamed, by this instance or another.",
 	    "the request crashes endpoints",
 	    "the request may crash endpoints" },
 };
 
-/* Log an event of a suspect: the kind's name and what happened. */
-static void
-log_suspect(suspect_t what, const char *happened, const char *details)
-{
-	char event[32];
-
-	snprintf(event, sizeof(event), "%s-%s", text[what.kind].name, happened);
-	log_limited(LOG_WARNING, event, "%s=%" PRIx64 " %s",
-	    what.kind == SUSPECT_PART ? "part" : "fingerprint", what.id,
-	    details);
-}
-
 static void
 count_calls(const char *how)
 {
@@ -142,7 +136,6 @@
 
 	for (i = 0; i < b->nblamed; i++) {
 		blamed_t *p = &b->blamed[i];
-		char details[96];
 
 		if (p->enforced)
 			continue;
@@ -150,11 +143,12 @@
 		counter_add(counter_get(text[p->what.kind].counter,
 				text[p->what.kind].help),
 		    1);
-		snprintf(details, sizeof(details),
-		    "crash_ago_ms=%" PRId64 " trials=%d trial_in_ms=%" PRId64,
+		log_limited(LOG_WARNING, text[p->what.kind].blamed,
+		    "%s=%" PRIx64 " crash_ago_ms=%" PRId64
+		    " trials=%d trial_in_ms=%" PRId64,
+		    text[p->what.kind].key, p->what.id,
 		    s->loop.now - p->crash_at, p->trials,
 		    p->trial_at - s->loop.now);
-		log_suspect(p->what, "blamed", details);
 	}
 	if (any)
 		end_blamed_calls(s);
@@ -163,10 +157,8 @@
 void
 blame_log_cleared(suspect_t what, const char *why)
 {
-	char details[64];
-
-	snprintf(details, sizeof(details), "why=\"%s\"", why);
-	log_suspect(what, "cleared", details);
+	log_limited(LOG_WARNING, text[what.kind].cleared,
+	    "%s=%" PRIx64 " why=\"%s\"", text[what.kind].key, what.id, why);
 	counter_add(counter_get("ebonypitch_blame_cleared_total",
 			"Blamed parts and requests with which a call passed."),
 	    1);
@@ -249,15 +241,14 @@
 {
 	serve_t *s = c->s;
 	blamed_t *p = blamed_of(c, false);
-	char details[192];
 
 	if (p == NULL)
 		return;
 	blame_trial_started(p, s->loop.now);
 	blame_send_blamed(s);
-	snprintf(details, sizeof(details), "request=%s trials=%d endpoint=%s",
-	    c->request.id, p->trials, c->ep->entry.id);
-	log_suspect(p->what, "trial", details);
+	log_limited(LOG_WARNING, text[p->what.kind].trial,
+	    "request=%s %s=%" PRIx64 " trials=%d endpoint=%s", c->request.id,
+	    text[p->what.kind].key, p->what.id, p->trials, c->ep->entry.id);
 }
 
 static void
