--- a/tests/leaving_test.c
+++ b/tests/leaving_test.c
@@ -107,6 +107,16 @@
 	g_assert_true(leaving_holds(&l, second, NOW + LONG));
 }
 
+/* Guards against the same where our clock is behind the endpoint's. */
+static void
+earlier_start_and_our_clock_is_behind(void)
+{
+	leaving_t l = said_by(second, first - SHORT);
+
+	leaving_show(&l, first, NOW + 1);
+	g_assert_true(leaving_holds(&l, first, NOW + 1));
+}
+
 /* Guards against a process whose clock went back staying out for ever. */
 static void
 earlier_start_that_stays(void)
@@ -182,6 +192,7 @@
 	T(entry_read_after_the_statement);
 	T(entry_read_before_the_statement);
 	T(earlier_start);
+	T(earlier_start_and_our_clock_is_behind);
 	T(earlier_start_that_stays);
 	T(repeat_is_not_a_new_statement);
 	T(latest_incarnation_counts);
