--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -221,28 +221,33 @@
 	return n;
 }
 
-/* Sum of a counter of all daemons. */
 static int64_t
-counter_sum(const fixture_t *st, const char *name)
+counter_of(fixture_t *st, int daemon, const char *name)
 {
 	char addr[ADDR_MAX], *body, *at;
+	int64_t v = 0;
+
+	snprintf(addr, sizeof(addr), "%.*s:9464",
+	    (int)strcspn(st->caller[daemon], ":"), st->caller[daemon]);
+	g_assert_cmpint(page_status(st, addr, "/metrics", &body), ==, 200);
+	at = strstr(body, name);
+	while (at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
+		at = strstr(at + 1, name);
+	if (at != NULL)
+		v = strtoll(at + strlen(name), NULL, 10);
+	g_free(body);
+	return v;
+}
+
+/* Sum of a counter of all daemons. */
+static int64_t
+counter_sum(fixture_t *st, const char *name)
+{
 	int64_t sum = 0;
 	int i;
 
-	for (i = 0; i < DAEMONS; i++) {
-		snprintf(addr, sizeof(addr), "%.*s:9464",
-		    (int)strcspn(st->caller[i], ":"), st->caller[i]);
-		g_assert_cmpint(
-		    page_status((fixture_t *)st, addr, "/metrics", &body), ==,
-		    200);
-		at = strstr(body, name);
-		while (
-		    at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
-			at = strstr(at + 1, name);
-		if (at != NULL)
-			sum += strtoll(at + strlen(name), NULL, 10);
-		g_free(body);
-	}
+	for (i = 0; i < DAEMONS; i++)
+		sum += counter_of(st, i, name);
 	return sum;
 }
 
@@ -522,6 +527,28 @@
 	traffic_free(t);
 }
 
+/* Guards against trials that only the holder can send. */
+static void
+trial_is_granted_to_another_instance(void)
+{
+	traffic_t *t = traffic_new(&plain_load);
+	int daemon = 0;
+	ms_t end;
+
+	have_request_blamed(t);
+	set_crashing(t, false);
+	while (counter_of(t->st, daemon, "ebonypitch_holder") != 0)
+		daemon++;
+	g_assert_cmpint(daemon, <, DAEMONS);
+	end = clock_now(&machine_clock) + TRIAL_MS;
+	do {
+		g_assert_cmpint(clock_now(&machine_clock), <, end);
+		fixture_run(t->st, TRIAL_CALL_GAP_MS);
+		t->n = t->n / DAEMONS * DAEMONS + DAEMONS + daemon;
+	} while (status_of(t, CRASHING) != 200);
+	traffic_free(t);
+}
+
 /*
  * Guards against a blame that its instance keeps to itself, as it didn't know
  * the others when it sent it.
@@ -580,6 +607,7 @@
 	T(blame_outlives_all_instances);
 	T(blame_of_one_instance_reaches_all);
 	T(blamed_request_is_tried_again);
+	T(trial_is_granted_to_another_instance);
 	T(trial_is_a_single_call);
 	return g_test_run();
 }
