--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -569,6 +569,8 @@
 	g_assert_cmpint(crashes(t->st), ==, ENDPOINTS);
 	g_assert_cmpint(
 	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, DAEMONS);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
 	traffic_free(t);
 }
 
