--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -369,6 +369,8 @@
 	/* Only the one at fault is refused, at all daemons. */
 	g_assert_cmpint(counter_sum(t->st, "ebonypitch_requests_blamed_total"),
 	    ==, DAEMONS);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
 	traffic_free(t);
 }
 
