--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -551,6 +551,31 @@
 	traffic_free(t);
 }
 
+/* Guards against instances that count only the crashes that they see. */
+static void
+crashes_that_each_instance_sees_one_of(void)
+{
+	load_t load = plain_load;
+	traffic_t *t;
+	int i;
+
+	/* On its route a call has one attempt. */
+	load.target = "/safe/brief/a";
+	t = traffic_new(&load);
+	traffic_run(t, BEFORE_MS);
+	set_crashing(t, true);
+	for (i = 0; i < DAEMONS; i++) {
+		t->n = i;
+		make_call(t, CRASHING);
+		/* The endpoint is back before the next call. */
+		fixture_run(t->st, DOWN_MS + DOWN_MS / 4);
+	}
+	g_assert_cmpint(crashes(t->st), ==, CRASHES_FREE);
+	g_assert_cmpint(
+	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, DAEMONS);
+	traffic_free(t);
+}
+
 /*
  * Guards against a blame that its instance keeps to itself, as it didn't know
  * the others when it sent it.
@@ -609,6 +634,7 @@
 	T(all_crashes_of_a_moment_are_told);
 	T(blame_is_known_after_a_restart);
 	T(blame_outlives_all_instances);
+	T(crashes_that_each_instance_sees_one_of);
 	T(blame_of_one_instance_reaches_all);
 	T(blamed_request_is_tried_again);
 	T(trial_is_granted_to_another_instance);
