policy, tests: named limits of blame, counters of daemons read in one place

The spacing of crashes and the number of trials have names. What reads a daemon's metrics and sums the endpoints' crashes stood in blame_proc and again in crash_request_proc; it is in tests/fixture.c. No change of behaviour, and the same checks.

--- a/policy/blame.c
+++ b/policy/blame.c
@@ -10,6 +10,8 @@
 	CRASHES_NEEDED_TIED = 5,
 	/* Endpoints that end within it may have a common cause. */
 	SAME_MOMENT_MS = 50,
+	CRASH_SPACING_MS = 100, /* crashes closer to each other count as one */
+	REQUEST_TRIALS = 2,
 	/* Within it, other instances report that calls with a suspect passed.
 	 */
 	DECISION_DELAY_MS = 250,
@@ -32,7 +34,7 @@
 	ms_t spacing;
 	/* The same, if no call with it is known to have passed. */
 	ms_t spacing_never_passed;
-	/* A call that is sent again may crash endpoints by something else. */
+	/* Several crashes under one call count, not only the first. */
 	bool repeats_count;
 	int trials; /* at most */
 } blame_rule_t;
@@ -40,14 +42,15 @@
 static const blame_rule_t rules[SUSPECT_KINDS] = {
 	[SUSPECT_PART] = { .crashes = CRASHES_NEEDED,
 	    .crashes_after_passing = CRASHES_NEEDED,
-	    .spacing = 100,
-	    .spacing_never_passed = 100,
+	    .spacing = CRASH_SPACING_MS,
+	    .spacing_never_passed = CRASH_SPACING_MS,
 	    .trials = INT_MAX },
 	[SUSPECT_REQUEST] = { .crashes = CRASHES_NEEDED,
 	    .crashes_after_passing = CRASHES_NEEDED_TIED,
-	    .spacing = 100,
+	    .spacing = CRASH_SPACING_MS,
+	    .spacing_never_passed = 0,
 	    .repeats_count = true,
-	    .trials = 2 },
+	    .trials = REQUEST_TRIALS },
 };
 
 /* Decisions. */
@@ -318,7 +321,6 @@
 
 	if (b->cleared)
 		return now;
-
 	for (i = 0; i < b->ncrash; i++)
 		if (b->crash[i].at + DECISION_DELAY_MS > now)
 			return b->crash[i].at + DECISION_DELAY_MS;
--- a/tests/blame_proc.c
+++ b/tests/blame_proc.c
@@ -113,16 +113,6 @@
 	return m.caller;
 }
 
-static int
-crashes(const fixture_t *st)
-{
-	int i, n = 0;
-
-	for (i = 0; i < st->nendpoint; i++)
-		n += fake_endpoint_crashes(st->endpoint[i]);
-	return n;
-}
-
 static void
 set_crash_part(fixture_t *st, uint64_t part)
 {
@@ -148,7 +138,8 @@
 			t->next_crashing += t->crashing_gap;
 		}
 		loop_turn(&t->st->loop, 5);
-		if (t->fifth_crash == 0 && crashes(t->st) >= CRASHES_FREE)
+		if (t->fifth_crash == 0 &&
+		    fixture_crashes(t->st) >= CRASHES_FREE)
 			t->fifth_crash = t->st->loop.now;
 	}
 }
@@ -173,31 +164,6 @@
 	return n;
 }
 
-/* Sum of a counter of all daemons. */
-static int64_t
-counter_sum(const fixture_t *st, const char *name)
-{
-	char addr[ADDR_MAX], *body, *at;
-	int64_t sum = 0;
-	int i;
-
-	for (i = 0; i < DAEMONS; i++) {
-		snprintf(addr, sizeof(addr), "%.*s:9464",
-		    (int)strcspn(st->caller[i], ":"), st->caller[i]);
-		g_assert_cmpint(
-		    page_status((fixture_t *)st, addr, "/metrics", &body), ==,
-		    200);
-		at = strstr(body, name);
-		while (
-		    at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
-			at = strstr(at + 1, name);
-		if (at != NULL)
-			sum += strtoll(at + strlen(name), NULL, 10);
-		g_free(body);
-	}
-	return sum;
-}
-
 /* Wait for the answer to a call with the crashing part. */
 static int
 status_of_crashing(traffic_t *t)
@@ -217,7 +183,8 @@
 	traffic_run(t, BEFORE_MS);
 	t->crashing_gap = 0;
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==, DAEMONS);
+	    fixture_counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==,
+	    DAEMONS);
 }
 
 /* Share of the sound calls made from @p from to @p to that were served. */
@@ -257,7 +224,7 @@
 	set_crash_part(t->st, crashing_part);
 	t->crashing_gap = CRASHING_GAP_MS;
 	traffic_run(t, SPAN_MS);
-	g_test_message("crashes=%d", crashes(t->st));
+	g_test_message("crashes=%d", fixture_crashes(t->st));
 	bound_from = t->fifth_crash != 0 ? t->fifth_crash : crashing_from;
 	late = crashing_arrivals(t->st, bound_from + STABILITY_MS);
 	g_test_message("late=%d", late);
@@ -289,12 +256,13 @@
 			    DOWN_MS / 2);
 	}
 	traffic_run(t, CRASH_GAP_MS);
-	g_test_message("crashes=%d", crashes(t->st));
-	g_assert_cmpint(crashes(t->st), >=, 12);
+	g_test_message("crashes=%d", fixture_crashes(t->st));
+	g_assert_cmpint(fixture_crashes(t->st), >=, 12);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), >, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), >,
+	    0);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
 	traffic_free(t);
 }
 
@@ -359,7 +327,8 @@
 	for (i = 0; i < 2 * DAEMONS; i++)
 		g_assert_cmpint(status_of_crashing(t), ==, 200);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_prompt_parts_blamed"), ==,
+	    0);
 	traffic_free(t);
 }
 
--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -158,16 +158,6 @@
 	return m.caller;
 }
 
-static int
-crashes(const fixture_t *st)
-{
-	int i, n = 0;
-
-	for (i = 0; i < st->nendpoint; i++)
-		n += fake_endpoint_crashes(st->endpoint[i]);
-	return n;
-}
-
 static void
 set_crashing(traffic_t *t, bool crashing)
 {
@@ -195,7 +185,8 @@
 			t->next[k] += t->load.gap[k];
 		}
 		loop_turn(&t->st->loop, 5);
-		if (t->third_crash == 0 && crashes(t->st) >= CRASHES_FREE)
+		if (t->third_crash == 0 &&
+		    fixture_crashes(t->st) >= CRASHES_FREE)
 			t->third_crash = t->st->loop.now;
 	}
 }
@@ -221,36 +212,6 @@
 	return n;
 }
 
-static int64_t
-counter_of(fixture_t *st, int daemon, const char *name)
-{
-	char addr[ADDR_MAX], *body, *at;
-	int64_t v = 0;
-
-	snprintf(addr, sizeof(addr), "%.*s:9464",
-	    (int)strcspn(st->caller[daemon], ":"), st->caller[daemon]);
-	g_assert_cmpint(page_status(st, addr, "/metrics", &body), ==, 200);
-	at = strstr(body, name);
-	while (at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
-		at = strstr(at + 1, name);
-	if (at != NULL)
-		v = strtoll(at + strlen(name), NULL, 10);
-	g_free(body);
-	return v;
-}
-
-/* Sum of a counter of all daemons. */
-static int64_t
-counter_sum(fixture_t *st, const char *name)
-{
-	int64_t sum = 0;
-	int i;
-
-	for (i = 0; i < DAEMONS; i++)
-		sum += counter_of(st, i, name);
-	return sum;
-}
-
 /*
  * Guards against reports that don't fit into a datagram and are lost: one
  * instance sees more endpoints end at once than that.
@@ -285,7 +246,8 @@
 	g_test_message("busy=%d", busy);
 	g_assert_cmpint(busy, >, MANY_ENDPOINTS * 3 / 4);
 	fixture_run(st, 1000);
-	g_assert_cmpint(counter_sum(st, "ebonypitch_crashes_remembered"), ==,
+	g_assert_cmpint(
+	    fixture_counter_sum(st, "ebonypitch_crashes_remembered"), ==,
 	    DAEMONS * busy);
 	for (i = 0; i < calls->len; i++)
 		caller_free(calls->pdata[i]);
@@ -334,7 +296,8 @@
 	t->load.gap[CRASHING] = 0;
 	traffic_run(t, DOWN_MS);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, DAEMONS);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed"), ==,
+	    DAEMONS);
 }
 
 static void
@@ -356,7 +319,7 @@
 	g_assert_cmpint(t->third_crash, !=, 0);
 	bound_from = t->third_crash + STABILITY_MS;
 	late = crashing_arrivals(t, bound_from);
-	g_test_message("crashes=%d late=%d", crashes(t->st), late);
+	g_test_message("crashes=%d late=%d", fixture_crashes(t->st), late);
 	g_assert_cmpint(late, <=, LATE_MAX);
 	for (k = POPULAR; k <= SINGLE; k++) {
 		before = served_share(t, k, from, crashing_from);
@@ -367,10 +330,11 @@
 		g_assert_cmpfloat(after, >=, 0.95 * before);
 	}
 	/* Only the one at fault is refused, at all daemons. */
-	g_assert_cmpint(counter_sum(t->st, "ebonypitch_requests_blamed_total"),
-	    ==, DAEMONS);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed_total"), ==,
+	    DAEMONS);
+	g_assert_cmpint(
+	    fixture_counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
 	traffic_free(t);
 }
 
@@ -452,12 +416,14 @@
 			    DOWN_MS / 4);
 	}
 	traffic_run(t, CRASH_GAP_MS);
-	g_test_message("crashes=%d", crashes(t->st));
-	g_assert_cmpint(crashes(t->st), >=, UNRELATED);
+	g_test_message("crashes=%d", fixture_crashes(t->st));
+	g_assert_cmpint(fixture_crashes(t->st), >=, UNRELATED);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), >, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), >,
+	    0);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_requests_blamed_total"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed_total"), ==,
+	    0);
 	traffic_free(t);
 }
 
@@ -525,7 +491,7 @@
 	for (i = 0; i < 2 * DAEMONS; i++)
 		g_assert_cmpint(status_of(t, CRASHING), ==, 200);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed"), ==, 0);
 	traffic_free(t);
 }
 
@@ -539,7 +505,7 @@
 
 	have_request_blamed(t);
 	set_crashing(t, false);
-	while (counter_of(t->st, daemon, "ebonypitch_holder") != 0)
+	while (fixture_counter(t->st, daemon, "ebonypitch_holder") != 0)
 		daemon++;
 	g_assert_cmpint(daemon, <, DAEMONS);
 	end = clock_now(&machine_clock) + TRIAL_MS;
@@ -570,9 +536,10 @@
 		/* The endpoint is back before the next call. */
 		fixture_run(t->st, DOWN_MS + DOWN_MS / 4);
 	}
-	g_assert_cmpint(crashes(t->st), ==, CRASHES_FREE);
+	g_assert_cmpint(fixture_crashes(t->st), ==, CRASHES_FREE);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, DAEMONS);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed"), ==,
+	    DAEMONS);
 	traffic_free(t);
 }
 
@@ -593,11 +560,12 @@
 		make_call(t, CRASHING);
 	}
 	fixture_run(t->st, STABILITY_MS);
-	g_assert_cmpint(crashes(t->st), ==, ENDPOINTS);
+	g_assert_cmpint(fixture_crashes(t->st), ==, ENDPOINTS);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_requests_blamed"), ==, DAEMONS);
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed"), ==,
+	    DAEMONS);
 	g_assert_cmpint(
-	    counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
+	    fixture_counter_sum(t->st, "ebonypitch_parts_blamed_total"), ==, 0);
 	traffic_free(t);
 }
 
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -293,3 +293,43 @@
 	g_free(text);
 	return status;
 }
+
+int64_t
+fixture_counter(fixture_t *st, int daemon, const char *name)
+{
+	char addr[ADDR_MAX], *body, *at;
+	int64_t v = 0;
+
+	snprintf(addr, sizeof(addr), "%.*s:9464",
+	    (int)strcspn(st->caller[daemon], ":"), st->caller[daemon]);
+	g_assert_cmpint(page_status(st, addr, "/metrics", &body), ==, 200);
+	at = strstr(body, name);
+	while (at != NULL && (at[-1] != '\n' || at[strlen(name)] != ' '))
+		at = strstr(at + 1, name);
+	if (at != NULL)
+		v = strtoll(at + strlen(name), NULL, 10);
+	g_free(body);
+	return v;
+}
+
+int64_t
+fixture_counter_sum(fixture_t *st, const char *name)
+{
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < FIXTURE_DAEMONS; i++)
+		if (st->daemon[i] != NULL)
+			sum += fixture_counter(st, i, name);
+	return sum;
+}
+
+int
+fixture_crashes(const fixture_t *st)
+{
+	int i, n = 0;
+
+	for (i = 0; i < st->nendpoint; i++)
+		n += fake_endpoint_crashes(st->endpoint[i]);
+	return n;
+}
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -83,5 +83,11 @@
  * @return the status, 0 without a complete answer
  */
 int page_status(fixture_t *st, const char *addr, const char *path, char **body);
+/** @return a counter or gauge of a daemon, 0: it has none */
+int64_t fixture_counter(fixture_t *st, int daemon, const char *name);
+/** @return its sum over the daemons that were started */
+int64_t fixture_counter_sum(fixture_t *st, const char *name);
+/** @return crashes of all endpoints so far */
+int fixture_crashes(const fixture_t *st);
 
 #endif
