--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -402,6 +402,7 @@
 {
 	traffic_t *t = traffic_new(&plain_load);
 	rng_t rng = { 1 };
+	ms_t from;
 	int i, k, all = 0;
 
 	for (i = 0; i < UNRELATED; i++) {
@@ -424,6 +425,14 @@
 	g_assert_cmpint(
 	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed_total"), ==,
 	    0);
+	/* All endpoints are back, and the calls to them go on. */
+	traffic_run(t, STABILITY_MS);
+	from = t->st->loop.now;
+	traffic_run(t, BEFORE_MS);
+	g_assert_cmpfloat(
+	    served_share(t, POPULAR, from, t->st->loop.now), >=, 0.95);
+	g_assert_cmpfloat(
+	    served_share(t, SINGLE, from, t->st->loop.now), >=, 0.95);
 	traffic_free(t);
 }
 
