--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -20,8 +20,17 @@
 	int64_t from;
 } store_conn_t;
 
-struct fake_store {
+/** An address of the store, and how objects are shown there. */
+typedef struct store_view {
 	http_server_t server;
+	fake_store_t *store;
+	store_view_fn *show; /* NULL: as they are */
+	void *arg;
+} store_view_t;
+
+struct fake_store {
+	loop_t *loop;
+	GPtrArray *views;   /* store_view_t */
 	GPtrArray *objects; /* stored_object_t, deleted ones included */
 	int64_t revision, compacted;
 	store_fault_t fault;
@@ -43,22 +52,33 @@
 	return NULL;
 }
 
+static store_view_t *
+view_of(const store_conn_t *c)
+{
+	return c->conn.server->owner;
+}
+
 static json_t *
-object_json(const stored_object_t *t)
+object_json(const store_conn_t *c, const stored_object_t *t)
 {
+	const store_view_t *v = view_of(c);
+	char *shown = v->show != NULL && !t->deleted
+			  ? v->show(v->arg, t->kind, t->name, t->spec)
+			  : NULL;
 	json_t *j = json_pack("{s:{s:s,s:I,s:i,s:[],s:b},s:n}", "metadata",
 	    "name", t->name, "revision", (json_int_t)t->revision, "created_at",
 	    1, "finalizers", "deleting", 0, "status");
 
-	json_object_set_new(
-	    j, "spec", json_loads(t->spec, JSON_DECODE_ANY, NULL));
+	json_object_set_new(j, "spec",
+	    json_loads(shown != NULL ? shown : t->spec, JSON_DECODE_ANY, NULL));
+	g_free(shown);
 	return j;
 }
 
 static fake_store_t *
 store_of(const store_conn_t *c)
 {
-	return c->conn.server->owner;
+	return view_of(c)->store;
 }
 
 static void
@@ -79,8 +99,9 @@
 
 /* Changes of a kind after a revision, or NULL if there are none. */
 static json_t *
-changes_since(fake_store_t *s, const char *kind, int64_t from)
+changes_since(const store_conn_t *c, const char *kind, int64_t from)
 {
+	const fake_store_t *s = store_of(c);
 	json_t *list = json_array();
 	guint i;
 
@@ -90,7 +111,7 @@
 		if (strcmp(t->kind, kind) == 0 && t->revision > from)
 			json_array_append_new(
 			    list, json_pack("{s:b,s:o}", "tombstone",
-				      t->deleted, "object", object_json(t)));
+				      t->deleted, "object", object_json(c, t)));
 	}
 	if (json_array_size(list) > 0)
 		return list;
@@ -116,22 +137,31 @@
 }
 
 static void
-notify_watches(fake_store_t *s)
+notify_view(store_view_t *v)
 {
 	guint i;
 
-	for (i = 0; i < s->server.conns->len; i++) {
-		store_conn_t *c = s->server.conns->pdata[i];
+	for (i = 0; i < v->server.conns->len; i++) {
+		store_conn_t *c = v->server.conns->pdata[i];
 		json_t *j;
 
-		if (!c->watching || s->watches_muted)
+		if (!c->watching || v->store->watches_muted)
 			continue;
-		j = changes_since(s, c->kind, c->from);
+		j = changes_since(c, c->kind, c->from);
 		if (j != NULL)
 			watch_answer(c, j);
 	}
 }
 
+static void
+notify_watches(fake_store_t *s)
+{
+	guint i;
+
+	for (i = 0; i < s->views->len; i++)
+		notify_view(s->views->pdata[i]);
+}
+
 int64_t
 fake_store_put(
     fake_store_t *s, const char *kind, const char *name, const char *spec)
@@ -184,14 +214,13 @@
 	s->watches_muted = muted;
 }
 
-void
-fake_store_compact(fake_store_t *s)
+static void
+close_watches(store_view_t *v)
 {
 	guint i;
 
-	s->compacted = s->revision;
-	for (i = s->server.conns->len; i-- > 0;) {
-		store_conn_t *c = s->server.conns->pdata[i];
+	for (i = v->server.conns->len; i-- > 0;) {
+		store_conn_t *c = v->server.conns->pdata[i];
 
 		if (!c->watching)
 			continue;
@@ -199,6 +228,16 @@
 	}
 }
 
+void
+fake_store_compact(fake_store_t *s)
+{
+	guint i;
+
+	s->compacted = s->revision;
+	for (i = 0; i < s->views->len; i++)
+		close_watches(s->views->pdata[i]);
+}
+
 int
 fake_store_requests(const fake_store_t *s)
 {
@@ -224,7 +263,7 @@
 		stored_object_t *t = s->objects->pdata[i];
 
 		if (strcmp(t->kind, kind) == 0 && !t->deleted)
-			json_array_append_new(items, object_json(t));
+			json_array_append_new(items, object_json(c, t));
 	}
 	reply(c, 200,
 	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0, "as_of",
@@ -236,7 +275,7 @@
 {
 	fake_store_t *s = store_of(c);
 	int64_t from = query(target, "watch=", 0);
-	json_t *j = s->watches_muted ? NULL : changes_since(s, kind, from);
+	json_t *j = s->watches_muted ? NULL : changes_since(c, kind, from);
 
 	if (from < s->compacted) {
 		json_decref(j);
@@ -251,8 +290,8 @@
 	}
 	c->watching = true;
 	c->conn.alarm = (alarm_t){ .fn = on_watch_timeout, .arg = c };
-	alarm_set(s->server.loop, &c->conn.alarm,
-	    s->server.loop->now + query(target, "wait_ms=", 1000));
+	alarm_set(s->loop, &c->conn.alarm,
+	    s->loop->now + query(target, "wait_ms=", 1000));
 }
 
 /* POST creates; PUT replaces, if the revision that it names is current. */
@@ -271,14 +310,14 @@
 	bool there = t != NULL && !t->deleted;
 
 	if (create ? there : !there || (at > 0 && at != t->revision)) {
-		reply(c, there ? 409 : 404, there ? object_json(t) : NULL);
+		reply(c, there ? 409 : 404, there ? object_json(c, t) : NULL);
 	} else {
 		fake_store_put(s, kind, create ? named : name, spec);
 		if (s->fault == STORE_LOST_ANSWER)
 			http_conn_pause(c->conn.http, true);
 		else
 			reply(c, 200,
-			    object_json(
+			    object_json(c,
 				find_object(s, kind, create ? named : name)));
 	}
 	free(spec);
@@ -314,7 +353,7 @@
 			bool there = t != NULL && !t->deleted;
 
 			reply(c, there ? 200 : 404,
-			    there ? object_json(t) : NULL);
+			    there ? object_json(c, t) : NULL);
 		}
 		break;
 	case HTTP_DELETE:
@@ -368,20 +407,40 @@
 	g_free(t);
 }
 
+void
+fake_store_add_view(
+    fake_store_t *s, const char *addr, store_view_fn *show, void *arg)
+{
+	store_view_t *v = g_new0(store_view_t, 1);
+
+	*v = (store_view_t){ .store = s, .show = show, .arg = arg };
+	g_ptr_array_add(s->views, v);
+	http_server_open(&v->server, s->loop, addr, &ops, v);
+}
+
 fake_store_t *
 fake_store_new(loop_t *l, const char *addr)
 {
 	fake_store_t *s = g_new0(fake_store_t, 1);
 
+	s->loop = l;
 	s->objects = g_ptr_array_new_with_free_func(free_object);
-	http_server_open(&s->server, l, addr, &ops, s);
+	s->views = g_ptr_array_new_with_free_func(g_free);
+	fake_store_add_view(s, addr, NULL, NULL);
 	return s;
 }
 
 void
 fake_store_free(fake_store_t *s)
 {
-	http_server_close(&s->server);
+	guint i;
+
+	for (i = 0; i < s->views->len; i++) {
+		store_view_t *v = s->views->pdata[i];
+
+		http_server_close(&v->server);
+	}
+	g_ptr_array_free(s->views, TRUE);
 	g_ptr_array_free(s->objects, TRUE);
 	g_free(s);
 }
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -22,6 +22,15 @@
 typedef struct fake_store fake_store_t;
 
 fake_store_t *fake_store_new(loop_t *l, const char *addr);
+/** @return the spec to show instead of @p spec, g_malloc'd, or NULL: the same
+ */
+typedef char *store_view_fn(
+    void *arg, const char *kind, const char *name, const char *spec);
+/**
+ * Listen on a further address, where objects are shown as @p view returns them.
+ */
+void fake_store_add_view(
+    fake_store_t *s, const char *addr, store_view_fn *view, void *arg);
 /** Create or replace an object. @p spec is JSON text. @return the revision. */
 int64_t fake_store_put(
     fake_store_t *s, const char *kind, const char *name, const char *spec);
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -165,7 +165,8 @@
 			.ready = st->ready[i],
 			.entries = st->entries[i],
 			.peer_port = st->peer_port,
-			.store = st->store_addr,
+			.store = st->view_addr[i] != NULL ? st->view_addr[i]
+							  : st->store_addr,
 			.cpu_share = 0.25,
 			.bootstrap = !st->no_bootstrap });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
@@ -181,18 +182,32 @@
 }
 
 void
-fixture_free(fixture_t *st)
+fixture_stop_daemons(fixture_t *st)
 {
 	int i;
 
 	for (i = 0; i < FIXTURE_DAEMONS; i++) {
 		proc_kill(st->daemon[i]);
+		st->daemon[i] = NULL;
+	}
+}
+
+void
+fixture_free(fixture_t *st)
+{
+	int i, k;
+
+	fixture_stop_daemons(st);
+	for (i = 0; i < FIXTURE_DAEMONS; i++) {
 		if (st->settings[i] != NULL)
 			g_remove(st->settings[i]);
 		g_free(st->settings[i]);
 		g_free(st->caller[i]);
 		g_free(st->ready[i]);
 		g_free(st->entries[i]);
+		g_free(st->view_addr[i]);
+		for (k = 0; k < FIXTURE_ENDPOINTS; k++)
+			g_free(st->link_addr[i][k]);
 	}
 	for (i = 0; i < st->nendpoint; i++) {
 		fake_endpoint_free(st->endpoint[i]);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -1,7 +1,7 @@
 /**
  * @file fixture.h
  * Test fixture: a store and endpoints that speak the platform's protocol and
- * run in the test program, up to three daemons as real processes, and callers.
+ * run in the test program, up to four daemons as real processes, and callers.
  */
 #ifndef FIXTURE_H
 #define FIXTURE_H
@@ -13,7 +13,7 @@
 #include "tests/proc.h"
 
 enum {
-	FIXTURE_DAEMONS = 3,
+	FIXTURE_DAEMONS = 4,
 	FIXTURE_ENDPOINTS = 24,
 };
 
@@ -30,6 +30,10 @@
 	/* The daemons' addresses for calls, readiness and the entry list. */
 	char *caller[FIXTURE_DAEMONS], *ready[FIXTURE_DAEMONS];
 	char *entries[FIXTURE_DAEMONS];
+	/* Set by links_new(): the store's address for each daemon, and the
+	   addresses of the endpoints that it is shown there. */
+	char *view_addr[FIXTURE_DAEMONS];
+	char *link_addr[FIXTURE_DAEMONS][FIXTURE_ENDPOINTS];
 	/* The same for all, as each has its own IP; used at the first start. */
 	int peer_port;
 	int config_version;
@@ -59,6 +63,8 @@
     fixture_t *st, int endpoint, const char *service, bool leaving);
 /** Start daemon @p i and, if @p wait_ready, wait until it is ready. */
 void fixture_start_daemon(fixture_t *st, int i, bool wait_ready);
+/** Kill all daemons that run. */
+void fixture_stop_daemons(fixture_t *st);
 /**
  * Write the next version of the configuration.
  * @param more further routes as ",{...}" JSON text, or ""
--- a/tests/versions_proc.c
+++ b/tests/versions_proc.c
@@ -12,6 +12,7 @@
 
 enum {
 	STREAMS_MAX = 12,
+	DAEMONS = 3,
 	EVENTS = 100,
 	EVENT_GAP_MS = 20,
 	WAIT_MS = 8000,	 /* limit for what is about to happen */
@@ -83,7 +84,7 @@
 	fixture_t *st = arg;
 	int i;
 
-	for (i = 0; i < FIXTURE_DAEMONS; i++)
+	for (i = 0; i < DAEMONS; i++)
 		if (st->daemon[i] != NULL && gauge(st, i, "holder") == 1)
 			return true;
 	return false;
@@ -95,7 +96,7 @@
 {
 	int i;
 
-	for (i = 0; i < FIXTURE_DAEMONS; i++)
+	for (i = 0; i < DAEMONS; i++)
 		if (st->daemon[i] != NULL)
 			wait_gauge(st, i, "endpoints", n);
 }
@@ -391,7 +392,7 @@
 static void
 broken_answer_goes_on_at_its_version(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 2, 2);
+	fixture_t *st = start_system(DAEMONS, 2, 2);
 	stream_t x[4];
 	int i;
 
@@ -411,7 +412,7 @@
 static void
 broken_answer_ends_without_its_version(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 1, 2);
+	fixture_t *st = start_system(DAEMONS, 1, 2);
 	stream_t x[1];
 
 	prefer(st, "v1");
@@ -441,7 +442,7 @@
 static void
 taken_up_after_a_kill(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	stream_t x[STREAMS_MAX];
 
 	begin_at_both(st, x, STREAMS_MAX, 0, 0);
@@ -456,7 +457,7 @@
 static void
 taken_up_after_two_kills(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	stream_t x[STREAMS_MAX];
 
 	begin_at_both(st, x, STREAMS_MAX, 0, 1);
@@ -474,14 +475,14 @@
 static void
 taken_up_where_it_began_after_a_restart(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	stream_t x[STREAMS_MAX];
 
 	begin_at_both(st, x, STREAMS_MAX, 0, 0);
 	kill_daemon(st, 0);
 	lose_all(x, STREAMS_MAX);
 	fixture_start_daemon(st, 0, true);
-	wait_gauge(st, 0, "instances", FIXTURE_DAEMONS);
+	wait_gauge(st, 0, "instances", DAEMONS);
 	g_assert_cmpint(
 	    take_up_all(x, STREAMS_MAX, 0, 0, ATTEMPTS), ==, STREAMS_MAX);
 	fixture_free(st);
@@ -492,13 +493,13 @@
 {
 	int i;
 
-	for (i = 0; i < FIXTURE_DAEMONS; i++)
+	for (i = 0; i < DAEMONS; i++)
 		proc_signal(st->daemon[i], SIGKILL);
-	for (i = 0; i < FIXTURE_DAEMONS; i++) {
+	for (i = 0; i < DAEMONS; i++) {
 		kill_daemon(st, i);
 		fixture_start_daemon(st, i, false);
 	}
-	for (i = 0; i < FIXTURE_DAEMONS; i++)
+	for (i = 0; i < DAEMONS; i++)
 		wait_gauge(st, i, "ready", 1);
 }
 
@@ -506,13 +507,13 @@
 static void
 taken_up_after_all_restarted_with_two_versions(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	stream_t x[STREAMS_MAX];
 
 	begin_at_both(st, x, STREAMS_MAX, 0, 1);
 	restart_all(st);
 	lose_all(x, STREAMS_MAX);
-	take_up_all(x, STREAMS_MAX, 0, FIXTURE_DAEMONS - 1, ATTEMPTS);
+	take_up_all(x, STREAMS_MAX, 0, DAEMONS - 1, ATTEMPTS);
 	fixture_free(st);
 }
 
@@ -520,15 +521,15 @@
 static void
 taken_up_after_all_restarted_with_one_version(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 0);
-	stream_t x[FIXTURE_DAEMONS];
+	fixture_t *st = start_system(DAEMONS, 3, 0);
+	stream_t x[DAEMONS];
 
-	begin(st, x, FIXTURE_DAEMONS, 0);
+	begin(st, x, DAEMONS, 0);
 	restart_all(st);
-	lose_all(x, FIXTURE_DAEMONS);
-	g_assert_cmpint(take_up_all(x, FIXTURE_DAEMONS, 0, FIXTURE_DAEMONS - 1,
-			    HISTORY_ATTEMPTS),
-	    ==, FIXTURE_DAEMONS);
+	lose_all(x, DAEMONS);
+	g_assert_cmpint(
+	    take_up_all(x, DAEMONS, 0, DAEMONS - 1, HISTORY_ATTEMPTS), ==,
+	    DAEMONS);
 	fixture_free(st);
 }
 
@@ -559,7 +560,7 @@
 static void
 taken_up_twice(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	enum {
 		CHAINS = 6
 	};
@@ -584,7 +585,7 @@
 static void
 taken_up_during_a_release(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 4, 0);
+	fixture_t *st = start_system(DAEMONS, 4, 0);
 	stream_t x[STREAMS_MAX / 2];
 	int i;
 
@@ -607,7 +608,7 @@
 static void
 taken_up_after_its_endpoint_changed_version(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 4, 0);
+	fixture_t *st = start_system(DAEMONS, 4, 0);
 	stream_t x[STREAMS_MAX / 2];
 	int i;
 
@@ -652,7 +653,7 @@
 static void
 without_resumes_and_two_versions_its_refused(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 3);
+	fixture_t *st = start_system(DAEMONS, 3, 3);
 	stream_t x[STREAMS_MAX];
 
 	begin_at_both(st, x, STREAMS_MAX, 0, 0);
@@ -665,7 +666,7 @@
 static void
 without_resumes_and_one_version_it_goes_on(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 3, 0);
+	fixture_t *st = start_system(DAEMONS, 3, 0);
 	stream_t x[4];
 
 	begin(st, x, 4, 0);
@@ -677,7 +678,7 @@
 static void
 taken_up_after_its_version_left(void)
 {
-	fixture_t *st = start_system(FIXTURE_DAEMONS, 1, 3);
+	fixture_t *st = start_system(DAEMONS, 1, 3);
 	stream_t x[4];
 	int i;
 
