--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -561,15 +561,38 @@
 	return c;
 }
 
+/* Choose the port at connect(), so that it is unique only with the peer. */
+static int
+bind_address(int fd, const struct sockaddr_in *from)
+{
+	struct sockaddr_in any_port = *from;
+	int on = 1;
+
+	any_port.sin_port = 0;
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	return bind(fd, (struct sockaddr *)&any_port, sizeof(any_port));
+}
+
 http_conn_t *
 http_conn_connect(loop_t *l, const struct sockaddr_in *to,
     const http_conn_ops_t *ops, void *user)
+{
+	return http_conn_connect_from(l, NULL, to, ops, user);
+}
+
+http_conn_t *
+http_conn_connect_from(loop_t *l, const struct sockaddr_in *from,
+    const struct sockaddr_in *to, const http_conn_ops_t *ops, void *user)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	http_conn_t *c;
 
 	if (fd == -1)
 		return NULL;
+	if (from != NULL && bind_address(fd, from) == -1) {
+		close(fd);
+		return NULL;
+	}
 	if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) == -1 &&
 	    errno != EINPROGRESS) {
 		close(fd);
--- a/net/net.h
+++ b/net/net.h
@@ -251,6 +251,9 @@
 /** Start to connect. @return NULL if that failed at once. */
 http_conn_t *http_conn_connect(loop_t *l, const struct sockaddr_in *to,
     const http_conn_ops_t *ops, void *user);
+/** The same from an address of this machine, with any port. */
+http_conn_t *http_conn_connect_from(loop_t *l, const struct sockaddr_in *from,
+    const struct sockaddr_in *to, const http_conn_ops_t *ops, void *user);
 /** Append to the buffer out. */
 void http_conn_write(http_conn_t *c, const void *p, size_t n);
 /**
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -1,5 +1,7 @@
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "serve/peer_call.h"
+#include "serve/reach.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -43,18 +45,12 @@
 	return c->head_sent && c->nevent == 0;
 }
 
-/*
- * How long the endpoint may be silent before another one is looked for; 0:
- * until the call's deadline, as none can take over.
- */
+/* How long an endpoint may be silent while it is sound. */
 static ms_t
-silence_limit(const call_t *c)
+endpoint_silence_limit(const call_t *c)
 {
 	double v;
 
-	if (!call_idempotent(c) || plain_body_begun(c) ||
-	    (c->ntried >= c->route.attempts && !call_may_return(c)))
-		return 0;
 	if (c->request.model[0] == '\0') {
 		v = c->reservation.predicted_ms * plain_silence_factor;
 		return v > PLAIN_SILENCE_MIN_MS ? (ms_t)v
@@ -69,6 +65,39 @@
 	return v > GAP_SILENCE_MIN_MS ? (ms_t)v : GAP_SILENCE_MIN_MS;
 }
 
+/*
+ * Another instance replaces a silent endpoint by itself, and its own queue may
+ * hold the call for as long as ours would.
+ */
+static ms_t
+instance_silence_limit(const call_t *c)
+{
+	ms_t limit = 2 * endpoint_silence_limit(c);
+	ms_t queue =
+	    (ms_t)call_first_event_limit(c) - (c->sent_at - c->received_at);
+
+	return c->first_at == 0 && queue > 0 ? limit + queue : limit;
+}
+
+/*
+ * How long there may be silence before another endpoint is looked for; 0:
+ * until the call's deadline, as none can take over.
+ */
+static ms_t
+silence_limit(const call_t *c)
+{
+	if (!call_idempotent(c) || plain_body_begun(c) ||
+	    (c->ntried >= c->route.attempts && !call_may_return(c)))
+		return 0;
+	switch (c->ep->kind) {
+	case EP_DIRECT:
+		break;
+	case EP_PEER:
+		return instance_silence_limit(c);
+	}
+	return endpoint_silence_limit(c);
+}
+
 /*
  * When the endpoint's silence is next acted on; 0: not before the deadline. One
  * that isn't read isn't silent.
@@ -162,6 +191,15 @@
 	return true;
 }
 
+static void
+not_connected(call_t *c)
+{
+	if (c->ep->kind == EP_PEER)
+		return;
+	c->unmade++;
+	reach_note_failed(c->s, c->ep);
+}
+
 void
 call_timer_fired(call_t *c)
 {
@@ -186,6 +224,7 @@
 	case CALL_CONNECTING:
 		if (now >= c->sent_at + CONNECT_TIMEOUT_MS) {
 			breaker_failure(&c->ep->breaker, true, now);
+			not_connected(c);
 			call_attempt_failed(c, true, "no connection in time");
 			return;
 		}
@@ -295,6 +334,24 @@
 		breaker_success(&c->ep->breaker);
 	}
 	c->last_activity_at = c->s->loop.now;
+	if (c->ep->kind == EP_DIRECT)
+		reach_note_heard(c->s, c->ep);
+}
+
+/* The request leaves now, and may run. */
+void
+call_sent(call_t *c)
+{
+	int i = call_tried_index(c, c->ep);
+
+	c->state = CALL_SENT;
+	c->may_have_run = true;
+	if (c->ep->kind == EP_PEER)
+		return;
+	c->sends++;
+	if (i != -1)
+		c->reached[i] = true;
+	reach_note_asked(c->s, c->ep);
 }
 
 static void
@@ -310,8 +367,9 @@
 		log_limited(LOG_NOTICE, "connected-late",
 		    "request=%s endpoint=%s after_ms=%" PRId64, c->request.id,
 		    w->ep->entry.id, w->s->loop.now - c->sent_at);
-	c->state = CALL_SENT;
-	c->may_have_run = true;
+	if (w->ep->kind == EP_DIRECT)
+		reach_note_connected(w->s, w->ep);
+	call_sent(c);
 	c->last_activity_at = w->s->loop.now;
 	call_set_timer(c);
 }
@@ -362,6 +420,19 @@
 	p->closed_until = c->s->loop.now + a->closed;
 }
 
+/* What the endpoint says of itself. */
+static void
+note_endpoint_head(call_t *c, ep_conn_t *w, const answer_head_t *a)
+{
+	if (a->running >= 0)
+		workload_set_reported(&w->ep->workload, a->running, a->waiting,
+		    a->slots, w->s->loop.now);
+	limits_observe(c, &a->limit);
+	if (a->leaving)
+		ep_says_leaving(w->s, w->ep, w->started_at, w->made_at);
+	note_closed(c, a);
+}
+
 static void
 on_head(void *u, http_conn_t *k)
 {
@@ -385,17 +456,19 @@
 	}
 	bytes_received(c);
 	w->idle_timeout = a.idle;
-	if (a.running >= 0)
-		workload_set_reported(&w->ep->workload, a.running, a.waiting,
-		    a.slots, w->s->loop.now);
 	c->response.status = (int)k->parser.status_code;
 	c->response.authentic =
 	    a.signature != NULL && a.call_id != NULL && !a.encoded;
 	c->response.not_run = a.not_run;
-	limits_observe(c, &a.limit);
-	if (a.leaving)
-		ep_says_leaving(w->s, w->ep, w->started_at, w->made_at);
-	note_closed(c, &a);
+	c->answered_by = w->ep;
+	switch (w->ep->kind) {
+	case EP_DIRECT:
+		note_endpoint_head(c, w, &a);
+		break;
+	case EP_PEER:
+		peer_answer_read(c, &k->head, c->response.status);
+		break;
+	}
 	c->response.stream =
 	    a.events && c->response.status == 200 && c->response.authentic;
 	c->response.dropped = body_is_dropped(c);
@@ -437,6 +510,8 @@
 		k->keep_alive = false;
 	if (c->s->leaving || !k->keep_alive)
 		buf_str(&k->out, "Connection: close\r\n");
+	if (c->from_instance)
+		peer_answer_encode(c, c->answered_by, 0, &k->out);
 	buf_str(&k->out, "\r\n");
 	c->head_sent = true;
 	c->state = CALL_RELAYING;
@@ -539,19 +614,21 @@
 {
 	serve_t *s = c->s;
 	bool succeeded = c->response.status < 500;
+	bool direct = c->ep->kind == EP_DIRECT;
 	char why[32];
 
-	if (succeeded)
+	if (succeeded || !direct)
 		breaker_success(&c->ep->breaker);
 	else
 		breaker_failure(&c->ep->breaker, false, s->loop.now);
-	failure_rate_update(s, !succeeded);
+	if (direct)
+		failure_rate_update(s, !succeeded);
 	if (c->response.status / 100 == 2)
 		blame_call_completed(c);
-	if (c->request.model[0] == '\0' && succeeded)
+	if (c->request.model[0] == '\0' && succeeded && direct)
 		workload_plain_done(&c->ep->workload, &s->average_speed,
 		    s->loop.now - c->sent_at);
-	if (!succeeded && !c->head_sent && call_may_retry(c)) {
+	if (!succeeded && direct && !c->head_sent && call_may_retry(c)) {
 		snprintf(why, sizeof(why), "status %d", c->response.status);
 		log_attempt_failed(c, false, why);
 		c->failure = "the endpoint answered with an error";
@@ -595,9 +672,14 @@
 		stream_done(same, keep);
 		return;
 	}
+	if (peer_answer_refuses(c)) {
+		peer_answer_refused(c, keep);
+		return;
+	}
 	if (!c->response.authentic || implies_not_run(c->response.status) ||
 	    (c->head_sent && c->route.kind == ROUTE_STREAM)) {
-		breaker_failure(&c->ep->breaker, false, now);
+		if (!c->through.own)
+			breaker_failure(&c->ep->breaker, false, now);
 		call_attempt_failed(
 		    c, false, "the answer isn't the endpoint's own");
 		return;
@@ -653,9 +735,19 @@
 		return;
 	}
 	breaker_failure(&c->ep->breaker, true, w->s->loop.now);
-	failure_rate_update(w->s, true);
-	if (why == HTTP_END_EOF || why == HTTP_END_RESET)
-		crash_check(c);
+	switch (w->ep->kind) {
+	case EP_DIRECT:
+		failure_rate_update(w->s, true);
+		if (why == HTTP_END_CONNECT_FAILED)
+			not_connected(c);
+		if (why == HTTP_END_EOF || why == HTTP_END_RESET)
+			crash_check(c);
+		break;
+	case EP_PEER:
+		/* It may have sent the call on. */
+		c->sends += why != HTTP_END_CONNECT_FAILED;
+		break;
+	}
 	c->conn = NULL;
 	pool_remove(w);
 	call_attempt_failed(c, why == HTTP_END_CONNECT_FAILED, text[why]);
--- a/serve/blame.c
+++ b/serve/blame.c
@@ -1,5 +1,6 @@
 /* What becomes of calls with something that crashes endpoints. */
 #include "serve/blame.h"
+#include "serve/reach.h"
 
 #include <stdlib.h>
 
@@ -223,6 +224,9 @@
 
 	if (c->trial || c->attempts > 0)
 		return c->trial && c->attempts == 0;
+	/* The instance that it would go through grants its own trials only. */
+	if (reach_lost(s, c->service))
+		return false;
 	if (plan_holder_valid(s) && blame_trial_due(p, now)) {
 		blame_trial_granted(p, now);
 	} else if (now < p->trial_granted_until) {
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,5 +1,6 @@
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "serve/peer_call.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -126,6 +127,21 @@
 	return c;
 }
 
+/* Append to header lines what is for the instance that handed a call over. */
+static void
+add_peer_line(char *lines, size_t size, const call_t *c, ms_t retry)
+{
+	buf_t b = { 0 };
+	size_t n = strlen(lines);
+
+	if (c != NULL)
+		peer_answer_encode(c, NULL, retry, &b);
+	else
+		peer_refusal_encode(&b);
+	snprintf(lines + n, size - n, "%.*s", (int)buf_len(&b), b.p);
+	buf_free(&b);
+}
+
 static void
 refuse_request(
     caller_conn_t *cc, const char *id, int status, const char *why, ms_t retry)
@@ -137,7 +153,10 @@
 		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)retry / 1000);
 	if (cc->s->leaving || !cc->http->keep_alive)
-		snprintf(extra + n, sizeof(extra) - n, "Connection: close\r\n");
+		n += snprintf(
+		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
+	if (cc->from_instance)
+		add_peer_line(extra, sizeof(extra), NULL, 0);
 	log_limited(LOG_NOTICE, "refused",
 	    "request=%s status=%d why=\"%s\" config=%" PRId64, id, status, why,
 	    cc->s->config != NULL ? cc->s->config->version : -1);
@@ -191,8 +210,14 @@
 		    cc, request.id, 503, "the instance is full", FULL_RETRY_MS);
 		return;
 	}
-	demand_add_call(s, c);
-	if (!stream_bind(c))
+	if (cc->from_instance && !peer_call_take(c, h)) {
+		call_answer_error(c, 400, "not a call of an instance", 0);
+		return;
+	}
+	/* The instance that got it from its caller has counted it. */
+	if (!c->from_instance)
+		demand_add_call(s, c);
+	if (c->software == 0 && !stream_bind(c))
 		return;
 	/* Calls already waiting go first, by priority. */
 	if (s->wait_queue != NULL) {
@@ -205,25 +230,24 @@
 	call_dispatch(c);
 }
 
-static void
-send_to(call_t *c, const choice_t *ch)
+/* The request for an endpoint. @return the time that it states, -1: none */
+static ms_t
+encode_for_endpoint(call_t *c)
 {
 	serve_t *s = c->s;
-	ep_t *p = ch->ep;
 	ms_t remaining_ms =
 	    c->request.remaining >= 0
 		? c->request.remaining - (s->loop.now - c->received_at)
 		: -1;
 	call_forward_t send = { .head = &c->caller->http->head,
 		.method = c->method,
-		.endpoint = p->entry.id,
+		.endpoint = c->ep->entry.id,
 		.remaining = remaining_ms,
 		.priority = -1,
 		.resume_after = c->last_event_id > c->resume_event_id
 				    ? c->last_event_id
 				    : -1,
 		.body = buf_len(&c->body) };
-	int kv_tokens = c->request.prompt + c->request.output, at;
 
 	if (c->request.remaining >= 0 &&
 	    remaining_ms > c->deadline - s->loop.now)
@@ -232,38 +256,35 @@
 		send.remaining = 1;
 	if (c->request.model[0] != '\0')
 		send.priority = call_priority(c);
-	call_queue_remove(c);
-	c->ep = p;
-	c->state = CALL_CONNECTING;
-	c->sent_at = c->last_activity_at = s->loop.now;
-	c->silent = c->silence_counted = false;
-	c->look_at = 0;
-	at = call_tried_index(c, p);
-	if (at == -1)
-		at = c->ntried++ % TRIED_MAX;
-	c->tried[at] = p;
-	c->return_at[at] = 0;
-	memset(&c->reading, 0, sizeof(c->reading));
-	if (c->attempts++ > 0)
-		retry_budget_spend(s, c);
-	if (c->trial)
-		blame_trial_sent(c);
-	limits_spend(p);
-	c->had_run_before = c->may_have_run;
-	p->ncall++;
-	breaker_sent(&p->breaker, s->loop.now);
+	call_forward_encode(&c->conn->http->out, &send);
+	return send.remaining;
+}
+
+/* What the endpoint has to do for the call. */
+static void
+reserve(call_t *c, const choice_t *ch)
+{
+	serve_t *s = c->s;
+	ep_t *p = c->ep;
+	int kv_tokens = c->request.prompt + c->request.output;
+
 	workload_reserve(&p->workload, &s->average_speed, &c->reservation,
 	    ch->uncached_tokens, kv_tokens);
+	if (p->kind == EP_PEER)
+		return;
+	limits_spend(p);
 	workload_prompt_sent(&p->workload, &s->average_speed,
 	    &s->workload_limits, ch->uncached_tokens, s->loop.now);
 	p->sent_tokens += (uint32_t)ch->uncached_tokens;
 	peers_load_changed(s, p);
 	prefix_record(p, c, s->loop.now);
-	c->conn->http->no_body = strcmp(c->method, "HEAD") == 0;
-	call_forward_encode(&c->conn->http->out, &send);
-	if (send.body > 0)
-		buf_add(
-		    &c->conn->http->out, c->body.p + c->body.off, send.body);
+}
+
+static void
+log_sent(const call_t *c, const choice_t *ch, ms_t remaining)
+{
+	const ep_t *p = c->ep;
+
 	if (c->request.resumes[0] != '\0' || c->nevent > 0)
 		log_limited(LOG_NOTICE, "resume",
 		    "request=%s resumes=%s after=%" PRId64
@@ -273,19 +294,75 @@
 						  : c->request.id,
 		    c->last_event_id, p->entry.id, p->entry.software);
 	log_limited(LOG_INFO, "sent",
-	    "request=%s route=%s endpoint=%s send=%d fresh=%d first_ms=%.0f "
+	    "request=%s route=%s %s=%s from=%s send=%d fresh=%d first_ms=%.0f "
 	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64
 	    " kept=%d software=%s events=%d config=%" PRId64,
-	    c->request.id, c->route.name, p->entry.id, c->attempts,
-	    ch->uncached_tokens, c->reservation.predicted_ms, send.remaining,
-	    s->loop.now - p->entry_read_at, !c->conn->unused, p->entry.software,
-	    c->nevent, s->config->version);
+	    c->request.id, c->route.name,
+	    p->kind == EP_PEER ? "instance_to" : "endpoint", p->entry.id,
+	    c->from_instance ? "instance" : "caller", c->attempts,
+	    ch->uncached_tokens, c->reservation.predicted_ms, remaining,
+	    c->s->loop.now - p->entry_read_at, !c->conn->unused,
+	    p->entry.software, c->nevent, c->s->config->version);
+}
+
+/* Count the attempt and note where it goes. */
+static void
+begin_attempt(call_t *c, const choice_t *ch)
+{
+	serve_t *s = c->s;
+	int at;
+
+	c->ep = ch->ep;
+	c->state = CALL_CONNECTING;
+	c->sent_at = c->last_activity_at = s->loop.now;
+	c->silent = c->silence_counted = false;
+	c->look_at = 0;
+	c->answered_by = NULL;
+	memset(&c->through, 0, sizeof(c->through));
+	memset(&c->reading, 0, sizeof(c->reading));
+	at = call_tried_index(c, ch->ep);
+	if (at == -1)
+		at = c->ntried++ % TRIED_MAX;
+	c->tried[at] = ch->ep;
+	c->return_at[at] = 0;
+	/* Where it goes through another instance, that one spends. */
+	if (c->attempts++ > 0 && ch->ep->kind == EP_DIRECT)
+		retry_budget_spend(s, c);
+	if (c->trial)
+		blame_trial_sent(c);
+	c->had_run_before = c->may_have_run;
+	ch->ep->ncall++;
+	breaker_sent(&ch->ep->breaker, s->loop.now);
+}
+
+static void
+send_to(call_t *c, const choice_t *ch)
+{
+	ms_t remaining = -1;
+
+	call_queue_remove(c);
+	begin_attempt(c, ch);
+	reserve(c, ch);
+	c->conn->http->no_body = strcmp(c->method, "HEAD") == 0;
+	switch (c->ep->kind) {
+	case EP_DIRECT:
+		remaining = encode_for_endpoint(c);
+		break;
+	case EP_PEER:
+		counter_add(counter_get("ebonypitch_calls_handed_over_total",
+				"Calls handed to other instances."),
+		    1);
+		peer_call_encode(c, &c->conn->http->out);
+		break;
+	}
+	buf_add(
+	    &c->conn->http->out, c->body.p + c->body.off, buf_len(&c->body));
+	log_sent(c, ch, remaining);
 	if (c->conn->unused) {
 		/* Its deadline may pass while the process is stopped. */
 		c->conn->http->send_by = c->deadline;
 	} else {
-		c->state = CALL_SENT;
-		c->may_have_run = true;
+		call_sent(c);
 		http_conn_flush(c->conn->http);
 	}
 	call_set_timer(c);
@@ -329,7 +406,7 @@
 {
 	int i = call_tried_index(c, c->ep);
 
-	if (i != -1)
+	if (i != -1 && c->ep->kind == EP_DIRECT)
 		c->return_at[i] = at;
 }
 
@@ -472,6 +549,8 @@
 		    (double)retry / 1000);
 	if (cc->s->leaving || !cc->http->keep_alive)
 		snprintf(extra + n, sizeof(extra) - n, "Connection: close\r\n");
+	if (c->from_instance)
+		add_peer_line(extra, sizeof(extra), c, retry);
 	c->status = status;
 	log_limited(LOG_NOTICE, "answered",
 	    "request=%s status=%d why=\"%s\" retry_ms=%" PRId64
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -1,12 +1,14 @@
 #define _GNU_SOURCE /* accept4() */
 #include "serve/serve.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum {
 	ACCEPTS_PER_TURN = 64,	    /* accepted in one loop turn */
@@ -16,6 +18,7 @@
 	BODY_SILENCE_MAX_MS = 5000, /* longest silence within a body */
 	BODY_MAX = 4 << 20,	    /* bytes, default without a configuration */
 	HEAD_MAX = 16384,	    /* bytes */
+	INSTANCE_FIELDS_MAX = 1024, /* bytes; added to a head by an instance */
 	DRAIN_IDLE_MS = 1500,	    /* idle timeout while leaving */
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
 };
@@ -29,12 +32,15 @@
 {
 	int reserved = s->conf.fds_max / 2;
 
-	if (s->caller_listener.fd == -1)
-		return;
+	uint32_t ev;
+
 	if (reserved > RESERVED_FDS)
 		reserved = RESERVED_FDS;
-	watch_set(&s->loop, &s->caller_listener,
-	    s->ncaller < s->conf.fds_max - reserved ? EPOLLIN : 0);
+	ev = s->ncaller < s->conf.fds_max - reserved ? EPOLLIN : 0;
+	if (s->caller_listener.fd != -1)
+		watch_set(&s->loop, &s->caller_listener, ev);
+	if (s->instance_listener.fd != -1)
+		watch_set(&s->loop, &s->instance_listener, ev);
 }
 
 static void
@@ -155,6 +161,8 @@
 	const config_t *c = cc->s->config;
 
 	k->head_max = c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
+	if (cc->from_instance)
+		k->head_max += INSTANCE_FIELDS_MAX;
 	set_idle_timer(cc);
 }
 
@@ -248,7 +256,7 @@
 	.drained = on_drained,
 };
 
-static void
+static caller_conn_t *
 add_caller(serve_t *s, int fd)
 {
 	caller_conn_t *cc = calloc(1, sizeof(*cc));
@@ -270,34 +278,67 @@
 	s->caller[s->ncaller++] = cc;
 	update_listener(s);
 	set_idle_timer(cc);
+	return cc;
+}
+
+/* Accept up to ACCEPTS_PER_TURN connections. @return one, or -1: no more */
+static int
+accept_next(serve_t *s, watch_t *listener, struct sockaddr_in *from)
+{
+	socklen_t len = sizeof(*from);
+	int fd = accept4(listener->fd, (struct sockaddr *)from, &len,
+	    SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd != -1 || errno == EAGAIN || errno == EINTR)
+		return fd;
+	log_limited(LOG_WARNING, "accept", "why=\"%s\"", strerror(errno));
+	/* The listener stays readable: don't spin on it. */
+	watch_set(&s->loop, listener, 0);
+	alarm_set(&s->loop, &s->accept_alarm, s->loop.now + ACCEPT_RETRY_MS);
+	return -1;
 }
 
 static void
 accept_callers(void *arg, uint32_t ev)
 {
 	serve_t *s = arg;
+	struct sockaddr_in from;
 	int i, fd;
 
 	(void)ev;
 	for (i = 0; i < ACCEPTS_PER_TURN && s->caller_listener.events != 0;
 	     i++) {
-		fd = accept4(s->caller_listener.fd, NULL, NULL,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd == -1) {
-			if (errno == EAGAIN || errno == EINTR)
-				return;
-			log_limited(LOG_WARNING, "accept", "why=\"%s\"",
-			    strerror(errno));
-			/* The listener stays readable: don't spin on it. */
-			watch_set(&s->loop, &s->caller_listener, 0);
-			alarm_set(&s->loop, &s->accept_alarm,
-			    s->loop.now + ACCEPT_RETRY_MS);
+		fd = accept_next(s, &s->caller_listener, &from);
+		if (fd == -1)
 			return;
-		}
 		add_caller(s, fd);
 	}
 }
 
+static void
+accept_instances(void *arg, uint32_t ev)
+{
+	serve_t *s = arg;
+	struct sockaddr_in from;
+	char ip[ADDR_MAX];
+	int i, fd;
+
+	(void)ev;
+	for (i = 0; i < ACCEPTS_PER_TURN && s->instance_listener.events != 0;
+	     i++) {
+		fd = accept_next(s, &s->instance_listener, &from);
+		if (fd == -1)
+			return;
+		if (peer_with_ip(s, from.sin_addr) != NULL) {
+			add_caller(s, fd)->from_instance = true;
+			continue;
+		}
+		inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+		log_limited(LOG_WARNING, "instance-unknown", "ip=%s", ip);
+		close(fd);
+	}
+}
+
 static void
 on_accept_alarm(void *arg)
 {
@@ -313,9 +354,23 @@
 	s->caller_listener.fn = accept_callers;
 	s->caller_listener.arg = s;
 	s->accept_alarm = (alarm_t){ .fn = on_accept_alarm, .arg = s };
+	s->instance_listener.fd = -1;
 	return watch_add(&s->loop, &s->caller_listener, EPOLLIN);
 }
 
+int
+instances_listen(serve_t *s, err_t *e)
+{
+	char addr[ADDR_MAX + 8];
+
+	snprintf(addr, sizeof(addr), "%s:%d", s->conf.ip, s->conf.peer_port);
+	s->instance_listener =
+	    (watch_t){ net_listen(addr, e), 0, accept_instances, s };
+	if (s->instance_listener.fd == -1)
+		return -1;
+	return watch_add(&s->loop, &s->instance_listener, EPOLLIN);
+}
+
 void
 caller_answer(
     caller_conn_t *cc, int status, const char *extra, const char *body)
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,4 +1,6 @@
 #include "serve/limits.h"
+#include "serve/peer_call.h"
+#include "serve/reach.h"
 
 #include <string.h>
 
@@ -106,8 +108,9 @@
 	int uncached_tokens;
 	bool returning; /* only endpoints that the call may return to */
 	int nusable, nholding, ntried, nfull, nbroken;
-	int nclosed;   /* of nfull: they want no call now, or need a permit */
-	ep_t *limited; /* the best of those that need a permit */
+	int nunreached; /* that this instance can't connect to */
+	int nclosed;	/* of nfull: they want no call now, or need a permit */
+	ep_t *limited;	/* the best of those that need a permit */
 	double limited_cost;
 	double least_first_ms; /* least prediction of all endpoints */
 	double least_wait_ms;  /* least time until one accepts the call */
@@ -157,6 +160,27 @@
 	sc->limited_cost = cost_ms;
 }
 
+static bool
+is_candidate(const call_t *c, const ep_t *p)
+{
+	return ep_usable(p) && strcmp(p->entry.service, c->service) == 0 &&
+	       (c->software == 0 || p->software == c->software);
+}
+
+static bool
+holds_for(const call_t *c, const ep_t *p)
+{
+	return c->request.model[0] == '\0' ||
+	       ep_holds(
+		   p, c->request.model, c->request.adapter, c->s->loop.now);
+}
+
+bool
+choose_may_serve(const call_t *c, const ep_t *p)
+{
+	return is_candidate(c, p) && holds_for(c, p);
+}
+
 static void
 consider_endpoint(
     call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
@@ -167,14 +191,16 @@
 	int uncached_tokens = c->request.prompt;
 	double first_ms, cost_ms, wait_ms;
 
-	if (!ep_usable(p) || strcmp(p->entry.service, c->service) != 0)
-		return;
-	if (c->software != 0 && p->software != c->software)
+	if (!is_candidate(c, p))
 		return;
 	sc->nusable++;
-	if (engine && !ep_holds(p, c->request.model, c->request.adapter, now))
+	if (!holds_for(c, p))
 		return;
 	sc->nholding++;
+	if (p->reach.way != WAY_OPEN) {
+		sc->nunreached++;
+		return;
+	}
 	if (is_excluded(c, p, sc->returning)) {
 		sc->ntried++;
 		return;
@@ -320,7 +346,7 @@
 			out->kind = CHOICE_WAIT;
 		return;
 	}
-	if (sc->nbroken > 0) {
+	if (sc->nbroken + sc->nunreached > 0) {
 		out->reason = "the endpoints that hold it fail";
 		if (now - c->received_at + SLOT_WAIT_MS <
 		    c->route.target_latency / 2)
@@ -368,8 +394,8 @@
 	out->uncached_tokens = sc->uncached_tokens;
 }
 
-void
-choose_endpoint(call_t *c, choice_t *out)
+static void
+choose_own(call_t *c, choice_t *out)
 {
 	scan_t sc = { 0 };
 
@@ -378,9 +404,12 @@
 	    (c->ntried >= c->route.attempts || !retry_budget_allows(c->s, c))) {
 		out->kind = CHOICE_NONE;
 		out->reason = "no further attempt is allowed";
+		out->unreached = c->unmade > 0;
 		return;
 	}
 	scan_endpoints(c, &sc);
+	out->unreached = sc.nunreached > 0 || c->unmade > 0;
+	out->all_unreached = sc.nunreached > 0 && sc.nunreached == sc.nholding;
 	if (sc.best == NULL) {
 		choose_none(c, &sc, out);
 		return;
@@ -397,6 +426,24 @@
 	choose_best(&sc, out);
 }
 
+/*
+ * An instance that can connect to endpoints that this one can't may serve the
+ * call, whether others are full here or not.
+ */
+void
+choose_endpoint(call_t *c, choice_t *out)
+{
+	choice_t other;
+
+	choose_own(c, out);
+	c->unreached = out->unreached;
+	if (out->kind == CHOICE_SEND || !out->unreached ||
+	    !peer_call_choose(c, &other))
+		return;
+	if (other.kind == CHOICE_SEND || out->all_unreached)
+		*out = other;
+}
+
 /*
  * Its answer may be late, and this instance may end before it: giving the call
  * up is worse.
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[32] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[34] =
 {
   {
     "sender",
@@ -438,6 +438,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreached_service",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_unreached_service),
+    offsetof(Digest__Digest, unreached_service),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreached_endpoint",
+    34,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_unreached_endpoint),
+    offsetof(Digest__Digest, unreached_endpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -472,11 +496,13 @@
   23,   /* field[23] = store_lost */
   25,   /* field[25] = streams */
   24,   /* field[24] = sum_domain */
+  33,   /* field[33] = unreached_endpoint */
+  32,   /* field[32] = unreached_service */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 32 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -486,7 +512,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  32,
+  34,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -76,6 +76,14 @@
    * It has lost contact with the store: others must watch for its domain.
    */
   protobuf_c_boolean store_lost;
+  /*
+   * Hashes of the services to whose endpoints it has lost its way, and
+   * of some of the endpoints that it can't connect to.
+   */
+  size_t n_unreached_service;
+  uint32_t *unreached_service;
+  size_t n_unreached_endpoint;
+  uint32_t *unreached_endpoint;
   /*
    * It has seen several software versions of some service lately.
    */
@@ -125,7 +133,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -4,6 +4,7 @@
  * of what is or may become loaded until an entry or a report shows it.
  */
 #include "serve/plan.h"
+#include "serve/reach.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -505,6 +506,8 @@
 	err_t e = { 0 };
 
 	d->request = NULL;
+	if (status == 0)
+		reach_check(d->s, d->ep);
 	if (status != 200 || report_decode(&r, text, len, &e) == -1) {
 		log_limited(LOG_WARNING, "report",
 		    "endpoint=%s status=%d why=\"%s\"", d->ep->entry.id, status,
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -3,6 +3,7 @@
  * entries may not show yet.
  */
 #include "serve/limits.h"
+#include "serve/reach.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -62,12 +63,13 @@
 
 /* A new process with the same id doesn't know of earlier orders. */
 static void
-endpoint_restarted(ep_t *p, const endpoint_entry_t *en)
+endpoint_restarted(serve_t *s, ep_t *p, const endpoint_entry_t *en)
 {
 	log_limited(LOG_NOTICE, "endpoint-restarted",
 	    "endpoint=%s born=%" PRId64 " before=%" PRId64, en->id,
 	    en->started_at, p->entry.started_at);
 	pool_close_idle(p);
+	reach_forget(s, p);
 	p->nknown = 0;
 	p->order_count = 0;
 	/* An earlier start is an old copy of the entry. */
@@ -108,7 +110,7 @@
 	if (p == NULL)
 		p = add_endpoint(s, &en);
 	else if (p->entry.started_at != en.started_at)
-		endpoint_restarted(p, &en);
+		endpoint_restarted(s, p, &en);
 	was_ready = p->listed && !p->entry.leaving;
 	if (strcmp(p->entry.addr, en.addr) != 0)
 		pool_close_idle(p);
@@ -162,6 +164,7 @@
 		p->revision = revision;
 	p->leaving_since = s->loop.now;
 	p->removed_at = s->loop.now;
+	reach_forget(s, p);
 	pool_close_idle(p);
 	log_limited(LOG_NOTICE, "endpoint",
 	    "endpoint=%s state=gone entry_age_ms=%" PRId64 " revision=%" PRId64,
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -10,6 +10,7 @@
 #include "policy/breaker.h"
 #include "policy/call_limit.h"
 #include "policy/leaving.h"
+#include "policy/reach.h"
 #include "policy/workload.h"
 
 #include <glib.h>
@@ -78,8 +79,15 @@
 	ms_t sent_at;
 } sent_prefix_t;
 
+/** What is at the other end of connections. */
+typedef enum ep_kind {
+	EP_DIRECT, /* an endpoint */
+	EP_PEER,   /* another instance, which sends calls on to endpoints */
+} ep_kind_t;
+
 /** An endpoint as this instance knows it. */
 typedef struct ep {
+	ep_kind_t kind;
 	endpoint_entry_t entry;
 	int64_t revision;     /* of the entry */
 	int64_t latest_start; /* of the starts that its entries have shown */
@@ -109,6 +117,7 @@
 	/* This domain's sum as last sent to other domains. */
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
+	reach_ep_t reach;
 	breaker_t breaker;
 	ms_t closed_until; /* it wants no call of this instance until then */
 	call_limit_t limit;
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -1,4 +1,5 @@
 /* Digests that this instance sends to its peers. */
+#include "serve/reach.h"
 #include "serve/shares.h"
 
 #include <stdlib.h>
@@ -18,6 +19,8 @@
 static size_t
 pack_digest(serve_t *s, Digest__Digest *d, uint8_t *to)
 {
+	const reach_tags_t *tags = reach_tags(s);
+
 	d->sender = s->peers.hash;
 	d->incarnation = s->peers.incarnation;
 	d->sequence = ++s->peers.sequence;
@@ -27,6 +30,10 @@
 	d->store_lost = store_lost(s);
 	d->several_versions = streams_several_versions(s);
 	d->lease_revision = plan_lease_revision(s);
+	d->unreached_service = (uint32_t *)(void *)tags->service->data;
+	d->n_unreached_service = tags->service->len;
+	d->unreached_endpoint = (uint32_t *)(void *)tags->endpoint->data;
+	d->n_unreached_endpoint = tags->endpoint->len;
 	d->queued_tokens = (uint32_t)call_queue_prompt_tokens(s, NULL);
 	d->config_revision = s->config_watch.changed_revision;
 	d->endpoint_revision = s->endpoints_watch.changed_revision;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,5 +1,6 @@
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "serve/peer_call.h"
 #include "serve/shares.h"
 
 #include <arpa/inet.h>
@@ -20,7 +21,8 @@
 	FULL_DIGEST_PEERS = 12,
 	/* Interval per peer, as a datagram costs its receiver some 30 us. */
 	HEARTBEAT_PER_PEER_MS = 12,
-	DEAD_HEARTBEATS = 4,	  /* missed by a peer that counts as dead */
+	DEAD_HEARTBEATS = 4, /* missed by a peer that counts as dead */
+	FRESH_HEARTBEATS = 2,
 	WRITE_TIMEOUT_MS = 2000,  /* of a write to the store */
 	OBJECT_REMOVE_MS = 20000, /* after a peer was heard last */
 	FIRST_HEARTBEAT_MS = 300, /* after the start */
@@ -43,6 +45,35 @@
 		   DEAD_HEARTBEATS * heartbeat_ms(s);
 }
 
+bool
+peer_is_fresh(const serve_t *s, const peer_t *p)
+{
+	return is_recent(p->last_heard_at, s->loop.handled_until,
+	    FRESH_HEARTBEATS * heartbeat_ms(s));
+}
+
+bool
+peer_lists(const GArray *tags, uint32_t tag)
+{
+	guint i;
+
+	for (i = 0; i < tags->len; i++)
+		if (g_array_index(tags, uint32_t, i) == tag)
+			return true;
+	return false;
+}
+
+const peer_t *
+peer_with_ip(const serve_t *s, struct in_addr ip)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++)
+		if (s->peers.peer[i]->sa.sin_addr.s_addr == ip.s_addr)
+			return s->peers.peer[i];
+	return NULL;
+}
+
 int
 peers_alive(const serve_t *s)
 {
@@ -211,6 +242,8 @@
 	p->share =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	p->demand = g_array_new(FALSE, FALSE, sizeof(peer_demand_t));
+	p->unreached_service = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	p->unreached_endpoint = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	if (ps->npeer == ps->room) {
 		ps->room = ps->room ? 2 * ps->room : 16;
 		ps->peer = g_renew(peer_t *, ps->peer, ps->room);
@@ -230,6 +263,9 @@
 	log_limited(LOG_NOTICE, "instance", "instance_known=%s state=forgotten",
 	    p->instance);
 	shares_forget(p);
+	peer_ep_retire(s, p);
+	g_array_free(p->unreached_service, TRUE);
+	g_array_free(p->unreached_endpoint, TRUE);
 	g_hash_table_destroy(p->share);
 	g_array_free(p->demand, TRUE);
 	g_free(p);
@@ -340,6 +376,13 @@
 	return p;
 }
 
+static void
+tags_read(GArray *to, const uint32_t *tag, size_t n)
+{
+	g_array_set_size(to, 0);
+	g_array_append_vals(to, tag, (guint)n);
+}
+
 static void
 receive_digest(
     serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
@@ -359,6 +402,10 @@
 	p->lost_store = d->store_lost;
 	p->several_versions = d->several_versions;
 	p->queued_tokens = (int)d->queued_tokens;
+	tags_read(
+	    p->unreached_service, d->unreached_service, d->n_unreached_service);
+	tags_read(p->unreached_endpoint, d->unreached_endpoint,
+	    d->n_unreached_endpoint);
 	if (d->holder)
 		plan_peer_renewed(s, d->lease_revision);
 	if (was_ready != (p->ready && !p->leaving && !p->goodbye))
--- a/serve/pool.c
+++ b/serve/pool.c
@@ -12,7 +12,8 @@
 	KEEPALIVE_PROBES = 2,
 	IDLE_MAX_MS = 4000,	   /* whatever timeout the endpoint states */
 	IDLE_UNSAFE_MAX_MS = 2000, /* for calls that may run only once */
-	MIN_CONNS = 4, /* per endpoint, for any number of instances */
+	MIN_CONNS = 4,	      /* per endpoint, for any number of instances */
+	PEER_CONNS_MAX = 128, /* to another instance */
 };
 
 static int
@@ -21,6 +22,8 @@
 	const service_def_t *d = config_service(s->config, p->entry.service);
 	int max = d != NULL ? d->connections : 0;
 
+	if (p->kind == EP_PEER)
+		return PEER_CONNS_MAX;
 	/*
 	 * A tenth is held back for instances that know of fewer instances and
 	 * so take a larger share.
@@ -87,6 +90,24 @@
 	.end = idle_end,
 };
 
+static http_conn_t *
+connect_to(serve_t *s, const ep_t *p, const http_conn_ops_t *ops, void *user)
+{
+	struct sockaddr_in own;
+
+	switch (p->kind) {
+	case EP_DIRECT:
+		return http_conn_connect(&s->loop, &p->sa, ops, user);
+	case EP_PEER:
+		/* It knows us by our address. */
+		if (net_addr(s->conf.caller_addr, &own) == -1)
+			break;
+		return http_conn_connect_from(
+		    &s->loop, &own, &p->sa, ops, user);
+	}
+	return NULL;
+}
+
 ep_conn_t *
 pool_acquire(serve_t *s, ep_t *p, call_t *c, const http_conn_ops_t *ops)
 {
@@ -121,7 +142,7 @@
 		.started_at = p->entry.started_at,
 		.idle_timeout = -1,
 		.unused = true };
-	w->http = http_conn_connect(&s->loop, &p->sa, ops, w);
+	w->http = connect_to(s, p, ops, w);
 	if (w->http == NULL) {
 		free(w);
 		return NULL;
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -1,6 +1,8 @@
 /* Startup, settings, the event loop's hooks and shutdown. */
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "serve/peer_call.h"
+#include "serve/reach.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -71,6 +73,8 @@
 
 	if (elapsed >= DRAIN_MIN_MS && s->caller_listener.fd != -1)
 		watch_del(&s->loop, &s->caller_listener);
+	if (elapsed >= DRAIN_MIN_MS && s->instance_listener.fd != -1)
+		watch_del(&s->loop, &s->instance_listener);
 	if (elapsed >= last)
 		give_up_all_calls(s);
 	if (done || elapsed >= last + FINAL_SEND_MS) {
@@ -162,6 +166,7 @@
 
 	alarm_set(&s->loop, &s->settings_alarm, s->loop.now + SETTINGS_POLL_MS);
 	ep_table_purge(s);
+	peer_eps_purge(s);
 	streams_tick(s);
 	blame_tick(s);
 	limits_tick(s);
@@ -238,6 +243,8 @@
 	streams_init(s);
 	blame_feed_init(s);
 	limits_init(s);
+	reach_init(s);
+	s->retired = g_ptr_array_new();
 	ep_table_init(&s->endpoints);
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
@@ -253,7 +260,8 @@
 		return NULL;
 	}
 	if (watch_signals(s, e) == -1 || callers_listen(s, e) == -1 ||
-	    pages_open(s, e) == -1 || peers_open(s, e) == -1)
+	    instances_listen(s, e) == -1 || pages_open(s, e) == -1 ||
+	    peers_open(s, e) == -1)
 		return NULL;
 	s->settings_alarm = (alarm_t){ .fn = poll_settings, .arg = s };
 	alarm_set(&s->loop, &s->settings_alarm, s->loop.now + FIRST_POLL_MS);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -17,6 +17,7 @@
 #include <time.h>
 
 typedef struct blame_feed blame_feed_t;
+struct reach_feed;
 
 /* Calls. call.c, choose.c, answer.c, stream.c */
 
@@ -55,9 +56,14 @@
 	bool had_run_before; /* the same, before this attempt */
 	bool resubmitted;    /* the caller was probably refused before */
 	int attempts;	     /* so far, the current one included */
+	int sends;	     /* of these, may have reached an endpoint */
+	bool unreached;	     /* by the last choice */
+	int unmade;	     /* connections to endpoints that weren't made */
+	bool from_instance;  /* another instance handed it over */
 	/* Endpoints that it was sent to. */
 	ep_t *tried[TRIED_MAX];
 	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
+	bool reached[TRIED_MAX];   /* the call may have reached it */
 	int ntried;
 	bool left_silent; /* an attempt was replaced because of silence */
 	int crashes;	  /* of its endpoints, before it had begun there */
@@ -81,6 +87,14 @@
 		bool not_run, stream;
 		bool dropped; /* its body isn't for the caller */
 	} response;
+	ep_t *answered_by; /* the endpoint of the head that was read */
+	/* What the instance that it went through says of itself. */
+	struct {
+		bool own;	/* the answer is its own, not an endpoint's */
+		bool elsewhere; /* it refused what another one may take */
+		uint64_t software; /* version at the endpoint */
+		ms_t retry;
+	} through;
 	/* What was read on this attempt. */
 	struct {
 		int events;	     /* with an id */
@@ -136,6 +150,8 @@
 	ms_t retry_ms;	     /* suggested delay for the caller's retry */
 	int uncached_tokens; /* prompt tokens not in its cache */
 	const char *reason;
+	/* Some, or all, that may serve it can't be connected to. */
+	bool unreached, all_unreached;
 } choice_t;
 
 void call_dispatch(call_t *c);
@@ -178,6 +194,8 @@
 void call_set_timer(call_t *c);
 void call_timer_fired(call_t *c);
 bool call_idempotent(const call_t *c);
+/** The request of the current attempt leaves, and may run from now on. */
+void call_sent(call_t *c);
 /** Idempotent, with an endpoint to try or return to and retry budget left? */
 bool call_may_retry(const call_t *c);
 extern const http_conn_ops_t answer_ops;
@@ -238,6 +256,8 @@
 int call_queue_calls_ahead(const call_t *c);
 void call_queue_init(serve_t *s);
 
+/** @return whether the endpoint is usable and holds what the call needs */
+bool choose_may_serve(const call_t *c, const ep_t *p);
 /** Choose an endpoint that the call wasn't sent to yet. */
 void choose_endpoint(call_t *c, choice_t *out);
 /** Choose one that the call may return to, or CHOICE_WAIT. */
@@ -283,6 +303,7 @@
 	serve_t *s;
 	http_conn_t *http;
 	handle_t call;
+	bool from_instance; /* its requests are calls handed over */
 	buf_t body;
 	hasher_t body_hash;
 	alarm_t idle_alarm;
@@ -293,6 +314,8 @@
 } caller_conn_t;
 
 int callers_listen(serve_t *s, err_t *e);
+/** Accept calls that other instances hand over. */
+int instances_listen(serve_t *s, err_t *e);
 /** Send an error answer; @p extra holds further header lines. */
 void caller_answer(
     caller_conn_t *cc, int status, const char *extra, const char *body);
@@ -414,8 +437,11 @@
 	int queued_tokens;     /* prompt tokens of its waiting calls */
 	ms_t last_heard_at;    /* 0: never */
 	ms_t known_at;
-	int64_t revision;  /* of its object in the store, 0: none */
-	bool in_workload;  /* its shares count in ep_t.workload */
+	int64_t revision; /* of its object in the store, 0: none */
+	bool in_workload; /* its shares count in ep_t.workload */
+	ep_t *ep;	  /* the way through it, NULL: not used yet */
+	/* Tags of what it can't connect to, see reach_tags_t. */
+	GArray *unreached_service, *unreached_endpoint;
 	GHashTable *share; /* peer_share_t by ep_t */
 	GArray *demand;	   /* peer_demand_t */
 } peer_t;
@@ -490,6 +516,12 @@
 /** Number of live instances, this one included. */
 int peers_alive(const serve_t *s);
 bool peer_alive(const serve_t *s, const peer_t *p);
+/** Was it heard so lately that a stopped one would be noticed? */
+bool peer_is_fresh(const serve_t *s, const peer_t *p);
+/** @return whether a list of tags has one */
+bool peer_lists(const GArray *tags, uint32_t tag);
+/** @return the instance that has this IP, NULL: none */
+const peer_t *peer_with_ip(const serve_t *s, struct in_addr ip);
 /** @return the instance that has this address, NULL: none */
 const peer_t *peer_at(const serve_t *s, const struct sockaddr_in *from);
 /** Is it in our failure domain? */
@@ -584,6 +616,8 @@
 	bool software_read; /* the history in the lease, or there is none */
 	stream_table_t streams;
 	blame_feed_t *blame;
+	struct reach_feed *reach;
+	GPtrArray *retired; /* ep_t of instances that are gone */
 	struct limits_feed *limits;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
@@ -600,7 +634,7 @@
 	struct sockaddr_in store;
 	peers_t peers;
 	plan_t *plan;
-	watch_t caller_listener;
+	watch_t caller_listener, instance_listener;
 	watch_t signals;
 	alarm_t settings_alarm, drain_alarm, accept_alarm;
 	struct timespec conf_mtime;
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -49,11 +49,13 @@
 {
 	ms_t now = c->s->loop.now;
 
-	workload_first_event(&c->ep->workload, &c->s->average_speed,
-	    &c->reservation, now - c->sent_at);
-	peers_load_changed(c->s, c->ep);
 	breaker_success(&c->ep->breaker);
-	failure_rate_update(c->s, false);
+	if (c->ep->kind == EP_DIRECT) {
+		workload_first_event(&c->ep->workload, &c->s->average_speed,
+		    &c->reservation, now - c->sent_at);
+		peers_load_changed(c->s, c->ep);
+		failure_rate_update(c->s, false);
+	}
 	if (c->first_at == 0)
 		c->first_at = now;
 }
--- a/serve/streams.c
+++ b/serve/streams.c
@@ -216,7 +216,10 @@
 	if (!c->route.resumable)
 		return;
 	if (c->software == 0)
-		c->software = c->ep->software;
+		c->software = c->ep->kind == EP_DIRECT ? c->ep->software
+						       : c->through.software;
+	if (c->software == 0)
+		return;
 	stream_table_put(
 	    &s->streams, c->stream_id, c->software, record_expiry(c));
 	if (sole_version(s, service) != 0 && !peer_knows_several(s))
--- /dev/null
+++ b/tests/peer_call_proc.c
@@ -0,0 +1,430 @@
+/*
+ * Calls that an instance without a way to the endpoints hands to another one:
+ * what reaches the endpoint and the caller, and what becomes of them if the
+ * other instance fails.
+ */
+#include "tests/links.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DAEMONS = 3, /* the first one is cut */
+	APPS = 2,
+	LLM = APPS,	  /* index of the first engine */
+	SETTLE_MS = 2500, /* until all daemons know each other */
+	LOST_MS = 4000,	  /* by then the daemon knows that it is cut */
+	ANSWER_MS = 6000,
+	EVENTS = 40,
+	EVENT_GAP_MS = 30,
+	CANCEL_MS = 1000,
+	WITHIN_MS = 3000, /* a call's time limit */
+};
+static const char *const model =
+    "Model: m1\r\nToken-Usage: 100,80\r\nDeadline-Remaining: 5000\r\n";
+static const char *const brief = "Deadline-Remaining: 1900\r\n";
+
+typedef struct site {
+	fixture_t *st;
+	links_t *links;
+} site_t;
+
+static bool
+is_lost(void *arg)
+{
+	fixture_t *st = arg;
+
+	caller_free(caller_expect(st, 200, "GET", "/safe/a", "warm", brief));
+	return fixture_counter(st, 0, "ebonypitch_reach_lost_total") >= 2;
+}
+
+/* Daemon 0 is cut from all endpoints and knows it. */
+static site_t
+site_new(ms_t plain_ms)
+{
+	fake_endpoint_opts_t app = { .plain_ms = plain_ms };
+	fake_endpoint_opts_t llm = { .model = "m1",
+		.events = EVENTS,
+		.event_gap = EVENT_GAP_MS,
+		.adapter_slots = 4 };
+	site_t t = { .st = fixture_new() };
+	caller_t *c;
+	int i;
+
+	t.links = links_new(t.st);
+	fixture_put_config(t.st, "");
+	for (i = 0; i < APPS; i++)
+		fixture_add_endpoint(t.st, &app, "app");
+	for (i = 0; i < 2; i++)
+		fixture_add_endpoint(t.st, &llm, "llm");
+	for (i = 0; i < DAEMONS; i++)
+		fixture_start_daemon(t.st, i, true);
+	fixture_run(t.st, SETTLE_MS);
+	links_set(t.links, 0, LINK_RESET);
+	c = caller_expect(t.st, 200, "POST", "/gen/a", "warm-gen", model);
+	caller_free(c);
+	g_assert_true(fixture_run_until(t.st, is_lost, t.st, LOST_MS));
+	return t;
+}
+
+static void
+site_free(site_t *t)
+{
+	fixture_stop_daemons(t->st);
+	links_free(t->links);
+	fixture_free(t->st);
+}
+
+/* The run of a call, NULL: none. Asserts that there is at most one. */
+static const executed_call_t *
+run_of(const fixture_t *st, const char *id)
+{
+	const executed_call_t *found = NULL;
+	int i;
+	guint k;
+
+	for (i = 0; i < st->nendpoint; i++) {
+		const GPtrArray *x = fake_endpoint_executed(st->endpoint[i]);
+
+		for (k = 0; k < x->len; k++) {
+			const executed_call_t *r = x->pdata[k];
+
+			if (strcmp(r->id, id) != 0)
+				continue;
+			g_assert_null(found);
+			found = r;
+		}
+	}
+	return found;
+}
+
+/* The daemon that took over most calls, -1: none. */
+static int
+taker(fixture_t *st)
+{
+	int i, best = -1;
+	int64_t n, most = 0;
+
+	for (i = 1; i < DAEMONS; i++) {
+		n = fixture_counter(st, i, "ebonypitch_calls_taken_over_total");
+		if (n > most) {
+			best = i;
+			most = n;
+		}
+	}
+	return best;
+}
+
+static void
+assert_all_events(const caller_t *c)
+{
+	GString *want = g_string_new(NULL);
+	char *body = client_request_body(c);
+	int i;
+
+	for (i = 1; i <= EVENTS; i++)
+		g_string_append_printf(
+		    want, "id: %d\ndata: token %d\n\n", i, i);
+	g_assert_cmpstr(body, ==, want->str);
+	g_string_free(want, TRUE);
+	g_free(body);
+}
+
+/* Guards against changing a call or its answer on the way. */
+static void
+call_and_answer_are_unchanged(void)
+{
+	site_t t = site_new(20);
+	const executed_call_t *r;
+	caller_t *c = caller_expect(t.st, 200, "POST", "/once/a?b=c", "same",
+	    "Authorization: Bearer x\r\nX-Own: kept\r\nHold: evil\r\n"
+	    "Length-Hint: 12\r\nDeadline-Remaining: 1900\r\n");
+
+	r = run_of(t.st, "same");
+	g_assert_nonnull(r);
+	g_assert_true(g_str_has_prefix(r->headers, "/once/a?b=c\n"));
+	g_assert_nonnull(strstr(r->headers, "Authorization: Bearer x"));
+	g_assert_nonnull(strstr(r->headers, "X-Own: kept"));
+	g_assert_nonnull(strstr(r->headers, "Length-Hint: 12"));
+	g_assert_nonnull(strstr(r->headers, "Host: h.example"));
+	g_assert_nonnull(strstr(r->headers, "Expect-Instance: ep-"));
+	g_assert_null(strstr(r->headers, "evil"));
+	g_assert_null(strstr(r->headers, "Ebonypitch"));
+	g_assert_cmpstr(r->body, ==, "body");
+	g_assert_cmpint(r->time_left, <=, 1900);
+	g_assert_cmpint(r->time_left, >, 1000);
+	g_assert_nonnull(strstr(c->headers, "Server-Signature: s"));
+	g_assert_nonnull(strstr(c->headers, "Request-Id: same"));
+	g_assert_null(strstr(c->headers, "Ebonypitch"));
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against believing a caller that its call was handed over. */
+static void
+forged_field_is_ignored(void)
+{
+	site_t t = site_new(20);
+	const executed_call_t *r;
+	char id[16];
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "forged%d", i);
+		c = caller_call(t.st, i, "GET", "/safe/a", id,
+		    "Ebonypitch-Call: elapsed=100000 sends=9 "
+		    "tried=ep-0,ep-1\r\n"
+		    "Deadline-Remaining: 1900\r\n");
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 200);
+		caller_free(c);
+		r = run_of(t.st, id);
+		g_assert_nonnull(r);
+		g_assert_null(strstr(r->headers, "Ebonypitch"));
+	}
+	site_free(&t);
+}
+
+/* Guards against taking calls on the internal port from anybody. */
+static void
+internal_port_is_for_instances(void)
+{
+	site_t t = site_new(20);
+	char addr[ADDR_MAX];
+	client_request_t *c;
+
+	snprintf(addr, sizeof(addr), "%.*s:%d",
+	    (int)strcspn(t.st->caller[1], ":"), t.st->caller[1],
+	    t.st->peer_port);
+	c = client_request_open(&t.st->loop, addr,
+	    "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
+	    "intruder\r\n"
+	    "Ebonypitch-Call: elapsed=0 sends=0\r\n\r\n",
+	    NULL, t.st);
+	g_assert_nonnull(c);
+	fixture_run(t.st, 500);
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	g_assert_null(run_of(t.st, "intruder"));
+	client_request_free(c);
+	site_free(&t);
+}
+
+static bool
+is_cancelled(void *arg)
+{
+	const executed_call_t *r = run_of(arg, "left");
+
+	return r != NULL && r->cancelled;
+}
+
+static bool
+has_run(void *arg)
+{
+	return run_of(arg, "left") != NULL;
+}
+
+/* Guards against runs for callers that have left. */
+static void
+caller_that_leaves_ends_its_run(void)
+{
+	site_t t = site_new(20);
+	caller_t *c;
+	int i;
+
+	for (i = 0; i < APPS; i++)
+		fake_endpoint_set_fault(t.st->endpoint[i], ENDPOINT_SILENT);
+	c = caller_call(t.st, 0, "POST", "/once/a", "left", brief);
+	g_assert_true(fixture_run_until(t.st, has_run, t.st, ANSWER_MS));
+	caller_close(c);
+	g_assert_true(fixture_run_until(t.st, is_cancelled, t.st, CANCEL_MS));
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against an answer that is collected on the way. */
+static void
+events_pass_as_they_arrive(void)
+{
+	site_t t = site_new(20);
+	caller_t *c = caller_call(t.st, 0, "POST", "/gen/a", "events", model);
+
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	assert_all_events(c);
+	g_assert_cmpint(
+	    c->ended_at - c->first_byte_at, >, EVENTS * EVENT_GAP_MS / 2);
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against losing a stream with the instance that it goes through. */
+static void
+stream_outlives_the_other_instance(void)
+{
+	site_t t = site_new(20);
+	caller_t *c = caller_call(t.st, 0, "POST", "/gen/a", "lives", model);
+	int i;
+
+	fixture_run(t.st, EVENTS * EVENT_GAP_MS / 3);
+	i = taker(t.st);
+	g_assert_cmpint(i, >, 0);
+	/* Both may have taken calls: one at a time. */
+	proc_kill(t.st->daemon[i]);
+	t.st->daemon[i] = NULL;
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	assert_all_events(c);
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against reporting a call that may have run as not run. */
+static void
+unsafe_call_is_lost_with_the_other_instance(void)
+{
+	site_t t = site_new(600);
+	caller_t *c = caller_call(t.st, 0, "POST", "/once/a", "left", brief);
+	int i;
+
+	g_assert_true(fixture_run_until(t.st, has_run, t.st, ANSWER_MS));
+	for (i = 1; i < DAEMONS; i++) {
+		proc_kill(t.st->daemon[i]);
+		t.st->daemon[i] = NULL;
+	}
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_nonnull(run_of(t.st, "left"));
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against waiting for an instance that has stopped. */
+static void
+frozen_instance_is_left(void)
+{
+	site_t t = site_new(20);
+	int i, served = 0, frozen = taker(t.st);
+	caller_t *c[20];
+	char id[16];
+
+	g_assert_cmpint(frozen, >, 0);
+	proc_signal(t.st->daemon[frozen], SIGSTOP);
+	for (i = 0; i < 20; i++) {
+		snprintf(id, sizeof(id), "f%d", i);
+		c[i] = caller_call(t.st, 0, "GET", "/safe/a", id, brief);
+		fixture_run(t.st, 100);
+	}
+	for (i = 0; i < 20; i++) {
+		g_assert_true(caller_wait(c[i], ANSWER_MS));
+		served += c[i]->status == 200;
+		caller_free(c[i]);
+	}
+	g_test_message("%d of 20 served", served);
+	g_assert_cmpint(served, ==, 20);
+	proc_signal(t.st->daemon[frozen], SIGCONT);
+	site_free(&t);
+}
+
+/* Guards against more attempts than the route allows, counted together. */
+static void
+attempts_are_counted_once(void)
+{
+	site_t t = site_new(20);
+	int i, n = 0;
+	caller_t *c;
+	ms_t from = clock_now(&machine_clock);
+
+	for (i = 0; i < APPS; i++)
+		fake_endpoint_set_fault(t.st->endpoint[i], ENDPOINT_RESET);
+	c = caller_call(t.st, 0, "GET", "/safe/a", "tries", brief);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 502);
+	for (i = 0; i < APPS; i++) {
+		const GArray *a = fake_endpoint_arrivals(t.st->endpoint[i]);
+		guint k;
+
+		for (k = 0; k < a->len; k++)
+			n += g_array_index(a, ms_t, k) >= from;
+	}
+	g_assert_cmpint(n, <=, 2); /* max_attempts */
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against refusing without the time after which to retry. */
+static void
+refusal_of_the_other_instance_is_told(void)
+{
+	site_t t = site_new(20);
+	caller_t *c;
+	int i;
+
+	for (i = 0; i < APPS; i++) {
+		fake_endpoint_set_fault(t.st->endpoint[i], ENDPOINT_NOT_RUN);
+		fake_endpoint_set_headers(
+		    t.st->endpoint[i], "Retry-After: 4\r\n");
+	}
+	for (i = 0; i < 8; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "closed%d", i);
+		c = caller_call(t.st, 0, "POST", "/once/a", id, brief);
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 503);
+		g_assert_null(run_of(t.st, id));
+		if (i == 7) {
+			char *at = strstr(c->headers, "Retry-After: ");
+
+			g_assert_nonnull(at);
+			g_assert_cmpfloat(
+			    g_ascii_strtod(at + strlen("Retry-After: "), NULL),
+			    >, 2);
+		}
+		caller_free(c);
+	}
+	site_free(&t);
+}
+
+/* Guards against going the long way when the short one is back. */
+static void
+calls_go_directly_again(void)
+{
+	site_t t = site_new(20);
+	int64_t before;
+	int i;
+
+	links_set(t.links, 0, LINK_OPEN);
+	fixture_run(t.st, 1500);
+	before = fixture_counter(t.st, 0, "ebonypitch_calls_handed_over_total");
+	for (i = 0; i < 5; i++)
+		caller_free(caller_expect(
+		    t.st, 200, "GET", "/safe/a", "direct", brief));
+	g_assert_cmpint(
+	    fixture_counter(t.st, 0, "ebonypitch_calls_handed_over_total"), ==,
+	    before);
+	site_free(&t);
+}
+
+#define T(name) g_test_add_func("/peer_call/" #name, name)
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	T(call_and_answer_are_unchanged);
+	T(forged_field_is_ignored);
+	T(internal_port_is_for_instances);
+	T(caller_that_leaves_ends_its_run);
+	T(events_pass_as_they_arrive);
+	T(stream_outlives_the_other_instance);
+	T(unsafe_call_is_lost_with_the_other_instance);
+	T(frozen_instance_is_left);
+	T(attempts_are_counted_once);
+	T(refusal_of_the_other_instance_is_told);
+	T(calls_go_directly_again);
+	return g_test_run();
+}
