serve: a crash counts only if other instances can't connect either

Cause: serve/crash_check.c took one refused connection of its own for the end of the endpoint.

Change: the instance asks up to 16 others, which connect to the endpoint. One that can refutes the crash. One that can't, but connects to another endpoint, confirms it. If none of those that answered reaches any endpoint, all have ended. An instance that knows no other yet asks again for 3 s. Evidence may now come later than the decision that it is for, so it is followed by one.

--- a/policy/blame.c
+++ b/policy/blame.c
@@ -297,7 +297,7 @@
 	crash_counters_t counters;
 	int i, n = 0;
 
-	b->cleared = false;
+	b->cleared = b->added = false;
 	count_crashes(b, &counters);
 	while (n < BLAME_MAX) {
 		top_candidates_t top = top_candidates(b, &counters, until);
@@ -324,7 +324,7 @@
 	for (i = 0; i < b->ncrash; i++)
 		if (b->crash[i].at + DECISION_DELAY_MS > now)
 			return b->crash[i].at + DECISION_DELAY_MS;
-	return 0;
+	return b->added ? now : 0;
 }
 
 blamed_t *
--- a/policy/blame.h
+++ b/policy/blame.h
@@ -93,6 +93,7 @@
 	blame_news_t news[BLAME_NEWS_MAX];
 	int nnews;
 	bool cleared;	 /* of some crash, since the last decision */
+	bool added;	 /* evidence, which may be of long ago */
 	int64_t dropped; /* crashes and blamed suspects that didn't fit */
 } blame_t;
 
--- a/policy/blame_table.c
+++ b/policy/blame_table.c
@@ -136,6 +136,7 @@
 	blame_crash_t *r = crash_record(b, c->endpoint, c->at);
 	int i;
 
+	b->added = true;
 	for (i = 0; i < c->nsuspect; i++) {
 		suspect_t what = c->suspect[i].what;
 		blamed_t *p = blame_find(b, what);
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -368,7 +368,7 @@
 		    "request=%s endpoint=%s after_ms=%" PRId64, c->request.id,
 		    w->ep->entry.id, w->s->loop.now - c->sent_at);
 	if (w->ep->kind == EP_DIRECT)
-		reach_note_connected(w->s, w->ep);
+		reach_note_connected(w->s, w->ep, w->made_at);
 	call_sent(c);
 	c->last_activity_at = w->s->loop.now;
 	call_set_timer(c);
--- a/serve/blame.c
+++ b/serve/blame.c
@@ -404,6 +404,7 @@
 		abort();
 	f->s = s;
 	blame_init(&f->blame);
+	f->checks = g_ptr_array_new();
 	f->decide_alarm = (alarm_t){ .fn = on_decide_alarm, .arg = s };
 	s->blame = f;
 	blame_send_init(s);
--- a/serve/blame.h
+++ b/serve/blame.h
@@ -18,10 +18,11 @@
 	serve_t *s;
 	blame_t blame;
 	alarm_t decide_alarm, send_alarm;
-	GArray *unsent;	  /* unsent_evidence_t, in blame_send.c */
-	int ticks;	  /* seconds */
-	bool news_due;	  /* part of the next datagram */
-	int blamed_sends; /* how often the blamed are still to be sent */
+	GArray *unsent;	   /* unsent_evidence_t, in blame_send.c */
+	GPtrArray *checks; /* struct crash_check, in crash_check.c */
+	int ticks;	   /* seconds */
+	bool news_due;	   /* part of the next datagram */
+	int blamed_sends;  /* how often the blamed are still to be sent */
 };
 
 /* Crashes. crash_check.c */
@@ -31,6 +32,22 @@
  * still accepts connections.
  */
 void crash_check(call_t *c);
+/**
+ * An endpoint took a connection.
+ * @param begun when the connection was begun
+ */
+void crash_check_others(serve_t *s, const ep_t *p, ms_t begun);
+/** What an instance finds that another one asked to connect to an endpoint. */
+typedef enum check_result {
+	CHECK_CONNECTED,
+	CHECK_REFUSED, /* and another endpoint took a connection */
+	CHECK_UNKNOWN,
+} check_result_t;
+/** Another instance asks whether this one can connect to an endpoint. */
+void crash_check_asked(
+    serve_t *s, uint32_t endpoint, const struct sockaddr_in *from);
+/** Another instance answers. */
+void crash_check_answered(serve_t *s, uint32_t endpoint, check_result_t result);
 
 /* Calls and verdicts. blame.c */
 
@@ -73,6 +90,14 @@
 
 void blame_send_init(serve_t *s);
 void blame_send_crash(serve_t *s, const blame_crash_t *c);
+/**
+ * Ask other instances whether they can connect to an endpoint.
+ * @return how many were asked
+ */
+int blame_ask_check(serve_t *s, uint32_t endpoint);
+/** Answer one that asked. */
+void blame_send_check(serve_t *s, uint32_t endpoint, check_result_t result,
+    const struct sockaddr_in *to);
 /** The table of blamed suspects changed. */
 void blame_send_blamed(serve_t *s);
 /** Tell the holder what is blamed, if it may not know all of it. */
--- a/serve/blame_send.c
+++ b/serve/blame_send.c
@@ -17,6 +17,7 @@
 	 */
 	NEWS_DELAY_PER_PEER_MS = 2,
 	NEWS_DELAY_MAX_MS = 100,
+	CHECKERS_MAX = 16, /* instances asked whether an endpoint has ended */
 };
 
 /** Kind of evidence. */
@@ -240,6 +241,40 @@
 	send_by(s, s->loop.now);
 }
 
+int
+blame_ask_check(serve_t *s, uint32_t endpoint)
+{
+	Digest__Blame m = DIGEST__BLAME__INIT;
+	int i, n = s->peers.npeer, asked = 0;
+	uint64_t from = rng_next(&s->rng);
+
+	m.check_asked = &endpoint;
+	m.n_check_asked = 1;
+	for (i = 0; i < n && asked < CHECKERS_MAX; i++) {
+		const peer_t *p =
+		    s->peers.peer[(from + (uint64_t)i) % (uint64_t)n];
+
+		if (!peer_alive(s, p) || p->leaving)
+			continue;
+		message_send(s, &m, &p->sa);
+		asked++;
+	}
+	return asked;
+}
+
+void
+blame_send_check(serve_t *s, uint32_t endpoint, check_result_t result,
+    const struct sockaddr_in *to)
+{
+	Digest__Blame m = DIGEST__BLAME__INIT;
+	uint32_t v = result;
+
+	m.checked = &endpoint;
+	m.check_result = &v;
+	m.n_checked = m.n_check_result = 1;
+	message_send(s, &m, to);
+}
+
 void
 blame_send_blamed(serve_t *s)
 {
@@ -366,6 +401,20 @@
 	}
 }
 
+static void
+receive_checks(
+    serve_t *s, const Digest__Blame *m, const struct sockaddr_in *from)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_check_asked; i++)
+		crash_check_asked(s, m->check_asked[i], from);
+	for (i = 0; i < m->n_checked && i < m->n_check_result; i++)
+		if (m->check_result[i] <= CHECK_UNKNOWN)
+			crash_check_answered(s, m->checked[i],
+			    (check_result_t)m->check_result[i]);
+}
+
 void
 blame_receive(serve_t *s, Digest__Blame *m, const struct sockaddr_in *from)
 {
@@ -389,6 +438,7 @@
 		receive_crash(s, m->crash[i]);
 	for (i = 0; i < m->n_blamed; i++)
 		receive_blamed(s, m->blamed[i], peer->holder);
+	receive_checks(s, m, from);
 	grant_trials(s, m, from);
 	for (i = 0; i < m->n_trial_granted; i++) {
 		blamed_t *p = NULL;
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -914,7 +914,7 @@
   (ProtobufCMessageInit) digest__accepted_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__blame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor digest__blame__field_descriptors[13] =
 {
   {
     "crash",
@@ -1036,9 +1036,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "check_asked",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Blame, n_check_asked),
+    offsetof(Digest__Blame, check_asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checked",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Blame, n_checked),
+    offsetof(Digest__Blame, checked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "check_result",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Blame, n_check_result),
+    offsetof(Digest__Blame, check_result),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__blame__field_indices_by_name[] = {
   3,   /* field[3] = blamed */
+  10,   /* field[10] = check_asked */
+  12,   /* field[12] = check_result */
+  11,   /* field[11] = checked */
   0,   /* field[0] = crash */
   6,   /* field[6] = pass_on */
   1,   /* field[1] = passed */
@@ -1052,7 +1091,7 @@
 static const ProtobufCIntRange digest__blame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor digest__blame__descriptor =
 {
@@ -1062,7 +1101,7 @@
   "Digest__Blame",
   "digest",
   sizeof(Digest__Blame),
-  10,
+  13,
   digest__blame__field_descriptors,
   digest__blame__field_indices_by_name,
   1,  digest__blame__number_ranges,
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -203,10 +203,25 @@
    */
   size_t n_trial_granted_kind;
   uint32_t *trial_granted_kind;
+  /*
+   * Endpoints that may have ended: can the receiver connect to them?
+   */
+  size_t n_check_asked;
+  uint32_t *check_asked;
+  /*
+   * Answers to such questions.
+   */
+  size_t n_checked;
+  uint32_t *checked;
+  /*
+   * check_result_t; one for each
+   */
+  size_t n_check_result;
+  uint32_t *check_result;
 };
 #define DIGEST__BLAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__blame__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -1,4 +1,5 @@
 #include "serve/reach.h"
+#include "serve/blame.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -34,6 +35,7 @@
 	uint32_t endpoint;
 	http_conn_t *http;
 	alarm_t alarm;
+	ms_t begun;
 } probe_t;
 
 uint32_t
@@ -188,7 +190,7 @@
 	http_conn_close(http);
 	probe_end(k);
 	if (p != NULL)
-		reach_note_connected(k->s, p);
+		reach_note_connected(k->s, p, k->begun);
 }
 
 static void
@@ -217,7 +219,9 @@
 
 	if (k == NULL)
 		abort();
-	*k = (probe_t){ .s = s, .way = w, .endpoint = p->tag };
+	*k = (probe_t){
+		.s = s, .way = w, .endpoint = p->tag, .begun = s->loop.now
+	};
 	k->http = http_conn_connect(&s->loop, &p->sa, &ops, k);
 	if (k->http == NULL) {
 		free(k);
@@ -331,6 +335,34 @@
 	}
 }
 
+bool
+reach_has_other(const serve_t *s, const ep_t *p)
+{
+	int i;
+
+	for (i = 0; i < s->endpoints.nep; i++)
+		if (s->endpoints.ep[i] != p && ep_usable(s->endpoints.ep[i]))
+			return true;
+	return false;
+}
+
+void
+reach_probe_other_service(serve_t *s, const ep_t *p)
+{
+	int i, n = s->endpoints.nep,
+	       at = n > 0 ? (int)(rng_next(&s->rng) % (uint64_t)n) : 0;
+
+	for (i = 0; i < n; i++) {
+		const ep_t *o = s->endpoints.ep[(at + i) % n];
+
+		if (!ep_usable(o) ||
+		    strcmp(o->entry.service, p->entry.service) == 0)
+			continue;
+		probe_start(find_or_add(s, o->entry.service), o);
+		return;
+	}
+}
+
 void
 reach_check(serve_t *s, ep_t *p)
 {
@@ -372,7 +404,7 @@
 }
 
 void
-reach_note_connected(serve_t *s, ep_t *p)
+reach_note_connected(serve_t *s, ep_t *p, ms_t begun)
 {
 	service_reach_t *w = find_or_add(s, p->entry.service);
 	bool was_shut = p->reach.way != WAY_OPEN;
@@ -386,6 +418,7 @@
 		call_queue_wake(s);
 		probe_some(w, PROBES_AT_ONCE, PROBE_SHUT);
 	}
+	crash_check_others(s, p, begun);
 }
 
 void
--- a/serve/reach.h
+++ b/serve/reach.h
@@ -11,8 +11,11 @@
 #include "serve/serve.h"
 
 void reach_init(serve_t *s);
-/** A connection to an endpoint was made. */
-void reach_note_connected(serve_t *s, ep_t *p);
+/**
+ * A connection to an endpoint was made.
+ * @param begun when it was begun
+ */
+void reach_note_connected(serve_t *s, ep_t *p, ms_t begun);
 /** One was refused, or wasn't made in time. */
 void reach_note_failed(serve_t *s, ep_t *p);
 /** A call was sent on a connection that was there. */
@@ -35,5 +38,9 @@
 const reach_tags_t *reach_tags(const serve_t *s);
 /** @return tag of a service in digests */
 uint32_t reach_tag(const char *service);
+/** Probe an endpoint of another service than that of @p p, if there is one. */
+void reach_probe_other_service(serve_t *s, const ep_t *p);
+/** @return whether there is another endpoint that could be probed */
+bool reach_has_other(const serve_t *s, const ep_t *p);
 
 #endif
--- a/tests/blame_test.c
+++ b/tests/blame_test.c
@@ -394,6 +394,24 @@
 	g_free(b);
 }
 
+/* Guards against evidence that comes late and is looked at by chance only. */
+static void
+late_evidence_is_decided(void)
+{
+	blame_t *b = blame_new();
+	ms_t now = START + 10 * LATER;
+	int i;
+
+	g_assert_cmpint(blame_decide_at(b, now), ==, 0);
+	for (i = 0; i < 3; i++)
+		crash(b, (uint32_t)i + 1, START + i * GAP, (uint32_t)i + 1, bad,
+		    none, none);
+	g_assert_cmpint(blame_decide_at(b, now), ==, now);
+	g_assert_true(blame_decide(b, now));
+	g_assert_cmpint(blame_decide_at(b, now), ==, 0);
+	g_free(b);
+}
+
 #define T(name) g_test_add_func("/blame/" #name, name)
 
 int
@@ -417,5 +435,6 @@
 	T(trials_become_rare);
 	T(evidence_and_blame_expire);
 	T(tables_are_bounded);
+	T(late_evidence_is_decided);
 	return g_test_run();
 }
--- a/tests/cut_effects_proc.c
+++ b/tests/cut_effects_proc.c
@@ -11,7 +11,11 @@
 	ENDPOINTS = 6,
 	CUTS = 5,
 	CUT_MS = 700,
-	BUSY_MS = 150, /* of calls, so that each cut meets some */
+	BUSY_MS = 150,	  /* of calls, so that each cut meets some */
+	SLOW_MS = 1400,	  /* of calls that go on through several cuts */
+	SPACING_MS = 150, /* between these */
+	KNOWN_MS = 2000,
+	SLOW_CALLS = 24,
 	ANSWER_MS = 3000,
 	HOLDER_MS = 8000, /* by then there is one */
 	ORDERED_MS =
@@ -46,6 +50,42 @@
 	site_free(t);
 }
 
+/*
+ * Guards against the same where the instance loses its way to one endpoint
+ * after the other, and still reaches some.
+ */
+static void
+cut_from_some_blames_no_request(void)
+{
+	site_t *t = site_new(DAEMONS, ENDPOINTS, SLOW_MS);
+	caller_t *c[SLOW_CALLS];
+	char id[32];
+	int i, served = 0;
+
+	/* The daemons get to know each other. */
+	fixture_run(t->st, KNOWN_MS);
+	for (i = 0; i < SLOW_CALLS; i++) {
+		snprintf(id, sizeof(id), "slow%d", i);
+		c[i] = caller_call(t->st, 0, "GET", "/safe/slow", id,
+		    "Deadline-Remaining: 1900\r\n");
+	}
+	for (i = 0; i < ENDPOINTS - 2; i++) {
+		fixture_run(t->st, SPACING_MS);
+		links_set_one(t->links, 0, i, LINK_RESET);
+	}
+	for (i = 0; i < SLOW_CALLS; i++) {
+		caller_wait(c[i], ANSWER_MS);
+		served += c[i]->done && c[i]->status == 200;
+		caller_free(c[i]);
+	}
+	g_test_message("%d of %d served", served, SLOW_CALLS);
+	g_assert_cmpint(
+	    fixture_counter_sum(t->st, "ebonypitch_requests_blamed_total"), ==,
+	    0);
+	site_cut(t, 1, LINK_OPEN);
+	site_free(t);
+}
+
 static void
 on_models_changed(void *arg, fake_endpoint_t *ep)
 {
@@ -146,6 +186,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(cut_blames_no_request);
+	T(cut_from_some_blames_no_request);
 	T(holder_that_is_cut_is_replaced);
 	return g_test_run();
 }
--- a/tests/links.c
+++ b/tests/links.c
@@ -75,6 +75,13 @@
 			fake_link_set(l->link[daemon][i], state);
 }
 
+void
+links_set_one(links_t *l, int daemon, int endpoint, link_state_t state)
+{
+	g_assert_nonnull(l->link[daemon][endpoint]);
+	fake_link_set(l->link[daemon][endpoint], state);
+}
+
 int
 links_accepted(const links_t *l, int daemon)
 {
--- a/tests/links.h
+++ b/tests/links.h
@@ -24,6 +24,8 @@
 links_t *links_new(fixture_t *st);
 /** Set all links of a daemon, those to endpoints added later too. */
 void links_set(links_t *l, int daemon, link_state_t state);
+/** Set the link of a daemon to one endpoint. */
+void links_set_one(links_t *l, int daemon, int endpoint, link_state_t state);
 /** @return connections that a daemon has made to endpoints so far. */
 int links_accepted(const links_t *l, int daemon);
 /** To be called after fixture_stop_daemons(), before fixture_free(). */
