serve: a holder of the lease that can't reach most engines gives it up

Cause: who may order depended on the store and on other instances only.

Change: an instance that can't connect to more than half of the engines of a service for a second gives the lease up, and doesn't take it, while another instance says that it can. The next holder waits as after any release, so there are never two.

--- a/serve/lease.c
+++ b/serve/lease.c
@@ -1,6 +1,7 @@
 /* The lease in the store: its holder alone sends orders to endpoints. */
 #include "serve/blame.h"
 #include "serve/plan.h"
+#include "serve/reach.h"
 #include "serve/spread.h"
 
 #include <jansson.h>
@@ -264,6 +265,21 @@
 	       RANK_DELAY_MS * (n < RANK_MAX ? n : RANK_MAX);
 }
 
+static void
+release(plan_t *p, const char *why)
+{
+	buf_t b = { 0 };
+	char *text = lease_spec(p, true);
+
+	http_request_cancel(p->lease_request);
+	p->lease_request = NULL;
+	objects_put(&b, KIND_LEASES, lease_name, p->leadership.revision, text,
+	    p->s->conf.store_addr);
+	free(text);
+	lose_lease(p, why);
+	http_request_send(p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, NULL, NULL);
+}
+
 void
 lease_update(plan_t *p)
 {
@@ -272,6 +288,10 @@
 
 	if (p->lease_request != NULL)
 		return;
+	if (p->leadership.held && reach_unfit_to_order(s)) {
+		release(p, "no way to the endpoints");
+		return;
+	}
 	if (p->leadership.held) {
 		if (now - p->leadership.renewed_at > p->leadership.lease * 2)
 			lose_lease(p, "no renewal succeeded in time");
@@ -279,7 +299,8 @@
 			write_lease(p, false);
 		return;
 	}
-	if (s->leaving || !s->ready || now < p->lease_check_at)
+	if (s->leaving || !s->ready || now < p->lease_check_at ||
+	    reach_unfit_to_order(s))
 		return;
 	/* When all start together, the strongest acquire the lease first. */
 	if (now - s->started_at < STRONG_HEAD_START_MS && has_stronger_peer(s))
@@ -304,18 +325,8 @@
 void
 lease_release(plan_t *p)
 {
-	buf_t b = { 0 };
-	char *text;
-
 	if (!p->leadership.held)
 		return;
-	http_request_cancel(p->lease_request);
-	p->lease_request = NULL;
-	text = lease_spec(p, true);
-	objects_put(&b, KIND_LEASES, lease_name, p->leadership.revision, text,
-	    p->s->conf.store_addr);
-	free(text);
-	lose_lease(p, "leaving");
+	release(p, "leaving");
 	p->lease_check_at = INT64_MAX;
-	http_request_send(p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, NULL, NULL);
 }
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -8,7 +8,8 @@
 	PROBES_AT_ONCE = 3, /* of a service */
 	PROBES_PER_INTERVAL = 2,
 	PROBE_TIMEOUT_MS = 400,
-	TAGS_MAX = 64, /* endpoints named in a digest */
+	TAGS_MAX = 64,	 /* endpoints named in a digest */
+	UNFIT_MS = 1000, /* for so long most engines can't be reached */
 };
 
 /** The state for one service. */
@@ -16,9 +17,10 @@
 	serve_t *s;
 	char service[ID_MAX];
 	reach_t reach;
-	int nshut;  /* endpoints that aren't open, at least */
-	int next;   /* index of the endpoint that is probed next */
-	int nprobe; /* under way */
+	int nshut;	  /* endpoints that aren't open, at least */
+	int next;	  /* index of the endpoint that is probed next */
+	int nprobe;	  /* under way */
+	ms_t unfit_since; /* most can\'t be reached, 0: they can */
 } service_reach_t;
 
 /** The state of all services. */
@@ -301,6 +303,15 @@
 	return n;
 }
 
+static void
+update_unfit(service_reach_t *w, int nshut)
+{
+	if (2 * nshut <= count_usable(w->s, w->service))
+		w->unfit_since = 0;
+	else if (w->unfit_since == 0)
+		w->unfit_since = w->s->loop.now;
+}
+
 static void
 probe_if_due(service_reach_t *w)
 {
@@ -310,6 +321,7 @@
 		if (now - w->reach.probed_at < REACH_PROBE_INTERVAL_MS)
 			return;
 		w->nshut = count_shut(w);
+		update_unfit(w, w->nshut);
 		/* Without endpoints there is no way to lose. */
 		if (w->nshut == 0 && reach_connected(&w->reach))
 			way_regained(w);
@@ -469,6 +481,43 @@
 	return &s->reach->tags;
 }
 
+/* Could another instance order better? */
+static bool
+a_peer_is_fitter(const serve_t *s, const service_reach_t *w)
+{
+	int i;
+
+	for (i = 0; i < s->peers.npeer; i++) {
+		const peer_t *p = s->peers.peer[i];
+
+		if (peer_alive(s, p) && p->ready && !p->leaving &&
+		    !p->lost_store &&
+		    !peer_lists(p->unreached_service, reach_tag(w->service)) &&
+		    2 * (int)p->unreached_endpoint->len < w->nshut)
+			return true;
+	}
+	return false;
+}
+
+bool
+reach_unfit_to_order(const serve_t *s)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->reach->by_name);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const service_reach_t *w = v;
+		const service_def_t *d = config_service(s->config, w->service);
+
+		if (w->unfit_since != 0 && d != NULL && d->engine &&
+		    s->loop.now - w->unfit_since >= UNFIT_MS &&
+		    a_peer_is_fitter(s, w))
+			return true;
+	}
+	return false;
+}
+
 void
 reach_init(serve_t *s)
 {
--- a/serve/reach.h
+++ b/serve/reach.h
@@ -43,4 +43,10 @@
 /** @return whether there is another endpoint that could be probed */
 bool reach_has_other(const serve_t *s, const ep_t *p);
 
+/**
+ * Should this instance leave orders to another one? It can't connect to most
+ * engines, and another instance can.
+ */
+bool reach_unfit_to_order(const serve_t *s);
+
 #endif
