tests: more of calls that go through another instance

The stand-ins' sockets no longer block on a peer that doesn't read, which stopped the whole test program.

--- a/standin/http_server.c
+++ b/standin/http_server.c
@@ -1,3 +1,4 @@
+#define _GNU_SOURCE /* accept4() */
 #include "standin/http_server.h"
 
 #include <stdlib.h>
@@ -85,7 +86,8 @@
 	int fd;
 
 	(void)ev;
-	while ((fd = accept(s->listener.fd, NULL, NULL)) != -1) {
+	while ((fd = accept4(s->listener.fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1) {
 		server_conn_t *c = calloc(1, s->ops->size);
 
 		if (c == NULL)
--- a/tests/peer_call_proc.c
+++ b/tests/peer_call_proc.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 enum {
 	DAEMONS = 3, /* the first one is cut */
@@ -19,7 +20,7 @@
 	EVENTS = 40,
 	EVENT_GAP_MS = 30,
 	CANCEL_MS = 1000,
-	WITHIN_MS = 3000, /* a call's time limit */
+	UNREAD_MAX_KB = 8000, /* that a daemon may grow by for one call */
 };
 static const char *const model =
     "Model: m1\r\nToken-Usage: 100,80\r\nDeadline-Remaining: 5000\r\n";
@@ -41,13 +42,9 @@
 
 /* Daemon 0 is cut from all endpoints and knows it. */
 static site_t
-site_new(ms_t plain_ms)
+site_with(ms_t plain_ms, const fake_endpoint_opts_t *llm)
 {
 	fake_endpoint_opts_t app = { .plain_ms = plain_ms };
-	fake_endpoint_opts_t llm = { .model = "m1",
-		.events = EVENTS,
-		.event_gap = EVENT_GAP_MS,
-		.adapter_slots = 4 };
 	site_t t = { .st = fixture_new() };
 	caller_t *c;
 	int i;
@@ -57,7 +54,7 @@
 	for (i = 0; i < APPS; i++)
 		fixture_add_endpoint(t.st, &app, "app");
 	for (i = 0; i < 2; i++)
-		fixture_add_endpoint(t.st, &llm, "llm");
+		fixture_add_endpoint(t.st, llm, "llm");
 	for (i = 0; i < DAEMONS; i++)
 		fixture_start_daemon(t.st, i, true);
 	fixture_run(t.st, SETTLE_MS);
@@ -68,6 +65,17 @@
 	return t;
 }
 
+static site_t
+site_new(ms_t plain_ms)
+{
+	fake_endpoint_opts_t llm = { .model = "m1",
+		.events = EVENTS,
+		.event_gap = EVENT_GAP_MS,
+		.adapter_slots = 4 };
+
+	return site_with(plain_ms, &llm);
+}
+
 static void
 site_free(site_t *t)
 {
@@ -99,21 +107,35 @@
 	return found;
 }
 
-/* The daemon that took over most calls, -1: none. */
 static int
-taker(fixture_t *st)
+arrivals_since(const fixture_t *st, int endpoint, ms_t from)
 {
-	int i, best = -1;
-	int64_t n, most = 0;
+	const GArray *a = fake_endpoint_arrivals(st->endpoint[endpoint]);
+	int n = 0;
+	guint i;
 
-	for (i = 1; i < DAEMONS; i++) {
-		n = fixture_counter(st, i, "ebonypitch_calls_taken_over_total");
-		if (n > most) {
-			best = i;
-			most = n;
-		}
-	}
-	return best;
+	for (i = 0; i < a->len; i++)
+		n += g_array_index(a, ms_t, i) >= from;
+	return n;
+}
+
+/* Calls that a daemon has taken over. */
+static int64_t
+taken_by(fixture_t *st, int daemon)
+{
+	return fixture_counter(st, daemon, "ebonypitch_calls_taken_over_total");
+}
+
+/* Send a call to daemon 0. @return the daemon that it goes through */
+static int
+send_through(fixture_t *st, const char *method, const char *path,
+    const char *id, const char *headers, caller_t **c)
+{
+	int64_t before = taken_by(st, 1);
+
+	*c = caller_call(st, 0, method, path, id, headers);
+	fixture_run(st, EVENTS * EVENT_GAP_MS / 4);
+	return taken_by(st, 1) > before ? 1 : 2;
 }
 
 static void
@@ -266,13 +288,9 @@
 stream_outlives_the_other_instance(void)
 {
 	site_t t = site_new(20);
-	caller_t *c = caller_call(t.st, 0, "POST", "/gen/a", "lives", model);
-	int i;
+	caller_t *c;
+	int i = send_through(t.st, "POST", "/gen/a", "lives", model, &c);
 
-	fixture_run(t.st, EVENTS * EVENT_GAP_MS / 3);
-	i = taker(t.st);
-	g_assert_cmpint(i, >, 0);
-	/* Both may have taken calls: one at a time. */
 	proc_kill(t.st->daemon[i]);
 	t.st->daemon[i] = NULL;
 	g_assert_true(caller_wait(c, ANSWER_MS));
@@ -282,6 +300,192 @@
 	site_free(&t);
 }
 
+/* Guards against cutting a stream as the other instance leaves. */
+static void
+stream_ends_at_an_instance_that_leaves(void)
+{
+	site_t t = site_new(20);
+	caller_t *c, *next;
+	int i = send_through(t.st, "POST", "/gen/a", "ends", model, &c);
+
+	proc_signal(t.st->daemon[i], SIGTERM);
+	fixture_run(t.st, 200);
+	next = caller_call(t.st, 0, "GET", "/safe/a", "next", brief);
+	g_assert_true(caller_wait(next, ANSWER_MS));
+	g_assert_cmpint(next->status, ==, 200);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	assert_all_events(c);
+	caller_free(next);
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against a stream that can be taken up only where it began. */
+static void
+stream_is_taken_up_at_another_instance(void)
+{
+	site_t t = site_new(20);
+	caller_t *c, *rest;
+	char *body, *at, headers[256];
+	int i, last = 0;
+
+	i = send_through(t.st, "POST", "/gen/a", "first", model, &c);
+	body = client_request_body(c);
+	for (at = body; (at = strstr(at, "id: ")) != NULL; at++)
+		last = atoi(at + 4);
+	g_free(body);
+	g_assert_cmpint(last, >, 0);
+	g_assert_cmpint(last, <, EVENTS);
+	caller_close(c);
+	snprintf(headers, sizeof(headers),
+	    "%sResumes: first\r\nLast-Event-Id: %d\r\n", model, last);
+	/* At the one that it didn't go through, and at the one that is cut. */
+	for (i = 3 - i; i >= 0; i -= i == 0 ? 1 : i) {
+		rest = caller_call(t.st, i, "POST", "/gen/a",
+		    i == 0 ? "third" : "second", headers);
+		g_assert_true(caller_wait(rest, ANSWER_MS));
+		g_assert_cmpint(rest->status, ==, 200);
+		body = client_request_body(rest);
+		snprintf(headers + 200, 40, "id: %d\n", last + 1);
+		g_assert_true(g_str_has_prefix(body, headers + 200));
+		snprintf(headers + 200, 40, "id: %d\n", EVENTS);
+		g_assert_nonnull(strstr(body, headers + 200));
+		g_free(body);
+		caller_free(rest);
+	}
+	caller_free(c);
+	site_free(&t);
+}
+
+static long
+resident_kb(const proc_t *p)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)p->pid), *text;
+	long pages = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		pages = strtol(strchr(text, ' ') + 1, NULL, 10);
+		g_free(text);
+	}
+	g_free(path);
+	return pages * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+/* Guards against holding what a caller doesn't read, at either instance. */
+static void
+caller_that_does_not_read_slows_the_endpoint(void)
+{
+	fake_endpoint_opts_t llm = { .model = "m1",
+		.events = 300,
+		.event_gap = 5,
+		.event_bytes = 60000,
+		.adapter_slots = 4 };
+	site_t t = site_with(20, &llm);
+	long before[DAEMONS], most = 0;
+	caller_t *c;
+	int i;
+
+	for (i = 0; i < DAEMONS; i++)
+		before[i] = resident_kb(t.st->daemon[i]);
+	c = caller_call(t.st, 0, "POST", "/gen/a", "slow", model);
+	http_conn_pause(c->http, true);
+	fixture_run(t.st, 3000);
+	for (i = 0; i < DAEMONS; i++) {
+		long grown = resident_kb(t.st->daemon[i]) - before[i];
+
+		g_test_message("daemon %d: %ld kB more", i, grown);
+		if (grown > most)
+			most = grown;
+	}
+	g_assert_cmpint(most, <, UNREAD_MAX_KB);
+	caller_close(c);
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against an instance that gets all calls of those that are cut. */
+static void
+calls_are_spread(void)
+{
+	site_t t = site_new(100);
+	int64_t before[DAEMONS];
+	caller_t *c[60];
+	char id[16];
+	int i;
+
+	for (i = 1; i < DAEMONS; i++)
+		before[i] = taken_by(t.st, i);
+	for (i = 0; i < 60; i++) {
+		snprintf(id, sizeof(id), "spread%d", i);
+		c[i] = caller_call(t.st, 0, "GET", "/safe/a", id, brief);
+		fixture_run(t.st, 15);
+	}
+	for (i = 0; i < 60; i++) {
+		g_assert_true(caller_wait(c[i], ANSWER_MS));
+		g_assert_cmpint(c[i]->status, ==, 200);
+		caller_free(c[i]);
+	}
+	for (i = 1; i < DAEMONS; i++)
+		g_assert_cmpint(taken_by(t.st, i) - before[i], >=, 20);
+	site_free(&t);
+}
+
+/* Guards against forgetting what an answer said that another one passed on. */
+static void
+leaving_that_was_passed_on_binds(void)
+{
+	site_t t = site_new(20);
+	ms_t from;
+	int i;
+
+	fake_endpoint_set_headers(t.st->endpoint[0], "Server-Leaving: 1\r\n");
+	for (i = 0; i < 12; i++) {
+		char id[16];
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "leave%d", i);
+		c = caller_call(t.st, 0, "GET", "/safe/a", id, brief);
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 200);
+		caller_free(c);
+	}
+	links_set(t.links, 0, LINK_OPEN);
+	fixture_run(t.st, 1500);
+	from = clock_now(&machine_clock);
+	for (i = 0; i < 12; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "after%d", i);
+		caller_free(
+		    caller_expect(t.st, 200, "GET", "/safe/a", id, brief));
+	}
+	g_assert_cmpint(arrivals_since(t.st, 0, from), ==, 0);
+	site_free(&t);
+}
+
+/* Guards against counting on an instance that is cut a second later. */
+static void
+other_instance_is_cut_too(void)
+{
+	site_t t = site_new(20);
+	int i, served = 0;
+
+	links_set(t.links, 1, LINK_RESET);
+	for (i = 0; i < 20; i++) {
+		char id[16];
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "two%d", i);
+		c = caller_call(t.st, i % 2, "GET", "/safe/a", id, brief);
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		served += c->status == 200;
+		caller_free(c);
+	}
+	g_assert_cmpint(served, ==, 20);
+	site_free(&t);
+}
+
 /* Guards against reporting a call that may have run as not run. */
 static void
 unsafe_call_is_lost_with_the_other_instance(void)
@@ -307,11 +511,12 @@
 frozen_instance_is_left(void)
 {
 	site_t t = site_new(20);
-	int i, served = 0, frozen = taker(t.st);
 	caller_t *c[20];
 	char id[16];
+	int i, served = 0, frozen;
 
-	g_assert_cmpint(frozen, >, 0);
+	frozen = send_through(t.st, "GET", "/safe/a", "one", brief, &c[0]);
+	caller_free(c[0]);
 	proc_signal(t.st->daemon[frozen], SIGSTOP);
 	for (i = 0; i < 20; i++) {
 		snprintf(id, sizeof(id), "f%d", i);
@@ -343,13 +548,8 @@
 	c = caller_call(t.st, 0, "GET", "/safe/a", "tries", brief);
 	g_assert_true(caller_wait(c, ANSWER_MS));
 	g_assert_cmpint(c->status, ==, 502);
-	for (i = 0; i < APPS; i++) {
-		const GArray *a = fake_endpoint_arrivals(t.st->endpoint[i]);
-		guint k;
-
-		for (k = 0; k < a->len; k++)
-			n += g_array_index(a, ms_t, k) >= from;
-	}
+	for (i = 0; i < APPS; i++)
+		n += arrivals_since(t.st, i, from);
 	g_assert_cmpint(n, <=, 2); /* max_attempts */
 	caller_free(c);
 	site_free(&t);
@@ -421,6 +621,12 @@
 	T(caller_that_leaves_ends_its_run);
 	T(events_pass_as_they_arrive);
 	T(stream_outlives_the_other_instance);
+	T(stream_ends_at_an_instance_that_leaves);
+	T(stream_is_taken_up_at_another_instance);
+	T(caller_that_does_not_read_slows_the_endpoint);
+	T(calls_are_spread);
+	T(leaving_that_was_passed_on_binds);
+	T(other_instance_is_cut_too);
 	T(unsafe_call_is_lost_with_the_other_instance);
 	T(frozen_instance_is_left);
 	T(attempts_are_counted_once);
