--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -208,7 +208,7 @@
 	const char *asked = head_get(head, "Model"), *adapter;
 	bool other = expect != NULL && strcmp(expect, endpoint_of(c)->id) != 0;
 	bool lacks = false;
-	char model[ID_MAX];
+	char model[ID_MAX], *once;
 	const loaded_model_t *m;
 
 	if (asked != NULL && endpoint_of(c)->engine) {
@@ -223,10 +223,12 @@
 	if (!other && !lacks && endpoint_of(c)->fault != ENDPOINT_NOT_RUN)
 		return false;
 	endpoint_of(c)->refused++;
+	once = endpoint_of(c)->headers_once;
 	buf_fmt(&c->conn.http->out,
 	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
 	    other || lacks ? 421 : 503, http_reason(other || lacks ? 421 : 503),
-	    endpoint_of(c)->headers);
+	    *once != '\0' ? once : endpoint_of(c)->headers);
+	*once = '\0';
 	http_conn_flush(c->conn.http);
 	http_conn_next(c->conn.http);
 	return true;
@@ -272,6 +274,13 @@
 		    "HTTP/1.1 200 OK\r\nRequest-Id: late\r\n"
 		    "Server-Signature: s0\r\nContent-Length: 4\r\n\r\nlate");
 		break;
+	case ENDPOINT_FOREIGN_REFUSAL:
+		buf_fmt(&k->out,
+		    "HTTP/1.1 503 Busy\r\nRequest-Id: late\r\n"
+		    "Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
+		    ep->headers_once);
+		ep->headers_once[0] = '\0';
+		break;
 	default:
 		break;
 	}
@@ -383,6 +392,12 @@
 	str_copy(ep->headers, sizeof(ep->headers), lines != NULL ? lines : "");
 }
 
+void
+fake_endpoint_set_headers_once(fake_endpoint_t *ep, const char *lines)
+{
+	str_copy(ep->headers_once, sizeof(ep->headers_once), lines);
+}
+
 void
 fake_endpoint_set_control_headers(fake_endpoint_t *ep, const char *lines)
 {
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -21,12 +21,13 @@
 	ENDPOINT_CUT_STREAM,	 /* closes in the middle of the third event */
 	ENDPOINT_EXTRA_ANSWER,	 /* sends a second answer after each */
 	ENDPOINT_FOREIGN_ANSWER, /* sends an answer to another call first */
-	ENDPOINT_UNSIGNED,	 /* a success without a signature */
-	ENDPOINT_NO_LENGTH,	 /* delimits the body by closing */
-	ENDPOINT_TRUNCATED,	 /* the same; half a body, then a reset */
-	ENDPOINT_EARLY_ANSWER,	 /* answers before the body is read */
-	ENDPOINT_UNFRAMED,	 /* streams that end by closing */
-	ENDPOINT_UNFRAMED_CUT,	 /* the same, closed inside the third event */
+	ENDPOINT_FOREIGN_REFUSAL, /* the same, 503 */
+	ENDPOINT_UNSIGNED,	  /* a success without a signature */
+	ENDPOINT_NO_LENGTH,	  /* delimits the body by closing */
+	ENDPOINT_TRUNCATED,	  /* the same; half a body, then a reset */
+	ENDPOINT_EARLY_ANSWER,	  /* answers before the body is read */
+	ENDPOINT_UNFRAMED,	  /* streams that end by closing */
+	ENDPOINT_UNFRAMED_CUT,	  /* the same, closed inside the third event */
 } endpoint_fault_t;
 
 /** A call that the endpoint ran. */
@@ -127,6 +128,8 @@
  * @param lines each ended by CRLF; copied; NULL: none
  */
 void fake_endpoint_set_headers(fake_endpoint_t *ep, const char *lines);
+/** The same for the next refusal only, instead of these. */
+void fake_endpoint_set_headers_once(fake_endpoint_t *ep, const char *lines);
 /** The same for answers to orders and reports. */
 void fake_endpoint_set_control_headers(fake_endpoint_t *ep, const char *lines);
 /** Show another start time from now on, without a restart. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -49,6 +49,7 @@
 	int64_t seq;
 	char limit[64];		   /* the header line, or empty */
 	char headers[128];	   /* further header lines, or empty */
+	char headers_once[128];	   /* of the next refusal, or empty */
 	char control_headers[128]; /* the same, of reports and orders */
 	GArray *arrivals;	   /* ms_t */
 	uint64_t crash_part;	   /* 0: none */
--- a/tests/hint_proc.c
+++ b/tests/hint_proc.c
@@ -15,6 +15,7 @@
 	FREED_MS = 23000, /* a removed endpoint is forgotten by then */
 	GRACE_CALLS = 2,  /* that may come after it */
 	REFUSAL_MS = 400,
+	CROSSING = 8, /* calls that are under way together */
 };
 
 /* Guards against calls to an endpoint that has said that it leaves. */
@@ -140,6 +141,112 @@
 	traffic_free(t);
 }
 
+/* Guards against an answer that names a shorter time and comes later. */
+static void
+shorter_time_does_not_end_a_longer_one(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	caller_t *c[CROSSING];
+	char id[16];
+	ms_t said;
+	int i;
+
+	/* Of calls that are under way together, the first is told more. */
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	fake_endpoint_set_fault(t->st->endpoint[1], ENDPOINT_NOT_RUN);
+	for (i = 0; i < 2; i++) {
+		fake_endpoint_set_headers_once(
+		    t->st->endpoint[i], "Retry-After: 4\r\n");
+		fake_endpoint_set_headers(
+		    t->st->endpoint[i], "Retry-After: 1\r\n");
+	}
+	for (i = 0; i < CROSSING; i++) {
+		snprintf(id, sizeof(id), "x%d", i);
+		c[i] = caller_call(t->st, 0, "POST", "/once/a", id,
+		    "Deadline-Remaining: 1900\r\n");
+	}
+	for (i = 0; i < CROSSING; i++) {
+		caller_wait(c[i], ANSWER_MS);
+		caller_free(c[i]);
+	}
+	said = clock_now(&machine_clock);
+	for (i = 0; i < 2; i++)
+		g_assert_cmpint(arrivals(t->st, i, 0, INT64_MAX), >, 1);
+	traffic_run(t, 3400);
+	for (i = 0; i < 2; i++)
+		g_assert_cmpint(
+		    arrivals(t->st, i, said + GRACE_MS, said + 3400), <=,
+		    GRACE_CALLS);
+	traffic_free(t);
+}
+
+/* Guards against reading it only in answers to the call that is under way. */
+static void
+retry_after_in_a_late_answer_is_kept(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	ms_t said;
+
+	traffic_run(t, 500);
+	fake_endpoint_set_headers_once(
+	    t->st->endpoint[0], "Retry-After: 4\r\n");
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_FOREIGN_REFUSAL);
+	traffic_run(t, 200);
+	said = clock_now(&machine_clock);
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_OK);
+	traffic_run(t, 2500);
+	g_assert_cmpint(
+	    arrivals(t->st, 0, said + GRACE_MS, INT64_MAX), <=, GRACE_CALLS);
+	traffic_free(t);
+}
+
+/*
+ * Guards against the entry of the very process that said it undoing it, as the
+ * entry is read only afterwards.
+ */
+static void
+retry_after_outlives_an_entry_that_is_read_late(void)
+{
+	traffic_t *t = traffic_new(2, 1);
+	ms_t said;
+
+	traffic_run(t, 500);
+	fake_endpoint_restart(t->st->endpoint[0], "v1");
+	fixture_run(t->st, 1200);
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 5\r\n");
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	traffic_run(t, 700);
+	said = clock_now(&machine_clock);
+	g_assert_cmpint(arrivals(t->st, 0, said - 900, said), >, 0);
+	fake_endpoint_set_headers(t->st->endpoint[0], NULL);
+	fixture_put_entry(t->st, 0, "app", false);
+	fixture_run(t->st, 300);
+	traffic_run(t, 2500);
+	g_assert_cmpint(arrivals(t->st, 0, said, INT64_MAX), <=, GRACE_CALLS);
+	traffic_free(t);
+}
+
+/* Guards against keeping from a new process what the one before asked for. */
+static void
+retry_after_ends_with_its_process(void)
+{
+	traffic_t *t = traffic_new(1, 1);
+	guint from;
+
+	fake_endpoint_set_headers(t->st->endpoint[0], "Retry-After: 30\r\n");
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_NOT_RUN);
+	traffic_run(t, 300);
+	fixture_run(t->st, 1200);
+	fake_endpoint_set_fault(t->st->endpoint[0], ENDPOINT_OK);
+	fake_endpoint_restart(t->st->endpoint[0], "v1");
+	fixture_put_entry(t->st, 0, "app", false);
+	fixture_run(t->st, 1000);
+	from = t->calls->len;
+	traffic_run(t, 500);
+	g_assert_cmpint(count_unserved(t, from), ==, 0);
+	traffic_free(t);
+}
+
 /* Guards against calls that wait for an endpoint that wants none for long. */
 static void
 call_with_nowhere_to_go_is_refused_at_once(void)
@@ -198,6 +305,10 @@
 	T(retry_after_of_an_endpoint_is_kept);
 	T(retry_after_outlives_an_entry_with_an_earlier_start);
 	T(retry_after_outlives_an_entry_that_is_away);
+	T(shorter_time_does_not_end_a_longer_one);
+	T(retry_after_in_a_late_answer_is_kept);
+	T(retry_after_outlives_an_entry_that_is_read_late);
+	T(retry_after_ends_with_its_process);
 	T(call_with_nowhere_to_go_is_refused_at_once);
 	T(malformed_retry_after_is_ignored);
 	return g_test_run();
