policy: a shorter Retry-After doesn't end a longer one

Of calls that are under way to an endpoint together, each may be turned away with a time of its own. The last that was read replaced the others, so a shorter one ended a longer one.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -417,7 +417,7 @@
 	counter_add(counter_get("ebonypitch_endpoint_closed_total",
 			"Answers of endpoints that want no call for a while."),
 	    1);
-	p->closed_until = c->s->loop.now + a->closed;
+	retry_after_asked(&p->retry_after, a->closed, c->s->loop.now);
 }
 
 /* What the endpoint says of itself. */
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -229,10 +229,10 @@
 		sc->nfull++;
 		return;
 	}
-	if (now < p->closed_until) {
+	if (retry_after_left(&p->retry_after, now) > 0) {
 		sc->nfull++;
 		sc->nclosed++;
-		note_wait(sc, (double)(p->closed_until - now));
+		note_wait(sc, (double)retry_after_left(&p->retry_after, now));
 		return;
 	}
 	if (!limits_allow(s, p)) {
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -77,7 +77,7 @@
 		return;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	limits_forget(p);
-	p->closed_until = 0;
+	p->retry_after = (retry_after_t){ 0 };
 }
 
 static void
@@ -241,7 +241,7 @@
 		    s->loop.now - p->missing_at > ENTRY_RETURN_MS)
 			ep_entry_gone(s, p->entry.id, 0, false);
 		if (p->listed || p->ncall > 0 || p->nconn > 0 ||
-		    s->loop.now < p->closed_until ||
+		    retry_after_left(&p->retry_after, s->loop.now) > 0 ||
 		    s->loop.now - p->removed_at < REMOVED_KEEP_MS)
 			continue;
 		log_limited(LOG_NOTICE, "endpoint",
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -11,6 +11,7 @@
 #include "policy/call_limit.h"
 #include "policy/leaving.h"
 #include "policy/reach.h"
+#include "policy/retry_after.h"
 #include "policy/workload.h"
 
 #include <glib.h>
@@ -119,7 +120,7 @@
 	uint32_t sent_sum_tokens;
 	reach_ep_t reach;
 	breaker_t breaker;
-	ms_t closed_until; /* it wants no call of this instance until then */
+	retry_after_t retry_after; /* when it takes calls of this instance */
 	call_limit_t limit;
 	int limit_sends; /* how often it is still to be sent to others */
 	struct ep_permits *permits;	 /* NULL: none needed yet */
