policy: Retry-After outlives the late entry of the process that asked

An endpoint that has just started turns a call away and asks for time; its entry, with the new start time, is read afterwards. It looked like another process, and what was asked for was forgotten: 100 calls where 2 are allowed.

Change: only a process that began after the answer, by more than clocks may be apart, ends it.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -417,7 +417,8 @@
 	counter_add(counter_get("ebonypitch_endpoint_closed_total",
 			"Answers of endpoints that want no call for a while."),
 	    1);
-	retry_after_asked(&p->retry_after, a->closed, c->s->loop.now);
+	retry_after_asked(
+	    &p->retry_after, a->closed, c->s->loop.now, clock_wall());
 }
 
 /* What the endpoint says of itself. */
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -77,7 +77,7 @@
 		return;
 	memset(&p->breaker, 0, sizeof(p->breaker));
 	limits_forget(p);
-	p->retry_after = (retry_after_t){ 0 };
+	retry_after_restarted(&p->retry_after, en->started_at);
 }
 
 static void
