serve: Retry-After and Server-Leaving count in late answers, too

An answer to another call than the one under way, a late one, was dropped whole. What it says of its endpoint wasn't read: after a late 503 with Retry-After, 80 calls where 2 are allowed.

Change: what an endpoint says of itself is read in each answer that comes while a call waits for one. Its load and its limit are still read only in the call's own.

Test: retry_after_in_a_late_answer_is_kept failed before and passes.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -421,17 +421,25 @@
 	    &p->retry_after, a->closed, c->s->loop.now, clock_wall());
 }
 
-/* What the endpoint says of itself. */
+/* What the endpoint says of itself, in an answer to whichever call. */
 static void
-note_endpoint_head(call_t *c, ep_conn_t *w, const answer_head_t *a)
+note_any_head(const call_t *c, ep_conn_t *w, const answer_head_t *a)
+{
+	if (w->ep->kind == EP_PEER)
+		return;
+	if (a->leaving)
+		ep_says_leaving(w->s, w->ep, w->started_at, w->made_at);
+	note_closed(c, a);
+}
+
+/* The same, in an answer to the call that is under way. */
+static void
+note_own_head(call_t *c, ep_conn_t *w, const answer_head_t *a)
 {
 	if (a->running >= 0)
 		workload_set_reported(&w->ep->workload, a->running, a->waiting,
 		    a->slots, w->s->loop.now);
 	limits_observe(c, &a->limit);
-	if (a->leaving)
-		ep_says_leaving(w->s, w->ep, w->started_at, w->made_at);
-	note_closed(c, a);
 }
 
 static void
@@ -444,6 +452,7 @@
 	if (c == NULL)
 		return;
 	answer_head_decode(&a, &k->head, (int)k->parser.status_code);
+	note_any_head(c, w, &a);
 	w->discarding =
 	    a.call_id != NULL && strcmp(a.call_id, c->request.id) != 0;
 	if (w->discarding) {
@@ -464,7 +473,7 @@
 	c->answered_by = w->ep;
 	switch (w->ep->kind) {
 	case EP_DIRECT:
-		note_endpoint_head(c, w, &a);
+		note_own_head(c, w, &a);
 		break;
 	case EP_PEER:
 		peer_answer_read(c, &k->head, c->response.status);
