serve: a call isn't handed to an instance with an older configuration

Change: the version goes with the call; an instance that hasn't got it says that another one may take the call.

Test: older_configuration_is_not_used failed before and passes.

--- a/serve/call.c
+++ b/serve/call.c
@@ -127,40 +127,37 @@
 	return c;
 }
 
-/* Append to header lines what is for the instance that handed a call over. */
+/*
+ * Send an error answer of this instance.
+ * @param c NULL: the request didn't become a call
+ */
 static void
-add_peer_line(char *lines, size_t size, const call_t *c, ms_t retry)
+answer_error(
+    caller_conn_t *cc, const call_t *c, int status, const char *why, ms_t retry)
 {
-	buf_t b = { 0 };
-	size_t n = strlen(lines);
+	buf_t lines = { 0 };
 
-	if (c != NULL)
-		peer_answer_encode(c, NULL, retry, &b);
-	else
-		peer_refusal_encode(&b);
-	snprintf(lines + n, size - n, "%.*s", (int)buf_len(&b), b.p);
-	buf_free(&b);
+	if (retry > 0)
+		buf_fmt(&lines, "Retry-After: %.3f\r\n", (double)retry / 1000);
+	if (cc->s->leaving || !cc->http->keep_alive)
+		buf_str(&lines, "Connection: close\r\n");
+	if (cc->from_instance && c != NULL)
+		peer_answer_encode(c, NULL, retry, &lines);
+	else if (cc->from_instance)
+		peer_refusal_encode(&lines);
+	buf_add(&lines, "", 1);
+	caller_answer(cc, status, lines.p, why);
+	buf_free(&lines);
 }
 
 static void
 refuse_request(
     caller_conn_t *cc, const char *id, int status, const char *why, ms_t retry)
 {
-	char extra[256] = "";
-	int n = 0;
-
-	if (retry > 0)
-		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
-		    (double)retry / 1000);
-	if (cc->s->leaving || !cc->http->keep_alive)
-		n += snprintf(
-		    extra + n, sizeof(extra) - n, "Connection: close\r\n");
-	if (cc->from_instance)
-		add_peer_line(extra, sizeof(extra), NULL, 0);
 	log_limited(LOG_NOTICE, "refused",
 	    "request=%s status=%d why=\"%s\" config=%" PRId64, id, status, why,
 	    cc->s->config != NULL ? cc->s->config->version : -1);
-	caller_answer(cc, status, extra, why);
+	answer_error(cc, NULL, status, why, retry);
 	caller_answer_done(cc);
 }
 
@@ -170,6 +167,7 @@
 	serve_t *s = cc->s;
 	const head_t *h = &cc->http->head;
 	call_head_t request;
+	const char *why;
 	const route_t *r;
 	call_t *c;
 
@@ -210,8 +208,9 @@
 		    cc, request.id, 503, "the instance is full", FULL_RETRY_MS);
 		return;
 	}
-	if (cc->from_instance && !peer_call_take(c, h)) {
-		call_answer_error(c, 400, "not a call of an instance", 0);
+	why = cc->from_instance ? peer_call_take(c, h) : NULL;
+	if (why != NULL) {
+		call_answer_error(c, 503, why, 0);
 		return;
 	}
 	/* The instance that got it from its caller has counted it. */
@@ -532,8 +531,6 @@
 call_answer_error(call_t *c, int status, const char *why, ms_t retry)
 {
 	caller_conn_t *cc = c->caller;
-	char extra[256];
-	int n = 0;
 
 	if (c->head_sent) {
 		/*
@@ -543,14 +540,6 @@
 		call_abort_answer(c, why);
 		return;
 	}
-	extra[0] = '\0';
-	if (retry > 0)
-		n = snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
-		    (double)retry / 1000);
-	if (cc->s->leaving || !cc->http->keep_alive)
-		snprintf(extra + n, sizeof(extra) - n, "Connection: close\r\n");
-	if (c->from_instance)
-		add_peer_line(extra, sizeof(extra), c, retry);
 	c->status = status;
 	log_limited(LOG_NOTICE, "answered",
 	    "request=%s status=%d why=\"%s\" retry_ms=%" PRId64
@@ -558,7 +547,7 @@
 	    c->request.id, status, why, retry, c->attempts, c->may_have_run,
 	    c->s->loop.now - c->received_at, c->ep ? c->ep->entry.id : "-");
 	call_end_attempt(c, false);
-	caller_answer(cc, status, extra, why);
+	answer_error(cc, c, status, why, retry);
 	call_finish(c, status == 503 ? "refused" : "failed");
 }
 
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -319,7 +319,7 @@
 accept_instances(void *arg, uint32_t ev)
 {
 	serve_t *s = arg;
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	char ip[ADDR_MAX];
 	int i, fd;
 
--- a/serve/peer_call.c
+++ b/serve/peer_call.c
@@ -246,8 +246,10 @@
 		buf_fmt(out, "Deadline-Remaining: %" PRId64 "\r\n",
 		    c->request.remaining);
 	buf_fmt(out,
-	    CALL_FIELD ": elapsed=%" PRId64 " sends=%d software=%" PRIx64,
-	    c->s->loop.now - c->received_at, c->sends, c->software);
+	    CALL_FIELD ": elapsed=%" PRId64 " config=%" PRId64
+		       " sends=%d software=%" PRIx64,
+	    c->s->loop.now - c->received_at, c->s->config->version, c->sends,
+	    c->software);
 	for (i = 0; i < c->ntried && i < TRIED_MAX; i++) {
 		if (!c->reached[i])
 			continue;
@@ -333,18 +335,23 @@
 	}
 }
 
-bool
+const char *
 peer_call_take(call_t *c, const head_t *h)
 {
 	const char *text = head_get(h, CALL_FIELD);
 	ms_t elapsed;
 
+	c->from_instance = true;
+	/* Another instance may take what this one refuses now. */
+	c->unreached = true;
 	if (text == NULL || head_count(h, CALL_FIELD) != 1)
-		return false;
+		return "not a call of an instance";
 	elapsed = word_number(text, "elapsed", 10);
 	if (elapsed < 0)
-		return false;
-	c->from_instance = true;
+		return "not a call of an instance";
+	if (c->s->config->version < word_number(text, "config", 10))
+		return "the configuration here is older";
+	c->unreached = false;
 	c->received_at -= elapsed;
 	c->deadline -= elapsed;
 	c->sends = c->attempts = (int)word_number(text, "sends", 10);
@@ -353,7 +360,7 @@
 	counter_add(counter_get("ebonypitch_calls_taken_over_total",
 			"Calls that other instances handed over."),
 	    1);
-	return true;
+	return NULL;
 }
 
 void
--- a/serve/peer_call.h
+++ b/serve/peer_call.h
@@ -34,9 +34,9 @@
 
 /**
  * Take over what the other instance knows of a call.
- * @return false if the request isn't one of an instance
+ * @return NULL, or why it isn't taken
  */
-bool peer_call_take(call_t *c, const head_t *h);
+const char *peer_call_take(call_t *c, const head_t *h);
 /**
  * Append the line of the answer's head that is for the other instance.
  * @param p the endpoint whose answer it is, NULL: this instance's own
--- a/standin/fake_link.c
+++ b/standin/fake_link.c
@@ -190,7 +190,9 @@
 	if (p == NULL || to == -1)
 		abort();
 	p->link = k;
-	connect(to, (struct sockaddr *)&k->to, sizeof(k->to));
+	if (connect(to, (struct sockaddr *)&k->to, sizeof(k->to)) == -1 &&
+	    errno != EINPROGRESS)
+		g_error("connect: %s", strerror(errno));
 	end_open(&p->instance, p, &p->endpoint, fd);
 	end_open(&p->endpoint, p, &p->instance, to);
 	p->endpoint.connecting = true;
@@ -247,7 +249,9 @@
 		int fd = socket(
 		    AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-		connect(fd, (struct sockaddr *)&own, sizeof(own));
+		if (connect(fd, (struct sockaddr *)&own, sizeof(own)) == -1 &&
+		    errno != EINPROGRESS)
+			g_error("connect: %s", strerror(errno));
 		k->filler[k->nfiller++] = fd;
 	}
 }
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -24,6 +24,8 @@
 typedef struct store_view {
 	http_server_t server;
 	fake_store_t *store;
+	char *addr;
+	bool silent;
 	store_view_fn *show; /* NULL: as they are */
 	void *arg;
 } store_view_t;
@@ -145,7 +147,7 @@
 		store_conn_t *c = v->server.conns->pdata[i];
 		json_t *j;
 
-		if (!c->watching || v->store->watches_muted)
+		if (!c->watching || v->store->watches_muted || v->silent)
 			continue;
 		j = changes_since(c, c->kind, c->from);
 		if (j != NULL)
@@ -376,6 +378,8 @@
 	fake_store_t *s = store_of(c);
 
 	s->requests++;
+	if (view_of(c)->silent)
+		return;
 	switch (s->fault) {
 	case STORE_SILENT:
 		return;
@@ -413,11 +417,26 @@
 {
 	store_view_t *v = g_new0(store_view_t, 1);
 
-	*v = (store_view_t){ .store = s, .show = show, .arg = arg };
+	*v = (store_view_t){
+		.store = s, .addr = g_strdup(addr), .show = show, .arg = arg
+	};
 	g_ptr_array_add(s->views, v);
 	http_server_open(&v->server, s->loop, addr, &ops, v);
 }
 
+void
+fake_store_silence_view(fake_store_t *s, const char *addr, bool silent)
+{
+	guint i;
+
+	for (i = 0; i < s->views->len; i++) {
+		store_view_t *v = s->views->pdata[i];
+
+		if (strcmp(v->addr, addr) == 0)
+			v->silent = silent;
+	}
+}
+
 fake_store_t *
 fake_store_new(loop_t *l, const char *addr)
 {
@@ -439,6 +458,7 @@
 		store_view_t *v = s->views->pdata[i];
 
 		http_server_close(&v->server);
+		g_free(v->addr);
 	}
 	g_ptr_array_free(s->views, TRUE);
 	g_ptr_array_free(s->objects, TRUE);
--- a/tests/peer_call_proc.c
+++ b/tests/peer_call_proc.c
@@ -589,6 +589,44 @@
 	site_free(&t);
 }
 
+/*
+ * Guards against acting on an older configuration than the instance that the
+ * caller has called.
+ */
+static void
+older_configuration_is_not_used(void)
+{
+	site_t t = site_new(20);
+	fake_endpoint_opts_t app = { .plain_ms = 20 };
+	int i, deep = fixture_add_endpoint(t.st, &app, "app2");
+	caller_t *c;
+
+	fixture_run(t.st, 500);
+	for (i = 1; i < DAEMONS; i++)
+		fake_store_silence_view(t.st->store, t.st->view_addr[i], true);
+	fixture_put_config(t.st,
+	    ",{\"name\":\"deep\",\"host\":\"h.example\",\"path_prefix\":"
+	    "\"/safe/deep/\",\"kind\":\"safe\",\"timeout_ms\":2000,"
+	    "\"target_latency_ms\":300,\"priority\":2,\"service\":\"app2\","
+	    "\"max_attempts\":2}");
+	fixture_run(t.st, 300);
+	c = caller_call(t.st, 0, "GET", "/safe/deep/a", "deep", brief);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 503);
+	g_assert_null(run_of(t.st, "deep"));
+	caller_free(c);
+	for (i = 1; i < DAEMONS; i++)
+		fake_store_silence_view(t.st->store, t.st->view_addr[i], false);
+	fixture_run(t.st, 4000);
+	c = caller_call(t.st, 0, "GET", "/safe/deep/a", "deeper", brief);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpint(
+	    (int)fake_endpoint_executed(t.st->endpoint[deep])->len, ==, 1);
+	caller_free(c);
+	site_free(&t);
+}
+
 /* Guards against going the long way when the short one is back. */
 static void
 calls_go_directly_again(void)
@@ -631,6 +669,7 @@
 	T(frozen_instance_is_left);
 	T(attempts_are_counted_once);
 	T(refusal_of_the_other_instance_is_told);
+	T(older_configuration_is_not_used);
 	T(calls_go_directly_again);
 	return g_test_run();
 }
