--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -127,6 +127,19 @@
 	return g_string_free(ev, FALSE);
 }
 
+static void
+end_stream(endpoint_conn_t *c)
+{
+	if (is_unframed(c)) {
+		c->call->complete = true;
+		c->call = NULL;
+		server_conn_close(&c->conn);
+		return;
+	}
+	buf_str(&c->conn.http->out, "0\r\n\r\n");
+	finish_call(c, true);
+}
+
 static void
 send_event(void *arg)
 {
@@ -140,6 +153,11 @@
 
 	if (hold_back(c) || !endpoint_run_goes_on(c))
 		return;
+	/* Its caller took the stream up after its last event. */
+	if (c->next_event > endpoint_of(c)->events) {
+		end_stream(c);
+		return;
+	}
 	ev = fake_endpoint_event(c->next_event, endpoint_of(c)->event_bytes);
 	n = strlen(ev);
 	send_part(c, ev, cut ? n / 2 : n);
@@ -157,14 +175,7 @@
 			endpoint_of(c)->event_gap);
 		return;
 	}
-	if (is_unframed(c)) {
-		c->call->complete = true;
-		c->call = NULL;
-		server_conn_close(&c->conn);
-		return;
-	}
-	buf_str(&c->conn.http->out, "0\r\n\r\n");
-	finish_call(c, true);
+	end_stream(c);
 }
 
 static executed_call_t *
--- a/tests/standin_proc.c
+++ b/tests/standin_proc.c
@@ -195,6 +195,31 @@
 		fixture_free(st[i]);
 }
 
+/* Guards against an event after the last one, which a caller sees as wrong. */
+static void
+stream_taken_up_after_its_last_event_has_none(void)
+{
+	fixture_t *st = fixture_new();
+	fake_endpoint_opts_t o = { .model = "m1", .events = 8, .event_gap = 5 };
+	client_request_t *c;
+	char *body;
+
+	fixture_add_endpoint(st, &o, "llm");
+	c = client_request_open(&st->loop, st->addr[0],
+	    "POST /gen/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+	    "Model: m1\r\nLast-Event-Id: 8\r\nContent-Length: 0\r\n\r\n",
+	    NULL, st);
+	g_assert_nonnull(c);
+	fixture_run(st, 300);
+	g_assert_true(c->done);
+	g_assert_cmpint(c->status, ==, 200);
+	body = client_request_body(c);
+	g_assert_cmpstr(body, ==, "");
+	g_free(body);
+	client_request_free(c);
+	fixture_free(st);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -205,5 +230,8 @@
 	g_test_add_func(
 	    "/standin/request-at-start", service_answers_while_starting);
 	g_test_add_func("/standin/two-stores", two_stores_run_at_once);
+	g_test_add_func(
+	    "/standin/stream_taken_up_after_its_last_event_has_none",
+	    stream_taken_up_after_its_last_event_has_none);
 	return g_test_run();
 }
