tests: what instances tell each other of a call, and more ways to fail

New cases: one hop, silence that is noticed without another call, a return of 24 endpoints within a second, one endpoint left in reach, attempts before and at a lost instance, software versions, cuts of half.

An attempt whose instance had answered was counted twice when its connection broke; found by the field test, mended here. The gauge ebonypitch_endpoints_unreached is new.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -754,8 +754,9 @@
 			crash_check(c);
 		break;
 	case EP_PEER:
-		/* It may have sent the call on. */
-		c->sends += why != HTTP_END_CONNECT_FAILED;
+		/* It may have sent the call on, and hasn't said so. */
+		if (why != HTTP_END_CONNECT_FAILED && c->answered_by == NULL)
+			c->sends++;
 		break;
 	}
 	c->conn = NULL;
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/reach.h"
 
 #include <string.h>
 
@@ -44,6 +45,8 @@
 	set_gauge("ebonypitch_guests", "Callers' connections.", s->ncaller);
 	set_gauge(
 	    "ebonypitch_instances", "Instances that live.", peers_alive(s));
+	set_gauge("ebonypitch_endpoints_unreached",
+	    "Endpoints that it can't connect to.", reach_unreached(s));
 	set_gauge("ebonypitch_holder", "1 if it orders endpoints.",
 	    plan_is_holder(s));
 	set_gauge("ebonypitch_prompt_parts_blamed",
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -475,6 +475,17 @@
 	return w != NULL && reach_is_failing(&w->reach);
 }
 
+int
+reach_unreached(const serve_t *s)
+{
+	int i, n = 0;
+
+	for (i = 0; i < s->endpoints.nep; i++)
+		n += ep_usable(s->endpoints.ep[i]) &&
+		     s->endpoints.ep[i]->reach.way != WAY_OPEN;
+	return n;
+}
+
 const reach_tags_t *
 reach_tags(const serve_t *s)
 {
--- a/tests/cut_effects_proc.c
+++ b/tests/cut_effects_proc.c
@@ -50,6 +50,27 @@
 	site_free(t);
 }
 
+/* Guards against instances that are cut together and confirm each other. */
+static void
+cut_of_half_blames_no_request(void)
+{
+	site_t *t = site_new(4, ENDPOINTS, BUSY_MS);
+	int i;
+
+	site_run(t, 1500);
+	for (i = 0; i < CUTS; i++) {
+		site_cut(t, 2, LINK_RESET);
+		site_run(t, CUT_MS);
+		site_cut(t, 2, LINK_OPEN);
+		site_run(t, CUT_MS);
+	}
+	g_assert_cmpint(
+	    fixture_counter_sum(t->st, "ebonypitch_endpoint_crashes_total"), ==,
+	    0);
+	site_check_promises(t);
+	site_free(t);
+}
+
 /*
  * Guards against the same where the instance loses its way to one endpoint
  * after the other, and still reaches some.
@@ -154,7 +175,7 @@
 		.changed = on_models_changed,
 		.arg = st };
 	holder_wait_t w = { st, -1, -1 };
-	int i, first, n = 0;
+	int i, first, second, n = 0;
 	ms_t end;
 
 	fixture_put_config(st, "");
@@ -174,6 +195,18 @@
 	w.except = first;
 	g_assert_true(fixture_run_until(st, has_holder, &w, HOLDER_MS));
 	g_assert_cmpint(fixture_counter(st, first, "ebonypitch_holder"), ==, 0);
+	/* The one that was cut doesn't take the lease again. */
+	second = w.holder;
+	proc_kill(st->daemon[second]);
+	st->daemon[second] = NULL;
+	for (i = 0; i < 60; i++) {
+		fixture_run(st, 100);
+		g_assert_cmpint(
+		    fixture_counter(st, first, "ebonypitch_holder"), ==, 0);
+	}
+	g_assert_cmpint(
+	    fixture_counter(st, DAEMONS - first - second, "ebonypitch_holder"),
+	    ==, 1);
 	fixture_stop_daemons(st);
 	links_free(links);
 	fixture_free(st);
@@ -186,6 +219,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(cut_blames_no_request);
+	T(cut_of_half_blames_no_request);
 	T(cut_from_some_blames_no_request);
 	T(holder_that_is_cut_is_replaced);
 	return g_test_run();
--- a/tests/cut_instance_proc.c
+++ b/tests/cut_instance_proc.c
@@ -10,7 +10,12 @@
 	WINDOW_MS = 3000,  /* stability_window_ms: then calls are counted */
 	COUNTED_MS = 2500, /* for so long */
 	ANSWER_MS = 3000,
-	REFUSAL_MS = 300, /* limit for a refusal that waits for nothing */
+	REFUSAL_MS = 300,  /* limit for a refusal that waits for nothing */
+	KNOWN_MS = 1500,   /* until the daemons know each other */
+	NOTICED_MS = 1600, /* well before a call's time limit */
+	ALL_FAILED_MS = 5000,
+	CONNECT_MS = 400, /* limit for a connection to be made */
+	BACK_MS = 1000,
 	UNUSED_MS = 4500, /* connections that are idle so long are closed */
 };
 
@@ -85,6 +90,7 @@
 endpoints_down_for_all_are_refused_at_once(void)
 {
 	site_t *t = site_new(3, ENDPOINTS, 20);
+	int64_t handed;
 	int i, counted;
 
 	site_run(t, 1000);
@@ -92,7 +98,12 @@
 		links_set(t->links, i, LINK_RESET);
 	site_run(t, WINDOW_MS);
 	counted = t->n;
+	handed =
+	    fixture_counter_sum(t->st, "ebonypitch_calls_handed_over_total");
 	site_run(t, 1000);
+	g_assert_cmpint(
+	    fixture_counter_sum(t->st, "ebonypitch_calls_handed_over_total"),
+	    ==, handed);
 	for (i = counted; i < t->n; i++) {
 		caller_t *c = t->calls->pdata[i];
 
@@ -104,6 +115,134 @@
 	site_free(t);
 }
 
+/* Guards against calls that go from one cut instance to the next. */
+static void
+calls_are_handed_on_once(void)
+{
+	site_t *t = site_new(2, ENDPOINTS, 20);
+	caller_t *c;
+	int i;
+
+	fixture_run(t->st, KNOWN_MS);
+	site_cut(t, 2, LINK_RESET);
+	for (i = 0; i < 10; i++) {
+		c = caller_call(t->st, 0, "GET", "/safe/a", "once",
+		    "Deadline-Remaining: 1900\r\n");
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 503);
+		caller_free(c);
+	}
+	g_assert_cmpint(
+	    fixture_counter(t->st, 0, "ebonypitch_calls_handed_over_total"), >,
+	    0);
+	g_assert_cmpint(
+	    fixture_counter(t->st, 1, "ebonypitch_calls_handed_over_total"), ==,
+	    0);
+	site_free(t);
+}
+
+static bool
+is_lost(void *st)
+{
+	return fixture_counter(st, 0, "ebonypitch_reach_lost_total") > 0;
+}
+
+/* Guards against noticing only when the calls there have run out of time. */
+static void
+silence_is_noticed_by_itself(void)
+{
+	site_t *t = site_new(2, ENDPOINTS, 20);
+	caller_t *c;
+
+	fixture_run(t->st, KNOWN_MS);
+	c = caller_expect(t->st, 200, "POST", "/once/a", "first",
+	    "Deadline-Remaining: 1900\r\n");
+	caller_free(c);
+	site_cut(t, 1, LINK_HANGING);
+	c = caller_call(t->st, 0, "POST", "/once/a", "second",
+	    "Deadline-Remaining: 1900\r\n");
+	g_assert_true(fixture_run_until(t->st, is_lost, t->st, NOTICED_MS));
+	caller_free(c);
+	site_free(t);
+}
+
+/* Guards against trying each endpoint that hangs with a call of its own. */
+static void
+calls_do_not_find_out_for_each_endpoint(void)
+{
+	site_t *t = site_new(2, FIXTURE_ENDPOINTS, 20);
+	char id[16];
+	int i;
+
+	fixture_run(t->st, KNOWN_MS);
+	site_cut(t, 1, LINK_HANGING);
+	caller_free(caller_expect(t->st, 200, "GET", "/safe/a", "first",
+	    "Deadline-Remaining: 1900\r\n"));
+	fixture_run(t->st, CONNECT_MS);
+	for (i = 0; i < 10; i++) {
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "quick%d", i);
+		c = caller_expect(t->st, 200, "POST", "/once/a", id,
+		    "Deadline-Remaining: 1900\r\n");
+		g_assert_cmpint(c->ended_at - c->started_at, <, CONNECT_MS);
+		caller_free(c);
+	}
+	site_free(t);
+}
+
+/*
+ * Guards against an instance that still reaches one endpoint, and takes turns
+ * between having lost and having regained its way.
+ */
+static void
+most_but_not_all_are_cut(void)
+{
+	site_t *t = site_new(3, FIXTURE_ENDPOINTS, 20);
+	ms_t from;
+	int i;
+
+	site_run(t, 500);
+	for (i = 1; i < FIXTURE_ENDPOINTS; i++)
+		links_set_one(t->links, 0, i, LINK_RESET);
+	site_run(t, WINDOW_MS);
+	from = clock_now(&machine_clock);
+	site_run(t, COUNTED_MS);
+	site_check_served(t, from, clock_now(&machine_clock));
+	g_assert_cmpint(
+	    fixture_counter(t->st, 0, "ebonypitch_reach_lost_total"), <=, 3);
+	site_check_promises(t);
+	site_free(t);
+}
+
+static bool
+reaches_all(void *st)
+{
+	return fixture_counter(st, 0, "ebonypitch_endpoints_unreached") == 0;
+}
+
+/* Guards against a return that takes a probe's interval for each endpoint. */
+static void
+all_endpoints_are_back_at_once(void)
+{
+	site_t *t = site_new(2, FIXTURE_ENDPOINTS, 20);
+	caller_t *c;
+
+	fixture_run(t->st, KNOWN_MS);
+	site_cut(t, 1, LINK_RESET);
+	c = caller_expect(t->st, 200, "GET", "/safe/a", "first",
+	    "Deadline-Remaining: 1900\r\n");
+	caller_free(c);
+	/* Each of them is known to have failed by then. */
+	fixture_run(t->st, ALL_FAILED_MS);
+	g_assert_cmpint(
+	    fixture_counter(t->st, 0, "ebonypitch_endpoints_unreached"), ==,
+	    FIXTURE_ENDPOINTS);
+	site_cut(t, 1, LINK_OPEN);
+	g_assert_true(fixture_run_until(t->st, reaches_all, t->st, BACK_MS));
+	site_free(t);
+}
+
 /* Guards against losing calls in a cut that comes and goes. */
 static void
 cut_comes_and_goes(void)
@@ -139,6 +278,11 @@
 	T(half_are_cut);
 	T(all_but_one_are_cut);
 	T(endpoints_down_for_all_are_refused_at_once);
+	T(calls_are_handed_on_once);
+	T(silence_is_noticed_by_itself);
+	T(calls_do_not_find_out_for_each_endpoint);
+	T(most_but_not_all_are_cut);
+	T(all_endpoints_are_back_at_once);
 	T(cut_comes_and_goes);
 	return g_test_run();
 }
--- a/tests/peer_call_proc.c
+++ b/tests/peer_call_proc.c
@@ -40,13 +40,12 @@
 	return fixture_counter(st, 0, "ebonypitch_reach_lost_total") >= 2;
 }
 
-/* Daemon 0 is cut from all endpoints and knows it. */
+/* All daemons reach all endpoints. */
 static site_t
-site_with(ms_t plain_ms, const fake_endpoint_opts_t *llm)
+site_uncut(ms_t plain_ms, const fake_endpoint_opts_t *llm)
 {
 	fake_endpoint_opts_t app = { .plain_ms = plain_ms };
 	site_t t = { .st = fixture_new() };
-	caller_t *c;
 	int i;
 
 	t.links = links_new(t.st);
@@ -58,6 +57,16 @@
 	for (i = 0; i < DAEMONS; i++)
 		fixture_start_daemon(t.st, i, true);
 	fixture_run(t.st, SETTLE_MS);
+	return t;
+}
+
+/* Daemon 0 is cut from all endpoints and knows it. */
+static site_t
+site_with(ms_t plain_ms, const fake_endpoint_opts_t *llm)
+{
+	site_t t = site_uncut(plain_ms, llm);
+	caller_t *c;
+
 	links_set(t.links, 0, LINK_RESET);
 	c = caller_expect(t.st, 200, "POST", "/gen/a", "warm-gen", model);
 	caller_free(c);
@@ -183,6 +192,22 @@
 	site_free(&t);
 }
 
+/* Guards against giving the caller's time again to the next instance. */
+static void
+time_goes_on_from_the_first_instance(void)
+{
+	fake_endpoint_opts_t llm = { .model = "m1", .adapter_slots = 4 };
+	site_t t = site_uncut(20, &llm);
+	caller_t *c;
+
+	/* The first connection isn't made in 400 ms. */
+	links_set(t.links, 0, LINK_HANGING);
+	c = caller_expect(t.st, 200, "POST", "/once/a", "time", brief);
+	g_assert_cmpint(run_of(t.st, "time")->time_left, <=, 1900 - 350);
+	caller_free(c);
+	site_free(&t);
+}
+
 /* Guards against believing a caller that its call was handed over. */
 static void
 forged_field_is_ignored(void)
@@ -534,6 +559,32 @@
 	site_free(&t);
 }
 
+/*
+ * Guards against giving calls that run once to an instance that is silent and
+ * not yet taken for dead.
+ */
+static void
+silent_instance_gets_no_unsafe_call(void)
+{
+	site_t t = site_new(20);
+	caller_t *c;
+	char id[16];
+	int i;
+
+	proc_signal(t.st->daemon[1], SIGSTOP);
+	fixture_run(t.st, 1200);
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "u%d", i);
+		c = caller_call(t.st, 0, "POST", "/once/a", id, brief);
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 200);
+		caller_free(c);
+		fixture_run(t.st, 50);
+	}
+	proc_signal(t.st->daemon[1], SIGCONT);
+	site_free(&t);
+}
+
 /* Guards against more attempts than the route allows, counted together. */
 static void
 attempts_are_counted_once(void)
@@ -555,6 +606,69 @@
 	site_free(&t);
 }
 
+/* Guards against forgetting the attempts of the first instance. */
+static void
+attempts_before_count(void)
+{
+	fake_endpoint_opts_t llm = { .model = "m1", .adapter_slots = 4 };
+	site_t t = site_uncut(20, &llm);
+	caller_t *c;
+	int i, n = 0;
+
+	for (i = 0; i < APPS; i++)
+		fake_endpoint_set_fault(t.st->endpoint[i], ENDPOINT_SILENT);
+	c = caller_call(t.st, 0, "GET", "/safe/a", "left", brief);
+	g_assert_true(fixture_run_until(t.st, has_run, t.st, ANSWER_MS));
+	for (i = 0; i < APPS; i++)
+		fake_endpoint_set_fault(t.st->endpoint[i], ENDPOINT_RESET);
+	links_set(t.links, 0, LINK_RESET);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	for (i = 0; i < APPS; i++)
+		n += arrivals_since(t.st, i, 0);
+	g_assert_cmpint(n, ==, 2); /* max_attempts */
+	caller_free(c);
+	site_free(&t);
+}
+
+/* Guards against going on with a stream at another software version. */
+static void
+stream_goes_on_at_its_software(void)
+{
+	site_t t = site_new(20);
+	const executed_call_t *r;
+	const GPtrArray *x;
+	caller_t *c;
+	int i, k, began = -1;
+	guint n;
+
+	/* Both engines may get it; the version of the other one differs. */
+	i = send_through(t.st, "POST", "/gen/a", "began", model, &c);
+	for (k = LLM; k < LLM + 2; k++)
+		if (fake_endpoint_executed(t.st->endpoint[k])->len > 0 &&
+		    !((executed_call_t *)g_ptr_array_index(
+			  fake_endpoint_executed(t.st->endpoint[k]),
+			  fake_endpoint_executed(t.st->endpoint[k])->len - 1))
+			 ->complete)
+			began = k;
+	g_assert_cmpint(began, >=, LLM);
+	k = LLM + LLM + 1 - began;
+	fake_endpoint_restart(t.st->endpoint[k], "v2");
+	fixture_put_entry(t.st, k, "llm", false);
+	fixture_run(t.st, 100);
+	proc_kill(t.st->daemon[i]);
+	t.st->daemon[i] = NULL;
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	assert_all_events(c);
+	x = fake_endpoint_executed(t.st->endpoint[k]);
+	for (n = 0; n < x->len; n++) {
+		r = x->pdata[n];
+		g_assert_cmpstr(r->id, !=, "began");
+	}
+	caller_free(c);
+	site_free(&t);
+}
+
 /* Guards against refusing without the time after which to retry. */
 static void
 refusal_of_the_other_instance_is_told(void)
@@ -654,6 +768,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(call_and_answer_are_unchanged);
+	T(time_goes_on_from_the_first_instance);
 	T(forged_field_is_ignored);
 	T(internal_port_is_for_instances);
 	T(caller_that_leaves_ends_its_run);
@@ -667,7 +782,10 @@
 	T(other_instance_is_cut_too);
 	T(unsafe_call_is_lost_with_the_other_instance);
 	T(frozen_instance_is_left);
+	T(silent_instance_gets_no_unsafe_call);
 	T(attempts_are_counted_once);
+	T(attempts_before_count);
+	T(stream_goes_on_at_its_software);
 	T(refusal_of_the_other_instance_is_told);
 	T(older_configuration_is_not_used);
 	T(calls_go_directly_again);
