serve: small corrections after reading the change

A trial of a blamed request isn't counted when the call goes through another instance, which refuses it. Connections between instances outlive a short idle time of the configuration, so that a call isn't sent as one is closed. An unused function goes.

--- a/serve/call.c
+++ b/serve/call.c
@@ -327,7 +327,7 @@
 	/* Where it goes through another instance, that one spends. */
 	if (c->attempts++ > 0 && ch->ep->kind == EP_DIRECT)
 		retry_budget_spend(s, c);
-	if (c->trial)
+	if (c->trial && ch->ep->kind == EP_DIRECT)
 		blame_trial_sent(c);
 	c->had_run_before = c->may_have_run;
 	ch->ep->ncall++;
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -61,6 +61,9 @@
 {
 	const config_t *c = cc->s->config;
 
+	/* Longer than other instances keep a connection without a call. */
+	if (cc->from_instance)
+		return IDLE_TIMEOUT_MS;
 	return c != NULL && c->idle_timeout > 0 ? c->idle_timeout
 						: IDLE_TIMEOUT_MS;
 }
--- a/serve/peer_call.c
+++ b/serve/peer_call.c
@@ -20,7 +20,7 @@
 };
 /* Traffic to another failure domain costs the operators money. */
 static const double remote_factor = 1.25;
-/* Endpoints that it has a way to get the calls of others in its place, too. */
+/* All that can't reach the others share the endpoints that it still reaches. */
 static const double partly_cut_factor = 4;
 
 /* @return the value of a word, or NULL; ended by a blank or NUL */
@@ -62,7 +62,7 @@
 
 /* The endpoint that stands for the way through another instance. */
 static ep_t *
-peer_ep(serve_t *s, peer_t *peer)
+peer_ep(peer_t *peer)
 {
 	ep_t *p = peer->ep;
 
@@ -79,7 +79,6 @@
 	p->hash = peer->hash;
 	workload_init(&p->workload, 1, 0);
 	peer->ep = p;
-	(void)s;
 	return p;
 }
 
@@ -226,7 +225,7 @@
 		return true;
 	}
 	*out = (choice_t){ .kind = CHOICE_SEND,
-		.ep = peer_ep(s, peer),
+		.ep = peer_ep(peer),
 		.uncached_tokens = c->request.prompt };
 	return true;
 }
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -20,7 +20,7 @@
 	int nshut;	  /* endpoints that aren't open, at least */
 	int next;	  /* index of the endpoint that is probed next */
 	int nprobe;	  /* under way */
-	ms_t unfit_since; /* most can\'t be reached, 0: they can */
+	ms_t unfit_since; /* most can't be reached, 0: they can */
 } service_reach_t;
 
 /** The state of all services. */
@@ -467,14 +467,6 @@
 	return w != NULL && w->reach.lost;
 }
 
-bool
-reach_failing(const serve_t *s, const char *service)
-{
-	const service_reach_t *w = find(s, service);
-
-	return w != NULL && reach_is_failing(&w->reach);
-}
-
 int
 reach_unreached(const serve_t *s)
 {
--- a/serve/reach.h
+++ b/serve/reach.h
@@ -28,8 +28,6 @@
 void reach_forget(serve_t *s, ep_t *p);
 /** @return whether this instance has lost its way to the whole service */
 bool reach_lost(const serve_t *s, const char *service);
-/** @return whether connections to it failed, and none was made since */
-bool reach_failing(const serve_t *s, const char *service);
 /** @return endpoints that may not be reached */
 int reach_unreached(const serve_t *s);
 /** What this instance has no way to, for its digests: tags, uint32_t. */
