--- a/serve/call.c
+++ b/serve/call.c
@@ -300,8 +300,9 @@
 	    p->kind == EP_PEER ? "instance_to" : "endpoint", p->entry.id,
 	    c->from_instance ? "instance" : "caller", c->attempts,
 	    ch->uncached_tokens, c->reservation.predicted_ms, remaining,
-	    c->s->loop.now - p->entry_read_at, !c->conn->unused,
-	    p->entry.software, c->nevent, c->s->config->version);
+	    p->kind == EP_PEER ? -1 : c->s->loop.now - p->entry_read_at,
+	    !c->conn->unused, p->entry.software, c->nevent,
+	    c->s->config->version);
 }
 
 /* Count the attempt and note where it goes. */
