store, peer: a claim request that no entry waits for isn't granted

Cause: controlds that stood still read claim requests from their sockets when they woke, for calls that had been answered "not run" meanwhile.

Change: a request's age counts from the last time its connection was found empty. One that is older than entries wait is rejected before it is entered, and a grant that is that old when it would be sent is given up.

--- a/entry/claim.c
+++ b/entry/claim.c
@@ -63,9 +63,8 @@
 		if (m == NULL)
 			continue;
 		tag = route_add_pending(en, r, PENDING_CLAIM, m->id);
-		if (tag != 0 &&
-		    client_request_claim(en->client, tag, m->id, &req,
-			2 * en->settings->platform.timeout_ms))
+		if (tag != 0 && client_request_claim(en->client, tag, m->id,
+				    &req, claims_wait(en->settings)))
 			return;
 		table_del(en->pending, tag);
 	}
@@ -165,7 +164,7 @@
 			continue;
 		tag = route_add_pending(en, r, PENDING_SETTLE, m->id);
 		if (tag != 0 && client_settle_claim(en->client, tag, m->id, &s,
-				    2 * en->settings->platform.timeout_ms))
+				    claims_wait(en->settings)))
 			return;
 		table_del(en->pending, tag);
 	}
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -31,6 +31,7 @@
 	bool listener_added; /* to the epoll set */
 	ms_t accept_retry_at;
 	ms_t swept_at;
+	ms_t polled_at[2]; /* before the last wait and before this one */
 	conn_t *conns;
 	table_t *by_handle; /* of conn_t * */
 	net_stats_t stats;  /* atomic, one writer */
@@ -421,19 +422,24 @@
 static void
 read_input(conn_t *c)
 {
+	size_t room;
 	ssize_t len;
 
 	if (!reserve(&c->in, &c->in_size, c->in_len + READ_MIN_BYTES)) {
 		conn_close(c, "out_of_memory");
 		return;
 	}
-	len = recv(c->fd, c->in + c->in_len, c->in_size - c->in_len, 0);
+	room = c->in_size - c->in_len;
+	len = recv(c->fd, c->in + c->in_len, room, 0);
 	if (len == -1 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (len <= 0) {
 		conn_close(c, len == 0 ? "closed_by_peer" : "read_failed");
 		return;
 	}
+	if (!c->more)
+		c->arrived_after = c->net->polled_at[0];
+	c->more = (size_t)len == room;
 	c->in_len += len;
 	count(&c->net->stats.in_bytes, c->net->in_bytes, len);
 	handle_frames(c);
@@ -511,6 +517,8 @@
 		if (c->out_pos < c->out_len && !c->epollout_set)
 			flush(c);
 	free_closed(n);
+	n->polled_at[0] = n->polled_at[1];
+	n->polled_at[1] = clock_now(n->o.clock);
 	nready = epoll_wait(n->epoll, ev, EVENTS_MAX, span < 0 ? 0 : (int)span);
 	for (i = 0; i < nready; i++) {
 		if (ev[i].data.ptr == &watch_mark)
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -47,6 +47,8 @@
 	const char *close_reason; /* goes into the log */
 	ms_t opened_at;		  /* time it was dialled or accepted */
 	ms_t heard_at;		  /* time of the last frame */
+	ms_t arrived_after;	  /* lower bound for the bytes being handled */
+	bool more;		  /* the last read may have left bytes */
 	uint8_t *in, *out;
 	size_t in_len, in_size;
 	size_t out_pos, out_len, out_size;
--- a/peer/node.c
+++ b/peer/node.c
@@ -221,13 +221,24 @@
 	claims_settle(claims, 0, &s);
 }
 
+/* Whether the entry has given up waiting for a grant. */
+static bool
+grant_too_late(
+    const node_t *n, const pending_claim_t *k, const claim_answer_t *a)
+{
+	return a->outcome == CLAIM_FRESH && k->req.sent_after != 0 &&
+	       n->now - k->req.sent_after > claims_wait(n->settings);
+}
+
 static void
 handle_claim_request(
     node_t *n, conn_t *c, uint64_t call, const Wire__ClaimRequest *w)
 {
 	claim_answer_t down = { .outcome = CLAIM_DOWN };
 	claims_t *claims = get_claims(n);
-	claim_request_t req = { .body_hash = w->body_hash };
+	/* Unread for as long as this process stood still. */
+	claim_request_t req = { .body_hash = w->body_hash,
+		.sent_after = c->arrived_after };
 	pending_claim_t *k;
 	handle_t h = 0;
 
@@ -373,7 +384,8 @@
 		k = table_get(n->pending_claims, c->number);
 		if (k == NULL)
 			break;
-		if (!send_claim_answer(n, k->conn, k->call, &c->claim))
+		if (grant_too_late(n, k, &c->claim) ||
+		    !send_claim_answer(n, k->conn, k->call, &c->claim))
 			release_claim(n, &k->req, &c->claim);
 		table_del(n->pending_claims, c->number);
 		break;
--- a/store/claims.c
+++ b/store/claims.c
@@ -13,6 +13,12 @@
 	IDLE_MS = 1000,
 };
 
+ms_t
+claims_wait(const settings_t *s)
+{
+	return 2 * s->platform.timeout_ms;
+}
+
 int
 claims_bucket(const settings_t *s, const char *service, const char *key)
 {
@@ -320,7 +326,9 @@
 {
 	if (w == NULL)
 		return false;
-	w->received_at = claims_now(c);
+	w->received_at = w->kind == WORK_CLAIM && w->claim.sent_after != 0
+			     ? w->claim.sent_after
+			     : claims_now(c);
 	if (ring_push(c->ring, w))
 		return true;
 	/* On failure, the reply of a settle still belongs to the caller. */
@@ -334,11 +342,11 @@
 {
 	work_t *w = calloc(1, sizeof(*w));
 
-	if (w != NULL) {
-		w->kind = WORK_CLAIM;
-		w->tag = tag;
-		w->claim = *req;
-	}
+	if (w == NULL)
+		return false;
+	w->kind = WORK_CLAIM;
+	w->tag = tag;
+	w->claim = *req;
 	return push_work(c, w);
 }
 
--- a/store/commit.c
+++ b/store/commit.c
@@ -214,17 +214,21 @@
 	return -1;
 }
 
+/* Time after which an entry has given up waiting for a grant. */
+static ms_t
+max_age(const claims_t *c)
+{
+	return MIN(claims_wait(c->o.settings), c->limits.retention / 2);
+}
+
 /* The commit succeeded: answer the requests that waited for it. */
 static void
 complete_work(claims_t *c, bucket_queue_t *s)
 {
 	ms_t now = claims_now(c);
-	ms_t max_age = 2 * c->o.settings->platform.timeout_ms;
 	guint i, kept = 0;
 	bool over;
 
-	if (max_age > c->limits.retention / 2)
-		max_age = c->limits.retention / 2;
 	for (i = 0; i < s->waiting->len; i++) {
 		work_t *w = s->waiting->pdata[i];
 
@@ -237,7 +241,7 @@
 		/* The process was paused: the entry has given up waiting, and
 		 * the claim may have changed since. */
 		if (w->answer.outcome == CLAIM_FRESH &&
-		    now - w->received_at > max_age) {
+		    now - w->received_at > max_age(c)) {
 			w->maybe_written = true;
 			over = claims_reject(c, w, OUTAGE_RETRY_MIN_MS);
 		} else {
@@ -321,6 +325,12 @@
 
 	s->bucket.current = false;
 	for (i = 0; i < TRIES_MAX; i++) {
+		/*
+		 * Not even entered: once it has been taken over by another
+		 * owner's request, a claim can't be given up any more.
+		 */
+		claims_reject_requests(
+		    c, s, claims_now(c) - max_age(c) - 1, OUTAGE_RETRY_MIN_MS);
 		if (load_bucket(c, s, &e) == -1)
 			break;
 		changed = apply(c, s, &maybe_stale);
--- a/store/platform.h
+++ b/store/platform.h
@@ -144,6 +144,8 @@
 	char service[ID_MAX];
 	char request[ID_MAX];
 	uint64_t body_hash;
+	/* the entry sent it no earlier, ms on the owner's clock; 0: just now */
+	ms_t sent_after;
 } claim_request_t;
 
 /** The outcome of a claimed call. */
@@ -204,6 +206,8 @@
 void claims_free(claims_t *c);
 /** @return false if the ring is full; treat that as CLAIM_DOWN */
 bool claims_request(claims_t *c, uint64_t tag, const claim_request_t *req);
+/** @return ms for which an entry waits for the answer to a claim request */
+ms_t claims_wait(const settings_t *s);
 /**
  * Record an outcome. Takes over s->reply unless the result is false.
  * @return false if the ring is full
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -58,6 +58,7 @@
 	bool conditional; /* the store checks versions */
 	bool retries;	  /* entries stop waiting and ask another owner */
 	bool faults_off;  /* the store works */
+	ms_t sent_after;  /* of the next claim request; 0: just now */
 	uint64_t version;
 	version_t now[BUCKETS + 1],
 	    previous[BUCKETS + 1]; /* the last is the number of buckets */
@@ -259,7 +260,9 @@
 static void
 request_claim(simulation_t *w, int n, int owner)
 {
-	claim_request_t q = { .service = "shop", .body_hash = 7 };
+	claim_request_t q = {
+		.service = "shop", .body_hash = 7, .sent_after = w->sent_after
+	};
 	request_t *r = &w->request[n];
 
 	name_of(q.key, sizeof(q.key), "key", r->key);
@@ -471,6 +474,63 @@
 	g_assert_cmpint(doubled, >, 0);
 }
 
+static simulation_t *
+idle_simulation(void)
+{
+	simulation_t *w = calloc(1, sizeof(*w));
+
+	w->conditional = true;
+	w->faults_off = true;
+	simulation_init(w, 1);
+	run_without_faults(w);
+	return w;
+}
+
+/* Request a claim that was sent that long ago. */
+static void
+request_sent(simulation_t *w, int n, int owner, ms_t ago)
+{
+	w->sent_after = w->clock.fake_now - ago;
+	request_claim(w, n, owner);
+	w->sent_after = 0;
+}
+
+/*
+ * Guards against a key that is refused for good because owners that stood still
+ * granted, later, requests for which no entry waited any more. The call of
+ * request 0 was answered "not run".
+ */
+static void
+request_nobody_waits_for_is_not_granted(void)
+{
+	simulation_t *w = idle_simulation();
+	ms_t late = claims_wait(&w->s) + 1;
+	int n = new_request(w, 0);
+
+	request_sent(w, n, 0, late);
+	request_sent(w, n, 1, late);
+	step_owner(w, 0);
+	step_owner(w, 1);
+	run_without_faults(w);
+	g_assert_cmpint(w->answers[CLAIM_DOWN], ==, 2);
+	request_claim(w, new_request(w, 0), 2);
+	run_without_faults(w);
+	g_assert_cmpint(w->last, ==, CLAIM_FRESH);
+	simulation_free(w);
+}
+
+/* The entry of a request that waited for less still waits. */
+static void
+request_in_time_is_granted(void)
+{
+	simulation_t *w = idle_simulation();
+	ms_t ago = claims_wait(&w->s) - 2 * COMMIT_DELAY_MAX_MS;
+	request_sent(w, new_request(w, 0), 0, ago);
+	step_owner(w, 0);
+	g_assert_cmpint(w->last, ==, CLAIM_FRESH);
+	simulation_free(w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -479,5 +539,8 @@
 	g_test_add_func("/claims/random-faults", each_key_is_granted_once);
 	g_test_add_func("/claims/random-faults-unconditional-store",
 	    unconditional_store_is_detected);
+	g_test_add_func("/claims/request-nobody-waits-for",
+	    request_nobody_waits_for_is_not_granted);
+	g_test_add_func("/claims/request-in-time", request_in_time_is_granted);
 	return g_test_run();
 }
