entry: a silent run goes on until another worker is known

Cause: entryd ended a run once its worker had been silent for the target latency, though no other worker held the model; callers got stream_broken or 502 from a worker that had stood still for 1.5 s.

Change: silence is reported to the router, which leaves the run only if another worker than its own holds the model; it is asked again after each further silence. The call's timeout still ends it.

--- a/endpoint/call.c
+++ b/endpoint/call.c
@@ -24,6 +24,7 @@
 typedef enum command_kind {
 	COMMAND_START,
 	COMMAND_CANCEL,
+	COMMAND_LEAVE_SILENT,
 	COMMAND_STOP
 } command_kind_t;
 
@@ -65,6 +66,7 @@
 	GQueue unsent; /* events for which the ring had no room */
 	ms_t started;
 	ms_t last_progress;    /* last token, end of a pause, or END event */
+	ms_t silent_since;     /* last_progress, or the last SILENT event */
 	uint32_t first_offset; /* offset at the start */
 	bool paused;
 	bool detached; /* the transfer was removed from curl */
@@ -369,6 +371,33 @@
 		abort_call(p, c, ABORT_CANCELLED);
 }
 
+/* Why the call would be ended if it is silent, or ABORT_NONE. */
+static abort_reason_t
+silence(const call_t *c, ms_t since, ms_t now)
+{
+	const call_spec_t *s = c->spec;
+	bool begun = c->sse.next > c->first_offset;
+	ms_t limit = begun ? s->token_timeout : s->first_token_timeout;
+
+	if (c->state != CALL_RUNNING || s->plain || c->paused || limit == 0 ||
+	    now - since < limit)
+		return ABORT_NONE;
+	return begun ? ABORT_TOKEN_GAP : ABORT_FIRST_TOKEN;
+}
+
+static void
+leave_silent(endpoint_t *p, uint64_t tag)
+{
+	call_t *c = g_hash_table_lookup(p->by_tag, &tag);
+	abort_reason_t why;
+
+	if (c == NULL || c->detached)
+		return;
+	why = silence(c, c->last_progress, clock_now(&machine_clock));
+	if (why != ABORT_NONE)
+		abort_call(p, c, why);
+}
+
 static void
 run_commands(endpoint_t *p)
 {
@@ -382,6 +411,9 @@
 		case COMMAND_CANCEL:
 			cancel(p, cmd->tag);
 			break;
+		case COMMAND_LEAVE_SILENT:
+			leave_silent(p, cmd->tag);
+			break;
 		case COMMAND_STOP:
 			p->stop = true;
 			break;
@@ -413,22 +445,25 @@
 deadline_passed(const call_t *c, ms_t now)
 {
 	const call_spec_t *s = c->spec;
-	bool begun = c->sse.next > c->first_offset;
 
 	if (c->state == CALL_ENDED)
 		return now - c->last_progress > CLOSE_MS ? ABORT_CLOSING
 							 : ABORT_NONE;
 	if (s->timeout > 0 && now - c->started >= s->timeout)
 		return ABORT_TIMEOUT;
-	if (s->plain || c->paused)
-		return ABORT_NONE;
-	if (begun && s->token_timeout > 0 &&
-	    now - c->last_progress >= s->token_timeout)
-		return ABORT_TOKEN_GAP;
-	if (!begun && s->first_token_timeout > 0 &&
-	    now - c->started >= s->first_token_timeout)
-		return ABORT_FIRST_TOKEN;
-	return ABORT_NONE;
+	return s->report_silence ? ABORT_NONE
+				 : silence(c, c->last_progress, now);
+}
+
+static void
+report_silence(endpoint_t *p, call_t *c, ms_t now)
+{
+	if (c->silent_since < c->last_progress)
+		c->silent_since = c->last_progress;
+	if (silence(c, c->silent_since, now) == ABORT_NONE)
+		return;
+	c->silent_since = now;
+	emit(p, c, event_new(c, EVENT_SILENT, NULL, 0));
 }
 
 /* Handle unsent events, a pause and the deadlines of one call. */
@@ -444,6 +479,8 @@
 	}
 	if (!c->detached && (why = deadline_passed(c, now)) != ABORT_NONE)
 		abort_call(p, c, why);
+	else if (!c->detached && c->spec->report_silence)
+		report_silence(p, c, now);
 	if (c->detached && c->unsent.length == 0)
 		call_free(c);
 }
@@ -561,6 +598,13 @@
 		clock_sleep(RING_RETRY_MS);
 }
 
+void
+endpoint_leave_silent(endpoint_t *p, uint64_t tag)
+{
+	while (!push_command(p, COMMAND_LEAVE_SILENT, NULL, tag))
+		clock_sleep(RING_RETRY_MS);
+}
+
 void
 endpoint_free(endpoint_t *p)
 {
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -15,7 +15,9 @@
 
 typedef enum event_kind {
 	EVENT_TOKEN, /* the next token of a stream */
-	EVENT_END,   /* the call has ended; the last event */
+	/* no token for a timeout; repeated after each further one */
+	EVENT_SILENT,
+	EVENT_END, /* the call has ended; the last event */
 } event_kind_t;
 
 typedef struct call_event {
@@ -44,6 +46,8 @@
 	ms_t timeout;		  /* of the whole call */
 	ms_t first_token_timeout; /* 0: none */
 	ms_t token_timeout;	  /* between two tokens, 0: none */
+	/* Report a stream's silence and go on, instead of ending the call. */
+	bool report_silence;
 	bool plain;
 	/* engine */
 	char model[ID_MAX];
@@ -84,6 +88,11 @@
 bool endpoint_start(endpoint_t *p, call_spec_t *spec);
 /** Cancel a call, also at the engine. Its END event still follows. */
 void endpoint_cancel(endpoint_t *p, uint64_t tag);
+/**
+ * End a stream that is still silent. One that began isn't cancelled at the
+ * engine, so that it can be resumed. Its END event still follows.
+ */
+void endpoint_leave_silent(endpoint_t *p, uint64_t tag);
 void call_spec_free(call_spec_t *spec);
 void call_event_free(call_event_t *ev);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -59,6 +59,9 @@
 		case EVENT_TOKEN:
 			run_token(en, r, ev);
 			break;
+		case EVENT_SILENT:
+			run_silent(en, r);
+			break;
 		case EVENT_END:
 			table_del(en->pending, ev->tag);
 			run_end(en, r, ev);
--- a/entry/route.h
+++ b/entry/route.h
@@ -164,12 +164,16 @@
 void slot_answer(
     entry_t *en, route_t *r, const pending_t *p, const answer_t *a);
 void slot_release(entry_t *en, route_t *r, call_outcome_t how);
+/** Whether another worker than the route's holds what its call needs. */
+bool slot_other_worker(const entry_t *en, const route_t *r);
 /** Returns a grant that arrived too late to be used. */
 void slot_return_grant(entry_t *en, const char *broker, const answer_t *a);
 
 /* run.c: runs calls at endpoints. */
 void run_start(entry_t *en, route_t *r, bool resume);
 void run_token(entry_t *en, route_t *r, call_event_t *ev);
+/** The run is silent: leaves it if another worker is known. */
+void run_silent(entry_t *en, route_t *r);
 void run_end(entry_t *en, route_t *r, call_event_t *ev);
 
 /* model.c: answers to calls of models. */
--- a/entry/run.c
+++ b/entry/run.c
@@ -33,6 +33,7 @@
 	s->offset = r->offset;
 	s->priority = q->priority;
 	/* A worker silent for longer is frozen or unreachable. */
+	s->report_silence = true;
 	s->token_timeout = r->service->target_latency_ms;
 	s->first_token_timeout = 2 * r->service->target_latency_ms;
 	if (s->resume)
@@ -129,6 +130,13 @@
 	model_token(en, r, ev->text);
 }
 
+void
+run_silent(entry_t *en, route_t *r)
+{
+	if (r->stage == STAGE_RUN && slot_other_worker(en, r))
+		endpoint_leave_silent(en->endpoint, r->run_tag);
+}
+
 /* Tries another worker, if tries, retry budget and time allow. */
 static bool
 retry_run(entry_t *en, route_t *r)
--- a/entry/slot.c
+++ b/entry/slot.c
@@ -136,10 +136,10 @@
 	return false;
 }
 
-/* The worker of a shard with the fewest calls of this entry. */
+/* The worker of a shard, but for one, with the fewest calls of this entry. */
 static const Wire__Worker *
-least_own_calls(
-    const entry_t *en, const route_t *r, const Wire__Digest *d, int *least)
+least_own_calls(const entry_t *en, const route_t *r, const Wire__Digest *d,
+    const char *but, int *least)
 {
 	const Wire__Worker *w, *best = NULL;
 	size_t i;
@@ -147,7 +147,7 @@
 
 	for (i = 0; i < d->n_worker; i++) {
 		w = view_worker(en->view, d->worker[i]->worker);
-		if (w == NULL || w->leaving || strcmp(w->id, r->avoid) == 0 ||
+		if (w == NULL || w->leaving || strcmp(w->id, but) == 0 ||
 		    !holds(d->worker[i], r))
 			continue;
 		own =
@@ -160,12 +160,9 @@
 	return best;
 }
 
-/*
- * No broker answers: takes the worker with the fewest calls of this entry. The
- * engine itself refuses what it can't take.
- */
-static bool
-pick_without_broker(entry_t *en, route_t *r)
+/* The worker of all shards, but for one, with the fewest calls. */
+static const Wire__Worker *
+pick_worker(const entry_t *en, const route_t *r, const char *but)
 {
 	const view_t *v = en->view;
 	const Wire__Worker *best = NULL, *w;
@@ -175,10 +172,28 @@
 		if (v->shard[i].digest == NULL ||
 		    strcmp(v->shard[i].service, r->service->name) != 0)
 			continue;
-		w = least_own_calls(en, r, v->shard[i].digest, &least);
+		w = least_own_calls(en, r, v->shard[i].digest, but, &least);
 		if (w != NULL)
 			best = w;
 	}
+	return best;
+}
+
+bool
+slot_other_worker(const entry_t *en, const route_t *r)
+{
+	return en->view != NULL && pick_worker(en, r, r->worker) != NULL;
+}
+
+/*
+ * No broker answers: takes the worker with the fewest calls of this entry. The
+ * engine itself refuses what it can't take.
+ */
+static bool
+pick_without_broker(entry_t *en, route_t *r)
+{
+	const Wire__Worker *best = pick_worker(en, r, r->avoid);
+
 	if (best == NULL)
 		return false;
 	str_copy(r->worker, ID_MAX, best->id);
