--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -37,6 +37,7 @@
 	int64_t revision, compacted;
 	store_fault_t fault;
 	bool watches_muted;
+	char refused_kind[ID_MAX]; /* "": none */
 	int requests;
 };
 
@@ -210,6 +211,12 @@
 	s->fault = f;
 }
 
+void
+fake_store_refuse_kind(fake_store_t *s, const char *kind)
+{
+	str_copy(s->refused_kind, ID_MAX, kind != NULL ? kind : "");
+}
+
 void
 fake_store_mute_watches(fake_store_t *s, bool muted)
 {
@@ -343,6 +350,12 @@
 	p += n + (p[n] == '/');
 	m = p[-1] == '/' ? strcspn(p, "?") : 0;
 	name = g_strndup(p, m);
+	if (strcmp(kind, store_of(c)->refused_kind) == 0) {
+		reply(c, 503, NULL);
+		g_free(kind);
+		g_free(name);
+		return;
+	}
 	switch (c->conn.http->parser.method) {
 	case HTTP_GET:
 		if (strstr(target, "watch=") != NULL) {
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -41,6 +41,8 @@
 /** @return the JSON text of an object's spec, or NULL if there is none. */
 const char *fake_store_get(fake_store_t *s, const char *kind, const char *name);
 void fake_store_set_fault(fake_store_t *s, store_fault_t f);
+/** Answer 503 to requests for one kind of objects; NULL: to none. */
+void fake_store_refuse_kind(fake_store_t *s, const char *kind);
 /** Drop the change history up to now and close the watches. */
 void fake_store_compact(fake_store_t *s);
 /** While set, watches aren't told of changes. */
