serve, policy: a software version begins streams only once the lease has it

Cause: after a kill of all instances the lease's history says which version may have begun a stream. The holder wrote it with its renewals only, so a version that appeared between two of them was in no memory if its endpoints ended with the instances, or if an old copy of the list was read: the lease named the other version as the only one, and streams went on there, answered 200.

Change: a new version is written to the lease at once, and begins streams only when it is stored there; the holder names the stored ones in its full digests, and an instance that hears nothing for 4 s reads the lease. A model that no other endpoint holds is served at once. An instance asked for a record also says if it knows several versions of the service, which was known only from its digests.

--- a/policy/software.c
+++ b/policy/software.c
@@ -35,10 +35,83 @@
 		s->overflowed = true;
 		return true;
 	}
-	s->seen[s->nseen++] = (software_seen_t){ service, version, now };
+	s->seen[s->nseen++] = (software_seen_t){
+		.service = service, .version = version, .at = now
+	};
 	return true;
 }
 
+bool
+software_mark_stored(software_t *s, uint64_t version)
+{
+	int i;
+
+	for (i = 0; i < s->nseen; i++) {
+		if (s->seen[i].version != version || s->seen[i].stored)
+			continue;
+		s->seen[i].stored = true;
+		return true;
+	}
+	return false;
+}
+
+void
+software_write_began(software_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->nseen; i++)
+		s->seen[i].writing = true;
+}
+
+bool
+software_write_ended(software_t *s, bool written)
+{
+	bool added = false;
+	int i;
+
+	for (i = 0; i < s->nseen; i++) {
+		software_seen_t *v = &s->seen[i];
+
+		if (written && v->writing && !v->stored)
+			added = v->stored = true;
+		v->writing = false;
+	}
+	return added;
+}
+
+bool
+software_unstored(const software_t *s)
+{
+	int i;
+
+	for (i = 0; i < s->nseen; i++)
+		if (!s->seen[i].stored)
+			return true;
+	return false;
+}
+
+bool
+software_is_stored(const software_t *s, uint64_t version)
+{
+	int i;
+
+	for (i = 0; i < s->nseen; i++)
+		if (s->seen[i].version == version)
+			return s->seen[i].stored;
+	return false;
+}
+
+bool
+software_several(const software_t *s, uint64_t service)
+{
+	int i, n = 0;
+
+	for (i = 0; i < s->nseen; i++)
+		n += s->seen[i].service == service;
+	return n > 1;
+}
+
 void
 software_expire(software_t *s, ms_t now)
 {
--- a/policy/software.h
+++ b/policy/software.h
@@ -4,6 +4,10 @@
  * A stream may go on only at the version that began it, so while a service has
  * had a single version for as long as a stream can last, any endpoint may take
  * up any stream.
+ *
+ * The history outlives all instances in the lease. So that it names each
+ * version that began a stream, a version begins streams only once it is in the
+ * lease.
  */
 #ifndef SOFTWARE_H
 #define SOFTWARE_H
@@ -19,7 +23,9 @@
 /** A version of a service's software; both are hashes of names. */
 typedef struct software_seen {
 	uint64_t service, version;
-	ms_t at; /* last time an endpoint was seen with it */
+	ms_t at;      /* last time an endpoint was seen with it */
+	bool stored;  /* it is in the lease */
+	bool writing; /* it is in a lease being written */
 } software_seen_t;
 
 typedef struct software {
@@ -35,6 +41,18 @@
 void software_init(software_t *s, ms_t since);
 /** An endpoint of the service runs this version. @return whether it's new. */
 bool software_add(software_t *s, uint64_t service, uint64_t version, ms_t now);
+/** The lease has this version. @return whether that wasn't known */
+bool software_mark_stored(software_t *s, uint64_t version);
+/** The versions known now are being written to the lease. */
+void software_write_began(software_t *s);
+/** @return whether versions became stored by a write that succeeded */
+bool software_write_ended(software_t *s, bool written);
+/** @return whether a version that was seen lately isn't in the lease yet */
+bool software_unstored(const software_t *s);
+/** @return whether it is in the lease */
+bool software_is_stored(const software_t *s, uint64_t version);
+/** @return whether several versions of a service were seen lately */
+bool software_several(const software_t *s, uint64_t service);
 /** Forget versions that weren't seen for as long as a stream can last. */
 void software_expire(software_t *s, ms_t now);
 /**
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -107,6 +107,9 @@
 	double cost, first_ms;
 	int uncached_tokens;
 	bool returning; /* only endpoints that the call may return to */
+	/* Not those whose software version isn't in the lease yet. */
+	bool only_stored;
+	int nunstored; /* that hold what the call needs, and were left out */
 	int nusable, nholding, ntried, nfull, nbroken;
 	int nunreached; /* that this instance can't connect to */
 	int nclosed;	/* of nfull: they want no call now, or need a permit */
@@ -193,6 +196,10 @@
 
 	if (!is_candidate(c, p))
 		return;
+	if (sc->only_stored && !software_is_stored(&s->software, p->software)) {
+		sc->nunstored += holds_for(c, p);
+		return;
+	}
 	sc->nusable++;
 	if (!holds_for(c, p))
 		return;
@@ -370,6 +377,9 @@
 	uint64_t key[PREFIX_MAX] = { 0 }, group = 0;
 	int i;
 
+	/* After a loss of all instances, only the lease says who began it. */
+	sc->only_stored = c->route.resumable && c->software == 0 &&
+			  software_unstored(&s->software);
 	for (i = 0; i < c->request.npart; i++)
 		key[i] = prefix_key(c, i);
 	/* The last part is unique to the call; the group is what it shares. */
@@ -380,6 +390,12 @@
 		    hash_str(c->request.adapter, hash_str(c->request.model, 0));
 	for (i = 0; i < s->endpoints.nep; i++)
 		consider_endpoint(c, s->endpoints.ep[i], key, group, sc);
+	if (sc->nholding == 0 && sc->nunstored > 0) {
+		sc->only_stored = false;
+		for (i = 0; i < s->endpoints.nep; i++)
+			consider_endpoint(
+			    c, s->endpoints.ep[i], key, group, sc);
+	}
 	if (sc->limited != NULL &&
 	    (sc->best == NULL || sc->limited_cost < sc->cost))
 		limits_want(c, sc->limited);
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[34] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[35] =
 {
   {
     "sender",
@@ -462,6 +462,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stored_software",
+    35,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Digest__Digest, n_stored_software),
+    offsetof(Digest__Digest, stored_software),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -494,6 +506,7 @@
   2,   /* field[2] = sequence */
   26,   /* field[26] = several_versions */
   23,   /* field[23] = store_lost */
+  34,   /* field[34] = stored_software */
   25,   /* field[25] = streams */
   24,   /* field[24] = sum_domain */
   33,   /* field[33] = unreached_endpoint */
@@ -502,7 +515,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 34 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -512,7 +525,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  34,
+  35,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -88,6 +88,11 @@
    * It has seen several software versions of some service lately.
    */
   protobuf_c_boolean several_versions;
+  /*
+   * Software versions that are in the lease; in the holder's full digests.
+   */
+  size_t n_stored_software;
+  uint64_t *stored_software;
   /*
    * Hash of the domain whose sums the shares are, sent by its relay.
    * 0: the shares are the sender's own.
@@ -133,7 +138,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -695,7 +695,7 @@
   (ProtobufCMessageInit) digest__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__stream_versions__field_descriptors[7] =
+static const ProtobufCFieldDescriptor digest__stream_versions__field_descriptors[8] =
 {
   {
     "began",
@@ -781,12 +781,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "several",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Digest__StreamVersions, n_several),
+    offsetof(Digest__StreamVersions, several),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__stream_versions__field_indices_by_name[] = {
   3,   /* field[3] = asked */
   0,   /* field[0] = began */
   2,   /* field[2] = left_ms */
   4,   /* field[4] = service */
+  7,   /* field[7] = several */
   1,   /* field[1] = software */
   6,   /* field[6] = sole */
   5,   /* field[5] = unknown */
@@ -794,7 +807,7 @@
 static const ProtobufCIntRange digest__stream_versions__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor digest__stream_versions__descriptor =
 {
@@ -804,7 +817,7 @@
   "Digest__StreamVersions",
   "digest",
   sizeof(Digest__StreamVersions),
-  7,
+  8,
   digest__stream_versions__field_descriptors,
   digest__stream_versions__field_indices_by_name,
   1,  digest__stream_versions__number_ranges,
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -125,10 +125,18 @@
    */
   size_t n_sole;
   uint64_t *sole;
+  /*
+   * It has seen several versions of the service lately.
+   */
+  /*
+   * one for each of unknown
+   */
+  size_t n_several;
+  protobuf_c_boolean *several;
 };
 #define DIGEST__STREAM_VERSIONS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__stream_versions__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -14,6 +14,8 @@
 	CHECK_INTERVAL_MS = 250, /* between reads while no holder is known */
 	RANK_DELAY_MS = 300,	 /* added for each instance ranked before */
 	RANK_MAX = 8,		 /* no more is added beyond this rank */
+	STORE_VERSION_MS = 100,	 /* between writes for new software versions */
+	READ_VERSIONS_MS = 4000, /* until it is read whether they are stored */
 	/* A history of versions with a longer gap isn't complete. */
 	SOFTWARE_GAP_MS = 10000,
 	/*
@@ -113,10 +115,14 @@
 		    json_string_value(json_array_get(item, 1));
 		ms_t age = wall - json_integer_value(json_array_get(item, 2));
 
-		if (service != NULL && version != NULL && age < STREAM_LIFE_MS)
-			software_add(&s->software, strtoull(service, NULL, 16),
-			    strtoull(version, NULL, 16),
-			    age > 0 ? now - age : now);
+		uint64_t hash;
+
+		if (service == NULL || version == NULL || age >= STREAM_LIFE_MS)
+			continue;
+		hash = strtoull(version, NULL, 16);
+		software_add(&s->software, strtoull(service, NULL, 16), hash,
+		    age > 0 ? now - age : now);
+		software_mark_stored(&s->software, hash);
 	}
 	since = now - (wall - json_integer_value(json_object_get(o, "since")));
 	if (o != NULL && since < s->software.complete_since &&
@@ -193,12 +199,13 @@
 	serve_t *s = p->s;
 	object_t o = { 0 };
 	err_t e = { 0 };
-	bool acquiring = p->acquiring, decoded;
+	bool acquiring = p->acquiring, written = status == 200 || status == 201;
+	bool decoded, stored = software_write_ended(&s->software, written);
 
 	p->lease_request = NULL;
 	p->acquiring = false;
-	decoded = (status == 200 || status == 201 || status == 409) &&
-		  object_decode(&o, text, len, &e) == 0;
+	decoded =
+	    (written || status == 409) && object_decode(&o, text, len, &e) == 0;
 	if (status == 409 && decoded) {
 		/* It may be our own write, if its answer was lost. */
 		apply_lease(p, &o);
@@ -207,7 +214,7 @@
 			    p->leadership.renewed_at);
 		else
 			lose_lease(p, "another instance wrote the lease");
-	} else if ((status == 200 || status == 201) && decoded && acquiring) {
+	} else if (written && decoded && acquiring) {
 		leadership_taken_over(
 		    &p->leadership, o.revision, p->lease_sent_at);
 		p->holder_since = s->loop.now;
@@ -218,9 +225,11 @@
 		    p->leadership.token,
 		    p->leadership.orders_from - s->loop.now);
 		send_full_digest(s);
-	} else if ((status == 200 || status == 201) && decoded) {
+	} else if (written && decoded) {
 		leadership_renewed(
 		    &p->leadership, o.revision, p->lease_sent_at);
+		if (stored)
+			send_full_digest(s);
 	} else if (status == 404) {
 		lose_lease(p, "the lease was deleted");
 	} else if (acquiring) {
@@ -239,6 +248,7 @@
 	objects_put(&b, KIND_LEASES, lease_name, p->leadership.revision, text,
 	    p->s->conf.store_addr);
 	free(text);
+	software_write_began(&p->s->software);
 	p->acquiring = acquiring;
 	p->lease_sent_at = clock_now(&machine_clock);
 	p->lease_request = http_request_send(
@@ -280,6 +290,25 @@
 	http_request_send(p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, NULL, NULL);
 }
 
+/* The holder's digest that names a stored version may have been lost. */
+static bool
+versions_read_due(plan_t *p)
+{
+	ms_t now = p->s->loop.now;
+
+	if (!software_unstored(&p->s->software)) {
+		p->unstored_since = 0;
+		return false;
+	}
+	if (p->unstored_since == 0)
+		p->unstored_since = now;
+	if (now - p->unstored_since < READ_VERSIONS_MS ||
+	    live_holder(p->s) == NULL)
+		return false;
+	p->unstored_since = now;
+	return true;
+}
+
 void
 lease_update(plan_t *p)
 {
@@ -295,10 +324,16 @@
 	if (p->leadership.held) {
 		if (now - p->leadership.renewed_at > p->leadership.lease * 2)
 			lose_lease(p, "no renewal succeeded in time");
-		else if (leadership_renewal_due(&p->leadership, now))
+		else if (leadership_renewal_due(&p->leadership, now) ||
+			 (software_unstored(&s->software) &&
+			     now - p->lease_sent_at >= STORE_VERSION_MS))
 			write_lease(p, false);
 		return;
 	}
+	if (versions_read_due(p)) {
+		lease_read(p);
+		return;
+	}
 	if (s->leaving || !s->ready || now < p->lease_check_at ||
 	    reach_unfit_to_order(s))
 		return;
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -104,6 +104,7 @@
 	    *leaving_endpoint, *leaving_revision, *said_leaving,
 	    *said_leaving_started, *said_leaving_connected;
 	GPtrArray *demand, *accepted_order;
+	uint64_t stored[SOFTWARE_MAX];
 } digest_builder_t;
 
 static void
@@ -334,6 +335,19 @@
 	ps->nannounced_orders = kept;
 }
 
+static void
+add_stored_software(const serve_t *s, digest_builder_t *c)
+{
+	const software_t *v = &s->software;
+	int i;
+
+	for (i = 0; i < v->nseen; i++)
+		if (v->seen[i].stored)
+			c->stored[c->d.n_stored_software++] =
+			    v->seen[i].version;
+	c->d.stored_software = c->stored;
+}
+
 /** Kind of a digest. */
 typedef enum digest_kind {
 	DIGEST_SHARES,	  /* changed shares */
@@ -359,6 +373,8 @@
 		add_leaving(s, &c);
 	if (full)
 		add_identity(s, &c);
+	if (full && plan_holder_valid(s))
+		add_stored_software(s, &c);
 	s->peers.orders_due = s->peers.shares_due = false;
 	s->peers.state_due = false;
 	s->peers.shares_sent_at = s->loop.now;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -401,6 +401,10 @@
 	p->goodbye = d->exiting;
 	p->lost_store = d->store_lost;
 	p->several_versions = d->several_versions;
+	if (d->holder)
+		for (i = 0; i < d->n_stored_software; i++)
+			software_mark_stored(
+			    &s->software, d->stored_software[i]);
 	p->queued_tokens = (int)d->queued_tokens;
 	tags_read(
 	    p->unreached_service, d->unreached_service, d->n_unreached_service);
--- a/serve/streams.c
+++ b/serve/streams.c
@@ -73,12 +73,11 @@
 streams_several_versions(const serve_t *s)
 {
 	const software_t *v = &s->software;
-	int i, k;
+	int i;
 
 	for (i = 0; i < v->nseen; i++)
-		for (k = 0; k < i; k++)
-			if (v->seen[i].service == v->seen[k].service)
-				return true;
+		if (software_several(v, v->seen[i].service))
+			return true;
 	return false;
 }
 
@@ -136,6 +135,7 @@
 	uint64_t began[RECORDS_PER_DATAGRAM], software[RECORDS_PER_DATAGRAM];
 	uint32_t left[RECORDS_PER_DATAGRAM];
 	uint64_t unknown[RECORDS_PER_DATAGRAM], sole[RECORDS_PER_DATAGRAM];
+	protobuf_c_boolean several[RECORDS_PER_DATAGRAM];
 } message_t;
 
 static void
@@ -147,6 +147,7 @@
 	t->m.left_ms = t->left;
 	t->m.unknown = t->unknown;
 	t->m.sole = t->sole;
+	t->m.several = t->several;
 }
 
 static void
@@ -163,7 +164,7 @@
 }
 
 static void
-message_add_unknown(message_t *t, uint64_t id, uint64_t sole)
+message_add_unknown(message_t *t, uint64_t id, uint64_t sole, bool several)
 {
 	size_t n = t->m.n_unknown;
 
@@ -171,7 +172,8 @@
 		return;
 	t->unknown[n] = id;
 	t->sole[n] = sole;
-	t->m.n_unknown = t->m.n_sole = n + 1;
+	t->several[n] = several;
+	t->m.n_unknown = t->m.n_sole = t->m.n_several = n + 1;
 }
 
 static void
@@ -513,7 +515,8 @@
 }
 
 static void
-receive_unknown(serve_t *s, const peer_t *p, uint64_t id, uint64_t sole)
+receive_unknown(
+    serve_t *s, const peer_t *p, uint64_t id, uint64_t sole, bool several)
 {
 	handle_t h = 0;
 	call_t *c;
@@ -528,7 +531,7 @@
 		if (i < k->nanswered || i == ASKED)
 			continue;
 		k->answered[k->nanswered++] = p->hash;
-		if (p->several_versions ||
+		if (p->several_versions || several ||
 		    (k->sole != 0 && sole != 0 && sole != k->sole))
 			k->contradicted = true;
 		if (sole != 0)
@@ -554,8 +557,9 @@
 			message_add_record(
 			    &t, m->asked[i], software, STREAM_LIFE_MS);
 		else
-			message_add_unknown(
-			    &t, m->asked[i], sole_version(s, m->service[i]));
+			message_add_unknown(&t, m->asked[i],
+			    sole_version(s, m->service[i]),
+			    software_several(&s->software, m->service[i]));
 	}
 	if (t.m.n_began + t.m.n_unknown > 0)
 		message_send(s, &t.m, from);
@@ -575,5 +579,6 @@
 	     i++)
 		receive_record(s, m->began[i], m->software[i], m->left_ms[i]);
 	for (i = 0; i < m->n_unknown && i < m->n_sole; i++)
-		receive_unknown(s, p, m->unknown[i], m->sole[i]);
+		receive_unknown(s, p, m->unknown[i], m->sole[i],
+		    i < m->n_several && m->several[i]);
 }
--- a/tests/software_test.c
+++ b/tests/software_test.c
@@ -71,6 +71,64 @@
 	g_assert_cmpuint(software_sole(&s, 100, start), ==, 0);
 }
 
+/* Guards against a version that begins streams before the lease has it. */
+static void
+version_is_stored_by_the_write_that_has_it(void)
+{
+	software_t s;
+
+	software_init(&s, start);
+	g_assert_false(software_unstored(&s));
+	software_add(&s, llm, v1, start);
+	g_assert_true(software_unstored(&s));
+	software_write_began(&s);
+	software_add(&s, llm, v2, start);
+	g_assert_false(software_write_ended(&s, false));
+	g_assert_false(software_is_stored(&s, v1));
+	software_write_began(&s);
+	g_assert_true(software_write_ended(&s, true));
+	g_assert_true(software_is_stored(&s, v1));
+	g_assert_true(software_is_stored(&s, v2));
+	g_assert_false(software_unstored(&s));
+}
+
+/* Guards against a version that appears while the lease is being written. */
+static void
+version_added_during_a_write_isn_t_stored(void)
+{
+	software_t s;
+
+	software_init(&s, start);
+	software_add(&s, llm, v1, start);
+	software_write_began(&s);
+	software_add(&s, llm, v2, start);
+	g_assert_true(software_write_ended(&s, true));
+	g_assert_true(software_is_stored(&s, v1));
+	g_assert_false(software_is_stored(&s, v2));
+	g_assert_true(software_mark_stored(&s, v2));
+	g_assert_false(software_mark_stored(&s, v2));
+	g_assert_true(software_is_stored(&s, v2));
+	/* It comes back after it was forgotten: the lease has it no more. */
+	software_expire(&s, start + STREAM_LIFE_MS + 1);
+	software_add(&s, llm, v2, start + STREAM_LIFE_MS + 2);
+	g_assert_false(software_is_stored(&s, v2));
+}
+
+/* Guards against the versions of two services counting as several of one. */
+static void
+several_versions_of_one_service(void)
+{
+	software_t s;
+
+	software_init(&s, start);
+	software_add(&s, llm, v1, start);
+	software_add(&s, app, v2, start);
+	g_assert_false(software_several(&s, llm));
+	software_add(&s, llm, v2, start);
+	g_assert_true(software_several(&s, llm));
+	g_assert_false(software_several(&s, app));
+}
+
 /* Guards against records lost while the table grows and shrinks. */
 static void
 records_last_until_they_expire(void)
@@ -136,6 +194,9 @@
 	T(short_history_knows_no_sole_version);
 	T(services_are_apart);
 	T(overflow_knows_no_sole_version);
+	T(version_is_stored_by_the_write_that_has_it);
+	T(version_added_during_a_write_isn_t_stored);
+	T(several_versions_of_one_service);
 	T(records_last_until_they_expire);
 	T(first_version_stays);
 	T(full_table_drops_new_records);
