serve, policy: instances of a domain hear each other more often than all

Cause: heartbeats to all instances are 12 ms for each apart, 3.5 s at 295, and an instance counted as dead after four of them, 14 s.

Heartbeats within the failure domain are 12 ms for each of its instances apart, 0.7 s at 59, and each digest names that interval; the directory lists one's own domain where it is large. One that names none, of an older build, keeps the longer interval. Demand goes to the holder with each of these heartbeats, so that it is seven tenths of a second old at most and not three and a half.

--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[35] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[36] =
 {
   {
     "sender",
@@ -474,12 +474,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domain_heartbeat_ms",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, domain_heartbeat_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
   27,   /* field[27] = blame */
   10,   /* field[10] = config_revision */
   17,   /* field[17] = demand */
+  35,   /* field[35] = domain_heartbeat_ms */
   12,   /* field[12] = endpoint */
   11,   /* field[11] = endpoint_revision */
   6,   /* field[6] = exiting */
@@ -515,7 +528,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -525,7 +538,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  35,
+  36,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -93,6 +93,10 @@
    */
   size_t n_stored_software;
   uint64_t *stored_software;
+  /*
+   * Its heartbeats to instances of its own domain are so far apart.
+   */
+  uint32_t domain_heartbeat_ms;
   /*
    * Hash of the domain whose sums the shares are, sent by its relay.
    * 0: the shares are the sender's own.
@@ -138,7 +142,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -28,6 +28,7 @@
 	d->leaving = s->leaving;
 	d->holder = plan_holder_valid(s);
 	d->store_lost = store_lost(s);
+	d->domain_heartbeat_ms = (uint32_t)domain_heartbeat_ms(s);
 	d->several_versions = streams_several_versions(s);
 	d->lease_revision = plan_lease_revision(s);
 	d->unreached_service = (uint32_t *)(void *)tags->service->data;
@@ -350,9 +351,10 @@
 
 /** Kind of a digest. */
 typedef enum digest_kind {
-	DIGEST_SHARES,	  /* changed shares */
-	DIGEST_HEARTBEAT, /* heartbeat, with changed shares */
-	DIGEST_FULL,	  /* full state, with our name and addresses */
+	DIGEST_SHARES,		 /* changed shares */
+	DIGEST_HEARTBEAT,	 /* heartbeat, with changed shares */
+	DIGEST_DOMAIN_HEARTBEAT, /* the same, within our domain */
+	DIGEST_FULL,		 /* full state, with our name and addresses */
 	DIGEST_GOODBYE,
 } digest_kind_t;
 
@@ -364,9 +366,9 @@
 
 	builder_init(&c);
 	add_shares(s, &c,
-	    full		    ? SHARES_ALL
-	    : kind == DIGEST_SHARES ? SHARES_CHANGED
-				    : SHARES_CHANGED_REMOTE);
+	    full		       ? SHARES_ALL
+	    : kind == DIGEST_HEARTBEAT ? SHARES_CHANGED_REMOTE
+				       : SHARES_CHANGED);
 	if (kind != DIGEST_SHARES || s->peers.orders_due)
 		add_orders(s, &c, kind == DIGEST_SHARES);
 	if (kind != DIGEST_SHARES)
@@ -384,7 +386,8 @@
 	if (kind != DIGEST_SHARES || c.d.n_endpoint > 0 ||
 	    c.d.n_accepted_order > 0)
 		send_to_all(s, &c.d,
-		    kind == DIGEST_SHARES && c.d.n_accepted_order == 0);
+		    kind == DIGEST_DOMAIN_HEARTBEAT ||
+			(kind == DIGEST_SHARES && c.d.n_accepted_order == 0));
 	builder_free(&c);
 }
 
@@ -395,9 +398,9 @@
 }
 
 void
-send_heartbeat(serve_t *s)
+send_heartbeat(serve_t *s, bool to_all)
 {
-	send_digest(s, DIGEST_HEARTBEAT);
+	send_digest(s, to_all ? DIGEST_HEARTBEAT : DIGEST_DOMAIN_HEARTBEAT);
 }
 
 void
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,5 +1,6 @@
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "policy/liveness.h"
 #include "serve/peer_call.h"
 #include "serve/shares.h"
 
@@ -12,28 +13,38 @@
 #include <jansson.h>
 
 enum {
-	HEARTBEAT_MIN_MS = 500, /* interval for few peers */
 	/*
 	 * Full digests are FULL_DIGEST_HEARTBEATS heartbeats apart, plus one
 	 * for each FULL_DIGEST_PEERS peers.
 	 */
 	FULL_DIGEST_HEARTBEATS = 3,
 	FULL_DIGEST_PEERS = 12,
-	/* Interval per peer, as a datagram costs its receiver some 30 us. */
-	HEARTBEAT_PER_PEER_MS = 12,
-	DEAD_HEARTBEATS = 4, /* missed by a peer that counts as dead */
-	FRESH_HEARTBEATS = 2,
 	WRITE_TIMEOUT_MS = 2000,  /* of a write to the store */
 	OBJECT_REMOVE_MS = 20000, /* after a peer was heard last */
 	FIRST_HEARTBEAT_MS = 300, /* after the start */
 };
 
+static liveness_t
+liveness(const serve_t *s)
+{
+	return (liveness_t){ s->peers.npeer, s->peers.ndomain };
+}
+
 static ms_t
-heartbeat_ms(const serve_t *s)
+peer_interval(const serve_t *s, const peer_t *p)
+{
+	liveness_t l = liveness(s);
+
+	return liveness_peer_interval(
+	    &l, p->heartbeat > 0 && peer_same_domain(s, p), p->heartbeat);
+}
+
+ms_t
+domain_heartbeat_ms(const serve_t *s)
 {
-	ms_t v = (ms_t)HEARTBEAT_PER_PEER_MS * s->peers.npeer;
+	liveness_t l = liveness(s);
 
-	return v > HEARTBEAT_MIN_MS ? v : HEARTBEAT_MIN_MS;
+	return liveness_domain_interval(&l);
 }
 
 bool
@@ -42,14 +53,14 @@
 	/* What it has sent since may wait in the socket. */
 	return p->last_heard_at != 0 && !p->goodbye &&
 	       s->loop.handled_until - p->last_heard_at <
-		   DEAD_HEARTBEATS * heartbeat_ms(s);
+		   liveness_dead_after(peer_interval(s, p));
 }
 
 bool
 peer_is_fresh(const serve_t *s, const peer_t *p)
 {
 	return is_recent(p->last_heard_at, s->loop.handled_until,
-	    FRESH_HEARTBEATS * heartbeat_ms(s));
+	    liveness_fresh_for(peer_interval(s, p)));
 }
 
 bool
@@ -400,6 +411,7 @@
 	p->holder = d->holder;
 	p->goodbye = d->exiting;
 	p->lost_store = d->store_lost;
+	p->heartbeat = d->domain_heartbeat_ms;
 	p->several_versions = d->several_versions;
 	if (d->holder)
 		for (i = 0; i < d->n_stored_software; i++)
@@ -632,14 +644,28 @@
 	}
 }
 
+/* Heartbeats to all are sent with those to our own domain. */
+static bool
+heartbeat_to_all_due(const serve_t *s)
+{
+	liveness_t l = liveness(s);
+
+	return s->loop.now - s->peers.heartbeat_at +
+		   liveness_domain_interval(&l) / 2 >=
+	       liveness_interval(&l);
+}
+
 static void
 on_heartbeat_alarm(void *arg)
 {
 	serve_t *s = arg;
 	int i;
 
-	alarm_set(
-	    &s->loop, &s->peers.heartbeat_alarm, s->loop.now + heartbeat_ms(s));
+	s->peers.ndomain = 0;
+	for (i = 0; i < s->peers.npeer; i++)
+		s->peers.ndomain += peer_same_domain(s, s->peers.peer[i]);
+	alarm_set(&s->loop, &s->peers.heartbeat_alarm,
+	    s->loop.now + domain_heartbeat_ms(s));
 	for (i = 0; i < s->peers.npeer; i++)
 		if (!peer_alive(s, s->peers.peer[i]))
 			shares_forget(s->peers.peer[i]);
@@ -649,12 +675,17 @@
 		remove_silent_objects(s);
 	else
 		send_demand(s, true);
+	if (!heartbeat_to_all_due(s)) {
+		send_heartbeat(s, false);
+		return;
+	}
+	s->peers.heartbeat_at = s->loop.now;
 	if (s->peers.heartbeat_count++ %
 		(FULL_DIGEST_HEARTBEATS + s->peers.npeer / FULL_DIGEST_PEERS) ==
 	    0)
 		send_full_digest(s);
 	else
-		send_heartbeat(s);
+		send_heartbeat(s, true);
 }
 
 int
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -8,6 +8,7 @@
 #define SERVE_H
 
 #include "base/hash.h"
+#include "policy/liveness.h"
 #include "policy/retries.h"
 #include "policy/software.h"
 #include "policy/stream_table.h"
@@ -411,7 +412,7 @@
 	 * From this many peers on, other domains are sent sums by one relay per
 	 * domain, since traffic between domains costs money.
 	 */
-	DOMAIN_RELAY_MIN_PEERS = 16,
+	DOMAIN_RELAY_MIN_PEERS = LIVENESS_MANY_PEERS,
 };
 
 typedef struct peer_share {
@@ -435,7 +436,8 @@
 	bool lost_store;       /* it has lost contact with the store */
 	bool several_versions; /* it knows several of some service */
 	int queued_tokens;     /* prompt tokens of its waiting calls */
-	ms_t last_heard_at;    /* 0: never */
+	ms_t heartbeat; /* interval that it announced for its domain, 0: none */
+	ms_t last_heard_at; /* 0: never */
 	ms_t known_at;
 	int64_t revision; /* of its object in the store, 0: none */
 	bool in_workload; /* its shares count in ep_t.workload */
@@ -477,7 +479,9 @@
 	uint32_t incarnation;
 	uint32_t sequence;
 	ms_t shares_sent_at;
-	int heartbeat_count;
+	int ndomain;	   /* peers in our own domain, at the last heartbeat */
+	ms_t heartbeat_at; /* the last one to all domains */
+	int heartbeat_count; /* of these */
 	announced_order_t announced_orders[ANNOUNCED_ORDERS_MAX];
 	int nannounced_orders;
 	/* To be sent at the end of this loop turn. */
@@ -501,8 +505,11 @@
 };
 
 void digests_init(serve_t *s);
-/** Send a heartbeat digest with what changed. */
-void send_heartbeat(serve_t *s);
+/**
+ * Send a heartbeat digest with what changed.
+ * @param to_all to all domains, or only to our own
+ */
+void send_heartbeat(serve_t *s, bool to_all);
 /** Send demand to the holder. @param all false: only what calls wait for */
 void send_demand(serve_t *s, bool all);
 /** Send the full state now. */
@@ -513,6 +520,8 @@
 void peers_order_accepted(serve_t *s, ep_t *p, const known_order_t *l);
 /** Send what became due in this loop turn. */
 void digests_flush(serve_t *s);
+/** @return ms between heartbeats within our domain */
+ms_t domain_heartbeat_ms(const serve_t *s);
 /** Number of live instances, this one included. */
 int peers_alive(const serve_t *s);
 bool peer_alive(const serve_t *s, const peer_t *p);
