serve, policy: what is asked for makes room among what isn't

Cause: repair filled all memory with listed models before the first call, and no last copy was ever unloaded; a model asked for later was never loaded, and calls for it waited to their deadline. A popular model kept one copy beside unused ones. Adapters of one model were swapped through the places of one endpoint, as only those called in the last three seconds counted.

Change: policy/assign.c decides a round over lists of copies instead of matrices, with reserved room, victims by cost (policy/assign_room.c), last copies included, and turns with ageing. The holder keeps each model's interest over 30 s, tells instances that ask in vain when a model will be ready, and policy/wait.c decides whether a call waits for it. Models are found by name through an index; a model that is listed twice counts once, and one without a usable size is logged and never loaded. An endpoint's list that repeats a model counts it once (its second mention looked like a second copy).

--- a/policy/assign.c
+++ b/policy/assign.c
@@ -1,7 +1,15 @@
-#include "policy/assign.h"
+#include "policy/assign_room.h"
 
 #include <math.h>
 
+enum {
+	/* Models for which one round looks for a place. */
+	TRIES_MAX = 12,
+	PASSES_MAX = 3, /* over the models that lack copies */
+	/* Room that takes longer is made at a second endpoint as well. */
+	ROOM_PATIENCE_MS = 1500,
+};
+
 /* Planned utilisation of an endpoint. */
 static const double utilisation_planned = 0.35;
 /*
@@ -9,51 +17,81 @@
  * endpoints times this factor.
  */
 static const double share_factor = 1.3;
-/* A copy is unloaded only if its demand is below this part of the new one's. */
-static const double unload_demand_ratio = 0.6;
-/* Factor on that demand where the new copy's weights are cached. */
-static const double cached_demand_factor = 0.5;
 
-static copy_state_t
-copy_state(const assign_input_t *in, int e, int m)
+/** The orders of a round. */
+typedef struct orders {
+	assign_input_t *in;
+	assign_order_t *out;
+	int n, most;
+} orders_t;
+
+/** The models to be placed next, the greatest weight first. */
+typedef struct candidates {
+	int model[TRIES_MAX];
+	double weight[TRIES_MAX];
+	int n;
+} candidates_t;
+
+static void
+add_candidate(candidates_t *c, int m, double weight)
 {
-	return in->state[e * in->nmodel + m];
+	int i;
+
+	if (c->n == TRIES_MAX && weight <= c->weight[TRIES_MAX - 1])
+		return;
+	if (c->n < TRIES_MAX)
+		c->n++;
+	for (i = c->n - 1; i > 0 && c->weight[i - 1] < weight; i--) {
+		c->model[i] = c->model[i - 1];
+		c->weight[i] = c->weight[i - 1];
+	}
+	c->model[i] = m;
+	c->weight[i] = weight;
 }
 
 static bool
-is_cached(const assign_input_t *in, int e, int m)
+asked_for(const assign_model_t *m)
 {
-	return in->cached[e * in->nmodel + m] != 0;
+	return m->unserved || m->demand > 0;
 }
 
-/* Count the copies, and set the targets and the demand per endpoint. */
 static void
-set_targets(assign_input_t *in)
+count_copies(assign_input_t *in)
 {
-	double all = 0, tokens_per_s = 0;
-	int e, m, n = 0;
+	int e, i;
 
+	for (i = 0; i < in->nmodel; i++) {
+		in->model[i].copies = in->model[i].rooms = 0;
+		in->model[i].turn_in = -1;
+	}
 	for (e = 0; e < in->nep; e++) {
-		in->ep[e].assigned_demand = 0;
-		if (!in->ep[e].usable)
+		const assign_ep_t *p = &in->ep[e];
+
+		if (!p->usable)
 			continue;
-		n++;
-		tokens_per_s += in->ep[e].tokens_per_s;
+		for (i = p->copy; i < p->copy + p->ncopy; i++)
+			if (in->copy[i].model != -1 &&
+			    (in->copy[i].state == COPY_READY ||
+				in->copy[i].state == COPY_LOADING))
+				in->model[in->copy[i].model].copies++;
+		if (p->room_for != -1 && p->room_age < ROOM_PATIENCE_MS)
+			in->model[p->room_for].rooms++;
 	}
-	tokens_per_s = n > 0 ? tokens_per_s / n : 1;
-	for (m = 0; m < in->nmodel; m++) {
-		assign_model_t *mo = &in->model[m];
+}
 
-		all += mo->demand;
-		mo->copies = 0;
-		for (e = 0; e < in->nep; e++) {
-			copy_state_t state = copy_state(in, e, m);
+static void
+set_targets(assign_input_t *in)
+{
+	double all = 0, tokens_per_s = 0;
+	int e, m, n = 0;
 
-			mo->copies +=
-			    in->ep[e].usable &&
-			    (state == COPY_READY || state == COPY_LOADING);
-		}
+	for (e = 0; e < in->nep; e++) {
+		n += in->ep[e].usable;
+		tokens_per_s += in->ep[e].usable ? in->ep[e].tokens_per_s : 0;
 	}
+	tokens_per_s = n > 0 ? tokens_per_s / n : 1;
+	for (m = 0; m < in->nmodel; m++)
+		all += in->model[m].demand;
 	for (m = 0; m < in->nmodel; m++) {
 		assign_model_t *mo = &in->model[m];
 		double need = mo->demand / (utilisation_planned * tokens_per_s);
@@ -67,11 +105,24 @@
 			mo->target = 1;
 		if (mo->target > n)
 			mo->target = n;
-		for (e = 0; e < in->nep && mo->copies > 0; e++)
-			if (copy_state(in, e, m) == COPY_READY ||
-			    copy_state(in, e, m) == COPY_LOADING)
-				in->ep[e].assigned_demand +=
-				    mo->demand / mo->copies;
+	}
+}
+
+static void
+set_assigned_demand(assign_input_t *in)
+{
+	int e, i;
+
+	for (e = 0; e < in->nep; e++) {
+		assign_ep_t *p = &in->ep[e];
+
+		p->assigned_demand = 0;
+		for (i = p->copy; i < p->copy + p->ncopy; i++)
+			if (in->copy[i].model != -1 &&
+			    (in->copy[i].state == COPY_READY ||
+				in->copy[i].state == COPY_LOADING))
+				p->assigned_demand += assign_copy_demand(
+				    &in->model[in->copy[i].model]);
 	}
 }
 
@@ -82,164 +133,258 @@
 static int
 find_free_endpoint(const assign_input_t *in, int m)
 {
+	bool cached, best_cached = false;
 	int e, best = -1;
 
 	for (e = 0; e < in->nep; e++) {
 		const assign_ep_t *p = &in->ep[e];
-		bool cached = is_cached(in, e, m);
 
-		if (!p->usable || !p->accepts_order ||
-		    copy_state(in, e, m) != COPY_NONE ||
+		if (!p->usable || !p->accepts_order || p->room_for != -1 ||
 		    p->free_mb < in->model[m].weights_mb ||
-		    (!cached && !in->may_fetch))
+		    assign_has_copy(in, p, m))
+			continue;
+		cached = assign_is_cached(in, p, m);
+		if (!cached && in->fetches <= 0)
 			continue;
-		if (best == -1 || cached > is_cached(in, best, m) ||
-		    (cached == is_cached(in, best, m) &&
-			p->assigned_demand < in->ep[best].assigned_demand))
+		if (best == -1 || cached > best_cached ||
+		    (cached == best_cached &&
+			p->assigned_demand < in->ep[best].assigned_demand)) {
 			best = e;
+			best_cached = cached;
+		}
 	}
 	return best;
 }
 
-static double
-demand_per_copy(const assign_model_t *m)
+static void
+order_load(orders_t *o, int e, int m, assign_reason_t reason)
+{
+	assign_input_t *in = o->in;
+	assign_ep_t *p = &in->ep[e];
+	bool fetched = !assign_is_cached(in, p, m);
+
+	o->out[o->n++] = (assign_order_t){ .load = true,
+		.ep = e,
+		.model = m,
+		.reason = reason,
+		.for_model = m,
+		.fetched = fetched };
+	in->fetches -= fetched;
+	in->model[m].copies++;
+	p->free_mb -= in->model[m].weights_mb;
+	p->accepts_order = false;
+	p->assigned_demand += assign_copy_demand(&in->model[m]);
+	p->room_for = -1;
+}
+
+static void
+order_unload(orders_t *o, const room_t *r, int m)
 {
-	return m->copies > 0 ? m->demand / m->copies : 0;
+	assign_input_t *in = o->in;
+	assign_copy_t *c = &in->copy[r->copy];
+
+	o->out[o->n++] = (assign_order_t){
+		.ep = r->ep,
+		.model = c->model,
+		.reason = ASSIGN_MAKE_ROOM,
+		.for_model = m,
+	};
+	c->state = COPY_UNLOADING;
+	in->model[c->model].copies--;
+	in->ep[r->ep].accepts_order = false;
+	in->ep[r->ep].room_for = m;
 }
 
-/*
- * Find a copy to unload to make room for model @p m: never the last copy of a
- * model, and unless @p urgent only one beyond its model's target and with
- * clearly less demand than the new copy would have.
- */
-static bool
-find_unload(const assign_input_t *in, int m, bool urgent, int *ep, int *model)
+static room_kind_t
+room_kind(const assign_model_t *m)
+{
+	return m->copies == 0 ? ROOM_FOR_MISSING : ROOM_FOR_DEMAND;
+}
+
+/* Load a model where memory is free, or begin to make room for it. */
+static void
+add_copy(orders_t *o, int m, assign_reason_t reason)
 {
-	const assign_model_t *want = &in->model[m];
-	double least = 0, gain = want->demand / (want->copies + 1);
-	int e, v;
+	assign_model_t *mo = &o->in->model[m];
+	int e = find_free_endpoint(o->in, m);
+	room_t r;
 
-	*ep = -1;
+	if (e != -1) {
+		order_load(o, e, m, reason);
+		return;
+	}
+	r = assign_find_room(o->in, m, room_kind(mo));
+	mo->turn_in = r.in;
+	if (r.ep == -1)
+		return;
+	order_unload(o, &r, m);
+	mo->rooms++;
+}
+
+/* Go on where room is made, or give the room up. */
+static void
+continue_room(orders_t *o, int e)
+{
+	assign_input_t *in = o->in;
+	assign_ep_t *p = &in->ep[e];
+	int m = p->room_for;
+	assign_model_t *mo = &in->model[m];
+	bool cached = assign_is_cached(in, p, m);
+	room_t r;
+
+	if (!p->usable || !asked_for(mo) || mo->copies >= mo->target ||
+	    assign_has_copy(in, p, m)) {
+		p->room_for = -1;
+		return;
+	}
+	if (!p->accepts_order || (!cached && in->fetches <= 0))
+		return;
+	if (p->free_mb >= mo->weights_mb) {
+		order_load(
+		    o, e, m, mo->copies == 0 ? ASSIGN_REPAIR : ASSIGN_DEMAND);
+		return;
+	}
+	r = assign_room_at(in, e, m, room_kind(mo));
+	if (r.ep == -1)
+		p->room_for = -1;
+	else
+		order_unload(o, &r, m);
+}
+
+/* Loads that will need the weight store once their room is free come first. */
+static void
+continue_rooms(orders_t *o)
+{
+	assign_input_t *in = o->in;
+	int e;
+
+	for (e = 0; e < in->nep && o->n < o->most; e++)
+		if (in->ep[e].room_for != -1)
+			continue_room(o, e);
 	for (e = 0; e < in->nep; e++) {
 		const assign_ep_t *p = &in->ep[e];
 
-		if (!p->usable || !p->accepts_order ||
-		    copy_state(in, e, m) != COPY_NONE ||
-		    (!in->may_fetch && !is_cached(in, e, m)))
-			continue;
-		for (v = 0; v < in->nmodel; v++) {
-			const assign_model_t *vm = &in->model[v];
-			double cost =
-			    demand_per_copy(vm) *
-			    (is_cached(in, e, m) ? cached_demand_factor : 1);
-
-			if (v == m || copy_state(in, e, v) != COPY_READY ||
-			    vm->copies < 2 ||
-			    p->free_mb + vm->weights_mb < want->weights_mb)
-				continue;
-			if (!urgent && (vm->copies <= vm->target ||
-					   cost > unload_demand_ratio * gain))
-				continue;
-			if (*ep != -1 && cost >= least)
-				continue;
-			least = cost;
-			*ep = e;
-			*model = v;
-		}
+		if (p->room_for != -1 && !assign_is_cached(in, p, p->room_for))
+			in->fetches--;
 	}
-	return *ep != -1;
 }
 
-static bool
-add_copy(const assign_input_t *in, int m, bool urgent, assign_reason_t reason,
-    assign_order_t *out)
+/* What a missing model loses while it waits. */
+static double
+urgency(const assign_model_t *m)
 {
-	int e = find_free_endpoint(in, m), v;
+	return (m->unserved ? 1 : 0) + fmax(m->demand, m->interest) *
+					   (1 + (double)m->waited / AGEING_MS);
+}
 
-	if (e != -1) {
-		*out = (assign_order_t){ true, e, m, reason, m };
-		return true;
+static void
+add_missing_copies(orders_t *o)
+{
+	candidates_t c = { .n = 0 };
+	int m, i;
+
+	for (m = 0; m < o->in->nmodel; m++) {
+		const assign_model_t *mo = &o->in->model[m];
+
+		if (mo->copies == 0 && mo->rooms == 0 && mo->weights_mb > 0 &&
+		    asked_for(mo))
+			add_candidate(&c, m, urgency(mo));
 	}
-	/* One unload in progress makes enough room for one copy. */
-	if (in->model[m].pending_unloads > 0 ||
-	    !find_unload(in, m, urgent, &e, &v))
-		return false;
-	*out = (assign_order_t){ false, e, v, ASSIGN_MAKE_ROOM, m };
-	return true;
+	for (i = 0; i < c.n && o->n < o->most; i++)
+		add_copy(o, c.model[i], ASSIGN_REPAIR);
 }
 
-static bool
-add_missing_copy(assign_input_t *in, assign_order_t *out)
+/* Listed models that nobody asks for take memory that is free. */
+static void
+add_listed_copies(orders_t *o)
 {
-	int m, round;
-
-	/* Models that calls wait for, then those in demand, then the rest. */
-	for (round = 0; round < (in->endpoints_stable ? 3 : 1); round++)
-		for (m = 0; m < in->nmodel; m++) {
-			const assign_model_t *mo = &in->model[m];
-
-			if (mo->copies > 0 || (round == 0 && !mo->unserved) ||
-			    (round == 1 && mo->demand <= 0))
-				continue;
-			if (add_copy(in, m, true, ASSIGN_REPAIR, out))
-				return true;
-		}
-	return false;
+	assign_input_t *in = o->in;
+	double most_free = 0;
+	int e, m, tries = 0;
+
+	for (e = 0; e < in->nep; e++)
+		if (in->ep[e].usable && in->ep[e].accepts_order &&
+		    in->ep[e].room_for == -1 && in->ep[e].free_mb > most_free)
+			most_free = in->ep[e].free_mb;
+	for (m = 0; m < in->nmodel && o->n < o->most; m++) {
+		const assign_model_t *mo = &in->model[m];
+
+		if (mo->copies > 0 || mo->weights_mb <= 0 || asked_for(mo) ||
+		    mo->weights_mb > most_free)
+			continue;
+		if (tries++ == TRIES_MAX)
+			return;
+		e = find_free_endpoint(in, m);
+		if (e != -1)
+			order_load(o, e, m, ASSIGN_REPAIR);
+	}
 }
 
-static bool
-follow_demand(assign_input_t *in, assign_order_t *out)
+/* Each model that lacks copies gets one more. */
+static void
+follow_demand_once(orders_t *o)
 {
-	double worst, last = INFINITY;
-	int m, pick, tries;
-
-	/* By demand per copy, the highest first. */
-	for (tries = 0; tries < in->nmodel; tries++) {
-		pick = -1;
-		worst = 0;
-		for (m = 0; m < in->nmodel; m++) {
-			const assign_model_t *mo = &in->model[m];
-
-			if (mo->copies >= mo->target ||
-			    demand_per_copy(mo) >= last ||
-			    demand_per_copy(mo) <= worst)
-				continue;
-			worst = demand_per_copy(mo);
-			pick = m;
-		}
-		if (pick == -1)
-			return false;
-		if (add_copy(in, pick, false, ASSIGN_DEMAND, out))
-			return true;
-		last = worst;
+	candidates_t c = { .n = 0 };
+	int m, i;
+
+	for (m = 0; m < o->in->nmodel; m++) {
+		const assign_model_t *mo = &o->in->model[m];
+
+		if (mo->copies > 0 && mo->demand > 0 &&
+		    mo->copies + mo->rooms < mo->target)
+			add_candidate(&c, m, assign_copy_demand(mo));
 	}
-	return false;
+	for (i = 0; i < c.n && o->n < o->most; i++)
+		add_copy(o, c.model[i], ASSIGN_DEMAND);
 }
 
-static bool
-add_second_copy(assign_input_t *in, assign_order_t *out)
+static void
+follow_demand(orders_t *o)
 {
-	int m, e;
+	int before, pass;
 
-	for (m = 0; m < in->nmodel; m++) {
-		if (in->model[m].copies != 1 || in->model[m].demand <= 0)
+	for (pass = 0; pass < PASSES_MAX; pass++) {
+		before = o->n;
+		follow_demand_once(o);
+		if (o->n == before)
+			return;
+	}
+}
+
+static void
+add_second_copies(orders_t *o)
+{
+	assign_input_t *in = o->in;
+	int m, e, tries = 0;
+
+	for (m = 0; m < in->nmodel && o->n < o->most; m++) {
+		if (in->model[m].copies != 1 || in->model[m].demand <= 0 ||
+		    in->model[m].weights_mb <= 0)
 			continue;
+		if (tries++ == TRIES_MAX)
+			return;
 		e = find_free_endpoint(in, m);
-		if (e == -1)
-			continue;
-		*out = (assign_order_t){ true, e, m, ASSIGN_SECOND_COPY, m };
-		return true;
+		if (e != -1)
+			order_load(o, e, m, ASSIGN_SECOND_COPY);
 	}
-	return false;
 }
 
-bool
-assign_next_order(assign_input_t *in, assign_order_t *out)
+int
+assign_orders(assign_input_t *in, assign_order_t *out, int most)
 {
+	orders_t o = { .in = in, .out = out, .most = most };
+
+	count_copies(in);
 	set_targets(in);
-	return add_missing_copy(in, out) ||
-	       (in->endpoints_stable &&
-		   (follow_demand(in, out) || add_second_copy(in, out)));
+	set_assigned_demand(in);
+	continue_rooms(&o);
+	add_missing_copies(&o);
+	if (!in->endpoints_stable)
+		return o.n;
+	follow_demand(&o);
+	add_listed_copies(&o);
+	add_second_copies(&o);
+	return o.n;
 }
 
 const char *
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,3 +1,4 @@
+#include "policy/wait.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
 #include "serve/reach.h"
@@ -25,6 +26,8 @@
 static const double remote_engine_ms = 60, remote_plain_ms = 5;
 /* Estimated time of one output token in a half-full batch. */
 static const double output_token_ms = 12;
+/* Prompt tokens per ms, until a speed was measured. */
+static const double default_prefill_speed = 15;
 /* A call must be expected to end within this part of the remaining grace. */
 static const double drain_grace_part = 0.6;
 /* After this time an endpoint's cache is assumed to have evicted a prefix. */
@@ -111,6 +114,7 @@
 	bool only_stored;
 	int nunstored; /* that hold what the call needs, and were left out */
 	int nusable, nholding, ntried, nfull, nbroken;
+	int nmodel;	/* that hold the model, with or without the adapter */
 	int nunreached; /* that this instance can't connect to */
 	int nclosed;	/* of nfull: they want no call now, or need a permit */
 	ep_t *limited;	/* the best of those that need a permit */
@@ -201,8 +205,11 @@
 		return;
 	}
 	sc->nusable++;
-	if (!holds_for(c, p))
+	if (!holds_for(c, p)) {
+		sc->nmodel += c->request.adapter[0] != '\0' &&
+			      ep_holds(p, c->request.model, "", s->loop.now);
 		return;
+	}
 	sc->nholding++;
 	if (p->reach.way != WAY_OPEN) {
 		sc->nunreached++;
@@ -295,6 +302,46 @@
 	return true;
 }
 
+/* Prompt tokens per ms. */
+static double
+prefill_speed(const serve_t *s)
+{
+	return s->average_speed.prefill_speed > 0
+		   ? s->average_speed.prefill_speed
+		   : default_prefill_speed;
+}
+
+/* No endpoint holds what the call needs: wait for a load, or refuse. */
+static void
+choose_load(call_t *c, const scan_t *sc, choice_t *out)
+{
+	serve_t *s = c->s;
+	const service_def_t *d = config_service(s->config, c->service);
+	const model_conf_t *m = service_model(d, c->request.model);
+	wait_facts_t f = { .waited = s->loop.now - c->received_at,
+		.time = c->deadline - c->received_at,
+		.target = c->route.target_latency,
+		.ready_in = -1,
+		.load = ADAPTER_WAIT_MS,
+		.first = c->request.prompt / prefill_speed(s),
+		.asked = plan_has_holder(s),
+		.adapter = sc->nmodel > 0 };
+
+	plan_request(s, c, false);
+	out->reason = "no endpoint holds the model yet";
+	if (m == NULL) {
+		out->reason = "the model isn't in the configuration";
+		return;
+	}
+	if (!f.adapter) {
+		f.load += m->load;
+		f.ready_in =
+		    plan_model_ready_in(s, c->service, c->request.model);
+	}
+	if (wait_for_load(&f, &out->retry_ms))
+		out->kind = CHOICE_WAIT;
+}
+
 static void
 choose_none(call_t *c, const scan_t *sc, choice_t *out)
 {
@@ -316,20 +363,7 @@
 		return;
 	}
 	if (sc->nholding == 0) {
-		const service_def_t *d = config_service(s->config, c->service);
-		const model_conf_t *m = service_model(d, c->request.model);
-		ms_t load_ms = c->request.adapter[0] != '\0' || m == NULL
-				   ? ADAPTER_WAIT_MS
-				   : m->load + ADAPTER_WAIT_MS;
-
-		plan_request(s, c, false);
-		out->reason = "no endpoint holds the model yet";
-		if (now - c->received_at + load_ms <
-			call_first_event_limit(c) ||
-		    (c->state == CALL_WAITING &&
-			now < c->received_at + c->route.target_latency))
-			out->kind = CHOICE_WAIT;
-		out->retry_ms = load_ms;
+		choose_load(c, sc, out);
 		return;
 	}
 	if (sc->nfull > 0) {
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[36] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[37] =
 {
   {
     "sender",
@@ -486,6 +486,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait",
+    37,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Digest__Digest, n_wait),
+    offsetof(Digest__Digest, wait),
+    &digest__model_wait__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -524,11 +536,12 @@
   24,   /* field[24] = sum_domain */
   33,   /* field[33] = unreached_endpoint */
   32,   /* field[32] = unreached_service */
+  36,   /* field[36] = wait */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 36 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -538,7 +551,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  36,
+  37,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -97,6 +97,11 @@
    * Its heartbeats to instances of its own domain are so far apart.
    */
   uint32_t domain_heartbeat_ms;
+  /*
+   * Of models that the receiver asked for in vain; to it only.
+   */
+  size_t n_wait;
+  Digest__ModelWait **wait;
   /*
    * Hash of the domain whose sums the shares are, sent by its relay.
    * 0: the shares are the sender's own.
@@ -142,7 +147,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &digest__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__model_wait__init
+                     (Digest__ModelWait         *message)
+{
+  static const Digest__ModelWait init_value = DIGEST__MODEL_WAIT__INIT;
+  *message = init_value;
+}
+size_t digest__model_wait__get_packed_size
+                     (const Digest__ModelWait *message)
+{
+  assert(message->base.descriptor == &digest__model_wait__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__model_wait__pack
+                     (const Digest__ModelWait *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__model_wait__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__model_wait__pack_to_buffer
+                     (const Digest__ModelWait *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__model_wait__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__ModelWait *
+       digest__model_wait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__ModelWait *)
+     protobuf_c_message_unpack (&digest__model_wait__descriptor,
+                                allocator, len, data);
+}
+void   digest__model_wait__free_unpacked
+                     (Digest__ModelWait *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__model_wait__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   digest__stream_versions__init
                      (Digest__StreamVersions         *message)
 {
@@ -695,6 +740,70 @@
   (ProtobufCMessageInit) digest__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__model_wait__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Digest__ModelWait, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Digest__ModelWait, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_in_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__ModelWait, ready_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__model_wait__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  2,   /* field[2] = ready_in_ms */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange digest__model_wait__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor digest__model_wait__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.ModelWait",
+  "ModelWait",
+  "Digest__ModelWait",
+  "digest",
+  sizeof(Digest__ModelWait),
+  3,
+  digest__model_wait__field_descriptors,
+  digest__model_wait__field_indices_by_name,
+  1,  digest__model_wait__number_ranges,
+  (ProtobufCMessageInit) digest__model_wait__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor digest__stream_versions__field_descriptors[8] =
 {
   {
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Digest__Identity Digest__Identity;
 typedef struct Digest__Demand Digest__Demand;
+typedef struct Digest__ModelWait Digest__ModelWait;
 typedef struct Digest__StreamVersions Digest__StreamVersions;
 typedef struct Digest__AcceptedOrder Digest__AcceptedOrder;
 typedef struct Digest__Blame Digest__Blame;
@@ -80,6 +81,21 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * When a model that was asked for is expected to be loaded, by the holder.
+ */
+struct  Digest__ModelWait
+{
+  ProtobufCMessage base;
+  char *service;
+  char *model;
+  uint32_t ready_in_ms;
+};
+#define DIGEST__MODEL_WAIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__model_wait__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Which software version began a stream; records, questions and answers. A
  * datagram that has this part has nothing else.
@@ -407,6 +423,25 @@
 void   digest__demand__free_unpacked
                      (Digest__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Digest__ModelWait methods */
+void   digest__model_wait__init
+                     (Digest__ModelWait         *message);
+size_t digest__model_wait__get_packed_size
+                     (const Digest__ModelWait   *message);
+size_t digest__model_wait__pack
+                     (const Digest__ModelWait   *message,
+                      uint8_t             *out);
+size_t digest__model_wait__pack_to_buffer
+                     (const Digest__ModelWait   *message,
+                      ProtobufCBuffer     *buffer);
+Digest__ModelWait *
+       digest__model_wait__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   digest__model_wait__free_unpacked
+                     (Digest__ModelWait *message,
+                      ProtobufCAllocator *allocator);
 /* Digest__StreamVersions methods */
 void   digest__stream_versions__init
                      (Digest__StreamVersions         *message);
@@ -586,6 +621,9 @@
 typedef void (*Digest__Demand_Closure)
                  (const Digest__Demand *message,
                   void *closure_data);
+typedef void (*Digest__ModelWait_Closure)
+                 (const Digest__ModelWait *message,
+                  void *closure_data);
 typedef void (*Digest__StreamVersions_Closure)
                  (const Digest__StreamVersions *message,
                   void *closure_data);
@@ -621,6 +659,7 @@
 
 extern const ProtobufCMessageDescriptor digest__identity__descriptor;
 extern const ProtobufCMessageDescriptor digest__demand__descriptor;
+extern const ProtobufCMessageDescriptor digest__model_wait__descriptor;
 extern const ProtobufCMessageDescriptor digest__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor digest__accepted_order__descriptor;
 extern const ProtobufCMessageDescriptor digest__blame__descriptor;
--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -251,6 +251,28 @@
 	return false;
 }
 
+ms_t
+dispatcher_stay(const dispatcher_t *d, const char *model, ms_t stay)
+{
+	ms_t now = d->s->loop.now;
+	int i;
+
+	for (i = 0; i < LOADS_KEPT; i++)
+		if (strcmp(d->loaded[i].model, model) == 0 &&
+		    now < d->loaded[i].at + stay)
+			return d->loaded[i].at + stay - now;
+	return 0;
+}
+
+static void
+keep_load(dispatcher_t *d, ms_t at)
+{
+	int i = d->nloaded++ % LOADS_KEPT;
+
+	str_copy(d->loaded[i].model, ID_MAX, d->model);
+	d->loaded[i].at = at;
+}
+
 double
 dispatcher_memory_mb(const dispatcher_t *d)
 {
@@ -341,6 +363,8 @@
 		at += m->load * 11 / 10;
 	if (d->adapter[0] == '\0')
 		d->busy_until = at;
+	if (d->adapter[0] == '\0' && d->load)
+		keep_load(d, at);
 	record_order(d, d->load, done, d->order_count, at);
 	s->plan->run_pending = true;
 	call_queue_dispatch(s);
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -447,6 +447,18 @@
 	builder_free(&c);
 }
 
+void
+send_model_waits(
+    serve_t *s, const peer_t *p, Digest__ModelWait **wait, size_t n)
+{
+	static uint8_t bytes[DATAGRAM_MAX];
+	Digest__Digest d = DIGEST__DIGEST__INIT;
+
+	d.wait = wait;
+	d.n_wait = n;
+	send_datagram(s, &p->sa, bytes, pack_digest(s, &d, bytes));
+}
+
 static bool
 same_share(const workload_share_t *a, const workload_share_t *b)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -306,6 +306,7 @@
 		if (!d->full_demand)
 			t.work = 0;
 		g_array_append_val(p->demand, t);
+		p->asks_waits |= t.unserved;
 		if (t.unserved || t.all_tried)
 			plan_run_soon(s);
 	}
@@ -442,6 +443,9 @@
 		    s, d->leaving_endpoint[i], d->leaving_revision[i]);
 	receive_said_leaving(s, d);
 	receive_demand(s, p, d);
+	for (i = 0; i < d->n_wait; i++)
+		plan_model_wait(s, d->wait[i]->service, d->wait[i]->model,
+		    d->wait[i]->ready_in_ms);
 	receive_orders(s, d);
 	store_watch_peer_revision(&s->config_watch, d->config_revision);
 	store_watch_peer_revision(&s->endpoints_watch, d->endpoint_revision);
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -12,9 +12,18 @@
 #include "policy/leadership.h"
 
 enum {
-	LOAD_HISTORY_SIZE = 256 /* above any limit of loads per window */
+	LOAD_HISTORY_SIZE = 256, /* loads of weights that are remembered */
+	LOADS_KEPT = 8,
 };
 
+/** What is kept of a model from round to round. */
+typedef struct plan_model {
+	double interest; /* tokens per second, moving average */
+	ms_t interest_at;
+	ms_t missing_since; /* asked for, without a copy; 0: it isn't */
+	ms_t ready_at;	    /* expected then; 0: not known */
+} plan_model_t;
+
 /** Sends orders to one endpoint, one at a time, and tracks their results. */
 typedef struct dispatcher {
 	serve_t *s;
@@ -29,8 +38,14 @@
 	ms_t asked_at;		  /* the request in progress, or the last one */
 	int64_t asked_started_at; /* the incarnation known then */
 	ms_t done_at;		  /* last answer or timeout */
-	/* The model to be loaded here, and the last one unloaded for it. */
-	char room_for[ID_MAX], evicted[ID_MAX];
+	/* The model for which room is being made here, and since when. */
+	char room_for[ID_MAX];
+	ms_t room_since;
+	struct {
+		char model[ID_MAX];
+		ms_t at;
+	} loaded[LOADS_KEPT]; /* the last loads of models that we ordered */
+	int nloaded;
 	/* A load without an answer may still be carried out until then. */
 	char uncertain_model[ID_MAX], uncertain_adapter[16];
 	ms_t uncertain_until;
@@ -49,6 +64,8 @@
 	bool said_unable;
 	bool acquiring;
 	GHashTable *dispatchers; /* by ep_t */
+	GHashTable *models;	 /* plan_model_t by name, by service */
+	ms_t round_at;		 /* the last round */
 	/* Ring of the times of loads from the weight store. */
 	ms_t load_at[LOAD_HISTORY_SIZE];
 	int nload;
@@ -63,6 +80,8 @@
 void lease_update(plan_t *p);
 /** @return whether an order may be sent now; reads the clock */
 bool lease_may_order(plan_t *p);
+/** Tell instances that asked for missing models when these will be loaded. */
+void plan_send_waits(plan_t *p);
 /** Give up the lease if it is held. */
 void lease_release(plan_t *p);
 
@@ -96,6 +115,8 @@
 /** @return whether it was loaded too recently to be unloaded */
 bool dispatcher_recently_loaded(
     const dispatcher_t *d, const char *model, const char *adapter);
+/** @return ms until a model has stayed for @p stay since it was loaded */
+ms_t dispatcher_stay(const dispatcher_t *d, const char *model, ms_t stay);
 /** @return whether an accepted load of it isn't done */
 bool dispatcher_loading(
     const dispatcher_t *d, const char *model, const char *adapter);
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -249,6 +249,7 @@
 	s->retries = g_hash_table_new(g_str_hash, g_str_equal);
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
 	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
+	s->model_waits = g_hash_table_new(g_str_hash, g_str_equal);
 	s->workload_limits =
 	    (workload_limits_t){ prefill_share, min_stream_gap };
 	s->cost_weights = (workload_cost_weights_t){ stream_output_weight,
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -446,6 +446,7 @@
 	GArray *unreached_service, *unreached_endpoint;
 	GHashTable *share; /* peer_share_t by ep_t */
 	GArray *demand;	   /* peer_demand_t */
+	bool asks_waits; /* it asked for missing models since the last round */
 } peer_t;
 
 /** Demand that another instance reported. */
@@ -458,6 +459,11 @@
 	ms_t received_at;
 } peer_demand_t;
 
+/** When the holder expects a model to be loaded. */
+typedef struct model_wait {
+	ms_t ready_at, heard_at;
+} model_wait_t;
+
 /** An accepted order, announced to peers for a while. */
 typedef struct announced_order {
 	uint32_t endpoint_tag; /* ep_t.tag */
@@ -593,6 +599,14 @@
  * @param all_tried it has tried every endpoint that holds it; else none does
  */
 void plan_request(serve_t *s, const call_t *c, bool all_tried);
+/** @return ms until a model is expected to be loaded, -1: not known */
+ms_t plan_model_ready_in(
+    const serve_t *s, const char *service, const char *model);
+/** The holder said when a model will be loaded. */
+void plan_model_wait(
+    serve_t *s, const char *service, const char *model, ms_t ready_in);
+/** @return whether a holder is there to be asked for a model */
+bool plan_has_holder(const serve_t *s);
 bool plan_is_holder(const serve_t *s);
 /** @return whether this instance holds a lease that is still valid */
 bool plan_holder_valid(const serve_t *s);
@@ -651,6 +665,7 @@
 	GHashTable *retries;	   /* retries_t by service */
 	GHashTable *max_remaining; /* longest remaining time seen, by route */
 	GHashTable *demand;	   /* demand_t by service, model, adapter */
+	GHashTable *model_waits;   /* model_wait_t by service and model */
 	workload_average_t average_speed;
 	double failure_rate; /* share of failed attempts, moving average */
 	histo_t first_ms, whole_ms;
--- a/serve/shares.h
+++ b/serve/shares.h
@@ -26,6 +26,10 @@
 /** Add up the shares of this domain's instances at an endpoint. */
 void domain_sum_own(const serve_t *s, const ep_t *ep, workload_share_t *to);
 
+/** Tell an instance when models will be loaded. peer_send.c */
+void send_model_waits(
+    serve_t *s, const peer_t *p, Digest__ModelWait **wait, size_t n);
+
 /** Handle records, questions and answers about streams. streams.c */
 void streams_receive(serve_t *s, const Digest__StreamVersions *m,
     const struct sockaddr_in *from);
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -47,11 +47,31 @@
 static const char *const kind_name[] = { "config", "endpoints", "instances",
 	"leases" };
 
+/* Models of a configuration that are never loaded. */
+static void
+log_unusable_models(const service_def_t *d)
+{
+	int i;
+
+	if (d->nduplicate > 0)
+		log_limited(LOG_WARNING, "models-repeated",
+		    "service=%s left_out=%d", d->name, d->nduplicate);
+	for (i = 0; i < d->nmodel; i++)
+		if (d->model[i].weights_mb <= 0 ||
+		    d->model[i].weights_mb > d->weights_mb)
+			log_limited(LOG_WARNING, "model-unusable",
+			    "service=%s model=%s weights_mb=%.0f "
+			    "endpoint_mb=%.0f",
+			    d->name, d->model[i].name, d->model[i].weights_mb,
+			    d->weights_mb);
+}
+
 static void
 apply_config(serve_t *s, const object_t *o)
 {
 	err_t e = { 0 };
 	config_t *c;
+	int i;
 
 	if (strcmp(o->name, "main") != 0 || o->deleted)
 		return;
@@ -70,6 +90,8 @@
 	    " routes=%d services=%d",
 	    c->version, s->config != NULL ? s->config->version : -1,
 	    o->revision, c->nroute, c->nservice);
+	for (i = 0; i < c->nservice; i++)
+		log_unusable_models(&c->service[i]);
 	config_free(s->config);
 	s->config = c;
 	s->config_read_at = s->loop.now;
