policy: no second unload while one makes room; all listed stay where they fit

Where they fit, each listed model keeps a copy while another has several. A copy costs what the others of its model can't serve, and a last one never nothing. A loaded model stays for two times its load.

serve: fewer watchers.

--- a/policy/assign.c
+++ b/policy/assign.c
@@ -17,6 +17,8 @@
  * endpoints times this factor.
  */
 static const double share_factor = 1.3;
+/* Of the endpoints' memory; the rest is lost as no model fits into it. */
+static const double memory_part = 0.9;
 
 /** The orders of a round. */
 typedef struct orders {
@@ -108,6 +110,29 @@
 	}
 }
 
+/* Does the endpoints' memory hold a copy of each listed model? */
+static bool
+all_fit(const assign_input_t *in)
+{
+	double listed_mb = 0, memory_mb = 0;
+	int e, i, m;
+
+	for (m = 0; m < in->nmodel; m++)
+		listed_mb += fmax(in->model[m].weights_mb, 0);
+	for (e = 0; e < in->nep; e++) {
+		const assign_ep_t *p = &in->ep[e];
+
+		if (!p->usable)
+			continue;
+		memory_mb += p->free_mb;
+		for (i = p->copy; i < p->copy + p->ncopy; i++)
+			if (in->copy[i].model != -1)
+				memory_mb +=
+				    in->model[in->copy[i].model].weights_mb;
+	}
+	return listed_mb <= memory_part * memory_mb;
+}
+
 static void
 set_assigned_demand(assign_input_t *in)
 {
@@ -244,6 +269,9 @@
 		    o, e, m, mo->copies == 0 ? ASSIGN_REPAIR : ASSIGN_DEMAND);
 		return;
 	}
+	/* An unload waits for the calls that run. */
+	if (p->free_mb + assign_unloading_mb(in, p) >= mo->weights_mb)
+		return;
 	r = assign_room_at(in, e, m, room_kind(mo));
 	if (r.ep == -1)
 		p->room_for = -1;
@@ -377,6 +405,7 @@
 	count_copies(in);
 	set_targets(in);
 	set_assigned_demand(in);
+	in->all_fit = all_fit(in);
 	continue_rooms(&o);
 	add_missing_copies(&o);
 	if (!in->endpoints_stable)
--- a/policy/assign.h
+++ b/policy/assign.h
@@ -69,7 +69,9 @@
 	assign_copy_t *copy;
 	const int *cached;     /* models whose weights are cached there */
 	bool endpoints_stable; /* none was added recently */
-	int fetches; /* loads from the weight store allowed now; updated */
+	int fetches;  /* loads from the weight store allowed now; updated */
+	bool all_fit; /* set by assign_orders(): memory holds all listed models
+		       */
 } assign_input_t;
 
 typedef enum assign_reason {
--- a/policy/assign_room.c
+++ b/policy/assign_room.c
@@ -15,8 +15,19 @@
  * the last minute or so.
  */
 static const double interest_min = 20;
+/*
+ * Where memory holds all listed models, each keeps a copy as long as another
+ * model has several.
+ */
+static const double listed_cost = 1e9;
+/* Tokens per second: the cost of a last copy that nobody asked for lately. */
+static const double unasked_cost = 60;
+/* Copies serve this part of their throughput without delay. */
+static const double served_part = 0.55;
+/* The cost of a copy that isn't needed, as a part of the demand it serves. */
+static const double spare_cost_part = 0.005;
 /* Copies beyond this part of their throughput are overloaded. */
-static const double overload_part = 0.55;
+static const double overload_part = 1.0;
 
 double
 assign_copy_demand(const assign_model_t *m)
@@ -46,6 +57,19 @@
 	return false;
 }
 
+double
+assign_unloading_mb(const assign_input_t *in, const assign_ep_t *p)
+{
+	double mb = 0;
+	int i;
+
+	for (i = p->copy; i < p->copy + p->ncopy; i++)
+		if (in->copy[i].state == COPY_UNLOADING &&
+		    in->copy[i].model != -1)
+			mb += in->model[in->copy[i].model].weights_mb;
+	return mb;
+}
+
 /* The demand that a new copy of the model takes, and the weight of its wait. */
 static double
 gain(const assign_model_t *m, room_kind_t kind)
@@ -61,11 +85,28 @@
 }
 
 static double
-last_copy_cost(const assign_model_t *v)
+last_copy_demand(const assign_model_t *v)
 {
 	return fmax(v->demand, v->interest);
 }
 
+/* Whoever asks for it next waits for a load, so no last copy is free. */
+static double
+last_copy_cost(const assign_model_t *v)
+{
+	return fmax(last_copy_demand(v), unasked_cost);
+}
+
+/* What the other copies can't serve, and the least of others that can. */
+static double
+surplus_copy_cost(const assign_model_t *v, double tokens_per_s)
+{
+	double served = served_part * tokens_per_s * (v->copies - 1);
+
+	return fmax(v->demand - served, 0) +
+	       spare_cost_part * assign_copy_demand(v);
+}
+
 static bool
 overloaded(const assign_model_t *m, double tokens_per_s)
 {
@@ -81,15 +122,15 @@
 /* May the last copy of a model make room? @param in set to the wait if not */
 static bool
 last_copy_may_go(const assign_model_t *want, const assign_model_t *v,
-    room_kind_t kind, const assign_ep_t *p, ms_t *wait)
+    room_kind_t kind, const assign_ep_t *p, bool all_fit, ms_t *wait)
 {
 	double limit = cost_limit_part * gain(want, kind);
-	double cost = last_copy_cost(v), base;
+	double cost = last_copy_demand(v), base;
 
 	if (v->copies_min > 1 || v->unserved)
 		return false;
 	if (kind == ROOM_FOR_DEMAND)
-		return cost < interest_min &&
+		return !all_fit && cost < interest_min &&
 		       (overloaded(want, p->tokens_per_s) ||
 			   want->copies < want->copies_min);
 	if (cost < interest_min || cost <= limit)
@@ -137,16 +178,20 @@
 	v = &in->model[c->model];
 	out->mb = v->weights_mb;
 	if (v->copies > 1) {
-		out->cost = factor * assign_copy_demand(v);
-		if (!surplus_copy_may_go(&in->model[m], v, kind, out->cost))
+		out->cost = factor * surplus_copy_cost(v, p->tokens_per_s);
+		if (!surplus_copy_may_go(
+			&in->model[m], v, kind, factor * assign_copy_demand(v)))
 			return false;
 	} else {
 		out->cost = last_copy_cost(v);
-		if (!last_copy_may_go(&in->model[m], v, kind, p, wait))
+		if (!last_copy_may_go(
+			&in->model[m], v, kind, p, in->all_fit, wait))
 			return false;
+		if (in->all_fit)
+			out->cost += listed_cost;
 	}
 	/* A copy that nobody asks for needn't stay. */
-	if (c->stays > 0 && last_copy_cost(v) >= interest_min) {
+	if (c->stays > 0 && last_copy_demand(v) >= interest_min) {
 		*wait = c->stays;
 		return false;
 	}
@@ -198,13 +243,17 @@
 assign_room_at(const assign_input_t *in, int e, int m, room_kind_t kind)
 {
 	const assign_ep_t *p = &in->ep[e];
-	double need_mb = in->model[m].weights_mb - p->free_mb;
+	double need_mb =
+	    in->model[m].weights_mb - p->free_mb - assign_unloading_mb(in, p);
 	double factor = assign_is_cached(in, p, m) ? cached_cost_factor : 1;
 	room_t r = { .ep = -1, .copy = -1, .in = -1 };
 	victim_t list[VICTIMS_MAX], v;
 	int i, n = 0;
 	ms_t wait;
 
+	/* Unloads in progress make enough room. */
+	if (need_mb <= 0)
+		return r;
 	for (i = p->copy; i < p->copy + p->ncopy; i++) {
 		if (weigh(in, p, i, m, kind, factor, &v, &wait))
 			insert_by_cost(list, &n, &v);
--- a/policy/assign_room.h
+++ b/policy/assign_room.h
@@ -32,6 +32,8 @@
 bool assign_is_cached(const assign_input_t *in, const assign_ep_t *p, int m);
 /** @return whether the endpoint has a copy of the model, in whatever state */
 bool assign_has_copy(const assign_input_t *in, const assign_ep_t *p, int m);
+/** @return MB that unloads in progress at the endpoint will free */
+double assign_unloading_mb(const assign_input_t *in, const assign_ep_t *p);
 /** Find the endpoint where room for a model costs least. */
 room_t assign_find_room(const assign_input_t *in, int m, room_kind_t kind);
 /** The same at one endpoint. */
--- a/serve/plan_input.c
+++ b/serve/plan_input.c
@@ -10,8 +10,12 @@
 	ALL_TRIED_MS = 500,
 	/* Tokens/s of an adapter that was called in the last seconds. */
 	ADAPTER_MIN_WORK = 60,
-	/* A loaded model serves for so long before it makes room. */
-	MODEL_MIN_STAY_MS = 4000,
+	/*
+	 * A loaded model serves for so long, and for so many times its load,
+	 * before it makes room.
+	 */
+	MODEL_STAY_MIN_MS = 4000,
+	MODEL_STAY_LOADS = 2,
 };
 
 /* Distinguishes the adapters of all models of a service. */
@@ -129,14 +133,16 @@
 append_copy(plan_round_t *r, const assign_ep_t *p, dispatcher_t *d,
     const char *name, copy_state_t state)
 {
-	assign_copy_t c = { .model = service_model_index(r->def, name),
-		.state = state,
-		.stays = dispatcher_stay(d, name, MODEL_MIN_STAY_MS) };
+	int m = service_model_index(r->def, name);
+	assign_copy_t c = { .model = m, .state = state };
+	ms_t stay = m != -1 ? r->def->model[m].load * MODEL_STAY_LOADS : 0;
 	guint i;
 
 	for (i = (guint)p->copy; i < r->copy->len; i++)
-		if (g_array_index(r->copy, assign_copy_t, i).model == c.model)
+		if (g_array_index(r->copy, assign_copy_t, i).model == m)
 			return;
+	c.stays = dispatcher_stay(
+	    d, name, stay > MODEL_STAY_MIN_MS ? stay : MODEL_STAY_MIN_MS);
 	g_array_append_val(r->copy, c);
 }
 
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -1,6 +1,8 @@
 /* Lists and watches of the store: configuration, endpoints and instances. */
 #include "serve/serve.h"
 
+#include "policy/watchers.h"
+
 #include <string.h>
 
 enum {
@@ -26,17 +28,8 @@
 	/* After a watch's timeout, time for the network and a slow store. */
 	WATCH_GRACE_MS = 1500,
 	LIST_TIMEOUT_MS = 2000,
-	WATCH_INTERVAL_MS = 250, /* between answers: each answer is charged */
-	/*
-	 * The store charges for each answer, and entries change often. So only
-	 * the holder and WATCHERS instances (in each domain, where instances
-	 * are many) watch for fresh answers and announce changes to the
-	 * others. The others watch at a lower price and may get stale answers.
-	 */
-	WATCHERS = 2,
 	/* A stale copy shows by then a change that a peer has seen. */
 	COPY_LAG_MS = 400,
-	RELAYED_INTERVAL_MS = 1200,
 	/* The delay doubles with each failure; short, to see recovery soon. */
 	RETRY_MIN_MS = 50,
 	RETRY_MAX_MS = 800,
@@ -213,11 +206,19 @@
 	return s->config_watch.lost || s->endpoints_watch.lost;
 }
 
+static watchers_t
+watchers(const serve_t *s)
+{
+	return (watchers_t){ s->peers.npeer, s->conf.ndomain,
+		s->conf.bounds.drain };
+}
+
 bool
 store_watch_is_relayed(const store_watch_t *f)
 {
 	const serve_t *s = f->s;
-	bool many = s->peers.npeer >= DOMAIN_RELAY_MIN_PEERS;
+	watchers_t w = watchers(s);
+	bool many = watchers_by_domain(&w);
 
 	switch (f->kind) {
 	case KIND_INSTANCES:
@@ -241,7 +242,7 @@
 	if (many ? f->fresh_watch_at < s->watch_broken_at
 		 : s->loop.now - s->watch_broken_at < WATCH_BROKEN_MS)
 		return false;
-	return watchers_ranked_before(s) >= WATCHERS;
+	return watchers_ranked_before(s) >= watchers_count(&w);
 }
 
 ms_t
@@ -281,6 +282,7 @@
 	int64_t old_revision = f->changed_revision;
 	bool starting = s->loop.now - s->started_at < STARTUP_MS;
 	bool relayed = store_watch_is_relayed(f);
+	watchers_t w = watchers(s);
 	int i;
 
 	f->request = NULL;
@@ -339,9 +341,9 @@
 		send_request(f);
 	else
 		schedule(f, relayed && f->kind != KIND_CONFIG
-				? RELAYED_INTERVAL_MS
+				? watchers_copy_interval(&w)
 			    : starting ? STARTUP_INTERVAL_MS
-				       : WATCH_INTERVAL_MS);
+				       : watchers_interval(&w));
 }
 
 static ms_t
