--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,10 @@
 all: deps programs
 deps:
 	@tools/deps
-programs: $(CMDS) $(STANDINS) $(BENCHES)
+programs: $(CMDS) $(STANDINS) $(BENCHES) $(B)/bin/ebonypitchd-production
+# The daemon in service, for tests of upgrades.
+$(B)/bin/ebonypitchd-production: deploy/system.toml tools/production
+	-$(Q)tools/production $(B)
 
 $(O)/%.o: %.c
 	@mkdir -p $(@D)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -23,11 +23,18 @@
 		daemon_settings_end_bootstrap(cluster->env->settings[i]);
 	proc_kill(cluster->daemon[i]);
 	cluster->daemon[i] = proc_start(
-	    "ebonypitchd", "--settings", cluster->env->settings[i], NULL);
+	    cluster->program[i] != NULL ? cluster->program[i] : "ebonypitchd",
+	    "--settings", cluster->env->settings[i], NULL);
 }
 
 cluster_t *
 cluster_new(const char *more)
+{
+	return cluster_new_of(more, NULL);
+}
+
+cluster_t *
+cluster_new_of(const char *more, const char *program)
 {
 	cluster_t *cluster = g_new0(cluster_t, 1);
 	GString *ports = g_string_new(NULL);
@@ -50,8 +57,10 @@
 	    .ports = ports->str,
 	    .bootstrap = true });
 	g_string_free(ports, TRUE);
-	for (i = 0; i < cluster->env->sizes.daemons; i++)
+	for (i = 0; i < cluster->env->sizes.daemons; i++) {
+		cluster->program[i] = program;
 		cluster_start_daemon(cluster, i);
+	}
 	until = clock_now(&machine_clock) + READY_MS;
 	while (!environment_ready(cluster->env) &&
 	       clock_now(&machine_clock) < until)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -17,6 +17,8 @@
 	char *dir, *sizes;
 	environment_t *env;
 	proc_t *daemon[DAEMONS_MAX];
+	/* Under build/bin; NULL: "ebonypitchd". For daemons started later. */
+	const char *program[DAEMONS_MAX];
 	loadgen_result_t result;
 } cluster_t;
 
@@ -25,6 +27,8 @@
  * @param more sizes that differ from the defaults, as "key = n" lines
  */
 cluster_t *cluster_new(const char *more);
+/** The same with daemons of another program. */
+cluster_t *cluster_new_of(const char *more, const char *program);
 void cluster_free(cluster_t *cluster);
 /** Start daemon @p i; if it still runs, it is killed first. */
 void cluster_start_daemon(cluster_t *cluster, int i);
--- a/tests/cut_site.c
+++ b/tests/cut_site.c
@@ -11,6 +11,13 @@
 
 site_t *
 site_new(int ndaemon, int nendpoint, ms_t plain_ms)
+{
+	return site_new_of(ndaemon, nendpoint, plain_ms, NULL, 0);
+}
+
+site_t *
+site_new_of(
+    int ndaemon, int nendpoint, ms_t plain_ms, const char *old, int nold)
 {
 	site_t *t = g_new0(site_t, 1);
 	fake_endpoint_opts_t app = { .plain_ms = plain_ms };
@@ -21,8 +28,10 @@
 	fixture_put_config(t->st, "");
 	for (i = 0; i < nendpoint; i++)
 		fixture_add_endpoint(t->st, &app, "app");
-	for (i = 0; i < ndaemon; i++)
+	for (i = 0; i < ndaemon; i++) {
+		t->st->program[i] = i < nold ? old : NULL;
 		fixture_start_daemon(t->st, i, true);
+	}
 	t->calls = g_ptr_array_new();
 	t->to = g_array_new(FALSE, FALSE, sizeof(int));
 	t->safe = g_array_new(FALSE, FALSE, sizeof(bool));
--- a/tests/cut_site.h
+++ b/tests/cut_site.h
@@ -20,6 +20,9 @@
 } site_t;
 
 site_t *site_new(int ndaemon, int nendpoint, ms_t plain_ms);
+/** The same; the first @p nold daemons are of another program. */
+site_t *site_new_of(
+    int ndaemon, int nendpoint, ms_t plain_ms, const char *old, int nold);
 void site_free(site_t *t);
 /** Call daemon after daemon for @p span ms, every other call an unsafe one. */
 void site_run(site_t *t, ms_t span);
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -176,7 +176,8 @@
 		daemon_settings_end_bootstrap(st->settings[i]);
 	}
 	st->daemon[i] =
-	    proc_start("ebonypitchd", "--settings", st->settings[i], NULL);
+	    proc_start(st->program[i] != NULL ? st->program[i] : "ebonypitchd",
+		"--settings", st->settings[i], NULL);
 	if (wait_ready)
 		g_assert_true(fixture_run_until(st, is_ready, &a, READY_MS));
 }
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -25,6 +25,8 @@
 	const char *domain[FIXTURE_ENDPOINTS]; /* "north", as the daemons' */
 	int nendpoint;
 	proc_t *daemon[FIXTURE_DAEMONS];
+	/* Under build/bin; NULL: "ebonypitchd". For daemons started later. */
+	const char *program[FIXTURE_DAEMONS];
 	char *dir, *store_addr;
 	char *settings[FIXTURE_DAEMONS]; /* paths of the files */
 	/* The daemons' addresses for calls, readiness and the entry list. */
--- a/tests/take_up.c
+++ b/tests/take_up.c
@@ -102,6 +102,12 @@
 
 fixture_t *
 versions_start_with(const versions_opts_t *o)
+{
+	return versions_start_of(o, NULL);
+}
+
+fixture_t *
+versions_start_of(const versions_opts_t *o, const char *program)
 {
 	fixture_t *st = fixture_new();
 	int i;
@@ -110,8 +116,10 @@
 	fixture_add_endpoint(st, &plain, "app");
 	versions_add(st, o->v1, "v1", o->event_gap);
 	versions_add(st, o->v2, "v2", o->event_gap);
-	for (i = 0; i < o->daemons; i++)
+	for (i = 0; i < o->daemons; i++) {
+		st->program[i] = program;
 		fixture_start_daemon(st, i, false);
+	}
 	for (i = 0; i < o->daemons; i++) {
 		daemon_wait_gauge(st, i, "instances", o->daemons);
 		daemon_wait_gauge(st, i, "endpoints", st->nendpoint);
--- a/tests/take_up.h
+++ b/tests/take_up.h
@@ -26,6 +26,8 @@
  * another service: its entry shows how far the daemons have read the store.
  */
 fixture_t *versions_start_with(const versions_opts_t *o);
+/** The same with daemons of another program. */
+fixture_t *versions_start_of(const versions_opts_t *o, const char *program);
 /** The same, with an event each EVENT_GAP_MS. */
 fixture_t *versions_start(int daemons, int v1, int v2);
 /** Add endpoints of a version. */
