platform: an object of the store is parsed once

Cause: each object of an answer was parsed, written out again as text, and parsed a second time by whoever reads it; a configuration was decoded in full before its version was compared.

Change: an object keeps its parsed content. config_version() is compared before a configuration is decoded.

Checks that changed: platform_test asked for the text of an object's content; it asks for its only field and value now, and also that null content is none. config_decode("x") became a NULL content, and a version that is no number was added.

--- a/serve/lease.c
+++ b/serve/lease.c
@@ -148,7 +148,7 @@
 static void
 apply_lease(plan_t *p, const object_t *o)
 {
-	json_t *j = o->spec != NULL ? json_loads(o->spec, 0, NULL) : NULL;
+	const json_t *j = o->spec;
 	const char *ip = json_string_value(json_object_get(j, "ip"));
 
 	software_merge(p->s, j);
@@ -157,7 +157,6 @@
 	    ip != NULL && strcmp(ip, p->s->conf.ip) == 0,
 	    json_is_true(json_object_get(j, "settled")),
 	    json_is_true(json_object_get(j, "released")), p->s->loop.now);
-	json_decref(j);
 }
 
 static void
@@ -175,7 +174,7 @@
 		    &p->leadership, 0, false, false, false, p->s->loop.now);
 	} else if (status == 200 && object_decode(&o, text, len, &e) == 0) {
 		apply_lease(p, &o);
-		free(o.spec);
+		json_decref(o.spec);
 	}
 	streams_history_read(p->s);
 }
@@ -236,7 +235,7 @@
 		/* Unknown whether it was written: read the lease again. */
 		p->leadership.read = false;
 	}
-	free(o.spec);
+	json_decref(o.spec);
 }
 
 static void
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -524,7 +524,7 @@
 	} else if (status == 409 && object_decode(&o, text, len, NULL) == 0) {
 		/* The object exists already: check its content. */
 		peers_store_object(s, &o);
-		free(o.spec);
+		json_decref(o.spec);
 	} else {
 		log_limited(
 		    LOG_WARNING, "instance-object", "status=%d", status);
@@ -559,7 +559,7 @@
 void
 peers_store_object(serve_t *s, const object_t *o)
 {
-	json_t *j = o->spec != NULL ? json_loads(o->spec, 0, NULL) : NULL;
+	const json_t *j = o->spec;
 	const char *ip = json_string_value(json_object_get(j, "ip"));
 	const char *caller =
 	    json_string_value(json_object_get(j, "caller_addr"));
@@ -597,7 +597,6 @@
 			}
 		}
 	}
-	json_decref(j);
 }
 
 void
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -64,20 +64,19 @@
 {
 	err_t e = { 0 };
 	config_t *c;
+	int64_t version = config_version(o->spec);
 	int i;
 
 	if (strcmp(o->name, "main") != 0 || o->deleted)
 		return;
-	c = config_decode(o->spec, strlen(o->spec), &e);
+	if (s->config != NULL && version != -1 && version <= s->config->version)
+		return;
+	c = config_decode(o->spec, &e);
 	if (c == NULL) {
 		log_limited(LOG_ERR, "config-unreadable",
 		    "revision=%" PRId64 " why=\"%s\"", o->revision, e.text);
 		return;
 	}
-	if (s->config != NULL && c->version <= s->config->version) {
-		config_free(c);
-		return;
-	}
 	log_limited(LOG_NOTICE, "config",
 	    "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
 	    " routes=%d services=%d",
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -25,8 +25,11 @@
 static void
 set_up(fixture_t *t)
 {
+	json_t *j = json_loads(config_text, 0, NULL);
+
 	memset(t, 0, sizeof(*t));
-	t->s.config = config_decode(config_text, strlen(config_text), NULL);
+	t->s.config = config_decode(j, NULL);
+	json_decref(j);
 	t->s.loop.now = 100000;
 	t->p.s = &t->s;
 	t->p.dispatchers =
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -86,6 +86,39 @@
 	g_free(text);
 }
 
+static config_t *
+decode_config(const char *text)
+{
+	json_t *j = json_loads(text, 0, NULL);
+	config_t *c = config_decode(j, NULL);
+
+	json_decref(j);
+	return c;
+}
+
+static int
+decode_entry(endpoint_entry_t *en, const char *text, err_t *e)
+{
+	json_t *j = json_loads(text, 0, NULL);
+	int rc = entry_decode(en, "i-1", j, e);
+
+	json_decref(j);
+	return rc;
+}
+
+/* Guards against a configuration that is decoded again at each answer. */
+static void
+version_is_read_without_decoding(void)
+{
+	json_t *j = json_pack("{s:i}", "version", 7);
+
+	g_assert_cmpint(config_version(j), ==, 7);
+	json_object_set_new(j, "version", json_string("7"));
+	g_assert_cmpint(config_version(j), ==, -1);
+	g_assert_cmpint(config_version(NULL), ==, -1);
+	json_decref(j);
+}
+
 static void
 configuration_is_read(void)
 {
@@ -104,7 +137,7 @@
 	    "\"engine\":{\"slots\":4,\"models\":[{\"name\":\"m\","
 	    "\"weights_mb\":10,\"load_s\":1.5}]}}],"
 	    "\"limits\":{\"max_body_bytes\":9}}";
-	config_t *c = config_decode(text, strlen(text), NULL);
+	config_t *c = decode_config(text);
 
 	g_assert_nonnull(c);
 	g_assert_cmpint(c->version, ==, 7);
@@ -119,8 +152,9 @@
 	    service_model(config_service(c, "s"), "m")->load, ==, 1500);
 	g_assert_null(config_service(c, "t"));
 	config_free(c);
-	g_assert_null(config_decode("{}", 2, NULL));
-	g_assert_null(config_decode("x", 1, NULL));
+	g_assert_null(decode_config("{}"));
+	g_assert_null(decode_config("{\"version\":\"7\"}"));
+	g_assert_null(config_decode(NULL, NULL));
 }
 
 static void
@@ -130,7 +164,7 @@
 	err_t e = { 0 };
 
 	g_assert_cmpint(
-	    entry_decode(&en, "i-1",
+	    decode_entry(&en,
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
 		"\"z\",\"slots\":8,\"state\":\"draining\",\"remaining_ms\":"
 		"900,\"seq\":12,\"born\":1700000000000,\"models\":["
@@ -167,13 +201,13 @@
 		for (k = g_rand_int_range(g, 1, 5); k > 0; k--)
 			t[g_rand_int_range(g, 0, sizeof(good) - 1)] =
 			    (char)g_rand_int_range(g, 1, 256);
-		if (entry_decode(&en, "i-1", t, NULL) == 0)
+		if (decode_entry(&en, t, NULL) == 0)
 			g_assert_cmpint(en.holds.nmodel, <=, LOADED_MODELS_MAX);
 		if (report_decode(&r, t, strlen(t), NULL) == 0)
 			g_assert_cmpint(r.holds.nmodel, <=, LOADED_MODELS_MAX);
 		if (objects_decode(&o, t, strlen(t), NULL) == 0)
 			objects_free(&o);
-		config_free(config_decode(t, strlen(t), NULL));
+		config_free(decode_config(t));
 		g_free(t);
 	}
 	g_rand_free(g);
@@ -194,11 +228,14 @@
 	g_assert_cmpint(objects_decode(&o, text, strlen(text), NULL), ==, 0);
 	g_assert_cmpint(o.nobject, ==, 1);
 	g_assert_true(o.more);
-	g_assert_cmpstr(o.object[0].spec, ==, "{\"x\":1}");
+	g_assert_cmpint(json_object_size(o.object[0].spec), ==, 1);
+	g_assert_cmpint(
+	    json_integer_value(json_object_get(o.object[0].spec, "x")), ==, 1);
 	objects_free(&o);
 	g_assert_cmpint(
 	    objects_decode(&o, events, strlen(events), NULL), ==, 0);
 	g_assert_true(o.object[0].deleted);
+	g_assert_null(o.object[0].spec);
 	objects_free(&o);
 	g_assert_cmpint(objects_decode(&o, "{}", 2, NULL), ==, -1);
 }
@@ -336,6 +373,7 @@
 	T(each_missing_field_is_named);
 	T(invalid_settings_are_errors);
 	T(configuration_is_read);
+	T(version_is_read_without_decoding);
 	T(entries_are_read);
 	T(corrupted_input_is_an_error_or_bounded);
 	T(bad_item_doesn_t_hide_the_rest);
