policy: a full list of copies to unload drops the one of greatest cost

It dropped the newest instead. No test: an endpoint has at most 16 copies, as many as the list holds, so it can't be full today. Found by reading.

--- a/policy/assign_room.c
+++ b/policy/assign_room.c
@@ -203,9 +203,11 @@
 {
 	int i;
 
-	if (*n == VICTIMS_MAX)
+	if (*n < VICTIMS_MAX)
+		(*n)++;
+	else if (list[*n - 1].cost <= v->cost)
 		return;
-	for (i = (*n)++; i > 0 && list[i - 1].cost > v->cost; i--)
+	for (i = *n - 1; i > 0 && list[i - 1].cost > v->cost; i--)
 		list[i] = list[i - 1];
 	list[i] = *v;
 }
@@ -247,7 +249,7 @@
 	    in->model[m].weights_mb - p->free_mb - assign_unloading_mb(in, p);
 	double factor = assign_is_cached(in, p, m) ? cached_cost_factor : 1;
 	room_t r = { .ep = -1, .copy = -1, .in = -1 };
-	victim_t list[VICTIMS_MAX], v;
+	victim_t list[VICTIMS_MAX] = { 0 }, v;
 	int i, n = 0;
 	ms_t wait;
 
