serve, policy: a call asks the instances that keep the best two endpoints

Cause: with hundreds of instances, views of endpoints' loads are up to 400 ms old, and those that see the same endpoint free all send there; streams miss their pauses behind others' prompts, and plain services turn calls away.

A call asks at the two endpoints that look best, takes the grant with less before it, waits by priority and by the time at which it is late, and is refused at once if both say that it will be.

--- a/policy/workload.c
+++ b/policy/workload.c
@@ -134,6 +134,13 @@
 	return (v + uncached - bucket_max) / rate;
 }
 
+double
+workload_prompt_ms(
+    const workload_t *wl, const workload_average_t *avg, int uncached)
+{
+	return STEP_MS + uncached / prefill_speed(wl, avg);
+}
+
 double
 workload_prompt_rate(const workload_t *wl, const workload_average_t *avg,
     const workload_limits_t *limits)
--- a/policy/workload.h
+++ b/policy/workload.h
@@ -90,6 +90,9 @@
  */
 double workload_cost_ms(const workload_t *wl, const workload_average_t *avg,
     const workload_cost_weights_t *weights, int uncached, int output, ms_t now);
+/** @return ms that a prompt takes there, once it is its turn */
+double workload_prompt_ms(
+    const workload_t *wl, const workload_average_t *avg, int uncached);
 /** @return the prompt tokens per ms that may be sent there */
 double workload_prompt_rate(const workload_t *wl, const workload_average_t *avg,
     const workload_limits_t *limits);
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -122,6 +122,8 @@
 		at = c->sent_at + CONNECT_TIMEOUT_MS;
 	if (c->state == CALL_LOCATING && stream_lookup_next(c) < at)
 		at = stream_lookup_next(c);
+	if (c->state == CALL_ASKING && ask_next(c) < at)
+		at = ask_next(c);
 	silence_at = c->state == CALL_SENT || c->state == CALL_RELAYING
 			 ? silence_due_at(c)
 			 : 0;
@@ -221,6 +223,9 @@
 		return;
 	case CALL_WAITING:
 		return;
+	case CALL_ASKING:
+		ask_timer(c);
+		return;
 	case CALL_CONNECTING:
 		if (now >= c->sent_at + CONNECT_TIMEOUT_MS) {
 			breaker_failure(&c->ep->breaker, true, now);
--- a/serve/call.c
+++ b/serve/call.c
@@ -432,25 +432,43 @@
 	send_to(c, ch);
 }
 
+/* Where it was granted, else where it may be sent by what is known here. */
+static ep_conn_t *
+acquire_any(call_t *c, choice_t *out)
+{
+	ep_conn_t *w = NULL;
+
+	if (c->ask.granted != NULL)
+		w = acquire(c, choose_granted, out);
+	c->ask.granted = NULL;
+	if (w == NULL)
+		w = acquire(c, choose_endpoint, out);
+	if (w != NULL || !call_may_return(c))
+		return w;
+	w = acquire(c, choose_return, out);
+	if (w != NULL)
+		log_limited(LOG_NOTICE, "silence",
+		    "request=%s endpoint=%s decision=return events=%d "
+		    "after_ms=%" PRId64,
+		    c->request.id, out->ep->entry.id, c->nevent,
+		    c->s->loop.now - c->received_at);
+	return w;
+}
+
 void
 call_dispatch(call_t *c)
 {
 	serve_t *s = c->s;
 	choice_t ch = { 0 };
+	ep_conn_t *w;
 
 	if (blame_stops_call(c))
 		return;
-	c->conn = acquire(c, choose_endpoint, &ch);
-	if (c->conn == NULL && call_may_return(c)) {
-		c->conn = acquire(c, choose_return, &ch);
-		if (c->conn != NULL)
-			log_limited(LOG_NOTICE, "silence",
-			    "request=%s endpoint=%s decision=return events=%d "
-			    "after_ms=%" PRId64,
-			    c->request.id, ch.ep->entry.id, c->nevent,
-			    s->loop.now - c->received_at);
-	}
-	if (c->conn != NULL) {
+	if (c->ask.granted == NULL && ask_begin(c))
+		return;
+	w = acquire_any(c, &ch);
+	if (w != NULL) {
+		c->conn = w;
 		send_to(c, &ch);
 		return;
 	}
@@ -518,6 +536,7 @@
 	call_end_attempt(c, false);
 	call_queue_remove(c);
 	stream_lookup_end(c);
+	ask_end(c);
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -106,6 +106,12 @@
 }
 
 typedef struct scan {
+	/* Collect the best endpoints, full ones too, to ask at them. */
+	bool asking;
+	ep_t *asked[ASKED_MAX];
+	double asked_cost[ASKED_MAX];
+	int asked_tokens[ASKED_MAX];
+	int nasked;
 	ep_t *best;
 	double cost, first_ms;
 	int uncached_tokens;
@@ -188,6 +194,27 @@
 	return is_candidate(c, p) && holds_for(c, p);
 }
 
+/* Keep the endpoints of least cost. */
+static void
+add_asked(scan_t *sc, ep_t *p, double cost_ms, int tokens)
+{
+	int i;
+
+	if (sc->nasked == ASKED_MAX && cost_ms >= sc->asked_cost[ASKED_MAX - 1])
+		return;
+	if (sc->nasked < ASKED_MAX)
+		sc->nasked++;
+	for (i = sc->nasked - 1; i > 0 && sc->asked_cost[i - 1] > cost_ms;
+	     i--) {
+		sc->asked[i] = sc->asked[i - 1];
+		sc->asked_cost[i] = sc->asked_cost[i - 1];
+		sc->asked_tokens[i] = sc->asked_tokens[i - 1];
+	}
+	sc->asked[i] = p;
+	sc->asked_cost[i] = cost_ms;
+	sc->asked_tokens[i] = tokens;
+}
+
 static void
 consider_endpoint(
     call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
@@ -233,6 +260,17 @@
 	    &p->workload, &s->average_speed, uncached_tokens);
 	if (sc->least_first_ms == 0 || first_ms < sc->least_first_ms)
 		sc->least_first_ms = first_ms;
+	if (sc->asking && p->no_conn_in != s->search &&
+	    retry_after_left(&p->retry_after, now) == 0 && limits_allow(s, p)) {
+		wait_ms =
+		    workload_send_delay_ms(&p->workload, &s->average_speed,
+			&s->workload_limits, uncached_tokens, now);
+		add_asked(sc, p,
+		    wait_ms +
+			endpoint_cost(c, p, group, first_ms, uncached_tokens),
+		    uncached_tokens);
+		return;
+	}
 	if (p->no_conn_in == s->search ||
 	    (engine &&
 		workload_kv_free(&p->workload) <
@@ -476,6 +514,51 @@
 	choose_best(&sc, out);
 }
 
+int
+choose_candidates(call_t *c, ep_t **candidate, int *tokens)
+{
+	scan_t sc = { .asking = true };
+	int i;
+
+	/* Of a call that may not be sent, and of an instance that ends, the
+	 * usual choice decides. */
+	if (c->s->leaving ||
+	    (c->attempts > 0 && (c->ntried >= c->route.attempts ||
+				    !retry_budget_allows(c->s, c))))
+		return 0;
+	c->s->search++;
+	scan_endpoints(c, &sc);
+	for (i = 0; i < sc.nasked; i++) {
+		candidate[i] = sc.asked[i];
+		tokens[i] = sc.asked_tokens[i];
+	}
+	return sc.nasked;
+}
+
+void
+choose_granted(call_t *c, choice_t *out)
+{
+	serve_t *s = c->s;
+	ep_t *p = c->ask.granted;
+	uint64_t key[PREFIX_MAX] = { 0 };
+	int i, tokens = c->request.prompt;
+
+	*out = (choice_t){ .kind = CHOICE_NONE,
+		.reason = "the endpoint takes no more calls now" };
+	if (p == NULL || !choose_may_serve(c, p) || p->reach.way != WAY_OPEN ||
+	    p->no_conn_in == s->search)
+		return;
+	for (i = 0; i < c->request.npart; i++)
+		key[i] = prefix_key(c, i);
+	if (c->request.model[0] != '\0')
+		tokens -= cached_tokens(p, key, c, s->loop.now);
+	out->kind = CHOICE_SEND;
+	out->ep = p;
+	out->uncached_tokens = tokens;
+	out->first_ms =
+	    (ms_t)workload_predict_ms(&p->workload, &s->average_speed, tokens);
+}
+
 /*
  * An instance that can connect to endpoints that this one can't may serve the
  * call, whether others are full here or not.
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[37] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[39] =
 {
   {
     "sender",
@@ -498,6 +498,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keeps",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, keeps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keeper",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, keeper),
+    &digest__keeper_message__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -513,6 +537,8 @@
   5,   /* field[5] = holder */
   9,   /* field[9] = identity */
   1,   /* field[1] = incarnation */
+  38,   /* field[38] = keeper */
+  37,   /* field[37] = keeps */
   15,   /* field[15] = kv_units */
   19,   /* field[19] = lease_revision */
   4,   /* field[4] = leaving */
@@ -541,7 +567,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 37 }
+  { 0, 39 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -551,7 +577,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  37,
+  39,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -144,10 +144,15 @@
   Digest__StreamVersions *streams;
   Digest__Blame *blame;
   Digest__CallLimits *limits;
+  Digest__KeeperMessage *keeper;
+  /*
+   * It answers asks for the endpoints whose load it keeps.
+   */
+  protobuf_c_boolean keeps;
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
 
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &digest__stream_versions__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__keeper_message__init
+                     (Digest__KeeperMessage         *message)
+{
+  static const Digest__KeeperMessage init_value = DIGEST__KEEPER_MESSAGE__INIT;
+  *message = init_value;
+}
+size_t digest__keeper_message__get_packed_size
+                     (const Digest__KeeperMessage *message)
+{
+  assert(message->base.descriptor == &digest__keeper_message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__keeper_message__pack
+                     (const Digest__KeeperMessage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__keeper_message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__keeper_message__pack_to_buffer
+                     (const Digest__KeeperMessage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__keeper_message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__KeeperMessage *
+       digest__keeper_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__KeeperMessage *)
+     protobuf_c_message_unpack (&digest__keeper_message__descriptor,
+                                allocator, len, data);
+}
+void   digest__keeper_message__free_unpacked
+                     (Digest__KeeperMessage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__keeper_message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   digest__accepted_order__init
                      (Digest__AcceptedOrder         *message)
 {
@@ -933,6 +978,239 @@
   (ProtobufCMessageInit) digest__stream_versions__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__keeper_message__field_descriptors[16] =
+{
+  {
+    "ask_call",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_ask_call),
+    offsetof(Digest__KeeperMessage, ask_call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_endpoint",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_ask_endpoint),
+    offsetof(Digest__KeeperMessage, ask_endpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_tokens",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_ask_tokens),
+    offsetof(Digest__KeeperMessage, ask_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_kv_units",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_ask_kv_units),
+    offsetof(Digest__KeeperMessage, ask_kv_units),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_rank",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_ask_rank),
+    offsetof(Digest__KeeperMessage, ask_rank),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_late_in",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_ask_late_in),
+    offsetof(Digest__KeeperMessage, ask_late_in),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_call",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_removed_call),
+    offsetof(Digest__KeeperMessage, removed_call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_endpoint",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_removed_endpoint),
+    offsetof(Digest__KeeperMessage, removed_endpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_endpoint),
+    offsetof(Digest__KeeperMessage, endpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_tokens",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_prefill_tokens),
+    offsetof(Digest__KeeperMessage, prefill_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_running),
+    offsetof(Digest__KeeperMessage, running),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_units",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_kv_units),
+    offsetof(Digest__KeeperMessage, kv_units),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_call",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_answer_call),
+    offsetof(Digest__KeeperMessage, answer_call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_endpoint",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__KeeperMessage, n_answer_endpoint),
+    offsetof(Digest__KeeperMessage, answer_endpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_wait",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_answer_wait),
+    offsetof(Digest__KeeperMessage, answer_wait),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_backlog",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_answer_backlog),
+    offsetof(Digest__KeeperMessage, answer_backlog),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__keeper_message__field_indices_by_name[] = {
+  15,   /* field[15] = answer_backlog */
+  12,   /* field[12] = answer_call */
+  13,   /* field[13] = answer_endpoint */
+  14,   /* field[14] = answer_wait */
+  0,   /* field[0] = ask_call */
+  1,   /* field[1] = ask_endpoint */
+  3,   /* field[3] = ask_kv_units */
+  5,   /* field[5] = ask_late_in */
+  4,   /* field[4] = ask_rank */
+  2,   /* field[2] = ask_tokens */
+  8,   /* field[8] = endpoint */
+  11,   /* field[11] = kv_units */
+  9,   /* field[9] = prefill_tokens */
+  6,   /* field[6] = removed_call */
+  7,   /* field[7] = removed_endpoint */
+  10,   /* field[10] = running */
+};
+static const ProtobufCIntRange digest__keeper_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor digest__keeper_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.KeeperMessage",
+  "KeeperMessage",
+  "Digest__KeeperMessage",
+  "digest",
+  sizeof(Digest__KeeperMessage),
+  16,
+  digest__keeper_message__field_descriptors,
+  digest__keeper_message__field_indices_by_name,
+  1,  digest__keeper_message__number_ranges,
+  (ProtobufCMessageInit) digest__keeper_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor digest__accepted_order__field_descriptors[6] =
 {
   {
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Digest__Demand Digest__Demand;
 typedef struct Digest__ModelWait Digest__ModelWait;
 typedef struct Digest__StreamVersions Digest__StreamVersions;
+typedef struct Digest__KeeperMessage Digest__KeeperMessage;
 typedef struct Digest__AcceptedOrder Digest__AcceptedOrder;
 typedef struct Digest__Blame Digest__Blame;
 typedef struct Digest__EndpointCrash Digest__EndpointCrash;
@@ -155,6 +156,87 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * To and from the instance that keeps an endpoint's load. A datagram that has
+ * this part has nothing else.
+ */
+struct  Digest__KeeperMessage
+{
+  ProtobufCMessage base;
+  /*
+   * Calls that want to be sent to an endpoint; each list has one for each.
+   */
+  /*
+   * its number at the asking instance
+   */
+  size_t n_ask_call;
+  uint32_t *ask_call;
+  size_t n_ask_endpoint;
+  uint32_t *ask_endpoint;
+  /*
+   * prompt tokens to be processed
+   */
+  size_t n_ask_tokens;
+  uint32_t *ask_tokens;
+  /*
+   * of KV_UNIT_TOKENS each
+   */
+  size_t n_ask_kv_units;
+  uint32_t *ask_kv_units;
+  /*
+   * 0 is the most urgent
+   */
+  size_t n_ask_rank;
+  uint32_t *ask_rank;
+  /*
+   * ms
+   */
+  size_t n_ask_late_in;
+  uint32_t *ask_late_in;
+  /*
+   * Calls that don't ask any more, or have begun.
+   */
+  size_t n_removed_call;
+  uint32_t *removed_call;
+  /*
+   * one for each
+   */
+  size_t n_removed_endpoint;
+  uint32_t *removed_endpoint;
+  /*
+   * What the sender has at endpoints now.
+   */
+  size_t n_endpoint;
+  uint32_t *endpoint;
+  size_t n_prefill_tokens;
+  uint32_t *prefill_tokens;
+  size_t n_running;
+  uint32_t *running;
+  size_t n_kv_units;
+  uint32_t *kv_units;
+  /*
+   * Answers to asks.
+   */
+  size_t n_answer_call;
+  uint32_t *answer_call;
+  size_t n_answer_endpoint;
+  uint32_t *answer_endpoint;
+  /*
+   * 0: granted, else ms and one
+   */
+  size_t n_answer_wait;
+  uint32_t *answer_wait;
+  /*
+   * ms of prompts before it
+   */
+  size_t n_answer_backlog;
+  uint32_t *answer_backlog;
+};
+#define DIGEST__KEEPER_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__keeper_message__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * An order that an endpoint accepted.
  */
@@ -461,6 +543,25 @@
 void   digest__stream_versions__free_unpacked
                      (Digest__StreamVersions *message,
                       ProtobufCAllocator *allocator);
+/* Digest__KeeperMessage methods */
+void   digest__keeper_message__init
+                     (Digest__KeeperMessage         *message);
+size_t digest__keeper_message__get_packed_size
+                     (const Digest__KeeperMessage   *message);
+size_t digest__keeper_message__pack
+                     (const Digest__KeeperMessage   *message,
+                      uint8_t             *out);
+size_t digest__keeper_message__pack_to_buffer
+                     (const Digest__KeeperMessage   *message,
+                      ProtobufCBuffer     *buffer);
+Digest__KeeperMessage *
+       digest__keeper_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   digest__keeper_message__free_unpacked
+                     (Digest__KeeperMessage *message,
+                      ProtobufCAllocator *allocator);
 /* Digest__AcceptedOrder methods */
 void   digest__accepted_order__init
                      (Digest__AcceptedOrder         *message);
@@ -627,6 +728,9 @@
 typedef void (*Digest__StreamVersions_Closure)
                  (const Digest__StreamVersions *message,
                   void *closure_data);
+typedef void (*Digest__KeeperMessage_Closure)
+                 (const Digest__KeeperMessage *message,
+                  void *closure_data);
 typedef void (*Digest__AcceptedOrder_Closure)
                  (const Digest__AcceptedOrder *message,
                   void *closure_data);
@@ -661,6 +765,7 @@
 extern const ProtobufCMessageDescriptor digest__demand__descriptor;
 extern const ProtobufCMessageDescriptor digest__model_wait__descriptor;
 extern const ProtobufCMessageDescriptor digest__stream_versions__descriptor;
+extern const ProtobufCMessageDescriptor digest__keeper_message__descriptor;
 extern const ProtobufCMessageDescriptor digest__accepted_order__descriptor;
 extern const ProtobufCMessageDescriptor digest__blame__descriptor;
 extern const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor;
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -2,6 +2,7 @@
  * The table of endpoints: their entries in the store, and the orders that the
  * entries may not show yet.
  */
+#include "serve/keepers.h"
 #include "serve/limits.h"
 #include "serve/reach.h"
 
@@ -252,6 +253,7 @@
 		g_hash_table_remove(f->by_tag, GUINT_TO_POINTER(p->tag));
 		plan_forget_endpoint(s, p);
 		peers_forget_endpoint(s, p);
+		keepers_forget_endpoint(s, p);
 		f->ep[i] = f->ep[--f->nep];
 		limits_forget(p);
 		loop_free_later(&s->loop, p);
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -126,6 +126,11 @@
 	struct ep_permits *permits;	 /* NULL: none needed yet */
 	struct crash_check *crash_check; /* in progress, or NULL */
 	ms_t crash_checked_at;		 /* the last one, 0: never */
+	/* The instance that keeps its load, as of keeper_at. */
+	uint64_t keeper;
+	bool keeper_own; /* this one does */
+	ms_t keeper_at;
+	bool share_unsent;   /* to that instance */
 	bool changed;	     /* own share changed since it was last sent */
 	bool changed_remote; /* the same, to other domains */
 	sent_prefix_t prefix[PREFIX_SLOTS];
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -1,4 +1,5 @@
 /* Digests that this instance sends to its peers. */
+#include "serve/keepers.h"
 #include "serve/reach.h"
 #include "serve/shares.h"
 
@@ -29,6 +30,7 @@
 	d->holder = plan_holder_valid(s);
 	d->store_lost = store_lost(s);
 	d->domain_heartbeat_ms = (uint32_t)domain_heartbeat_ms(s);
+	d->keeps = true;
 	d->several_versions = streams_several_versions(s);
 	d->lease_revision = plan_lease_revision(s);
 	d->unreached_service = (uint32_t *)(void *)tags->service->data;
@@ -540,6 +542,7 @@
 	ms_t span = (ms_t)SHARE_INTERVAL_PER_PEER_MS * ps->npeer;
 
 	p->changed = p->changed_remote = true;
+	keepers_load_changed(s, p);
 	call_queue_wake(s);
 	if (span < SHARE_INTERVAL_MIN_MS)
 		span = SHARE_INTERVAL_MIN_MS;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/keepers.h"
 #include "serve/limits.h"
 #include "policy/liveness.h"
 #include "serve/peer_call.h"
@@ -210,8 +211,8 @@
 	return NULL;
 }
 
-static peer_t *
-find_peer_hash(serve_t *s, uint64_t hash)
+const peer_t *
+peer_by_hash(const serve_t *s, uint64_t hash)
 {
 	int i;
 
@@ -359,7 +360,7 @@
     serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
 {
 	char ip[ADDR_MAX];
-	peer_t *p = find_peer_hash(s, d->sender);
+	peer_t *p = (peer_t *)peer_by_hash(s, d->sender);
 
 	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
 	if (d->sender == s->peers.hash)
@@ -413,6 +414,7 @@
 	p->goodbye = d->exiting;
 	p->lost_store = d->store_lost;
 	p->heartbeat = d->domain_heartbeat_ms;
+	p->keeps = d->keeps;
 	p->several_versions = d->several_versions;
 	if (d->holder)
 		for (i = 0; i < d->n_stored_software; i++)
@@ -501,6 +503,8 @@
 			blame_receive(s, d->blame, &from);
 		else if (d->limits != NULL)
 			limits_receive(s, d->limits, &from);
+		else if (d->keeper != NULL)
+			keepers_receive(s, d->keeper, &from);
 		else if (d->sum_domain != 0)
 			receive_sum(s, d, &from, bytes, (size_t)n);
 		else
@@ -673,6 +677,7 @@
 		if (!peer_alive(s, s->peers.peer[i]))
 			shares_forget(s->peers.peer[i]);
 	domain_sums_expire(s);
+	keepers_tick(s);
 	write_own_object(s);
 	if (plan_is_holder(s))
 		remove_silent_objects(s);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -25,6 +25,7 @@
 typedef enum call_state {
 	CALL_LOCATING,	 /* asking which software version began the stream */
 	CALL_WAITING,	 /* for a free endpoint or a model to be loaded */
+	CALL_ASKING,	 /* the instances that keep endpoints' loads */
 	CALL_CONNECTING, /* no byte sent yet */
 	CALL_SENT,	 /* it may have run */
 	CALL_RELAYING,	 /* the answer's head was sent to the caller */
@@ -40,6 +41,19 @@
 	bool contradicted; /* one of them knows several versions */
 } stream_lookup_t;
 
+enum {
+	ASKED_MAX = 2, /* endpoints at which a call asks at a time */
+};
+
+/** An endpoint at which a call asks to be sent there. */
+typedef struct asked {
+	ep_t *ep; /* NULL: none */
+	int tokens;
+	ms_t sent_at;
+	bool answered, granted;
+	ms_t wait, backlog; /* by the last answer */
+} asked_t;
+
 struct call {
 	serve_t *s;
 	handle_t id;
@@ -125,6 +139,14 @@
 	uint64_t stream_id; /* hash of the attempt that began it */
 	uint64_t software;  /* version that it must go on at, 0: any */
 	stream_lookup_t lookup;
+
+	struct {
+		uint32_t number; /* 0: it doesn't ask */
+		asked_t at[ASKED_MAX];
+		ms_t begun_at, round_at, granted_at;
+		ep_t *granted; /* it may be sent there now */
+		bool skip;     /* nobody answers: go by what is known here */
+	} ask;
 };
 
 /** A request was received completely: handle it. */
@@ -257,6 +279,24 @@
 int call_queue_calls_ahead(const call_t *c);
 void call_queue_init(serve_t *s);
 
+/**
+ * Ask before the call is sent, if instances are many. ask.c
+ * @return false: it doesn't ask
+ */
+bool ask_begin(call_t *c);
+void ask_timer(call_t *c);
+/** Time of the next step while the call asks. */
+ms_t ask_next(const call_t *c);
+/** The call ends, or asks no more. */
+void ask_end(call_t *c);
+/**
+ * The endpoints that look best for the call, also full ones, the best first.
+ * @param tokens set to the prompt tokens to be processed at each
+ * @return their number
+ */
+int choose_candidates(call_t *c, ep_t **candidate, int *tokens);
+/** Choose the endpoint where the call was granted, if it still may. */
+void choose_granted(call_t *c, choice_t *out);
 /** @return whether the endpoint is usable and holds what the call needs */
 bool choose_may_serve(const call_t *c, const ep_t *p);
 /** Choose an endpoint that the call wasn't sent to yet. */
@@ -435,6 +475,7 @@
 	bool ready, leaving, holder, goodbye;
 	bool lost_store;       /* it has lost contact with the store */
 	bool several_versions; /* it knows several of some service */
+	bool keeps;	       /* it can keep endpoints' loads */
 	int queued_tokens;     /* prompt tokens of its waiting calls */
 	ms_t heartbeat; /* interval that it announced for its domain, 0: none */
 	ms_t last_heard_at; /* 0: never */
@@ -539,6 +580,8 @@
 const peer_t *peer_with_ip(const serve_t *s, struct in_addr ip);
 /** @return the instance that has this address, NULL: none */
 const peer_t *peer_at(const serve_t *s, const struct sockaddr_in *from);
+/** @return the instance whose name has this hash, NULL: none */
+const peer_t *peer_by_hash(const serve_t *s, uint64_t hash);
 /** Is it in our failure domain? */
 bool peer_same_domain(const serve_t *s, const peer_t *p);
 /**
@@ -642,6 +685,7 @@
 	struct reach_feed *reach;
 	GPtrArray *retired; /* ep_t of instances that are gone */
 	struct limits_feed *limits;
+	struct keepers *keepers;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
