--- a/review/stage/scenario.c
+++ b/review/stage/scenario.c
@@ -446,7 +446,7 @@
 /* Clients that send a long body on a connection that they have used before. */
 
 enum {
-	LONG_CLIENTS = 64,
+	LONG_CLIENTS = 72,
 	LONG_BODY = 4000000, /* bytes; max_body_bytes is 4194304 */
 };
 
@@ -535,6 +535,8 @@
 	struct sockaddr_in sa;
 
 	app_workers(6);
+	for (i = 0; i < nworker; i++)
+		worker[i].work_ms = 1500;
 	config_write(1);
 	daemons_run(1);
 	pump(3000);
@@ -549,9 +551,11 @@
 	}
 	pump(2000);
 	note("%d clients send %d bytes each", n, LONG_BODY);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n; i++) {
 		if (long_client[i].http != NULL)
 			long_send(&long_client[i], LONG_BODY);
+		pump(15);
+	}
 	pump(8000);
 	for (i = 0; i < n; i++) {
 		const long_client_t *c = &long_client[i];
