--- a/review/stage/daemon.c
+++ b/review/stage/daemon.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -94,6 +95,7 @@
 		char *argv[] = { "target/bin/ebonypitchd", NULL };
 		char *envp[] = { env, "PATH=/usr/bin:/bin", "HOME=/tmp", NULL };
 
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 		dup2(fd, 1);
 		dup2(fd, 2);
--- a/review/stage/main.c
+++ b/review/stage/main.c
@@ -107,6 +107,7 @@
 	    "Deadline-Remaining: %d\r\n%sContent-Length: %zu\r\n\r\n%s",
 	    method, path, t->id, remaining, fields, strlen(body), body);
 	buf_add(&b, "", 1);
+	note("client: sends %s %s to %s", t->id, path, daemon_at[i].name);
 	t->request = client_request_open(&loop, addr, b.p, on_answer, t);
 	buf_free(&b);
 	g_ptr_array_add(sent, t);
--- a/review/stage/scenario.c
+++ b/review/stage/scenario.c
@@ -506,6 +506,7 @@
 
 	g_snprintf(c->id, sizeof(c->id), "b%06x%04x", loop.epoll_fd, ++count);
 	c->at = loop.now;
+	note("client: sends %s, %d bytes", c->id, size);
 	buf_fmt(&c->http->out,
 	    "POST /log/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %s\r\n"
 	    "Deadline-Remaining: 4000\r\nContent-Length: %d\r\n\r\n",
--- a/review/stage/worker.c
+++ b/review/stage/worker.c
@@ -349,6 +349,7 @@
 	str_copy(r.id, sizeof(r.id), id);
 	g_array_append_val(runs, r);
 	c->run = (int)runs->len - 1;
+	note("worker: %s runs %s", w->id, r.id);
 	c->conn.alarm = (alarm_t){ .fn = on_ran, .arg = c };
 	alarm_set(&loop, &c->conn.alarm, loop.now + w->work_ms);
 }
@@ -373,8 +374,11 @@
 {
 	worker_conn_t *c = (worker_conn_t *)v;
 
-	if (run_of(c) != NULL && v->alarm.fn == on_ran)
+	if (run_of(c) != NULL && v->alarm.fn == on_ran) {
 		worker_of(c)->cut++;
+		note("worker: %s drops %s, its connection has ended",
+		    worker_of(c)->id, run_of(c)->id);
+	}
 }
 
 static const http_server_ops_t ops = { .size = sizeof(worker_conn_t),
