--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
 trap 'exit 2' INT TERM
-timeout -k 5 110 target/review/stage holder-after-drill "$dir" "$here/record.txt"
+timeout -k 5 110 target/review/stage long-prefix "$dir" "$here/record.txt"
 rc=$?
 [ $rc -le 2 ] || rc=2
 exit $rc
--- a/review/stage/scenario.c
+++ b/review/stage/scenario.c
@@ -8,6 +8,28 @@
 
 static const char *const models[] = { "m10", NULL };
 
+/* Routes whose prefixes are longer than those of the others. */
+#define LONG_PREFIX \
+	"/granite-ridge/new-england/friction-survey/trailers/calibration/"
+static const char *records_service; /* NULL: there are no such routes */
+
+static void
+add_long_routes(json_t *routes)
+{
+	json_array_append_new(routes,
+	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
+		"history", "host", "site.example", "path_prefix",
+		LONG_PREFIX "history/", "kind", "safe", "timeout_ms", 4000,
+		"target_latency_ms", 300, "priority", 2, "service", "app",
+		"max_attempts", 2));
+	json_array_append_new(routes,
+	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
+		"records", "host", "site.example", "path_prefix",
+		LONG_PREFIX "records/", "kind", "unsafe", "timeout_ms", 4000,
+		"target_latency_ms", 300, "priority", 2, "service",
+		records_service, "max_attempts", 1));
+}
+
 void
 config_write(int version)
 {
@@ -31,6 +53,8 @@
 		"host", "site.example", "path_prefix", "/log/", "kind",
 		"unsafe", "timeout_ms", 4000, "target_latency_ms", 300,
 		"priority", 2, "service", "app", "max_attempts", 1));
+	if (records_service != NULL)
+		add_long_routes(routes);
 	services = json_pack("[{s:s,s:s,s:i,s:s,s:b,s:{s:i,s:i,s:i,s:f,s:b,s:b,"
 			     "s:i,s:i,s:o,s:f,s:i,s:f}},{s:s,s:s,s:i,s:s,s:b}]",
 	    "name", "llm", "health_path", "/healthz", "max_connections", 360,
@@ -39,7 +63,9 @@
 	    550000.0, "moves", 0, "backups", 0, "stride", 2, "upper_limit", 12,
 	    "models", list, "weights_mb", weights_mb, "adapter_slots",
 	    adapter_slots, "loads_per_s", 2.1, "name", "app", "health_path",
-	    "/healthz", "max_connections", 100, "protocol", "h1", "tls", 0);
+	    "/healthz", "max_connections", 100, "protocol", "h1", "tls", 0,
+	    "name", "ledger", "health_path", "/healthz", "max_connections", 100,
+	    "protocol", "h1", "tls", 0);
 	store_write("config", "main",
 	    json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version,
 		"routes", routes, "services", services, "limits",
@@ -571,6 +597,87 @@
 	return lost > 3;
 }
 
+/* Rule TWICE, of requests that may run once. */
+static int
+check_twice(void)
+{
+	guint i, k;
+	int n = 0;
+
+	for (i = 0; i < runs->len; i++)
+		for (k = i + 1; k < runs->len; k++) {
+			const run_record_t *a =
+			    &g_array_index(runs, run_record_t, i);
+			const run_record_t *b =
+			    &g_array_index(runs, run_record_t, k);
+
+			if (strcmp(a->id, b->id) != 0)
+				continue;
+			note("TWICE: %s ran at %s and, %" PRId64
+			     " ms later, at %s",
+			    a->id, a->worker->id, b->at - a->at, b->worker->id);
+			n++;
+		}
+	note("runs %u, of these repeats of unsafe requests %d", runs->len, n);
+	return n > 0;
+}
+
+/* Unsafe requests on a route with a long prefix; some answers are lost. */
+static int
+long_prefix(void)
+{
+	int i;
+
+	app_workers(3);
+	for (i = 0; i < nworker; i++)
+		worker[i].work_ms = 60;
+	records_service = "app";
+	config_write(1);
+	daemons_run(2);
+	pump(3000);
+	if (trouble)
+		lose_every = 5;
+	for (i = 0; i < 40; i++) {
+		client_send(i % ndaemon, "POST", LONG_PREFIX "records/1", "",
+		    "calibration entry", 4000);
+		pump(150);
+	}
+	pump(3000);
+	return check_twice();
+}
+
+/* The same route, to a service of its own, comes with a newer configuration. */
+static int
+long_prefix_route(void)
+{
+	int i, n = 0;
+	guint k;
+
+	app_workers(3);
+	worker_add("i-ledger0", "ledger", false);
+	worker_add("i-ledger1", "ledger", false);
+	config_write(1);
+	daemons_run(2);
+	pump(3000);
+	if (trouble) {
+		records_service = "ledger";
+		config_write(2);
+	}
+	pump(3000);
+	for (i = 0; i < 20; i++) {
+		client_send(i % ndaemon, "POST", LONG_PREFIX "records/1", "",
+		    "calibration entry", 4000);
+		pump(100);
+	}
+	pump(1000);
+	for (k = 0; k < runs->len; k++)
+		n += strcmp(g_array_index(runs, run_record_t, k).worker->service,
+			 "ledger") != 0;
+	note("ROUTE: of %u runs, by the service of another route %d", runs->len,
+	    n);
+	return n > 0;
+}
+
 typedef struct scenario {
 	const char *name;
 	int (*run)(void);
@@ -582,6 +689,8 @@
 	{ "late-order", late_order },
 	{ "odd-entry", odd_bytes },
 	{ "odd-number", odd_number },
+	{ "long-prefix", long_prefix },
+	{ "long-prefix-route", long_prefix_route },
 	{ "long-bodies", long_bodies },
 };
 
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -95,6 +95,8 @@
 extern GArray *orders, *runs; /* order_record_t, run_record_t */
 extern double weights_mb;
 extern int adapter_slots;
+/** Every so many plain runs lose their answer: the channel is reset; 0: none. */
+extern int lose_every;
 
 worker_t *worker_add(const char *id, const char *service, bool engine);
 void worker_write_entry(worker_t *w);
@@ -132,7 +134,7 @@
 /* Clients. client.c */
 
 typedef struct sent {
-	char id[64], path[64];
+	char id[64], path[160];
 	int daemon, status; /* status 0: no answer */
 	ms_t at, ended_at;
 	bool complete;
--- a/review/stage/worker.c
+++ b/review/stage/worker.c
@@ -25,6 +25,7 @@
 GArray *orders, *runs;
 double weights_mb = 200000;
 int adapter_slots = 8;
+int lose_every;
 
 static worker_t *
 worker_of(const worker_conn_t *c)
@@ -313,10 +314,17 @@
 	worker_t *w = worker_of(c);
 	run_record_t *r = run_of(c);
 	char lines[256];
+	static int count;
 
 	r->status = 200;
 	c->run = -1;
 	w->ran++;
+	if (!w->engine && lose_every > 0 && ++count % lose_every == 0) {
+		note("worker: %s has run %s, its answer is lost", w->id, r->id);
+		http_conn_reset(c->conn.http);
+		server_conn_forget(&c->conn);
+		return;
+	}
 	g_snprintf(lines, sizeof(lines),
 	    "Request-Id: %s\r\nServer-Signature: s.%s\r\nContent-Type: %s\r\n",
 	    r->id, r->id, w->engine ? "text/event-stream" : "text/plain");
