--- a/review/stage/daemon.c
+++ b/review/stage/daemon.c
@@ -140,7 +140,8 @@
 	for (i = 0; i < ndaemon; i++) {
 		daemon_t *d = &daemon_at[i];
 
-		if (d->pid != 0 && waitpid(d->pid, &status, WNOHANG) == d->pid) {
+		if (d->pid != 0 &&
+		    waitpid(d->pid, &status, WNOHANG) == d->pid) {
 			note("platform: %s has ended, %s %d", d->name,
 			    WIFSIGNALED(status) ? "signal" : "status",
 			    WIFSIGNALED(status) ? WTERMSIG(status)
--- a/review/stage/main.c
+++ b/review/stage/main.c
@@ -96,8 +96,8 @@
 	char addr[64];
 	buf_t b = { 0 };
 
-	g_snprintf(t->id, sizeof(t->id), "%08x%04x", (unsigned)getpid(),
-	    ++count);
+	g_snprintf(
+	    t->id, sizeof(t->id), "%08x%04x", (unsigned)getpid(), ++count);
 	str_copy(t->path, sizeof(t->path), path);
 	t->daemon = i;
 	t->at = loop.now;
--- a/review/stage/scenario.c
+++ b/review/stage/scenario.c
@@ -16,18 +16,18 @@
 static void
 add_long_routes(json_t *routes)
 {
-	json_array_append_new(routes,
-	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
-		"history", "host", "site.example", "path_prefix",
-		LONG_PREFIX "history/", "kind", "safe", "timeout_ms", 4000,
-		"target_latency_ms", 300, "priority", 2, "service", "app",
-		"max_attempts", 2));
-	json_array_append_new(routes,
-	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
-		"records", "host", "site.example", "path_prefix",
-		LONG_PREFIX "records/", "kind", "unsafe", "timeout_ms", 4000,
-		"target_latency_ms", 300, "priority", 2, "service",
-		records_service, "max_attempts", 1));
+	json_array_append_new(
+	    routes, json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
+			"history", "host", "site.example", "path_prefix",
+			LONG_PREFIX "history/", "kind", "safe", "timeout_ms",
+			4000, "target_latency_ms", 300, "priority", 2,
+			"service", "app", "max_attempts", 2));
+	json_array_append_new(
+	    routes, json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name",
+			"records", "host", "site.example", "path_prefix",
+			LONG_PREFIX "records/", "kind", "unsafe", "timeout_ms",
+			4000, "target_latency_ms", 300, "priority", 2,
+			"service", records_service, "max_attempts", 1));
 }
 
 void
@@ -37,11 +37,11 @@
 	int i;
 
 	for (i = 0; models[i] != NULL; i++)
-		json_array_append_new(list,
-		    json_pack("{s:s,s:f,s:f,s:i,s:f,s:f,s:f}", "name",
-			models[i], "weights_mb", model_mb(models[i]), "load_s",
-			1.6, "adapters", 63, "adapter_mb", 66.0, "warm_s", 1.3,
-			"disk_s", 1.7));
+		json_array_append_new(
+		    list, json_pack("{s:s,s:f,s:f,s:i,s:f,s:f,s:f}", "name",
+			      models[i], "weights_mb", model_mb(models[i]),
+			      "load_s", 1.6, "adapters", 63, "adapter_mb", 66.0,
+			      "warm_s", 1.3, "disk_s", 1.7));
 	json_array_append_new(routes,
 	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:b,s:i}",
 		"name", "gen", "host", "site.example", "path_prefix", "/gen/",
@@ -88,8 +88,7 @@
 holder(void)
 {
 	json_t *lease = store_read("ebonypitch-leases", "planner");
-	const char *name =
-	    json_string_value(json_object_get(lease, "holder"));
+	const char *name = json_string_value(json_object_get(lease, "holder"));
 	int i;
 
 	for (i = 0; name != NULL && i < ndaemon; i++)
@@ -221,8 +220,8 @@
 		pump(20);
 		for (k = 0; k < orders->len; k++)
 			next_orders |=
-			    strcmp(g_array_index(orders, order_record_t, k)
-				       .holder,
+			    strcmp(
+				g_array_index(orders, order_record_t, k).holder,
 				daemon_at[old].name) != 0;
 	}
 	if (!next_orders)
@@ -277,8 +276,8 @@
 	int i;
 
 	for (i = 0; i < n; i++) {
-		client_send(
-		    i % ndaemon, "POST", "/log/x", "", "calibration entry", 4000);
+		client_send(i % ndaemon, "POST", "/log/x", "",
+		    "calibration entry", 4000);
 		if (gap > 0)
 			pump(gap);
 	}
@@ -519,10 +518,9 @@
 	c->http = NULL;
 }
 
-static const http_conn_ops_t long_ops = { .head = long_head,
-	.body = long_body,
-	.done = long_done,
-	.end = long_end };
+static const http_conn_ops_t long_ops = {
+	.head = long_head, .body = long_body, .done = long_done, .end = long_end
+};
 
 static void
 long_send(long_client_t *c, int size)
@@ -671,8 +669,9 @@
 	}
 	pump(1000);
 	for (k = 0; k < runs->len; k++)
-		n += strcmp(g_array_index(runs, run_record_t, k).worker->service,
-			 "ledger") != 0;
+		n +=
+		    strcmp(g_array_index(runs, run_record_t, k).worker->service,
+			"ledger") != 0;
 	note("ROUTE: of %u runs, by the service of another route %d", runs->len,
 	    n);
 	return n > 0;
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -57,10 +57,10 @@
 	http_server_t server;
 	char id[64], addr[64], service[64];
 	bool engine;
-	bool up;	 /* its process runs */
-	bool listed;	 /* it writes its entry */
-	bool leaving;	 /* its entry says draining */
-	bool says_leave; /* its answers say Server-Leaving */
+	bool up;	  /* its process runs */
+	bool listed;	  /* it writes its entry */
+	bool leaving;	  /* its entry says draining */
+	bool says_leave;  /* its answers say Server-Leaving */
 	GPtrArray *holds; /* "model" or "model/adapter" */
 	int64_t born;
 	int orders; /* accepted in this lifetime: seq */
@@ -95,7 +95,8 @@
 extern GArray *orders, *runs; /* order_record_t, run_record_t */
 extern double weights_mb;
 extern int adapter_slots;
-/** Every so many plain runs lose their answer: the channel is reset; 0: none. */
+/** Every so many plain runs lose their answer: the channel is reset; 0: none.
+ */
 extern int lose_every;
 
 worker_t *worker_add(const char *id, const char *service, bool engine);
--- a/review/stage/store.c
+++ b/review/stage/store.c
@@ -119,8 +119,8 @@
 	c->watching = false;
 	alarm_stop(&loop, &c->conn.alarm);
 	reply(c, 200,
-	    json_pack("{s:o,s:I}", "events", list, "as_of",
-		(json_int_t)revision));
+	    json_pack(
+		"{s:o,s:I}", "events", list, "as_of", (json_int_t)revision));
 }
 
 static void
@@ -159,8 +159,8 @@
 	str_copy(w->name, sizeof(w->name), name);
 	w->spec = spec;
 	w->revision = ++revision;
-	w->created = before != NULL && before->spec != NULL ? before->created
-							    : revision;
+	w->created =
+	    before != NULL && before->spec != NULL ? before->created : revision;
 	g_ptr_array_add(history, w);
 	notify(kind);
 	return w->revision;
@@ -243,7 +243,8 @@
 		reply(c, 409, object_json(w));
 	} else if (!create && !there) {
 		reply(c, 404, NULL);
-	} else if (at != NULL && (!there || json_integer_value(at) != w->revision)) {
+	} else if (at != NULL &&
+		   (!there || json_integer_value(at) != w->revision)) {
 		reply(c, 409, there ? object_json(w) : NULL);
 	} else {
 		store_write(
--- a/review/stage/worker.c
+++ b/review/stage/worker.c
@@ -93,8 +93,9 @@
 		return;
 	j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
 	    w->service, "address", w->addr, "zone", "z1", "version", "v1",
-	    "slots", w->engine ? 64 : 6, "state", w->leaving ? "draining" : "ready",
-	    "cold_left_ms", 0, "seq", ++w->beats, "born", (json_int_t)w->born);
+	    "slots", w->engine ? 64 : 6, "state",
+	    w->leaving ? "draining" : "ready", "cold_left_ms", 0, "seq",
+	    ++w->beats, "born", (json_int_t)w->born);
 	if (w->engine) {
 		json_object_set_new(j, "stage", json_string("both"));
 		json_object_set_new(j, "models", models_json(w));
@@ -233,8 +234,8 @@
 		return 200;
 	}
 	g_ptr_array_add(w->holds, g_strdup(what));
-	*exceeds = adapters_of(w) > adapter_slots ||
-		   memory_mb_of(w) > weights_mb;
+	*exceeds =
+	    adapters_of(w) > adapter_slots || memory_mb_of(w) > weights_mb;
 	return 202;
 }
 
@@ -389,9 +390,9 @@
 	}
 }
 
-static const http_server_ops_t ops = { .size = sizeof(worker_conn_t),
-	.done = on_request,
-	.end = on_conn_end };
+static const http_server_ops_t ops = {
+	.size = sizeof(worker_conn_t), .done = on_request, .end = on_conn_end
+};
 
 void
 worker_stop(worker_t *w)
