--- a/review/stage/scenario.c
+++ b/review/stage/scenario.c
@@ -6,7 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *const models[] = { "m10", NULL };
+/* The others are for scenarios with workers that are full. */
+static const char *const models[] = { "m10", "m195a", "m195b", "m195c", NULL };
+static int nmodel = 1;
 
 /* Routes whose prefixes are longer than those of the others. */
 #define LONG_PREFIX \
@@ -36,7 +38,7 @@
 	json_t *list = json_array(), *routes = json_array(), *services;
 	int i;
 
-	for (i = 0; models[i] != NULL; i++)
+	for (i = 0; i < nmodel; i++)
 		json_array_append_new(
 		    list, json_pack("{s:s,s:f,s:f,s:i,s:f,s:f,s:f}", "name",
 			      models[i], "weights_mb", model_mb(models[i]),
@@ -423,6 +425,24 @@
 	client_send(count % ndaemon, "POST", "/gen/x", fields, "prompt", 6000);
 }
 
+/* The other engines are full, and what they hold is asked for. */
+static void
+ask_full_engines(void)
+{
+	static ms_t next;
+	static int n;
+	char fields[200];
+
+	if (loop.now < next)
+		return;
+	next = loop.now + 200;
+	g_snprintf(fields, sizeof(fields),
+	    "Model: %s\r\nToken-Usage: 100,10\r\nPrompt-Prefix: "
+	    "cd:60,%x:40\r\n",
+	    models[1 + n % 3], 65536 + n);
+	client_send(n++ % ndaemon, "POST", "/gen/x", fields, "prompt", 6000);
+}
+
 /* An order is carried out late, after its worker has started again. */
 static int
 late_order(void)
@@ -431,9 +451,19 @@
 	ms_t until;
 	int i;
 
+	nmodel = 4;
+	g_ptr_array_add(w->holds, g_strdup("m10"));
+	for (i = 1; i <= 3; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "i-engine%d", i);
+		g_ptr_array_add(
+		    worker_add(id, "llm", true)->holds, g_strdup(models[i]));
+	}
 	config_write(1);
-	all_workers_hold("m10");
+	workers_write_again();
 	daemons_run(2);
+	traffic = ask_full_engines;
 	pump(7000);
 	for (i = 1; i <= 8; i++) {
 		ask_adapter(i);
@@ -620,27 +650,47 @@
 	return n > 0;
 }
 
-/* Unsafe requests on a route with a long prefix; some answers are lost. */
+static void
+send_records(int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		client_send(i % ndaemon, "POST", LONG_PREFIX "records/1", "",
+		    "calibration entry", 4000);
+		pump(100);
+	}
+}
+
+/*
+ * Unsafe requests on a route with a long prefix; half of the workers, those
+ * used most, lose one in four of their answers.
+ */
 static int
 long_prefix(void)
 {
-	int i;
+	int i, k;
 
-	app_workers(3);
+	app_workers(4);
 	for (i = 0; i < nworker; i++)
 		worker[i].work_ms = 60;
 	records_service = "app";
 	config_write(1);
 	daemons_run(2);
 	pump(3000);
-	if (trouble)
-		lose_every = 5;
-	for (i = 0; i < 40; i++) {
-		client_send(i % ndaemon, "POST", LONG_PREFIX "records/1", "",
-		    "calibration entry", 4000);
-		pump(150);
+	send_records(16);
+	for (k = 0; trouble && k < 2; k++) {
+		worker_t *most = NULL;
+
+		for (i = 0; i < nworker; i++)
+			if (worker[i].lose_every == 0 &&
+			    (most == NULL || worker[i].ran > most->ran))
+				most = &worker[i];
+		note("worker: %s loses one in four of its answers", most->id);
+		most->lose_every = 4;
 	}
-	pump(3000);
+	send_records(60);
+	pump(4000);
 	return check_twice();
 }
 
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -70,6 +70,8 @@
 	/* Leave so many orders unanswered, and carry them out later. */
 	int late_orders;
 	ms_t late_ms;
+	/* Every so many runs it loses the answer: a reset; 0: none. */
+	int lose_every, since_loss;
 	int ran, cut; /* requests that it ran, and that ended unanswered */
 } worker_t;
 
@@ -95,9 +97,6 @@
 extern GArray *orders, *runs; /* order_record_t, run_record_t */
 extern double weights_mb;
 extern int adapter_slots;
-/** Every so many plain runs lose their answer: the channel is reset; 0: none.
- */
-extern int lose_every;
 
 worker_t *worker_add(const char *id, const char *service, bool engine);
 void worker_write_entry(worker_t *w);
--- a/review/stage/worker.c
+++ b/review/stage/worker.c
@@ -25,7 +25,6 @@
 GArray *orders, *runs;
 double weights_mb = 200000;
 int adapter_slots = 8;
-int lose_every;
 
 static worker_t *
 worker_of(const worker_conn_t *c)
@@ -315,12 +314,11 @@
 	worker_t *w = worker_of(c);
 	run_record_t *r = run_of(c);
 	char lines[256];
-	static int count;
 
 	r->status = 200;
 	c->run = -1;
 	w->ran++;
-	if (!w->engine && lose_every > 0 && ++count % lose_every == 0) {
+	if (w->lose_every > 0 && ++w->since_loss % w->lose_every == 0) {
 		note("worker: %s has run %s, its answer is lost", w->id, r->id);
 		http_conn_reset(c->conn.http);
 		server_conn_forget(&c->conn);
