serve, policy: revisions of the store are bound to its era

Cause: nothing read Store-Era. When the store comes back from an older copy, the lease names a former holder, revisions are given out again, and all comparisons across the return are meaningless: of the lease, of tokens, of entries, of the watches and of what digests say of revisions.

Change: an instance keeps the store's era. An answer of another era than its request doesn't count. A lease of an earlier era tells nothing of who ordered last; only a holder whose last renewal is still valid restores it and goes on. Tokens contain the era, counted from the first with a holder. Entries listed in a new era are compared by the endpoint's start and count of writes. Digests carry the era; those of instances that know none are ignored after a change.

--- a/policy/software.c
+++ b/policy/software.c
@@ -42,7 +42,7 @@
 }
 
 bool
-software_mark_stored(software_t *s, uint64_t version)
+software_mark_stored(software_t *s, uint64_t version, ms_t now)
 {
 	int i;
 
@@ -50,11 +50,25 @@
 		if (s->seen[i].version != version || s->seen[i].stored)
 			continue;
 		s->seen[i].stored = true;
+		s->seen[i].stored_at = now;
 		return true;
 	}
 	return false;
 }
 
+void
+software_forget_stored(software_t *s, ms_t since)
+{
+	int i;
+
+	for (i = 0; i < s->nseen; i++) {
+		software_seen_t *v = &s->seen[i];
+
+		v->stored = v->stored && v->stored_at < since;
+		v->writing = false;
+	}
+}
+
 void
 software_write_began(software_t *s)
 {
@@ -65,7 +79,7 @@
 }
 
 bool
-software_write_ended(software_t *s, bool written)
+software_write_ended(software_t *s, bool written, ms_t now)
 {
 	bool added = false;
 	int i;
@@ -73,8 +87,10 @@
 	for (i = 0; i < s->nseen; i++) {
 		software_seen_t *v = &s->seen[i];
 
-		if (written && v->writing && !v->stored)
+		if (written && v->writing && !v->stored) {
 			added = v->stored = true;
+			v->stored_at = now;
+		}
 		v->writing = false;
 	}
 	return added;
--- a/policy/software.h
+++ b/policy/software.h
@@ -23,8 +23,9 @@
 /** A version of a service's software; both are hashes of names. */
 typedef struct software_seen {
 	uint64_t service, version;
-	ms_t at;      /* last time an endpoint was seen with it */
-	bool stored;  /* it is in the lease */
+	ms_t at;     /* last time an endpoint was seen with it */
+	bool stored; /* it is in the lease */
+	ms_t stored_at;
 	bool writing; /* it is in a lease being written */
 } software_seen_t;
 
@@ -42,11 +43,13 @@
 /** An endpoint of the service runs this version. @return whether it's new. */
 bool software_add(software_t *s, uint64_t service, uint64_t version, ms_t now);
 /** The lease has this version. @return whether that wasn't known */
-bool software_mark_stored(software_t *s, uint64_t version);
+bool software_mark_stored(software_t *s, uint64_t version, ms_t now);
+/** The store has lost its last writes: those stored since don't count. */
+void software_forget_stored(software_t *s, ms_t since);
 /** The versions known now are being written to the lease. */
 void software_write_began(software_t *s);
 /** @return whether versions became stored by a write that succeeded */
-bool software_write_ended(software_t *s, bool written);
+bool software_write_ended(software_t *s, bool written, ms_t now);
 /** @return whether a version that was seen lately isn't in the lease yet */
 bool software_unstored(const software_t *s);
 /** @return whether it is in the lease */
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[39] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[41] =
 {
   {
     "sender",
@@ -522,6 +522,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_era",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, first_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -532,6 +556,7 @@
   12,   /* field[12] = endpoint */
   11,   /* field[11] = endpoint_revision */
   6,   /* field[6] = exiting */
+  40,   /* field[40] = first_era */
   7,   /* field[7] = full */
   8,   /* field[8] = full_demand */
   5,   /* field[5] = holder */
@@ -556,6 +581,7 @@
   16,   /* field[16] = sent_tokens */
   2,   /* field[2] = sequence */
   26,   /* field[26] = several_versions */
+  39,   /* field[39] = store_era */
   23,   /* field[23] = store_lost */
   34,   /* field[34] = stored_software */
   25,   /* field[25] = streams */
@@ -567,7 +593,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 39 }
+  { 0, 41 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -577,7 +603,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  39,
+  41,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -49,6 +49,15 @@
   protobuf_c_boolean full;
   protobuf_c_boolean full_demand;
   Digest__Identity *identity;
+  /*
+   * Of the store, as the sender knows it; 0: it knows none. Revisions of the
+   * store are comparable only within an era.
+   */
+  int64_t store_era;
+  /*
+   * the first that had a holder; 0: not known
+   */
+  int64_t first_era;
   /*
    * The store's revision at the last change seen of each kind.
    */
@@ -152,7 +161,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
 
 
 /* Digest__Digest methods */
--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -464,7 +464,7 @@
 		.endpoint = d->ep->entry.id,
 		.expect = d->order_count,
 		.holder = s->conf.instance,
-		.token = p->leadership.token };
+		.token = leadership_token(&p->leadership) };
 
 	order_encode(&b, &o, d->ep->entry.addr);
 	/* Check the clock last, after everything that takes time. */
@@ -480,8 +480,8 @@
 	    "endpoint=%s op=%s model=%s adapter=%s why=%s expect=%" PRId64
 	    " token=%" PRId64 " memory_mb=%.0f entry_age_ms=%" PRId64,
 	    d->ep->entry.id, load ? "load" : "unload", model, adapter, why,
-	    d->order_count, p->leadership.token, dispatcher_memory_mb(d),
-	    s->loop.now - d->ep->entry_read_at);
+	    d->order_count, leadership_token(&p->leadership),
+	    dispatcher_memory_mb(d), s->loop.now - d->ep->entry_read_at);
 	/* From now on, calls go to other endpoints. */
 	if (is_model_unload(d))
 		record_order(d, false, false, 0, s->loop.now);
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -90,6 +90,45 @@
 		p->said_leaving_here = false;
 }
 
+/*
+ * Is an entry that was read in a new era older than what is known of the
+ * endpoint? Revisions can't tell.
+ */
+static bool
+entry_is_older(const ep_t *p, const endpoint_entry_t *en)
+{
+	bool known_later = !p->listed || p->told_leaving;
+
+	if (en->started_at != p->entry.started_at)
+		return en->started_at < p->entry.started_at;
+	return known_later ? en->write_count <= p->entry.write_count
+			   : en->write_count < p->entry.write_count;
+}
+
+static bool
+pass_over(serve_t *s, ep_t *p, const object_t *o, const endpoint_entry_t *en)
+{
+	if (p->era == s->store_era || !entry_is_older(p, en) ||
+	    store_era_settled_for(s) > 0)
+		return false;
+	log_limited(LOG_NOTICE, "entry-older",
+	    "endpoint=%s era=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+	    " writes=%" PRId64 " known=%" PRId64 " listed=%d leaving=%d",
+	    o->name, s->store_era, p->era, o->revision, en->write_count,
+	    p->entry.write_count, p->listed, p->entry.leaving);
+	p->passed_over = true;
+	p->missing_at = 0;
+	return true;
+}
+
+bool
+ep_entry_passed_over(const serve_t *s, const char *id)
+{
+	const ep_t *p = ep_find(&s->endpoints, id);
+
+	return p != NULL && p->passed_over;
+}
+
 bool
 ep_update_entry(serve_t *s, const object_t *o, ms_t written_after)
 {
@@ -104,10 +143,13 @@
 		    o->revision, e.text);
 		return false;
 	}
-	if (p != NULL && o->revision <= p->revision && p->listed) {
+	if (p != NULL && p->era == s->store_era && o->revision <= p->revision &&
+	    p->listed) {
 		p->missing_at = 0;
 		return false;
 	}
+	if (p != NULL && pass_over(s, p, o, &en))
+		return false;
 	if (p == NULL)
 		p = add_endpoint(s, &en);
 	else if (p->entry.started_at != en.started_at)
@@ -124,7 +166,10 @@
 	if (software_add(&s->software, hash_str(en.service, 0), p->software,
 		s->loop.now))
 		streams_version_added(s);
+	p->era = s->store_era;
 	p->revision = o->revision;
+	p->told_leaving = false;
+	p->passed_over = false;
 	p->listed = true;
 	p->missing_at = 0;
 	p->entry_read_at = s->loop.now;
@@ -153,6 +198,10 @@
 {
 	ep_t *p = ep_find(&s->endpoints, id);
 
+	if (p != NULL && !p->listed) {
+		p->era = s->store_era;
+		p->passed_over = false;
+	}
 	if (p == NULL || !p->listed)
 		return;
 	if (may_return && !p->entry.leaving) {
@@ -161,8 +210,10 @@
 		return;
 	}
 	p->listed = false;
-	if (revision > p->revision)
+	if (revision > p->revision || p->era != s->store_era)
 		p->revision = revision;
+	p->era = s->store_era;
+	p->passed_over = false;
 	p->leaving_since = s->loop.now;
 	p->removed_at = s->loop.now;
 	reach_forget(s, p);
@@ -173,17 +224,22 @@
 }
 
 void
-ep_peer_saw_leaving(serve_t *s, uint32_t tag, int64_t revision)
+ep_peer_saw_leaving(serve_t *s, uint32_t tag, int64_t era, int64_t revision)
 {
 	ep_t *p = ep_find_tag(&s->endpoints, tag);
 
-	if (p == NULL || !ep_usable(p) || revision <= p->revision)
+	if (store_era_is_ours(s, era))
+		era = s->store_era;
+	if (p == NULL || !ep_usable(p) || era < p->era ||
+	    (era == p->era && revision <= p->revision))
 		return;
 	log_limited(LOG_NOTICE, "endpoint",
 	    "endpoint=%s state=leaving told=1 revision=%" PRId64
 	    " before=%" PRId64,
 	    p->entry.id, revision, p->revision);
+	p->era = era;
 	p->revision = revision;
+	p->told_leaving = true;
 	p->entry.leaving = true;
 	pool_close_idle(p);
 }
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -90,8 +90,10 @@
 typedef struct ep {
 	ep_kind_t kind;
 	endpoint_entry_t entry;
-	int64_t revision;     /* of the entry */
-	int64_t latest_start; /* of the starts that its entries have shown */
+	int64_t era, revision; /* of the store, when the entry was read */
+	bool told_leaving;     /* a peer read a later entry, and it leaves */
+	bool passed_over;      /* an entry of a copy was older, and not used */
+	int64_t latest_start;  /* of the starts that its entries have shown */
 	struct sockaddr_in sa;
 	uint64_t hash;	    /* of its id */
 	uint32_t tag;	    /* low half of the hash; names it in digests */
@@ -158,8 +160,19 @@
  */
 void ep_entry_gone(
     serve_t *s, const char *id, int64_t revision, bool may_return);
-/** Another instance read at @p revision that an endpoint leaves or is gone. */
-void ep_peer_saw_leaving(serve_t *s, uint32_t tag, int64_t revision);
+/**
+ * @return whether the store came back from a copy with an entry older than what
+ * is known of the endpoint. It counts only if it is still there when the entry
+ * of an endpoint that has ended would have been removed.
+ */
+bool ep_entry_passed_over(const serve_t *s, const char *id);
+/**
+ * Another instance read that an endpoint leaves or is gone.
+ * @param era of the store as that instance knows it, 0: none
+ * @param revision of the change
+ */
+void ep_peer_saw_leaving(
+    serve_t *s, uint32_t tag, int64_t era, int64_t revision);
 /**
  * An answer to this instance says that the endpoint leaves.
  * @param started_at the incarnation known when its connection was made
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -28,6 +28,8 @@
 	void *arg;
 	alarm_t alarm;
 	ms_t deadline;
+	int64_t sent_era; /* of the store, as known when it was sent */
+	int64_t era;	  /* of the store, as its answer says; 0: not said */
 	buf_t text;
 	int status;
 	bool keep_conn; /* keep the connection for another request */
@@ -46,6 +48,13 @@
 	if (c->finished)
 		return;
 	c->finished = true;
+	if (status != 0 && !store_era_accept(c->s, c->sent_era, c->era)) {
+		log_limited(LOG_NOTICE, "store-answer-outdated",
+		    "status=%d era=%" PRId64 " sent_in=%" PRId64, status,
+		    c->era, c->sent_era);
+		status = 0;
+		buf_free(&text);
+	}
 	alarm_stop(&c->s->loop, &c->alarm);
 	buf_add(&text, "", 1);
 	loop_free_later(&c->s->loop, c);
@@ -76,6 +85,8 @@
 		return;
 	c->status = (int)k->parser.status_code;
 	k->body_max = c->keep_conn ? STORE_ANSWER_MAX : ENDPOINT_ANSWER_MAX;
+	if (c->keep_conn)
+		c->era = store_era_decode(&k->head);
 	if (c->read_head != NULL)
 		c->read_head(c->arg, &k->head, c->status);
 }
@@ -212,6 +223,7 @@
 	*c = (http_request_t){ .s = s, .fn = fn, .arg = arg };
 	c->alarm = (alarm_t){ .fn = on_timeout, .arg = c };
 	c->keep_conn = to_store(s, to);
+	c->sent_era = s->store_era;
 	if (c->keep_conn && nidle > 0) {
 		c->conn = idle[--nidle];
 		c->conn->user = c;
--- a/serve/lease.c
+++ b/serve/lease.c
@@ -46,6 +46,32 @@
 	return plan_is_holder(s) ? s->plan->leadership.revision : 0;
 }
 
+void
+plan_in_store_era(serve_t *s)
+{
+	plan_t *p = s->plan;
+
+	if (p == NULL)
+		return;
+	leadership_in_era(&p->leadership, s->store_era);
+	/* Versions that aren't in the lease any more get no new streams. */
+	if (software_unstored(&s->software))
+		p->unstored_since = s->loop.now - READ_VERSIONS_MS;
+}
+
+void
+plan_peer_first_era(serve_t *s, int64_t era)
+{
+	if (s->plan != NULL)
+		leadership_earlier_era(&s->plan->leadership, era);
+}
+
+int64_t
+plan_first_era(const serve_t *s)
+{
+	return s->plan != NULL ? s->plan->leadership.first_era : 0;
+}
+
 void
 plan_peer_renewed(serve_t *s, int64_t revision)
 {
@@ -68,7 +94,7 @@
 	if (!p->leadership.held)
 		return;
 	log_limited(LOG_NOTICE, "holder-lost", "why=\"%s\" token=%" PRId64, why,
-	    p->leadership.token);
+	    leadership_token(&p->leadership));
 	leadership_lost(&p->leadership);
 	send_full_digest(p->s);
 }
@@ -100,7 +126,7 @@
 }
 
 static void
-software_merge(serve_t *s, const json_t *lease)
+software_merge(serve_t *s, const json_t *lease, bool of_this_era)
 {
 	const json_t *o = json_object_get(lease, "software"), *item;
 	ms_t wall = clock_wall(), now = s->loop.now, since;
@@ -122,10 +148,11 @@
 		hash = strtoull(version, NULL, 16);
 		software_add(&s->software, strtoull(service, NULL, 16), hash,
 		    age > 0 ? now - age : now);
-		software_mark_stored(&s->software, hash);
+		software_mark_stored(&s->software, hash, now);
 	}
 	since = now - (wall - json_integer_value(json_object_get(o, "since")));
-	if (o != NULL && since < s->software.complete_since &&
+	/* What was added to a lease that the store has lost isn't known. */
+	if (o != NULL && of_this_era && since < s->software.complete_since &&
 	    wall - beat < SOFTWARE_GAP_MS + now - s->started_at)
 		s->software.complete_since = since;
 }
@@ -133,9 +160,10 @@
 static char *
 lease_spec(const plan_t *p, bool released)
 {
-	json_t *j = json_pack("{s:s,s:s,s:I,s:b,s:b,s:o,s:o}", "holder",
+	json_t *j = json_pack("{s:s,s:s,s:I,s:I,s:I,s:b,s:b,s:o,s:o}", "holder",
 	    p->s->conf.instance, "ip", p->s->conf.ip, "beat",
-	    (json_int_t)clock_wall(), "settled",
+	    (json_int_t)clock_wall(), "era", (json_int_t)p->leadership.era,
+	    "first_era", (json_int_t)p->leadership.first_era, "settled",
 	    leadership_settled(&p->leadership, clock_now(&machine_clock)),
 	    "released", released, "software", software_json(p->s), "blamed",
 	    blame_json(p->s));
@@ -150,13 +178,38 @@
 {
 	const json_t *j = o->spec;
 	const char *ip = json_string_value(json_object_get(j, "ip"));
-
-	software_merge(p->s, j);
+	lease_view_t v = {
+		.revision = o->revision,
+		.era = json_integer_value(json_object_get(j, "era")),
+		.first_era =
+		    json_integer_value(json_object_get(j, "first_era")),
+		.own = ip != NULL && strcmp(ip, p->s->conf.ip) == 0,
+		.settled = json_is_true(json_object_get(j, "settled")),
+		.released = json_is_true(json_object_get(j, "released")),
+	};
+
+	leadership_observe(&p->leadership, &v, p->s->loop.now);
+	software_merge(p->s, j, p->leadership.of_this_era);
 	blame_merge_json(p->s, json_object_get(j, "blamed"));
-	leadership_observe(&p->leadership, o->revision,
-	    ip != NULL && strcmp(ip, p->s->conf.ip) == 0,
-	    json_is_true(json_object_get(j, "settled")),
-	    json_is_true(json_object_get(j, "released")), p->s->loop.now);
+}
+
+/* The lease was read: does a holder still hold it? */
+static void
+check_held(plan_t *p)
+{
+	leadership_t *t = &p->leadership;
+
+	if (!t->held)
+		return;
+	if (!t->of_this_era)
+		log_limited(LOG_NOTICE, "holder-restores",
+		    "era=%" PRId64 " revision=%" PRId64 " valid=%d", t->era,
+		    t->revision, leadership_valid(t, p->s->loop.now));
+	else if (t->own_machine)
+		/* Its own write, of which the answer was lost. */
+		leadership_renewed(t, t->revision, t->renewed_at);
+	else
+		lose_lease(p, "another instance wrote the lease");
 }
 
 static void
@@ -171,9 +224,11 @@
 		p->s->software_read = true;
 	if (status == 404) {
 		leadership_observe(
-		    &p->leadership, 0, false, false, false, p->s->loop.now);
+		    &p->leadership, &(lease_view_t){ 0 }, p->s->loop.now);
+		check_held(p);
 	} else if (status == 200 && object_decode(&o, text, len, &e) == 0) {
 		apply_lease(p, &o);
+		check_held(p);
 		json_decref(o.spec);
 	}
 	streams_history_read(p->s);
@@ -199,29 +254,26 @@
 	object_t o = { 0 };
 	err_t e = { 0 };
 	bool acquiring = p->acquiring, written = status == 200 || status == 201;
-	bool decoded, stored = software_write_ended(&s->software, written);
+	bool decoded,
+	    stored = software_write_ended(&s->software, written, s->loop.now);
 
 	p->lease_request = NULL;
 	p->acquiring = false;
 	decoded =
 	    (written || status == 409) && object_decode(&o, text, len, &e) == 0;
 	if (status == 409 && decoded) {
-		/* It may be our own write, if its answer was lost. */
 		apply_lease(p, &o);
-		if (p->leadership.held && p->leadership.own_machine)
-			leadership_renewed(&p->leadership, o.revision,
-			    p->leadership.renewed_at);
-		else
-			lose_lease(p, "another instance wrote the lease");
+		check_held(p);
 	} else if (written && decoded && acquiring) {
+		if (!p->leadership.held)
+			p->holder_since = s->loop.now;
 		leadership_taken_over(
 		    &p->leadership, o.revision, p->lease_sent_at);
-		p->holder_since = s->loop.now;
 		require_reports(p);
 		store_watch_require_fresh(&s->endpoints_watch);
 		log_limited(LOG_NOTICE, "holder",
 		    "token=%" PRId64 " orders_in_ms=%" PRId64,
-		    p->leadership.token,
+		    leadership_token(&p->leadership),
 		    p->leadership.orders_from - s->loop.now);
 		send_full_digest(s);
 	} else if (written && decoded) {
@@ -278,10 +330,16 @@
 release(plan_t *p, const char *why)
 {
 	buf_t b = { 0 };
-	char *text = lease_spec(p, true);
+	char *text;
 
 	http_request_cancel(p->lease_request);
 	p->lease_request = NULL;
+	if (!p->leadership.read || !p->leadership.of_this_era) {
+		/* The revision known may be that of another holder's lease. */
+		lose_lease(p, why);
+		return;
+	}
+	text = lease_spec(p, true);
 	objects_put(&b, KIND_LEASES, lease_name, p->leadership.revision, text,
 	    p->s->conf.store_addr);
 	free(text);
@@ -320,9 +378,18 @@
 		release(p, "no way to the endpoints");
 		return;
 	}
+	if (leadership_must_restore(&p->leadership)) {
+		if (leadership_valid(&p->leadership, clock_now(&machine_clock)))
+			write_lease(p, true);
+		else
+			lose_lease(p, "the store has lost it");
+		return;
+	}
 	if (p->leadership.held) {
 		if (now - p->leadership.renewed_at > p->leadership.lease * 2)
 			lose_lease(p, "no renewal succeeded in time");
+		else if (!p->leadership.read)
+			lease_read(p);
 		else if (leadership_renewal_due(&p->leadership, now) ||
 			 (software_unstored(&s->software) &&
 			     now - p->lease_sent_at >= STORE_VERSION_MS))
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -32,6 +32,8 @@
 	d->domain_heartbeat_ms = (uint32_t)domain_heartbeat_ms(s);
 	d->keeps = true;
 	d->several_versions = streams_several_versions(s);
+	d->store_era = s->store_era;
+	d->first_era = plan_first_era(s);
 	d->lease_revision = plan_lease_revision(s);
 	d->unreached_service = (uint32_t *)(void *)tags->service->data;
 	d->n_unreached_service = tags->service->len;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -396,6 +396,32 @@
 	g_array_append_vals(to, tag, (guint)n);
 }
 
+/* What the sender has read from the store. */
+static void
+receive_store_state(serve_t *s, const Digest__Digest *d)
+{
+	size_t i;
+
+	plan_peer_first_era(s, d->first_era);
+	if (d->store_era > s->store_era) {
+		store_watch_peer_era(&s->config_watch);
+		store_watch_peer_era(&s->endpoints_watch);
+	}
+	for (i = 0; i < d->n_leaving_endpoint && i < d->n_leaving_revision; i++)
+		ep_peer_saw_leaving(s, d->leaving_endpoint[i], d->store_era,
+		    d->leaving_revision[i]);
+	if (!store_era_is_ours(s, d->store_era))
+		return;
+	if (d->holder) {
+		for (i = 0; i < d->n_stored_software; i++)
+			software_mark_stored(
+			    &s->software, d->stored_software[i], s->loop.now);
+		plan_peer_renewed(s, d->lease_revision);
+	}
+	store_watch_peer_revision(&s->config_watch, d->config_revision);
+	store_watch_peer_revision(&s->endpoints_watch, d->endpoint_revision);
+}
+
 static void
 receive_digest(
     serve_t *s, const Digest__Digest *d, const struct sockaddr_in *from)
@@ -416,17 +442,11 @@
 	p->heartbeat = d->domain_heartbeat_ms;
 	p->keeps = d->keeps;
 	p->several_versions = d->several_versions;
-	if (d->holder)
-		for (i = 0; i < d->n_stored_software; i++)
-			software_mark_stored(
-			    &s->software, d->stored_software[i]);
 	p->queued_tokens = (int)d->queued_tokens;
 	tags_read(
 	    p->unreached_service, d->unreached_service, d->n_unreached_service);
 	tags_read(p->unreached_endpoint, d->unreached_endpoint,
 	    d->n_unreached_endpoint);
-	if (d->holder)
-		plan_peer_renewed(s, d->lease_revision);
 	if (was_ready != (p->ready && !p->leaving && !p->goodbye))
 		log_limited(LOG_NOTICE, "instance",
 		    "instance_known=%s state=%s holder=%d", p->instance,
@@ -440,17 +460,13 @@
 		return;
 	}
 	shares_apply(s, p, d);
-	for (i = 0; i < d->n_leaving_endpoint && i < d->n_leaving_revision; i++)
-		ep_peer_saw_leaving(
-		    s, d->leaving_endpoint[i], d->leaving_revision[i]);
+	receive_store_state(s, d);
 	receive_said_leaving(s, d);
 	receive_demand(s, p, d);
 	for (i = 0; i < d->n_wait; i++)
 		plan_model_wait(s, d->wait[i]->service, d->wait[i]->model,
 		    d->wait[i]->ready_in_ms);
 	receive_orders(s, d);
-	store_watch_peer_revision(&s->config_watch, d->config_revision);
-	store_watch_peer_revision(&s->endpoints_watch, d->endpoint_revision);
 }
 
 /*
@@ -603,6 +619,16 @@
 	}
 }
 
+void
+peers_in_new_era(serve_t *s)
+{
+	int i;
+
+	/* No object is deleted by a revision that may be another's now. */
+	for (i = 0; i < s->peers.npeer; i++)
+		s->peers.peer[i]->revision = 0;
+}
+
 void
 peers_remove_missing(serve_t *s, GHashTable *names)
 {
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -262,7 +262,8 @@
 	plan_t *p = g_new0(plan_t, 1);
 
 	p->s = s;
-	leadership_init(&p->leadership, s->conf.bounds.lease);
+	leadership_init(
+	    &p->leadership, s->conf.bounds.lease, s->conf.first_start);
 	p->dispatchers =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	p->models = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -409,8 +409,28 @@
 	bool lost; /* repeated requests failed: the store is out of reach */
 	ms_t first_listed_at; /* first complete list, 0: never */
 	ms_t regained_at;     /* end of the last outage, 0: never */
+	ms_t relist_at; /* to read entries that were passed over, 0: none */
 } store_watch_t;
 
+/* The store's era. store_era.c */
+
+/**
+ * An answer of the store arrived.
+ * @param sent the era known when its request was sent, 0: none
+ * @param era the era that it names, 0: none
+ * @return whether it counts. In another era than it was sent in, a request may
+ * have taken effect on other revisions than it meant, and its answer may be
+ * lost just as well.
+ */
+bool store_era_accept(serve_t *s, int64_t sent, int64_t era);
+/**
+ * @param era of another instance, 0: it names none
+ * @return whether revisions that it names are comparable to this instance's
+ */
+bool store_era_is_ours(const serve_t *s, int64_t era);
+/** @return how long ago an entry that came back would have been removed */
+ms_t store_era_settled_for(const serve_t *s);
+
 /** Begin to list and watch. */
 void store_watch_start(store_watch_t *f, serve_t *s, object_kind_t k);
 /** @return whether other instances watch this kind for this one */
@@ -424,6 +444,10 @@
 void store_watch_require_fresh(store_watch_t *f);
 /** @return the earliest write time of content received at @p now */
 ms_t store_watch_written_after(const store_watch_t *f, ms_t now);
+/** The store lost writes: list all again. */
+void store_watch_in_new_era(store_watch_t *f);
+/** Another instance has answers of a later era: ask for a fresh one. */
+void store_watch_peer_era(store_watch_t *f);
 /** Another instance saw a change that this watch may have missed. */
 void store_watch_peer_revision(store_watch_t *f, int64_t revision);
 /**
@@ -538,6 +562,8 @@
 
 int peers_open(serve_t *s, err_t *e);
 void peers_store_object(serve_t *s, const object_t *o);
+/** Forget the revisions of their objects, until these are listed again. */
+void peers_in_new_era(serve_t *s);
 /** Forget silent peers that aren't in the store. @param names in the store */
 void peers_remove_missing(serve_t *s, GHashTable *names);
 void peers_forget_endpoint(serve_t *s, const ep_t *p);
@@ -657,6 +683,12 @@
 int64_t plan_lease_revision(const serve_t *s);
 /** The holder announced the revision of its last renewal. */
 void plan_peer_renewed(serve_t *s, int64_t revision);
+/** The store has lost writes, or named its era for the first time. */
+void plan_in_store_era(serve_t *s);
+/** Another instance knows the first era that had a holder. */
+void plan_peer_first_era(serve_t *s, int64_t era);
+/** @return the first era that had a holder, as far as is known; 0: none */
+int64_t plan_first_era(const serve_t *s);
 void plan_forget_endpoint(serve_t *s, const ep_t *p);
 /** Plan at the end of this loop turn if this instance is the holder. */
 void plan_run_soon(serve_t *s);
@@ -676,6 +708,8 @@
 	ms_t leaving_since;
 	ms_t started_at;
 	ms_t watch_broken_at; /* last failed or expired watch */
+	int64_t store_era;    /* as its last answer said, 0: it has none */
+	ms_t store_era_at;    /* when it rose last, 0: not in this process */
 	ms_t ep_added_at;     /* last new endpoint */
 	ep_table_t endpoints;
 	software_t software;
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -33,6 +33,8 @@
 	/* The delay doubles with each failure; short, to see recovery soon. */
 	RETRY_MIN_MS = 50,
 	RETRY_MAX_MS = 800,
+	/* All instances list within this time for each of them. */
+	RELIST_PER_INSTANCE_MS = 1,
 };
 
 static void send_request(store_watch_t *f);
@@ -110,6 +112,9 @@
 			    store_watch_in_recovery(f, s->loop.now));
 		else if (ep_update_entry(s, o, f->written_after))
 			f->changed_revision = o->revision;
+		else if (ep_entry_passed_over(s, o->name) && f->relist_at == 0)
+			f->relist_at =
+			    s->loop.now - store_era_settled_for(s) + 1;
 		if (o->deleted)
 			f->changed_revision = o->revision;
 		break;
@@ -409,7 +414,14 @@
 static void
 on_timer(void *arg)
 {
-	send_request(arg);
+	store_watch_t *f = arg;
+
+	if (f->relist_at != 0 && f->s->loop.now >= f->relist_at) {
+		f->relist_at = 0;
+		f->as_of = 0;
+		f->listing = false;
+	}
+	send_request(f);
 }
 
 void
@@ -423,6 +435,51 @@
 	send_request(f);
 }
 
+void
+store_watch_in_new_era(store_watch_t *f)
+{
+	serve_t *s = f->s;
+
+	http_request_cancel(f->request);
+	f->request = NULL;
+	f->as_of = 0;
+	f->listing = false;
+	f->changed_revision = 0;
+	f->peer_revision = 0;
+	/* Entries of the lost seconds are written again. */
+	if (f->first_listed_at != 0)
+		f->regained_at = s->loop.now;
+	/* Spread, as all instances list at the same time. */
+	schedule(f, (ms_t)(rng_unit(&s->rng) * peers_alive(s) *
+			   RELIST_PER_INSTANCE_MS));
+}
+
+/*
+ * Unlimited restarts would keep watches from timing out, so that a lost store
+ * would go unnoticed.
+ */
+static bool
+may_rewatch(store_watch_t *f)
+{
+	ms_t now = f->s->loop.now;
+
+	if (now - f->rewatch_at < REWATCH_MS
+				      << (f->rewatches < 4 ? f->rewatches : 4))
+		return false;
+	f->rewatches++;
+	f->rewatch_at = now;
+	return true;
+}
+
+void
+store_watch_peer_era(store_watch_t *f)
+{
+	if (f->as_of == 0 || f->lost || !may_rewatch(f))
+		return;
+	f->require_fresh = true;
+	restart_watch(f);
+}
+
 void
 store_watch_peer_revision(store_watch_t *f, int64_t revision)
 {
@@ -440,18 +497,11 @@
 		    s->loop.now - f->peer_revision_at < COPY_LAG_MS)
 			return;
 	}
-	/*
-	 * Unlimited restarts would keep watches from timing out, so that a lost
-	 * store would go unnoticed.
-	 */
-	if (s->loop.now - f->rewatch_at <
-	    REWATCH_MS << (f->rewatches < 4 ? f->rewatches : 4))
+	if (!may_rewatch(f))
 		return;
-	f->rewatches++;
 	log_limited(LOG_NOTICE, "watch-behind",
 	    "kind=%s as_of=%" PRId64 " news=%" PRId64, kind_name[f->kind],
 	    f->as_of, revision);
-	f->rewatch_at = s->loop.now;
 	f->require_fresh = true;
 	restart_watch(f);
 }
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -496,13 +496,14 @@
 }
 
 char *
-fake_endpoint_entry(const fake_endpoint_t *ep, const char *service,
-    const char *domain, bool leaving)
+fake_endpoint_entry(
+    fake_endpoint_t *ep, const char *service, const char *domain, bool leaving)
 {
 	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i}",
 	    "service", service, "address", ep->addr, "zone", domain, "version",
 	    ep->version, "slots", 8, "state", leaving ? "draining" : "ready",
-	    "cold_left_ms", 0, "born", (json_int_t)ep->born, "seq", 1);
+	    "cold_left_ms", 0, "born", (json_int_t)ep->born, "seq",
+	    ++ep->entries);
 	char *text, *out;
 
 	if (ep->engine)
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -48,6 +48,7 @@
 	char op[16], model[ID_MAX], adapter[ID_MAX], holder[ID_MAX];
 	int64_t expect_revision, token; /* expect_revision -1: none */
 	int status;
+	ms_t at;
 } received_order_t;
 
 typedef struct fake_endpoint fake_endpoint_t;
@@ -152,9 +153,12 @@
 int fake_endpoint_refused(const fake_endpoint_t *ep);
 /** @return connections accepted since the start. */
 int fake_endpoint_connections(const fake_endpoint_t *ep);
-/** @return the JSON text of its entry in the store, g_malloc'd. */
-char *fake_endpoint_entry(const fake_endpoint_t *ep, const char *service,
-    const char *domain, bool leaving);
+/**
+ * Make its entry; its seq counts these.
+ * @return the JSON text, g_malloc'd
+ */
+char *fake_endpoint_entry(
+    fake_endpoint_t *ep, const char *service, const char *domain, bool leaving);
 /** @return the text of an event of a stream, g_malloc'd. */
 char *fake_endpoint_event(int64_t id, int bytes);
 void fake_endpoint_free(fake_endpoint_t *ep);
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -33,6 +33,7 @@
 	char id[ID_MAX], addr[ADDR_MAX], version[ID_MAX];
 	char model[ID_MAX]; /* loaded from the start, or empty */
 	int64_t born;
+	int entries; /* made so far */
 	bool engine;
 	int events, slots;
 	const model_spec_t *specs;
--- a/standin/fake_orders.c
+++ b/standin/fake_orders.c
@@ -235,6 +235,7 @@
 			strcmp(o->op, "unload") == 0))
 			ep->seq++;
 	}
+	o->at = ep->server.loop->now;
 	g_ptr_array_add(ep->orders, o);
 	buf_fmt(&c->conn.http->out,
 	    "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", o->status,
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -38,6 +38,9 @@
 	store_fault_t fault;
 	bool watches_muted;
 	char refused_kind[ID_MAX]; /* "": none */
+	int era;		   /* named in answers, 0: none */
+	GPtrArray *copy;	   /* stored_object_t */
+	int64_t copy_revision;
 	int requests;
 };
 
@@ -88,12 +91,16 @@
 reply(store_conn_t *c, int status, json_t *j)
 {
 	char *text = j != NULL ? json_dumps(j, JSON_COMPACT) : strdup("{}");
+	int era = store_of(c)->era;
 
 	json_decref(j);
 	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %zu\r\n\r\n%s",
-	    status, http_reason(status), strlen(text), text);
+	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
+	    http_reason(status));
+	if (era > 0)
+		buf_fmt(&c->conn.http->out, "Store-Era: %d\r\n", era);
+	buf_fmt(&c->conn.http->out, "Content-Length: %zu\r\n\r\n%s",
+	    strlen(text), text);
 	free(text);
 	http_conn_flush(c->conn.http);
 	if (!c->conn.http->closed)
@@ -223,6 +230,69 @@
 	s->watches_muted = muted;
 }
 
+static void
+free_object(gpointer p)
+{
+	stored_object_t *t = p;
+
+	g_free(t->spec);
+	g_free(t);
+}
+
+static gpointer
+copy_object(gconstpointer p, gpointer arg)
+{
+	const stored_object_t *t = p;
+	stored_object_t *to = g_memdup2(t, sizeof(*t));
+
+	(void)arg;
+	to->spec = g_strdup(t->spec);
+	return to;
+}
+
+static GPtrArray *
+copy_objects(GPtrArray *from)
+{
+	GPtrArray *to = g_ptr_array_copy(from, copy_object, NULL);
+
+	g_ptr_array_set_free_func(to, free_object);
+	return to;
+}
+
+void
+fake_store_begin_eras(fake_store_t *s)
+{
+	s->era = 7;
+	fake_store_keep_copy(s);
+}
+
+void
+fake_store_keep_copy(fake_store_t *s)
+{
+	if (s->copy != NULL)
+		g_ptr_array_free(s->copy, TRUE);
+	s->copy = copy_objects(s->objects);
+	s->copy_revision = s->revision;
+}
+
+void
+fake_store_return_to_copy(fake_store_t *s)
+{
+	guint i;
+
+	g_ptr_array_free(s->objects, TRUE);
+	s->objects = copy_objects(s->copy);
+	s->revision = s->copy_revision;
+	s->era++;
+	for (i = 0; i < s->views->len; i++) {
+		store_view_t *v = s->views->pdata[i];
+
+		while (v->server.conns->len > 0)
+			server_conn_close(
+			    v->server.conns->pdata[v->server.conns->len - 1]);
+	}
+}
+
 static void
 close_watches(store_view_t *v)
 {
@@ -286,7 +356,7 @@
 	int64_t from = query(target, "watch=", 0);
 	json_t *j = s->watches_muted ? NULL : changes_since(c, kind, from);
 
-	if (from < s->compacted) {
+	if (from < s->compacted || from > s->revision) {
 		json_decref(j);
 		reply(c, 410, NULL);
 		return;
@@ -415,15 +485,6 @@
 static const http_server_ops_t ops = { .size = sizeof(store_conn_t),
 	.done = on_request };
 
-static void
-free_object(gpointer p)
-{
-	stored_object_t *t = p;
-
-	g_free(t->spec);
-	g_free(t);
-}
-
 void
 fake_store_add_view(
     fake_store_t *s, const char *addr, store_view_fn *show, void *arg)
@@ -475,5 +536,7 @@
 	}
 	g_ptr_array_free(s->views, TRUE);
 	g_ptr_array_free(s->objects, TRUE);
+	if (s->copy != NULL)
+		g_ptr_array_free(s->copy, TRUE);
 	g_free(s);
 }
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -47,6 +47,17 @@
 void fake_store_compact(fake_store_t *s);
 /** While set, watches aren't told of changes. */
 void fake_store_mute_watches(fake_store_t *s, bool muted);
+/**
+ * Name the store's era in all answers from now on, and keep a copy of it now.
+ */
+void fake_store_begin_eras(fake_store_t *s);
+/** Keep another copy, instead of the last one. */
+void fake_store_keep_copy(fake_store_t *s);
+/**
+ * Come back from that copy, in the next era: what was written since is gone,
+ * its revisions are given out again, and all connections are closed.
+ */
+void fake_store_return_to_copy(fake_store_t *s);
 /** @return requests since the start. */
 int fake_store_requests(const fake_store_t *s);
 void fake_store_free(fake_store_t *s);
--- a/tests/software_test.c
+++ b/tests/software_test.c
@@ -83,10 +83,10 @@
 	g_assert_true(software_unstored(&s));
 	software_write_began(&s);
 	software_add(&s, llm, v2, start);
-	g_assert_false(software_write_ended(&s, false));
+	g_assert_false(software_write_ended(&s, false, 0));
 	g_assert_false(software_is_stored(&s, v1));
 	software_write_began(&s);
-	g_assert_true(software_write_ended(&s, true));
+	g_assert_true(software_write_ended(&s, true, 0));
 	g_assert_true(software_is_stored(&s, v1));
 	g_assert_true(software_is_stored(&s, v2));
 	g_assert_false(software_unstored(&s));
@@ -102,11 +102,11 @@
 	software_add(&s, llm, v1, start);
 	software_write_began(&s);
 	software_add(&s, llm, v2, start);
-	g_assert_true(software_write_ended(&s, true));
+	g_assert_true(software_write_ended(&s, true, 0));
 	g_assert_true(software_is_stored(&s, v1));
 	g_assert_false(software_is_stored(&s, v2));
-	g_assert_true(software_mark_stored(&s, v2));
-	g_assert_false(software_mark_stored(&s, v2));
+	g_assert_true(software_mark_stored(&s, v2, 0));
+	g_assert_false(software_mark_stored(&s, v2, 0));
 	g_assert_true(software_is_stored(&s, v2));
 	/* It comes back after it was forgotten: the lease has it no more. */
 	software_expire(&s, start + STREAM_LIFE_MS + 1);
@@ -114,6 +114,26 @@
 	g_assert_false(software_is_stored(&s, v2));
 }
 
+/* Guards against streams at a version that only a lost lease had. */
+static void
+version_in_a_lost_lease_isn_t_stored(void)
+{
+	software_t s;
+
+	software_init(&s, start);
+	software_add(&s, llm, v1, start);
+	software_mark_stored(&s, v1, start);
+	software_add(&s, llm, v2, start + 10);
+	software_write_began(&s);
+	software_forget_stored(&s, start + 5);
+	g_assert_false(software_write_ended(&s, true, start + 20));
+	g_assert_true(software_is_stored(&s, v1));
+	g_assert_false(software_is_stored(&s, v2));
+	software_mark_stored(&s, v2, start + 30);
+	software_forget_stored(&s, start + 30);
+	g_assert_false(software_is_stored(&s, v2));
+}
+
 /* Guards against the versions of two services counting as several of one. */
 static void
 several_versions_of_one_service(void)
@@ -196,6 +216,7 @@
 	T(overflow_knows_no_sole_version);
 	T(version_is_stored_by_the_write_that_has_it);
 	T(version_added_during_a_write_isn_t_stored);
+	T(version_in_a_lost_lease_isn_t_stored);
 	T(several_versions_of_one_service);
 	T(records_last_until_they_expire);
 	T(first_version_stays);
--- a/tests/thaw_test.c
+++ b/tests/thaw_test.c
@@ -164,9 +164,9 @@
 static void
 send_order(fixture_t *t)
 {
-	leadership_init(&t->p.leadership, LEASE_MS);
+	leadership_init(&t->p.leadership, LEASE_MS, true);
 	t->p.leadership.held = true;
-	t->p.leadership.token = 7;
+	t->p.leadership.taken_at = 7;
 	t->p.leadership.renewed_at = clock_now(&machine_clock);
 	dispatcher_send_order(&t->p, &t->d, true, "m1", "", "test");
 	g_assert_nonnull(t->d.request);
