--- a/base/base.h
+++ b/base/base.h
@@ -14,6 +14,7 @@
 #include <syslog.h>
 
 enum {
+	LINE_MAX_BYTES = 2048, /* of a log line; a longer one ends with cut=1 */
 	ID_MAX = 64,   /* bytes of an instance, model, domain or key name */
 	ADDR_MAX = 64, /* bytes of "1.2.3.4:port" */
 	ERR_TEXT_MAX = 256, /* bytes of an error's text */
@@ -166,8 +167,17 @@
 uint64_t rng_next(rng_t *r);
 /** @return 0 <= x < 1. */
 double rng_unit(rng_t *r);
-/** Copy a string into a buffer. @return false if it was truncated. */
-bool str_copy(char *dst, size_t size, const char *src);
+/**
+ * Copy a string into a buffer. A string is never shortened.
+ * @return false if it doesn't fit, and the buffer is empty
+ */
+bool str_copy(char *dst, size_t size, const char *src)
+    __attribute__((warn_unused_result));
+/**
+ * Copy a string that was found to fit before. If it doesn't, the buffer is
+ * empty, and an error is logged.
+ */
+void str_set(char *dst, size_t size, const char *src);
 
 /* Settings: typed keys with units, ranges and defaults. */
 
--- a/base/hash.c
+++ b/base/hash.c
@@ -62,13 +62,21 @@
 str_copy(char *dst, size_t size, const char *src)
 {
 	size_t n = strlen(src);
-	bool whole = n < size;
+	bool fits = n < size;
 
-	if (!whole)
-		n = size - 1;
+	if (!fits)
+		n = 0;
 	memmove(dst, src, n);
 	dst[n] = '\0';
-	return whole;
+	return fits;
+}
+
+void
+str_set(char *dst, size_t size, const char *src)
+{
+	if (!str_copy(dst, size, src))
+		log_event(LOG_ERR, "text-too-long", "bytes=%zu most=%zu",
+		    strlen(src), size - 1);
 }
 
 int
--- a/base/log.c
+++ b/base/log.c
@@ -8,8 +8,11 @@
 #include <time.h>
 #include <unistd.h>
 
+/* Ends a line that was cut. */
+static const char cut[] = " cut=1";
+
 enum {
-	LINE_MAX_BYTES = 2048,
+	CUT_BYTES = sizeof(cut) - 1,
 	BUFFER_BYTES = 65536, /* for lines until the reader takes them */
 	WRITE_BYTES = 4096, /* PIPE_BUF: fits into a pipe that polls writable */
 };
@@ -34,9 +37,9 @@
 void
 log_open(const char *daemon, const char *instance, const char *domain)
 {
-	str_copy(writer.daemon, sizeof(writer.daemon), daemon);
-	str_copy(writer.instance, sizeof(writer.instance), instance);
-	str_copy(writer.domain, sizeof(writer.domain), domain);
+	str_set(writer.daemon, sizeof(writer.daemon), daemon);
+	str_set(writer.instance, sizeof(writer.instance), instance);
+	str_set(writer.domain, sizeof(writer.domain), domain);
 }
 
 void
@@ -69,8 +72,10 @@
 	va_start(ap, fmt);
 	n += vsnprintf(line + n, sizeof(line) - n, fmt, ap);
 	va_end(ap);
-	if (n > (int)sizeof(line) - 2)
+	if (n > (int)sizeof(line) - 2) {
 		n = sizeof(line) - 2;
+		memcpy(line + n - CUT_BYTES, cut, CUT_BYTES);
+	}
 	while (n > 0 && line[n - 1] == ' ')
 		n--;
 	line[n++] = '\n';
--- a/base/settings.c
+++ b/base/settings.c
@@ -232,14 +232,14 @@
 			    "'-', '_' and '.', fewer than %d",
 			    k->section, k->key, v, ID_MAX);
 		else
-			str_copy(field_at(r->s, k), ID_MAX, v);
+			str_set(field_at(r->s, k), ID_MAX, v);
 		break;
 	case KEY_ADDR:
 		if (addr_split(v, host, sizeof(host), &port, &e) == -1)
 			report_error(
 			    r, "%s.%s = %s", k->section, k->key, e.text);
 		else
-			str_copy(field_at(r->s, k), ADDR_MAX, v);
+			str_set(field_at(r->s, k), ADDR_MAX, v);
 		break;
 	case KEY_ADDRS:
 		set_addrs(r, k, v);
@@ -325,7 +325,7 @@
 		.gap_ms = 42,
 		.timeout_ms = 120000,
 		.slots = 16 };
-	str_copy(c->name, sizeof(c->name), name);
+	str_set(c->name, sizeof(c->name), name);
 	return c;
 }
 
@@ -343,7 +343,7 @@
 		    r, "[domain %s]: too many domains or invalid name", name);
 		return NULL;
 	}
-	str_copy(s->domain[s->ndomain].name, ID_MAX, name);
+	str_set(s->domain[s->ndomain].name, ID_MAX, name);
 	return &s->domain[s->ndomain++];
 }
 
@@ -383,7 +383,7 @@
 			report_error(
 			    r, "unknown key '%s' in [%s]", key, section);
 		else if (domain != NULL)
-			str_copy(domain->region, ID_MAX, value);
+			str_set(domain->region, ID_MAX, value);
 		return;
 	}
 	for (i = 0; i < NKEYS; i++)
--- a/bench/answer.c
+++ b/bench/answer.c
@@ -76,8 +76,7 @@
 	const char *code = json_string_value(json_object_get(error, "code"));
 
 	a->error = true;
-	str_copy(
-	    a->error_code, sizeof(a->error_code), code == NULL ? "" : code);
+	str_set(a->error_code, sizeof(a->error_code), code == NULL ? "" : code);
 	a->error_not_run = ran != NULL && strcmp(ran, "no") == 0;
 }
 
@@ -111,7 +110,7 @@
 		    a, json_string_value(json_object_get(
 			   json_object_get(choice, "delta"), "content")));
 	if (id != NULL && a->call_id[0] == '\0')
-		str_copy(a->call_id, sizeof(a->call_id), id);
+		str_set(a->call_id, sizeof(a->call_id), id);
 	json_decref(j);
 	return n;
 }
@@ -128,7 +127,7 @@
 		g_string_truncate(a->data, 0);
 		a->in_error_event = false;
 	} else if (g_str_has_prefix(s, "id: "))
-		str_copy(a->event_id, sizeof(a->event_id), s + 4);
+		str_set(a->event_id, sizeof(a->event_id), s + 4);
 	else if (strcmp(s, "event: error") == 0)
 		a->in_error_event = true;
 	else if (g_str_has_prefix(s, "data: "))
--- a/bench/callload.c
+++ b/bench/callload.c
@@ -22,7 +22,7 @@
 	if (i == CODES_MAX)
 		return;
 	if (i == t->nerror)
-		str_copy(t->error_code[t->nerror++], ID_MAX, code);
+		str_set(t->error_code[t->nerror++], ID_MAX, code);
 	t->error_count[i]++;
 }
 
--- a/bench/claimsrate.c
+++ b/bench/claimsrate.c
@@ -122,7 +122,7 @@
 		}
 		snprintf(s.key, sizeof(s.key), "key-%d-%d", opt.seed, i);
 		snprintf(s.request, sizeof(s.request), "entry-1f2e3d4c-%x", i);
-		str_copy(s.type, sizeof(s.type), "application/json");
+		str_set(s.type, sizeof(s.type), "application/json");
 		s.reply = strdup("{\"id\":\"0123456789\",\"status\":\"ok\"}");
 		s.len = strlen(s.reply);
 		c->settle_at = 0;
@@ -214,8 +214,8 @@
 	set.claims.buckets = opt.buckets;
 	set.claims.commit_ms = opt.commit_ms;
 	set.claims.settle_ms = opt.settle_ms;
-	str_copy(set.platform.addr, ADDR_MAX, opt.platform);
-	str_copy(po.addr, ADDR_MAX, opt.platform);
+	str_set(set.platform.addr, ADDR_MAX, opt.platform);
+	str_set(po.addr, ADDR_MAX, opt.platform);
 	p = platform_new(&po, NULL);
 	for (i = 0; i < opt.owners; i++)
 		owner[i] = claims_new(&o, NULL);
--- a/bench/drive.c
+++ b/bench/drive.c
@@ -170,7 +170,7 @@
 	const char *code = json_string_value(
 	    json_object_get(json_object_get(j, "error"), "code"));
 
-	str_copy(a->job->error_code, ID_MAX, code == NULL ? "" : code);
+	str_set(a->job->error_code, ID_MAX, code == NULL ? "" : code);
 	json_decref(j);
 }
 
@@ -225,7 +225,7 @@
 			    &a->check, a->response->str, a->response->len);
 	}
 	v = answer_verdict(&a->check);
-	str_copy(a->job->error_code, ID_MAX, a->check.error_code);
+	str_set(a->job->error_code, ID_MAX, a->check.error_code);
 	if (v != VERDICT_OPEN) {
 		finish_call(a, v);
 		return;
--- a/bench/peerslope.c
+++ b/bench/peerslope.c
@@ -72,8 +72,8 @@
 	snprintf(w->id, ID_MAX, "report-llm-worker-%05d", i);
 	snprintf(w->domain, ID_MAX, "domain-%d",
 	    domain == -1 ? i % DOMAINS : domain);
-	str_copy(w->service, ID_MAX, "report-llm");
-	str_copy(w->addr, ADDR_MAX, "127.0.0.1:1");
+	str_set(w->service, ID_MAX, "report-llm");
+	str_set(w->addr, ADDR_MAX, "127.0.0.1:1");
 }
 
 static void
@@ -86,7 +86,7 @@
 	snprintf(e->id, ID_MAX, "entry-instance-%04d", i);
 	snprintf(e->domain, ID_MAX, "domain-%d", i % DOMAINS);
 	if (s == NULL) {
-		str_copy(e->peer_addr, ADDR_MAX, "127.0.0.1:1");
+		str_set(e->peer_addr, ADDR_MAX, "127.0.0.1:1");
 		return;
 	}
 	while (!port_free(++port))
@@ -95,13 +95,13 @@
 	settings_init(s);
 	/* Practically off: this program pushes the reports itself. */
 	s->broker.load_poll_ms = 60000;
-	str_copy(s->instance.id, ID_MAX, e->id);
-	str_copy(s->instance.domain, ID_MAX, e->domain);
-	str_copy(s->instance.peer_addr, ADDR_MAX, e->peer_addr);
+	str_set(s->instance.id, ID_MAX, e->id);
+	str_set(s->instance.domain, ID_MAX, e->domain);
+	str_set(s->instance.peer_addr, ADDR_MAX, e->peer_addr);
 	if (i > 0)
-		str_copy(s->peer.seeds, SEEDS_MAX, set[0].instance.peer_addr);
-	str_copy(s->instance.caller_addr, ADDR_MAX, e->peer_addr);
-	str_copy(s->instance.operator_addr, ADDR_MAX, e->peer_addr);
+		str_set(s->peer.seeds, SEEDS_MAX, set[0].instance.peer_addr);
+	str_set(s->instance.caller_addr, ADDR_MAX, e->peer_addr);
+	str_set(s->instance.operator_addr, ADDR_MAX, e->peer_addr);
 }
 
 static void report_for(int nodes, ms_t span, rng_t *rng);
@@ -200,7 +200,7 @@
 	load_report_t *r = calloc(1, sizeof(*r));
 	int i;
 
-	str_copy(r->worker, ID_MAX, worker);
+	str_set(r->worker, ID_MAX, worker);
 	r->reached = true;
 	r->taken_at = clock_now(&machine_clock);
 	r->slots = 16;
--- a/bench/policyplace.c
+++ b/bench/policyplace.c
@@ -110,7 +110,7 @@
 
 		snprintf(w->id, ID_MAX, "w%d", i);
 		snprintf(w->domain, ID_MAX, "d%d", i % s->d->domains);
-		str_copy(w->service, ID_MAX, "llm");
+		str_set(w->service, ID_MAX, "llm");
 		w->memory_mb = WORKER_MB;
 		w->slots = SLOTS;
 		w->usable = true;
@@ -130,7 +130,7 @@
 		bool model = i < s->d->models;
 
 		snprintf(it->name, ID_MAX, "%c%d", model ? 'm' : 'a', i);
-		str_copy(it->service, ID_MAX, "llm");
+		str_set(it->service, ID_MAX, "llm");
 		it->version = 1;
 		it->wanted = true;
 		it->base = model ? -1 : (int)(rng_unit(&s->rng) * s->d->models);
--- a/bench/records.c
+++ b/bench/records.c
@@ -46,7 +46,7 @@
 {
 	const char *id = json_string_value(json_object_get(j, "incarnation"));
 
-	str_copy(m->incarnation, sizeof(m->incarnation), id == NULL ? "" : id);
+	str_set(m->incarnation, sizeof(m->incarnation), id == NULL ? "" : id);
 	m->moves = get_int(j, "loads") + get_int(j, "unloads");
 }
 
--- a/bench/send.c
+++ b/bench/send.c
@@ -78,7 +78,7 @@
 	snprintf(line, sizeof(line), "%.*s", (int)n, p);
 	g_strchomp(line);
 	if (header_is(line, n, "Ebonypitch-Ran:", &v))
-		str_copy(a->ran, sizeof(a->ran), v);
+		str_set(a->ran, sizeof(a->ran), v);
 	else if (header_is(line, n, "Ebonypitch-Retry-After-Ms:", &v))
 		a->retry_after = strtoll(v, NULL, 10);
 	else if (header_is(line, n, "Cache-Control:", &v) &&
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -103,7 +103,7 @@
 		bool model = i < f->models;
 
 		snprintf(it->name, ID_MAX, "item-%d", i);
-		str_copy(it->service, ID_MAX, "llm");
+		str_set(it->service, ID_MAX, "llm");
 		it->version = 1;
 		it->wanted = true;
 		it->copies_min = model ? 2 : 1;
@@ -137,7 +137,7 @@
 
 		snprintf(p->id, ID_MAX, "worker-%d", w);
 		snprintf(p->domain, ID_MAX, "domain-%d", w % DOMAINS);
-		str_copy(p->service, ID_MAX, "llm");
+		str_set(p->service, ID_MAX, "llm");
 		p->memory_mb = WORKER_MB;
 		p->slots = SLOTS;
 		p->usable = true;
@@ -681,7 +681,7 @@
 		c->adapter = calloc_or_abort(c->nadapter, sizeof(*c->adapter));
 		for (i = 0; i < c->nmodel; i++) {
 			snprintf(c->model[i].name, ID_MAX, "model-%04d", i);
-			str_copy(c->model[i].service, ID_MAX, "report-llm");
+			str_set(c->model[i].service, ID_MAX, "report-llm");
 			c->model[i].version = 1;
 			c->model[i].memory_mb = MODEL_MB;
 			c->model[i].copies_min = 2;
--- a/caller/call.c
+++ b/caller/call.c
@@ -104,7 +104,7 @@
 		c->begun = c->ended = true;
 		c->status = status;
 		c->ran = ran;
-		str_copy(c->type, sizeof(c->type), type);
+		str_set(c->type, sizeof(c->type), type);
 		g_string_append_len(c->output, body, len);
 		resume_connection(c);
 	}
@@ -145,7 +145,7 @@
 	c->begun = c->streaming = true;
 	c->status = MHD_HTTP_OK;
 	c->ran = RAN_YES;
-	str_copy(c->type, sizeof(c->type), type);
+	str_set(c->type, sizeof(c->type), type);
 	resume_connection(c);
 	pthread_mutex_unlock(&c->lock);
 }
--- a/caller/request.c
+++ b/caller/request.c
@@ -222,8 +222,8 @@
 	if (conf == NULL || conf->kind != SERVICE_PLAIN)
 		return set_error(f, 404, "unknown_service",
 		    "there is no plain service '%.60s'", service);
-	str_copy(r->service, sizeof(r->service), service);
-	str_copy(r->method, sizeof(r->method), method);
+	str_set(r->service, sizeof(r->service), service);
+	str_set(r->method, sizeof(r->method), method);
 	if (!str_copy(
 		r->target, sizeof(r->target), name[n] == '\0' ? "/" : name + n))
 		return set_error(f, 414, "path_too_long",
--- a/cmd/ebonypitch.c
+++ b/cmd/ebonypitch.c
@@ -176,7 +176,7 @@
 	    g_date_time_new_from_unix_utc(number_field(j, key) / 1000);
 	char *s = g_date_time_format(t, "%Y-%m-%dT%H:%M:%SZ");
 
-	str_copy(buf, size, s);
+	str_set(buf, size, s);
 	g_free(s);
 	g_date_time_unref(t);
 	return buf;
--- a/control/follower.c
+++ b/control/follower.c
@@ -261,8 +261,8 @@
 	f->rng.s = hash_str(o->settings->instance.id, clock_wall());
 	f->backoff.initial = BACKOFF_FIRST_MS;
 	f->backoff.max = BACKOFF_MAX_MS;
-	str_copy(po.addr, sizeof(po.addr), o->settings->platform.addr);
-	str_copy(po.user, sizeof(po.user), o->settings->instance.id);
+	str_set(po.addr, sizeof(po.addr), o->settings->platform.addr);
+	str_set(po.user, sizeof(po.user), o->settings->instance.id);
 	f->platform = platform_new(&po, e);
 	if (f->platform == NULL) {
 		follower_free(f);
--- a/control/ledger_cache.c
+++ b/control/ledger_cache.c
@@ -60,7 +60,7 @@
 	if (wl != NULL)
 		return wl;
 	wl = g_new0(worker_ledger_t, 1);
-	str_copy(wl->worker, sizeof(wl->worker), worker);
+	str_set(wl->worker, sizeof(wl->worker), worker);
 	wl->backoff = (backoff_t){ .initial = ORDER_BACKOFF_FIRST_MS,
 		.max = ORDER_BACKOFF_MAX_MS };
 	wl->orders_seen =
--- a/control/plan_input.c
+++ b/control/plan_input.c
@@ -41,7 +41,7 @@
 	place_item_t it = { .version = version, .memory_mb = mb, .base = -1 };
 	int at = (int)in->item->len;
 
-	str_copy(it.name, sizeof(it.name), *adapter == '\0' ? model : adapter);
+	str_set(it.name, sizeof(it.name), *adapter == '\0' ? model : adapter);
 	g_array_append_val(in->item, it);
 	g_ptr_array_add(in->model, (void *)model);
 	g_hash_table_insert(in->index, item_key(model, adapter, version),
@@ -72,7 +72,7 @@
 		m = &c->model[i];
 		at = add_item(in, m->name, "", m->version, m->memory_mb);
 		it = &g_array_index(in->item, place_item_t, at);
-		str_copy(it->service, sizeof(it->service), m->service);
+		str_set(it->service, sizeof(it->service), m->service);
 		it->copies_min = m->copies_min;
 		it->demand = demand_calls(d, m->name);
 		it->wanted = true;
@@ -83,7 +83,7 @@
 			continue;
 		at = add_item(in, a->model, a->name, a->version, a->memory_mb);
 		it = &g_array_index(in->item, place_item_t, at);
-		str_copy(it->service, sizeof(it->service), m->service);
+		str_set(it->service, sizeof(it->service), m->service);
 		it->copies_min = 1;
 		it->base = (int)(m - c->model);
 		it->demand = demand_calls(d, a->name);
@@ -120,7 +120,7 @@
 			    (int)j != at)
 				base = (int)j;
 		it = &g_array_index(in->item, place_item_t, at);
-		str_copy(it->service, sizeof(it->service), service);
+		str_set(it->service, sizeof(it->service), service);
 		it->base = base;
 	}
 }
@@ -175,9 +175,9 @@
 {
 	place_worker_t pw = { .slots = w->slots };
 
-	str_copy(pw.id, sizeof(pw.id), w->id);
-	str_copy(pw.service, sizeof(pw.service), w->service);
-	str_copy(pw.domain, sizeof(pw.domain), w->domain);
+	str_set(pw.id, sizeof(pw.id), w->id);
+	str_set(pw.service, sizeof(pw.service), w->service);
+	str_set(pw.domain, sizeof(pw.domain), w->domain);
 	pw.memory_mb = wl->ledger == NULL ? 0 : wl->ledger->memory_mb;
 	pw.usable = !w->leaving && wl->ledger != NULL && !wl->stale &&
 		    wl->has_report && !wl->report.leaving &&
--- a/control/planner.c
+++ b/control/planner.c
@@ -68,11 +68,11 @@
 	audit_record_t r = { .at = clock_wall(),
 		.number = p->lease.fencing_token };
 
-	str_copy(r.who, sizeof(r.who), p->o.settings->instance.id);
-	str_copy(r.kind, sizeof(r.kind), "lease");
-	str_copy(r.subject, sizeof(r.subject), "lease/planner");
-	str_copy(r.what, sizeof(r.what), what);
-	str_copy(r.result, sizeof(r.result), "done");
+	str_set(r.who, sizeof(r.who), p->o.settings->instance.id);
+	str_set(r.kind, sizeof(r.kind), "lease");
+	str_set(r.subject, sizeof(r.subject), "lease/planner");
+	str_set(r.what, sizeof(r.what), what);
+	str_set(r.result, sizeof(r.result), "done");
 	if (p->o.audit != NULL)
 		audit_add(p->o.audit, &r);
 	log_event(LOG_NOTICE, "planner_lease", "change=%s fence=%" PRIu64, what,
@@ -87,14 +87,14 @@
 	const char *op = t->order.kind == ORDER_LOAD ? "load" : "unload";
 	audit_record_t r = { .at = clock_wall(), .number = t->order.number };
 
-	str_copy(r.who, sizeof(r.who), p->o.settings->instance.id);
-	str_copy(r.kind, sizeof(r.kind), "order");
-	str_copy(r.subject, sizeof(r.subject), w->id);
-	str_copy(r.model, sizeof(r.model),
+	str_set(r.who, sizeof(r.who), p->o.settings->instance.id);
+	str_set(r.kind, sizeof(r.kind), "order");
+	str_set(r.subject, sizeof(r.subject), w->id);
+	str_set(r.model, sizeof(r.model),
 	    t->order.adapter[0] == '\0' ? t->order.model : t->order.adapter);
 	snprintf(r.what, sizeof(r.what), "%s version %" PRIu64 ", %u MB: %s",
 	    op, t->order.version, t->order.memory_mb, t->why);
-	str_copy(r.result, sizeof(r.result), result);
+	str_set(r.result, sizeof(r.result), result);
 	if (p->o.audit != NULL)
 		audit_add(p->o.audit, &r);
 	log_event(LOG_INFO, "order",
@@ -224,8 +224,8 @@
 		conf = settings_service(p->o.settings, w->service);
 		if (conf == NULL || conf->kind != SERVICE_ENGINE)
 			continue;
-		str_copy(t[n].worker, sizeof(t[n].worker), w->id);
-		str_copy(t[n].addr, sizeof(t[n].addr), w->addr);
+		str_set(t[n].worker, sizeof(t[n].worker), w->id);
+		str_set(t[n].addr, sizeof(t[n].addr), w->addr);
 		n++;
 	}
 	if (n > 0)
@@ -254,9 +254,9 @@
 	t.order.fencing_token = t.order.number;
 	t.order.version = it->version;
 	t.order.memory_mb = it->memory_mb;
-	str_copy(t.order.model, sizeof(t.order.model), it->model);
-	str_copy(t.order.adapter, sizeof(t.order.adapter), it->adapter);
-	str_copy(t.order.incarnation, sizeof(t.order.incarnation),
+	str_set(t.order.model, sizeof(t.order.model), it->model);
+	str_set(t.order.adapter, sizeof(t.order.adapter), it->adapter);
+	str_set(t.order.incarnation, sizeof(t.order.incarnation),
 	    wl->ledger->incarnation);
 	g_array_append_val(p->planned, t);
 	wl->dirty = true;
@@ -671,8 +671,8 @@
 	planner_t *p = g_new0(planner_t, 1);
 
 	p->o = *o;
-	str_copy(po.addr, sizeof(po.addr), s->platform.addr);
-	str_copy(po.user, sizeof(po.user), s->instance.id);
+	str_set(po.addr, sizeof(po.addr), s->platform.addr);
+	str_set(po.user, sizeof(po.user), s->instance.id);
 	lease_init(&p->lease, "planner", s->instance.id, s->platform.lease_ms,
 	    o->clock);
 	ledger_cache_init(&p->cache);
--- a/endpoint/call.c
+++ b/endpoint/call.c
@@ -204,10 +204,10 @@
 		curl_easy_getinfo(
 		    c->request.easy, CURLINFO_RETRY_AFTER, &again);
 	}
-	str_copy(ev->type, sizeof(ev->type), type == NULL ? "" : type);
+	str_set(ev->type, sizeof(ev->type), type == NULL ? "" : type);
 	ev->retry_after = again * 1000;
 	if (ev->outcome != CALL_DONE)
-		str_copy(ev->reason, sizeof(ev->reason),
+		str_set(ev->reason, sizeof(ev->reason),
 		    c->sse.reason[0] != '\0'   ? c->sse.reason
 		    : c->aborted != ABORT_NONE ? abort_reason_text[c->aborted]
 		    : rc != CURLE_OK	       ? curl_easy_strerror(rc)
@@ -330,8 +330,8 @@
 
 	if (spec == NULL)
 		abort();
-	str_copy(spec->addr, sizeof(spec->addr), of->addr);
-	str_copy(spec->request, sizeof(spec->request), of->request);
+	str_set(spec->addr, sizeof(spec->addr), of->addr);
+	str_set(spec->request, sizeof(spec->request), of->request);
 	spec->timeout = CANCEL_MS;
 	c = call_new(p, spec, CALL_CANCEL_REQUEST);
 	if (request_init_cancel(&c->request, spec, NULL) == -1)
--- a/endpoint/load.c
+++ b/endpoint/load.c
@@ -188,7 +188,7 @@
 	 * that answers at its address counts as not reached. */
 	if (strcmp(r->worker, q->target.worker) != 0) {
 		r->reached = r->reached && r->worker[0] == '\0';
-		str_copy(r->worker, sizeof(r->worker), q->target.worker);
+		str_set(r->worker, sizeof(r->worker), q->target.worker);
 	}
 	if (!ring_push(l->reports, r)) {
 		counter_add(l->dropped, 1);
--- a/endpoint/order.c
+++ b/endpoint/order.c
@@ -168,8 +168,8 @@
 	/* The handle can't reconnect, so it can't reach another process. */
 	curl_easy_setopt(c, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
 	o->conn = c;
-	str_copy(o->addr, sizeof(o->addr), addr);
-	str_copy(o->incarnation, sizeof(o->incarnation), incarnation);
+	str_set(o->addr, sizeof(o->addr), addr);
+	str_set(o->incarnation, sizeof(o->incarnation), incarnation);
 	return 0;
 }
 
--- a/endpoint/report.c
+++ b/endpoint/report.c
@@ -18,7 +18,7 @@
 	const char *s = json_string_value(json_object_get(j, name));
 
 	if (s != NULL)
-		str_copy(dst, ID_MAX, s);
+		str_set(dst, ID_MAX, s);
 }
 
 static int
--- a/endpoint/sse.c
+++ b/endpoint/sse.c
@@ -14,7 +14,7 @@
     sse_t *s, const char *id, uint32_t next, sse_token_t *token, void *user)
 {
 	memset(s, 0, sizeof(*s));
-	str_copy(s->id, sizeof(s->id), id);
+	str_set(s->id, sizeof(s->id), id);
 	s->next = next;
 	s->token = token;
 	s->user = user;
@@ -32,7 +32,7 @@
 static int
 fail_stream(sse_t *s, err_t *e, err_code_t code, const char *why)
 {
-	str_copy(s->reason, sizeof(s->reason), why);
+	str_set(s->reason, sizeof(s->reason), why);
 	return err_set(e, code, "%s", why);
 }
 
@@ -66,7 +66,7 @@
 	if (offset != s->next)
 		return fail_stream(s, e, ERR_PROTO, "end marker after a gap");
 	s->ended = true;
-	str_copy(s->finish, sizeof(s->finish), finish == NULL ? "" : finish);
+	str_set(s->finish, sizeof(s->finish), finish == NULL ? "" : finish);
 	return 0;
 }
 
--- a/entry/claim.c
+++ b/entry/claim.c
@@ -184,10 +184,10 @@
 {
 	const request_t *q = call_request(r->call);
 
-	str_copy(r->settle.key, sizeof(r->settle.key), q->key);
-	str_copy(r->settle.service, ID_MAX, r->service->name);
-	str_copy(r->settle.request, ID_MAX, call_id(r->call));
-	str_copy(r->settle.type, ID_MAX, ev->type);
+	str_set(r->settle.key, sizeof(r->settle.key), q->key);
+	str_set(r->settle.service, ID_MAX, r->service->name);
+	str_set(r->settle.request, ID_MAX, call_id(r->call));
+	str_set(r->settle.type, ID_MAX, ev->type);
 	r->settle.status = ev->status;
 	r->settle.outcome = ev->outcome;
 	/* An earlier run may have reached an endpoint. */
--- a/entry/model.c
+++ b/entry/model.c
@@ -44,8 +44,8 @@
 	char *data = json_dumps(j, JSON_COMPACT);
 	GString *out = g_string_sized_new(512);
 
-	str_copy(t.worker, ID_MAX, r->worker);
-	str_copy(t.stream, ID_MAX, r->stream);
+	str_set(t.worker, ID_MAX, r->worker);
+	str_set(t.stream, ID_MAX, r->stream);
 	t.catalogue = en->view == NULL || en->view->catalogue == NULL
 			  ? 0
 			  : en->view->catalogue->number;
@@ -129,7 +129,7 @@
 	log_event(LOG_NOTICE, "stream_broken",
 	    "request=%s worker=%s runs=%d refusal=%d", r->stream, r->worker,
 	    r->runs, r->refusal);
-	str_copy(f.message, sizeof(f.message),
+	str_set(f.message, sizeof(f.message),
 	    why[0] == '\0' ? "the endpoint's answer broke off" : why);
 	if (!r->begun || !call_request(r->call)->stream) {
 		bool not_run = ran == RAN_NO;
--- a/entry/route.c
+++ b/entry/route.c
@@ -30,7 +30,7 @@
 	p = table_get(en->pending, h);
 	p->kind = kind;
 	p->route = r->handle;
-	str_copy(p->peer, ID_MAX, peer);
+	str_set(p->peer, ID_MAX, peer);
 	return h;
 }
 
@@ -43,7 +43,7 @@
 		.ran = RAN_NO,
 		.retry_after = retry_after };
 
-	str_copy(f.message, sizeof(f.message), message);
+	str_set(f.message, sizeof(f.message), message);
 	call_fail(call, &f);
 	call_unref(call);
 }
@@ -76,8 +76,8 @@
 			    "there is no model of that name");
 			return false;
 		}
-		str_copy(r->model, ID_MAX, m->name);
-		str_copy(r->adapter, ID_MAX, a != NULL ? a->name : "");
+		str_set(r->model, ID_MAX, m->name);
+		str_set(r->adapter, ID_MAX, a != NULL ? a->name : "");
 		r->resumable = m->resumable;
 		service = m->service;
 	}
@@ -127,11 +127,11 @@
 	}
 	r->offset = t.offset;
 	r->prompt_hash = t.prompt_hash;
-	str_copy(r->stream, ID_MAX, t.stream);
+	str_set(r->stream, ID_MAX, t.stream);
 	w = view_worker(en->view, t.worker);
 	if (w != NULL) {
-		str_copy(r->worker, ID_MAX, w->id);
-		str_copy(r->addr, ADDR_MAX, w->addr);
+		str_set(r->worker, ID_MAX, w->id);
+		str_set(r->addr, ADDR_MAX, w->addr);
 		r->service = settings_service(en->settings, w->service);
 	}
 	if (w != NULL && r->service != NULL) {
@@ -188,11 +188,11 @@
 		    "this entry has too many calls in progress");
 		return;
 	}
-	str_copy(r->model, ID_MAX, found.model);
-	str_copy(r->adapter, ID_MAX, found.adapter);
+	str_set(r->model, ID_MAX, found.model);
+	str_set(r->adapter, ID_MAX, found.adapter);
 	r->resumable = found.resumable;
 	r->service = found.service;
-	str_copy(r->stream, ID_MAX, call_id(call));
+	str_set(r->stream, ID_MAX, call_id(call));
 	if (q->prompt != NULL) {
 		n = strlen(q->prompt);
 		r->prompt_hash =
@@ -221,7 +221,7 @@
 		.ran = ran,
 		.retry_after = retry_after };
 
-	str_copy(f.message, sizeof(f.message), message);
+	str_set(f.message, sizeof(f.message), message);
 	if (r->call != NULL)
 		call_fail(r->call, &f);
 	route_finish(en, r);
--- a/entry/run.c
+++ b/entry/run.c
@@ -25,8 +25,8 @@
 {
 	const request_t *q = call_request(r->call);
 
-	str_copy(s->model, ID_MAX, r->model);
-	str_copy(s->adapter, ID_MAX, r->adapter);
+	str_set(s->model, ID_MAX, r->model);
+	str_set(s->adapter, ID_MAX, r->adapter);
 	s->version = r->version;
 	s->prompt = strdup(q->prompt == NULL ? "" : q->prompt);
 	s->max_tokens = q->max_tokens;
@@ -46,10 +46,10 @@
 	const request_t *q = call_request(r->call);
 
 	s->plain = true;
-	str_copy(s->method, sizeof(s->method), q->method);
-	str_copy(s->path, sizeof(s->path), q->target);
-	str_copy(s->key, sizeof(s->key), q->key);
-	str_copy(s->type, sizeof(s->type), q->type);
+	str_set(s->method, sizeof(s->method), q->method);
+	str_set(s->path, sizeof(s->path), q->target);
+	str_set(s->key, sizeof(s->key), q->key);
+	str_set(s->type, sizeof(s->type), q->type);
 	s->body = malloc(q->body_len + 1);
 	if (s->body != NULL)
 		memcpy(s->body, q->body, q->body_len + 1);
@@ -95,8 +95,8 @@
 	s->tag = tag;
 	s->resume = resume;
 	s->timeout = r->expires_at - now;
-	str_copy(s->addr, ADDR_MAX, r->addr);
-	str_copy(s->request, ID_MAX, r->stream);
+	str_set(s->addr, ADDR_MAX, r->addr);
+	str_set(s->request, ID_MAX, r->stream);
 	if (r->model[0] != '\0' || resume)
 		fill_model(r, s);
 	else
@@ -147,7 +147,7 @@
 	    r->expires_at <= clock_now(&machine_clock) ||
 	    !budget_spend(&en->retry_budget))
 		return false;
-	str_copy(r->avoid, ID_MAX, r->worker);
+	str_set(r->avoid, ID_MAX, r->worker);
 	/* The shard may have no other copy, so the others are tried first. */
 	r->deferred_shard = r->shard;
 	r->ntried = 0;
--- a/entry/slot.c
+++ b/entry/slot.c
@@ -111,7 +111,7 @@
 	req.n_tried_brokers = r->broker_rank;
 	/* Waits as long as the target latency can be met. */
 	wait = (remaining > 0 ? remaining : 0) + en->settings->peer.ask_ms;
-	str_copy(r->broker, ID_MAX, m->id);
+	str_set(r->broker, ID_MAX, m->id);
 	r->stage = STAGE_SLOT;
 	tag = route_add_pending(en, r, PENDING_SLOT, m->id);
 	if (tag != 0 && client_request_slot(en->client, tag, m->id, &req, wait))
@@ -196,8 +196,8 @@
 
 	if (best == NULL)
 		return false;
-	str_copy(r->worker, ID_MAX, best->id);
-	str_copy(r->addr, ADDR_MAX, best->addr);
+	str_set(r->worker, ID_MAX, best->id);
+	str_set(r->addr, ADDR_MAX, best->addr);
 	r->slot = 0;
 	r->version = 0;
 	r->broker[0] = '\0';
@@ -305,8 +305,8 @@
 	case SLOT_GRANTED:
 		r->slot = s->slot;
 		r->version = s->version;
-		str_copy(r->worker, ID_MAX, s->worker);
-		str_copy(r->addr, ADDR_MAX, s->addr);
+		str_set(r->worker, ID_MAX, s->worker);
+		str_set(r->addr, ADDR_MAX, s->addr);
 		claim_or_run(en, r);
 		return;
 	case SLOT_NOT_OWNER:
--- a/operator/accept.c
+++ b/operator/accept.c
@@ -65,8 +65,8 @@
 	}
 	t->number = (uint64_t)number;
 	t->at = at;
-	str_copy(t->id, sizeof(t->id), id);
-	str_copy(t->who, sizeof(t->who), who);
+	str_set(t->id, sizeof(t->id), id);
+	str_set(t->who, sizeof(t->who), who);
 	t->text = strdup(text);
 	json_decref(j);
 	return 0;
@@ -87,7 +87,7 @@
 	}
 	l->head = (uint64_t)number;
 	l->head_version = o->version;
-	str_copy(l->head_id, sizeof(l->head_id), id);
+	str_set(l->head_id, sizeof(l->head_id), id);
 	json_decref(j);
 	return 0;
 }
@@ -165,8 +165,8 @@
 		const model_t *m = &c->model[i];
 
 		memset(&it, 0, sizeof(it));
-		str_copy(it.name, sizeof(it.name), m->name);
-		str_copy(it.service, sizeof(it.service), m->service);
+		str_set(it.name, sizeof(it.name), m->name);
+		str_set(it.service, sizeof(it.service), m->service);
 		it.version = m->version;
 		it.memory_mb = m->memory_mb;
 		it.copies_min =
@@ -191,8 +191,8 @@
 		if ((m = catalogue_model(c, a->model)) == NULL)
 			continue;
 		memset(&it, 0, sizeof(it));
-		str_copy(it.name, sizeof(it.name), a->name);
-		str_copy(it.service, sizeof(it.service), m->service);
+		str_set(it.name, sizeof(it.name), a->name);
+		str_set(it.service, sizeof(it.service), m->service);
 		it.version = a->version;
 		it.memory_mb = a->memory_mb;
 		it.copies_min = 1;
@@ -237,9 +237,9 @@
 		if (l->item[i].role != ROLE_WORKER)
 			continue;
 		memset(&pw, 0, sizeof(pw));
-		str_copy(pw.id, sizeof(pw.id), l->item[i].id);
-		str_copy(pw.service, sizeof(pw.service), l->item[i].service);
-		str_copy(pw.domain, sizeof(pw.domain), l->item[i].domain);
+		str_set(pw.id, sizeof(pw.id), l->item[i].id);
+		str_set(pw.service, sizeof(pw.service), l->item[i].service);
+		str_set(pw.domain, sizeof(pw.domain), l->item[i].domain);
 		pw.memory_mb = l->item[i].memory_mb;
 		pw.slots = l->item[i].slots;
 		pw.usable = !l->item[i].leaving;
--- a/operator/server.c
+++ b/operator/server.c
@@ -88,15 +88,15 @@
 	audit_record_t r = { .at = clock_wall(), .number = number };
 	char q[256];
 
-	str_copy(r.who, sizeof(r.who), c->who);
-	str_copy(r.kind, sizeof(r.kind), "note");
-	str_copy(r.what, sizeof(r.what), number > 0 ? "accepted" : "refused");
-	str_copy(r.result, sizeof(r.result),
+	str_set(r.who, sizeof(r.who), c->who);
+	str_set(r.kind, sizeof(r.kind), "note");
+	str_set(r.what, sizeof(r.what), number > 0 ? "accepted" : "refused");
+	str_set(r.result, sizeof(r.result),
 	    number > 0 ? "accepted" : err_name(e->code));
 	if (number > 0)
 		snprintf(r.subject, sizeof(r.subject), "note/%" PRIu64, number);
 	else if (report != NULL)
-		str_copy(r.what, sizeof(r.what), report);
+		str_set(r.what, sizeof(r.what), report);
 	if (c->s->o.audit != NULL)
 		audit_add(c->s->o.audit, &r);
 	log_event(LOG_NOTICE, "note_apply",
@@ -379,9 +379,9 @@
 	f.to = strtoll(query(c, "to"), NULL, 10);
 	if (f.to == 0)
 		f.to = INT64_MAX;
-	str_copy(f.subject, sizeof(f.subject), query(c, "subject"));
-	str_copy(f.model, sizeof(f.model), query(c, "model"));
-	str_copy(f.kind, sizeof(f.kind), query(c, "kind"));
+	str_set(f.subject, sizeof(f.subject), query(c, "subject"));
+	str_set(f.model, sizeof(f.model), query(c, "model"));
+	str_set(f.kind, sizeof(f.kind), query(c, "kind"));
 	if ((text = audit_read(c->p, &f, &e)) == NULL)
 		return error_answer(&e, NULL);
 	return (http_answer_t){ MHD_HTTP_OK, "application/json", text };
@@ -454,8 +454,8 @@
 	    MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, "X-User");
 	if (c->who == NULL || *c->who == '\0')
 		c->who = "anonymous";
-	str_copy(po.addr, sizeof(po.addr), st->platform.addr);
-	str_copy(po.user, sizeof(po.user), c->who);
+	str_set(po.addr, sizeof(po.addr), st->platform.addr);
+	str_set(po.user, sizeof(po.user), c->who);
 	if ((c->p = platform_new(&po, &e)) == NULL)
 		return error_answer(&e, NULL);
 	a = platform_call(c, method, url);
--- a/operator/status.c
+++ b/operator/status.c
@@ -163,7 +163,7 @@
 	} else if ((c = catalogue_for(p, v, number, e)) != NULL &&
 		   platform_instances(p, &inst, e) == 0) {
 		out->number = number;
-		str_copy(out->id, sizeof(out->id), t->id);
+		str_set(out->id, sizeof(out->id), t->id);
 		count_instances(v, &inst, number, out);
 		rc = count_first_copies(v, c, t->text, out, e);
 		out->state = compute_state(out, l.head);
--- a/peer/broker.c
+++ b/peer/broker.c
@@ -151,7 +151,7 @@
 		}
 		if (strcmp(r->addr, w->addr) != 0)
 			b->targets_changed = true;
-		str_copy(r->addr, sizeof(r->addr), w->addr);
+		str_set(r->addr, sizeof(r->addr), w->addr);
 	}
 	g_hash_table_iter_init(&it, k->worker);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
@@ -175,8 +175,8 @@
 	broker_t *k = calloc(1, sizeof(*k));
 
 	shard_key(k->key, s->service, s->domain, s->index);
-	str_copy(k->service, sizeof(k->service), s->service);
-	str_copy(k->domain, sizeof(k->domain), s->domain);
+	str_set(k->service, sizeof(k->service), s->service);
+	str_set(k->domain, sizeof(k->domain), s->domain);
 	k->index = s->index;
 	k->owner = owner;
 	k->started_at = k->last_request_at = clock_now(b->o.clock);
@@ -333,11 +333,11 @@
     admit_request_t *w, const Wire__SlotRequest *req, uint64_t tag, ms_t now)
 {
 	w->tag = tag;
-	str_copy(w->item, sizeof(w->item),
+	str_set(w->item, sizeof(w->item),
 	    *req->adapter != '\0' ? req->adapter : req->model);
-	str_copy(w->model, sizeof(w->model), req->model);
-	str_copy(w->caller, sizeof(w->caller), req->caller);
-	str_copy(w->avoid, sizeof(w->avoid), req->avoid);
+	str_set(w->model, sizeof(w->model), req->model);
+	str_set(w->caller, sizeof(w->caller), req->caller);
+	str_set(w->avoid, sizeof(w->avoid), req->avoid);
 	w->priority = req->priority;
 	w->deadline = now + req->remaining_ms;
 	w->prefix = req->prefix;
@@ -417,8 +417,8 @@
 	a->call = call;
 	a->broker = k;
 	a->waiting_for_reports = true;
-	str_copy(a->request, sizeof(a->request), req->request);
-	str_copy(a->adapter, sizeof(a->adapter), req->adapter);
+	str_set(a->request, sizeof(a->request), req->request);
+	str_set(a->adapter, sizeof(a->adapter), req->adapter);
 	k->last_request_at = clock_now(b->o.clock);
 	copy_request(&a->admit, req, h, k->last_request_at);
 	broker_count_request(k, a->admit.model, a->adapter, false);
@@ -495,13 +495,13 @@
 		.resident = res };
 	int i;
 
-	str_copy(out.worker, sizeof(out.worker), r->worker);
+	str_set(out.worker, sizeof(out.worker), r->worker);
 	for (i = 0; i < r->nresident; i++) {
 		const resident_t *x = &r->resident[i];
 
 		if (x->state != RESIDENT_READY)
 			continue;
-		str_copy(res[out.nresident].item, ID_MAX,
+		str_set(res[out.nresident].item, ID_MAX,
 		    x->adapter[0] != '\0' ? x->adapter : x->model);
 		res[out.nresident++].version = x->version;
 	}
@@ -583,8 +583,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		g_hash_table_iter_init(&wit, ((broker_t *)value)->worker);
 		while (g_hash_table_iter_next(&wit, &id, &w)) {
-			str_copy((*t)[n].worker, ID_MAX, id);
-			str_copy((*t)[n++].addr, ADDR_MAX,
+			str_set((*t)[n].worker, ID_MAX, id);
+			str_set((*t)[n++].addr, ADDR_MAX,
 			    ((worker_report_t *)w)->addr);
 		}
 	}
--- a/peer/client.c
+++ b/peer/client.c
@@ -88,7 +88,7 @@
 	cmd_t *cmd = calloc(1, sizeof(*cmd));
 
 	cmd->kind = kind;
-	str_copy(cmd->to, sizeof(cmd->to), to);
+	str_set(cmd->to, sizeof(cmd->to), to);
 	return cmd;
 }
 
@@ -101,7 +101,7 @@
 	cmd->answer = ANSWER_SLOT;
 	cmd->tag = tag;
 	cmd->wait = wait;
-	str_copy(cmd->request, sizeof(cmd->request), req->request);
+	str_set(cmd->request, sizeof(cmd->request), req->request);
 	cmd->body = WIRE__FRAME__BODY_SLOT_REQUEST;
 	cmd->msg = msg_copy(req);
 	return post_cmd(c, cmd);
@@ -151,7 +151,7 @@
 {
 	cmd_t *cmd = cmd_new(CMD_CANCEL, to);
 
-	str_copy(cmd->request, sizeof(cmd->request), request);
+	str_set(cmd->request, sizeof(cmd->request), request);
 	post_cmd(c, cmd);
 }
 
@@ -267,7 +267,7 @@
 	if (conn == NULL)
 		return NULL;
 	conn->role = CONN_NODE;
-	str_copy(conn->peer, sizeof(conn->peer), id);
+	str_set(conn->peer, sizeof(conn->peer), id);
 	g_hash_table_replace(c->conns, g_strdup(id), conn);
 	send_hello(c, conn, false);
 	return conn;
@@ -570,7 +570,7 @@
 	p->deadline = c->now + cmd->wait;
 	if (cmd->answer == ANSWER_SLOT)
 		p->ack_deadline = c->now + c->settings->peer.ask_ms;
-	str_copy(p->request, sizeof(p->request), cmd->request);
+	str_set(p->request, sizeof(p->request), cmd->request);
 	send_body(conn, h, cmd->body, cmd->msg->m);
 }
 
--- a/peer/digest.c
+++ b/peer/digest.c
@@ -19,8 +19,8 @@
 	d = g_hash_table_lookup(k->demand, key);
 	if (d == NULL) {
 		d = calloc(1, sizeof(*d));
-		str_copy(d->model, sizeof(d->model), model);
-		str_copy(d->adapter, sizeof(d->adapter), adapter);
+		str_set(d->model, sizeof(d->model), model);
+		str_set(d->adapter, sizeof(d->adapter), adapter);
 		g_hash_table_insert(k->demand, g_strdup(key), d);
 	}
 	if (refused)
--- a/peer/member.c
+++ b/peer/member.c
@@ -153,7 +153,7 @@
 {
 	if (c->role == CONN_UNIDENTIFIED) {
 		c->role = CONN_ENTRY;
-		str_copy(c->peer, sizeof(c->peer), h->member->id);
+		str_set(c->peer, sizeof(c->peer), h->member->id);
 		/* A planned stop waits only for the own entryd. */
 		if (strcmp(c->peer, n->self.id) == 0)
 			__atomic_add_fetch(
@@ -204,7 +204,7 @@
 	if (c->dialled && strcmp(c->peer, r->m->id) != 0)
 		address_reused(n, c);
 	c->role = CONN_NODE;
-	str_copy(c->peer, sizeof(c->peer), r->m->id);
+	str_set(c->peer, sizeof(c->peer), r->m->id);
 	c->nearer_root = strcmp(r->m->domain, n->self.domain) == 0 &&
 			 member_height(r->m->id, r->m->domain) >
 			     member_height(n->self.id, n->self.domain);
@@ -288,7 +288,7 @@
 	r->dial_at = n->now + backoff_next(&r->backoff, &n->rng);
 	r->conn = net_dial(n->net, r->m->peer_addr);
 	if (r->conn != NULL)
-		str_copy(r->conn->peer, sizeof(r->conn->peer), r->m->id);
+		str_set(r->conn->peer, sizeof(r->conn->peer), r->m->id);
 }
 
 void
--- a/peer/node.c
+++ b/peer/node.c
@@ -214,10 +214,10 @@
 	if (a->outcome != CLAIM_FRESH || a->attempt_id[0] == '\0' ||
 	    claims == NULL)
 		return;
-	str_copy(s.key, sizeof(s.key), req->key);
-	str_copy(s.service, sizeof(s.service), req->service);
-	str_copy(s.request, sizeof(s.request), req->request);
-	str_copy(s.attempt_id, sizeof(s.attempt_id), a->attempt_id);
+	str_set(s.key, sizeof(s.key), req->key);
+	str_set(s.service, sizeof(s.service), req->service);
+	str_set(s.request, sizeof(s.request), req->request);
+	str_set(s.attempt_id, sizeof(s.attempt_id), a->attempt_id);
 	claims_settle(claims, 0, &s);
 }
 
@@ -271,7 +271,7 @@
 	if (claims != NULL && str_copy(s.key, sizeof(s.key), w->key) &&
 	    str_copy(s.service, ID_MAX, w->service) &&
 	    str_copy(s.request, ID_MAX, w->request)) {
-		str_copy(s.type, sizeof(s.type), w->type);
+		str_set(s.type, sizeof(s.type), w->type);
 		s.len = w->reply.len;
 		s.reply = malloc(s.len + 1);
 		memcpy(s.reply, w->reply.data, s.len);
@@ -401,11 +401,11 @@
 
 	if (n->audit == NULL)
 		return;
-	str_copy(r.who, sizeof(r.who), n->self.id);
-	str_copy(r.kind, sizeof(r.kind), "membership");
-	str_copy(r.subject, sizeof(r.subject), n->self.id);
-	str_copy(r.what, sizeof(r.what), what);
-	str_copy(r.result, sizeof(r.result), "done");
+	str_set(r.who, sizeof(r.who), n->self.id);
+	str_set(r.kind, sizeof(r.kind), "membership");
+	str_set(r.subject, sizeof(r.subject), n->self.id);
+	str_set(r.what, sizeof(r.what), what);
+	str_set(r.result, sizeof(r.result), "done");
 	audit_add(n->audit, &r);
 }
 
--- a/peer/view.c
+++ b/peer/view.c
@@ -91,8 +91,8 @@
 		s->n = at + next - s->first;
 		if (s->n == 0)
 			continue;
-		str_copy(s->service, sizeof(s->service), copy[0]->service);
-		str_copy(s->domain, sizeof(s->domain), copy[0]->domain);
+		str_set(s->service, sizeof(s->service), copy[0]->service);
+		str_set(s->domain, sizeof(s->domain), copy[0]->domain);
 		s->index = i;
 		count++;
 	}
@@ -212,7 +212,7 @@
 	for (i = 0; i < nm; i++) {
 		if (!can_broker(m[i]))
 			continue;
-		str_copy(r[live].domain, ID_MAX, m[i]->domain);
+		str_set(r[live].domain, ID_MAX, m[i]->domain);
 		r[live].m = m[i];
 		r[live++].hash = hash_str(m[i]->id, 0);
 	}
@@ -228,7 +228,7 @@
 		best = highest_score(r + from, to - from, hash_str(key, 0));
 		if (best == NULL)
 			best = highest_score(r, live, hash_str(key, 0));
-		str_copy(s[i].broker, sizeof(s[i].broker),
+		str_set(s[i].broker, sizeof(s[i].broker),
 		    best == NULL ? "" : best->id);
 	}
 	free(r);
--- a/policy/admit.c
+++ b/policy/admit.c
@@ -178,7 +178,7 @@
 	w->own_grants++;
 	worker_add_prefix(w, q.prefix);
 	v->slot = h ^ a->salt;
-	str_copy(v->worker, ID_MAX, w->id);
+	str_set(v->worker, ID_MAX, w->id);
 	item = worker_holds(w, q.item);
 	v->version = item == NULL ? 0 : item->version;
 	v->wait = shard_expected_wait(a, q.mask, a->nqueue, q.priority, now);
@@ -400,7 +400,7 @@
 	if (i == a->nworker)
 		a->nworker++;
 	memset(&a->worker[i], 0, sizeof(a->worker[i]));
-	str_copy(a->worker[i].id, ID_MAX, id);
+	str_set(a->worker[i].id, ID_MAX, id);
 	a->worker[i].id_hash = hash_str(id, 0);
 	return i;
 }
--- a/policy/catalogue.c
+++ b/policy/catalogue.c
@@ -119,8 +119,8 @@
 		"service", &service, "version", &version, "memory_mb", &memory,
 		"copies", &copies, "resumable", &resumable) == -1)
 		return -1;
-	str_copy(m->name, ID_MAX, name);
-	str_copy(m->service, ID_MAX, service);
+	str_set(m->name, ID_MAX, name);
+	str_set(m->service, ID_MAX, service);
 	m->version = version;
 	m->memory_mb = memory;
 	m->copies_min = copies;
@@ -138,8 +138,8 @@
 	if (json_unpack(j, "{s:s, s:s, s:I, s:i}", "name", &name, "model",
 		&model, "version", &version, "memory_mb", &memory) == -1)
 		return -1;
-	str_copy(a->name, ID_MAX, name);
-	str_copy(a->model, ID_MAX, model);
+	str_set(a->name, ID_MAX, name);
+	str_set(a->model, ID_MAX, model);
 	a->version = version;
 	a->memory_mb = memory;
 	return 0;
@@ -158,7 +158,7 @@
 		"withdrawn", &withdrawn) == -1)
 		return -1;
 	c->number = number;
-	str_copy(c->note_id, ID_MAX, id);
+	str_set(c->note_id, ID_MAX, id);
 	c->model = calloc(json_array_size(models) + 1, sizeof(model_t));
 	c->adapter = calloc(json_array_size(adapters) + 1, sizeof(adapter_t));
 	c->withdrawn = calloc(json_array_size(withdrawn) + 1, ID_MAX);
@@ -178,7 +178,7 @@
 	{
 		if (!json_is_string(j))
 			return -1;
-		str_copy(c->withdrawn[c->nwithdrawn++], ID_MAX,
+		str_set(c->withdrawn[c->nwithdrawn++], ID_MAX,
 		    json_string_value(j));
 	}
 	/* The text should be sorted, but lookups must not depend on that. */
--- a/policy/ledger.c
+++ b/policy/ledger.c
@@ -18,7 +18,7 @@
 
 	if (l == NULL)
 		return NULL;
-	str_copy(l->worker, sizeof(l->worker), worker);
+	str_set(l->worker, sizeof(l->worker), worker);
 	l->fencing = fencing;
 	return l;
 }
@@ -103,9 +103,9 @@
 	res->memory_mb = (uint32_t)memory;
 	res->order = (uint64_t)order;
 	res->fencing_token = (uint64_t)fencing_token;
-	str_copy(res->model, sizeof(res->model), model);
-	str_copy(res->adapter, sizeof(res->adapter), adapter);
-	str_copy(res->sender, sizeof(res->sender), sender);
+	str_set(res->model, sizeof(res->model), model);
+	str_set(res->adapter, sizeof(res->adapter), adapter);
+	str_set(res->sender, sizeof(res->sender), sender);
 	return 0;
 }
 
@@ -126,8 +126,8 @@
 	    json_array_size(reservations) > RESERVATIONS_MAX || memory < 0 ||
 	    memory > UINT32_MAX)
 		return -1;
-	str_copy(l->worker, sizeof(l->worker), worker);
-	str_copy(l->incarnation, sizeof(l->incarnation), incarnation);
+	str_set(l->worker, sizeof(l->worker), worker);
+	str_set(l->incarnation, sizeof(l->incarnation), incarnation);
 	l->memory_mb = (uint32_t)memory;
 	l->fencing = fencing;
 	l->max_fencing_token = (uint64_t)fencing_token;
@@ -205,8 +205,8 @@
 	reservation_t *res = &l->reservation[l->nreservation++];
 
 	memset(res, 0, sizeof(*res));
-	str_copy(res->model, sizeof(res->model), it->model);
-	str_copy(res->adapter, sizeof(res->adapter), it->adapter);
+	str_set(res->model, sizeof(res->model), it->model);
+	str_set(res->adapter, sizeof(res->adapter), it->adapter);
 	res->version = it->version;
 	res->memory_mb = it->memory_mb;
 	res->state = state;
@@ -224,7 +224,7 @@
 {
 	res->order = ++l->last_order;
 	res->fencing_token = by->fencing_token;
-	str_copy(res->sender, sizeof(res->sender), by->id);
+	str_set(res->sender, sizeof(res->sender), by->id);
 	if (by->fencing_token > l->max_fencing_token)
 		l->max_fencing_token = by->fencing_token;
 	return res->order;
@@ -359,7 +359,7 @@
 {
 	if (strcmp(l->incarnation, r->incarnation) == 0)
 		return false;
-	str_copy(l->incarnation, sizeof(l->incarnation), r->incarnation);
+	str_set(l->incarnation, sizeof(l->incarnation), r->incarnation);
 	l->nreservation = 0;
 	return true;
 }
--- a/policy/note.c
+++ b/policy/note.c
@@ -77,7 +77,7 @@
 		if (!is_name(v))
 			report_error(p, "id = '%s': not a valid name", v);
 		else
-			str_copy(p->note->id, ID_MAX, v);
+			str_set(p->note->id, ID_MAX, v);
 	} else if (strcmp(key, "base") == 0) {
 		parse_number(p, key, v, 0, INT64_MAX, &p->note->base);
 		p->has_base = true;
@@ -103,7 +103,7 @@
 				continue;
 			c->kind = (change_kind_t)i;
 			c->is_adapter = word[1][0] == 'a';
-			str_copy(c->name, ID_MAX, word[2]);
+			str_set(c->name, ID_MAX, word[2]);
 			good = true;
 		}
 	}
@@ -163,7 +163,7 @@
 	uint64_t n = 0;
 
 	if (strcmp(key, "service") == 0) {
-		str_copy(c->model.service, ID_MAX, v);
+		str_set(c->model.service, ID_MAX, v);
 		c->fields |= FIELD_SERVICE;
 	} else if (strcmp(key, "copies") == 0) {
 		parse_number(p, key, v, 1, COPIES_MAX, &n);
@@ -194,7 +194,7 @@
 	} else if (strcmp(key, "memory_mb") == 0) {
 		memory_key(p, c, key, v);
 	} else if (c->is_adapter && strcmp(key, "model") == 0) {
-		str_copy(c->adapter.model, ID_MAX, v);
+		str_set(c->adapter.model, ID_MAX, v);
 		c->fields |= FIELD_MODEL;
 	} else if (c->is_adapter || !model_key(p, c, key, v)) {
 		report_error(p, "unknown key '%s' for %s", key,
@@ -409,10 +409,10 @@
 		return;
 	}
 	if (c->is_adapter) {
-		str_copy(a.name, ID_MAX, c->name);
+		str_set(a.name, ID_MAX, c->name);
 		g_array_append_val(st->adapter, a);
 	} else {
-		str_copy(m.name, ID_MAX, c->name);
+		str_set(m.name, ID_MAX, c->name);
 		if (m.copies_min == 0)
 			m.copies_min = COPIES_DEFAULT;
 		check_service(st, m.service);
@@ -538,7 +538,7 @@
 	guint i;
 
 	c->number = from->number + 1;
-	str_copy(c->note_id, ID_MAX, n->id);
+	str_set(c->note_id, ID_MAX, n->id);
 	c->nmodel = (int)st->model->len;
 	c->nadapter = (int)st->adapter->len;
 	/*
@@ -561,7 +561,7 @@
 	for (i = 0; i < st->adapter->len; i++)
 		c->adapter[i] = g_array_index(st->adapter, adapter_t, i);
 	for (i = 0; i < st->withdrawn->len; i++)
-		str_copy(c->withdrawn[i], ID_MAX, st->withdrawn->pdata[i]);
+		str_set(c->withdrawn[i], ID_MAX, st->withdrawn->pdata[i]);
 	qsort(c->model, c->nmodel, sizeof(model_t), by_name);
 	qsort(c->adapter, c->nadapter, sizeof(adapter_t), by_name);
 	qsort(c->withdrawn, c->nwithdrawn, ID_MAX, by_name);
--- a/serve/call.c
+++ b/serve/call.c
@@ -68,6 +68,8 @@
 
 	for (i = 0; i < r->ntarget; i++)
 		sum += r->target[i].weight;
+	if (r->ntarget == 0)
+		return "";
 	if (sum <= 0)
 		return r->target[0].service;
 	at = (int)(hash_str(id, 1) % (uint64_t)sum);
@@ -107,9 +109,13 @@
 	c->caller = cc;
 	cc->call = c->id;
 	c->request = *request;
+	c->request.id = g_strdup(request->id);
+	c->request.resumes = g_strdup(request->resumes);
+	c->request.host = "";
+	c->config = config_ref(s->config);
 	c->route = *r;
 	stream = request->resumes[0] != '\0' ? request->resumes : request->id;
-	str_copy(c->service, sizeof(c->service), pick_service(r, stream));
+	c->service = pick_service(r, stream);
 	c->method = http_method_str(cc->http->parser.method);
 	c->fingerprint = call_fingerprint(
 	    request, &cc->http->head, c->method, hasher_sum(&cc->body_hash));
@@ -202,12 +208,22 @@
 		    RETRY_ELSEWHERE_MS);
 		return;
 	}
+	if (request.unusable_model) {
+		refuse_request(cc, request.id, 503,
+		    "the model isn't in the configuration", s->conf.heartbeat);
+		return;
+	}
 	c = call_new(cc, &request, r);
 	if (c == NULL) {
 		refuse_request(
 		    cc, request.id, 503, "the instance is full", FULL_RETRY_MS);
 		return;
 	}
+	if (strlen(c->service) >= ID_MAX) {
+		call_answer_error(
+		    c, 503, "the route's service has too long a name", 0);
+		return;
+	}
 	why = cc->from_instance ? peer_call_take(c, h) : NULL;
 	if (why != NULL) {
 		call_answer_error(c, 503, why, 0);
@@ -542,6 +558,11 @@
 	buf_free(&c->body);
 	buf_free(&c->answer_head);
 	buf_free(&c->answer_body);
+	c->service = "";
+	memset(&c->route, 0, sizeof(c->route));
+	config_unref(c->config);
+	loop_free_later(&s->loop, (char *)c->request.id);
+	loop_free_later(&s->loop, (char *)c->request.resumes);
 	loop_free_later(&s->loop, c);
 	if (cc != NULL)
 		caller_answer_done(cc);
--- a/serve/demand.c
+++ b/serve/demand.c
@@ -27,9 +27,9 @@
 	if (d != NULL)
 		return d;
 	d = g_new0(demand_t, 1);
-	str_copy(d->service, ID_MAX, service);
-	str_copy(d->model, ID_MAX, model);
-	str_copy(d->adapter, ID_MAX, adapter);
+	str_set(d->service, ID_MAX, service);
+	str_set(d->model, ID_MAX, model);
+	str_set(d->adapter, ID_MAX, adapter);
 	d->decayed_at = s->loop.now;
 	g_hash_table_insert(s->demand, g_strdup(key), d);
 	return d;
--- a/serve/dispatcher.c
+++ b/serve/dispatcher.c
@@ -82,7 +82,7 @@
 
 	return d->request == NULL && !d->need_report && now >= d->retry_at &&
 	       now >= d->busy_until && ep_usable(d->ep) &&
-	       d->ep->missing_at == 0;
+	       !d->ep->entry.holds.partial && d->ep->missing_at == 0;
 }
 
 /* Was an unload recorded after l? @param confirmed only one that is done */
@@ -269,7 +269,7 @@
 {
 	int i = d->nloaded++ % LOADS_KEPT;
 
-	str_copy(d->loaded[i].model, ID_MAX, d->model);
+	str_set(d->loaded[i].model, ID_MAX, d->model);
 	d->loaded[i].at = at;
 }
 
@@ -330,8 +330,8 @@
 		.confirmed = confirmed,
 		.effective_at = at };
 
-	str_copy(l.model, ID_MAX, d->model);
-	str_copy(l.adapter, sizeof(l.adapter), d->adapter);
+	str_set(l.model, ID_MAX, d->model);
+	str_set(l.adapter, sizeof(l.adapter), d->adapter);
 	ep_add_order(d->ep, &l);
 	peers_order_accepted(d->s, d->ep, &l);
 }
@@ -374,8 +374,8 @@
 order_uncertain(dispatcher_t *d)
 {
 	if (d->load) {
-		str_copy(d->uncertain_model, ID_MAX, d->model);
-		str_copy(d->uncertain_adapter, sizeof(d->uncertain_adapter),
+		str_set(d->uncertain_model, ID_MAX, d->model);
+		str_set(d->uncertain_adapter, sizeof(d->uncertain_adapter),
 		    d->adapter);
 		d->uncertain_until = d->s->loop.now + LATE_ORDER_MS;
 	}
@@ -472,8 +472,8 @@
 		buf_free(&b);
 		return;
 	}
-	str_copy(d->model, ID_MAX, model);
-	str_copy(d->adapter, sizeof(d->adapter), adapter);
+	str_set(d->model, ID_MAX, model);
+	str_set(d->adapter, sizeof(d->adapter), adapter);
 	d->load = load;
 	d->sent_at = s->loop.now;
 	log_limited(LOG_NOTICE, "order",
@@ -498,8 +498,8 @@
 
 	if (ep_entry_lists(p, model, adapter))
 		return;
-	str_copy(l.model, ID_MAX, model);
-	str_copy(l.adapter, sizeof(l.adapter), adapter);
+	str_set(l.model, ID_MAX, model);
+	str_set(l.adapter, sizeof(l.adapter), adapter);
 	ep_add_order(p, &l);
 }
 
--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -162,6 +162,11 @@
 		p->latest_start = en.started_at;
 	leaving_show(&p->leaving, en.started_at, s->loop.now);
 	update_says_leaving(s, p);
+	if (en.holds.partial)
+		log_limited(LOG_ERR, "entry-partial",
+		    "endpoint=%s why=\"it holds more than there is room for, "
+		    "or has too long a name there: it isn't ordered\"",
+		    en.id);
 	p->software = software_hash(en.service, en.software);
 	if (software_add(&s->software, hash_str(en.service, 0), p->software,
 		s->loop.now))
--- a/serve/log_limited.c
+++ b/serve/log_limited.c
@@ -40,7 +40,7 @@
 {
 	ms_t now = clock_now(&machine_clock);
 	event_rate_t *r = find_rate(event);
-	char text[1024];
+	char text[LINE_MAX_BYTES]; /* log_event() marks a line that is cut */
 	va_list ap;
 
 	r->tokens += (double)(now - r->updated_at) * LINES_PER_S / 1000;
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -67,12 +67,12 @@
 	same_domain += self && strcmp(s->conf.domain, domain) == 0;
 	all = same_domain < SAME_DOMAIN_MIN;
 	if (self && (all || strcmp(s->conf.domain, domain) == 0))
-		str_copy(to[n++], ADDR_MAX, s->conf.caller_addr);
+		str_set(to[n++], ADDR_MAX, s->conf.caller_addr);
 	for (i = 0; i < s->peers.npeer && n < ADDRESSES_MAX; i++) {
 		const peer_t *p = s->peers.peer[i];
 
 		if (is_listed(s, p) && (all || strcmp(p->domain, domain) == 0))
-			str_copy(to[n++], ADDR_MAX, p->caller_addr);
+			str_set(to[n++], ADDR_MAX, p->caller_addr);
 	}
 	return n;
 }
--- a/serve/peer_call.c
+++ b/serve/peer_call.c
@@ -72,8 +72,8 @@
 	if (p == NULL)
 		abort();
 	p->kind = EP_PEER;
-	str_copy(p->entry.id, ID_MAX, peer->instance);
-	str_copy(p->entry.domain, ID_MAX, peer->domain);
+	str_set(p->entry.id, ID_MAX, peer->instance);
+	str_set(p->entry.domain, ID_MAX, peer->domain);
 	p->listed = true;
 	p->sa = peer->sa;
 	p->hash = peer->hash;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -242,11 +242,10 @@
 	peer_t *p = g_new0(peer_t, 1);
 	char addr[ADDR_MAX + 8];
 
-	str_copy(p->instance, ID_MAX, instance);
 	p->hash = hash_str(instance, 0);
-	str_copy(p->ip, ADDR_MAX, ip);
 	snprintf(addr, sizeof(addr), "%s:%d", ip, s->conf.peer_port);
-	if (net_addr(addr, &p->sa) == -1) {
+	if (!str_copy(p->instance, ID_MAX, instance) ||
+	    !str_copy(p->ip, ADDR_MAX, ip) || net_addr(addr, &p->sa) == -1) {
 		g_free(p);
 		return NULL;
 	}
@@ -301,9 +300,10 @@
 			.all_tried = m->all_tried,
 			.received_at = s->loop.now };
 
-		str_copy(t.service, ID_MAX, m->service);
-		str_copy(t.model, ID_MAX, m->model);
-		str_copy(t.adapter, ID_MAX, m->adapter);
+		if (!str_copy(t.service, ID_MAX, m->service) ||
+		    !str_copy(t.model, ID_MAX, m->model) ||
+		    !str_copy(t.adapter, ID_MAX, m->adapter))
+			continue;
 		if (!d->full_demand)
 			t.work = 0;
 		g_array_append_val(p->demand, t);
@@ -326,10 +326,9 @@
 			.load = m->load,
 			.effective_at = s->loop.now + m->done_in_ms };
 
-		if (ep == NULL)
+		if (ep == NULL || !str_copy(l.model, ID_MAX, m->model) ||
+		    !str_copy(l.adapter, sizeof(l.adapter), m->adapter))
 			continue;
-		str_copy(l.model, ID_MAX, m->model);
-		str_copy(l.adapter, sizeof(l.adapter), m->adapter);
 		any_new |= ep_add_order(ep, &l);
 	}
 	if (any_new)
@@ -382,8 +381,8 @@
 	p->incarnation = d->incarnation;
 	p->sequence = d->sequence;
 	if (d->identity != NULL) {
-		str_copy(p->domain, ID_MAX, d->identity->domain);
-		str_copy(p->caller_addr, ADDR_MAX, d->identity->caller_addr);
+		str_set(p->domain, ID_MAX, d->identity->domain);
+		str_set(p->caller_addr, ADDR_MAX, d->identity->caller_addr);
 		p->cpu_millis = (int)d->identity->cpu_millis;
 	}
 	return p;
@@ -609,8 +608,8 @@
 		if (p != NULL) {
 			p->revision = o->revision;
 			if (p->last_heard_at == 0 && caller != NULL) {
-				str_copy(p->caller_addr, ADDR_MAX, caller);
-				str_copy(p->domain, ID_MAX,
+				str_set(p->caller_addr, ADDR_MAX, caller);
+				str_set(p->domain, ID_MAX,
 				    domain != NULL ? domain : "");
 				p->cpu_millis = (int)json_integer_value(
 				    json_object_get(j, "power"));
--- a/serve/plan.c
+++ b/serve/plan.c
@@ -123,7 +123,7 @@
 
 		if (strcmp(d->room_for, name) == 0)
 			continue;
-		str_copy(d->room_for, ID_MAX, name);
+		str_set(d->room_for, ID_MAX, name);
 		d->room_since = r->p->s->loop.now;
 	}
 }
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -61,7 +61,7 @@
 		return w;
 	w = g_new0(service_reach_t, 1);
 	w->s = s;
-	str_copy(w->service, ID_MAX, service);
+	str_set(w->service, ID_MAX, service);
 	g_hash_table_insert(s->reach->by_name, w->service, w);
 	return w;
 }
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -118,7 +118,7 @@
 	s->conf.heartbeat = fresh.heartbeat;
 	s->conf.history = fresh.history;
 	if (strcmp(s->conf.store_addr, fresh.store_addr) != 0) {
-		str_copy(s->conf.store_addr, ADDR_MAX, fresh.store_addr);
+		str_set(s->conf.store_addr, ADDR_MAX, fresh.store_addr);
 		net_addr(s->conf.store_addr, &s->store);
 	}
 	log_limited(LOG_NOTICE, "reload", "why=%s outcome=taken", why);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -59,8 +59,9 @@
 	handle_t id;
 	struct caller_conn *caller; /* the caller's connection */
 	call_head_t request;
+	config_t *config; /* of the route; a reference */
 	route_t route;
-	char service[ID_MAX];
+	const char *service; /* of the configuration */
 	const char *method;
 	buf_t body;
 	uint64_t fingerprint;	    /* call_fingerprint() */
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -48,6 +48,9 @@
 {
 	int i;
 
+	if (d->nunnamed > 0)
+		log_limited(LOG_ERR, "models-unnamed", "service=%s left_out=%d",
+		    d->name, d->nunnamed);
 	if (d->nduplicate > 0)
 		log_limited(LOG_WARNING, "models-repeated",
 		    "service=%s left_out=%d", d->name, d->nduplicate);
@@ -86,7 +89,10 @@
 	    o->revision, c->nroute, c->nservice);
 	for (i = 0; i < c->nservice; i++)
 		log_unusable_models(&c->service[i]);
-	config_free(s->config);
+	if (c->nunnamed > 0)
+		log_limited(
+		    LOG_ERR, "services-unnamed", "left_out=%d", c->nunnamed);
+	config_unref(s->config);
 	s->config = c;
 	s->config_read_at = s->loop.now;
 }
@@ -326,7 +332,7 @@
 		apply_object(f, &list.object[i]);
 	}
 	if (f->listing && list.more && list.nobject > 0) {
-		str_copy(f->list_after, sizeof(f->list_after),
+		str_set(f->list_after, sizeof(f->list_after),
 		    list.object[list.nobject - 1].name);
 	} else {
 		if (f->listing)
--- a/standin/batch.c
+++ b/standin/batch.c
@@ -115,10 +115,10 @@
 	r = &b->records[s->serial % RECORD_MAX];
 	memset(r, 0, sizeof(*r));
 	r->serial = s->serial;
-	str_copy(r->id, sizeof(r->id), s->id);
-	str_copy(r->model, sizeof(r->model), s->model->model);
+	str_set(r->id, sizeof(r->id), s->id);
+	str_set(r->model, sizeof(r->model), s->model->model);
 	if (s->adapter != NULL)
-		str_copy(r->adapter, sizeof(r->adapter), s->adapter->adapter);
+		str_set(r->adapter, sizeof(r->adapter), s->adapter->adapter);
 	r->version = s->model->version;
 	r->offset = s->from;
 	b->last_at = clock_wall();
@@ -139,7 +139,7 @@
 		stream_unref(s);
 	}
 	s = g_new0(stream_t, 1);
-	str_copy(s->id, sizeof(s->id), id);
+	str_set(s->id, sizeof(s->id), id);
 	s->prompt = g_strdup(prompt);
 	s->from = s->made = from;
 	s->total = token_count(prompt, max_tokens);
--- a/standin/environment.c
+++ b/standin/environment.c
@@ -53,7 +53,7 @@
 
 	(void)section, (void)line;
 	if (strcmp(key, "domains") == 0) {
-		str_copy(sizes->domains, sizeof(sizes->domains), value);
+		str_set(sizes->domains, sizeof(sizes->domains), value);
 		return;
 	}
 	for (i = 0; i < G_N_ELEMENTS(keys); i++)
--- a/standin/fake_crash.c
+++ b/standin/fake_crash.c
@@ -37,7 +37,7 @@
 fake_endpoint_restart(fake_endpoint_t *ep, const char *version)
 {
 	go_down(ep);
-	str_copy(ep->version, ID_MAX, version);
+	str_set(ep->version, ID_MAX, version);
 	go_up(ep);
 }
 
@@ -63,9 +63,9 @@
 fake_endpoint_set_crash_request(
     fake_endpoint_t *ep, const char *target, const char *body, ms_t down)
 {
-	str_copy(ep->crash_target, sizeof(ep->crash_target),
+	str_set(ep->crash_target, sizeof(ep->crash_target),
 	    target != NULL ? target : "");
-	str_copy(ep->crash_body, sizeof(ep->crash_body), body);
+	str_set(ep->crash_body, sizeof(ep->crash_body), body);
 	ep->crash_down_ms = down;
 }
 
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -68,7 +68,7 @@
 {
 	endpoint_conn_t *c = arg;
 	const fake_endpoint_t *ep = endpoint_of(c);
-	char body[160];
+	char body[600];
 	bool bad = c->fault == ENDPOINT_ERROR;
 
 	if (hold_back(c) || !endpoint_run_goes_on(c))
@@ -188,8 +188,8 @@
 	int i;
 
 	v = head_get(head, "Request-Id");
-	str_copy(r->id, sizeof(r->id), v != NULL ? v : "");
-	str_copy(r->version, sizeof(r->version), endpoint_of(c)->version);
+	r->id = g_strdup(v != NULL ? v : "");
+	str_set(r->version, sizeof(r->version), endpoint_of(c)->version);
 	v = head_get(head, "Last-Event-Id");
 	r->last_event_id = v != NULL ? strtoll(v, NULL, 10) : -1;
 	v = head_get(head, "Deadline-Remaining");
@@ -345,6 +345,7 @@
 {
 	executed_call_t *r = p;
 
+	g_free(r->id);
 	g_free(r->headers);
 	g_free(r->body);
 	g_free(r);
@@ -355,8 +356,8 @@
 {
 	fake_endpoint_t *ep = g_new0(fake_endpoint_t, 1);
 
-	str_copy(ep->id, ID_MAX, o->id);
-	str_copy(ep->addr, ADDR_MAX, o->addr);
+	str_set(ep->id, ID_MAX, o->id);
+	str_set(ep->addr, ADDR_MAX, o->addr);
 	ep->engine = o->model != NULL;
 	ep->specs = o->models;
 	ep->nspec = o->nmodel;
@@ -373,8 +374,8 @@
 	ep->orders = g_ptr_array_new_with_free_func(g_free);
 	ep->arrivals = g_array_new(FALSE, FALSE, sizeof(ms_t));
 	ep->models = g_ptr_array_new_with_free_func(endpoint_free_model);
-	str_copy(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
-	str_copy(ep->model, ID_MAX, o->model != NULL ? o->model : "");
+	str_set(ep->version, ID_MAX, o->version != NULL ? o->version : "v1");
+	str_set(ep->model, ID_MAX, o->model != NULL ? o->model : "");
 	ep->born = clock_wall();
 	if (o->model != NULL)
 		endpoint_add_model(ep, o->model);
@@ -400,19 +401,19 @@
 void
 fake_endpoint_set_headers(fake_endpoint_t *ep, const char *lines)
 {
-	str_copy(ep->headers, sizeof(ep->headers), lines != NULL ? lines : "");
+	str_set(ep->headers, sizeof(ep->headers), lines != NULL ? lines : "");
 }
 
 void
 fake_endpoint_set_headers_once(fake_endpoint_t *ep, const char *lines)
 {
-	str_copy(ep->headers_once, sizeof(ep->headers_once), lines);
+	str_set(ep->headers_once, sizeof(ep->headers_once), lines);
 }
 
 void
 fake_endpoint_set_control_headers(fake_endpoint_t *ep, const char *lines)
 {
-	str_copy(ep->control_headers, sizeof(ep->control_headers),
+	str_set(ep->control_headers, sizeof(ep->control_headers),
 	    lines != NULL ? lines : "");
 }
 
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -32,7 +32,7 @@
 
 /** A call that the endpoint ran. */
 typedef struct executed_call {
-	char id[80];
+	char *id;
 	char version[ID_MAX]; /* of the endpoint's software */
 	ms_t at;
 	int64_t last_event_id; /* of the request, -1: none */
--- a/standin/fake_orders.c
+++ b/standin/fake_orders.c
@@ -118,7 +118,7 @@
 	loaded_model_t *m = g_new0(loaded_model_t, 1);
 
 	m->ep = ep;
-	str_copy(m->name, ID_MAX, model);
+	str_set(m->name, ID_MAX, model);
 	m->adapter = g_ptr_array_new_with_free_func(g_free);
 	m->alarm = (alarm_t){ .fn = on_loaded, .arg = m };
 	g_ptr_array_add(ep->models, m);
@@ -211,12 +211,12 @@
 	const char *adapter = json_string_value(json_object_get(b, "adapter"));
 	int status;
 
-	str_copy(o->op, sizeof(o->op),
+	str_set(o->op, sizeof(o->op),
 	    json_string_value(json_object_get(b, "operation")));
-	str_copy(
+	str_set(
 	    o->model, ID_MAX, json_string_value(json_object_get(b, "model")));
-	str_copy(o->adapter, ID_MAX, adapter != NULL ? adapter : "");
-	str_copy(
+	str_set(o->adapter, ID_MAX, adapter != NULL ? adapter : "");
+	str_set(
 	    o->holder, ID_MAX, json_string_value(json_object_get(b, "holder")));
 	o->expect_revision = expect != NULL ? json_integer_value(expect) : -1;
 	o->token = json_integer_value(json_object_get(b, "fencing_token"));
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -180,8 +180,8 @@
 
 	if (t == NULL) {
 		t = g_new0(stored_object_t, 1);
-		str_copy(t->kind, ID_MAX, kind);
-		str_copy(t->name, ID_MAX, name);
+		str_set(t->kind, ID_MAX, kind);
+		str_set(t->name, ID_MAX, name);
 		g_ptr_array_add(s->objects, t);
 	}
 	g_free(t->spec);
@@ -221,7 +221,7 @@
 void
 fake_store_refuse_kind(fake_store_t *s, const char *kind)
 {
-	str_copy(s->refused_kind, ID_MAX, kind != NULL ? kind : "");
+	str_set(s->refused_kind, ID_MAX, kind != NULL ? kind : "");
 }
 
 void
@@ -361,7 +361,7 @@
 		reply(c, 410, NULL);
 		return;
 	}
-	str_copy(c->kind, ID_MAX, kind);
+	str_set(c->kind, ID_MAX, kind);
 	c->from = from;
 	if (j != NULL) {
 		watch_answer(c, j);
--- a/standin/loadgen.c
+++ b/standin/loadgen.c
@@ -103,7 +103,7 @@
 		json_array_foreach(json_object_get(j, "addresses"), i, v)
 		{
 			if (gen->naddr < ADDRESSES_MAX && json_is_string(v))
-				str_copy(gen->addr[gen->naddr++], ADDR_MAX,
+				str_set(gen->addr[gen->naddr++], ADDR_MAX,
 				    json_string_value(v));
 		}
 	}
@@ -165,9 +165,9 @@
 	call->out_of_order |= p->done && *at != '\0';
 	part.last = call->last_event;
 	if (part.last >= part.first) {
-		str_copy(part.id, sizeof(part.id), call->id);
+		str_set(part.id, sizeof(part.id), call->id);
 		if (call->parts->len == 0) {
-			str_copy(call->began, sizeof(call->began), call->id);
+			str_set(call->began, sizeof(call->began), call->id);
 			call->gen->result->begun++;
 		}
 		g_array_append_val(call->parts, part);
@@ -261,7 +261,7 @@
 	call->gen->result->resumed += call->take_ups == 0;
 	call->take_ups++;
 	call->attempts = 0;
-	str_copy(call->broken, ADDR_MAX, call->addr);
+	str_set(call->broken, ADDR_MAX, call->addr);
 	alarm_set(
 	    call->gen->opts->loop, &call->alarm, call->gen->opts->loop->now);
 	return true;
@@ -396,7 +396,7 @@
 	    path[call->kind], call->id, gen->opts->host, call->id, left, more,
 	    call->kind == KIND_READ ? "" : "Content-Length: 4\r\n",
 	    call->kind == KIND_READ ? "" : "body");
-	str_copy(call->addr, ADDR_MAX, pick_address(call));
+	str_set(call->addr, ADDR_MAX, pick_address(call));
 	call->request =
 	    client_request_open(l, call->addr, text, on_answer, call);
 	g_free(text);
@@ -434,7 +434,7 @@
 		snprintf(to, ID_MAX, "%s/a%d", o->models[m].name,
 		    1 + (int)(rng_unit(&gen->drawn) * o->adapters));
 	else
-		str_copy(to, ID_MAX, o->models[m].name);
+		str_set(to, ID_MAX, o->models[m].name);
 }
 
 static void
--- a/standin/memory.c
+++ b/standin/memory.c
@@ -11,7 +11,7 @@
 	m->items = g_ptr_array_new();
 	m->capacity_mb = capacity_mb;
 	m->fencing = fencing;
-	str_copy(m->role, sizeof(m->role), "both");
+	str_set(m->role, sizeof(m->role), "both");
 }
 
 static item_t *
@@ -70,8 +70,8 @@
 		return NULL;
 	}
 	it = g_new0(item_t, 1);
-	str_copy(it->model, sizeof(it->model), o->model);
-	str_copy(it->adapter, sizeof(it->adapter), o->adapter);
+	str_set(it->model, sizeof(it->model), o->model);
+	str_set(it->adapter, sizeof(it->adapter), o->adapter);
 	it->version = o->version;
 	it->mb = o->memory_mb;
 	it->state = RESIDENT_LOADING;
@@ -125,7 +125,7 @@
 		unload_item(m, o);
 		break;
 	case ORDER_ROLE:
-		str_copy(m->role, sizeof(m->role), o->role);
+		str_set(m->role, sizeof(m->role), o->role);
 		break;
 	}
 	return 202;
@@ -193,9 +193,9 @@
 	o->fencing_token = json_number(j, "fence", 0);
 	o->version = json_number(j, "version", 0);
 	o->memory_mb = json_number(j, "memory_mb", 0);
-	str_copy(o->model, sizeof(o->model), json_text(j, "model"));
-	str_copy(o->adapter, sizeof(o->adapter), json_text(j, "adapter"));
-	str_copy(o->role, sizeof(o->role), json_text(j, "role"));
+	str_set(o->model, sizeof(o->model), json_text(j, "model"));
+	str_set(o->adapter, sizeof(o->adapter), json_text(j, "adapter"));
+	str_set(o->role, sizeof(o->role), json_text(j, "role"));
 	if (o->kind != ORDER_ROLE && o->model[0] == '\0')
 		return -1;
 	return 0;
--- a/standin/service.c
+++ b/standin/service.c
@@ -72,7 +72,7 @@
 		return r;
 	}
 	r = g_new0(run_t, 1);
-	str_copy(r->id, sizeof(r->id), id);
+	str_set(r->id, sizeof(r->id), id);
 	r->key = g_strdup(key);
 	r->path = g_strdup(q->path);
 	r->body = g_utf8_make_valid(q->body->str,
--- a/standin/web.c
+++ b/standin/web.c
@@ -84,7 +84,7 @@
 	r->web = w;
 	r->conn = c;
 	r->path = g_strdup(url);
-	str_copy(r->method, sizeof(r->method), method);
+	str_set(r->method, sizeof(r->method), method);
 	r->body = g_string_new(NULL);
 	return r;
 }
--- a/store/audit.c
+++ b/store/audit.c
@@ -121,12 +121,12 @@
 		return;
 	__atomic_sub_fetch(&a->unreported, n, __ATOMIC_RELAXED);
 	r->at = clock_wall();
-	str_copy(r->who, sizeof(r->who), a->instance);
-	str_copy(r->kind, sizeof(r->kind), "audit");
+	str_set(r->who, sizeof(r->who), a->instance);
+	str_set(r->kind, sizeof(r->kind), "audit");
 	r->number = (uint64_t)n;
 	snprintf(r->what, sizeof(r->what),
 	    "%" PRId64 " records were dropped before this one", n);
-	str_copy(r->result, sizeof(r->result), "dropped");
+	str_set(r->result, sizeof(r->result), "dropped");
 	g_queue_push_tail(&a->queue, r);
 }
 
@@ -251,9 +251,9 @@
 		err_set(e, ERR_INTERNAL, "no memory for the audit trail");
 		return NULL;
 	}
-	str_copy(o.addr, sizeof(o.addr), s->platform.addr);
-	str_copy(o.user, sizeof(o.user), s->instance.id);
-	str_copy(a->instance, sizeof(a->instance), s->instance.id);
+	str_set(o.addr, sizeof(o.addr), s->platform.addr);
+	str_set(o.user, sizeof(o.user), s->instance.id);
+	str_set(a->instance, sizeof(a->instance), s->instance.id);
 	a->started = clock_wall();
 	a->rng.s = hash_str(a->instance, (uint64_t)a->started);
 	a->backoff = (backoff_t){ BACKOFF_FIRST_MS, BACKOFF_MAX_MS, 0 };
--- a/store/bucket.c
+++ b/store/bucket.c
@@ -118,13 +118,13 @@
 	guchar *bytes;
 	gsize len;
 
-	str_copy(c->key, sizeof(c->key), key);
-	str_copy(c->request, sizeof(c->request), request);
+	str_set(c->key, sizeof(c->key), key);
+	str_set(c->request, sizeof(c->request), request);
 	g_free(key);
 	g_free(request);
-	str_copy(c->service, sizeof(c->service), string_field(j, "service"));
-	str_copy(c->attempt_id, sizeof(c->attempt_id), string_field(j, "mark"));
-	str_copy(c->type, sizeof(c->type), string_field(j, "type"));
+	str_set(c->service, sizeof(c->service), string_field(j, "service"));
+	str_set(c->attempt_id, sizeof(c->attempt_id), string_field(j, "mark"));
+	str_set(c->type, sizeof(c->type), string_field(j, "type"));
 	c->body_hash = strtoull(string_field(j, "body"), NULL, 16);
 	c->age = json_integer_value(json_object_get(j, "age"));
 	c->since = now - c->age;
@@ -260,7 +260,7 @@
 	}
 	a->outcome = CLAIM_DONE;
 	a->status = c->status;
-	str_copy(a->type, sizeof(a->type), c->type);
+	str_set(a->type, sizeof(a->type), c->type);
 	if (c->reply != NULL) {
 		a->reply = malloc(c->len + 1);
 		memcpy(a->reply, c->reply, c->len);
@@ -307,13 +307,12 @@
 		if (strcmp(c->attempt_id, attempt_id) == 0)
 			return GRANT_EXISTING;
 		/* The request that held it can no longer remove it. */
-		str_copy(c->attempt_id, sizeof(c->attempt_id), attempt_id);
+		str_set(c->attempt_id, sizeof(c->attempt_id), attempt_id);
 		reencode_claim(b, c);
 		return GRANT_TAKEN_OVER;
 	}
 	if (c != NULL) {
-		str_copy(
-		    a->first_request, sizeof(a->first_request), c->request);
+		str_set(a->first_request, sizeof(a->first_request), c->request);
 		if (c->body_hash != req->body_hash)
 			a->outcome = CLAIM_MISMATCH;
 		else
@@ -328,10 +327,10 @@
 		return GRANT_NONE;
 	}
 	c = calloc(1, sizeof(*c));
-	str_copy(c->key, sizeof(c->key), req->key);
-	str_copy(c->service, sizeof(c->service), req->service);
-	str_copy(c->request, sizeof(c->request), req->request);
-	str_copy(c->attempt_id, sizeof(c->attempt_id), attempt_id);
+	str_set(c->key, sizeof(c->key), req->key);
+	str_set(c->service, sizeof(c->service), req->service);
+	str_set(c->request, sizeof(c->request), req->request);
+	str_set(c->attempt_id, sizeof(c->attempt_id), attempt_id);
 	c->body_hash = req->body_hash;
 	c->since = now;
 	claim_encode(c);
@@ -365,7 +364,7 @@
 	c->since = now;
 	c->outcome = s->outcome;
 	c->status = s->status;
-	str_copy(c->type, sizeof(c->type), s->type);
+	str_set(c->type, sizeof(c->type), s->type);
 	if (s->reply != NULL && s->len <= STORED_REPLY_MAX) {
 		c->reply = malloc(s->len + 1);
 		memcpy(c->reply, s->reply, s->len);
--- a/store/claims.c
+++ b/store/claims.c
@@ -214,8 +214,8 @@
 		c->store = *c->o.store;
 		return 0;
 	}
-	str_copy(o.addr, sizeof(o.addr), s->platform.addr);
-	str_copy(o.user, sizeof(o.user), s->instance.id);
+	str_set(o.addr, sizeof(o.addr), s->platform.addr);
+	str_set(o.user, sizeof(o.user), s->instance.id);
 	c->platform = platform_new(&o, e);
 	c->store = (claims_store_t){ store_get, store_put, c->platform };
 	return c->platform == NULL ? -1 : 0;
@@ -359,7 +359,7 @@
 		w->kind = WORK_SETTLE;
 		w->tag = tag;
 		w->settle = *s;
-		str_copy(w->attempt_id, sizeof(w->attempt_id), s->attempt_id);
+		str_set(w->attempt_id, sizeof(w->attempt_id), s->attempt_id);
 	}
 	return push_work(c, w);
 }
--- a/store/client.c
+++ b/store/client.c
@@ -236,7 +236,7 @@
 				    "0123456789-._~/";
 	size_t n = strlen(base);
 
-	str_copy(path, size, base);
+	str_set(path, size, base);
 	for (; *key != '\0' && n + 4 < size; key++) {
 		if (strchr(plain, *key) != NULL)
 			path[n++] = *key;
@@ -276,7 +276,7 @@
 condition_header(char *line, size_t size, uint64_t expect)
 {
 	if (expect == 0)
-		str_copy(line, size, "If-None-Match: *");
+		str_set(line, size, "If-None-Match: *");
 	else
 		snprintf(line, size, "If-Match: \"%" PRIu64 "\"", expect);
 }
--- a/store/commit.c
+++ b/store/commit.c
@@ -45,16 +45,16 @@
 
 	counter_add(c->outcome[w->answer.outcome], 1);
 	if (w->answer.outcome == CLAIM_FRESH && !w->taken_over)
-		str_copy(w->answer.attempt_id, sizeof(w->answer.attempt_id),
+		str_set(w->answer.attempt_id, sizeof(w->answer.attempt_id),
 		    w->attempt_id);
 	c->o.done(c->o.user, w->tag, &w->answer);
 	w->answer.reply = NULL;
 	if (w->answer.outcome == CLAIM_FRESH || !w->maybe_written ||
 	    w->taken_over)
 		return true;
-	str_copy(s.key, sizeof(s.key), w->claim.key);
-	str_copy(s.service, sizeof(s.service), w->claim.service);
-	str_copy(s.request, sizeof(s.request), w->claim.request);
+	str_set(s.key, sizeof(s.key), w->claim.key);
+	str_set(s.service, sizeof(s.service), w->claim.service);
+	str_set(s.request, sizeof(s.request), w->claim.request);
 	w->settle = s;
 	w->kind = WORK_SETTLE;
 	c->nsettle++;
--- a/store/lease.c
+++ b/store/lease.c
@@ -26,8 +26,8 @@
     const msclock_t *clock)
 {
 	memset(l, 0, sizeof(*l));
-	str_copy(l->name, sizeof(l->name), name);
-	str_copy(l->holder, sizeof(l->holder), holder);
+	str_set(l->name, sizeof(l->name), name);
+	str_set(l->holder, sizeof(l->holder), holder);
 	l->ttl = ttl;
 	l->clock = clock;
 	/* JSON integers are signed, so only 63 bits are used. */
@@ -68,7 +68,7 @@
 	s->write_seq = json_integer_value(json_object_get(j, "beat"));
 	s->ttl = json_integer_value(json_object_get(j, "ttl_ms"));
 	if (holder != NULL)
-		str_copy(s->holder, sizeof(s->holder), holder);
+		str_set(s->holder, sizeof(s->holder), holder);
 	object_clear(&o);
 	json_decref(j);
 	if (holder == NULL)
--- a/tests/admit_test.c
+++ b/tests/admit_test.c
@@ -33,8 +33,8 @@
 		.resident = &held,
 		.nresident = 1 };
 
-	str_copy(held.item, ID_MAX, item);
-	str_copy(r.worker, ID_MAX, id);
+	str_set(held.item, ID_MAX, item);
+	str_set(r.worker, ID_MAX, id);
 	admit_report(a, &r, now);
 }
 
@@ -45,8 +45,8 @@
 		.tag = tag, .priority = 1, .deadline = now + TARGET_LATENCY_MS
 	};
 
-	str_copy(q.item, ID_MAX, item);
-	str_copy(q.caller, ID_MAX, caller);
+	str_set(q.item, ID_MAX, item);
+	str_set(q.caller, ID_MAX, caller);
 	admit_put(a, &q, now);
 }
 
@@ -240,13 +240,13 @@
 	send_report(a, "w1", "m", 0, 0);
 	slot[0] = take_slot(a, 1, 0);
 	slot[1] = take_slot(a, 2, 0);
-	str_copy(q.caller, ID_MAX, "flood");
+	str_set(q.caller, ID_MAX, "flood");
 	for (i = 0; i < 20; i++) {
 		q.tag = i;
 		admit_put(a, &q, now);
 	}
 	q.tag = 50;
-	str_copy(q.caller, ID_MAX, "other");
+	str_set(q.caller, ID_MAX, "other");
 	admit_put(a, &q, now);
 	admit_put(a, &urgent, now);
 	for (i = 0; i < 10; i++) {
@@ -289,8 +289,8 @@
 		admit_put(a, &q, 0);
 	}
 	q.tag = 500;
-	str_copy(q.item, ID_MAX, "n");
-	str_copy(q.caller, ID_MAX, "late");
+	str_set(q.item, ID_MAX, "n");
+	str_set(q.caller, ID_MAX, "late");
 	admit_put(a, &q, 0);
 	for (i = 1; i < 40; i++) {
 		admit_release(a, slot, CALL_DONE, 5, 1, i);
@@ -455,7 +455,7 @@
 		send_report(a, (char[]){ 'w', '1' + i, 0 }, "m", 0, 0);
 	admit_put(a, &q, 0);
 	v = next(a, 0);
-	str_copy(first_worker, ID_MAX, v.worker);
+	str_set(first_worker, ID_MAX, v.worker);
 	admit_release(a, v.slot, CALL_DONE, 50, 1, 10);
 	for (i = 0; i < 20; i++) {
 		admit_put(a, &q, 10);
@@ -463,7 +463,7 @@
 		g_assert_cmpstr(v.worker, ==, first_worker);
 		admit_release(a, v.slot, CALL_DONE, 50, 1, 20);
 	}
-	str_copy(q.avoid, ID_MAX, first_worker);
+	str_set(q.avoid, ID_MAX, first_worker);
 	admit_put(a, &q, 20);
 	g_assert_cmpstr(next(a, 20).worker, !=, first_worker);
 	for (i = 0; i < 4; i++)
--- a/tests/broker_test.c
+++ b/tests/broker_test.c
@@ -46,7 +46,7 @@
 	r->answers[r->nanswer].call = call;
 	r->answers[r->nanswer].outcome = a->outcome;
 	r->answers[r->nanswer].slot = a->slot;
-	str_copy(r->answers[r->nanswer++].worker, ID_MAX, a->worker);
+	str_set(r->answers[r->nanswer++].worker, ID_MAX, a->worker);
 	return true;
 }
 
@@ -78,12 +78,12 @@
 	r->clock = (msclock_t){ CLOCK_FAKE, 100000 };
 	settings_init(&r->settings);
 	r->store = store_new(&r->clock, 8);
-	str_copy(r->self, ID_MAX, "e1");
+	str_set(r->self, ID_MAX, "e1");
 	for (i = 0; i < nworker; i++) {
 		w[i].role = ROLE_WORKER;
 		g_snprintf(w[i].id, ID_MAX, "w%d", i);
-		str_copy(w[i].service, ID_MAX, "llm");
-		str_copy(w[i].domain, ID_MAX, "d0");
+		str_set(w[i].service, ID_MAX, "llm");
+		str_set(w[i].domain, ID_MAX, "d0");
 		g_snprintf(w[i].addr, ADDR_MAX, "10.0.0.%d:80", i + 1);
 	}
 	store_apply_list(r->store, &l);
@@ -125,7 +125,7 @@
 {
 	load_report_t *l = calloc(1, sizeof(*l));
 
-	str_copy(l->worker, ID_MAX, worker);
+	str_set(l->worker, ID_MAX, worker);
 	l->reached = reached;
 	l->taken_at = r->clock.fake_now;
 	l->slots = slots;
@@ -133,7 +133,7 @@
 	if (reached) {
 		l->resident = calloc(1, sizeof(*l->resident));
 		l->nresident = 1;
-		str_copy(l->resident->model, ID_MAX, "m");
+		str_set(l->resident->model, ID_MAX, "m");
 		l->resident->version = 3;
 		l->resident->state = RESIDENT_READY;
 	}
--- a/tests/call_limit_test.c
+++ b/tests/call_limit_test.c
@@ -95,7 +95,7 @@
 	/* A target that isn't there, then name and value. */
 	memset(text, 0, sizeof(text));
 	memcpy(text + 1, "Server-Limit", sizeof("Server-Limit"));
-	str_copy(text + 14, sizeof(text) - 14, value);
+	str_set(text + 14, sizeof(text) - 14, value);
 	h.text = (buf_t){ .p = text, .len = sizeof(text) };
 	h.field[0].name = 1;
 	h.field[0].value = 14;
--- a/tests/caller_test.c
+++ b/tests/caller_test.c
@@ -122,12 +122,12 @@
 	b->settings.caller.idle_ms = IDLE_MS;
 	b->settings.caller.connections_max = 8;
 	b->settings.nservice = 1;
-	str_copy(b->settings.service[0].name, ID_MAX, "web");
+	str_set(b->settings.service[0].name, ID_MAX, "web");
 	b->settings.service[0].kind = SERVICE_PLAIN;
 	ports_take(&port, 1);
 	b->addr = addr_of(port);
-	str_copy(b->settings.instance.caller_addr, ADDR_MAX, b->addr);
-	str_copy(b->settings.instance.id, ID_MAX, "e1");
+	str_set(b->settings.instance.caller_addr, ADDR_MAX, b->addr);
+	str_set(b->settings.instance.id, ID_MAX, "e1");
 	o.calls = b->calls = ring_new(64);
 	o.disconnected = b->disconnected = ring_new(64);
 	o.pages =
@@ -353,8 +353,8 @@
 	size_t i;
 
 	g_assert_cmpint(sodium_init(), !=, -1);
-	str_copy(t.worker, ID_MAX, "w1");
-	str_copy(t.stream, ID_MAX, "e1-7-2");
+	str_set(t.worker, ID_MAX, "w1");
+	str_set(t.stream, ID_MAX, "e1-7-2");
 	resume_encode("secret", &t, text, sizeof(text));
 	g_assert_true(resume_decode("secret", text, &got));
 	g_assert_cmpstr(got.worker, ==, "w1");
@@ -363,7 +363,7 @@
 	g_assert_cmpuint(got.prompt_hash, ==, 0xabcd);
 	g_assert_false(resume_decode("another", text, &got));
 	for (i = 0; i < strlen(text); i++) {
-		str_copy(other, sizeof(other), text);
+		str_set(other, sizeof(other), text);
 		other[i] ^= 1;
 		g_assert_false(resume_decode("secret", other, &got));
 	}
--- a/tests/claims_proc.c
+++ b/tests/claims_proc.c
@@ -125,7 +125,7 @@
 	platform_opts_t po = { .timeout = b->s.platform.timeout_ms };
 
 	o->s = b->s;
-	str_copy(po.addr, sizeof(po.addr), b->addr);
+	str_set(po.addr, sizeof(po.addr), b->addr);
 	g_assert_nonnull(o->p = platform_new(&po, NULL));
 	g_assert_nonnull(o->claims = claims_new(&opts, NULL));
 	return o;
@@ -158,7 +158,7 @@
 	b->s.platform.timeout_ms = 2000;
 	b->s.claims.buckets = 2;
 	b->s.nservice = 1;
-	str_copy(b->s.service[0].name, ID_MAX, "shop");
+	str_set(b->s.service[0].name, ID_MAX, "shop");
 	b->s.service[0].timeout_ms = SERVICE_MS;
 	b->a = owner_new(b);
 	b->b = owner_new(b);
@@ -201,8 +201,8 @@
 {
 	claim_request_t q = { .service = "shop", .body_hash = body };
 
-	str_copy(q.key, sizeof(q.key), key);
-	str_copy(q.request, sizeof(q.request), request);
+	str_set(q.key, sizeof(q.key), key);
+	str_set(q.request, sizeof(q.request), request);
 	g_assert_cmpint(o->nrequest, <, REQUESTS_MAX);
 	g_assert_true(claims_request(o->claims, (uint64_t)o->nrequest, &q));
 	return o->nrequest++;
@@ -267,8 +267,8 @@
 		.status = 201,
 		.type = "text/plain" };
 
-	str_copy(s.key, sizeof(s.key), key);
-	str_copy(s.request, sizeof(s.request), request);
+	str_set(s.key, sizeof(s.key), key);
+	str_set(s.request, sizeof(s.request), request);
 	if (reply != NULL) {
 		s.reply = g_memdup2(reply, len);
 		s.len = len;
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -327,7 +327,7 @@
 
 	settings_init(&w->s);
 	w->s.nservice = 1;
-	str_copy(w->s.service[0].name, ID_MAX, "shop");
+	str_set(w->s.service[0].name, ID_MAX, "shop");
 	w->s.service[0].timeout_ms = TIMEOUT_MS;
 	w->s.claims.buckets = BUCKETS;
 	w->s.claims.commit_ms = w->s.claims.settle_ms = 0;
--- a/tests/control.c
+++ b/tests/control.c
@@ -29,17 +29,17 @@
 
 	settings_init(s);
 	s->ndomain = 1;
-	str_copy(s->domain[0].name, ID_MAX, "d0");
+	str_set(s->domain[0].name, ID_MAX, "d0");
 	s->nservice = 1;
-	str_copy(s->service[0].name, ID_MAX, "llm");
+	str_set(s->service[0].name, ID_MAX, "llm");
 	s->service[0].kind = SERVICE_ENGINE;
 	s->service[0].fencing = r->fencing;
 	s->service[0].slots = RIG_SLOTS;
 	snprintf(s->instance.id, ID_MAX, "e%d", i);
-	str_copy(s->instance.domain, ID_MAX, "d0");
+	str_set(s->instance.domain, ID_MAX, "d0");
 	snprintf(s->instance.peer_addr, ADDR_MAX, "127.0.0.1:%d", peer);
 	snprintf(s->instance.operator_addr, ADDR_MAX, "127.0.0.1:%d", operator);
-	str_copy(s->platform.addr, ADDR_MAX, r->platform_addr);
+	str_set(s->platform.addr, ADDR_MAX, r->platform_addr);
 	s->platform.timeout_ms = RIG_PLATFORM_MS;
 	s->platform.lease_ms = RIG_LEASE_MS;
 	s->place.plan_ms = RIG_PLAN_MS;
@@ -210,7 +210,7 @@
 	err_t e = { 0 };
 	uint64_t n;
 
-	str_copy(po.addr, sizeof(po.addr), r->platform_addr);
+	str_set(po.addr, sizeof(po.addr), r->platform_addr);
 	p = platform_new(&po, &e);
 	n = note_accept(
 	    p, &r->settings[i], text, strlen(text), "tester", &report, &e);
@@ -298,7 +298,7 @@
 	err_t e;
 	int i;
 
-	str_copy(po.addr, sizeof(po.addr), r->platform_addr);
+	str_set(po.addr, sizeof(po.addr), r->platform_addr);
 	p = platform_new(&po, &e);
 	g_assert_cmpint(platform_list(p, "ledger/", &all, &e), ==, 0);
 	for (i = 0; i < all.n; i++) {
--- a/tests/endpoint_proc.c
+++ b/tests/endpoint_proc.c
@@ -109,7 +109,7 @@
 	load_report_t rep;
 
 	g_assert_cmpint(orders_read_load(o, addr, &rep, NULL), ==, 0);
-	str_copy(
+	str_set(
 	    order->incarnation, sizeof(order->incarnation), rep.incarnation);
 	free(rep.resident);
 	orders_free(o);
@@ -172,19 +172,19 @@
 	call_spec_t *s = calloc(1, sizeof(*s));
 
 	s->tag = ++r->tag;
-	str_copy(s->addr, sizeof(s->addr), r->addr);
-	str_copy(s->request, sizeof(s->request), id);
+	str_set(s->addr, sizeof(s->addr), r->addr);
+	str_set(s->request, sizeof(s->request), id);
 	s->timeout = TIMEOUT_MS;
 	s->token_timeout = TOKEN_TIMEOUT_MS;
 	s->plain = plain;
 	if (plain) {
-		str_copy(s->method, sizeof(s->method), "POST");
-		str_copy(s->path, sizeof(s->path), "/calibrations");
-		str_copy(s->key, sizeof(s->key), id);
+		str_set(s->method, sizeof(s->method), "POST");
+		str_set(s->path, sizeof(s->path), "/calibrations");
+		str_set(s->key, sizeof(s->key), id);
 		s->body = strdup("{\"trailer\":4}");
 		s->body_len = strlen(s->body);
 	} else {
-		str_copy(s->model, sizeof(s->model), "m");
+		str_set(s->model, sizeof(s->model), "m");
 		s->version = 2;
 		s->prompt = strdup(prompt);
 		s->max_tokens = 100;
@@ -220,10 +220,10 @@
 	char id[ID_MAX];
 	call_result_t g;
 
-	str_copy(id, sizeof(id), s->request);
+	str_set(id, sizeof(id), s->request);
 	g_assert_true(endpoint_start(r->ep, s));
 	g = await_end(r, tag);
-	str_copy(g.id, sizeof(g.id), id);
+	str_set(g.id, sizeof(g.id), id);
 	return g;
 }
 
@@ -312,9 +312,9 @@
 	    row->plain ? NULL : "--token-ms", "15");
 	s = spec_new(&r, row->plain, "call-1");
 	if (row->path != NULL && row->plain)
-		str_copy(s->path, sizeof(s->path), row->path);
+		str_set(s->path, sizeof(s->path), row->path);
 	else if (row->path != NULL)
-		str_copy(s->model, sizeof(s->model), row->path);
+		str_set(s->model, sizeof(s->model), row->path);
 	set_faults(&r, row->faults);
 	g = run_call(&r, s);
 	g_test_message("%s: reason '%s'", row->name, g.end->reason);
@@ -650,8 +650,8 @@
 
 	fixture_start(&r, "standin-engine", "--load-lag-ms", "50");
 	r.settings.broker.load_poll_ms = 50;
-	str_copy(t[0].addr, sizeof(t[0].addr), r.addr);
-	str_copy(t[1].addr, sizeof(t[1].addr), "127.0.0.1:9");
+	str_set(t[0].addr, sizeof(t[0].addr), r.addr);
+	str_set(t[1].addr, sizeof(t[1].addr), "127.0.0.1:9");
 	l = load_poller_new(&r.settings, reports, NULL);
 	load_poller_set(l, t, 2);
 	while (!seen || !missed) {
--- a/tests/ledger_test.c
+++ b/tests/ledger_test.c
@@ -120,7 +120,7 @@
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		l = ledger_new("w", rows[i].fencing);
 		l->memory_mb = CAPACITY;
-		str_copy(l->incarnation, sizeof(l->incarnation), "i1");
+		str_set(l->incarnation, sizeof(l->incarnation), "i1");
 		load = unload = 0;
 		for (s = rows[i].steps; *s != '\0'; s++) {
 			bool expected = *s != '!';
--- a/tests/note_test.c
+++ b/tests/note_test.c
@@ -206,8 +206,8 @@
 	g_test_init(&argc, &argv, NULL);
 	settings_init(&settings);
 	settings.nservice = 2;
-	str_copy(settings.service[0].name, ID_MAX, "llm");
-	str_copy(settings.service[1].name, ID_MAX, "web");
+	str_set(settings.service[0].name, ID_MAX, "llm");
+	str_set(settings.service[1].name, ID_MAX, "web");
 	settings.service[1].kind = SERVICE_PLAIN;
 	g_test_add_func("/note/catalogues", notes_change_the_catalogue);
 	g_test_add_func("/note/errors", errors_have_line_numbers);
--- a/tests/once_proc.c
+++ b/tests/once_proc.c
@@ -21,7 +21,7 @@
 	*p = (background_t){
 		.addr = addr, .path = "/enrol", .timeout = CALL_MS
 	};
-	str_copy(p->prompt, sizeof(p->prompt), key);
+	str_set(p->prompt, sizeof(p->prompt), key);
 	background_start(p);
 }
 
--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -48,7 +48,7 @@
 tear_down(fixture_t *t)
 {
 	g_hash_table_destroy(t->p.dispatchers);
-	config_free(t->s.config);
+	config_unref(t->s.config);
 }
 
 static void
--- a/tests/peer_proc.c
+++ b/tests/peer_proc.c
@@ -448,7 +448,7 @@
 	c->model = calloc(MODELS, sizeof(*c->model));
 	for (i = 0; i < MODELS; i++) {
 		g_snprintf(c->model[i].name, ID_MAX, "model-%05d", i);
-		str_copy(c->model[i].service, ID_MAX, "web");
+		str_set(c->model[i].service, ID_MAX, "web");
 	}
 	start_all(p);
 	node_set_catalogue(p->node[0], c);
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -336,9 +336,9 @@
 	instance_t i = { .role = ROLE_ENTRY, .leaving = leaving };
 	instances_t l = { &i, on ? 1 : 0 };
 
-	str_copy(i.id, ID_MAX, id);
-	str_copy(i.domain, ID_MAX, "d0");
-	str_copy(i.peer_addr, ADDR_MAX, "127.0.0.1:1");
+	str_set(i.id, ID_MAX, id);
+	str_set(i.domain, ID_MAX, "d0");
+	str_set(i.peer_addr, ADDR_MAX, "127.0.0.1:1");
 	store_apply_list(s, &l);
 }
 
@@ -401,9 +401,9 @@
 
 		i->role = ROLE_WORKER;
 		g_snprintf(i->id, ID_MAX, "w%c", *ids);
-		str_copy(i->service, ID_MAX, "web");
-		str_copy(i->domain, ID_MAX, "d0");
-		str_copy(i->addr, ADDR_MAX, "127.0.0.1:1");
+		str_set(i->service, ID_MAX, "web");
+		str_set(i->domain, ID_MAX, "d0");
+		str_set(i->addr, ADDR_MAX, "127.0.0.1:1");
 	}
 	store_apply_list(s, &l);
 }
--- a/tests/peers.c
+++ b/tests/peers.c
@@ -29,9 +29,9 @@
 		g_snprintf(s->instance.domain, ID_MAX, "d%d", i % ndomain);
 		g_snprintf(s->instance.peer_addr, ADDR_MAX, "127.0.0.1:%d",
 		    p->port[i]);
-		str_copy(e->id, ID_MAX, s->instance.id);
-		str_copy(e->domain, ID_MAX, s->instance.domain);
-		str_copy(e->peer_addr, ADDR_MAX, s->instance.peer_addr);
+		str_set(e->id, ID_MAX, s->instance.id);
+		str_set(e->domain, ID_MAX, s->instance.domain);
+		str_set(e->peer_addr, ADDR_MAX, s->instance.peer_addr);
 		e->role = ROLE_ENTRY;
 	}
 	return p;
@@ -73,8 +73,8 @@
 {
 	instance_t *w = &p->instance[p->list.n++];
 
-	str_copy(w->id, ID_MAX, id);
-	str_copy(w->service, ID_MAX, service);
+	str_set(w->id, ID_MAX, id);
+	str_set(w->service, ID_MAX, service);
 	g_snprintf(w->domain, ID_MAX, "d%d", domain);
 	g_snprintf(w->addr, ADDR_MAX, "127.0.0.1:%d", port);
 	w->role = ROLE_WORKER;
@@ -245,7 +245,7 @@
 	got = x->down ? NULL : x->frame->slot_answer;
 	granted = got != NULL && got->outcome == SLOT_GRANTED;
 	if (granted) {
-		str_copy(a->broker, sizeof(a->broker), m->id);
+		str_set(a->broker, sizeof(a->broker), m->id);
 		r.slot = got->slot;
 		r.worker = got->worker;
 		client_release_slot(a->client, m->id, &r);
--- a/tests/place_test.c
+++ b/tests/place_test.c
@@ -33,7 +33,7 @@
 
 		g_snprintf(w->id, ID_MAX, "w%d", i);
 		g_snprintf(w->domain, ID_MAX, "d%d", i % ndomain);
-		str_copy(w->service, ID_MAX, "llm");
+		str_set(w->service, ID_MAX, "llm");
 		w->memory_mb = memory_mb;
 		w->slots = 10;
 		w->usable = true;
@@ -55,8 +55,8 @@
 {
 	place_item_t *it = &f->item[f->in.nitem];
 
-	str_copy(it->name, ID_MAX, name);
-	str_copy(it->service, ID_MAX, "llm");
+	str_set(it->name, ID_MAX, name);
+	str_set(it->service, ID_MAX, "llm");
 	it->version = 1;
 	it->memory_mb = memory_mb;
 	it->copies_min = copies;
--- a/tests/platform_proc.c
+++ b/tests/platform_proc.c
@@ -25,7 +25,7 @@
 	platform_opts_t o = { .timeout = timeout, .user = "test" };
 	err_t e;
 
-	str_copy(o.addr, sizeof(o.addr), addr);
+	str_set(o.addr, sizeof(o.addr), addr);
 	return platform_new(&o, &e);
 }
 
@@ -379,8 +379,8 @@
 		char *name = g_strdup_printf("row%zu", i);
 
 		contenders_init(&r);
-		str_copy(r.l[0].name, sizeof(r.l[0].name), name);
-		str_copy(r.l[1].name, sizeof(r.l[1].name), name);
+		str_set(r.l[0].name, sizeof(r.l[0].name), name);
+		str_set(r.l[1].name, sizeof(r.l[1].name), name);
 		if (rows[i].renewing)
 			g_assert_cmpint(keep_lease(b, &r, 0), ==, ERR_NONE);
 		set_faults(b, rows[i].fault);
@@ -429,8 +429,8 @@
 {
 	audit_record_t r = { .at = at, .who = "op", .what = "changed \xff" };
 
-	str_copy(r.subject, sizeof(r.subject), subject);
-	str_copy(r.kind, sizeof(r.kind), kind);
+	str_set(r.subject, sizeof(r.subject), subject);
+	str_set(r.kind, sizeof(r.kind), kind);
 	audit_add(a, &r);
 }
 
@@ -460,8 +460,8 @@
 
 	settings_init(s);
 	s->platform.timeout_ms = SHORT_MS;
-	str_copy(s->platform.addr, ADDR_MAX, b->addr);
-	str_copy(s->instance.id, ID_MAX, "e1");
+	str_set(s->platform.addr, ADDR_MAX, b->addr);
+	str_set(s->instance.id, ID_MAX, "e1");
 	g_assert_nonnull(a = audit_new(s, &b->e));
 	return a;
 }
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -106,6 +106,77 @@
 	return rc;
 }
 
+#define NAME_OF_64 \
+	"a234567890123456789012345678901234567890123456789012345678901234"
+
+/* Guards against a name that is cut to that of another service or model. */
+static void
+too_long_names_are_left_out(void)
+{
+	config_t *c = decode_config(
+	    "{\"version\":1,\"services\":[{\"name\":\"" NAME_OF_64
+	    "\"},{\"name\":\"s\",\"engine\":{\"slots\":1,\"models\":["
+	    "{\"name\":\"" NAME_OF_64 "\"},{\"name\":\"m\"}]}}]}");
+
+	g_assert_cmpint(c->nservice, ==, 1);
+	g_assert_cmpint(c->nunnamed, ==, 1);
+	g_assert_cmpint(c->service[0].nmodel, ==, 1);
+	g_assert_cmpint(c->service[0].nunnamed, ==, 1);
+	config_unref(c);
+}
+
+static char *
+entry_with(const char *version, int nmodel, int nadapter)
+{
+	GString *t = g_string_new(NULL);
+	int i;
+
+	g_string_printf(t,
+	    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"ready\",\"version\":\"%s\",\"models\":[",
+	    version);
+	for (i = 0; i < nmodel; i++)
+		g_string_append_printf(t, "%s{\"name\":\"m%d\",\"adapters\":[",
+		    i > 0 ? "]}," : "", i);
+	for (i = 0; i < nadapter; i++)
+		g_string_append_printf(t, "%s\"a%d\"", i > 0 ? "," : "", i);
+	g_string_append(t, nmodel > 0 ? "]}]}" : "]}");
+	return g_string_free(t, FALSE);
+}
+
+/*
+ * Guards against two versions taken for one, and against orders to an endpoint
+ * that holds more than is known.
+ */
+static void
+long_parts_of_an_entry(void)
+{
+	char *version = g_strnfill(SOFTWARE_TEXT_MAX - 1, 'v');
+	char *longer = g_strnfill(SOFTWARE_TEXT_MAX, 'v');
+	char *text[] = { entry_with(version, 1, 1), entry_with(longer, 1, 1),
+		entry_with("v", LOADED_MODELS_MAX, ADAPTERS_MAX),
+		entry_with("v", LOADED_MODELS_MAX + 1, 0),
+		entry_with("v", 1, ADAPTERS_MAX + 1) };
+	endpoint_entry_t en;
+	err_t e;
+	size_t i;
+
+	g_assert_cmpint(decode_entry(&en, text[0], &e), ==, 0);
+	g_assert_cmpstr(en.software, ==, version);
+	g_assert_cmpint(decode_entry(&en, text[1], &e), ==, -1);
+	g_assert_cmpint(decode_entry(&en, text[2], &e), ==, 0);
+	g_assert_false(en.holds.partial);
+	g_assert_cmpint(en.holds.nadapter, ==, ADAPTERS_MAX);
+	for (i = 3; i < G_N_ELEMENTS(text); i++) {
+		g_assert_cmpint(decode_entry(&en, text[i], &e), ==, 0);
+		g_assert_true(en.holds.partial);
+	}
+	for (i = 0; i < G_N_ELEMENTS(text); i++)
+		g_free(text[i]);
+	g_free(version);
+	g_free(longer);
+}
+
 /* Guards against a configuration that is decoded again at each answer. */
 static void
 version_is_read_without_decoding(void)
@@ -151,7 +222,7 @@
 	g_assert_cmpint(
 	    service_model(config_service(c, "s"), "m")->load, ==, 1500);
 	g_assert_null(config_service(c, "t"));
-	config_free(c);
+	config_unref(c);
 	g_assert_null(decode_config("{}"));
 	g_assert_null(decode_config("{\"version\":\"7\"}"));
 	g_assert_null(config_decode(NULL, NULL));
@@ -207,7 +278,7 @@
 			g_assert_cmpint(r.holds.nmodel, <=, LOADED_MODELS_MAX);
 		if (objects_decode(&o, t, strlen(t), NULL) == 0)
 			objects_free(&o);
-		config_free(decode_config(t));
+		config_unref(decode_config(t));
 		g_free(t);
 	}
 	g_rand_free(g);
@@ -374,6 +445,8 @@
 	T(invalid_settings_are_errors);
 	T(configuration_is_read);
 	T(version_is_read_without_decoding);
+	T(too_long_names_are_left_out);
+	T(long_parts_of_an_entry);
 	T(entries_are_read);
 	T(corrupted_input_is_an_error_or_bounded);
 	T(bad_item_doesn_t_hide_the_rest);
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -41,7 +41,7 @@
 
 	for (i = 0; args[i] != NULL && i + 2 < ARGS_MAX; i++)
 		argv[i + 1] = args[i];
-	str_copy(p->name, sizeof(p->name), name);
+	str_set(p->name, sizeof(p->name), name);
 	g_assert_cmpint(g_mkdir_with_parents("build/testlog", 0777), ==, 0);
 	fd = open(log, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0666);
 	g_assert_cmpint(fd, !=, -1);
--- a/tests/review_proc.c
+++ b/tests/review_proc.c
@@ -604,7 +604,7 @@
 		.tokens = CHAT_TOKENS,
 		.timeout = CHAT_MS };
 
-	str_copy(c.prompt, sizeof(c.prompt), "stopped");
+	str_set(c.prompt, sizeof(c.prompt), "stopped");
 	background_start(&c);
 	clock_sleep(after);
 	proc_signal(p, SIGSTOP);
--- a/tests/standin_proc.c
+++ b/tests/standin_proc.c
@@ -51,7 +51,7 @@
 			.memory_mb = rows[i].mb };
 		item_t *load;
 
-		str_copy(o.model, sizeof(o.model), rows[i].model);
+		str_set(o.model, sizeof(o.model), rows[i].model);
 		g_assert_cmpint(
 		    memory_order(&m, &o, &load), ==, rows[i].status);
 		if (load != NULL)
--- a/tests/system.c
+++ b/tests/system.c
@@ -443,7 +443,7 @@
 
 	for (i = 0; line[i] != NULL; i++) {
 		if (g_str_has_prefix(line[i], "id: ")) {
-			str_copy(o->last_id, sizeof(o->last_id), line[i] + 4);
+			str_set(o->last_id, sizeof(o->last_id), line[i] + 4);
 		} else if (strcmp(line[i], "event: error") == 0) {
 			o->error_event = true;
 		} else if (strcmp(line[i], "data: [DONE]") == 0) {
@@ -451,7 +451,7 @@
 		} else if (g_str_has_prefix(line[i], "data: ")) {
 			if (o->error_event) {
 				code = error_code(line[i] + 6);
-				str_copy(o->code, sizeof(o->code), code);
+				str_set(o->code, sizeof(o->code), code);
 				g_free(code);
 			} else {
 				check_event(o, line[i] + 6, prompt, from);
@@ -469,14 +469,14 @@
 	char *value = reply_header(r, "Ebonypitch-Ran"), *code;
 
 	o->status = r->status;
-	str_copy(o->ran, sizeof(o->ran), value == NULL ? "" : value);
+	str_set(o->ran, sizeof(o->ran), value == NULL ? "" : value);
 	g_free(value);
 	value = reply_header(r, "Ebonypitch-Retry-After-Ms");
 	o->retry_after = value == NULL ? 0 : strtoll(value, NULL, 10);
 	g_free(value);
 	if (r->status != 200) {
 		code = error_code(r->body);
-		str_copy(o->code, sizeof(o->code), code);
+		str_set(o->code, sizeof(o->code), code);
 		g_free(code);
 	}
 }
--- a/tests/take_up.c
+++ b/tests/take_up.c
@@ -231,7 +231,7 @@
 				    "Deadline-Remaining: 5000\r\n%s",
 	    EVENTS, headers);
 
-	str_copy(x->attempt, sizeof(x->attempt), attempt);
+	str_set(x->attempt, sizeof(x->attempt), attempt);
 	x->c = caller_call(x->st, daemon, "POST", "/gen/a", x->attempt, all);
 	g_free(all);
 }
@@ -260,13 +260,13 @@
 	for (i = 0; i < n; i++) {
 		x[i] = (stream_t){ .st = st };
 		snprintf(id, sizeof(id), "s%d", count++);
-		str_copy(x[i].id, sizeof(x[i].id), id);
+		str_set(x[i].id, sizeof(x[i].id), id);
 		stream_send(&x[i], daemon, id, "");
 	}
 	for (i = 0; i < n; i++) {
 		g_assert_true(
 		    fixture_run_until(st, stream_has_event, &x[i], WAIT_MS));
-		str_copy(x[i].began, ID_MAX,
+		str_set(x[i].began, ID_MAX,
 		    fake_endpoint_version(
 			st->endpoint[stream_endpoint(st, x[i].id)]));
 	}
--- a/tests/thaw_test.c
+++ b/tests/thaw_test.c
@@ -59,7 +59,7 @@
 	t->d.s = &t->s;
 	t->d.ep = &t->ep;
 	t->ep.listed = true;
-	str_copy(t->ep.entry.addr, sizeof(t->ep.entry.addr), "127.0.0.1:1");
+	str_set(t->ep.entry.addr, sizeof(t->ep.entry.addr), "127.0.0.1:1");
 	t->conn = t->status = -1;
 	t->listener =
 	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
