--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -282,6 +282,23 @@
 	return r;
 }
 
+/* @return false: the page doesn't say after what the list goes on */
+static bool
+next_page(store_watch_t *f, objects_t *page)
+{
+	if (page->after == NULL || g_strcmp0(page->after, f->list_after) == 0) {
+		log_limited(LOG_ERR, "store-unreadable",
+		    "kind=%s why=\"a page of a list has no name to go on "
+		    "after\"",
+		    kind_name[f->kind]);
+		f->listing = false;
+		return false;
+	}
+	g_free(f->list_after);
+	f->list_after = g_steal_pointer(&page->after);
+	return true;
+}
+
 static void
 on_answer(void *arg, int status, const char *text, size_t len)
 {
@@ -331,9 +348,12 @@
 			    f->listed_names, g_strdup(list.object[i].name));
 		apply_object(f, &list.object[i]);
 	}
-	if (f->listing && list.more && list.nobject > 0) {
-		str_set(f->list_after, sizeof(f->list_after),
-		    list.object[list.nobject - 1].name);
+	if (f->listing && list.more) {
+		if (!next_page(f, &list)) {
+			objects_free(&list);
+			retry_later(f, status);
+			return;
+		}
 	} else {
 		if (f->listing)
 			remove_unlisted(f);
@@ -399,7 +419,7 @@
 		f->allow_stale = false;
 		if (!f->listing) {
 			f->listing = true;
-			f->list_after[0] = '\0';
+			g_clear_pointer(&f->list_after, g_free);
 			g_hash_table_remove_all(f->listed_names);
 		}
 		objects_list(&b, f->kind, f->list_after, s->conf.store_addr);
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 typedef struct stored_object {
-	char kind[ID_MAX], name[ID_MAX];
+	char kind[ID_MAX], name[256];
 	char *spec;
+	char *text; /* shown instead of the spec; NULL: the spec */
 	int64_t revision;
 	bool deleted;
 } stored_object_t;
@@ -39,6 +40,7 @@
 	bool watches_muted;
 	char refused_kind[ID_MAX]; /* "": none */
 	int era;		   /* named in answers, 0: none */
+	int page;		   /* objects of a list, 0: all */
 	GPtrArray *copy;	   /* stored_object_t */
 	int64_t copy_revision;
 	int requests;
@@ -64,10 +66,26 @@
 	return c->conn.server->owner;
 }
 
+static fake_store_t *
+store_of(const store_conn_t *c)
+{
+	return view_of(c)->store;
+}
+
+static guint
+index_of(const fake_store_t *s, const stored_object_t *t)
+{
+	guint i = 0;
+
+	g_assert_true(g_ptr_array_find(s->objects, t, &i));
+	return i;
+}
+
 static json_t *
 object_json(const store_conn_t *c, const stored_object_t *t)
 {
 	const store_view_t *v = view_of(c);
+	char mark[64];
 	char *shown = v->show != NULL && !t->deleted
 			  ? v->show(v->arg, t->kind, t->name, t->spec)
 			  : NULL;
@@ -75,22 +93,44 @@
 	    "name", t->name, "revision", (json_int_t)t->revision, "created_at",
 	    1, "finalizers", "deleting", 0, "status");
 
+	if (t->text != NULL) {
+		snprintf(mark, sizeof(mark), "text of object %u",
+		    index_of(store_of(c), t));
+		json_object_set_new(j, "spec", json_string(mark));
+		g_free(shown);
+		return j;
+	}
 	json_object_set_new(j, "spec",
 	    json_loads(shown != NULL ? shown : t->spec, JSON_DECODE_ANY, NULL));
 	g_free(shown);
 	return j;
 }
 
-static fake_store_t *
-store_of(const store_conn_t *c)
+/* Shows objects as the texts that were set for them. */
+static char *
+show_texts(const fake_store_t *s, char *json)
 {
-	return view_of(c)->store;
+	GString *t = g_string_new(json);
+	char mark[64];
+	guint i;
+
+	for (i = 0; i < s->objects->len; i++) {
+		const stored_object_t *o = s->objects->pdata[i];
+
+		if (o->text == NULL)
+			continue;
+		snprintf(mark, sizeof(mark), "\"text of object %u\"", i);
+		g_string_replace(t, mark, o->text, 0);
+	}
+	free(json);
+	return g_string_free(t, FALSE);
 }
 
 static void
 reply(store_conn_t *c, int status, json_t *j)
 {
-	char *text = j != NULL ? json_dumps(j, JSON_COMPACT) : strdup("{}");
+	char *text = show_texts(store_of(c),
+	    j != NULL ? json_dumps(j, JSON_COMPACT) : strdup("{}"));
 	int era = store_of(c)->era;
 
 	json_decref(j);
@@ -181,9 +221,10 @@
 	if (t == NULL) {
 		t = g_new0(stored_object_t, 1);
 		str_set(t->kind, ID_MAX, kind);
-		str_set(t->name, ID_MAX, name);
+		str_set(t->name, sizeof(t->name), name);
 		g_ptr_array_add(s->objects, t);
 	}
+	g_clear_pointer(&t->text, g_free);
 	g_free(t->spec);
 	t->spec = g_strdup(spec);
 	t->deleted = false;
@@ -192,6 +233,23 @@
 	return t->revision;
 }
 
+void
+fake_store_put_text(
+    fake_store_t *s, const char *kind, const char *name, const char *text)
+{
+	fake_store_mute_watches(s, true);
+	fake_store_put(s, kind, name, "{}");
+	find_object(s, kind, name)->text = g_strdup(text);
+	fake_store_mute_watches(s, false);
+	notify_watches(s);
+}
+
+void
+fake_store_set_page(fake_store_t *s, int n)
+{
+	s->page = n;
+}
+
 void
 fake_store_del(fake_store_t *s, const char *kind, const char *name)
 {
@@ -236,6 +294,7 @@
 	stored_object_t *t = p;
 
 	g_free(t->spec);
+	g_free(t->text);
 	g_free(t);
 }
 
@@ -247,6 +306,7 @@
 
 	(void)arg;
 	to->spec = g_strdup(t->spec);
+	to->text = g_strdup(t->text);
 	return to;
 }
 
@@ -331,22 +391,52 @@
 	return p != NULL ? strtoll(p + strlen(key), NULL, 10) : none;
 }
 
+static int
+by_name(gconstpointer a, gconstpointer b)
+{
+	const stored_object_t *const *x = a, *const *y = b;
+
+	return strcmp((*x)->name, (*y)->name);
+}
+
+/* @return the name after which a list goes on, "": none, g_malloc'd */
+static char *
+list_after(const char *target)
+{
+	const char *p = strstr(target, "after=");
+
+	return p != NULL ? g_uri_unescape_segment(
+			       p + strlen("after="), p + strcspn(p, "&"), NULL)
+			 : g_strdup("");
+}
+
 static void
-list_objects(store_conn_t *c, const char *kind)
+list_objects(store_conn_t *c, const char *kind, const char *target)
 {
 	fake_store_t *s = store_of(c);
+	GPtrArray *sorted = g_ptr_array_new();
+	char *after = list_after(target);
 	json_t *items = json_array();
+	bool more = false;
 	guint i;
 
-	for (i = 0; i < s->objects->len; i++) {
-		stored_object_t *t = s->objects->pdata[i];
+	g_ptr_array_extend(sorted, s->objects, NULL, NULL);
+	g_ptr_array_sort(sorted, by_name);
+	for (i = 0; i < sorted->len && !more; i++) {
+		stored_object_t *t = sorted->pdata[i];
 
-		if (strcmp(t->kind, kind) == 0 && !t->deleted)
+		if (strcmp(t->kind, kind) != 0 || t->deleted ||
+		    (*after != '\0' && strcmp(t->name, after) <= 0))
+			continue;
+		more = s->page > 0 && json_array_size(items) == (size_t)s->page;
+		if (!more)
 			json_array_append_new(items, object_json(c, t));
 	}
 	reply(c, 200,
-	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0, "as_of",
-		(json_int_t)s->revision));
+	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more,
+		"as_of", (json_int_t)s->revision));
+	g_ptr_array_free(sorted, TRUE);
+	g_free(after);
 }
 
 static void
@@ -431,7 +521,7 @@
 		if (strstr(target, "watch=") != NULL) {
 			start_watch(c, kind, target);
 		} else if (*name == '\0') {
-			list_objects(c, kind);
+			list_objects(c, kind, target);
 		} else {
 			stored_object_t *t =
 			    find_object(store_of(c), kind, name);
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -40,6 +40,14 @@
 void fake_store_del(fake_store_t *s, const char *kind, const char *name);
 /** @return the JSON text of an object's spec, or NULL if there is none. */
 const char *fake_store_get(fake_store_t *s, const char *kind, const char *name);
+/**
+ * Create or replace an object whose spec is shown as this text, which need not
+ * be readable JSON.
+ */
+void fake_store_put_text(
+    fake_store_t *s, const char *kind, const char *name, const char *text);
+/** Answer lists in pages of so many objects, ordered by name. */
+void fake_store_set_page(fake_store_t *s, int n);
 void fake_store_set_fault(fake_store_t *s, store_fault_t f);
 /** Answer 503 to requests for one kind of objects; NULL: to none. */
 void fake_store_refuse_kind(fake_store_t *s, const char *kind);
