serve: a refusal counts only if it must belong to this send

Reported by other operators; callers may be told 'not run' for a call that runs, or it runs at a second endpoint.

Cause: a refusal without a Request-Id was taken for the call's own, also on a connection that had carried other calls. Read besides: a call that comes to the same endpoint a second time, and one handed over, may meet an earlier refusal with its own id.

A refusal counts on a connection that was never used, or if it names the call and the endpoint was never sent it. Second sends go by a new connection. Of another instance only its own field counts.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -474,7 +474,7 @@
 	c->response.status = (int)k->parser.status_code;
 	c->response.authentic =
 	    a.signature != NULL && a.call_id != NULL && !a.encoded;
-	c->response.not_run = a.not_run;
+	c->response.not_run = a.not_run && refusal_counts(c, w, &a);
 	c->answered_by = w->ep;
 	switch (w->ep->kind) {
 	case EP_DIRECT:
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -223,6 +223,9 @@
  */
 ep_conn_t *pool_acquire(
     serve_t *s, ep_t *p, call_t *c, const http_conn_ops_t *ops);
+/** The same, always a new connection. */
+ep_conn_t *pool_connect(
+    serve_t *s, ep_t *p, call_t *c, const http_conn_ops_t *ops);
 /** Return a connection that may carry another call to the idle ones. */
 void pool_release(ep_conn_t *w);
 /** Close a connection; the endpoint then cancels the call that runs on it. */
--- a/serve/pool.c
+++ b/serve/pool.c
@@ -130,6 +130,16 @@
 		w->call = c->id;
 		return w;
 	}
+	return pool_connect(s, p, c, ops);
+}
+
+ep_conn_t *
+pool_connect(serve_t *s, ep_t *p, call_t *c, const http_conn_ops_t *ops)
+{
+	ep_conn_t *w;
+
+	if (p->nconn >= max_conns(s, p) && p->idle != NULL)
+		pool_close(p->idle);
 	if (p->nconn >= max_conns(s, p))
 		return NULL;
 	w = calloc(1, sizeof(*w));
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -76,6 +76,8 @@
 	bool unreached;	     /* by the last choice */
 	int unmade;	     /* connections to endpoints that weren't made */
 	bool from_instance;  /* another instance handed it over */
+	/* Its endpoint may have been sent it before this attempt. */
+	bool sent_before;
 	/* Endpoints that it was sent to. */
 	ep_t *tried[TRIED_MAX];
 	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
@@ -218,6 +220,16 @@
 void call_set_timer(call_t *c);
 void call_timer_fired(call_t *c);
 bool call_idempotent(const call_t *c);
+/** @return whether the endpoint may have been sent the call already */
+bool call_may_have_been_sent(const call_t *c, const ep_t *p);
+/**
+ * @param a an answer that says that it refuses what it answers; it names the
+ * call, or none
+ * @return whether it can only be to this send of the call: nothing was sent on
+ * the connection before, or it names the call, which was never sent there
+ */
+bool refusal_counts(
+    const call_t *c, const ep_conn_t *w, const answer_head_t *a);
 /** The request of the current attempt leaves, and may run from now on. */
 void call_sent(call_t *c);
 /** Idempotent, with an endpoint to try or return to and retry budget left? */
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -245,6 +245,18 @@
 	return true;
 }
 
+/* As a fault does on a connection that has carried a call before. */
+static void
+write_earlier_refusal(endpoint_conn_t *c)
+{
+	buf_t *out = &c->conn.http->out;
+
+	if (c->ncall++ == 0)
+		return;
+	buf_str(out, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+		     "Content-Length: 0\r\n\r\n");
+}
+
 static void
 on_request(server_conn_t *v)
 {
@@ -285,6 +297,9 @@
 		    "HTTP/1.1 200 OK\r\nRequest-Id: late\r\n"
 		    "Server-Signature: s0\r\nContent-Length: 4\r\n\r\nlate");
 		break;
+	case ENDPOINT_UNNAMED_REFUSAL:
+		write_earlier_refusal(c);
+		break;
 	case ENDPOINT_FOREIGN_REFUSAL:
 		buf_fmt(&k->out,
 		    "HTTP/1.1 503 Busy\r\nRequest-Id: late\r\n"
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -22,6 +22,7 @@
 	ENDPOINT_EXTRA_ANSWER,	 /* sends a second answer after each */
 	ENDPOINT_FOREIGN_ANSWER, /* sends an answer to another call first */
 	ENDPOINT_FOREIGN_REFUSAL, /* the same, 503 */
+	ENDPOINT_UNNAMED_REFUSAL, /* the same, without an id */
 	ENDPOINT_UNSIGNED,	  /* a success without a signature */
 	ENDPOINT_NO_LENGTH,	  /* delimits the body by closing */
 	ENDPOINT_TRUNCATED,	  /* the same; half a body, then a reset */
--- a/tests/call_proc.c
+++ b/tests/call_proc.c
@@ -294,6 +294,44 @@
 	fixture_free(st);
 }
 
+static guint
+nrun(const fixture_t *st, int endpoint)
+{
+	return fake_endpoint_executed(st->endpoint[endpoint])->len;
+}
+
+/*
+ * Guards against a call that runs at a second endpoint, or is answered as not
+ * run, since the first one wrote an earlier refusal again.
+ */
+static void
+earlier_refusal_isn_t_this_call_s(void)
+{
+	fixture_t *st = one_daemon(&plain, 1, "app");
+	char id[16];
+	int i;
+
+	fixture_add_endpoint(st, &plain, "app");
+	fixture_run(st, 1500);
+	for (i = 0; i < 2; i++)
+		fake_endpoint_set_fault(
+		    st->endpoint[i], ENDPOINT_UNNAMED_REFUSAL);
+	for (i = 0; i < 12; i++) {
+		guint before = nrun(st, 0) + nrun(st, 1);
+		caller_t *c;
+
+		snprintf(id, sizeof(id), "r%d", i);
+		c = caller_call(st, 0, "POST", "/once/a", id,
+		    "Deadline-Remaining: 1500\r\n");
+		g_assert_true(caller_wait(c, 3000));
+		g_assert_cmpuint(nrun(st, 0) + nrun(st, 1) - before, ==, 1);
+		g_assert_cmpint(c->status, !=, 503);
+		g_assert_cmpint(c->status, !=, 421);
+		caller_free(c);
+	}
+	fixture_free(st);
+}
+
 /* Whether the first endpoint's first call has been cancelled. */
 static bool
 is_cancelled(void *arg)
@@ -694,6 +732,7 @@
 	T(broken_stream_goes_on_after_a_refusal);
 	T(broken_stream_that_cant_resume_ends_incomplete);
 	T(answers_to_other_calls_are_discarded);
+	T(earlier_refusal_isn_t_this_call_s);
 	T(stream_is_cancelled_when_its_caller_disconnects);
 	T(plain_call_is_cancelled_when_its_caller_disconnects);
 	T(route_timeout_is_enforced);
--- a/tests/odd_entries_test.c
+++ b/tests/odd_entries_test.c
@@ -100,7 +100,7 @@
 {
 	static const char *const more[] = { "", " of another", "/x?after=&",
 		"\xc3\xa9", "%20", "+", "" };
-	char *longer = g_strnfill((gsize)(ID_MAX + n), 'n');
+	char *longer = g_strnfill(ID_MAX + (gsize)n, 'n');
 	char *name = g_strdup_printf("e%04d%s", n,
 	    !sound && g_rand_int_range(g, 0, 6) == 0
 		? longer
