serve: a stream without a record goes on only by fresh knowledge of versions

Reported by other operators: a stream that had begun at a new software version was taken up at an instance that was out of step, and went on at the former version.

Cause: an instance without a record took the only version that it knew for the one that began the stream, unless it had noticed that it had lost the store and all peers. It notices seconds late. One peer's answer was enough if others were silent.

Change: the instance reads the lease, which names each version that may have begun a stream, by a request sent after the take-up; or most of the instances that it asks have to agree. The holder needn't ask.

--- a/serve/lease.c
+++ b/serve/lease.c
@@ -15,6 +15,7 @@
 	RANK_DELAY_MS = 300,	 /* added for each instance ranked before */
 	RANK_MAX = 8,		 /* no more is added beyond this rank */
 	STORE_VERSION_MS = 100,	 /* between writes for new software versions */
+	VERSIONS_INTERVAL_MS = 40, /* between reads for streams taken up */
 	READ_VERSIONS_MS = 4000, /* until it is read whether they are stored */
 	/* A history of versions with a longer gap isn't complete. */
 	SOFTWARE_GAP_MS = 10000,
@@ -231,7 +232,43 @@
 		check_held(p);
 		json_decref(o.spec);
 	}
-	streams_history_read(p->s);
+	streams_history_read(p->s, p->lease_sent_at);
+}
+
+/* Only for the versions: what else it says is read by on_lease_read(). */
+static void
+on_versions_read(void *arg, int status, const char *text, size_t len)
+{
+	plan_t *p = arg;
+	object_t o;
+	err_t e = { 0 };
+
+	p->versions_request = NULL;
+	if (status == 200 && object_decode(&o, text, len, &e) == 0) {
+		software_merge(p->s, o.spec,
+		    json_integer_value(json_object_get(o.spec, "era")) ==
+			p->leadership.era);
+		json_decref(o.spec);
+	} else if (status != 404) {
+		return;
+	}
+	p->s->software_read = true;
+	streams_history_read(p->s, p->versions_sent_at);
+}
+
+void
+plan_read_versions(serve_t *s)
+{
+	plan_t *p = s->plan;
+	buf_t b = { 0 };
+
+	if (p == NULL || p->versions_request != NULL ||
+	    s->loop.now - p->versions_sent_at < VERSIONS_INTERVAL_MS)
+		return;
+	objects_get(&b, KIND_LEASES, lease_name, s->conf.store_addr);
+	p->versions_sent_at = s->loop.now;
+	p->versions_request = http_request_send(
+	    s, &s->store, &b, LEASE_TIMEOUT_MS, on_versions_read, p);
 }
 
 /* Another holder may have sent orders: ask each endpoint what it holds. */
@@ -312,6 +349,7 @@
 	buf_t b = { 0 };
 
 	objects_get(&b, KIND_LEASES, lease_name, p->s->conf.store_addr);
+	p->lease_sent_at = clock_now(&machine_clock);
 	p->lease_request = http_request_send(
 	    p->s, &p->s->store, &b, LEASE_TIMEOUT_MS, on_lease_read, p);
 }
--- a/serve/plan.h
+++ b/serve/plan.h
@@ -60,6 +60,8 @@
 	alarm_t timer;
 	http_request_t *lease_request;
 	ms_t lease_sent_at, lease_check_at;
+	http_request_t *versions_request;
+	ms_t versions_sent_at;
 	ms_t unstored_since; /* a software version isn't stored; 0: all are */
 	bool said_unable;
 	bool acquiring;
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -37,6 +37,7 @@
 	int nasked;
 	uint64_t answered[8]; /* hashes of the peers that know no record */
 	int nanswered;
+	ms_t began_at;
 	uint64_t sole;	   /* by their answers, 0: none yet */
 	bool contradicted; /* one of them knows several versions */
 } stream_lookup_t;
@@ -347,7 +348,7 @@
 /** Send the records that became due in this loop turn. */
 void streams_flush(serve_t *s);
 /** The lease was read: the history of versions may be longer now. */
-void streams_history_read(serve_t *s);
+void streams_history_read(serve_t *s, ms_t sent);
 /** @return whether some service has had several versions lately */
 bool streams_several_versions(const serve_t *s);
 
@@ -696,6 +697,11 @@
 int64_t plan_lease_revision(const serve_t *s);
 /** The holder announced the revision of its last renewal. */
 void plan_peer_renewed(serve_t *s, int64_t revision);
+/**
+ * Read the lease for the versions in it, unless that is under way; then
+ * streams_history_read() is called.
+ */
+void plan_read_versions(serve_t *s);
 /** The store has lost writes, or named its era for the first time. */
 void plan_in_store_era(serve_t *s);
 /** Another instance knows the first era that had a holder. */
--- a/serve/streams.c
+++ b/serve/streams.c
@@ -383,11 +383,22 @@
 	c->lookup.ask_again_at = s->loop.now + ASK_INTERVAL_MS;
 }
 
-/* The result when no peer has a record. */
+/*
+ * The result when no peer has a record. This instance may be out of step, and
+ * so may a few of those asked: most of them have to answer.
+ */
 static uint64_t
 lookup_sole(const call_t *c)
 {
-	return c->lookup.contradicted ? 0 : c->lookup.sole;
+	const stream_lookup_t *k = &c->lookup;
+	const serve_t *s = c->s;
+
+	if (k->nasked == 0)
+		return sole_version(s, hash_str(c->service, 0));
+	if (k->contradicted || 2 * k->nanswered <= k->nasked ||
+	    software_several(&s->software, hash_str(c->service, 0)))
+		return 0;
+	return k->sole;
 }
 
 /* No peer knows it, but a process that has just started may learn more soon. */
@@ -413,7 +424,9 @@
 	    (c->resume_event_id < 0 && c->request.resumes[0] == '\0'))
 		return true;
 	c->software = stream_table_get(&s->streams, c->stream_id, s->loop.now);
-	if (c->software == 0 && !peer_knows_several(s)) {
+	/* The holder knows all versions: it lets them begin streams. */
+	if (c->software == 0 && plan_holder_valid(s) &&
+	    !peer_knows_several(s)) {
 		c->software = sole_version(s, hash_str(c->service, 0));
 		how = "sole";
 	}
@@ -425,16 +438,17 @@
 	s->nlocating++;
 	c->lookup.until = s->loop.now + (s->software_read ? ASK_TIMEOUT_MS
 							  : HISTORY_TIMEOUT_MS);
+	c->lookup.began_at = s->loop.now;
 	lookup_ask(c);
+	plan_read_versions(s);
 	call_set_timer(c);
-	if (c->lookup.nasked == 0)
-		lookup_unknown(c);
 	return false;
 }
 
 void
-streams_history_read(serve_t *s)
+streams_history_read(serve_t *s, ms_t sent)
 {
+	bool again = false;
 	handle_t h, next;
 
 	if (s->nlocating == 0)
@@ -446,6 +460,11 @@
 		next = table_next(s->calls, h);
 		if (c->state != CALL_LOCATING)
 			continue;
+		/* What has begun since may be in a later lease. */
+		if (sent < c->lookup.began_at) {
+			again = true;
+			continue;
+		}
 		if (!peer_knows_several(s))
 			sole = sole_version(s, hash_str(c->service, 0));
 		if (sole != 0)
@@ -453,6 +472,8 @@
 		else if (c->lookup.nanswered >= c->lookup.nasked)
 			lookup_unknown(c);
 	}
+	if (again)
+		plan_read_versions(s);
 }
 
 ms_t
@@ -471,6 +492,7 @@
 		return;
 	}
 	lookup_ask(c);
+	plan_read_versions(c->s);
 	call_set_timer(c);
 }
 
--- a/tests/versions_proc.c
+++ b/tests/versions_proc.c
@@ -11,6 +11,8 @@
 #include <string.h>
 
 enum {
+	OUT_OF_STEP = 8,       /* streams taken up at such a daemon */
+	STORED_MS = 500,       /* until a new version is in the lease */
 	WAIT_MS = 8000,	       /* limit for what is about to happen */
 	REFUSE_MS = 500,       /* limit for an answer that waits for nothing */
 	HISTORY_ATTEMPTS = 40, /* until daemons that all restarted know again */
@@ -67,6 +69,47 @@
 	g_assert_cmpstr(x[n / 2].began, ==, "v2");
 }
 
+/*
+ * Guards against a take-up at a daemon that is cut off from the store and from
+ * the others, and knows only the former version.
+ */
+static void
+taken_up_at_a_daemon_out_of_step(void)
+{
+	fixture_t *st = fixture_new();
+	stream_t x[OUT_OF_STEP];
+	int i, port[2], at_new = 0;
+
+	fixture_put_config(st, "");
+	fixture_add_endpoint(
+	    st, &(fake_endpoint_opts_t){ .plain_ms = 20 }, "app");
+	versions_add(st, 2, "v1", EVENT_GAP_MS);
+	ports_take(port, 2);
+	st->view_addr[2] = addr_of(port[0]);
+	fake_store_add_view(st->store, st->view_addr[2], NULL, NULL);
+	for (i = 0; i < 2; i++)
+		fixture_start_daemon(st, i, true);
+	g_assert_true(fixture_run_until(st, daemon_is_holder, st, WAIT_MS));
+	/* No datagram reaches it, or comes from it. */
+	st->peer_port = port[1];
+	fixture_start_daemon(st, 2, true);
+	daemon_wait_gauge(st, 2, "endpoints", 3);
+	fake_store_silence_view(st->store, st->view_addr[2], true);
+	versions_add(st, 2, "v2", EVENT_GAP_MS);
+	daemon_wait_gauge(st, 0, "endpoints", 5);
+	/* Once it is in the lease, the new version begins streams, too. */
+	fixture_run(st, STORED_MS);
+	streams_begin(st, x, OUT_OF_STEP, 0);
+	for (i = 0; i < OUT_OF_STEP; i++)
+		at_new += strcmp(x[i].began, "v2") == 0;
+	g_assert_cmpint(at_new, >, 0);
+	daemon_kill(st, 0);
+	streams_lose(x, OUT_OF_STEP);
+	/* stream_goes_on() checks each attempt. */
+	streams_take_up(x, OUT_OF_STEP, 2, 2, 2);
+	fixture_free(st);
+}
+
 /* Guards against a take-up at another daemon that runs at another version. */
 static void
 taken_up_after_a_kill(void)
@@ -411,6 +454,7 @@
 	g_test_init(&argc, &argv, NULL);
 	T(broken_answer_goes_on_at_its_version);
 	T(broken_answer_ends_without_its_version);
+	T(taken_up_at_a_daemon_out_of_step);
 	T(taken_up_after_a_kill);
 	T(taken_up_after_two_kills);
 	T(taken_up_where_it_began_after_a_restart);
