serve: the watch goes on from the first page of a list

An endpoint that began to leave while a daemon read a list of several pages stayed in use until its entry changed again.

Cause: the watch went on from the last page's revision, and an object of an earlier page that changed meanwhile is older than that.

Change: the watch goes on from the first page's revision.

Evidence: /odd_entries/change_between_pages fails on (4 usable endpoints instead of 3) and holds now.

--- a/serve/serve.h
+++ b/serve/serve.h
@@ -413,7 +413,8 @@
 	bool allow_stale;    /* the store may answer from an old copy */
 	bool require_fresh;  /* the next watch must not allow stale answers */
 	bool listing;
-	char *list_after; /* the last page's last name, NULL: none was read */
+	int64_t list_as_of; /* of the list's first page, 0: none was read */
+	char *list_after;   /* the last page's last name, NULL: none was read */
 	GHashTable *listed_names; /* in the pages of the list read so far */
 	int failures;
 	ms_t answered_at;   /* last answer */
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -294,6 +294,8 @@
 		f->listing = false;
 		return false;
 	}
+	if (f->list_as_of == 0)
+		f->list_as_of = page->as_of;
 	g_free(f->list_after);
 	f->list_after = g_steal_pointer(&page->after);
 	return true;
@@ -357,8 +359,10 @@
 	} else {
 		if (f->listing)
 			remove_unlisted(f);
+		/* What changed since its first page is seen by the watch. */
+		f->as_of = f->listing && f->list_as_of != 0 ? f->list_as_of
+							    : list.as_of;
 		f->listing = false;
-		f->as_of = list.as_of;
 		if (f->kind == KIND_CONFIG && list.nobject > 0)
 			f->changed_revision = max_revision(&list);
 		f->rewatches = 0;
@@ -420,6 +424,7 @@
 		if (!f->listing) {
 			f->listing = true;
 			g_clear_pointer(&f->list_after, g_free);
+			f->list_as_of = 0;
 			g_hash_table_remove_all(f->listed_names);
 		}
 		objects_list(&b, f->kind, f->list_after, s->conf.store_addr);
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -41,7 +41,9 @@
 	char refused_kind[ID_MAX]; /* "": none */
 	int era;		   /* named in answers, 0: none */
 	int page;		   /* objects of a list, 0: all */
-	GPtrArray *copy;	   /* stored_object_t */
+	void (*page_fn)(void *arg);
+	void *page_arg;
+	GPtrArray *copy; /* stored_object_t */
 	int64_t copy_revision;
 	int requests;
 };
@@ -250,6 +252,13 @@
 	s->page = n;
 }
 
+void
+fake_store_set_page_fn(fake_store_t *s, void (*fn)(void *arg), void *arg)
+{
+	s->page_fn = fn;
+	s->page_arg = arg;
+}
+
 void
 fake_store_del(fake_store_t *s, const char *kind, const char *name)
 {
@@ -420,6 +429,8 @@
 	bool more = false;
 	guint i;
 
+	if (*after != '\0' && s->page_fn != NULL)
+		s->page_fn(s->page_arg);
 	g_ptr_array_extend(sorted, s->objects, NULL, NULL);
 	g_ptr_array_sort(sorted, by_name);
 	for (i = 0; i < sorted->len && !more; i++) {
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -48,6 +48,8 @@
     fake_store_t *s, const char *kind, const char *name, const char *text);
 /** Answer lists in pages of so many objects, ordered by name. */
 void fake_store_set_page(fake_store_t *s, int n);
+/** Call @p fn before each page but the first. */
+void fake_store_set_page_fn(fake_store_t *s, void (*fn)(void *arg), void *arg);
 void fake_store_set_fault(fake_store_t *s, store_fault_t f);
 /** Answer 503 to requests for one kind of objects; NULL: to none. */
 void fake_store_refuse_kind(fake_store_t *s, const char *kind);
--- a/tests/odd_entries_proc.c
+++ b/tests/odd_entries_proc.c
@@ -173,6 +173,46 @@
 	}
 }
 
+/** An endpoint leaves between two pages of the daemon's first list. */
+typedef struct leave {
+	fixture_t *st;
+	bool done;
+} leave_t;
+
+static void
+leave_once(void *arg)
+{
+	leave_t *l = arg;
+
+	if (!l->done)
+		fixture_put_entry(l->st, 0, "app", true);
+	l->done = true;
+}
+
+/* Guards against a change to an earlier page of a list that no watch shows. */
+static void
+change_between_pages(void)
+{
+	fake_endpoint_opts_t o = { .plain_ms = 10 };
+	fixture_t *st = fixture_new();
+	leave_t l = { .st = st };
+	int i;
+
+	fake_store_set_page(st->store, 1);
+	fixture_put_config(st, "");
+	for (i = 0; i < ENDPOINTS; i++)
+		fixture_add_endpoint(st, &o, "app");
+	fake_store_set_page_fn(st->store, leave_once, &l);
+	fixture_start_daemon(st, 0, true);
+	fixture_run(st, READ_MS);
+	g_assert_true(l.done);
+	g_assert_cmpint(
+	    fixture_counter(st, 0, "ebonypitch_endpoints"), ==, ENDPOINTS - 1);
+	make_calls(st);
+	g_assert_cmpuint(runs_of(st, 0), ==, 0);
+	fixture_free(st);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -191,5 +231,7 @@
 	    "/odd_entries/odd_entries_in_a_list", odd_entries_in_a_list);
 	g_test_add_func(
 	    "/odd_entries/odd_entries_over_pages", odd_entries_over_pages);
+	g_test_add_func(
+	    "/odd_entries/change_between_pages", change_between_pages);
 	return g_test_run();
 }
