standin: a refusal names the request that it refuses

Cause: the stand-in's refusals had no Request-Id.

Evidence: peer_call, call, limit, hint, cluster_faults, crash_request, daemon and once pass.

--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -216,6 +216,7 @@
 {
 	const head_t *head = &c->conn.http->head;
 	const char *expect = head_get(head, "Expect-Instance");
+	const char *id = head_get(head, "Request-Id");
 	const char *asked = head_get(head, "Model"), *adapter;
 	bool other = expect != NULL && strcmp(expect, endpoint_of(c)->id) != 0;
 	bool lacks = false;
@@ -236,8 +237,10 @@
 	endpoint_of(c)->refused++;
 	once = endpoint_of(c)->headers_once;
 	buf_fmt(&c->conn.http->out,
-	    "HTTP/1.1 %d %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
+	    "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
+	    "%sContent-Length: 0\r\n\r\n",
 	    other || lacks ? 421 : 503, http_reason(other || lacks ? 421 : 503),
+	    id != NULL ? id : "",
 	    *once != '\0' ? once : endpoint_of(c)->headers);
 	*once = '\0';
 	http_conn_flush(c->conn.http);
