--- a/tests/blame_proc.c
+++ b/tests/blame_proc.c
@@ -47,17 +47,6 @@
 	ms_t fifth_crash; /* 0: not yet */
 } traffic_t;
 
-static void
-on_endpoint_changed(void *arg, fake_endpoint_t *ep)
-{
-	fixture_t *st = arg;
-	int i;
-
-	for (i = 0; i < st->nendpoint; i++)
-		if (st->endpoint[i] == ep)
-			fixture_put_entry(st, i, "llm", false);
-}
-
 static traffic_t *
 traffic_new(int nendpoint)
 {
@@ -67,7 +56,7 @@
 		.events = EVENTS,
 		.event_gap = EVENT_GAP_MS,
 		.adapter_slots = 4,
-		.changed = on_endpoint_changed,
+		.changed = fixture_entry_changed,
 		.arg = st };
 	int i;
 
--- a/tests/crash_request_proc.c
+++ b/tests/crash_request_proc.c
@@ -68,28 +68,6 @@
 	.gap = { 0, SOUND_GAP_MS, SOUND_GAP_MS } };
 static const char *const body_of[KINDS] = { "crash", "popular", NULL };
 
-static void
-on_endpoint_changed(void *arg, fake_endpoint_t *ep)
-{
-	fixture_t *st = arg;
-	int i;
-
-	for (i = 0; i < st->nendpoint; i++)
-		if (st->endpoint[i] == ep)
-			fixture_put_entry(st, i, "app", false);
-}
-
-static void
-on_engine_changed(void *arg, fake_endpoint_t *ep)
-{
-	fixture_t *st = arg;
-	int i;
-
-	for (i = 0; i < st->nendpoint; i++)
-		if (st->endpoint[i] == ep)
-			fixture_put_entry(st, i, "llm", false);
-}
-
 static traffic_t *
 traffic_new(const load_t *load)
 {
@@ -98,9 +76,9 @@
 		{ "m2", 70000, 60, 300 } };
 	traffic_t *t = g_new0(traffic_t, 1);
 	fixture_t *st = t->st = fixture_new();
-	fake_endpoint_opts_t app = {
-		.plain_ms = PLAIN_MS, .changed = on_endpoint_changed, .arg = st
-	};
+	fake_endpoint_opts_t app = { .plain_ms = PLAIN_MS,
+		.changed = fixture_entry_changed,
+		.arg = st };
 	fake_endpoint_opts_t llm = { .model = "m1",
 		.models = models,
 		.nmodel = G_N_ELEMENTS(models),
@@ -108,7 +86,7 @@
 		.events = 4,
 		.event_gap = PLAIN_MS / 2,
 		.adapter_slots = 4,
-		.changed = on_engine_changed,
+		.changed = fixture_entry_changed,
 		.arg = st };
 	bool engine = strcmp(load->target, prompt_load.target) == 0;
 	int i;
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -106,6 +106,7 @@
 	own.id = st->id[i];
 	st->endpoint[i] = fake_endpoint_new(&st->loop, &own);
 	st->domain[i] = domains[0];
+	st->service[i] = service;
 	fixture_put_entry(st, i, service, false);
 	return i;
 }
@@ -127,6 +128,17 @@
 	g_free(text);
 }
 
+void
+fixture_entry_changed(void *arg, fake_endpoint_t *ep)
+{
+	fixture_t *st = arg;
+	int i;
+
+	for (i = 0; i < st->nendpoint; i++)
+		if (st->endpoint[i] == ep)
+			fixture_put_entry(st, i, st->service[i], false);
+}
+
 typedef struct daemon_probe {
 	fixture_t *st;
 	int i;
@@ -293,6 +305,16 @@
 	client_request_free(c);
 }
 
+void
+caller_list_free(GPtrArray *calls)
+{
+	guint i;
+
+	for (i = 0; i < calls->len; i++)
+		caller_free(calls->pdata[i]);
+	g_ptr_array_free(calls, TRUE);
+}
+
 int
 page_status(fixture_t *st, const char *addr, const char *path, char **body)
 {
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -23,6 +23,7 @@
 	fake_endpoint_t *endpoint[FIXTURE_ENDPOINTS];
 	char *addr[FIXTURE_ENDPOINTS], *id[FIXTURE_ENDPOINTS];
 	const char *domain[FIXTURE_ENDPOINTS]; /* "north", as the daemons' */
+	const char *service[FIXTURE_ENDPOINTS];
 	int nendpoint;
 	proc_t *daemon[FIXTURE_DAEMONS];
 	/* Under build/bin; NULL: "ebonypitchd". For daemons started later. */
@@ -63,6 +64,11 @@
 /** Write the store entry of an endpoint. */
 void fixture_put_entry(
     fixture_t *st, int endpoint, const char *service, bool leaving);
+/**
+ * Write the entry of an endpoint again; to be given to it as its changed
+ * function. @param arg the fixture
+ */
+void fixture_entry_changed(void *arg, fake_endpoint_t *ep);
 /** Start daemon @p i and, if @p wait_ready, wait until it is ready. */
 void fixture_start_daemon(fixture_t *st, int i, bool wait_ready);
 /** Kill all daemons that run. */
@@ -85,6 +91,8 @@
 bool caller_wait(caller_t *c, ms_t span);
 void caller_close(caller_t *c);
 void caller_free(caller_t *c);
+/** Free a list of callers, and these. */
+void caller_list_free(GPtrArray *calls);
 /**
  * Get one of a daemon's pages.
  * @param body set to the body, g_malloc'd; may be NULL
--- a/tests/limit_proc.c
+++ b/tests/limit_proc.c
@@ -57,11 +57,7 @@
 static void
 traffic_free(traffic_t *t)
 {
-	guint i;
-
-	for (i = 0; i < t->calls->len; i++)
-		caller_free(t->calls->pdata[i]);
-	g_ptr_array_free(t->calls, TRUE);
+	caller_list_free(t->calls);
 	fixture_free(t->st);
 	g_free(t);
 }
--- a/tests/store_era_proc.c
+++ b/tests/store_era_proc.c
@@ -33,17 +33,6 @@
 	ms_t next_call;
 } site_t;
 
-static void
-on_endpoint_changed(void *arg, fake_endpoint_t *ep)
-{
-	fixture_t *st = arg;
-	int i;
-
-	for (i = 0; i < st->nendpoint; i++)
-		if (st->endpoint[i] == ep)
-			fixture_put_entry(st, i, "llm", false);
-}
-
 static site_t *
 site_new(const char *const program[DAEMONS])
 {
@@ -57,7 +46,7 @@
 		.adapter_slots = 4,
 		.events = 2,
 		.event_gap = 10,
-		.changed = on_endpoint_changed,
+		.changed = fixture_entry_changed,
 		.arg = st };
 	int i;
 
@@ -84,11 +73,7 @@
 static void
 site_free(site_t *t)
 {
-	guint i;
-
-	for (i = 0; i < t->calls->len; i++)
-		caller_free(t->calls->pdata[i]);
-	g_ptr_array_free(t->calls, TRUE);
+	caller_list_free(t->calls);
 	fixture_free(t->st);
 	g_free(t);
 }
