--- a/tests/peer_field_proc.c
+++ b/tests/peer_field_proc.c
@@ -310,6 +310,47 @@
 	site_free(&t);
 }
 
+/*
+ * Guards against an endpoint's refusal that an instance hands on: it may be an
+ * earlier one, and the call may run there.
+ */
+static void
+refusal_handed_on_isn_t_told(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 503 Busy\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\nRequest-Id: %s\r\n"
+		"Content-Length: 0\r\n\r\n",
+	};
+	site_t t = site_new(2, LINK_RESET);
+	char id[16];
+	size_t i;
+	int k;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		guint before = fake_instance_calls(t.fake[0])->len +
+			       fake_instance_calls(t.fake[1])->len;
+		caller_t *c;
+
+		for (k = 0; k < FAKES; k++)
+			fake_instance_set_answer(t.fake[k], answers[i], false);
+		snprintf(id, sizeof(id), "on%zu", i);
+		c = caller_call(t.st, 0, "POST", "/once/a", id, brief);
+		g_assert_true(caller_wait(c, ANSWER_MS));
+		g_assert_cmpint(c->status, ==, 502);
+		g_assert_cmpuint(fake_instance_calls(t.fake[0])->len +
+				     fake_instance_calls(t.fake[1])->len -
+				     before,
+		    ==, 1);
+		caller_free(c);
+		fixture_run(t.st, 700);
+	}
+	site_free(&t);
+}
+
 /* Guards against a refusal that is told as a failure, or without its time. */
 static void
 refusal_is_told(void)
@@ -427,6 +468,7 @@
 	T(attempt_without_an_answer_is_counted);
 	T(leaving_in_an_answer_binds);
 	T(unsigned_answer_is_no_success);
+	T(refusal_handed_on_isn_t_told);
 	T(refusal_is_told);
 	T(refusal_that_another_may_take);
 	T(call_that_was_handed_over_stays);
