--- a/serve/call.c
+++ b/serve/call.c
@@ -336,7 +336,6 @@
 	c->answered_by = NULL;
 	memset(&c->through, 0, sizeof(c->through));
 	memset(&c->reading, 0, sizeof(c->reading));
-	c->sent_before = call_may_have_been_sent(c, ch->ep);
 	at = call_tried_index(c, ch->ep);
 	if (at == -1)
 		at = c->ntried++ % TRIED_MAX;
@@ -399,7 +398,8 @@
 		choose(c, out);
 		if (out->kind != CHOICE_SEND)
 			break;
-		/* There, a refusal of the call's can only be of this send. */
+		/* There, a refusal can only be to this send: refusal_counts()
+		 */
 		if (out->ep->kind == EP_DIRECT &&
 		    call_may_have_been_sent(c, out->ep))
 			w = pool_connect(c->s, out->ep, c, &answer_ops);
--- a/serve/refusal.c
+++ b/serve/refusal.c
@@ -21,15 +21,13 @@
 bool
 refusal_counts(const call_t *c, const ep_conn_t *w, const answer_head_t *a)
 {
-	bool own = w->unused || (a->call_id != NULL && !c->sent_before);
+	bool own = w->unused || a->call_id != NULL;
 
 	/* Another instance says so in a field of its own. */
 	if (w->ep->kind == EP_PEER)
 		return false;
 	if (!own)
 		log_limited(LOG_WARNING, "refusal-unattributed",
-		    "request=%s endpoint=%s named=%d sent_before=%d",
-		    c->request.id, w->ep->entry.id, a->call_id != NULL,
-		    c->sent_before);
+		    "request=%s endpoint=%s", c->request.id, w->ep->entry.id);
 	return own;
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -77,8 +77,6 @@
 	bool unreached;	     /* by the last choice */
 	int unmade;	     /* connections to endpoints that weren't made */
 	bool from_instance;  /* another instance handed it over */
-	/* Its endpoint may have been sent it before this attempt. */
-	bool sent_before;
 	/* Endpoints that it was sent to. */
 	ep_t *tried[TRIED_MAX];
 	ms_t return_at[TRIED_MAX]; /* it may return there then; 0: never */
@@ -227,7 +225,8 @@
  * @param a an answer that says that it refuses what it answers; it names the
  * call, or none
  * @return whether it can only be to this send of the call: nothing was sent on
- * the connection before, or it names the call, which was never sent there
+ * the connection before, or it names the call. A call that may have been sent
+ * there before goes by a new connection.
  */
 bool refusal_counts(
     const call_t *c, const ep_conn_t *w, const answer_head_t *a);
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -38,6 +38,7 @@
 	ms_t at;
 	int64_t last_event_id; /* of the request, -1: none */
 	ms_t time_left;	       /* Deadline-Remaining in ms, -1: none */
+	bool kept;	       /* its connection had carried a call before */
 	bool cancelled; /* its connection closed before the answer ended */
 	bool complete;
 	char *headers; /* request target, then a "Name: value" line each */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -23,7 +23,7 @@
 	server_conn_t conn;
 	executed_call_t *call;	/* in progress, or NULL */
 	bool answered;		/* before its body was read */
-	int ncall;		/* calls that it has carried under a fault */
+	int ncall;		/* calls that it has carried */
 	int64_t next_event;	/* id of the next event */
 	bool began;		/* the run has begun to write */
 	endpoint_fault_t fault; /* when the call arrived */
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -147,6 +147,22 @@
 	    -1);
 }
 
+/* Guards against a text that is cut to another one. */
+static void
+texts_are_never_shortened(void)
+{
+	char to[4] = "old";
+
+	g_assert_true(str_copy(to, sizeof(to), "abc"));
+	g_assert_cmpstr(to, ==, "abc");
+	g_assert_false(str_copy(to, sizeof(to), "abcd"));
+	g_assert_cmpstr(to, ==, "");
+	str_set(to, sizeof(to), "ab");
+	g_assert_cmpstr(to, ==, "ab");
+	str_set(to, sizeof(to), "abcd");
+	g_assert_cmpstr(to, ==, "");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -156,5 +172,7 @@
 	g_test_add_func("/base/settings-errors", settings_errors_are_reported);
 	g_test_add_func("/base/later-files-override", later_files_override);
 	g_test_add_func("/base/addresses", address_splitting);
+	g_test_add_func(
+	    "/base/texts-are-never-shortened", texts_are_never_shortened);
 	return g_test_run();
 }
--- a/tests/leadership_test.c
+++ b/tests/leadership_test.c
@@ -310,6 +310,33 @@
 	g_assert_false(leadership_may_order(&t, LEASE));
 }
 
+/* Guards against orders by a lease that lapsed before the store lost it. */
+static void
+only_a_valid_holder_goes_on(void)
+{
+	leadership_t t;
+	ms_t lapsed = LEASE / 2;
+
+	leadership_init(&t, LEASE, true);
+	leadership_in_era(&t, 4);
+	leadership_observe(&t, &(lease_view_t){ 0 }, 0);
+	leadership_taken_over(&t, 7, 0);
+	leadership_in_era(&t, 5);
+	leadership_observe(
+	    &t, &(lease_view_t){ .revision = 3, .era = 4, .own = true }, 10);
+	g_assert_true(leadership_must_restore(&t));
+	leadership_taken_over(&t, 8, 10);
+	g_assert_true(leadership_may_order(&t, 11));
+	leadership_in_era(&t, 6);
+	leadership_observe(&t,
+	    &(lease_view_t){
+		.revision = 3, .era = 4, .own = true, .settled = true },
+	    lapsed + 10);
+	leadership_taken_over(&t, 9, lapsed + 10);
+	g_assert_false(leadership_may_order(&t, lapsed + 11));
+	g_assert_cmpint(t.orders_from, >=, lapsed + 10 + LEASE);
+}
+
 /* A renewal that the holder announced shortens the wait for a take-over. */
 static void
 announced_renewal_shortens_the_wait(void)
@@ -357,6 +384,8 @@
 	    holders_are_a_lease_apart_over_eras);
 	g_test_add_func("/leadership/frozen-holder-orders-nothing",
 	    frozen_holder_orders_nothing);
+	g_test_add_func("/leadership/only-a-valid-holder-goes-on",
+	    only_a_valid_holder_goes_on);
 	g_test_add_func("/leadership/announced-renewal-shortens-the-wait",
 	    announced_renewal_shortens_the_wait);
 	g_test_add_func("/leadership/restarted-process-continues-at-once",
--- a/tests/rejoin_proc.c
+++ b/tests/rejoin_proc.c
@@ -149,6 +149,34 @@
 	fixture_free(st);
 }
 
+/*
+ * Guards against the history of a lease from before a version joined: the store
+ * came back from an older copy.
+ */
+static void
+lease_of_a_copy_lacks_a_version(void)
+{
+	versions_opts_t o = { DAEMONS, 1, 0, SLOW_GAP_MS };
+	fixture_t *st = versions_start_with(&o);
+	stream_t x[STREAMS];
+
+	fake_store_begin_eras(st->store);
+	fixture_run(st, LEASE_MS);
+	fake_store_keep_copy(st->store);
+	versions_add(st, 1, "v2", SLOW_GAP_MS);
+	daemons_wait_endpoints(st, 3);
+	remove_old_entries(st, 1);
+	daemons_wait_endpoints(st, 2);
+	streams_begin(st, x, STREAMS, 0);
+	g_assert_cmpstr(x[0].began, ==, "v2");
+	kill_all(st);
+	streams_lose(x, STREAMS);
+	fake_store_return_to_copy(st->store);
+	start_all(st);
+	g_assert_cmpint(take_up_often(st, x, STREAMS), ==, 0);
+	fixture_free(st);
+}
+
 /* Guards against refusals for good where a single version has served. */
 static void
 one_version_goes_on(void)
@@ -330,6 +358,7 @@
 	TP("old-version-left/100", old_version_left, 100);
 	TP("old-version-left/2000", old_version_left, 2000);
 	TP("old-version-left/3500", old_version_left, 3500);
+	T(lease_of_a_copy_lacks_a_version);
 	T(one_version_goes_on);
 	TP("store/silent", store_away_at_the_return, STORE_SILENT);
 	TP("store/busy", store_away_at_the_return, STORE_BUSY);
--- a/tests/silence_proc.c
+++ b/tests/silence_proc.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 enum {
+	WARM_CALLS = 8,		 /* at once, so that connections are kept */
 	SILENCE_MS = 1800,	 /* of a stream; over the daemon's limit */
 	PLAIN_SILENCE_MS = 1100, /* the same of a plain call */
 	FOR_GOOD_MS = 60000,
@@ -297,6 +298,48 @@
 	fixture_free(st);
 }
 
+/*
+ * Guards against a call that comes to an endpoint again on a connection that it
+ * has kept: an earlier refusal, written again there, may name the call.
+ */
+static void
+return_is_on_a_new_connection(void)
+{
+	fixture_t *st = one_daemon(&plain, 2, "app");
+	caller_t *warm[WARM_CALLS], *c;
+	int first, i, answered = 0;
+
+	for (i = 0; i < WARM_CALLS; i++)
+		warm[i] = caller_call(st, 0, "GET", "/safe/a", "warm", PLAIN);
+	for (i = 0; i < WARM_CALLS; i++) {
+		g_assert_true(caller_wait(warm[i], WAIT_MS));
+		caller_free(warm[i]);
+	}
+	set_silence(st, 0, PLAIN_SILENCE_MS);
+	c = caller_call(st, 0, "GET", "/safe/a", "r1", PLAIN);
+	first = wait_for_silence(st);
+	/* The silent call has one of its connections, another one is kept. */
+	g_assert_cmpint(fake_endpoint_connections(st->endpoint[first]), >=, 2);
+	fake_endpoint_set_fault(st->endpoint[1 - first], ENDPOINT_NOT_RUN);
+	g_assert_true(fixture_run_until(st, one_has_refused, st, 3000));
+	fake_endpoint_set_fault(st->endpoint[1 - first], ENDPOINT_OK);
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	for (i = 0; i < 2; i++) {
+		const executed_call_t *r =
+		    run_count(st, i) > 0 ? run_at(st, i, run_count(st, i) - 1)
+					 : NULL;
+
+		if (r == NULL || strcmp(r->id, "r1") != 0 || r->cancelled)
+			continue;
+		g_assert_false(r->kept);
+		answered++;
+	}
+	g_assert_cmpint(answered, ==, 1);
+	caller_free(c);
+	fixture_free(st);
+}
+
 /*
  * Guards against more endpoints than the route allows, two: the call returns to
  * the first one though a third one would take it.
@@ -505,6 +548,7 @@
 	T(streams_beside_an_endpoint_that_refuses);
 	T(plain_call_at_the_only_endpoint);
 	T(plain_call_beside_an_endpoint_that_refuses);
+	T(return_is_on_a_new_connection);
 	T(return_is_no_further_endpoint);
 	T(stream_waits_while_both_endpoints_refuse);
 	T(call_that_may_run_once_is_sent_once);
--- a/tests/versions_proc.c
+++ b/tests/versions_proc.c
@@ -75,10 +75,15 @@
 	bool no_datagrams; /* none reaches it, or comes from it */
 	bool store_silent, store_refuses;
 	bool stands_still;
+	bool with_another; /* daemon 3 is cut off with it, and hears it */
 } out_of_step_t;
 
 static const out_of_step_t ways[] = {
 	{ .name = "cut", .no_datagrams = true, .store_silent = true },
+	{ .name = "cut_with_another",
+	    .no_datagrams = true,
+	    .store_silent = true,
+	    .with_another = true },
 	{ .name = "turned_away", .no_datagrams = true, .store_refuses = true },
 	{ .name = "stands_still", .stands_still = true },
 	{ .name = "stands_still_without_datagrams",
@@ -111,6 +116,12 @@
 		st->peer_port = port[1];
 	fixture_start_daemon(st, 2, true);
 	daemon_wait_gauge(st, 2, "endpoints", 3);
+	if (w->with_another) {
+		st->view_addr[3] = g_strdup(st->view_addr[2]);
+		fixture_start_daemon(st, 3, true);
+		daemon_wait_gauge(st, 3, "endpoints", 3);
+		daemon_wait_gauge(st, 2, "instances", 2);
+	}
 	fixture_run(st, STORED_MS);
 	return st;
 }
