--- a/tests/orders_test.c
+++ b/tests/orders_test.c
@@ -413,6 +413,20 @@
 
 #define T(name) g_test_add_func("/orders/" #name, name)
 
+/* Guards against orders to an endpoint of which not all that it holds is known.
+ */
+static void
+endpoint_known_in_part_isn_t_ordered(void)
+{
+	fixture_t t;
+
+	set_up(&t);
+	g_assert_true(dispatcher_idle(&t.d));
+	t.ep.entry.holds.partial = true;
+	g_assert_false(dispatcher_idle(&t.d));
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -434,5 +448,7 @@
 	T(entry_older_than_a_report_hides_nothing);
 	T(many_orders_evict_no_unshown_load);
 	T(new_dispatcher_needs_a_report);
+	g_test_add_func("/orders/endpoint_known_in_part_isn_t_ordered",
+	    endpoint_known_in_part_isn_t_ordered);
 	return g_test_run();
 }
