serve, platform, tests: names in the field's terms, one duty a function

call_start() and the watch's on_answer() did several things; what refuses a request, what ends a list and what notes that the store is back are functions now. No check is changed.

--- a/serve/call.c
+++ b/serve/call.c
@@ -167,6 +167,48 @@
 	caller_answer_done(cc);
 }
 
+/* @return whether a request that can't become a call was answered */
+static bool
+refuse_unusable(caller_conn_t *cc, const call_head_t *request)
+{
+	serve_t *s = cc->s;
+
+	if (head_count(&cc->http->head, "Host") != 1)
+		refuse_request(cc, request->id, 400, "one Host is needed", 0);
+	else if (request->id[0] == '\0')
+		refuse_request(cc, "-", 400, "a Request-Id is needed", 0);
+	else if (s->config == NULL)
+		refuse_request(
+		    cc, request->id, 503, "no configuration is known yet", 300);
+	else if (s->leaving && s->loop.now >= serve_gives_up_at(s))
+		refuse_request(cc, request->id, 503, "the instance ends",
+		    RETRY_ELSEWHERE_MS);
+	else
+		return false;
+	return true;
+}
+
+/* The same of one whose route is known; NULL: none. */
+static bool
+refuse_on_route(caller_conn_t *cc, const call_head_t *request, const route_t *r)
+{
+	serve_t *s = cc->s;
+
+	if (r == NULL)
+		refuse_request(cc, request->id, 404, "no route", 0);
+	else if (s->leaving && r->kind == ROUTE_STREAM &&
+		 s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS)
+		refuse_request(cc, request->id, 503,
+		    "the instance ends before the answer may",
+		    RETRY_ELSEWHERE_MS);
+	else if (request->unusable_model)
+		refuse_request(cc, request->id, 503,
+		    "the model isn't in the configuration", s->conf.heartbeat);
+	else
+		return false;
+	return true;
+}
+
 void
 call_start(caller_conn_t *cc)
 {
@@ -178,41 +220,11 @@
 	call_t *c;
 
 	call_head_decode(&request, h);
-	if (head_count(h, "Host") != 1) {
-		refuse_request(cc, request.id, 400, "one Host is needed", 0);
+	if (refuse_unusable(cc, &request))
 		return;
-	}
-	if (request.id[0] == '\0') {
-		refuse_request(cc, "-", 400, "a Request-Id is needed", 0);
-		return;
-	}
-	if (s->config == NULL) {
-		refuse_request(
-		    cc, request.id, 503, "no configuration is known yet", 300);
-		return;
-	}
-	if (s->leaving && s->loop.now >= serve_gives_up_at(s)) {
-		refuse_request(cc, request.id, 503, "the instance ends",
-		    RETRY_ELSEWHERE_MS);
-		return;
-	}
 	r = find_route(s->config, request.host, head_target(h));
-	if (r == NULL) {
-		refuse_request(cc, request.id, 404, "no route", 0);
+	if (refuse_on_route(cc, &request, r))
 		return;
-	}
-	if (s->leaving && r->kind == ROUTE_STREAM &&
-	    s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS) {
-		refuse_request(cc, request.id, 503,
-		    "the instance ends before the answer may",
-		    RETRY_ELSEWHERE_MS);
-		return;
-	}
-	if (request.unusable_model) {
-		refuse_request(cc, request.id, 503,
-		    "the model isn't in the configuration", s->conf.heartbeat);
-		return;
-	}
 	c = call_new(cc, &request, r);
 	if (c == NULL) {
 		refuse_request(
@@ -398,8 +410,7 @@
 		choose(c, out);
 		if (out->kind != CHOICE_SEND)
 			break;
-		/* There, a refusal can only be to this send: refusal_counts()
-		 */
+		/* There, a refusal can only be to this send. */
 		if (out->ep->kind == EP_DIRECT &&
 		    call_may_have_been_sent(c, out->ep))
 			w = pool_connect(c->s, out->ep, c, &answer_ops);
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -301,6 +301,38 @@
 	return true;
 }
 
+/* The last page of a list, or the answer to a watch, was read. */
+static void
+all_read(store_watch_t *f, const objects_t *last)
+{
+	if (f->listing)
+		remove_unlisted(f);
+	/* What changed since a list's first page is seen by the watch. */
+	f->as_of =
+	    f->listing && f->list_as_of != 0 ? f->list_as_of : last->as_of;
+	f->listing = false;
+	if (f->kind == KIND_CONFIG && last->nobject > 0)
+		f->changed_revision = max_revision(last);
+	f->rewatches = 0;
+}
+
+/* The store answers: was it away? */
+static void
+note_regained(store_watch_t *f)
+{
+	const serve_t *s = f->s;
+
+	if (f->lost ||
+	    s->loop.now - f->answered_at > f->watch_timeout + WATCH_GRACE_MS)
+		f->regained_at = f->first_listed_at != 0 ? s->loop.now : 0;
+	if (f->lost) {
+		f->lost = false;
+		log_limited(LOG_NOTICE, "store-regained",
+		    "kind=%s away_ms=%" PRId64, kind_name[f->kind],
+		    s->loop.now - f->answered_at);
+	}
+}
+
 static void
 on_answer(void *arg, int status, const char *text, size_t len)
 {
@@ -332,15 +364,7 @@
 		retry_later(f, status);
 		return;
 	}
-	if (f->lost ||
-	    s->loop.now - f->answered_at > f->watch_timeout + WATCH_GRACE_MS)
-		f->regained_at = f->first_listed_at != 0 ? s->loop.now : 0;
-	if (f->lost) {
-		f->lost = false;
-		log_limited(LOG_NOTICE, "store-regained",
-		    "kind=%s away_ms=%" PRId64, kind_name[f->kind],
-		    s->loop.now - f->answered_at);
-	}
+	note_regained(f);
 	f->written_after = store_watch_written_after(f, s->loop.now);
 	f->failures = 0;
 	f->answered_at = s->loop.now;
@@ -357,15 +381,7 @@
 			return;
 		}
 	} else {
-		if (f->listing)
-			remove_unlisted(f);
-		/* What changed since its first page is seen by the watch. */
-		f->as_of = f->listing && f->list_as_of != 0 ? f->list_as_of
-							    : list.as_of;
-		f->listing = false;
-		if (f->kind == KIND_CONFIG && list.nobject > 0)
-			f->changed_revision = max_revision(&list);
-		f->rewatches = 0;
+		all_read(f, &list);
 	}
 	objects_free(&list);
 	if (f->changed_revision != old_revision)
--- a/tests/odd_entries_proc.c
+++ b/tests/malformed_entries_proc.c
@@ -1,6 +1,6 @@
 /*
- * Another writer leaves odd entries among those of the endpoints. The daemons
- * go on reading all others, and none ends by itself.
+ * Another writer leaves malformed entries among those of the endpoints. The
+ * daemons go on reading all others, and none ends by itself.
  */
 #include "tests/fixture.h"
 
@@ -16,15 +16,15 @@
 };
 
 /** An entry that another writer left. */
-typedef struct odd {
+typedef struct malformed {
 	const char *name;
 	const char *spec; /* NULL: deeply nested */
-} odd_t;
+} malformed_t;
 
 #define FIELDS \
 	"\"service\":\"app\",\"zone\":\"north\",\"state\":\"ready\",\"seq\":1"
 
-static const odd_t odd[] = {
+static const malformed_t malformed[] = {
 	{ "a deep one", NULL },
 	{ "a-nul", "\"\\u0000\\u0008x\\u0000\\u0001\\u0002\"" },
 	{ "a-nul-key", "{\"\\u0000\":1}" },
@@ -50,7 +50,7 @@
 }
 
 static void
-put_odd(fixture_t *st, const odd_t *o)
+put_malformed(fixture_t *st, const malformed_t *o)
 {
 	char *deep = deep_spec();
 
@@ -60,7 +60,7 @@
 }
 
 static fixture_t *
-start(int page, bool odd_first)
+start(int page, bool malformed_first)
 {
 	fake_endpoint_opts_t o = { .plain_ms = 10 };
 	fixture_t *st = fixture_new();
@@ -69,8 +69,8 @@
 
 	fake_store_set_page(st->store, page);
 	fixture_put_config(st, "");
-	for (k = 0; odd_first && k < G_N_ELEMENTS(odd); k++)
-		put_odd(st, &odd[k]);
+	for (k = 0; malformed_first && k < G_N_ELEMENTS(malformed); k++)
+		put_malformed(st, &malformed[k]);
 	for (i = 0; i < ENDPOINTS; i++)
 		fixture_add_endpoint(st, &o, "app");
 	fixture_start_daemon(st, 0, true);
@@ -137,13 +137,13 @@
 	    fixture_counter(st, 0, "ebonypitch_endpoints"), ==, ENDPOINTS);
 }
 
-/* Guards against a watch that gets the same odd entry again and again. */
+/* Guards against a watch that gets the same malformed entry again and again. */
 static void
-odd_entry_in_a_watch(gconstpointer which)
+malformed_entry_in_a_watch(gconstpointer which)
 {
 	fixture_t *st = start(0, false);
 
-	put_odd(st, which);
+	put_malformed(st, which);
 	fixture_run(st, READ_MS);
 	assert_follows(st);
 	fixture_free(st);
@@ -151,7 +151,7 @@
 
 /* Guards against a daemon that never gets ready, or ends, after its start. */
 static void
-odd_entries_in_a_list(void)
+malformed_entries_in_a_list(void)
 {
 	fixture_t *st = start(0, true);
 
@@ -159,9 +159,9 @@
 	fixture_free(st);
 }
 
-/* Guards against a list that ends with a page of odd entries. */
+/* Guards against a list that ends with a page of malformed entries. */
 static void
-odd_entries_over_pages(void)
+malformed_entries_over_pages(void)
 {
 	int page;
 
@@ -220,18 +220,19 @@
 
 	g_test_init(&argc, &argv, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	for (k = 0; k < G_N_ELEMENTS(odd); k++) {
+	for (k = 0; k < G_N_ELEMENTS(malformed); k++) {
 		char *path = g_strdup_printf(
-		    "/odd_entries/odd_entry_in_a_watch/%zu", k + 1);
+		    "/malformed_entries/malformed_entry_in_a_watch/%zu", k + 1);
 
-		g_test_add_data_func(path, &odd[k], odd_entry_in_a_watch);
+		g_test_add_data_func(
+		    path, &malformed[k], malformed_entry_in_a_watch);
 		g_free(path);
 	}
+	g_test_add_func("/malformed_entries/malformed_entries_in_a_list",
+	    malformed_entries_in_a_list);
+	g_test_add_func("/malformed_entries/malformed_entries_over_pages",
+	    malformed_entries_over_pages);
 	g_test_add_func(
-	    "/odd_entries/odd_entries_in_a_list", odd_entries_in_a_list);
-	g_test_add_func(
-	    "/odd_entries/odd_entries_over_pages", odd_entries_over_pages);
-	g_test_add_func(
-	    "/odd_entries/change_between_pages", change_between_pages);
+	    "/malformed_entries/change_between_pages", change_between_pages);
 	return g_test_run();
 }
--- a/tests/odd_entries_test.c
+++ b/tests/malformed_entries_test.c
@@ -69,7 +69,7 @@
 
 /* @return the spec of an entry that names no endpoint */
 static char *
-odd_spec(GRand *g)
+malformed_spec(GRand *g)
 {
 	/* In any of the required fields. */
 	static const char *const anywhere[] = { "99999999999999999999999",
@@ -119,7 +119,7 @@
 	m->sound = g_rand_boolean(g);
 	m->deleted = g_rand_int_range(g, 0, 5) == 0;
 	m->name = entry_name(g, n, m->sound);
-	spec = m->sound ? spec_with("", "") : odd_spec(g);
+	spec = m->sound ? spec_with("", "") : malformed_spec(g);
 	m->text =
 	    g_strdup_printf("{\"metadata\":{\"name\":\"%s\",\"revision\":%d,"
 			    "\"finalizers\":[],\"deleting\":false},\"spec\":%s,"
@@ -295,9 +295,9 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_level(LOG_CRIT);
-	g_test_add_func(
-	    "/odd-entries/no-entry-hides-another", no_entry_hides_another);
-	g_test_add_func("/odd-entries/cut-text-is-an-error-or-bounded",
+	g_test_add_func("/malformed-entries/no-entry-hides-another",
+	    no_entry_hides_another);
+	g_test_add_func("/malformed-entries/cut-text-is-an-error-or-bounded",
 	    cut_text_is_an_error_or_bounded);
 	return g_test_run();
 }
--- a/tests/versions_proc.c
+++ b/tests/versions_proc.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 enum {
-	OUT_OF_STEP = 8,       /* streams taken up at such a daemon */
+	TAKEN_UP = 8,	       /* streams taken up at such a daemon */
 	STORED_MS = 500,       /* until a new version is in the lease */
 	WAIT_MS = 8000,	       /* limit for what is about to happen */
 	REFUSE_MS = 500,       /* limit for an answer that waits for nothing */
@@ -70,34 +70,34 @@
 }
 
 /** How a daemon misses that a new version joins. */
-typedef struct out_of_step {
+typedef struct staleness {
 	const char *name;
 	bool no_datagrams; /* none reaches it, or comes from it */
 	bool store_silent, store_refuses;
-	bool stands_still;
+	bool frozen;
 	bool with_another; /* daemon 3 is cut off with it, and hears it */
-} out_of_step_t;
+} staleness_t;
 
-static const out_of_step_t ways[] = {
-	{ .name = "cut", .no_datagrams = true, .store_silent = true },
-	{ .name = "cut_with_another",
+static const staleness_t ways[] = {
+	{ .name = "partitioned", .no_datagrams = true, .store_silent = true },
+	{ .name = "partitioned_with_another",
 	    .no_datagrams = true,
 	    .store_silent = true,
 	    .with_another = true },
 	{ .name = "turned_away", .no_datagrams = true, .store_refuses = true },
-	{ .name = "stands_still", .stands_still = true },
-	{ .name = "stands_still_without_datagrams",
-	    .stands_still = true,
+	{ .name = "frozen", .frozen = true },
+	{ .name = "frozen_without_datagrams",
+	    .frozen = true,
 	    .no_datagrams = true },
-	{ .name = "cut_and_stands_still",
-	    .stands_still = true,
+	{ .name = "partitioned_and_frozen",
+	    .frozen = true,
 	    .no_datagrams = true,
 	    .store_silent = true },
 };
 
 /* Daemon 2 knows v1 only, and has its own way to the store. */
 static fixture_t *
-start_before_v2(const out_of_step_t *w)
+start_before_v2(const staleness_t *w)
 {
 	fixture_t *st = fixture_new();
 	int i, port[2];
@@ -127,43 +127,43 @@
 }
 
 static void
-put_out_of_step(fixture_t *st, const out_of_step_t *w)
+make_stale(fixture_t *st, const staleness_t *w)
 {
 	if (w->store_silent)
 		fake_store_silence_view(st->store, st->view_addr[2], true);
 	if (w->store_refuses)
 		fake_store_refuse_view(st->store, st->view_addr[2], true);
-	if (w->stands_still)
+	if (w->frozen)
 		proc_signal(st->daemon[2], SIGSTOP);
 }
 
 /* Guards against a take-up that takes the version known for the only one. */
 static void
-taken_up_out_of_step(gconstpointer way)
+taken_up_by_a_stale_instance(gconstpointer way)
 {
-	const out_of_step_t *w = way;
+	const staleness_t *w = way;
 	fixture_t *st = start_before_v2(w);
-	stream_t x[OUT_OF_STEP];
+	stream_t x[TAKEN_UP];
 	int i, at_new = 0;
 
-	put_out_of_step(st, w);
+	make_stale(st, w);
 	versions_add(st, 2, "v2", EVENT_GAP_MS);
 	daemon_wait_gauge(st, 0, "endpoints", 5);
 	/* Once it is in the lease, the new version begins streams, too. */
 	fixture_run(st, STORED_MS);
-	streams_begin(st, x, OUT_OF_STEP, 0);
-	for (i = 0; i < OUT_OF_STEP; i++)
+	streams_begin(st, x, TAKEN_UP, 0);
+	for (i = 0; i < TAKEN_UP; i++)
 		at_new += strcmp(x[i].began, "v2") == 0;
 	g_assert_cmpint(at_new, >, 0);
 	daemon_kill(st, 0);
-	streams_lose(x, OUT_OF_STEP);
+	streams_lose(x, TAKEN_UP);
 	/* The calls of those who found it standing still wait as it goes on. */
-	for (i = 0; i < OUT_OF_STEP; i++)
+	for (i = 0; i < TAKEN_UP; i++)
 		stream_take_up(&x[i], 2);
-	if (w->stands_still)
+	if (w->frozen)
 		proc_signal(st->daemon[2], SIGCONT);
 	/* It checks that each goes on only where it may. */
-	for (i = 0; i < OUT_OF_STEP; i++)
+	for (i = 0; i < TAKEN_UP; i++)
 		stream_goes_on(&x[i]);
 	fixture_free(st);
 }
@@ -529,9 +529,10 @@
 	T(under_load);
 	for (i = 0; i < G_N_ELEMENTS(ways); i++) {
 		char *path = g_strdup_printf(
-		    "/versions/taken_up_out_of_step/%s", ways[i].name);
+		    "/versions/taken_up_by_a_stale_instance/%s", ways[i].name);
 
-		g_test_add_data_func(path, &ways[i], taken_up_out_of_step);
+		g_test_add_data_func(
+		    path, &ways[i], taken_up_by_a_stale_instance);
 		g_free(path);
 	}
 	return g_test_run();
