--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -185,9 +185,10 @@
 	if (is_new || was_ready != !en.leaving)
 		log_limited(LOG_NOTICE, "endpoint",
 		    "endpoint=%s service=%s software=%s addr=%s domain=%s "
-		    "state=%s revision=%" PRId64 " models=%d",
+		    "state=%s by=%s revision=%" PRId64 " models=%d",
 		    en.id, en.service, en.software, en.addr, en.domain,
-		    en.leaving ? "leaving" : "ready", o->revision,
+		    en.leaving ? "leaving" : "ready",
+		    store_watch_source(&s->endpoints_watch), o->revision,
 		    en.holds.nmodel);
 	if (en.leaving && p->leaving_since == 0)
 		p->leaving_since = s->loop.now;
@@ -224,8 +225,10 @@
 	reach_forget(s, p);
 	pool_close_idle(p);
 	log_limited(LOG_NOTICE, "endpoint",
-	    "endpoint=%s state=gone entry_age_ms=%" PRId64 " revision=%" PRId64,
-	    id, s->loop.now - p->entry_read_at, revision);
+	    "endpoint=%s state=gone by=%s entry_age_ms=%" PRId64
+	    " revision=%" PRId64,
+	    id, store_watch_source(&s->endpoints_watch),
+	    s->loop.now - p->entry_read_at, revision);
 }
 
 void
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -427,6 +427,24 @@
 	counter_add(counter_get(name, "Lists and watches asked for."), 1);
 }
 
+const char *
+store_watch_source(const store_watch_t *f)
+{
+	return f->listing ? "list" : f->allow_stale ? "copy" : "watch";
+}
+
+static void
+log_mode(store_watch_t *f)
+{
+	if (f->kind == KIND_INSTANCES || f->allow_stale == f->mode_logged)
+		return;
+	f->mode_logged = f->allow_stale;
+	log_limited(LOG_NOTICE, "watch-mode",
+	    "kind=%s mode=%s as_of=%" PRId64 " ranked_before=%d",
+	    kind_name[f->kind], f->allow_stale ? "copies" : "fresh", f->as_of,
+	    watchers_ranked_before(f->s));
+}
+
 static void
 send_request(store_watch_t *f)
 {
@@ -454,6 +472,7 @@
 		f->require_fresh = false;
 		span = f->watch_timeout + WATCH_GRACE_MS;
 	}
+	log_mode(f);
 	count_request(f);
 	f->request = http_request_send(s, &s->store, &b, span, on_answer, f);
 }
