--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -5,11 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	COPY_TICK_MS = 20, /* between looks for what a copy shows by now */
+};
+
 typedef struct stored_object {
 	char kind[ID_MAX], name[256];
 	char *spec;
 	char *text; /* shown instead of the spec; NULL: the spec */
 	int64_t revision;
+	ms_t changed_at;
 	bool deleted;
 } stored_object_t;
 
@@ -17,6 +22,7 @@
 typedef struct store_conn {
 	server_conn_t conn;
 	bool watching;
+	bool of_copy; /* the watch allows an old copy */
 	char kind[ID_MAX];
 	int64_t from;
 } store_conn_t;
@@ -36,6 +42,7 @@
 	GPtrArray *views;   /* store_view_t */
 	GPtrArray *objects; /* stored_object_t, deleted ones included */
 	int64_t revision, compacted;
+	char compacted_kind[ID_MAX]; /* "": all */
 	store_fault_t fault;
 	bool watches_muted;
 	char refused_kind[ID_MAX]; /* "": none */
@@ -45,6 +52,8 @@
 	void *page_arg;
 	GPtrArray *copy; /* stored_object_t */
 	int64_t copy_revision;
+	ms_t copy_age; /* of the copies that watches may allow */
+	alarm_t copy_alarm;
 	int requests;
 };
 
@@ -149,6 +158,32 @@
 		http_conn_next(c->conn.http);
 }
 
+/* Does the connection's watch see the object's last change yet? */
+static bool
+is_shown(const store_conn_t *c, const stored_object_t *t)
+{
+	const fake_store_t *s = store_of(c);
+
+	return !c->of_copy || t->changed_at + s->copy_age <= s->loop->now;
+}
+
+/* The revision of what the connection's watch sees. */
+static int64_t
+shown_revision(const store_conn_t *c)
+{
+	const fake_store_t *s = store_of(c);
+	int64_t revision = s->revision;
+	guint i;
+
+	for (i = 0; i < s->objects->len; i++) {
+		const stored_object_t *t = s->objects->pdata[i];
+
+		if (!is_shown(c, t) && t->revision <= revision)
+			revision = t->revision - 1;
+	}
+	return revision > c->from ? revision : c->from;
+}
+
 /* Changes of a kind after a revision, or NULL if there are none. */
 static json_t *
 changes_since(const store_conn_t *c, const char *kind, int64_t from)
@@ -160,7 +195,8 @@
 	for (i = 0; i < s->objects->len; i++) {
 		stored_object_t *t = s->objects->pdata[i];
 
-		if (strcmp(t->kind, kind) == 0 && t->revision > from)
+		if (strcmp(t->kind, kind) == 0 && t->revision > from &&
+		    is_shown(c, t))
 			json_array_append_new(
 			    list, json_pack("{s:b,s:o}", "tombstone",
 				      t->deleted, "object", object_json(c, t)));
@@ -179,7 +215,7 @@
 	reply(c, 200,
 	    json_pack("{s:o,s:I}", "events",
 		events != NULL ? events : json_array(), "as_of",
-		(json_int_t)store_of(c)->revision));
+		(json_int_t)shown_revision(c)));
 }
 
 static void
@@ -231,6 +267,7 @@
 	t->spec = g_strdup(spec);
 	t->deleted = false;
 	t->revision = ++s->revision;
+	t->changed_at = s->loop->now;
 	notify_watches(s);
 	return t->revision;
 }
@@ -268,6 +305,7 @@
 		return;
 	t->deleted = true;
 	t->revision = ++s->revision;
+	t->changed_at = s->loop->now;
 	notify_watches(s);
 }
 
@@ -362,6 +400,13 @@
 	}
 }
 
+static bool
+is_compacted(const fake_store_t *s, const char *kind)
+{
+	return s->compacted_kind[0] == '\0' ||
+	       strcmp(s->compacted_kind, kind) == 0;
+}
+
 static void
 close_watches(store_view_t *v)
 {
@@ -376,14 +421,52 @@
 	}
 }
 
+static void
+close_compacted(store_view_t *v)
+{
+	guint i;
+
+	for (i = v->server.conns->len; i-- > 0;) {
+		store_conn_t *c = v->server.conns->pdata[i];
+
+		if (c->watching && !c->of_copy &&
+		    is_compacted(v->store, c->kind))
+			server_conn_close(&c->conn);
+	}
+}
+
 void
-fake_store_compact(fake_store_t *s)
+fake_store_compact_kind(fake_store_t *s, const char *kind)
 {
 	guint i;
 
+	str_set(s->compacted_kind, ID_MAX, kind);
 	s->compacted = s->revision;
 	for (i = 0; i < s->views->len; i++)
-		close_watches(s->views->pdata[i]);
+		close_compacted(s->views->pdata[i]);
+}
+
+void
+fake_store_compact(fake_store_t *s)
+{
+	fake_store_compact_kind(s, "");
+}
+
+static void
+on_copy_tick(void *arg)
+{
+	fake_store_t *s = arg;
+
+	notify_watches(s);
+	alarm_set(s->loop, &s->copy_alarm, s->loop->now + COPY_TICK_MS);
+}
+
+void
+fake_store_set_copy_age(fake_store_t *s, ms_t age)
+{
+	s->copy_age = age;
+	s->copy_alarm = (alarm_t){ .fn = on_copy_tick, .arg = s };
+	alarm_set(s->loop, &s->copy_alarm, s->loop->now + COPY_TICK_MS);
 }
 
 int
@@ -455,15 +538,19 @@
 {
 	fake_store_t *s = store_of(c);
 	int64_t from = query(target, "watch=", 0);
-	json_t *j = s->watches_muted ? NULL : changes_since(c, kind, from);
+	json_t *j;
 
-	if (from < s->compacted || from > s->revision) {
+	c->of_copy =
+	    s->copy_age > 0 && strstr(target, "serializable=1") != NULL;
+	c->from = from;
+	j = s->watches_muted ? NULL : changes_since(c, kind, from);
+	if (!c->of_copy && ((from < s->compacted && is_compacted(s, kind)) ||
+			       from > s->revision)) {
 		json_decref(j);
 		reply(c, 410, NULL);
 		return;
 	}
 	str_set(c->kind, ID_MAX, kind);
-	c->from = from;
 	if (j != NULL) {
 		watch_answer(c, j);
 		return;
@@ -648,6 +735,7 @@
 {
 	guint i;
 
+	alarm_stop(s->loop, &s->copy_alarm);
 	for (i = 0; i < s->views->len; i++) {
 		store_view_t *v = s->views->pdata[i];
 
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -57,8 +57,15 @@
 void fake_store_refuse_kind(fake_store_t *s, const char *kind);
 /** Drop the change history up to now and close the watches. */
 void fake_store_compact(fake_store_t *s);
+/** The same for one kind of objects. */
+void fake_store_compact_kind(fake_store_t *s, const char *kind);
 /** While set, watches aren't told of changes. */
 void fake_store_mute_watches(fake_store_t *s, bool muted);
+/**
+ * Answer watches that allow copies ("serializable") from a copy this old, whose
+ * history is never dropped. 0: from the objects themselves.
+ */
+void fake_store_set_copy_age(fake_store_t *s, ms_t age);
 /**
  * Name the store's era in all answers from now on, and keep a copy of it now.
  */
--- a/tests/traffic.c
+++ b/tests/traffic.c
@@ -43,8 +43,10 @@
 		if (now >= next) {
 			snprintf(id, sizeof(id), "r%d", t->n);
 			g_ptr_array_add(t->calls,
-			    caller_call(t->st, t->n++ % t->daemons, "GET",
-				"/safe/a", id, "Deadline-Remaining: 1900\r\n"));
+			    caller_call(t->st,
+				t->first + t->n++ % (t->daemons - t->first),
+				"GET", "/safe/a", id,
+				"Deadline-Remaining: 1900\r\n"));
 			next += CALL_GAP_MS;
 		}
 		loop_turn(&t->st->loop, 5);
--- a/tests/traffic.h
+++ b/tests/traffic.h
@@ -11,6 +11,7 @@
 	fixture_t *st;
 	GPtrArray *calls; /* caller_t */
 	int n, daemons;
+	int first; /* daemons before it get no calls */
 } traffic_t;
 
 /** Start endpoints of the plain service, and daemons. */
