serve: an endpoint missing from a list is announced by the list's revision (DRAIN)

What operators saw: calls reach an endpoint after drain_ms although an instance had learned that it left.

Cause: an instance that finds an endpoint missing in a list announced it with the revision of the endpoint's last entry. The others know that entry, and take only what is later, so they went on until their own copy of the store showed the removal.

The list's own revision is used: what the list lacks was removed by then, and an entry written afterwards has a later one. An entry that may come back after an outage keeps the revision at which it was found missing.

The stand-in no longer answers watches of a view that is silent when their time is over.

--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -213,6 +213,7 @@
 	if (may_return && !p->entry.leaving) {
 		if (p->missing_at == 0)
 			p->missing_at = s->loop.now;
+		p->missing_revision = revision;
 		return;
 	}
 	p->listed = false;
@@ -304,7 +305,8 @@
 		update_says_leaving(s, p);
 		if (p->missing_at != 0 &&
 		    s->loop.now - p->missing_at > ENTRY_RETURN_MS)
-			ep_entry_gone(s, p->entry.id, 0, false);
+			ep_entry_gone(
+			    s, p->entry.id, p->missing_revision, false);
 		if (p->listed || p->ncall > 0 || p->nconn > 0 ||
 		    retry_after_left(&p->retry_after, s->loop.now) > 0 ||
 		    s->loop.now - p->removed_at < REMOVED_KEEP_MS)
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -102,6 +102,7 @@
 	ms_t entry_read_at; /* when the entry was last read */
 	ms_t entry_written_after; /* earliest time it can have been written */
 	ms_t missing_at; /* entry missing, may be rewritten; 0: not missing */
+	int64_t missing_revision; /* of the store, when that was read */
 	ms_t removed_at;
 	ms_t leaving_since;	/* when the store showed it leaving or gone */
 	leaving_t leaving;	/* what its answers said */
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -132,9 +132,12 @@
 	}
 }
 
-/* A list was read completely: remove what it doesn't contain. */
+/*
+ * A list was read completely: remove what it doesn't contain. What is missing
+ * was removed by the revision that the list is of.
+ */
 static void
-remove_unlisted(store_watch_t *f)
+remove_unlisted(store_watch_t *f, int64_t revision)
 {
 	serve_t *s = f->s;
 	int i;
@@ -145,7 +148,7 @@
 
 			if (p->listed && !g_hash_table_contains(
 					     f->listed_names, p->entry.id))
-				ep_entry_gone(s, p->entry.id, 0,
+				ep_entry_gone(s, p->entry.id, revision,
 				    store_watch_in_recovery(f, s->loop.now));
 		}
 	if (f->kind == KIND_INSTANCES)
@@ -305,11 +308,13 @@
 static void
 all_read(store_watch_t *f, const objects_t *last)
 {
-	if (f->listing)
-		remove_unlisted(f);
 	/* What changed since a list's first page is seen by the watch. */
-	f->as_of =
+	int64_t as_of =
 	    f->listing && f->list_as_of != 0 ? f->list_as_of : last->as_of;
+
+	if (f->listing)
+		remove_unlisted(f, as_of);
+	f->as_of = as_of;
 	f->listing = false;
 	if (f->kind == KIND_CONFIG && last->nobject > 0)
 		f->changed_revision = max_revision(last);
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -221,7 +221,8 @@
 static void
 on_watch_timeout(void *arg)
 {
-	watch_answer(arg, NULL);
+	if (!view_of(arg)->silent)
+		watch_answer(arg, NULL);
 }
 
 static void
