serve, policy: an instance that reads copies knows whether others watched without a gap (DRAIN)

What operators saw: a request reached an endpoint over drain_ms after the store had acknowledged that it leaves.

Cause: where two instances and the holder watch for fresh answers, the others rely on their announcements. What leaves between the last answer to a watcher and the first list of its next process is announced by nobody, and a watcher counts as alive for 2 s of silence and for as long as it sends datagrams, also while the store doesn't answer it. Then the others learn it from a copy, which may be seconds old. The class: the absence of news is taken for news.

Heartbeats now claim between which revisions their sender watched and how long ago the store answered; a reader is covered for 7/8 of drain_ms after that, if the watch began no later than what it knows, and asks the store itself otherwise. Watches of endpoints end after 3/8 of drain_ms, and are given up after as long again, with the other kept connections to the store, which may be as dead. As watches now end sooner, a watch that begins again no longer counts as the end of an outage, in which missing entries are kept: only a request that failed or is overdue does.

shares_test had instances that had never read anything and relied on others; they have now, and the case in which they haven't is tested.

--- a/policy/watchers.c
+++ b/policy/watchers.c
@@ -12,6 +12,9 @@
 	/* Of the time to notice an endpoint that leaves, one answer may take.
 	 */
 	DRAIN_DIVISOR = 8,
+	/* A watch ends by itself, and an answer covers, for so many eighths. */
+	TIMEOUT_EIGHTHS = 3,
+	COVER_EIGHTHS = 7,
 	COPY_INTERVAL_MS = 1200, /* with few instances */
 	/* Copies are the fewer for each instance, the more there are. */
 	COPY_PER_PEER_MS = 8,
@@ -41,6 +44,23 @@
 				     : v;
 }
 
+ms_t
+watchers_timeout(const watchers_t *w)
+{
+	return w->drain * TIMEOUT_EIGHTHS / DRAIN_DIVISOR;
+}
+
+ms_t
+watchers_cover(const watchers_t *w, ms_t heartbeat)
+{
+	ms_t v = w->drain * COVER_EIGHTHS / DRAIN_DIVISOR;
+	ms_t claims =
+	    watchers_interval(w) + watchers_timeout(w) + heartbeat * 3 / 2;
+
+	/* So many would overload the store if each asked it for itself. */
+	return watchers_by_domain(w) && claims > v ? claims : v;
+}
+
 ms_t
 watchers_copy_interval(const watchers_t *w)
 {
--- a/policy/watchers.h
+++ b/policy/watchers.h
@@ -23,6 +23,16 @@
 int watchers_count(const watchers_t *w);
 /** @return ms between the fresh answers to one instance */
 ms_t watchers_interval(const watchers_t *w);
+/**
+ * @return ms after which a watch is answered without a change, so that it is
+ * known how long ago the store answered
+ */
+ms_t watchers_timeout(const watchers_t *w);
+/**
+ * @param heartbeat ms between the claims of a watching instance
+ * @return ms for which a fresh answer to it covers the others; see coverage.h
+ */
+ms_t watchers_cover(const watchers_t *w, ms_t heartbeat);
 /** @return ms between the old copies sent to one instance */
 ms_t watchers_copy_interval(const watchers_t *w);
 
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[41] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[44] =
 {
   {
     "sender",
@@ -546,6 +546,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "watched_from",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, watched_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watched_upto",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, watched_upto),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watched_ago",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, watched_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
@@ -589,11 +625,14 @@
   33,   /* field[33] = unreached_endpoint */
   32,   /* field[32] = unreached_service */
   36,   /* field[36] = wait */
+  43,   /* field[43] = watched_ago */
+  41,   /* field[41] = watched_from */
+  42,   /* field[42] = watched_upto */
 };
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 41 }
+  { 0, 44 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -603,7 +642,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  41,
+  44,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -81,6 +81,13 @@
   int64_t *said_leaving_started;
   size_t n_said_leaving_connected;
   uint32_t *said_leaving_connected;
+  /*
+   * Revisions of the store between which it has watched the endpoints, and
+   * ms since the last answer; see policy/coverage.h. 0: it doesn't watch.
+   */
+  int64_t watched_from;
+  int64_t watched_upto;
+  uint32_t watched_ago;
   /*
    * It has lost contact with the store: others must watch for its domain.
    */
@@ -161,7 +168,7 @@
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
 
 
 /* Digest__Digest methods */
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -202,6 +202,9 @@
 	}
 	if (c->conn != NULL && c->conn->in_message)
 		log_answer_dropped(c, c->conn, "it isn't complete in time");
+	/* The others may be as dead as this one. */
+	while (c->keep_conn && nidle > 0)
+		http_conn_close(idle[--nidle]);
 	give_up(c);
 }
 
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -275,6 +275,19 @@
 	}
 }
 
+/* Goes with what leaves: who reads it has missed nothing up to there. */
+static void
+add_claim(serve_t *s, digest_builder_t *c)
+{
+	coverage_claim_t claim;
+
+	if (!store_watch_claim(s, &claim))
+		return;
+	c->d.watched_from = claim.from;
+	c->d.watched_upto = claim.upto;
+	c->d.watched_ago = (uint32_t)claim.ago;
+}
+
 static void
 add_demand(serve_t *s, digest_builder_t *c, bool only_waiting)
 {
@@ -375,8 +388,10 @@
 				       : SHARES_CHANGED);
 	if (kind != DIGEST_SHARES || s->peers.orders_due)
 		add_orders(s, &c, kind == DIGEST_SHARES);
-	if (kind != DIGEST_SHARES)
+	if (kind != DIGEST_SHARES) {
 		add_leaving(s, &c);
+		add_claim(s, &c);
+	}
 	if (full)
 		add_identity(s, &c);
 	if (full && plan_holder_valid(s))
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -411,6 +411,10 @@
 		    d->leaving_revision[i]);
 	if (!store_era_is_ours(s, d->store_era))
 		return;
+	if (d->watched_upto > 0)
+		store_watch_claimed(
+		    s, &(coverage_claim_t){ d->watched_from, d->watched_upto,
+			   (ms_t)d->watched_ago });
 	if (d->holder) {
 		for (i = 0; i < d->n_stored_software; i++)
 			software_mark_stored(
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -27,6 +27,9 @@
 	BROKEN_TIMEOUT_MS = 1000,
 	/* After a watch's timeout, time for the network and a slow store. */
 	WATCH_GRACE_MS = 1500,
+	OVERDUE_MS = 300, /* a slow store answers by then */
+	/* Entries may have been lost in an outage that is longer. */
+	AWAY_MS = 1200,
 	LIST_TIMEOUT_MS = 2000,
 	/* A stale copy shows by then a change that a peer has seen. */
 	COPY_LAG_MS = 400,
@@ -158,10 +161,27 @@
 		f->first_listed_at = s->loop.now;
 }
 
+/*
+ * A request failed or is cancelled. A watch that waits for a change doesn't
+ * show that the store is away.
+ */
+static void
+note_unanswered(store_watch_t *f, bool failed)
+{
+	ms_t now = f->s->loop.now;
+	ms_t due = f->requested_at + (f->as_of != 0 ? f->watch_timeout : 0);
+	bool overdue = now - due > OVERDUE_MS;
+
+	if (f->away_since == 0 && (failed || overdue))
+		f->away_since = overdue ? f->requested_at : now;
+}
+
 /* Cancel the current request and send a new one. */
 static void
 restart_watch(store_watch_t *f)
 {
+	if (f->request != NULL)
+		note_unanswered(f, false);
 	http_request_cancel(f->request);
 	f->request = NULL;
 	alarm_stop(&f->s->loop, &f->alarm);
@@ -199,6 +219,7 @@
 {
 	ms_t wait = RETRY_MIN_MS << (f->failures < 5 ? f->failures : 5);
 
+	note_unanswered(f, true);
 	f->failures++;
 	if (f->kind != KIND_INSTANCES)
 		restart_other_watches(f);
@@ -226,6 +247,22 @@
 		s->conf.bounds.drain };
 }
 
+static ms_t
+cover_limit(const serve_t *s)
+{
+	watchers_t w = watchers(s);
+
+	return watchers_cover(&w, domain_heartbeat_ms(s));
+}
+
+/* Do other instances watch the endpoints, and announce what leaves? */
+static bool
+is_covered(const serve_t *s)
+{
+	return coverage_holds(
+	    &s->endpoints_watch.coverage, cover_limit(s), s->loop.now);
+}
+
 bool
 store_watch_is_relayed(const store_watch_t *f)
 {
@@ -248,6 +285,8 @@
 			return false;
 		break;
 	}
+	if (!is_covered(s))
+		return false;
 	/*
 	 * After a broken watch, watch for fresh answers: for a while if
 	 * instances are few, else once.
@@ -304,6 +343,27 @@
 	return true;
 }
 
+static void
+set_coverage_alarm(store_watch_t *f)
+{
+	alarm_set(&f->s->loop, &f->coverage_alarm,
+	    f->coverage.at + cover_limit(f->s));
+}
+
+static void
+note_coverage(store_watch_t *f)
+{
+	if (f->kind != KIND_ENDPOINTS)
+		return;
+	if (f->allow_stale) {
+		coverage_copy(&f->coverage, f->as_of);
+		return;
+	}
+	f->fresh_at = f->s->loop.now;
+	coverage_fresh(&f->coverage, f->as_of, f->fresh_at);
+	set_coverage_alarm(f);
+}
+
 /* The last page of a list, or the answer to a watch, was read. */
 static void
 all_read(store_watch_t *f, const objects_t *last)
@@ -312,10 +372,13 @@
 	int64_t as_of =
 	    f->listing && f->list_as_of != 0 ? f->list_as_of : last->as_of;
 
-	if (f->listing)
+	if (f->listing) {
 		remove_unlisted(f, as_of);
+		f->from = as_of;
+	}
 	f->as_of = as_of;
 	f->listing = false;
+	note_coverage(f);
 	if (f->kind == KIND_CONFIG && last->nobject > 0)
 		f->changed_revision = max_revision(last);
 	f->rewatches = 0;
@@ -328,8 +391,9 @@
 	const serve_t *s = f->s;
 
 	if (f->lost ||
-	    s->loop.now - f->answered_at > f->watch_timeout + WATCH_GRACE_MS)
+	    (f->away_since != 0 && s->loop.now - f->away_since > AWAY_MS))
 		f->regained_at = f->first_listed_at != 0 ? s->loop.now : 0;
+	f->away_since = 0;
 	if (f->lost) {
 		f->lost = false;
 		log_limited(LOG_NOTICE, "store-regained",
@@ -409,6 +473,11 @@
 	/* Shorter than the history that the store keeps. */
 	if (f->kind == KIND_INSTANCES)
 		return f->s->conf.history / 2;
+	if (f->kind == KIND_ENDPOINTS && !f->allow_stale) {
+		watchers_t w = watchers(f->s);
+
+		return watchers_timeout(&w);
+	}
 	if (f->s->loop.now - f->s->watch_broken_at < WATCH_BROKEN_MS)
 		return BROKEN_TIMEOUT_MS;
 	v = v < WATCH_MIN_MS   ? WATCH_MIN_MS
@@ -418,6 +487,17 @@
 	return v * 3 / 4 + (ms_t)(rng_unit(&f->s->rng) * (double)v / 2);
 }
 
+/* A watcher must notice a dead connection before what leaves may be gone. */
+static ms_t
+watch_grace(const store_watch_t *f)
+{
+	watchers_t w = watchers(f->s);
+
+	return f->kind == KIND_ENDPOINTS && !f->allow_stale
+		   ? watchers_timeout(&w)
+		   : WATCH_GRACE_MS;
+}
+
 static void
 count_request(const store_watch_t *f)
 {
@@ -468,14 +548,14 @@
 		}
 		objects_list(&b, f->kind, f->list_after, s->conf.store_addr);
 	} else {
-		f->watch_timeout = choose_timeout(f);
 		f->allow_stale = store_watch_is_relayed(f) && !f->require_fresh;
+		f->watch_timeout = choose_timeout(f);
 		if (!f->allow_stale)
 			f->fresh_watch_at = s->loop.now;
 		objects_watch(&b, f->kind, f->as_of, f->watch_timeout,
 		    f->allow_stale, s->conf.store_addr);
 		f->require_fresh = false;
-		span = f->watch_timeout + WATCH_GRACE_MS;
+		span = f->watch_timeout + watch_grace(f);
 	}
 	log_mode(f);
 	count_request(f);
@@ -495,11 +575,56 @@
 	send_request(f);
 }
 
+/* Nobody may have watched since: ask the store itself. */
+static void
+on_coverage_end(void *arg)
+{
+	store_watch_t *f = arg;
+	serve_t *s = f->s;
+
+	if (is_covered(s)) {
+		set_coverage_alarm(f);
+		return;
+	}
+	if (f->as_of == 0 || !f->allow_stale)
+		return;
+	log_limited(LOG_NOTICE, "watch-uncovered",
+	    "upto=%" PRId64 " since_ms=%" PRId64, f->coverage.upto,
+	    s->loop.now - f->coverage.at);
+	counter_add(counter_get("ebonypitch_watch_uncovered_total",
+			"Times that no other instance was known to watch."),
+	    1);
+	store_watch_require_fresh(&s->config_watch);
+	store_watch_require_fresh(f);
+}
+
+bool
+store_watch_claim(const serve_t *s, coverage_claim_t *claim)
+{
+	const store_watch_t *f = &s->endpoints_watch;
+
+	if (f->as_of == 0 || f->listing || f->allow_stale || f->lost)
+		return false;
+	*claim =
+	    (coverage_claim_t){ f->from, f->as_of, s->loop.now - f->fresh_at };
+	return true;
+}
+
+void
+store_watch_claimed(serve_t *s, const coverage_claim_t *claim)
+{
+	store_watch_t *f = &s->endpoints_watch;
+
+	if (coverage_claimed(&f->coverage, claim, cover_limit(s), s->loop.now))
+		set_coverage_alarm(f);
+}
+
 void
 store_watch_start(store_watch_t *f, serve_t *s, object_kind_t k)
 {
 	*f = (store_watch_t){ .s = s, .kind = k };
 	f->alarm = (alarm_t){ .fn = on_timer, .arg = f };
+	f->coverage_alarm = (alarm_t){ .fn = on_coverage_end, .arg = f };
 	f->listed_names =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->answered_at = s->loop.now;
@@ -517,6 +642,7 @@
 	f->listing = false;
 	f->changed_revision = 0;
 	f->peer_revision = 0;
+	f->coverage = (coverage_t){ 0 };
 	/* Entries of the lost seconds are written again. */
 	if (f->first_listed_at != 0)
 		f->regained_at = s->loop.now;
--- a/serve/store_watch.h
+++ b/serve/store_watch.h
@@ -7,6 +7,7 @@
 
 #include "net/net.h"
 #include "platform/platform.h"
+#include "policy/coverage.h"
 
 #include <glib.h>
 
@@ -40,8 +41,13 @@
 	ms_t written_after; /* earliest write time of the answer's content */
 	bool lost; /* repeated requests failed: the store is out of reach */
 	ms_t first_listed_at; /* first complete list, 0: never */
+	ms_t away_since;      /* a request failed or is overdue, 0: none did */
 	ms_t regained_at;     /* end of the last outage, 0: never */
 	ms_t relist_at; /* to read entries that were passed over, 0: none */
+	int64_t from;	/* revision of the list that the watch began with */
+	ms_t fresh_at;	/* last answer that was not from a copy, 0: never */
+	coverage_t coverage;	/* of the endpoints, while copies are read */
+	alarm_t coverage_alarm; /* when it ends */
 } store_watch_t;
 
 /** Begin to list and watch. */
@@ -63,6 +69,13 @@
 void store_watch_peer_era(store_watch_t *f);
 /** Another instance saw a change that this watch may have missed. */
 void store_watch_peer_revision(store_watch_t *f, int64_t revision);
+/**
+ * What this instance has seen of the endpoints.
+ * @return false: it doesn't watch them for fresh answers
+ */
+bool store_watch_claim(const serve_t *s, coverage_claim_t *claim);
+/** Another instance claims to have watched the endpoints, in this era. */
+void store_watch_claimed(serve_t *s, const coverage_claim_t *claim);
 /** @return how its last answer was got, for logs */
 const char *store_watch_source(const store_watch_t *f);
 
--- a/tests/shares_test.c
+++ b/tests/shares_test.c
@@ -25,7 +25,7 @@
 	int d, i;
 
 	memset(t, 0, sizeof(*t));
-	t->s.loop.now = 50000;
+	t->s.loop.now = t->s.endpoints_watch.coverage.at = 50000;
 	t->s.conf.cpu_share = WEAK / 1000.0;
 	g_strlcpy(t->s.conf.domain, "d0", sizeof(t->s.conf.domain));
 	g_strlcpy(t->s.conf.instance, "d0-7", sizeof(t->s.conf.instance));
@@ -107,6 +107,21 @@
 	tear_down(&t);
 }
 
+/* Guards against relying on instances that don't say that they watch. */
+static void
+uncovered_instance_watches_itself(void)
+{
+	fixture_t t;
+	store_watch_t f = { .s = &t.s, .kind = KIND_CONFIG };
+
+	set_up(&t, PER_DOMAIN);
+	t.s.endpoints_watch.coverage.at = 0;
+	g_assert_false(store_watch_is_relayed(&f));
+	f.kind = KIND_ENDPOINTS;
+	g_assert_false(store_watch_is_relayed(&f));
+	tear_down(&t);
+}
+
 /* Watchers lose the store: the next ones replace them. */
 static void
 watcher_without_store_is_replaced(void)
@@ -295,6 +310,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(strongest_instances_watch_for_their_domain);
+	T(uncovered_instance_watches_itself);
 	T(watcher_without_store_is_replaced);
 	T(broken_watch_makes_each_instance_watch_once);
 	T(few_instances_all_watch_the_configuration);
