--- a/serve/answer.c
+++ b/serve/answer.c
@@ -368,12 +368,16 @@
 	(void)k;
 	if (c == NULL)
 		return;
-	if (!ep_usable(w->ep))
+	if (w->ep->kind == EP_DIRECT)
+		reach_note_connected(w->s, w->ep, w->made_at);
+	if (w->ep->kind == EP_DIRECT && !ep_usable(w->ep)) {
 		log_limited(LOG_NOTICE, "connected-late",
 		    "request=%s endpoint=%s after_ms=%" PRId64, c->request.id,
 		    w->ep->entry.id, w->s->loop.now - c->sent_at);
-	if (w->ep->kind == EP_DIRECT)
-		reach_note_connected(w->s, w->ep, w->made_at);
+		call_attempt_failed(
+		    c, true, "the endpoint left before it was connected to");
+		return;
+	}
 	call_sent(c);
 	c->last_activity_at = w->s->loop.now;
 	call_set_timer(c);
--- a/tests/leaving_proc.c
+++ b/tests/leaving_proc.c
@@ -2,8 +2,10 @@
  * An endpoint that has said in an answer that it leaves gets no more calls,
  * whatever its entry in the store shows afterwards.
  */
+#include "tests/links.h"
 #include "tests/traffic.h"
 
+#include <signal.h>
 #include <string.h>
 
 enum {
@@ -13,6 +15,8 @@
 	ENTRY_READ_MS = 500, /* by then all daemons have read an entry */
 	FREED_MS = 23000,    /* a removed endpoint is forgotten by then */
 	PLAIN_MS = 700,	     /* of calls that keep others waiting */
+	CONNECTING_MS = 100,
+	SYN_AGAIN_MS = 1200, /* a lost SYN is sent again by then */
 	CALLS = 40,	     /* more than an endpoint takes at once */
 };
 static const char *const says = "Server-Leaving: 1\r\n";
@@ -233,6 +237,47 @@
 
 #define T(name) g_test_add_func("/leaving/" #name, name)
 
+/*
+ * Guards against a request that leaves as its connection is made, though its
+ * endpoint was seen to leave meanwhile. The daemon stands still until both have
+ * happened, the entry first.
+ */
+static void
+connection_made_after_it_left(void)
+{
+	fixture_t *st = fixture_new();
+	links_t *l = links_new(st);
+	fake_endpoint_opts_t app = { .plain_ms = 20 };
+	caller_t *c;
+
+	fixture_put_config(st, "");
+	fixture_add_endpoint(st, &app, "app");
+	fixture_add_endpoint(st, &app, "app");
+	/* The nearer one is chosen. */
+	st->domain[1] = "south";
+	fixture_put_entry(st, 1, "app", false);
+	fixture_start_daemon(st, 0, true);
+	fixture_run(st, ENTRY_READ_MS);
+	links_set_one(l, 0, 0, LINK_HANGING);
+	c = caller_call(st, 0, "POST", "/once/a", "late-connection",
+	    "Deadline-Remaining: 4000\r\n");
+	fixture_run(st, CONNECTING_MS);
+	proc_signal(st->daemon[0], SIGSTOP);
+	fixture_put_entry(st, 0, "app", true);
+	fixture_run(st, CONNECTING_MS);
+	links_set_one(l, 0, 0, LINK_OPEN);
+	fixture_run(st, SYN_AGAIN_MS);
+	proc_signal(st->daemon[0], SIGCONT);
+	g_assert_true(caller_wait(c, ANSWER_MS));
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpint(arrivals(st, 0, 0, INT64_MAX), ==, 0);
+	g_assert_cmpint(arrivals(st, 1, 0, INT64_MAX), ==, 1);
+	caller_free(c);
+	fixture_stop_daemons(st);
+	links_free(l);
+	fixture_free(st);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -244,5 +289,6 @@
 	T(call_that_waits);
 	T(report_says_it);
 	T(answer_to_an_order_says_it);
+	T(connection_made_after_it_left);
 	return g_test_run();
 }
