serve: an announcement that an endpoint leaves is kept until its entry is read (DRAIN)

Cause, found while the table of who learns of leaving was written: an instance that reads old copies may hear that an endpoint leaves before a copy shows that it joined. The announcement named no endpoint that it knew and was dropped; then the entry made it usable, until an announcement was repeated (4 s at most) or a copy showed its end.

64 such announcements are kept, and count when the entry read is earlier. Evidence: /store-era/announced-before-it-was-known fails before; an endpoint that came back afterwards is used (announced-before-it-came-back).

--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -129,6 +129,29 @@
 	return p != NULL && p->passed_over;
 }
 
+static const departure_t *
+departure_of(const ep_table_t *f, uint32_t tag, int64_t era, int64_t after)
+{
+	int i;
+
+	for (i = 0; i < DEPARTURES_MAX; i++) {
+		const departure_t *d = &f->departure[i];
+
+		if (d->tag == tag && d->era == era && d->revision > after)
+			return d;
+	}
+	return NULL;
+}
+
+static void
+note_departure(ep_table_t *f, uint32_t tag, int64_t era, int64_t revision)
+{
+	if (departure_of(f, tag, era, revision - 1) != NULL)
+		return;
+	f->departure[f->next_departure] = (departure_t){ tag, era, revision };
+	f->next_departure = (f->next_departure + 1) % DEPARTURES_MAX;
+}
+
 bool
 ep_update_entry(serve_t *s, const object_t *o, ms_t written_after)
 {
@@ -196,6 +219,13 @@
 		p->leaving_since = 0;
 	if (en.leaving)
 		pool_close_idle(p);
+	if (is_new) {
+		const departure_t *d =
+		    departure_of(&s->endpoints, p->tag, p->era, p->revision);
+
+		if (d != NULL)
+			ep_peer_saw_leaving(s, d->tag, d->era, d->revision);
+	}
 	return is_new || was_ready != !en.leaving;
 }
 
@@ -239,6 +269,8 @@
 
 	if (store_era_is_ours(s, era))
 		era = s->store_era;
+	if (p == NULL)
+		note_departure(&s->endpoints, tag, era, revision);
 	if (p == NULL || !ep_usable(p) || era < p->era ||
 	    (era == p->era && revision <= p->revision))
 		return;
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -139,11 +139,23 @@
 	sent_prefix_t prefix[PREFIX_SLOTS];
 } ep_t;
 
+/** An endpoint that another instance saw leave before its entry was read. */
+typedef struct departure {
+	uint32_t tag;
+	int64_t era, revision; /* of the store, as it left */
+} departure_t;
+
+enum {
+	DEPARTURES_MAX = 64
+};
+
 typedef struct ep_table {
 	ep_t **ep;
 	int nep, capacity;
 	GHashTable *by_id, *by_tag;
 	leaving_memory_t said_leaving; /* of endpoints that were freed */
+	departure_t departure[DEPARTURES_MAX];
+	int next_departure; /* the slot to be used next, the oldest */
 } ep_table_t;
 
 void ep_table_init(ep_table_t *f);
--- a/tests/store_era_test.c
+++ b/tests/store_era_test.c
@@ -217,6 +217,40 @@
 	g_assert_true(ep_usable(p));
 }
 
+/*
+ * Guards against using an endpoint that was announced to leave before a copy of
+ * the store showed it.
+ */
+static void
+announced_before_it_was_known(void)
+{
+	instance_t *t = instance_new();
+	serve_t *s = &t->s;
+	uint32_t tag = (uint32_t)hash_str("ep", 0);
+
+	store_era_accept(s, 0, ERA);
+	ep_peer_saw_leaving(s, tag, ERA, 60);
+	read_entry(s, 50, BORN, 3, false);
+	g_assert_false(ep_usable(ep_find(&s->endpoints, "ep")));
+	/* It is back. */
+	read_entry(s, 70, BORN + 1, 1, false);
+	g_assert_true(ep_usable(ep_find(&s->endpoints, "ep")));
+}
+
+/* Guards against holding an earlier end against an endpoint that is back. */
+static void
+announced_before_it_came_back(void)
+{
+	instance_t *t = instance_new();
+	serve_t *s = &t->s;
+	uint32_t tag = (uint32_t)hash_str("ep", 0);
+
+	store_era_accept(s, 0, ERA);
+	ep_peer_saw_leaving(s, tag, ERA, 60);
+	read_entry(s, 70, BORN, 1, false);
+	g_assert_true(ep_usable(ep_find(&s->endpoints, "ep")));
+}
+
 /* @return whether the instance connected to its store */
 static bool
 store_was_asked(serve_t *s, int listener)
@@ -283,6 +317,10 @@
 		g_test_add_data_func(path, &entry_cases[i], entry_of_the_copy);
 		g_free(path);
 	}
+	g_test_add_func("/store-era/announced-before-it-was-known",
+	    announced_before_it_was_known);
+	g_test_add_func("/store-era/announced-before-it-came-back",
+	    announced_before_it_came_back);
 	g_test_add_func(
 	    "/store-era/lost-lease-isn-t-released", lost_lease_isn_t_released);
 	g_test_add_func("/store-era/answers-of-another-era-don-t-count",
