--- a/serve/call.c
+++ b/serve/call.c
@@ -121,7 +121,7 @@
 	    request, &cc->http->head, c->method, hasher_sum(&cc->body_hash));
 	c->body = cc->body;
 	memset(&cc->body, 0, sizeof(cc->body));
-	c->received_at = s->loop.now;
+	c->received_at = c->arrived_at = s->loop.now;
 	c->deadline = c->received_at + remaining + TIMEOUT_SLACK_MS;
 	if (r->timeout > 0 && c->received_at + r->timeout < c->deadline)
 		c->deadline = c->received_at + r->timeout;
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -320,7 +320,7 @@
 	double whole_ms = first_ms + c->request.output * output_token_ms;
 
 	return s->leaving &&
-	       c->received_at >= s->leaving_since + DRAIN_FULL_SERVICE_MS &&
+	       c->arrived_at >= s->leaving_since + DRAIN_FULL_SERVICE_MS &&
 	       whole_ms > (double)remaining_ms * drain_grace_part;
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -68,6 +68,7 @@
 	buf_t body;
 	uint64_t fingerprint;	    /* call_fingerprint() */
 	ms_t received_at, deadline; /* deadline: of the whole answer */
+	ms_t arrived_at; /* later, if another instance had received it */
 	call_state_t state;
 	alarm_t alarm;
 	bool may_have_run;   /* it may have run somewhere */
