--- a/serve/stream.c
+++ b/serve/stream.c
@@ -79,6 +79,16 @@
 	       arrival_note(&c->reading.strays, now) > STRAY_MAX_MS;
 }
 
+/*
+ * The stream had begun, and this attempt hasn't brought an event that goes on
+ * with it: what comes without an id may be the text of an error.
+ */
+static bool
+resume_unproved(const call_t *c)
+{
+	return c->nevent > 0 && c->reading.events == 0;
+}
+
 static bool
 event_is_endless(call_t *c)
 {
@@ -126,6 +136,10 @@
 			answer_is_endless(c);
 			return;
 		}
+		if (id < 0 && resume_unproved(c)) {
+			consume_events(c, end);
+			continue;
+		}
 		if (id < 0) {
 			/* It is forwarded with the event that follows it. */
 			c->reading.event_start = end;
@@ -173,6 +187,12 @@
 		    c, false, "the stream ended inside an event");
 		return;
 	}
+	if (resume_unproved(c) && c->reading.stray > 0) {
+		breaker_failure(&c->ep->breaker, false, c->s->loop.now);
+		call_attempt_failed(
+		    c, false, "the answer doesn't go on with the stream");
+		return;
+	}
 	blame_call_completed(c);
 	if (!c->head_sent) {
 		/* A complete stream without events that have an id. */
