--- a/tests/endless_proc.c
+++ b/tests/endless_proc.c
@@ -77,24 +77,6 @@
 	.model = "m1", .events = 8, .event_gap = 20, .adapter_slots = 4
 };
 
-/* @return a line of /proc/PID/status in KB. */
-static long
-memory_kb(const fixture_t *st, const char *field)
-{
-	char *path =
-	    g_strdup_printf("/proc/%d/status", (int)st->daemon[0]->pid);
-	char *text = NULL, *at;
-	long kb;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	at = strstr(text, field);
-	g_assert_nonnull(at);
-	kb = strtol(at + strlen(field), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kb;
-}
-
 /* The peak of the daemon's memory stays in bounds, and it runs. */
 static void
 assert_memory(const scene_t *s, int calls)
@@ -103,7 +85,7 @@
 	    bound = s->idle_kb + calls * CALL_MEMORY_KB + MEMORY_SLACK_KB;
 
 	g_assert_false(proc_ended(s->st->daemon[0], 0));
-	peak = memory_kb(s->st, "VmHWM:");
+	peak = proc_memory_kb(s->st->daemon[0], "VmHWM:");
 	g_test_message("memory: idle %ld KB, peak %ld KB", s->idle_kb, peak);
 	g_assert_cmpint(peak, <, bound);
 	g_assert_cmpint(peak, <, MEMORY_LIMIT_KB);
@@ -133,7 +115,7 @@
 	proc_output(fd);
 	fixture_start_daemon(s->st, 0, true);
 	close(fd);
-	s->idle_kb = memory_kb(s->st, "VmRSS:");
+	s->idle_kb = proc_memory_kb(s->st->daemon[0], "VmRSS:");
 }
 
 static void
@@ -506,10 +488,11 @@
 	g_assert_true(
 	    fixture_run_until(s->st, nothing_is_read, s, ANSWER_MAX_MS));
 	g_assert_false(proc_ended(s->st->daemon[0], 0));
-	g_test_message("peak %ld KB", memory_kb(s->st, "VmHWM:"));
+	g_test_message(
+	    "peak %ld KB", proc_memory_kb(s->st->daemon[0], "VmHWM:"));
 	/* A quarter for what is held, and as much for what isn't sent. */
-	g_assert_cmpint(
-	    memory_kb(s->st, "VmHWM:"), <, s->idle_kb + MEMORY_LIMIT_KB / 2);
+	g_assert_cmpint(proc_memory_kb(s->st->daemon[0], "VmHWM:"), <,
+	    s->idle_kb + MEMORY_LIMIT_KB / 2);
 	for (i = 0; i < MANY_CALLS; i++)
 		caller_free(c[i]);
 	scene_free(s);
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -267,3 +267,19 @@
 	}
 	return true;
 }
+
+long
+proc_memory_kb(const proc_t *p, const char *field)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
+	char *text = NULL, *at;
+	long kb;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	at = strstr(text, field);
+	g_assert_nonnull(at);
+	kb = strtol(at + strlen(field), NULL, 10);
+	g_free(text);
+	g_free(path);
+	return kb;
+}
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -28,6 +28,8 @@
 bool proc_ended(proc_t *p, ms_t span);
 /** Kill the process with SIGKILL, reap it and free @p p, which may be NULL. */
 void proc_kill(proc_t *p);
+/** @return a value in KB of /proc/PID/status, by its field, e.g. "VmRSS:" */
+long proc_memory_kb(const proc_t *p, const char *field);
 
 /** Reserve @p n free ports; none is given out twice. */
 void ports_take(int *port, int n);
