serve: one watch that isn't answered is no outage of the store (DRAIN)

Cause, on a related path: after an outage of the store a missing entry is kept for 2.5 s and more, as it may be written again. A watch on a connection that went silent ended at its timeout, and the answer on the next one counted as the end of an outage; so what had left meanwhile was used for another 2.5 to 3.5 s. The watch's own timeout had been 3.6 to 6 s and 1.5 s more.

--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -29,7 +29,7 @@
 	WATCH_GRACE_MS = 1500,
 	OVERDUE_MS = 300, /* a slow store answers by then */
 	/* Entries may have been lost in an outage that is longer. */
-	AWAY_MS = 1200,
+	AWAY_MS = 2000,
 	LIST_TIMEOUT_MS = 2000,
 	/* A stale copy shows by then a change that a peer has seen. */
 	COPY_LAG_MS = 400,
--- a/standin/fake_store.c
+++ b/standin/fake_store.c
@@ -22,6 +22,7 @@
 typedef struct store_conn {
 	server_conn_t conn;
 	bool watching;
+	bool hangs;   /* nothing comes on it any more */
 	bool of_copy; /* the watch allows an old copy */
 	char kind[ID_MAX];
 	int64_t from;
@@ -221,8 +222,10 @@
 static void
 on_watch_timeout(void *arg)
 {
-	if (!view_of(arg)->silent)
-		watch_answer(arg, NULL);
+	store_conn_t *c = arg;
+
+	if (!view_of(c)->silent && !c->hangs)
+		watch_answer(c, NULL);
 }
 
 static void
@@ -234,7 +237,8 @@
 		store_conn_t *c = v->server.conns->pdata[i];
 		json_t *j;
 
-		if (!c->watching || v->store->watches_muted || v->silent)
+		if (!c->watching || v->store->watches_muted || v->silent ||
+		    c->hangs)
 			continue;
 		j = changes_since(c, c->kind, c->from);
 		if (j != NULL)
@@ -650,7 +654,7 @@
 	fake_store_t *s = store_of(c);
 
 	s->requests++;
-	if (view_of(c)->silent)
+	if (view_of(c)->silent || c->hangs)
 		return;
 	if (view_of(c)->refuses) {
 		reply(c, 503, NULL);
@@ -711,6 +715,16 @@
 	view_at(s, addr)->silent = silent;
 }
 
+void
+fake_store_hang_connections(fake_store_t *s, const char *addr)
+{
+	store_view_t *v = view_at(s, addr);
+	guint i;
+
+	for (i = 0; i < v->server.conns->len; i++)
+		((store_conn_t *)v->server.conns->pdata[i])->hangs = true;
+}
+
 void
 fake_store_refuse_view(fake_store_t *s, const char *addr, bool refuses)
 {
--- a/standin/fake_store.h
+++ b/standin/fake_store.h
@@ -33,6 +33,11 @@
     fake_store_t *s, const char *addr, store_view_fn *view, void *arg);
 /** Read requests on such an address and don't answer them. */
 void fake_store_silence_view(fake_store_t *s, const char *addr, bool silent);
+/**
+ * Nothing comes on the connections made to an address so far, and they aren't
+ * closed; new ones work.
+ */
+void fake_store_hang_connections(fake_store_t *s, const char *addr);
 /** Answer requests on such an address with 503. */
 void fake_store_refuse_view(fake_store_t *s, const char *addr, bool refuses);
 /** Create or replace an object. @p spec is JSON text. @return the revision. */
--- a/tests/unwatched_proc.c
+++ b/tests/unwatched_proc.c
@@ -19,6 +19,9 @@
 	AFTER_MS = 2500, /* of calls after drain_ms */
 };
 
+/* That daemons before the reader run; NULL: this one. */
+static const char *watcher_program;
+
 static bool
 reader_reads_copies(void *arg)
 {
@@ -48,6 +51,8 @@
 			continue;
 		st->view_addr[i] = addr_of(port[i]);
 		fake_store_add_view(st->store, st->view_addr[i], NULL, NULL);
+		if (i != READER)
+			st->program[i] = watcher_program;
 		fixture_start_daemon(st, i, true);
 		if (i == 0)
 			g_assert_true(fixture_run_until(
@@ -55,7 +60,9 @@
 	}
 	t->first = READER;
 	t->daemons = READER + 1;
-	g_assert_true(fixture_run_until(st, reader_reads_copies, st, WAIT_MS));
+	if (ndaemon > 0)
+		g_assert_true(
+		    fixture_run_until(st, reader_reads_copies, st, WAIT_MS));
 	traffic_run(t, SETTLED_MS);
 	return t;
 }
@@ -176,6 +183,32 @@
 	traffic_free(t);
 }
 
+/* Guards against relying on earlier versions, which don't say what they saw. */
+static void
+watchers_of_an_earlier_version_restart(void)
+{
+	traffic_t *t;
+
+	watcher_program = "ebonypitchd-production";
+	t = start(WATCHERS);
+	kill_watchers(t);
+	remove_and_check(t, restart_watchers);
+}
+
+/*
+ * Guards against waiting for an answer on a connection on which nothing comes
+ * any more, against using another such one next, and against taking that for an
+ * outage of the store.
+ */
+static void
+own_connections_hang(void)
+{
+	traffic_t *t = start(0);
+
+	fake_store_hang_connections(t->st->store, t->st->view_addr[READER]);
+	remove_and_check(t, NULL);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -189,5 +222,9 @@
 	g_test_add_func("/unwatched/watchers_are_frozen", watchers_are_frozen);
 	g_test_add_func(
 	    "/unwatched/watchers_list_without_it", watchers_list_without_it);
+	g_test_add_func("/unwatched/watchers_of_an_earlier_version_restart",
+	    watchers_of_an_earlier_version_restart);
+	g_test_add_func(
+	    "/unwatched/own_connections_hang", own_connections_hang);
 	return g_test_run();
 }
