--- a/serve/endpoints.c
+++ b/serve/endpoints.c
@@ -152,6 +152,16 @@
 	f->next_departure = (f->next_departure + 1) % DEPARTURES_MAX;
 }
 
+static void
+apply_departure(serve_t *s, const ep_t *p)
+{
+	const departure_t *d =
+	    departure_of(&s->endpoints, p->tag, p->era, p->revision);
+
+	if (d != NULL)
+		ep_peer_saw_leaving(s, d->tag, d->era, d->revision);
+}
+
 bool
 ep_update_entry(serve_t *s, const object_t *o, ms_t written_after)
 {
@@ -219,13 +229,8 @@
 		p->leaving_since = 0;
 	if (en.leaving)
 		pool_close_idle(p);
-	if (is_new) {
-		const departure_t *d =
-		    departure_of(&s->endpoints, p->tag, p->era, p->revision);
-
-		if (d != NULL)
-			ep_peer_saw_leaving(s, d->tag, d->era, d->revision);
-	}
+	if (is_new)
+		apply_departure(s, p);
 	return is_new || was_ready != !en.leaving;
 }
 
