--- /dev/null
+++ b/tests/http_request_test.c
@@ -0,0 +1,76 @@
+/* Requests to the store, and the connections that are kept to it. */
+#include "serve/serve.h"
+#include "standin/fake_store.h"
+#include "tests/proc.h"
+
+enum {
+	REQUESTS = 3, /* at once, so that as many connections are kept */
+	SPAN_MS = 200,
+	WAIT_MS = 2000,
+};
+
+static void
+on_answer(void *arg, int status, const char *text, size_t len)
+{
+	(void)text, (void)len;
+	*(int *)arg = status;
+}
+
+static void
+ask(serve_t *s, const char *addr, ms_t span, int *status)
+{
+	buf_t b = { 0 };
+
+	*status = -1;
+	objects_list(&b, KIND_CONFIG, NULL, addr);
+	http_request_send(s, &s->store, &b, span, on_answer, status);
+}
+
+static int
+wait_status(serve_t *s, const int *status)
+{
+	ms_t end = clock_now(&machine_clock) + WAIT_MS;
+
+	while (*status == -1 && clock_now(&machine_clock) < end)
+		loop_turn(&s->loop, 10);
+	return *status;
+}
+
+/*
+ * Guards against one dead connection after the other being tried, each for as
+ * long as an answer may take.
+ */
+static void
+kept_connections_that_hang_are_tried_once(void)
+{
+	static serve_t s;
+	fake_store_t *store;
+	char *addr;
+	int i, port, status[REQUESTS];
+
+	g_assert_cmpint(loop_init(&s.loop), ==, 0);
+	ports_take(&port, 1);
+	addr = addr_of(port);
+	g_assert_cmpint(net_addr(addr, &s.store), ==, 0);
+	store = fake_store_new(&s.loop, addr);
+	for (i = 0; i < REQUESTS; i++)
+		ask(&s, addr, WAIT_MS, &status[i]);
+	for (i = 0; i < REQUESTS; i++)
+		g_assert_cmpint(wait_status(&s, &status[i]), ==, 200);
+	fake_store_hang_connections(store, addr);
+	ask(&s, addr, SPAN_MS, &status[0]);
+	g_assert_cmpint(wait_status(&s, &status[0]), ==, 0);
+	ask(&s, addr, SPAN_MS, &status[0]);
+	g_assert_cmpint(wait_status(&s, &status[0]), ==, 200);
+	fake_store_free(store);
+	g_free(addr);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-request/kept_connections_that_hang",
+	    kept_connections_that_hang_are_tried_once);
+	return g_test_run();
+}
