serve, platform: callers name their organisation by a key

The configuration may list organisations with API keys.

A request is checked by the configuration in force: 401 without a valid key, unless its route allows anonymous calls. Endpoints get the organisation's name, other instances too, and nobody gets the key. An organisation's priority goes before the route's.

--- a/serve/ask.c
+++ b/serve/ask.c
@@ -4,6 +4,7 @@
  * with a grant, or with the time until one is likely.
  */
 #include "serve/keepers.h"
+#include "serve/organisation.h"
 
 #include <string.h>
 
@@ -52,7 +53,7 @@
 		.call = c->ask.number,
 		.tokens = engine ? a->tokens : 0,
 		.kv = engine ? c->request.prompt + c->request.output : 0,
-		.rank = c->route.priority,
+		.rank = call_rank(c),
 		.late_at = late_at(c),
 		.heard_at = s->loop.now };
 	const peer_t *to;
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,5 +1,6 @@
 #include "serve/blame.h"
 #include "serve/limits.h"
+#include "serve/organisation.h"
 #include "serve/peer_call.h"
 
 #include <stdlib.h>
@@ -88,7 +89,8 @@
 }
 
 static call_t *
-call_new(caller_conn_t *cc, const call_head_t *request, const route_t *r)
+call_new(caller_conn_t *cc, const call_head_t *request, const route_t *r,
+    const organisation_t *organisation)
 {
 	serve_t *s = cc->s;
 	call_t *c = calloc(1, sizeof(*c)), **at;
@@ -113,12 +115,14 @@
 	c->request.resumes = g_strdup(request->resumes);
 	c->request.host = "";
 	c->config = config_ref(s->config);
+	c->organisation = organisation;
 	c->route = *r;
 	stream = request->resumes[0] != '\0' ? request->resumes : request->id;
 	c->service = pick_service(r, stream);
 	c->method = http_method_str(cc->http->parser.method);
-	c->fingerprint = call_fingerprint(
-	    request, &cc->http->head, c->method, hasher_sum(&cc->body_hash));
+	c->fingerprint = call_fingerprint(request, &cc->http->head, c->method,
+	    organisation != NULL ? organisation->name : NULL,
+	    hasher_sum(&cc->body_hash));
 	c->body = cc->body;
 	memset(&cc->body, 0, sizeof(cc->body));
 	c->received_at = c->arrived_at = s->loop.now;
@@ -190,14 +194,22 @@
 
 /* The same of one whose route is known; NULL: none. */
 static bool
-refuse_on_route(caller_conn_t *cc, const call_head_t *request, const route_t *r)
+refuse_on_route(caller_conn_t *cc, const call_head_t *request, const route_t *r,
+    const organisation_t **organisation)
 {
 	serve_t *s = cc->s;
+	const char *why = r == NULL
+			      ? NULL
+			      : organisation_find(s->config, r, &cc->http->head,
+				    cc->from_instance, organisation);
 
 	if (r == NULL)
 		refuse_request(cc, request->id, 404, "no route", 0);
-	else if (s->leaving && r->kind == ROUTE_STREAM &&
-		 s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS)
+	else if (why != NULL) {
+		organisation_count_refused();
+		refuse_request(cc, request->id, 401, why, 0);
+	} else if (s->leaving && r->kind == ROUTE_STREAM &&
+		   s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS)
 		refuse_request(cc, request->id, 503,
 		    "the instance ends before the answer may",
 		    RETRY_ELSEWHERE_MS);
@@ -217,15 +229,16 @@
 	call_head_t request;
 	const char *why;
 	const route_t *r;
+	const organisation_t *organisation = NULL;
 	call_t *c;
 
 	call_head_decode(&request, h);
 	if (refuse_unusable(cc, &request))
 		return;
 	r = find_route(s->config, request.host, head_target(h));
-	if (refuse_on_route(cc, &request, r))
+	if (refuse_on_route(cc, &request, r, &organisation))
 		return;
-	c = call_new(cc, &request, r);
+	c = call_new(cc, &request, r, organisation);
 	if (c == NULL) {
 		refuse_request(
 		    cc, request.id, 503, "the instance is full", FULL_RETRY_MS);
@@ -274,7 +287,10 @@
 		.resume_after = c->last_event_id > c->resume_event_id
 				    ? c->last_event_id
 				    : -1,
-		.body = buf_len(&c->body) };
+		.body = buf_len(&c->body),
+		.has_organisations = c->config->has_organisations,
+		.organisation =
+		    c->organisation != NULL ? c->organisation->name : NULL };
 
 	if (c->request.remaining >= 0 &&
 	    remaining_ms > c->deadline - s->loop.now)
--- a/serve/peer_call.c
+++ b/serve/peer_call.c
@@ -237,10 +237,11 @@
 	int64_t resume_after =
 	    c->last_event_id > c->resume_event_id ? c->last_event_id : -1;
 	const char *between = " tried=";
+	char *name;
 	int i;
 
 	buf_fmt(out, "%s %s HTTP/1.1\r\n", c->method, head_target(h));
-	call_fields_encode(out, h, resume_after);
+	call_fields_encode(out, h, resume_after, c->config->has_organisations);
 	if (c->request.remaining >= 0)
 		buf_fmt(out, "Deadline-Remaining: %" PRId64 "\r\n",
 		    c->request.remaining);
@@ -255,6 +256,12 @@
 		buf_fmt(out, "%s%s", between, c->tried[i]->entry.id);
 		between = ",";
 	}
+	if (c->organisation != NULL) {
+		/* A name may contain blanks, which end a word. */
+		name = g_uri_escape_string(c->organisation->name, NULL, FALSE);
+		buf_fmt(out, " organisation=%s", name);
+		g_free(name);
+	}
 	buf_fmt(out, "\r\nContent-Length: %zu\r\n\r\n", buf_len(&c->body));
 }
 
@@ -334,6 +341,16 @@
 	}
 }
 
+char *
+peer_call_organisation(const head_t *h)
+{
+	const char *text = head_get(h, CALL_FIELD);
+	const char *v = text != NULL ? word(text, "organisation") : NULL;
+
+	return v != NULL ? g_uri_unescape_segment(v, v + strcspn(v, " "), NULL)
+			 : NULL;
+}
+
 const char *
 peer_call_take(call_t *c, const head_t *h)
 {
--- a/serve/peer_call.h
+++ b/serve/peer_call.h
@@ -32,6 +32,11 @@
 
 /* The instance that takes them. */
 
+/**
+ * @return the name of the organisation whose call it is, NULL: it isn't given;
+ * to be freed by g_free()
+ */
+char *peer_call_organisation(const head_t *h);
 /**
  * Take over what the other instance knows of a call.
  * @return NULL, or why it isn't taken
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -1,4 +1,4 @@
-#include "serve/serve.h"
+#include "serve/organisation.h"
 
 #include <string.h>
 
@@ -10,8 +10,10 @@
 static bool
 goes_before(const call_t *a, const call_t *b)
 {
-	if (a->route.priority != b->route.priority)
-		return a->route.priority < b->route.priority;
+	int rank_a = call_rank(a), rank_b = call_rank(b);
+
+	if (rank_a != rank_b)
+		return rank_a < rank_b;
 	return a->received_at + a->route.target_latency <
 	       b->received_at + b->route.target_latency;
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -64,6 +64,7 @@
 	config_t *config; /* of the route; a reference */
 	route_t route;
 	const char *service; /* of the configuration */
+	const organisation_t *organisation; /* the same; NULL: none */
 	const char *method;
 	buf_t body;
 	uint64_t fingerprint;	    /* call_fingerprint() */
--- a/serve/store_watch.c
+++ b/serve/store_watch.c
@@ -87,9 +87,14 @@
 	}
 	log_limited(LOG_NOTICE, "config",
 	    "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
-	    " routes=%d services=%d",
+	    " routes=%d services=%d organisations=%d keys=%u",
 	    c->version, s->config != NULL ? s->config->version : -1,
-	    o->revision, c->nroute, c->nservice);
+	    o->revision, c->nroute, c->nservice, c->norganisation,
+	    g_hash_table_size(c->key));
+	if (c->norganisation_unusable + c->nkey_unusable > 0)
+		log_limited(LOG_ERR, "organisations-unusable",
+		    "version=%" PRId64 " left_out=%d keys_left_out=%d",
+		    c->version, c->norganisation_unusable, c->nkey_unusable);
 	for (i = 0; i < c->nservice; i++)
 		log_unusable_models(&c->service[i]);
 	if (c->nunnamed > 0)
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -44,7 +44,7 @@
     "{\"name\":\"m2\",\"weights_mb\":70000,\"load_s\":0.3,\"warm_s\":0.2,"
     "\"disk_s\":0.2,\"adapters\":0,\"adapter_mb\":60}]}}],"
     "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
-    "\"header_timeout_ms\":700,\"idle_timeout_ms\":5000}}";
+    "\"header_timeout_ms\":700,\"idle_timeout_ms\":5000}%s}";
 
 void
 fixture_run(fixture_t *st, ms_t span)
@@ -71,7 +71,8 @@
 void
 fixture_put_config(fixture_t *st, const char *more)
 {
-	char *text = g_strdup_printf(config_text, ++st->config_version, more);
+	char *text = g_strdup_printf(config_text, ++st->config_version, more,
+	    st->organisations != NULL ? st->organisations : "");
 
 	fake_store_put(st->store, "config", "main", text);
 	g_free(text);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -40,6 +40,9 @@
 	/* The same for all, as each has its own IP; used at the first start. */
 	int peer_port;
 	int config_version;
+	/* For configurations put from now on, as ",\"tenants\":[...]"; NULL:
+	 * none. */
+	const char *organisations;
 	bool no_bootstrap; /* in the settings of daemons started from now on */
 } fixture_t;
 
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -358,7 +358,7 @@
 		h.nfield++;
 	}
 	call_head_decode(&c, &h);
-	sum = call_fingerprint(&c, &h, "POST", hash_str(body, 0));
+	sum = call_fingerprint(&c, &h, "POST", NULL, hash_str(body, 0));
 	buf_free(&h.text);
 	g_strfreev(line);
 	return sum;
