policy, serve: organisations keep to their allowances over all instances

An organisation's rate and burst bound what all instances send for it together.

A call of a limited organisation asks the instance that gives its allowance. A giver hands out the part that its members are of all instances, so that two sides of a partition together keep to the sum, also without the store. Over it: 429 with the time at which there is room, behind those that were told one.

--- a/serve/answer.c
+++ b/serve/answer.c
@@ -1,3 +1,4 @@
+#include "serve/allowances.h"
 #include "serve/blame.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
@@ -120,6 +121,8 @@
 
 	if (c->state == CALL_CONNECTING && c->sent_at + CONNECT_TIMEOUT_MS < at)
 		at = c->sent_at + CONNECT_TIMEOUT_MS;
+	if (c->state == CALL_ALLOWANCE && allowance_next(c) < at)
+		at = allowance_next(c);
 	if (c->state == CALL_LOCATING && stream_lookup_next(c) < at)
 		at = stream_lookup_next(c);
 	if (c->state == CALL_ASKING && ask_next(c) < at)
@@ -218,6 +221,9 @@
 		return;
 	}
 	switch (c->state) {
+	case CALL_ALLOWANCE:
+		allowance_timer(c);
+		return;
 	case CALL_LOCATING:
 		stream_lookup_timer(c);
 		return;
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,3 +1,4 @@
+#include "serve/allowances.h"
 #include "serve/blame.h"
 #include "serve/limits.h"
 #include "serve/organisation.h"
@@ -257,6 +258,15 @@
 	/* The instance that got it from its caller has counted it. */
 	if (!c->from_instance)
 		demand_add_call(s, c);
+	if (!allowance_ask(c))
+		call_allowed(c);
+}
+
+void
+call_allowed(call_t *c)
+{
+	serve_t *s = c->s;
+
 	if (c->software == 0 && !stream_bind(c))
 		return;
 	/* Calls already waiting go first, by priority. */
@@ -586,6 +596,7 @@
 	call_queue_remove(c);
 	stream_lookup_end(c);
 	ask_end(c);
+	allowance_end(c);
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
@@ -622,7 +633,7 @@
 	    c->s->loop.now - c->received_at, c->ep ? c->ep->entry.id : "-");
 	call_end_attempt(c, false);
 	answer_error(cc, c, status, why, retry);
-	call_finish(c, status == 503 ? "refused" : "failed");
+	call_finish(c, status == 503 || status == 429 ? "refused" : "failed");
 }
 
 void
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[44] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[46] =
 {
   {
     "sender",
@@ -582,9 +582,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allowance",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, allowance),
+    &digest__allowance_message__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gives",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Digest__Digest, gives),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
+  44,   /* field[44] = allowance */
   27,   /* field[27] = blame */
   10,   /* field[10] = config_revision */
   17,   /* field[17] = demand */
@@ -595,6 +620,7 @@
   40,   /* field[40] = first_era */
   7,   /* field[7] = full */
   8,   /* field[8] = full_demand */
+  45,   /* field[45] = gives */
   5,   /* field[5] = holder */
   9,   /* field[9] = identity */
   1,   /* field[1] = incarnation */
@@ -632,7 +658,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 44 }
+  { 0, 46 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -642,7 +668,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  44,
+  46,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -165,10 +165,15 @@
    * It answers asks for the endpoints whose load it keeps.
    */
   protobuf_c_boolean keeps;
+  Digest__AllowanceMessage *allowance;
+  /*
+   * It answers asks for organisations' allowances.
+   */
+  protobuf_c_boolean gives;
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0, NULL, 0 }
 
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &digest__keeper_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   digest__allowance_message__init
+                     (Digest__AllowanceMessage         *message)
+{
+  static const Digest__AllowanceMessage init_value = DIGEST__ALLOWANCE_MESSAGE__INIT;
+  *message = init_value;
+}
+size_t digest__allowance_message__get_packed_size
+                     (const Digest__AllowanceMessage *message)
+{
+  assert(message->base.descriptor == &digest__allowance_message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t digest__allowance_message__pack
+                     (const Digest__AllowanceMessage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &digest__allowance_message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t digest__allowance_message__pack_to_buffer
+                     (const Digest__AllowanceMessage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &digest__allowance_message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Digest__AllowanceMessage *
+       digest__allowance_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Digest__AllowanceMessage *)
+     protobuf_c_message_unpack (&digest__allowance_message__descriptor,
+                                allocator, len, data);
+}
+void   digest__allowance_message__free_unpacked
+                     (Digest__AllowanceMessage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &digest__allowance_message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   digest__accepted_order__init
                      (Digest__AcceptedOrder         *message)
 {
@@ -1211,6 +1256,161 @@
   (ProtobufCMessageInit) digest__keeper_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor digest__allowance_message__field_descriptors[10] =
+{
+  {
+    "member",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_member),
+    offsetof(Digest__AllowanceMessage, member),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_left),
+    offsetof(Digest__AllowanceMessage, left),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_call",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__AllowanceMessage, n_ask_call),
+    offsetof(Digest__AllowanceMessage, ask_call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_organisation",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__AllowanceMessage, n_ask_organisation),
+    offsetof(Digest__AllowanceMessage, ask_organisation),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_amount",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_ask_amount),
+    offsetof(Digest__AllowanceMessage, ask_amount),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_call",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__AllowanceMessage, n_answer_call),
+    offsetof(Digest__AllowanceMessage, answer_call),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_wait",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_answer_wait),
+    offsetof(Digest__AllowanceMessage, answer_wait),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "back_organisation",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__AllowanceMessage, n_back_organisation),
+    offsetof(Digest__AllowanceMessage, back_organisation),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "back_amount",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_back_amount),
+    offsetof(Digest__AllowanceMessage, back_amount),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "back_ago",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__AllowanceMessage, n_back_ago),
+    offsetof(Digest__AllowanceMessage, back_ago),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned digest__allowance_message__field_indices_by_name[] = {
+  5,   /* field[5] = answer_call */
+  6,   /* field[6] = answer_wait */
+  4,   /* field[4] = ask_amount */
+  2,   /* field[2] = ask_call */
+  3,   /* field[3] = ask_organisation */
+  9,   /* field[9] = back_ago */
+  8,   /* field[8] = back_amount */
+  7,   /* field[7] = back_organisation */
+  1,   /* field[1] = left */
+  0,   /* field[0] = member */
+};
+static const ProtobufCIntRange digest__allowance_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor digest__allowance_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "digest.AllowanceMessage",
+  "AllowanceMessage",
+  "Digest__AllowanceMessage",
+  "digest",
+  sizeof(Digest__AllowanceMessage),
+  10,
+  digest__allowance_message__field_descriptors,
+  digest__allowance_message__field_indices_by_name,
+  1,  digest__allowance_message__number_ranges,
+  (ProtobufCMessageInit) digest__allowance_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor digest__accepted_order__field_descriptors[6] =
 {
   {
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Digest__ModelWait Digest__ModelWait;
 typedef struct Digest__StreamVersions Digest__StreamVersions;
 typedef struct Digest__KeeperMessage Digest__KeeperMessage;
+typedef struct Digest__AllowanceMessage Digest__AllowanceMessage;
 typedef struct Digest__AcceptedOrder Digest__AcceptedOrder;
 typedef struct Digest__Blame Digest__Blame;
 typedef struct Digest__EndpointCrash Digest__EndpointCrash;
@@ -237,6 +238,66 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * What organisations may use. A datagram that has this part has nothing else.
+ * Its sender is a member of the receiver's pools of these groups.
+ */
+struct  Digest__AllowanceMessage
+{
+  ProtobufCMessage base;
+  size_t n_member;
+  uint32_t *member;
+  /*
+   * it asks another instance from now on
+   */
+  size_t n_left;
+  uint32_t *left;
+  /*
+   * Calls that ask for their allowance; each list has one for each.
+   */
+  /*
+   * its number at the asking instance
+   */
+  size_t n_ask_call;
+  uint32_t *ask_call;
+  /*
+   * hash of its name
+   */
+  size_t n_ask_organisation;
+  uint32_t *ask_organisation;
+  /*
+   * tokens or calls
+   */
+  size_t n_ask_amount;
+  uint32_t *ask_amount;
+  /*
+   * Answers.
+   */
+  size_t n_answer_call;
+  uint32_t *answer_call;
+  /*
+   * 0: granted, else ms and one
+   */
+  size_t n_answer_wait;
+  uint32_t *answer_wait;
+  /*
+   * Granted, but surely not run.
+   */
+  size_t n_back_organisation;
+  uint32_t *back_organisation;
+  size_t n_back_amount;
+  uint32_t *back_amount;
+  /*
+   * ms since it was granted
+   */
+  size_t n_back_ago;
+  uint32_t *back_ago;
+};
+#define DIGEST__ALLOWANCE_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&digest__allowance_message__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * An order that an endpoint accepted.
  */
@@ -562,6 +623,25 @@
 void   digest__keeper_message__free_unpacked
                      (Digest__KeeperMessage *message,
                       ProtobufCAllocator *allocator);
+/* Digest__AllowanceMessage methods */
+void   digest__allowance_message__init
+                     (Digest__AllowanceMessage         *message);
+size_t digest__allowance_message__get_packed_size
+                     (const Digest__AllowanceMessage   *message);
+size_t digest__allowance_message__pack
+                     (const Digest__AllowanceMessage   *message,
+                      uint8_t             *out);
+size_t digest__allowance_message__pack_to_buffer
+                     (const Digest__AllowanceMessage   *message,
+                      ProtobufCBuffer     *buffer);
+Digest__AllowanceMessage *
+       digest__allowance_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   digest__allowance_message__free_unpacked
+                     (Digest__AllowanceMessage *message,
+                      ProtobufCAllocator *allocator);
 /* Digest__AcceptedOrder methods */
 void   digest__accepted_order__init
                      (Digest__AcceptedOrder         *message);
@@ -731,6 +811,9 @@
 typedef void (*Digest__KeeperMessage_Closure)
                  (const Digest__KeeperMessage *message,
                   void *closure_data);
+typedef void (*Digest__AllowanceMessage_Closure)
+                 (const Digest__AllowanceMessage *message,
+                  void *closure_data);
 typedef void (*Digest__AcceptedOrder_Closure)
                  (const Digest__AcceptedOrder *message,
                   void *closure_data);
@@ -766,6 +849,7 @@
 extern const ProtobufCMessageDescriptor digest__model_wait__descriptor;
 extern const ProtobufCMessageDescriptor digest__stream_versions__descriptor;
 extern const ProtobufCMessageDescriptor digest__keeper_message__descriptor;
+extern const ProtobufCMessageDescriptor digest__allowance_message__descriptor;
 extern const ProtobufCMessageDescriptor digest__accepted_order__descriptor;
 extern const ProtobufCMessageDescriptor digest__blame__descriptor;
 extern const ProtobufCMessageDescriptor digest__endpoint_crash__descriptor;
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -30,7 +30,7 @@
 	d->holder = plan_holder_valid(s);
 	d->store_lost = store_lost(s);
 	d->domain_heartbeat_ms = (uint32_t)domain_heartbeat_ms(s);
-	d->keeps = true;
+	d->keeps = d->gives = true;
 	d->several_versions = streams_several_versions(s);
 	d->store_era = s->store_era;
 	d->first_era = plan_first_era(s);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/allowances.h"
 #include "serve/keepers.h"
 #include "serve/limits.h"
 #include "policy/liveness.h"
@@ -444,6 +445,7 @@
 	p->lost_store = d->store_lost;
 	p->heartbeat = d->domain_heartbeat_ms;
 	p->keeps = d->keeps;
+	p->gives = d->gives;
 	p->several_versions = d->several_versions;
 	p->queued_tokens = (int)d->queued_tokens;
 	tags_read(
@@ -524,6 +526,8 @@
 			limits_receive(s, d->limits, &from);
 		else if (d->keeper != NULL)
 			keepers_receive(s, d->keeper, &from);
+		else if (d->allowance != NULL)
+			allowances_receive(s, d, &from);
 		else if (d->sum_domain != 0)
 			receive_sum(s, d, &from, bytes, (size_t)n);
 		else
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -1,4 +1,5 @@
 /* Startup, settings, the event loop's hooks and shutdown. */
+#include "serve/allowances.h"
 #include "serve/keepers.h"
 #include "serve/blame.h"
 #include "serve/limits.h"
@@ -220,6 +221,7 @@
 	plan_run_if_due(s);
 	streams_flush(s);
 	keepers_flush(s);
+	allowances_flush(s);
 	digests_flush(s);
 	log_flush();
 }
@@ -246,6 +248,7 @@
 	blame_feed_init(s);
 	limits_init(s);
 	keepers_init(s);
+	allowances_init(s);
 	reach_init(s);
 	s->retired = g_ptr_array_new();
 	ep_table_init(&s->endpoints);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -24,6 +24,7 @@
 /* Calls. call.c, choose.c, answer.c, stream.c */
 
 typedef enum call_state {
+	CALL_ALLOWANCE,	 /* asking whether its organisation may send it */
 	CALL_LOCATING,	 /* asking which software version began the stream */
 	CALL_WAITING,	 /* for a free endpoint or a model to be loaded */
 	CALL_ASKING,	 /* the instances that keep endpoints' loads */
@@ -140,6 +141,15 @@
 	bool queued;
 	call_t *next_waiting;
 
+	struct {
+		uint32_t number; /* while it asks, 0: it doesn't */
+		double amount;	 /* tokens or calls */
+		ms_t begun_at, asked_at;
+		bool silent;	 /* its giver was found silent */
+		ms_t granted_at; /* 0: not, or none is needed */
+		uint64_t giver;	 /* that granted it */
+	} allowance;
+
 	/* Resumable streams. */
 	uint64_t stream_id; /* hash of the attempt that began it */
 	uint64_t software;  /* version that it must go on at, 0: any */
@@ -183,6 +193,8 @@
 } choice_t;
 
 void call_dispatch(call_t *c);
+/** Its organisation may send the call: begin to serve it. */
+void call_allowed(call_t *c);
 /** Has the endpoint of this attempt surely begun to write an answer? */
 bool call_began(const call_t *c);
 /**
@@ -468,6 +480,7 @@
 	bool lost_store;       /* it has lost contact with the store */
 	bool several_versions; /* it knows several of some service */
 	bool keeps;	       /* it can keep endpoints' loads */
+	bool gives;	       /* it can give organisations' allowances */
 	int queued_tokens;     /* prompt tokens of its waiting calls */
 	ms_t heartbeat; /* interval that it announced for its domain, 0: none */
 	ms_t last_heard_at; /* 0: never */
@@ -695,6 +708,7 @@
 	GPtrArray *retired; /* ep_t of instances that are gone */
 	struct limits_feed *limits;
 	struct keepers *keepers;
+	struct allowances *allowances;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
