--- a/standin/daemon_settings.c
+++ b/standin/daemon_settings.c
@@ -38,8 +38,9 @@
 	g_string_append_printf(
 	    t, "bootstrap: %s\n", f->bootstrap ? "true" : "false");
 	g_string_append_printf(t,
-	    "limits:\n  cpu_share: %g\n  memory_mb: 260\n  max_fds: 4100\n",
-	    f->cpu_share);
+	    "limits:\n  cpu_share: %g\n  memory_mb: %d\n  max_fds: %d\n",
+	    f->cpu_share, f->memory_mb != 0 ? f->memory_mb : 260,
+	    f->max_fds != 0 ? f->max_fds : 4100);
 	g_string_append(t, limits_text);
 	/* The last field is unknown to the daemons, which must ignore it. */
 	g_string_append_printf(t,
--- a/standin/daemon_settings.h
+++ b/standin/daemon_settings.h
@@ -13,8 +13,9 @@
 	const char *caller, *ready, *entries; /* addresses */
 	int peer_port;			      /* the next port is used, too */
 	const char *store;
-	double cpu_share; /* of a core */
-	bool bootstrap;	  /* the whole system starts for the first time */
+	double cpu_share;	/* of a core */
+	int memory_mb, max_fds; /* 0: 260 and 4,100 */
+	bool bootstrap;		/* the whole system starts for the first time */
 } daemon_settings_t;
 
 /**
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -43,7 +43,7 @@
     "\"disk_s\":0.2,\"adapters\":8,\"adapter_mb\":60},"
     "{\"name\":\"m2\",\"weights_mb\":70000,\"load_s\":0.3,\"warm_s\":0.2,"
     "\"disk_s\":0.2,\"adapters\":0,\"adapter_mb\":60}]}}],"
-    "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
+    "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":%d,"
     "\"header_timeout_ms\":700,\"idle_timeout_ms\":5000}%s}";
 
 void
@@ -72,6 +72,7 @@
 fixture_put_config(fixture_t *st, const char *more)
 {
 	char *text = g_strdup_printf(config_text, ++st->config_version, more,
+	    st->body_max != 0 ? st->body_max : 65536,
 	    st->organisations != NULL ? st->organisations : "");
 
 	fake_store_put(st->store, "config", "main", text);
@@ -181,6 +182,8 @@
 			.store = st->view_addr[i] != NULL ? st->view_addr[i]
 							  : st->store_addr,
 			.cpu_share = 0.25,
+			.memory_mb = st->memory_mb,
+			.max_fds = st->max_fds,
 			.bootstrap = !st->no_bootstrap });
 		g_file_set_contents(st->settings[i], text, -1, NULL);
 		g_free(text);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -40,6 +40,8 @@
 	/* The same for all, as each has its own IP; used at the first start. */
 	int peer_port;
 	int config_version;
+	/* Of daemons and configurations from now on, 0: the usual. */
+	int memory_mb, max_fds, body_max;
 	/* For configurations put from now on, as ",\"tenants\":[...]"; NULL:
 	 * none. */
 	const char *organisations;
