serve, net: what callers send is held within a part of the memory

61 bodies of 4 MB exceeded a daemon's 260 MB, and slow bodies kept all descriptors for callers: each connection was bounded, their sum wasn't.

One account has all that requests hold. Where its bound is reached, the incomplete request that has held most for longest is refused as not run; where descriptors run out, the one that began first is ended. A length over the limit is refused at once. Large blocks are mapped, so that what they took goes back.

--- a/cmd/ebonypitchd.c
+++ b/cmd/ebonypitchd.c
@@ -1,9 +1,14 @@
 /* ebonypitchd: the daemon of an instance; serves calls. See ebonypitchd(8). */
 #include "serve/serve.h"
 
+#include <malloc.h>
 #include <stdlib.h>
 #include <glib.h>
 
+enum {
+	LARGE_BLOCK = 128 << 10, /* bytes */
+};
+
 static gboolean check;
 static gchar *path;
 
@@ -42,6 +47,12 @@
 		fprintf(stderr, "ebonypitchd: %s: %s\n", path, e.text);
 		return EXIT_FAILURE;
 	}
+	/*
+	 * What large bodies took goes back to the system at once: the process
+	 * is killed for what it holds, used or not.
+	 */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK);
+	mallopt(M_TRIM_THRESHOLD, 2 * LARGE_BLOCK);
 	log_set_buffered();
 	s = serve_new(path, &e);
 	if (s == NULL) {
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -9,8 +9,9 @@
 #include <unistd.h>
 
 enum {
-	READ_MAX = 65536, /* bytes read from a socket at once */
-	LINGER_MS = 1000, /* time for the peer to read the last answer */
+	READ_MAX = 65536,     /* bytes read from a socket at once */
+	LINGER_MS = 1000,     /* time for the peer to read the last answer */
+	HEAD_KEPT_MAX = 4096, /* bytes of a head, kept for the next one */
 	BAD_REQUEST = 400,
 	HEAD_TOO_LARGE = 431,
 	BODY_TOO_LARGE = 413,
@@ -159,6 +160,13 @@
 	c->frame = (arrival_t){ 0 };
 }
 
+/* Has a callback closed the connection, or refused a server's request? */
+static bool
+has_ended(const http_conn_t *c)
+{
+	return c->closed || (c->side == HTTP_SERVER && c->closing);
+}
+
 /* Parser callbacks. They store the strings of a head in one buffer. */
 
 static int
@@ -259,7 +267,7 @@
 	frame_read(c);
 	c->keep_alive = http_should_keep_alive(ps);
 	c->ops->head(c->user, c);
-	if (c->closed)
+	if (has_ended(c))
 		return -1;
 	return c->side == HTTP_CLIENT && c->no_body ? 1 : 0;
 }
@@ -276,7 +284,7 @@
 		return -1;
 	}
 	c->ops->body(c->user, c, p, n);
-	return c->closed ? -1 : 0;
+	return has_ended(c) ? -1 : 0;
 }
 
 static int
@@ -387,7 +395,7 @@
 	}
 	c->frame_bytes += n;
 	used = http_parser_execute(&c->parser, &callbacks, p, n);
-	if (c->closed)
+	if (has_ended(c))
 		return;
 	switch (HTTP_PARSER_ERRNO(&c->parser)) {
 	case HPE_OK:
@@ -395,6 +403,8 @@
 			on_parse_error(c);
 		else if (frame_is_endless(c))
 			end_conn(c, HTTP_END_ENDLESS);
+		else if (c->side == HTTP_SERVER && c->ops->read != NULL)
+			c->ops->read(c->user, c);
 		return;
 	case HPE_PAUSED:
 		break;
@@ -412,6 +422,15 @@
 	c->ops->done(c->user, c);
 }
 
+void
+http_conn_release(http_conn_t *c)
+{
+	if (c->closed || c->head.text.cap <= HEAD_KEPT_MAX)
+		return;
+	buf_free(&c->head.text);
+	c->head.nfield = 0;
+}
+
 void
 http_conn_next(http_conn_t *c)
 {
--- a/net/net.h
+++ b/net/net.h
@@ -206,6 +206,8 @@
 	void (*drained)(void *u, http_conn_t *c);
 	/* The first byte of a message was parsed; may be NULL. */
 	void (*begin)(void *u, http_conn_t *c);
+	/* A server read bytes, and the message goes on; may be NULL. */
+	void (*read)(void *u, http_conn_t *c);
 } http_conn_ops_t;
 
 struct http_conn {
@@ -266,6 +268,8 @@
  * when it is done with an answer.
  */
 void http_conn_next(http_conn_t *c);
+/** Free the memory of the last message's head, if it is large. */
+void http_conn_release(http_conn_t *c);
 /** Stop or resume reading, for flow control. */
 void http_conn_pause(http_conn_t *c, bool paused);
 /** @return bytes received that weren't read yet, at most some KB. */
--- /dev/null
+++ b/serve/buffers.c
@@ -0,0 +1,139 @@
+#include "serve/buffers.h"
+
+enum {
+	/* A connection and what the kernel keeps for it, about. */
+	CONN_BYTES = 4096,
+	/* Of the body: itself, and the copy that is sent to an endpoint. */
+	BODY_COPIES = 2,
+	FULL_RETRY_AFTER_S = 1,
+};
+
+void
+buffers_init(serve_t *s)
+{
+	buffer_account_init(&s->buffers, (size_t)s->conf.memory_mb << 20);
+}
+
+static void
+count_ended(const char *why)
+{
+	char name[96];
+
+	snprintf(name, sizeof(name),
+	    "ebonypitch_requests_ended_total{why=\"%s\"}", why);
+	counter_add(counter_get(name,
+			"Incomplete requests and idle connections that were "
+			"ended to make room."),
+	    1);
+}
+
+static size_t
+held_now(const caller_conn_t *cc)
+{
+	const http_conn_t *k = cc->http;
+
+	return CONN_BYTES + k->head.text.cap + k->in.cap +
+	       BODY_COPIES * cc->body.cap;
+}
+
+/* The incomplete request that makes room, NULL: none. */
+static caller_conn_t *
+heaviest(const serve_t *s)
+{
+	caller_conn_t *best = NULL;
+	double most = 0, weight;
+	bool relevant;
+	int i;
+
+	for (i = 0; i < s->ncaller; i++) {
+		caller_conn_t *cc = s->caller[i];
+
+		if (cc->call != 0 || !cc->http->in_message)
+			continue;
+		weight = buffer_account_weight(&s->buffers, cc->held,
+		    s->loop.now - cc->http->message_start, &relevant);
+		if (!relevant || (best != NULL && weight <= most))
+			continue;
+		best = cc;
+		most = weight;
+	}
+	return best;
+}
+
+bool
+buffers_request_grew(caller_conn_t *cc)
+{
+	serve_t *s = cc->s;
+	caller_conn_t *end;
+
+	buffer_account_change(&s->buffers, &cc->held, held_now(cc));
+	while (buffer_account_over(&s->buffers) > 0) {
+		end = heaviest(s);
+		/* Calls hold all of it: what comes in doesn't fit. */
+		if (end == NULL)
+			end = cc;
+		log_limited(LOG_NOTICE, "request-ended",
+		    "why=memory held=%zu age_ms=%" PRId64 " all=%zu", end->held,
+		    s->loop.now - end->http->message_start,
+		    s->buffers.small + s->buffers.large);
+		count_ended("memory");
+		caller_refuse(end, 503, FULL_RETRY_AFTER_S,
+		    "the instance has no memory for the request");
+		if (end == cc)
+			return false;
+	}
+	return true;
+}
+
+void
+buffers_request_ended(caller_conn_t *cc)
+{
+	buffer_account_change(&cc->s->buffers, &cc->held, 0);
+}
+
+void
+buffers_call_began(call_t *c, caller_conn_t *cc)
+{
+	buffer_account_change(
+	    &c->s->buffers, &c->held, BODY_COPIES * c->body.cap);
+	buffer_account_change(&c->s->buffers, &cc->held, held_now(cc));
+}
+
+void
+buffers_call_ended(call_t *c)
+{
+	buffer_account_change(&c->s->buffers, &c->held, 0);
+}
+
+bool
+buffers_free_descriptor(serve_t *s)
+{
+	caller_conn_t *best = NULL;
+	bool in_message = false;
+	int i;
+
+	/* An incomplete request that began first, else the longest idle one. */
+	for (i = 0; i < s->ncaller; i++) {
+		caller_conn_t *cc = s->caller[i];
+		const http_conn_t *k = cc->http;
+		ms_t since = k->in_message ? k->message_start : k->last_io;
+
+		if (cc->call != 0 || k->closing || cc->from_instance ||
+		    (in_message && !k->in_message))
+			continue;
+		if (best != NULL && in_message == k->in_message &&
+		    since >= (in_message ? best->http->message_start
+					 : best->http->last_io))
+			continue;
+		best = cc;
+		in_message = k->in_message;
+	}
+	if (best == NULL)
+		return false;
+	log_limited(LOG_NOTICE, "request-ended",
+	    "why=descriptors held=%zu age_ms=%" PRId64 " callers=%d",
+	    best->held, s->loop.now - best->http->message_start, s->ncaller);
+	count_ended("descriptors");
+	caller_drop(best);
+	return true;
+}
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,5 +1,6 @@
 #include "serve/allowances.h"
 #include "serve/blame.h"
+#include "serve/buffers.h"
 #include "serve/limits.h"
 #include "serve/organisation.h"
 #include "serve/peer_call.h"
@@ -126,6 +127,7 @@
 	    hasher_sum(&cc->body_hash));
 	c->body = cc->body;
 	memset(&cc->body, 0, sizeof(cc->body));
+	buffers_call_began(c, cc);
 	c->received_at = c->arrived_at = s->loop.now;
 	c->deadline = c->received_at + remaining + TIMEOUT_SLACK_MS;
 	if (r->timeout > 0 && c->received_at + r->timeout < c->deadline)
@@ -600,6 +602,7 @@
 	alarm_stop(&s->loop, &c->alarm);
 	table_del(s->calls, c->id);
 	buf_free(&c->body);
+	buffers_call_ended(c);
 	buf_free(&c->answer_head);
 	buf_free(&c->answer_body);
 	c->service = "";
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -1,5 +1,5 @@
 #define _GNU_SOURCE /* accept4() */
-#include "serve/serve.h"
+#include "serve/buffers.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -21,8 +21,18 @@
 	INSTANCE_FIELDS_MAX = 1024, /* bytes; added to a head by an instance */
 	DRAIN_IDLE_MS = 1500,	    /* idle timeout while leaving */
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
+	SPARE_FDS = 8, /* connections make room when so few are left */
 };
 
+static int
+callers_max(const serve_t *s)
+{
+	int reserved = s->conf.fds_max / 2;
+
+	return s->conf.fds_max -
+	       (reserved < RESERVED_FDS ? reserved : RESERVED_FDS);
+}
+
 /*
  * Accept callers only while descriptors are left for endpoints and the store;
  * until then their requests stay unread.
@@ -30,13 +40,8 @@
 static void
 update_listener(serve_t *s)
 {
-	int reserved = s->conf.fds_max / 2;
-
-	uint32_t ev;
+	uint32_t ev = s->ncaller < callers_max(s) ? EPOLLIN : 0;
 
-	if (reserved > RESERVED_FDS)
-		reserved = RESERVED_FDS;
-	ev = s->ncaller < s->conf.fds_max - reserved ? EPOLLIN : 0;
 	if (s->caller_listener.fd != -1)
 		watch_set(&s->loop, &s->caller_listener, ev);
 	if (s->instance_listener.fd != -1)
@@ -49,6 +54,7 @@
 	serve_t *s = cc->s;
 
 	alarm_stop(&s->loop, &cc->idle_alarm);
+	buffers_request_ended(cc);
 	s->caller[cc->index] = s->caller[--s->ncaller];
 	s->caller[cc->index]->index = cc->index;
 	update_listener(s);
@@ -181,9 +187,12 @@
 	hasher_init(&cc->body_hash);
 	if (k->parser.content_length != ULLONG_MAX &&
 	    k->parser.content_length > k->body_max) {
-		k->refuse_status = 413;
-		k->body_max = 1; /* rejects any body */
-	} else if (expect != NULL && strcasecmp(expect, "100-continue") == 0) {
+		caller_refuse(cc, 413, 0, "the body is too large");
+		return;
+	}
+	if (!buffers_request_grew(cc))
+		return;
+	if (expect != NULL && strcasecmp(expect, "100-continue") == 0) {
 		http_conn_write(k, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 		http_conn_flush(k);
 	}
@@ -197,6 +206,7 @@
 	(void)k;
 	buf_add(&cc->body, p, n);
 	hasher_add(&cc->body_hash, p, n);
+	buffers_request_grew(cc);
 }
 
 static void
@@ -222,6 +232,14 @@
 	finish(cc);
 }
 
+/* A part of a head has arrived; a body's parts are counted in on_body(). */
+static void
+on_read(void *u, http_conn_t *k)
+{
+	if (k->in_message && !k->head_done)
+		buffers_request_grew(u);
+}
+
 static void
 on_end(void *u, http_conn_t *k, http_end_t why)
 {
@@ -257,6 +275,7 @@
 	.bad = on_bad,
 	.end = on_end,
 	.drained = on_drained,
+	.read = on_read,
 };
 
 static caller_conn_t *
@@ -309,6 +328,9 @@
 	int i, fd;
 
 	(void)ev;
+	while (s->ncaller > 0 && s->ncaller >= callers_max(s) - SPARE_FDS &&
+	       buffers_free_descriptor(s))
+		;
 	for (i = 0; i < ACCEPTS_PER_TURN && s->caller_listener.events != 0;
 	     i++) {
 		fd = accept_next(s, &s->caller_listener, &from);
@@ -390,6 +412,29 @@
 	http_conn_flush(cc->http);
 }
 
+void
+caller_refuse(caller_conn_t *cc, int status, int retry_after, const char *body)
+{
+	char extra[64];
+
+	snprintf(extra, sizeof(extra), "Connection: close\r\n");
+	if (retry_after > 0)
+		snprintf(extra, sizeof(extra),
+		    "Connection: close\r\nRetry-After: %d\r\n", retry_after);
+	caller_answer(cc, status, extra, body);
+	finish(cc);
+}
+
+void
+caller_drop(caller_conn_t *cc)
+{
+	if (cc->http->in_message)
+		caller_answer(cc, 408, "Connection: close\r\n",
+		    "the request took too long to arrive");
+	http_conn_close(cc->http);
+	conn_free(cc);
+}
+
 void
 caller_answer_done(caller_conn_t *cc)
 {
@@ -403,6 +448,8 @@
 		return;
 	}
 	set_idle_timer(cc);
+	http_conn_release(cc->http);
+	buffers_request_ended(cc);
 	http_conn_next(cc->http);
 }
 
--- a/serve/gauges.c
+++ b/serve/gauges.c
@@ -57,6 +57,10 @@
 	set_gauge("ebonypitch_requests_blamed",
 	    "Requests that crash endpoints.",
 	    blame_count(&s->blame->blame, SUSPECT_REQUEST));
+	set_gauge("ebonypitch_request_bytes", "Bytes held for requests.",
+	    (int64_t)(s->buffers.small + s->buffers.large));
+	set_gauge("ebonypitch_request_bytes_max", "Bound of these.",
+	    (int64_t)s->buffers.bound);
 	set_gauge("ebonypitch_log_dropped", "Log lines that weren't taken.",
 	    log_dropped());
 	set_gauge("ebonypitch_first_error_percent",
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -2,6 +2,7 @@
 #include "serve/allowances.h"
 #include "serve/keepers.h"
 #include "serve/blame.h"
+#include "serve/buffers.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
 #include "serve/reach.h"
@@ -249,6 +250,7 @@
 	limits_init(s);
 	keepers_init(s);
 	allowances_init(s);
+	buffers_init(s);
 	reach_init(s);
 	s->retired = g_ptr_array_new();
 	ep_table_init(&s->endpoints);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -8,6 +8,7 @@
 #define SERVE_H
 
 #include "base/hash.h"
+#include "policy/buffer_account.h"
 #include "policy/liveness.h"
 #include "policy/retries.h"
 #include "policy/software.h"
@@ -64,10 +65,11 @@
 	call_head_t request;
 	config_t *config; /* of the route; a reference */
 	route_t route;
-	const char *service; /* of the configuration */
+	const char *service;		    /* of the configuration */
 	const organisation_t *organisation; /* the same; NULL: none */
 	const char *method;
 	buf_t body;
+	size_t held;		    /* by the account of buffers */
 	uint64_t fingerprint;	    /* call_fingerprint() */
 	ms_t received_at, deadline; /* deadline: of the whole answer */
 	ms_t arrived_at; /* later, if another instance had received it */
@@ -374,6 +376,7 @@
 	handle_t call;
 	bool from_instance; /* its requests are calls handed over */
 	buf_t body;
+	size_t held; /* by the account of buffers */
 	hasher_t body_hash;
 	alarm_t idle_alarm;
 	int served;
@@ -388,6 +391,15 @@
 /** Send an error answer; @p extra holds further header lines. */
 void caller_answer(
     caller_conn_t *cc, int status, const char *extra, const char *body);
+/**
+ * Refuse a request that hasn't arrived completely, and close the connection
+ * once the answer is sent.
+ * @param retry_after s, 0: not given
+ */
+void caller_refuse(
+    caller_conn_t *cc, int status, int retry_after, const char *body);
+/** Close the connection at once; a request that is arriving is refused. */
+void caller_drop(caller_conn_t *cc);
 /** The answer was sent: read the next request, or close the connection. */
 void caller_answer_done(caller_conn_t *cc);
 /** End an incomplete answer so that the caller sees that it is incomplete. */
@@ -709,6 +721,7 @@
 	struct limits_feed *limits;
 	struct keepers *keepers;
 	struct allowances *allowances;
+	buffer_account_t buffers;
 	GArray *unsent_streams; /* stream_record_t, to be sent to peers */
 	int nlocating;		/* calls in CALL_LOCATING */
 	table_t *calls;		/* of call_t * */
