policy, serve: prompts go to endpoints at the pace of their streams

A stream that pauses for longer than its route allows is late: half of the long streams were, though their first events came early. Prompts that are read between two events of a stream are a pause in it, and more were sent than an endpoint reads in that time: its speed was overestimated by 1.6 at the median, models that cost a third or an eighth as much counted alike, and slow moments of a machine weren't known.

Where endpoints tell how long work takes, or organisations share them, prompts not yet read or sent in the last 400 ms stay within what is read in the shortest pause that routes allow, counted at the learnt cost of their model. A call that the asked endpoints would take too late asks at others before it is refused.

--- a/policy/keeper.c
+++ b/policy/keeper.c
@@ -171,6 +171,8 @@
 {
 	workload_share_t s;
 
+	workload_refresh(&k->load, now);
+
 	if (k->nask == 0 || delay_ms(k, r, &k->ask[0], now) != 0)
 		return false;
 	*out = k->ask[0];
--- a/policy/workload.c
+++ b/policy/workload.c
@@ -34,9 +34,17 @@
 	wl->reported_running = wl->reported_waiting = -1;
 }
 
+void
+workload_refresh(workload_t *wl, ms_t now)
+{
+	wl->factor = pace_now(&wl->pace, now);
+}
+
 static double
 prefill_speed(const workload_t *wl, const workload_average_t *avg)
 {
+	if (wl->paced)
+		return PACE_REFERENCE_SPEED / (wl->factor > 0 ? wl->factor : 1);
 	if (wl->prefill_speed > 0)
 		return wl->prefill_speed;
 	return avg->prefill_speed > 0 ? avg->prefill_speed
@@ -97,6 +105,7 @@
 	wl->bucket_at = now;
 	wl->arrival_rate = arrival_rate(wl, now) + tokens / arrival_decay_ms;
 	wl->arrival_rate_at = now;
+	pace_window_add(&wl->sent, tokens, now);
 }
 
 double
@@ -116,6 +125,25 @@
 	       weights->other_streams * running * prefill_ms;
 }
 
+/*
+ * Prompts that aren't read yet, or were sent so lately that they are read in
+ * the same pause, and the new one. A prompt that is too large by itself is sent
+ * when there are no others.
+ */
+static double
+paced_delay_ms(
+    const workload_t *wl, const workload_average_t *avg, int uncached, ms_t now)
+{
+	double speed = prefill_speed(wl, avg);
+	double room = pace_room(&wl->stream, speed, wl->factor);
+	double queued = fmax(wl->own.prefill_tokens + wl->others.prefill_tokens,
+	    pace_window_sum(&wl->sent, now));
+
+	if (queued <= 0 || queued + uncached <= room)
+		return 0;
+	return fmin(queued, queued + uncached - room) / speed;
+}
+
 double
 workload_send_delay_ms(const workload_t *wl, const workload_average_t *avg,
     const workload_limits_t *limits, int uncached, ms_t now)
@@ -125,6 +153,8 @@
 
 	if (wl->kv_capacity == 0)
 		return 0;
+	if (wl->paced && wl->stream.gap > 0)
+		return paced_delay_ms(wl, avg, uncached, now);
 	bucket_max = prefill_speed(wl, avg) * limits->stream_gap_ms;
 	v = bucket_tokens(wl, avg, limits, now);
 	if (v + uncached <= bucket_max)
@@ -199,7 +229,8 @@
 		took = 1;
 	average_add(&wl->prediction_error,
 	    fabs(r->predicted_ms - (double)took) / (double)took);
-	if (r->queued_tokens < SAMPLE_TOKENS_MIN || took <= STEP_MS)
+	if (r->queued_tokens < SAMPLE_TOKENS_MIN || took <= STEP_MS ||
+	    wl->paced)
 		return;
 	sample = r->queued_tokens / (double)(took - STEP_MS);
 	sample = fmin(fmax(sample, average / sample_clamp_factor),
--- a/policy/workload.h
+++ b/policy/workload.h
@@ -9,7 +9,7 @@
 #ifndef WORKLOAD_H
 #define WORKLOAD_H
 
-#include "base/base.h"
+#include "policy/pace.h"
 
 /** The calls that one instance has at an endpoint. */
 typedef struct workload_share {
@@ -39,7 +39,16 @@
 	double prefill_speed; /* prompt tokens per ms, 0: not measured */
 	double plain_call_ms; /* of a plain call alone, 0: not measured */
 	int slots;	      /* calls in one batch */
-	int kv_capacity;      /* tokens, 0: a plain service */
+	/*
+	 * Endpoints of its service tell how long work takes; all tokens are
+	 * reference tokens then.
+	 */
+	bool paced;
+	pace_t pace;
+	double factor; /* of the pace, by workload_refresh() */
+	pace_window_t sent;
+	pace_stream_t stream;
+	int kv_capacity;			/* tokens, 0: a plain service */
 	int reported_running, reported_waiting; /* -1: never reported */
 	ms_t reported_at;
 	double prediction_error; /* mean |predicted - measured| / measured */
@@ -59,6 +68,8 @@
 } workload_average_t;
 
 void workload_init(workload_t *wl, int slots, int kv_capacity);
+/** The time is @p now: how long does work take at the endpoint? */
+void workload_refresh(workload_t *wl, ms_t now);
 /**
  * @param uncached prompt tokens that aren't cached at the endpoint
  * @return ms until the first event, or until the whole answer of a plain call
--- a/serve/admit.c
+++ b/serve/admit.c
@@ -128,4 +128,11 @@
 	if (c->first_at != 0)
 		histo_add(&c->s->first_ms, c->first_at - c->received_at);
 	histo_add(&c->s->whole_ms, c->s->loop.now - c->received_at);
+	if (c->nevent < 2)
+		return;
+	histo_add(&c->s->pause_ms, c->pause);
+	if (c->route.target_gap > 0 && c->pause > c->route.target_gap)
+		counter_add(counter_get("ebonypitch_streams_paused_total",
+				"Streams with a pause over their route's."),
+		    1);
 }
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -1,7 +1,9 @@
 #include "serve/allowances.h"
 #include "serve/blame.h"
+#include "serve/keepers.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
+#include "serve/prompt_cost.h"
 #include "serve/reach.h"
 
 #include <stdlib.h>
@@ -451,6 +453,13 @@
 static void
 note_own_head(call_t *c, ep_conn_t *w, const answer_head_t *a)
 {
+	if (a->pace > 0) {
+		/* Who keeps the endpoint's load hears of another pace at once.
+		 */
+		if (a->pace != (int)(100 * w->ep->workload.pace.last + 0.5))
+			keepers_load_changed(w->s, w->ep);
+		endpoint_pace_told(w->s, w->ep, a->pace, w->s->loop.now);
+	}
 	if (a->running >= 0)
 		workload_set_reported(&w->ep->workload, a->running, a->waiting,
 		    a->slots, w->s->loop.now);
--- a/serve/ask.c
+++ b/serve/ask.c
@@ -18,6 +18,7 @@
 	/* A call that waits looks again for the endpoints to ask at. */
 	ROUND_MS = 120,
 	RETRY_SLACK_MS = 50,
+	FURTHER_MAX = 3, /* rounds before a call is refused */
 };
 
 static void
@@ -194,6 +195,36 @@
 			 &a->ep->workload, &c->s->average_speed, a->tokens);
 }
 
+/*
+ * What is known here of endpoints is old: those that look best may have a long
+ * queue while others with the model are free. With the waits that were just
+ * told, others may look better: ask there before the call is refused.
+ * @return whether others are asked now
+ */
+static bool
+ask_further(call_t *c)
+{
+	ep_t *candidate[ASKED_MAX];
+	int tokens[ASKED_MAX], n, i, k, others = 0;
+
+	if (c->ask.further >= FURTHER_MAX)
+		return false;
+	n = choose_candidates(c, candidate, tokens);
+	for (i = 0; i < n; i++) {
+		if (!candidate[i]->workload.paced)
+			return false;
+		for (k = 0; k < ASKED_MAX; k++)
+			if (c->ask.at[k].ep == candidate[i])
+				break;
+		others += k == ASKED_MAX;
+	}
+	if (others == 0)
+		return false;
+	c->ask.further++;
+	begin_round(c, candidate, tokens, n);
+	return true;
+}
+
 /* All asked endpoints would take the call too late: refuse it now. */
 static bool
 refuse_if_late(call_t *c)
@@ -214,6 +245,8 @@
 	}
 	if (least == -1 || now + least <= late_at(c))
 		return false;
+	if (ask_further(c))
+		return false;
 	count_ask("late");
 	ask_end(c);
 	call_give_up(c, "all endpoints are full",
@@ -243,7 +276,9 @@
 	}
 	if (best == -1 && refuse_if_late(c))
 		return;
-	call_set_timer(c);
+	/* A further endpoint that is kept here may have granted it at once. */
+	if (c->state == CALL_ASKING)
+		call_set_timer(c);
 }
 
 void
@@ -262,6 +297,8 @@
 			give_back(s, p, call);
 		return;
 	}
+	p->told_wait = x->granted ? x->backlog : x->wait;
+	p->told_at = s->loop.now;
 	a->answered = true;
 	a->wait = x->wait;
 	a->backlog = x->backlog;
--- a/serve/call.c
+++ b/serve/call.c
@@ -588,11 +588,12 @@
 
 	log_limited(LOG_INFO, "done",
 	    "request=%s route=%s model=%s/%s outcome=%s status=%d sends=%d "
-	    "first_ms=%" PRId64 " whole_ms=%" PRId64 " events=%d",
+	    "first_ms=%" PRId64 " whole_ms=%" PRId64
+	    " events=%d pause_ms=%" PRId64,
 	    c->request.id, c->route.name, c->request.model, c->request.adapter,
 	    outcome, c->status, c->attempts,
 	    c->first_at != 0 ? c->first_at - c->received_at : -1,
-	    s->loop.now - c->received_at, c->nevent);
+	    s->loop.now - c->received_at, c->nevent, c->pause);
 	count_outcome(c, outcome);
 	call_end_attempt(c, false);
 	call_queue_remove(c);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,14 +1,17 @@
 #include "policy/wait.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
+#include "serve/prompt_cost.h"
 #include "serve/reach.h"
 
+#include <math.h>
 #include <string.h>
 
 enum {
 	ADAPTER_WAIT_MS = 400, /* adapter load and the order's round trip */
 	RETRY_AFTER_MIN_MS = 50,
 	SLOT_WAIT_MS = 100, /* typical time until a slot is free */
+	TOLD_MS = 300,	    /* for so long a wait that was told is used */
 	/*
 	 * Calls received in this time after the instance began to leave may
 	 * use the whole grace period.
@@ -130,6 +133,17 @@
 	double prefill_rate;   /* prompt tokens per ms, of all holders */
 } scan_t;
 
+/* What the endpoint has to read for the call. */
+static int
+tokens_to_read(const call_t *c, const ep_t *p, const uint64_t *key, ms_t now)
+{
+	int tokens = c->request.prompt - cached_tokens(p, key, c, now);
+
+	if (!p->workload.paced)
+		return tokens;
+	return (int)(tokens * prompt_cost(c->s, c->service, c->request.model));
+}
+
 static double
 endpoint_cost(const call_t *c, const ep_t *p, uint64_t group, double first_ms,
     int uncached_tokens)
@@ -215,6 +229,15 @@
 	sc->asked_tokens[i] = tokens;
 }
 
+/* The wait that the instance which keeps the endpoint's load told lately. */
+static double
+told_wait_ms(const ep_t *p, ms_t now)
+{
+	return is_recent(p->told_at, now, TOLD_MS)
+		   ? (double)(p->told_wait - (now - p->told_at))
+		   : 0;
+}
+
 static void
 consider_endpoint(
     call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
@@ -255,7 +278,8 @@
 		return;
 	}
 	if (engine)
-		uncached_tokens -= cached_tokens(p, key, c, now);
+		uncached_tokens = tokens_to_read(c, p, key, now);
+	workload_refresh(&p->workload, now);
 	first_ms = workload_predict_ms(
 	    &p->workload, &s->average_speed, uncached_tokens);
 	if (sc->least_first_ms == 0 || first_ms < sc->least_first_ms)
@@ -265,6 +289,8 @@
 		wait_ms =
 		    workload_send_delay_ms(&p->workload, &s->average_speed,
 			&s->workload_limits, uncached_tokens, now);
+		if (p->workload.paced)
+			wait_ms = fmax(wait_ms, told_wait_ms(p, now));
 		add_asked(sc, p,
 		    wait_ms +
 			endpoint_cost(c, p, group, first_ms, uncached_tokens),
@@ -551,7 +577,8 @@
 	for (i = 0; i < c->request.npart; i++)
 		key[i] = prefix_key(c, i);
 	if (c->request.model[0] != '\0')
-		tokens -= cached_tokens(p, key, c, s->loop.now);
+		tokens = tokens_to_read(c, p, key, s->loop.now);
+	workload_refresh(&p->workload, s->loop.now);
 	out->kind = CHOICE_SEND;
 	out->ep = p;
 	out->uncached_tokens = tokens;
--- a/serve/digest.pb-c.c
+++ b/serve/digest.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &digest__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor digest__digest__field_descriptors[46] =
+static const ProtobufCFieldDescriptor digest__digest__field_descriptors[48] =
 {
   {
     "sender",
@@ -606,12 +606,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cost_model",
+    47,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Digest__Digest, n_cost_model),
+    offsetof(Digest__Digest, cost_model),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_us",
+    48,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__Digest, n_cost_us),
+    offsetof(Digest__Digest, cost_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__digest__field_indices_by_name[] = {
   18,   /* field[18] = accepted_order */
   44,   /* field[44] = allowance */
   27,   /* field[27] = blame */
   10,   /* field[10] = config_revision */
+  46,   /* field[46] = cost_model */
+  47,   /* field[47] = cost_us */
   17,   /* field[17] = demand */
   35,   /* field[35] = domain_heartbeat_ms */
   12,   /* field[12] = endpoint */
@@ -658,7 +684,7 @@
 static const ProtobufCIntRange digest__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 46 }
+  { 0, 48 }
 };
 const ProtobufCMessageDescriptor digest__digest__descriptor =
 {
@@ -668,7 +694,7 @@
   "Digest__Digest",
   "digest",
   sizeof(Digest__Digest),
-  46,
+  48,
   digest__digest__field_descriptors,
   digest__digest__field_indices_by_name,
   1,  digest__digest__number_ranges,
--- a/serve/digest.pb-c.h
+++ b/serve/digest.pb-c.h
@@ -170,10 +170,21 @@
    * It answers asks for organisations' allowances.
    */
   protobuf_c_boolean gives;
+  /*
+   * Prompts that the sender saw read alone: hashes of service and model, and
+   * us a token, where work takes as long as usual.
+   */
+  size_t n_cost_model;
+  uint32_t *cost_model;
+  /*
+   * in hundredths; one for each of cost_model
+   */
+  size_t n_cost_us;
+  uint32_t *cost_us;
 };
 #define DIGEST__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__digest__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, NULL, 0, NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Digest__Digest methods */
--- a/serve/digest_parts.pb-c.c
+++ b/serve/digest_parts.pb-c.c
@@ -1023,7 +1023,7 @@
   (ProtobufCMessageInit) digest__stream_versions__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor digest__keeper_message__field_descriptors[16] =
+static const ProtobufCFieldDescriptor digest__keeper_message__field_descriptors[19] =
 {
   {
     "ask_call",
@@ -1217,11 +1217,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_pace),
+    offsetof(Digest__KeeperMessage, pace),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace_ago",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_pace_ago),
+    offsetof(Digest__KeeperMessage, pace_ago),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_pace",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Digest__KeeperMessage, n_answer_pace),
+    offsetof(Digest__KeeperMessage, answer_pace),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned digest__keeper_message__field_indices_by_name[] = {
   15,   /* field[15] = answer_backlog */
   12,   /* field[12] = answer_call */
   13,   /* field[13] = answer_endpoint */
+  18,   /* field[18] = answer_pace */
   14,   /* field[14] = answer_wait */
   0,   /* field[0] = ask_call */
   1,   /* field[1] = ask_endpoint */
@@ -1231,6 +1268,8 @@
   2,   /* field[2] = ask_tokens */
   8,   /* field[8] = endpoint */
   11,   /* field[11] = kv_units */
+  16,   /* field[16] = pace */
+  17,   /* field[17] = pace_ago */
   9,   /* field[9] = prefill_tokens */
   6,   /* field[6] = removed_call */
   7,   /* field[7] = removed_endpoint */
@@ -1239,7 +1278,7 @@
 static const ProtobufCIntRange digest__keeper_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor digest__keeper_message__descriptor =
 {
@@ -1249,7 +1288,7 @@
   "Digest__KeeperMessage",
   "digest",
   sizeof(Digest__KeeperMessage),
-  16,
+  19,
   digest__keeper_message__field_descriptors,
   digest__keeper_message__field_indices_by_name,
   1,  digest__keeper_message__number_ranges,
--- a/serve/digest_parts.pb-c.h
+++ b/serve/digest_parts.pb-c.h
@@ -232,10 +232,29 @@
    */
   size_t n_answer_backlog;
   uint32_t *answer_backlog;
+  /*
+   * How long work takes at the endpoints whose shares are sent, as they
+   * said to the sender, and ms since then; one for each of endpoint.
+   */
+  /*
+   * in hundredths, 0: not known
+   */
+  size_t n_pace;
+  uint32_t *pace;
+  size_t n_pace_ago;
+  uint32_t *pace_ago;
+  /*
+   * The same of answers' endpoints now, as far as the sender knows.
+   */
+  /*
+   * one for each of answer_call
+   */
+  size_t n_answer_pace;
+  uint32_t *answer_pace;
 };
 #define DIGEST__KEEPER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&digest__keeper_message__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -116,7 +116,8 @@
 	int ncall;	     /* calls of this instance in progress */
 	uint64_t no_conn_in; /* serve_t.search in which it had no connection */
 	workload_t workload;
-	uint32_t sent_tokens; /* prompt tokens from this instance; wraps */
+	ms_t told_wait, told_at; /* by the instance that keeps its load */
+	uint32_t sent_tokens;	 /* prompt tokens from this instance; wraps */
 	uint32_t domain_sent_tokens; /* from the rest of this domain; wraps */
 	/* This domain's sum as last sent to other domains. */
 	workload_share_t sent_sum;
--- a/serve/keeper_send.c
+++ b/serve/keeper_send.c
@@ -23,8 +23,14 @@
 	uint32_t endpoint, call;
 	union {
 		keeper_ask_t ask;
-		workload_share_t share;
-		keeper_answer_t answer;
+		struct {
+			workload_share_t share;
+			uint32_t pace, pace_ago;
+		};
+		struct {
+			keeper_answer_t answer;
+			uint32_t answer_pace;
+		};
 	};
 } item_t;
 
@@ -34,6 +40,12 @@
 	return g_array_new(FALSE, FALSE, sizeof(item_t));
 }
 
+static uint32_t
+not_negative(ms_t v)
+{
+	return v > 0 ? (uint32_t)v : 0;
+}
+
 static void
 add(serve_t *s, const item_t *i)
 {
@@ -64,10 +76,15 @@
 void
 keeper_send_share(serve_t *s, const struct sockaddr_in *to, const ep_t *p)
 {
+	const pace_t *pace = &p->workload.pace;
+
 	add(s, &(item_t){ .kind = ITEM_SHARE,
 		   .to = *to,
 		   .endpoint = p->tag,
-		   .share = p->workload.own });
+		   .share = p->workload.own,
+		   .pace = (uint32_t)(100 * pace->last + 0.5),
+		   .pace_ago = not_negative(
+		       pace->at != 0 ? s->loop.now - pace->at : 0) });
 }
 
 void
@@ -78,14 +95,20 @@
 		   .to = *to,
 		   .endpoint = p->tag,
 		   .call = call,
-		   .answer = *a });
+		   .answer = *a,
+		   .answer_pace =
+		       p->workload.pace.at == 0
+			   ? 0
+			   : (uint32_t)(100 * pace_now(&p->workload.pace,
+						  s->loop.now) +
+					0.5) });
 }
 
 /** A message under construction; each list has one of its repeated fields. */
 typedef struct message {
 	Digest__KeeperMessage m;
-	uint32_t ask[6][ITEMS_MAX], removed[2][ITEMS_MAX], share[4][ITEMS_MAX],
-	    answer[4][ITEMS_MAX];
+	uint32_t ask[6][ITEMS_MAX], removed[2][ITEMS_MAX], share[6][ITEMS_MAX],
+	    answer[5][ITEMS_MAX];
 } message_t;
 
 static uint32_t
@@ -94,12 +117,6 @@
 	return (uint32_t)(tokens + KV_UNIT_TOKENS - 1) / KV_UNIT_TOKENS;
 }
 
-static uint32_t
-not_negative(ms_t v)
-{
-	return v > 0 ? (uint32_t)v : 0;
-}
-
 static void
 put(message_t *t, const serve_t *s, const item_t *i)
 {
@@ -127,6 +144,8 @@
 		t->share[1][n] = not_negative(i->share.prefill_tokens);
 		t->share[2][n] = not_negative(i->share.running);
 		t->share[3][n] = kv_units(i->share.kv_tokens);
+		t->share[4][n] = i->pace;
+		t->share[5][n] = i->pace_ago;
 		break;
 	case ITEM_ANSWER:
 		n = m->n_answer_call++;
@@ -136,6 +155,7 @@
 		t->answer[2][n] =
 		    i->answer.granted ? 0 : not_negative(i->answer.wait) + 1;
 		t->answer[3][n] = not_negative(i->answer.backlog);
+		t->answer[4][n] = i->answer_pace;
 		break;
 	}
 }
@@ -162,11 +182,16 @@
 	m->prefill_tokens = t->share[1];
 	m->running = t->share[2];
 	m->kv_units = t->share[3];
+	m->pace = t->share[4];
+	m->pace_ago = t->share[5];
+	m->n_pace = m->n_pace_ago = m->n_endpoint;
 	m->n_prefill_tokens = m->n_running = m->n_kv_units = m->n_endpoint;
 	m->answer_call = t->answer[0];
 	m->answer_endpoint = t->answer[1];
 	m->answer_wait = t->answer[2];
 	m->answer_backlog = t->answer[3];
+	m->answer_pace = t->answer[4];
+	m->n_answer_pace = m->n_answer_call;
 	m->n_answer_endpoint = m->n_answer_wait = m->n_answer_backlog =
 	    m->n_answer_call;
 	d.keeper = m;
--- a/serve/keepers.c
+++ b/serve/keepers.c
@@ -3,6 +3,7 @@
  * instances there, one after the other, and so knows what is on the way.
  */
 #include "serve/keepers.h"
+#include "serve/prompt_cost.h"
 
 #include <string.h>
 
@@ -11,6 +12,7 @@
 	GRANT_INTERVAL_MAX_MS = 50,
 	/* How long it is known which instance keeps an endpoint. */
 	KEEPER_KNOWN_MS = 250,
+	PACE_AGO_MAX_MS = 10000, /* an older word says nothing */
 };
 
 /* Calls that a plain endpoint may queue, as a part of its slots. */
@@ -114,6 +116,10 @@
 	k->keeper.load.kv_capacity = p->workload.kv_capacity;
 	k->keeper.load.prefill_speed = p->workload.prefill_speed;
 	k->keeper.load.plain_call_ms = p->workload.plain_call_ms;
+	k->keeper.load.paced = p->workload.paced;
+	k->keeper.load.pace = p->workload.pace;
+	k->keeper.load.stream = p->workload.stream;
+	workload_refresh(&k->keeper.load, s->loop.now);
 	return k;
 }
 
@@ -232,6 +238,10 @@
 	workload_share_t share = { (int)m->prefill_tokens[i],
 		(int)m->running[i], (int)m->kv_units[i] * KV_UNIT_TOKENS };
 
+	if (i < m->n_pace && i < m->n_pace_ago &&
+	    m->pace_ago[i] < PACE_AGO_MAX_MS)
+		endpoint_pace_told(
+		    s, ep, (int)m->pace[i], s->loop.now - (ms_t)m->pace_ago[i]);
 	keeper_report(&kept_get(s, ep)->keeper, p->hash, &share, s->loop.now);
 	s->keepers->due = true;
 }
@@ -300,8 +310,12 @@
 			.backlog = m->answer_backlog[i] };
 		ep_t *ep = ep_find_tag(&s->endpoints, m->answer_endpoint[i]);
 
-		if (ep != NULL)
-			ask_answered(s, m->answer_call[i], ep, &a);
+		if (ep == NULL)
+			continue;
+		if (i < m->n_answer_pace)
+			endpoint_pace_told(
+			    s, ep, (int)m->answer_pace[i], s->loop.now);
+		ask_answered(s, m->answer_call[i], ep, &a);
 	}
 }
 
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -116,6 +116,8 @@
 	    &b, "ebonypitch_first_ms", "Until the first event.", &s->first_ms);
 	histogram_text(
 	    &b, "ebonypitch_whole_ms", "Until a call ended.", &s->whole_ms);
+	histogram_text(&b, "ebonypitch_pause_ms",
+	    "Longest pause of a stream between two events.", &s->pause_ms);
 	reply(v, 200, "text/plain", &b);
 	buf_free(&b);
 }
--- a/serve/peer_send.c
+++ b/serve/peer_send.c
@@ -1,5 +1,6 @@
 /* Digests that this instance sends to its peers. */
 #include "serve/keepers.h"
+#include "serve/prompt_cost.h"
 #include "serve/reach.h"
 #include "serve/shares.h"
 
@@ -391,6 +392,7 @@
 	if (kind != DIGEST_SHARES) {
 		add_leaving(s, &c);
 		add_claim(s, &c);
+		prompt_costs_add(s, &c.d);
 	}
 	if (full)
 		add_identity(s, &c);
@@ -407,6 +409,8 @@
 		send_to_all(s, &c.d,
 		    kind == DIGEST_DOMAIN_HEARTBEAT ||
 			(kind == DIGEST_SHARES && c.d.n_accepted_order == 0));
+	if (kind != DIGEST_SHARES)
+		prompt_costs_sent(s);
 	builder_free(&c);
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,6 +1,7 @@
 #include "serve/blame.h"
 #include "serve/allowances.h"
 #include "serve/keepers.h"
+#include "serve/prompt_cost.h"
 #include "serve/limits.h"
 #include "policy/liveness.h"
 #include "serve/peer_call.h"
@@ -465,6 +466,7 @@
 		return;
 	}
 	shares_apply(s, p, d);
+	prompt_costs_receive(s, d);
 	receive_store_state(s, d);
 	receive_said_leaving(s, d);
 	receive_demand(s, p, d);
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -5,6 +5,7 @@
 #include "serve/buffers.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
+#include "serve/prompt_cost.h"
 #include "serve/reach.h"
 
 #include <errno.h>
@@ -194,6 +195,10 @@
 
 		p->workload.kv_capacity =
 		    d != NULL && d->engine ? d->kv_tokens : 0;
+		if (d != NULL)
+			p->workload.stream =
+			    (pace_stream_t){ d->gap, d->event_steps };
+		p->workload.paced = service_is_paced(s, p->entry.service);
 	}
 	if (!s->ready && s->config != NULL &&
 	    s->endpoints_watch.first_listed_at != 0) {
@@ -258,6 +263,7 @@
 	s->max_remaining = g_hash_table_new(g_str_hash, g_str_equal);
 	s->demand = g_hash_table_new(g_str_hash, g_str_equal);
 	s->model_waits = g_hash_table_new(g_str_hash, g_str_equal);
+	prompt_costs_init(s);
 	s->workload_limits =
 	    (workload_limits_t){ prefill_share, min_stream_gap };
 	s->cost_weights = (workload_cost_weights_t){ stream_output_weight,
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -140,6 +140,7 @@
 	int64_t resume_event_id; /* last one the caller had when it called */
 	int nevent;
 	ms_t first_at, last_event_at;
+	ms_t pause; /* longest between events of one endpoint */
 	bool queued;
 	call_t *next_waiting;
 
@@ -162,6 +163,7 @@
 		asked_t at[ASKED_MAX];
 		ms_t begun_at, round_at, granted_at;
 		ep_t *granted; /* it may be sent there now */
+		int further;   /* rounds after all asked were too late */
 		bool skip;     /* nobody answers: go by what is known here */
 	} ask;
 };
@@ -746,9 +748,10 @@
 	GHashTable *max_remaining; /* longest remaining time seen, by route */
 	GHashTable *demand;	   /* demand_t by service, model, adapter */
 	GHashTable *model_waits;   /* model_wait_t by service and model */
+	struct prompt_costs *prompt_costs;
 	workload_average_t average_speed;
 	double failure_rate; /* share of failed attempts, moving average */
-	histo_t first_ms, whole_ms;
+	histo_t first_ms, whole_ms, pause_ms;
 };
 
 serve_t *serve_new(const char *path, err_t *e);
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -1,4 +1,5 @@
 #include "serve/blame.h"
+#include "serve/prompt_cost.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -51,6 +52,7 @@
 
 	breaker_success(&c->ep->breaker);
 	if (c->ep->kind == EP_DIRECT) {
+		prompt_cost_observe(c);
 		workload_first_event(&c->ep->workload, &c->s->average_speed,
 		    &c->reservation, now - c->sent_at);
 		peers_load_changed(c->s, c->ep);
@@ -147,7 +149,9 @@
 		}
 		if (c->reading.events++ == 0)
 			first_event_received(c);
-		else if (c->reading.events == 2)
+		else if (now - c->last_event_at > c->pause)
+			c->pause = now - c->last_event_at;
+		if (c->reading.events == 2)
 			blame_call_began(c, now);
 		c->last_event_at = now;
 		if (old) {
--- a/tests/store_era_test.c
+++ b/tests/store_era_test.c
@@ -4,6 +4,7 @@
  */
 #include "serve/plan.h"
 #include "serve/blame.h"
+#include "serve/prompt_cost.h"
 #include "serve/reach.h"
 
 #include <arpa/inet.h>
@@ -46,6 +47,7 @@
 	leadership_init(&t->p.leadership, LEASE_MS, true);
 	software_init(&t->s.software, 0);
 	reach_init(&t->s);
+	prompt_costs_init(&t->s);
 	blame_feed_init(&t->s);
 	ep_table_init(&t->s.endpoints);
 	t->s.calls = table_new(sizeof(call_t *), 8);
