serve: slow requests make room before the listener stops

Room is made as each connection is accepted, so that the last one isn't reached.

A connection whose answer is being sent doesn't make room, and a call that another instance hands over is refused in words that it knows as "not run".

--- a/serve/buffers.c
+++ b/serve/buffers.c
@@ -118,8 +118,9 @@
 		const http_conn_t *k = cc->http;
 		ms_t since = k->in_message ? k->message_start : k->last_io;
 
+		/* An answer that is being sent is delivered. */
 		if (cc->call != 0 || k->closing || cc->from_instance ||
-		    (in_message && !k->in_message))
+		    buf_len(&k->out) > 0 || (in_message && !k->in_message))
 			continue;
 		if (best != NULL && in_message == k->in_message &&
 		    since >= (in_message ? best->http->message_start
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -1,5 +1,6 @@
 #define _GNU_SOURCE /* accept4() */
 #include "serve/buffers.h"
+#include "serve/peer_call.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -328,15 +329,15 @@
 	int i, fd;
 
 	(void)ev;
-	while (s->ncaller > 0 && s->ncaller >= callers_max(s) - SPARE_FDS &&
-	       buffers_free_descriptor(s))
-		;
 	for (i = 0; i < ACCEPTS_PER_TURN && s->caller_listener.events != 0;
 	     i++) {
 		fd = accept_next(s, &s->caller_listener, &from);
 		if (fd == -1)
 			return;
 		add_caller(s, fd);
+		/* Before the last one, which would stop the listener. */
+		if (s->ncaller >= callers_max(s) - SPARE_FDS)
+			buffers_free_descriptor(s);
 	}
 }
 
@@ -415,13 +416,16 @@
 void
 caller_refuse(caller_conn_t *cc, int status, int retry_after, const char *body)
 {
-	char extra[64];
+	buf_t lines = { 0 };
 
-	snprintf(extra, sizeof(extra), "Connection: close\r\n");
+	buf_str(&lines, "Connection: close\r\n");
 	if (retry_after > 0)
-		snprintf(extra, sizeof(extra),
-		    "Connection: close\r\nRetry-After: %d\r\n", retry_after);
-	caller_answer(cc, status, extra, body);
+		buf_fmt(&lines, "Retry-After: %d\r\n", retry_after);
+	if (cc->from_instance)
+		peer_refusal_encode(&lines);
+	buf_add(&lines, "", 1);
+	caller_answer(cc, status, lines.p, body);
+	buf_free(&lines);
 	finish(cc);
 }
 
