serve, net, policy: what the reviews of the new parts found

A refused connection whose caller reads nothing was chosen to make room again and again; the body of a refused request stayed.

A giver that has just begun grants a quarter of the overdraft, a lowered limit isn't blocked by what was used before, and a stall drops members. The slack is in tokens. A call that was handed over isn't answered 401. Anonymous calls rank last.

Keepers' estimates of an endpoint's pace came back as new words of the endpoint; costs were learnt from tokens counted at another cost; asking further counted as unanswered.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -383,20 +383,23 @@
 	       c->frame_bytes > FRAME_MAX;
 }
 
-static void
-parse(http_conn_t *c, const char *p, size_t n)
+/*
+ * Pass bytes to the parser.
+ * @param used set to the number of them that belong to this message
+ * @return whether a message is complete
+ */
+static bool
+execute(http_conn_t *c, const char *p, size_t n, size_t *used)
 {
-	size_t used;
-
 	if (c->side == HTTP_SERVER && !c->head_done &&
 	    has_bad_line_end(c, p, n)) {
 		on_parse_error(c);
-		return;
+		return false;
 	}
 	c->frame_bytes += n;
-	used = http_parser_execute(&c->parser, &callbacks, p, n);
+	*used = http_parser_execute(&c->parser, &callbacks, p, n);
 	if (has_ended(c))
-		return;
+		return false;
 	switch (HTTP_PARSER_ERRNO(&c->parser)) {
 	case HPE_OK:
 		if (c->parser.upgrade)
@@ -405,21 +408,66 @@
 			end_conn(c, HTTP_END_ENDLESS);
 		else if (c->side == HTTP_SERVER && c->ops->read != NULL)
 			c->ops->read(c->user, c);
-		return;
+		return false;
 	case HPE_PAUSED:
-		break;
+		/* on_done() paused the parser at the end of the message. */
+		http_parser_pause(&c->parser, 0);
+		return true;
 	default:
 		on_parse_error(c);
-		return;
+		return false;
+	}
+}
+
+static void
+message_done(http_conn_t *c)
+{
+	update_events(c);
+	c->ops->done(c->user, c);
+}
+
+/*
+ * Messages that came with an earlier one. Their users may answer them at once
+ * and ask for the next: that is a loop here, as thousands may have come.
+ */
+static void
+parse_surplus(http_conn_t *c)
+{
+	c->parsing = true;
+	while (!has_ended(c) && !c->parse_stopped && buf_len(&c->in) > 0) {
+		buf_t in = c->in;
+		size_t used = 0;
+
+		memset(&c->in, 0, sizeof(c->in));
+		if (!execute(c, in.p + in.off, buf_len(&in), &used)) {
+			buf_free(&in);
+			break;
+		}
+		buf_consume(&in, used);
+		c->surplus = buf_len(&in) > 0;
+		if (c->surplus)
+			c->in = in;
+		else
+			buf_free(&in);
+		message_done(c);
 	}
-	/* on_done() paused the parser at the end of the message. */
-	http_parser_pause(&c->parser, 0);
+	c->parsing = false;
+}
+
+static void
+parse(http_conn_t *c, const char *p, size_t n)
+{
+	size_t used = 0;
+
+	if (!execute(c, p, n, &used))
+		return;
 	if (used < n) {
 		c->surplus = true;
 		buf_add(&c->in, p + used, n - used);
 	}
-	update_events(c);
-	c->ops->done(c->user, c);
+	c->parsing = true;
+	message_done(c);
+	parse_surplus(c);
 }
 
 void
@@ -434,18 +482,13 @@
 void
 http_conn_next(http_conn_t *c)
 {
-	buf_t in = c->in;
-
 	if (c->closed)
 		return;
 	c->parse_stopped = c->surplus = false;
 	c->last_io = c->loop->now;
 	update_events(c);
-	if (buf_len(&in) == 0)
-		return;
-	memset(&c->in, 0, sizeof(c->in));
-	parse(c, in.p + in.off, buf_len(&in));
-	buf_free(&in);
+	if (!c->parsing)
+		parse_surplus(c);
 }
 
 static void
--- a/net/net.h
+++ b/net/net.h
@@ -227,6 +227,7 @@
 	int interim;	 /* 1xx heads before this answer */
 	bool connecting, closed;
 	bool parse_stopped; /* until http_conn_next() */
+	bool parsing;	    /* messages that came together are being handled */
 	bool paused;	    /* by http_conn_pause(): nothing is read */
 	bool in_message;    /* a message has begun and isn't complete */
 	bool head_done;	    /* its head is complete; trailers are dropped */
--- a/policy/allowance.c
+++ b/policy/allowance.c
@@ -13,6 +13,7 @@
 	GRANT_KNOWN_MS = 2000, /* an ask isn't repeated for longer */
 	/* Callers that are told to come back later than that don't. */
 	BOOKED_MAX_MS = 5000,
+	WAIT_MAX_MS = 3600000,
 };
 /*
  * When so many members are gone, another giver probably serves them: what was
@@ -24,6 +25,8 @@
  * the slack; the rest is for members that change givers.
  */
 static const double overdraft_part = 0.5;
+/* Of that, at a giver that has just begun. */
+static const double new_giver_part = 0.25;
 /*
  * Of the burst. What was saved up may be used just before members change to
  * another giver, which doesn't know of it.
@@ -126,6 +129,17 @@
 	return NULL;
 }
 
+/* Forget those that count no more. */
+static void
+members_purge(allowance_pool_t *p, ms_t now)
+{
+	int i;
+
+	for (i = p->nmember - 1; i >= 0; i--)
+		if (now - p->member[i].heard_at > ALLOWANCE_MEMBER_MS)
+			p->member[i] = p->member[--p->nmember];
+}
+
 static void
 member_add(allowance_pool_t *p, uint64_t instance, ms_t now)
 {
@@ -147,10 +161,12 @@
 	advance(p, now);
 	p->instances = instances;
 	m = member_find(p, instance);
-	if (m != NULL)
+	if (m != NULL) {
 		m->heard_at = now;
-	else
-		member_add(p, instance, now);
+		return;
+	}
+	members_purge(p, now);
+	member_add(p, instance, now);
 }
 
 void
@@ -208,8 +224,10 @@
 	}
 	/* A new limit holds for a window that begins now. */
 	if (a->rate != l->rate) {
+		if (l->rate < a->rate)
+			memset(a->slot, 0, sizeof(a->slot));
+		a->level = fmax(a->level, 0);
 		a->rate = l->rate;
-		memset(a->slot, 0, sizeof(a->slot));
 	}
 	a->level += lasting_rate(p, l, now) * (p->part_ms - a->part_ms) / 1000;
 	a->part_ms = p->part_ms;
@@ -236,32 +254,37 @@
 static ms_t
 book(allowance_t *a, double rate, double missing, double amount, ms_t now)
 {
-	ms_t at = now + (ms_t)ceil(missing * 1000 / rate);
+	ms_t at = now + (ms_t)ceil(fmin(missing * 1000 / rate, WAIT_MAX_MS));
 
 	if (a->booked_until > at)
 		at = a->booked_until;
 	if (at - now <= BOOKED_MAX_MS)
-		a->booked_until = at + (ms_t)ceil(amount * 1000 / rate);
-	return at > now ? at - now : 1;
+		a->booked_until =
+		    at + (ms_t)ceil(fmin(amount * 1000 / rate, WAIT_MAX_MS));
+	return at <= now ? 1 : at - now < WAIT_MAX_MS ? at - now : WAIT_MAX_MS;
 }
 
 ms_t
 allowance_take(allowance_t *a, allowance_pool_t *p, const allowance_limit_t *l,
     double amount, uint64_t key, ms_t now)
 {
-	double part = allowance_part(p, now), overdraft;
+	double part = allowance_part(p, now), overdraft, room;
 
 	if (allowance_granted(p, key, now))
 		return 0;
 	advance(p, now);
 	refill(a, p, l, now);
 	overdraft = overdraft_part * l->slack * part;
+	/* Each giver of a window may grant it once. */
+	if (now - p->since < l->window)
+		overdraft *= new_giver_part;
+	room = room_in_window(a, p, l, overdraft, now);
 	if (part <= 0 || l->rate <= 0)
 		return BOOKED_MAX_MS;
-	if (a->level + overdraft < amount ||
-	    room_in_window(a, p, l, overdraft, now) < amount)
+	if (a->level + overdraft < amount || room < amount)
 		return book(a, lasting_rate(p, l, now) * part,
-		    amount - overdraft - a->level, amount, now);
+		    fmax(amount - overdraft - a->level, amount - room), amount,
+		    now);
 	a->level -= amount;
 	a->slot[a->slot_at % ALLOWANCE_SLOTS] += amount;
 	p->grant[key % ALLOWANCE_GRANTS].key = key;
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -7,6 +7,9 @@
 	SLOT_MS = 50,
 	STEP_MS = 11, /* of an engine that makes tokens for half a batch */
 	SAMPLES_EARLY = 20,
+	/* Hundredths that make sense. */
+	PACE_MIN = 10,
+	PACE_MAX = 5000,
 };
 /* A slow moment of a machine lasts some hundred ms. */
 static const double word_decay_ms = 400;
@@ -27,7 +30,7 @@
 {
 	double v = hundredths / 100.0, w;
 
-	if (hundredths <= 0 || at < p->at)
+	if (hundredths < PACE_MIN || hundredths > PACE_MAX || at < p->at)
 		return;
 	if (p->at == 0) {
 		p->usual = v;
@@ -92,7 +95,9 @@
 
 	us_per_token = fmin(
 	    fmax(us_per_token, reference / cost_range), reference * cost_range);
-	if (c->samples++ == 0) {
+	if (c->samples < SAMPLES_EARLY)
+		c->samples++;
+	if (c->samples == 1) {
 		c->us_per_token = us_per_token;
 		return;
 	}
--- a/serve/admit.c
+++ b/serve/admit.c
@@ -6,6 +6,7 @@
 	/* A call with so much less time left than others was resubmitted. */
 	RESUBMITTED_MS = 150,
 	PRIORITY_BASE = 3, /* of 0..9; other senders' calls get 5 */
+	PRIORITY_LAST = 9,
 	PRIORITY_STEP = 3, /* from one organisation's priority to the next */
 };
 /*
@@ -22,10 +23,10 @@
 	int priority = PRIORITY_BASE + c->route.priority;
 
 	if (c->config->has_organisations)
-		priority = c->route.priority +
-			   (c->organisation != NULL
-				   ? PRIORITY_STEP * c->organisation->priority
-				   : 0);
+		priority = c->organisation != NULL
+			       ? PRIORITY_STEP * c->organisation->priority +
+				     c->route.priority
+			       : PRIORITY_LAST;
 	if (priority < 0)
 		return 0;
 	return priority > 9 ? 9 : priority;
--- a/serve/allowances.c
+++ b/serve/allowances.c
@@ -93,7 +93,9 @@
 {
 	const deployment_bounds_t *b = &s->conf.bounds;
 
-	return (allowance_limit_t){ o->rate, o->burst, b->allowance_slack,
+	/* The slack is in tokens. */
+	return (allowance_limit_t){ o->rate, o->burst,
+		o->by_tokens ? b->allowance_slack : 0,
 		b->allowance_window > 0 ? b->allowance_window : WINDOW_MS };
 }
 
@@ -209,6 +211,21 @@
 	       i->to.sin_port == to->sin_port;
 }
 
+/* What is known of members is out of date, and so is what came meanwhile. */
+static void
+note_stall(serve_t *s)
+{
+	int i;
+
+	if (s->loop.late <= STALL_MS ||
+	    s->allowances->deaf_until >= s->loop.now + DEAF_MS)
+		return;
+	s->allowances->deaf_until = s->loop.now + DEAF_MS;
+	for (i = 0; i < GROUPS_MAX; i++)
+		if (s->allowances->pool[i].at != 0)
+			allowance_pool_reset(&s->allowances->pool[i]);
+}
+
 void
 allowances_flush(serve_t *s)
 {
@@ -216,6 +233,7 @@
 	GArray *out = s->allowances->out;
 	guint i, kept, n;
 
+	note_stall(s);
 	while (out->len > 0) {
 		struct sockaddr_in to = g_array_index(out, item_t, 0).to;
 
@@ -566,9 +584,7 @@
 
 	if (p == NULL || !lists_match(m))
 		return;
-	/* What came while this instance stood still is out of date. */
-	if (s->loop.late > STALL_MS)
-		s->allowances->deaf_until = s->loop.now + DEAF_MS;
+	note_stall(s);
 	read_organisations(s);
 	if (may_give(s))
 		receive_asks(s, p, d->incarnation, m);
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -456,8 +456,10 @@
 	if (a->pace > 0) {
 		/* Who keeps the endpoint's load hears of another pace at once.
 		 */
-		if (a->pace != (int)(100 * w->ep->workload.pace.last + 0.5))
+		if (a->pace != w->ep->pace_said)
 			keepers_load_changed(w->s, w->ep);
+		w->ep->pace_said = a->pace;
+		w->ep->pace_said_at = w->s->loop.now;
 		endpoint_pace_told(w->s, w->ep, a->pace, w->s->loop.now);
 	}
 	if (a->running >= 0)
--- a/serve/ask.c
+++ b/serve/ask.c
@@ -5,6 +5,7 @@
  */
 #include "serve/keepers.h"
 #include "serve/organisation.h"
+#include "serve/prompt_cost.h"
 
 #include <string.h>
 
@@ -207,12 +208,11 @@
 	ep_t *candidate[ASKED_MAX];
 	int tokens[ASKED_MAX], n, i, k, others = 0;
 
-	if (c->ask.further >= FURTHER_MAX)
+	if (c->ask.further >= FURTHER_MAX ||
+	    !service_is_paced(c->s, c->service) || c->request.model[0] == '\0')
 		return false;
 	n = choose_candidates(c, candidate, tokens);
 	for (i = 0; i < n; i++) {
-		if (!candidate[i]->workload.paced)
-			return false;
 		for (k = 0; k < ASKED_MAX; k++)
 			if (c->ask.at[k].ep == candidate[i])
 				break;
@@ -221,6 +221,7 @@
 	if (others == 0)
 		return false;
 	c->ask.further++;
+	c->ask.begun_at = c->s->loop.now;
 	begin_round(c, candidate, tokens, n);
 	return true;
 }
@@ -276,9 +277,7 @@
 	}
 	if (best == -1 && refuse_if_late(c))
 		return;
-	/* A further endpoint that is kept here may have granted it at once. */
-	if (c->state == CALL_ASKING)
-		call_set_timer(c);
+	call_set_timer(c);
 }
 
 void
--- a/serve/buffers.c
+++ b/serve/buffers.c
@@ -48,7 +48,7 @@
 	for (i = 0; i < s->ncaller; i++) {
 		caller_conn_t *cc = s->caller[i];
 
-		if (cc->call != 0 || !cc->http->in_message)
+		if (cc->call != 0 || !cc->http->in_message || cc->http->closing)
 			continue;
 		weight = buffer_account_weight(&s->buffers, cc->held,
 		    s->loop.now - cc->http->message_start, &relevant);
@@ -105,35 +105,39 @@
 	buffer_account_change(&c->s->buffers, &c->held, 0);
 }
 
+/* When the connection's request began, or its last one ended. */
+static ms_t
+unused_since(const caller_conn_t *cc)
+{
+	return cc->http->in_message ? cc->http->message_start
+				    : cc->http->last_io;
+}
+
 bool
 buffers_free_descriptor(serve_t *s)
 {
 	caller_conn_t *best = NULL;
-	bool in_message = false;
 	int i;
 
-	/* An incomplete request that began first, else the longest idle one. */
 	for (i = 0; i < s->ncaller; i++) {
 		caller_conn_t *cc = s->caller[i];
-		const http_conn_t *k = cc->http;
-		ms_t since = k->in_message ? k->message_start : k->last_io;
-
-		/* An answer that is being sent is delivered. */
-		if (cc->call != 0 || k->closing || cc->from_instance ||
-		    buf_len(&k->out) > 0 || (in_message && !k->in_message))
-			continue;
-		if (best != NULL && in_message == k->in_message &&
-		    since >= (in_message ? best->http->message_start
-					 : best->http->last_io))
+		ms_t since = unused_since(cc);
+
+		/*
+		 * An answer that is being sent is delivered, and what has just
+		 * come is read first.
+		 */
+		if (cc->call != 0 || cc->http->closing || cc->from_instance ||
+		    buf_len(&cc->http->out) > 0 || since >= s->loop.now ||
+		    (best != NULL && since >= unused_since(best)))
 			continue;
 		best = cc;
-		in_message = k->in_message;
 	}
 	if (best == NULL)
 		return false;
 	log_limited(LOG_NOTICE, "request-ended",
 	    "why=descriptors held=%zu age_ms=%" PRId64 " callers=%d",
-	    best->held, s->loop.now - best->http->message_start, s->ncaller);
+	    best->held, s->loop.now - unused_since(best), s->ncaller);
 	count_ended("descriptors");
 	caller_drop(best);
 	return true;
--- a/serve/call.c
+++ b/serve/call.c
@@ -4,6 +4,7 @@
 #include "serve/limits.h"
 #include "serve/organisation.h"
 #include "serve/peer_call.h"
+#include "serve/prompt_cost.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -208,7 +209,10 @@
 
 	if (r == NULL)
 		refuse_request(cc, request->id, 404, "no route", 0);
-	else if (why != NULL) {
+	else if (why != NULL && cc->from_instance) {
+		/* Accepted where it came in: another instance may know it. */
+		refuse_request(cc, request->id, 503, why, RETRY_ELSEWHERE_MS);
+	} else if (why != NULL) {
 		organisation_count_refused();
 		refuse_request(cc, request->id, 401, why, 0);
 	} else if (s->leaving && r->kind == ROUTE_STREAM &&
@@ -325,6 +329,9 @@
 
 	workload_reserve(&p->workload, &s->average_speed, &c->reservation,
 	    ch->uncached_tokens, kv_tokens);
+	c->token_cost = p->workload.paced
+			    ? prompt_cost(s, c->service, c->request.model)
+			    : 0;
 	if (p->kind == EP_PEER)
 		return;
 	limits_spend(p);
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -426,6 +426,9 @@
 	buf_add(&lines, "", 1);
 	caller_answer(cc, status, lines.p, body);
 	buf_free(&lines);
+	/* The connection may stay until its caller reads. */
+	buf_free(&cc->body);
+	buffers_request_ended(cc);
 	finish(cc);
 }
 
@@ -452,6 +455,8 @@
 		return;
 	}
 	set_idle_timer(cc);
+	/* A request that was refused still has its body. */
+	buf_free(&cc->body);
 	http_conn_release(cc->http);
 	buffers_request_ended(cc);
 	http_conn_next(cc->http);
--- a/serve/keeper_send.c
+++ b/serve/keeper_send.c
@@ -76,15 +76,13 @@
 void
 keeper_send_share(serve_t *s, const struct sockaddr_in *to, const ep_t *p)
 {
-	const pace_t *pace = &p->workload.pace;
-
 	add(s, &(item_t){ .kind = ITEM_SHARE,
 		   .to = *to,
 		   .endpoint = p->tag,
 		   .share = p->workload.own,
-		   .pace = (uint32_t)(100 * pace->last + 0.5),
-		   .pace_ago = not_negative(
-		       pace->at != 0 ? s->loop.now - pace->at : 0) });
+		   /* Not what others told: it would come back as new. */
+		   .pace = (uint32_t)p->pace_said,
+		   .pace_ago = not_negative(s->loop.now - p->pace_said_at) });
 }
 
 void
--- a/serve/organisation.c
+++ b/serve/organisation.c
@@ -64,8 +64,9 @@
 
 	if (!c->config->has_organisations)
 		return route;
+	/* Anonymous calls come after those of all organisations. */
 	return (c->organisation != NULL ? limited(c->organisation->priority)
-					: 0) *
+					: PRIORITY_RANKS - 1) *
 		   PRIORITY_RANKS +
 	       limited(route);
 }
--- a/serve/prompt_cost.c
+++ b/serve/prompt_cost.c
@@ -56,7 +56,8 @@
 	int i;
 
 	pace_told(&p->workload.pace, hundredths, at);
-	if (p->workload.paced || p->workload.pace.at == 0)
+	if (p->workload.paced || p->workload.pace.at == 0 ||
+	    p->workload.kv_capacity == 0)
 		return;
 	if (!g_hash_table_contains(s->prompt_costs->paced, service)) {
 		log_limited(LOG_NOTICE, "service-paced", "service=%s", service);
@@ -86,11 +87,11 @@
 	double tokens, us, factor;
 	uint32_t tag;
 
-	if (!wl->paced || !r->active || r->queued_tokens != r->prefill_tokens)
+	if (c->token_cost <= 0 || !r->active ||
+	    r->queued_tokens != r->prefill_tokens)
 		return;
 	tag = tag_of(c->service, c->request.model);
-	tokens =
-	    r->prefill_tokens / prompt_cost(s, c->service, c->request.model);
+	tokens = r->prefill_tokens / c->token_cost;
 	factor = pace_now(&wl->pace, s->loop.now);
 	us = 1000 * ((double)(s->loop.now - c->sent_at) / factor - STEP_MS) /
 	     tokens;
--- a/serve/serve.c
+++ b/serve/serve.c
@@ -198,7 +198,8 @@
 		if (d != NULL)
 			p->workload.stream =
 			    (pace_stream_t){ d->gap, d->event_steps };
-		p->workload.paced = service_is_paced(s, p->entry.service);
+		p->workload.paced = p->workload.kv_capacity > 0 &&
+				    service_is_paced(s, p->entry.service);
 	}
 	if (!s->ready && s->config != NULL &&
 	    s->endpoints_watch.first_listed_at != 0) {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -104,6 +104,7 @@
 	bool silence_counted; /* by the circuit breaker */
 	ms_t look_at;	      /* for a replacement again; 0: when silent */
 	workload_reservation_t reservation;
+	double token_cost; /* reference tokens a token then, 0: not paced */
 	struct {
 		int status;
 		bool authentic; /* signed for this call, not re-encoded */
--- a/tests/untrusted_proc.c
+++ b/tests/untrusted_proc.c
@@ -15,6 +15,8 @@
 	MAX_FDS = 300,
 	BODY_MAX = 1 << 20, /* bytes, of the configuration */
 	CROWD = 80,	    /* bodies: together more than the memory */
+	PIPELINED = 3600,   /* requests that are read at once */
+	PIPELINING = 8,	    /* clients */
 	SLOW_CROWD = 260,   /* more than there are descriptors for callers */
 	CHUNK = 32 << 10,   /* bytes of a large chunk */
 	BYTE_CHUNKS = 700000,
@@ -34,6 +36,9 @@
 	BODY_FAR_SENT,	    /* large chunks far over the limit */
 	BODY_SLOW,	    /* a chunk of one byte now and then */
 	BODY_KINDS,
+	/* Not in the crowd of all kinds. */
+	BODY_REFUSED,	/* complete, on a route that isn't there; kept open */
+	BODY_PIPELINED, /* thousands of requests without a host at once */
 } body_kind_t;
 
 typedef struct client {
@@ -95,6 +100,20 @@
 		if (c->body < FAR_OVER)
 			put_chunk(c, CHUNK);
 		break;
+	case BODY_REFUSED:
+		if (c->body < BODY_MAX - CHUNK)
+			put_chunk(c, CHUNK);
+		else if (c->body++ < BODY_MAX)
+			g_string_append(c->out, "0\r\n\r\n");
+		if (c->body > BODY_MAX - CHUNK)
+			c->body = BODY_MAX;
+		break;
+	case BODY_PIPELINED:
+		for (i = 0; i < PIPELINED && c->body < PIPELINED; i++) {
+			g_string_append(c->out, "GET / HTTP/1.1\r\n\r\n");
+			c->body++;
+		}
+		break;
 	case BODY_SLOW:
 	case BODY_KINDS:
 		break;
@@ -180,14 +199,15 @@
 	};
 	g_assert_cmpint(c->watch.fd, !=, -1);
 	(void)!connect(c->watch.fd, (struct sockaddr *)&to, sizeof(to));
-	g_string_append_printf(c->out,
-	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
-	    "Request-Id: untrusted-%d\r\n",
-	    i);
+	if (kind != BODY_PIPELINED)
+		g_string_append_printf(c->out,
+		    "POST /%s/a HTTP/1.1\r\nHost: h.example\r\n"
+		    "Request-Id: untrusted-%d\r\n",
+		    kind == BODY_REFUSED ? "none" : "once", i);
 	if (kind == BODY_ANNOUNCED || kind == BODY_FAR_ANNOUNCED)
 		g_string_append_printf(c->out, "Content-Length: %d\r\n\r\n",
 		    kind == BODY_ANNOUNCED ? BODY_MAX : FAR_OVER);
-	else
+	else if (kind != BODY_PIPELINED)
 		g_string_append(c->out, "Transfer-Encoding: chunked\r\n\r\n");
 	g_assert_cmpint(
 	    watch_add(&st->loop, &c->watch, EPOLLIN | EPOLLOUT), ==, 0);
@@ -243,6 +263,10 @@
 {
 	int status = c->nanswer > 12 ? atoi(c->answer + 9) : 0;
 
+	if (c->kind == BODY_REFUSED && status == 404)
+		return;
+	if (c->kind == BODY_PIPELINED && status == 400)
+		return;
 	g_assert_true(status == 0 || status == 408 || status == 413 ||
 		      status == 429 || status == 503);
 }
@@ -342,6 +366,20 @@
 	play(BODY_KINDS, SLOW_CROWD);
 }
 
+/* Guards against keeping the bodies of requests that were refused. */
+static void
+refused(void)
+{
+	play(BODY_REFUSED, CROWD);
+}
+
+/* Guards against memory for each of the requests that come at once. */
+static void
+pipelined(void)
+{
+	play(BODY_PIPELINED, PIPELINING);
+}
+
 /* Guards against refusing a single body at the limit that comes in pieces. */
 static void
 single_body_in_calm(void)
@@ -386,6 +424,8 @@
 	g_test_add_func("/untrusted/far_sent", far_sent);
 	g_test_add_func("/untrusted/slow", slow);
 	g_test_add_func("/untrusted/all_kinds", all_kinds);
+	g_test_add_func("/untrusted/refused", refused);
+	g_test_add_func("/untrusted/pipelined", pipelined);
 	g_test_add_func("/untrusted/single_body_in_calm", single_body_in_calm);
 	return g_test_run();
 }
