policy, serve: names of the pace and the allowances in the field's terms

A reviewer who hadn't written them didn't understand told, said, given and deaf. Reports, waits and what is ignored are called so now; comments say where a number is from.

--- a/policy/allowance.c
+++ b/policy/allowance.c
@@ -11,13 +11,13 @@
 	 */
 	ACCRUE_MAX_MS = 250,
 	GRANT_KNOWN_MS = 2000, /* an ask isn't repeated for longer */
-	/* Callers that are told to come back later than that don't. */
+	/* Longer waits aren't booked: few callers return at such a time. */
 	BOOKED_MAX_MS = 5000,
 	WAIT_MAX_MS = 3600000,
 };
 /*
- * When so many members are gone, another giver probably serves them: what was
- * saved up for them isn't handed out.
+ * Below this share of its peak, another giver probably serves the members that
+ * are missing: saved tokens are discarded.
  */
 static const double reset_part = 0.5;
 /*
--- a/policy/buffer_account.h
+++ b/policy/buffer_account.h
@@ -2,7 +2,7 @@
  * @file buffer_account.h
  * The memory that an instance may use for requests: those that arrive, and the
  * bodies of those in progress. Large ones may use a part of it only, so that
- * small ones always find room. In calm nothing is limited; once it is used up,
+ * small ones always find room. Until it is used up nothing is limited; then
  * the incomplete request that has held most for longest makes room.
  */
 #ifndef BUFFER_ACCOUNT_H
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -12,7 +12,7 @@
 	PACE_MAX = 5000,
 };
 /* A slow moment of a machine lasts some hundred ms. */
-static const double word_decay_ms = 400;
+static const double report_decay_ms = 400;
 static const double usual_decay_ms = 5000;
 /* Of the pause; the rest is for what isn't known of an endpoint's queue. */
 static const double gap_part = 0.9;
@@ -26,7 +26,7 @@
 static const double cost_range = 20;
 
 void
-pace_told(pace_t *p, int hundredths, ms_t at)
+pace_report(pace_t *p, int hundredths, ms_t at)
 {
 	double v = hundredths / 100.0, w;
 
@@ -49,7 +49,7 @@
 
 	if (p->at == 0)
 		return 1;
-	w = exp(-(double)(now - p->at) / word_decay_ms);
+	w = exp(-(double)(now - p->at) / report_decay_ms);
 	return w * p->last + (1 - w) * p->usual;
 }
 
--- a/policy/pace.h
+++ b/policy/pace.h
@@ -15,22 +15,22 @@
 	PACE_SLOTS = 8, /* of the time that sends are remembered for */
 };
 
-/** What an endpoint tells of its machine; zero: nothing yet. */
+/** What an endpoint reports of its machine; zero: nothing yet. */
 typedef struct pace {
 	double last;  /* how long work takes, 1: as usual */
 	double usual; /* its average over some seconds */
-	ms_t at;      /* of last, 0: never told */
+	ms_t at;      /* of last, 0: none */
 } pace_t;
 
 /**
- * An endpoint told how long work takes.
+ * An endpoint reported how long work takes.
  * @param hundredths 100: as usual
- * @param at when it was told; what is older than the last word is ignored
+ * @param at of the report; older ones than the last are ignored
  */
-void pace_told(pace_t *p, int hundredths, ms_t at);
+void pace_report(pace_t *p, int hundredths, ms_t at);
 /**
  * @return how long work takes now. A machine is slow for a moment only, so an
- * old word counts less than its average.
+ * old report fades towards the average.
  */
 double pace_now(const pace_t *p, ms_t now);
 
@@ -66,7 +66,8 @@
 	int samples;
 } pace_cost_t;
 
-/** Tokens per ms that one reference token stands for. */
+/** Reference tokens that an endpoint reads in a ms while work takes as usual.
+ */
 #define PACE_REFERENCE_SPEED 20.0
 
 /** @param us_per_token of one prompt, divided by pace_now() */
--- a/policy/workload.h
+++ b/policy/workload.h
@@ -68,7 +68,7 @@
 } workload_average_t;
 
 void workload_init(workload_t *wl, int slots, int kv_capacity);
-/** The time is @p now: how long does work take at the endpoint? */
+/** Update how long work takes there to @p now; call it before predictions. */
 void workload_refresh(workload_t *wl, ms_t now);
 /**
  * @param uncached prompt tokens that aren't cached at the endpoint
--- a/serve/allowances.c
+++ b/serve/allowances.c
@@ -15,7 +15,7 @@
 	UNKNOWN_MS = 700, /* then the call is refused */
 	UNKNOWN_RETRY_MS = 300,
 	STALL_MS = 200,	  /* a loop turn that is so late */
-	DEAF_MS = 300,	  /* what came meanwhile isn't answered */
+	IGNORE_MS = 300,  /* what came meanwhile isn't answered */
 	WINDOW_MS = 8000, /* if the settings give none */
 	AMOUNT_MAX = 1 << 28,
 };
@@ -38,13 +38,14 @@
 struct allowances {
 	allowance_pool_t pool[GROUPS_MAX];
 	giver_t giver[GROUPS_MAX];
-	GHashTable *given;	/* allowance_t, by the tag of an organisation */
+	GHashTable
+	    *by_organisation;	/* allowance_t, by the tag of an organisation */
 	GHashTable *by_tag;	/* organisation_t of the configuration */
 	const config_t *config; /* of by_tag */
 	bool used;		/* an organisation has a limit */
 	GHashTable *asking;	/* call_t, by its number */
 	uint32_t number;	/* of the last call that asked */
-	ms_t deaf_until;
+	ms_t ignore_until;
 	alarm_t alarm;
 	GArray *out; /* item_t */
 };
@@ -218,9 +219,9 @@
 	int i;
 
 	if (s->loop.late <= STALL_MS ||
-	    s->allowances->deaf_until >= s->loop.now + DEAF_MS)
+	    s->allowances->ignore_until >= s->loop.now + IGNORE_MS)
 		return;
-	s->allowances->deaf_until = s->loop.now + DEAF_MS;
+	s->allowances->ignore_until = s->loop.now + IGNORE_MS;
 	for (i = 0; i < GROUPS_MAX; i++)
 		if (s->allowances->pool[i].at != 0)
 			allowance_pool_reset(&s->allowances->pool[i]);
@@ -260,7 +261,7 @@
 {
 	return s->ready && !s->leaving &&
 	       s->instances_watch.first_listed_at != 0 &&
-	       s->loop.now >= s->allowances->deaf_until;
+	       s->loop.now >= s->allowances->ignore_until;
 }
 
 static int
@@ -350,9 +351,9 @@
 /* Giving. */
 
 static allowance_t *
-given(serve_t *s, uint32_t tag)
+allowance_of(serve_t *s, uint32_t tag)
 {
-	GHashTable *t = s->allowances->given;
+	GHashTable *t = s->allowances->by_organisation;
 	allowance_t *a = g_hash_table_lookup(t, GUINT_TO_POINTER(tag));
 
 	if (a == NULL) {
@@ -375,7 +376,7 @@
 	if (o->rate <= 0)
 		return 0;
 	l = limit_of(s, o);
-	return allowance_take(given(s, tag),
+	return allowance_take(allowance_of(s, tag),
 	    &s->allowances->pool[group_of(s, o)], &l, amount, key, s->loop.now);
 }
 
@@ -389,8 +390,9 @@
 	if (o == NULL || o->rate <= 0)
 		return;
 	l = limit_of(s, o);
-	allowance_give_back(given(s, tag), &s->allowances->pool[group_of(s, o)],
-	    &l, amount, granted_at, s->loop.now);
+	allowance_give_back(allowance_of(s, tag),
+	    &s->allowances->pool[group_of(s, o)], &l, amount, granted_at,
+	    s->loop.now);
 }
 
 /* Asking. */
@@ -622,7 +624,7 @@
 {
 	struct allowances *a = g_new0(struct allowances, 1);
 
-	a->given =
+	a->by_organisation =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	a->by_tag = g_hash_table_new(g_direct_hash, g_direct_equal);
 	a->asking = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -456,11 +456,11 @@
 	if (a->pace > 0) {
 		/* Who keeps the endpoint's load hears of another pace at once.
 		 */
-		if (a->pace != w->ep->pace_said)
+		if (a->pace != w->ep->pace_reported)
 			keepers_load_changed(w->s, w->ep);
-		w->ep->pace_said = a->pace;
-		w->ep->pace_said_at = w->s->loop.now;
-		endpoint_pace_told(w->s, w->ep, a->pace, w->s->loop.now);
+		w->ep->pace_reported = a->pace;
+		w->ep->pace_reported_at = w->s->loop.now;
+		endpoint_pace_reported(w->s, w->ep, a->pace, w->s->loop.now);
 	}
 	if (a->running >= 0)
 		workload_set_reported(&w->ep->workload, a->running, a->waiting,
--- a/serve/ask.c
+++ b/serve/ask.c
@@ -296,8 +296,8 @@
 			give_back(s, p, call);
 		return;
 	}
-	p->told_wait = x->granted ? x->backlog : x->wait;
-	p->told_at = s->loop.now;
+	p->keeper_wait = x->granted ? x->backlog : x->wait;
+	p->keeper_wait_at = s->loop.now;
 	a->answered = true;
 	a->wait = x->wait;
 	a->backlog = x->backlog;
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -10,8 +10,8 @@
 enum {
 	ADAPTER_WAIT_MS = 400, /* adapter load and the order's round trip */
 	RETRY_AFTER_MIN_MS = 50,
-	SLOT_WAIT_MS = 100, /* typical time until a slot is free */
-	TOLD_MS = 300,	    /* for so long a wait that was told is used */
+	SLOT_WAIT_MS = 100,   /* typical time until a slot is free */
+	KEEPER_WAIT_MS = 300, /* for so long a wait that was told is used */
 	/*
 	 * Calls received in this time after the instance began to leave may
 	 * use the whole grace period.
@@ -231,10 +231,10 @@
 
 /* The wait that the instance which keeps the endpoint's load told lately. */
 static double
-told_wait_ms(const ep_t *p, ms_t now)
+keeper_wait_left(const ep_t *p, ms_t now)
 {
-	return is_recent(p->told_at, now, TOLD_MS)
-		   ? (double)(p->told_wait - (now - p->told_at))
+	return is_recent(p->keeper_wait_at, now, KEEPER_WAIT_MS)
+		   ? (double)(p->keeper_wait - (now - p->keeper_wait_at))
 		   : 0;
 }
 
@@ -290,7 +290,7 @@
 		    workload_send_delay_ms(&p->workload, &s->average_speed,
 			&s->workload_limits, uncached_tokens, now);
 		if (p->workload.paced)
-			wait_ms = fmax(wait_ms, told_wait_ms(p, now));
+			wait_ms = fmax(wait_ms, keeper_wait_left(p, now));
 		add_asked(sc, p,
 		    wait_ms +
 			endpoint_cost(c, p, group, first_ms, uncached_tokens),
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -116,10 +116,10 @@
 	int ncall;	     /* calls of this instance in progress */
 	uint64_t no_conn_in; /* serve_t.search in which it had no connection */
 	workload_t workload;
-	int pace_said; /* to this instance, in hundredths, 0: never */
-	ms_t pace_said_at;
-	ms_t told_wait, told_at; /* by the instance that keeps its load */
-	uint32_t sent_tokens;	 /* prompt tokens from this instance; wraps */
+	int pace_reported; /* to this instance, in hundredths, 0: never */
+	ms_t pace_reported_at;
+	ms_t keeper_wait, keeper_wait_at; /* for a call, by its keeper */
+	uint32_t sent_tokens; /* prompt tokens from this instance; wraps */
 	uint32_t domain_sent_tokens; /* from the rest of this domain; wraps */
 	/* This domain's sum as last sent to other domains. */
 	workload_share_t sent_sum;
--- a/serve/keeper_send.c
+++ b/serve/keeper_send.c
@@ -76,13 +76,14 @@
 void
 keeper_send_share(serve_t *s, const struct sockaddr_in *to, const ep_t *p)
 {
-	add(s, &(item_t){ .kind = ITEM_SHARE,
-		   .to = *to,
-		   .endpoint = p->tag,
-		   .share = p->workload.own,
-		   /* Not what others told: it would come back as new. */
-		   .pace = (uint32_t)p->pace_said,
-		   .pace_ago = not_negative(s->loop.now - p->pace_said_at) });
+	add(s,
+	    &(item_t){ .kind = ITEM_SHARE,
+		.to = *to,
+		.endpoint = p->tag,
+		.share = p->workload.own,
+		/* Not what others told: it would come back as new. */
+		.pace = (uint32_t)p->pace_reported,
+		.pace_ago = not_negative(s->loop.now - p->pace_reported_at) });
 }
 
 void
--- a/serve/keepers.c
+++ b/serve/keepers.c
@@ -240,7 +240,7 @@
 
 	if (i < m->n_pace && i < m->n_pace_ago &&
 	    m->pace_ago[i] < PACE_AGO_MAX_MS)
-		endpoint_pace_told(
+		endpoint_pace_reported(
 		    s, ep, (int)m->pace[i], s->loop.now - (ms_t)m->pace_ago[i]);
 	keeper_report(&kept_get(s, ep)->keeper, p->hash, &share, s->loop.now);
 	s->keepers->due = true;
@@ -313,7 +313,7 @@
 		if (ep == NULL)
 			continue;
 		if (i < m->n_answer_pace)
-			endpoint_pace_told(
+			endpoint_pace_reported(
 			    s, ep, (int)m->answer_pace[i], s->loop.now);
 		ask_answered(s, m->answer_call[i], ep, &a);
 	}
--- a/serve/prompt_cost.c
+++ b/serve/prompt_cost.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 enum {
-	NEWS_MAX = 24,	  /* samples in a heartbeat */
+	SAMPLES_MAX = 24, /* samples in a heartbeat */
 	TOKENS_MIN = 800, /* of a prompt; the steps dominate shorter ones */
 	STEP_MS = 6,	  /* about, of an engine that runs nothing else */
 };
@@ -11,7 +11,7 @@
 struct prompt_costs {
 	GHashTable *by_tag; /* pace_cost_t */
 	GHashTable *paced;  /* names of services */
-	uint32_t model[NEWS_MAX], us[NEWS_MAX];
+	uint32_t model[SAMPLES_MAX], us[SAMPLES_MAX];
 	int n; /* seen since the last heartbeat */
 };
 
@@ -50,12 +50,12 @@
 }
 
 void
-endpoint_pace_told(serve_t *s, ep_t *p, int hundredths, ms_t at)
+endpoint_pace_reported(serve_t *s, ep_t *p, int hundredths, ms_t at)
 {
 	const char *service = p->entry.service;
 	int i;
 
-	pace_told(&p->workload.pace, hundredths, at);
+	pace_report(&p->workload.pace, hundredths, at);
 	if (p->workload.paced || p->workload.pace.at == 0 ||
 	    p->workload.kv_capacity == 0)
 		return;
@@ -98,7 +98,7 @@
 	if (tokens < TOKENS_MIN || us <= 0)
 		return;
 	add_sample(s, tag, us);
-	if (p->n < NEWS_MAX) {
+	if (p->n < SAMPLES_MAX) {
 		p->model[p->n] = tag;
 		p->us[p->n++] = (uint32_t)(100 * us);
 	}
--- a/serve/prompt_cost.h
+++ b/serve/prompt_cost.h
@@ -12,7 +12,7 @@
 
 void prompt_costs_init(serve_t *s);
 /** An endpoint told how long work takes there, in hundredths. */
-void endpoint_pace_told(serve_t *s, ep_t *p, int hundredths, ms_t at);
+void endpoint_pace_reported(serve_t *s, ep_t *p, int hundredths, ms_t at);
 /**
  * @return whether prompts are sent to a service at the pace of its endpoints:
  * these tell how long work takes, or organisations share them
--- a/tests/pace_test.c
+++ b/tests/pace_test.c
@@ -25,7 +25,7 @@
 	workload_init(&wl, 64, 100000);
 	wl.paced = true;
 	wl.stream = (pace_stream_t){ GAP_MS, STEPS };
-	pace_told(&wl.pace, pace, 1);
+	pace_report(&wl.pace, pace, 1);
 	workload_refresh(&wl, 1);
 	return wl;
 }
@@ -39,13 +39,13 @@
 
 	g_assert_cmpfloat(pace_now(&p, 5), ==, 1);
 	for (t = 0; t < 10000; t += 100)
-		pace_told(&p, 70, t + 1);
-	pace_told(&p, 175, 10000);
+		pace_report(&p, 70, t + 1);
+	pace_report(&p, 175, 10000);
 	g_assert_cmpfloat(pace_now(&p, 10000), >, 1.7);
 	g_assert_cmpfloat(pace_now(&p, 13000), <, 0.75);
 	/* What was told before doesn't count, nor what is no number. */
-	pace_told(&p, 425, 9000);
-	pace_told(&p, 0, 10001);
+	pace_report(&p, 425, 9000);
+	pace_report(&p, 0, 10001);
 	g_assert_cmpfloat(pace_now(&p, 10000), <, 1.8);
 }
 
