serve: a stopped listener looks for room by itself

untrusted_proc:/untrusted/slow failed in one play of all programs: 260 connections came in one turn, none was old enough to make room, and the listener stopped for good, as only an accept looked for room.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -43,6 +43,10 @@
 {
 	uint32_t ev = s->ncaller < callers_max(s) ? EPOLLIN : 0;
 
+	/* No connection may have been old enough to make room. */
+	if (ev == 0 && s->accept_alarm.pos == 0)
+		alarm_set(
+		    &s->loop, &s->accept_alarm, s->loop.now + ACCEPT_RETRY_MS);
 	if (s->caller_listener.fd != -1)
 		watch_set(&s->loop, &s->caller_listener, ev);
 	if (s->instance_listener.fd != -1)
@@ -368,7 +372,11 @@
 static void
 on_accept_alarm(void *arg)
 {
-	update_listener(arg);
+	serve_t *s = arg;
+
+	if (s->ncaller >= callers_max(s) - SPARE_FDS)
+		buffers_free_descriptor(s);
+	update_listener(s);
 }
 
 int
