allowance: a test for each part of the giver

Change: a case for each: the window's check, a new giver's smaller overdraft, the reset of saved tokens, the limit of what accrues, the part kept back for members that change, and the purge of members. The bounds are the operators' (rate x window + burst, with the tenth and the slack where they allow them).

--- a/tests/allowance_test.c
+++ b/tests/allowance_test.c
@@ -150,6 +150,126 @@
 	allowance_pool_free(&p);
 }
 
+/* The sum of calls of 5 that are granted now. */
+static double
+take_all(allowance_t *a, allowance_pool_t *p, const allowance_limit_t *l,
+    uint64_t *call, ms_t now)
+{
+	double sum = 0;
+
+	while (allowance_take(a, p, l, 5, ++*call, now) == 0)
+		sum += 5;
+	return sum;
+}
+
+/* Guards against a window that takes what was saved before it and its own
+ * burst too. */
+static void
+saved_up_is_part_of_the_window(void)
+{
+	allowance_pool_t p = { 0 };
+	allowance_t a = { 0 };
+	ms_t now = members(&p, 4, 4, 1000, 10000), end = now + 8000;
+	double sum = 0;
+	uint64_t call = 0;
+
+	for (; now < end; now = members(&p, 4, 4, now, 100))
+		sum += take_all(&a, &p, &limit, &call, now);
+	g_assert_cmpfloat(sum, <=, 8 * limit.rate + limit.burst);
+	allowance_pool_free(&p);
+}
+
+/* Guards against several givers of a window that each exceed it for a large
+ * call. */
+static void
+large_calls_at_new_givers(void)
+{
+	const allowance_limit_t l = { 1000, 1000, 17000, 8000 };
+	double sum = 0;
+	uint64_t call = 0;
+	ms_t now = 1000, end;
+
+	/* They change after 1.3 s, and leave the pause. */
+	for (; now < 9000; now += ALLOWANCE_MEMBER_MS) {
+		allowance_pool_t p = { 0 };
+		allowance_t a = { 0 };
+
+		for (end = now + 1300; now < end;
+		     now = members(&p, 4, 4, now, 100))
+			sum += take_all(&a, &p, &l, &call, now);
+		allowance_pool_free(&p);
+	}
+	g_assert_cmpfloat(sum, <=, (8 * l.rate + l.burst) * 1.1 + l.slack);
+}
+
+/* Guards against saved tokens that are used by two, as members change givers.
+ */
+static void
+saved_up_is_lost_with_the_members(void)
+{
+	allowance_pool_t p = { 0 };
+	allowance_t a = { 0 };
+	ms_t now = members(&p, 10, 10, 1000, 4000);
+	uint64_t call = 0;
+
+	/* Six of ten change; the rest are told of within 100 ms. */
+	now = members(&p, 4, 10, now, ALLOWANCE_MEMBER_MS + 100);
+	g_assert_cmpfloat(
+	    take_all(&a, &p, &limit, &call, now), <=, 0.4 * limit.rate / 10);
+	allowance_pool_free(&p);
+}
+
+/* Guards against a gain from time in which members weren't heard: another
+ * giver may have served them. */
+static void
+nothing_for_a_silence(void)
+{
+	allowance_pool_t p = { 0 };
+	allowance_t a = { 0 };
+	ms_t now = members(&p, 4, 4, 1000, 3000);
+	uint64_t call = 0;
+
+	take_all(&a, &p, &limit, &call, now);
+	now = members(&p, 4, 4, now + 650, 0);
+	g_assert_cmpfloat(
+	    take_all(&a, &p, &limit, &call, now), <=, limit.rate / 4);
+	allowance_pool_free(&p);
+}
+
+/* Guards against more than the bound while two givers count the members. */
+static void
+change_of_giver_within_the_bound(void)
+{
+	const allowance_limit_t l = { 1000, 100, 0, 8000 };
+	allowance_pool_t p[2] = { 0 };
+	allowance_t a[2] = { 0 };
+	ms_t now = members(&p[0], 4, 4, 1000, 10000), begun = now;
+	double sum = 0;
+	uint64_t call = 0;
+
+	for (; now < begun + 8000; now += 100) {
+		members(&p[now >= begun + 4000], 4, 4, now, 0);
+		sum += take_all(&a[0], &p[0], &l, &call, now);
+		sum += take_all(&a[1], &p[1], &l, &call, now);
+	}
+	g_assert_cmpfloat(sum, <=, (8 * l.rate + l.burst) * 1.1);
+	allowance_pool_free(&p[0]);
+	allowance_pool_free(&p[1]);
+}
+
+/* Guards against memory that grows with each instance that ever asked. */
+static void
+silent_members_are_forgotten(void)
+{
+	allowance_pool_t p = { 0 };
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		allowance_heard(&p, (uint64_t)i + 1, 4, 1000 + i * 800);
+	g_assert_cmpint(p.nmember, <=, 4);
+	allowance_pool_free(&p);
+}
+
 /* Guards against instances that two givers count at the same time, again and
  * again. */
 static void
@@ -619,6 +739,18 @@
 	g_test_add_func("/allowance/returns_are_spread", returns_are_spread);
 	g_test_add_func("/allowance/lower_limit", lower_limit);
 	g_test_add_func("/allowance/nothing_for_a_stall", nothing_for_a_stall);
+	g_test_add_func("/allowance/saved_up_is_part_of_the_window",
+	    saved_up_is_part_of_the_window);
+	g_test_add_func(
+	    "/allowance/large_calls_at_new_givers", large_calls_at_new_givers);
+	g_test_add_func("/allowance/saved_up_is_lost_with_the_members",
+	    saved_up_is_lost_with_the_members);
+	g_test_add_func(
+	    "/allowance/nothing_for_a_silence", nothing_for_a_silence);
+	g_test_add_func("/allowance/change_of_giver_within_the_bound",
+	    change_of_giver_within_the_bound);
+	g_test_add_func("/allowance/silent_members_are_forgotten",
+	    silent_members_are_forgotten);
 	g_test_add_func("/allowance/second_change_waits", second_change_waits);
 	g_test_add_func("/allowance/bound_holds_in_random_orders",
 	    bound_holds_in_random_orders);
