tests: wait until each daemon has read, and tell unread requests apart

Cause: versions_proc waited until each daemon showed the expected number of endpoints.

Change: daemons_wait_store_read() removes endpoint 0 and adds it again: an added entry is read from the store only, after all changes before it.

--- a/tests/answered.c
+++ b/tests/answered.c
@@ -438,6 +438,14 @@
 	return false;
 }
 
+bool
+ask_crossed(const kept_t *k, const ask_t *a)
+{
+	return !a->answered && !was_run(k->of->st, a->id) &&
+	       (a->after_end ||
+		   (k->http == NULL && k->ended_at - a->sent_at <= CROSS_MS));
+}
+
 static void
 count_ask(const kept_t *k, const ask_t *a, outcomes_t *o)
 {
@@ -454,9 +462,7 @@
 			g_assert_false(run);
 		return;
 	}
-	if (!run &&
-	    (a->after_end ||
-		(k->http == NULL && k->ended_at - a->sent_at <= CROSS_MS))) {
+	if (ask_crossed(k, a)) {
 		o->crossed++;
 		return;
 	}
--- a/tests/answered.h
+++ b/tests/answered.h
@@ -103,6 +103,8 @@
 void callers_start_load(callers_t *s);
 /** Complete what is half received, and use the idle connections. */
 void callers_complete_load(callers_t *s);
+/** @return whether it was sent as the daemon closed, and not passed on */
+bool ask_crossed(const kept_t *k, const ask_t *a);
 /** Count the outcomes and assert that no request was lost. */
 outcomes_t callers_check(callers_t *s);
 
--- a/tests/grace_proc.c
+++ b/tests/grace_proc.c
@@ -138,7 +138,7 @@
 		for (k = 0; k < G_N_ELEMENTS(kinds); k++) {
 			const ask_t *a = &c[i][k]->ask[0];
 
-			if (c[i][k]->nask > 0 && !a->after_end)
+			if (c[i][k]->nask > 0 && !ask_crossed(c[i][k], a))
 				assert_served_or_refused(
 				    s->st, &kinds[k], a->id, a->status);
 		}
--- a/tests/take_up.c
+++ b/tests/take_up.c
@@ -137,19 +137,19 @@
 	return versions_start_with(&o);
 }
 
+/*
+ * Daemons tell each other of endpoints that are gone, but an entry that is
+ * added is read from the store only, after all changes before it.
+ */
 void
-daemons_wait_store_read(fixture_t *st, int was, int is)
+daemons_wait_store_read(fixture_t *st, int is)
 {
-	bool listed = fake_store_get(st->store, "servers", st->id[0]) != NULL;
-
 	fake_store_mute_watches(st->store, false);
-	if (was == is)
-		listed = !listed;
-	if (listed)
-		fixture_put_entry(st, 0, "app", false);
-	else
+	if (fake_store_get(st->store, "servers", st->id[0]) != NULL)
 		fake_store_del(st->store, "servers", st->id[0]);
-	daemons_wait_endpoints(st, is + listed);
+	daemons_wait_endpoints(st, is);
+	fixture_put_entry(st, 0, "app", false);
+	daemons_wait_endpoints(st, is + 1);
 }
 
 void
@@ -165,7 +165,7 @@
 		st->domain[i] = chosen ? "north" : "south";
 		fixture_put_entry(st, i, "llm", false);
 	}
-	daemons_wait_store_read(st, st->nendpoint - 1, st->nendpoint - 1);
+	daemons_wait_store_read(st, st->nendpoint - 1);
 }
 
 /* Runs */
--- a/tests/take_up.h
+++ b/tests/take_up.h
@@ -45,11 +45,11 @@
 void daemons_wait_endpoints(fixture_t *st, int n);
 /**
  * Let the running daemons read what was written into the store since
- * fake_store_mute_watches(), and wait until they have. What they show is their
- * number of endpoints: @p was before, @p is now, beside endpoint 0, which is
- * written or deleted if these are equal.
+ * fake_store_mute_watches(), and wait until each has. Endpoint 0 is removed and
+ * added again for that.
+ * @param is endpoints beside endpoint 0 after that
  */
-void daemons_wait_store_read(fixture_t *st, int was, int is);
+void daemons_wait_store_read(fixture_t *st, int is);
 
 /** A caller's stream, with the take-up that is in progress. */
 typedef struct stream {
--- a/tests/versions_proc.c
+++ b/tests/versions_proc.c
@@ -326,7 +326,7 @@
 		st->domain[i] = "south";
 		fixture_put_entry(st, i, "llm", i <= 2);
 	}
-	daemons_wait_store_read(st, 4, 5);
+	daemons_wait_store_read(st, 5);
 	daemon_kill(st, 0);
 	streams_lose(x, STREAMS_MAX / 2);
 	g_assert_cmpint(streams_take_up(x, STREAMS_MAX / 2, 1, 2, ATTEMPTS), >=,
@@ -349,7 +349,7 @@
 		st->domain[i] = i == 1 ? "north" : "south";
 		fixture_put_entry(st, i, "llm", false);
 	}
-	daemons_wait_store_read(st, 4, 4);
+	daemons_wait_store_read(st, 4);
 	daemon_kill(st, 0);
 	streams_lose(x, STREAMS_MAX / 2);
 	for (i = 0; i < STREAMS_MAX / 2; i++)
@@ -418,7 +418,7 @@
 		g_assert_cmpstr(x[i].began, ==, "v1");
 	fake_store_mute_watches(st->store, true);
 	fake_store_del(st->store, "servers", st->id[1]);
-	daemons_wait_store_read(st, 4, 3);
+	daemons_wait_store_read(st, 3);
 	daemon_kill(st, 0);
 	streams_lose(x, 4);
 	for (i = 0; i < 4; i++) {
