domain choice: calls leave their failure domain when it pays

Cause: an engine in another domain was dearer by a fixed 60 ms. That sends calls away that would have begun in good time at home, and keeps some that wait for hundreds of ms.

Change: policy/domain_choice.c decides for each call by the time until its first event at home and elsewhere, the time that it has left, the round trip and the bytes. serve/choose.c keeps the candidates of both sides apart until then. It is on for engines that tell their pace; other endpoints keep the fixed prices. sent lines name the domain, ebonypitch_sent_total counts by it.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 # Objects and libraries of the daemon alone. deploy/system.toml builds it with
 # B=target, on a machine without the other libraries.
 DAEMON = base net platform serve
-DAEMONPOLICY = allowance assign assign_room blame blame_table breaker buffer_account call_limit coverage giver keeper leadership leaving liveness pace reach retries retry_after software stream_table wait \
+DAEMONPOLICY = allowance assign assign_room blame blame_table breaker buffer_account call_limit coverage domain_choice giver keeper leadership leaving liveness pace reach retries retry_after software stream_table wait \
 	watchers workload
 DAEMONLIBS = $(shell pkg-config --libs libprotobuf-c glib-2.0 jansson libxxhash ck inih yaml-0.1 2>/dev/null) \
 	-lhttp_parser -lm -pthread
--- a/serve/call.c
+++ b/serve/call.c
@@ -342,6 +342,27 @@
 	prefix_record(p, c, s->loop.now);
 }
 
+static const char *
+domain_sent_to(const call_t *c)
+{
+	if (c->ep->kind == EP_PEER)
+		return "-";
+	return strcmp(c->ep->entry.domain, c->s->conf.domain) == 0 ? "own"
+								   : "other";
+}
+
+static void
+count_sent(const call_t *c)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "ebonypitch_sent_total{domain=\"%s\"}",
+	    domain_sent_to(c));
+	counter_add(
+	    counter_get(name, "Calls sent to endpoints, by failure domain."),
+	    1);
+}
+
 static void
 log_sent(const call_t *c, const choice_t *ch, ms_t remaining)
 {
@@ -358,14 +379,14 @@
 	log_limited(LOG_INFO, "sent",
 	    "request=%s route=%s %s=%s from=%s send=%d fresh=%d first_ms=%.0f "
 	    "left_ms=%" PRId64 " entry_age_ms=%" PRId64
-	    " kept=%d software=%s events=%d config=%" PRId64,
+	    " kept=%d software=%s events=%d config=%" PRId64 " domain=%s",
 	    c->request.id, c->route.name,
 	    p->kind == EP_PEER ? "instance_to" : "endpoint", p->entry.id,
 	    c->from_instance ? "instance" : "caller", c->attempts,
 	    ch->uncached_tokens, c->reservation.predicted_ms, remaining,
 	    p->kind == EP_PEER ? -1 : c->s->loop.now - p->entry_read_at,
 	    !c->conn->unused, p->entry.software, c->nevent,
-	    c->s->config->version);
+	    c->s->config->version, domain_sent_to(c));
 }
 
 /* Count the attempt and note where it goes. */
@@ -421,6 +442,7 @@
 	buf_add(
 	    &c->conn->http->out, c->body.p + c->body.off, buf_len(&c->body));
 	log_sent(c, ch, remaining);
+	count_sent(c);
 	if (c->conn->unused) {
 		/* Its deadline may pass while the process is stopped. */
 		c->conn->http->send_by = c->deadline;
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,3 +1,4 @@
+#include "policy/domain_choice.h"
 #include "policy/wait.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
@@ -24,9 +25,13 @@
  */
 static const double preference_step_ms = 4;
 /*
- * Traffic to another failure domain costs the operators money and adds latency.
+ * Traffic to another failure domain costs the operators money and adds latency:
+ * a price in ms where endpoints don't tell their pace, so that it isn't known
+ * well enough when they are late.
  */
 static const double remote_engine_ms = 60, remote_plain_ms = 5;
+/* Of an answer, for an output token with what an event has around it. */
+static const double answer_bytes_per_token = 30;
 /* Estimated time of one output token in a half-full batch. */
 static const double output_token_ms = 12;
 /* Prompt tokens per ms, until a speed was measured. */
@@ -108,17 +113,34 @@
 	return sum;
 }
 
+/* An endpoint that may take the call. */
+typedef struct candidate {
+	ep_t *ep;
+	double cost_ms;
+	double first_ms;     /* predicted time to the first event */
+	int uncached_tokens; /* prompt tokens not in its cache */
+} candidate_t;
+
+/* Those of this instance's failure domain, or of the others. */
+typedef struct side {
+	candidate_t best;
+	candidate_t asked[ASKED_MAX]; /* the cheapest first */
+	int nasked;
+	double least_ms; /* until the first event, below 0: none */
+	double round_trip_ms;
+} side_t;
+
+enum {
+	HOME,
+	REMOTE,
+};
+
 typedef struct scan {
 	/* Collect the best endpoints, full ones too, to ask at them. */
 	bool asking;
-	ep_t *asked[ASKED_MAX];
-	double asked_cost[ASKED_MAX];
-	int asked_tokens[ASKED_MAX];
-	int nasked;
-	ep_t *best;
-	double cost, first_ms;
-	int uncached_tokens;
-	bool returning; /* only endpoints that the call may return to */
+	side_t side[2];
+	candidate_t best; /* of both, by weigh_domains() */
+	bool returning;	  /* only endpoints that the call may return to */
 	/* Not those whose software version isn't in the lease yet. */
 	bool only_stored;
 	int nunstored; /* that hold what the call needs, and were left out */
@@ -144,16 +166,22 @@
 	return (int)(tokens * prompt_cost(c->s, c->service, c->request.model));
 }
 
+static bool
+is_remote(const serve_t *s, const ep_t *p)
+{
+	return strcmp(p->entry.domain, s->conf.domain) != 0;
+}
+
 static double
-endpoint_cost(const call_t *c, const ep_t *p, uint64_t group, double first_ms,
-    int uncached_tokens)
+endpoint_cost(const call_t *c, uint64_t group, const candidate_t *x)
 {
 	const serve_t *s = c->s;
+	const ep_t *p = x->ep;
 	bool engine = c->request.model[0] != '\0';
 	double cost_ms =
-	    first_ms + workload_cost_ms(&p->workload, &s->average_speed,
-			   &s->cost_weights, uncached_tokens, c->request.output,
-			   s->loop.now);
+	    x->first_ms + workload_cost_ms(&p->workload, &s->average_speed,
+			      &s->cost_weights, x->uncached_tokens,
+			      c->request.output, s->loop.now);
 
 	cost_ms *= breaker_time_factor(&p->breaker, s->failure_rate);
 	/*
@@ -162,7 +190,7 @@
 	 */
 	cost_ms += preference_step_ms *
 		   (double)(hash64(&p->hash, 8, group) % 1000) / 100;
-	if (strcmp(p->entry.domain, s->conf.domain) != 0)
+	if (is_remote(s, p) && !p->workload.paced)
 		cost_ms += engine ? remote_engine_ms : remote_plain_ms;
 	return cost_ms;
 }
@@ -210,23 +238,83 @@
 
 /* Keep the endpoints of least cost. */
 static void
-add_asked(scan_t *sc, ep_t *p, double cost_ms, int tokens)
+add_asked(side_t *d, candidate_t x)
 {
 	int i;
 
-	if (sc->nasked == ASKED_MAX && cost_ms >= sc->asked_cost[ASKED_MAX - 1])
+	if (d->nasked == ASKED_MAX &&
+	    x.cost_ms >= d->asked[ASKED_MAX - 1].cost_ms)
+		return;
+	if (d->nasked < ASKED_MAX)
+		d->nasked++;
+	for (i = d->nasked - 1; i > 0 && d->asked[i - 1].cost_ms > x.cost_ms;
+	     i--)
+		d->asked[i] = d->asked[i - 1];
+	d->asked[i] = x;
+}
+
+static void
+add_best(candidate_t *best, candidate_t x)
+{
+	if (best->ep == NULL || x.cost_ms < best->cost_ms)
+		*best = x;
+}
+
+static void
+note_expected(side_t *d, const ep_t *p, double expected_ms)
+{
+	if (d->least_ms >= 0 && expected_ms >= d->least_ms)
 		return;
-	if (sc->nasked < ASKED_MAX)
-		sc->nasked++;
-	for (i = sc->nasked - 1; i > 0 && sc->asked_cost[i - 1] > cost_ms;
-	     i--) {
-		sc->asked[i] = sc->asked[i - 1];
-		sc->asked_cost[i] = sc->asked_cost[i - 1];
-		sc->asked_tokens[i] = sc->asked_tokens[i - 1];
+	d->least_ms = expected_ms;
+	d->round_trip_ms = p->connect_ms;
+}
+
+static domain_choice_t
+domains_of(const call_t *c, const scan_t *sc)
+{
+	return (domain_choice_t){ .home_ms = sc->side[HOME].least_ms,
+		.remote_ms = sc->side[REMOTE].least_ms,
+		.left_ms = call_first_event_limit(c) -
+			   (double)(c->s->loop.now - c->received_at),
+		.round_trip_ms = sc->side[REMOTE].round_trip_ms,
+		.bytes = (double)buf_len(&c->body) +
+			 c->request.output * answer_bytes_per_token };
+}
+
+/*
+ * Choose between the endpoints at home and elsewhere. Where they don't tell
+ * their pace their costs decide.
+ */
+static void
+weigh_domains(const call_t *c, scan_t *sc)
+{
+	domain_choice_t d;
+	candidate_t x;
+	int i;
+
+	if (c->request.model[0] != '\0' && service_is_paced(c->s, c->service)) {
+		d = domains_of(c, sc);
+		switch (domain_decide(&d)) {
+		case DOMAIN_STAY:
+			sc->side[REMOTE].best.ep = NULL;
+			sc->side[REMOTE].nasked = 0;
+			break;
+		case DOMAIN_LEAVE:
+			sc->side[REMOTE].best.cost_ms += domain_price_ms(&d);
+			for (i = 0; i < sc->side[REMOTE].nasked; i++)
+				sc->side[REMOTE].asked[i].cost_ms +=
+				    domain_price_ms(&d);
+			break;
+		case DOMAIN_ABSENT:
+			break;
+		}
 	}
-	sc->asked[i] = p;
-	sc->asked_cost[i] = cost_ms;
-	sc->asked_tokens[i] = tokens;
+	for (i = 0; i < sc->side[REMOTE].nasked; i++)
+		add_asked(&sc->side[HOME], sc->side[REMOTE].asked[i]);
+	sc->best = sc->side[HOME].best;
+	x = sc->side[REMOTE].best;
+	if (x.ep != NULL)
+		add_best(&sc->best, x);
 }
 
 /* The wait that the instance which keeps the endpoint's load told lately. */
@@ -245,8 +333,9 @@
 	serve_t *s = c->s;
 	ms_t now = s->loop.now;
 	bool engine = c->request.model[0] != '\0';
-	int uncached_tokens = c->request.prompt;
-	double first_ms, cost_ms, wait_ms;
+	side_t *side = &sc->side[is_remote(s, p) ? REMOTE : HOME];
+	candidate_t x = { .ep = p, .uncached_tokens = c->request.prompt };
+	double wait_ms;
 
 	if (!is_candidate(c, p))
 		return;
@@ -278,23 +367,22 @@
 		return;
 	}
 	if (engine)
-		uncached_tokens = tokens_to_read(c, p, key, now);
+		x.uncached_tokens = tokens_to_read(c, p, key, now);
 	workload_refresh(&p->workload, now);
-	first_ms = workload_predict_ms(
-	    &p->workload, &s->average_speed, uncached_tokens);
-	if (sc->least_first_ms == 0 || first_ms < sc->least_first_ms)
-		sc->least_first_ms = first_ms;
+	x.first_ms = workload_predict_ms(
+	    &p->workload, &s->average_speed, x.uncached_tokens);
+	if (sc->least_first_ms == 0 || x.first_ms < sc->least_first_ms)
+		sc->least_first_ms = x.first_ms;
 	if (sc->asking && p->no_conn_in != s->search &&
 	    retry_after_left(&p->retry_after, now) == 0 && limits_allow(s, p)) {
 		wait_ms =
 		    workload_send_delay_ms(&p->workload, &s->average_speed,
-			&s->workload_limits, uncached_tokens, now);
+			&s->workload_limits, x.uncached_tokens, now);
 		if (p->workload.paced)
 			wait_ms = fmax(wait_ms, keeper_wait_left(p, now));
-		add_asked(sc, p,
-		    wait_ms +
-			endpoint_cost(c, p, group, first_ms, uncached_tokens),
-		    uncached_tokens);
+		x.cost_ms = wait_ms + endpoint_cost(c, group, &x);
+		note_expected(side, p, wait_ms + x.first_ms);
+		add_asked(side, x);
 		return;
 	}
 	if (p->no_conn_in == s->search ||
@@ -314,12 +402,12 @@
 		return;
 	}
 	if (!limits_allow(s, p)) {
-		consider_limited(c, p,
-		    endpoint_cost(c, p, group, first_ms, uncached_tokens), sc);
+		consider_limited(c, p, endpoint_cost(c, group, &x), sc);
 		return;
 	}
 	wait_ms = workload_send_delay_ms(&p->workload, &s->average_speed,
-	    &s->workload_limits, uncached_tokens, now);
+	    &s->workload_limits, x.uncached_tokens, now);
+	note_expected(side, p, wait_ms + x.first_ms);
 	sc->prefill_rate += workload_prompt_rate(
 	    &p->workload, &s->average_speed, &s->workload_limits);
 	if (wait_ms > 0) {
@@ -327,13 +415,8 @@
 		note_wait(sc, wait_ms);
 		return;
 	}
-	cost_ms = endpoint_cost(c, p, group, first_ms, uncached_tokens);
-	if (sc->best != NULL && cost_ms >= sc->cost)
-		return;
-	sc->best = p;
-	sc->cost = cost_ms;
-	sc->first_ms = first_ms;
-	sc->uncached_tokens = uncached_tokens;
+	x.cost_ms = endpoint_cost(c, group, &x);
+	add_best(&side->best, x);
 }
 
 /* Would the call outlast this instance? Then another one has to serve it. */
@@ -486,6 +569,7 @@
 	else
 		group =
 		    hash_str(c->request.adapter, hash_str(c->request.model, 0));
+	sc->side[HOME].least_ms = sc->side[REMOTE].least_ms = -1;
 	for (i = 0; i < s->endpoints.nep; i++)
 		consider_endpoint(c, s->endpoints.ep[i], key, group, sc);
 	if (sc->nholding == 0 && sc->nunstored > 0) {
@@ -494,8 +578,9 @@
 			consider_endpoint(
 			    c, s->endpoints.ep[i], key, group, sc);
 	}
+	weigh_domains(c, sc);
 	if (sc->limited != NULL &&
-	    (sc->best == NULL || sc->limited_cost < sc->cost))
+	    (sc->best.ep == NULL || sc->limited_cost < sc->best.cost_ms))
 		limits_want(c, sc->limited);
 }
 
@@ -503,9 +588,9 @@
 choose_best(const scan_t *sc, choice_t *out)
 {
 	out->kind = CHOICE_SEND;
-	out->ep = sc->best;
-	out->first_ms = (ms_t)sc->first_ms;
-	out->uncached_tokens = sc->uncached_tokens;
+	out->ep = sc->best.ep;
+	out->first_ms = (ms_t)sc->best.first_ms;
+	out->uncached_tokens = sc->best.uncached_tokens;
 }
 
 static void
@@ -524,18 +609,18 @@
 	scan_endpoints(c, &sc);
 	out->unreached = sc.nunreached > 0 || c->unmade > 0;
 	out->all_unreached = sc.nunreached > 0 && sc.nunreached == sc.nholding;
-	if (sc.best == NULL) {
+	if (sc.best.ep == NULL) {
 		choose_none(c, &sc, out);
 		return;
 	}
-	if (outlasts_instance(c, sc.first_ms)) {
+	if (outlasts_instance(c, sc.best.first_ms)) {
 		out->kind = CHOICE_REFUSE;
 		out->reason = "the instance ends before the answer would";
 		out->retry_ms = RETRY_ELSEWHERE_MS;
 		return;
 	}
 	if (c->request.model[0] != '\0' &&
-	    refuse_if_too_late(c, sc.first_ms, out))
+	    refuse_if_too_late(c, sc.best.first_ms, out))
 		return;
 	choose_best(&sc, out);
 }
@@ -554,11 +639,11 @@
 		return 0;
 	c->s->search++;
 	scan_endpoints(c, &sc);
-	for (i = 0; i < sc.nasked; i++) {
-		candidate[i] = sc.asked[i];
-		tokens[i] = sc.asked_tokens[i];
+	for (i = 0; i < sc.side[HOME].nasked; i++) {
+		candidate[i] = sc.side[HOME].asked[i].ep;
+		tokens[i] = sc.side[HOME].asked[i].uncached_tokens;
 	}
-	return sc.nasked;
+	return sc.side[HOME].nasked;
 }
 
 void
@@ -620,6 +705,6 @@
 		return;
 	}
 	scan_endpoints(c, &sc);
-	if (sc.best != NULL)
+	if (sc.best.ep != NULL)
 		choose_best(&sc, out);
 }
--- a/serve/endpoints.h
+++ b/serve/endpoints.h
@@ -125,6 +125,7 @@
 	workload_share_t sent_sum;
 	uint32_t sent_sum_tokens;
 	reach_ep_t reach;
+	double connect_ms; /* a round trip, average; 0: not measured */
 	breaker_t breaker;
 	retry_after_t retry_after; /* when it takes calls of this instance */
 	call_limit_t limit;
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -12,6 +12,9 @@
 	UNFIT_MS = 1000, /* for so long most engines can't be reached */
 };
 
+/* The average follows a change within some ten connections. */
+static const double connect_weight = 0.2;
+
 /** The state for one service. */
 typedef struct service_reach {
 	serve_t *s;
@@ -422,6 +425,8 @@
 	bool was_shut = p->reach.way != WAY_OPEN;
 
 	reach_forget(s, p);
+	p->connect_ms +=
+	    connect_weight * ((double)(s->loop.now - begun) - p->connect_ms);
 	if (reach_connected(&w->reach))
 		way_regained(w);
 	if (was_shut) {
