explain: where a request would go now, and why, without sending it

Cause: operators can't see why a call goes to an endpoint, waits or leaves its failure domain, other than by sending it.

Change: serve/choose.c returns a verdict for each endpoint, which choose_explain() collects, and serve/explain.c answers /explain/PATH at the operators' address of a daemon. It takes no permit, orders no load and reserves nothing. ebonypitch explain prints it. Refusals by route and key come from call_refusal(), which call_start() uses too.

--- a/cmd/ebonypitch.c
+++ b/cmd/ebonypitch.c
@@ -6,7 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The operators' tool, a client of controld's operator address. */
+/*
+ * The operators' tool, a client of the operators' addresses of controld and
+ * ebonypitchd.
+ */
 
 enum {
 	EXIT_GOOD = 0,
@@ -23,6 +26,7 @@
 	gboolean json;
 	char *from, *to, *subject, *model, *kind;
 	char **arguments;
+	char **fields; /* "Name: value" of the request, NULL: none */
 } options_t;
 
 typedef struct answer {
@@ -41,6 +45,8 @@
     "  note show N             the text of note N\n"
     "  status                  members, workers, shards, catalogue, lease\n"
     "  audit                   who changed what (--from, --to, --subject ...)\n"
+    "  explain HOST/PATH [FIELD: VALUE]...\n"
+    "                          where an ebonypitchd would send a request now\n"
     "  settings check FILE...  read settings files as a daemon would\n"
     "\n"
     "Exit status: 0 done, 1 refused, 2 usage, 3 outcome unknown (run the\n"
@@ -63,7 +69,10 @@
 	char *url = g_strdup_printf("http://%s%s", addr, path);
 	char *user = g_strdup_printf("X-User: %s", opt.user);
 	long status = 0;
+	char **field;
 
+	for (field = opt.fields; field != NULL && *field != NULL; field++)
+		head = curl_slist_append(head, *field);
 	head = curl_slist_append(head, user);
 	curl_easy_setopt(c, CURLOPT_URL, url);
 	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
@@ -287,6 +296,57 @@
 	}
 }
 
+static void
+show_endpoint(json_t *j)
+{
+	printf("%c %s\t%s\t%s",
+	    json_is_true(json_object_get(j, "chosen")) ? '*' : ' ',
+	    string_field(j, "endpoint"), string_field(j, "domain"),
+	    string_field(j, "verdict"));
+	if (json_object_get(j, "first_ms") != NULL)
+		printf("\tfirst event %.0f ms",
+		    json_number_value(json_object_get(j, "first_ms")));
+	if (json_object_get(j, "wait_ms") != NULL)
+		printf("\twait %.0f ms",
+		    json_number_value(json_object_get(j, "wait_ms")));
+	if (json_object_get(j, "cost_ms") != NULL)
+		printf("\tcost %.0f ms",
+		    json_number_value(json_object_get(j, "cost_ms")));
+	printf("\t%lld/%lld running, load %lld ms old, entry %lld ms old\n",
+	    number_field(j, "running"), number_field(j, "slots"),
+	    number_field(j, "load_age_ms"), number_field(j, "entry_age_ms"));
+}
+
+static void
+show_explanation(json_t *j)
+{
+	json_t *domains = json_object_get(j, "domains"), *p;
+	size_t i;
+
+	printf("%s\n", string_field(j, "action"));
+	if (json_object_get(j, "why") != NULL)
+		printf("%s\n", string_field(j, "why"));
+	if (json_object_get(j, "status") != NULL) {
+		printf("status %lld\n", number_field(j, "status"));
+		return;
+	}
+	printf("route %s, service %s, configuration %lld, %.0f ms left\n",
+	    string_field(j, "route"), string_field(j, "service"),
+	    number_field(j, "config"),
+	    json_number_value(json_object_get(j, "left_ms")));
+	if (domains != NULL)
+		printf("failure domain: %s (home %.0f ms, elsewhere %.0f ms, "
+		       "price %.0f ms)\n",
+		    string_field(domains, "decision"),
+		    json_number_value(json_object_get(domains, "home_ms")),
+		    json_number_value(json_object_get(domains, "remote_ms")),
+		    json_number_value(json_object_get(domains, "price_ms")));
+	json_array_foreach(json_object_get(j, "endpoints"), i, p)
+	{
+		show_endpoint(p);
+	}
+}
+
 static int
 usage(const char *why)
 {
@@ -419,6 +479,32 @@
 	return bad ? EXIT_REFUSED : EXIT_GOOD;
 }
 
+static int
+explain_verb(char **w)
+{
+	const char *path = strchr(w[0], '/');
+	char *target, *host;
+	GPtrArray *fields;
+	int rc;
+
+	if (path == NULL)
+		return usage("explain HOST/PATH [FIELD: VALUE]...");
+	host = g_strdup_printf("Host: %.*s", (int)(path - w[0]), w[0]);
+	target = g_strdup_printf("/explain%s", path);
+	fields = g_ptr_array_new();
+	g_ptr_array_add(fields, host);
+	while (*++w != NULL)
+		g_ptr_array_add(fields, *w);
+	g_ptr_array_add(fields, NULL);
+	opt.fields = (char **)fields->pdata;
+	rc = request("GET", target, NULL, 0, show_explanation);
+	opt.fields = NULL;
+	g_ptr_array_free(fields, TRUE);
+	g_free(host);
+	g_free(target);
+	return rc;
+}
+
 static int
 run(void)
 {
@@ -433,7 +519,9 @@
 		return settings_verb(w + 2);
 	}
 	if (opt.addr == NULL)
-		return usage("missing --addr IP:PORT of a controld");
+		return usage("missing --addr IP:PORT of a daemon");
+	if (strcmp(w[0], "explain") == 0 && n >= 2)
+		return explain_verb(w + 1);
 	if (strcmp(w[0], "note") == 0)
 		return note_verb(w + 1, n - 1);
 	if (strcmp(w[0], "status") == 0 && n == 1)
@@ -448,7 +536,7 @@
 {
 	GOptionEntry entries[] = {
 		{ "addr", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &opt.addr,
-		    "a controld's operator address; may be repeated",
+		    "a daemon's operators' address; may be repeated",
 		    "IP:PORT" },
 		{ "user", 'u', 0, G_OPTION_ARG_STRING, &opt.user,
 		    "user name for the audit trail", "NAME" },
--- a/serve/call.c
+++ b/serve/call.c
@@ -44,8 +44,8 @@
  * Routes of a host are sorted by descending prefix length, so the first match
  * is the longest.
  */
-static const route_t *
-find_route(const config_t *c, const char *host, const char *target)
+const route_t *
+call_find_route(const config_t *c, const char *host, const char *target)
 {
 	size_t n = strcspn(host, ":");
 	int i;
@@ -65,8 +65,8 @@
  * Hashing the id sends a call that is sent again, and one that goes on with its
  * stream, to the same service.
  */
-static const char *
-pick_service(const route_t *r, const char *id)
+const char *
+call_pick_service(const route_t *r, const char *id)
 {
 	int i, sum = 0, at;
 
@@ -121,7 +121,7 @@
 	c->organisation = organisation;
 	c->route = *r;
 	stream = request->resumes[0] != '\0' ? request->resumes : request->id;
-	c->service = pick_service(r, stream);
+	c->service = call_pick_service(r, stream);
 	c->method = http_method_str(cc->http->parser.method);
 	c->fingerprint = call_fingerprint(request, &cc->http->head, c->method,
 	    organisation != NULL ? organisation->name : NULL,
@@ -196,35 +196,44 @@
 	return true;
 }
 
-/* The same of one whose route is known; NULL: none. */
+refusal_t
+call_refusal(const serve_t *s, const head_t *h, const call_head_t *request,
+    const route_t *r, bool from_instance, const organisation_t **organisation)
+{
+	const char *why;
+
+	if (r == NULL)
+		return (refusal_t){ 404, "no route", 0 };
+	why = organisation_find(s->config, r, h, from_instance, organisation);
+	/* Accepted where it came in: another instance may know it. */
+	if (why != NULL && from_instance)
+		return (refusal_t){ 503, why, RETRY_ELSEWHERE_MS };
+	if (why != NULL)
+		return (refusal_t){ 401, why, 0 };
+	if (s->leaving && r->kind == ROUTE_STREAM &&
+	    s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS)
+		return (refusal_t){ 503,
+			"the instance ends before the answer may",
+			RETRY_ELSEWHERE_MS };
+	if (request->unusable_model)
+		return (refusal_t){ 503, "the model isn't in the configuration",
+			s->conf.heartbeat };
+	return (refusal_t){ 0 };
+}
+
+/* @return whether a request was answered that its route doesn't allow */
 static bool
 refuse_on_route(caller_conn_t *cc, const call_head_t *request, const route_t *r,
     const organisation_t **organisation)
 {
-	serve_t *s = cc->s;
-	const char *why = r == NULL
-			      ? NULL
-			      : organisation_find(s->config, r, &cc->http->head,
-				    cc->from_instance, organisation);
+	refusal_t f = call_refusal(cc->s, &cc->http->head, request, r,
+	    cc->from_instance, organisation);
 
-	if (r == NULL)
-		refuse_request(cc, request->id, 404, "no route", 0);
-	else if (why != NULL && cc->from_instance) {
-		/* Accepted where it came in: another instance may know it. */
-		refuse_request(cc, request->id, 503, why, RETRY_ELSEWHERE_MS);
-	} else if (why != NULL) {
-		organisation_count_refused();
-		refuse_request(cc, request->id, 401, why, 0);
-	} else if (s->leaving && r->kind == ROUTE_STREAM &&
-		   s->loop.now - s->leaving_since >= DRAIN_STREAMS_MS)
-		refuse_request(cc, request->id, 503,
-		    "the instance ends before the answer may",
-		    RETRY_ELSEWHERE_MS);
-	else if (request->unusable_model)
-		refuse_request(cc, request->id, 503,
-		    "the model isn't in the configuration", s->conf.heartbeat);
-	else
+	if (f.status == 0)
 		return false;
+	if (f.status == 401)
+		organisation_count_refused();
+	refuse_request(cc, request->id, f.status, f.why, f.retry);
 	return true;
 }
 
@@ -242,7 +251,7 @@
 	call_head_decode(&request, h);
 	if (refuse_unusable(cc, &request))
 		return;
-	r = find_route(s->config, request.host, head_target(h));
+	r = call_find_route(s->config, request.host, head_target(h));
 	if (refuse_on_route(cc, &request, r, &organisation))
 		return;
 	c = call_new(cc, &request, r, organisation);
--- a/serve/choose.c
+++ b/serve/choose.c
@@ -1,11 +1,13 @@
-#include "policy/domain_choice.h"
 #include "policy/wait.h"
+#include "serve/explain.h"
+#include "serve/keepers.h"
 #include "serve/limits.h"
 #include "serve/peer_call.h"
 #include "serve/prompt_cost.h"
 #include "serve/reach.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -139,8 +141,9 @@
 	/* Collect the best endpoints, full ones too, to ask at them. */
 	bool asking;
 	side_t side[2];
-	candidate_t best; /* of both, by weigh_domains() */
-	bool returning;	  /* only endpoints that the call may return to */
+	candidate_t best;	    /* of both, by weigh_domains() */
+	explanation_t *explanation; /* NULL: the call is served */
+	bool returning; /* only endpoints that the call may return to */
 	/* Not those whose software version isn't in the lease yet. */
 	bool only_stored;
 	int nunstored; /* that hold what the call needs, and were left out */
@@ -289,12 +292,19 @@
 weigh_domains(const call_t *c, scan_t *sc)
 {
 	domain_choice_t d;
+	domain_decision_t decision;
 	candidate_t x;
 	int i;
 
 	if (c->request.model[0] != '\0' && service_is_paced(c->s, c->service)) {
 		d = domains_of(c, sc);
-		switch (domain_decide(&d)) {
+		decision = domain_decide(&d);
+		if (sc->explanation != NULL) {
+			sc->explanation->weighed = true;
+			sc->explanation->domains = d;
+			sc->explanation->decision = decision;
+		}
+		switch (decision) {
 		case DOMAIN_STAY:
 			sc->side[REMOTE].best.ep = NULL;
 			sc->side[REMOTE].nasked = 0;
@@ -326,37 +336,37 @@
 		   : 0;
 }
 
-static void
-consider_endpoint(
-    call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
+/* @param v what the call sees of the endpoint, to be filled in */
+static verdict_t
+judge_endpoint(call_t *c, ep_t *p, const uint64_t *key, uint64_t group,
+    scan_t *sc, endpoint_view_t *v)
 {
 	serve_t *s = c->s;
 	ms_t now = s->loop.now;
 	bool engine = c->request.model[0] != '\0';
-	side_t *side = &sc->side[is_remote(s, p) ? REMOTE : HOME];
+	side_t *side = &sc->side[v->remote ? REMOTE : HOME];
 	candidate_t x = { .ep = p, .uncached_tokens = c->request.prompt };
-	double wait_ms;
 
 	if (!is_candidate(c, p))
-		return;
+		return VERDICT_UNUSABLE;
 	if (sc->only_stored && !software_is_stored(&s->software, p->software)) {
 		sc->nunstored += holds_for(c, p);
-		return;
+		return VERDICT_UNSTORED;
 	}
 	sc->nusable++;
 	if (!holds_for(c, p)) {
 		sc->nmodel += c->request.adapter[0] != '\0' &&
 			      ep_holds(p, c->request.model, "", s->loop.now);
-		return;
+		return VERDICT_NOT_HELD;
 	}
 	sc->nholding++;
 	if (p->reach.way != WAY_OPEN) {
 		sc->nunreached++;
-		return;
+		return VERDICT_UNREACHED;
 	}
 	if (is_excluded(c, p, sc->returning)) {
 		sc->ntried++;
-		return;
+		return VERDICT_TRIED;
 	}
 	/*
 	 * The silence that a call left also counts there, once for each call;
@@ -364,26 +374,28 @@
 	 */
 	if (!sc->returning && !breaker_allows(&p->breaker, now)) {
 		sc->nbroken++;
-		return;
+		return VERDICT_FAILING;
 	}
 	if (engine)
 		x.uncached_tokens = tokens_to_read(c, p, key, now);
 	workload_refresh(&p->workload, now);
 	x.first_ms = workload_predict_ms(
 	    &p->workload, &s->average_speed, x.uncached_tokens);
+	v->first_ms = x.first_ms;
 	if (sc->least_first_ms == 0 || x.first_ms < sc->least_first_ms)
 		sc->least_first_ms = x.first_ms;
 	if (sc->asking && p->no_conn_in != s->search &&
 	    retry_after_left(&p->retry_after, now) == 0 && limits_allow(s, p)) {
-		wait_ms =
+		v->wait_ms =
 		    workload_send_delay_ms(&p->workload, &s->average_speed,
 			&s->workload_limits, x.uncached_tokens, now);
 		if (p->workload.paced)
-			wait_ms = fmax(wait_ms, keeper_wait_left(p, now));
-		x.cost_ms = wait_ms + endpoint_cost(c, group, &x);
-		note_expected(side, p, wait_ms + x.first_ms);
+			v->wait_ms = fmax(v->wait_ms, keeper_wait_left(p, now));
+		x.cost_ms = v->wait_ms + endpoint_cost(c, group, &x);
+		v->cost_ms = x.cost_ms;
+		note_expected(side, p, v->wait_ms + x.first_ms);
 		add_asked(side, x);
-		return;
+		return VERDICT_CANDIDATE;
 	}
 	if (p->no_conn_in == s->search ||
 	    (engine &&
@@ -393,30 +405,57 @@
 	    workload_slot_use(&p->workload) >=
 		1 + (engine ? 0 : plain_queue_factor)) {
 		sc->nfull++;
-		return;
+		return VERDICT_FULL;
 	}
 	if (retry_after_left(&p->retry_after, now) > 0) {
 		sc->nfull++;
 		sc->nclosed++;
-		note_wait(sc, (double)retry_after_left(&p->retry_after, now));
-		return;
+		v->wait_ms = (double)retry_after_left(&p->retry_after, now);
+		note_wait(sc, v->wait_ms);
+		return VERDICT_CLOSED;
 	}
 	if (!limits_allow(s, p)) {
 		consider_limited(c, p, endpoint_cost(c, group, &x), sc);
-		return;
+		return VERDICT_NO_PERMIT;
 	}
-	wait_ms = workload_send_delay_ms(&p->workload, &s->average_speed,
+	v->wait_ms = workload_send_delay_ms(&p->workload, &s->average_speed,
 	    &s->workload_limits, x.uncached_tokens, now);
-	note_expected(side, p, wait_ms + x.first_ms);
+	note_expected(side, p, v->wait_ms + x.first_ms);
 	sc->prefill_rate += workload_prompt_rate(
 	    &p->workload, &s->average_speed, &s->workload_limits);
-	if (wait_ms > 0) {
+	if (v->wait_ms > 0) {
 		sc->nfull++;
-		note_wait(sc, wait_ms);
-		return;
+		note_wait(sc, v->wait_ms);
+		return VERDICT_LATER;
 	}
 	x.cost_ms = endpoint_cost(c, group, &x);
+	v->cost_ms = x.cost_ms;
 	add_best(&side->best, x);
+	return VERDICT_CANDIDATE;
+}
+
+static void
+consider_endpoint(
+    call_t *c, ep_t *p, const uint64_t *key, uint64_t group, scan_t *sc)
+{
+	endpoint_view_t v = { .ep = p, .remote = is_remote(c->s, p) };
+	explanation_t *x = sc->explanation;
+
+	v.verdict = judge_endpoint(c, p, key, group, sc, &v);
+	if (x != NULL && strcmp(p->entry.service, c->service) == 0)
+		x->endpoint[x->nendpoint++] = v;
+}
+
+static void
+consider_endpoints(call_t *c, const uint64_t *key, uint64_t group, scan_t *sc)
+{
+	const ep_table_t *f = &c->s->endpoints;
+	int i;
+
+	if (sc->explanation != NULL)
+		sc->explanation->nendpoint = 0;
+	for (i = 0; i < f->nep; i++)
+		consider_endpoint(c, f->ep[i], key, group, sc);
 }
 
 /* Would the call outlast this instance? Then another one has to serve it. */
@@ -570,16 +609,13 @@
 		group =
 		    hash_str(c->request.adapter, hash_str(c->request.model, 0));
 	sc->side[HOME].least_ms = sc->side[REMOTE].least_ms = -1;
-	for (i = 0; i < s->endpoints.nep; i++)
-		consider_endpoint(c, s->endpoints.ep[i], key, group, sc);
+	consider_endpoints(c, key, group, sc);
 	if (sc->nholding == 0 && sc->nunstored > 0) {
 		sc->only_stored = false;
-		for (i = 0; i < s->endpoints.nep; i++)
-			consider_endpoint(
-			    c, s->endpoints.ep[i], key, group, sc);
+		consider_endpoints(c, key, group, sc);
 	}
 	weigh_domains(c, sc);
-	if (sc->limited != NULL &&
+	if (sc->explanation == NULL && sc->limited != NULL &&
 	    (sc->best.ep == NULL || sc->limited_cost < sc->best.cost_ms))
 		limits_want(c, sc->limited);
 }
@@ -593,6 +629,22 @@
 	out->uncached_tokens = sc->best.uncached_tokens;
 }
 
+/* The best endpoint, unless the answer would come too late there. */
+static void
+choose_found(const call_t *c, const scan_t *sc, choice_t *out)
+{
+	if (outlasts_instance(c, sc->best.first_ms)) {
+		out->kind = CHOICE_REFUSE;
+		out->reason = "the instance ends before the answer would";
+		out->retry_ms = RETRY_ELSEWHERE_MS;
+		return;
+	}
+	if (c->request.model[0] != '\0' &&
+	    refuse_if_too_late(c, sc->best.first_ms, out))
+		return;
+	choose_best(sc, out);
+}
+
 static void
 choose_own(call_t *c, choice_t *out)
 {
@@ -613,16 +665,7 @@
 		choose_none(c, &sc, out);
 		return;
 	}
-	if (outlasts_instance(c, sc.best.first_ms)) {
-		out->kind = CHOICE_REFUSE;
-		out->reason = "the instance ends before the answer would";
-		out->retry_ms = RETRY_ELSEWHERE_MS;
-		return;
-	}
-	if (c->request.model[0] != '\0' &&
-	    refuse_if_too_late(c, sc.best.first_ms, out))
-		return;
-	choose_best(&sc, out);
+	choose_found(c, &sc, out);
 }
 
 int
@@ -708,3 +751,29 @@
 	if (sc.best.ep != NULL)
 		choose_best(&sc, out);
 }
+
+void
+choose_explain(call_t *c, explanation_t *x)
+{
+	serve_t *s = c->s;
+	scan_t sc = { .asking = keepers_used(s) && !s->leaving,
+		.explanation = x };
+	int i, k;
+
+	x->endpoint =
+	    calloc((size_t)s->endpoints.nep + 1, sizeof(*x->endpoint));
+	if (x->endpoint == NULL)
+		abort();
+	x->asks = sc.asking;
+	s->search++;
+	scan_endpoints(c, &sc);
+	if (sc.best.ep != NULL)
+		choose_found(c, &sc, &x->choice);
+	for (i = 0; i < x->nendpoint; i++) {
+		endpoint_view_t *v = &x->endpoint[i];
+
+		v->chosen = v->ep == sc.best.ep;
+		for (k = 0; k < sc.side[HOME].nasked; k++)
+			v->chosen |= v->ep == sc.side[HOME].asked[k].ep;
+	}
+}
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -1,5 +1,5 @@
 #define _GNU_SOURCE /* accept4() */
-#include "serve/serve.h"
+#include "serve/explain.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -17,14 +17,19 @@
 	SAME_DOMAIN_MIN = 2,	/* enough instances for a domain's callers */
 };
 
+/** Pages below it explain a call to the rest of the path. */
+static const char explain_path[] = "/explain";
+
 typedef struct page_conn {
 	serve_t *s;
+	bool operators; /* of the address that operators use */
 	http_conn_t *http;
 	alarm_t idle_alarm;
 } page_conn_t;
 
 typedef struct page_listener {
 	serve_t *s;
+	bool operators;
 	watch_t watch;
 } page_listener_t;
 
@@ -122,6 +127,26 @@
 	buf_free(&b);
 }
 
+static bool
+is_explain(const page_conn_t *v, const char *target)
+{
+	size_t n = strlen(explain_path);
+
+	return v->operators && strncmp(target, explain_path, n) == 0 &&
+	       target[n] == '/';
+}
+
+static void
+answer_explain(page_conn_t *v, const char *target)
+{
+	buf_t b = { 0 };
+
+	explain_request(
+	    v->s, &v->http->head, target + strlen(explain_path), &b);
+	reply(v, 200, "application/json", &b);
+	buf_free(&b);
+}
+
 static void
 on_done(void *u, http_conn_t *k)
 {
@@ -147,6 +172,10 @@
 			answer_metrics(v);
 			break;
 		}
+		if (is_explain(v, target)) {
+			answer_explain(v, target);
+			break;
+		}
 		buf_str(&b, "{\"error\":\"no such page\"}");
 		reply(v, 404, "application/json", &b);
 		break;
@@ -225,6 +254,7 @@
 		if (v == NULL)
 			abort();
 		v->s = s;
+		v->operators = st->operators;
 		v->http = http_conn_accept(&s->loop, fd, &ops, v);
 		v->http->head_max = v->http->body_max = HEAD_MAX;
 		v->idle_alarm = (alarm_t){ .fn = on_idle_alarm, .arg = v };
@@ -237,13 +267,14 @@
 }
 
 static int
-page_listen(serve_t *s, const char *addr, err_t *e)
+page_listen(serve_t *s, const char *addr, bool operators, err_t *e)
 {
 	page_listener_t *st = calloc(1, sizeof(*st));
 
 	if (st == NULL)
 		abort();
 	st->s = s;
+	st->operators = operators;
 	st->watch = (watch_t){ net_listen(addr, e), 0, accept_conns, st };
 	if (st->watch.fd == -1) {
 		free(st);
@@ -258,8 +289,8 @@
 	char addr[ADDR_MAX + 8];
 
 	snprintf(addr, sizeof(addr), "%s:%d", s->conf.ip, METRICS_PORT);
-	if (page_listen(s, s->conf.ready_addr, e) == -1 ||
-	    page_listen(s, s->conf.entries_addr, e) == -1)
+	if (page_listen(s, s->conf.ready_addr, false, e) == -1 ||
+	    page_listen(s, s->conf.entries_addr, false, e) == -1)
 		return -1;
-	return page_listen(s, addr, e);
+	return page_listen(s, addr, true, e);
 }
