buffers: a caller's next request waits until it has read its answers

Cause: a client that sends small requests one after another on a connection and reads nothing makes the daemon keep all the answers: 8 such clients with 6 MB of requests each took 70,660 KB of 49,152. What was left unsent after a call wasn't in the account of buffers, and such connections kept their descriptors for two idle timeouts.

Change: with more than 64 KB unread the next request of a connection isn't read until all is. Unread answers are part of the account and can make room, and so do the descriptors of callers that have read nothing for a second.

--- a/serve/buffers.c
+++ b/serve/buffers.c
@@ -6,6 +6,8 @@
 	/* Of the body: itself, and the copy that is sent to an endpoint. */
 	BODY_COPIES = 2,
 	FULL_RETRY_AFTER_S = 1,
+	/* A caller that reads nothing for so long may lose its connection. */
+	UNREAD_MS = 1000,
 };
 
 void
@@ -32,11 +34,24 @@
 {
 	const http_conn_t *k = cc->http;
 
-	return CONN_BYTES + k->head.text.cap + k->in.cap +
+	return CONN_BYTES + k->head.text.cap + k->in.cap + k->out.cap +
 	       BODY_COPIES * cc->body.cap;
 }
 
-/* The incomplete request that makes room, NULL: none. */
+static bool
+has_unread(const caller_conn_t *cc)
+{
+	return cc->call == 0 && !cc->from_instance &&
+	       buf_len(&cc->http->out) > 0;
+}
+
+static bool
+is_arriving(const caller_conn_t *cc)
+{
+	return cc->call == 0 && cc->http->in_message && !cc->http->closing;
+}
+
+/* The incomplete request or unread answer that makes room, NULL: none. */
 static caller_conn_t *
 heaviest(const serve_t *s)
 {
@@ -48,7 +63,7 @@
 	for (i = 0; i < s->ncaller; i++) {
 		caller_conn_t *cc = s->caller[i];
 
-		if (cc->call != 0 || !cc->http->in_message || cc->http->closing)
+		if (!is_arriving(cc) && !has_unread(cc))
 			continue;
 		weight = buffer_account_weight(&s->buffers, cc->held,
 		    s->loop.now - cc->http->message_start, &relevant);
@@ -73,10 +88,16 @@
 		if (end == NULL)
 			end = cc;
 		log_limited(LOG_NOTICE, "request-ended",
-		    "why=memory held=%zu age_ms=%" PRId64 " all=%zu", end->held,
-		    s->loop.now - end->http->message_start,
-		    s->buffers.small + s->buffers.large);
+		    "why=memory held=%zu age_ms=%" PRId64 " all=%zu unread=%zu",
+		    end->held, s->loop.now - end->http->message_start,
+		    s->buffers.small + s->buffers.large,
+		    buf_len(&end->http->out));
 		count_ended("memory");
+		/* An answer more would only be unread, too. */
+		if (end != cc && has_unread(end)) {
+			caller_reset(end);
+			continue;
+		}
 		caller_refuse(end, 503, FULL_RETRY_AFTER_S,
 		    "the instance has no memory for the request");
 		if (end == cc)
@@ -87,6 +108,13 @@
 
 void
 buffers_request_ended(caller_conn_t *cc)
+{
+	buffer_account_change(&cc->s->buffers, &cc->held,
+	    buf_len(&cc->http->out) > 0 ? held_now(cc) : 0);
+}
+
+void
+buffers_conn_freed(caller_conn_t *cc)
 {
 	buffer_account_change(&cc->s->buffers, &cc->held, 0);
 }
@@ -109,8 +137,7 @@
 static ms_t
 unused_since(const caller_conn_t *cc)
 {
-	return cc->http->in_message ? cc->http->message_start
-				    : cc->http->last_io;
+	return is_arriving(cc) ? cc->http->message_start : cc->http->last_io;
 }
 
 bool
@@ -124,13 +151,16 @@
 		ms_t since = unused_since(cc);
 
 		/*
-		 * An answer that is being sent is delivered, and what has just
+		 * An answer that is being read is delivered, and what has just
 		 * come is read first.
 		 */
-		if (cc->call != 0 || cc->http->closing || cc->from_instance ||
-		    buf_len(&cc->http->out) > 0 || since >= s->loop.now ||
+		if (cc->call != 0 || cc->from_instance ||
+		    since >= s->loop.now ||
 		    (best != NULL && since >= unused_since(best)))
 			continue;
+		if (has_unread(cc) ? s->loop.now - since < UNREAD_MS
+				   : cc->http->closing)
+			continue;
 		best = cc;
 	}
 	if (best == NULL)
@@ -139,6 +169,9 @@
 	    "why=descriptors held=%zu age_ms=%" PRId64 " callers=%d",
 	    best->held, s->loop.now - unused_since(best), s->ncaller);
 	count_ended("descriptors");
-	caller_drop(best);
+	if (has_unread(best))
+		caller_reset(best);
+	else
+		caller_drop(best);
 	return true;
 }
--- a/serve/call.c
+++ b/serve/call.c
@@ -1,6 +1,7 @@
 #include "serve/allowances.h"
 #include "serve/blame.h"
 #include "serve/buffers.h"
+#include "serve/call_route.h"
 #include "serve/limits.h"
 #include "serve/organisation.h"
 #include "serve/peer_call.h"
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -22,7 +22,9 @@
 	INSTANCE_FIELDS_MAX = 1024, /* bytes; added to a head by an instance */
 	DRAIN_IDLE_MS = 1500,	    /* idle timeout while leaving */
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
-	SPARE_FDS = 8, /* connections make room when so few are left */
+	/* With more of its answers unread, a caller's next request waits. */
+	UNREAD_MAX = 64 << 10, /* bytes */
+	SPARE_FDS = 8,	       /* connections make room when so few are left */
 };
 
 static int
@@ -59,7 +61,7 @@
 	serve_t *s = cc->s;
 
 	alarm_stop(&s->loop, &cc->idle_alarm);
-	buffers_request_ended(cc);
+	buffers_conn_freed(cc);
 	s->caller[cc->index] = s->caller[--s->ncaller];
 	s->caller[cc->index]->index = cc->index;
 	update_listener(s);
@@ -90,6 +92,7 @@
 	 * reads nothing any more; see callers_busy().
 	 */
 	if (buf_len(&cc->http->out) > 0) {
+		buffers_request_ended(cc);
 		alarm_set(&cc->s->loop, &cc->idle_alarm,
 		    cc->http->last_io + idle_limit(cc));
 		return;
@@ -140,13 +143,10 @@
 		return;
 	}
 	if (cc->http->closing) {
-		log_limited(LOG_NOTICE, "caller-slow", "unsent=%zu",
-		    buf_len(&cc->http->out));
-		http_conn_reset(cc->http);
-		conn_free(cc);
+		caller_reset(cc);
 		return;
 	}
-	if (http_conn_unread(cc->http) > 0) {
+	if (!cc->unread && http_conn_unread(cc->http) > 0) {
 		/* It arrived since the loop's last wait. */
 		alarm_set(&cc->s->loop, &cc->idle_alarm, cc->s->loop.now + 1);
 		return;
@@ -260,6 +260,17 @@
 	conn_free(cc);
 }
 
+/* Read the next request, unless the caller has to read first. */
+static void
+read_next(caller_conn_t *cc)
+{
+	buffers_request_ended(cc);
+	cc->unread = buf_len(&cc->http->out) > UNREAD_MAX;
+	set_idle_timer(cc);
+	if (!cc->unread)
+		http_conn_next(cc->http);
+}
+
 static void
 on_drained(void *u, http_conn_t *k)
 {
@@ -270,6 +281,10 @@
 		call_caller_drained(c);
 	else if (k->closing)
 		finish(cc);
+	else if (cc->unread)
+		read_next(cc);
+	else if (!k->in_message)
+		buffers_request_ended(cc);
 }
 
 static const http_conn_ops_t ops = {
@@ -462,12 +477,19 @@
 		finish(cc);
 		return;
 	}
-	set_idle_timer(cc);
 	/* A request that was refused still has its body. */
 	buf_free(&cc->body);
 	http_conn_release(cc->http);
-	buffers_request_ended(cc);
-	http_conn_next(cc->http);
+	read_next(cc);
+}
+
+void
+caller_reset(caller_conn_t *cc)
+{
+	log_limited(
+	    LOG_NOTICE, "caller-slow", "unsent=%zu", buf_len(&cc->http->out));
+	http_conn_reset(cc->http);
+	conn_free(cc);
 }
 
 void
--- a/serve/explain.c
+++ b/serve/explain.c
@@ -1,4 +1,5 @@
 #include "serve/explain.h"
+#include "serve/call_route.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -177,27 +177,6 @@
 void call_caller_drained(call_t *c);
 call_t *call_get(serve_t *s, handle_t id);
 
-/** @return the route with the longest prefix, NULL: none */
-const route_t *call_find_route(
-    const config_t *c, const char *host, const char *target);
-/** @param id of the call, or of the one that began its stream */
-const char *call_pick_service(const route_t *r, const char *id);
-
-/** Why a request isn't served. */
-typedef struct refusal {
-	int status; /* 0: it is */
-	const char *why;
-	ms_t retry; /* for Retry-After, 0: none */
-} refusal_t;
-
-/**
- * @param r NULL: none was found
- * @param organisation set to the caller's, NULL if none is needed
- */
-refusal_t call_refusal(const serve_t *s, const head_t *h,
-    const call_head_t *request, const route_t *r, bool from_instance,
-    const organisation_t **organisation);
-
 /* Internal to the files that handle calls. */
 /** Result of choose_endpoint(). */
 typedef enum choice_kind {
@@ -401,6 +380,8 @@
 	bool from_instance; /* its requests are calls handed over */
 	buf_t body;
 	size_t held; /* by the account of buffers */
+	/* The next request waits until the caller has read its answers. */
+	bool unread;
 	hasher_t body_hash;
 	alarm_t idle_alarm;
 	int served;
@@ -422,6 +403,8 @@
  */
 void caller_refuse(
     caller_conn_t *cc, int status, int retry_after, const char *body);
+/** Close the connection at once; the caller sees that its answer is cut. */
+void caller_reset(caller_conn_t *cc);
 /** Close the connection at once; a request that is arriving is refused. */
 void caller_drop(caller_conn_t *cc);
 /** The answer was sent: read the next request, or close the connection. */
--- a/tests/untrusted_proc.c
+++ b/tests/untrusted_proc.c
@@ -13,12 +13,14 @@
 enum {
 	MEMORY_MB = 48,
 	MAX_FDS = 300,
-	BODY_MAX = 1 << 20, /* bytes, of the configuration */
-	CROWD = 80,	    /* bodies: together more than the memory */
-	PIPELINED = 3600,   /* requests that are read at once */
-	PIPELINING = 8,	    /* clients */
-	SLOW_CROWD = 260,   /* more than there are descriptors for callers */
-	CHUNK = 32 << 10,   /* bytes of a large chunk */
+	BODY_MAX = 1 << 20,	/* bytes, of the configuration */
+	CROWD = 80,		/* bodies: together more than the memory */
+	PIPELINED = 3600,	/* requests that are read at once */
+	PIPELINING = 8,		/* clients */
+	UNREAD_BYTES = 6 << 20, /* of requests whose answers aren't read */
+	RECEIVE_BYTES = 4096,	/* buffer of a client that doesn't read */
+	SLOW_CROWD = 260, /* more than there are descriptors for callers */
+	CHUNK = 32 << 10, /* bytes of a large chunk */
 	BYTE_CHUNKS = 700000,
 	FAR_OVER = 64 << 20, /* bytes of a body far over the limit */
 	DRIP_MS = 200,	     /* between two bytes of a slow body */
@@ -39,6 +41,7 @@
 	/* Not in the crowd of all kinds. */
 	BODY_REFUSED,	/* complete, on a route that isn't there; kept open */
 	BODY_PIPELINED, /* thousands of requests without a host at once */
+	BODY_UNREAD,	/* small requests one after another, without reading */
 } body_kind_t;
 
 typedef struct client {
@@ -114,6 +117,16 @@
 			c->body++;
 		}
 		break;
+	case BODY_UNREAD:
+		for (i = 0; i < 1000 && c->body < UNREAD_BYTES; i++) {
+			gsize before = c->out->len;
+
+			g_string_append(c->out, "GET /none HTTP/1.1\r\nHost: "
+						"h.example\r\n"
+						"Request-Id: u\r\n\r\n");
+			c->body += c->out->len - before;
+		}
+		break;
 	case BODY_SLOW:
 	case BODY_KINDS:
 		break;
@@ -147,7 +160,8 @@
 			c->off += (gsize)n;
 	}
 	watch_set(&c->st->loop, &c->watch,
-	    EPOLLIN | (c->out->len > 0 ? EPOLLOUT : 0));
+	    (c->kind == BODY_UNREAD ? 0 : EPOLLIN) |
+		(c->out->len > 0 ? EPOLLOUT : 0));
 }
 
 static void
@@ -157,7 +171,11 @@
 	char bytes[512];
 	ssize_t n;
 
-	if (ev & (EPOLLIN | EPOLLERR | EPOLLHUP)) {
+	if (c->kind == BODY_UNREAD && ev & (EPOLLERR | EPOLLHUP)) {
+		client_end(c);
+		return;
+	}
+	if (c->kind != BODY_UNREAD && ev & (EPOLLIN | EPOLLERR | EPOLLHUP)) {
 		n = recv(c->watch.fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 		if (n <= 0) {
 			client_end(c);
@@ -187,6 +205,7 @@
 {
 	client_t *c = g_new0(client_t, 1);
 	struct sockaddr_in to;
+	int small = RECEIVE_BYTES;
 
 	c->st = st;
 	c->kind = kind;
@@ -198,8 +217,11 @@
 		0, on_event, c
 	};
 	g_assert_cmpint(c->watch.fd, !=, -1);
+	if (kind == BODY_UNREAD)
+		setsockopt(
+		    c->watch.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
 	(void)!connect(c->watch.fd, (struct sockaddr *)&to, sizeof(to));
-	if (kind != BODY_PIPELINED)
+	if (kind != BODY_PIPELINED && kind != BODY_UNREAD)
 		g_string_append_printf(c->out,
 		    "POST /%s/a HTTP/1.1\r\nHost: h.example\r\n"
 		    "Request-Id: untrusted-%d\r\n",
@@ -207,7 +229,7 @@
 	if (kind == BODY_ANNOUNCED || kind == BODY_FAR_ANNOUNCED)
 		g_string_append_printf(c->out, "Content-Length: %d\r\n\r\n",
 		    kind == BODY_ANNOUNCED ? BODY_MAX : FAR_OVER);
-	else if (kind != BODY_PIPELINED)
+	else if (kind != BODY_PIPELINED && kind != BODY_UNREAD)
 		g_string_append(c->out, "Transfer-Encoding: chunked\r\n\r\n");
 	g_assert_cmpint(
 	    watch_add(&st->loop, &c->watch, EPOLLIN | EPOLLOUT), ==, 0);
@@ -380,6 +402,13 @@
 	play(BODY_PIPELINED, PIPELINING);
 }
 
+/* Guards against keeping answers that their client doesn't read. */
+static void
+unread(void)
+{
+	play(BODY_UNREAD, PIPELINING);
+}
+
 /* Guards against refusing a single body at the limit that comes in pieces. */
 static void
 single_body_in_calm(void)
@@ -426,6 +455,7 @@
 	g_test_add_func("/untrusted/all_kinds", all_kinds);
 	g_test_add_func("/untrusted/refused", refused);
 	g_test_add_func("/untrusted/pipelined", pipelined);
+	g_test_add_func("/untrusted/unread", unread);
 	g_test_add_func("/untrusted/single_body_in_calm", single_body_in_calm);
 	return g_test_run();
 }
