soak: keys that are withdrawn, allowances that fall, callers that don't read

Cause: the soak didn't know organisations, allowances and untrusted callers.

Change: two further faults a run, drawn after the others, so that old seeds keep theirs: all but some keys are withdrawn, an organisation may send 1 to 20 calls a second, or 8 callers send 4,000 requests each and read nothing. The load sends a key with each call; a call that was refused with 401 may not have run, as with 429 and 503.

--- a/standin/environment.c
+++ b/standin/environment.c
@@ -110,8 +110,9 @@
 	return r;
 }
 
+/* @param tenants as in the configuration, NULL: none */
 static void
-put_config(environment_t *env)
+put_config(environment_t *env, json_t *tenants)
 {
 	const deployment_sizes_t *sizes = &env->sizes;
 	json_t *models = json_array(), *c;
@@ -129,7 +130,7 @@
 	c = json_pack("{s:i,s:[o,o,o],s:[{s:s,s:s,s:i},"
 		      "{s:s,s:s,s:i,s:{s:i,s:i,s:i,s:i,s:i,s:o}}],"
 		      "s:{s:i,s:i,s:i,s:i}}",
-	    "version", 1, "routes",
+	    "version", ++env->config, "routes",
 	    route_json(env, "read", "safe", "plain", 300, 2),
 	    route_json(env, "book", "unsafe", "plain", 300, 2),
 	    route_json(env, "gen", "streaming", "engine", 1200, 3), "services",
@@ -140,12 +141,31 @@
 	    sizes->adapter_slots, "loads_per_s", sizes->loads_per_s, "models",
 	    models, "limits", "max_header_bytes", 8192, "max_body_bytes", 65536,
 	    "header_timeout_ms", 2000, "idle_timeout_ms", 10000);
+	if (tenants != NULL)
+		json_object_set_new(c, "tenants", tenants);
 	text = json_dumps(c, JSON_COMPACT);
 	json_decref(c);
 	fake_store_put(env->store, "config", "main", text);
 	free(text);
 }
 
+void
+environment_put_organisations(environment_t *env, int valid, int rate)
+{
+	json_t *api_keys[2] = { json_array(), json_array() };
+	char key[16];
+	int i;
+
+	for (i = 0; i < valid; i++) {
+		snprintf(key, sizeof(key), LOADGEN_KEY, i);
+		json_array_append_new(api_keys[i % 2], json_string(key));
+	}
+	put_config(
+	    env, json_pack("[{s:s,s:o,s:i,s:i},{s:s,s:o,s:i}]", "name", "one",
+		     "api_keys", api_keys[0], "rate_per_s", rate, "burst", rate,
+		     "name", "two", "api_keys", api_keys[1], "priority", 1));
+}
+
 /* Endpoints */
 
 static char *
@@ -341,7 +361,7 @@
 		env->models[i].adapter_mb = env->sizes.adapter_mb;
 		env->models[i].load_ms = env->sizes.load_ms;
 	}
-	put_config(env);
+	put_config(env, NULL);
 	add_endpoints(env);
 	put_settings(env);
 	env->probe_alarm = (alarm_t){ .fn = probe_next, .arg = env };
--- a/standin/environment.h
+++ b/standin/environment.h
@@ -40,6 +40,7 @@
 	char *caller[DAEMONS_MAX], *ready[DAEMONS_MAX], *entries[DAEMONS_MAX];
 	char *settings[DAEMONS_MAX]; /* paths */
 	bool is_ready[DAEMONS_MAX];
+	int config; /* version of the configuration */
 	int probed; /* daemon that the readiness probe asks */
 	client_request_t *probe;
 	alarm_t probe_alarm;
@@ -59,6 +60,12 @@
 environment_t *environment_new(const environment_opts_t *o);
 /** @return whether each daemon has been ready at least once. */
 bool environment_ready(const environment_t *env);
+/**
+ * Write the next configuration: callers have keys of two organisations.
+ * @param valid of LOADGEN_KEYS, how many are
+ * @param rate calls a second that the first one may send, 0: any
+ */
+void environment_put_organisations(environment_t *env, int valid, int rate);
 /** Fill in the options except span and callback; rate only if it is unset. */
 void environment_load_opts(environment_t *env, loadgen_opts_t *o);
 /** @return orders carried out beyond an endpoint's memory or adapter slots. */
--- a/standin/loadgen.c
+++ b/standin/loadgen.c
@@ -392,8 +392,10 @@
 	}
 	more = call->kind != KIND_STREAM ? g_strdup("") : stream_headers(call);
 	text = g_strdup_printf("%s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+			       "Authorization: Token " LOADGEN_KEY "\r\n"
 			       "Deadline-Remaining: %" PRId64 "\r\n%s%s\r\n%s",
-	    path[call->kind], call->id, gen->opts->host, call->id, left, more,
+	    path[call->kind], call->id, gen->opts->host, call->id,
+	    (int)(call->started_at % LOADGEN_KEYS), left, more,
 	    call->kind == KIND_READ ? "" : "Content-Length: 4\r\n",
 	    call->kind == KIND_READ ? "" : "body");
 	str_set(call->addr, ADDR_MAX, pick_address(call));
@@ -579,7 +581,9 @@
 
 		gen->result->doubled += t->kind == KIND_ONCE && t->runs > 1;
 		gen->result->ran_refused +=
-		    (t->status == 429 || t->status == 503) && t->runs > 0;
+		    (t->status == 401 || t->status == 429 ||
+			t->status == 503) &&
+		    t->runs > 0;
 	}
 }
 
--- a/standin/loadgen.h
+++ b/standin/loadgen.h
@@ -14,7 +14,10 @@
 	/* Prompts share one of these parts after their first one. */
 	LOADGEN_SUBJECT = 0x100, /* id of the first */
 	LOADGEN_SUBJECTS = 16,
+	LOADGEN_KEYS = 4, /* of callers, used in turn */
 };
+/** Of an API key, by its number. */
+#define LOADGEN_KEY "key-%d"
 
 typedef struct loadgen_opts {
 	loop_t *loop;
--- a/tests/soak_proc.c
+++ b/tests/soak_proc.c
@@ -8,11 +8,14 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum {
 	RUN_MS = 8000,
-	FAULTS_PER_RUN = 9,
+	FAULTS_PER_RUN = 11,
 	FAULTS_LATER = 2,      /* of these, of the kinds from F_LATER on */
+	FAULTS_LAST = 2,       /* of the kinds from F_LAST on */
 	START_MIN_MS = 800,    /* earliest start of a fault */
 	START_MAX_MS = 6000,   /* latest start */
 	FAULT_MIN_MS = 300,    /* shortest fault */
@@ -20,6 +23,9 @@
 	CRASH_MS = 700,	       /* until an endpoint is back */
 	FIXED_SEEDS = 2,       /* seeds 1 to this, without SOAK_SEEDS */
 	SEED_RANGE_MAX = 1000, /* seeds of a range */
+	QUOTA_MAX = 20,	       /* calls a second */
+	UNREAD_CALLERS = 8,
+	UNREAD_REQUESTS = 4000, /* of each */
 };
 
 typedef enum fault_kind {
@@ -36,12 +42,16 @@
 	F_CRASH = F_LATER, /* of an endpoint */
 	F_CRASH_PART,	   /* a part of prompts that crashes endpoints */
 	F_LIMIT,	   /* that an endpoint names */
+	F_LAST,
+	F_KEYS = F_LAST, /* withdrawn */
+	F_QUOTA,	 /* an organisation's allowance falls */
+	F_UNREAD,	 /* callers that don't read their answers */
 	F_COUNT
 } fault_kind_t;
 
 static const char *const kind_name[] = { "kill", "stop", "freeze", "hup",
 	"store", "compact", "mute-watches", "endpoint", "crash", "crash-part",
-	"limit" };
+	"limit", "keys", "quota", "unread" };
 /* All endpoint faults but ENDPOINT_OK. */
 static const endpoint_fault_t endpoint_faults[] = { ENDPOINT_RESET,
 	ENDPOINT_NOT_RUN, ENDPOINT_ERROR, ENDPOINT_BUSY, ENDPOINT_SILENT,
@@ -61,9 +71,24 @@
 
 typedef struct soak_run {
 	cluster_t *cluster;
+	int unread[UNREAD_CALLERS]; /* sockets; 0: none */
 	fault_t fault[FAULTS_PER_RUN];
 } soak_run_t;
 
+static fault_kind_t
+draw_kind(rng_t *g, int i)
+{
+	fault_kind_t from = F_COUNT, to = F_COUNT;
+
+	if (i < FAULTS_PER_RUN - FAULTS_LATER - FAULTS_LAST)
+		from = 0, to = F_LATER;
+	else if (i < FAULTS_PER_RUN - FAULTS_LAST)
+		from = F_LATER, to = F_LAST;
+	else
+		from = F_LAST;
+	return from + (fault_kind_t)(rng_next(g) % (to - from));
+}
+
 static void
 plan_faults(soak_run_t *r, uint64_t seed)
 {
@@ -73,11 +98,7 @@
 	for (i = 0; i < FAULTS_PER_RUN; i++) {
 		fault_t *f = &r->fault[i];
 
-		f->kind =
-		    (fault_kind_t)(i < FAULTS_PER_RUN - FAULTS_LATER
-				       ? rng_next(&g) % F_LATER
-				       : F_LATER + rng_next(&g) %
-						       (F_COUNT - F_LATER));
+		f->kind = draw_kind(&g, i);
 		f->which = (int)(rng_next(&g) % 1000);
 		f->how = (int)(rng_next(&g) % 1000);
 		f->at = START_MIN_MS +
@@ -116,6 +137,43 @@
 		fake_endpoint_set_crash_part(g->endpoint[i], part, CRASH_MS);
 }
 
+/* Requests without a route, on connections that nobody reads. */
+static void
+open_unread(soak_run_t *r, const fault_t *f)
+{
+	static const char request[] =
+	    "GET / HTTP/1.1\r\nHost: none\r\nRequest-Id: u\r\n\r\n";
+	const environment_t *g = r->cluster->env;
+	GString *all = g_string_new(NULL);
+	struct sockaddr_in to;
+	int i;
+
+	for (i = 0; i < UNREAD_REQUESTS; i++)
+		g_string_append(all, request);
+	net_addr(g->caller[f->which % g->sizes.daemons], &to);
+	for (i = 0; i < UNREAD_CALLERS; i++) {
+		if (r->unread[i] != 0)
+			continue;
+		r->unread[i] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (connect(r->unread[i], (struct sockaddr *)&to, sizeof(to)) ==
+		    0)
+			(void)!send(r->unread[i], all->str, all->len,
+			    MSG_DONTWAIT | MSG_NOSIGNAL);
+	}
+	g_string_free(all, TRUE);
+}
+
+static void
+close_unread(soak_run_t *r)
+{
+	int i;
+
+	for (i = 0; i < UNREAD_CALLERS; i++)
+		if (r->unread[i] != 0)
+			close(r->unread[i]);
+	memset(r->unread, 0, sizeof(r->unread));
+}
+
 static void
 apply_fault(soak_run_t *r, const fault_t *f)
 {
@@ -161,6 +219,17 @@
 		fake_endpoint_set_limit(
 		    ep, limits[f->how % G_N_ELEMENTS(limits)]);
 		break;
+	case F_KEYS:
+		environment_put_organisations(
+		    g, f->how % (LOADGEN_KEYS + 1), 0);
+		break;
+	case F_QUOTA:
+		environment_put_organisations(
+		    g, LOADGEN_KEYS, 1 + f->how % QUOTA_MAX);
+		break;
+	case F_UNREAD:
+		open_unread(r, f);
+		break;
 	case F_COUNT:
 		break;
 	}
@@ -199,6 +268,13 @@
 		fake_endpoint_set_limit(
 		    g->endpoint[f->which % g->nendpoint], NULL);
 		break;
+	case F_KEYS:
+	case F_QUOTA:
+		environment_put_organisations(g, LOADGEN_KEYS, 0);
+		break;
+	case F_UNREAD:
+		close_unread(r);
+		break;
 	case F_HUP:
 	case F_COMPACT:
 	case F_CRASH:
@@ -235,6 +311,7 @@
 
 	plan_faults(&r, seed);
 	cluster_run_load(r.cluster, RUN_MS, on_turn, &r);
+	close_unread(&r);
 	cluster_free(r.cluster);
 }
 
