buffers: a caller that has just connected keeps its connection

Change: such a connection makes room only when it has been quiet for 200 ms and nothing of it waits to be read.

--- a/serve/buffers.c
+++ b/serve/buffers.c
@@ -8,6 +8,8 @@
 	FULL_RETRY_AFTER_S = 1,
 	/* A caller that reads nothing for so long may lose its connection. */
 	UNREAD_MS = 1000,
+	/* The request of a caller that has just connected is on its way. */
+	QUIET_MS = 200,
 };
 
 void
@@ -140,6 +142,23 @@
 	return is_arriving(cc) ? cc->http->message_start : cc->http->last_io;
 }
 
+/*
+ * An answer that is being read is delivered, and what has just come is read
+ * first.
+ */
+static bool
+may_be_closed(const caller_conn_t *cc, ms_t unused)
+{
+	if (cc->call != 0 || cc->from_instance)
+		return false;
+	if (has_unread(cc))
+		return unused >= UNREAD_MS;
+	if (is_arriving(cc))
+		return unused > 0;
+	return !cc->http->closing && unused >= QUIET_MS &&
+	       http_conn_unread(cc->http) == 0;
+}
+
 bool
 buffers_free_descriptor(serve_t *s)
 {
@@ -150,18 +169,9 @@
 		caller_conn_t *cc = s->caller[i];
 		ms_t since = unused_since(cc);
 
-		/*
-		 * An answer that is being read is delivered, and what has just
-		 * come is read first.
-		 */
-		if (cc->call != 0 || cc->from_instance ||
-		    since >= s->loop.now ||
-		    (best != NULL && since >= unused_since(best)))
-			continue;
-		if (has_unread(cc) ? s->loop.now - since < UNREAD_MS
-				   : cc->http->closing)
-			continue;
-		best = cc;
+		if ((best == NULL || since < unused_since(best)) &&
+		    may_be_closed(cc, s->loop.now - since))
+			best = cc;
 	}
 	if (best == NULL)
 		return false;
