--- a/serve/explain.c
+++ b/serve/explain.c
@@ -187,7 +187,7 @@
 {
 	const organisation_t *organisation = NULL;
 	refusal_t f = { 503, "no configuration is known yet", 0 };
-	const route_t *r;
+	const route_t *r = NULL;
 	call_head_t request;
 	json_t *j;
 	char *text;
