buffers: large answers don't make a caller's next request wait

Change: the bound is 2 MB, above what a large answer leaves unsent, as its endpoint isn't read beyond 256 KB. Small answers still add up to 2 MB at most, and all of it is in the account.

--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -22,9 +22,12 @@
 	INSTANCE_FIELDS_MAX = 1024, /* bytes; added to a head by an instance */
 	DRAIN_IDLE_MS = 1500,	    /* idle timeout while leaving */
 	RESERVED_FDS = 256,	    /* descriptors for endpoints and files */
-	/* With more of its answers unread, a caller's next request waits. */
-	UNREAD_MAX = 64 << 10, /* bytes */
-	SPARE_FDS = 8,	       /* connections make room when so few are left */
+	/*
+	 * With more of its answers unread, a caller's next request waits. A
+	 * large answer stays below that: its endpoint isn't read meanwhile.
+	 */
+	UNREAD_MAX = 2 << 20, /* bytes */
+	SPARE_FDS = 8,	      /* connections make room when so few are left */
 };
 
 static int
