--- a/review/stage-2/lib.sh
+++ b/review/stage-2/lib.sh
@@ -17,7 +17,6 @@
 		kill -KILL "${pid_of[$n]}" 2>/dev/null
 	done
 	wait 2>/dev/null
-	[ -z "${KEEP-}" ] || cp -r "$dir" "$KEEP"
 	rm -rf "$dir"
 }
 trap end_all EXIT
