net: a failed send doesn't make a reset look like an orderly end

Cause: Linux reports the failure of a connection once, to the next call on the socket. While a part of the request was unsent, that call was send(); http_conn_flush() dropped the error, recv() then returned 0, and an answer without a length was complete.

All reads, writes and looks at SO_ERROR of a connection are made by net/tcp.c now. It keeps what is known of the end, which only becomes worse: an orderly end, a time-out, a reset, another failure. An answer without a length is complete only after an orderly end; a FIN that a reset follows isn't one.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -118,23 +118,24 @@
 void
 http_conn_flush(http_conn_t *c)
 {
-	ssize_t n;
+	size_t n;
 
 	if (c->closed || c->connecting || c->lingering)
 		return;
 	while (buf_len(&c->out) > 0) {
-		n = send(c->watch.fd, c->out.p + c->out.off, buf_len(&c->out),
-		    MSG_NOSIGNAL);
+		n = tcp_write(c->watch.fd, &c->tcp_end, c->out.p + c->out.off,
+		    buf_len(&c->out));
 		if (n > 0) {
-			buf_consume(&c->out, (size_t)n);
+			buf_consume(&c->out, n);
 			c->last_io = c->loop->now;
 			continue;
 		}
-		if (n == -1 && errno == EINTR)
-			continue;
-		if (n == -1 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		if (!tcp_is_broken(c->tcp_end))
 			break;
-		/* What the peer sent before the failure can still be read. */
+		/*
+		 * What the peer sent before the failure can still be read: an
+		 * answer with a length may be whole.
+		 */
 		buf_consume(&c->out, buf_len(&c->out));
 		if (c->side == HTTP_SERVER || c->closing)
 			end_later(c);
@@ -491,33 +492,12 @@
 		parse_surplus(c);
 }
 
+/* The connection has ended, and all that had arrived was read. */
 static void
-on_readable(http_conn_t *c)
+on_read_end(http_conn_t *c)
 {
-	ssize_t n;
-
-	for (;;) {
-		n = recv(c->watch.fd, read_buf, sizeof(read_buf), 0);
-		if (n == -1 && errno == EINTR)
-			continue;
-		if (n == -1 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			return;
-		if (n == -1) {
-			end_conn(c, HTTP_END_RESET);
-			return;
-		}
-		if (n == 0)
-			break;
-		c->last_io = c->loop->now;
-		if (c->lingering)
-			return;
-		if (c->side == HTTP_CLIENT && c->parse_stopped) {
-			/* No request is pending: the bytes answer none. */
-			c->surplus = true;
-			end_conn(c, HTTP_END_MALFORMED);
-			return;
-		}
-		parse(c, read_buf, (size_t)n);
+	if (tcp_is_broken(c->tcp_end)) {
+		end_conn(c, HTTP_END_RESET);
 		return;
 	}
 	if (c->side == HTTP_CLIENT && !c->parse_stopped) {
@@ -529,22 +509,39 @@
 			c->keep_alive = false;
 			http_parser_pause(&c->parser, 0);
 			c->ops->done(c->user, c);
-			if (!c->closed)
-				end_conn(c, HTTP_END_EOF);
-			return;
 		}
 	}
 	end_conn(c, HTTP_END_EOF);
 }
 
 static void
-on_connected(http_conn_t *c)
+on_readable(http_conn_t *c)
 {
-	int err = 0;
-	socklen_t len = sizeof(err);
+	size_t n =
+	    tcp_read(c->watch.fd, &c->tcp_end, read_buf, sizeof(read_buf));
+
+	if (n == 0) {
+		if (c->tcp_end != TCP_END_NONE)
+			on_read_end(c);
+		return;
+	}
+	c->last_io = c->loop->now;
+	if (c->lingering)
+		return;
+	if (c->side == HTTP_CLIENT && c->parse_stopped) {
+		/* No request is pending: the bytes answer none. */
+		c->surplus = true;
+		end_conn(c, HTTP_END_MALFORMED);
+		return;
+	}
+	parse(c, read_buf, n);
+}
 
-	getsockopt(c->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len);
-	if (err != 0) {
+static void
+on_connected(http_conn_t *c)
+{
+	tcp_check(c->watch.fd, &c->tcp_end);
+	if (tcp_is_broken(c->tcp_end)) {
 		end_conn(c, HTTP_END_CONNECT_FAILED);
 		return;
 	}
@@ -582,7 +579,8 @@
 		on_readable(c);
 		return;
 	}
-	if (ev & EPOLLERR) {
+	/* While it isn't read, a reset may have been noted by another call. */
+	if ((ev & EPOLLERR) || ((ev & EPOLLHUP) && tcp_is_broken(c->tcp_end))) {
 		end_conn(c, HTTP_END_RESET);
 		return;
 	}
--- a/net/net.h
+++ b/net/net.h
@@ -14,6 +14,7 @@
 #define NET_H
 
 #include "base/base.h"
+#include "net/tcp.h"
 
 #include <http_parser.h>
 #include <netinet/in.h>
@@ -216,6 +217,7 @@
 	const http_conn_ops_t *ops;
 	void *user;
 	watch_t watch;
+	tcp_end_t tcp_end; /* kept by each call on the socket */
 	http_parser parser;
 	head_t head;
 	buf_t in, out;
@@ -261,7 +263,8 @@
 void http_conn_write(http_conn_t *c, const void *p, size_t n);
 /**
  * Send the buffer out as far as the socket takes it. If that fails, the end
- * callback is called later, from the loop.
+ * callback is called later, from the loop: a client first reads what came
+ * before.
  */
 void http_conn_flush(http_conn_t *c);
 /**
--- a/tests/unframed_proc.c
+++ b/tests/unframed_proc.c
@@ -2,6 +2,7 @@
  * Answers with neither a length nor chunks, which end with their connection:
  * each is complete for its caller, or is not taken for complete.
  */
+#include "standin/scripted_peer.h"
 #include "tests/fixture.h"
 
 #include <string.h>
@@ -10,7 +11,9 @@
 	EVENTS = 5,
 	EVENT_GAP_MS = 20,
 	WAIT_MS = 6500,
-	LAST_WHOLE = 2, /* event before the one that is cut */
+	LAST_WHOLE = 2,	   /* event before the one that is cut */
+	UPLOAD = 4 << 20,  /* bytes: more than the sockets take */
+	UPLOADED_MS = 300, /* until a reset in its middle */
 };
 
 #define GEN "Model: m1\r\nToken-Usage: 100,20\r\nDeadline-Remaining: 5000\r\n"
@@ -149,6 +152,68 @@
 	fixture_free(st);
 }
 
+/* An endpoint of the deployment that answers by a script. */
+static scripted_peer_t *
+add_scripted(fixture_t *st, const char *service, const char *models)
+{
+	scripted_peer_t *p;
+	char *addr, *text;
+	int port;
+
+	ports_take(&port, 1);
+	addr = addr_of(port);
+	p = scripted_peer_new(&st->loop, addr);
+	text = g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
+	    "\"version\":\"v1\",\"slots\":100,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"born\":1000,\"seq\":1%s}",
+	    service, addr, models);
+	fake_store_put(st->store, "servers", "scripted", text);
+	g_free(text);
+	g_free(addr);
+	return p;
+}
+
+/*
+ * Guards against a part of an early answer that is taken for a success, as the
+ * failed write of the request hid the reset.
+ */
+static void
+reset_during_an_upload_is_not_whole(void)
+{
+	static const script_t half = {
+		.answer = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\n"
+			  "Server-Signature: s1\r\n\r\nhalf of it",
+		.early = true,
+		.end_ms = UPLOADED_MS,
+		.end = SCRIPT_RESET
+	};
+	fixture_t *st = fixture_new();
+	GString *text = g_string_new(NULL);
+	scripted_peer_t *p;
+	caller_t *c;
+
+	st->body_max = UPLOAD;
+	fixture_put_config(st, "");
+	p = add_scripted(st, "app", "");
+	scripted_peer_set(p, &half);
+	fixture_start_daemon(st, 0, true);
+	g_string_printf(text,
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+	    "Deadline-Remaining: 1900\r\nContent-Length: %d\r\n\r\n",
+	    UPLOAD);
+	g_string_set_size(text, text->len + UPLOAD);
+	memset(text->str + text->len - UPLOAD, 'x', UPLOAD);
+	c = caller_send(st, 0, text->str);
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_cmpint(scripted_peer_requests(p), ==, 1);
+	caller_free(c);
+	g_string_free(text, TRUE);
+	scripted_peer_free(p);
+	fixture_free(st);
+}
+
 #define T(name) g_test_add_func("/unframed/" #name, name)
 
 int
@@ -160,5 +225,6 @@
 	T(stream_is_whole);
 	T(stream_that_ends_inside_an_event_is_cut);
 	T(stream_that_ends_inside_an_event_goes_on_elsewhere);
+	T(reset_during_an_upload_is_not_whole);
 	return g_test_run();
 }
