net: a look at unread bytes doesn't make a reset look like an orderly end

Cause: the log line that ends a silence states how much is unread, and http_conn_unread() looked with recv(MSG_PEEK).

The peek goes through net/tcp.c like all other calls on the socket, so what it learns of the end is kept.

/unframed/reset_after_a_silence_is_not_whole failed before (200, not 502), and so did /conn-end/look_at_unread_bytes_doesnt_hide_a_reset; both pass.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -672,15 +672,13 @@
 }
 
 size_t
-http_conn_unread(const http_conn_t *c)
+http_conn_unread(http_conn_t *c)
 {
 	char peeked[4096];
-	ssize_t n;
 
 	if (c->closed || c->connecting)
 		return 0;
-	n = recv(c->watch.fd, peeked, sizeof(peeked), MSG_PEEK | MSG_DONTWAIT);
-	return n > 0 ? (size_t)n : 0;
+	return tcp_peek(c->watch.fd, &c->tcp_end, peeked, sizeof(peeked));
 }
 
 static void
--- a/net/net.h
+++ b/net/net.h
@@ -277,7 +277,7 @@
 /** Stop or resume reading, for flow control. */
 void http_conn_pause(http_conn_t *c, bool paused);
 /** @return bytes received that weren't read yet, at most some KB. */
-size_t http_conn_unread(const http_conn_t *c);
+size_t http_conn_unread(http_conn_t *c);
 /** Close at once, without the end callback. */
 void http_conn_close(http_conn_t *c);
 /** The same by a reset, which drops what isn't sent. */
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -271,7 +271,7 @@
 static void
 log_attempt_failed(const call_t *c, bool not_run, const char *why)
 {
-	const http_conn_t *k = c->conn != NULL ? c->conn->http : NULL;
+	http_conn_t *k = c->conn != NULL ? c->conn->http : NULL;
 	ms_t now = c->s->loop.now;
 	buf_t parts = { 0 };
 
--- a/tests/conn_end_test.c
+++ b/tests/conn_end_test.c
@@ -19,13 +19,15 @@
 /* What is called between two events of the peer. */
 typedef enum call {
 	CALL_NONE,
+	CALL_UNREAD,
 	CALL_FLUSH,
 	CALL_TURN,
 	CALL_PAUSE,
 	CALLS
 } call_t;
 
-static const char *const call_name[] = { "none", "flush", "turn", "pause" };
+static const char *const call_name[] = { "none", "unread", "flush", "turn",
+	"pause" };
 
 typedef struct answer_case {
 	const char *name, *text;
@@ -124,6 +126,9 @@
 	if (k->ends > 0)
 		return;
 	switch (call) {
+	case CALL_UNREAD:
+		http_conn_unread(k->conn);
+		break;
 	case CALL_FLUSH:
 		http_conn_flush(k->conn);
 		break;
@@ -219,6 +224,14 @@
 	run_all(CALL_NONE, 0);
 }
 
+/* Guards against a look at unread bytes, as for a log line, that does so. */
+static void
+look_at_unread_bytes_doesnt_hide_a_reset(void)
+{
+	run_all(CALL_UNREAD, 0);
+	run_all(CALL_UNREAD, REQUEST);
+}
+
 #define T(name) g_test_add_func("/conn-end/" #name, name)
 
 int
@@ -226,5 +239,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	T(failed_send_doesnt_hide_a_reset);
+	T(look_at_unread_bytes_doesnt_hide_a_reset);
 	return g_test_run();
 }
--- a/tests/unframed_proc.c
+++ b/tests/unframed_proc.c
@@ -13,6 +13,7 @@
 	WAIT_MS = 6500,
 	LAST_WHOLE = 2,	   /* event before the one that is cut */
 	UPLOAD = 4 << 20,  /* bytes: more than the sockets take */
+	SILENCE_MS = 1500, /* longer than is normal before an answer */
 	UPLOADED_MS = 300, /* until a reset in its middle */
 };
 
@@ -214,6 +215,56 @@
 	fixture_free(st);
 }
 
+/*
+ * Guards against a part of an answer, or of a stream, that is taken for whole
+ * as the log line that ends a silence has taken the socket's error.
+ */
+static void
+reset_after_a_silence_is_not_whole(void)
+{
+	static const script_t plain = {
+		.answer = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\n"
+			  "Server-Signature: s1\r\n\r\nhalf of it",
+		.wait_ms = SILENCE_MS,
+		.end = SCRIPT_RESET
+	};
+	static const script_t stream = {
+		.answer = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\n"
+			  "Server-Signature: s1\r\n"
+			  "Content-Type: text/event-stream\r\n\r\n"
+			  "id: 1\ndata: token 1\n\n",
+		.wait_ms = SILENCE_MS,
+		.end = SCRIPT_RESET
+	};
+	fixture_t *st = fixture_new();
+	scripted_peer_t *p;
+	caller_t *c;
+
+	fixture_put_config(st, "");
+	p = add_scripted(st, "app", "");
+	scripted_peer_set(p, &plain);
+	fixture_start_daemon(st, 0, true);
+	c = caller_call(st, 0, "GET", "/safe/a", "r1", PLAIN);
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_cmpint(c->status, ==, 502);
+	caller_free(c);
+	scripted_peer_free(p);
+	fixture_free(st);
+
+	st = fixture_new();
+	fixture_put_config(st, "");
+	p = add_scripted(st, "llm",
+	    ",\"models\":[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]");
+	scripted_peer_set(p, &stream);
+	fixture_start_daemon(st, 0, true);
+	c = caller_call(st, 0, "POST", "/gen/a", "r2", GEN);
+	g_assert_true(caller_wait(c, WAIT_MS));
+	g_assert_false(c->done && c->status == 200);
+	caller_free(c);
+	scripted_peer_free(p);
+	fixture_free(st);
+}
+
 #define T(name) g_test_add_func("/unframed/" #name, name)
 
 int
@@ -226,5 +277,6 @@
 	T(stream_that_ends_inside_an_event_is_cut);
 	T(stream_that_ends_inside_an_event_goes_on_elsewhere);
 	T(reset_during_an_upload_is_not_whole);
+	T(reset_after_a_silence_is_not_whole);
 	return g_test_run();
 }
