net: a strict reader of messages, whose verdict doesn't depend on cuts

Cause: http-parser takes bare LFs and folded lines, so has_bad_line_end() searched what was read for them. It found the end of a head only within one read, and searched the body otherwise. All checks that were bolted on to the parser's pieces share this weakness, and answers had none of them: statuses of 600 and 999, HTTP/2.0, a blank in a field's name, folded lines, bare LFs and chunks without their CRLF reached callers; a status of 000 and an unknown transfer coding were waited for until the deadline.

net/http_reader.c replaces http-parser for requests and answers alike. Requests in absolute-form and with Upgrade, which the RFC allows, are taken now. What is refused gets the status that it got before. A log line names the reason.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -21,7 +21,6 @@
 	 */
 	FRAME_MAX = 32 << 10, /* bytes */
 	FRAME_MAX_MS = 1000,
-	INTERIM_MAX = 8, /* 1xx heads before an answer */
 };
 
 static char read_buf[READ_MAX];
@@ -55,6 +54,7 @@
 	watch_del(c->loop, &c->watch);
 	buf_free(&c->in);
 	buf_free(&c->out);
+	http_reader_free(&c->parser);
 	/* Freed at the end of the turn: a callback may still use the head. */
 	loop_free_later(c->loop, c->head.text.p);
 	loop_free_later(c->loop, c);
@@ -153,7 +153,7 @@
 		buf_add(&c->out, p, n);
 }
 
-/* A head, a chunk or a part of a body was read. */
+/* A head, a chunk's line or a part of a body was read. */
 static void
 frame_read(http_conn_t *c)
 {
@@ -168,206 +168,73 @@
 	return c->closed || (c->side == HTTP_SERVER && c->closing);
 }
 
-/* Parser callbacks. They store the strings of a head in one buffer. */
-
-static int
-on_begin(http_parser *ps)
+static void
+on_begin(http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-
-	buf_consume(&c->head.text, buf_len(&c->head.text));
-	c->head.target = 0;
-	c->head.nfield = 0;
-	c->head.too_many = false;
-	c->head_bytes = c->body_bytes = 0;
+	c->message_bytes = c->body_bytes = 0;
 	c->in_message = true;
 	c->head_done = false;
 	c->last_io = c->message_start = c->loop->now;
 	if (c->ops->begin != NULL)
 		c->ops->begin(c->user, c);
-	return 0;
 }
 
-static int
-count_head_bytes(http_conn_t *c, size_t n)
-{
-	c->head_bytes += n;
-	if (c->head_max != 0 && c->head_bytes > c->head_max) {
-		c->refuse_status = HEAD_TOO_LARGE;
-		return -1;
-	}
-	return 0;
-}
-
-static int
-on_url(http_parser *ps, const char *p, size_t n)
+static void
+on_head(http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-
-	buf_add(&c->head.text, p, n);
-	return count_head_bytes(c, n);
+	frame_read(c);
+	c->head_done = true;
+	c->keep_alive = c->parser.keep_alive;
+	c->ops->head(c->user, c);
 }
 
-/*
- * The parser passes a name or value in pieces; the NUL that ends a string is
- * added when the next string begins.
- */
-static int
-on_field(http_parser *ps, const char *p, size_t n)
+static void
+on_interim(http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-	head_t *h = &c->head;
-	bool new_field = h->nfield == 0 || h->field[h->nfield - 1].value != 0;
-
-	if (c->head_done)
-		return 0;
-	if (new_field) {
-		if (h->nfield == HEADERS_MAX) {
-			c->refuse_status = HEAD_TOO_LARGE;
-			return -1;
-		}
-		buf_add(&h->text, "", 1);
-		h->field[h->nfield].name = (uint32_t)h->text.len;
-		h->field[h->nfield++].value = 0;
-	}
-	buf_add(&h->text, p, n);
-	return count_head_bytes(c, n);
+	c->in_message = false;
+	/* The answer may come much later; frame_bytes goes on. */
+	c->frame = (arrival_t){ 0 };
 }
 
-static int
-on_value(http_parser *ps, const char *p, size_t n)
+/* Report a message that was refused, for its framing or its size. */
+static void
+on_refused(http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-	head_t *h = &c->head;
-	field_t *f = &h->field[h->nfield - 1];
+	bool body = c->body_max != 0 && c->body_bytes > c->body_max;
+	bool large = body || c->parser.fault == HTTP_FAULT_TOO_LARGE ||
+		     c->parser.fault == HTTP_FAULT_INTERIM;
 
-	if (c->head_done)
-		return 0;
-	if (f->value == 0) {
-		/* Reject a space before the colon: the parser accepts it. */
-		if (h->text.p[h->text.len - 1] == ' ')
-			return -1;
-		buf_add(&h->text, "", 1);
-		f->value = (uint32_t)h->text.len;
-	}
-	buf_add(&h->text, p, n);
-	/* 4: the colon, a space and CRLF. */
-	return count_head_bytes(c, n + 4);
+	if (c->side == HTTP_CLIENT)
+		end_conn(c, large ? HTTP_END_ENDLESS : HTTP_END_MALFORMED);
+	else
+		c->ops->bad(c->user, c,
+		    body    ? BODY_TOO_LARGE
+		    : large ? HEAD_TOO_LARGE
+			    : BAD_REQUEST);
 }
 
-static int
-on_head(http_parser *ps)
+const char *
+http_conn_fault(const http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-
-	buf_add(&c->head.text, "", 1);
-	c->head_done = true;
-	c->last_byte = 0;
-	if (c->side == HTTP_CLIENT && ps->status_code < 200)
-		return 0;
-	frame_read(c);
-	c->keep_alive = http_should_keep_alive(ps);
-	c->ops->head(c->user, c);
-	if (has_ended(c))
-		return -1;
-	return c->side == HTTP_CLIENT && c->no_body ? 1 : 0;
+	if (c->body_max != 0 && c->body_bytes > c->body_max)
+		return "body-too-large";
+	if (c->parser.fault == HTTP_FAULT_NONE)
+		return "endless";
+	return http_fault_text(c->parser.fault);
 }
 
-static int
-on_body(http_parser *ps, const char *p, size_t n)
+/* @return whether the connection is read on */
+static bool
+on_body(http_conn_t *c)
 {
-	http_conn_t *c = ps->data;
-
 	frame_read(c);
-	c->body_bytes += n;
+	c->body_bytes += c->parser.part_len;
 	if (c->body_max != 0 && c->body_bytes > c->body_max) {
-		c->refuse_status = BODY_TOO_LARGE;
-		return -1;
-	}
-	c->ops->body(c->user, c, p, n);
-	return has_ended(c) ? -1 : 0;
-}
-
-static int
-on_done(http_parser *ps)
-{
-	http_conn_t *c = ps->data;
-
-	c->in_message = c->head_done = false;
-	if (c->side == HTTP_CLIENT && ps->status_code < 200) {
-		/* The answer may come much later; frame_bytes goes on. */
-		c->frame = (arrival_t){ 0 };
-		if (++c->interim <= INTERIM_MAX)
-			return 0;
-		c->refuse_status = HEAD_TOO_LARGE;
-		return -1;
-	}
-	frame_read(c);
-	c->interim = 0;
-	c->parse_stopped = true;
-	http_parser_pause(ps, 1);
-	return 0;
-}
-
-static int
-on_chunk(http_parser *ps)
-{
-	frame_read(ps->data);
-	return 0;
-}
-
-static const http_parser_settings callbacks = {
-	.on_message_begin = on_begin,
-	.on_url = on_url,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_head,
-	.on_body = on_body,
-	.on_message_complete = on_done,
-	.on_chunk_header = on_chunk,
-	.on_chunk_complete = on_chunk,
-};
-
-/*
- * True if a head has a bare LF or a folded line. The parser accepts both, but
- * other implementations read such a head differently, which allows request
- * smuggling.
- */
-static bool
-has_bad_line_end(http_conn_t *c, const char *p, size_t n)
-{
-	const char *q = p, *end = p + n;
-
-	if (n > 0 && c->last_byte == '\n' && (*p == ' ' || *p == '\t'))
-		return true;
-	while ((q = memchr(q, '\n', (size_t)(end - q))) != NULL) {
-		char before = q == p ? c->last_byte : q[-1];
-
-		if (before != '\r')
-			return true;
-		if (end - q > 2 && q[1] == '\r' && q[2] == '\n')
-			return false; /* the body follows */
-		if (end - q > 1 && (q[1] == ' ' || q[1] == '\t'))
-			return true;
-		q++;
-	}
-	c->last_byte = n > 0 ? p[n - 1] : c->last_byte;
-	return false;
-}
-
-static void
-on_parse_error(http_conn_t *c)
-{
-	if (c->side == HTTP_CLIENT) {
-		end_conn(c,
-		    c->refuse_status != 0 ||
-			    HTTP_PARSER_ERRNO(&c->parser) == HPE_HEADER_OVERFLOW
-			? HTTP_END_ENDLESS
-			: HTTP_END_MALFORMED);
-		return;
+		on_refused(c);
+		return false;
 	}
-	c->ops->bad(
-	    c->user, c, c->refuse_status != 0 ? c->refuse_status : BAD_REQUEST);
+	c->ops->body(c->user, c, c->parser.part, c->parser.part_len);
+	return !has_ended(c);
 }
 
 /*
@@ -384,40 +251,61 @@
 	       c->frame_bytes > FRAME_MAX;
 }
 
+/* All bytes were read, and the message goes on. */
+static void
+on_part_read(http_conn_t *c)
+{
+	if (frame_is_endless(c))
+		end_conn(c, HTTP_END_ENDLESS);
+	else if (c->side == HTTP_SERVER && c->ops->read != NULL)
+		c->ops->read(c->user, c);
+}
+
 /*
- * Pass bytes to the parser.
+ * Pass bytes to the reader.
  * @param used set to the number of them that belong to this message
  * @return whether a message is complete
  */
 static bool
 execute(http_conn_t *c, const char *p, size_t n, size_t *used)
 {
-	if (c->side == HTTP_SERVER && !c->head_done &&
-	    has_bad_line_end(c, p, n)) {
-		on_parse_error(c);
-		return false;
-	}
+	const char *at = p, *end = p + n;
+
 	c->frame_bytes += n;
-	*used = http_parser_execute(&c->parser, &callbacks, p, n);
-	if (has_ended(c))
-		return false;
-	switch (HTTP_PARSER_ERRNO(&c->parser)) {
-	case HPE_OK:
-		if (c->parser.upgrade)
-			on_parse_error(c);
-		else if (frame_is_endless(c))
-			end_conn(c, HTTP_END_ENDLESS);
-		else if (c->side == HTTP_SERVER && c->ops->read != NULL)
-			c->ops->read(c->user, c);
-		return false;
-	case HPE_PAUSED:
-		/* on_done() paused the parser at the end of the message. */
-		http_parser_pause(&c->parser, 0);
-		return true;
-	default:
-		on_parse_error(c);
-		return false;
+	while (!has_ended(c)) {
+		switch (http_reader_next(&c->parser, &at, end)) {
+		case HTTP_EVENT_MORE:
+			c->message_bytes += n;
+			on_part_read(c);
+			return false;
+		case HTTP_EVENT_BEGIN:
+			on_begin(c);
+			break;
+		case HTTP_EVENT_INTERIM:
+			on_interim(c);
+			break;
+		case HTTP_EVENT_HEAD:
+			on_head(c);
+			break;
+		case HTTP_EVENT_BODY:
+			if (!on_body(c))
+				return false;
+			break;
+		case HTTP_EVENT_CHUNK:
+			frame_read(c);
+			break;
+		case HTTP_EVENT_DONE:
+			frame_read(c);
+			c->in_message = c->head_done = false;
+			c->parse_stopped = true;
+			*used = (size_t)(at - p);
+			return true;
+		case HTTP_EVENT_FAULT:
+			on_refused(c);
+			return false;
+		}
 	}
+	return false;
 }
 
 static void
@@ -474,7 +362,11 @@
 void
 http_conn_release(http_conn_t *c)
 {
-	if (c->closed || c->head.text.cap <= HEAD_KEPT_MAX)
+	if (c->closed)
+		return;
+	if (c->parser.line.cap > HEAD_KEPT_MAX)
+		buf_free(&c->parser.line);
+	if (c->head.text.cap <= HEAD_KEPT_MAX)
 		return;
 	buf_free(&c->head.text);
 	c->head.nfield = 0;
@@ -500,16 +392,12 @@
 		end_conn(c, HTTP_END_RESET);
 		return;
 	}
-	if (c->side == HTTP_CLIENT && !c->parse_stopped) {
+	if (c->side == HTTP_CLIENT && !c->parse_stopped &&
+	    http_reader_end(&c->parser)) {
 		/* An answer without a length ends with the connection. */
-		http_parser_execute(&c->parser, &callbacks, NULL, 0);
-		if (c->closed)
-			return;
-		if (c->parse_stopped) {
-			c->keep_alive = false;
-			http_parser_pause(&c->parser, 0);
-			c->ops->done(c->user, c);
-		}
+		c->in_message = c->head_done = false;
+		c->parse_stopped = true;
+		c->ops->done(c->user, c);
 	}
 	end_conn(c, HTTP_END_EOF);
 }
@@ -604,11 +492,9 @@
 	c->ops = ops;
 	c->user = user;
 	c->last_io = l->now;
-	c->head_max = side == HTTP_CLIENT ? FRAME_MAX : 0;
 	c->watch = (watch_t){ fd, 0, on_event, c };
-	http_parser_init(
-	    &c->parser, side == HTTP_SERVER ? HTTP_REQUEST : HTTP_RESPONSE);
-	c->parser.data = c;
+	http_reader_init(&c->parser, side, &c->head);
+	c->parser.section_max = side == HTTP_CLIENT ? FRAME_MAX : 0;
 	return c;
 }
 
--- a/net/head.c
+++ b/net/http_head.c
@@ -1,5 +1,6 @@
-#include "net/net.h"
+#include "net/http_head.h"
 
+#include <http_parser.h>
 #include <string.h>
 #include <strings.h>
 
--- a/net/net.h
+++ b/net/net.h
@@ -14,32 +14,13 @@
 #define NET_H
 
 #include "base/base.h"
+#include "net/buf.h"
+#include "net/http_head.h"
+#include "net/http_reader.h"
 #include "net/tcp.h"
 
-#include <http_parser.h>
 #include <netinet/in.h>
 
-/** A growing byte buffer that is read from the front. */
-typedef struct buf {
-	char *p;
-	size_t off, len, cap; /* content: p[off .. len) */
-} buf_t;
-
-/* Appending never fails: the process aborts when out of memory. */
-void buf_add(buf_t *b, const void *p, size_t n);
-void buf_str(buf_t *b, const char *s);
-void buf_fmt(buf_t *b, const char *fmt, ...)
-    __attribute__((format(printf, 2, 3)));
-/** Drop @p n bytes from the front. */
-void buf_consume(buf_t *b, size_t n);
-/** Free the memory; the buffer is empty afterwards and may be used again. */
-void buf_free(buf_t *b);
-static inline size_t
-buf_len(const buf_t *b)
-{
-	return b->len - b->off;
-}
-
 /** A one-shot timer, embedded in its owner. */
 typedef struct alarm_ {
 	ms_t at; /* monotonic clock */
@@ -105,52 +86,6 @@
 /** @return a bound non-blocking datagram descriptor, or -1 with @p e set. */
 int net_datagram(const char *addr, err_t *e);
 
-/*
- * HTTP. A head is a message's start line and header fields; its strings are
- * NUL-terminated in one buffer and found by offset.
- */
-
-enum {
-	HEADERS_MAX = 100 /* fields in a head */
-};
-
-typedef struct field {
-	uint32_t name, value; /* offsets into text */
-} field_t;
-
-typedef struct head {
-	buf_t text;
-	uint32_t target; /* of a request, offset into text */
-	field_t field[HEADERS_MAX];
-	int nfield;
-	bool too_many;
-} head_t;
-
-/** @return the value of the first field called @p name, or NULL. */
-const char *head_get(const head_t *h, const char *name);
-/** @return the number of fields called @p name. */
-int head_count(const head_t *h, const char *name);
-static inline const char *
-head_name(const head_t *h, int i)
-{
-	return h->text.p + h->field[i].name;
-}
-static inline const char *
-head_value(const head_t *h, int i)
-{
-	return h->text.p + h->field[i].value;
-}
-static inline const char *
-head_target(const head_t *h)
-{
-	return h->text.p + h->target;
-}
-
-typedef enum http_side {
-	HTTP_SERVER,
-	HTTP_CLIENT
-} http_side_t;
-
 /** Why a connection ended. */
 typedef enum http_end {
 	HTTP_END_EOF,		 /* closed by the peer */
@@ -195,8 +130,8 @@
 	/* The message is complete; http_conn_next() goes on to the next. */
 	void (*done)(void *u, http_conn_t *c);
 	/*
-	 * A server received an invalid or oversized request: answer with
-	 * @p status and http_conn_finish().
+	 * A server received an invalid or oversized request, see
+	 * http_conn_fault(): answer with @p status and http_conn_finish().
 	 */
 	void (*bad)(void *u, http_conn_t *c, int status);
 	/* The connection ended; not called after http_conn_close(). */
@@ -218,27 +153,23 @@
 	void *user;
 	watch_t watch;
 	tcp_end_t tcp_end; /* kept by each call on the socket */
-	http_parser parser;
+	http_reader_t parser;
 	head_t head;
 	buf_t in, out;
-	size_t head_max, body_max; /* limits of a message, 0: none */
-	size_t head_bytes, body_bytes;
+	size_t body_max; /* bytes, 0: no limit */
+	size_t message_bytes, body_bytes;
 	/* Bytes that a client read since the last head, chunk or body part. */
 	size_t frame_bytes;
 	arrival_t frame; /* of these bytes */
-	int interim;	 /* 1xx heads before this answer */
 	bool connecting, closed;
 	bool parse_stopped; /* until http_conn_next() */
 	bool parsing;	    /* messages that came together are being handled */
 	bool paused;	    /* by http_conn_pause(): nothing is read */
 	bool in_message;    /* a message has begun and isn't complete */
-	bool head_done;	    /* its head is complete; trailers are dropped */
-	bool no_body;	    /* set by a client that sent a HEAD request */
+	bool head_done;	    /* its head is complete */
 	bool closing;	    /* close when out is empty */
 	bool surplus;	    /* bytes arrived after a complete message */
 	bool keep_alive;    /* the connection may carry another message */
-	int refuse_status;  /* for the bad callback, 0: Bad Request */
-	char last_byte;	    /* last byte of a partial head, to find bare LFs */
 	ms_t last_io;	    /* when the last byte was received or sent */
 	ms_t message_start; /* when the current message began */
 	/*
@@ -259,6 +190,8 @@
 /** The same from an address of this machine, with any port. */
 http_conn_t *http_conn_connect_from(loop_t *l, const struct sockaddr_in *from,
     const struct sockaddr_in *to, const http_conn_ops_t *ops, void *user);
+/** @return why a message was refused, e.g. "status", for a log line */
+const char *http_conn_fault(const http_conn_t *c);
 /** Append to the buffer out. */
 void http_conn_write(http_conn_t *c, const void *p, size_t n);
 /**
@@ -291,7 +224,4 @@
 /** Set the TCP keep-alive that finds a dead peer; times in seconds. */
 void http_conn_keepalive(http_conn_t *c, int idle_s, int every_s, int probes);
 
-/** @return the reason phrase of an HTTP status. */
-const char *http_reason(int status);
-
 #endif
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -477,7 +477,7 @@
 
 	if (c == NULL)
 		return;
-	answer_head_decode(&a, &k->head, (int)k->parser.status_code);
+	answer_head_decode(&a, &k->head, k->parser.status_code);
 	note_any_head(c, w, &a);
 	w->discarding =
 	    a.call_id != NULL && strcmp(a.call_id, c->request.id) != 0;
@@ -492,7 +492,7 @@
 	}
 	bytes_received(c);
 	w->idle_timeout = a.idle;
-	c->response.status = (int)k->parser.status_code;
+	c->response.status = k->parser.status_code;
 	c->response.authentic =
 	    a.signature != NULL && a.call_id != NULL && !a.encoded;
 	c->response.not_run = a.not_run && refusal_counts(c, w, &a);
@@ -518,65 +518,6 @@
 	answer_store_head(c, &k->head, c->response.status);
 }
 
-void
-answer_store_head(call_t *c, const head_t *h, int status)
-{
-	int i;
-
-	buf_fmt(
-	    &c->answer_head, "HTTP/1.1 %d %s\r\n", status, http_reason(status));
-	for (i = 0; i < h->nfield; i++)
-		if (answer_head_forward(h, i))
-			buf_fmt(&c->answer_head, "%s: %s\r\n", head_name(h, i),
-			    head_value(h, i));
-}
-
-void
-answer_forward_head(call_t *c, int64_t length)
-{
-	caller_conn_t *cc = c->caller;
-	http_conn_t *k = cc->http;
-
-	buf_add(&k->out, c->answer_head.p, c->answer_head.len);
-	if (length >= 0)
-		buf_fmt(&k->out, "Content-Length: %" PRId64 "\r\n", length);
-	else if (k->parser.http_minor >= 1 && k->parser.http_major == 1)
-		buf_str(&k->out, "Transfer-Encoding: chunked\r\n");
-	else
-		k->keep_alive = false;
-	if (c->s->leaving || !k->keep_alive)
-		buf_str(&k->out, "Connection: close\r\n");
-	if (c->from_instance)
-		peer_answer_encode(c, c->answered_by, 0, &k->out);
-	buf_str(&k->out, "\r\n");
-	c->head_sent = true;
-	c->state = CALL_RELAYING;
-}
-
-void
-answer_write_chunk(call_t *c, const char *p, size_t n)
-{
-	http_conn_t *k = c->caller->http;
-	bool chunked = k->parser.http_minor >= 1 && k->parser.http_major == 1;
-
-	if (n == 0)
-		return;
-	if (chunked)
-		buf_fmt(&k->out, "%zx\r\n", n);
-	buf_add(&k->out, p, n);
-	if (chunked)
-		buf_str(&k->out, "\r\n");
-}
-
-void
-answer_write_last_chunk(call_t *c)
-{
-	http_conn_t *k = c->caller->http;
-
-	if (k->parser.http_minor >= 1 && k->parser.http_major == 1)
-		buf_str(&k->out, "0\r\n\r\n");
-}
-
 /* Read the endpoint only while the caller takes what was read. */
 static void
 pause_if_behind(call_t *c)
@@ -765,11 +706,14 @@
 		"the connection was reset", "the answer is malformed",
 		"the connection wasn't made", "the answer doesn't end" };
 
-	(void)k;
 	if (c == NULL || c->conn != w) {
 		pool_remove(w);
 		return;
 	}
+	if (why == HTTP_END_MALFORMED || why == HTTP_END_ENDLESS)
+		log_limited(LOG_WARNING, "answer-refused",
+		    "request=%s endpoint=%s reason=%s status=%d", c->request.id,
+		    w->ep->entry.id, http_conn_fault(k), k->parser.status_code);
 	breaker_failure(&c->ep->breaker, true, w->s->loop.now);
 	switch (w->ep->kind) {
 	case EP_DIRECT:
--- a/serve/buffers.c
+++ b/serve/buffers.c
@@ -36,8 +36,8 @@
 {
 	const http_conn_t *k = cc->http;
 
-	return CONN_BYTES + k->head.text.cap + k->in.cap + k->out.cap +
-	       BODY_COPIES * cc->body.cap;
+	return CONN_BYTES + k->head.text.cap + k->parser.line.cap + k->in.cap +
+	       k->out.cap + BODY_COPIES * cc->body.cap;
 }
 
 static bool
--- a/serve/call.c
+++ b/serve/call.c
@@ -437,7 +437,7 @@
 	call_queue_remove(c);
 	begin_attempt(c, ch);
 	reserve(c, ch);
-	c->conn->http->no_body = strcmp(c->method, "HEAD") == 0;
+	c->conn->http->parser.no_body = strcmp(c->method, "HEAD") == 0;
 	switch (c->ep->kind) {
 	case EP_DIRECT:
 		remaining = encode_for_endpoint(c);
--- a/serve/caller_conn.c
+++ b/serve/caller_conn.c
@@ -156,7 +156,7 @@
 	}
 	if (cc->http->in_message) {
 		log_limited(LOG_NOTICE, "caller-slow", "bytes=%zu",
-		    cc->http->head_bytes + cc->http->body_bytes);
+		    cc->http->message_bytes);
 		caller_answer(cc, 408, "Connection: close\r\n",
 		    "the request took too long to arrive");
 	} else if (buf_len(&cc->http->out) == 0) {
@@ -177,9 +177,10 @@
 	caller_conn_t *cc = u;
 	const config_t *c = cc->s->config;
 
-	k->head_max = c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
+	k->parser.section_max =
+	    c != NULL && c->head_max > 0 ? c->head_max : HEAD_MAX;
 	if (cc->from_instance)
-		k->head_max += INSTANCE_FIELDS_MAX;
+		k->parser.section_max += INSTANCE_FIELDS_MAX;
 	set_idle_timer(cc);
 }
 
@@ -193,8 +194,7 @@
 	k->body_max = c != NULL && c->body_max > 0 ? c->body_max : BODY_MAX;
 	buf_consume(&cc->body, buf_len(&cc->body));
 	hasher_init(&cc->body_hash);
-	if (k->parser.content_length != ULLONG_MAX &&
-	    k->parser.content_length > k->body_max) {
+	if (k->parser.content_length > (int64_t)k->body_max) {
 		caller_refuse(cc, 413, 0, "the body is too large");
 		return;
 	}
@@ -233,8 +233,8 @@
 {
 	caller_conn_t *cc = u;
 
-	log_limited(LOG_NOTICE, "request-malformed", "status=%d parser=%s",
-	    status, http_errno_name(HTTP_PARSER_ERRNO(&k->parser)));
+	log_limited(LOG_NOTICE, "request-malformed", "status=%d reason=%s",
+	    status, http_conn_fault(k));
 	caller_answer(cc, status, "Connection: close\r\n",
 	    "the request is malformed or too large");
 	finish(cc);
@@ -498,7 +498,7 @@
 void
 caller_cut_answer(caller_conn_t *cc)
 {
-	const http_parser *ps = &cc->http->parser;
+	const http_reader_t *ps = &cc->http->parser;
 
 	cc->call = 0;
 	if (ps->http_major == 1 && ps->http_minor >= 1) {
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -83,7 +83,7 @@
 
 	if (c == NULL)
 		return;
-	c->status = (int)k->parser.status_code;
+	c->status = k->parser.status_code;
 	k->body_max = c->keep_conn ? STORE_ANSWER_MAX : ENDPOINT_ANSWER_MAX;
 	if (c->keep_conn)
 		c->era = store_era_decode(&k->head);
@@ -150,8 +150,11 @@
 
 	if (why == HTTP_END_ENDLESS)
 		log_answer_dropped(c, k, "it doesn't end");
+	else if (why == HTTP_END_MALFORMED &&
+		 k->parser.fault != HTTP_FAULT_NONE)
+		log_answer_dropped(c, k, http_conn_fault(k));
 	else if (why == HTTP_END_MALFORMED)
-		log_answer_dropped(c, k, "it is malformed or wasn't requested");
+		log_answer_dropped(c, k, "it wasn't requested");
 	for (i = 0; i < nidle; i++)
 		if (idle[i] == k) {
 			idle[i] = idle[--nidle];
--- a/serve/pages.c
+++ b/serve/pages.c
@@ -256,7 +256,7 @@
 		v->s = s;
 		v->operators = st->operators;
 		v->http = http_conn_accept(&s->loop, fd, &ops, v);
-		v->http->head_max = v->http->body_max = HEAD_MAX;
+		v->http->parser.section_max = v->http->body_max = HEAD_MAX;
 		v->idle_alarm = (alarm_t){ .fn = on_idle_alarm, .arg = v };
 		alarm_set(
 		    &s->loop, &v->idle_alarm, s->loop.now + IDLE_TIMEOUT_MS);
--- a/tests/answered.c
+++ b/tests/answered.c
@@ -307,7 +307,7 @@
 	ask_t *a;
 
 	if (k->http != NULL)
-		k->http->no_body = g_str_has_prefix(head, "HEAD ");
+		k->http->parser.no_body = g_str_has_prefix(head, "HEAD ");
 	a = kept_send(k, text, whole);
 	g_free(text);
 	return a;
--- a/tests/call_proc.c
+++ b/tests/call_proc.c
@@ -11,6 +11,7 @@
 enum {
 	/* Limit from a caller's disconnect to the cancel at the endpoint. */
 	CANCEL_MAX_MS = 500,
+	CUT_GAP_MS = 5, /* between the two parts of a request */
 };
 
 static const fake_endpoint_opts_t plain = { .plain_ms = 20 };
@@ -455,6 +456,42 @@
 	fixture_free(st);
 }
 
+/*
+ * Guards against a proper request that is refused because the empty line, or a
+ * part of it, was read together with the body.
+ */
+static void
+request_is_served_wherever_it_is_cut(void)
+{
+	static const char body[] = " {\n\"a\":\n1}";
+	fixture_t *st = one_daemon(&plain, 1, "app");
+	size_t cut, size = 2;
+
+	for (cut = 1; cut < size; cut++) {
+		char *text = g_strdup_printf(
+		    "POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+		    "Request-Id: r%03zu\r\nContent-Length: %zu\r\n\r\n%s",
+		    cut, strlen(body), body);
+		char *rest = g_strdup(text + cut);
+		caller_t *c;
+
+		size = strlen(text);
+		text[cut] = '\0';
+		c = caller_send(st, 0, text);
+		fixture_run(st, CUT_GAP_MS);
+		buf_str(&c->http->out, rest);
+		http_conn_flush(c->http);
+		g_assert_true(caller_wait(c, 1500));
+		g_test_message("cut at %zu of %zu", cut, size);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpstr(run_at(st, 0, (int)cut - 1)->body, ==, body);
+		caller_free(c);
+		g_free(text);
+		g_free(rest);
+	}
+	fixture_free(st);
+}
+
 static void
 missing_host_and_limits(void)
 {
@@ -738,6 +775,7 @@
 	T(route_timeout_is_enforced);
 	T(unknown_route_and_no_configuration);
 	T(malformed_requests_close_the_connection);
+	T(request_is_served_wherever_it_is_cut);
 	T(missing_host_and_limits);
 	T(chunked_body_is_forwarded);
 	T(endpoint_connections_are_reused);
