--- a/standin/scripted_peer.c
+++ b/standin/scripted_peer.c
@@ -103,6 +103,22 @@
 	p->script = *s;
 }
 
+char *
+scripted_peer_entry(const char *addr, const char *service, const char *models)
+{
+	return g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
+	    "\"version\":\"v1\",\"slots\":100,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"born\":1000,\"seq\":1%s}",
+	    service, addr, models);
+}
+
+int
+scripted_peer_open(const scripted_peer_t *p)
+{
+	return (int)p->server.conns->len;
+}
+
 int
 scripted_peer_requests(const scripted_peer_t *p)
 {
--- a/standin/scripted_peer.h
+++ b/standin/scripted_peer.h
@@ -28,6 +28,14 @@
 scripted_peer_t *scripted_peer_new(loop_t *l, const char *addr);
 /** @param s of the requests from now on, copied; its answer is not */
 void scripted_peer_set(scripted_peer_t *p, const script_t *s);
+/**
+ * @param models further members, as ",\"models\":[...]" JSON text, or ""
+ * @return the spec of its entry in the store, g_malloc'd
+ */
+char *scripted_peer_entry(
+    const char *addr, const char *service, const char *models);
+/** @return connections that are open */
+int scripted_peer_open(const scripted_peer_t *p);
 /** @return requests that were answered or are to be */
 int scripted_peer_requests(const scripted_peer_t *p);
 void scripted_peer_free(scripted_peer_t *p);
--- a/tests/unframed_proc.c
+++ b/tests/unframed_proc.c
@@ -164,11 +164,7 @@
 	ports_take(&port, 1);
 	addr = addr_of(port);
 	p = scripted_peer_new(&st->loop, addr);
-	text = g_strdup_printf(
-	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
-	    "\"version\":\"v1\",\"slots\":100,\"state\":\"ready\","
-	    "\"cold_left_ms\":0,\"born\":1000,\"seq\":1%s}",
-	    service, addr, models);
+	text = scripted_peer_entry(addr, service, models);
 	fake_store_put(st->store, "servers", "scripted", text);
 	g_free(text);
 	g_free(addr);
