net: a connection that is known to be broken isn't used again

Found by reading the paths of the two faults before: a framed answer may be whole although its connection was reset behind it. If a log line's look at what is unread had learned of the reset, the connection still went to the pool, and a call that was queued could leave on it in the same turn: an unsafe call would get 502 though an endpoint could have run it. Not seen in a run of the daemon.

http_conn_reusable() decides in one place for endpoints and the store. /conn-end/broken_connection_isnt_reused fails without its last condition and passes with it.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -213,6 +213,13 @@
 			    : BAD_REQUEST);
 }
 
+bool
+http_conn_reusable(const http_conn_t *c)
+{
+	return !c->closed && c->keep_alive && !c->surplus &&
+	       buf_len(&c->out) == 0 && c->tcp_end == TCP_END_NONE;
+}
+
 const char *
 http_conn_fault(const http_conn_t *c)
 {
--- a/net/net.h
+++ b/net/net.h
@@ -190,6 +190,11 @@
 /** The same from an address of this machine, with any port. */
 http_conn_t *http_conn_connect_from(loop_t *l, const struct sockaddr_in *from,
     const struct sockaddr_in *to, const http_conn_ops_t *ops, void *user);
+/**
+ * @return whether the connection may carry another message: a complete one says
+ * so, nothing followed it, all was sent, and no call on the socket has failed
+ */
+bool http_conn_reusable(const http_conn_t *c);
 /** @return why a message was refused, e.g. "status", for a log line */
 const char *http_conn_fault(const http_conn_t *c);
 /** Append to the buffer out. */
--- a/serve/answer.c
+++ b/serve/answer.c
@@ -689,8 +689,7 @@
 	 * If the answer came before the whole request was sent, the rest of the
 	 * request would be read as another one: don't reuse the connection.
 	 */
-	keep = k->keep_alive && !k->surplus && !w->tainted &&
-	       buf_len(&k->out) == 0;
+	keep = http_conn_reusable(k) && !w->tainted;
 	if (k->surplus)
 		log_limited(LOG_WARNING, "answer-surplus",
 		    "request=%s endpoint=%s", c->request.id, w->ep->entry.id);
--- a/serve/http_request.c
+++ b/serve/http_request.c
@@ -111,8 +111,7 @@
 		return;
 	}
 	k->user = NULL;
-	if (c->keep_conn && k->keep_alive && !k->surplus &&
-	    nidle < IDLE_CONNS_MAX)
+	if (c->keep_conn && http_conn_reusable(k) && nidle < IDLE_CONNS_MAX)
 		idle[nidle++] = k;
 	else
 		http_conn_close(k);
--- a/tests/conn_end_test.c
+++ b/tests/conn_end_test.c
@@ -59,6 +59,8 @@
 	loop_t loop;
 	int fd; /* the peer's socket */
 	http_conn_t *conn;
+	bool look; /* at what is unread, in each callback for the body */
+	bool reusable;
 	int dones, ends;
 	http_end_t why;
 } client_t;
@@ -72,14 +74,18 @@
 static void
 on_body(void *u, http_conn_t *c, const char *p, size_t n)
 {
-	(void)u, (void)c, (void)p, (void)n;
+	(void)p, (void)n;
+	if (((client_t *)u)->look)
+		http_conn_unread(c);
 }
 
 static void
 on_done(void *u, http_conn_t *c)
 {
-	(void)c;
-	((client_t *)u)->dones++;
+	client_t *k = u;
+
+	k->dones++;
+	k->reusable = http_conn_reusable(c);
 }
 
 static void
@@ -232,6 +238,38 @@
 	run_all(CALL_UNREAD, REQUEST);
 }
 
+/*
+ * Guards against a call that is sent on a connection that is known to be reset:
+ * a log line in the last callback has seen it, and the answer is whole.
+ */
+static void
+broken_connection_isnt_reused(void)
+{
+	static const char answer[] = OK "Content-Length: 5\r\n\r\nwhole";
+	int reset;
+
+	for (reset = 0; reset <= 1; reset++) {
+		client_t k;
+
+		client_open(&k);
+		k.look = true;
+		g_assert_cmpint(send(k.fd, answer, strlen(answer), 0), ==,
+		    (ssize_t)strlen(answer));
+		if (reset)
+			peer_end(&k, true);
+		while (k.dones == 0 && k.ends == 0)
+			loop_turn(&k.loop, 10);
+		g_assert_cmpint(k.dones, ==, 1);
+		g_assert_cmpint(k.reusable, ==, !reset);
+		if (k.ends == 0)
+			http_conn_close(k.conn);
+		if (k.fd != -1)
+			close(k.fd);
+		loop_turn(&k.loop, 0);
+		loop_free(&k.loop);
+	}
+}
+
 #define T(name) g_test_add_func("/conn-end/" #name, name)
 
 int
@@ -240,5 +278,6 @@
 	g_test_init(&argc, &argv, NULL);
 	T(failed_send_doesnt_hide_a_reset);
 	T(look_at_unread_bytes_doesnt_hide_a_reset);
+	T(broken_connection_isnt_reused);
 	return g_test_run();
 }
