--- a/tests/http_request_test.c
+++ b/tests/http_request_test.c
@@ -1,6 +1,7 @@
 /* Requests to the store, and the connections that are kept to it. */
 #include "serve/serve.h"
 #include "standin/fake_store.h"
+#include "standin/scripted_peer.h"
 #include "tests/proc.h"
 
 enum {
@@ -66,10 +67,62 @@
 	g_free(addr);
 }
 
+/*
+ * Guards against a part of the store's answer, or one that isn't HTTP/1.1, that
+ * is taken for its state.
+ */
+static void
+broken_answer_of_the_store_is_none(void)
+{
+	static const struct {
+		script_t script;
+		int status; /* 0: no answer */
+	} cases[] = {
+		{ { .answer = "HTTP/1.1 200 OK\r\n\r\n{}", .end = SCRIPT_FIN },
+		    200 },
+		{ { .answer = "HTTP/1.1 200 OK\r\n\r\n{}",
+		      .end = SCRIPT_RESET },
+		    0 },
+		{ { .answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+		      .end = SCRIPT_FIN },
+		    0 },
+		{ { .answer =
+			  "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}" },
+		    0 },
+		{ { .answer = "HTTP/1.1 200 OK\r\nA b: c\r\n"
+			      "Content-Length: 2\r\n\r\n{}" },
+		    0 },
+		{ { .answer = "HTTP/1.1 200 OK\r\nContent-Len",
+		      .end = SCRIPT_FIN },
+		    0 },
+	};
+	static serve_t s;
+	scripted_peer_t *store;
+	int port, status;
+	char *addr;
+	size_t i;
+
+	g_assert_cmpint(loop_init(&s.loop), ==, 0);
+	ports_take(&port, 1);
+	addr = addr_of(port);
+	g_assert_cmpint(net_addr(addr, &s.store), ==, 0);
+	store = scripted_peer_new(&s.loop, addr);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scripted_peer_set(store, &cases[i].script);
+		ask(&s, addr, WAIT_MS, &status);
+		g_assert_cmpint(wait_status(&s, &status), ==, cases[i].status);
+	}
+	scripted_peer_free(store);
+	g_free(addr);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/* First: the other leaves kept connections on a loop of its own. */
+	g_test_add_func("/http-request/broken_answer_of_the_store_is_none",
+	    broken_answer_of_the_store_is_none);
 	g_test_add_func("/http-request/kept_connections_that_hang",
 	    kept_connections_that_hang_are_tried_once);
 	return g_test_run();
