--- a/standin/environment.c
+++ b/standin/environment.c
@@ -139,8 +139,8 @@
 	    "engine", "slots", sizes->slots, "kv_capacity_tokens", 100000,
 	    "weights_mb", sizes->weights_mb, "adapter_slots",
 	    sizes->adapter_slots, "loads_per_s", sizes->loads_per_s, "models",
-	    models, "limits", "max_header_bytes", 8192, "max_body_bytes", 65536,
-	    "header_timeout_ms", 2000, "idle_timeout_ms", 10000);
+	    models, "limits", "max_header_bytes", 8192, "max_body_bytes",
+	    4 << 20, "header_timeout_ms", 2000, "idle_timeout_ms", 10000);
 	if (tenants != NULL)
 		json_object_set_new(c, "tenants", tenants);
 	text = json_dumps(c, JSON_COMPACT);
--- a/standin/fake_endpoint.c
+++ b/standin/fake_endpoint.c
@@ -4,6 +4,11 @@
 #include <string.h>
 #include <sys/socket.h>
 
+enum {
+	TORN_STEP = 7,	     /* bytes from one cut of a head to the next */
+	EARLY_RESET_MS = 20, /* after half an answer */
+};
+
 static void
 finish_call(endpoint_conn_t *c, bool whole)
 {
@@ -24,21 +29,49 @@
 	    endpoint_of(c)->limit, endpoint_of(c)->headers, extra);
 }
 
-/* An answer without a length; a reset marks it as incomplete. */
 static void
-answer_no_length(endpoint_conn_t *c, const char *body, bool truncated)
+reset_conn(void *arg)
 {
+	endpoint_conn_t *c = arg;
 	struct linger hard = { 1, 0 };
 
+	setsockopt(
+	    c->conn.http->watch.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	server_conn_close(&c->conn);
+}
+
+/* An answer without a length; a reset marks it as incomplete. */
+static void
+answer_no_length(endpoint_conn_t *c, const char *body, bool truncated)
+{
 	put_head(c, 200, "Server-Signature: s1\r\nConnection: close\r\n\r\n");
 	buf_add(&c->conn.http->out, body, strlen(body) / (truncated ? 2 : 1));
 	http_conn_flush(c->conn.http);
-	if (truncated)
-		setsockopt(c->conn.http->watch.fd, SOL_SOCKET, SO_LINGER, &hard,
-		    sizeof(hard));
 	c->call->complete = !truncated;
 	c->call = NULL;
-	server_conn_close(&c->conn);
+	if (truncated)
+		reset_conn(c);
+	else
+		server_conn_close(&c->conn);
+}
+
+/* Each time the head is cut at another byte, by a FIN and a reset in turn. */
+static void
+answer_torn_head(endpoint_conn_t *c)
+{
+	fake_endpoint_t *ep = endpoint_of(c);
+	buf_t *out = &c->conn.http->out;
+
+	put_head(c, 200, "Server-Signature: s1\r\nContent-Length: 0\r\n");
+	ep->torn++;
+	out->len = out->off + ep->torn * TORN_STEP % buf_len(out);
+	http_conn_flush(c->conn.http);
+	c->call->complete = false;
+	c->call = NULL;
+	if (ep->torn % 2 == 0)
+		reset_conn(c);
+	else
+		server_conn_close(&c->conn);
 }
 
 /* A run has sent this event: fall silent if it is the chosen one. */
@@ -296,6 +329,9 @@
 		return;
 	case ENDPOINT_SILENT:
 		return;
+	case ENDPOINT_TORN_HEAD:
+		answer_torn_head(c);
+		return;
 	case ENDPOINT_FOREIGN_ANSWER:
 		buf_str(&k->out,
 		    "HTTP/1.1 200 OK\r\nRequest-Id: late\r\n"
@@ -336,7 +372,21 @@
 on_head(server_conn_t *v)
 {
 	endpoint_conn_t *c = (endpoint_conn_t *)v;
-
+	const char *id = head_get(&v->http->head, "Request-Id");
+
+	if (endpoint_of(c)->fault == ENDPOINT_EARLY_RESET && id != NULL) {
+		buf_fmt(&v->http->out,
+		    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+		    "Server-Signature: s1\r\n\r\nanswer to",
+		    id);
+		c->answered = true;
+		http_conn_pause(v->http, true);
+		http_conn_flush(v->http);
+		v->alarm = (alarm_t){ .fn = reset_conn, .arg = c };
+		alarm_set(v->server->loop, &v->alarm,
+		    v->server->loop->now + EARLY_RESET_MS);
+		return;
+	}
 	if (endpoint_of(c)->fault != ENDPOINT_EARLY_ANSWER)
 		return;
 	c->answered = true;
--- a/standin/fake_endpoint.h
+++ b/standin/fake_endpoint.h
@@ -29,6 +29,8 @@
 	ENDPOINT_EARLY_ANSWER,	  /* answers before the body is read */
 	ENDPOINT_UNFRAMED,	  /* streams that end by closing */
 	ENDPOINT_UNFRAMED_CUT,	  /* the same, closed inside the third event */
+	ENDPOINT_TORN_HEAD,	  /* ends anywhere in a head, also by a reset */
+	ENDPOINT_EARLY_RESET,	  /* half an answer before the body is read */
 } endpoint_fault_t;
 
 /** A call that the endpoint ran. */
--- a/standin/fake_endpoint_state.h
+++ b/standin/fake_endpoint_state.h
@@ -46,6 +46,7 @@
 	int64_t silent_after; /* event, -1: none */
 	ms_t silence_ms, silent_until;
 	endpoint_fault_t fault;
+	unsigned torn; /* heads, by ENDPOINT_TORN_HEAD */
 	GPtrArray *executed, *orders;
 	GPtrArray *models; /* loaded_model_t */
 	int64_t seq;
--- a/tests/soak_proc.c
+++ b/tests/soak_proc.c
@@ -13,9 +13,11 @@
 
 enum {
 	RUN_MS = 8000,
-	FAULTS_PER_RUN = 11,
+	FAULTS_PER_RUN = 13,
 	FAULTS_LATER = 2,      /* of these, of the kinds from F_LATER on */
 	FAULTS_LAST = 2,       /* of the kinds from F_LAST on */
+	FAULTS_WIRE = 2,       /* of the kinds from F_WIRE on */
+	SILENCE_MS = 1200,     /* before an answer that is reset */
 	START_MIN_MS = 800,    /* earliest start of a fault */
 	START_MAX_MS = 6000,   /* latest start */
 	FAULT_MIN_MS = 300,    /* shortest fault */
@@ -26,6 +28,9 @@
 	QUOTA_MAX = 20,	       /* calls a second */
 	UNREAD_CALLERS = 8,
 	UNREAD_REQUESTS = 4000, /* of each */
+	TORN_REQUESTS = 40,
+	UPLOADS = 8,
+	UPLOAD = 4000000, /* bytes: more than the sockets take */
 };
 
 typedef enum fault_kind {
@@ -46,13 +51,20 @@
 	F_KEYS = F_LAST, /* withdrawn */
 	F_QUOTA,	 /* an organisation's allowance falls */
 	F_UNREAD,	 /* callers that don't read their answers */
+	F_WIRE,
+	F_TORN_ANSWERS = F_WIRE, /* of an endpoint, cut in their heads */
+	/* Of answers of all plain endpoints. */
+	F_EARLY_RESET,	 /* before requests were read */
+	F_SILENT_RESET,	 /* after a silence */
+	F_TORN_REQUESTS, /* that end at any byte */
 	F_COUNT
 } fault_kind_t;
 
 static const char *const kind_name[] = { "kill", "stop", "freeze", "hup",
 	"store", "compact", "mute-watches", "endpoint", "crash", "crash-part",
-	"limit", "keys", "quota", "unread" };
-/* All endpoint faults but ENDPOINT_OK. */
+	"limit", "keys", "quota", "unread", "torn-answers", "early-reset",
+	"silent-reset", "torn-requests" };
+/* The kinds from F_WIRE on have endpoint faults of their own. */
 static const endpoint_fault_t endpoint_faults[] = { ENDPOINT_RESET,
 	ENDPOINT_NOT_RUN, ENDPOINT_ERROR, ENDPOINT_BUSY, ENDPOINT_SILENT,
 	ENDPOINT_CUT_STREAM, ENDPOINT_EXTRA_ANSWER, ENDPOINT_FOREIGN_ANSWER,
@@ -72,6 +84,7 @@
 typedef struct soak_run {
 	cluster_t *cluster;
 	int unread[UNREAD_CALLERS]; /* sockets; 0: none */
+	client_request_t *upload[UPLOADS];
 	fault_t fault[FAULTS_PER_RUN];
 } soak_run_t;
 
@@ -80,12 +93,14 @@
 {
 	fault_kind_t from = F_COUNT, to = F_COUNT;
 
-	if (i < FAULTS_PER_RUN - FAULTS_LATER - FAULTS_LAST)
-		from = 0, to = F_LATER;
-	else if (i < FAULTS_PER_RUN - FAULTS_LAST)
+	if (i >= FAULTS_PER_RUN - FAULTS_WIRE)
+		from = F_WIRE;
+	else if (i >= FAULTS_PER_RUN - FAULTS_WIRE - FAULTS_LAST)
+		from = F_LAST, to = F_WIRE;
+	else if (i >= FAULTS_PER_RUN - FAULTS_WIRE - FAULTS_LAST - FAULTS_LATER)
 		from = F_LATER, to = F_LAST;
 	else
-		from = F_LAST;
+		from = 0, to = F_LATER;
 	return from + (fault_kind_t)(rng_next(g) % (to - from));
 }
 
@@ -163,6 +178,89 @@
 	g_string_free(all, TRUE);
 }
 
+static void
+set_plain_fault(
+    const environment_t *g, endpoint_fault_t fault, int64_t after, ms_t span)
+{
+	int i;
+
+	for (i = g->sizes.engines; i < g->nendpoint; i++) {
+		fake_endpoint_set_fault(g->endpoint[i], fault);
+		fake_endpoint_set_silence(g->endpoint[i], after, span);
+	}
+}
+
+static void
+send_uploads(soak_run_t *r, const fault_t *f)
+{
+	const environment_t *g = r->cluster->env;
+	GString *text = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < UPLOADS; i++) {
+		if (r->upload[i] != NULL)
+			continue;
+		g_string_printf(text,
+		    "POST /book/a HTTP/1.1\r\nHost: %s\r\n"
+		    "Request-Id: upload-%d\r\n"
+		    "Authorization: Token " LOADGEN_KEY "\r\n"
+		    "Deadline-Remaining: 2000\r\nContent-Length: %d\r\n\r\n",
+		    g->host, i, i % LOADGEN_KEYS, UPLOAD);
+		g_string_append_printf(text, "%0*d", UPLOAD, i);
+		r->upload[i] = client_request_open(&r->cluster->env->loop,
+		    g->caller[(f->which + i) % g->sizes.daemons], text->str,
+		    NULL, NULL);
+	}
+	g_string_free(text, TRUE);
+}
+
+/* A success has the whole answer. */
+static void
+check_uploads(soak_run_t *r)
+{
+	int i;
+
+	for (i = 0; i < UPLOADS; i++) {
+		char *body, *want;
+
+		if (r->upload[i] == NULL)
+			continue;
+		body = client_request_body(r->upload[i]);
+		want = g_strdup_printf("answer to upload-%d by ", i);
+		if (r->upload[i]->done && r->upload[i]->status == 200)
+			g_assert_true(g_str_has_prefix(body, want));
+		g_free(body);
+		g_free(want);
+		client_request_free(r->upload[i]);
+	}
+}
+
+/* Requests of which only a part arrives. */
+static void
+send_torn(const soak_run_t *r, const fault_t *f)
+{
+	static const char request[] =
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: torn\r\nContent-Length: 4\r\n\r\nbody";
+	const environment_t *g = r->cluster->env;
+	struct linger hard = { 1, 0 };
+	struct sockaddr_in to;
+	int i, fd;
+
+	net_addr(g->caller[f->which % g->sizes.daemons], &to);
+	for (i = 0; i < TORN_REQUESTS; i++) {
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0)
+			(void)!send(fd, request,
+			    (size_t)(f->how + i) % (sizeof(request) - 1),
+			    MSG_NOSIGNAL);
+		if (i % 2 == 0)
+			setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+		close(fd);
+	}
+}
+
 static void
 close_unread(soak_run_t *r)
 {
@@ -230,6 +328,19 @@
 	case F_UNREAD:
 		open_unread(r, f);
 		break;
+	case F_TORN_ANSWERS:
+		fake_endpoint_set_fault(ep, ENDPOINT_TORN_HEAD);
+		break;
+	case F_EARLY_RESET:
+		set_plain_fault(g, ENDPOINT_EARLY_RESET, -1, 0);
+		send_uploads(r, f);
+		break;
+	case F_SILENT_RESET:
+		set_plain_fault(g, ENDPOINT_TRUNCATED, 0, SILENCE_MS);
+		break;
+	case F_TORN_REQUESTS:
+		send_torn(r, f);
+		break;
 	case F_COUNT:
 		break;
 	}
@@ -257,7 +368,12 @@
 	case F_MUTE_WATCHES:
 		fake_store_mute_watches(g->store, false);
 		break;
+	case F_EARLY_RESET:
+	case F_SILENT_RESET:
+		set_plain_fault(g, ENDPOINT_OK, -1, 0);
+		break;
 	case F_ENDPOINT:
+	case F_TORN_ANSWERS:
 		fake_endpoint_set_fault(
 		    g->endpoint[f->which % g->nendpoint], ENDPOINT_OK);
 		break;
@@ -278,11 +394,29 @@
 	case F_HUP:
 	case F_COMPACT:
 	case F_CRASH:
+	case F_TORN_REQUESTS:
 	case F_COUNT:
 		break;
 	}
 }
 
+/* No torn request was run. */
+static void
+check_torn(const environment_t *g)
+{
+	int i;
+	guint k;
+
+	for (i = 0; i < g->nendpoint; i++) {
+		const GPtrArray *ran = fake_endpoint_executed(g->endpoint[i]);
+
+		for (k = 0; k < ran->len; k++)
+			g_assert_cmpstr(
+			    ((const executed_call_t *)ran->pdata[k])->id, !=,
+			    "torn");
+	}
+}
+
 static void
 on_turn(void *arg, ms_t since)
 {
@@ -312,6 +446,8 @@
 	plan_faults(&r, seed);
 	cluster_run_load(r.cluster, RUN_MS, on_turn, &r);
 	close_unread(&r);
+	check_torn(r.cluster->env);
+	check_uploads(&r);
 	cluster_free(r.cluster);
 }
 
