tests: broken answers to orders and reports, too

The requests to endpoints that aren't calls use the store's code, without a connection that is kept; their answers had no test of their own. The same six answers are read from the store and from another peer.

--- a/tests/http_request_test.c
+++ b/tests/http_request_test.c
@@ -18,13 +18,13 @@
 }
 
 static void
-ask(serve_t *s, const char *addr, ms_t span, int *status)
+ask(serve_t *s, const struct sockaddr_in *to, ms_t span, int *status)
 {
 	buf_t b = { 0 };
 
 	*status = -1;
-	objects_list(&b, KIND_CONFIG, NULL, addr);
-	http_request_send(s, &s->store, &b, span, on_answer, status);
+	objects_list(&b, KIND_CONFIG, NULL, "h:1");
+	http_request_send(s, to, &b, span, on_answer, status);
 }
 
 static int
@@ -55,24 +55,25 @@
 	g_assert_cmpint(net_addr(addr, &s.store), ==, 0);
 	store = fake_store_new(&s.loop, addr);
 	for (i = 0; i < REQUESTS; i++)
-		ask(&s, addr, WAIT_MS, &status[i]);
+		ask(&s, &s.store, WAIT_MS, &status[i]);
 	for (i = 0; i < REQUESTS; i++)
 		g_assert_cmpint(wait_status(&s, &status[i]), ==, 200);
 	fake_store_hang_connections(store, addr);
-	ask(&s, addr, SPAN_MS, &status[0]);
+	ask(&s, &s.store, SPAN_MS, &status[0]);
 	g_assert_cmpint(wait_status(&s, &status[0]), ==, 0);
-	ask(&s, addr, SPAN_MS, &status[0]);
+	ask(&s, &s.store, SPAN_MS, &status[0]);
 	g_assert_cmpint(wait_status(&s, &status[0]), ==, 200);
 	fake_store_free(store);
 	g_free(addr);
 }
 
 /*
- * Guards against a part of the store's answer, or one that isn't HTTP/1.1, that
- * is taken for its state.
+ * Guards against a part of an answer, or one that isn't HTTP/1.1, that is taken
+ * for the store's state, or for an endpoint's answer to an order or for its
+ * report.
  */
 static void
-broken_answer_of_the_store_is_none(void)
+broken_answer_is_none(void)
 {
 	static const struct {
 		script_t script;
@@ -97,6 +98,7 @@
 		    0 },
 	};
 	static serve_t s;
+	struct sockaddr_in to;
 	scripted_peer_t *store;
 	int port, status;
 	char *addr;
@@ -107,10 +109,16 @@
 	addr = addr_of(port);
 	g_assert_cmpint(net_addr(addr, &s.store), ==, 0);
 	store = scripted_peer_new(&s.loop, addr);
-	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		scripted_peer_set(store, &cases[i].script);
-		ask(&s, addr, WAIT_MS, &status);
-		g_assert_cmpint(wait_status(&s, &status), ==, cases[i].status);
+	to = s.store;
+	for (i = 0; i < 2 * G_N_ELEMENTS(cases); i++) {
+		size_t k = i % G_N_ELEMENTS(cases);
+
+		/* Then the same from a peer that isn't the store. */
+		if (i == G_N_ELEMENTS(cases))
+			s.store.sin_port = 0;
+		scripted_peer_set(store, &cases[k].script);
+		ask(&s, &to, WAIT_MS, &status);
+		g_assert_cmpint(wait_status(&s, &status), ==, cases[k].status);
 	}
 	scripted_peer_free(store);
 	g_free(addr);
@@ -121,8 +129,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	/* First: the other leaves kept connections on a loop of its own. */
-	g_test_add_func("/http-request/broken_answer_of_the_store_is_none",
-	    broken_answer_of_the_store_is_none);
+	g_test_add_func(
+	    "/http-request/broken_answer_is_none", broken_answer_is_none);
 	g_test_add_func("/http-request/kept_connections_that_hang",
 	    kept_connections_that_hang_are_tried_once);
 	return g_test_run();
