--- a/review/stage-3/lib.sh
+++ b/review/stage-3/lib.sh
@@ -70,8 +70,8 @@
 	rate = 20
 	INI
 	local ports d path front directory i
-	ports=$(build/bin/freeports 6) || cant "no free ports"
-	run standins build/bin/standin-deployment --name small \
+	ports=$(build/review-3/freeports 6) || cant "no free ports"
+	run standins build/review-3/standin-deployment --name small \
 	    --sizes "$tmp/sizes.ini" --dir "$tmp" \
 	    --ports "$(echo $ports | tr ' ' ,)" --seconds 0
 	for i in $(seq 100); do
