--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Build what the scripts of review/11 to review/15 start beside the daemon, the
+# Build what the scripts of review/12 to review/15 start beside the daemon, the
 # project's own stand-ins too, after the build of the deploy file. It needs the
 # packages of the deploy file only. Everything goes to build/review-3.
 set -eu
@@ -21,5 +21,4 @@
 ar rcs $out/lib.a $out/*.c.o
 gcc $flags -o $out/standin-deployment standin/deployment.c $out/lib.a $libs
 gcc $flags -o $out/freeports bench/freeports.c $out/lib.a $libs
-gcc $flags -o $out/late3 review/stage-3/late3.c $out/lib.a $libs
 gcc -std=gnu11 -O2 -Wall -Wextra -Werror -o $out/crowd3 review/stage-3/crowd3.c
--- a/review/stage-3/crowd3.c
+++ b/review/stage-3/crowd3.c
@@ -5,7 +5,6 @@
  *                                  connection to each address, and read nothing
  * crowd3 bodies N ADDR...          N connections to each address, each with a
  *                                  chunked body that stops short and stays open
- * crowd3 models HOST ADDR...       requests for models that aren't there
  * crowd3 callers FILE HOST N S ADDR...
  *                                  N sound consumers at each address, for S
  *                                  seconds; each uses a new channel each time
@@ -46,8 +45,6 @@
 } peer_t;
 
 static volatile sig_atomic_t stop;
-static bool same;
-static uint64_t rng = 88172645463325252ULL;
 
 static void
 on_stop(int sig)
@@ -65,17 +62,6 @@
 	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
-static uint64_t
-next_random(void)
-{
-	if (same)
-		return 1;
-	rng ^= rng << 13;
-	rng ^= rng >> 7;
-	rng ^= rng << 17;
-	return rng;
-}
-
 static void
 parse_addr(peer_t *p, const char *text)
 {
@@ -121,30 +107,10 @@
 
 /* What each connection sends, over and over (again) or once. */
 typedef struct plan {
-	bool again, reads, random_models;
+	bool again, reads;
 	int rcvbuf;
-	const char *host;
 } plan_t;
 
-static void
-fill_models(peer_t *p, const char *host)
-{
-	size_t cap = BATCH * 512;
-	int i;
-
-	if (p->out == NULL)
-		p->out = malloc(cap);
-	p->len = p->off = 0;
-	for (i = 0; i < BATCH; i++)
-		p->len += (size_t)snprintf(p->out + p->len, cap - p->len,
-		    "GET /gen/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: u%x-%d\r\n"
-		    "Model: model-that-nobody-has-%016llx%016llx/a%u\r\n"
-		    "Token-Usage: 600,11\r\nDeadline-Remaining: 5000\r\n\r\n",
-		    host, p->id++, i, (unsigned long long)next_random(),
-		    (unsigned long long)next_random(),
-		    (unsigned)(next_random() % 1000000));
-}
-
 static void
 run_crowd(peer_t *p, int n, const plan_t *plan)
 {
@@ -185,9 +151,7 @@
 			}
 			if (!(f[i].revents & POLLOUT))
 				continue;
-			if (p[i].off == p[i].len && plan->random_models)
-				fill_models(&p[i], plan->host);
-			else if (p[i].off == p[i].len)
+			if (p[i].off == p[i].len)
 				p[i].off = 0;
 			got = send(p[i].fd, p[i].out + p[i].off,
 			    p[i].len - p[i].off, MSG_NOSIGNAL);
@@ -237,24 +201,6 @@
 	run_crowd(p, n * each, &(plan_t){ .reads = true });
 }
 
-static void
-models(const char *host, int n, char **addr)
-{
-	peer_t *p = calloc((size_t)n, sizeof(*p));
-	int i;
-
-	/* With SAME set, all ask for the same one. */
-	same = getenv("SAME") != NULL;
-	rng ^= (uint64_t)getpid() << 32;
-	for (i = 0; i < n; i++)
-		parse_addr(&p[i], addr[i]);
-	run_crowd(p, n,
-	    &(plan_t){ .again = true,
-		.reads = true,
-		.random_models = true,
-		.host = host });
-}
-
 /* Sound consumers. */
 
 static void
@@ -412,8 +358,6 @@
 		unread(argc - 2, argv + 2);
 	else if (argc > 3 && strcmp(argv[1], "bodies") == 0)
 		bodies(atoi(argv[2]), argc - 3, argv + 3);
-	else if (argc > 3 && strcmp(argv[1], "models") == 0)
-		models(argv[2], argc - 3, argv + 3);
 	else if (argc > 6 && strcmp(argv[1], "callers") == 0)
 		callers(argv[2], argv[3], atoi(argv[4]), atoi(argv[5]),
 		    argc - 6, argv + 6);
